--- /dev/null
+++ b/src/controller/process/controller.cc
@@ -0,0 +1,98 @@
+// SPDX-License-Identifier: MIT
+#include "controller/process/controller.h"
+
+#include <future>
+#include <utility>
+
+#include "membership/member.h"
+
+namespace valeledge::controller {
+
+namespace {
+
+namespace asio = boost::asio;
+
+// A status without the reservations is given if they take longer than this.
+constexpr auto kStatusWait = std::chrono::milliseconds(200);
+
+}  // namespace
+
+controller::controller(controller_settings settings)
+    : settings_(std::move(settings)),
+      node_(settings_.shared, membership::role::kController) {}
+
+base::result<void> controller::Start() {
+  node_.SetCallHandler(
+      [this](wire::envelope call) { return HandleCall(std::move(call)); });
+  node_.AddStatusSource(
+      [this](boost::json::object& status) { AddStatus(status); });
+  const auto started = node_.Start();
+  if (!started)
+    return started;
+  lease_.emplace(node_.platform().context(), node_.key_value(), node_.id(),
+                 settings_.lease_length);
+  book_.emplace(node_.platform(), node_.key_value());
+  sender_.emplace(orders_, settings_.order_timeout, [this](order_end end) {
+    planning_.Submit([this, end] { planner_->TakeOrderEnd(end); });
+  });
+  planner_.emplace(planning_, orders_, node_, *lease_, *book_, *sender_,
+                   settings_);
+  lease_->Start();
+  planner_->Start();
+  node_.Run();
+  planning_.Start();
+  orders_.Start();
+  return {};
+}
+
+asio::awaitable<wire::envelope> controller::HandleCall(wire::envelope call) {
+  wire::acknowledgement done;
+  done.code = static_cast<std::int32_t>(base::result_code::kNotOwner);
+  if (call.__isset.report) {
+    auto take = [this,
+                 report = std::move(call.report)]() -> asio::awaitable<bool> {
+      co_return planner_->TakeReport(report);
+    };
+    const auto taken = co_await base::RunOn<bool>(planning_, std::move(take));
+    if (taken && *taken)
+      done.code = 0;
+  }
+  wire::envelope reply;
+  reply.__set_done(done);
+  co_return reply;
+}
+
+void controller::AddStatus(boost::json::object& status) {
+  auto part = std::make_shared<std::promise<boost::json::object>>();
+  auto filled = part->get_future();
+  const bool asked = planning_.Submit([this, part] {
+    boost::json::object own;
+    planner_->AddStatus(own);
+    part->set_value(std::move(own));
+  });
+  const bool answered =
+      asked && filled.wait_for(kStatusWait) == std::future_status::ready;
+  if (!answered)
+    return;
+  for (auto& [key, value] : filled.get())
+    status[key] = std::move(value);
+}
+
+void controller::Leave() {
+  node_.AnnounceLeaving();
+  lease_->Resign();
+}
+
+void controller::RefuseNewWork() {}
+
+bool controller::IsIdle() const {
+  return lease_->term() == 0;
+}
+
+void controller::Stop() {
+  planning_.Stop();
+  orders_.Stop();
+  node_.Stop();
+}
+
+}  // namespace valeledge::controller
--- /dev/null
+++ b/src/controller/process/controller.h
@@ -0,0 +1,47 @@
+// SPDX-License-Identifier: MIT
+// The process valeledge-controller.
+#ifndef VALELEDGE_CONTROLLER_PROCESS_CONTROLLER_H_
+#define VALELEDGE_CONTROLLER_PROCESS_CONTROLLER_H_
+
+#include <memory>
+#include <optional>
+
+#include "base/duty.h"
+#include "controller/process/controller_settings.h"
+#include "controller/process/lease_keeper.h"
+#include "controller/process/order_sender.h"
+#include "controller/process/planner.h"
+#include "controller/process/reservation_book.h"
+#include "node/node.h"
+
+namespace valeledge::controller {
+
+// One of several; the one that holds the lease plans placement. Threads
+// beside the node's: "planning" and "orders".
+class controller {
+ public:
+  explicit controller(controller_settings settings);
+
+  base::result<void> Start();
+  void Leave();
+  void RefuseNewWork();
+  bool IsIdle() const;
+  void Stop();
+
+ private:
+  boost::asio::awaitable<wire::envelope> HandleCall(wire::envelope call);
+  void AddStatus(boost::json::object& status);
+
+  controller_settings settings_;
+  node::node node_;
+  base::duty planning_{"planning"};
+  base::duty orders_{"orders"};
+  std::optional<lease_keeper> lease_;
+  std::optional<reservation_book> book_;
+  std::optional<order_sender> sender_;
+  std::optional<planner> planner_;
+};
+
+}  // namespace valeledge::controller
+
+#endif  // VALELEDGE_CONTROLLER_PROCESS_CONTROLLER_H_
--- /dev/null
+++ b/src/controller/process/lease_keeper.cc
@@ -0,0 +1,136 @@
+// SPDX-License-Identifier: MIT
+#include "controller/process/lease_keeper.h"
+
+#include <algorithm>
+#include <random>
+#include <utility>
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include "base/logging.h"
+#include "platform/constants.h"
+
+namespace valeledge::controller {
+
+namespace {
+
+namespace asio = boost::asio;
+using base::log_event;
+
+constexpr auto kAwait = asio::as_tuple(asio::use_awaitable);
+constexpr std::string_view kCategory = "lease";
+
+// Renewals in one length of the lease.
+constexpr int kRenewals = 3;
+
+// Controllers that do not hold the lease look for it in this part of its
+// length, spread by a random factor.
+constexpr int kLooks = 2;
+
+}  // namespace
+
+lease_keeper::lease_keeper(asio::io_context& context,
+                           platform::kv_client& service,
+                           std::string holder,
+                           std::chrono::microseconds length)
+    : context_(context),
+      service_(service),
+      holder_(std::move(holder)),
+      length_(length) {}
+
+void lease_keeper::Start() {
+  asio::co_spawn(context_, Loop(), asio::detached);
+}
+
+void lease_keeper::NoteLost(std::int64_t term) {
+  if (term_.compare_exchange_strong(term, 0))
+    base::Log(kCategory, log_event::kLeaseGone, {{"term", term}});
+}
+
+asio::awaitable<void> lease_keeper::TryTake() {
+  // One read tells most of the time that another holds it.
+  platform::kv_transaction look;
+  look.on_success.push_back(platform::Get(std::string(platform::kLeaderKey)));
+  const auto seen = co_await service_.Run(std::move(look));
+  const bool held =
+      !seen || seen->results.empty() || !seen->results.front().pairs.empty();
+  if (held)
+    co_return;
+  const auto asked = std::chrono::steady_clock::now();
+  const auto granted = co_await service_.GrantLease(
+      std::chrono::ceil<std::chrono::seconds>(length_));
+  if (!granted)
+    co_return;
+  platform::kv_transaction take;
+  take.conditions.push_back(
+      platform::Absent(std::string(platform::kLeaderKey)));
+  take.on_success.push_back(
+      platform::Put(std::string(platform::kLeaderKey), holder_, *granted));
+  const auto taken = co_await service_.Run(std::move(take));
+  if (!taken || !taken->succeeded) {
+    // A lost answer is not settled: the lease lapses by itself.
+    co_await service_.RevokeLease(*granted);
+    co_return;
+  }
+  lease_ = *granted;
+  safe_until_ = asked + length_;
+  term_ = taken->revision;
+  base::Log(kCategory, log_event::kLeaseTaken, {{"term", taken->revision}});
+}
+
+asio::awaitable<void> lease_keeper::Keep() {
+  const auto asked = std::chrono::steady_clock::now();
+  const auto kept = co_await service_.KeepLease(lease_);
+  if (kept) {
+    safe_until_ = asked + length_;
+    co_return;
+  }
+  const bool gone = kept.error().code == base::result_code::kLeaseLost ||
+                    std::chrono::steady_clock::now() >= safe_until_;
+  if (gone)
+    NoteLost(term_);
+}
+
+asio::awaitable<void> lease_keeper::GiveUp() {
+  const std::int64_t lease = lease_;
+  NoteLost(term_);
+  co_await service_.RevokeLease(lease);
+}
+
+asio::awaitable<void> lease_keeper::Loop() {
+  std::mt19937_64 random{std::random_device{}()};
+  asio::steady_timer timer(context_);
+  while (true) {
+    const bool holds = term_ != 0;
+    if (holds && resigned_)
+      co_await GiveUp();
+    else if (holds)
+      co_await Keep();
+    else if (!resigned_)
+      co_await TryTake();
+    auto pause = length_ / kRenewals;
+    if (term_ == 0) {
+      const auto bound = (length_ / kLooks).count();
+      std::uniform_int_distribution<std::int64_t> any(bound / 2, bound);
+      pause = std::chrono::microseconds(any(random));
+    }
+    timer.expires_after(pause);
+    // A resignation is acted on soon, not at the next renewal.
+    const auto wake = std::chrono::steady_clock::now() + pause;
+    while (std::chrono::steady_clock::now() < wake) {
+      const bool resigning = term_ != 0 && resigned_;
+      if (resigning)
+        break;
+      timer.expires_after(std::min<std::chrono::steady_clock::duration>(
+          wake - std::chrono::steady_clock::now(),
+          std::chrono::milliseconds(50)));
+      co_await timer.async_wait(kAwait);
+    }
+  }
+}
+
+}  // namespace valeledge::controller
--- /dev/null
+++ b/src/controller/process/lease_keeper.h
@@ -0,0 +1,55 @@
+// SPDX-License-Identifier: MIT
+// Takes and keeps the controllers' lease.
+#ifndef VALELEDGE_CONTROLLER_PROCESS_LEASE_KEEPER_H_
+#define VALELEDGE_CONTROLLER_PROCESS_LEASE_KEEPER_H_
+
+#include <atomic>
+#include <chrono>
+#include <cstdint>
+#include <string>
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/io_context.hpp>
+
+#include "platform/kv_client.h"
+
+namespace valeledge::controller {
+
+// Lives on the platform's thread. Whether this process holds the lease is
+// only a hint; every write compares the term in the key-value service.
+class lease_keeper {
+ public:
+  lease_keeper(boost::asio::io_context& context,
+               platform::kv_client& service,
+               std::string holder,
+               std::chrono::microseconds length);
+
+  void Start();
+  // Takes no lease from now on and gives up the one that is held.
+  void Resign() { resigned_ = true; }
+
+  // The revision at which the present lease was taken, 0 if this process does
+  // not hold it; from any thread.
+  std::int64_t term() const { return term_.load(); }
+  // A write has shown that the lease is gone; from any thread.
+  void NoteLost(std::int64_t term);
+
+ private:
+  boost::asio::awaitable<void> Loop();
+  boost::asio::awaitable<void> TryTake();
+  boost::asio::awaitable<void> Keep();
+  boost::asio::awaitable<void> GiveUp();
+
+  boost::asio::io_context& context_;
+  platform::kv_client& service_;
+  std::string holder_;
+  std::chrono::microseconds length_;
+  std::int64_t lease_ = 0;
+  std::chrono::steady_clock::time_point safe_until_;
+  std::atomic<std::int64_t> term_ = 0;
+  std::atomic<bool> resigned_ = false;
+};
+
+}  // namespace valeledge::controller
+
+#endif  // VALELEDGE_CONTROLLER_PROCESS_LEASE_KEEPER_H_
--- /dev/null
+++ b/src/controller/process/order_sender.cc
@@ -0,0 +1,91 @@
+// SPDX-License-Identifier: MIT
+#include "controller/process/order_sender.h"
+
+#include <utility>
+
+#include "base/json.h"
+#include "node/engine_report_reader.h"
+
+namespace valeledge::controller {
+
+namespace {
+
+namespace asio = boost::asio;
+
+constexpr auto kAskTimeout = std::chrono::milliseconds(500);
+
+constexpr unsigned kDone = 200;
+constexpr unsigned kFenced = 409;
+constexpr unsigned kNoRoom = 507;
+
+std::string Encode(const decisions::order& order) {
+  boost::json::object object;
+  object["order_id"] = order.id;
+  object["kind"] =
+      order.kind == decisions::order_kind::kLoad ? "load" : "unload";
+  object["artifact"] = order.artifact;
+  object["memory_mb"] = order.memory_mb;
+  object["fence"] = order.fence;
+  return boost::json::serialize(object);
+}
+
+}  // namespace
+
+order_sender::order_sender(base::duty& orders,
+                           std::chrono::microseconds timeout,
+                           order_sink sink)
+    : orders_(orders),
+      timeout_(timeout),
+      sink_(std::move(sink)),
+      http_(orders.context()) {}
+
+void order_sender::Send(std::string server,
+                        base::endpoint address,
+                        decisions::order order) {
+  asio::co_spawn(orders_.context(),
+                 Run(std::move(server), std::move(address), std::move(order)),
+                 asio::detached);
+}
+
+asio::awaitable<std::optional<decisions::engine_report>> order_sender::Ask(
+    base::endpoint address) {
+  const auto answer = co_await http_.Fetch(
+      std::move(address),
+      net::MakeRequest(boost::beast::http::verb::get, "/load"), kAskTimeout);
+  const auto object =
+      answer ? base::ParseJsonObject(answer->body()) : std::nullopt;
+  if (!object || answer->result_int() != kDone)
+    co_return std::nullopt;
+  co_return node::ReadEngineReport(*object);
+}
+
+asio::awaitable<void> order_sender::Run(std::string server,
+                                        base::endpoint address,
+                                        decisions::order order) {
+  order_end end;
+  end.server = std::move(server);
+  end.order_id = order.id;
+  const auto answer =
+      co_await http_.Fetch(address,
+                           net::MakeRequest(boost::beast::http::verb::post,
+                                            "/orders", Encode(order)),
+                           timeout_, net::connection_use::kFresh);
+  const bool never_left =
+      !answer && answer.error().what_ran == base::outcome::kNotRun;
+  if (never_left)
+    end.answer = decisions::order_answer::kRefused;
+  if (answer) {
+    const unsigned status = answer->result_int();
+    if (status == kDone)
+      end.answer = decisions::order_answer::kDone;
+    if (status == kFenced || status == kNoRoom)
+      end.answer = decisions::order_answer::kRefused;
+    if (const auto object = base::ParseJsonObject(answer->body())) {
+      end.incarnation = base::StringField(*object, "incarnation");
+      end.version = base::IntegerField(*object, "version");
+    }
+  }
+  sink_(std::move(end));
+}
+
+}  // namespace valeledge::controller
--- /dev/null
+++ b/src/controller/process/planner.h
@@ -0,0 +1,110 @@
+// SPDX-License-Identifier: MIT
+// Plans moves while this process holds the lease, and carries them out: every
+// order is recorded before it leaves.
+#ifndef VALELEDGE_CONTROLLER_PROCESS_PLANNER_H_
+#define VALELEDGE_CONTROLLER_PROCESS_PLANNER_H_
+
+#include <chrono>
+#include <deque>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/json.hpp>
+
+#include "base/duty.h"
+#include "controller/process/controller_settings.h"
+#include "controller/process/lease_keeper.h"
+#include "controller/process/order_sender.h"
+#include "controller/process/reservation_book.h"
+#include "decisions/placement.h"
+#include "decisions/token_bucket.h"
+#include "node/node.h"
+
+namespace valeledge::controller {
+
+// What a report said of one server, and when.
+struct server_news {
+  decisions::engine_report engine;
+  bool down = false;
+  bool leaving = false;
+  base::time_point heard;
+};
+
+// Lives on the planning thread. One coroutine changes the records, so that
+// each change is made on the newest.
+class planner {
+ public:
+  planner(base::duty& planning,
+          base::duty& orders,
+          node::node& node,
+          lease_keeper& lease,
+          reservation_book& book,
+          order_sender& sender,
+          const controller_settings& settings);
+
+  void Start();
+
+  // Takes in a scheduler's report; true if this process is in charge.
+  bool TakeReport(const wire::cell_report& report);
+  void TakeOrderEnd(order_end end);
+  void AddStatus(boost::json::object& status) const;
+  // Orders whose answers are awaited.
+  std::size_t awaited() const { return awaited_.size(); }
+
+ private:
+  struct inherited_order {
+    std::string id;
+    base::time_point until;
+  };
+
+  boost::asio::awaitable<void> Loop();
+  boost::asio::awaitable<bool> Begin(std::int64_t term);
+  boost::asio::awaitable<bool> SettleEnds();
+  boost::asio::awaitable<bool> ApplyNews();
+  boost::asio::awaitable<bool> ApplyNewsOf(const table::row& row,
+                                           const table::snapshot& table);
+  boost::asio::awaitable<std::optional<decisions::engine_report>> Ask(
+      const table::row& row);
+  boost::asio::awaitable<bool> FinishOfEnded();
+  boost::asio::awaitable<bool> CarryOut(const decisions::placement_move& move);
+  boost::asio::awaitable<bool> Write(decisions::server_reservation record);
+  decisions::placement_plan Plan();
+  std::vector<decisions::placeable> Models(const table::snapshot& table);
+  std::vector<decisions::placement_server> Servers(
+      const table::snapshot& table);
+  std::int64_t RunningLoads() const;
+  decisions::server_reservation RecordOf(const table::row& server) const;
+
+  base::duty& planning_;
+  base::duty& orders_;
+  node::node& node_;
+  lease_keeper& lease_;
+  reservation_book& book_;
+  order_sender& sender_;
+  const controller_settings& settings_;
+  boost::asio::steady_timer wake_;
+  std::int64_t incarnation_;
+  std::map<std::string, server_news> news_;
+  std::map<std::string, decisions::demand_forecast> forecasts_;
+  std::map<std::string, std::map<std::string, double>> demand_;
+  std::deque<order_end> ends_;
+  // Answers of runs that the records do not know yet.
+  std::vector<order_end> deferred_;
+  // When a server was last asked for a report.
+  std::map<std::string, base::time_point> asked_;
+  // Orders sent by this process without an end yet, with their kinds.
+  std::map<std::string, decisions::order_kind> awaited_;
+  std::vector<inherited_order> inherited_;
+  decisions::token_bucket store_rate_;
+  std::vector<std::string> without_room_;
+  std::int64_t moves_ = 0;
+};
+
+}  // namespace valeledge::controller
+
+#endif  // VALELEDGE_CONTROLLER_PROCESS_PLANNER_H_
--- /dev/null
+++ b/src/controller/process/reservation_book.cc
@@ -0,0 +1,101 @@
+// SPDX-License-Identifier: MIT
+#include "controller/process/reservation_book.h"
+
+#include <utility>
+
+#include "platform/constants.h"
+
+namespace valeledge::controller {
+
+namespace {
+
+namespace asio = boost::asio;
+using base::result_code;
+
+std::string KeyOf(const std::string& server) {
+  return std::string(platform::kReservationPrefix) + server;
+}
+
+}  // namespace
+
+reservation_book::reservation_book(base::duty& platform,
+                                   platform::kv_client& service)
+    : platform_(platform), service_(service) {}
+
+asio::awaitable<base::result<platform::kv_transaction_result>>
+reservation_book::Run(platform::kv_transaction transaction) {
+  using result_type = base::result<platform::kv_transaction_result>;
+  auto work = [this, transaction = std::move(
+                         transaction)]() -> asio::awaitable<result_type> {
+    co_return co_await service_.Run(transaction);
+  };
+  auto result = co_await base::RunOn<result_type>(platform_, std::move(work));
+  if (!result)
+    co_return base::NotRun(result_code::kRingFull,
+                           "the platform's ring is full");
+  co_return std::move(*result);
+}
+
+asio::awaitable<base::result<void>> reservation_book::Read(std::int64_t term) {
+  platform::kv_transaction look;
+  look.conditions.push_back(
+      platform::CreatedAt(std::string(platform::kLeaderKey), term));
+  look.on_success.push_back(
+      platform::GetPrefix(std::string(platform::kReservationPrefix)));
+  const auto seen = co_await Run(std::move(look));
+  if (!seen)
+    co_return tl::make_unexpected(seen.error());
+  if (!seen->succeeded)
+    co_return base::NotRun(result_code::kLeaseLost, "the lease is gone");
+  std::map<std::string, kept_reservation> records;
+  for (const platform::kv_operation_result& result : seen->results) {
+    for (const platform::kv_pair& pair : result.pairs) {
+      auto record = decisions::DecodeReservation(pair.value);
+      if (!record)
+        co_return tl::make_unexpected(record.error());
+      const std::string server = record->server;
+      records[server] = {std::move(*record), pair.mod_revision};
+    }
+  }
+  records_ = std::move(records);
+  term_ = term;
+  co_return base::result<void>();
+}
+
+asio::awaitable<base::result<void>> reservation_book::Write(
+    decisions::server_reservation record) {
+  const std::string key = KeyOf(record.server);
+  const std::string leader(platform::kLeaderKey);
+  const std::int64_t modified = records_[record.server].modified;
+  const std::string value = decisions::EncodeReservation(record);
+  platform::kv_transaction change;
+  change.conditions.push_back(platform::CreatedAt(leader, term_));
+  change.conditions.push_back(platform::Unchanged(key, modified));
+  change.on_success.push_back(platform::Put(key, value));
+  change.on_failure.push_back(platform::Get(leader));
+  change.on_failure.push_back(platform::Get(key));
+  const auto written = co_await Run(std::move(change));
+  if (!written)
+    co_return tl::make_unexpected(written.error());
+  kept_reservation& kept = records_[record.server];
+  if (written->succeeded) {
+    kept = {std::move(record), written->revision};
+    co_return base::result<void>();
+  }
+  const bool whole = written->results.size() == 2;
+  const auto& holder = written->results.front().pairs;
+  if (!whole || holder.empty() || holder.front().create_revision != term_)
+    co_return base::NotRun(result_code::kLeaseLost, "the lease is gone");
+  // An earlier write of ours whose answer was lost shows up here.
+  const auto& pairs = written->results[1].pairs;
+  if (!pairs.empty()) {
+    auto present = decisions::DecodeReservation(pairs.front().value);
+    if (present)
+      kept = {std::move(*present), pairs.front().mod_revision};
+  }
+  co_return base::NotRun(
+      result_code::kRevisionConflict,
+      "the reservation of " + record.server + " was changed in between");
+}
+
+}  // namespace valeledge::controller
--- /dev/null
+++ b/src/decisions/admission.cc
@@ -0,0 +1,336 @@
+// SPDX-License-Identifier: MIT
+#include "decisions/admission.h"
+
+#include <algorithm>
+#include <cmath>
+#include <utility>
+
+namespace valeledge::decisions {
+
+namespace {
+
+using base::result_code;
+using detail::partner_queue;
+
+// The rate of ends is smoothed over this time.
+constexpr auto kRateWindow = std::chrono::milliseconds(500);
+constexpr double kRateSmoothing = 0.3;
+
+std::int64_t ServedPerWindow(const cell_admission& cell) {
+  const std::chrono::duration<double> window = cell.plan.window;
+  return std::llround(cell.service_rate * window.count());
+}
+
+refused_request Refuse(cell_admission& cell,
+                       std::int64_t ticket,
+                       result_code code,
+                       base::time_point now) {
+  const auto wait =
+      TakePlace(cell.plan, now, ServedPerWindow(cell), cell.queued);
+  return {ticket, code, wait};
+}
+
+// The wait for a bucket of a limit, if it refuses.
+std::optional<std::chrono::milliseconds> OverLimit(
+    std::map<std::string, token_bucket>& limits,
+    const std::string& key,
+    double amount,
+    base::time_point now) {
+  const auto found = limits.find(key);
+  if (found == limits.end())
+    return std::nullopt;
+  Refill(found->second, now);
+  const auto wait = TimeUntil(found->second, amount);
+  if (wait.count() == 0)
+    return std::nullopt;
+  return std::chrono::ceil<std::chrono::milliseconds>(wait);
+}
+
+void Charge(std::map<std::string, token_bucket>& limits,
+            const std::string& key,
+            double amount) {
+  const auto found = limits.find(key);
+  if (found != limits.end())
+    found->second.level -= amount;
+}
+
+std::optional<refused_request> CheckLimits(cell_admission& cell,
+                                           const waiting_request& request,
+                                           base::time_point now) {
+  const std::string partner = "partner/" + request.partner;
+  for (const auto& [key, code] :
+       {std::pair(partner, result_code::kPartnerLimit),
+        std::pair(request.limit_key, result_code::kModelLimit)}) {
+    auto wait = OverLimit(cell.request_limits, key, 1, now);
+    if (!wait)
+      wait = OverLimit(cell.token_limits, key, request.tokens, now);
+    if (wait) {
+      // Behind the limit's own wait, places are handed out one after another.
+      const auto place =
+          TakePlace(cell.plan, now, ServedPerWindow(cell), cell.queued);
+      return refused_request{request.ticket, code, std::max(*wait, place)};
+    }
+  }
+  for (const std::string& key : {partner, request.limit_key}) {
+    Charge(cell.request_limits, key, 1);
+    Charge(cell.token_limits, key, request.tokens);
+  }
+  return std::nullopt;
+}
+
+// Whether the requests already waiting make a start in time hopeless.
+bool StartsTooLate(const cell_admission& cell,
+                   const waiting_request& request,
+                   base::time_point now) {
+  if (now >= request.latest_start)
+    return true;
+  const bool rate_known = cell.service_rate > 0;
+  if (!rate_known || cell.queued == 0)
+    return false;
+  // Its own partner's share of the rate works on what waits before it.
+  double weights = 0;
+  for (const auto& [name, queue] : cell.partners) {
+    if (queue.queued > 0 || name == request.partner)
+      weights += queue.weight;
+  }
+  const auto own = cell.partners.find(request.partner);
+  if (own == cell.partners.end())
+    return false;
+  std::int64_t before = 0;
+  for (const auto& [priority, waiting] : own->second.waiting) {
+    if (priority <= request.priority)
+      before += static_cast<std::int64_t>(waiting.size());
+  }
+  const double rate = cell.service_rate * own->second.weight / weights;
+  const std::chrono::duration<double> wait(static_cast<double>(before) / rate);
+  return now + std::chrono::duration_cast<std::chrono::microseconds>(wait) >
+         request.latest_start;
+}
+
+// The first request of a partner, in the order of priorities, that some
+// server can take now.
+struct candidate {
+  std::int64_t priority = 0;
+  std::size_t position = 0;
+  std::size_t server = 0;
+};
+
+std::optional<candidate> FindCandidate(const cell_admission& cell,
+                                       const partner_queue& queue,
+                                       std::mt19937_64& random) {
+  for (const auto& [priority, waiting] : queue.waiting) {
+    // Requests for the same unit fail alike; each unit is tried once.
+    std::vector<unit_hash> tried;
+    for (std::size_t i = 0; i < waiting.size(); ++i) {
+      const waiting_request& request = waiting[i];
+      const bool seen = std::ranges::find(tried, request.unit) != tried.end();
+      if (seen && request.avoid.empty())
+        continue;
+      const route_request route{request.unit, request.prefix_hash,
+                                request.avoid};
+      const auto server = ChooseServer(cell.servers, route, random);
+      if (server)
+        return candidate{priority, i, *server};
+      tried.push_back(request.unit);
+    }
+  }
+  return std::nullopt;
+}
+
+waiting_request TakeOut(cell_admission& cell,
+                        partner_queue& queue,
+                        std::int64_t priority,
+                        std::size_t position) {
+  auto& waiting = queue.waiting.at(priority);
+  waiting_request request = std::move(waiting[position]);
+  waiting.erase(waiting.begin() + static_cast<long>(position));
+  if (waiting.empty())
+    queue.waiting.erase(priority);
+  --queue.queued;
+  --cell.queued;
+  return request;
+}
+
+// A partner that was idle starts level with the others: it may not save up.
+void StartLevel(cell_admission& cell, partner_queue& queue) {
+  if (queue.queued == 0)
+    queue.virtual_time = std::max(queue.virtual_time, cell.virtual_now);
+}
+
+void RefuseLate(cell_admission& cell,
+                base::time_point now,
+                dispatch_result& out) {
+  for (auto& [name, queue] : cell.partners) {
+    std::vector<std::pair<std::int64_t, std::size_t>> late;
+    for (const auto& [priority, waiting] : queue.waiting) {
+      for (std::size_t i = waiting.size(); i > 0; --i) {
+        if (now >= waiting[i - 1].latest_start)
+          late.emplace_back(priority, i - 1);
+      }
+    }
+    for (const auto& [priority, position] : late) {
+      const waiting_request gone = TakeOut(cell, queue, priority, position);
+      out.refused.push_back(
+          Refuse(cell, gone.ticket, result_code::kDeadlineUnreachable, now));
+    }
+  }
+}
+
+// Requests whose last ready server has gone are refused, not kept.
+void RefuseUnservable(cell_admission& cell,
+                      base::time_point now,
+                      dispatch_result& out) {
+  for (auto& [name, queue] : cell.partners) {
+    std::vector<std::pair<std::int64_t, std::size_t>> lost;
+    for (const auto& [priority, waiting] : queue.waiting) {
+      for (std::size_t i = waiting.size(); i > 0; --i) {
+        if (!AnyReady(cell.servers, waiting[i - 1].unit))
+          lost.emplace_back(priority, i - 1);
+      }
+    }
+    for (const auto& [priority, position] : lost) {
+      const waiting_request gone = TakeOut(cell, queue, priority, position);
+      out.refused.push_back(
+          Refuse(cell, gone.ticket, result_code::kNoBackendServer, now));
+    }
+  }
+}
+
+void SetBucket(std::map<std::string, token_bucket>& limits,
+               const std::string& key,
+               std::int64_t rate,
+               double share,
+               const admission_settings& settings,
+               base::time_point now) {
+  if (rate == 0) {
+    limits.erase(key);
+    return;
+  }
+  const std::chrono::duration<double> burst = settings.limit_burst;
+  const auto [found, fresh] = limits.try_emplace(key);
+  token_bucket& bucket = found->second;
+  Refill(bucket, now);
+  bucket.rate = static_cast<double>(rate) * share;
+  bucket.burst = std::max(1.0, bucket.rate * burst.count());
+  bucket.level = fresh ? bucket.burst : std::min(bucket.level, bucket.burst);
+  bucket.filled = now;
+}
+
+}  // namespace
+
+void SetWeight(cell_admission& cell,
+               const std::string& partner,
+               double weight) {
+  cell.partners[partner].weight = weight;
+}
+
+void SetLimits(cell_admission& cell,
+               const std::string& key,
+               std::int64_t requests,
+               std::int64_t tokens,
+               double share,
+               base::time_point now) {
+  SetBucket(cell.request_limits, key, requests, share, cell.settings, now);
+  SetBucket(cell.token_limits, key, tokens, share, cell.settings, now);
+}
+
+std::optional<refused_request> Enqueue(cell_admission& cell,
+                                       waiting_request request,
+                                       base::time_point now) {
+  if (!AnyReady(cell.servers, request.unit))
+    return Refuse(cell, request.ticket, result_code::kNoBackendServer, now);
+  if (cell.queued >= cell.settings.queue_limit)
+    return Refuse(cell, request.ticket, result_code::kOverloaded, now);
+  if (StartsTooLate(cell, request, now)) {
+    return Refuse(cell, request.ticket, result_code::kDeadlineUnreachable, now);
+  }
+  auto over = CheckLimits(cell, request, now);
+  if (over)
+    return over;
+  partner_queue& queue = cell.partners[request.partner];
+  StartLevel(cell, queue);
+  ++queue.queued;
+  ++cell.queued;
+  const std::int64_t priority = request.priority;
+  queue.waiting[priority].push_back(std::move(request));
+  return std::nullopt;
+}
+
+dispatch_result Dispatch(cell_admission& cell,
+                         base::time_point now,
+                         std::mt19937_64& random) {
+  dispatch_result out;
+  RefuseLate(cell, now, out);
+  RefuseUnservable(cell, now, out);
+  std::vector<partner_queue*> order;
+  for (auto& [name, queue] : cell.partners) {
+    if (queue.queued > 0)
+      order.push_back(&queue);
+  }
+  while (!order.empty()) {
+    const auto least =
+        std::ranges::min_element(order, {}, &partner_queue::virtual_time);
+    partner_queue& queue = **least;
+    const auto found = FindCandidate(cell, queue, random);
+    if (!found) {
+      order.erase(least);
+      continue;
+    }
+    waiting_request request =
+        TakeOut(cell, queue, found->priority, found->position);
+    cell.virtual_now = std::max(cell.virtual_now, queue.virtual_time);
+    queue.virtual_time += request.tokens / queue.weight;
+    server_view& server = cell.servers[found->server];
+    ++server.in_flight;
+    RememberPrefix(server.prefixes, request.prefix_hash, now);
+    out.admitted.push_back({std::move(request), found->server});
+    if (queue.queued == 0)
+      std::erase(order, &queue);
+  }
+  return out;
+}
+
+bool Withdraw(cell_admission& cell, std::int64_t ticket) {
+  for (auto& [name, queue] : cell.partners) {
+    for (auto& [priority, waiting] : queue.waiting) {
+      const auto found =
+          std::ranges::find(waiting, ticket, &waiting_request::ticket);
+      if (found == waiting.end())
+        continue;
+      const auto position = static_cast<std::size_t>(found - waiting.begin());
+      TakeOut(cell, queue, priority, position);
+      return true;
+    }
+  }
+  return false;
+}
+
+void EndAttempt(cell_admission& cell,
+                const std::string& server,
+                const std::string& partner,
+                double expected,
+                double tokens,
+                base::time_point now) {
+  const auto found =
+      std::ranges::find(cell.servers, server, &server_view::name);
+  if (found != cell.servers.end() && found->in_flight > 0)
+    --found->in_flight;
+  partner_queue& queue = cell.partners[partner];
+  queue.virtual_time += (tokens - expected) / queue.weight;
+  queue.tokens_served += tokens;
+  ++cell.ended_since;
+  const auto passed = now - cell.rate_from;
+  if (passed < kRateWindow)
+    return;
+  const std::chrono::duration<double> seconds = passed;
+  const double rate = static_cast<double>(cell.ended_since) / seconds.count();
+  // A pause as long as several windows says nothing of the present rate.
+  const bool stale = passed > 4 * kRateWindow || cell.service_rate == 0;
+  cell.service_rate =
+      stale ? rate
+            : cell.service_rate * (1 - kRateSmoothing) + rate * kRateSmoothing;
+  cell.ended_since = 0;
+  cell.rate_from = now;
+}
+
+}  // namespace valeledge::decisions
--- /dev/null
+++ b/src/decisions/reservation.cc
@@ -0,0 +1,426 @@
+// SPDX-License-Identifier: MIT
+#include "decisions/reservation.h"
+
+#include <algorithm>
+#include <limits>
+#include <utility>
+
+#include "base/json.h"
+
+namespace valeledge::decisions {
+
+namespace {
+
+namespace json = boost::json;
+
+// Newer than every count of changes.
+constexpr std::int64_t kAnyVersion = std::numeric_limits<std::int64_t>::max();
+
+// Fenced off in this run, and seen to belong to it: an order that its sender
+// may still send could meet a later run before that is known here.
+bool IsDead(const server_reservation& record, const order& each) {
+  return !each.dead_in.empty() && each.dead_in == record.incarnation &&
+         each.settles_after == record.incarnation;
+}
+
+// How often the order may still take memory.
+std::int64_t Deliveries(const server_reservation& record, const order& each) {
+  if (each.kind == order_kind::kUnload || IsDead(record, each))
+    return 0;
+  const bool twice = record.redelivery && !each.answered;
+  return twice ? 2 : 1;
+}
+
+std::int64_t PossibleLoads(const server_reservation& record,
+                           std::string_view artifact) {
+  std::int64_t loads = 0;
+  for (const order& each : record.unsettled) {
+    if (each.artifact == artifact)
+      loads += Deliveries(record, each);
+  }
+  return loads;
+}
+
+std::int64_t Copies(const server_reservation& record,
+                    std::string_view artifact,
+                    const held_artifact& held) {
+  const std::int64_t copies = held.present + PossibleLoads(record, artifact);
+  return record.doubled_load ? copies : std::min<std::int64_t>(copies, 1);
+}
+
+void DropIfEmpty(server_reservation& record, const std::string& artifact) {
+  const auto found = record.held.find(artifact);
+  if (found != record.held.end() &&
+      Copies(record, artifact, found->second) == 0) {
+    record.held.erase(found);
+  }
+}
+
+// A fencing engine that took an order refuses all with lower numbers from
+// then on; what they did before only a report can tell.
+void DecideBelow(server_reservation& record,
+                 std::int64_t fence,
+                 std::int64_t version) {
+  if (!record.fencing)
+    return;
+  for (order& each : record.unsettled) {
+    const bool open = each.decided_at < 0 && each.dead_in != record.incarnation;
+    if (each.fence < fence && open)
+      each.decided_at = version;
+  }
+}
+
+// Settles, for this run, the orders that a report of this count decides: not
+// those whose artifact has a newer answer, for then the report's copies are
+// not taken.
+bool SettleDecided(server_reservation& record, std::int64_t version) {
+  bool changed = false;
+  for (order& each : record.unsettled) {
+    const auto held = record.held.find(each.artifact);
+    const bool newer =
+        held != record.held.end() && held->second.version > version;
+    const bool decided =
+        each.decided_at >= 0 && each.decided_at <= version && !newer;
+    if (!decided)
+      continue;
+    each.decided_at = -1;
+    each.dead_in = record.incarnation;
+    changed = true;
+  }
+  // An answered order belongs to the run that answered.
+  std::erase_if(record.unsettled, [](const order& each) {
+    return each.answered && !each.dead_in.empty();
+  });
+  return changed;
+}
+
+void TakeDone(server_reservation& record,
+              const order& done,
+              std::int64_t version) {
+  DecideBelow(record, done.fence, version);
+  if (record.redelivery) {
+    order kept = done;
+    kept.answered = true;
+    kept.finished = true;
+    kept.settles_after = record.incarnation;
+    record.unsettled.push_back(std::move(kept));
+  }
+  // A report that came first shows the change already.
+  if (version != 0 && version <= record.version)
+    return;
+  held_artifact& held = record.held[done.artifact];
+  const bool load = done.kind == order_kind::kLoad;
+  if (load)
+    held.memory_mb = std::max(held.memory_mb, done.memory_mb);
+  if (!load) {
+    // Answers come in any order: a load may have followed this unload.
+    if (version == 0)
+      record.wants_report = true;
+    else if (version > held.version)
+      held.present = 0;
+  } else if (held.present == 0 || record.doubled_load) {
+    ++held.present;
+  }
+  held.version = std::max(held.version, version);
+}
+
+json::object EncodeOrder(const order& each) {
+  return {{"id", each.id},
+          {"kind", each.kind == order_kind::kLoad ? "load" : "unload"},
+          {"artifact", each.artifact},
+          {"memory_mb", each.memory_mb},
+          {"fence", each.fence},
+          {"sender", each.sender},
+          {"sender_incarnation", each.sender_incarnation},
+          {"finished", each.finished},
+          {"settles_after", each.settles_after},
+          {"answered", each.answered},
+          {"decided_at", each.decided_at},
+          {"dead_in", each.dead_in}};
+}
+
+order DecodeOrder(const json::object& object) {
+  const bool load = base::StringField(object, "kind") == "load";
+  return {base::StringField(object, "id"),
+          load ? order_kind::kLoad : order_kind::kUnload,
+          base::StringField(object, "artifact"),
+          base::IntegerField(object, "memory_mb"),
+          base::IntegerField(object, "fence"),
+          base::StringField(object, "sender"),
+          base::IntegerField(object, "sender_incarnation"),
+          base::BoolField(object, "finished"),
+          base::StringField(object, "settles_after"),
+          base::BoolField(object, "answered"),
+          base::IntegerField(object, "decided_at", -1),
+          base::StringField(object, "dead_in")};
+}
+
+void StartRun(server_reservation& record, const engine_report& report) {
+  std::map<std::string, std::int64_t> sizes;
+  for (const auto& [artifact, held] : record.held)
+    sizes[artifact] = held.memory_mb;
+  record.incarnation = report.incarnation;
+  record.version = report.version;
+  record.held.clear();
+  for (const auto& [artifact, copies] : report.loaded)
+    record.held[artifact] = {sizes[artifact], copies, 0};
+  for (order& each : record.unsettled) {
+    each.decided_at = -1;
+    if (each.kind == order_kind::kLoad)
+      record.held[each.artifact].memory_mb = each.memory_mb;
+  }
+}
+
+bool SettleReported(server_reservation& record, const engine_report& report) {
+  bool changed = false;
+  for (const std::string& id : report.orders_done) {
+    const auto found = std::ranges::find(record.unsettled, id, &order::id);
+    if (found == record.unsettled.end() || found->answered)
+      continue;
+    const order done = *found;
+    record.unsettled.erase(found);
+    TakeDone(record, done, report.version);
+    changed = true;
+  }
+  return changed;
+}
+
+// Takes over what a report says is loaded, but for artifacts with an answer
+// newer than `version`.
+bool TakeLoaded(server_reservation& record,
+                const engine_report& report,
+                std::int64_t version) {
+  bool changed = SettleDecided(record, version);
+  std::vector<std::string> names;
+  for (const auto& [artifact, held] : record.held)
+    names.push_back(artifact);
+  for (const auto& [artifact, copies] : report.loaded) {
+    if (!record.held.contains(artifact))
+      names.push_back(artifact);
+  }
+  for (const std::string& artifact : names) {
+    const auto reported = report.loaded.find(artifact);
+    const std::int64_t copies =
+        reported == report.loaded.end() ? 0 : reported->second;
+    held_artifact& held = record.held[artifact];
+    if (held.version <= version) {
+      changed |= held.present != copies;
+      held.present = copies;
+    }
+    DropIfEmpty(record, artifact);
+  }
+  return changed;
+}
+
+}  // namespace
+
+std::int64_t ReservedMemory(const server_reservation& record) {
+  std::int64_t sum = 0;
+  for (const auto& [artifact, held] : record.held)
+    sum += held.memory_mb * Copies(record, artifact, held);
+  return sum;
+}
+
+std::int64_t ReservedCopies(const server_reservation& record,
+                            std::string_view artifact) {
+  const auto found = record.held.find(std::string(artifact));
+  return found == record.held.end() ? 0
+                                    : Copies(record, artifact, found->second);
+}
+
+bool CanLoad(const server_reservation& record,
+             std::string_view artifact,
+             std::int64_t memory_mb) {
+  if (record.incarnation.empty())
+    return false;
+  server_reservation after = record;
+  RecordLoad(after, {}, std::string(artifact), memory_mb);
+  return ReservedMemory(after) <= record.capacity_mb;
+}
+
+order RecordLoad(server_reservation& record,
+                 std::string id,
+                 std::string artifact,
+                 std::int64_t memory_mb) {
+  order sent{std::move(id),
+             order_kind::kLoad,
+             std::move(artifact),
+             memory_mb,
+             ++record.last_fence,
+             {},
+             0,
+             false,
+             {},
+             false,
+             -1,
+             {}};
+  held_artifact& held = record.held[sent.artifact];
+  held.memory_mb = std::max(held.memory_mb, memory_mb);
+  record.unsettled.push_back(sent);
+  return sent;
+}
+
+order RecordUnload(server_reservation& record,
+                   std::string id,
+                   std::string artifact) {
+  order sent{std::move(id),
+             order_kind::kUnload,
+             std::move(artifact),
+             0,
+             ++record.last_fence,
+             {},
+             0,
+             false,
+             {},
+             false,
+             -1,
+             {}};
+  record.unsettled.push_back(sent);
+  return sent;
+}
+
+void Settle(server_reservation& record,
+            std::string_view order_id,
+            order_answer answer,
+            std::int64_t version) {
+  const auto found = std::ranges::find(record.unsettled, order_id, &order::id);
+  if (found == record.unsettled.end() || found->answered)
+    return;
+  const order settled = *found;
+  record.unsettled.erase(found);
+  if (answer == order_answer::kDone)
+    TakeDone(record, settled, version);
+  DropIfEmpty(record, settled.artifact);
+}
+
+void Finish(server_reservation& record, std::string_view order_id) {
+  const auto found = std::ranges::find(record.unsettled, order_id, &order::id);
+  if (found != record.unsettled.end())
+    found->finished = true;
+}
+
+bool Observe(server_reservation& record, const engine_report& report) {
+  const bool same_run =
+      !report.incarnation.empty() && report.incarnation == record.incarnation;
+  if (!same_run || report.version == 0 || report.version <= record.version)
+    return false;
+  bool changed = SettleReported(record, report);
+  changed |= TakeLoaded(record, report, report.version);
+  record.version = report.version;
+  return changed;
+}
+
+bool ObserveAsked(server_reservation& record, const engine_report& report) {
+  if (report.incarnation.empty())
+    return false;
+  bool changed = std::erase_if(record.unsettled, [&](const order& each) {
+                   return each.finished && !each.settles_after.empty() &&
+                          each.settles_after != report.incarnation;
+                 }) != 0;
+  for (order& each : record.unsettled) {
+    if (!each.finished || !each.settles_after.empty())
+      continue;
+    each.settles_after = report.incarnation;
+    changed = true;
+  }
+  if (report.incarnation != record.incarnation) {
+    StartRun(record, report);
+    return true;
+  }
+  changed |= SettleReported(record, report);
+  changed |= std::exchange(record.wants_report, false);
+  // Asked for after every answer that the record knows.
+  changed |= TakeLoaded(record, report, kAnyVersion);
+  record.version = std::max(record.version, report.version);
+  return changed;
+}
+
+bool WantsAsking(const server_reservation& record,
+                 const engine_report& newest) {
+  const bool other_run =
+      !newest.incarnation.empty() && newest.incarnation != record.incarnation;
+  return other_run || record.wants_report ||
+         std::ranges::any_of(record.unsettled, [](const order& each) {
+           return each.decided_at >= 0 ||
+                  (each.finished && each.settles_after.empty());
+         });
+}
+
+bool IsSteady(const server_reservation& record, std::string_view artifact) {
+  const auto found = record.held.find(std::string(artifact));
+  if (found == record.held.end() || found->second.present == 0)
+    return false;
+  return std::ranges::none_of(record.unsettled, [&](const order& each) {
+    return each.kind == order_kind::kUnload && each.artifact == artifact &&
+           !IsDead(record, each);
+  });
+}
+
+bool IsLoading(const server_reservation& record, std::string_view artifact) {
+  return std::ranges::any_of(record.unsettled, [&](const order& each) {
+    return each.kind == order_kind::kLoad && each.artifact == artifact &&
+           !each.answered && !IsDead(record, each);
+  });
+}
+
+std::string EncodeReservation(const server_reservation& record) {
+  json::object held;
+  for (const auto& [artifact, each] : record.held) {
+    held[artifact] = {{"memory_mb", each.memory_mb},
+                      {"present", each.present},
+                      {"version", each.version}};
+  }
+  json::array unsettled;
+  for (const order& each : record.unsettled)
+    unsettled.push_back(EncodeOrder(each));
+  json::object object;
+  object["server"] = record.server;
+  object["capacity_mb"] = record.capacity_mb;
+  object["fencing"] = record.fencing;
+  object["doubled_load"] = record.doubled_load;
+  object["redelivery"] = record.redelivery;
+  object["incarnation"] = record.incarnation;
+  object["version"] = record.version;
+  object["last_fence"] = record.last_fence;
+  object["wants_report"] = record.wants_report;
+  object["held"] = std::move(held);
+  object["unsettled"] = std::move(unsettled);
+  return json::serialize(object);
+}
+
+base::result<server_reservation> DecodeReservation(std::string_view text) {
+  const auto object = base::ParseJsonObject(text);
+  const json::object* held =
+      object ? base::ObjectField(*object, "held") : nullptr;
+  const json::array* unsettled =
+      object ? base::ArrayField(*object, "unsettled") : nullptr;
+  if (held == nullptr || unsettled == nullptr) {
+    return base::NotRun(base::result_code::kTableInvalid,
+                        "a reservation that cannot be read");
+  }
+  server_reservation record;
+  record.server = base::StringField(*object, "server");
+  record.capacity_mb = base::IntegerField(*object, "capacity_mb");
+  record.fencing = base::BoolField(*object, "fencing");
+  record.doubled_load = base::BoolField(*object, "doubled_load", true);
+  record.redelivery = base::BoolField(*object, "redelivery");
+  record.incarnation = base::StringField(*object, "incarnation");
+  record.version = base::IntegerField(*object, "version");
+  record.last_fence = base::IntegerField(*object, "last_fence");
+  record.wants_report = base::BoolField(*object, "wants_report");
+  for (const auto& [artifact, value] : *held) {
+    if (!value.is_object())
+      continue;
+    const json::object& each = value.get_object();
+    record.held[std::string(artifact)] = {base::IntegerField(each, "memory_mb"),
+                                          base::IntegerField(each, "present"),
+                                          base::IntegerField(each, "version")};
+  }
+  for (const json::value& each : *unsettled) {
+    if (each.is_object())
+      record.unsettled.push_back(DecodeOrder(each.get_object()));
+  }
+  return record;
+}
+
+}  // namespace valeledge::decisions
--- /dev/null
+++ b/src/gateway/process/caller_front.cc
@@ -0,0 +1,127 @@
+// SPDX-License-Identifier: MIT
+#include "gateway/process/caller_front.h"
+
+#include <utility>
+
+#include <boost/beast/http.hpp>
+
+#include "base/logging.h"
+#include "gateway/constants.h"
+#include "gateway/request/answers.h"
+#include "gateway/request/chat_exchange.h"
+#include "gateway/request/service_exchange.h"
+
+namespace valeledge::gateway {
+
+namespace {
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+namespace json = boost::json;
+using base::result_code;
+
+constexpr std::string_view kServicesPath = "/services/";
+
+net::http_response PlainText(int status, std::string body) {
+  auto answer = net::MakeJsonResponse(status, std::move(body));
+  answer.set(http::field::content_type, "text/plain; charset=utf-8");
+  return answer;
+}
+
+base::error Refusal(result_code code, std::string message) {
+  return {code, base::outcome::kNotRun, std::move(message), std::nullopt};
+}
+
+}  // namespace
+
+caller_front::caller_front(gateway_shared& shared, int number)
+    : shared_(shared), duty_("callers" + std::to_string(number)) {}
+
+caller_front::~caller_front() {
+  Stop();
+}
+
+base::result<void> caller_front::Start() {
+  http_ = std::make_unique<net::http_client>(duty_.context());
+  server_ = std::make_unique<net::http_server>(
+      duty_.context(), settings().limits,
+      [this](net::http_request& request, net::http_responder& responder) {
+        return Handle(request, responder);
+      },
+      [this](const base::error& fault) {
+        metrics().CountRefusal(fault.code);
+        return ErrorResponse(fault, {});
+      });
+  const auto started = server_->Start(settings().caller_listen, true);
+  if (!started)
+    return tl::make_unexpected(started.error());
+  duty_.Start();
+  return {};
+}
+
+void caller_front::Drain() {
+  duty_.Submit([this] { server_->Drain(); });
+}
+
+void caller_front::Stop() {
+  duty_.Stop();
+}
+
+std::string caller_front::RenderModels() const {
+  const auto table = shared_.node.table().Get();
+  json::array data;
+  for (const auto kind : {table::row_kind::kModel, table::row_kind::kAdapter}) {
+    for (const table::row* each : table->All(kind)) {
+      data.push_back({{"id", each->name},
+                      {"object", "model"},
+                      {"owned_by", each->partner}});
+    }
+  }
+  return json::serialize(
+      json::object{{"object", "list"}, {"data", std::move(data)}});
+}
+
+asio::awaitable<void> caller_front::Handle(net::http_request& request,
+                                           net::http_responder& responder) {
+  std::string path(request.target().data(), request.target().size());
+  ++active_;
+  co_await Dispatch(request, responder, path.substr(0, path.find('?')));
+  --active_;
+}
+
+asio::awaitable<void> caller_front::Dispatch(net::http_request& request,
+                                             net::http_responder& responder,
+                                             std::string_view path) {
+  const bool chat = path == "/v1/chat/completions";
+  const bool service = path.starts_with(kServicesPath);
+  if (chat && request.method() != http::verb::post) {
+    co_await responder.Send(
+        ErrorResponse(Refusal(result_code::kMethodNotAllowed, "use POST"), {}));
+  } else if ((chat || service) && shared_.refusing) {
+    metrics().CountRefusal(result_code::kLeaving);
+    co_await responder.Send(ErrorResponse(
+        Refusal(result_code::kLeaving, "this host is leaving"), {}));
+  } else if (chat) {
+    co_await ServeChat(*this, request, responder);
+  } else if (service) {
+    co_await ServeService(*this, request, responder);
+  } else if (path == "/v1/models") {
+    co_await responder.Send(net::MakeJsonResponse(200, RenderModels()));
+  } else if (path == "/healthz") {
+    co_await responder.Send(PlainText(200, "ok\n"));
+  } else if (path == "/readyz") {
+    const bool ready = shared_.node.IsReady();
+    co_await responder.Send(
+        PlainText(ready ? 200 : 503, ready ? "ready\n" : "not ready\n"));
+  } else if (path == "/metrics") {
+    co_await responder.Send(PlainText(200, metrics().Render()));
+  } else {
+    metrics().CountRefusal(result_code::kUnknownPath);
+    co_await responder.Send(ErrorResponse(
+        Refusal(result_code::kUnknownPath,
+                "there is nothing at \"" + std::string(path) + "\""),
+        {}));
+  }
+}
+
+}  // namespace valeledge::gateway
--- /dev/null
+++ b/src/gateway/process/caller_front.h
@@ -0,0 +1,84 @@
+// SPDX-License-Identifier: MIT
+// One thread that serves callers.
+#ifndef VALELEDGE_GATEWAY_PROCESS_CALLER_FRONT_H_
+#define VALELEDGE_GATEWAY_PROCESS_CALLER_FRONT_H_
+
+#include <memory>
+#include <random>
+#include <string>
+
+#include "base/duty.h"
+#include "gateway/process/gateway_settings.h"
+#include "gateway/process/grant_client.h"
+#include "gateway/process/retry_budgets.h"
+#include "net/http_client.h"
+#include "net/http_server.h"
+#include "node/node.h"
+
+namespace valeledge::gateway {
+
+// What the threads of a gateway share.
+struct gateway_shared {
+  gateway_shared(gateway_settings settings_in, std::int32_t roles)
+      : settings(std::move(settings_in)),
+        node(settings.shared, roles),
+        grants(node, settings.routing) {}
+
+  gateway_settings settings;
+  node::node node;
+  grant_client grants;
+  retry_budgets budgets;
+  // Refuses new work from now on.
+  std::atomic<bool> refusing = false;
+};
+
+// Accepts callers and answers their requests on a thread of its own.
+class caller_front {
+ public:
+  caller_front(gateway_shared& shared, int number);
+  ~caller_front();
+
+  base::result<void> Start();
+  // Accepts nothing more; from any thread.
+  void Drain();
+  // Requests that are being answered; from any thread.
+  std::int64_t active() const { return active_.load(); }
+  void Stop();
+
+  gateway_shared& shared() { return shared_; }
+  net::http_client& http() { return *http_; }
+  std::mt19937_64& random() { return random_; }
+  const gateway_settings& settings() const { return shared_.settings; }
+  base::metrics& metrics() { return shared_.node.metrics(); }
+
+  // Runs `work` on the peers' thread; an error if its ring is full.
+  template <typename value_type, typename work_type>
+  boost::asio::awaitable<base::result<value_type>> OnPeers(work_type work) {
+    auto value = co_await base::RunOn<base::result<value_type>>(
+        shared_.node.peers(), std::move(work));
+    if (!value) {
+      co_return base::NotRun(base::result_code::kRingFull,
+                             "too many requests wait in this process");
+    }
+    co_return std::move(*value);
+  }
+
+ private:
+  boost::asio::awaitable<void> Handle(net::http_request& request,
+                                      net::http_responder& responder);
+  boost::asio::awaitable<void> Dispatch(net::http_request& request,
+                                        net::http_responder& responder,
+                                        std::string_view path);
+  std::string RenderModels() const;
+
+  gateway_shared& shared_;
+  base::duty duty_;
+  std::unique_ptr<net::http_client> http_;
+  std::unique_ptr<net::http_server> server_;
+  std::mt19937_64 random_{std::random_device{}()};
+  std::atomic<std::int64_t> active_ = 0;
+};
+
+}  // namespace valeledge::gateway
+
+#endif  // VALELEDGE_GATEWAY_PROCESS_CALLER_FRONT_H_
--- /dev/null
+++ b/src/gateway/process/grant_client.cc
@@ -0,0 +1,290 @@
+// SPDX-License-Identifier: MIT
+#include "gateway/process/grant_client.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "base/logging.h"
+#include "gateway/constants.h"
+#include "membership/ownership.h"
+#include "wire/codec.h"
+
+namespace valeledge::gateway {
+
+namespace {
+
+namespace asio = boost::asio;
+using base::result_code;
+
+constexpr auto kAwait = asio::as_tuple(asio::use_awaitable);
+
+// Schedulers asked for one grant before the gateway chooses alone.
+constexpr int kSchedulersAsked = 3;
+
+// Claims are told to this many schedulers in turn.
+constexpr int kClaimTries = 2;
+
+wire::grant_request Encode(const grant_wish& wish, const std::string& cell) {
+  wire::grant_request request;
+  request.request_id = wish.request_id;
+  request.attempt_id = wish.attempt_id;
+  request.cell = cell;
+  request.partner = wish.partner;
+  request.model = wish.unit;
+  request.prefix_hash = wish.prefix_hash;
+  request.estimated_tokens = wish.tokens;
+  request.priority = wish.priority;
+  request.remaining_us = wish.remaining.count();
+  request.avoid = wish.avoid;
+  if (!wish.idempotency_key.empty()) {
+    request.__set_idempotency_key(wish.idempotency_key);
+    request.__set_request_digest(wish.request_digest);
+  }
+  return request;
+}
+
+base::error RefusalOf(const wire::grant_reply& reply) {
+  base::error refusal;
+  refusal.code =
+      base::ResultCodeFromNumber(reply.code).value_or(result_code::kOverloaded);
+  const bool may_have_run = refusal.code == result_code::kClaimInProgress ||
+                            refusal.code == result_code::kOutcomeUnknown;
+  refusal.what_ran =
+      may_have_run ? base::outcome::kUnknown : base::outcome::kNotRun;
+  if (refusal.code == result_code::kAnswerNotKept)
+    refusal.what_ran = base::outcome::kCompleted;
+  refusal.message = reply.reason;
+  if (reply.retry_after_us > 0) {
+    refusal.retry_after = std::chrono::ceil<std::chrono::milliseconds>(
+        std::chrono::microseconds(reply.retry_after_us));
+  }
+  return refusal;
+}
+
+base::error NoServer(const grant_wish& wish) {
+  return {result_code::kNoBackendServer, base::outcome::kNotRun,
+          "no backend server is ready for " + wish.unit, kUsualComeBack};
+}
+
+}  // namespace
+
+grant_client::grant_client(node::node& node, std::string routing)
+    : node_(node), routing_(std::move(routing)) {}
+
+void grant_client::Start() {
+  asio::co_spawn(node_.peers().context(), RepeatInFlight(), asio::detached);
+}
+
+std::vector<decisions::cell_view> grant_client::CellsFor(
+    const table::snapshot& table,
+    const node::member_view& view,
+    decisions::unit_hash unit) {
+  std::vector<decisions::cell_view> out;
+  std::string last;
+  for (const table::row* server : ReadyServers(table, view, unit)) {
+    const std::string cell = table::CellOf(*server);
+    if (cell == last)
+      continue;
+    last = cell;
+    decisions::cell_view each{cell, server->zone, 0, 0, 1};
+    const auto heard = view.records.find("load/" + cell);
+    auto load = heard == view.records.end()
+                    ? std::nullopt
+                    : wire::DecodeCellLoad(heard->second.value);
+    const auto answered = loads_.find(cell);
+    if (answered != loads_.end())
+      load = answered->second;
+    if (load) {
+      each.queued = load->queued;
+      each.in_flight = load->in_flight;
+      each.slots = load->slots;
+    }
+    out.push_back(std::move(each));
+  }
+  return out;
+}
+
+std::optional<base::endpoint> grant_client::OwnerOf(
+    const node::member_view& view,
+    const std::string& cell,
+    const std::string& zone) {
+  const auto now = std::chrono::steady_clock::now();
+  std::erase_if(avoided_,
+                [now](const auto& each) { return each.second <= now; });
+  std::vector<membership::member> usable;
+  for (const membership::member& each : view.members) {
+    const auto address = base::ParseEndpoint(each.address);
+    if (address && !avoided_.contains(*address))
+      usable.push_back(each);
+  }
+  const auto* owner = membership::ChooseCellOwner(usable, cell, zone);
+  return owner == nullptr ? std::nullopt : base::ParseEndpoint(owner->address);
+}
+
+base::result<grant> grant_client::ChooseAlone(const grant_wish& wish,
+                                              std::string_view way) {
+  const auto chosen =
+      fallback_.Choose(way, *node_.table().Get(), *node_.View(),
+                       decisions::HashUnit(wish.unit), wish.avoid);
+  if (!chosen)
+    return tl::make_unexpected(NoServer(wish));
+  grant given;
+  given.attempt_id = wish.attempt_id;
+  given.partner = wish.partner;
+  given.server = chosen->name;
+  given.address = *base::ParseEndpoint(chosen->address);
+  given.cell = chosen->cell;
+  return given;
+}
+
+asio::awaitable<base::result<grant>> grant_client::AskScheduler(
+    const grant_wish& wish,
+    std::string cell,
+    base::endpoint scheduler) {
+  wire::envelope call;
+  call.__set_grant(Encode(wish, cell));
+  const auto reply = co_await node_.CallPeer(scheduler, std::move(call),
+                                             wish.remaining + kGrantGrace);
+  if (!reply)
+    co_return tl::make_unexpected(reply.error());
+  if (!reply->__isset.granted) {
+    co_return base::NotRun(result_code::kPeerUnreachable,
+                           "the scheduler did not understand the call");
+  }
+  const wire::grant_reply& answer = reply->granted;
+  if (answer.__isset.load)
+    loads_[cell] = answer.load;
+  if (answer.code != 0)
+    co_return tl::make_unexpected(RefusalOf(answer));
+  const auto address = base::ParseEndpoint(answer.address);
+  grant given;
+  given.attempt_id = wish.attempt_id;
+  given.partner = wish.partner;
+  given.server = answer.server;
+  given.cell = std::move(cell);
+  given.scheduler = scheduler;
+  given.claim_revision = answer.claim_revision;
+  if (answer.__isset.recorded_answer) {
+    given.recorded_answer = answer.recorded_answer;
+    given.recorded_status = answer.recorded_status;
+    given.recorded_type = answer.recorded_type;
+    co_return given;
+  }
+  if (!address) {
+    co_return base::NotRun(result_code::kPeerUnreachable,
+                           "the grant names no address");
+  }
+  given.address = *address;
+  in_flight_[given.attempt_id] = given;
+  co_return given;
+}
+
+asio::awaitable<base::result<grant>> grant_client::Ask(grant_wish wish) {
+  const decisions::unit_hash unit = decisions::HashUnit(wish.unit);
+  const bool alone = routing_ != "scheduler" && wish.idempotency_key.empty();
+  if (alone)
+    co_return ChooseAlone(wish, routing_);
+  for (int asked = 0; asked < kSchedulersAsked; ++asked) {
+    const auto table = node_.table().Get();
+    const auto view = node_.View();
+    const auto cells = CellsFor(*table, *view, unit);
+    const auto chosen =
+        decisions::ChooseCell(cells, node_.settings().zone, random_);
+    if (!chosen)
+      co_return tl::make_unexpected(NoServer(wish));
+    const std::string cell = cells[*chosen].cell;
+    const auto owner = OwnerOf(*view, cell, cells[*chosen].zone);
+    if (!owner)
+      break;
+    auto given = co_await AskScheduler(wish, cell, *owner);
+    const bool unreachable =
+        !given && given.error().code == result_code::kPeerUnreachable;
+    if (!unreachable)
+      co_return given;
+    avoided_[*owner] = std::chrono::steady_clock::now() + kAvoidScheduler;
+    node_.metrics().CountRetry(result_code::kPeerUnreachable);
+  }
+  if (!wish.idempotency_key.empty()) {
+    co_return tl::make_unexpected(base::error{
+        result_code::kClaimUnavailable, base::outcome::kNotRun,
+        "no scheduler could be reached to record the claim", kUsualComeBack});
+  }
+  base::Log("gateway", base::log_event::kGrantFallback,
+            {{"request", wish.request_id}});
+  node_.metrics().Counter("valeledge_grants_alone_total").Add();
+  co_return ChooseAlone(wish, "two_choices");
+}
+
+void grant_client::End(const grant& given, const attempt_result& result) {
+  in_flight_.erase(given.attempt_id);
+  if (!given.scheduler) {
+    fallback_.End(given.server);
+    return;
+  }
+  wire::attempt_end ended;
+  ended.attempt_id = given.attempt_id;
+  ended.cell = given.cell;
+  ended.server = given.server;
+  ended.partner = given.partner;
+  ended.outcome = static_cast<std::int32_t>(result.what_ran);
+  ended.unreachable = result.unreachable;
+  ended.draining = result.draining;
+  ended.tokens = result.tokens;
+  ended.first_token_us = result.first_token.count();
+  wire::envelope call;
+  call.__set_ended(std::move(ended));
+  node_.channels().Notify(*given.scheduler, std::move(call));
+}
+
+asio::awaitable<base::result<void>> grant_client::UpdateClaim(
+    wire::claim_update update,
+    std::optional<base::endpoint> scheduler) {
+  for (int attempt = 0; attempt < kClaimTries; ++attempt) {
+    const auto view = node_.View();
+    const auto target =
+        scheduler ? scheduler : OwnerOf(*view, update.service_name, {});
+    if (!target)
+      break;
+    wire::envelope call;
+    call.__set_claim(update);
+    const auto reply =
+        co_await node_.CallPeer(*target, std::move(call), kRecordTimeout);
+    if (reply && reply->__isset.done && reply->done.code == 0)
+      co_return base::result<void>();
+    scheduler.reset();
+  }
+  co_return base::Unknown(result_code::kClaimUnavailable,
+                          "the claim was not updated");
+}
+
+asio::awaitable<void> grant_client::RepeatInFlight() {
+  asio::steady_timer timer(node_.peers().context());
+  while (true) {
+    timer.expires_after(kInFlightInterval);
+    co_await timer.async_wait(kAwait);
+    std::map<std::string, wire::in_flight_report> reports;
+    for (const auto& [attempt, given] : in_flight_) {
+      wire::attempt_end entry;
+      entry.attempt_id = attempt;
+      entry.server = given.server;
+      entry.partner = given.partner;
+      reports[given.cell].attempts.push_back(std::move(entry));
+    }
+    const auto table = node_.table().Get();
+    const auto view = node_.View();
+    for (auto& [cell, report] : reports) {
+      const auto servers = table->cells.find(cell);
+      if (servers == table->cells.end())
+        continue;
+      const auto owner = OwnerOf(*view, cell, servers->second.front()->zone);
+      if (!owner)
+        continue;
+      report.cell = cell;
+      wire::envelope call;
+      call.__set_in_flight(report);
+      node_.channels().Notify(*owner, std::move(call));
+    }
+  }
+}
+
+}  // namespace valeledge::gateway
--- /dev/null
+++ b/src/gateway/process/grant_client.h
@@ -0,0 +1,115 @@
+// SPDX-License-Identifier: MIT
+// Asks schedulers for grants and tells them how attempts ended.
+#ifndef VALELEDGE_GATEWAY_PROCESS_GRANT_CLIENT_H_
+#define VALELEDGE_GATEWAY_PROCESS_GRANT_CLIENT_H_
+
+#include <chrono>
+#include <map>
+#include <memory>
+#include <optional>
+#include <random>
+#include <set>
+#include <string>
+#include <vector>
+
+#include <boost/asio/awaitable.hpp>
+
+#include "base/error.h"
+#include "decisions/routing.h"
+#include "gateway/process/fallback.h"
+#include "node/node.h"
+#include "wire/generated/messages_types.h"
+
+namespace valeledge::gateway {
+
+// What a gateway wants to have served.
+struct grant_wish {
+  std::string request_id;
+  std::string attempt_id;
+  std::string partner;
+  // "model/NAME", "adapter/NAME" or "service/NAME".
+  std::string unit;
+  // The row that limits count for: a model's or service's name.
+  std::string limited;
+  std::int64_t prefix_hash = 0;
+  std::int32_t tokens = 1;
+  std::int32_t priority = 5;
+  std::chrono::microseconds remaining{0};
+  std::vector<std::string> avoid;
+  // Set for calls that may not be repeated.
+  std::string idempotency_key;
+  std::string request_digest;
+};
+
+// Leave to send one attempt to one backend server.
+struct grant {
+  std::string attempt_id;
+  std::string partner;
+  std::string server;
+  base::endpoint address;
+  std::string cell;
+  // The scheduler that gave it; none if the gateway chose alone.
+  std::optional<base::endpoint> scheduler;
+  std::int64_t claim_revision = 0;
+  // An earlier submission under the same key was answered with this.
+  std::optional<std::string> recorded_answer;
+  std::int32_t recorded_status = 0;
+  std::string recorded_type;
+};
+
+// How an attempt ended.
+struct attempt_result {
+  base::outcome what_ran = base::outcome::kUnknown;
+  bool unreachable = false;
+  bool draining = false;
+  std::int32_t tokens = 0;
+  std::chrono::microseconds first_token{0};
+};
+
+// All functions run on the peers' thread of the node.
+class grant_client {
+ public:
+  grant_client(node::node& node, std::string routing);
+
+  // Starts to repeat the attempts in flight to the owners of their cells.
+  void Start();
+
+  // A grant, or the final refusal with its time to come back.
+  boost::asio::awaitable<base::result<grant>> Ask(grant_wish wish);
+
+  // Tells the scheduler that an attempt has ended.
+  void End(const grant& given, const attempt_result& result);
+
+  // Records or releases a claim; the error leaves it as it is.
+  boost::asio::awaitable<base::result<void>> UpdateClaim(
+      wire::claim_update update,
+      std::optional<base::endpoint> scheduler);
+
+ private:
+  std::vector<decisions::cell_view> CellsFor(const table::snapshot& table,
+                                             const node::member_view& view,
+                                             decisions::unit_hash unit);
+  std::optional<base::endpoint> OwnerOf(const node::member_view& view,
+                                        const std::string& cell,
+                                        const std::string& zone);
+  base::result<grant> ChooseAlone(const grant_wish& wish, std::string_view way);
+  boost::asio::awaitable<base::result<grant>> AskScheduler(
+      const grant_wish& wish,
+      std::string cell,
+      base::endpoint scheduler);
+  boost::asio::awaitable<void> RepeatInFlight();
+
+  node::node& node_;
+  std::string routing_;
+  fallback fallback_;
+  std::mt19937_64 random_{std::random_device{}()};
+  // Schedulers that could not be reached, until when they are passed over.
+  std::map<base::endpoint, base::time_point> avoided_;
+  // Newest load of each cell, from answers.
+  std::map<std::string, wire::cell_load> loads_;
+  std::map<std::string, grant> in_flight_;
+};
+
+}  // namespace valeledge::gateway
+
+#endif  // VALELEDGE_GATEWAY_PROCESS_GRANT_CLIENT_H_
--- /dev/null
+++ b/src/gateway/request/chat_exchange.cc
@@ -0,0 +1,258 @@
+// SPDX-License-Identifier: MIT
+#include "gateway/request/chat_exchange.h"
+
+#include <utility>
+
+#include <boost/beast/http.hpp>
+
+#include "base/identifier.h"
+#include "base/logging.h"
+#include "decisions/retry.h"
+#include "gateway/constants.h"
+#include "gateway/request/answers.h"
+#include "gateway/request/attempt.h"
+#include "gateway/request/chat_request.h"
+
+namespace valeledge::gateway {
+
+namespace {
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+using base::log_event;
+using base::result_code;
+
+constexpr auto kAwait = asio::as_tuple(asio::use_awaitable);
+constexpr std::string_view kCategory = "chat";
+
+// One request for a completion, from its first attempt to its last.
+class chat_exchange {
+ public:
+  chat_exchange(caller_front& front,
+                chat_request request,
+                net::http_responder& responder)
+      : front_(front), request_(std::move(request)), responder_(responder) {}
+
+  asio::awaitable<void> Run();
+
+ private:
+  grant_wish Wish() const;
+  asio::awaitable<base::result<void>> Attempt();
+  asio::awaitable<bool> TakeChunk(const decisions::answer_chunk& chunk);
+  asio::awaitable<bool> MayTryAgain(const base::error& failed);
+  asio::awaitable<void> Complete();
+  asio::awaitable<void> Fail(base::error failed);
+  void NoteChunk();
+
+  caller_front& front_;
+  chat_request request_;
+  net::http_responder& responder_;
+  answer_so_far answer_;
+  std::vector<std::string> avoid_;
+  std::int64_t attempts_ = 0;
+  // Whether the last attempt got as far as a backend server.
+  bool granted_ = false;
+  bool streaming_ = false;
+  std::shared_ptr<net::http_exchange> open_;
+  std::chrono::steady_clock::time_point last_chunk_;
+};
+
+grant_wish chat_exchange::Wish() const {
+  grant_wish wish;
+  wish.request_id = request_.frame.id;
+  wish.attempt_id = base::NewIdentifier();
+  wish.partner = request_.frame.partner;
+  wish.unit = request_.frame.unit;
+  wish.limited = request_.frame.model;
+  wish.prefix_hash = request_.prefix_hash;
+  wish.tokens = request_.max_tokens;
+  wish.priority = request_.frame.priority;
+  wish.remaining = Remaining(request_.frame);
+  wish.avoid = avoid_;
+  return wish;
+}
+
+void chat_exchange::NoteChunk() {
+  const auto now = std::chrono::steady_clock::now();
+  if (answer_.tokens > 1 && last_chunk_.time_since_epoch().count() != 0) {
+    front_.metrics()
+        .Distribution("valeledge_between_tokens_seconds")
+        .Record(now - last_chunk_);
+  } else {
+    front_.metrics()
+        .Distribution("valeledge_first_token_seconds")
+        .Record(now - request_.frame.started);
+  }
+  last_chunk_ = now;
+}
+
+asio::awaitable<bool> chat_exchange::TakeChunk(
+    const decisions::answer_chunk& chunk) {
+  NoteChunk();
+  if (!request_.stream)
+    co_return !responder_.caller_gone();
+  if (!streaming_) {
+    streaming_ = true;
+    net::http_response_header header;
+    header.result(http::status::ok);
+    header.set(http::field::content_type, "text/event-stream");
+    header.set(http::field::cache_control, "no-cache");
+    header.set(kRequestField, request_.frame.id);
+    const bool started = co_await responder_.Start(std::move(header));
+    if (!started)
+      co_return false;
+  }
+  const std::string data = RenderChunk(request_.frame.id, request_.frame.model,
+                                       chunk.text, chunk.finish_reason);
+  co_return co_await responder_.Write(Event(data));
+}
+
+asio::awaitable<base::result<void>> chat_exchange::Attempt() {
+  gateway_shared& shared = front_.shared();
+  const auto asked = std::chrono::steady_clock::now();
+  auto ask = [&shared,
+              wish = Wish()]() -> asio::awaitable<base::result<grant>> {
+    co_return co_await shared.grants.Ask(wish);
+  };
+  const auto given = co_await front_.OnPeers<grant>(std::move(ask));
+  granted_ = given.has_value();
+  if (!given)
+    co_return tl::make_unexpected(given.error());
+  front_.metrics()
+      .Distribution("valeledge_grant_seconds")
+      .Record(std::chrono::steady_clock::now() - asked);
+  attempt_end end;
+  if (responder_.caller_gone()) {
+    end.told.what_ran = base::outcome::kNotRun;
+    end.ended = base::NotRun(result_code::kCallerGone, "the caller is gone");
+  } else {
+    const chunk_sink sink = [this](const decisions::answer_chunk& chunk) {
+      return TakeChunk(chunk);
+    };
+    end = co_await RunChatAttempt(
+        request_, {front_.settings(), front_.http(), *given, open_}, answer_,
+        sink);
+  }
+  shared.node.peers().Submit([&shared, given = *given, told = end.told] {
+    shared.grants.End(given, told);
+  });
+  if (!end.ended) {
+    avoid_.push_back(given->server);
+    base::Log(kCategory, log_event::kAttemptFailed,
+              {{"request", request_.frame.id},
+               {"attempt", given->attempt_id},
+               {"partner", request_.frame.partner},
+               {"model", request_.frame.model},
+               {"server", given->server},
+               {"code", static_cast<int>(end.ended.error().code)},
+               {"reason", end.ended.error().message}});
+  }
+  co_return end.ended;
+}
+
+asio::awaitable<bool> chat_exchange::MayTryAgain(const base::error& failed) {
+  if (!granted_ || responder_.caller_gone())
+    co_return false;
+  const auto verdict = front_.shared().budgets.Decide(
+      request_.frame.partner, request_.frame.unit,
+      {failed.what_ran, true, attempts_, Remaining(request_.frame)});
+  if (verdict == decisions::retry_verdict::kBudgetSpent)
+    front_.metrics().CountRefusal(result_code::kRetryBudgetExhausted);
+  if (verdict != decisions::retry_verdict::kAgain)
+    co_return false;
+  front_.metrics().CountRetry(failed.code);
+  asio::steady_timer pause(co_await asio::this_coro::executor,
+                           decisions::RetryPause(attempts_, front_.random()));
+  co_await pause.async_wait(kAwait);
+  co_return true;
+}
+
+asio::awaitable<void> chat_exchange::Complete() {
+  if (request_.stream) {
+    co_await responder_.Write(Event("[DONE]"));
+    co_await responder_.Finish();
+  } else {
+    auto answer = net::MakeJsonResponse(
+        200,
+        RenderCompletion(request_.frame.id, request_.frame.model, answer_.text,
+                         answer_.finish_reason, answer_.tokens));
+    answer.set(kRequestField, request_.frame.id);
+    answer.set(kOutcomeField, base::ToString(base::outcome::kCompleted));
+    co_await responder_.Send(std::move(answer));
+  }
+  front_.metrics().Counter("valeledge_requests_total", "completed").Add();
+}
+
+asio::awaitable<void> chat_exchange::Fail(base::error failed) {
+  // Earlier attempts may have run even if the last one did not.
+  if (answer_.tokens > 0)
+    failed.what_ran = base::outcome::kUnknown;
+  const bool timed_out = Remaining(request_.frame).count() <= 0 &&
+                         failed.what_ran == base::outcome::kUnknown;
+  if (timed_out)
+    failed.code = result_code::kDeadlinePassed;
+  if (failed.what_ran == base::outcome::kNotRun && !failed.retry_after)
+    failed.retry_after = kUsualComeBack;
+  front_.metrics().CountRefusal(failed.code);
+  base::Log(kCategory, log_event::kRequestRefused,
+            {{"request", request_.frame.id},
+             {"partner", request_.frame.partner},
+             {"model", request_.frame.model},
+             {"code", static_cast<int>(failed.code)},
+             {"outcome", std::string(base::ToString(failed.what_ran))},
+             {"reason", failed.message}});
+  if (!streaming_) {
+    co_await responder_.Send(ErrorResponse(failed, request_.frame.id));
+    co_return;
+  }
+  // The stream has begun: the error is its last event, and the connection
+  // closes without the transport's end, so that nothing looks whole.
+  co_await responder_.Write(Event(RenderError(failed, request_.frame.id)));
+  responder_.Break();
+}
+
+asio::awaitable<void> chat_exchange::Run() {
+  front_.shared().budgets.Earn(request_.frame.partner, request_.frame.unit);
+  responder_.OnCallerGone([this] {
+    if (open_ != nullptr)
+      open_->Abandon();
+  });
+  base::result<void> last;
+  bool unknown_before = false;
+  while (true) {
+    ++attempts_;
+    last = co_await Attempt();
+    if (last)
+      break;
+    const bool again = co_await MayTryAgain(last.error());
+    if (!again)
+      break;
+    unknown_before |= last.error().what_ran == base::outcome::kUnknown;
+  }
+  if (last) {
+    co_await Complete();
+    co_return;
+  }
+  base::error failed = last.error();
+  if (unknown_before)
+    failed.what_ran = base::outcome::kUnknown;
+  co_await Fail(std::move(failed));
+}
+
+}  // namespace
+
+asio::awaitable<void> ServeChat(caller_front& front,
+                                net::http_request& request,
+                                net::http_responder& responder) {
+  const auto table = front.shared().node.table().Get();
+  auto parsed = ParseChatRequest(request, front.settings(), *table);
+  if (!parsed) {
+    front.metrics().CountRefusal(parsed.error().code);
+    co_await responder.Send(ErrorResponse(parsed.error(), {}));
+    co_return;
+  }
+  chat_exchange exchange(front, std::move(*parsed), responder);
+  co_await exchange.Run();
+}
+
+}  // namespace valeledge::gateway
--- /dev/null
+++ b/src/gateway/request/chat_exchange.h
@@ -0,0 +1,20 @@
+// SPDX-License-Identifier: MIT
+// Serves one request for a completion: attempts until one is whole or the
+// request is given up on.
+#ifndef VALELEDGE_GATEWAY_REQUEST_CHAT_EXCHANGE_H_
+#define VALELEDGE_GATEWAY_REQUEST_CHAT_EXCHANGE_H_
+
+#include <boost/asio/awaitable.hpp>
+
+#include "gateway/process/caller_front.h"
+#include "net/http_server.h"
+
+namespace valeledge::gateway {
+
+boost::asio::awaitable<void> ServeChat(caller_front& front,
+                                       net::http_request& request,
+                                       net::http_responder& responder);
+
+}  // namespace valeledge::gateway
+
+#endif  // VALELEDGE_GATEWAY_REQUEST_CHAT_EXCHANGE_H_
--- /dev/null
+++ b/src/membership/gossip.cc
@@ -0,0 +1,533 @@
+// SPDX-License-Identifier: MIT
+#include "membership/gossip.h"
+
+#include <algorithm>
+#include <bit>
+#include <utility>
+
+namespace valeledge::membership {
+
+namespace {
+
+using detail::known_member;
+using detail::rumor;
+
+// Members asked to probe one that did not answer.
+constexpr std::size_t kIndirectProbes = 2;
+
+// Each piece of news is repeated this often per doubling of the fleet.
+constexpr std::int64_t kRepeatsPerDoubling = 3;
+
+// Full exchanges with peers that know something else: one in this time.
+constexpr auto kSyncInterval = std::chrono::seconds(10);
+
+// What a record takes in a datagram beside its texts, about.
+constexpr std::int64_t kRecordOverhead = 24;
+
+// Relayed pings are forgotten after this many probe timeouts.
+constexpr int kRelayTimeouts = 10;
+
+// Suspects are probed as well, the dead are not.
+bool IsDead(const known_member& each) {
+  return each.record.health == static_cast<std::int32_t>(member_health::kDead);
+}
+
+bool IsSuspect(const known_member& each) {
+  return each.record.health ==
+         static_cast<std::int32_t>(member_health::kSuspect);
+}
+
+std::int64_t SizeOf(const member& each) {
+  return kRecordOverhead +
+         static_cast<std::int64_t>(each.id.size() + each.address.size() +
+                                   each.zone.size());
+}
+
+std::int64_t SizeOf(const soft_record& each) {
+  return kRecordOverhead +
+         static_cast<std::int64_t>(each.key.size() + each.value.size());
+}
+
+std::int64_t RepeatLimit(const gossip_state& state) {
+  const auto size = static_cast<std::uint64_t>(state.others.size() + 1);
+  return kRepeatsPerDoubling * static_cast<std::int64_t>(std::bit_width(size));
+}
+
+void AddRumor(gossip_state& state, const std::string& key, bool is_member) {
+  std::erase_if(state.rumors, [&](const rumor& each) {
+    return each.key == key && each.is_member == is_member;
+  });
+  state.rumors.push_back({key, is_member, 0});
+}
+
+void ToggleDigest(gossip_state& state, const member& each) {
+  state.digest ^= Digest(each);
+}
+
+const member* FindRecord(const gossip_state& state, const std::string& id) {
+  if (id == state.self.id)
+    return &state.self;
+  const auto found = state.others.find(id);
+  return found == state.others.end() ? nullptr : &found->second.record;
+}
+
+// Puts the news that was repeated least into a message.
+void AttachNews(gossip_state& state, wire::gossip_message& message) {
+  std::ranges::stable_sort(state.rumors, {}, &rumor::times_sent);
+  const std::int64_t limit = RepeatLimit(state);
+  std::int64_t room = state.settings.news_bytes;
+  for (rumor& each : state.rumors) {
+    if (each.is_member) {
+      const member* record = FindRecord(state, each.key);
+      if (record == nullptr) {
+        each.times_sent = limit;
+        continue;
+      }
+      room -= SizeOf(*record);
+      if (room < 0)
+        break;
+      message.updates.push_back(*record);
+    } else {
+      const soft_record& record = state.soft.records.at(each.key);
+      room -= SizeOf(record);
+      if (room < 0)
+        break;
+      message.records.push_back(record);
+    }
+    ++each.times_sent;
+  }
+  std::erase_if(state.rumors,
+                [&](const rumor& each) { return each.times_sent >= limit; });
+}
+
+wire::gossip_message MakeMessage(gossip_state& state,
+                                 gossip_kind kind,
+                                 std::int64_t sequence) {
+  wire::gossip_message message;
+  message.kind = static_cast<std::int32_t>(kind);
+  message.sequence = sequence;
+  message.sender = state.self;
+  message.table_revision = state.table_revision;
+  message.digest = static_cast<std::int64_t>(state.digest);
+  AttachNews(state, message);
+  return message;
+}
+
+void Send(gossip_state& state,
+          gossip_events& events,
+          const base::endpoint& to,
+          gossip_kind kind,
+          std::int64_t sequence,
+          const std::string& target = {}) {
+  outgoing each{to, MakeMessage(state, kind, sequence)};
+  each.message.target = target;
+  events.datagrams.push_back(std::move(each));
+}
+
+std::vector<const known_member*> PickOthers(const gossip_state& state,
+                                            std::size_t count,
+                                            const std::string& except,
+                                            random_source& random) {
+  std::vector<const known_member*> candidates;
+  for (const auto& [id, each] : state.others) {
+    if (id != except && !IsDead(each))
+      candidates.push_back(&each);
+  }
+  std::ranges::shuffle(candidates, random);
+  candidates.resize(std::min(count, candidates.size()));
+  return candidates;
+}
+
+void SpreadAtOnce(gossip_state& state,
+                  gossip_events& events,
+                  random_source& random) {
+  const auto count = static_cast<std::size_t>(state.settings.fanout);
+  for (const known_member* each : PickOthers(state, count, {}, random))
+    Send(state, events, each->address, gossip_kind::kNews, 0);
+}
+
+void SetHealth(gossip_state& state,
+               known_member& each,
+               member_health health,
+               base::time_point now,
+               gossip_events& events) {
+  ToggleDigest(state, each.record);
+  each.record.health = static_cast<std::int32_t>(health);
+  ToggleDigest(state, each.record);
+  each.since = now;
+  AddRumor(state, each.record.id, true);
+  events.changed.push_back(each.record.id);
+}
+
+// What others say of this process: contradicted unless it is alive.
+void HearOfSelf(gossip_state& state,
+                const member& heard,
+                gossip_events& events) {
+  const bool same = heard.incarnation == state.self.incarnation;
+  const bool worse =
+      heard.health != static_cast<std::int32_t>(member_health::kAlive);
+  if (!same || !worse || heard.health_version < state.self.health_version)
+    return;
+  ToggleDigest(state, state.self);
+  state.self.health_version = heard.health_version + 1;
+  ToggleDigest(state, state.self);
+  AddRumor(state, state.self.id, true);
+  events.refuted = true;
+}
+
+// Tells a process that it is held for suspect or dead, so that it can object.
+void TellOfDoubt(gossip_state& state,
+                 const std::string& id,
+                 const base::endpoint& to,
+                 gossip_events& events) {
+  const auto found = state.others.find(id);
+  const bool doubted = found != state.others.end() &&
+                       (IsSuspect(found->second) || IsDead(found->second));
+  if (!doubted)
+    return;
+  Send(state, events, to, gossip_kind::kNews, 0);
+  events.datagrams.back().message.updates.push_back(found->second.record);
+}
+
+// True if the news should travel on at once.
+bool HearOfMember(gossip_state& state,
+                  const member& heard,
+                  base::time_point now,
+                  gossip_events& events) {
+  if (heard.id == state.self.id) {
+    HearOfSelf(state, heard, events);
+    return false;
+  }
+  const auto address = base::ParseEndpoint(heard.address);
+  if (!address || heard.id.empty())
+    return false;
+  auto found = state.others.find(heard.id);
+  if (found == state.others.end()) {
+    const bool dead =
+        heard.health == static_cast<std::int32_t>(member_health::kDead);
+    if (dead)
+      return false;
+    state.others.emplace(heard.id, known_member{heard, *address, now});
+    ToggleDigest(state, heard);
+    AddRumor(state, heard.id, true);
+    events.changed.push_back(heard.id);
+    return false;
+  }
+  known_member& known = found->second;
+  const member before = known.record;
+  if (!Merge(known.record, heard))
+    return false;
+  state.digest ^= Digest(before) ^ Digest(known.record);
+  known.address = *address;
+  if (known.record.health != before.health ||
+      known.record.health_version != before.health_version) {
+    known.since = now;
+  }
+  AddRumor(state, heard.id, true);
+  events.changed.push_back(heard.id);
+  return known.record.leaving && !before.leaving;
+}
+
+void HearOfRecord(gossip_state& state,
+                  const soft_record& heard,
+                  gossip_events& events) {
+  const auto found = state.soft.records.find(heard.key);
+  const std::uint64_t before =
+      found == state.soft.records.end() ? 0 : Digest(found->second);
+  if (!Merge(state.soft, heard))
+    return;
+  state.digest ^= before ^ Digest(heard);
+  AddRumor(state, heard.key, false);
+  events.records.push_back(heard.key);
+}
+
+// Everything this process knows, in datagrams of the usual size.
+void SendAll(gossip_state& state,
+             gossip_events& events,
+             const base::endpoint& to) {
+  std::vector<wire::gossip_message> parts;
+  std::int64_t room = 0;
+  const auto part = [&](std::int64_t size) -> wire::gossip_message& {
+    room -= size;
+    if (parts.empty() || room < 0) {
+      parts.emplace_back();
+      room = state.settings.news_bytes - size;
+    }
+    return parts.back();
+  };
+  for (const auto& [id, each] : state.others)
+    part(SizeOf(each.record)).updates.push_back(each.record);
+  for (const auto& [key, each] : state.soft.records)
+    part(SizeOf(each)).records.push_back(each);
+  for (wire::gossip_message& each : parts) {
+    each.kind = static_cast<std::int32_t>(gossip_kind::kSync);
+    each.sender = state.self;
+    each.table_revision = state.table_revision;
+    each.digest = static_cast<std::int64_t>(state.digest);
+    events.datagrams.push_back({to, std::move(each)});
+  }
+}
+
+void SendAllIfDifferent(gossip_state& state,
+                        const wire::gossip_message& message,
+                        const base::endpoint& from,
+                        base::time_point now,
+                        gossip_events& events) {
+  const bool same = static_cast<std::uint64_t>(message.digest) == state.digest;
+  if (same || now < state.next_sync)
+    return;
+  state.next_sync = now + kSyncInterval;
+  SendAll(state, events, from);
+}
+
+void EndProbe(gossip_state& state,
+              base::time_point now,
+              gossip_events& events) {
+  const auto probed = std::exchange(state.probing, std::nullopt);
+  const auto found = state.others.find(probed->target);
+  if (found == state.others.end() || IsDead(found->second))
+    return;
+  if (!IsSuspect(found->second))
+    SetHealth(state, found->second, member_health::kSuspect, now, events);
+}
+
+void ContinueProbe(gossip_state& state,
+                   base::time_point now,
+                   random_source& random,
+                   gossip_events& events) {
+  detail::probe& probed = *state.probing;
+  const auto waited = now - probed.sent;
+  if (waited >= state.settings.probe_interval) {
+    EndProbe(state, now, events);
+    return;
+  }
+  if (probed.indirect || waited < state.settings.probe_timeout)
+    return;
+  probed.indirect = true;
+  const std::string target = probed.target;
+  const std::int64_t sequence = probed.sequence;
+  for (const known_member* each :
+       PickOthers(state, kIndirectProbes, target, random)) {
+    Send(state, events, each->address, gossip_kind::kPingRequest, sequence,
+         target);
+  }
+}
+
+void StartProbe(gossip_state& state,
+                base::time_point now,
+                random_source& random,
+                gossip_events& events) {
+  if (state.probe_order.empty()) {
+    for (const auto& [id, each] : state.others) {
+      if (!IsDead(each))
+        state.probe_order.push_back(id);
+    }
+    std::ranges::shuffle(state.probe_order, random);
+  }
+  while (!state.probe_order.empty()) {
+    const std::string target = state.probe_order.back();
+    state.probe_order.pop_back();
+    const auto found = state.others.find(target);
+    if (found == state.others.end() || IsDead(found->second))
+      continue;
+    const std::int64_t sequence = state.next_sequence++;
+    state.probing = detail::probe{target, sequence, now, false};
+    Send(state, events, found->second.address, gossip_kind::kPing, sequence);
+    TellOfDoubt(state, target, found->second.address, events);
+    return;
+  }
+}
+
+// A process that is alone, or was cut off from everyone, asks its seeds; one
+// that is not asks one now and then, so that two halves find each other.
+void ContactSeeds(gossip_state& state,
+                  random_source& random,
+                  gossip_events& events) {
+  const bool alone = std::ranges::all_of(
+      state.others, [](const auto& each) { return IsDead(each.second); });
+  std::uniform_int_distribution<std::size_t> tenth(0, 9);
+  if (state.seeds.empty() || (!alone && tenth(random) != 0))
+    return;
+  std::uniform_int_distribution<std::size_t> any(0, state.seeds.size() - 1);
+  const std::size_t first = any(random);
+  const std::size_t count = alone ? state.seeds.size() : 1;
+  for (std::size_t i = 0; i < count; ++i) {
+    const base::endpoint& seed = state.seeds[(first + i) % state.seeds.size()];
+    if (base::ToString(seed) != state.self.address)
+      Send(state, events, seed, gossip_kind::kPing, state.next_sequence++);
+  }
+}
+
+void JudgeSuspects(gossip_state& state,
+                   base::time_point now,
+                   gossip_events& events) {
+  for (auto& [id, each] : state.others) {
+    const bool overdue = now - each.since >= state.settings.suspect_timeout;
+    if (IsSuspect(each) && overdue)
+      SetHealth(state, each, member_health::kDead, now, events);
+  }
+  std::erase_if(state.others, [&](const auto& entry) {
+    const known_member& each = entry.second;
+    const bool forgotten =
+        IsDead(each) && now - each.since >= state.settings.dead_retention;
+    if (forgotten)
+      ToggleDigest(state, each.record);
+    return forgotten;
+  });
+}
+
+}  // namespace
+
+gossip_builder& gossip_builder::Settings(gossip_settings settings) {
+  state_.settings = settings;
+  return *this;
+}
+
+gossip_builder& gossip_builder::Self(std::string id,
+                                     base::endpoint address,
+                                     std::string zone,
+                                     std::int32_t roles) {
+  state_.self.id = std::move(id);
+  state_.self.address = base::ToString(address);
+  state_.self.zone = std::move(zone);
+  state_.self.roles = roles;
+  return *this;
+}
+
+gossip_builder& gossip_builder::Incarnation(
+    std::chrono::system_clock::time_point started) {
+  state_.self.incarnation =
+      std::chrono::duration_cast<std::chrono::microseconds>(
+          started.time_since_epoch())
+          .count();
+  return *this;
+}
+
+gossip_builder& gossip_builder::Seeds(std::vector<base::endpoint> seeds) {
+  state_.seeds = std::move(seeds);
+  return *this;
+}
+
+gossip_state gossip_builder::Build() const {
+  gossip_state state = state_;
+  ToggleDigest(state, state.self);
+  AddRumor(state, state.self.id, true);
+  return state;
+}
+
+gossip_events Tick(gossip_state& state,
+                   base::time_point now,
+                   random_source& random) {
+  gossip_events events;
+  JudgeSuspects(state, now, events);
+  if (state.probing)
+    ContinueProbe(state, now, random, events);
+  if (now >= state.next_probe && !state.probing) {
+    state.next_probe = now + state.settings.probe_interval;
+    StartProbe(state, now, random, events);
+    ContactSeeds(state, random, events);
+    const auto oldest = now - kRelayTimeouts * state.settings.probe_timeout;
+    std::erase_if(state.relayed,
+                  [&](const auto& each) { return each.second.sent < oldest; });
+  }
+  return events;
+}
+
+gossip_events Receive(gossip_state& state,
+                      const wire::gossip_message& message,
+                      const base::endpoint& from,
+                      base::time_point now,
+                      random_source& random) {
+  gossip_events events;
+  bool urgent = HearOfMember(state, message.sender, now, events);
+  for (const member& each : message.updates)
+    urgent |= HearOfMember(state, each, now, events);
+  for (const soft_record& each : message.records)
+    HearOfRecord(state, each, events);
+  TellOfDoubt(state, message.sender.id, from, events);
+  if (message.table_revision > state.table_revision)
+    events.newer_table_at = base::ParseEndpoint(message.sender.address);
+  switch (static_cast<gossip_kind>(message.kind)) {
+    case gossip_kind::kPing:
+      Send(state, events, from, gossip_kind::kAck, message.sequence);
+      SendAllIfDifferent(state, message, from, now, events);
+      break;
+    case gossip_kind::kAck: {
+      if (state.probing && state.probing->sequence == message.sequence)
+        state.probing.reset();
+      const auto relay = state.relayed.find(message.sequence);
+      if (relay != state.relayed.end()) {
+        Send(state, events, relay->second.asker, gossip_kind::kAck,
+             relay->second.asker_sequence);
+        state.relayed.erase(relay);
+      }
+      SendAllIfDifferent(state, message, from, now, events);
+      break;
+    }
+    case gossip_kind::kPingRequest: {
+      const auto target = state.others.find(message.target);
+      if (target == state.others.end())
+        break;
+      const std::int64_t sequence = state.next_sequence++;
+      state.relayed[sequence] = {from, message.sequence, now};
+      Send(state, events, target->second.address, gossip_kind::kPing, sequence);
+      break;
+    }
+    case gossip_kind::kNews:
+    case gossip_kind::kSync:
+      break;
+  }
+  if (urgent || events.refuted)
+    SpreadAtOnce(state, events, random);
+  return events;
+}
+
+gossip_events AnnounceLeaving(gossip_state& state, random_source& random) {
+  gossip_events events;
+  ToggleDigest(state, state.self);
+  state.self.leaving = true;
+  ToggleDigest(state, state.self);
+  AddRumor(state, state.self.id, true);
+  SpreadAtOnce(state, events, random);
+  return events;
+}
+
+gossip_events AnnounceTable(gossip_state& state,
+                            std::int64_t revision,
+                            random_source& random) {
+  gossip_events events;
+  if (revision <= state.table_revision)
+    return events;
+  state.table_revision = revision;
+  SpreadAtOnce(state, events, random);
+  return events;
+}
+
+gossip_events AnnounceRecord(gossip_state& state,
+                             const std::string& key,
+                             std::string value,
+                             std::chrono::system_clock::time_point now) {
+  gossip_events events;
+  const auto found = state.soft.records.find(key);
+  if (found != state.soft.records.end())
+    state.digest ^= Digest(found->second);
+  const auto now_us = std::chrono::duration_cast<std::chrono::microseconds>(
+                          now.time_since_epoch())
+                          .count();
+  const soft_record& record = SetOwn(state.soft, key, std::move(value), now_us);
+  state.digest ^= Digest(record);
+  AddRumor(state, key, false);
+  events.records.push_back(key);
+  return events;
+}
+
+std::vector<member> Members(const gossip_state& state) {
+  std::vector<member> out;
+  out.reserve(state.others.size() + 1);
+  out.push_back(state.self);
+  for (const auto& [id, each] : state.others)
+    out.push_back(each.record);
+  return out;
+}
+
+}  // namespace valeledge::membership
--- /dev/null
+++ b/src/membership/gossip.h
@@ -0,0 +1,172 @@
+// SPDX-License-Identifier: MIT
+// Membership by gossip, as decisions without I/O: probes with indirect
+// probes, suspicion, refutation, leaving, soft records and the newest table
+// revision. Datagrams to send are returned; time and random numbers come in.
+#ifndef VALELEDGE_MEMBERSHIP_GOSSIP_H_
+#define VALELEDGE_MEMBERSHIP_GOSSIP_H_
+
+#include <chrono>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <random>
+#include <string>
+#include <vector>
+
+#include "base/duration.h"
+#include "base/endpoint.h"
+#include "membership/member.h"
+#include "membership/soft_state.h"
+#include "wire/generated/messages_types.h"
+
+namespace valeledge::membership {
+
+using random_source = std::mt19937_64;
+
+// How often and how long.
+struct gossip_settings {
+  // One member is probed in each interval.
+  std::chrono::microseconds probe_interval = std::chrono::seconds(1);
+  // Without an answer for this long, others are asked to probe.
+  std::chrono::microseconds probe_timeout = std::chrono::milliseconds(300);
+  // A suspect that says nothing for this long is dead.
+  std::chrono::microseconds suspect_timeout = std::chrono::seconds(4);
+  // A dead member is forgotten after this long.
+  std::chrono::microseconds dead_retention = std::chrono::minutes(2);
+  // Members that are sent news at once.
+  std::int64_t fanout = 3;
+  // Bytes of news in one datagram.
+  std::int64_t news_bytes = 900;
+};
+
+// Kinds of datagrams.
+enum class gossip_kind : std::int32_t {
+  kPing = 1,
+  kAck = 2,
+  // Asks the receiver to ping `target`.
+  kPingRequest = 3,
+  // Carries news only.
+  kNews = 4,
+  // Part of everything the sender knows.
+  kSync = 5,
+};
+
+// A datagram to send.
+struct outgoing {
+  base::endpoint to;
+  wire::gossip_message message;
+};
+
+// Something the owner of the state should know.
+struct gossip_events {
+  std::vector<outgoing> datagrams;
+  // Members whose record changed.
+  std::vector<std::string> changed;
+  // Keys of soft records that changed.
+  std::vector<std::string> records;
+  // A peer with a newer table revision than this process.
+  std::optional<base::endpoint> newer_table_at;
+  bool refuted = false;
+};
+
+namespace detail {
+
+// One other process.
+struct known_member {
+  member record;
+  base::endpoint address;
+  // When its present health was learned.
+  base::time_point since;
+};
+
+struct probe {
+  std::string target;
+  std::int64_t sequence = 0;
+  base::time_point sent;
+  bool indirect = false;
+};
+
+// News still to be repeated.
+struct rumor {
+  std::string key;
+  bool is_member = false;
+  std::int64_t times_sent = 0;
+};
+
+// A ping sent on behalf of another member.
+struct relayed_ping {
+  base::endpoint asker;
+  std::int64_t asker_sequence = 0;
+  base::time_point sent;
+};
+
+}  // namespace detail
+
+// All that one process knows of the others. Made by gossip_builder; changed
+// only by the functions below.
+struct gossip_state {
+  gossip_settings settings;
+  member self;
+  std::vector<base::endpoint> seeds;
+  std::int64_t table_revision = 0;
+  std::map<std::string, detail::known_member> others;
+  soft_state soft;
+  std::vector<detail::rumor> rumors;
+  std::vector<std::string> probe_order;
+  std::optional<detail::probe> probing;
+  std::map<std::int64_t, detail::relayed_ping> relayed;
+  std::int64_t next_sequence = 1;
+  base::time_point next_probe;
+  base::time_point next_sync;
+  std::uint64_t digest = 0;
+};
+
+// Makes the state of a process that knows only its settings.
+class gossip_builder {
+ public:
+  gossip_builder& Settings(gossip_settings settings);
+  gossip_builder& Self(std::string id,
+                       base::endpoint address,
+                       std::string zone,
+                       std::int32_t roles);
+  // Higher than that of any earlier run of the same process.
+  gossip_builder& Incarnation(std::chrono::system_clock::time_point started);
+  gossip_builder& Seeds(std::vector<base::endpoint> seeds);
+  gossip_state Build() const;
+
+ private:
+  gossip_state state_;
+};
+
+// Call often, at least four times in a probe timeout.
+gossip_events Tick(gossip_state& state,
+                   base::time_point now,
+                   random_source& random);
+
+// Call for each datagram received.
+gossip_events Receive(gossip_state& state,
+                      const wire::gossip_message& message,
+                      const base::endpoint& from,
+                      base::time_point now,
+                      random_source& random);
+
+// This process takes no new work from now on; cannot be unsaid.
+gossip_events AnnounceLeaving(gossip_state& state, random_source& random);
+
+// A newer table is in force here.
+gossip_events AnnounceTable(gossip_state& state,
+                            std::int64_t revision,
+                            random_source& random);
+
+// Sets a soft record that this process owns.
+gossip_events AnnounceRecord(gossip_state& state,
+                             const std::string& key,
+                             std::string value,
+                             std::chrono::system_clock::time_point now);
+
+// Every known member, this process included.
+std::vector<member> Members(const gossip_state& state);
+
+}  // namespace valeledge::membership
+
+#endif  // VALELEDGE_MEMBERSHIP_GOSSIP_H_
--- /dev/null
+++ b/src/net/frame.h
@@ -0,0 +1,87 @@
+// SPDX-License-Identifier: MIT
+// Frames of the connections between our processes: a length of four bytes,
+// most significant first, then one encoded envelope.
+#ifndef VALELEDGE_NET_FRAME_H_
+#define VALELEDGE_NET_FRAME_H_
+
+#include <array>
+#include <cstdint>
+#include <deque>
+#include <memory>
+#include <string>
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+
+#include "wire/codec.h"
+
+namespace valeledge::net::detail {
+
+// Frames waiting to be written on one connection; more are refused.
+inline constexpr std::size_t kMaxQueuedBytes = 64 * 1024 * 1024;
+
+// One connection that carries frames both ways.
+struct frame_link {
+  explicit frame_link(boost::asio::ip::tcp::socket socket_in)
+      : socket(std::move(socket_in)) {}
+
+  boost::asio::ip::tcp::socket socket;
+  std::string outgoing;
+  std::string writing;
+  bool writer_running = false;
+  bool broken = false;
+};
+
+inline void AppendFrame(std::string& out, const std::string& bytes) {
+  const auto size = static_cast<std::uint32_t>(bytes.size());
+  for (const int shift : {24, 16, 8, 0})
+    out.push_back(static_cast<char>((size >> shift) & 0xff));
+  out.append(bytes);
+}
+
+// Writes what has been queued, in as few writes as there are waits.
+inline boost::asio::awaitable<void> WriteQueued(
+    std::shared_ptr<frame_link> link) {
+  constexpr auto kAwait = boost::asio::as_tuple(boost::asio::use_awaitable);
+  while (!link->outgoing.empty() && !link->broken) {
+    link->writing.clear();
+    std::swap(link->writing, link->outgoing);
+    const auto [failed, written] = co_await boost::asio::async_write(
+        link->socket, boost::asio::buffer(link->writing), kAwait);
+    if (failed)
+      link->broken = true;
+  }
+  link->writer_running = false;
+  if (link->broken) {
+    boost::system::error_code ignored;
+    link->socket.close(ignored);
+  }
+}
+
+// The next frame; empty when the connection ended or sent nonsense.
+inline boost::asio::awaitable<std::string> ReadFrame(
+    std::shared_ptr<frame_link> link) {
+  constexpr auto kAwait = boost::asio::as_tuple(boost::asio::use_awaitable);
+  std::array<unsigned char, 4> header;
+  const auto [failed, got] = co_await boost::asio::async_read(
+      link->socket, boost::asio::buffer(header), kAwait);
+  std::uint32_t size = 0;
+  for (const unsigned char byte : header)
+    size = size << 8 | byte;
+  if (failed || size > wire::kMaxFrameBytes)
+    co_return std::string();
+  std::string bytes(size, '\0');
+  const auto [cut, more] = co_await boost::asio::async_read(
+      link->socket, boost::asio::buffer(bytes), kAwait);
+  if (cut)
+    co_return std::string();
+  co_return bytes;
+}
+
+}  // namespace valeledge::net::detail
+
+#endif  // VALELEDGE_NET_FRAME_H_
--- /dev/null
+++ b/src/net/http_client.h
@@ -0,0 +1,112 @@
+// SPDX-License-Identifier: MIT
+// HTTP/1.1 calls to backend servers and the platform, on pooled connections.
+#ifndef VALELEDGE_NET_HTTP_CLIENT_H_
+#define VALELEDGE_NET_HTTP_CLIENT_H_
+
+#include <chrono>
+#include <map>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/beast/http/message.hpp>
+#include <boost/beast/http/string_body.hpp>
+
+#include "base/endpoint.h"
+#include "base/error.h"
+
+namespace valeledge::net {
+
+using http_request =
+    boost::beast::http::request<boost::beast::http::string_body>;
+using http_response =
+    boost::beast::http::response<boost::beast::http::string_body>;
+using http_response_header = boost::beast::http::response_header<>;
+
+// Largest answer, in bytes, that is read whole from anyone.
+inline constexpr std::uint64_t kMaxAnswerBytes = 64 * 1024 * 1024;
+
+// One request and its answer, read piece by piece. Created by a client; a
+// connection whose answer was not read to its end is closed, never reused.
+class http_exchange {
+ public:
+  ~http_exchange();
+  http_exchange(const http_exchange&) = delete;
+  http_exchange& operator=(const http_exchange&) = delete;
+
+  // Status and header fields of the answer.
+  const http_response_header& header() const;
+
+  // The next piece of the body, valid until the next call; empty at the end.
+  // The error's outcome is always unknown: the request was handed over.
+  boost::asio::awaitable<base::result<std::string_view>> ReadSome(
+      std::chrono::microseconds timeout);
+
+  // Closes the connection now, from the same thread; a read in progress ends
+  // with an error. The other side sees the caller go away.
+  void Abandon();
+
+ private:
+  friend class http_client;
+  struct state;
+  explicit http_exchange(std::unique_ptr<state> state);
+  std::unique_ptr<state> state_;
+};
+
+// How a call may use connections.
+enum class connection_use {
+  // An idle connection if there is one.
+  kPooled,
+  // A new connection, so that a connection the other side has just closed
+  // cannot leave the outcome unknown.
+  kFresh,
+};
+
+// Makes calls on one io_context; not thread-safe. Errors tell whether any
+// byte of the request was handed to a connection: `not_run` if none was,
+// `unknown` otherwise.
+class http_client {
+ public:
+  explicit http_client(boost::asio::io_context& context);
+  ~http_client();
+
+  // Sends a request and reads the whole answer.
+  boost::asio::awaitable<base::result<http_response>> Fetch(
+      base::endpoint where,
+      http_request request,
+      std::chrono::microseconds timeout,
+      connection_use use = connection_use::kPooled);
+
+  // Sends a request and reads the answer's header; the body is left to the
+  // exchange. `connect_timeout` bounds the connection alone.
+  boost::asio::awaitable<base::result<std::shared_ptr<http_exchange>>> Open(
+      base::endpoint where,
+      http_request request,
+      std::chrono::microseconds connect_timeout,
+      std::chrono::microseconds header_timeout,
+      connection_use use = connection_use::kPooled);
+
+  // Requests sent again on a new connection because an idle one turned out
+  // to be closed before it took a byte.
+  std::int64_t reconnects() const { return reconnects_; }
+
+ private:
+  friend class http_exchange;
+  struct pool;
+
+  boost::asio::io_context& context_;
+  std::shared_ptr<pool> pool_;
+  std::int64_t reconnects_ = 0;
+};
+
+// A request with the given method, path and JSON or other body.
+http_request MakeRequest(boost::beast::http::verb method,
+                         std::string_view target,
+                         std::string body = {});
+
+}  // namespace valeledge::net
+
+#endif  // VALELEDGE_NET_HTTP_CLIENT_H_
--- /dev/null
+++ b/src/net/rpc_channel.cc
@@ -0,0 +1,211 @@
+// SPDX-License-Identifier: MIT
+#include "net/rpc_channel.h"
+
+#include <optional>
+#include <string>
+#include <utility>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include "net/frame.h"
+#include "net/socket_address.h"
+
+namespace valeledge::net {
+
+namespace {
+
+namespace asio = boost::asio;
+using base::result_code;
+
+constexpr auto kAwait = asio::as_tuple(asio::use_awaitable);
+
+// A connection that takes longer counts as failed.
+constexpr auto kConnectTimeout = std::chrono::milliseconds(500);
+
+struct waiting_call {
+  explicit waiting_call(asio::io_context& context) : done(context) {}
+
+  asio::steady_timer done;
+  std::optional<wire::envelope> reply;
+  bool lost = false;
+};
+
+}  // namespace
+
+struct rpc_channel_set::totals {
+  std::int64_t sent = 0;
+  std::int64_t received = 0;
+};
+
+struct rpc_channel_set::channel
+    : public std::enable_shared_from_this<rpc_channel_set::channel> {
+  channel(asio::io_context& context_in,
+          base::endpoint where_in,
+          std::shared_ptr<totals> totals_in)
+      : context(context_in),
+        where(std::move(where_in)),
+        counted(std::move(totals_in)),
+        connected(context_in) {}
+
+  asio::awaitable<bool> Connect();
+  asio::awaitable<void> ReadReplies(std::shared_ptr<detail::frame_link> from);
+  bool Queue(const wire::envelope& call);
+  void Fail();
+
+  asio::io_context& context;
+  base::endpoint where;
+  std::shared_ptr<totals> counted;
+  asio::steady_timer connected;
+  bool connecting = false;
+  std::shared_ptr<detail::frame_link> link;
+  std::int64_t next_call = 1;
+  std::map<std::int64_t, std::shared_ptr<waiting_call>> waiting;
+};
+
+asio::awaitable<bool> rpc_channel_set::channel::Connect() {
+  const auto self = shared_from_this();
+  while (connecting) {
+    connected.expires_at(asio::steady_timer::time_point::max());
+    co_await connected.async_wait(kAwait);
+  }
+  if (link != nullptr && !link->broken)
+    co_return true;
+  connecting = true;
+  auto fresh =
+      std::make_shared<detail::frame_link>(asio::ip::tcp::socket(context));
+  asio::steady_timer limit(context, kConnectTimeout);
+  limit.async_wait([fresh](const boost::system::error_code& cancelled) {
+    boost::system::error_code ignored;
+    if (!cancelled)
+      fresh->socket.close(ignored);
+  });
+  const auto [failed] =
+      co_await fresh->socket.async_connect(ToTcp(where), kAwait);
+  limit.cancel();
+  connecting = false;
+  connected.cancel();
+  if (failed || !fresh->socket.is_open())
+    co_return false;
+  boost::system::error_code ignored;
+  fresh->socket.set_option(asio::ip::tcp::no_delay(true), ignored);
+  link = fresh;
+  asio::co_spawn(context, ReadReplies(fresh), asio::detached);
+  co_return true;
+}
+
+asio::awaitable<void> rpc_channel_set::channel::ReadReplies(
+    std::shared_ptr<detail::frame_link> from) {
+  const auto self = shared_from_this();
+  while (true) {
+    const std::string bytes = co_await detail::ReadFrame(from);
+    if (bytes.empty())
+      break;
+    counted->received += static_cast<std::int64_t>(bytes.size());
+    auto reply = wire::DecodeEnvelope(bytes);
+    if (!reply)
+      break;
+    const auto found = waiting.find(reply->call_id);
+    if (found == waiting.end())
+      continue;
+    found->second->reply = std::move(*reply);
+    found->second->done.cancel();
+    waiting.erase(found);
+  }
+  from->broken = true;
+  boost::system::error_code ignored;
+  from->socket.close(ignored);
+  if (link == from)
+    Fail();
+}
+
+void rpc_channel_set::channel::Fail() {
+  link = nullptr;
+  for (const auto& [id, call] : std::exchange(waiting, {})) {
+    call->lost = true;
+    call->done.cancel();
+  }
+}
+
+bool rpc_channel_set::channel::Queue(const wire::envelope& call) {
+  if (link->outgoing.size() > detail::kMaxQueuedBytes)
+    return false;
+  const std::string bytes = wire::Encode(call);
+  counted->sent += static_cast<std::int64_t>(bytes.size());
+  detail::AppendFrame(link->outgoing, bytes);
+  if (!std::exchange(link->writer_running, true))
+    asio::co_spawn(context, detail::WriteQueued(link), asio::detached);
+  return true;
+}
+
+rpc_channel_set::rpc_channel_set(asio::io_context& context)
+    : context_(context), totals_(std::make_shared<totals>()) {}
+
+rpc_channel_set::~rpc_channel_set() {
+  for (const auto& [where, each] : channels_) {
+    boost::system::error_code ignored;
+    if (each->link != nullptr)
+      each->link->socket.close(ignored);
+  }
+}
+
+std::shared_ptr<rpc_channel_set::channel> rpc_channel_set::Find(
+    const base::endpoint& where) {
+  std::shared_ptr<channel>& found = channels_[where];
+  if (found == nullptr)
+    found = std::make_shared<channel>(context_, where, totals_);
+  return found;
+}
+
+asio::awaitable<base::result<wire::envelope>> rpc_channel_set::Call(
+    base::endpoint where,
+    wire::envelope call,
+    std::chrono::microseconds timeout) {
+  const std::shared_ptr<channel> target = Find(where);
+  const bool connected = co_await target->Connect();
+  if (!connected) {
+    co_return base::NotRun(result_code::kPeerUnreachable,
+                           base::ToString(where) + ": no connection");
+  }
+  call.call_id = target->next_call++;
+  call.reply = false;
+  auto entry = std::make_shared<waiting_call>(context_);
+  target->waiting[call.call_id] = entry;
+  if (!target->Queue(call)) {
+    target->waiting.erase(call.call_id);
+    co_return base::NotRun(result_code::kPeerUnreachable,
+                           base::ToString(where) + ": too much waits already");
+  }
+  entry->done.expires_after(timeout);
+  co_await entry->done.async_wait(kAwait);
+  if (entry->reply)
+    co_return std::move(*entry->reply);
+  target->waiting.erase(call.call_id);
+  co_return base::Unknown(
+      result_code::kPeerUnreachable,
+      base::ToString(where) +
+          (entry->lost ? ": connection lost" : ": no reply"));
+}
+
+void rpc_channel_set::Notify(base::endpoint where, wire::envelope call) {
+  auto send = [target = Find(where),
+               call = std::move(call)]() mutable -> asio::awaitable<void> {
+    const bool connected = co_await target->Connect();
+    if (!connected)
+      co_return;
+    call.call_id = 0;
+    target->Queue(call);
+  };
+  asio::co_spawn(context_, std::move(send), asio::detached);
+}
+
+std::int64_t rpc_channel_set::bytes_sent() const {
+  return totals_->sent;
+}
+
+std::int64_t rpc_channel_set::bytes_received() const {
+  return totals_->received;
+}
+
+}  // namespace valeledge::net
--- /dev/null
+++ b/src/net/rpc_channel.h
@@ -0,0 +1,55 @@
+// SPDX-License-Identifier: MIT
+// Calls from one of our processes to another: Thrift frames on one
+// connection, many calls outstanding at a time.
+#ifndef VALELEDGE_NET_RPC_CHANNEL_H_
+#define VALELEDGE_NET_RPC_CHANNEL_H_
+
+#include <chrono>
+#include <cstdint>
+#include <map>
+#include <memory>
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/io_context.hpp>
+
+#include "base/endpoint.h"
+#include "base/error.h"
+#include "wire/generated/messages_types.h"
+
+namespace valeledge::net {
+
+// Connections to other processes, made when first needed. Not thread-safe;
+// lives on the thread of its io_context.
+class rpc_channel_set {
+ public:
+  explicit rpc_channel_set(boost::asio::io_context& context);
+  ~rpc_channel_set();
+
+  // Sends `call` and waits for its reply. Any failure is kPeerUnreachable;
+  // its outcome is `not_run` if the call never left this process.
+  boost::asio::awaitable<base::result<wire::envelope>> Call(
+      base::endpoint where,
+      wire::envelope call,
+      std::chrono::microseconds timeout);
+
+  // Sends `call` without waiting for a reply; lost if the peer is gone.
+  void Notify(base::endpoint where, wire::envelope call);
+
+  // Bytes sent and received by all channels so far.
+  std::int64_t bytes_sent() const;
+  std::int64_t bytes_received() const;
+
+ private:
+  struct channel;
+  struct totals;
+
+  std::shared_ptr<channel> Find(const base::endpoint& where);
+
+  boost::asio::io_context& context_;
+  std::shared_ptr<totals> totals_;
+  std::map<base::endpoint, std::shared_ptr<channel>> channels_;
+};
+
+}  // namespace valeledge::net
+
+#endif  // VALELEDGE_NET_RPC_CHANNEL_H_
--- /dev/null
+++ b/src/platform/constants.h
@@ -0,0 +1,32 @@
+// SPDX-License-Identifier: MIT
+// Keys and limits of what the platform keeps for us.
+#ifndef VALELEDGE_PLATFORM_CONSTANTS_H_
+#define VALELEDGE_PLATFORM_CONSTANTS_H_
+
+#include <chrono>
+#include <cstdint>
+#include <string_view>
+
+namespace valeledge::platform {
+
+inline constexpr std::string_view kTablePrefix = "valeledge/table/";
+inline constexpr std::string_view kRevisionKey = "valeledge/table/revision";
+inline constexpr std::string_view kRowPrefix = "valeledge/table/rows/";
+inline constexpr std::string_view kHistoryPrefix = "valeledge/table/history/";
+inline constexpr std::string_view kLeaderKey = "valeledge/controller/leader";
+inline constexpr std::string_view kReservationPrefix =
+    "valeledge/reservations/";
+inline constexpr std::string_view kClaimPrefix = "valeledge/claims/";
+
+// Accepted changes that stay in the history.
+inline constexpr std::int64_t kHistoryLength = 1000;
+
+// Times one edit is rebased on others' before its operator is told to retry.
+inline constexpr int kEditAttempts = 30;
+
+// Largest value that the platform's service holds.
+inline constexpr std::size_t kMaxValueBytes = 1024 * 1024;
+
+}  // namespace valeledge::platform
+
+#endif  // VALELEDGE_PLATFORM_CONSTANTS_H_
--- /dev/null
+++ b/src/platform/kv_client.h
@@ -0,0 +1,127 @@
+// SPDX-License-Identifier: MIT
+// The platform's key-value service, through etcd's v3 JSON interface.
+#ifndef VALELEDGE_PLATFORM_KV_CLIENT_H_
+#define VALELEDGE_PLATFORM_KV_CLIENT_H_
+
+#include <chrono>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/io_context.hpp>
+
+#include "base/endpoint.h"
+#include "base/error.h"
+#include "base/metrics.h"
+
+namespace valeledge::platform {
+
+// One key with its value and the service's revisions.
+struct kv_pair {
+  std::string key;
+  std::string value;
+  std::int64_t create_revision = 0;
+  std::int64_t mod_revision = 0;
+};
+
+// A condition of a transaction: the key's revision equals `revision` (0: the
+// key does not exist).
+struct kv_compare {
+  enum class target { kCreateRevision, kModRevision };
+  std::string key;
+  target what = target::kModRevision;
+  std::int64_t revision = 0;
+};
+
+struct kv_transaction;
+
+// One operation of a transaction.
+struct kv_operation {
+  enum class kind { kPut, kGet, kGetPrefix, kDelete, kTransaction };
+  kind what = kind::kGet;
+  std::string key;
+  std::string value;
+  // Puts: the lease that ends the key, 0 for none.
+  std::int64_t lease = 0;
+  // Reads: only keys changed at this revision of the service or later.
+  std::int64_t min_mod_revision = 0;
+  std::shared_ptr<kv_transaction> nested;
+};
+
+// `on_success` runs if all conditions hold, `on_failure` otherwise.
+struct kv_transaction {
+  std::vector<kv_compare> conditions;
+  std::vector<kv_operation> on_success;
+  std::vector<kv_operation> on_failure;
+};
+
+// What one operation answered: the pairs of a read, or a nested result.
+struct kv_operation_result {
+  std::vector<kv_pair> pairs;
+  bool succeeded = false;
+  std::vector<kv_operation_result> nested;
+};
+
+struct kv_transaction_result {
+  // Whether the conditions held.
+  bool succeeded = false;
+  // The service's revision after the transaction.
+  std::int64_t revision = 0;
+  std::vector<kv_operation_result> results;
+};
+
+kv_operation Put(std::string key, std::string value, std::int64_t lease = 0);
+kv_operation Get(std::string key);
+kv_operation GetPrefix(std::string prefix, std::int64_t min_mod_revision = 0);
+kv_operation Delete(std::string key);
+kv_operation Nested(kv_transaction transaction);
+kv_compare Absent(std::string key);
+kv_compare Unchanged(std::string key, std::int64_t mod_revision);
+kv_compare CreatedAt(std::string key, std::int64_t create_revision);
+
+// What one client waits for and how long.
+struct kv_client_settings {
+  base::endpoint service;
+  std::chrono::microseconds timeout = std::chrono::seconds(2);
+};
+
+// Calls of one process. Errors: kPlatformUnavailable with outcome `not_run`
+// if the call certainly had no effect, kPlatformAnswerLost with `unknown`
+// otherwise. Lives on the thread of its io_context.
+class kv_client {
+ public:
+  kv_client(boost::asio::io_context& context,
+            kv_client_settings settings,
+            base::metrics* counts);
+  ~kv_client();
+
+  boost::asio::awaitable<base::result<kv_transaction_result>> Run(
+      kv_transaction transaction);
+
+  // A lease of the given length; its id.
+  boost::asio::awaitable<base::result<std::int64_t>> GrantLease(
+      std::chrono::seconds length);
+  // Renews a lease; the error is kLeaseLost if it is gone.
+  boost::asio::awaitable<base::result<void>> KeepLease(std::int64_t lease);
+  boost::asio::awaitable<base::result<void>> RevokeLease(std::int64_t lease);
+
+  // Waits until a key under `prefix` changes at or after revision `from`;
+  // the revision of the service then. `longest` bounds the wait, after which
+  // the answer is 0.
+  boost::asio::awaitable<base::result<std::int64_t>> AwaitChange(
+      std::string prefix,
+      std::int64_t from,
+      std::chrono::microseconds longest);
+
+ private:
+  struct state;
+  std::unique_ptr<state> state_;
+};
+
+}  // namespace valeledge::platform
+
+#endif  // VALELEDGE_PLATFORM_KV_CLIENT_H_
--- /dev/null
+++ b/src/scheduler/process/cell_book.cc
@@ -0,0 +1,362 @@
+// SPDX-License-Identifier: MIT
+#include "scheduler/process/cell_book.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "base/logging.h"
+#include "membership/ownership.h"
+#include "wire/codec.h"
+
+namespace valeledge::scheduler {
+
+namespace {
+
+namespace asio = boost::asio;
+using base::log_event;
+using base::result_code;
+
+constexpr auto kAwait = asio::as_tuple(asio::use_awaitable);
+constexpr std::string_view kCategory = "cells";
+
+// Regular work is done this often.
+constexpr auto kRegularInterval = std::chrono::milliseconds(20);
+constexpr int kOwnershipEvery = 10;
+
+// A cell that is not owned is kept for this long after it was last asked for.
+constexpr auto kForeignCellLife = std::chrono::seconds(30);
+
+// Load is told again when it has changed by this part of the slots, or after
+// the longest silence while it changes at all.
+constexpr double kLoadStep = 0.2;
+constexpr auto kLoadSilence = std::chrono::seconds(2);
+constexpr auto kLoadLeastInterval = std::chrono::milliseconds(200);
+
+wire::grant_reply Refuse(result_code code, std::chrono::milliseconds wait) {
+  wire::grant_reply reply;
+  reply.code = static_cast<std::int32_t>(code);
+  reply.reason = std::string(base::Describe(code).name);
+  reply.retry_after_us =
+      std::chrono::duration_cast<std::chrono::microseconds>(wait).count();
+  return reply;
+}
+
+constexpr auto kUsualWait = std::chrono::milliseconds(1000);
+
+// The row that a unit stands for; an adapter's is its model's.
+const table::row* RowOf(const table::snapshot& table, std::string_view unit) {
+  const std::size_t slash = unit.find('/');
+  if (slash == std::string_view::npos)
+    return nullptr;
+  const auto kind = table::ParseRowKind(unit.substr(0, slash));
+  if (!kind)
+    return nullptr;
+  const table::row* row = table.Find(*kind, unit.substr(slash + 1));
+  if (row != nullptr && row->kind == table::row_kind::kAdapter)
+    return table.Find(table::row_kind::kModel, row->base);
+  return row;
+}
+
+}  // namespace
+
+struct cell_book::waiting_grant {
+  explicit waiting_grant(asio::io_context& context)
+      : decided(context, asio::steady_timer::time_point::max()) {}
+
+  asio::steady_timer decided;
+  wire::grant_request request;
+  std::optional<wire::grant_reply> reply;
+};
+
+cell_book::cell_book(base::duty& decisions,
+                     node::node& node,
+                     const scheduler_settings& settings)
+    : decisions_(decisions),
+      node_(node),
+      settings_(settings),
+      table_(node.table().Get()) {}
+
+void cell_book::Start() {
+  asio::co_spawn(decisions_.context(), RegularWork(), asio::detached);
+}
+
+void cell_book::Adopt(const std::string& name, bool owned) {
+  const auto now = std::chrono::steady_clock::now();
+  const auto [found, fresh] = cells_.try_emplace(name);
+  cell_state& cell = found->second;
+  if (fresh) {
+    cell.name = name;
+    cell.admission.settings.queue_limit = settings_.queue_limit;
+    cell.admission.rate_from = now;
+    cell.demand_since = now;
+    ApplyTable(cell, *table_, *node_.View(),
+               static_cast<std::int64_t>(table_->cells.size()), now);
+  }
+  if (owned != cell.owned) {
+    cell.owned = owned;
+    base::Log(kCategory,
+              owned ? log_event::kCellAdopted : log_event::kCellReleased,
+              {{"cell", name}});
+    if (owned)
+      AnnounceReady(cell);
+  }
+}
+
+cell_state* cell_book::FindOrAdopt(const std::string& name) {
+  if (!table_->cells.contains(name))
+    return nullptr;
+  if (!cells_.contains(name))
+    Adopt(name, false);
+  cell_state& cell = cells_.at(name);
+  cell.last_asked = std::chrono::steady_clock::now();
+  return &cell;
+}
+
+void cell_book::UpdateOwnership() {
+  const auto view = node_.View();
+  const auto now = std::chrono::steady_clock::now();
+  for (const auto& [name, servers] : table_->cells) {
+    const auto* owner =
+        membership::ChooseCellOwner(view->members, name, servers.front()->zone);
+    const bool owned = owner != nullptr && owner->id == node_.id();
+    if (owned || cells_.contains(name))
+      Adopt(name, owned);
+  }
+  std::erase_if(cells_, [&](const auto& entry) {
+    const cell_state& cell = entry.second;
+    const bool in_table = table_->cells.contains(cell.name);
+    const bool idle = cell.running.empty() && cell.admission.queued == 0 &&
+                      now - cell.last_asked > kForeignCellLife;
+    return !cell.owned && (idle || !in_table) && cell.admission.queued == 0;
+  });
+}
+
+decisions::waiting_request cell_book::MakeWaiting(
+    const wire::grant_request& request,
+    const table::row& row,
+    base::time_point now) const {
+  decisions::waiting_request waiting;
+  waiting.partner = request.partner;
+  waiting.limit_key = table::KeyOf(row);
+  waiting.unit = decisions::HashUnit(request.model);
+  waiting.prefix_hash = request.prefix_hash;
+  waiting.priority = request.priority;
+  waiting.tokens = std::max(1, request.estimated_tokens);
+  waiting.arrived = now;
+  waiting.avoid = request.avoid;
+  std::chrono::microseconds patience(request.remaining_us);
+  if (row.kind == table::row_kind::kModel) {
+    const std::chrono::duration<double> target =
+        row.first_token * settings_.queue_patience;
+    patience =
+        std::min(patience,
+                 std::chrono::duration_cast<std::chrono::microseconds>(target));
+  }
+  waiting.latest_start = now + patience;
+  return waiting;
+}
+
+asio::awaitable<wire::grant_reply> cell_book::WaitForServer(
+    cell_state& cell,
+    const wire::grant_request& request) {
+  const auto now = std::chrono::steady_clock::now();
+  const table::row* row = RowOf(*table_, request.model);
+  if (row == nullptr)
+    co_return Refuse(result_code::kUnknownModel, kUsualWait);
+  ++cell.demand[row->name].requests;
+  auto waiting = MakeWaiting(request, *row, now);
+  const std::int64_t ticket = next_ticket_++;
+  waiting.ticket = ticket;
+  const std::string model = row->name;
+  const std::string cell_name = cell.name;
+  const auto refused =
+      decisions::Enqueue(cell.admission, std::move(waiting), now);
+  if (refused) {
+    ++cell.demand[model].refused;
+    co_return Refuse(refused->code, refused->come_back);
+  }
+  auto entry = std::make_shared<waiting_grant>(decisions_.context());
+  entry->request = request;
+  waiting_[ticket] = entry;
+  Pump(cell);
+  while (!entry->reply)
+    co_await entry->decided.async_wait(kAwait);
+  waiting_.erase(ticket);
+  const auto still = cells_.find(cell_name);
+  if (entry->reply->code != 0 && still != cells_.end())
+    ++still->second.demand[model].refused;
+  co_return std::move(*entry->reply);
+}
+
+asio::awaitable<wire::grant_reply> cell_book::Grant(
+    wire::grant_request request) {
+  const auto started = std::chrono::steady_clock::now();
+  if (closed_)
+    co_return Refuse(result_code::kNotOwner, std::chrono::milliseconds(0));
+  cell_state* cell = FindOrAdopt(request.cell);
+  if (cell == nullptr)
+    co_return Refuse(result_code::kNoBackendServer, kUsualWait);
+  wire::grant_reply reply = co_await WaitForServer(*cell, request);
+  if (reply.code == 0 && request.__isset.idempotency_key) {
+    wire::grant_reply claimed = co_await make_claim_(request);
+    const bool run = claimed.code == 0 && !claimed.__isset.recorded_answer;
+    if (run) {
+      reply.__set_claim_revision(claimed.claim_revision);
+    } else {
+      wire::attempt_end ended;
+      ended.attempt_id = request.attempt_id;
+      ended.cell = request.cell;
+      ended.server = reply.server;
+      End(ended);
+      reply = std::move(claimed);
+    }
+  }
+  if (reply.code != 0) {
+    node_.metrics().CountRefusal(base::ResultCodeFromNumber(reply.code)
+                                     .value_or(result_code::kOverloaded));
+  }
+  const auto after = cells_.find(request.cell);
+  if (after != cells_.end())
+    reply.__set_load(LoadOf(after->second));
+  node_.metrics()
+      .Distribution("valeledge_grant_wait_seconds")
+      .Record(std::chrono::steady_clock::now() - started);
+  co_return reply;
+}
+
+void cell_book::Pump(cell_state& cell) {
+  const auto now = std::chrono::steady_clock::now();
+  auto result = decisions::Dispatch(cell.admission, now, random_);
+  for (const decisions::admitted_request& each : result.admitted) {
+    const auto found = waiting_.find(each.request.ticket);
+    if (found == waiting_.end())
+      continue;
+    const decisions::server_view& server = cell.admission.servers[each.server];
+    wire::grant_reply reply;
+    reply.server = server.name;
+    reply.address = server.address;
+    cell.running[found->second->request.attempt_id] = {
+        server.name, each.request.partner, each.request.tokens, now};
+    found->second->reply = std::move(reply);
+    found->second->decided.cancel();
+  }
+  for (const decisions::refused_request& each : result.refused) {
+    const auto found = waiting_.find(each.ticket);
+    if (found == waiting_.end())
+      continue;
+    found->second->reply = Refuse(each.code, each.come_back);
+    found->second->decided.cancel();
+  }
+}
+
+void cell_book::End(const wire::attempt_end& ended) {
+  const auto found = cells_.find(ended.cell);
+  if (found == cells_.end())
+    return;
+  const wire::cell_ready before = ReadyOf(found->second);
+  ApplyEnd(found->second, ended, std::chrono::steady_clock::now());
+  Pump(found->second);
+  if (ended.unreachable && found->second.owned &&
+      ReadyOf(found->second) != before) {
+    AnnounceReady(found->second);
+  }
+}
+
+void cell_book::TakeInFlight(const wire::in_flight_report& report) {
+  cell_state* cell = FindOrAdopt(report.cell);
+  if (cell != nullptr)
+    ApplyInFlight(*cell, report, std::chrono::steady_clock::now());
+}
+
+void cell_book::TakeReport(const std::string& name,
+                           const backend_report& report) {
+  const auto found = cells_.find(name);
+  if (found == cells_.end())
+    return;
+  cell_state& cell = found->second;
+  const bool changed =
+      ApplyReport(cell, report, *table_, settings_.polls_to_down);
+  if (changed && cell.owned)
+    AnnounceReady(cell);
+  Pump(cell);
+}
+
+void cell_book::TakeTable(const table::snapshot_pointer& table) {
+  table_ = table;
+  const auto view = node_.View();
+  const auto now = std::chrono::steady_clock::now();
+  const auto cells = static_cast<std::int64_t>(table_->cells.size());
+  for (auto& [name, cell] : cells_) {
+    const wire::cell_ready before = ReadyOf(cell);
+    ApplyTable(cell, *table_, *view, cells, now);
+    if (cell.owned && ReadyOf(cell) != before)
+      AnnounceReady(cell);
+  }
+  UpdateOwnership();
+}
+
+void cell_book::AnnounceReady(cell_state& cell) {
+  node_.AnnounceRecord("ready/" + cell.name, wire::Encode(ReadyOf(cell)));
+}
+
+void cell_book::AnnounceLoad(cell_state& cell) {
+  const auto now = std::chrono::steady_clock::now();
+  const wire::cell_load load = LoadOf(cell);
+  wire::cell_load& last = announced_loads_[cell.name];
+  base::time_point& at = announced_at_[cell.name];
+  const int change =
+      std::abs(load.queued + load.in_flight - last.queued - last.in_flight);
+  const bool large =
+      change > kLoadStep * std::max(load.slots, 1) || load.slots != last.slots;
+  const bool due = large ? now - at > kLoadLeastInterval
+                         : load != last && now - at > kLoadSilence;
+  if (!due)
+    return;
+  last = load;
+  at = now;
+  node_.AnnounceRecord("load/" + cell.name, wire::Encode(load));
+}
+
+asio::awaitable<void> cell_book::RegularWork() {
+  asio::steady_timer timer(decisions_.context());
+  for (int round = 0;; ++round) {
+    if (round % kOwnershipEvery == 0)
+      UpdateOwnership();
+    const auto now = std::chrono::steady_clock::now();
+    for (auto& [name, cell] : cells_) {
+      ExpireAttempts(cell, settings_.attempt_expiry, now);
+      Pump(cell);
+      if (cell.owned)
+        AnnounceLoad(cell);
+    }
+    timer.expires_after(kRegularInterval);
+    co_await timer.async_wait(kAwait);
+  }
+}
+
+void cell_book::AddStatus(boost::json::object& status) const {
+  boost::json::array cells;
+  for (const auto& [name, cell] : cells_) {
+    boost::json::array servers;
+    for (const auto& server : cell.admission.servers) {
+      servers.push_back({{"server", server.name},
+                         {"in_flight", server.in_flight},
+                         {"foreign", server.foreign},
+                         {"slots", server.slots},
+                         {"ready", server.ready.size()},
+                         {"down", server.down},
+                         {"leaving", server.leaving}});
+    }
+    boost::json::object tokens;
+    for (const auto& [partner, queue] : cell.admission.partners)
+      tokens[partner] = queue.tokens_served;
+    cells.push_back({{"cell", name},
+                     {"owned", cell.owned},
+                     {"queued", cell.admission.queued},
+                     {"tokens", std::move(tokens)},
+                     {"servers", std::move(servers)}});
+  }
+  status["cells"] = std::move(cells);
+}
+
+}  // namespace valeledge::scheduler
--- /dev/null
+++ b/src/scheduler/process/cell_book.h
@@ -0,0 +1,92 @@
+// SPDX-License-Identifier: MIT
+// The cells that this scheduler decides for, and the requests that wait.
+#ifndef VALELEDGE_SCHEDULER_PROCESS_CELL_BOOK_H_
+#define VALELEDGE_SCHEDULER_PROCESS_CELL_BOOK_H_
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <random>
+#include <string>
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/json.hpp>
+
+#include "base/duty.h"
+#include "node/node.h"
+#include "scheduler/process/cell_state.h"
+#include "scheduler/process/scheduler_settings.h"
+
+namespace valeledge::scheduler {
+
+// Claims on behalf of a granted request; null for a book without claims.
+using claim_maker = std::function<boost::asio::awaitable<wire::grant_reply>(
+    const wire::grant_request&)>;
+
+// Lives on the decisions' thread.
+class cell_book {
+ public:
+  cell_book(base::duty& decisions,
+            node::node& node,
+            const scheduler_settings& settings);
+
+  // Claims are made with this; set before the first grant.
+  void SetClaimMaker(claim_maker maker) { make_claim_ = std::move(maker); }
+
+  // Starts the regular work: ownership, late requests, expiry, gossip.
+  void Start();
+
+  // Waits for a grant or a refusal.
+  boost::asio::awaitable<wire::grant_reply> Grant(wire::grant_request request);
+
+  void End(const wire::attempt_end& ended);
+  void TakeInFlight(const wire::in_flight_report& report);
+  void TakeReport(const std::string& cell, const backend_report& report);
+  void TakeTable(const table::snapshot_pointer& table);
+
+  // Refuses new requests from now on.
+  void Close() { closed_ = true; }
+  // Requests that wait for a decision.
+  std::int64_t waiting() const {
+    return static_cast<std::int64_t>(waiting_.size());
+  }
+
+  std::map<std::string, cell_state>& cells() { return cells_; }
+  const table::snapshot& table() const { return *table_; }
+  void AddStatus(boost::json::object& status) const;
+
+ private:
+  struct waiting_grant;
+
+  cell_state* FindOrAdopt(const std::string& name);
+  void Adopt(const std::string& name, bool owned);
+  void UpdateOwnership();
+  void Pump(cell_state& cell);
+  void AnnounceLoad(cell_state& cell);
+  void AnnounceReady(cell_state& cell);
+  boost::asio::awaitable<void> RegularWork();
+  boost::asio::awaitable<wire::grant_reply> WaitForServer(
+      cell_state& cell,
+      const wire::grant_request& request);
+  decisions::waiting_request MakeWaiting(const wire::grant_request& request,
+                                         const table::row& row,
+                                         base::time_point now) const;
+
+  base::duty& decisions_;
+  node::node& node_;
+  const scheduler_settings& settings_;
+  claim_maker make_claim_;
+  table::snapshot_pointer table_;
+  std::map<std::string, cell_state> cells_;
+  std::map<std::int64_t, std::shared_ptr<waiting_grant>> waiting_;
+  std::map<std::string, wire::cell_load> announced_loads_;
+  std::map<std::string, base::time_point> announced_at_;
+  std::int64_t next_ticket_ = 1;
+  std::mt19937_64 random_{std::random_device{}()};
+  bool closed_ = false;
+};
+
+}  // namespace valeledge::scheduler
+
+#endif  // VALELEDGE_SCHEDULER_PROCESS_CELL_BOOK_H_
--- /dev/null
+++ b/src/scheduler/process/cell_reporter.h
@@ -0,0 +1,43 @@
+// SPDX-License-Identifier: MIT
+// Tells the controller that holds the lease what the cells' engines report.
+#ifndef VALELEDGE_SCHEDULER_PROCESS_CELL_REPORTER_H_
+#define VALELEDGE_SCHEDULER_PROCESS_CELL_REPORTER_H_
+
+#include <string>
+#include <vector>
+
+#include <boost/asio/awaitable.hpp>
+
+#include "base/duty.h"
+#include "node/node.h"
+#include "scheduler/process/cell_book.h"
+
+namespace valeledge::scheduler {
+
+// Reports changes and demand; after a new controller has taken the lease,
+// everything. Lives on the decisions' thread.
+class cell_reporter {
+ public:
+  cell_reporter(base::duty& decisions,
+                node::node& node,
+                cell_book& book,
+                const scheduler_settings& settings);
+
+  void Start();
+
+ private:
+  boost::asio::awaitable<void> ReportLoop();
+  boost::asio::awaitable<void> ReportCell(std::string cell,
+                                          base::endpoint controller);
+  wire::cell_report Build(cell_state& cell);
+
+  base::duty& decisions_;
+  node::node& node_;
+  cell_book& book_;
+  const scheduler_settings& settings_;
+  std::string last_controller_;
+};
+
+}  // namespace valeledge::scheduler
+
+#endif  // VALELEDGE_SCHEDULER_PROCESS_CELL_REPORTER_H_
--- /dev/null
+++ b/src/scheduler/process/claim_batcher.cc
@@ -0,0 +1,303 @@
+// SPDX-License-Identifier: MIT
+#include "scheduler/process/claim_batcher.h"
+
+#include <algorithm>
+#include <optional>
+#include <set>
+#include <utility>
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include "base/identifier.h"
+#include "base/json.h"
+#include "base/logging.h"
+#include "platform/constants.h"
+
+namespace valeledge::scheduler {
+
+namespace {
+
+namespace asio = boost::asio;
+namespace json = boost::json;
+using base::result_code;
+
+constexpr auto kAwait = asio::as_tuple(asio::use_awaitable);
+
+// A lease for claims is used for new ones during this part of the retention
+// and lasts so much longer that each claim is kept long enough.
+constexpr int kLeaseUses = 24;
+
+std::string KeyOf(const std::string& service,
+                  const std::string& partner,
+                  const std::string& idempotency_key) {
+  // Hashed, so that any text makes a key of bounded length.
+  const std::string text = partner + "\n" + idempotency_key;
+  return std::string(platform::kClaimPrefix) + service + "/" +
+         std::to_string(base::StableHash(text)) + "-" +
+         std::to_string(base::StableHash(text, 1));
+}
+
+struct stored_claim {
+  std::string claim_id;
+  std::string digest;
+  std::string state;
+  claim_answer answer;
+};
+
+constexpr std::string_view kClaimed = "claimed";
+constexpr std::string_view kAnswered = "answered";
+constexpr std::string_view kNotKept = "answered, not kept";
+
+std::string Encode(const stored_claim& claim) {
+  json::object object;
+  object["claim"] = claim.claim_id;
+  object["digest"] = claim.digest;
+  object["state"] = claim.state;
+  if (claim.state == kAnswered) {
+    object["status"] = claim.answer.status;
+    object["answer"] = claim.answer.answer;
+    object["content_type"] = claim.answer.content_type;
+  }
+  return json::serialize(object);
+}
+
+std::optional<stored_claim> Decode(const platform::kv_pair& pair) {
+  const auto object = base::ParseJsonObject(pair.value);
+  if (!object)
+    return std::nullopt;
+  stored_claim claim;
+  claim.claim_id = base::StringField(*object, "claim");
+  claim.digest = base::StringField(*object, "digest");
+  claim.state = base::StringField(*object, "state");
+  claim.answer.revision = pair.mod_revision;
+  claim.answer.recorded = claim.state == kAnswered;
+  claim.answer.status =
+      static_cast<std::int32_t>(base::IntegerField(*object, "status"));
+  claim.answer.answer = base::StringField(*object, "answer");
+  claim.answer.content_type = base::StringField(*object, "content_type");
+  return claim;
+}
+
+// What a claim that exists already means for a new wish.
+base::result<claim_answer> Judge(const std::vector<platform::kv_pair>& pairs,
+                                 const claim_wish& wish) {
+  const auto claim = pairs.empty() ? std::nullopt : Decode(pairs.front());
+  if (!claim) {
+    return base::NotRun(result_code::kClaimUnavailable,
+                        "the claim could not be read");
+  }
+  if (claim->digest != wish.digest) {
+    return base::NotRun(result_code::kKeyReused,
+                        "this Idempotency-Key was used for another request");
+  }
+  if (claim->answer.recorded || claim->claim_id == wish.claim_id)
+    return claim->answer;
+  if (claim->state == kNotKept) {
+    return base::Unknown(result_code::kAnswerNotKept,
+                         "the call ran once; its answer was not kept");
+  }
+  return base::Unknown(result_code::kClaimInProgress,
+                       "an earlier submission under this key has not been "
+                       "answered yet");
+}
+
+}  // namespace
+
+struct claim_batcher::pending {
+  explicit pending(asio::io_context& context)
+      : done(context, asio::steady_timer::time_point::max()) {}
+
+  std::string key;
+  platform::kv_transaction transaction;
+  asio::steady_timer done;
+  std::optional<base::result<platform::kv_operation_result>> result;
+};
+
+claim_batcher::claim_batcher(asio::io_context& context,
+                             platform::kv_client& service,
+                             const scheduler_settings& settings,
+                             base::metrics& metrics)
+    : context_(context),
+      service_(service),
+      settings_(settings),
+      metrics_(metrics) {}
+
+claim_batcher::~claim_batcher() = default;
+
+asio::awaitable<bool> claim_batcher::HasLease() {
+  const auto now = std::chrono::steady_clock::now();
+  const auto use = settings_.claim_retention / kLeaseUses;
+  if (lease_ != 0 && now < lease_until_)
+    co_return true;
+  // One asks, the others of the moment wait for its answer.
+  asio::steady_timer timer(context_);
+  while (leasing_) {
+    timer.expires_after(std::chrono::milliseconds(1));
+    co_await timer.async_wait(kAwait);
+  }
+  if (lease_ != 0 && now < lease_until_)
+    co_return true;
+  leasing_ = true;
+  const auto granted = co_await service_.GrantLease(
+      std::chrono::ceil<std::chrono::seconds>(settings_.claim_retention + use));
+  leasing_ = false;
+  if (!granted)
+    co_return false;
+  lease_ = *granted;
+  lease_until_ = now + use;
+  co_return true;
+}
+
+asio::awaitable<base::result<platform::kv_operation_result>>
+claim_batcher::Write(std::string key, platform::kv_transaction transaction) {
+  auto entry = std::make_shared<pending>(context_);
+  entry->key = std::move(key);
+  entry->transaction = std::move(transaction);
+  waiting_.push_back(entry);
+  if (!std::exchange(writing_, true))
+    asio::co_spawn(context_, WriteLoop(), asio::detached);
+  while (!entry->result)
+    co_await entry->done.async_wait(kAwait);
+  co_return std::move(*entry->result);
+}
+
+// Two claims of one key must not share a write.
+std::vector<std::shared_ptr<claim_batcher::pending>>
+claim_batcher::TakeBatch() {
+  std::vector<std::shared_ptr<pending>> batch;
+  std::set<std::string> keys;
+  std::deque<std::shared_ptr<pending>> left;
+  const auto limit = static_cast<std::size_t>(settings_.claims_per_write);
+  for (auto& each : waiting_) {
+    const bool fits = batch.size() < limit && keys.insert(each->key).second;
+    if (fits)
+      batch.push_back(std::move(each));
+    else
+      left.push_back(std::move(each));
+  }
+  waiting_ = std::move(left);
+  return batch;
+}
+
+asio::awaitable<void> claim_batcher::WriteLoop() {
+  asio::steady_timer pause(context_);
+  while (!waiting_.empty()) {
+    const auto started = std::chrono::steady_clock::now();
+    const auto batch = TakeBatch();
+    platform::kv_transaction whole;
+    for (const auto& each : batch)
+      whole.on_success.push_back(platform::Nested(each->transaction));
+    metrics_.Counter("valeledge_claim_writes_total").Add();
+    metrics_.Counter("valeledge_claim_operations_total")
+        .Add(static_cast<std::int64_t>(batch.size()));
+    const auto written = co_await service_.Run(std::move(whole));
+    const bool whole_answer =
+        written && written->results.size() == batch.size();
+    for (std::size_t i = 0; i < batch.size(); ++i) {
+      if (whole_answer) {
+        auto result = written->results[i];
+        // A put's revision is that of the transaction.
+        if (result.pairs.empty()) {
+          platform::kv_pair revision;
+          revision.mod_revision = written->revision;
+          result.pairs.push_back(std::move(revision));
+        }
+        batch[i]->result = std::move(result);
+      } else {
+        batch[i]->result = written
+                               ? base::Unknown(result_code::kPlatformAnswerLost,
+                                               "an answer with a part missing")
+                               : tl::make_unexpected(written.error());
+      }
+      batch[i]->done.cancel();
+    }
+    pause.expires_at(started + settings_.claim_interval);
+    co_await pause.async_wait(kAwait);
+  }
+  writing_ = false;
+}
+
+asio::awaitable<base::result<claim_answer>> claim_batcher::ReadBack(
+    claim_wish wish) {
+  const std::string key =
+      KeyOf(wish.service, wish.partner, wish.idempotency_key);
+  platform::kv_transaction look;
+  look.on_success.push_back(platform::Get(key));
+  const auto seen = co_await service_.Run(std::move(look));
+  const bool found =
+      seen && !seen->results.empty() && !seen->results.front().pairs.empty();
+  if (!found) {
+    base::Log("claims", base::log_event::kClaimLost,
+              {{"request", wish.claim_id}});
+    co_return base::NotRun(result_code::kClaimUnavailable,
+                           "the claim could not be recorded");
+  }
+  co_return Judge(seen->results.front().pairs, wish);
+}
+
+asio::awaitable<base::result<claim_answer>> claim_batcher::Claim(
+    claim_wish wish) {
+  const bool leased = co_await HasLease();
+  if (!leased) {
+    co_return base::NotRun(result_code::kClaimUnavailable,
+                           "the key-value service granted no lease");
+  }
+  const std::string key =
+      KeyOf(wish.service, wish.partner, wish.idempotency_key);
+  stored_claim fresh{wish.claim_id, wish.digest, std::string(kClaimed), {}};
+  platform::kv_transaction create;
+  create.conditions.push_back(platform::Absent(key));
+  create.on_success.push_back(platform::Put(key, Encode(fresh), lease_));
+  create.on_failure.push_back(platform::Get(key));
+  const auto written = co_await Write(key, std::move(create));
+  if (!written) {
+    if (written.error().what_ran == base::outcome::kUnknown)
+      co_return co_await ReadBack(std::move(wish));
+    co_return base::NotRun(result_code::kClaimUnavailable,
+                           written.error().message);
+  }
+  if (written->succeeded) {
+    claim_answer answer;
+    answer.revision = written->pairs.front().mod_revision;
+    co_return answer;
+  }
+  co_return Judge(written->nested.empty() ? std::vector<platform::kv_pair>()
+                                          : written->nested.front().pairs,
+                  wish);
+}
+
+asio::awaitable<base::result<void>> claim_batcher::Update(
+    wire::claim_update update) {
+  const std::string key =
+      KeyOf(update.service_name, update.partner, update.idempotency_key);
+  platform::kv_transaction change;
+  change.conditions.push_back(platform::Unchanged(key, update.claim_revision));
+  if (update.release) {
+    change.on_success.push_back(platform::Delete(key));
+  } else {
+    const auto kept = static_cast<std::size_t>(settings_.kept_answer_bytes);
+    const bool keeps = update.answer.size() <= kept;
+    stored_claim answered{update.claim_id,
+                          update.digest,
+                          std::string(keeps ? kAnswered : kNotKept),
+                          {}};
+    answered.answer.status = update.status;
+    answered.answer.answer = std::move(update.answer);
+    answered.answer.content_type = std::move(update.content_type);
+    change.on_success.push_back(platform::Put(key, Encode(answered), lease_));
+  }
+  const auto written = co_await Write(key, std::move(change));
+  if (!written)
+    co_return tl::make_unexpected(written.error());
+  if (!written->succeeded) {
+    co_return base::NotRun(result_code::kRevisionConflict,
+                           "the claim is no longer what it was");
+  }
+  co_return base::result<void>();
+}
+
+}  // namespace valeledge::scheduler
--- /dev/null
+++ b/src/scheduler/process/claim_batcher.h
@@ -0,0 +1,83 @@
+// SPDX-License-Identifier: MIT
+// Claims of calls that may not be repeated, written many at a time.
+#ifndef VALELEDGE_SCHEDULER_PROCESS_CLAIM_BATCHER_H_
+#define VALELEDGE_SCHEDULER_PROCESS_CLAIM_BATCHER_H_
+
+#include <chrono>
+#include <deque>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/io_context.hpp>
+
+#include "base/error.h"
+#include "base/metrics.h"
+#include "platform/kv_client.h"
+#include "scheduler/process/scheduler_settings.h"
+#include "wire/generated/messages_types.h"
+
+namespace valeledge::scheduler {
+
+// Who wants to run what under which key.
+struct claim_wish {
+  std::string service;
+  std::string partner;
+  std::string idempotency_key;
+  // The request that claims; asking again with the same id finds its claim.
+  std::string claim_id;
+  std::string digest;
+};
+
+// A claim that was had, or what an earlier submission left behind.
+struct claim_answer {
+  std::int64_t revision = 0;
+  bool recorded = false;
+  std::int32_t status = 0;
+  std::string answer;
+  std::string content_type;
+};
+
+// Lives on the platform's thread.
+class claim_batcher {
+ public:
+  claim_batcher(boost::asio::io_context& context,
+                platform::kv_client& service,
+                const scheduler_settings& settings,
+                base::metrics& metrics);
+  ~claim_batcher();
+
+  // Creates the claim. Errors: kClaimInProgress (another request holds it),
+  // kKeyReused (for another request), kAnswerNotKept, kClaimUnavailable (not
+  // written: nothing may be sent).
+  boost::asio::awaitable<base::result<claim_answer>> Claim(claim_wish wish);
+
+  // Records the answer of a claim, or releases it because nothing ran.
+  boost::asio::awaitable<base::result<void>> Update(wire::claim_update update);
+
+ private:
+  struct pending;
+
+  boost::asio::awaitable<base::result<platform::kv_operation_result>> Write(
+      std::string key,
+      platform::kv_transaction transaction);
+  boost::asio::awaitable<void> WriteLoop();
+  std::vector<std::shared_ptr<pending>> TakeBatch();
+  boost::asio::awaitable<bool> HasLease();
+  boost::asio::awaitable<base::result<claim_answer>> ReadBack(claim_wish wish);
+
+  boost::asio::io_context& context_;
+  platform::kv_client& service_;
+  const scheduler_settings& settings_;
+  base::metrics& metrics_;
+  std::deque<std::shared_ptr<pending>> waiting_;
+  bool writing_ = false;
+  bool leasing_ = false;
+  std::int64_t lease_ = 0;
+  std::chrono::steady_clock::time_point lease_until_;
+};
+
+}  // namespace valeledge::scheduler
+
+#endif  // VALELEDGE_SCHEDULER_PROCESS_CLAIM_BATCHER_H_
--- /dev/null
+++ b/src/scheduler/process/scheduler.h
@@ -0,0 +1,55 @@
+// SPDX-License-Identifier: MIT
+// The process valeledge-scheduler.
+#ifndef VALELEDGE_SCHEDULER_PROCESS_SCHEDULER_H_
+#define VALELEDGE_SCHEDULER_PROCESS_SCHEDULER_H_
+
+#include <atomic>
+#include <memory>
+
+#include <boost/asio/awaitable.hpp>
+
+#include "base/duty.h"
+#include "node/node.h"
+#include "scheduler/process/backend_poller.h"
+#include "scheduler/process/cell_book.h"
+#include "scheduler/process/cell_reporter.h"
+#include "scheduler/process/claim_batcher.h"
+#include "scheduler/process/scheduler_settings.h"
+
+namespace valeledge::scheduler {
+
+// Decides for the cells that rendezvous hashing gives it. Threads beside the
+// node's: "decisions" and "backends".
+class scheduler {
+ public:
+  explicit scheduler(scheduler_settings settings);
+
+  base::result<void> Start();
+  void Leave();
+  void RefuseNewWork();
+  bool IsIdle() const;
+  void Stop();
+
+ private:
+  boost::asio::awaitable<wire::envelope> HandleCall(wire::envelope call);
+  boost::asio::awaitable<wire::envelope> HandleGrant(wire::grant_request call);
+  boost::asio::awaitable<wire::envelope> HandleClaim(wire::claim_update call);
+  boost::asio::awaitable<wire::grant_reply> MakeClaim(
+      const wire::grant_request& request);
+  boost::asio::awaitable<void> ChooseBackends();
+
+  scheduler_settings settings_;
+  node::node node_;
+  base::duty decisions_{"decisions", 65536};
+  base::duty backends_{"backends"};
+  cell_book book_;
+  cell_reporter reporter_;
+  backend_poller poller_;
+  std::unique_ptr<claim_batcher> claims_;
+  std::atomic<std::int64_t> active_ = 0;
+  std::atomic<bool> refusing_ = false;
+};
+
+}  // namespace valeledge::scheduler
+
+#endif  // VALELEDGE_SCHEDULER_PROCESS_SCHEDULER_H_
--- /dev/null
+++ b/src/wire/codec.cc
@@ -0,0 +1,75 @@
+// SPDX-License-Identifier: MIT
+#include "wire/codec.h"
+
+#include <thrift/protocol/TCompactProtocol.h>
+#include <thrift/transport/TBufferTransports.h>
+
+#include <memory>
+
+namespace valeledge::wire {
+
+namespace {
+
+using apache::thrift::protocol::TCompactProtocolT;
+using apache::thrift::transport::TMemoryBuffer;
+
+template <typename message_type>
+std::string EncodeMessage(const message_type& message) {
+  auto buffer = std::make_shared<TMemoryBuffer>();
+  TCompactProtocolT<TMemoryBuffer> protocol(buffer);
+  message.write(&protocol);
+  return buffer->getBufferAsString();
+}
+
+template <typename message_type>
+std::optional<message_type> DecodeMessage(std::string_view bytes) {
+  // TMemoryBuffer takes a mutable pointer but only observes it here.
+  auto* data = reinterpret_cast<uint8_t*>(const_cast<char*>(bytes.data()));
+  auto buffer = std::make_shared<TMemoryBuffer>(
+      data, static_cast<uint32_t>(bytes.size()), TMemoryBuffer::OBSERVE);
+  constexpr auto kLimit = static_cast<int32_t>(kMaxFrameBytes);
+  TCompactProtocolT<TMemoryBuffer> protocol(buffer, kLimit, kLimit);
+  message_type message;
+  try {
+    message.read(&protocol);
+  } catch (const std::exception&) {
+    return std::nullopt;
+  }
+  return message;
+}
+
+}  // namespace
+
+std::string Encode(const envelope& message) {
+  return EncodeMessage(message);
+}
+
+std::string Encode(const gossip_message& message) {
+  return EncodeMessage(message);
+}
+
+std::string Encode(const cell_load& message) {
+  return EncodeMessage(message);
+}
+
+std::string Encode(const cell_ready& message) {
+  return EncodeMessage(message);
+}
+
+std::optional<envelope> DecodeEnvelope(std::string_view bytes) {
+  return DecodeMessage<envelope>(bytes);
+}
+
+std::optional<gossip_message> DecodeGossip(std::string_view bytes) {
+  return DecodeMessage<gossip_message>(bytes);
+}
+
+std::optional<cell_load> DecodeCellLoad(std::string_view bytes) {
+  return DecodeMessage<cell_load>(bytes);
+}
+
+std::optional<cell_ready> DecodeCellReady(std::string_view bytes) {
+  return DecodeMessage<cell_ready>(bytes);
+}
+
+}  // namespace valeledge::wire
--- /dev/null
+++ b/src/wire/codec.h
@@ -0,0 +1,31 @@
+// SPDX-License-Identifier: MIT
+// Turns the messages of messages.thrift into bytes and back.
+#ifndef VALELEDGE_WIRE_CODEC_H_
+#define VALELEDGE_WIRE_CODEC_H_
+
+#include <optional>
+#include <string>
+#include <string_view>
+
+#include "wire/generated/messages_types.h"
+
+namespace valeledge::wire {
+
+// Largest frame, in bytes, that one process accepts from another.
+inline constexpr std::size_t kMaxFrameBytes = 16 * 1024 * 1024;
+
+// Bytes of a message in Thrift's compact protocol.
+std::string Encode(const envelope& message);
+std::string Encode(const gossip_message& message);
+std::string Encode(const cell_load& message);
+std::string Encode(const cell_ready& message);
+
+// The message in `bytes`; nothing if they are not one whole message.
+std::optional<envelope> DecodeEnvelope(std::string_view bytes);
+std::optional<gossip_message> DecodeGossip(std::string_view bytes);
+std::optional<cell_load> DecodeCellLoad(std::string_view bytes);
+std::optional<cell_ready> DecodeCellReady(std::string_view bytes);
+
+}  // namespace valeledge::wire
+
+#endif  // VALELEDGE_WIRE_CODEC_H_
--- /dev/null
+++ b/src/wire/messages.thrift
@@ -0,0 +1,179 @@
+// SPDX-License-Identifier: MIT
+// Messages between valeledge's own processes. Regenerate with
+// scripts/generate-wire.sh; the generated code is committed.
+namespace cpp valeledge.wire
+
+// What one process says about itself or has heard about another.
+struct member_record {
+  1: string id,
+  2: string address,
+  3: string zone,
+  4: i32 roles,
+  5: i64 incarnation,
+  6: bool leaving,
+  7: i32 health_version,
+  8: i32 health,
+}
+
+// A fact that its owner repeats from time to time; the highest stamp wins.
+struct soft_record {
+  1: string key,
+  2: i64 stamp,
+  3: binary value,
+}
+
+// Value of the soft record "load/CELL".
+struct cell_load {
+  1: i32 queued,
+  2: i32 in_flight,
+  3: i32 slots,
+}
+
+// What one backend server can serve, as hashes of units; its name hashed too.
+struct server_ready {
+  1: i32 server,
+  2: list<i32> units,
+}
+
+// Value of the soft record "ready/CELL".
+struct cell_ready {
+  1: list<server_ready> servers,
+}
+
+// One gossip datagram.
+struct gossip_message {
+  1: i32 kind,
+  2: i64 sequence,
+  3: member_record sender,
+  4: string target,
+  5: i64 table_revision,
+  6: list<member_record> updates,
+  7: list<soft_record> records,
+  8: i64 digest,
+}
+
+struct grant_request {
+  1: string request_id,
+  2: string attempt_id,
+  3: string cell,
+  4: string partner,
+  5: string model,
+  6: i64 prefix_hash,
+  7: i32 estimated_tokens,
+  8: i32 priority,
+  9: i64 remaining_us,
+  10: list<string> avoid,
+  // Set for calls that may not be repeated.
+  11: optional string idempotency_key,
+  12: optional string request_digest,
+}
+
+struct grant_reply {
+  // 0, or a numbered result code.
+  1: i32 code,
+  2: string reason,
+  3: i64 retry_after_us,
+  4: string server,
+  5: string address,
+  // What an earlier submission under the same key left behind.
+  6: optional string recorded_answer,
+  7: optional i32 recorded_status,
+  10: optional string recorded_type,
+  // The cell's load at the time of the answer.
+  8: optional cell_load load,
+  // Set with a claim: its revision in the key-value service.
+  9: optional i64 claim_revision,
+}
+
+struct attempt_end {
+  1: string attempt_id,
+  2: string cell,
+  3: string server,
+  4: i32 outcome,
+  5: i32 tokens,
+  6: i64 first_token_us,
+  7: bool draining,
+  8: string partner,
+  9: bool unreachable,
+}
+
+// Ends or completes the claim of a call that may not be repeated.
+struct claim_update {
+  1: string service_name,
+  2: string partner,
+  3: string idempotency_key,
+  4: string claim_id,
+  5: bool release,
+  6: i32 status,
+  7: string answer,
+  8: i64 claim_revision,
+  9: string content_type,
+  10: string digest,
+}
+
+struct table_row {
+  1: string key,
+  2: i64 revision,
+  3: bool deleted,
+  4: string json,
+}
+
+struct table_request {
+  1: i64 since,
+}
+
+struct table_delta {
+  1: i64 revision,
+  2: list<table_row> rows,
+}
+
+// Tells a new owner of a cell what is in flight there.
+struct in_flight_report {
+  1: string cell,
+  2: list<attempt_end> attempts,
+}
+
+// What a model engine says of itself, passed on to the controller.
+struct server_report {
+  1: string server,
+  2: string incarnation,
+  3: i64 version,
+  4: map<string, i64> loaded,
+  5: list<string> orders_done,
+  6: bool down,
+  7: bool leaving,
+}
+
+// Requests for one model since the last report of the cell.
+struct model_demand {
+  1: string model,
+  2: i64 requests,
+  3: i64 refused,
+}
+
+// From the scheduler that owns a cell to the controller that holds the lease.
+struct cell_report {
+  1: string cell,
+  2: list<server_report> servers,
+  3: list<model_demand> demand,
+  4: i64 interval_us,
+}
+
+struct acknowledgement {
+  1: i32 code,
+}
+
+// One frame between two processes; exactly one body is set.
+struct envelope {
+  1: i64 call_id,
+  2: bool reply,
+  10: optional grant_request grant,
+  11: optional grant_reply granted,
+  12: optional attempt_end ended,
+  13: optional claim_update claim,
+  14: optional table_request table_wanted,
+  15: optional table_delta table,
+  16: optional in_flight_report in_flight,
+  17: optional acknowledgement done,
+  18: optional cell_report report,
+}
--- /dev/null
+++ b/tests/auto/membership/fake_network.h
@@ -0,0 +1,151 @@
+// SPDX-License-Identifier: MIT
+// Many gossip states in virtual time, with datagrams that take a millisecond,
+// get lost, or cannot pass a cut.
+#ifndef VALELEDGE_TESTS_AUTO_MEMBERSHIP_FAKE_NETWORK_H_
+#define VALELEDGE_TESTS_AUTO_MEMBERSHIP_FAKE_NETWORK_H_
+
+#include <functional>
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "membership/gossip.h"
+#include "wire/codec.h"
+
+namespace valeledge::membership::test {
+
+class fake_network {
+ public:
+  fake_network(int size, gossip_settings settings, unsigned seed)
+      : settings_(settings), random_(seed) {
+    for (int i = 0; i < size; ++i)
+      Add(i, 1);
+  }
+
+  void Add(int index, std::int64_t incarnation) {
+    const base::endpoint address = Address(index);
+    states_[address] = gossip_builder()
+                           .Settings(settings_)
+                           .Self("n" + std::to_string(index), address,
+                                 index % 2 == 0 ? "a" : "b", role::kScheduler)
+                           .Incarnation(std::chrono::system_clock::time_point(
+                               std::chrono::microseconds(incarnation)))
+                           .Seeds({Address(0), Address(1)})
+                           .Build();
+    silent_.erase(address);
+  }
+
+  static base::endpoint Address(int index) {
+    return {"127.0.0.1", static_cast<std::uint16_t>(1000 + index)};
+  }
+
+  gossip_state& At(int index) { return states_.at(Address(index)); }
+  std::size_t size() const { return states_.size(); }
+
+  // The process neither sends nor receives from now on.
+  void Silence(int index) { silent_.insert(Address(index)); }
+  void Wake(int index) { silent_.erase(Address(index)); }
+  void SetLoss(double share) { loss_ = share; }
+  // Datagrams for which this is true are lost.
+  void Cut(std::function<bool(int from, int to)> cut) { cut_ = std::move(cut); }
+
+  // A process that hears of a newer table has it at once.
+  void FetchTablesAtOnce() { fetches_ = true; }
+
+  void Take(int index, const gossip_events& events) {
+    for (const outgoing& each : events.datagrams) {
+      const std::string bytes = wire::Encode(each.message);
+      bytes_ += static_cast<std::int64_t>(bytes.size());
+      ++datagrams_;
+      under_way_.emplace(now_ + std::chrono::milliseconds(1),
+                         flight{index, each.to, bytes});
+    }
+  }
+
+  // Runs until `condition` or for `longest`; the time that passed.
+  std::chrono::microseconds Run(std::chrono::microseconds longest,
+                                const std::function<bool()>& condition = {}) {
+    const auto start = now_;
+    while (now_ - start < longest && !(condition && condition()))
+      Step();
+    return std::chrono::duration_cast<std::chrono::microseconds>(now_ - start);
+  }
+
+  // What `index` holds of `other`.
+  const member* Find(int index, int other) {
+    const auto& others = At(index).others;
+    const auto found = others.find("n" + std::to_string(other));
+    return found == others.end() ? nullptr : &found->second.record;
+  }
+
+  // Whether every awake process agrees to something about `other`.
+  bool AllSay(int other, const std::function<bool(const member*)>& says) {
+    for (std::size_t i = 0; i < size(); ++i) {
+      const int index = static_cast<int>(i);
+      if (index == other || silent_.contains(Address(index)))
+        continue;
+      if (!says(Find(index, other)))
+        return false;
+    }
+    return true;
+  }
+
+  std::int64_t bytes() const { return bytes_; }
+  std::int64_t datagrams() const { return datagrams_; }
+  random_source& random() { return random_; }
+  base::time_point now() const { return now_; }
+
+ private:
+  struct flight {
+    int from;
+    base::endpoint to;
+    std::string bytes;
+  };
+
+  void Step() {
+    now_ += std::chrono::milliseconds(10);
+    while (!under_way_.empty() && under_way_.begin()->first <= now_) {
+      const flight each = under_way_.begin()->second;
+      under_way_.erase(under_way_.begin());
+      Deliver(each);
+    }
+    for (auto& [address, state] : states_) {
+      if (!silent_.contains(address))
+        Take(address.port - 1000, Tick(state, now_, random_));
+    }
+  }
+
+  void Deliver(const flight& each) {
+    const int to = each.to.port - 1000;
+    std::uniform_real_distribution<double> any(0, 1);
+    const bool lost = silent_.contains(each.to) ||
+                      silent_.contains(Address(each.from)) ||
+                      (cut_ && cut_(each.from, to)) || any(random_) < loss_;
+    const auto found = states_.find(each.to);
+    if (lost || found == states_.end())
+      return;
+    const auto message = wire::DecodeGossip(each.bytes);
+    const auto events =
+        Receive(found->second, *message, Address(each.from), now_, random_);
+    Take(to, events);
+    if (fetches_ && events.newer_table_at)
+      Take(to, AnnounceTable(found->second, message->table_revision, random_));
+  }
+
+  gossip_settings settings_;
+  random_source random_;
+  base::time_point now_;
+  std::map<base::endpoint, gossip_state> states_;
+  std::set<base::endpoint> silent_;
+  std::multimap<base::time_point, flight> under_way_;
+  std::function<bool(int, int)> cut_;
+  double loss_ = 0;
+  bool fetches_ = false;
+  std::int64_t bytes_ = 0;
+  std::int64_t datagrams_ = 0;
+};
+
+}  // namespace valeledge::membership::test
+
+#endif  // VALELEDGE_TESTS_AUTO_MEMBERSHIP_FAKE_NETWORK_H_
--- /dev/null
+++ b/tests/auto/membership/test_gossip.cc
@@ -0,0 +1,194 @@
+// SPDX-License-Identifier: MIT
+// Membership under loss, silence and cuts, in virtual time.
+#include <boost/test/unit_test.hpp>
+
+#include "fake_network.h"
+#include "membership/ownership.h"
+
+namespace {
+
+using namespace valeledge;
+using namespace valeledge::membership;
+using namespace std::chrono_literals;
+using test::fake_network;
+
+bool IsAlive(const member* each) {
+  return each != nullptr &&
+         each->health == static_cast<int>(member_health::kAlive);
+}
+
+bool IsGone(const member* each) {
+  return each == nullptr ||
+         each->health == static_cast<int>(member_health::kDead);
+}
+
+bool AllKnowAll(fake_network& net) {
+  for (std::size_t i = 0; i < net.size(); ++i) {
+    if (!net.AllSay(static_cast<int>(i), IsAlive))
+      return false;
+  }
+  return true;
+}
+
+}  // namespace
+
+BOOST_AUTO_TEST_CASE(processes_that_know_only_seeds_find_each_other) {
+  for (const unsigned seed : {1U, 2U, 3U}) {
+    fake_network net(24, {}, seed);
+    net.Run(10s, [&] { return AllKnowAll(net); });
+    BOOST_TEST(AllKnowAll(net), "seed " << seed);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(leaving_is_known_everywhere_within_two_seconds) {
+  for (const unsigned seed : {1U, 2U, 3U}) {
+    fake_network net(64, {}, seed);
+    net.Run(10s, [&] { return AllKnowAll(net); });
+    net.SetLoss(0.1);
+    net.Take(5, AnnounceLeaving(net.At(5), net.random()));
+    const auto leaving = [](const member* each) {
+      return each != nullptr && each->leaving;
+    };
+    const auto took = net.Run(10s, [&] { return net.AllSay(5, leaving); });
+    BOOST_TEST(took < 2s, "took " << took.count() << " us");
+  }
+}
+
+BOOST_AUTO_TEST_CASE(a_silent_process_is_dead_for_all_within_bounds) {
+  fake_network net(32, {}, 4);
+  net.Run(10s, [&] { return AllKnowAll(net); });
+  net.Silence(7);
+  const auto took = net.Run(60s, [&] { return net.AllSay(7, IsGone); });
+  // One round of probes, the suspicion, and its spread.
+  BOOST_TEST(took < 32s + 4s + 5s);
+  BOOST_TEST(took > 4s);
+}
+
+BOOST_AUTO_TEST_CASE(a_process_that_only_paused_comes_back) {
+  fake_network net(16, {}, 5);
+  net.Run(10s, [&] { return AllKnowAll(net); });
+  net.Silence(3);
+  net.Run(60s, [&] { return net.AllSay(3, IsGone); });
+  net.Wake(3);
+  const auto took = net.Run(30s, [&] { return net.AllSay(3, IsAlive); });
+  BOOST_TEST(net.AllSay(3, IsAlive), "after " << took.count() << " us");
+}
+
+BOOST_AUTO_TEST_CASE(loss_alone_kills_nobody) {
+  fake_network net(24, {}, 6);
+  net.Run(10s, [&] { return AllKnowAll(net); });
+  net.SetLoss(0.2);
+  for (int second = 0; second < 60; ++second) {
+    net.Run(1s);
+    for (int i = 0; i < 24; ++i)
+      BOOST_TEST(!net.AllSay(i, IsGone));
+  }
+}
+
+BOOST_AUTO_TEST_CASE(two_halves_find_each_other_after_a_cut) {
+  fake_network net(20, {}, 7);
+  net.Run(10s, [&] { return AllKnowAll(net); });
+  net.Cut([](int from, int to) { return from % 2 != to % 2; });
+  net.Run(120s,
+          [&] { return IsGone(net.Find(0, 1)) && IsGone(net.Find(1, 0)); });
+  BOOST_TEST(IsGone(net.Find(0, 1)));
+  net.Run(30s);
+  net.Cut({});
+  net.Run(90s, [&] { return AllKnowAll(net); });
+  BOOST_TEST(AllKnowAll(net));
+}
+
+BOOST_AUTO_TEST_CASE(leaving_is_not_unsaid_but_a_new_run_starts_afresh) {
+  fake_network net(8, {}, 8);
+  net.Run(10s, [&] { return AllKnowAll(net); });
+  net.Take(2, AnnounceLeaving(net.At(2), net.random()));
+  const auto leaving = [](const member* each) {
+    return each != nullptr && each->leaving;
+  };
+  net.Run(5s);
+  BOOST_TEST(net.AllSay(2, leaving));
+  net.Silence(2);
+  net.Run(20s);
+  net.Add(2, 2'000'000);
+  const auto fresh = [](const member* each) {
+    return each != nullptr && !each->leaving && IsAlive(each);
+  };
+  net.Run(20s, [&] { return net.AllSay(2, fresh); });
+  BOOST_TEST(net.AllSay(2, fresh));
+}
+
+BOOST_AUTO_TEST_CASE(soft_records_reach_all_and_the_newest_wins) {
+  fake_network net(32, {}, 9);
+  net.Run(10s, [&] { return AllKnowAll(net); });
+  const auto announce = [&](int who, const char* value, int second) {
+    net.Take(who, AnnounceRecord(net.At(who), "load/x", value,
+                                 std::chrono::system_clock::time_point(
+                                     std::chrono::seconds(second))));
+  };
+  announce(1, "old", 1);
+  announce(2, "new", 2);
+  const auto all_say = [&] {
+    for (int i = 0; i < 32; ++i) {
+      const auto& records = net.At(i).soft.records;
+      const auto found = records.find("load/x");
+      if (found == records.end() || found->second.value != "new")
+        return false;
+    }
+    return true;
+  };
+  const auto took = net.Run(20s, all_say);
+  BOOST_TEST(all_say(), "after " << took.count() << " us");
+}
+
+BOOST_AUTO_TEST_CASE(a_newer_table_is_in_force_everywhere_within_seconds) {
+  for (const unsigned seed : {1U, 2U, 3U}) {
+    fake_network net(64, {}, seed);
+    net.Run(10s, [&] { return AllKnowAll(net); });
+    net.FetchTablesAtOnce();
+    net.SetLoss(0.1);
+    net.Take(0, AnnounceTable(net.At(0), 7, net.random()));
+    const auto all_have = [&] {
+      for (int i = 0; i < 64; ++i) {
+        if (net.At(i).table_revision != 7)
+          return false;
+      }
+      return true;
+    };
+    const auto took = net.Run(30s, all_have);
+    BOOST_TEST(all_have());
+    BOOST_TEST(took < 5s, "took " << took.count() << " us");
+  }
+}
+
+BOOST_AUTO_TEST_CASE(owners_are_chosen_alike_and_move_little) {
+  fake_network net(10, {}, 11);
+  net.Run(10s, [&] { return AllKnowAll(net); });
+  int moved = 0;
+  for (int cell = 0; cell < 100; ++cell) {
+    const std::string name = "cell" + std::to_string(cell);
+    auto members = Members(net.At(0));
+    const auto* owner = ChooseCellOwner(members, name, "a");
+    BOOST_REQUIRE(owner != nullptr);
+    BOOST_TEST(owner->zone == "a");
+    const std::string before = owner->id;
+    const auto others = Members(net.At(9));
+    BOOST_TEST(ChooseCellOwner(others, name, "a")->id == before);
+    for (auto& each : members)
+      each.leaving = each.leaving || each.id == "n4";
+    const auto* after = ChooseCellOwner(members, name, "a");
+    BOOST_TEST(after->id != "n4");
+    moved += after->id != before ? 1 : 0;
+    BOOST_TEST((before == "n4") == (after->id != before));
+  }
+  BOOST_TEST(moved < 45);
+}
+
+BOOST_AUTO_TEST_CASE(a_zone_without_schedulers_is_served_by_another) {
+  std::vector<member> members(1);
+  members[0].id = "only";
+  members[0].zone = "b";
+  members[0].roles = role::kScheduler;
+  BOOST_REQUIRE(ChooseCellOwner(members, "cell", "a") != nullptr);
+  members[0].leaving = true;
+  BOOST_TEST(ChooseCellOwner(members, "cell", "a") == nullptr);
+}
