Control costs: placement by index, few callers of the platform, host list

Placement searched servers and models for each pair, with copies of records. It now works on indexes that one pass builds; records are compared only where there is news. Ruled out: planning less often (the same cost per plan, later). Only two controllers of each availability zone try to take the lease.

Ports for tests come from below the kernel's range for outgoing connections: a process failed to listen once when its port had been taken meanwhile.

--- a/scripts/deployment.py
+++ b/scripts/deployment.py
@@ -7,6 +7,7 @@
 import http.client
 import json
 import os
+import random
 import signal
 import socket
 import subprocess
@@ -17,18 +18,27 @@
 DEFAULT_BIN = os.path.join(ROOT, "build", "release", "bin")
 
 
+# Below the range from which the kernel takes ports for outgoing connections,
+# so that none of those takes a port between its choice and its use.
+PORTS = range(12000, 32000)
+TAKEN = set()
+
+
 def free_port():
-    """A port that is free for TCP and UDP now."""
+    """A port that is free for TCP and UDP now, and not given out before."""
     while True:
-        with socket.socket(socket.AF_INET, socket.SOCK_STREAM) as tcp:
-            tcp.bind(("127.0.0.1", 0))
-            port = tcp.getsockname()[1]
+        port = random.choice(PORTS)
+        if port in TAKEN:
+            continue
+        TAKEN.add(port)
+        try:
+            with socket.socket(socket.AF_INET, socket.SOCK_STREAM) as tcp:
+                tcp.bind(("0.0.0.0", port))
             with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as udp:
-                try:
-                    udp.bind(("127.0.0.1", port))
-                except OSError:
-                    continue
-                return port
+                udp.bind(("0.0.0.0", port))
+            return port
+        except OSError:
+            continue
 
 
 def call(port, method, path, body=None, headers=None, timeout=20):
@@ -120,10 +130,10 @@
         wait_until(lambda: call(port, "GET", "/calls")[0] == 200, name)
         return port
 
-    def start_engine(self, name, **options):
+    def start_engine(self, name, listen_on="127.0.0.1", **options):
         port = self.ports.setdefault(name, free_port())
         command = [os.path.join(self.bin, "valeledge-standin-engine"),
-                   "--listen", f"127.0.0.1:{port}"]
+                   "--listen", f"{listen_on}:{port}"]
         for key, value in options.items():
             flag = "--" + key.replace("_", "-")
             if value is True:
@@ -157,6 +167,8 @@
             f"seeds = [{', '.join(seeds)}]",
             "[platform]",
             f'key_value = "127.0.0.1:{kv_port or self.ports["kv"]}"',
+            f'host_list = "127.0.0.1:{kv_port or self.ports["kv"]}"',
+            'host_list_interval = "200ms"',
         ]
         if gossip:
             lines.append("[gossip]")
--- a/src/controller/process/controller.cc
+++ b/src/controller/process/controller.cc
@@ -1,10 +1,12 @@
 // SPDX-License-Identifier: MIT
 #include "controller/process/controller.h"
 
+#include <algorithm>
 #include <future>
 #include <utility>
 
 #include "membership/member.h"
+#include "membership/ownership.h"
 
 namespace valeledge::controller {
 
@@ -12,6 +14,9 @@
 
 namespace asio = boost::asio;
 
+// Controllers of one availability zone that try to take the lease.
+constexpr std::size_t kCandidatesPerZone = 2;
+
 // A status without the reservations is given if they take longer than this.
 constexpr auto kStatusWait = std::chrono::milliseconds(200);
 
@@ -43,7 +48,7 @@
   if (!started)
     return started;
   lease_.emplace(node_.platform().context(), node_.key_value(), node_.id(),
-                 settings_.lease_length);
+                 settings_.lease_length, [this] { return IsCandidate(); });
   book_.emplace(node_.platform(), node_.key_value());
   sender_.emplace(orders_, settings_.order_timeout, [this](order_end end) {
     planning_.Submit([this, end] { planner_->TakeOrderEnd(end); });
@@ -100,6 +105,17 @@
     status[key] = std::move(value);
 }
 
+bool controller::IsCandidate() const {
+  const auto view = node_.View();
+  const std::string& zone = settings_.shared.zone;
+  const auto chosen = membership::ChooseOwners(
+      view->members, "controller/" + zone, membership::role::kController, zone,
+      kCandidatesPerZone);
+  return std::ranges::any_of(chosen, [this](const membership::member* each) {
+    return each->id == node_.id();
+  });
+}
+
 void controller::Leave() {
   node_.AnnounceLeaving();
   lease_->Resign();
--- a/src/controller/process/controller.h
+++ b/src/controller/process/controller.h
@@ -31,6 +31,7 @@
  private:
   boost::asio::awaitable<wire::envelope> HandleCall(wire::envelope call);
   void AddStatus(boost::json::object& status);
+  bool IsCandidate() const;
 
   controller_settings settings_;
   node::node node_;
--- a/src/controller/process/lease_keeper.cc
+++ b/src/controller/process/lease_keeper.cc
@@ -36,11 +36,13 @@
 lease_keeper::lease_keeper(asio::io_context& context,
                            platform::kv_client& service,
                            std::string holder,
-                           std::chrono::microseconds length)
+                           std::chrono::microseconds length,
+                           std::function<bool()> is_candidate)
     : context_(context),
       service_(service),
       holder_(std::move(holder)),
-      length_(length) {}
+      length_(length),
+      is_candidate_(std::move(is_candidate)) {}
 
 void lease_keeper::Start() {
   asio::co_spawn(context_, Loop(), asio::detached);
@@ -111,7 +113,7 @@
       co_await GiveUp();
     else if (holds)
       co_await Keep();
-    else if (!resigned_)
+    else if (!resigned_ && is_candidate_())
       co_await TryTake();
     auto pause = length_ / kRenewals;
     if (term_ == 0) {
--- a/src/controller/process/lease_keeper.h
+++ b/src/controller/process/lease_keeper.h
@@ -6,6 +6,7 @@
 #include <atomic>
 #include <chrono>
 #include <cstdint>
+#include <functional>
 #include <string>
 
 #include <boost/asio/awaitable.hpp>
@@ -15,14 +16,17 @@
 
 namespace valeledge::controller {
 
-// Lives on the platform's thread. Whether this process holds the lease is
-// only a hint; every write compares the term in the key-value service.
+// Only a few controllers try to take it (`is_candidate`), so that calls do not
+// grow with the fleet. Lives on the platform's thread. Whether this process
+// holds the lease is only a hint; every write compares the term in the
+// key-value service.
 class lease_keeper {
  public:
   lease_keeper(boost::asio::io_context& context,
                platform::kv_client& service,
                std::string holder,
-               std::chrono::microseconds length);
+               std::chrono::microseconds length,
+               std::function<bool()> is_candidate);
 
   void Start();
   // Takes no lease from now on and gives up the one that is held.
@@ -44,6 +48,7 @@
   platform::kv_client& service_;
   std::string holder_;
   std::chrono::microseconds length_;
+  std::function<bool()> is_candidate_;
   std::int64_t lease_ = 0;
   std::chrono::steady_clock::time_point safe_until_;
   std::atomic<std::int64_t> term_ = 0;
--- a/src/controller/process/planner.cc
+++ b/src/controller/process/planner.cc
@@ -65,6 +65,7 @@
     news.down = each.down;
     news.leaving = each.leaving;
     news.heard = now;
+    unread_.insert(each.server);
   }
   const std::chrono::duration<double> interval =
       std::chrono::microseconds(report.interval_us);
@@ -148,6 +149,7 @@
 
 asio::awaitable<bool> planner::Begin(std::int64_t term) {
   news_.clear();
+  unread_.clear();
   demand_.clear();
   inherited_.clear();
   const auto read = co_await book_.Read(term);
@@ -192,6 +194,7 @@
         decisions::Settle(record, end.order_id, *end.answer, end.version);
       else
         decisions::Finish(record, end.order_id);
+      unread_.insert(end.server);
       const bool written = co_await Write(std::move(record));
       if (!written)
         co_return false;
@@ -281,12 +284,26 @@
 
 asio::awaitable<bool> planner::ApplyNews() {
   const auto table = node_.table().Get();
-  for (const table::row* row : table->All(table::row_kind::kServer)) {
-    if (!row->base.empty() || !news_.contains(row->name))
+  if (std::exchange(read_table_, table->revision) != table->revision) {
+    for (const auto& [server, news] : news_)
+      unread_.insert(server);
+  }
+  const auto servers = std::exchange(unread_, {});
+  for (const std::string& server : servers) {
+    const table::row* row = table->Find(table::row_kind::kServer, server);
+    if (row == nullptr || !row->base.empty() || !news_.contains(server))
       continue;
     const bool applied = co_await ApplyNewsOf(*row, *table);
-    if (!applied)
+    const auto kept = book_.records().find(server);
+    const bool open =
+        kept == book_.records().end() ||
+        decisions::WantsAsking(kept->second.record, news_.at(server).engine);
+    if (open || !applied)
+      unread_.insert(server);
+    if (!applied) {
+      unread_.insert(servers.begin(), servers.end());
       co_return false;
+    }
   }
   co_return true;
 }
@@ -298,20 +315,19 @@
   for (const membership::member& each : node_.View()->members)
     incarnations[each.id] = each.incarnation;
   std::vector<decisions::server_reservation> changed;
+  const auto has_ended = [&](const decisions::order& each) {
+    const auto found = incarnations.find(each.sender);
+    return !each.finished && found != incarnations.end() &&
+           found->second > each.sender_incarnation;
+  };
   for (const auto& [server, kept] : book_.records()) {
+    if (std::ranges::none_of(kept.record.unsettled, has_ended))
+      continue;
     decisions::server_reservation record = kept.record;
-    bool any = false;
-    for (decisions::order& each : record.unsettled) {
-      const auto found = incarnations.find(each.sender);
-      const bool ended = found != incarnations.end() &&
-                         found->second > each.sender_incarnation;
-      if (ended && !each.finished) {
-        each.finished = true;
-        any = true;
-      }
-    }
-    if (any)
-      changed.push_back(std::move(record));
+    for (decisions::order& each : record.unsettled)
+      each.finished = each.finished || has_ended(each);
+    changed.push_back(std::move(record));
+    unread_.insert(server);
   }
   for (decisions::server_reservation& record : changed) {
     const bool written = co_await Write(std::move(record));
--- a/src/controller/process/planner.h
+++ b/src/controller/process/planner.h
@@ -102,6 +102,9 @@
   std::deque<order_end> ends_;
   // Answers of runs that the records do not know yet.
   std::vector<order_end> deferred_;
+  // Servers whose news have not been compared with their records yet.
+  std::set<std::string> unread_;
+  std::int64_t read_table_ = 0;
   // When a server was last asked for a report.
   std::map<std::string, base::time_point> asked_;
   // Orders sent by this process without an end yet, with their kinds.
--- a/src/decisions/admission.cc
+++ b/src/decisions/admission.cc
@@ -18,7 +18,7 @@
 std::int64_t UsableSlots(const cell_admission& cell) {
   std::int64_t slots = 0;
   for (const server_view& server : cell.servers) {
-    if (!server.down && !server.leaving)
+    if (TakesWork(server))
       slots += server.slots;
   }
   return std::max<std::int64_t>(slots, 1);
--- a/src/decisions/reservation.cc
+++ b/src/decisions/reservation.cc
@@ -223,19 +223,34 @@
 
 std::int64_t ReservedCopies(const server_reservation& record,
                             std::string_view artifact) {
-  const auto found = record.held.find(std::string(artifact));
+  const auto found = record.held.find(artifact);
   return found == record.held.end() ? 0
                                     : Copies(record, artifact, found->second);
 }
 
+std::int64_t AddedMemory(const server_reservation& record,
+                         std::string_view artifact,
+                         std::int64_t memory_mb) {
+  const auto found = record.held.find(artifact);
+  const bool known = found != record.held.end();
+  const std::int64_t copies =
+      known ? Copies(record, artifact, found->second) : 0;
+  const std::int64_t size =
+      known ? std::max(found->second.memory_mb, memory_mb) : memory_mb;
+  const std::int64_t grown = known ? size - found->second.memory_mb : 0;
+  std::int64_t added = record.redelivery ? 2 : 1;
+  if (!record.doubled_load)
+    added = copies == 0 ? 1 : 0;
+  return added * size + copies * grown;
+}
+
 bool CanLoad(const server_reservation& record,
              std::string_view artifact,
              std::int64_t memory_mb) {
   if (record.incarnation.empty())
     return false;
-  server_reservation after = record;
-  RecordLoad(after, {}, std::string(artifact), memory_mb);
-  return ReservedMemory(after) <= record.capacity_mb;
+  return ReservedMemory(record) + AddedMemory(record, artifact, memory_mb) <=
+         record.capacity_mb;
 }
 
 order RecordLoad(server_reservation& record,
@@ -347,7 +362,7 @@
 }
 
 bool IsSteady(const server_reservation& record, std::string_view artifact) {
-  const auto found = record.held.find(std::string(artifact));
+  const auto found = record.held.find(artifact);
   if (found == record.held.end() || found->second.present == 0)
     return false;
   return std::ranges::none_of(record.unsettled, [&](const order& each) {
--- a/src/decisions/reservation.h
+++ b/src/decisions/reservation.h
@@ -76,7 +76,7 @@
   std::int64_t last_fence = 0;
   // An answer left open what is loaded; the engine has to be asked.
   bool wants_report = false;
-  std::map<std::string, held_artifact> held;
+  std::map<std::string, held_artifact, std::less<>> held;
   // Orders that were recorded and may still change what is in memory.
   std::vector<order> unsettled;
 };
@@ -99,6 +99,11 @@
 std::int64_t ReservedCopies(const server_reservation& record,
                             std::string_view artifact);
 
+// Memory that recording a load would reserve in addition.
+std::int64_t AddedMemory(const server_reservation& record,
+                         std::string_view artifact,
+                         std::int64_t memory_mb);
+
 // Whether a load may be recorded: afterwards the reserved memory is still
 // within the capacity.
 bool CanLoad(const server_reservation& record,
--- a/src/decisions/routing.cc
+++ b/src/decisions/routing.cc
@@ -7,10 +7,14 @@
 
 namespace valeledge::decisions {
 
+bool TakesWork(const server_view& server) {
+  return !server.down && !server.leaving && !server.host_leaving;
+}
+
 namespace {
 
 bool IsReady(const server_view& server, unit_hash unit) {
-  return !server.down && !server.leaving &&
+  return TakesWork(server) &&
          std::ranges::find(server.ready, unit) != server.ready.end();
 }
 
--- a/src/decisions/routing.h
+++ b/src/decisions/routing.h
@@ -51,10 +51,15 @@
   // Attempts it reports beyond those granted here.
   std::int64_t foreign = 0;
   bool down = false;
+  // It says so itself, or its host is leaving by the platform's list.
   bool leaving = false;
+  bool host_leaving = false;
   prefix_memory prefixes;
 };
 
+// Whether new work may go there.
+bool TakesWork(const server_view& server);
+
 // What routing looks at in a request.
 struct route_request {
   unit_hash unit = 0;
--- a/src/gateway/process/caller_front.h
+++ b/src/gateway/process/caller_front.h
@@ -10,6 +10,7 @@
 #include "base/duty.h"
 #include "gateway/process/gateway_settings.h"
 #include "gateway/process/grant_client.h"
+#include "gateway/process/request_journal.h"
 #include "gateway/process/retry_budgets.h"
 #include "net/http_client.h"
 #include "net/http_server.h"
@@ -28,6 +29,7 @@
   node::node node;
   grant_client grants;
   retry_budgets budgets;
+  request_journal journal;
   // Refuses new work from now on.
   std::atomic<bool> refusing = false;
 };
--- a/src/gateway/process/gateway.cc
+++ b/src/gateway/process/gateway.cc
@@ -12,6 +12,9 @@
     : shared_(std::move(settings), membership::role::kGateway) {}
 
 base::result<void> gateway::Start() {
+  shared_.node.AddStatusSource([this](boost::json::object& status) {
+    status["recent_requests"] = shared_.journal.Render();
+  });
   const auto started = shared_.node.Start();
   if (!started)
     return started;
--- /dev/null
+++ b/src/gateway/process/request_journal.h
@@ -0,0 +1,48 @@
+// SPDX-License-Identifier: MIT
+// The last things that happened to requests, for `valeledgectl why`.
+#ifndef VALELEDGE_GATEWAY_PROCESS_REQUEST_JOURNAL_H_
+#define VALELEDGE_GATEWAY_PROCESS_REQUEST_JOURNAL_H_
+
+#include <cstddef>
+#include <deque>
+#include <mutex>
+#include <string>
+
+#include <boost/json.hpp>
+
+namespace valeledge::gateway {
+
+// One thing that happened to a request.
+struct journal_entry {
+  std::string request;
+  std::string partner;
+  std::string model;
+  // "granted", "attempt failed", "refused", "completed", "replayed".
+  std::string event;
+  std::string server;
+  // Numbered result code; 0 for none.
+  int code = 0;
+  std::string detail;
+  // Set when the entry is kept.
+  std::string time;
+};
+
+// Entries that one gateway remembers.
+inline constexpr std::size_t kJournalEntries = 4096;
+
+// Safe from any thread.
+class request_journal {
+ public:
+  void Add(journal_entry entry);
+
+  // All entries, oldest first.
+  boost::json::array Render() const;
+
+ private:
+  mutable std::mutex mutex_;
+  std::deque<journal_entry> entries_;
+};
+
+}  // namespace valeledge::gateway
+
+#endif  // VALELEDGE_GATEWAY_PROCESS_REQUEST_JOURNAL_H_
--- a/src/gateway/request/chat_exchange.cc
+++ b/src/gateway/request/chat_exchange.cc
@@ -6,12 +6,12 @@
 #include <boost/beast/http.hpp>
 
 #include "base/identifier.h"
-#include "base/logging.h"
 #include "decisions/retry.h"
 #include "gateway/constants.h"
 #include "gateway/request/answers.h"
 #include "gateway/request/attempt.h"
 #include "gateway/request/chat_request.h"
+#include "gateway/request/request_notes.h"
 
 namespace valeledge::gateway {
 
@@ -19,7 +19,6 @@
 
 namespace asio = boost::asio;
 namespace http = boost::beast::http;
-using base::log_event;
 using base::result_code;
 
 constexpr auto kAwait = asio::as_tuple(asio::use_awaitable);
@@ -53,6 +52,8 @@
   // Whether the last attempt got as far as a backend server.
   bool granted_ = false;
   bool streaming_ = false;
+  // The backend server of the last attempt.
+  std::string server_;
   std::shared_ptr<net::http_exchange> open_;
   std::chrono::steady_clock::time_point last_chunk_;
 };
@@ -121,6 +122,7 @@
   front_.metrics()
       .Distribution("valeledge_grant_seconds")
       .Record(std::chrono::steady_clock::now() - asked);
+  server_ = given->server;
   attempt_end end;
   if (responder_.caller_gone()) {
     end.told.what_ran = base::outcome::kNotRun;
@@ -138,14 +140,8 @@
   });
   if (!end.ended) {
     avoid_.push_back(given->server);
-    base::Log(kCategory, log_event::kAttemptFailed,
-              {{"request", request_.frame.id},
-               {"attempt", given->attempt_id},
-               {"partner", request_.frame.partner},
-               {"model", request_.frame.model},
-               {"server", given->server},
-               {"code", static_cast<int>(end.ended.error().code)},
-               {"reason", end.ended.error().message}});
+    NoteAttemptFailed(front_, kCategory, request_.frame, *given,
+                      end.ended.error());
   }
   co_return end.ended;
 }
@@ -180,7 +176,7 @@
     answer.set(kOutcomeField, base::ToString(base::outcome::kCompleted));
     co_await responder_.Send(std::move(answer));
   }
-  front_.metrics().Counter("valeledge_requests_total", "completed").Add();
+  NoteAnswered(front_, request_.frame, "completed", server_);
 }
 
 asio::awaitable<void> chat_exchange::Fail(base::error failed) {
@@ -193,14 +189,7 @@
     failed.code = result_code::kDeadlinePassed;
   if (failed.what_ran == base::outcome::kNotRun && !failed.retry_after)
     failed.retry_after = kUsualComeBack;
-  front_.metrics().CountRefusal(failed.code);
-  base::Log(kCategory, log_event::kRequestRefused,
-            {{"request", request_.frame.id},
-             {"partner", request_.frame.partner},
-             {"model", request_.frame.model},
-             {"code", static_cast<int>(failed.code)},
-             {"outcome", std::string(base::ToString(failed.what_ran))},
-             {"reason", failed.message}});
+  NoteRefused(front_, kCategory, request_.frame, failed);
   if (!streaming_) {
     co_await responder_.Send(ErrorResponse(failed, request_.frame.id));
     co_return;
--- a/src/gateway/request/service_exchange.cc
+++ b/src/gateway/request/service_exchange.cc
@@ -8,12 +8,12 @@
 
 #include "base/identifier.h"
 #include "base/json.h"
-#include "base/logging.h"
 #include "decisions/retry.h"
 #include "gateway/constants.h"
 #include "gateway/request/answers.h"
 #include "gateway/request/attempt.h"
 #include "gateway/request/chat_request.h"
+#include "gateway/request/request_notes.h"
 
 namespace valeledge::gateway {
 
@@ -21,7 +21,6 @@
 
 namespace asio = boost::asio;
 namespace http = boost::beast::http;
-using base::log_event;
 using base::result_code;
 
 constexpr auto kAwait = asio::as_tuple(asio::use_awaitable);
@@ -203,7 +202,7 @@
   answer.set(kReplayedField, "true");
   answer.set(kRequestField, call_.frame.id);
   answer.set(kOutcomeField, base::ToString(base::outcome::kCompleted));
-  front_.metrics().Counter("valeledge_requests_total", "replayed").Add();
+  NoteAnswered(front_, call_.frame, "replayed", {});
   co_await responder_.Send(std::move(answer));
 }
 
@@ -232,14 +231,7 @@
     told.what_ran = answer.error().what_ran;
     told.unreachable = answer.error().code == result_code::kBackendUnreachable;
     avoid_.push_back(given->server);
-    base::Log(kCategory, log_event::kAttemptFailed,
-              {{"request", call_.frame.id},
-               {"attempt", given->attempt_id},
-               {"partner", call_.frame.partner},
-               {"model", call_.frame.model},
-               {"server", given->server},
-               {"code", static_cast<int>(answer.error().code)},
-               {"reason", answer.error().message}});
+    NoteAttemptFailed(front_, kCategory, call_.frame, *given, answer.error());
   }
   shared.node.peers().Submit(
       [&shared, given = *given, told] { shared.grants.End(given, told); });
@@ -266,14 +258,7 @@
   }
   if (not_run && !failed.retry_after)
     failed.retry_after = kUsualComeBack;
-  front_.metrics().CountRefusal(failed.code);
-  base::Log(kCategory, log_event::kRequestRefused,
-            {{"request", call_.frame.id},
-             {"partner", call_.frame.partner},
-             {"model", call_.frame.model},
-             {"code", static_cast<int>(failed.code)},
-             {"outcome", std::string(base::ToString(failed.what_ran))},
-             {"reason", failed.message}});
+  NoteRefused(front_, kCategory, call_.frame, failed);
   co_await responder_.Send(ErrorResponse(failed, call_.frame.id));
 }
 
@@ -313,7 +298,7 @@
   answer.set(kRequestField, call_.frame.id);
   answer.set(kServerField, granted_->server);
   answer.set(kOutcomeField, base::ToString(base::outcome::kCompleted));
-  front_.metrics().Counter("valeledge_requests_total", "completed").Add();
+  NoteAnswered(front_, call_.frame, "completed", granted_->server);
   co_await responder_.Send(std::move(answer));
 }
 
--- a/src/membership/gossip.cc
+++ b/src/membership/gossip.cc
@@ -16,7 +16,7 @@
 constexpr std::size_t kIndirectProbes = 2;
 
 // Each piece of news is repeated this often per doubling of the fleet.
-constexpr std::int64_t kRepeatsPerDoubling = 3;
+constexpr std::int64_t kRepeatsPerDoubling = 2;
 
 // Full exchanges with peers that know something else: one in this time.
 constexpr auto kSyncInterval = std::chrono::seconds(10);
--- a/src/net/http_client.cc
+++ b/src/net/http_client.cc
@@ -63,6 +63,7 @@
 }  // namespace
 
 struct http_client::pool {
+  std::int64_t bytes = 0;
   std::map<base::endpoint, std::vector<std::unique_ptr<connection>>> idle;
 
   std::unique_ptr<connection> Take(const base::endpoint& where) {
@@ -124,6 +125,8 @@
   while (taken == 0 && !failed && !state_->parser.is_done()) {
     const auto [code, bytes] = co_await http::async_read_some(
         state_->link->stream, state_->link->buffer, state_->parser, kAwait);
+    if (const auto home = state_->home.lock())
+      home->bytes += static_cast<std::int64_t>(bytes);
     failed =
         code == http::error::need_buffer ? boost::system::error_code() : code;
     taken = state_->piece.size() - body.size;
@@ -178,14 +181,16 @@
       co_return base::NotRun(result_code::kBackendUnreachable, message);
     co_return base::Unknown(result_code::kOutcomeUnknown, message);
   }
+  pool_->bytes += static_cast<std::int64_t>(written);
   auto state = std::make_unique<http_exchange::state>();
   state->where = where;
   state->home = pool_;
   state->link = std::move(link);
   state->parser.body_limit(boost::none);
   state->parser.header_limit(kAnswerHeaderBytes);
-  const auto [read_failed, ignored] = co_await http::async_read_header(
+  const auto [read_failed, header_bytes] = co_await http::async_read_header(
       state->link->stream, state->link->buffer, state->parser, kAwait);
+  pool_->bytes += static_cast<std::int64_t>(header_bytes);
   if (read_failed) {
     co_return base::Unknown(result_code::kOutcomeUnknown,
                             Explain(where, "no answer", read_failed));
@@ -221,6 +226,10 @@
   co_return answer;
 }
 
+std::int64_t http_client::bytes() const {
+  return pool_->bytes;
+}
+
 http_request MakeRequest(http::verb method,
                          std::string_view target,
                          std::string body) {
--- a/src/net/http_client.h
+++ b/src/net/http_client.h
@@ -89,9 +89,8 @@
       std::chrono::microseconds header_timeout,
       connection_use use = connection_use::kPooled);
 
-  // Requests sent again on a new connection because an idle one turned out
-  // to be closed before it took a byte.
-  std::int64_t reconnects() const { return reconnects_; }
+  // Bytes of requests and answers so far.
+  std::int64_t bytes() const;
 
  private:
   friend class http_exchange;
@@ -99,7 +98,6 @@
 
   boost::asio::io_context& context_;
   std::shared_ptr<pool> pool_;
-  std::int64_t reconnects_ = 0;
 };
 
 // A request with the given method, path and JSON or other body.
--- a/src/node/node.cc
+++ b/src/node/node.cc
@@ -8,7 +8,9 @@
 
 #include "base/identifier.h"
 #include "base/logging.h"
+#include "membership/constants.h"
 #include "node/constants.h"
+#include "node/host_watch.h"
 #include "node/table_sync.h"
 #include "wire/codec.h"
 
@@ -68,6 +70,10 @@
   status_sources_.push_back(std::move(source));
 }
 
+void node::AddGaugeSource(std::function<void(base::metrics&)> source) {
+  gauge_sources_.push_back(std::move(source));
+}
+
 base::result<void> node::Start() {
   datagrams_ = std::make_unique<net::udp_socket>(
       peers_.context(),
@@ -90,6 +96,12 @@
                                    settings_.platform_timeout},
       &metrics_);
   sync_ = std::make_unique<table_sync>(*this);
+  hosts_ = std::make_unique<host_watch>(
+      platform_, settings_, [this] { return sync_->IsWatcher(); },
+      [this](std::string value) {
+        AnnounceRecord(std::string(membership::kLeavingHostsRecord),
+                       std::move(value));
+      });
   for (const auto& started : {datagrams_->Start(settings_.peer_listen),
                               calls_->Start(settings_.peer_listen),
                               admin_->Start(settings_.admin_listen)}) {
@@ -107,6 +119,7 @@
   });
   asio::co_spawn(peers_.context(), TickLoop(), asio::detached);
   sync_->Start();
+  hosts_->Start();
   return {};
 }
 
@@ -238,8 +251,13 @@
       channels_->bytes_received() + calls_->bytes_received());
   set("valeledge_members",
       static_cast<std::int64_t>(gossip_.others.size() + 1));
+  set("valeledge_gossip_rumors",
+      static_cast<std::int64_t>(gossip_.rumors.size()));
   set("valeledge_ring_refused", peers_.refused() + platform_.refused());
   set("valeledge_table_watcher", sync_->IsWatcher() ? 1 : 0);
+  set("valeledge_platform_bytes", key_value_->bytes());
+  for (const auto& source : gauge_sources_)
+    source(metrics_);
 }
 
 std::string node::RenderStatus() {
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -63,6 +63,9 @@
   // Repeats a soft record that this process owns; from any thread.
   void AnnounceRecord(std::string key, std::string value);
 
+  // A program's own gauges, set before /metrics is answered.
+  void AddGaugeSource(std::function<void(base::metrics&)> source);
+
   // The newest membership; from any thread.
   std::shared_ptr<const member_view> View() const;
 
@@ -114,8 +117,10 @@
   std::unique_ptr<net::http_server> admin_;
   std::unique_ptr<platform::kv_client> key_value_;
   std::unique_ptr<class table_sync> sync_;
+  std::unique_ptr<class host_watch> hosts_;
   net::rpc_handler handler_;
   std::vector<status_source> status_sources_;
+  std::vector<std::function<void(base::metrics&)>> gauge_sources_;
   std::atomic<bool> leaving_ = false;
   // Whether the view lacks something; it is made anew at the next tick.
   bool view_outdated_ = false;
--- a/src/platform/kv_client.cc
+++ b/src/platform/kv_client.cc
@@ -215,6 +215,10 @@
 
 kv_client::~kv_client() = default;
 
+std::int64_t kv_client::bytes() const {
+  return state_->http.bytes();
+}
+
 asio::awaitable<base::result<kv_transaction_result>> kv_client::Run(
     kv_transaction transaction) {
   const bool reads_only =
--- a/src/platform/kv_client.h
+++ b/src/platform/kv_client.h
@@ -109,6 +109,9 @@
   boost::asio::awaitable<base::result<void>> KeepLease(std::int64_t lease);
   boost::asio::awaitable<base::result<void>> RevokeLease(std::int64_t lease);
 
+  // Bytes of all calls so far.
+  std::int64_t bytes() const;
+
   // Waits until a key under `prefix` changes at or after revision `from`;
   // the revision of the service then. `longest` bounds the wait, after which
   // the answer is 0.
--- a/src/scheduler/process/backend_poller.cc
+++ b/src/scheduler/process/backend_poller.cc
@@ -67,6 +67,7 @@
   asio::steady_timer timer(backends_duty_.context());
   while (true) {
     const backend_report report = co_await Poll(backend);
+    bytes_ = http_.bytes();
     const auto current = backends_.find(backend.server);
     const bool wanted =
         current != backends_.end() && current->second == backend;
--- a/src/scheduler/process/backend_poller.h
+++ b/src/scheduler/process/backend_poller.h
@@ -3,6 +3,7 @@
 #ifndef VALELEDGE_SCHEDULER_PROCESS_BACKEND_POLLER_H_
 #define VALELEDGE_SCHEDULER_PROCESS_BACKEND_POLLER_H_
 
+#include <atomic>
 #include <functional>
 #include <map>
 #include <string>
@@ -38,6 +39,9 @@
                  const scheduler_settings& settings,
                  report_sink sink);
 
+  // Bytes of all polls so far; from any thread.
+  std::int64_t bytes() const { return bytes_.load(); }
+
   // Polls exactly these from now on; on the poller's thread.
   void SetBackends(std::map<std::string, polled_backend> backends);
 
@@ -49,6 +53,7 @@
   const scheduler_settings& settings_;
   report_sink sink_;
   net::http_client http_;
+  std::atomic<std::int64_t> bytes_ = 0;
   std::map<std::string, polled_backend> backends_;
 };
 
--- a/src/scheduler/process/cell_book.cc
+++ b/src/scheduler/process/cell_book.cc
@@ -6,6 +6,7 @@
 
 #include "base/logging.h"
 #include "membership/ownership.h"
+#include "node/host_watch.h"
 #include "wire/codec.h"
 
 namespace valeledge::scheduler {
@@ -20,8 +21,8 @@
 constexpr std::string_view kCategory = "cells";
 
 // Regular work is done this often.
-constexpr auto kRegularInterval = std::chrono::milliseconds(20);
-constexpr int kOwnershipEvery = 10;
+constexpr auto kRegularInterval = std::chrono::milliseconds(50);
+constexpr int kOwnershipEvery = 4;
 
 // A cell that is not owned is kept for this long after it was last asked for.
 constexpr auto kForeignCellLife = std::chrono::seconds(30);
@@ -294,6 +295,15 @@
   UpdateOwnership();
 }
 
+void cell_book::ApplyHostLists() {
+  const auto leaving = node::LeavingHosts(*node_.View());
+  for (auto& [name, cell] : cells_) {
+    const bool changed = ApplyHostList(cell, leaving);
+    if (changed && cell.owned)
+      AnnounceReady(cell);
+  }
+}
+
 void cell_book::AnnounceReady(cell_state& cell) {
   node_.AnnounceRecord("ready/" + cell.name, wire::Encode(ReadyOf(cell)));
 }
@@ -319,8 +329,10 @@
 asio::awaitable<void> cell_book::RegularWork() {
   asio::steady_timer timer(decisions_.context());
   for (int round = 0;; ++round) {
-    if (round % kOwnershipEvery == 0)
+    if (round % kOwnershipEvery == 0) {
       UpdateOwnership();
+      ApplyHostLists();
+    }
     const auto now = std::chrono::steady_clock::now();
     for (auto& [name, cell] : cells_) {
       ExpireAttempts(cell, settings_.attempt_expiry, now);
--- a/src/scheduler/process/cell_book.h
+++ b/src/scheduler/process/cell_book.h
@@ -62,6 +62,7 @@
   cell_state* FindOrAdopt(const std::string& name);
   void Adopt(const std::string& name, bool owned);
   void UpdateOwnership();
+  void ApplyHostLists();
   void Pump(cell_state& cell);
   void AnnounceLoad(cell_state& cell);
   void AnnounceReady(cell_state& cell);
--- a/src/scheduler/process/cell_reporter.cc
+++ b/src/scheduler/process/cell_reporter.cc
@@ -24,7 +24,7 @@
   report.loaded = backend.engine.loaded;
   report.orders_done = backend.engine.orders_done;
   report.down = view.down;
-  report.leaving = view.leaving;
+  report.leaving = view.leaving || view.host_leaving;
   return report;
 }
 
--- a/src/scheduler/process/cell_state.cc
+++ b/src/scheduler/process/cell_state.cc
@@ -190,6 +190,24 @@
   return state_changed || server->ready != ready_before;
 }
 
+bool ApplyHostList(cell_state& cell, const std::set<std::string>& leaving) {
+  bool changed = false;
+  for (server_view& server : cell.admission.servers) {
+    const auto address = base::ParseEndpoint(server.address);
+    const bool goes = address && leaving.contains(address->address);
+    if (server.host_leaving == goes)
+      continue;
+    server.host_leaving = goes;
+    cell.backends[server.name].untold = true;
+    changed = true;
+    if (goes) {
+      base::Log(kCategory, log_event::kServerLeaving,
+                {{"server", server.name}, {"cell", cell.name}});
+    }
+  }
+  return changed;
+}
+
 void ApplyEnd(cell_state& cell,
               const wire::attempt_end& ended,
               base::time_point now) {
@@ -255,7 +273,7 @@
   for (const server_view& server : cell.admission.servers) {
     load.in_flight +=
         static_cast<std::int32_t>(server.in_flight + server.foreign);
-    if (!server.down && !server.leaving)
+    if (decisions::TakesWork(server))
       load.slots += static_cast<std::int32_t>(server.slots);
   }
   return load;
@@ -264,7 +282,7 @@
 wire::cell_ready ReadyOf(const cell_state& cell) {
   wire::cell_ready ready;
   for (const server_view& server : cell.admission.servers) {
-    if (server.down || server.leaving || server.ready.empty())
+    if (!decisions::TakesWork(server) || server.ready.empty())
       continue;
     wire::server_ready each;
     each.server = decisions::HashUnit(server.name);
--- a/src/scheduler/process/cell_state.h
+++ b/src/scheduler/process/cell_state.h
@@ -7,6 +7,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -84,6 +85,9 @@
                  const table::snapshot& table,
                  std::int64_t polls_to_down);
 
+// Takes in the addresses of hosts that are leaving; true if anything changed.
+bool ApplyHostList(cell_state& cell, const std::set<std::string>& leaving);
+
 // Ends an attempt as its gateway told; unknown ones are ignored.
 void ApplyEnd(cell_state& cell,
               const wire::attempt_end& ended,
--- a/src/scheduler/process/scheduler.cc
+++ b/src/scheduler/process/scheduler.cc
@@ -74,6 +74,9 @@
     for (auto& [key, value] : filled.get())
       status[key] = std::move(value);
   });
+  node_.AddGaugeSource([this](base::metrics& metrics) {
+    metrics.Gauge("valeledge_poll_bytes").Set(poller_.bytes());
+  });
   const auto started = node_.Start();
   if (!started)
     return started;
--- a/src/tools/ctl/main.cc
+++ b/src/tools/ctl/main.cc
@@ -12,6 +12,7 @@
 #include "gateway/process/gateway_settings.h"
 #include "node/program.h"
 #include "scheduler/process/scheduler_settings.h"
+#include "tools/ctl/orders_command.h"
 #include "tools/ctl/output.h"
 #include "tools/ctl/status_command.h"
 #include "tools/ctl/table_command.h"
@@ -31,6 +32,8 @@
   table export                        valeledgectl table export > season.csv
   table diff FILE                     valeledgectl table diff season.csv
   table history                       valeledgectl table history
+  orders show                         valeledgectl orders show
+  orders ended CONTROLLER-ID          valeledgectl orders ended controller-3
   status                              valeledgectl status --admin 127.0.0.1:7003
   why REQUEST-ID                      valeledgectl why 4f2a... --admin 127.0.0.1:7003
   settings check PROGRAM FILE         valeledgectl settings check gateway gateway.toml
@@ -105,6 +108,16 @@
     options.timeout = *timeout;
     return valeledge::ctl::RunTable(options, {words.begin() + 1, words.end()});
   }
+  if (verb == "orders") {
+    const auto platform = Address(parsed, "platform");
+    if (!platform)
+      return exit_status::kUsage;
+    if (words.size() == 2 && words[1] == "show")
+      return valeledge::ctl::ShowOrders(*platform, *timeout, format);
+    if (words.size() == 3 && words[1] == "ended")
+      return valeledge::ctl::EndController(*platform, words[2], *timeout);
+    return exit_status::kUsage;
+  }
   const auto admin = Address(parsed, "admin");
   if (!admin)
     return exit_status::kUsage;
--- a/src/tools/ctl/table_command.cc
+++ b/src/tools/ctl/table_command.cc
@@ -6,8 +6,6 @@
 #include <optional>
 #include <sstream>
 
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/io_context.hpp>
 
 #include "base/identifier.h"
@@ -15,6 +13,7 @@
 #include "platform/table_edit.h"
 #include "table/columns.h"
 #include "table/csv.h"
+#include "tools/ctl/run_to_end.h"
 
 namespace valeledge::ctl {
 
@@ -24,20 +23,6 @@
 
 constexpr std::size_t kHistoryShown = 20;
 
-// Runs one coroutine to its end.
-template <typename value_type>
-value_type RunToEnd(asio::io_context& context,
-                    asio::awaitable<value_type> work) {
-  std::optional<value_type> out;
-  asio::co_spawn(context, std::move(work),
-                 [&](const std::exception_ptr&, value_type value) {
-                   out = std::move(value);
-                 });
-  context.run();
-  context.restart();
-  return std::move(*out);
-}
-
 // One connection to the platform.
 struct session {
   explicit session(const table_options& options)
--- a/src/tools/standin/engine_main.cc
+++ b/src/tools/standin/engine_main.cc
@@ -57,6 +57,7 @@
   valeledge::standin::engine_kind kind;
   valeledge::standin::engine_pace pace;
   std::chrono::microseconds load_time = std::chrono::milliseconds(50);
+  bool per_host = false;
 };
 
 struct completion {
@@ -70,32 +71,37 @@
 class engine {
  public:
   explicit engine(const engine_options& options)
-      : options_(options),
-        memory_(options.kind),
-        cache_(options.pace.cached_prefixes) {}
+      : options_(options), cache_(options.pace.cached_prefixes) {}
 
   asio::awaitable<void> Handle(http_request& request,
                                http_responder& responder);
   void Drain() { draining_ = true; }
 
  private:
-  asio::awaitable<void> Complete(const json::object& body,
+  asio::awaitable<void> Complete(const std::string& host,
+                                 const json::object& body,
                                  http_responder& responder);
   asio::awaitable<void> Stream(completion wanted, http_responder& responder);
-  asio::awaitable<void> TakeOrder(const json::object& body,
+  asio::awaitable<void> TakeOrder(const std::string& host,
+                                  const json::object& body,
                                   http_responder& responder);
-  asio::awaitable<bool> CarryOut(const json::object& body);
-  asio::awaitable<void> ReportLoad(http_responder& responder);
+  asio::awaitable<bool> CarryOut(const std::string& host,
+                                 const json::object& body);
+  asio::awaitable<void> ReportLoad(const std::string& host,
+                                   http_responder& responder);
   void SetFaults(const json::object& body);
   std::string RenderChunk(const completion& wanted,
                           std::int64_t index,
                           bool wrong_id,
                           bool last) const;
-  json::object Load() const;
-  bool Serves(const std::string& model) const;
+  json::object Load(const std::string& host);
+  bool Serves(const std::string& host, const std::string& model);
+  valeledge::standin::engine_memory& Memory(const std::string& host);
 
   engine_options options_;
-  valeledge::standin::engine_memory memory_;
+  // One for each address that the engine is called by, if it stands for many
+  // backend servers; otherwise one.
+  std::map<std::string, valeledge::standin::engine_memory> memories_;
   valeledge::standin::prefix_cache cache_;
   engine_faults faults_;
   std::string incarnation_ = valeledge::base::NewIdentifier();
@@ -112,30 +118,37 @@
       history_;
 };
 
-bool engine::Serves(const std::string& model) const {
-  return memory_.IsLoadedInAnyVersion("model/" + model) ||
-         memory_.IsLoadedInAnyVersion("adapter/" + model);
+valeledge::standin::engine_memory& engine::Memory(const std::string& host) {
+  const std::string key = options_.per_host ? host : std::string();
+  return memories_.try_emplace(key, options_.kind).first->second;
 }
 
-json::object engine::Load() const {
+bool engine::Serves(const std::string& host, const std::string& model) {
+  return Memory(host).IsLoadedInAnyVersion("model/" + model) ||
+         Memory(host).IsLoadedInAnyVersion("adapter/" + model);
+}
+
+json::object engine::Load(const std::string& host) {
+  const auto& memory = Memory(host);
   json::object loaded;
-  for (const auto& [artifact, copies] : memory_.loaded())
+  for (const auto& [artifact, copies] : memory.loaded())
     loaded[artifact] = copies;
   json::array done;
-  for (const std::string& id : memory_.orders_done())
+  for (const std::string& id : memory.orders_done())
     done.emplace_back(id);
-  return {{"incarnation", incarnation_},    {"version", memory_.version()},
+  return {{"incarnation", incarnation_},    {"version", memory.version()},
           {"in_flight", active_ + queued_}, {"draining", draining_},
           {"loaded", std::move(loaded)},    {"orders_done", std::move(done)}};
 }
 
-asio::awaitable<void> engine::ReportLoad(http_responder& responder) {
+asio::awaitable<void> engine::ReportLoad(const std::string& host,
+                                         http_responder& responder) {
   const auto now = std::chrono::steady_clock::now();
-  history_.emplace_back(now, Load());
+  history_.emplace_back(now, Load(host));
   while (history_.size() > 1 && history_[1].first <= now - faults_.lag)
     history_.pop_front();
   const json::object answer =
-      faults_.lag.count() == 0 ? Load() : history_.front().second;
+      faults_.lag.count() == 0 ? Load(host) : history_.front().second;
   co_await Reply(responder, 200, answer);
 }
 
@@ -201,7 +214,8 @@
   ++(alive ? completed_ : cancelled_);
 }
 
-asio::awaitable<void> engine::Complete(const json::object& body,
+asio::awaitable<void> engine::Complete(const std::string& host,
+                                       const json::object& body,
                                        http_responder& responder) {
   completion wanted;
   wanted.model = StringField(body, "model");
@@ -218,7 +232,7 @@
     co_await responder.Send(std::move(refusal));
     co_return;
   }
-  if (!Serves(wanted.model)) {
+  if (!Serves(host, wanted.model)) {
     const json::object answer = {{"error", "not loaded"}};
     co_await Reply(responder, 503, answer);
     co_return;
@@ -234,36 +248,38 @@
   --active_;
 }
 
-asio::awaitable<bool> engine::CarryOut(const json::object& body) {
+asio::awaitable<bool> engine::CarryOut(const std::string& host,
+                                       const json::object& body) {
   const std::string id = StringField(body, "order_id");
   const std::string artifact = StringField(body, "artifact");
-  if (!memory_.TakeFence(IntegerField(body, "fence")))
+  if (!Memory(host).TakeFence(IntegerField(body, "fence")))
     co_return false;
   if (StringField(body, "kind") == "unload") {
-    memory_.Unload(artifact, id);
+    Memory(host).Unload(artifact, id);
     co_return true;
   }
-  memory_.BeginLoad(artifact, IntegerField(body, "memory_mb"));
+  Memory(host).BeginLoad(artifact, IntegerField(body, "memory_mb"));
   co_await Wait(options_.load_time);
-  memory_.FinishLoad(artifact, id);
+  Memory(host).FinishLoad(artifact, id);
   co_return true;
 }
 
-asio::awaitable<void> engine::TakeOrder(const json::object& body,
+asio::awaitable<void> engine::TakeOrder(const std::string& host,
+                                        const json::object& body,
                                         http_responder& responder) {
   while (faults_.hold_orders)
     co_await Wait(kHoldLook);
   const bool lose = faults_.lose_order_answers;
-  bool done = co_await CarryOut(body);
+  bool done = co_await CarryOut(host, body);
   if (done && faults_.double_orders)
-    done = co_await CarryOut(body);
+    done = co_await CarryOut(host, body);
   if (lose) {
     responder.Break();
     co_return;
   }
   const json::object answer = {{"result", done ? "done" : "refused"},
                                {"incarnation", incarnation_},
-                               {"version", memory_.version()}};
+                               {"version", Memory(host).version()}};
   co_await Reply(responder, done ? 200 : 409, answer);
 }
 
@@ -290,14 +306,15 @@
 asio::awaitable<void> engine::Handle(http_request& request,
                                      http_responder& responder) {
   const std::string path = valeledge::standin::PathOf(request);
+  const std::string host(request[http::field::host]);
   const auto parsed = valeledge::base::ParseJsonObject(request.body());
   const json::object body = parsed ? *parsed : json::object();
   if (path == "/v1/chat/completions") {
-    co_await Complete(body, responder);
+    co_await Complete(host, body, responder);
   } else if (path == "/load") {
-    co_await ReportLoad(responder);
+    co_await ReportLoad(host, responder);
   } else if (path == "/orders") {
-    co_await TakeOrder(body, responder);
+    co_await TakeOrder(host, body, responder);
   } else if (path == "/fault") {
     SetFaults(body);
     co_await Reply(responder, 200, json::object());
@@ -311,9 +328,9 @@
                                  {"tokens", tokens_},
                                  {"cache_hits", cache_hits_},
                                  {"peak_active", peak_active_},
-                                 {"used_mb", memory_.used_mb()},
-                                 {"peak_mb", memory_.peak_mb()},
-                                 {"overcommits", memory_.overcommits()}};
+                                 {"used_mb", Memory(host).used_mb()},
+                                 {"peak_mb", Memory(host).peak_mb()},
+                                 {"overcommits", Memory(host).overcommits()}};
     co_await Reply(responder, 200, answer);
   } else {
     co_await Reply(responder, 404, json::object());
@@ -340,7 +357,8 @@
         "prefill", "Prefill time of a token",
         cxxopts::value<std::string>()->default_value("100us"))(
         "fencing", "Refuse old fencing numbers")(
-        "single-load", "A doubled load takes no memory twice");
+        "single-load", "A doubled load takes no memory twice")(
+        "per-host", "Stand for one backend server for each address called by");
   };
   program.read_options = [&](const cxxopts::ParseResult& parsed) {
     const auto duration = [&](const char* name) {
@@ -348,6 +366,7 @@
           .value_or(std::chrono::milliseconds(20));
     };
     options.kind.capacity_mb = parsed["capacity-mb"].as<std::int64_t>();
+    options.per_host = parsed.count("per-host") != 0;
     options.kind.fencing = parsed.count("fencing") != 0;
     options.kind.doubled_load = parsed.count("single-load") == 0;
     options.pace.slots = parsed["slots"].as<std::int64_t>();
--- a/src/tools/standin/engine_memory.cc
+++ b/src/tools/standin/engine_memory.cc
@@ -8,7 +8,7 @@
 namespace {
 
 // Orders that a report still names.
-constexpr std::size_t kOrdersNamed = 64;
+constexpr std::size_t kOrdersNamed = 16;
 
 }  // namespace
 
--- a/tests/scenarios/language.py
+++ b/tests/scenarios/language.py
@@ -160,16 +160,17 @@
         fencing = "fencing" in given
         single = "single" in given
         relayed = given.pop("relay", False)
+        host = given.pop("at", "127.0.0.1")
         port = self.system.start_engine(
             name, capacity_mb=memory, slots=slots, fencing=fencing,
             single_load=single, token_step=given.get("step", "5ms"),
-            load_time=given.get("load", "20ms"))
+            load_time=given.get("load", "20ms"), listen_on="0.0.0.0")
         self.engines.append(name)
         if relayed:
             port = self.relay(name, port)
         self.rows.append({
             "kind": "server", "name": name, "zone": zone, "cell": cell,
-            "address": f"127.0.0.1:{port}", "memory_mb": memory,
+            "address": f"{host}:{port}", "memory_mb": memory,
             "slots": slots, "fencing": "yes" if fencing else "no",
             "doubled_load": "no" if single else "yes"})
 
@@ -533,9 +534,13 @@
         before = dep.get_json(self.port(name), "/counts")["requests"]
         end = time.monotonic() + span
         while time.monotonic() < end:
-            dep.chat(self.port("g1"), "season-draft", max_tokens=1)
+            dep.chat(self.port("g1"), self.rows_model(), max_tokens=1)
         return dep.get_json(self.port(name), "/counts")["requests"] == before
 
+    def rows_model(self):
+        """The first model of the table."""
+        return next(row["name"] for row in self.rows if row["kind"] == "model")
+
     def is_in_force_known(self, words):
         """in-force-known T: all running processes have the newest revision
         that any of them has, and that does not go down."""
