Even ownership of cells; a frozen scheduler no longer holds a request

Cause 1: with 24 daemons, 64 backend servers and 290 models one scheduler used 18.5 KB/s (bound: 7), the mean was 4.3. Rendezvous alone gave it three of eight cells. Cells are now assigned by rendezvous with an even part, rounded up, as the most; every process computes the same from the members it knows. Ruled out: smaller cells (more of them for the same scheduler), fewer polls alone (the unevenness stays). Polls also go from one to two seconds: a scheduler knows what it has granted, and gateways tell of servers they cannot reach.

A frozen scheduler keeps its connections, and a grant was waited for until the request's deadline, 60 s. A grant is now waited for as long as it can be of use (the first-token target, 3 s for plain services, and 200 ms), and a scheduler that gossip doubts is not asked.

--- a/src/gateway/constants.h
+++ b/src/gateway/constants.h
@@ -35,6 +35,10 @@
 inline constexpr std::chrono::microseconds kAvoidScheduler =
     std::chrono::seconds(2);
 
+// How long a call of a plain service may wait for its turn.
+inline constexpr std::chrono::microseconds kServicePatience =
+    std::chrono::seconds(3);
+
 // Extra wait for a grant beyond the time in which it could be of use.
 inline constexpr std::chrono::microseconds kGrantGrace =
     std::chrono::milliseconds(200);
--- a/src/gateway/process/grant_client.cc
+++ b/src/gateway/process/grant_client.cc
@@ -34,7 +34,7 @@
   request.prefix_hash = wish.prefix_hash;
   request.estimated_tokens = wish.tokens;
   request.priority = wish.priority;
-  request.remaining_us = wish.remaining.count();
+  request.remaining_us = wish.patience.count();
   request.avoid = wish.avoid;
   if (!wish.idempotency_key.empty()) {
     request.__set_idempotency_key(wish.idempotency_key);
@@ -119,6 +119,16 @@
   const auto now = std::chrono::steady_clock::now();
   std::erase_if(avoided_,
                 [now](const auto& each) { return each.second <= now; });
+  const auto assigned = view.owners.find(cell);
+  if (assigned != view.owners.end()) {
+    const auto address = base::ParseEndpoint(assigned->second.address);
+    const bool doubted =
+        assigned->second.health !=
+        static_cast<std::int32_t>(membership::member_health::kAlive);
+    if (address && !doubted && !avoided_.contains(*address))
+      return address;
+  }
+  // Another one does it meanwhile.
   std::vector<membership::member> usable;
   for (const membership::member& each : view.members) {
     const auto address = base::ParseEndpoint(each.address);
@@ -152,7 +162,7 @@
   wire::envelope call;
   call.__set_grant(Encode(wish, cell));
   const auto reply = co_await node_.CallPeer(scheduler, std::move(call),
-                                             wish.remaining + kGrantGrace);
+                                             wish.patience + kGrantGrace);
   if (!reply)
     co_return tl::make_unexpected(reply.error());
   if (!reply->__isset.granted) {
--- a/src/gateway/process/grant_client.h
+++ b/src/gateway/process/grant_client.h
@@ -34,7 +34,8 @@
   std::int64_t prefix_hash = 0;
   std::int32_t tokens = 1;
   std::int32_t priority = 5;
-  std::chrono::microseconds remaining{0};
+  // How long a grant may take and still be of use.
+  std::chrono::microseconds patience{0};
   std::vector<std::string> avoid;
   // Set for calls that may not be repeated.
   std::string idempotency_key;
--- a/src/gateway/request/chat_exchange.cc
+++ b/src/gateway/request/chat_exchange.cc
@@ -1,6 +1,7 @@
 // SPDX-License-Identifier: MIT
 #include "gateway/request/chat_exchange.h"
 
+#include <algorithm>
 #include <utility>
 
 #include <boost/beast/http.hpp>
@@ -68,7 +69,7 @@
   wish.prefix_hash = request_.prefix_hash;
   wish.tokens = request_.max_tokens;
   wish.priority = request_.frame.priority;
-  wish.remaining = Remaining(request_.frame);
+  wish.patience = std::min(Remaining(request_.frame), request_.frame.patience);
   wish.avoid = avoid_;
   return wish;
 }
--- a/src/gateway/request/chat_request.cc
+++ b/src/gateway/request/chat_request.cc
@@ -74,6 +74,9 @@
     time = std::min(*asked, settings.longest_deadline);
   }
   frame.deadline = frame.started + time;
+  frame.patience = row.kind == table::row_kind::kModel
+                       ? std::chrono::microseconds(row.first_token)
+                       : kServicePatience;
   const auto priority = request.find(kPriorityField);
   if (priority != request.end()) {
     const auto text = priority->value();
--- a/src/gateway/request/chat_request.h
+++ b/src/gateway/request/chat_request.h
@@ -27,6 +27,8 @@
   std::int32_t priority = 5;
   std::chrono::steady_clock::time_point started;
   std::chrono::steady_clock::time_point deadline;
+  // How long a grant may take and still be of use.
+  std::chrono::microseconds patience{0};
 };
 
 // Time left until the deadline.
--- a/src/gateway/request/service_exchange.cc
+++ b/src/gateway/request/service_exchange.cc
@@ -125,7 +125,7 @@
   wish.unit = call_.frame.unit;
   wish.limited = call_.frame.model;
   wish.priority = call_.frame.priority;
-  wish.remaining = Remaining(call_.frame);
+  wish.patience = std::min(Remaining(call_.frame), call_.frame.patience);
   wish.avoid = avoid_;
   if (!call_.idempotent) {
     wish.idempotency_key = call_.key;
--- a/src/membership/ownership.cc
+++ b/src/membership/ownership.cc
@@ -40,4 +40,66 @@
   return chosen.empty() ? nullptr : chosen.front();
 }
 
+namespace {
+
+// The schedulers that may own cells of a zone, with how many they have.
+struct zone_schedulers {
+  std::vector<const member*> members;
+  std::size_t most = 0;
+  std::map<std::string, std::size_t> owned;
+};
+
+zone_schedulers SchedulersOf(std::span<const member> members,
+                             std::string_view zone,
+                             std::size_t cells) {
+  zone_schedulers out;
+  out.members =
+      ChooseOwners(members, zone, role::kScheduler, zone, members.size());
+  if (out.members.empty()) {
+    out.members =
+        ChooseOwners(members, zone, role::kScheduler, {}, members.size());
+  }
+  const std::size_t count = std::max<std::size_t>(out.members.size(), 1);
+  out.most = (cells + count - 1) / count;
+  return out;
+}
+
+const member* Assign(zone_schedulers& zone, const std::string& cell) {
+  const member* best = nullptr;
+  std::uint64_t best_weight = 0;
+  for (const member* each : zone.members) {
+    if (zone.owned[each->id] >= zone.most)
+      continue;
+    const std::uint64_t weight = base::RendezvousWeight(cell, each->id);
+    if (best == nullptr || weight > best_weight) {
+      best = each;
+      best_weight = weight;
+    }
+  }
+  if (best != nullptr)
+    ++zone.owned[best->id];
+  return best;
+}
+
+}  // namespace
+
+std::map<std::string, member, std::less<>> AssignCells(
+    std::span<const member> members,
+    std::vector<cell_site> cells) {
+  std::ranges::sort(cells, {}, &cell_site::cell);
+  std::map<std::string, std::size_t> in_zone;
+  for (const cell_site& each : cells)
+    ++in_zone[each.zone];
+  std::map<std::string, zone_schedulers> zones;
+  for (const auto& [zone, count] : in_zone)
+    zones[zone] = SchedulersOf(members, zone, count);
+  std::map<std::string, member, std::less<>> out;
+  for (const cell_site& each : cells) {
+    const member* owner = Assign(zones[each.zone], each.cell);
+    if (owner != nullptr)
+      out.emplace(each.cell, *owner);
+  }
+  return out;
+}
+
 }  // namespace valeledge::membership
--- a/src/membership/ownership.h
+++ b/src/membership/ownership.h
@@ -4,7 +4,9 @@
 #define VALELEDGE_MEMBERSHIP_OWNERSHIP_H_
 
 #include <cstddef>
+#include <map>
 #include <span>
+#include <string>
 #include <string_view>
 #include <vector>
 
@@ -27,6 +29,20 @@
                               std::string_view cell,
                               std::string_view zone);
 
+// A cell and the availability zone of its backend servers.
+struct cell_site {
+  std::string cell;
+  std::string zone;
+};
+
+// The scheduler of each cell: by rendezvous among those of its availability
+// zone (all, if it has none), but none gets more than its even part, rounded
+// up. Processes that know the same members and cells assign alike. Cells
+// without any scheduler are missing.
+std::map<std::string, member, std::less<>> AssignCells(
+    std::span<const member> members,
+    std::vector<cell_site> cells);
+
 }  // namespace valeledge::membership
 
 #endif  // VALELEDGE_MEMBERSHIP_OWNERSHIP_H_
--- a/src/node/node.cc
+++ b/src/node/node.cc
@@ -9,6 +9,7 @@
 #include "base/identifier.h"
 #include "base/logging.h"
 #include "membership/constants.h"
+#include "membership/ownership.h"
 #include "node/constants.h"
 #include "node/host_watch.h"
 #include "node/table_sync.h"
@@ -33,6 +34,13 @@
                                boost::json::serialize(body));
 }
 
+std::vector<membership::cell_site> Cells(const table::snapshot& table) {
+  std::vector<membership::cell_site> out;
+  for (const auto& [cell, servers] : table.cells)
+    out.push_back({cell, servers.front()->zone});
+  return out;
+}
+
 net::http_response PlainText(int status, std::string body) {
   auto answer = net::MakeJsonResponse(status, std::move(body));
   answer.set(http::field::content_type, "text/plain; charset=utf-8");
@@ -114,6 +122,8 @@
     metrics_.Gauge("valeledge_table_revision").Set(fresh->revision);
     const std::int64_t revision = fresh->revision;
     peers_.Submit([this, revision] {
+      view_outdated_ = true;
+      owners_outdated_ = true;
       Publish(membership::AnnounceTable(gossip_, revision, random_));
     });
   });
@@ -151,6 +161,7 @@
   leaving_ = true;
   peers_.Submit([this] {
     Publish(membership::AnnounceLeaving(gossip_, random_));
+    owners_outdated_ = true;
     RefreshView();
   });
 }
@@ -189,6 +200,7 @@
                {"health", std::string(membership::ToString(health))},
                {"leaving", std::int64_t{record.leaving}}});
   }
+  owners_outdated_ |= !events.changed.empty();
   view_outdated_ |= !events.changed.empty() || !events.records.empty();
 }
 
@@ -196,6 +208,11 @@
   auto fresh = std::make_shared<member_view>();
   fresh->members = membership::Members(gossip_);
   fresh->records = gossip_.soft.records;
+  if (std::exchange(owners_outdated_, false))
+    fresh->owners =
+        membership::AssignCells(fresh->members, Cells(*table_.Get()));
+  else
+    fresh->owners = view_->owners;
   view_outdated_ = false;
   const std::lock_guard lock(view_mutex_);
   view_ = std::move(fresh);
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -33,6 +33,8 @@
 struct member_view {
   std::vector<membership::member> members;
   std::map<std::string, membership::soft_record, std::less<>> records;
+  // The scheduler of each cell of the table in force.
+  std::map<std::string, membership::member, std::less<>> owners;
 };
 
 // Adds a program's own part to /status; called on the peers' thread.
@@ -124,6 +126,8 @@
   std::atomic<bool> leaving_ = false;
   // Whether the view lacks something; it is made anew at the next tick.
   bool view_outdated_ = false;
+  // Whether owners must be assigned anew.
+  bool owners_outdated_ = true;
   mutable std::mutex view_mutex_;
   std::shared_ptr<const member_view> view_;
 };
--- a/src/scheduler/process/cell_book.cc
+++ b/src/scheduler/process/cell_book.cc
@@ -5,7 +5,6 @@
 #include <utility>
 
 #include "base/logging.h"
-#include "membership/ownership.h"
 #include "node/host_watch.h"
 #include "wire/codec.h"
 
@@ -116,9 +115,9 @@
   const auto view = node_.View();
   const auto now = std::chrono::steady_clock::now();
   for (const auto& [name, servers] : table_->cells) {
-    const auto* owner =
-        membership::ChooseCellOwner(view->members, name, servers.front()->zone);
-    const bool owned = owner != nullptr && owner->id == node_.id();
+    const auto owner = view->owners.find(name);
+    const bool owned =
+        owner != view->owners.end() && owner->second.id == node_.id();
     if (owned || cells_.contains(name))
       Adopt(name, owned);
   }
--- a/src/scheduler/process/scheduler_settings.h
+++ b/src/scheduler/process/scheduler_settings.h
@@ -12,7 +12,7 @@
 // How backend servers are watched, requests queued and claims written.
 struct scheduler_settings {
   node::node_settings shared;
-  std::chrono::microseconds poll_interval = std::chrono::seconds(1);
+  std::chrono::microseconds poll_interval = std::chrono::seconds(2);
   std::chrono::microseconds poll_timeout = std::chrono::milliseconds(500);
   std::int64_t polls_to_down = 2;
   std::chrono::microseconds report_interval = std::chrono::seconds(2);
--- a/tests/auto/membership/test_gossip.cc
+++ b/tests/auto/membership/test_gossip.cc
@@ -200,6 +200,43 @@
   BOOST_TEST(moved < 45);
 }
 
+BOOST_AUTO_TEST_CASE(no_scheduler_owns_more_than_its_even_part) {
+  // Found by measure_capacity.py: by rendezvous alone one scheduler owned
+  // three cells and used 18 KB/s, others none.
+  std::vector<member> members;
+  for (int i = 0; i < 30; ++i) {
+    member each;
+    each.id = "s" + std::to_string(i);
+    each.zone = i % 2 == 0 ? "a" : "b";
+    each.roles = role::kScheduler;
+    members.push_back(each);
+  }
+  std::vector<cell_site> cells;
+  for (int i = 0; i < 27; ++i)
+    cells.push_back({"a." + std::to_string(i), "a"});
+  const auto before = AssignCells(members, cells);
+  std::map<std::string, int> owned;
+  for (const auto& [cell, owner] : before) {
+    BOOST_TEST(owner.zone == "a");
+    BOOST_TEST(++owned[owner.id] <= 2);
+  }
+  BOOST_TEST(before.size() == 27U);
+  // The same whatever the order in which members and cells are known.
+  std::ranges::reverse(members);
+  std::ranges::reverse(cells);
+  const auto again = AssignCells(members, cells);
+  for (const auto& [cell, owner] : before)
+    BOOST_TEST(again.at(cell).id == owner.id);
+  // One that leaves moves its own cells and few others.
+  for (member& each : members)
+    each.leaving = each.id == before.begin()->second.id;
+  int moved = 0;
+  for (const auto& [cell, owner] : AssignCells(members, cells))
+    moved += owner.id != before.at(cell).id ? 1 : 0;
+  BOOST_TEST(moved >= 1);
+  BOOST_TEST(moved <= 6);
+}
+
 BOOST_AUTO_TEST_CASE(a_zone_without_schedulers_is_served_by_another) {
   std::vector<member> members(1);
   members[0].id = "only";
