--- a/scripts/measure_gateway.py
+++ b/scripts/measure_gateway.py
@@ -114,9 +114,57 @@
             system.kill_all()
 
 
+def read_metrics(port):
+    out = {}
+    for line in dep.call(port, "GET", "/metrics")[2].split("\n"):
+        if line and not line.startswith("#"):
+            name, value = line.rsplit(" ", 1)
+            out[name] = float(value)
+    return out
+
+
+def cost_of_grants(rates):
+    """Bytes and processor time that each request costs a scheduler, from two
+    rates; both ends of the calls between processes are counted once."""
+    system = start(2, 64, "1ms", 2)
+    try:
+        points = []
+        for rate in rates:
+            names = ("s1", "g1")
+            before = {name: (read_metrics(system.ports[name + ".admin"]),
+                             system.processes[name].cpu_seconds())
+                      for name in names}
+            result = run_load(system, write_plan(
+                system, "grants", [system.ports["g1"]], rate, 8, 16, 1))
+            row = {"rate": result["requests"] / 8}
+            for name in names:
+                values, cpu = before[name]
+                after = read_metrics(system.ports[name + ".admin"])
+                row[name + "_call_kb_s"] = sum(
+                    after[key] - values[key]
+                    for key in ("valeledge_call_bytes_sent",
+                                "valeledge_call_bytes_received")) / 8000
+                row[name + "_cpu_pct"] = 100 * (
+                    system.processes[name].cpu_seconds() - cpu) / 8
+            points.append(row)
+            print({key: round(value, 3) for key, value in row.items()},
+                  flush=True)
+        low, high = points[0], points[-1]
+        span = high["rate"] - low["rate"]
+        for name in ("s1", "g1"):
+            print(name, "each request:",
+                  round(1000 * (high[name + "_call_kb_s"] -
+                                low[name + "_call_kb_s"]) / span), "bytes,",
+                  round(10000 * (high[name + "_cpu_pct"] -
+                                 low[name + "_cpu_pct"]) / span),
+                  "microseconds")
+    finally:
+        system.kill_all()
+
+
 def main():
     parser = argparse.ArgumentParser(description=__doc__)
-    parser.add_argument("part", choices=("latency", "requests", "tokens"))
+    parser.add_argument("part", choices=("latency", "requests", "tokens", "grants"))
     parser.add_argument("--rates", default="")
     parser.add_argument("--rounds", type=int, default=3)
     parser.add_argument("--threads", type=int, default=2)
@@ -124,6 +172,8 @@
     rates = [float(rate) for rate in options.rates.split(",") if rate]
     if options.part == "latency":
         added_latency(options.rounds)
+    elif options.part == "grants":
+        cost_of_grants(rates or [20, 100, 200])
     elif options.part == "requests":
         most(rates or [500, 1000, 1800], 2, "1ms", 2, options.threads, 8)
     else:
--- a/src/base/duration.cc
+++ b/src/base/duration.cc
@@ -5,6 +5,7 @@
 #include <array>
 #include <charconv>
 #include <cmath>
+#include <ctime>
 
 namespace valeledge::base {
 
@@ -62,4 +63,14 @@
   return std::max(rounded, std::chrono::seconds(1));
 }
 
+std::string FormatNow() {
+  const std::time_t now =
+      std::chrono::system_clock::to_time_t(std::chrono::system_clock::now());
+  std::tm parts;
+  gmtime_r(&now, &parts);
+  std::array<char, 32> text;
+  std::strftime(text.data(), text.size(), "%Y-%m-%dT%H:%M:%SZ", &parts);
+  return text.data();
+}
+
 }  // namespace valeledge::base
--- a/src/base/duration.h
+++ b/src/base/duration.h
@@ -23,6 +23,9 @@
 // Whole seconds for a Retry-After header, rounded up, at least one.
 std::chrono::seconds RoundUpToSeconds(std::chrono::milliseconds value);
 
+// The host's clock in UTC as "2026-01-31T12:00:00Z", for people.
+std::string FormatNow();
+
 }  // namespace valeledge::base
 
 #endif  // VALELEDGE_BASE_DURATION_H_
--- a/src/gateway/process/request_journal.cc
+++ b/src/gateway/process/request_journal.cc
@@ -1,29 +1,14 @@
 // SPDX-License-Identifier: MIT
 #include "gateway/process/request_journal.h"
 
-#include <array>
-#include <chrono>
-#include <ctime>
 #include <utility>
 
-namespace valeledge::gateway {
-
-namespace {
+#include "base/duration.h"
 
-std::string Now() {
-  const std::time_t now =
-      std::chrono::system_clock::to_time_t(std::chrono::system_clock::now());
-  std::tm parts;
-  gmtime_r(&now, &parts);
-  std::array<char, 32> text;
-  std::strftime(text.data(), text.size(), "%Y-%m-%dT%H:%M:%SZ", &parts);
-  return text.data();
-}
-
-}  // namespace
+namespace valeledge::gateway {
 
 void request_journal::Add(journal_entry entry) {
-  entry.time = Now();
+  entry.time = base::FormatNow();
   const std::lock_guard lock(mutex_);
   entries_.push_back(std::move(entry));
   if (entries_.size() > kJournalEntries)
--- /dev/null
+++ b/src/gateway/request/attempt_loop.cc
@@ -0,0 +1,35 @@
+// SPDX-License-Identifier: MIT
+#include "gateway/request/attempt_loop.h"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include "decisions/retry.h"
+
+namespace valeledge::gateway {
+
+namespace asio = boost::asio;
+
+asio::awaitable<bool> MayTryAgain(caller_front& front,
+                                  const request_frame& frame,
+                                  base::error failed,
+                                  bool idempotent,
+                                  std::int64_t attempts_made) {
+  const decisions::failed_attempt facts{failed.what_ran, idempotent,
+                                        attempts_made, Remaining(frame)};
+  const auto verdict =
+      front.shared().budgets.Decide(frame.partner, frame.unit, facts);
+  if (verdict == decisions::retry_verdict::kBudgetSpent)
+    front.metrics().CountRefusal(base::result_code::kRetryBudgetExhausted);
+  if (verdict != decisions::retry_verdict::kAgain)
+    co_return false;
+  front.metrics().CountRetry(failed.code);
+  asio::steady_timer pause(
+      co_await asio::this_coro::executor,
+      decisions::RetryPause(attempts_made, front.random()));
+  co_await pause.async_wait(asio::as_tuple(asio::use_awaitable));
+  co_return true;
+}
+
+}  // namespace valeledge::gateway
--- a/src/gateway/request/chat_exchange.cc
+++ b/src/gateway/request/chat_exchange.cc
@@ -7,10 +7,10 @@
 #include <boost/beast/http.hpp>
 
 #include "base/identifier.h"
-#include "decisions/retry.h"
 #include "gateway/constants.h"
 #include "gateway/request/answers.h"
 #include "gateway/request/attempt.h"
+#include "gateway/request/attempt_loop.h"
 #include "gateway/request/chat_request.h"
 #include "gateway/request/request_notes.h"
 
@@ -22,7 +22,6 @@
 namespace http = boost::beast::http;
 using base::result_code;
 
-constexpr auto kAwait = asio::as_tuple(asio::use_awaitable);
 constexpr std::string_view kCategory = "chat";
 
 // One request for a completion, from its first attempt to its last.
@@ -39,7 +38,6 @@
   grant_wish Wish() const;
   asio::awaitable<base::result<void>> Attempt();
   asio::awaitable<bool> TakeChunk(const decisions::answer_chunk& chunk);
-  asio::awaitable<bool> MayTryAgain(const base::error& failed);
   asio::awaitable<void> Complete();
   asio::awaitable<void> Fail(base::error failed);
   void NoteChunk();
@@ -49,7 +47,6 @@
   net::http_responder& responder_;
   answer_so_far answer_;
   std::vector<std::string> avoid_;
-  std::int64_t attempts_ = 0;
   // Whether the last attempt got as far as a backend server.
   bool granted_ = false;
   bool streaming_ = false;
@@ -147,23 +144,6 @@
   co_return end.ended;
 }
 
-asio::awaitable<bool> chat_exchange::MayTryAgain(const base::error& failed) {
-  if (!granted_ || responder_.caller_gone())
-    co_return false;
-  const auto verdict = front_.shared().budgets.Decide(
-      request_.frame.partner, request_.frame.unit,
-      {failed.what_ran, true, attempts_, Remaining(request_.frame)});
-  if (verdict == decisions::retry_verdict::kBudgetSpent)
-    front_.metrics().CountRefusal(result_code::kRetryBudgetExhausted);
-  if (verdict != decisions::retry_verdict::kAgain)
-    co_return false;
-  front_.metrics().CountRetry(failed.code);
-  asio::steady_timer pause(co_await asio::this_coro::executor,
-                           decisions::RetryPause(attempts_, front_.random()));
-  co_await pause.async_wait(kAwait);
-  co_return true;
-}
-
 asio::awaitable<void> chat_exchange::Complete() {
   if (request_.stream) {
     co_await responder_.Write(Event("[DONE]"));
@@ -207,26 +187,19 @@
     if (open_ != nullptr)
       open_->Abandon();
   });
-  base::result<void> last;
-  bool unknown_before = false;
-  while (true) {
-    ++attempts_;
-    last = co_await Attempt();
-    if (last)
-      break;
-    const bool again = co_await MayTryAgain(last.error());
-    if (!again)
-      break;
-    unknown_before |= last.error().what_ran == base::outcome::kUnknown;
-  }
-  if (last) {
+  const auto last = co_await RepeatAttempts<void>(
+      [this] { return Attempt(); },
+      [this](const base::error& failed,
+             std::int64_t made) -> asio::awaitable<bool> {
+        if (!granted_ || responder_.caller_gone())
+          co_return false;
+        co_return co_await MayTryAgain(front_, request_.frame, failed, true,
+                                       made);
+      });
+  if (last)
     co_await Complete();
-    co_return;
-  }
-  base::error failed = last.error();
-  if (unknown_before)
-    failed.what_ran = base::outcome::kUnknown;
-  co_await Fail(std::move(failed));
+  else
+    co_await Fail(last.error());
 }
 
 }  // namespace
--- a/src/gateway/request/service_exchange.cc
+++ b/src/gateway/request/service_exchange.cc
@@ -8,10 +8,10 @@
 
 #include "base/identifier.h"
 #include "base/json.h"
-#include "decisions/retry.h"
 #include "gateway/constants.h"
 #include "gateway/request/answers.h"
 #include "gateway/request/attempt.h"
+#include "gateway/request/attempt_loop.h"
 #include "gateway/request/chat_request.h"
 #include "gateway/request/request_notes.h"
 
@@ -23,7 +23,6 @@
 namespace http = boost::beast::http;
 using base::result_code;
 
-constexpr auto kAwait = asio::as_tuple(asio::use_awaitable);
 constexpr std::string_view kCategory = "service";
 
 // A call of a plain service, checked.
@@ -104,13 +103,11 @@
   asio::awaitable<void> UpdateClaim(wire::claim_update update);
   asio::awaitable<void> Replay(const grant& given);
   asio::awaitable<void> Fail(base::error failed);
-  bool MayTryAgain(const base::error& failed);
 
   caller_front& front_;
   service_request call_;
   net::http_responder& responder_;
   std::vector<std::string> avoid_;
-  std::int64_t attempts_ = 0;
   std::optional<grant> granted_;
   // The grant with which the claim was made; kept across attempts.
   std::optional<grant> claimed_;
@@ -238,17 +235,6 @@
   co_return answer;
 }
 
-bool service_exchange::MayTryAgain(const base::error& failed) {
-  const auto verdict = front_.shared().budgets.Decide(
-      call_.frame.partner, call_.frame.unit,
-      {failed.what_ran, call_.idempotent, attempts_, Remaining(call_.frame)});
-  if (verdict == decisions::retry_verdict::kAgain)
-    front_.metrics().CountRetry(failed.code);
-  if (verdict == decisions::retry_verdict::kBudgetSpent)
-    front_.metrics().CountRefusal(result_code::kRetryBudgetExhausted);
-  return verdict == decisions::retry_verdict::kAgain;
-}
-
 asio::awaitable<void> service_exchange::Fail(base::error failed) {
   const bool not_run = failed.what_ran == base::outcome::kNotRun;
   if (claimed_ && not_run) {
@@ -264,25 +250,22 @@
 
 asio::awaitable<void> service_exchange::Run() {
   front_.shared().budgets.Earn(call_.frame.partner, call_.frame.unit);
-  base::result<net::http_response> last;
-  bool unknown_before = false;
-  while (true) {
-    ++attempts_;
-    granted_.reset();
-    last = co_await Attempt();
-    if (last || !granted_)
-      break;
-    if (!MayTryAgain(last.error()))
-      break;
-    unknown_before |= last.error().what_ran == base::outcome::kUnknown;
-  }
+  auto last = co_await RepeatAttempts<net::http_response>(
+      [this] {
+        granted_.reset();
+        return Attempt();
+      },
+      [this](const base::error& failed,
+             std::int64_t made) -> asio::awaitable<bool> {
+        if (!granted_)
+          co_return false;
+        co_return co_await MayTryAgain(front_, call_.frame, failed,
+                                       call_.idempotent, made);
+      });
   if (replayed_)
     co_return;
   if (!last) {
-    base::error failed = last.error();
-    if (unknown_before)
-      failed.what_ran = base::outcome::kUnknown;
-    co_await Fail(std::move(failed));
+    co_await Fail(last.error());
     co_return;
   }
   if (claimed_) {
--- a/src/membership/gossip.cc
+++ b/src/membership/gossip.cc
@@ -2,28 +2,24 @@
 #include "membership/gossip.h"
 
 #include <algorithm>
-#include <bit>
 #include <utility>
 
+#include "membership/gossip_news.h"
+
 namespace valeledge::membership {
 
 namespace {
 
+using detail::AddRumor;
+using detail::AttachNews;
 using detail::known_member;
-using detail::rumor;
 
 // Members asked to probe one that did not answer.
 constexpr std::size_t kIndirectProbes = 2;
 
-// Each piece of news is repeated this often per doubling of the fleet.
-constexpr std::int64_t kRepeatsPerDoubling = 2;
-
 // Full exchanges with peers that know something else: one in this time.
 constexpr auto kSyncInterval = std::chrono::seconds(10);
 
-// What a record takes in a datagram beside its texts, about.
-constexpr std::int64_t kRecordOverhead = 24;
-
 // Relayed pings are forgotten after this many probe timeouts.
 constexpr int kRelayTimeouts = 10;
 
@@ -37,69 +33,10 @@
          static_cast<std::int32_t>(member_health::kSuspect);
 }
 
-std::int64_t SizeOf(const member& each) {
-  return kRecordOverhead +
-         static_cast<std::int64_t>(each.id.size() + each.address.size() +
-                                   each.zone.size());
-}
-
-std::int64_t SizeOf(const soft_record& each) {
-  return kRecordOverhead +
-         static_cast<std::int64_t>(each.key.size() + each.value.size());
-}
-
-std::int64_t RepeatLimit(const gossip_state& state) {
-  const auto size = static_cast<std::uint64_t>(state.others.size() + 1);
-  return kRepeatsPerDoubling * static_cast<std::int64_t>(std::bit_width(size));
-}
-
-void AddRumor(gossip_state& state, const std::string& key, bool is_member) {
-  std::erase_if(state.rumors, [&](const rumor& each) {
-    return each.key == key && each.is_member == is_member;
-  });
-  state.rumors.push_back({key, is_member, 0});
-}
-
 void ToggleDigest(gossip_state& state, const member& each) {
   state.digest ^= Digest(each);
 }
 
-const member* FindRecord(const gossip_state& state, const std::string& id) {
-  if (id == state.self.id)
-    return &state.self;
-  const auto found = state.others.find(id);
-  return found == state.others.end() ? nullptr : &found->second.record;
-}
-
-// Puts the news that was repeated least into a message.
-void AttachNews(gossip_state& state, wire::gossip_message& message) {
-  std::ranges::stable_sort(state.rumors, {}, &rumor::times_sent);
-  const std::int64_t limit = RepeatLimit(state);
-  std::int64_t room = state.settings.news_bytes;
-  for (rumor& each : state.rumors) {
-    if (each.is_member) {
-      const member* record = FindRecord(state, each.key);
-      if (record == nullptr) {
-        each.times_sent = limit;
-        continue;
-      }
-      room -= SizeOf(*record);
-      if (room < 0)
-        break;
-      message.updates.push_back(*record);
-    } else {
-      const soft_record& record = state.soft.records.at(each.key);
-      room -= SizeOf(record);
-      if (room < 0)
-        break;
-      message.records.push_back(record);
-    }
-    ++each.times_sent;
-  }
-  std::erase_if(state.rumors,
-                [&](const rumor& each) { return each.times_sent >= limit; });
-}
-
 wire::gossip_message MakeMessage(gossip_state& state,
                                  gossip_kind kind,
                                  std::int64_t sequence) {
@@ -245,21 +182,7 @@
 void SendAll(gossip_state& state,
              gossip_events& events,
              const base::endpoint& to) {
-  std::vector<wire::gossip_message> parts;
-  std::int64_t room = 0;
-  const auto part = [&](std::int64_t size) -> wire::gossip_message& {
-    room -= size;
-    if (parts.empty() || room < 0) {
-      parts.emplace_back();
-      room = state.settings.news_bytes - size;
-    }
-    return parts.back();
-  };
-  for (const auto& [id, each] : state.others)
-    part(SizeOf(each.record)).updates.push_back(each.record);
-  for (const auto& [key, each] : state.soft.records)
-    part(SizeOf(each)).records.push_back(each);
-  for (wire::gossip_message& each : parts) {
+  for (wire::gossip_message& each : detail::SplitAll(state)) {
     each.kind = static_cast<std::int32_t>(gossip_kind::kSync);
     each.sender = state.self;
     each.table_revision = state.table_revision;
--- /dev/null
+++ b/src/membership/gossip_news.cc
@@ -0,0 +1,95 @@
+// SPDX-License-Identifier: MIT
+#include "membership/gossip_news.h"
+
+#include <algorithm>
+#include <bit>
+
+namespace valeledge::membership::detail {
+
+namespace {
+
+// Each piece of news is repeated this often per doubling of the fleet.
+constexpr std::int64_t kRepeatsPerDoubling = 2;
+
+// What a record takes in a datagram beside its texts, about.
+constexpr std::int64_t kRecordOverhead = 24;
+
+std::int64_t SizeOf(const member& each) {
+  return kRecordOverhead +
+         static_cast<std::int64_t>(each.id.size() + each.address.size() +
+                                   each.zone.size());
+}
+
+std::int64_t SizeOf(const soft_record& each) {
+  return kRecordOverhead +
+         static_cast<std::int64_t>(each.key.size() + each.value.size());
+}
+
+std::int64_t RepeatLimit(const gossip_state& state) {
+  const auto size = static_cast<std::uint64_t>(state.others.size() + 1);
+  return kRepeatsPerDoubling * static_cast<std::int64_t>(std::bit_width(size));
+}
+
+const member* FindRecord(const gossip_state& state, const std::string& id) {
+  if (id == state.self.id)
+    return &state.self;
+  const auto found = state.others.find(id);
+  return found == state.others.end() ? nullptr : &found->second.record;
+}
+
+}  // namespace
+
+void AddRumor(gossip_state& state, const std::string& key, bool is_member) {
+  std::erase_if(state.rumors, [&](const rumor& each) {
+    return each.key == key && each.is_member == is_member;
+  });
+  state.rumors.push_back({key, is_member, 0});
+}
+
+void AttachNews(gossip_state& state, wire::gossip_message& message) {
+  std::ranges::stable_sort(state.rumors, {}, &rumor::times_sent);
+  const std::int64_t limit = RepeatLimit(state);
+  std::int64_t room = state.settings.news_bytes;
+  for (rumor& each : state.rumors) {
+    if (each.is_member) {
+      const member* record = FindRecord(state, each.key);
+      if (record == nullptr) {
+        each.times_sent = limit;
+        continue;
+      }
+      room -= SizeOf(*record);
+      if (room < 0)
+        break;
+      message.updates.push_back(*record);
+    } else {
+      const soft_record& record = state.soft.records.at(each.key);
+      room -= SizeOf(record);
+      if (room < 0)
+        break;
+      message.records.push_back(record);
+    }
+    ++each.times_sent;
+  }
+  std::erase_if(state.rumors,
+                [&](const rumor& each) { return each.times_sent >= limit; });
+}
+
+std::vector<wire::gossip_message> SplitAll(const gossip_state& state) {
+  std::vector<wire::gossip_message> parts;
+  std::int64_t room = 0;
+  const auto part = [&](std::int64_t size) -> wire::gossip_message& {
+    room -= size;
+    if (parts.empty() || room < 0) {
+      parts.emplace_back();
+      room = state.settings.news_bytes - size;
+    }
+    return parts.back();
+  };
+  for (const auto& [id, each] : state.others)
+    part(SizeOf(each.record)).updates.push_back(each.record);
+  for (const auto& [key, each] : state.soft.records)
+    part(SizeOf(each)).records.push_back(each);
+  return parts;
+}
+
+}  // namespace valeledge::membership::detail
--- a/src/platform/table_edit.cc
+++ b/src/platform/table_edit.cc
@@ -4,7 +4,6 @@
 #include <algorithm>
 #include <array>
 #include <chrono>
-#include <ctime>
 #include <random>
 #include <utility>
 
@@ -15,6 +14,7 @@
 
 #include <boost/json.hpp>
 
+#include "base/duration.h"
 #include "base/json.h"
 #include "platform/constants.h"
 #include "platform/table_reader.h"
@@ -36,16 +36,6 @@
   return std::string(kHistoryPrefix) + digits.data();
 }
 
-std::string Now() {
-  const std::time_t now =
-      std::chrono::system_clock::to_time_t(std::chrono::system_clock::now());
-  std::tm parts;
-  gmtime_r(&now, &parts);
-  std::array<char, 32> text;
-  std::strftime(text.data(), text.size(), "%Y-%m-%dT%H:%M:%SZ", &parts);
-  return text.data();
-}
-
 std::string Key(const row_edit& edit) {
   return std::string(ToString(edit.kind)) + "/" + edit.name;
 }
@@ -132,7 +122,7 @@
   entry["revision"] = prepared.table->revision;
   entry["change"] = change.id;
   entry["author"] = change.author;
-  entry["time"] = Now();
+  entry["time"] = base::FormatNow();
   entry["edits"] = std::move(edits);
   return json::serialize(entry);
 }
--- /dev/null
+++ b/tests/auto/decisions/come_back_figures.cc
@@ -0,0 +1,115 @@
+// SPDX-License-Identifier: MIT
+// Compares ways to tell refused callers when to come back, in virtual time:
+// a cell that serves ten requests a second gets 300 at once; refused callers
+// return when they were told. Prints, for each way and seed, how often callers
+// were refused, the most that came in one second after the first, and the time
+// until all were served. Not a test; docs/design/COME-BACK.md uses it.
+#include <algorithm>
+#include <cstdio>
+#include <deque>
+#include <functional>
+#include <queue>
+#include <random>
+
+#include "decisions/come_back.h"
+
+namespace {
+
+using namespace valeledge;
+using namespace std::chrono_literals;
+
+constexpr int kCallers = 300;
+constexpr int kPerSecond = 10;
+constexpr std::size_t kQueue = 20;
+
+using wait_rule =
+    std::function<std::chrono::milliseconds(base::time_point now,
+                                            std::int64_t backlog,
+                                            std::mt19937_64& random)>;
+
+struct figures {
+  int refusals = 0;
+  int most_in_second = 0;
+  double until_served = 0;
+  // Seconds in which the server had nothing to do before the end.
+  double idle = 0;
+};
+
+figures Run(const wait_rule& rule, unsigned seed) {
+  std::mt19937_64 random(seed);
+  const base::time_point start(1000s);
+  std::priority_queue<base::time_point, std::vector<base::time_point>,
+                      std::greater<>>
+      coming;
+  for (int i = 0; i < kCallers; ++i)
+    coming.push(start);
+  std::deque<int> waiting;
+  figures out;
+  int served = 0;
+  int in_second = 0;
+  base::time_point now = start;
+  const auto step = 1000ms / kPerSecond;
+  for (int tick = 0; served < kCallers; ++tick, now += step) {
+    if (tick % kPerSecond == 0)
+      in_second = 0;
+    while (!coming.empty() && coming.top() <= now) {
+      coming.pop();
+      if (now - start >= 1s)
+        out.most_in_second = std::max(out.most_in_second, ++in_second);
+      if (waiting.size() < kQueue) {
+        waiting.push_back(0);
+        continue;
+      }
+      ++out.refusals;
+      coming.push(now +
+                  rule(now, static_cast<std::int64_t>(waiting.size()), random));
+    }
+    if (waiting.empty()) {
+      out.idle += 1.0 / kPerSecond;
+      continue;
+    }
+    waiting.pop_front();
+    ++served;
+  }
+  out.until_served = std::chrono::duration<double>(now - start).count();
+  return out;
+}
+
+void Print(const char* way, const std::function<wait_rule()>& make) {
+  for (unsigned seed = 1; seed <= 3; ++seed) {
+    const figures got = Run(make(), seed);
+    std::printf("%s,%u,%d,%d,%.1f,%.1f\n", way, seed, got.refusals,
+                got.most_in_second, got.until_served, got.idle);
+  }
+}
+
+}  // namespace
+
+int main() {
+  std::puts("way,seed,refusals,most_in_a_second,seconds_until_served,idle");
+  Print("constant 2 s", [] {
+    return [](base::time_point, std::int64_t, std::mt19937_64&) {
+      return std::chrono::milliseconds(2000);
+    };
+  });
+  Print("random up to 4 s", [] {
+    return [](base::time_point, std::int64_t, std::mt19937_64& random) {
+      return std::chrono::milliseconds(
+          std::uniform_int_distribution<std::int64_t>(1, 4000)(random));
+    };
+  });
+  Print("random up to 30 s", [] {
+    return [](base::time_point, std::int64_t, std::mt19937_64& random) {
+      return std::chrono::milliseconds(
+          std::uniform_int_distribution<std::int64_t>(1, 30000)(random));
+    };
+  });
+  Print("reserved place", [] {
+    return [plan = decisions::come_back_plan()](base::time_point now,
+                                                std::int64_t backlog,
+                                                std::mt19937_64&) mutable {
+      return decisions::TakePlace(plan, now, kPerSecond, backlog);
+    };
+  });
+  return 0;
+}
