--- a/src/controller/process/planner.cc
+++ b/src/controller/process/planner.cc
@@ -20,8 +20,8 @@
 constexpr auto kAwait = asio::as_tuple(asio::use_awaitable);
 constexpr std::string_view kCategory = "planner";
 
-// Requests a second that one slot is taken to serve, until measured.
-constexpr double kRequestsPerSlot = 0.5;
+// How long an attempt is taken to last in a cell that has told nothing yet.
+constexpr std::chrono::duration<double> kUsualService(2.0);
 
 // Longest wait until the holder of the lease has taken an order's end.
 constexpr auto kForwardTimeout = std::chrono::seconds(1);
@@ -69,6 +69,10 @@
   }
   const std::chrono::duration<double> interval =
       std::chrono::microseconds(report.interval_us);
+  if (report.mean_service_us > 0) {
+    mean_service_[report.cell] =
+        std::chrono::microseconds(report.mean_service_us);
+  }
   auto& demand = demand_[report.cell];
   demand.clear();
   for (const wire::model_demand& each : report.demand) {
@@ -378,7 +382,10 @@
     decisions::placement_server each;
     each.name = row->name;
     each.zone = row->zone;
-    each.capacity = static_cast<double>(row->slots) * kRequestsPerSlot;
+    const auto service = mean_service_.find(table::CellOf(*row));
+    const auto mean =
+        service == mean_service_.end() ? kUsualService : service->second;
+    each.capacity = static_cast<double>(row->slots) / mean.count();
     each.record = RecordOf(*row);
     const auto news = news_.find(row->name);
     each.usable = news != news_.end() && !news->second.down &&
--- a/src/controller/process/planner.h
+++ b/src/controller/process/planner.h
@@ -98,7 +98,10 @@
   std::int64_t incarnation_;
   std::map<std::string, server_news> news_;
   std::map<std::string, decisions::demand_forecast> forecasts_;
+  // Requests a second by cell and model.
   std::map<std::string, std::map<std::string, double>> demand_;
+  // How long an attempt takes in each cell.
+  std::map<std::string, std::chrono::duration<double>> mean_service_;
   std::deque<order_end> ends_;
   // Answers of runs that the records do not know yet.
   std::vector<order_end> deferred_;
--- a/src/gateway/constants.h
+++ b/src/gateway/constants.h
@@ -39,6 +39,11 @@
 inline constexpr std::chrono::microseconds kServicePatience =
     std::chrono::seconds(3);
 
+// A cell's load as its scheduler answered it counts for so long; then what
+// gossip says does.
+inline constexpr std::chrono::microseconds kAnsweredLoad =
+    std::chrono::seconds(1);
+
 // Extra wait for a grant beyond the time in which it could be of use.
 inline constexpr std::chrono::microseconds kGrantGrace =
     std::chrono::milliseconds(200);
--- a/src/gateway/process/grant_client.cc
+++ b/src/gateway/process/grant_client.cc
@@ -92,6 +92,7 @@
     const table::snapshot& table,
     const node::member_view& view,
     decisions::unit_hash unit) {
+  const auto now = std::chrono::steady_clock::now();
   std::vector<decisions::cell_view> out;
   std::string last;
   for (const table::row* server : ReadyServers(table, view, unit)) {
@@ -105,8 +106,8 @@
                     ? std::nullopt
                     : wire::DecodeCellLoad(heard->second.value);
     const auto answered = loads_.find(cell);
-    if (answered != loads_.end())
-      load = answered->second;
+    if (answered != loads_.end() && now - answered->second.at < kAnsweredLoad)
+      load = answered->second.load;
     if (load) {
       each.queued = load->queued;
       each.in_flight = load->in_flight;
@@ -185,7 +186,7 @@
   }
   const wire::grant_reply& answer = reply->granted;
   if (answer.__isset.load)
-    loads_[cell] = answer.load;
+    loads_[cell] = {answer.load, std::chrono::steady_clock::now()};
   if (answer.code != 0)
     co_return tl::make_unexpected(RefusalOf(answer));
   const auto address = base::ParseEndpoint(answer.address);
--- a/src/gateway/process/grant_client.h
+++ b/src/gateway/process/grant_client.h
@@ -120,8 +120,12 @@
   std::mt19937_64 random_{std::random_device{}()};
   // Schedulers that could not be reached.
   std::map<base::endpoint, avoided_run> avoided_;
-  // Newest load of each cell, from answers.
-  std::map<std::string, wire::cell_load> loads_;
+  // Load of each cell from its newest answer, and when that came.
+  struct answered_load {
+    wire::cell_load load;
+    base::time_point at;
+  };
+  std::map<std::string, answered_load> loads_;
   std::map<std::string, grant> in_flight_;
 };
 
--- a/src/scheduler/process/cell_reporter.cc
+++ b/src/scheduler/process/cell_reporter.cc
@@ -63,6 +63,10 @@
   report.interval_us = std::chrono::duration_cast<std::chrono::microseconds>(
                            now - cell.demand_since)
                            .count();
+  report.mean_service_us =
+      std::chrono::duration_cast<std::chrono::microseconds>(
+          cell.admission.mean_service)
+          .count();
   cell.demand.clear();
   cell.demand_since = now;
   return report;
--- a/src/wire/messages.thrift
+++ b/src/wire/messages.thrift
@@ -157,6 +157,8 @@
   2: list<server_report> servers,
   3: list<model_demand> demand,
   4: i64 interval_us,
+  // How long an attempt takes there, 0 if unknown.
+  5: i64 mean_service_us,
 }
 
 // From a controller that sent an order and no longer holds the lease to the
