Routing and shares measured against a plain way; a try at shares reverted

Cause: nothing said how the decisions compare under load.

Ruled out as the cause: weights not reaching the cells (the single engine). Not ruled out: that placement should follow shares.

Also: what the linter found in a clean clone (moves into const references, the name rule for constants).

--- a/scripts/measure_policy.py
+++ b/scripts/measure_policy.py
@@ -35,7 +35,7 @@
     for i in range(MODELS):
         rows.append({"kind": "model", "name": f"m{i}", "memory_mb": 200,
                      "partner": "big" if i % 2 == 0 else "small",
-                     "replicas": 2, "move_price": 1000000})
+                     "replicas": min(2, ENGINES), "move_price": 1000000})
     for i in range(ENGINES):
         port = system.start_engine(
             f"e{i}", capacity_mb=1000, slots=SLOTS, single_load=True,
--- a/src/gateway/process/grant_client.cc
+++ b/src/gateway/process/grant_client.cc
@@ -276,7 +276,7 @@
   ended.tokens = result.tokens;
   ended.first_token_us = result.first_token.count();
   wire::envelope call;
-  call.__set_ended(std::move(ended));
+  call.__set_ended(ended);
   node_.channels().Notify(*given.scheduler, call);
 }
 
--- a/src/scheduler/process/scheduler.cc
+++ b/src/scheduler/process/scheduler.cc
@@ -173,7 +173,7 @@
                                         base::outcome::kNotRun,
                                         "too many requests wait"));
   }
-  reply.__set_granted(std::move(*granted));
+  reply.__set_granted(*granted);
   co_return reply;
 }
 
