The planner's side jobs in files of their own

The last two are weight_store_gate and order_end_wire now, each with tests (a new holder's empty bucket, inherited loads, the end of an order told and read). Reading of /metrics stood three times in scripts; it stands in deployment.py.

Ruled out: splitting the planner's loop itself (one coroutine changes the records; that is its point).

--- a/scripts/deployment.py
+++ b/scripts/deployment.py
@@ -58,6 +58,16 @@
     return json.loads(call(port, "GET", path)[2])
 
 
+def read_metrics(port):
+    """What /metrics says, as numbers by name with label."""
+    out = {}
+    for line in call(port, "GET", "/metrics")[2].split("\n"):
+        if line and not line.startswith("#"):
+            name, value = line.rsplit(" ", 1)
+            out[name] = float(value)
+    return out
+
+
 def wait_until(condition, what, limit=30.0):
     """Waits for an event, looking often; raises after the bound."""
     end = time.monotonic() + limit
--- a/scripts/measure_capacity.py
+++ b/scripts/measure_capacity.py
@@ -22,15 +22,6 @@
                "valeledge_poll_bytes", "valeledge_platform_bytes")
 
 
-def metrics(port):
-    out = {}
-    for line in dep.call(port, "GET", "/metrics")[2].split("\n"):
-        if line and not line.startswith("#"):
-            name, value = line.rsplit(" ", 1)
-            out[name] = float(value)
-    return out
-
-
 def build_table(system, servers, models, cell_size):
     port = dep.free_port()
     command = [os.path.join(system.bin, "valeledge-standin-engine"),
@@ -67,7 +58,7 @@
     for name in names:
         system.wait_ready(name, 120)
     dep.wait_until(
-        lambda: all(metrics(system.ports[name + ".admin"])
+        lambda: all(dep.read_metrics(system.ports[name + ".admin"])
                     ["valeledge_members"] == daemons for name in names),
         "all members to know each other", 120)
     return names
@@ -85,14 +76,14 @@
 
 def quiet(system, names):
     """No process has news of the start left to tell."""
-    return all(metrics(system.ports[name + ".admin"])
+    return all(dep.read_metrics(system.ports[name + ".admin"])
                ["valeledge_gossip_rumors"] == 0 for name in names)
 
 
 def read_all(system, names):
     out = {}
     for name in names:
-        values = metrics(system.ports[name + ".admin"])
+        values = dep.read_metrics(system.ports[name + ".admin"])
         out[name] = {
             "bytes": sum(values.get(gauge, 0) for gauge in BYTE_GAUGES),
             "gossip": sum(values.get(gauge, 0) for gauge in BYTE_GAUGES[:2]),
--- a/scripts/measure_gateway.py
+++ b/scripts/measure_gateway.py
@@ -114,15 +114,6 @@
             system.kill_all()
 
 
-def read_metrics(port):
-    out = {}
-    for line in dep.call(port, "GET", "/metrics")[2].split("\n"):
-        if line and not line.startswith("#"):
-            name, value = line.rsplit(" ", 1)
-            out[name] = float(value)
-    return out
-
-
 def cost_of_grants(rates):
     """Bytes and processor time that each request costs a scheduler, from two
     rates; both ends of the calls between processes are counted once."""
@@ -131,7 +122,7 @@
         points = []
         for rate in rates:
             names = ("s1", "g1")
-            before = {name: (read_metrics(system.ports[name + ".admin"]),
+            before = {name: (dep.read_metrics(system.ports[name + ".admin"]),
                              system.processes[name].cpu_seconds())
                       for name in names}
             result = run_load(system, write_plan(
@@ -139,7 +130,7 @@
             row = {"rate": result["requests"] / 8}
             for name in names:
                 values, cpu = before[name]
-                after = read_metrics(system.ports[name + ".admin"])
+                after = dep.read_metrics(system.ports[name + ".admin"])
                 row[name + "_call_kb_s"] = sum(
                     after[key] - values[key]
                     for key in ("valeledge_call_bytes_sent",
--- a/src/controller/process/controller.cc
+++ b/src/controller/process/controller.cc
@@ -5,6 +5,7 @@
 #include <future>
 #include <utility>
 
+#include "controller/process/order_end_wire.h"
 #include "membership/member.h"
 #include "membership/ownership.h"
 
@@ -20,19 +21,6 @@
 // A status without the reservations is given if they take longer than this.
 constexpr auto kStatusWait = std::chrono::milliseconds(200);
 
-order_end Decode(const wire::order_ended& told) {
-  order_end end;
-  end.server = told.server;
-  end.order_id = told.order_id;
-  end.incarnation = told.incarnation;
-  end.version = told.version;
-  if (told.answer == 1)
-    end.answer = decisions::order_answer::kDone;
-  if (told.answer == 2)
-    end.answer = decisions::order_answer::kRefused;
-  return end;
-}
-
 }  // namespace
 
 controller::controller(controller_settings settings)
--- /dev/null
+++ b/src/controller/process/order_end_wire.h
@@ -0,0 +1,16 @@
+// SPDX-License-Identifier: MIT
+// The end of an order as one controller tells it to another.
+#ifndef VALELEDGE_CONTROLLER_PROCESS_ORDER_END_WIRE_H_
+#define VALELEDGE_CONTROLLER_PROCESS_ORDER_END_WIRE_H_
+
+#include "controller/process/order_sender.h"
+#include "wire/generated/messages_types.h"
+
+namespace valeledge::controller {
+
+wire::order_ended Encode(const order_end& end);
+order_end Decode(const wire::order_ended& told);
+
+}  // namespace valeledge::controller
+
+#endif  // VALELEDGE_CONTROLLER_PROCESS_ORDER_END_WIRE_H_
--- a/src/controller/process/planner.cc
+++ b/src/controller/process/planner.cc
@@ -6,6 +6,7 @@
 
 #include "base/identifier.h"
 #include "base/logging.h"
+#include "controller/process/order_end_wire.h"
 #include "membership/constants.h"
 
 namespace valeledge::controller {
@@ -48,7 +49,8 @@
       wake_(planning.context()),
       incarnation_(std::chrono::duration_cast<std::chrono::microseconds>(
                        std::chrono::system_clock::now().time_since_epoch())
-                       .count()) {}
+                       .count()),
+      store_(settings) {}
 
 void planner::Start() {
   asio::co_spawn(planning_.context(), Loop(), asio::detached);
@@ -98,15 +100,8 @@
 
 asio::awaitable<bool> planner::ForwardEnd(base::endpoint holder,
                                           order_end end) {
-  wire::order_ended told;
-  told.server = end.server;
-  told.order_id = end.order_id;
-  if (end.answer)
-    told.answer = *end.answer == decisions::order_answer::kDone ? 1 : 2;
-  told.incarnation = end.incarnation;
-  told.version = end.version;
   wire::envelope call;
-  call.__set_order_end(told);
+  call.__set_order_end(Encode(end));
   using reply_type = base::result<wire::envelope>;
   auto send = [this, call, holder]() -> asio::awaitable<reply_type> {
     co_return co_await node_.CallPeer(holder, call, kForwardTimeout);
@@ -155,23 +150,19 @@
   news_.clear();
   unread_.clear();
   demand_.clear();
-  inherited_.clear();
   const auto read = co_await book_.Read(term);
   if (!read) {
     if (read.error().code == result_code::kLeaseLost)
       lease_.NoteLost(term);
     co_return false;
   }
-  // A new holder does not know what the last one has started: it begins with
-  // an empty bucket and counts unsettled loads as running.
   const auto now = std::chrono::steady_clock::now();
-  store_rate_ = {settings_.loads_per_second,
-                 std::max(1.0, settings_.loads_per_second), 0, now};
+  store_.Begin(now);
   for (const auto& [server, kept] : book_.records()) {
     for (const decisions::order& each : kept.record.unsettled) {
       const bool own = awaited_.contains(each.id);
       if (each.kind == order_kind::kLoad && !own)
-        inherited_.push_back({each.id, now + settings_.inherited_load});
+        store_.Inherit(now);
     }
   }
   node_.AnnounceRecord(std::string(membership::kControllerRecord),
@@ -400,15 +391,10 @@
   return out;
 }
 
-std::int64_t planner::RunningLoads() const {
-  const auto now = std::chrono::steady_clock::now();
-  const auto sent = std::ranges::count_if(awaited_, [](const auto& each) {
+std::int64_t planner::OwnLoads() const {
+  return std::ranges::count_if(awaited_, [](const auto& each) {
     return each.second == order_kind::kLoad;
   });
-  const auto inherited = std::ranges::count_if(
-      inherited_,
-      [now](const inherited_order& each) { return now < each.until; });
-  return sent + inherited;
 }
 
 decisions::placement_plan planner::Plan() {
@@ -429,14 +415,10 @@
     co_return true;
   decisions::server_reservation record = RecordOf(*row);
   const bool load = move.kind == order_kind::kLoad;
-  if (load) {
-    const bool room =
-        decisions::CanLoad(record, move.artifact, move.memory_mb) &&
-        RunningLoads() < settings_.loads_at_once;
-    if (!room ||
-        !decisions::TryTake(store_rate_, 1, std::chrono::steady_clock::now()))
-      co_return true;
-  }
+  if (load && !decisions::CanLoad(record, move.artifact, move.memory_mb))
+    co_return true;
+  if (load && !store_.TryStart(OwnLoads(), std::chrono::steady_clock::now()))
+    co_return true;
   decisions::order order =
       load ? decisions::RecordLoad(record, base::NewIdentifier(), move.artifact,
                                    move.memory_mb)
--- a/src/controller/process/planner.h
+++ b/src/controller/process/planner.h
@@ -21,8 +21,8 @@
 #include "controller/process/lease_keeper.h"
 #include "controller/process/order_sender.h"
 #include "controller/process/reservation_book.h"
+#include "controller/process/weight_store_gate.h"
 #include "decisions/placement.h"
-#include "decisions/token_bucket.h"
 #include "node/node.h"
 
 namespace valeledge::controller {
@@ -60,12 +60,6 @@
   std::size_t awaited() const { return awaited_.size(); }
 
  private:
-  // A load that an earlier holder may have running at the weight store.
-  struct inherited_order {
-    std::string id;
-    base::time_point until;
-  };
-
   boost::asio::awaitable<void> Loop();
   boost::asio::awaitable<bool> Begin(std::int64_t term);
   boost::asio::awaitable<bool> SettleEnds();
@@ -84,7 +78,7 @@
   std::vector<decisions::placeable> Models(const table::snapshot& table);
   std::vector<decisions::placement_server> Servers(
       const table::snapshot& table);
-  std::int64_t RunningLoads() const;
+  std::int64_t OwnLoads() const;
   decisions::server_reservation RecordOf(const table::row& server) const;
 
   base::duty& planning_;
@@ -112,8 +106,7 @@
   std::map<std::string, base::time_point> asked_;
   // Orders sent by this process without an end yet, with their kinds.
   std::map<std::string, decisions::order_kind> awaited_;
-  std::vector<inherited_order> inherited_;
-  decisions::token_bucket store_rate_;
+  weight_store_gate store_;
   std::vector<std::string> without_room_;
   std::int64_t moves_ = 0;
 };
--- /dev/null
+++ b/tests/auto/controller/test_orders.cc
@@ -0,0 +1,72 @@
+// SPDX-License-Identifier: MIT
+// The weight store is spared, and ends of orders survive their telling.
+#include <boost/test/unit_test.hpp>
+
+#include "controller/process/order_end_wire.h"
+#include "controller/process/weight_store_gate.h"
+
+namespace {
+
+using namespace valeledge;
+using namespace valeledge::controller;
+using namespace std::chrono_literals;
+
+controller_settings Settings() {
+  controller_settings out;
+  out.loads_per_second = 2;
+  out.loads_at_once = 3;
+  out.inherited_load = 10s;
+  return out;
+}
+
+}  // namespace
+
+BOOST_AUTO_TEST_CASE(a_new_holder_starts_with_an_empty_bucket) {
+  const auto settings = Settings();
+  weight_store_gate gate(settings);
+  base::time_point now(1000s);
+  gate.Begin(now);
+  BOOST_TEST(!gate.TryStart(0, now));
+  int started = 0;
+  for (int i = 0; i < 100; ++i) {
+    now += 100ms;
+    started += gate.TryStart(0, now) ? 1 : 0;
+  }
+  // Two a second for ten seconds.
+  BOOST_TEST(started >= 19);
+  BOOST_TEST(started <= 20);
+}
+
+BOOST_AUTO_TEST_CASE(inherited_loads_count_as_running_for_a_while) {
+  const auto settings = Settings();
+  weight_store_gate gate(settings);
+  base::time_point now(1000s);
+  gate.Begin(now);
+  gate.Inherit(now);
+  gate.Inherit(now);
+  now += 5s;
+  BOOST_TEST(gate.TryStart(0, now));
+  BOOST_TEST(!gate.TryStart(1, now));
+  now += 5s;
+  BOOST_TEST(gate.TryStart(2, now));
+  BOOST_TEST(!gate.TryStart(3, now));
+}
+
+BOOST_AUTO_TEST_CASE(the_end_of_an_order_survives_its_telling) {
+  order_end end;
+  end.server = "s";
+  end.order_id = "1";
+  end.incarnation = "run1";
+  end.version = 7;
+  for (const auto answer : {std::optional<decisions::order_answer>(),
+                            std::optional(decisions::order_answer::kDone),
+                            std::optional(decisions::order_answer::kRefused)}) {
+    end.answer = answer;
+    const order_end read = Decode(Encode(end));
+    BOOST_TEST((read.answer == answer));
+    BOOST_TEST(read.server == "s");
+    BOOST_TEST(read.order_id == "1");
+    BOOST_TEST(read.incarnation == "run1");
+    BOOST_TEST(read.version == 7);
+  }
+}
