A refusal of a plain service proves nothing unless its row says so

Cause (found by reading): a plain service's 429 or 503 was taken for "not run", so a call that may not be repeated was sent again, or its caller told that it had not run. A service may answer 503 after it has run (its own back end timed out, say); then both promises would break.

Now the row's column refusal_not_run must say that its refusals are made before anything runs; otherwise such a call ends as unknown and is never sent again.

--- a/src/gateway/request/service_exchange.cc
+++ b/src/gateway/request/service_exchange.cc
@@ -29,6 +29,8 @@
 struct service_request {
   request_frame frame;
   bool idempotent = true;
+  // A refusal of the service says that the call did not run.
+  bool refusal_not_run = false;
   std::string key;
   // Tells two requests under one key apart.
   std::string digest;
@@ -70,6 +72,7 @@
   const bool reads =
       call.method == http::verb::get || call.method == http::verb::head;
   call.idempotent = row->idempotent || reads;
+  call.refusal_not_run = row->refusal_not_run;
   call.target = std::string(target.substr(end));
   if (!call.target.starts_with('/'))
     call.target.insert(0, "/");
@@ -152,9 +155,13 @@
   net::http_response answer((*opened)->header());
   if (IsRefusal(answer.result_int())) {
     (*opened)->Abandon();
-    co_return base::NotRun(
-        result_code::kBackendRefused,
-        "the backend server answered " + std::to_string(answer.result_int()));
+    const std::string message =
+        "the backend server answered " + std::to_string(answer.result_int());
+    // Sending it again is safe for the one, certain not to repeat for the
+    // other; without either it may have run.
+    if (call_.idempotent || call_.refusal_not_run)
+      co_return base::NotRun(result_code::kBackendRefused, message);
+    co_return base::Unknown(result_code::kOutcomeUnknown, message);
   }
   while (true) {
     const auto piece = co_await (*opened)->ReadSome(Remaining(call_.frame));
--- a/src/table/columns.cc
+++ b/src/table/columns.cc
@@ -163,6 +163,7 @@
              "a number from 0 to 1000000000"),
       FirstToken(),
       Truth("idempotent", {kService}, &row::idempotent),
+      Truth("refusal_not_run", {kService}, &row::refusal_not_run),
       Address(),
       Text("zone", {kServer}, &row::zone),
       Text("cell", {kServer}, &row::cell),
--- a/src/table/row.h
+++ b/src/table/row.h
@@ -39,6 +39,8 @@
   double move_price = 1;
   // Whether a service's calls may be repeated.
   bool idempotent = true;
+  // Whether a service that answers 429 or 503 has certainly not run the call.
+  bool refusal_not_run = false;
   // The target for a model's first token.
   std::chrono::milliseconds first_token{640};
   std::string address;
