Replicas spread over availability zones again after one was lost

After its engine in zone a had died, both replicas of a model had been placed in zone b; when the engine returned, two replicas were there and nothing moved.

One more replica now goes to another zone when all came together in one. Ruled out: moving one (the last steady replica elsewhere would be at stake between unload and load); waiting before replicas are replaced (less reachable, not more).

Test: replicas_spread_again_when_a_lost_zone_returns, which fails without it.

--- a/src/decisions/placement.cc
+++ b/src/decisions/placement.cc
@@ -5,6 +5,7 @@
 #include <cmath>
 #include <numeric>
 #include <optional>
+#include <string_view>
 #include <tuple>
 #include <unordered_map>
 #include <utility>
@@ -179,8 +180,10 @@
 
 // A partial replica is completed first; then the availability zone with the
 // fewest replicas, then the server with the most free memory.
+// Servers in `avoided_zone` are passed over.
 std::optional<std::size_t> FindHome(const planner& state,
-                                    const model_state& each) {
+                                    const model_state& each,
+                                    std::string_view avoided_zone = {}) {
   std::unordered_map<std::string, std::int64_t> in_zone;
   for (const std::size_t replica : each.replicas) {
     if (state.servers[replica].usable)
@@ -190,7 +193,8 @@
   std::tuple<bool, std::int64_t, std::int64_t> best_rank;
   for (std::size_t i = 0; i < state.servers.size(); ++i) {
     const placement_server& server = state.servers[i];
-    if (!server.usable || Contains(each.replicas, i) ||
+    const bool avoided = !avoided_zone.empty() && server.zone == avoided_zone;
+    if (!server.usable || avoided || Contains(each.replicas, i) ||
         !FitsOn(state, i, *each.model)) {
       continue;
     }
@@ -329,6 +333,34 @@
   state.plan.without_room.erase(repeated.begin(), repeated.end());
 }
 
+// The availability zone that holds all usable replicas of a model; empty if
+// they are in several, or there are none.
+std::string OnlyZone(const planner& state, const model_state& each) {
+  std::string zone;
+  for (const std::size_t replica : each.replicas) {
+    const placement_server& server = state.servers[replica];
+    if (!server.usable || server.zone == zone)
+      continue;
+    if (!zone.empty())
+      return {};
+    zone = server.zone;
+  }
+  return zone;
+}
+
+// Replicas that came together in one availability zone while the others could
+// not be used: one more goes elsewhere, so that no zone takes the model along.
+void PlanSpread(planner& state) {
+  for (model_state& each : state.models) {
+    if (each.model->replicas < 2 || !state.HasMovesLeft())
+      continue;
+    const std::string zone = OnlyZone(state, each);
+    const auto home = zone.empty() ? std::nullopt : FindHome(state, each, zone);
+    if (home)
+      PlanLoads(state, *home, each);
+  }
+}
+
 void PlanForDemand(planner& state) {
   std::vector<std::pair<double, model_state*>> wanting;
   const auto horizon = static_cast<double>(state.settings.horizon.count());
@@ -366,6 +398,7 @@
                              const placement_settings& settings) {
   planner state = MakePlanner(models, servers, settings);
   PlanRequired(state);
+  PlanSpread(state);
   DropUnwanted(state);
   PlanForDemand(state);
   return std::move(state.plan);
--- a/src/decisions/placement.h
+++ b/src/decisions/placement.h
@@ -66,7 +66,8 @@
 };
 
 // Plans the next moves. First every model's required replicas, spread over
-// availability zones; then versions no longer wanted go, once the new one is
+// availability zones (one more where all came together in one); then versions
+// no longer wanted go, once the new one is
 // there; then replicas for demand, where the gain over the horizon is worth
 // the price. Never unloads the last steady replica of a model.
 placement_plan PlanPlacement(const std::vector<placeable>& models,
--- a/tests/auto/decisions/test_placement.cc
+++ b/tests/auto/decisions/test_placement.cc
@@ -157,6 +157,26 @@
   BOOST_TEST(IsSteady(site.servers[1].record, "model/n@1"));
 }
 
+BOOST_AUTO_TEST_CASE(replicas_spread_again_when_a_lost_zone_returns) {
+  // Found by reachable.scn: both replicas stayed in one availability zone.
+  obedient site;
+  site.servers = {Server("s1", "a", 50), Server("s2", "b", 50),
+                  Server("s3", "b", 50)};
+  site.models = {Model("m", 20)};
+  site.models[0].replicas = 2;
+  site.Run();
+  BOOST_TEST(IsSteady(site.servers[0].record, "model/m@1"));
+  site.servers[0].usable = false;
+  site.Run();
+  BOOST_TEST(IsSteady(site.servers[1].record, "model/m@1"));
+  BOOST_TEST(IsSteady(site.servers[2].record, "model/m@1"));
+  site.servers[0] = Server("s1", "a", 50);
+  site.Run();
+  BOOST_TEST(IsSteady(site.servers[0].record, "model/m@1"));
+  BOOST_TEST(
+      PlanPlacement(site.models, site.servers, site.settings).moves.empty());
+}
+
 BOOST_AUTO_TEST_CASE(demand_gets_replicas_and_idle_ones_make_room) {
   obedient site;
   for (int i = 0; i < 4; ++i)
