A replica that refuses is not used until its engine reports

A refusal by an engine now takes the unit out of that server's ready list until its next report, and retry budgets start full (10) rather than with 3.

Ruled out for now: withdrawing the replica from routing before the order to unload leaves (needs a call from the lease holder to the cell's scheduler).

Not shown: that no burst however large spends the budget in the moment before the first refusal is told.

--- a/src/decisions/retry.h
+++ b/src/decisions/retry.h
@@ -18,7 +18,8 @@
 struct retry_budget {
   double earned_per_request = 0.1;
   double most = 10;
-  double left = 3;
+  // Full at the start: a burst may meet a replica that is being unloaded.
+  double left = 10;
 };
 
 // What is known of a request when an attempt has failed.
--- a/src/scheduler/process/cell_book.cc
+++ b/src/scheduler/process/cell_book.cc
@@ -236,8 +236,12 @@
     wire::grant_reply reply;
     reply.server = server.name;
     reply.address = server.address;
-    cell.running[found->second->request.attempt_id] = {
-        server.name, each.request.partner, each.request.tokens, now, now};
+    cell.running[found->second->request.attempt_id] = {server.name,
+                                                       each.request.partner,
+                                                       each.request.unit,
+                                                       each.request.tokens,
+                                                       now,
+                                                       now};
     found->second->reply = std::move(reply);
     found->second->decided.cancel();
   }
--- a/src/scheduler/process/cell_state.cc
+++ b/src/scheduler/process/cell_state.cc
@@ -221,6 +221,16 @@
     return;
   const running_attempt attempt = found->second;
   cell.running.erase(found);
+  const auto backend = cell.backends.find(attempt.server);
+  const bool refused =
+      ended.outcome == static_cast<std::int32_t>(base::outcome::kNotRun) &&
+      !ended.unreachable && !ended.draining;
+  // An engine that refuses has probably just unloaded it; its next report
+  // tells.
+  if (refused && server != nullptr && backend != cell.backends.end() &&
+      backend->second.is_engine) {
+    std::erase(server->ready, attempt.unit);
+  }
   decisions::ended_attempt end{attempt.server,
                                attempt.partner,
                                attempt.tokens,
--- a/src/scheduler/process/cell_state.h
+++ b/src/scheduler/process/cell_state.h
@@ -34,6 +34,7 @@
 struct running_attempt {
   std::string server;
   std::string partner;
+  decisions::unit_hash unit = 0;
   double tokens = 0;
   // When it was granted; the clock's start if an earlier owner granted it.
   base::time_point started;
