Running the load tool stands once in the scripts

Cause: measure_gateway.py and measure_policy.py each had the same function (found by the look for duplicates). It is deployment.run_load now.

Ruled out: one function for the two plans as well; they differ in what they vary.

Conclusion: kept; no code of the product is touched.

--- a/scripts/deployment.py
+++ b/scripts/deployment.py
@@ -264,6 +264,14 @@
                 pass
 
 
+def run_load(system, plan, limit=180):
+    """Runs the load tool on a plan; its figures."""
+    done = subprocess.run([os.path.join(system.bin, "valeledge-load"), plan],
+                          capture_output=True, text=True, check=True,
+                          timeout=limit)
+    return json.loads(done.stdout)
+
+
 def chat(port, model, text="Draft the spring season roster", stream=False,
          max_tokens=16, headers=None, timeout=30):
     """One completion; (status, headers, body)."""
