--- a/src/controller/process/controller.h
+++ b/src/controller/process/controller.h
@@ -8,11 +8,11 @@
 
 #include "base/duty.h"
 #include "controller/process/controller_settings.h"
-#include "controller/process/lease_keeper.h"
 #include "controller/process/order_sender.h"
 #include "controller/process/planner.h"
 #include "controller/process/reservation_book.h"
 #include "node/node.h"
+#include "store/lease_keeper.h"
 
 namespace valeledge::controller {
 
@@ -37,7 +37,7 @@
   node::node node_;
   base::duty planning_{"planning"};
   base::duty orders_{"orders"};
-  std::optional<lease_keeper> lease_;
+  std::optional<store::lease_keeper> lease_;
   std::optional<reservation_book> book_;
   std::optional<order_sender> sender_;
   std::optional<planner> planner_;
--- a/src/controller/process/planner.cc
+++ b/src/controller/process/planner.cc
@@ -35,7 +35,7 @@
 planner::planner(base::duty& planning,
                  base::duty& orders,
                  node::node& node,
-                 lease_keeper& lease,
+                 store::lease_keeper& lease,
                  reservation_book& book,
                  order_sender& sender,
                  const controller_settings& settings)
--- a/src/controller/process/planner.h
+++ b/src/controller/process/planner.h
@@ -18,12 +18,12 @@
 
 #include "base/duty.h"
 #include "controller/process/controller_settings.h"
-#include "controller/process/lease_keeper.h"
 #include "controller/process/order_sender.h"
 #include "controller/process/reservation_book.h"
 #include "controller/process/weight_store_gate.h"
 #include "decisions/placement.h"
 #include "node/node.h"
+#include "store/lease_keeper.h"
 
 namespace valeledge::controller {
 
@@ -42,7 +42,7 @@
   planner(base::duty& planning,
           base::duty& orders,
           node::node& node,
-          lease_keeper& lease,
+          store::lease_keeper& lease,
           reservation_book& book,
           order_sender& sender,
           const controller_settings& settings);
@@ -84,7 +84,7 @@
   base::duty& planning_;
   base::duty& orders_;
   node::node& node_;
-  lease_keeper& lease_;
+  store::lease_keeper& lease_;
   reservation_book& book_;
   order_sender& sender_;
   const controller_settings& settings_;
--- a/src/controller/process/reservation_book.cc
+++ b/src/controller/process/reservation_book.cc
@@ -3,7 +3,7 @@
 
 #include <utility>
 
-#include "platform/constants.h"
+#include "store/constants.h"
 
 namespace valeledge::controller {
 
@@ -13,18 +13,18 @@
 using base::result_code;
 
 std::string KeyOf(const std::string& server) {
-  return std::string(platform::kReservationPrefix) + server;
+  return std::string(store::kReservationPrefix) + server;
 }
 
 }  // namespace
 
 reservation_book::reservation_book(base::duty& platform,
-                                   platform::kv_client& service)
+                                   store::kv_client& service)
     : platform_(platform), service_(service) {}
 
-asio::awaitable<base::result<platform::kv_transaction_result>>
-reservation_book::Run(platform::kv_transaction transaction) {
-  using result_type = base::result<platform::kv_transaction_result>;
+asio::awaitable<base::result<store::kv_transaction_result>>
+reservation_book::Run(store::kv_transaction transaction) {
+  using result_type = base::result<store::kv_transaction_result>;
   auto work = [this, transaction = std::move(
                          transaction)]() -> asio::awaitable<result_type> {
     co_return co_await service_.Run(transaction);
@@ -37,19 +37,19 @@
 }
 
 asio::awaitable<base::result<void>> reservation_book::Read(std::int64_t term) {
-  platform::kv_transaction look;
+  store::kv_transaction look;
   look.conditions.push_back(
-      platform::CreatedAt(std::string(platform::kLeaderKey), term));
+      store::CreatedAt(std::string(store::kLeaderKey), term));
   look.on_success.push_back(
-      platform::GetPrefix(std::string(platform::kReservationPrefix)));
+      store::GetPrefix(std::string(store::kReservationPrefix)));
   const auto seen = co_await Run(std::move(look));
   if (!seen)
     co_return tl::make_unexpected(seen.error());
   if (!seen->succeeded)
     co_return base::NotRun(result_code::kLeaseLost, "the lease is gone");
   std::map<std::string, kept_reservation> records;
-  for (const platform::kv_operation_result& result : seen->results) {
-    for (const platform::kv_pair& pair : result.pairs) {
+  for (const store::kv_operation_result& result : seen->results) {
+    for (const store::kv_pair& pair : result.pairs) {
       auto record = decisions::DecodeReservation(pair.value);
       if (!record)
         co_return tl::make_unexpected(record.error());
@@ -65,15 +65,15 @@
 asio::awaitable<base::result<void>> reservation_book::Write(
     decisions::server_reservation record) {
   const std::string key = KeyOf(record.server);
-  const std::string leader(platform::kLeaderKey);
+  const std::string leader(store::kLeaderKey);
   const std::int64_t modified = records_[record.server].modified;
   const std::string value = decisions::EncodeReservation(record);
-  platform::kv_transaction change;
-  change.conditions.push_back(platform::CreatedAt(leader, term_));
-  change.conditions.push_back(platform::Unchanged(key, modified));
-  change.on_success.push_back(platform::Put(key, value));
-  change.on_failure.push_back(platform::Get(leader));
-  change.on_failure.push_back(platform::Get(key));
+  store::kv_transaction change;
+  change.conditions.push_back(store::CreatedAt(leader, term_));
+  change.conditions.push_back(store::Unchanged(key, modified));
+  change.on_success.push_back(store::Put(key, value));
+  change.on_failure.push_back(store::Get(leader));
+  change.on_failure.push_back(store::Get(key));
   const auto written = co_await Run(std::move(change));
   if (!written)
     co_return tl::make_unexpected(written.error());
--- a/src/controller/process/reservation_book.h
+++ b/src/controller/process/reservation_book.h
@@ -13,7 +13,7 @@
 #include "base/duty.h"
 #include "base/error.h"
 #include "decisions/reservation.h"
-#include "platform/kv_client.h"
+#include "store/kv_client.h"
 
 namespace valeledge::controller {
 
@@ -27,7 +27,7 @@
 // Lives on the planning thread; calls the service on the platform's thread.
 class reservation_book {
  public:
-  reservation_book(base::duty& platform, platform::kv_client& service);
+  reservation_book(base::duty& platform, store::kv_client& service);
 
   // Reads all records for a term that has begun.
   boost::asio::awaitable<base::result<void>> Read(std::int64_t term);
@@ -44,11 +44,11 @@
   std::int64_t term() const { return term_; }
 
  private:
-  boost::asio::awaitable<base::result<platform::kv_transaction_result>> Run(
-      platform::kv_transaction transaction);
+  boost::asio::awaitable<base::result<store::kv_transaction_result>> Run(
+      store::kv_transaction transaction);
 
   base::duty& platform_;
-  platform::kv_client& service_;
+  store::kv_client& service_;
   std::int64_t term_ = 0;
   std::map<std::string, kept_reservation> records_;
 };
--- /dev/null
+++ b/src/host/constants.h
@@ -0,0 +1,64 @@
+// SPDX-License-Identifier: MIT
+// Times and limits of a host that are no settings.
+#ifndef VALELEDGE_HOST_CONSTANTS_H_
+#define VALELEDGE_HOST_CONSTANTS_H_
+
+#include <chrono>
+#include <cstdint>
+
+namespace valeledge::host {
+
+// A connection to a backend server is made within a few milliseconds unless
+// the server or the way to it is down.
+inline constexpr std::chrono::milliseconds kConnectTimeout{250};
+
+// A request that no server may take now is looked at again after so long.
+inline constexpr std::chrono::milliseconds kChoicePause{15};
+
+// A refusal within a quarter of the objective costs the caller least; a fifth
+// leaves time for the way back.
+inline constexpr double kRefuseWithin = 0.2;
+
+// A refused caller should come back within a third of its time.
+inline constexpr double kComeBackWithin = 0.33;
+
+// What a refused caller waits when nothing better is known: a replica that is
+// loaded from a server's disk is there after about two seconds.
+inline constexpr std::chrono::milliseconds kUsualComeBack{1000};
+// The same when a server frees itself within some steps.
+inline constexpr std::chrono::milliseconds kShortComeBack{150};
+
+// Sends of one request, those that certainly did not run included.
+inline constexpr int kMostSends = 4;
+
+// Without a sign of life for this part of the objective, an idempotent
+// request is given up at one server and sent to another.
+inline constexpr double kSilentPart = 0.7;
+inline constexpr std::chrono::milliseconds kLongestSilence{2000};
+
+// The first event comes after a few steps of the batch.
+inline constexpr std::chrono::milliseconds kFirstSteps{35};
+
+// What reading one prompt token takes until it has been measured.
+inline constexpr std::chrono::duration<double, std::milli> kReadingGuess{0.055};
+
+// What a plain service takes until it has been measured.
+inline constexpr std::chrono::duration<double, std::milli> kServiceGuess{30};
+
+// How often a host tells the others what it has under way.
+inline constexpr std::chrono::milliseconds kLoadInterval{150};
+
+// Hosts that are told directly at a time: each costs some 10 microseconds to
+// send to and as much to receive from.
+inline constexpr std::size_t kMostTold = 16;
+
+// How often gossip is given the time.
+inline constexpr std::chrono::milliseconds kGossipTick{50};
+
+// Arrival rates are smoothed over about this time: demand moves within five
+// seconds.
+inline constexpr std::chrono::milliseconds kRateWindow{1000};
+
+}  // namespace valeledge::host
+
+#endif  // VALELEDGE_HOST_CONSTANTS_H_
--- /dev/null
+++ b/src/host/host_settings.h
@@ -0,0 +1,47 @@
+// SPDX-License-Identifier: MIT
+// What one host is told at its start.
+#ifndef VALELEDGE_HOST_HOST_SETTINGS_H_
+#define VALELEDGE_HOST_HOST_SETTINGS_H_
+
+#include <chrono>
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include "base/endpoint.h"
+
+namespace valeledge::host {
+
+struct host_settings {
+  // Unique among hosts; a restarted host keeps its name.
+  std::string name;
+  std::string zone;
+  // Where callers connect.
+  base::endpoint caller_listen;
+  // Where the balancer asks whether this host serves.
+  base::endpoint readiness_listen;
+  // Where other hosts reach this one, by datagrams and by connections.
+  base::endpoint peer_listen;
+  // Hosts to begin with; any of them may be gone.
+  std::vector<base::endpoint> seeds;
+  base::endpoint store;
+
+  // Length of the lease whose holder gives orders to engines, and how long a
+  // new holder waits for the orders of the last one to end.
+  std::chrono::milliseconds lease_length{3000};
+  // The time between SIGTERM and SIGKILL.
+  std::chrono::milliseconds stop_grace{8000};
+
+  // Second sends of all hosts together within `retry_window` stay under
+  // `retry_ratio` times the requests plus `retry_slack`.
+  double retry_ratio = 0.2;
+  std::int64_t retry_slack = 0;
+  std::chrono::milliseconds retry_window{10'000};
+
+  // Loads from the weight store are counted over this window.
+  std::chrono::milliseconds load_window{5000};
+};
+
+}  // namespace valeledge::host
+
+#endif  // VALELEDGE_HOST_HOST_SETTINGS_H_
--- /dev/null
+++ b/src/host/process/demand_meter.cc
@@ -0,0 +1,73 @@
+// SPDX-License-Identifier: MIT
+#include "host/process/demand_meter.h"
+
+#include <algorithm>
+#include <cmath>
+
+#include "host/constants.h"
+#include "host/process/server_book.h"
+
+namespace valeledge::host {
+
+namespace {
+
+constexpr double kLowerSmoothing = 0.3;
+constexpr double kHigherSmoothing = 0.04;
+
+// Rates below this are not worth telling.
+constexpr double kLeastRate = 0.02;
+
+}  // namespace
+
+model_demand& demand_meter::At(
+    std::string_view name,
+    std::chrono::duration<double, std::milli> first_cost) {
+  const auto found = demands_.find(name);
+  if (found != demands_.end())
+    return found->second;
+  model_demand& made = demands_[std::string(name)];
+  made.cost = first_cost;
+  return made;
+}
+
+void demand_meter::LearnCost(model_demand& demand,
+                             std::chrono::duration<double, std::milli> sample) {
+  const double weight =
+      sample < demand.cost ? kLowerSmoothing : kHigherSmoothing;
+  demand.cost += (sample - demand.cost) * weight;
+}
+
+void demand_meter::Roll(base::time_point now) {
+  const std::chrono::duration<double> passed = now - rolled_;
+  rolled_ = now;
+  if (passed.count() <= 0)
+    return;
+  const std::chrono::duration<double> window = kRateWindow;
+  const double weight = 1 - std::exp(-passed.count() / window.count());
+  for (auto& [name, each] : demands_) {
+    const double arrivals = static_cast<double>(each.arrivals) / passed.count();
+    const double tokens = static_cast<double>(each.tokens) / passed.count();
+    each.arrival_rate += weight * (arrivals - each.arrival_rate);
+    each.token_rate += weight * (tokens - each.token_rate);
+    each.arrivals = 0;
+    each.tokens = 0;
+  }
+}
+
+std::vector<wire::model_load> demand_meter::Loads() const {
+  std::vector<wire::model_load> out;
+  for (const auto& [name, each] : demands_) {
+    if (each.arrival_rate < kLeastRate && each.running == 0)
+      continue;
+    wire::model_load load;
+    load.model = KeyOf(name);
+    load.arrival_rate = static_cast<std::int32_t>(each.arrival_rate * 1000);
+    load.token_rate = static_cast<std::int32_t>(each.token_rate);
+    load.running = static_cast<std::int32_t>(each.running);
+    load.reading_us = static_cast<std::int32_t>(each.cost.count() * 1e6);
+    out.push_back(std::move(load));
+  }
+  return out;
+}
+
+}  // namespace valeledge::host
--- /dev/null
+++ b/src/host/process/engine_book.cc
@@ -0,0 +1,77 @@
+// SPDX-License-Identifier: MIT
+#include "host/process/engine_book.h"
+
+#include <algorithm>
+
+namespace valeledge::host {
+
+std::int64_t UsedMemory(const engine_record& engine,
+                        const catalog::engine& kind) {
+  std::int64_t used = 0;
+  for (const auto& [name, held] : engine.models) {
+    const catalog::model* model = kind.Find(name);
+    // A model that the configuration no longer names still takes room.
+    used += model == nullptr ? kind.weights_mb : model->weights_mb;
+  }
+  std::int64_t adapter_mb = 0;
+  for (const catalog::model& each : kind.models) {
+    if (each.adapters > 0)
+      adapter_mb = std::max(adapter_mb, each.adapter_mb);
+  }
+  // Room for adapters is kept free of weights at all times.
+  return used + adapter_mb * kind.adapter_slots;
+}
+
+std::int64_t UsedAdapterSlots(const engine_record& engine) {
+  std::int64_t used = 0;
+  for (const auto& [name, held] : engine.models)
+    used += static_cast<std::int64_t>(held.adapters.size());
+  return used;
+}
+
+bool IsHeld(const engine_record& engine, std::string_view model) {
+  const auto found = engine.models.find(model);
+  return found != engine.models.end() &&
+         found->second.now == engine_model::phase::kHeld;
+}
+
+void TakeState(engine_record& engine,
+               const catalog::engine_state& state,
+               base::time_point now) {
+  using enum engine_model::phase;
+  engine.accepted = state.orders_accepted;
+  engine.in_memory = state.in_memory;
+  engine.on_disk = state.on_disk;
+  std::map<std::string, engine_model, std::less<>> models;
+  for (const catalog::held_model& each : state.models) {
+    const auto known = engine.models.find(each.name);
+    engine_model model;
+    model.since = now;
+    const bool giving_up = known != engine.models.end() && state.busy &&
+                           known->second.now == kUnloading;
+    if (giving_up)
+      model = known->second;
+    model.adapters.clear();
+    for (const std::string& adapter : each.adapters) {
+      base::time_point used;
+      if (known != engine.models.end()) {
+        const auto before = known->second.adapters.find(adapter);
+        if (before != known->second.adapters.end())
+          used = before->second;
+      }
+      model.adapters[adapter] = used;
+    }
+    models[each.name] = std::move(model);
+  }
+  // A load that is under way is not yet among the models.
+  if (state.busy) {
+    for (const auto& [name, known] : engine.models) {
+      if (known.now == kLoading && !models.contains(name))
+        models[name] = known;
+    }
+  }
+  engine.models = std::move(models);
+  engine.changing = state.busy;
+}
+
+}  // namespace valeledge::host
--- /dev/null
+++ b/src/host/process/host.cc
@@ -0,0 +1,365 @@
+// SPDX-License-Identifier: MIT
+#include "host/process/host.h"
+
+#include <algorithm>
+#include <csignal>
+#include <utility>
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include "base/logging.h"
+#include "host/constants.h"
+#include "host/process/host_core.h"
+#include "host/process/peer_link.h"
+#include "host/process/placement_duty.h"
+#include "host/process/store_mirror.h"
+#include "host/request/final_answers.h"
+#include "host/request/relay.h"
+#include "net/http_server.h"
+#include "store/constants.h"
+#include "store/lease_keeper.h"
+#include "wire/codec.h"
+
+namespace valeledge::host {
+
+namespace {
+
+namespace asio = boost::asio;
+using base::log_event;
+using std::chrono::milliseconds;
+
+constexpr auto kAwait = asio::as_tuple(asio::use_awaitable);
+constexpr std::string_view kCategory = "host";
+
+// Key of the record in which a host tells what it has under way.
+constexpr std::string_view kLoadRecord = "load";
+
+// Entries that lapse while the store is in trouble are used for so long.
+constexpr milliseconds kLapseGrace{1800};
+
+// A copy of the store is asked of one peer at a time, and so often.
+constexpr milliseconds kCopyTimeout{500};
+constexpr milliseconds kCopyPause{300};
+
+// After SIGTERM the balancer needs two looks, a second apart, to send no new
+// connections; callers then still use the ones they have.
+constexpr milliseconds kTakesStreams{3000};
+constexpr milliseconds kTakesRequests{4200};
+// What is still under way so long before SIGKILL is broken off.
+constexpr milliseconds kStopMargin{400};
+
+constexpr milliseconds kStopLook{50};
+
+class host {
+ public:
+  host(asio::io_context& context,
+       host_settings settings,
+       dialect speech,
+       const store_factory& make_store);
+
+  base::result<void> Start();
+  bool stopped() const { return stopped_; }
+
+ private:
+  void PutKey(const std::string& key, const std::string& value);
+  void RemoveKey(const std::string& key, bool lapsed);
+  void Apply(catalog::configuration newer);
+  void TakeTold(const membership::direct_record& record);
+  void CountMembers();
+  bool IsReady() const;
+  asio::awaitable<wire::envelope> Answer(wire::envelope call);
+  asio::awaitable<void> FetchCopy(base::endpoint peer);
+  asio::awaitable<void> ReportLoop();
+  asio::awaitable<void> AwaitStop();
+  asio::awaitable<void> StopGracefully();
+
+  host_core core_;
+  std::unique_ptr<store::kv_client> store_;
+  store_mirror mirror_;
+  peer_link peers_;
+  store::lease_keeper lease_;
+  placement_duty placement_;
+  net::http_server callers_;
+  net::http_server readiness_;
+  asio::signal_set signals_;
+  bool fetching_ = false;
+  bool leaving_ = false;
+  bool stopped_ = false;
+  std::vector<wire::server_load> told_loads_;
+};
+
+host::host(asio::io_context& context,
+           host_settings settings,
+           dialect speech,
+           const store_factory& make_store)
+    : core_(context, std::move(settings), std::move(speech)),
+      store_(make_store(context, core_.settings)),
+      mirror_(
+          context,
+          *store_,
+          core_.speech.keys.watched_prefix,
+          {[this](const auto& key, const auto& value) { PutKey(key, value); },
+           [this](const auto& key, bool lapsed) { RemoveKey(key, lapsed); },
+           [this](std::int64_t revision) {
+             peers_.AnnounceRevision(revision);
+           }}),
+      peers_(context,
+             core_.settings,
+             {[this](const auto& record) { TakeTold(record); },
+              [this] { CountMembers(); },
+              [this](const base::endpoint& peer) {
+                const bool wanted = !mirror_.IsCurrent() && !fetching_;
+                if (!wanted)
+                  return;
+                fetching_ = true;
+                asio::co_spawn(core_.context, FetchCopy(peer), asio::detached);
+              },
+              [this](wire::envelope call) { return Answer(std::move(call)); }}),
+      lease_(context,
+             *store_,
+             core_.settings.name,
+             core_.settings.lease_length,
+             [this] {
+               return mirror_.IsCurrent() && !leaving_ &&
+                      !mirror_.HasKey(std::string(store::kLeaderKey));
+             }),
+      placement_(core_, lease_, peers_),
+      callers_(
+          context,
+          {},
+          [this](net::http_request& request, net::http_responder& responder) {
+            return RelayRequest(core_, request, responder);
+          },
+          RenderFailure),
+      readiness_(
+          context,
+          {},
+          [this](net::http_request&,
+                 net::http_responder& responder) -> asio::awaitable<void> {
+            auto answer = net::MakeJsonResponse(IsReady() ? 200 : 503, "{}");
+            co_await responder.Send(std::move(answer));
+          },
+          RenderFailure),
+      signals_(context, SIGTERM, SIGINT) {
+  core_.want_adapter = [this](std::string service, std::string model,
+                              std::string adapter, milliseconds timeout) {
+    return placement_.WantAdapter(std::move(service), std::move(model),
+                                  std::move(adapter), timeout);
+  };
+}
+
+base::result<void> host::Start() {
+  const auto readiness = readiness_.Start(core_.settings.readiness_listen);
+  if (!readiness)
+    return tl::make_unexpected(readiness.error());
+  const auto callers = callers_.Start(core_.settings.caller_listen);
+  if (!callers)
+    return tl::make_unexpected(callers.error());
+  const auto peers = peers_.Start();
+  if (!peers)
+    return peers;
+  mirror_.Start();
+  lease_.Start();
+  placement_.Start();
+  asio::co_spawn(core_.context, ReportLoop(), asio::detached);
+  asio::co_spawn(core_.context, AwaitStop(), asio::detached);
+  base::Log(kCategory, log_event::kProgramStarted,
+            {{"host", core_.settings.name}});
+  return {};
+}
+
+bool host::IsReady() const {
+  return core_.configuration != nullptr && !leaving_;
+}
+
+void host::Apply(catalog::configuration newer) {
+  const bool stale = core_.configuration != nullptr &&
+                     newer.version <= core_.configuration->version;
+  if (stale) {
+    if (newer.version < core_.configuration->version) {
+      base::Log(kCategory, log_event::kRevisionWentBack,
+                {{"platform", newer.version},
+                 {"here", core_.configuration->version}});
+    }
+    return;
+  }
+  net::http_limits limits;
+  limits.header_bytes = newer.limits.header_bytes;
+  limits.body_bytes = newer.limits.body_bytes;
+  limits.receive_timeout = newer.limits.header_timeout;
+  limits.idle_timeout = newer.limits.idle_timeout;
+  callers_.SetLimits(limits);
+  base::Log(kCategory, log_event::kTableApplied,
+            {{"version", newer.version},
+             {"routes", static_cast<std::int64_t>(newer.routes.size())}});
+  core_.configuration =
+      std::make_shared<const catalog::configuration>(std::move(newer));
+}
+
+void host::PutKey(const std::string& key, const std::string& value) {
+  const store_keys& keys = core_.speech.keys;
+  if (key == keys.configuration) {
+    auto decoded = core_.speech.decode_configuration(value);
+    if (decoded)
+      Apply(std::move(*decoded));
+    else
+      base::Log(kCategory, log_event::kStoredValueBroken,
+                {{"key", key}, {"reason", decoded.error().message}});
+    return;
+  }
+  if (!key.starts_with(keys.server_prefix))
+    return;
+  const std::string instance = key.substr(keys.server_prefix.size());
+  auto entry = core_.speech.decode_server(instance, value);
+  if (!entry) {
+    base::Log(kCategory, log_event::kStoredValueBroken,
+              {{"key", key}, {"reason", entry.error().message}});
+    return;
+  }
+  const bool draining = entry->draining;
+  const bool changed = core_.servers.Put(std::move(*entry));
+  if (changed) {
+    base::Log(kCategory,
+              draining ? log_event::kServerLeaving : log_event::kServerUp,
+              {{"server", instance}});
+  }
+}
+
+void host::RemoveKey(const std::string& key, bool lapsed) {
+  const store_keys& keys = core_.speech.keys;
+  if (!key.starts_with(keys.server_prefix))
+    return;
+  const std::string instance = key.substr(keys.server_prefix.size());
+  base::Log(kCategory, log_event::kServerDown,
+            {{"server", instance}, {"lapsed", std::int64_t{lapsed}}});
+  core_.servers.Remove(instance, lapsed, kLapseGrace,
+                       std::chrono::steady_clock::now());
+}
+
+void host::TakeTold(const membership::direct_record& record) {
+  if (record.key == kLoadRecord) {
+    const auto load = wire::DecodeHostLoad(record.value);
+    if (!load)
+      return;
+    core_.servers.TakeLoad(record.sender, load->servers);
+    placement_.TakeDemand(record.sender, load->models);
+  } else if (record.key == kPlacedRecord) {
+    const auto news = wire::DecodePlacementNews(record.value);
+    if (news)
+      placement_.TakeNews(*news, record.sender_address);
+  }
+}
+
+void host::CountMembers() {
+  core_.hosts = peers_.CountServing();
+}
+
+asio::awaitable<wire::envelope> host::Answer(wire::envelope call) {
+  wire::envelope reply;
+  if (call.__isset.mirror_wanted) {
+    reply.__set_mirror(mirror_.Copy());
+  } else if (call.__isset.adapter_wanted) {
+    const auto adapter =
+        co_await placement_.AnswerAdapter(std::move(call.adapter_wanted));
+    reply.__set_adapter(adapter);
+  }
+  co_return reply;
+}
+
+asio::awaitable<void> host::FetchCopy(base::endpoint peer) {
+  wire::envelope call;
+  wire::mirror_request wanted;
+  wanted.since = mirror_.revision();
+  call.__set_mirror_wanted(wanted);
+  const auto reply = co_await peers_.Call(peer, std::move(call), kCopyTimeout);
+  if (reply && reply->__isset.mirror)
+    mirror_.Take(reply->mirror);
+  asio::steady_timer timer(core_.context, kCopyPause);
+  co_await timer.async_wait(kAwait);
+  fetching_ = false;
+}
+
+asio::awaitable<void> host::ReportLoop() {
+  asio::steady_timer timer(core_.context);
+  int quiet = 0;
+  while (true) {
+    timer.expires_after(kLoadInterval);
+    co_await timer.async_wait(kAwait);
+    const auto now = std::chrono::steady_clock::now();
+    core_.servers.Sweep(now);
+    core_.demand.Roll(now);
+    wire::host_load load;
+    load.servers = core_.servers.OwnLoads();
+    load.models = core_.demand.Loads();
+    // An idle host says so now and then.
+    const bool idle = load.servers.empty() && load.models.empty();
+    quiet = idle ? quiet + 1 : 0;
+    if (!idle || quiet % 8 == 1)
+      peers_.Tell(std::string(kLoadRecord), wire::Encode(load));
+    for (const std::string& name : peers_.TakeDead()) {
+      core_.servers.ForgetHost(name);
+      placement_.ForgetHost(name);
+    }
+  }
+}
+
+asio::awaitable<void> host::AwaitStop() {
+  const auto [failed, signal] = co_await signals_.async_wait(kAwait);
+  if (failed)
+    co_return;
+  co_await StopGracefully();
+}
+
+asio::awaitable<void> host::StopGracefully() {
+  const auto begun = std::chrono::steady_clock::now();
+  base::Log(kCategory, log_event::kStopRequested,
+            {{"active", callers_.active_requests()}});
+  leaving_ = true;
+  lease_.Resign();
+  peers_.AnnounceLeaving();
+  callers_.CloseAfterAnswers();
+  asio::steady_timer timer(core_.context);
+  bool drained = false;
+  while (true) {
+    const auto passed = std::chrono::steady_clock::now() - begun;
+    core_.refuses_streams = passed >= kTakesStreams;
+    if (passed >= kTakesRequests && !drained) {
+      drained = true;
+      callers_.Drain();
+    }
+    const bool idle = drained && callers_.active_requests() == 0;
+    if (idle || passed >= core_.settings.stop_grace - kStopMargin)
+      break;
+    timer.expires_after(kStopLook);
+    co_await timer.async_wait(kAwait);
+  }
+  const std::int64_t active = callers_.active_requests();
+  base::Log(kCategory,
+            active == 0 ? log_event::kProgramStopped : log_event::kStopCutShort,
+            {{"active", active}});
+  stopped_ = true;
+  core_.context.stop();
+}
+
+}  // namespace
+
+base::result<void> RunHost(host_settings settings,
+                           dialect speech,
+                           const store_factory& make_store) {
+  // Both live until the process ends: coroutines that a stop broke off still
+  // refer to them, and end with the event loop.
+  static asio::io_context context(1);
+  static host one(context, std::move(settings), std::move(speech), make_store);
+  const auto started = one.Start();
+  if (!started)
+    return started;
+  context.run();
+  return {};
+}
+
+}  // namespace valeledge::host
--- /dev/null
+++ b/src/host/process/host_core.h
@@ -0,0 +1,69 @@
+// SPDX-License-Identifier: MIT
+// What the requests of one host share. Lives on the host's thread.
+#ifndef VALELEDGE_HOST_PROCESS_HOST_CORE_H_
+#define VALELEDGE_HOST_PROCESS_HOST_CORE_H_
+
+#include <chrono>
+#include <functional>
+#include <map>
+#include <memory>
+#include <random>
+#include <string>
+#include <utility>
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/io_context.hpp>
+
+#include "base/metrics.h"
+#include "catalog/configuration.h"
+#include "decisions/retry_window.h"
+#include "host/dialect.h"
+#include "host/host_settings.h"
+#include "host/process/demand_meter.h"
+#include "host/process/server_book.h"
+#include "net/http_client.h"
+
+namespace valeledge::host {
+
+struct host_core {
+  host_core(boost::asio::io_context& context_in,
+            host_settings settings_in,
+            dialect speech_in)
+      : context(context_in),
+        settings(std::move(settings_in)),
+        speech(std::move(speech_in)),
+        servers(settings.zone),
+        http(context) {}
+
+  boost::asio::io_context& context;
+  const host_settings settings;
+  const dialect speech;
+  base::metrics metrics;
+  server_book servers;
+  demand_meter demand;
+  net::http_client http;
+  std::mt19937_64 random{std::random_device{}()};
+  // The configuration in force; null before the first one is known.
+  std::shared_ptr<const catalog::configuration> configuration;
+  std::map<std::string, decisions::retry_window, std::less<>> retries;
+  // Hosts that take requests, this one included.
+  std::int64_t hosts = 1;
+  // This host stops soon: streams that would not end in time are refused.
+  bool refuses_streams = false;
+  // Has an adapter loaded by the holder of the lease; the instance that holds
+  // it then, or the reason why none does.
+  std::function<boost::asio::awaitable<base::result<std::string>>(
+      std::string service,
+      std::string model,
+      std::string adapter,
+      std::chrono::milliseconds timeout)>
+      want_adapter;
+};
+
+// Whether another send of a request to this service is within the budget of
+// all hosts; takes it from there if so.
+bool TakeRepeat(host_core& core, const std::string& service);
+
+}  // namespace valeledge::host
+
+#endif  // VALELEDGE_HOST_PROCESS_HOST_CORE_H_
--- /dev/null
+++ b/src/host/process/order_desk.cc
@@ -0,0 +1,394 @@
+// SPDX-License-Identifier: MIT
+#include "host/process/order_desk.h"
+
+#include <algorithm>
+#include <cmath>
+#include <optional>
+#include <utility>
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include "base/identifier.h"
+#include "base/logging.h"
+#include "host/constants.h"
+
+namespace valeledge::host {
+
+namespace {
+
+namespace asio = boost::asio;
+using base::log_event;
+using base::result_code;
+using phase = engine_model::phase;
+using std::chrono::milliseconds;
+
+constexpr auto kAwait = asio::as_tuple(asio::use_awaitable);
+constexpr std::string_view kCategory = "orders";
+
+// An order that is not answered within this time may still be carried out.
+constexpr milliseconds kOrderTimeout{800};
+
+// What an engine says of itself is a few hundred milliseconds old: after an
+// order it is asked no sooner than this.
+constexpr milliseconds kStateLag{350};
+
+// An engine that still counts fewer orders than were accepted so long ago has
+// lost them.
+constexpr milliseconds kStateBelief{2000};
+
+// Between two looks at an engine that carries out an order.
+constexpr milliseconds kLookPause{400};
+
+// Other hosts hear of a withdrawal, and requests on their way arrive, before
+// the model is unloaded.
+constexpr milliseconds kWithdrawNotice{300};
+
+// An adapter is there after about so long.
+constexpr milliseconds kAdapterTime{25};
+
+asio::awaitable<void> Pause(milliseconds length) {
+  asio::steady_timer timer(co_await asio::this_coro::executor, length);
+  co_await timer.async_wait(kAwait);
+}
+
+std::string NameOf(order_reply reply) {
+  switch (reply) {
+    case order_reply::kAccepted:
+      return "accepted";
+    case order_reply::kHolds:
+      return "holds";
+    case order_reply::kConflict:
+      return "conflict";
+    case order_reply::kFenced:
+      return "fenced";
+    case order_reply::kWrongInstance:
+      return "wrong instance";
+    case order_reply::kUnknown:
+      break;
+  }
+  return "unknown";
+}
+
+}  // namespace
+
+order_desk::order_desk(host_core& core, std::function<std::int64_t()> term)
+    : core_(core), term_(std::move(term)) {}
+
+void order_desk::Begin() {
+  engines_.clear();
+  // Loads that the last holder started are not known: as many as may be are
+  // taken to have started just now.
+  store_loads_.clear();
+  changed_ = true;
+}
+
+bool order_desk::TakeChanged() {
+  return std::exchange(changed_, false);
+}
+
+void order_desk::AskLater(engine_record& engine, milliseconds after) {
+  const auto at = std::chrono::steady_clock::now() + after;
+  if (!engine.ask_at || at > *engine.ask_at)
+    engine.ask_at = at;
+}
+
+void order_desk::Refresh() {
+  const auto now = std::chrono::steady_clock::now();
+  for (const auto& [instance, server] : core_.servers.servers()) {
+    const catalog::service* service =
+        core_.configuration->FindService(server->entry.service);
+    if (service == nullptr || !service->HasModels())
+      continue;
+    auto& engine = engines_[instance];
+    if (engine == nullptr) {
+      engine = std::make_shared<engine_record>();
+      engine->server = server;
+      engine->ask_at = now;
+    }
+  }
+  std::erase_if(engines_, [&](const auto& each) {
+    return core_.servers.Find(each.first) == nullptr;
+  });
+  for (const auto& [instance, engine] : engines_) {
+    const bool due = engine->ask_at && now >= *engine->ask_at;
+    if (due && !engine->asking && !engine->sending) {
+      engine->asking = true;
+      asio::co_spawn(core_.context, Ask(engine), asio::detached);
+    }
+  }
+}
+
+asio::awaitable<void> order_desk::Ask(engine_ptr engine) {
+  engine->ask_at.reset();
+  const auto& entry = engine->server->entry;
+  auto question = core_.speech.make_state_question(entry.instance);
+  const auto answer = co_await core_.http.Fetch(
+      entry.address, std::move(question), kOrderTimeout);
+  engine->asking = false;
+  const bool answered = answer && answer->result_int() == 200;
+  const auto state = answered
+                         ? core_.speech.decode_state(answer->body())
+                         : base::result<catalog::engine_state>(base::NotRun(
+                               result_code::kPeerUnreachable, "no state"));
+  // What it says may be older than the last order that it accepted.
+  const auto now = std::chrono::steady_clock::now();
+  const bool older = state && engine->accepted &&
+                     state->orders_accepted < *engine->accepted &&
+                     now - engine->accepted_at < kStateBelief;
+  if (!state || older || engine->sending) {
+    if (!engine->ask_at)
+      AskLater(*engine, kStateLag);
+    co_return;
+  }
+  TakeState(*engine, *state, now);
+  if (state->busy)
+    AskLater(*engine, kLookPause);
+  changed_ = true;
+}
+
+std::int64_t order_desk::StoreLoadsLeft(double per_second) {
+  const auto now = std::chrono::steady_clock::now();
+  const std::chrono::duration<double> window = core_.settings.load_window;
+  const auto most =
+      static_cast<std::int64_t>(std::floor(per_second * window.count()));
+  while (!store_loads_.empty() &&
+         now - store_loads_.front() >= core_.settings.load_window) {
+    store_loads_.pop_front();
+  }
+  return most - static_cast<std::int64_t>(store_loads_.size());
+}
+
+asio::awaitable<order_reply> order_desk::Send(engine_ptr engine,
+                                              order_verb verb,
+                                              std::string model,
+                                              std::string adapter) {
+  engine_order order;
+  order.verb = verb;
+  order.instance = engine->server->entry.instance;
+  order.model = model;
+  order.adapter = adapter;
+  order.expected = engine->accepted.value_or(0);
+  order.holder = core_.settings.name;
+  order.term = term_();
+  if (order.term == 0)
+    co_return order_reply::kFenced;
+  engine->sending = true;
+  auto request = core_.speech.make_order(order);
+  const auto answer = co_await core_.http.Fetch(
+      engine->server->entry.address, std::move(request), kOrderTimeout);
+  engine->sending = false;
+  order_reply reply = order_reply::kUnknown;
+  if (answer)
+    reply =
+        core_.speech.read_order_reply(static_cast<int>(answer->result_int()));
+  // An adapter that no request uses is unloaded at once, and counts.
+  const bool counted = reply == order_reply::kAccepted ||
+                       (reply == order_reply::kHolds && !adapter.empty() &&
+                        verb == order_verb::kUnload);
+  if (counted) {
+    engine->accepted = order.expected + 1;
+    engine->accepted_at = std::chrono::steady_clock::now();
+  } else {
+    AskLater(*engine, kStateLag);
+  }
+  base::Log(kCategory,
+            reply == order_reply::kUnknown ? log_event::kOrderUnsettled
+                                           : log_event::kOrderSent,
+            {{"server", order.instance},
+             {"verb", verb == order_verb::kLoad ? "load" : "unload"},
+             {"unit", AdapterUnit(model, adapter)},
+             {"expected", order.expected},
+             {"term", order.term},
+             {"reply", NameOf(reply)}});
+  core_.metrics.Counter("valeledge_orders_total", NameOf(reply)).Add();
+  co_return reply;
+}
+
+void order_desk::Load(engine_ptr engine,
+                      const catalog::model& model,
+                      decisions::weight_source source) {
+  milliseconds expected = model.load_from_store;
+  if (source == decisions::weight_source::kMemory)
+    expected = model.load_from_memory;
+  if (source == decisions::weight_source::kDisk)
+    expected = model.load_from_disk;
+  if (source == decisions::weight_source::kStore)
+    store_loads_.push_back(std::chrono::steady_clock::now());
+  engine->changing = true;
+  asio::co_spawn(core_.context,
+                 RunLoad(std::move(engine), model.name, expected),
+                 asio::detached);
+}
+
+asio::awaitable<void> order_desk::RunLoad(engine_ptr engine,
+                                          std::string model,
+                                          milliseconds expected) {
+  const auto now = std::chrono::steady_clock::now();
+  engine_model loading;
+  loading.now = phase::kLoading;
+  loading.since = now;
+  loading.due = now + expected;
+  engine->models[model] = loading;
+  const order_reply reply = co_await Send(engine, order_verb::kLoad, model, {});
+  if (reply == order_reply::kHolds) {
+    engine->models[model].now = phase::kHeld;
+    engine->changing = false;
+    changed_ = true;
+    co_return;
+  }
+  if (reply == order_reply::kAccepted) {
+    // Asked from the time on at which its state should show the end.
+    AskLater(*engine, expected + kStateLag);
+    co_return;
+  }
+  // It may yet be carried out, but not after the next order is accepted; what
+  // the engine says when it is asked decides.
+  engine->models.erase(model);
+}
+
+void order_desk::Unload(engine_ptr engine, const std::string& model) {
+  engine->changing = true;
+  const auto found = engine->models.find(model);
+  if (found != engine->models.end())
+    found->second.now = phase::kWithdrawn;
+  changed_ = true;
+  asio::co_spawn(core_.context, RunUnload(std::move(engine), model),
+                 asio::detached);
+}
+
+asio::awaitable<void> order_desk::RunUnload(engine_ptr engine,
+                                            std::string model) {
+  co_await Pause(kWithdrawNotice);
+  const order_reply reply =
+      co_await Send(engine, order_verb::kUnload, model, {});
+  const auto found = engine->models.find(model);
+  if (reply == order_reply::kHolds) {
+    engine->models.erase(model);
+    engine->changing = false;
+    changed_ = true;
+    co_return;
+  }
+  if (found == engine->models.end())
+    co_return;
+  if (reply == order_reply::kAccepted) {
+    found->second.now = phase::kUnloading;
+    AskLater(*engine, kStateLag);
+  }
+}
+
+order_desk::engine_ptr order_desk::ChooseForAdapter(
+    const std::string& service,
+    const std::string& model,
+    const std::string& adapter) {
+  engine_ptr best;
+  std::pair<std::int64_t, std::uint64_t> best_rank;
+  const std::string unit = AdapterUnit(model, adapter);
+  for (const auto& [instance, engine] : engines_) {
+    const known_server& server = *engine->server;
+    const bool usable = server.entry.service == service && !server.leaving &&
+                        IsHeld(*engine, model) && engine->accepted &&
+                        !engine->sending && !engine->asking;
+    if (!usable)
+      continue;
+    // Few adapters first; among equals the same engine each time, since what
+    // it held before loads faster.
+    const std::int64_t slots =
+        core_.configuration->FindService(service)->engines.adapter_slots;
+    const std::int64_t crowded = UsedAdapterSlots(*engine) >= slots ? 1 : 0;
+    const std::pair rank(crowded,
+                         ~base::RendezvousWeight(unit, server.entry.instance));
+    if (best == nullptr || rank < best_rank) {
+      best = engine;
+      best_rank = rank;
+    }
+  }
+  return best;
+}
+
+asio::awaitable<bool> order_desk::MakeAdapterRoom(engine_ptr engine,
+                                                  std::int64_t slots) {
+  if (UsedAdapterSlots(*engine) < slots)
+    co_return true;
+  std::string victim_model;
+  std::string victim;
+  base::time_point oldest = base::time_point::max();
+  for (const auto& [name, held] : engine->models) {
+    for (const auto& [adapter, used] : held.adapters) {
+      if (used < oldest) {
+        oldest = used;
+        victim_model = name;
+        victim = adapter;
+      }
+    }
+  }
+  const order_reply reply =
+      co_await Send(engine, order_verb::kUnload, victim_model, victim);
+  const auto model = engine->models.find(victim_model);
+  const bool gone =
+      reply == order_reply::kAccepted || reply == order_reply::kHolds;
+  if (gone && model != engine->models.end())
+    model->second.adapters.erase(victim);
+  co_return gone&& UsedAdapterSlots(*engine) < slots;
+}
+
+asio::awaitable<base::result<std::string>> order_desk::EnsureAdapter(
+    std::string service,
+    std::string model,
+    std::string adapter) {
+  const auto now = std::chrono::steady_clock::now();
+  for (const auto& [instance, engine] : engines_) {
+    if (!IsHeld(*engine, model) || engine->server->leaving)
+      continue;
+    auto& adapters = engine->models.find(model)->second.adapters;
+    const auto found = adapters.find(adapter);
+    if (found == adapters.end())
+      continue;
+    // One that is being loaded for another request is waited for as well.
+    const auto ready = found->second;
+    if (ready > now)
+      co_await Pause(std::chrono::ceil<milliseconds>(ready - now));
+    else
+      found->second = now;
+    co_return instance;
+  }
+  const engine_ptr engine = ChooseForAdapter(service, model, adapter);
+  if (engine == nullptr) {
+    co_return base::NotRun(result_code::kNoBackendServer,
+                           "no engine can take the adapter now");
+  }
+  const catalog::service* kind = core_.configuration->FindService(service);
+  const bool room =
+      co_await MakeAdapterRoom(engine, kind->engines.adapter_slots);
+  if (!room) {
+    co_return base::NotRun(result_code::kNoRoom, "no adapter could make room");
+  }
+  const auto held = engine->models.find(model);
+  if (held == engine->models.end()) {
+    co_return base::NotRun(result_code::kNoBackendServer,
+                           "the engine gave up the model meanwhile");
+  }
+  held->second.adapters[adapter] =
+      std::chrono::steady_clock::now() + kAdapterTime;
+  const order_reply reply =
+      co_await Send(engine, order_verb::kLoad, model, adapter);
+  const auto after = engine->models.find(model);
+  const bool accepted =
+      reply == order_reply::kAccepted || reply == order_reply::kHolds;
+  if (!accepted) {
+    if (after != engine->models.end())
+      after->second.adapters.erase(adapter);
+    co_return base::NotRun(
+        result_code::kNoBackendServer,
+        "the engine did not take the adapter: " + NameOf(reply));
+  }
+  changed_ = true;
+  if (reply == order_reply::kAccepted)
+    co_await Pause(kAdapterTime);
+  co_return engine->server->entry.instance;
+}
+
+}  // namespace valeledge::host
--- /dev/null
+++ b/src/host/process/order_desk.h
@@ -0,0 +1,81 @@
+// SPDX-License-Identifier: MIT
+// Sends orders to engines while this host holds the lease, and keeps what it
+// believes of them.
+#ifndef VALELEDGE_HOST_PROCESS_ORDER_DESK_H_
+#define VALELEDGE_HOST_PROCESS_ORDER_DESK_H_
+
+#include <chrono>
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+
+#include <boost/asio/awaitable.hpp>
+
+#include "decisions/model_plan.h"
+#include "host/process/engine_book.h"
+#include "host/process/host_core.h"
+
+namespace valeledge::host {
+
+class order_desk {
+ public:
+  // `term` gives the term under which orders may be sent now, 0 if none may;
+  // it is asked before each.
+  order_desk(host_core& core, std::function<std::int64_t()> term);
+
+  // A new term begins: nothing is believed any more.
+  void Begin();
+  // Takes in the list of servers, and asks engines whose state is not known.
+  void Refresh();
+
+  std::map<std::string, std::shared_ptr<engine_record>, std::less<>>&
+  engines() {
+    return engines_;
+  }
+  // What has changed since it was last told to the other hosts.
+  bool TakeChanged();
+
+  // Loads from the weight store that may start now at the given rate.
+  std::int64_t StoreLoadsLeft(double per_second);
+
+  void Load(std::shared_ptr<engine_record> engine,
+            const catalog::model& model,
+            decisions::weight_source source);
+  void Unload(std::shared_ptr<engine_record> engine, const std::string& model);
+
+  // Has an adapter loaded on some engine that holds its model; the instance.
+  boost::asio::awaitable<base::result<std::string>>
+  EnsureAdapter(std::string service, std::string model, std::string adapter);
+
+ private:
+  using engine_ptr = std::shared_ptr<engine_record>;
+
+  boost::asio::awaitable<order_reply> Send(engine_ptr engine,
+                                           order_verb verb,
+                                           std::string model,
+                                           std::string adapter);
+  boost::asio::awaitable<void> RunLoad(engine_ptr engine,
+                                       std::string model,
+                                       std::chrono::milliseconds expected);
+  boost::asio::awaitable<void> RunUnload(engine_ptr engine, std::string model);
+  boost::asio::awaitable<void> Ask(engine_ptr engine);
+  engine_ptr ChooseForAdapter(const std::string& service,
+                              const std::string& model,
+                              const std::string& adapter);
+  boost::asio::awaitable<bool> MakeAdapterRoom(engine_ptr engine,
+                                               std::int64_t slots);
+  void AskLater(engine_record& engine, std::chrono::milliseconds after);
+
+  host_core& core_;
+  std::function<std::int64_t()> term_;
+  std::map<std::string, engine_ptr, std::less<>> engines_;
+  std::deque<base::time_point> store_loads_;
+  bool changed_ = false;
+};
+
+}  // namespace valeledge::host
+
+#endif  // VALELEDGE_HOST_PROCESS_ORDER_DESK_H_
--- /dev/null
+++ b/src/host/process/peer_link.cc
@@ -0,0 +1,152 @@
+// SPDX-License-Identifier: MIT
+#include "host/process/peer_link.h"
+
+#include <algorithm>
+#include <utility>
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include "host/constants.h"
+#include "wire/codec.h"
+
+namespace valeledge::host {
+
+namespace {
+
+namespace asio = boost::asio;
+
+constexpr auto kAwait = asio::as_tuple(asio::use_awaitable);
+
+membership::gossip_state MakeGossip(const host_settings& settings) {
+  membership::gossip_settings times;
+  // The budget of second sends is divided among the living: a dead host's
+  // part should not stay unused for long.
+  times.suspect_timeout = std::chrono::seconds(2);
+  std::vector<base::endpoint> seeds = settings.seeds;
+  std::erase(seeds, settings.peer_listen);
+  return membership::gossip_builder()
+      .Settings(times)
+      .Self(settings.name, settings.peer_listen, settings.zone,
+            membership::kGateway | membership::kController)
+      .Incarnation(std::chrono::system_clock::now())
+      .Seeds(std::move(seeds))
+      .Build();
+}
+
+}  // namespace
+
+peer_link::peer_link(asio::io_context& context,
+                     const host_settings& settings,
+                     peer_events events)
+    : context_(context),
+      listen_(settings.peer_listen),
+      events_(std::move(events)),
+      gossip_(MakeGossip(settings)),
+      datagrams_(context,
+                 [this](std::string_view bytes, const base::endpoint& from) {
+                   Receive(bytes, from);
+                 }),
+      channels_(context),
+      calls_(context, events_.call) {
+  first_seeds_ = gossip_.seeds;
+}
+
+peer_link::~peer_link() = default;
+
+base::result<void> peer_link::Start() {
+  const auto datagrams = datagrams_.Start(listen_);
+  if (!datagrams)
+    return tl::make_unexpected(datagrams.error());
+  const auto calls = calls_.Start(listen_);
+  if (!calls)
+    return tl::make_unexpected(calls.error());
+  asio::co_spawn(context_, TickLoop(), asio::detached);
+  return {};
+}
+
+asio::awaitable<void> peer_link::TickLoop() {
+  asio::steady_timer timer(context_);
+  while (true) {
+    Publish(
+        membership::Tick(gossip_, std::chrono::steady_clock::now(), random_));
+    timer.expires_after(kGossipTick);
+    co_await timer.async_wait(kAwait);
+  }
+}
+
+void peer_link::Receive(std::string_view bytes, const base::endpoint& from) {
+  const auto message = wire::DecodeGossip(bytes);
+  if (!message)
+    return;
+  Publish(membership::Receive(gossip_, *message, from,
+                              std::chrono::steady_clock::now(), random_));
+}
+
+void peer_link::Publish(membership::gossip_events events) {
+  for (const membership::outgoing& each : events.datagrams)
+    datagrams_.Send(each.to, wire::Encode(each.message));
+  for (const membership::direct_record& each : events.direct)
+    events_.told(each);
+  for (const std::string& name : events.changed) {
+    const auto found = gossip_.others.find(name);
+    const auto dead =
+        static_cast<std::int32_t>(membership::member_health::kDead);
+    if (found == gossip_.others.end() || found->second.record.health == dead)
+      dead_.push_back(name);
+  }
+  if (!events.changed.empty())
+    events_.members();
+  if (events.newer_table_at)
+    events_.newer_copy(*events.newer_table_at);
+}
+
+void peer_link::Tell(const std::string& key, std::string value) {
+  Publish(membership::TellDirectly(gossip_, key, std::move(value), kMostTold,
+                                   random_));
+}
+
+void peer_link::AnnounceLeaving() {
+  Publish(membership::AnnounceLeaving(gossip_, random_));
+}
+
+void peer_link::AnnounceRevision(std::int64_t revision) {
+  gossip_.table_revision = revision;
+}
+
+void peer_link::SetSeeds(const std::vector<base::endpoint>& seeds) {
+  gossip_.seeds = first_seeds_;
+  for (const base::endpoint& each : seeds) {
+    const bool known =
+        std::ranges::find(gossip_.seeds, each) != gossip_.seeds.end();
+    if (!known && each != listen_)
+      gossip_.seeds.push_back(each);
+  }
+}
+
+std::int64_t peer_link::CountServing() const {
+  return std::ranges::count_if(membership::Members(gossip_),
+                               membership::TakesWork);
+}
+
+std::vector<std::string> peer_link::TakeDead() {
+  return std::exchange(dead_, {});
+}
+
+asio::awaitable<base::result<wire::envelope>> peer_link::Call(
+    base::endpoint where,
+    wire::envelope call,
+    std::chrono::microseconds timeout) {
+  auto reply =
+      co_await channels_.Call(std::move(where), std::move(call), timeout);
+  co_return reply;
+}
+
+std::int64_t peer_link::bytes() const {
+  return datagrams_.bytes_sent() + channels_.bytes_sent() + calls_.bytes_sent();
+}
+
+}  // namespace valeledge::host
--- /dev/null
+++ b/src/host/process/peer_link.h
@@ -0,0 +1,90 @@
+// SPDX-License-Identifier: MIT
+// This host among the others: who is there, what they have under way, and
+// calls between them.
+#ifndef VALELEDGE_HOST_PROCESS_PEER_LINK_H_
+#define VALELEDGE_HOST_PROCESS_PEER_LINK_H_
+
+#include <chrono>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <random>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/io_context.hpp>
+
+#include "base/endpoint.h"
+#include "base/error.h"
+#include "host/host_settings.h"
+#include "membership/gossip.h"
+#include "net/rpc_channel.h"
+#include "net/rpc_server.h"
+#include "net/udp_socket.h"
+
+namespace valeledge::host {
+
+// What the owner of the link wants to know; runs on the host's thread.
+struct peer_events {
+  // Another host told this one a fact directly.
+  std::function<void(const membership::direct_record& record)> told;
+  // A member came, left or changed its health.
+  std::function<void()> members;
+  // This peer's copy of the store is newer than ours.
+  std::function<void(const base::endpoint& peer)> newer_copy;
+  net::rpc_handler call;
+};
+
+class peer_link {
+ public:
+  peer_link(boost::asio::io_context& context,
+            const host_settings& settings,
+            peer_events events);
+  ~peer_link();
+
+  base::result<void> Start();
+
+  // Tells a fact of this host to the others, or to some of them where there
+  // are many.
+  void Tell(const std::string& key, std::string value);
+  void AnnounceLeaving();
+  // This host's copy of the store has this revision.
+  void AnnounceRevision(std::int64_t revision);
+
+  // Asks peers at these addresses too when looking for others.
+  void SetSeeds(const std::vector<base::endpoint>& seeds);
+
+  // Hosts that take requests, this one included.
+  std::int64_t CountServing() const;
+  // Names of hosts that were found dead since the last call.
+  std::vector<std::string> TakeDead();
+
+  boost::asio::awaitable<base::result<wire::envelope>> Call(
+      base::endpoint where,
+      wire::envelope call,
+      std::chrono::microseconds timeout);
+
+  std::int64_t bytes() const;
+
+ private:
+  void Receive(std::string_view bytes, const base::endpoint& from);
+  void Publish(membership::gossip_events events);
+  boost::asio::awaitable<void> TickLoop();
+
+  boost::asio::io_context& context_;
+  base::endpoint listen_;
+  std::vector<base::endpoint> first_seeds_;
+  peer_events events_;
+  std::mt19937_64 random_{std::random_device{}()};
+  membership::gossip_state gossip_;
+  net::udp_socket datagrams_;
+  net::rpc_channel_set channels_;
+  net::rpc_server calls_;
+  std::vector<std::string> dead_;
+};
+
+}  // namespace valeledge::host
+
+#endif  // VALELEDGE_HOST_PROCESS_PEER_LINK_H_
--- /dev/null
+++ b/src/host/process/placement_duty.cc
@@ -0,0 +1,288 @@
+// SPDX-License-Identifier: MIT
+#include "host/process/placement_duty.h"
+
+#include <algorithm>
+#include <utility>
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include "base/logging.h"
+#include "decisions/model_plan.h"
+#include "wire/codec.h"
+
+namespace valeledge::host {
+
+namespace {
+
+namespace asio = boost::asio;
+using base::result_code;
+using phase = engine_model::phase;
+
+constexpr auto kAwait = asio::as_tuple(asio::use_awaitable);
+
+// How often the holder plans: well under the second within which a rise of
+// demand shows.
+constexpr std::chrono::milliseconds kPlanInterval{100};
+
+// The news is told again after so long, for hosts that missed it.
+constexpr std::chrono::milliseconds kNewsInterval{1000};
+
+// A fact that is younger than this is not contradicted by news that may have
+// been written before it.
+constexpr std::chrono::milliseconds kNewsAge{300};
+
+bool Holds(const wire::placed_engine& engine, unit_key unit) {
+  return std::ranges::find(engine.held, unit) != engine.held.end();
+}
+
+}  // namespace
+
+placement_duty::placement_duty(host_core& core,
+                               store::lease_keeper& lease,
+                               peer_link& peers)
+    : core_(core),
+      lease_(lease),
+      peers_(peers),
+      desk_(core, [this] { return OrderTerm(); }) {}
+
+void placement_duty::Start() {
+  asio::co_spawn(core_.context, Loop(), asio::detached);
+}
+
+std::int64_t placement_duty::OrderTerm() const {
+  const std::int64_t term = lease_.CertainTerm();
+  const auto held = std::chrono::steady_clock::now() - lease_.taken_at();
+  // The last holder's orders have ended by then.
+  return held >= core_.settings.lease_length ? term : 0;
+}
+
+void placement_duty::TakeDemand(const std::string& host,
+                                const std::vector<wire::model_load>& models) {
+  demand_[host] = models;
+}
+
+void placement_duty::ForgetHost(const std::string& host) {
+  demand_.erase(host);
+}
+
+wire::model_load placement_duty::DemandFor(unit_key model) const {
+  wire::model_load sum;
+  sum.model = model;
+  const auto add = [&](const std::vector<wire::model_load>& loads) {
+    for (const wire::model_load& each : loads) {
+      if (each.model != model)
+        continue;
+      sum.arrival_rate += each.arrival_rate;
+      sum.token_rate += each.token_rate;
+      sum.running += each.running;
+      sum.reading_us = sum.reading_us == 0
+                           ? each.reading_us
+                           : std::min(sum.reading_us, each.reading_us);
+    }
+  };
+  add(core_.demand.Loads());
+  for (const auto& [host, loads] : demand_)
+    add(loads);
+  return sum;
+}
+
+std::vector<decisions::plan_model> placement_duty::PlanModelsOf(
+    const catalog::service& service) const {
+  std::vector<decisions::plan_model> out;
+  for (const catalog::model& each : service.engines.models) {
+    const wire::model_load demand = DemandFor(KeyOf(each.name));
+    decisions::plan_model model;
+    model.weights_mb = each.weights_mb;
+    model.load_from_memory = each.load_from_memory;
+    model.load_from_disk = each.load_from_disk;
+    model.load_from_store = each.load_from_store;
+    model.arrival_rate = demand.arrival_rate / 1000.0;
+    model.running = demand.running;
+    // Tokens a second times microseconds for a thousand tokens.
+    model.work =
+        static_cast<double>(demand.token_rate) * demand.reading_us / 1e6;
+    out.push_back(model);
+  }
+  return out;
+}
+
+void placement_duty::Plan(const catalog::service& service) {
+  const catalog::engine& kind = service.engines;
+  const auto position = [&](const std::string& name) {
+    const auto found =
+        std::ranges::find(kind.models, name, &catalog::model::name);
+    return static_cast<std::size_t>(found - kind.models.begin());
+  };
+  const auto positions = [&](const std::vector<std::string>& names) {
+    std::vector<std::size_t> out;
+    for (const std::string& name : names)
+      out.push_back(position(name));
+    return out;
+  };
+  std::vector<decisions::plan_engine> engines;
+  std::vector<std::shared_ptr<engine_record>> records;
+  for (const auto& [instance, engine] : desk_.engines()) {
+    const known_server& server = *engine->server;
+    if (server.entry.service != service.name)
+      continue;
+    decisions::plan_engine each;
+    each.zone = server.entry.zone;
+    each.serving = !server.leaving;
+    each.free = engine->accepted && !engine->sending && !engine->changing &&
+                !engine->asking && !engine->ask_at;
+    each.free_mb = kind.weights_mb - UsedMemory(*engine, kind);
+    for (const auto& [name, model] : engine->models) {
+      const std::size_t at = position(name);
+      if (at >= kind.models.size())
+        continue;
+      if (model.now == phase::kHeld)
+        each.held.push_back(at);
+      if (model.now == phase::kLoading)
+        each.loading.push_back(at);
+    }
+    each.in_memory = positions(engine->in_memory);
+    each.on_disk = positions(engine->on_disk);
+    each.running = server.own.running + server.others.running;
+    engines.push_back(std::move(each));
+    records.push_back(engine);
+  }
+  decisions::plan_limits limits;
+  limits.slots = kind.slots;
+  limits.store_loads = desk_.StoreLoadsLeft(kind.loads_per_second);
+  const auto steps =
+      decisions::PlanModels(PlanModelsOf(service), engines, limits);
+  for (const decisions::plan_step& step : steps) {
+    const catalog::model& model = kind.models[step.model];
+    if (step.load)
+      desk_.Load(records[step.engine], model, step.source);
+    else
+      desk_.Unload(records[step.engine], model.name);
+  }
+}
+
+asio::awaitable<void> placement_duty::Loop() {
+  asio::steady_timer timer(core_.context);
+  while (true) {
+    timer.expires_after(kPlanInterval);
+    co_await timer.async_wait(kAwait);
+    const std::int64_t term = lease_.CertainTerm();
+    if (term != term_) {
+      term_ = term;
+      desk_.Begin();
+    }
+    if (term == 0 || core_.configuration == nullptr)
+      continue;
+    desk_.Refresh();
+    if (OrderTerm() != 0) {
+      const auto configuration = core_.configuration;
+      for (const catalog::service& each : configuration->services) {
+        if (each.HasModels())
+          Plan(each);
+      }
+    }
+    const auto now = std::chrono::steady_clock::now();
+    if (desk_.TakeChanged() || now - told_ >= kNewsInterval) {
+      told_ = now;
+      TellNews();
+    }
+  }
+}
+
+void placement_duty::TellNews() {
+  wire::placement_news news;
+  news.term = term_;
+  for (const auto& [instance, engine] : desk_.engines()) {
+    if (!engine->accepted)
+      continue;
+    wire::placed_engine placed;
+    placed.server = engine->server->key;
+    for (const auto& [name, model] : engine->models) {
+      if (model.now == phase::kHeld) {
+        placed.held.push_back(KeyOf(name));
+        for (const auto& [adapter, used] : model.adapters)
+          placed.held.push_back(KeyOf(AdapterUnit(name, adapter)));
+      } else {
+        placed.withdrawn.push_back(KeyOf(name));
+      }
+    }
+    news.engines.push_back(std::move(placed));
+  }
+  TakeNews(news, core_.settings.peer_listen);
+  peers_.Tell(std::string(kPlacedRecord), wire::Encode(news));
+}
+
+void placement_duty::TakeNews(const wire::placement_news& news,
+                              const base::endpoint& holder) {
+  if (news.term < news_term_)
+    return;
+  news_term_ = news.term;
+  holder_ = holder;
+  const auto now = std::chrono::steady_clock::now();
+  for (const wire::placed_engine& each : news.engines) {
+    const auto server = core_.servers.FindKey(each.server);
+    if (server == nullptr)
+      continue;
+    for (auto& [unit, fact] : server->facts) {
+      const bool contradicted =
+          fact.holds && !Holds(each, unit) && now - fact.learned >= kNewsAge;
+      if (contradicted)
+        fact = {false, now};
+    }
+    for (const unit_key unit : each.held)
+      server->facts[unit] = {true, now};
+    for (const unit_key unit : each.withdrawn)
+      server->facts[unit] = {false, now};
+  }
+}
+
+asio::awaitable<wire::adapter_reply> placement_duty::AnswerAdapter(
+    wire::adapter_request wanted) {
+  wire::adapter_reply reply;
+  if (OrderTerm() == 0 || core_.configuration == nullptr) {
+    reply.code = static_cast<std::int32_t>(result_code::kLeaseLost);
+    co_return reply;
+  }
+  const auto holder = co_await desk_.EnsureAdapter(
+      wanted.service_name, wanted.model, wanted.adapter);
+  if (holder)
+    reply.instance = *holder;
+  else
+    reply.code = static_cast<std::int32_t>(holder.error().code);
+  co_return reply;
+}
+
+asio::awaitable<base::result<std::string>> placement_duty::WantAdapter(
+    std::string service,
+    std::string model,
+    std::string adapter,
+    std::chrono::milliseconds timeout) {
+  if (OrderTerm() != 0) {
+    auto here = co_await desk_.EnsureAdapter(service, model, adapter);
+    co_return here;
+  }
+  if (news_term_ == 0) {
+    co_return base::NotRun(result_code::kPeerUnreachable,
+                           "nobody is known to hold the lease");
+  }
+  wire::adapter_request wanted;
+  wanted.service_name = std::move(service);
+  wanted.model = std::move(model);
+  wanted.adapter = std::move(adapter);
+  wire::envelope call;
+  call.__set_adapter_wanted(wanted);
+  const auto reply = co_await peers_.Call(holder_, std::move(call), timeout);
+  if (!reply)
+    co_return tl::make_unexpected(reply.error());
+  const bool placed = reply->__isset.adapter && reply->adapter.code == 0;
+  if (!placed) {
+    co_return base::NotRun(result_code::kNoBackendServer,
+                           "the holder of the lease found no place for it");
+  }
+  co_return reply->adapter.instance;
+}
+
+}  // namespace valeledge::host
--- /dev/null
+++ b/src/host/process/placement_duty.h
@@ -0,0 +1,74 @@
+// SPDX-License-Identifier: MIT
+// Places models and adapters on engines while this host holds the lease.
+#ifndef VALELEDGE_HOST_PROCESS_PLACEMENT_DUTY_H_
+#define VALELEDGE_HOST_PROCESS_PLACEMENT_DUTY_H_
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <string>
+#include <vector>
+
+#include <boost/asio/awaitable.hpp>
+
+#include "host/process/host_core.h"
+#include "host/process/order_desk.h"
+#include "host/process/peer_link.h"
+#include "store/lease_keeper.h"
+#include "wire/generated/messages_types.h"
+
+namespace valeledge::host {
+
+// Key of the record in which the holder tells what it knows of engines.
+inline constexpr std::string_view kPlacedRecord = "placed";
+
+class placement_duty {
+ public:
+  placement_duty(host_core& core, store::lease_keeper& lease, peer_link& peers);
+
+  void Start();
+
+  // Takes in what another host's callers ask for.
+  void TakeDemand(const std::string& host,
+                  const std::vector<wire::model_load>& models);
+  void ForgetHost(const std::string& host);
+
+  // Takes in what the holder of the lease knows; older terms are ignored.
+  void TakeNews(const wire::placement_news& news, const base::endpoint& holder);
+
+  // Has an adapter loaded: here if this host holds the lease, else by the
+  // holder. The instance that holds it then.
+  boost::asio::awaitable<base::result<std::string>> WantAdapter(
+      std::string service,
+      std::string model,
+      std::string adapter,
+      std::chrono::milliseconds timeout);
+
+  // Answers another host's wish for an adapter.
+  boost::asio::awaitable<wire::adapter_reply> AnswerAdapter(
+      wire::adapter_request wanted);
+
+ private:
+  boost::asio::awaitable<void> Loop();
+  std::int64_t OrderTerm() const;
+  void Plan(const catalog::service& service);
+  std::vector<decisions::plan_model> PlanModelsOf(
+      const catalog::service& service) const;
+  wire::model_load DemandFor(unit_key model) const;
+  void TellNews();
+
+  host_core& core_;
+  store::lease_keeper& lease_;
+  peer_link& peers_;
+  order_desk desk_;
+  std::int64_t term_ = 0;
+  std::map<std::string, std::vector<wire::model_load>> demand_;
+  base::time_point told_;
+  // The holder by the newest news.
+  std::int64_t news_term_ = 0;
+  base::endpoint holder_;
+};
+
+}  // namespace valeledge::host
+
+#endif  // VALELEDGE_HOST_PROCESS_PLACEMENT_DUTY_H_
--- /dev/null
+++ b/src/host/process/server_book.cc
@@ -0,0 +1,268 @@
+// SPDX-License-Identifier: MIT
+#include "host/process/server_book.h"
+
+#include <algorithm>
+
+#include "base/identifier.h"
+
+namespace valeledge::host {
+
+namespace {
+
+using milliseconds = std::chrono::duration<double, std::milli>;
+
+// News of the lease holder and refusals of a server stand against its entry
+// for so long: entries are written about every second and read a little later.
+constexpr auto kFactLife = std::chrono::seconds(5);
+
+// Adapters do not make a server write its entry anew.
+constexpr auto kAdapterFactLife = std::chrono::seconds(60);
+
+// Prompts that are remembered of one server, and for how long at the most.
+constexpr std::size_t kPromptsRemembered = 256;
+constexpr auto kPromptLife = std::chrono::seconds(60);
+
+// Choices are blurred by up to this much, so that hosts which know the same
+// do not all choose the same server.
+constexpr milliseconds kBlur{4};
+constexpr double kBlurShare = 0.25;
+
+// Hash of the model and all parts up to and with one part.
+std::uint64_t ChainHash(std::uint64_t before, const prompt_part& part) {
+  constexpr std::uint64_t kMix = 0x9e3779b97f4a7c15;
+  return (before ^ part.id) * kMix + (before >> 29);
+}
+
+std::uint64_t ChainStart(const request_head& head) {
+  return base::StableHash(AdapterUnit(head.model, head.adapter));
+}
+
+std::int64_t KeptTokens(const known_server& server,
+                        const request_head& head,
+                        base::time_point now) {
+  std::int64_t kept = 0;
+  std::uint64_t chain = ChainStart(head);
+  for (const prompt_part& part : head.prompt) {
+    chain = ChainHash(chain, part);
+    const auto seen = server.prompts.seen.find(chain);
+    if (seen == server.prompts.seen.end() || now - seen->second > kPromptLife)
+      break;
+    kept += part.tokens;
+  }
+  return kept;
+}
+
+void ForgetOldest(prompt_memory& memory) {
+  const auto oldest = std::ranges::min_element(
+      memory.seen, {}, [](const auto& each) { return each.second; });
+  memory.seen.erase(oldest);
+}
+
+const catalog::held_model* FindModel(const catalog::backend_server& entry,
+                                     std::string_view name) {
+  const auto found =
+      std::ranges::find(entry.models, name, &catalog::held_model::name);
+  return found == entry.models.end() ? nullptr : &*found;
+}
+
+}  // namespace
+
+unit_key KeyOf(std::string_view name) {
+  return static_cast<unit_key>(base::StableHash(name));
+}
+
+std::string AdapterUnit(std::string_view model, std::string_view adapter) {
+  std::string unit(model);
+  if (!adapter.empty())
+    unit.append("/").append(adapter);
+  return unit;
+}
+
+bool known_server::Holds(std::string_view model,
+                         std::string_view adapter,
+                         base::time_point now) const {
+  const auto fact = [&](const std::string& unit, auto life) {
+    const auto found = facts.find(KeyOf(unit));
+    const bool fresh =
+        found != facts.end() && now - found->second.learned < life;
+    return fresh ? std::optional<bool>(found->second.holds) : std::nullopt;
+  };
+  const catalog::held_model* held = FindModel(entry, model);
+  const bool has_model =
+      fact(std::string(model), kFactLife).value_or(held != nullptr);
+  if (!has_model || adapter.empty())
+    return has_model;
+  const bool listed =
+      held != nullptr &&
+      std::ranges::find(held->adapters, adapter) != held->adapters.end();
+  return fact(AdapterUnit(model, adapter), kAdapterFactLife).value_or(listed);
+}
+
+bool server_book::Put(catalog::backend_server entry) {
+  auto& slot = servers_[entry.instance];
+  if (slot == nullptr) {
+    slot = std::make_shared<known_server>();
+    slot->key = KeyOf(entry.instance);
+    by_key_[slot->key] = slot;
+    slot->leaving = entry.draining;
+    slot->entry = std::move(entry);
+    RecountOthers();
+    return true;
+  }
+  const bool changed = slot->leaving != entry.draining || slot->lapses_at;
+  // Leaving is not unsaid within one instance, but an entry that only lapsed
+  // may come back.
+  const bool left = slot->leaving && slot->entry.draining;
+  slot->entry = std::move(entry);
+  slot->entry.draining = slot->entry.draining || left;
+  slot->leaving = slot->entry.draining;
+  slot->lapses_at.reset();
+  return changed;
+}
+
+void server_book::Remove(const std::string& instance,
+                         bool lapsed,
+                         std::chrono::milliseconds grace,
+                         base::time_point now) {
+  const auto found = servers_.find(instance);
+  if (found == servers_.end())
+    return;
+  known_server& server = *found->second;
+  if (lapsed && !server.leaving) {
+    if (!server.lapses_at)
+      server.lapses_at = now + grace;
+    return;
+  }
+  server.leaving = true;
+  by_key_.erase(server.key);
+  // Requests that are under way keep the server alive.
+  servers_.erase(found);
+}
+
+void server_book::Sweep(base::time_point now) {
+  std::vector<std::string> ended;
+  for (const auto& [instance, server] : servers_) {
+    if (server->lapses_at && now >= *server->lapses_at)
+      ended.push_back(instance);
+  }
+  for (const std::string& instance : ended)
+    Remove(instance, false, {}, now);
+}
+
+std::optional<server_choice> server_book::Choose(
+    const server_wish& wish,
+    const catalog::service& service,
+    base::time_point now,
+    std::mt19937_64& random) {
+  std::optional<server_choice> best;
+  milliseconds best_cost{0};
+  std::uniform_real_distribution<double> blur(0, 1);
+  for (const auto& [instance, server] : servers_) {
+    const bool usable =
+        !server->leaving && server->entry.service == wish.service &&
+        decisions::MayUse(server->trust, now) &&
+        std::ranges::find(*wish.avoid, instance) == wish.avoid->end();
+    if (!usable)
+      continue;
+    const bool holds =
+        wish.model.empty() || server->Holds(wish.model, wish.adapter, now);
+    if (!holds)
+      continue;
+    decisions::server_offer offer;
+    offer.slots = std::max<std::int64_t>(server->entry.slots, 1);
+    offer.running = server->own.running + server->others.running;
+    offer.unread_tokens =
+        server->own.unread_tokens + server->others.unread_tokens;
+    offer.held_tokens = server->own.held_tokens + server->others.held_tokens;
+    offer.token_memory = service.engines.token_memory;
+    if (!wish.model.empty())
+      offer.kept_tokens = KeptTokens(*server, *wish.head, now);
+    offer.same_zone = server->entry.zone == zone_;
+    offer.slowness = server->trust.slowness;
+    const milliseconds expected = ExpectedWait(offer, wish.weight);
+    const milliseconds cost =
+        expected * (1 + kBlurShare * blur(random)) + kBlur * blur(random);
+    if (!best || cost < best_cost) {
+      best = server_choice{server, expected, offer.kept_tokens};
+      best_cost = cost;
+    }
+  }
+  if (best && best->server->trust.last_suspension.count() != 0)
+    best->server->trust.on_trial = true;
+  return best;
+}
+
+bool server_book::AnyHolds(const server_wish& wish,
+                           base::time_point now) const {
+  return std::ranges::any_of(servers_, [&](const auto& each) {
+    const known_server& server = *each.second;
+    return !server.leaving && server.entry.service == wish.service &&
+           (wish.model.empty() || server.Holds(wish.model, wish.adapter, now));
+  });
+}
+
+void server_book::RememberPrompt(known_server& server,
+                                 const request_head& head,
+                                 base::time_point now) {
+  std::uint64_t chain = ChainStart(head);
+  for (const prompt_part& part : head.prompt) {
+    chain = ChainHash(chain, part);
+    server.prompts.seen[chain] = now;
+    if (server.prompts.seen.size() > kPromptsRemembered)
+      ForgetOldest(server.prompts);
+  }
+}
+
+void server_book::TakeLoad(const std::string& host,
+                           const std::vector<wire::server_load>& loads) {
+  loads_[host] = loads;
+  RecountOthers();
+}
+
+void server_book::ForgetHost(const std::string& host) {
+  if (loads_.erase(host) > 0)
+    RecountOthers();
+}
+
+void server_book::RecountOthers() {
+  for (const auto& [instance, server] : servers_)
+    server->others = {};
+  for (const auto& [host, loads] : loads_) {
+    for (const wire::server_load& each : loads) {
+      const auto server = FindKey(each.server);
+      if (server == nullptr)
+        continue;
+      server->others.running += each.running;
+      server->others.unread_tokens += each.unread_tokens;
+      server->others.held_tokens += each.held_tokens;
+    }
+  }
+}
+
+std::vector<wire::server_load> server_book::OwnLoads() const {
+  std::vector<wire::server_load> out;
+  for (const auto& [instance, server] : servers_) {
+    if (server->own.running == 0)
+      continue;
+    wire::server_load load;
+    load.server = server->key;
+    load.running = static_cast<std::int32_t>(server->own.running);
+    load.unread_tokens = static_cast<std::int32_t>(server->own.unread_tokens);
+    load.held_tokens = static_cast<std::int32_t>(server->own.held_tokens);
+    out.push_back(std::move(load));
+  }
+  return out;
+}
+
+std::shared_ptr<known_server> server_book::Find(
+    std::string_view instance) const {
+  const auto found = servers_.find(instance);
+  return found == servers_.end() ? nullptr : found->second;
+}
+
+std::shared_ptr<known_server> server_book::FindKey(unit_key key) const {
+  const auto found = by_key_.find(key);
+  return found == by_key_.end() ? nullptr : found->second.lock();
+}
+
+}  // namespace valeledge::host
--- /dev/null
+++ b/src/host/process/server_book.h
@@ -0,0 +1,144 @@
+// SPDX-License-Identifier: MIT
+// What this host believes of every backend server, and the choice among them.
+#ifndef VALELEDGE_HOST_PROCESS_SERVER_BOOK_H_
+#define VALELEDGE_HOST_PROCESS_SERVER_BOOK_H_
+
+#include <chrono>
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <optional>
+#include <random>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "base/duration.h"
+#include "catalog/backend_server.h"
+#include "catalog/configuration.h"
+#include "decisions/server_cost.h"
+#include "host/dialect.h"
+#include "wire/generated/messages_types.h"
+
+namespace valeledge::host {
+
+// A model, or "MODEL/ADAPTER", as a short number between hosts.
+using unit_key = std::int32_t;
+
+unit_key KeyOf(std::string_view name);
+
+// The name of an adapter among units.
+std::string AdapterUnit(std::string_view model, std::string_view adapter);
+
+// Requests of one or more hosts at one backend server.
+struct server_use {
+  std::int64_t running = 0;
+  std::int64_t unread_tokens = 0;
+  std::int64_t held_tokens = 0;
+};
+
+// Whether a server holds a unit, as somebody other than its entry says.
+struct holding_fact {
+  bool holds = false;
+  base::time_point learned;
+};
+
+// Prompts that a server has read lately, each named by a hash of the model
+// and all parts up to one of its parts.
+struct prompt_memory {
+  std::map<std::uint64_t, base::time_point> seen;
+};
+
+// One instance of a backend server.
+struct known_server {
+  catalog::backend_server entry;
+  unit_key key = 0;
+  // Its entry is gone, or says that it is leaving: no new requests.
+  bool leaving = false;
+  // Its entry went while the store was in trouble: it is used until here.
+  std::optional<base::time_point> lapses_at;
+  server_use own;
+  server_use others;
+  decisions::server_trust trust;
+  std::map<unit_key, holding_fact> facts;
+  prompt_memory prompts;
+
+  // Whether the unit is there, by the newest that is known.
+  bool Holds(std::string_view model,
+             std::string_view adapter,
+             base::time_point now) const;
+};
+
+// What a request needs of a server.
+struct server_wish {
+  std::string_view service;
+  std::string_view model;
+  std::string_view adapter;
+  const request_head* head = nullptr;
+  decisions::request_weight weight;
+  // Instances that have failed this request.
+  const std::vector<std::string>* avoid = nullptr;
+};
+
+struct server_choice {
+  std::shared_ptr<known_server> server;
+  std::chrono::duration<double, std::milli> expected{0};
+  std::int64_t kept_tokens = 0;
+};
+
+// All known instances. Lives on the host's thread.
+class server_book {
+ public:
+  explicit server_book(std::string zone) : zone_(std::move(zone)) {}
+
+  // Takes in an entry; true if it changed what may be sent there.
+  bool Put(catalog::backend_server entry);
+  // The entry is gone. If `lapsed`, the server may still live: it is used for
+  // another `grace`.
+  void Remove(const std::string& instance,
+              bool lapsed,
+              std::chrono::milliseconds grace,
+              base::time_point now);
+  // Ends what has lapsed.
+  void Sweep(base::time_point now);
+
+  // The best server for a request; nothing if none may be used.
+  std::optional<server_choice> Choose(const server_wish& wish,
+                                      const catalog::service& service,
+                                      base::time_point now,
+                                      std::mt19937_64& random);
+  // Whether any server holds the unit and takes requests.
+  bool AnyHolds(const server_wish& wish, base::time_point now) const;
+
+  // Notes that a server has read a request's prompt.
+  static void RememberPrompt(known_server& server,
+                             const request_head& head,
+                             base::time_point now);
+
+  // Takes in what another host has under way; replaces what it said before.
+  void TakeLoad(const std::string& host,
+                const std::vector<wire::server_load>& loads);
+  void ForgetHost(const std::string& host);
+
+  // What this host has under way, for the others.
+  std::vector<wire::server_load> OwnLoads() const;
+
+  std::shared_ptr<known_server> Find(std::string_view instance) const;
+  std::shared_ptr<known_server> FindKey(unit_key key) const;
+  const std::map<std::string, std::shared_ptr<known_server>, std::less<>>&
+  servers() const {
+    return servers_;
+  }
+
+ private:
+  void RecountOthers();
+
+  std::string zone_;
+  std::map<std::string, std::shared_ptr<known_server>, std::less<>> servers_;
+  std::map<unit_key, std::weak_ptr<known_server>> by_key_;
+  std::map<std::string, std::vector<wire::server_load>> loads_;
+};
+
+}  // namespace valeledge::host
+
+#endif  // VALELEDGE_HOST_PROCESS_SERVER_BOOK_H_
--- /dev/null
+++ b/src/host/request/final_answers.cc
@@ -0,0 +1,72 @@
+// SPDX-License-Identifier: MIT
+#include "host/request/final_answers.h"
+
+#include <array>
+#include <cstdio>
+
+#include <boost/beast/http.hpp>
+#include <boost/json.hpp>
+
+#include "base/result_code.h"
+#include "net/http_server.h"
+
+namespace valeledge::host {
+
+namespace {
+
+namespace http = boost::beast::http;
+
+// Fields that concern one connection (RFC 9110, 7.6.1); the body's length is
+// set anew when it is sent.
+constexpr std::array kConnectionFields = {
+    http::field::connection,        http::field::keep_alive,
+    http::field::proxy_connection,  http::field::te,
+    http::field::trailer,           http::field::transfer_encoding,
+    http::field::upgrade,           http::field::content_length,
+    http::field::proxy_authenticate};
+
+template <typename fields_type>
+void EraseConnectionFields(fields_type& fields) {
+  for (const http::field each : kConnectionFields)
+    fields.erase(each);
+}
+
+std::string Seconds(std::chrono::milliseconds value) {
+  std::array<char, 32> text;
+  const int length =
+      std::snprintf(text.data(), text.size(), "%.3f",
+                    std::chrono::duration<double>(value).count());
+  return std::string(text.data(), static_cast<std::size_t>(length));
+}
+
+}  // namespace
+
+net::http_response RenderFailure(const base::error& failed) {
+  const base::result_code_entry& entry = base::Describe(failed.code);
+  boost::json::object body;
+  body["code"] = static_cast<int>(entry.code);
+  body["name"] = entry.name;
+  body["outcome"] = base::ToString(failed.what_ran);
+  body["message"] = failed.message;
+  body["advice"] = entry.advice;
+  boost::json::object wrapped;
+  wrapped["error"] = std::move(body);
+  auto answer =
+      net::MakeJsonResponse(entry.http_status, boost::json::serialize(wrapped));
+  if (failed.retry_after)
+    answer.set(http::field::retry_after, Seconds(*failed.retry_after));
+  return answer;
+}
+
+net::http_request ForwardableRequest(const net::http_request& request) {
+  net::http_request forwarded = request;
+  EraseConnectionFields(forwarded);
+  return forwarded;
+}
+
+net::http_response_header ForwardableHead(net::http_response_header head) {
+  EraseConnectionFields(head);
+  return head;
+}
+
+}  // namespace valeledge::host
--- /dev/null
+++ b/src/host/request/final_answers.h
@@ -0,0 +1,24 @@
+// SPDX-License-Identifier: MIT
+// Answers that the host gives by itself, and what of a backend server's
+// answer is passed on.
+#ifndef VALELEDGE_HOST_REQUEST_FINAL_ANSWERS_H_
+#define VALELEDGE_HOST_REQUEST_FINAL_ANSWERS_H_
+
+#include "base/error.h"
+#include "net/http_client.h"
+
+namespace valeledge::host {
+
+// The answer to a request that failed here, with its numbered code and, where
+// coming back helps, when.
+net::http_response RenderFailure(const base::error& failed);
+
+// The caller's request without the fields that concern its connection only.
+net::http_request ForwardableRequest(const net::http_request& request);
+
+// A backend server's head without the fields that concern its connection.
+net::http_response_header ForwardableHead(net::http_response_header head);
+
+}  // namespace valeledge::host
+
+#endif  // VALELEDGE_HOST_REQUEST_FINAL_ANSWERS_H_
--- /dev/null
+++ b/src/host/request/server_visit.cc
@@ -0,0 +1,102 @@
+// SPDX-License-Identifier: MIT
+#include "host/request/server_visit.h"
+
+#include <algorithm>
+
+#include "host/constants.h"
+
+namespace valeledge::host {
+
+namespace {
+
+using milliseconds = std::chrono::duration<double, std::milli>;
+
+// Only requests with so many tokens to read tell how long reading takes.
+constexpr std::int64_t kTellingTokens = 200;
+
+// What one token takes at the least; keeps a measured cost above zero.
+constexpr milliseconds kLeastPerToken{0.002};
+
+}  // namespace
+
+server_visit::server_visit(host_core& core,
+                           const server_choice& choice,
+                           const request_head& head,
+                           const decisions::request_weight& weight,
+                           model_demand& demand)
+    : core_(core),
+      server_(choice.server),
+      head_(head),
+      weight_(weight),
+      demand_(demand),
+      expected_(choice.expected) {
+  weight_.prompt_tokens =
+      std::max<std::int64_t>(weight.prompt_tokens - choice.kept_tokens, 0);
+  ++demand_.running;
+  ++server_->own.running;
+  server_->own.unread_tokens += weight_.prompt_tokens;
+  server_->own.held_tokens += weight_.held_tokens;
+  tokens_ahead_ = server_->own.unread_tokens + server_->others.unread_tokens;
+}
+
+server_visit::~server_visit() {
+  --demand_.running;
+  --server_->own.running;
+  server_->own.held_tokens -= weight_.held_tokens;
+  if (unread_)
+    server_->own.unread_tokens -= weight_.prompt_tokens;
+  server_->trust.on_trial = false;
+}
+
+void server_visit::FirstByte() {
+  if (!unread_)
+    return;
+  unread_ = false;
+  server_->own.unread_tokens -= weight_.prompt_tokens;
+  const milliseconds took = std::chrono::steady_clock::now() - begun_;
+  const bool engine = weight_.per_token.count() > 0;
+  if (!engine) {
+    demand_meter::LearnCost(demand_, took);
+    decisions::NoteAnswer(server_->trust, took, demand_.cost);
+    return;
+  }
+  server_book::RememberPrompt(*server_, head_,
+                              std::chrono::steady_clock::now());
+  decisions::NoteAnswer(server_->trust, took,
+                        expected_ + milliseconds(kFirstSteps));
+  if (tokens_ahead_ >= kTellingTokens) {
+    const milliseconds reading = took - milliseconds(kFirstSteps);
+    demand_meter::LearnCost(
+        demand_,
+        std::max(reading / static_cast<double>(tokens_ahead_), kLeastPerToken));
+  }
+}
+
+void server_visit::Answered() {
+  server_->trust.failures *= 0.8;
+}
+
+void server_visit::Failed(bool certain) {
+  decisions::NoteFailure(server_->trust, certain,
+                         std::chrono::steady_clock::now());
+}
+
+void server_visit::Refused(const answer_head& answer) {
+  const auto now = std::chrono::steady_clock::now();
+  if (!answer.misdirected) {
+    decisions::NoteFull(server_->trust, now);
+    return;
+  }
+  const bool gone =
+      head_.model.empty() ||
+      (!answer.instance.empty() && answer.instance != server_->entry.instance);
+  if (gone) {
+    server_->leaving = true;
+    return;
+  }
+  // It no longer holds what was asked for; its entry will say so soon.
+  holding_fact missing{false, now};
+  server_->facts[KeyOf(AdapterUnit(head_.model, head_.adapter))] = missing;
+}
+
+}  // namespace valeledge::host
--- /dev/null
+++ b/src/host/request/server_visit.h
@@ -0,0 +1,50 @@
+// SPDX-License-Identifier: MIT
+// The accounts of one attempt at one backend server.
+#ifndef VALELEDGE_HOST_REQUEST_SERVER_VISIT_H_
+#define VALELEDGE_HOST_REQUEST_SERVER_VISIT_H_
+
+#include <chrono>
+#include <memory>
+
+#include "host/process/host_core.h"
+
+namespace valeledge::host {
+
+// Counts the request at its server as long as it lives, and tells the server's
+// accounts how the attempt went.
+class server_visit {
+ public:
+  server_visit(host_core& core,
+               const server_choice& choice,
+               const request_head& head,
+               const decisions::request_weight& weight,
+               model_demand& demand);
+  ~server_visit();
+  server_visit(const server_visit&) = delete;
+  server_visit& operator=(const server_visit&) = delete;
+
+  // The first byte of the answer is here: the prompt has been read.
+  void FirstByte();
+  // The answer is whole.
+  void Answered();
+  // The answer is an error, broken, or did not come; see NoteFailure.
+  void Failed(bool certain);
+  // The server did not run the request.
+  void Refused(const answer_head& answer);
+
+ private:
+  host_core& core_;
+  std::shared_ptr<known_server> server_;
+  const request_head& head_;
+  decisions::request_weight weight_;
+  model_demand& demand_;
+  std::chrono::duration<double, std::milli> expected_;
+  // Prompt tokens that had to be read before this request's first byte.
+  std::int64_t tokens_ahead_ = 0;
+  base::time_point begun_ = std::chrono::steady_clock::now();
+  bool unread_ = true;
+};
+
+}  // namespace valeledge::host
+
+#endif  // VALELEDGE_HOST_REQUEST_SERVER_VISIT_H_
--- a/src/membership/gossip.cc
+++ b/src/membership/gossip.cc
@@ -373,8 +373,16 @@
   bool urgent = HearOfMember(state, message.sender, now, events);
   for (const member& each : message.updates)
     urgent |= HearOfMember(state, each, now, events);
-  for (const soft_record& each : message.records)
-    HearOfRecord(state, each, events);
+  const bool direct =
+      message.kind == static_cast<std::int32_t>(gossip_kind::kDirect);
+  const auto sender = base::ParseEndpoint(message.sender.address);
+  for (const soft_record& each : message.records) {
+    if (!direct)
+      HearOfRecord(state, each, events);
+    else if (sender)
+      events.direct.push_back(
+          {message.sender.id, *sender, each.key, each.value});
+  }
   TellOfDoubt(state, message.sender.id, from, events);
   if (message.table_revision > state.table_revision)
     events.newer_table_at = base::ParseEndpoint(message.sender.address);
@@ -409,6 +417,7 @@
     }
     case gossip_kind::kNews:
     case gossip_kind::kSync:
+    case gossip_kind::kDirect:
       break;
   }
   if (urgent || events.refuted)
@@ -455,6 +464,26 @@
   return events;
 }
 
+gossip_events TellDirectly(gossip_state& state,
+                           const std::string& key,
+                           std::string value,
+                           std::size_t most,
+                           random_source& random) {
+  gossip_events events;
+  soft_record record;
+  record.key = key;
+  record.value = std::move(value);
+  wire::gossip_message message;
+  message.kind = static_cast<std::int32_t>(gossip_kind::kDirect);
+  message.sender = state.self;
+  message.table_revision = state.table_revision;
+  message.digest = static_cast<std::int64_t>(state.digest);
+  message.records.push_back(std::move(record));
+  for (const known_member* each : PickOthers(state, most, {}, random))
+    events.datagrams.push_back({each->address, message});
+  return events;
+}
+
 std::vector<member> Members(const gossip_state& state) {
   std::vector<member> out;
   out.reserve(state.others.size() + 1);
--- a/src/membership/gossip.h
+++ b/src/membership/gossip.h
@@ -49,6 +49,8 @@
   kNews = 4,
   // Part of everything the sender knows.
   kSync = 5,
+  // Facts of the sender for the receiver alone; they do not travel on.
+  kDirect = 6,
 };
 
 // A datagram to send.
@@ -57,6 +59,14 @@
   wire::gossip_message message;
 };
 
+// A fact that another member told this one directly.
+struct direct_record {
+  std::string sender;
+  base::endpoint sender_address;
+  std::string key;
+  std::string value;
+};
+
 // Something the owner of the state should know.
 struct gossip_events {
   std::vector<outgoing> datagrams;
@@ -64,6 +74,9 @@
   std::vector<std::string> changed;
   // Keys of soft records that changed.
   std::vector<std::string> records;
+  // In the order in which they came; a later one replaces an earlier one of
+  // the same sender and key.
+  std::vector<direct_record> direct;
   // A peer with a newer table revision than this process.
   std::optional<base::endpoint> newer_table_at;
   bool refuted = false;
@@ -164,6 +177,15 @@
                              std::string value,
                              std::chrono::system_clock::time_point now);
 
+// Tells a fact to at most `most` members that are not dead, each directly:
+// for what is outdated before it would have travelled on. Others are chosen
+// each time if there are more.
+gossip_events TellDirectly(gossip_state& state,
+                           const std::string& key,
+                           std::string value,
+                           std::size_t most,
+                           random_source& random);
+
 // Every known member, this process included.
 std::vector<member> Members(const gossip_state& state);
 
--- a/src/net/http_client.cc
+++ b/src/net/http_client.cc
@@ -1,7 +1,9 @@
 // SPDX-License-Identifier: MIT
 #include "net/http_client.h"
 
+#include <algorithm>
 #include <array>
+#include <charconv>
 #include <optional>
 #include <utility>
 
@@ -15,6 +17,19 @@
 
 namespace valeledge::net {
 
+namespace detail {
+
+struct connection {
+  explicit connection(boost::asio::io_context& context) : stream(context) {}
+
+  boost::beast::tcp_stream stream;
+  boost::beast::flat_buffer buffer;
+  // Idle connections are not used from here on.
+  std::chrono::steady_clock::time_point stale_at;
+};
+
+}  // namespace detail
+
 namespace {
 
 namespace asio = boost::asio;
@@ -24,27 +39,32 @@
 
 constexpr auto kAwait = asio::as_tuple(asio::use_awaitable);
 
+// A connection without a Keep-Alive field is not used after so long: servers
+// commonly close idle ones after 5 seconds.
+constexpr auto kIdleTimeout = std::chrono::seconds(4);
+
+// A connection is given up so much before the time its server states, since
+// the two clocks start apart.
+constexpr auto kIdleMargin = std::chrono::milliseconds(1200);
+
 // Idle connections kept for one endpoint.
 constexpr std::size_t kIdlePerEndpoint = 256;
 
 // Bytes read from a streamed answer at a time.
-constexpr std::size_t kPieceBytes = 16 * 1024;
+constexpr std::size_t kPieceBytes = 4 * 1024;
 
 // Largest header of an answer.
 constexpr std::uint32_t kAnswerHeaderBytes = 64 * 1024;
 
-struct connection {
-  explicit connection(asio::io_context& context) : stream(context) {}
-
-  beast::tcp_stream stream;
-  beast::flat_buffer buffer;
-};
+using detail::connection;
 
 // True if the other side has closed or sent something unasked: such a
 // connection must not carry a request.
 bool IsSpoiled(connection& idle) {
-  if (idle.buffer.size() != 0)
+  if (idle.buffer.size() != 0 ||
+      std::chrono::steady_clock::now() >= idle.stale_at) {
     return true;
+  }
   boost::system::error_code failed;
   std::array<char, 1> byte;
   auto& socket = idle.stream.socket();
@@ -53,6 +73,22 @@
   return failed != asio::error::would_block;
 }
 
+// How long the server of an answer keeps its connection open while idle.
+std::chrono::milliseconds IdleTimeOf(const http_response_header& header) {
+  constexpr std::string_view kTimeout = "timeout=";
+  const auto field = header[http::field::keep_alive];
+  const std::string_view text(field.data(), field.size());
+  const std::size_t at = text.find(kTimeout);
+  if (at == std::string_view::npos)
+    return kIdleTimeout;
+  const std::string_view digits = text.substr(at + kTimeout.size());
+  int seconds = 0;
+  std::from_chars(digits.data(), digits.data() + digits.size(), seconds);
+  return std::max(
+      std::chrono::milliseconds(std::chrono::seconds(seconds)) - kIdleMargin,
+      std::chrono::milliseconds(0));
+}
+
 std::string Explain(const base::endpoint& where,
                     std::string_view what,
                     const boost::system::error_code& failed) {
@@ -104,6 +140,8 @@
       !state_->link->stream.socket().is_open()) {
     return;
   }
+  state_->link->stale_at =
+      std::chrono::steady_clock::now() + IdleTimeOf(header());
   home->Give(state_->where, std::move(state_->link));
 }
 
@@ -145,6 +183,14 @@
   state_->link->stream.socket().close(ignored);
 }
 
+void open_guard::Cancel() {
+  cancelled_ = true;
+  if (link_ == nullptr)
+    return;
+  boost::system::error_code ignored;
+  link_->stream.socket().close(ignored);
+}
+
 http_client::http_client(asio::io_context& context)
     : context_(context), pool_(std::make_shared<pool>()) {}
 
@@ -155,13 +201,23 @@
     http_request request,
     std::chrono::microseconds connect_timeout,
     std::chrono::microseconds header_timeout,
-    connection_use use) {
+    connection_use use,
+    open_guard* guard) {
+  open_guard unused;
+  open_guard& watched = guard == nullptr ? unused : *guard;
+  if (watched.cancelled_)
+    co_return base::NotRun(result_code::kCallerGone, "given up before sending");
   std::unique_ptr<connection> link;
+  struct release {
+    open_guard& guard;
+    ~release() { guard.link_ = nullptr; }
+  } on_return{watched};
   if (use == connection_use::kPooled)
     link = pool_->Take(where);
   if (link == nullptr) {
     link = std::make_unique<connection>(context_);
     link->stream.expires_after(connect_timeout);
+    watched.link_ = link.get();
     const auto [failed] =
         co_await link->stream.async_connect(ToTcp(where), kAwait);
     if (failed) {
@@ -170,7 +226,9 @@
     }
     link->stream.socket().set_option(asio::ip::tcp::no_delay(true));
   }
-  request.set(http::field::host, base::ToString(where));
+  watched.link_ = link.get();
+  if (request.find(http::field::host) == request.end())
+    request.set(http::field::host, base::ToString(where));
   request.prepare_payload();
   link->stream.expires_after(header_timeout);
   const auto [write_failed, written] =
--- a/src/net/http_client.h
+++ b/src/net/http_client.h
@@ -56,6 +56,26 @@
   std::unique_ptr<state> state_;
 };
 
+namespace detail {
+
+struct connection;
+
+}  // namespace detail
+
+// Lets the caller of Open give it up while it waits. One call at a time.
+class open_guard {
+ public:
+  // Closes the connection of the call, if there is one; a later Open with
+  // this guard fails at once as not run.
+  void Cancel();
+  bool cancelled() const { return cancelled_; }
+
+ private:
+  friend class http_client;
+  detail::connection* link_ = nullptr;
+  bool cancelled_ = false;
+};
+
 // How a call may use connections.
 enum class connection_use {
   // An idle connection if there is one.
@@ -81,13 +101,15 @@
       connection_use use = connection_use::kPooled);
 
   // Sends a request and reads the answer's header; the body is left to the
-  // exchange. `connect_timeout` bounds the connection alone.
+  // exchange. `connect_timeout` bounds the connection alone. The Host field is
+  // the endpoint unless the request has one.
   boost::asio::awaitable<base::result<std::shared_ptr<http_exchange>>> Open(
       base::endpoint where,
       http_request request,
       std::chrono::microseconds connect_timeout,
       std::chrono::microseconds header_timeout,
-      connection_use use = connection_use::kPooled);
+      connection_use use = connection_use::kPooled,
+      open_guard* guard = nullptr);
 
   // Bytes of requests and answers so far.
   std::int64_t bytes() const;
--- a/src/net/http_server.cc
+++ b/src/net/http_server.cc
@@ -378,6 +378,14 @@
   return FromTcp(state_->acceptor->local_endpoint());
 }
 
+void http_server::SetLimits(http_limits limits) {
+  state_->limits = limits;
+}
+
+void http_server::CloseAfterAnswers() {
+  state_->draining = true;
+}
+
 void http_server::Drain() {
   state_->draining = true;
   boost::system::error_code ignored;
--- a/src/net/http_server.h
+++ b/src/net/http_server.h
@@ -80,6 +80,14 @@
   base::result<base::endpoint> Start(const base::endpoint& where,
                                      bool shared = false);
 
+  // What is accepted from now on; connections open now keep their old limits
+  // until their next request.
+  void SetLimits(http_limits limits);
+
+  // From now on each answer ends its connection; new connections and
+  // requests are still served.
+  void CloseAfterAnswers();
+
   // Accepts no more connections and closes idle ones; requests that are being
   // answered go on, and their connections close after them.
   void Drain();
--- a/src/node/host_watch.cc
+++ b/src/node/host_watch.cc
@@ -6,7 +6,7 @@
 
 #include "membership/constants.h"
 #include "node/node.h"
-#include "platform/host_list.h"
+#include "store/host_list.h"
 
 namespace valeledge::node {
 
@@ -47,8 +47,8 @@
     co_await timer.async_wait(kAwait);
     if (!is_watcher_())
       continue;
-    const auto list = co_await platform::ReadHostList(
-        http_, settings_.host_list, settings_.platform_timeout);
+    const auto list = co_await store::ReadHostList(http_, settings_.host_list,
+                                                   settings_.platform_timeout);
     if (!list)
       continue;
     std::string value = Join(list->leaving);
--- a/src/node/node.cc
+++ b/src/node/node.cc
@@ -13,6 +13,7 @@
 #include "node/constants.h"
 #include "node/host_watch.h"
 #include "node/table_sync.h"
+#include "store/etcd_client.h"
 #include "wire/codec.h"
 
 namespace valeledge::node {
@@ -98,10 +99,10 @@
         return HandleAdmin(request, responder);
       },
       RenderFault);
-  key_value_ = std::make_unique<platform::kv_client>(
+  key_value_ = std::make_unique<store::etcd_client>(
       platform_.context(),
-      platform::kv_client_settings{settings_.key_value,
-                                   settings_.platform_timeout},
+      store::kv_client_settings{settings_.key_value,
+                                settings_.platform_timeout},
       &metrics_);
   sync_ = std::make_unique<table_sync>(*this);
   hosts_ = std::make_unique<host_watch>(
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -24,7 +24,7 @@
 #include "net/rpc_server.h"
 #include "net/udp_socket.h"
 #include "node/node_settings.h"
-#include "platform/kv_client.h"
+#include "store/kv_client.h"
 #include "table/table_store.h"
 
 namespace valeledge::node {
@@ -84,7 +84,7 @@
   // To be used on the peers' thread.
   net::rpc_channel_set& channels() { return *channels_; }
   // To be used on the platform's thread.
-  platform::kv_client& key_value() { return *key_value_; }
+  store::kv_client& key_value() { return *key_value_; }
 
   // Calls another process from the peers' thread.
   boost::asio::awaitable<base::result<wire::envelope>> CallPeer(
@@ -117,7 +117,7 @@
   std::unique_ptr<net::rpc_channel_set> channels_;
   std::unique_ptr<net::rpc_server> calls_;
   std::unique_ptr<net::http_server> admin_;
-  std::unique_ptr<platform::kv_client> key_value_;
+  std::unique_ptr<store::kv_client> key_value_;
   std::unique_ptr<class table_sync> sync_;
   std::unique_ptr<class host_watch> hosts_;
   net::rpc_handler handler_;
--- a/src/node/table_sync.cc
+++ b/src/node/table_sync.cc
@@ -9,8 +9,8 @@
 #include "membership/ownership.h"
 #include "node/constants.h"
 #include "node/node.h"
-#include "platform/constants.h"
-#include "platform/table_reader.h"
+#include "store/constants.h"
+#include "store/table_reader.h"
 
 namespace valeledge::node {
 
@@ -119,7 +119,7 @@
   // A delta of the service starts at its own revision; one that was read
   // before this process had a table must be whole.
   const std::int64_t from = since == 0 ? 0 : next_read_;
-  const auto reading = co_await platform::ReadTable(owner_.key_value(), from);
+  const auto reading = co_await store::ReadTable(owner_.key_value(), from);
   NotePlatform(reading.has_value() ||
                reading.error().code == base::result_code::kTableInvalid);
   if (!reading)
@@ -160,7 +160,7 @@
       continue;
     }
     const auto change = co_await owner_.key_value().AwaitChange(
-        std::string(platform::kRevisionKey), next_watch_, kWatchLength);
+        std::string(store::kRevisionKey), next_watch_, kWatchLength);
     if (!change)
       co_await Pause(Jittered(pause));
   }
--- a/src/scheduler/process/claim_batcher.cc
+++ b/src/scheduler/process/claim_batcher.cc
@@ -15,7 +15,7 @@
 #include "base/identifier.h"
 #include "base/json.h"
 #include "base/logging.h"
-#include "platform/constants.h"
+#include "store/constants.h"
 
 namespace valeledge::scheduler {
 
@@ -36,7 +36,7 @@
                   const std::string& idempotency_key) {
   // Hashed, so that any text makes a key of bounded length.
   const std::string text = partner + "\n" + idempotency_key;
-  return std::string(platform::kClaimPrefix) + service + "/" +
+  return std::string(store::kClaimPrefix) + service + "/" +
          std::to_string(base::StableHash(text)) + "-" +
          std::to_string(base::StableHash(text, 1));
 }
@@ -65,7 +65,7 @@
   return json::serialize(object);
 }
 
-std::optional<stored_claim> Decode(const platform::kv_pair& pair) {
+std::optional<stored_claim> Decode(const store::kv_pair& pair) {
   const auto object = base::ParseJsonObject(pair.value);
   if (!object)
     return std::nullopt;
@@ -83,7 +83,7 @@
 }
 
 // What a claim that exists already means for a new wish.
-base::result<claim_answer> Judge(const std::vector<platform::kv_pair>& pairs,
+base::result<claim_answer> Judge(const std::vector<store::kv_pair>& pairs,
                                  const claim_wish& wish) {
   const auto claim = pairs.empty() ? std::nullopt : Decode(pairs.front());
   if (!claim) {
@@ -112,13 +112,13 @@
       : done(context, asio::steady_timer::time_point::max()) {}
 
   std::string key;
-  platform::kv_transaction transaction;
+  store::kv_transaction transaction;
   asio::steady_timer done;
-  std::optional<base::result<platform::kv_operation_result>> result;
+  std::optional<base::result<store::kv_operation_result>> result;
 };
 
 claim_batcher::claim_batcher(asio::io_context& context,
-                             platform::kv_client& service,
+                             store::kv_client& service,
                              const scheduler_settings& settings,
                              base::metrics& metrics)
     : context_(context),
@@ -152,8 +152,9 @@
   co_return true;
 }
 
-asio::awaitable<base::result<platform::kv_operation_result>>
-claim_batcher::Write(std::string key, platform::kv_transaction transaction) {
+asio::awaitable<base::result<store::kv_operation_result>> claim_batcher::Write(
+    std::string key,
+    store::kv_transaction transaction) {
   auto entry = std::make_shared<pending>(context_);
   entry->key = std::move(key);
   entry->transaction = std::move(transaction);
@@ -188,9 +189,9 @@
   while (!waiting_.empty()) {
     const auto started = std::chrono::steady_clock::now();
     const auto batch = TakeBatch();
-    platform::kv_transaction whole;
+    store::kv_transaction whole;
     for (const auto& each : batch)
-      whole.on_success.push_back(platform::Nested(each->transaction));
+      whole.on_success.push_back(store::Nested(each->transaction));
     metrics_.Counter("valeledge_claim_writes_total").Add();
     metrics_.Counter("valeledge_claim_operations_total")
         .Add(static_cast<std::int64_t>(batch.size()));
@@ -202,7 +203,7 @@
         auto result = written->results[i];
         // A put's revision is that of the transaction.
         if (result.pairs.empty()) {
-          platform::kv_pair revision;
+          store::kv_pair revision;
           revision.mod_revision = written->revision;
           result.pairs.push_back(std::move(revision));
         }
@@ -225,8 +226,8 @@
     claim_wish wish) {
   const std::string key =
       KeyOf(wish.service, wish.partner, wish.idempotency_key);
-  platform::kv_transaction look;
-  look.on_success.push_back(platform::Get(key));
+  store::kv_transaction look;
+  look.on_success.push_back(store::Get(key));
   const auto seen = co_await service_.Run(std::move(look));
   const bool found =
       seen && !seen->results.empty() && !seen->results.front().pairs.empty();
@@ -249,10 +250,10 @@
   const std::string key =
       KeyOf(wish.service, wish.partner, wish.idempotency_key);
   stored_claim fresh{wish.claim_id, wish.digest, std::string(kClaimed), {}};
-  platform::kv_transaction create;
-  create.conditions.push_back(platform::Absent(key));
-  create.on_success.push_back(platform::Put(key, Encode(fresh), lease_));
-  create.on_failure.push_back(platform::Get(key));
+  store::kv_transaction create;
+  create.conditions.push_back(store::Absent(key));
+  create.on_success.push_back(store::Put(key, Encode(fresh), lease_));
+  create.on_failure.push_back(store::Get(key));
   const auto written = co_await Write(key, std::move(create));
   if (!written) {
     if (written.error().what_ran == base::outcome::kUnknown)
@@ -265,7 +266,7 @@
     answer.revision = written->pairs.front().mod_revision;
     co_return answer;
   }
-  co_return Judge(written->nested.empty() ? std::vector<platform::kv_pair>()
+  co_return Judge(written->nested.empty() ? std::vector<store::kv_pair>()
                                           : written->nested.front().pairs,
                   wish);
 }
@@ -274,10 +275,10 @@
     wire::claim_update update) {
   const std::string key =
       KeyOf(update.service_name, update.partner, update.idempotency_key);
-  platform::kv_transaction change;
-  change.conditions.push_back(platform::Unchanged(key, update.claim_revision));
+  store::kv_transaction change;
+  change.conditions.push_back(store::Unchanged(key, update.claim_revision));
   if (update.release) {
-    change.on_success.push_back(platform::Delete(key));
+    change.on_success.push_back(store::Delete(key));
   } else {
     const auto kept = static_cast<std::size_t>(settings_.kept_answer_bytes);
     const bool keeps = update.answer.size() <= kept;
@@ -288,7 +289,7 @@
     answered.answer.status = update.status;
     answered.answer.answer = std::move(update.answer);
     answered.answer.content_type = std::move(update.content_type);
-    change.on_success.push_back(platform::Put(key, Encode(answered), lease_));
+    change.on_success.push_back(store::Put(key, Encode(answered), lease_));
   }
   const auto written = co_await Write(key, std::move(change));
   if (!written)
--- a/src/scheduler/process/claim_batcher.h
+++ b/src/scheduler/process/claim_batcher.h
@@ -14,7 +14,7 @@
 
 #include "base/error.h"
 #include "base/metrics.h"
-#include "platform/kv_client.h"
+#include "store/kv_client.h"
 #include "scheduler/process/scheduler_settings.h"
 #include "wire/generated/messages_types.h"
 
@@ -43,7 +43,7 @@
 class claim_batcher {
  public:
   claim_batcher(boost::asio::io_context& context,
-                platform::kv_client& service,
+                store::kv_client& service,
                 const scheduler_settings& settings,
                 base::metrics& metrics);
   ~claim_batcher();
@@ -59,16 +59,16 @@
  private:
   struct pending;
 
-  boost::asio::awaitable<base::result<platform::kv_operation_result>> Write(
+  boost::asio::awaitable<base::result<store::kv_operation_result>> Write(
       std::string key,
-      platform::kv_transaction transaction);
+      store::kv_transaction transaction);
   boost::asio::awaitable<void> WriteLoop();
   std::vector<std::shared_ptr<pending>> TakeBatch();
   boost::asio::awaitable<bool> HasLease();
   boost::asio::awaitable<base::result<claim_answer>> ReadBack(claim_wish wish);
 
   boost::asio::io_context& context_;
-  platform::kv_client& service_;
+  store::kv_client& service_;
   const scheduler_settings& settings_;
   base::metrics& metrics_;
   std::deque<std::shared_ptr<pending>> waiting_;
--- a/src/platform/base64.cc
+++ b/src/store/base64.cc
@@ -1,9 +1,9 @@
 // SPDX-License-Identifier: MIT
-#include "platform/base64.h"
+#include "store/base64.h"
 
 #include <boost/beast/core/detail/base64.hpp>
 
-namespace valeledge::platform {
+namespace valeledge::store {
 
 namespace base64 = boost::beast::detail::base64;
 
@@ -25,4 +25,4 @@
   return out;
 }
 
-}  // namespace valeledge::platform
+}  // namespace valeledge::store
--- a/src/platform/constants.h
+++ b/src/store/constants.h
@@ -1,13 +1,13 @@
 // SPDX-License-Identifier: MIT
 // Keys and limits of what the platform keeps for us.
-#ifndef VALELEDGE_PLATFORM_CONSTANTS_H_
-#define VALELEDGE_PLATFORM_CONSTANTS_H_
+#ifndef VALELEDGE_STORE_CONSTANTS_H_
+#define VALELEDGE_STORE_CONSTANTS_H_
 
 #include <chrono>
 #include <cstdint>
 #include <string_view>
 
-namespace valeledge::platform {
+namespace valeledge::store {
 
 inline constexpr std::string_view kTablePrefix = "valeledge/table/";
 inline constexpr std::string_view kRevisionKey = "valeledge/table/revision";
@@ -33,6 +33,6 @@
 // Largest value that the platform's service holds.
 inline constexpr std::size_t kMaxValueBytes = 1024 * 1024;
 
-}  // namespace valeledge::platform
+}  // namespace valeledge::store
 
-#endif  // VALELEDGE_PLATFORM_CONSTANTS_H_
+#endif  // VALELEDGE_STORE_CONSTANTS_H_
--- a/src/platform/kv_client.cc
+++ b/src/store/etcd_client.cc
@@ -1,14 +1,14 @@
 // SPDX-License-Identifier: MIT
-#include "platform/kv_client.h"
+#include "store/etcd_client.h"
 
 #include <algorithm>
 #include <utility>
 
 #include "base/json.h"
 #include "net/http_client.h"
-#include "platform/base64.h"
+#include "store/base64.h"
 
-namespace valeledge::platform {
+namespace valeledge::store {
 
 namespace {
 
@@ -111,63 +111,23 @@
   return out;
 }
 
-base::error AsPlatformError(const base::error& from) {
-  const bool lost = from.what_ran == base::outcome::kUnknown;
-  return {lost ? result_code::kPlatformAnswerLost
-               : result_code::kPlatformUnavailable,
-          from.what_ran, from.message, std::nullopt};
+std::vector<kv_event> DecodeEvents(const json::array& events) {
+  std::vector<kv_event> out;
+  for (const json::value& each : events) {
+    const json::object* fields = each.if_object();
+    const json::object* pair =
+        fields ? base::ObjectField(*fields, "kv") : nullptr;
+    if (pair == nullptr)
+      continue;
+    const bool deleted = base::StringField(*fields, "type") == "DELETE";
+    out.push_back({DecodePair(*pair), deleted});
+  }
+  return out;
 }
 
 }  // namespace
 
-kv_operation Put(std::string key, std::string value, std::int64_t lease) {
-  return {kv_operation::kind::kPut,
-          std::move(key),
-          std::move(value),
-          lease,
-          0,
-          nullptr};
-}
-
-kv_operation Get(std::string key) {
-  return {kv_operation::kind::kGet, std::move(key), {}, 0, 0, nullptr};
-}
-
-kv_operation GetPrefix(std::string prefix, std::int64_t min_mod_revision) {
-  return {kv_operation::kind::kGetPrefix,
-          std::move(prefix),
-          {},
-          0,
-          min_mod_revision,
-          nullptr};
-}
-
-kv_operation Delete(std::string key) {
-  return {kv_operation::kind::kDelete, std::move(key), {}, 0, 0, nullptr};
-}
-
-kv_operation Nested(kv_transaction transaction) {
-  return {kv_operation::kind::kTransaction,
-          {},
-          {},
-          0,
-          0,
-          std::make_shared<kv_transaction>(std::move(transaction))};
-}
-
-kv_compare Absent(std::string key) {
-  return {std::move(key), kv_compare::target::kCreateRevision, 0};
-}
-
-kv_compare Unchanged(std::string key, std::int64_t mod_revision) {
-  return {std::move(key), kv_compare::target::kModRevision, mod_revision};
-}
-
-kv_compare CreatedAt(std::string key, std::int64_t create_revision) {
-  return {std::move(key), kv_compare::target::kCreateRevision, create_revision};
-}
-
-struct kv_client::state {
+struct etcd_client::state {
   state(asio::io_context& context,
         kv_client_settings settings_in,
         base::metrics* counts_in)
@@ -187,7 +147,7 @@
   base::metrics* counts;
 };
 
-asio::awaitable<base::result<json::object>> kv_client::state::Call(
+asio::awaitable<base::result<json::object>> etcd_client::state::Call(
     std::string_view kind,
     std::string_view path,
     json::object body) {
@@ -208,18 +168,18 @@
   co_return std::move(*object);
 }
 
-kv_client::kv_client(asio::io_context& context,
-                     kv_client_settings settings,
-                     base::metrics* counts)
+etcd_client::etcd_client(asio::io_context& context,
+                         kv_client_settings settings,
+                         base::metrics* counts)
     : state_(std::make_unique<state>(context, std::move(settings), counts)) {}
 
-kv_client::~kv_client() = default;
+etcd_client::~etcd_client() = default;
 
-std::int64_t kv_client::bytes() const {
+std::int64_t etcd_client::bytes() const {
   return state_->http.bytes();
 }
 
-asio::awaitable<base::result<kv_transaction_result>> kv_client::Run(
+asio::awaitable<base::result<kv_transaction_result>> etcd_client::Run(
     kv_transaction transaction) {
   const bool reads_only =
       transaction.conditions.empty() &&
@@ -240,7 +200,7 @@
   co_return result;
 }
 
-asio::awaitable<base::result<std::int64_t>> kv_client::GrantLease(
+asio::awaitable<base::result<std::int64_t>> etcd_client::GrantLease(
     std::chrono::seconds length) {
   json::object body;
   body["TTL"] = std::to_string(length.count());
@@ -251,7 +211,7 @@
   co_return base::IntegerField(*answer, "ID");
 }
 
-asio::awaitable<base::result<void>> kv_client::KeepLease(std::int64_t lease) {
+asio::awaitable<base::result<void>> etcd_client::KeepLease(std::int64_t lease) {
   json::object body;
   body["ID"] = std::to_string(lease);
   auto answer =
@@ -265,7 +225,8 @@
   co_return base::result<void>();
 }
 
-asio::awaitable<base::result<void>> kv_client::RevokeLease(std::int64_t lease) {
+asio::awaitable<base::result<void>> etcd_client::RevokeLease(
+    std::int64_t lease) {
   json::object body;
   body["ID"] = std::to_string(lease);
   auto answer =
@@ -275,7 +236,7 @@
   co_return base::result<void>();
 }
 
-asio::awaitable<base::result<std::int64_t>> kv_client::AwaitChange(
+asio::awaitable<base::result<kv_changes>> etcd_client::AwaitChange(
     std::string prefix,
     std::int64_t from,
     std::chrono::microseconds longest) {
@@ -298,11 +259,11 @@
     const auto left = std::chrono::duration_cast<std::chrono::microseconds>(
         deadline - std::chrono::steady_clock::now());
     if (left.count() <= 0)
-      co_return 0;
+      co_return kv_changes();
     const auto piece = co_await (*opened)->ReadSome(left);
     const bool waited_out = std::chrono::steady_clock::now() >= deadline;
     if (!piece && waited_out)
-      co_return 0;
+      co_return kv_changes();
     if (!piece || piece->empty()) {
       co_return base::NotRun(result_code::kPlatformUnavailable,
                              "the watch ended");
@@ -318,9 +279,12 @@
     if (result == nullptr || base::ArrayField(*result, "events") == nullptr)
       continue;
     const json::object* header = base::ObjectField(*result, "header");
-    co_return header == nullptr ? from
-                                : base::IntegerField(*header, "revision");
+    kv_changes changes;
+    changes.revision =
+        header == nullptr ? from : base::IntegerField(*header, "revision");
+    changes.events = DecodeEvents(*base::ArrayField(*result, "events"));
+    co_return changes;
   }
 }
 
-}  // namespace valeledge::platform
+}  // namespace valeledge::store
--- a/src/platform/host_list.cc
+++ b/src/store/host_list.cc
@@ -1,11 +1,11 @@
 // SPDX-License-Identifier: MIT
-#include "platform/host_list.h"
+#include "store/host_list.h"
 
 #include <utility>
 
 #include "base/json.h"
 
-namespace valeledge::platform {
+namespace valeledge::store {
 
 namespace asio = boost::asio;
 
@@ -36,4 +36,4 @@
   co_return list;
 }
 
-}  // namespace valeledge::platform
+}  // namespace valeledge::store
--- a/src/platform/host_list.h
+++ b/src/store/host_list.h
@@ -1,7 +1,7 @@
 // SPDX-License-Identifier: MIT
 // The platform's list of live and leaving hosts: a hint that lags.
-#ifndef VALELEDGE_PLATFORM_HOST_LIST_H_
-#define VALELEDGE_PLATFORM_HOST_LIST_H_
+#ifndef VALELEDGE_STORE_HOST_LIST_H_
+#define VALELEDGE_STORE_HOST_LIST_H_
 
 #include <set>
 #include <string>
@@ -12,7 +12,7 @@
 #include "base/error.h"
 #include "net/http_client.h"
 
-namespace valeledge::platform {
+namespace valeledge::store {
 
 // What the list says; addresses are IP numbers without ports.
 struct host_list {
@@ -26,6 +26,6 @@
     base::endpoint where,
     std::chrono::microseconds timeout);
 
-}  // namespace valeledge::platform
+}  // namespace valeledge::store
 
-#endif  // VALELEDGE_PLATFORM_HOST_LIST_H_
+#endif  // VALELEDGE_STORE_HOST_LIST_H_
--- a/src/platform/kv_client.h
+++ b/src/store/kv_client.h
@@ -1,24 +1,20 @@
 // SPDX-License-Identifier: MIT
-// The platform's key-value service, through etcd's v3 JSON interface.
-#ifndef VALELEDGE_PLATFORM_KV_CLIENT_H_
-#define VALELEDGE_PLATFORM_KV_CLIENT_H_
+// What the project asks of a key-value service: keys, leases, transactions.
+#ifndef VALELEDGE_STORE_KV_CLIENT_H_
+#define VALELEDGE_STORE_KV_CLIENT_H_
 
 #include <chrono>
 #include <cstdint>
-#include <functional>
 #include <memory>
 #include <string>
-#include <string_view>
 #include <vector>
 
 #include <boost/asio/awaitable.hpp>
-#include <boost/asio/io_context.hpp>
 
 #include "base/endpoint.h"
 #include "base/error.h"
-#include "base/metrics.h"
 
-namespace valeledge::platform {
+namespace valeledge::store {
 
 // One key with its value and the service's revisions.
 struct kv_pair {
@@ -83,48 +79,63 @@
 kv_compare Unchanged(std::string key, std::int64_t mod_revision);
 kv_compare CreatedAt(std::string key, std::int64_t create_revision);
 
+// One key that changed.
+struct kv_event {
+  // Deleted keys have no value.
+  kv_pair pair;
+  bool deleted = false;
+};
+
+// What a watch saw.
+struct kv_changes {
+  // The service's revision after the last event; 0 if nothing changed within
+  // the time that the watch was given.
+  std::int64_t revision = 0;
+  // In the order of their revisions.
+  std::vector<kv_event> events;
+};
+
 // What one client waits for and how long.
 struct kv_client_settings {
   base::endpoint service;
   std::chrono::microseconds timeout = std::chrono::seconds(2);
 };
 
-// Calls of one process. Errors: kPlatformUnavailable with outcome `not_run`
-// if the call certainly had no effect, kPlatformAnswerLost with `unknown`
-// otherwise. Lives on the thread of its io_context.
+// Calls of one process to a key-value service, whatever its dialect. Errors:
+// kPlatformUnavailable with outcome `not_run` if the call certainly had no
+// effect, kPlatformAnswerLost with `unknown` otherwise. Lives on the thread of
+// its io_context.
 class kv_client {
  public:
-  kv_client(boost::asio::io_context& context,
-            kv_client_settings settings,
-            base::metrics* counts);
-  ~kv_client();
+  virtual ~kv_client() = default;
 
-  boost::asio::awaitable<base::result<kv_transaction_result>> Run(
-      kv_transaction transaction);
+  virtual boost::asio::awaitable<base::result<kv_transaction_result>> Run(
+      kv_transaction transaction) = 0;
 
   // A lease of the given length; its id.
-  boost::asio::awaitable<base::result<std::int64_t>> GrantLease(
-      std::chrono::seconds length);
+  virtual boost::asio::awaitable<base::result<std::int64_t>> GrantLease(
+      std::chrono::seconds length) = 0;
   // Renews a lease; the error is kLeaseLost if it is gone.
-  boost::asio::awaitable<base::result<void>> KeepLease(std::int64_t lease);
-  boost::asio::awaitable<base::result<void>> RevokeLease(std::int64_t lease);
-
-  // Bytes of all calls so far.
-  std::int64_t bytes() const;
-
-  // Waits until a key under `prefix` changes at or after revision `from`;
-  // the revision of the service then. `longest` bounds the wait, after which
-  // the answer is 0.
-  boost::asio::awaitable<base::result<std::int64_t>> AwaitChange(
+  virtual boost::asio::awaitable<base::result<void>> KeepLease(
+      std::int64_t lease) = 0;
+  virtual boost::asio::awaitable<base::result<void>> RevokeLease(
+      std::int64_t lease) = 0;
+
+  // Waits until a key under `prefix` changes at or after revision `from`.
+  // `longest` bounds the wait. The error is kHistoryGone if the service no
+  // longer has the changes since `from`: everything must be read again.
+  virtual boost::asio::awaitable<base::result<kv_changes>> AwaitChange(
       std::string prefix,
       std::int64_t from,
-      std::chrono::microseconds longest);
+      std::chrono::microseconds longest) = 0;
 
- private:
-  struct state;
-  std::unique_ptr<state> state_;
+  // Bytes of all calls so far.
+  virtual std::int64_t bytes() const = 0;
 };
 
-}  // namespace valeledge::platform
+// What a failed HTTP call to a key-value service means to its caller.
+base::error AsPlatformError(const base::error& from);
+
+}  // namespace valeledge::store
 
-#endif  // VALELEDGE_PLATFORM_KV_CLIENT_H_
+#endif  // VALELEDGE_STORE_KV_CLIENT_H_
--- a/src/controller/process/lease_keeper.cc
+++ b/src/store/lease_keeper.cc
@@ -1,5 +1,5 @@
 // SPDX-License-Identifier: MIT
-#include "controller/process/lease_keeper.h"
+#include "store/lease_keeper.h"
 
 #include <algorithm>
 #include <random>
@@ -12,9 +12,9 @@
 #include <boost/asio/use_awaitable.hpp>
 
 #include "base/logging.h"
-#include "platform/constants.h"
+#include "store/constants.h"
 
-namespace valeledge::controller {
+namespace valeledge::store {
 
 namespace {
 
@@ -34,7 +34,7 @@
 }  // namespace
 
 lease_keeper::lease_keeper(asio::io_context& context,
-                           platform::kv_client& service,
+                           kv_client& service,
                            std::string holder,
                            std::chrono::microseconds length,
                            std::function<bool()> is_candidate)
@@ -44,6 +44,10 @@
       length_(length),
       is_candidate_(std::move(is_candidate)) {}
 
+std::int64_t lease_keeper::CertainTerm() const {
+  return std::chrono::steady_clock::now() < safe_until_ ? term_.load() : 0;
+}
+
 void lease_keeper::Start() {
   asio::co_spawn(context_, Loop(), asio::detached);
 }
@@ -56,8 +60,8 @@
 
 asio::awaitable<void> lease_keeper::TryTake() {
   // One read tells most of the time that another holds it.
-  platform::kv_transaction look;
-  look.on_success.push_back(platform::Get(std::string(platform::kLeaderKey)));
+  kv_transaction look;
+  look.on_success.push_back(Get(std::string(kLeaderKey)));
   const auto seen = co_await service_.Run(std::move(look));
   const bool held =
       !seen || seen->results.empty() || !seen->results.front().pairs.empty();
@@ -68,11 +72,9 @@
       std::chrono::ceil<std::chrono::seconds>(length_));
   if (!granted)
     co_return;
-  platform::kv_transaction take;
-  take.conditions.push_back(
-      platform::Absent(std::string(platform::kLeaderKey)));
-  take.on_success.push_back(
-      platform::Put(std::string(platform::kLeaderKey), holder_, *granted));
+  kv_transaction take;
+  take.conditions.push_back(Absent(std::string(kLeaderKey)));
+  take.on_success.push_back(Put(std::string(kLeaderKey), holder_, *granted));
   const auto taken = co_await service_.Run(std::move(take));
   if (!taken || !taken->succeeded) {
     // A lost answer is not settled: the lease lapses by itself.
@@ -81,6 +83,7 @@
   }
   lease_ = *granted;
   safe_until_ = asked + length_;
+  taken_at_ = std::chrono::steady_clock::now();
   term_ = taken->revision;
   base::Log(kCategory, log_event::kLeaseTaken, {{"term", taken->revision}});
 }
@@ -136,4 +139,4 @@
   }
 }
 
-}  // namespace valeledge::controller
+}  // namespace valeledge::store
--- a/src/controller/process/lease_keeper.h
+++ b/src/store/lease_keeper.h
@@ -1,7 +1,7 @@
 // SPDX-License-Identifier: MIT
 // Takes and keeps the controllers' lease.
-#ifndef VALELEDGE_CONTROLLER_PROCESS_LEASE_KEEPER_H_
-#define VALELEDGE_CONTROLLER_PROCESS_LEASE_KEEPER_H_
+#ifndef VALELEDGE_STORE_LEASE_KEEPER_H_
+#define VALELEDGE_STORE_LEASE_KEEPER_H_
 
 #include <atomic>
 #include <chrono>
@@ -12,9 +12,9 @@
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
 
-#include "platform/kv_client.h"
+#include "store/kv_client.h"
 
-namespace valeledge::controller {
+namespace valeledge::store {
 
 // Only a few controllers try to take it (`is_candidate`), so that calls do not
 // grow with the fleet. Lives on the platform's thread. Whether this process
@@ -23,7 +23,7 @@
 class lease_keeper {
  public:
   lease_keeper(boost::asio::io_context& context,
-               platform::kv_client& service,
+               kv_client& service,
                std::string holder,
                std::chrono::microseconds length,
                std::function<bool()> is_candidate);
@@ -35,6 +35,13 @@
   // The revision at which the present lease was taken, 0 if this process does
   // not hold it; from any thread.
   std::int64_t term() const { return term_.load(); }
+  // The term while the lease certainly has not run out by this host's clock,
+  // counted from when its last renewal was sent; 0 otherwise. Ask before each
+  // action that needs the lease: the process may have been frozen. Only on
+  // the thread of the io_context.
+  std::int64_t CertainTerm() const;
+  // When the present lease was taken.
+  std::chrono::steady_clock::time_point taken_at() const { return taken_at_; }
   // A write has shown that the lease is gone; from any thread.
   void NoteLost(std::int64_t term);
 
@@ -45,16 +52,17 @@
   boost::asio::awaitable<void> GiveUp();
 
   boost::asio::io_context& context_;
-  platform::kv_client& service_;
+  kv_client& service_;
   std::string holder_;
   std::chrono::microseconds length_;
   std::function<bool()> is_candidate_;
   std::int64_t lease_ = 0;
   std::chrono::steady_clock::time_point safe_until_;
+  std::chrono::steady_clock::time_point taken_at_;
   std::atomic<std::int64_t> term_ = 0;
   std::atomic<bool> resigned_ = false;
 };
 
-}  // namespace valeledge::controller
+}  // namespace valeledge::store
 
-#endif  // VALELEDGE_CONTROLLER_PROCESS_LEASE_KEEPER_H_
+#endif  // VALELEDGE_STORE_LEASE_KEEPER_H_
--- a/src/platform/table_edit.cc
+++ b/src/store/table_edit.cc
@@ -1,5 +1,5 @@
 // SPDX-License-Identifier: MIT
-#include "platform/table_edit.h"
+#include "store/table_edit.h"
 
 #include <algorithm>
 #include <array>
@@ -16,12 +16,12 @@
 
 #include "base/duration.h"
 #include "base/json.h"
-#include "platform/constants.h"
-#include "platform/table_reader.h"
+#include "store/constants.h"
+#include "store/table_reader.h"
 #include "table/columns.h"
 #include "table/validation.h"
 
-namespace valeledge::platform {
+namespace valeledge::store {
 
 namespace {
 
@@ -282,4 +282,4 @@
   co_return entries;
 }
 
-}  // namespace valeledge::platform
+}  // namespace valeledge::store
--- a/src/platform/table_edit.h
+++ b/src/store/table_edit.h
@@ -1,7 +1,7 @@
 // SPDX-License-Identifier: MIT
 // Operators' changes to the table: checked whole, ordered, never lost.
-#ifndef VALELEDGE_PLATFORM_TABLE_EDIT_H_
-#define VALELEDGE_PLATFORM_TABLE_EDIT_H_
+#ifndef VALELEDGE_STORE_TABLE_EDIT_H_
+#define VALELEDGE_STORE_TABLE_EDIT_H_
 
 #include <map>
 #include <optional>
@@ -11,10 +11,10 @@
 #include <boost/asio/awaitable.hpp>
 
 #include "base/error.h"
-#include "platform/kv_client.h"
+#include "store/kv_client.h"
 #include "table/snapshot.h"
 
-namespace valeledge::platform {
+namespace valeledge::store {
 
 // What an operator wants done with one row.
 struct row_edit {
@@ -71,6 +71,6 @@
     kv_client& service,
     std::size_t count);
 
-}  // namespace valeledge::platform
+}  // namespace valeledge::store
 
-#endif  // VALELEDGE_PLATFORM_TABLE_EDIT_H_
+#endif  // VALELEDGE_STORE_TABLE_EDIT_H_
--- a/src/platform/table_reader.cc
+++ b/src/store/table_reader.cc
@@ -1,13 +1,13 @@
 // SPDX-License-Identifier: MIT
-#include "platform/table_reader.h"
+#include "store/table_reader.h"
 
 #include <utility>
 
 #include "base/json.h"
-#include "platform/constants.h"
+#include "store/constants.h"
 #include "table/snapshot.h"
 
-namespace valeledge::platform {
+namespace valeledge::store {
 
 namespace asio = boost::asio;
 
@@ -45,4 +45,4 @@
   co_return reading;
 }
 
-}  // namespace valeledge::platform
+}  // namespace valeledge::store
--- a/src/platform/table_reader.h
+++ b/src/store/table_reader.h
@@ -1,15 +1,15 @@
 // SPDX-License-Identifier: MIT
 // Reads the table from the platform's service, whole or what has changed.
-#ifndef VALELEDGE_PLATFORM_TABLE_READER_H_
-#define VALELEDGE_PLATFORM_TABLE_READER_H_
+#ifndef VALELEDGE_STORE_TABLE_READER_H_
+#define VALELEDGE_STORE_TABLE_READER_H_
 
 #include <boost/asio/awaitable.hpp>
 
 #include "base/error.h"
-#include "platform/kv_client.h"
+#include "store/kv_client.h"
 #include "wire/generated/messages_types.h"
 
-namespace valeledge::platform {
+namespace valeledge::store {
 
 // What one read found.
 struct table_reading {
@@ -26,6 +26,6 @@
     kv_client& service,
     std::int64_t from);
 
-}  // namespace valeledge::platform
+}  // namespace valeledge::store
 
-#endif  // VALELEDGE_PLATFORM_TABLE_READER_H_
+#endif  // VALELEDGE_STORE_TABLE_READER_H_
--- a/src/tools/ctl/orders_command.cc
+++ b/src/tools/ctl/orders_command.cc
@@ -7,8 +7,8 @@
 #include <vector>
 
 #include "decisions/reservation.h"
-#include "platform/constants.h"
-#include "platform/kv_client.h"
+#include "store/constants.h"
+#include "store/etcd_client.h"
 #include "tools/ctl/run_to_end.h"
 
 namespace valeledge::ctl {
@@ -20,20 +20,20 @@
 // A reservation with the revision that a write compares.
 struct stored_reservation {
   decisions::server_reservation record;
-  platform::kv_pair pair;
+  store::kv_pair pair;
 };
 
 asio::awaitable<base::result<std::vector<stored_reservation>>> ReadAll(
-    platform::kv_client& service) {
-  platform::kv_transaction look;
+    store::kv_client& service) {
+  store::kv_transaction look;
   look.on_success.push_back(
-      platform::GetPrefix(std::string(platform::kReservationPrefix)));
+      store::GetPrefix(std::string(store::kReservationPrefix)));
   const auto seen = co_await service.Run(std::move(look));
   if (!seen)
     co_return tl::make_unexpected(seen.error());
   std::vector<stored_reservation> out;
-  for (const platform::kv_operation_result& result : seen->results) {
-    for (const platform::kv_pair& pair : result.pairs) {
+  for (const store::kv_operation_result& result : seen->results) {
+    for (const store::kv_pair& pair : result.pairs) {
       auto record = decisions::DecodeReservation(pair.value);
       if (!record)
         co_return tl::make_unexpected(record.error());
@@ -49,7 +49,7 @@
 }
 
 // Marks the controller's orders as finished; how many there were.
-asio::awaitable<base::result<std::int64_t>> Finish(platform::kv_client& service,
+asio::awaitable<base::result<std::int64_t>> Finish(store::kv_client& service,
                                                    std::string controller) {
   auto all = co_await ReadAll(service);
   if (!all)
@@ -64,11 +64,11 @@
       continue;
     for (decisions::order& order : each.record.unsettled)
       order.finished = order.finished || IsOpenOrderOf(order, controller);
-    platform::kv_transaction change;
+    store::kv_transaction change;
     change.conditions.push_back(
-        platform::Unchanged(each.pair.key, each.pair.mod_revision));
-    change.on_success.push_back(platform::Put(
-        each.pair.key, decisions::EncodeReservation(each.record)));
+        store::Unchanged(each.pair.key, each.pair.mod_revision));
+    change.on_success.push_back(
+        store::Put(each.pair.key, decisions::EncodeReservation(each.record)));
     const auto written = co_await service.Run(std::move(change));
     if (!written)
       co_return tl::make_unexpected(written.error());
@@ -88,7 +88,7 @@
                        std::chrono::microseconds timeout,
                        output_format format) {
   asio::io_context context(1);
-  platform::kv_client service(context, {platform, timeout}, nullptr);
+  store::etcd_client service(context, {platform, timeout}, nullptr);
   const auto all = RunToEnd(context, ReadAll(service));
   if (!all)
     return Report(all.error());
@@ -117,7 +117,7 @@
                           const std::string& controller,
                           std::chrono::microseconds timeout) {
   asio::io_context context(1);
-  platform::kv_client service(context, {platform, timeout}, nullptr);
+  store::etcd_client service(context, {platform, timeout}, nullptr);
   const auto finished = RunToEnd(context, Finish(service, controller));
   if (!finished)
     return Report(finished.error());
--- a/src/tools/ctl/table_command.cc
+++ b/src/tools/ctl/table_command.cc
@@ -9,8 +9,8 @@
 #include <boost/asio/io_context.hpp>
 
 #include "base/identifier.h"
-#include "platform/kv_client.h"
-#include "platform/table_edit.h"
+#include "store/etcd_client.h"
+#include "store/table_edit.h"
 #include "table/columns.h"
 #include "table/csv.h"
 #include "tools/ctl/run_to_end.h"
@@ -29,7 +29,7 @@
       : service(context, {options.platform, options.timeout}, nullptr) {}
 
   asio::io_context context{1};
-  platform::kv_client service;
+  store::etcd_client service;
 };
 
 listing ListRows(const std::vector<table::row>& rows) {
@@ -51,7 +51,7 @@
 
 exit_status Show(const table_options& options, output_format format) {
   session open(options);
-  const auto view = RunToEnd(open.context, platform::ViewTable(open.service));
+  const auto view = RunToEnd(open.context, store::ViewTable(open.service));
   if (!view)
     return Report(view.error());
   Print(ListRows(view->table->Rows()), format);
@@ -61,15 +61,15 @@
 }
 
 exit_status Apply(const table_options& options,
-                  std::vector<platform::row_edit> edits) {
+                  std::vector<store::row_edit> edits) {
   session open(options);
-  platform::table_change change;
+  store::table_change change;
   change.id = base::NewIdentifier();
   change.author = options.author;
   change.seen_revision = options.seen_revision;
   change.edits = std::move(edits);
   const auto revision = RunToEnd(
-      open.context, platform::ApplyChange(open.service, std::move(change)));
+      open.context, store::ApplyChange(open.service, std::move(change)));
   if (!revision)
     return Report(revision.error());
   std::cout << "accepted as revision " << *revision << "\n";
@@ -77,7 +77,7 @@
 }
 
 // "kind/name" and "column=value" words.
-std::optional<platform::row_edit> ParseEdit(
+std::optional<store::row_edit> ParseEdit(
     const std::vector<std::string>& words) {
   if (words.size() < 2)
     return std::nullopt;
@@ -87,7 +87,7 @@
   const auto kind = table::ParseRowKind(words[1].substr(0, slash));
   if (!kind)
     return std::nullopt;
-  platform::row_edit edit;
+  store::row_edit edit;
   edit.kind = *kind;
   edit.name = words[1].substr(slash + 1);
   edit.remove = words[0] == "remove";
@@ -111,10 +111,10 @@
   return table::FromCsv(text.str());
 }
 
-std::vector<platform::row_edit> EditsFrom(const std::vector<table::row>& rows) {
-  std::vector<platform::row_edit> edits;
+std::vector<store::row_edit> EditsFrom(const std::vector<table::row>& rows) {
+  std::vector<store::row_edit> edits;
   for (const table::row& row : rows) {
-    platform::row_edit edit;
+    store::row_edit edit;
     edit.kind = row.kind;
     edit.name = row.name;
     for (const table::column& each : table::Columns()) {
@@ -140,7 +140,7 @@
   if (!rows)
     return Report(rows.error());
   session open(options);
-  const auto view = RunToEnd(open.context, platform::ViewTable(open.service));
+  const auto view = RunToEnd(open.context, store::ViewTable(open.service));
   if (!view)
     return Report(view.error());
   listing out{{"row", "column", "table", "file"}, {}};
@@ -162,13 +162,13 @@
 
 exit_status History(const table_options& options) {
   session open(options);
-  const auto entries = RunToEnd(
-      open.context, platform::ReadHistory(open.service, kHistoryShown));
+  const auto entries =
+      RunToEnd(open.context, store::ReadHistory(open.service, kHistoryShown));
   if (!entries)
     return Report(entries.error());
   listing out{
       {"revision", "time", "author", "change", "row", "before", "after"}, {}};
-  for (const platform::history_entry& entry : *entries) {
+  for (const store::history_entry& entry : *entries) {
     for (const auto& edit : entry.edits) {
       out.rows.push_back({std::to_string(entry.revision), entry.time,
                           entry.author, entry.change, edit.key, edit.before,
--- a/src/tools/standin/key_value_main.cc
+++ b/src/tools/standin/key_value_main.cc
@@ -11,7 +11,7 @@
 
 #include "base/duration.h"
 #include "base/json.h"
-#include "platform/base64.h"
+#include "store/base64.h"
 #include "tools/standin/key_value_store.h"
 #include "tools/standin/standin_server.h"
 
@@ -110,7 +110,7 @@
 
 asio::awaitable<void> service::Watch(const json::object& create,
                                      http_responder& responder) {
-  using valeledge::platform::DecodeBase64;
+  using valeledge::store::DecodeBase64;
   const std::string key = DecodeBase64(StringField(create, "key")).value_or("");
   const std::string end =
       DecodeBase64(StringField(create, "range_end")).value_or("");
--- a/src/tools/standin/key_value_store.cc
+++ b/src/tools/standin/key_value_store.cc
@@ -4,15 +4,15 @@
 #include <algorithm>
 
 #include "base/json.h"
-#include "platform/base64.h"
+#include "store/base64.h"
 
 namespace valeledge::standin {
 
 namespace {
 
 namespace json = boost::json;
-using platform::DecodeBase64;
-using platform::EncodeBase64;
+using store::DecodeBase64;
+using store::EncodeBase64;
 
 std::string Bytes(const json::object& object, std::string_view field) {
   return DecodeBase64(base::StringField(object, field)).value_or("");
--- a/src/wire/codec.cc
+++ b/src/wire/codec.cc
@@ -56,6 +56,14 @@
   return EncodeMessage(message);
 }
 
+std::string Encode(const host_load& message) {
+  return EncodeMessage(message);
+}
+
+std::string Encode(const placement_news& message) {
+  return EncodeMessage(message);
+}
+
 std::optional<envelope> DecodeEnvelope(std::string_view bytes) {
   return DecodeMessage<envelope>(bytes);
 }
@@ -72,4 +80,12 @@
   return DecodeMessage<cell_ready>(bytes);
 }
 
+std::optional<host_load> DecodeHostLoad(std::string_view bytes) {
+  return DecodeMessage<host_load>(bytes);
+}
+
+std::optional<placement_news> DecodePlacementNews(std::string_view bytes) {
+  return DecodeMessage<placement_news>(bytes);
+}
+
 }  // namespace valeledge::wire
--- a/src/wire/messages.thrift
+++ b/src/wire/messages.thrift
@@ -172,6 +172,79 @@
   5: i64 version,
 }
 
+// What one host has under way at one backend server, named by a hash.
+struct server_load {
+  1: i32 server,
+  2: i32 running,
+  // Prompt tokens of requests that have not had their first event.
+  3: i32 unread_tokens,
+  // Tokens of memory that the running requests will probably take.
+  4: i32 held_tokens,
+}
+
+// What callers of one host ask of one model, named by a hash.
+struct model_load {
+  1: i32 model,
+  // In thousandths of a request a second.
+  2: i32 arrival_rate,
+  // Prompt tokens a second.
+  3: i32 token_rate,
+  4: i32 running,
+  // Microseconds that a server takes to read a thousand prompt tokens.
+  5: i32 reading_us,
+}
+
+// Value of the soft record "load/HOST".
+struct host_load {
+  1: list<server_load> servers,
+  2: list<model_load> models,
+}
+
+// What the holder of the lease knows of one engine before its entry says so.
+struct placed_engine {
+  1: i32 server,
+  // Hashes of models, and of "MODEL/ADAPTER", that it holds.
+  2: list<i32> held,
+  // Hashes of models that it is about to give up.
+  3: list<i32> withdrawn,
+}
+
+// Value of the soft record "placed/PART".
+struct placement_news {
+  1: i64 term,
+  2: list<placed_engine> engines,
+}
+
+// Asks the holder of the lease to have an adapter loaded somewhere.
+struct adapter_request {
+  1: string service_name,
+  2: string model,
+  3: string adapter,
+}
+
+struct adapter_reply {
+  1: i32 code,
+  // The instance that holds it now.
+  2: string instance,
+}
+
+// Asks a peer for its copy of what the key-value service keeps for hosts.
+struct mirror_request {
+  // The newest revision that the asker has.
+  1: i64 since,
+}
+
+struct mirror_entry {
+  1: string key,
+  2: binary value,
+  3: i64 revision,
+}
+
+struct mirror_copy {
+  1: i64 revision,
+  2: list<mirror_entry> entries,
+}
+
 struct acknowledgement {
   1: i32 code,
 }
@@ -190,4 +263,8 @@
   17: optional acknowledgement done,
   18: optional cell_report report,
   19: optional order_ended order_end,
+  20: optional adapter_request adapter_wanted,
+  21: optional adapter_reply adapter,
+  22: optional mirror_request mirror_wanted,
+  23: optional mirror_copy mirror,
 }
