Placement looks ahead along the list of models; settings are read again on SIGHUP

Cause: after a shift the next model had one replica, and a load from the weight store takes 9 s; most events came late or not at all. So each model is expected to have soon what the one before it has now; before any demand is seen, the replicas of busy models stand for it. Ruled out: processor time (0.014 core a host), the store.

--- a/src/decisions/model_plan.cc
+++ b/src/decisions/model_plan.cc
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <limits>
 #include <map>
 #include <tuple>
 
@@ -10,15 +11,17 @@
 
 namespace {
 
-// An engine that reads prompts for more than this part of its time lets
-// requests wait too long for their first event.
-constexpr double kWorkMark = 450;
+// Milliseconds in a second that an engine may read prompts for one model:
+// running streams pause meanwhile, and a few prompts together are as long as
+// the pause that callers accept.
+constexpr double kWorkMark = 250;
 
 // Beyond this part of its slots an engine's batch is slow.
 constexpr double kSlotMark = 0.5;
 
 // A model that is asked for so often should survive the loss of a server.
-constexpr double kSpareRate = 0.5;
+constexpr double kSpareRate = 0.2;
+constexpr std::int64_t kSpareReplicas = 2;
 
 // What it costs, in milliseconds, to make room; to put a replica into a zone
 // that has one; to use an engine with one more running request.
@@ -35,7 +38,8 @@
   const std::vector<plan_model>& models;
   std::vector<plan_engine> engines;
   plan_limits limits;
-  std::vector<std::int64_t> wanted;
+  // Replicas that stay when others need the room.
+  std::vector<std::int64_t> kept;
   // Replicas that serve, and those with what is being loaded.
   std::vector<std::int64_t> ready;
   std::vector<std::int64_t> coming;
@@ -67,7 +71,7 @@
                                  const plan_engine& engine) {
   std::vector<std::size_t> out;
   for (const std::size_t model : engine.held) {
-    if (state.ready[model] > state.wanted[model])
+    if (state.ready[model] > std::max<std::int64_t>(state.kept[model], 1))
       out.push_back(model);
   }
   std::ranges::sort(out, {}, [&](std::size_t model) {
@@ -159,8 +163,6 @@
   planning state{models, engines, limits, {}, {}, {}, {}};
   state.ready.resize(models.size());
   state.coming.resize(models.size());
-  for (const plan_model& each : models)
-    state.wanted.push_back(WantedReplicas(each, limits));
   for (const plan_engine& engine : engines) {
     if (!engine.serving)
       continue;
@@ -176,46 +178,73 @@
 
 // How much a model's replicas have to do; without any, more than all others.
 double Need(const planning& state, std::size_t model) {
-  const double asked =
-      state.models[model].work + state.models[model].arrival_rate + 1;
+  const double asked = std::max(state.models[model].work,
+                                state.models[model].future_work) +
+                       state.models[model].arrival_rate + 1;
   if (state.coming[model] == 0)
     return 1e9 + asked;
   return asked / static_cast<double>(state.coming[model]);
 }
 
-}  // namespace
-
-std::int64_t WantedReplicas(const plan_model& model,
-                            const plan_limits& limits) {
-  const double by_work = std::ceil(model.work / kWorkMark);
-  const double slots = kSlotMark * static_cast<double>(limits.slots);
-  const double by_slots =
-      std::ceil(static_cast<double>(model.running) / std::max(slots, 1.0));
-  const double spare = model.arrival_rate >= kSpareRate ? 2 : 1;
-  return static_cast<std::int64_t>(std::max({by_work, by_slots, spare}));
-}
-
-std::vector<plan_step> PlanModels(const std::vector<plan_model>& models,
-                                  const std::vector<plan_engine>& engines,
-                                  const plan_limits& limits) {
-  planning state = Begin(models, engines, limits);
-  std::vector<bool> hopeless(models.size());
+// Gives models the replicas that are wanted, the neediest first.
+void Fill(planning& state, const std::vector<std::int64_t>& wanted) {
+  std::vector<bool> hopeless(state.models.size());
   while (true) {
     std::optional<std::size_t> neediest;
-    for (std::size_t i = 0; i < models.size(); ++i) {
-      if (hopeless[i] || state.coming[i] >= state.wanted[i])
+    for (std::size_t i = 0; i < state.models.size(); ++i) {
+      if (hopeless[i] || state.coming[i] >= wanted[i])
         continue;
       if (!neediest || Need(state, i) > Need(state, *neediest))
         neediest = i;
     }
     if (!neediest)
-      break;
+      return;
     const auto place = FindHome(state, *neediest);
     if (place)
       Take(state, *place, *neediest);
     else
       hopeless[*neediest] = true;
   }
+}
+
+}  // namespace
+
+std::int64_t WantedNow(const plan_model& model, const plan_limits& limits) {
+  const double by_work = std::ceil(model.work / kWorkMark);
+  const double slots = kSlotMark * static_cast<double>(limits.slots);
+  const double by_slots =
+      std::ceil(static_cast<double>(model.running) / std::max(slots, 1.0));
+  return std::max({static_cast<std::int64_t>(std::max(by_work, by_slots)),
+                   model.least_replicas, std::int64_t{1}});
+}
+
+std::int64_t WantedSoon(const plan_model& model, const plan_limits& limits) {
+  const double by_work = std::ceil(model.future_work / kWorkMark);
+  return std::max({static_cast<std::int64_t>(by_work),
+                   model.least_replicas_soon, WantedNow(model, limits)});
+}
+
+std::vector<plan_step> PlanModels(const std::vector<plan_model>& models,
+                                  const std::vector<plan_engine>& engines,
+                                  const plan_limits& limits) {
+  planning state = Begin(models, engines, limits);
+  const std::vector<std::int64_t> one(models.size(), 1);
+  std::vector<std::int64_t> now;
+  std::vector<std::int64_t> soon;
+  std::vector<std::int64_t> spare;
+  for (const plan_model& each : models) {
+    now.push_back(WantedNow(each, limits));
+    soon.push_back(WantedSoon(each, limits));
+    spare.push_back(each.arrival_rate >= kSpareRate ? kSpareReplicas : 1);
+  }
+  state.kept = now;
+  Fill(state, one);
+  Fill(state, now);
+  state.kept = soon;
+  Fill(state, soon);
+  // Nothing gives way to a second replica.
+  state.kept.assign(models.size(), std::numeric_limits<std::int64_t>::max());
+  Fill(state, spare);
   return std::move(state.steps);
 }
 
--- a/src/decisions/model_plan.h
+++ b/src/decisions/model_plan.h
@@ -27,6 +27,11 @@
   double arrival_rate = 0;
   // Requests that run now on all engines.
   std::int64_t running = 0;
+  // The same work as it will probably be soon.
+  double future_work = 0;
+  // Replicas that are wanted for other reasons: now, and soon.
+  std::int64_t least_replicas = 1;
+  std::int64_t least_replicas_soon = 1;
 };
 
 // One engine. Models are positions in the list of models.
@@ -61,12 +66,15 @@
   weight_source source = weight_source::kStore;
 };
 
-// Replicas that a model's demand asks for; at least one.
-std::int64_t WantedReplicas(const plan_model& model, const plan_limits& limits);
+// Replicas that a model's demand asks for now, at least one; and those that it
+// will probably ask for soon, at least as many.
+std::int64_t WantedNow(const plan_model& model, const plan_limits& limits);
+std::int64_t WantedSoon(const plan_model& model, const plan_limits& limits);
 
 // The next orders, at most one for each engine. Models without any replica go
-// first; then those whose replicas have most to do. Replicas that demand does
-// not need give way, but never the last one of a model.
+// first; then those whose replicas have most to do now; then those that will
+// have soon; then second replicas where there is room. Replicas that demand
+// does not need give way, but never the last one of a model.
 std::vector<plan_step> PlanModels(const std::vector<plan_model>& models,
                                   const std::vector<plan_engine>& engines,
                                   const plan_limits& limits);
--- a/src/host/host_settings.h
+++ b/src/host/host_settings.h
@@ -29,6 +29,9 @@
   // Length of the lease whose holder gives orders to engines, and how long a
   // new holder waits for the orders of the last one to end.
   std::chrono::milliseconds lease_length{3000};
+  // The whole system starts for the first time: nobody held the lease before.
+  bool first_start = false;
+
   // The time between SIGTERM and SIGKILL.
   std::chrono::milliseconds stop_grace{8000};
 
--- a/src/host/process/demand_meter.cc
+++ b/src/host/process/demand_meter.cc
@@ -11,8 +11,10 @@
 
 namespace {
 
-constexpr double kLowerSmoothing = 0.3;
-constexpr double kHigherSmoothing = 0.04;
+// The cost is the value below which a fifth of the samples lie: each lower
+// one takes away four times what each higher one adds.
+constexpr double kLowerStep = 0.08;
+constexpr double kHigherStep = 0.02;
 
 // Rates below this are not worth telling.
 constexpr double kLeastRate = 0.02;
@@ -32,9 +34,7 @@
 
 void demand_meter::LearnCost(model_demand& demand,
                              std::chrono::duration<double, std::milli> sample) {
-  const double weight =
-      sample < demand.cost ? kLowerSmoothing : kHigherSmoothing;
-  demand.cost += (sample - demand.cost) * weight;
+  demand.cost *= sample < demand.cost ? 1 - kLowerStep : 1 + kHigherStep;
 }
 
 void demand_meter::Roll(base::time_point now) {
--- a/src/host/process/demand_meter.h
+++ b/src/host/process/demand_meter.h
@@ -36,8 +36,8 @@
   model_demand& At(std::string_view name,
                    std::chrono::duration<double, std::milli> first_cost);
 
-  // Takes a measured cost into the smoothed one. Waiting makes samples too
-  // high but never too low, so lower ones count more.
+  // Takes a measured cost into the known one. Waiting makes most samples too
+  // high, so the known cost is one that a fifth of them are below.
   static void LearnCost(model_demand& demand,
                         std::chrono::duration<double, std::milli> sample);
 
--- a/src/host/process/host.cc
+++ b/src/host/process/host.cc
@@ -60,7 +60,8 @@
   host(asio::io_context& context,
        host_settings settings,
        dialect speech,
-       const store_factory& make_store);
+       const store_factory& make_store,
+       settings_reader reread);
 
   base::result<void> Start();
   bool stopped() const { return stopped_; }
@@ -76,6 +77,8 @@
   asio::awaitable<void> FetchCopy(base::endpoint peer);
   asio::awaitable<void> ReportLoop();
   asio::awaitable<void> AwaitStop();
+  asio::awaitable<void> AwaitReload();
+  void Reload();
   asio::awaitable<void> StopGracefully();
 
   host_core core_;
@@ -86,7 +89,9 @@
   placement_duty placement_;
   net::http_server callers_;
   net::http_server readiness_;
-  asio::signal_set signals_;
+  asio::signal_set stop_signals_;
+  asio::signal_set reload_signals_;
+  settings_reader reread_;
   bool fetching_ = false;
   bool leaving_ = false;
   bool stopped_ = false;
@@ -96,7 +101,8 @@
 host::host(asio::io_context& context,
            host_settings settings,
            dialect speech,
-           const store_factory& make_store)
+           const store_factory& make_store,
+           settings_reader reread)
     : core_(context, std::move(settings), std::move(speech)),
       store_(make_store(context, core_.settings)),
       mirror_(
@@ -145,7 +151,9 @@
             co_await responder.Send(std::move(answer));
           },
           RenderFailure),
-      signals_(context, SIGTERM, SIGINT) {
+      stop_signals_(context, SIGTERM, SIGINT),
+      reload_signals_(context, SIGHUP),
+      reread_(std::move(reread)) {
   core_.want_adapter = [this](std::string service, std::string model,
                               std::string adapter, milliseconds timeout) {
     return placement_.WantAdapter(std::move(service), std::move(model),
@@ -168,6 +176,7 @@
   placement_.Start();
   asio::co_spawn(core_.context, ReportLoop(), asio::detached);
   asio::co_spawn(core_.context, AwaitStop(), asio::detached);
+  asio::co_spawn(core_.context, AwaitReload(), asio::detached);
   base::Log(kCategory, log_event::kProgramStarted,
             {{"host", core_.settings.name}});
   return {};
@@ -308,8 +317,39 @@
   }
 }
 
+void host::Reload() {
+  auto newer = reread_();
+  if (!newer) {
+    base::Log(kCategory, log_event::kSettingsKept,
+              {{"reason", newer.error().message}});
+    return;
+  }
+  // What is listened on, and the names under which others know this host,
+  // stay until the next start.
+  newer->name = core_.settings.name;
+  newer->zone = core_.settings.zone;
+  newer->caller_listen = core_.settings.caller_listen;
+  newer->readiness_listen = core_.settings.readiness_listen;
+  newer->peer_listen = core_.settings.peer_listen;
+  newer->store = core_.settings.store;
+  core_.settings = std::move(*newer);
+  peers_.SetSeeds(core_.settings.seeds);
+  base::Log(kCategory, log_event::kSettingsReread,
+            {{"seeds", static_cast<std::int64_t>(core_.settings.seeds.size())},
+             {"retry_slack", core_.settings.retry_slack}});
+}
+
+asio::awaitable<void> host::AwaitReload() {
+  while (true) {
+    const auto [failed, signal] = co_await reload_signals_.async_wait(kAwait);
+    if (failed)
+      co_return;
+    Reload();
+  }
+}
+
 asio::awaitable<void> host::AwaitStop() {
-  const auto [failed, signal] = co_await signals_.async_wait(kAwait);
+  const auto [failed, signal] = co_await stop_signals_.async_wait(kAwait);
   if (failed)
     co_return;
   co_await StopGracefully();
@@ -350,11 +390,13 @@
 
 base::result<void> RunHost(host_settings settings,
                            dialect speech,
-                           const store_factory& make_store) {
+                           const store_factory& make_store,
+                           settings_reader reread) {
   // Both live until the process ends: coroutines that a stop broke off still
   // refer to them, and end with the event loop.
   static asio::io_context context(1);
-  static host one(context, std::move(settings), std::move(speech), make_store);
+  static host one(context, std::move(settings), std::move(speech), make_store,
+                  std::move(reread));
   const auto started = one.Start();
   if (!started)
     return started;
--- a/src/host/process/host.h
+++ b/src/host/process/host.h
@@ -20,12 +20,18 @@
     boost::asio::io_context& context,
     const host_settings& settings)>;
 
+// Reads the settings again.
+using settings_reader = std::function<base::result<host_settings>()>;
+
 // Serves until SIGTERM or SIGINT, then stops gracefully within the settings'
 // grace: the balancer is told, what is under way ends, new requests are
-// answered for a few seconds more. Returns an error if it could not start.
+// answered for a few seconds more. SIGHUP has the settings read again: limits
+// and seeds are in force at once, addresses from the next start on. Returns an
+// error if it could not start.
 base::result<void> RunHost(host_settings settings,
                            dialect speech,
-                           const store_factory& make_store);
+                           const store_factory& make_store,
+                           settings_reader reread);
 
 }  // namespace valeledge::host
 
--- a/src/host/process/host_core.h
+++ b/src/host/process/host_core.h
@@ -36,7 +36,9 @@
         http(context) {}
 
   boost::asio::io_context& context;
-  const host_settings settings;
+  // Now, when the host was made.
+  const base::time_point started = std::chrono::steady_clock::now();
+  host_settings settings;
   const dialect speech;
   base::metrics metrics;
   server_book servers;
--- a/src/host/process/order_desk.cc
+++ b/src/host/process/order_desk.cc
@@ -291,7 +291,8 @@
     const known_server& server = *engine->server;
     const bool usable = server.entry.service == service && !server.leaving &&
                         IsHeld(*engine, model) && engine->accepted &&
-                        !engine->sending && !engine->asking;
+                        !engine->sending && !engine->asking &&
+                        !engine->changing && !engine->ask_at;
     if (!usable)
       continue;
     // Few adapters first; among equals the same engine each time, since what
--- a/src/host/process/order_desk.h
+++ b/src/host/process/order_desk.h
@@ -31,8 +31,8 @@
   // Takes in the list of servers, and asks engines whose state is not known.
   void Refresh();
 
-  std::map<std::string, std::shared_ptr<engine_record>, std::less<>>&
-  engines() {
+  const std::map<std::string, std::shared_ptr<engine_record>, std::less<>>&
+  engines() const {
     return engines_;
   }
   // What has changed since it was last told to the other hosts.
--- a/src/host/process/placement_duty.cc
+++ b/src/host/process/placement_duty.cc
@@ -2,6 +2,7 @@
 #include "host/process/placement_duty.h"
 
 #include <algorithm>
+#include <cmath>
 #include <utility>
 
 #include <boost/asio/as_tuple.hpp>
@@ -11,7 +12,7 @@
 #include <boost/asio/use_awaitable.hpp>
 
 #include "base/logging.h"
-#include "decisions/model_plan.h"
+#include "host/constants.h"
 #include "wire/codec.h"
 
 namespace valeledge::host {
@@ -28,6 +29,12 @@
 // demand shows.
 constexpr std::chrono::milliseconds kPlanInterval{100};
 
+// What is asked of models is logged so often, for those that are asked for at
+// least this many times a second.
+constexpr std::chrono::milliseconds kDemandLogInterval{2000};
+constexpr double kLoggedRate = 1.0;
+constexpr std::string_view kCategory = "placement";
+
 // The news is told again after so long, for hosts that missed it.
 constexpr std::chrono::milliseconds kNewsInterval{1000};
 
@@ -35,6 +42,22 @@
 // been written before it.
 constexpr std::chrono::milliseconds kNewsAge{300};
 
+// A lease taken so soon after the first start is the first one there is: a
+// second could only follow when the first has run out.
+constexpr std::chrono::milliseconds kFirstTerm{1500};
+
+// Models that hold this many more replicas than others are busy at the start.
+constexpr std::int64_t kBusyReplicas = 3;
+
+// Before any demand is seen, the replicas of busy models stand for it: this
+// part of them stays, and a successor is given this part of as many.
+constexpr double kKeptAtFirst = 0.6;
+constexpr double kSuccessorAtFirst = 0.8;
+
+// The part of a model's demand that its successor in the operators' list is
+// expected to have soon.
+constexpr double kSuccession = 0.8;
+
 bool Holds(const wire::placed_engine& engine, unit_key unit) {
   return std::ranges::find(engine.held, unit) != engine.held.end();
 }
@@ -55,9 +78,14 @@
 
 std::int64_t placement_duty::OrderTerm() const {
   const std::int64_t term = lease_.CertainTerm();
-  const auto held = std::chrono::steady_clock::now() - lease_.taken_at();
-  // The last holder's orders have ended by then.
-  return held >= core_.settings.lease_length ? term : 0;
+  const auto now = std::chrono::steady_clock::now();
+  // The last holder's orders have ended by then; there was none if the whole
+  // system has only just been started for the first time.
+  const bool nobody_before = core_.settings.first_start &&
+                             lease_.taken_at() - core_.started < kFirstTerm;
+  const bool waited =
+      now - lease_.taken_at() >= core_.settings.lease_length;
+  return waited || nobody_before ? term : 0;
 }
 
 void placement_duty::TakeDemand(const std::string& host,
@@ -72,6 +100,7 @@
 wire::model_load placement_duty::DemandFor(unit_key model) const {
   wire::model_load sum;
   sum.model = model;
+  double weighted = 0;
   const auto add = [&](const std::vector<wire::model_load>& loads) {
     for (const wire::model_load& each : loads) {
       if (each.model != model)
@@ -79,20 +108,48 @@
       sum.arrival_rate += each.arrival_rate;
       sum.token_rate += each.token_rate;
       sum.running += each.running;
-      sum.reading_us = sum.reading_us == 0
-                           ? each.reading_us
-                           : std::min(sum.reading_us, each.reading_us);
+      // The mean over hosts, each with the weight of what it has read.
+      weighted += static_cast<double>(each.reading_us) * each.token_rate;
     }
   };
   add(core_.demand.Loads());
   for (const auto& [host, loads] : demand_)
     add(loads);
+  if (sum.token_rate > 0)
+    sum.reading_us = static_cast<std::int32_t>(weighted / sum.token_rate);
   return sum;
 }
 
+std::int64_t placement_duty::CountReplicas(const std::string& model) const {
+  return std::ranges::count_if(desk_.engines(), [&](const auto& each) {
+    return !each.second->server->leaving && IsHeld(*each.second, model);
+  });
+}
+
+// Adapters take places on the engines that hold their model: once all are
+// taken, another replica is wanted.
+std::int64_t placement_duty::ReplicasForAdapters(
+    const catalog::engine& kind,
+    const catalog::model& model) const {
+  if (model.adapters == 0 || kind.adapter_slots == 0)
+    return 1;
+  std::int64_t held = 0;
+  for (const auto& [instance, engine] : desk_.engines()) {
+    const auto found = engine->models.find(model.name);
+    if (found != engine->models.end())
+      held += static_cast<std::int64_t>(found->second.adapters.size());
+  }
+  const std::int64_t most = std::min(held + 1, model.adapters);
+  return (most + kind.adapter_slots - 1) / kind.adapter_slots;
+}
+
+// Demand moves on along the operators' list of models: each is expected to
+// have soon what the one before it has now.
 std::vector<decisions::plan_model> placement_duty::PlanModelsOf(
     const catalog::service& service) const {
   std::vector<decisions::plan_model> out;
+  wire::model_load before;
+  std::int64_t replicas_before = 0;
   for (const catalog::model& each : service.engines.models) {
     const wire::model_load demand = DemandFor(KeyOf(each.name));
     decisions::plan_model model;
@@ -103,13 +160,63 @@
     model.arrival_rate = demand.arrival_rate / 1000.0;
     model.running = demand.running;
     // Tokens a second times microseconds for a thousand tokens.
-    model.work =
-        static_cast<double>(demand.token_rate) * demand.reading_us / 1e6;
+    const std::int32_t reading =
+        demand.reading_us != 0
+            ? demand.reading_us
+            : static_cast<std::int32_t>(kReadingGuess.count() * 1e6);
+    model.work = static_cast<double>(demand.token_rate) * reading / 1e6;
+    model.future_work = kSuccession * static_cast<double>(before.token_rate) *
+                        reading / 1e6;
+    model.least_replicas = ReplicasForAdapters(service.engines, each);
+    const std::int64_t replicas = CountReplicas(each.name);
+    if (!demand_seen_) {
+      const auto part = [](double share, std::int64_t of) {
+        return of >= kBusyReplicas
+                   ? static_cast<std::int64_t>(
+                         std::ceil(share * static_cast<double>(of)))
+                   : 1;
+      };
+      model.least_replicas =
+          std::max(model.least_replicas, part(kKeptAtFirst, replicas));
+      model.least_replicas_soon = part(kSuccessorAtFirst, replicas_before);
+    }
     out.push_back(model);
+    before = demand;
+    replicas_before = replicas;
   }
   return out;
 }
 
+void placement_duty::LogDemand(
+    const catalog::service& service,
+    const std::vector<decisions::plan_model>& models,
+    const std::vector<decisions::plan_engine>& engines) {
+  const auto now = std::chrono::steady_clock::now();
+  if (now - logged_ < kDemandLogInterval)
+    return;
+  logged_ = now;
+  for (std::size_t i = 0; i < models.size(); ++i) {
+    if (models[i].arrival_rate < kLoggedRate)
+      continue;
+    const auto count = [&](const auto list) {
+      return std::ranges::count_if(engines, [&](const auto& engine) {
+        return std::ranges::find(engine.*list, i) != (engine.*list).end();
+      });
+    };
+    base::Log(kCategory, base::log_event::kDemandSeen,
+              {{"model", service.engines.models[i].name},
+               {"position", static_cast<std::int64_t>(i)},
+               {"a_minute",
+                static_cast<std::int64_t>(models[i].arrival_rate * 60)},
+               {"work_ms", static_cast<std::int64_t>(models[i].work)},
+               {"running", models[i].running},
+               {"held", count(&decisions::plan_engine::held)},
+               {"loading", count(&decisions::plan_engine::loading)},
+               {"on_disk", count(&decisions::plan_engine::on_disk)},
+               {"in_memory", count(&decisions::plan_engine::in_memory)}});
+  }
+}
+
 void placement_duty::Plan(const catalog::service& service) {
   const catalog::engine& kind = service.engines;
   const auto position = [&](const std::string& name) {
@@ -153,8 +260,13 @@
   decisions::plan_limits limits;
   limits.slots = kind.slots;
   limits.store_loads = desk_.StoreLoadsLeft(kind.loads_per_second);
-  const auto steps =
-      decisions::PlanModels(PlanModelsOf(service), engines, limits);
+  const auto models = PlanModelsOf(service);
+  demand_seen_ = demand_seen_ ||
+                 std::ranges::any_of(models, [](const auto& each) {
+                   return each.arrival_rate >= kLoggedRate;
+                 });
+  LogDemand(service, models, engines);
+  const auto steps = decisions::PlanModels(models, engines, limits);
   for (const decisions::plan_step& step : steps) {
     const catalog::model& model = kind.models[step.model];
     if (step.load)
--- a/src/host/process/placement_duty.h
+++ b/src/host/process/placement_duty.h
@@ -11,6 +11,7 @@
 
 #include <boost/asio/awaitable.hpp>
 
+#include "decisions/model_plan.h"
 #include "host/process/host_core.h"
 #include "host/process/order_desk.h"
 #include "host/process/peer_link.h"
@@ -54,8 +55,14 @@
   void Plan(const catalog::service& service);
   std::vector<decisions::plan_model> PlanModelsOf(
       const catalog::service& service) const;
+  std::int64_t CountReplicas(const std::string& model) const;
+  std::int64_t ReplicasForAdapters(const catalog::engine& kind,
+                                   const catalog::model& model) const;
   wire::model_load DemandFor(unit_key model) const;
   void TellNews();
+  void LogDemand(const catalog::service& service,
+                 const std::vector<decisions::plan_model>& models,
+                 const std::vector<decisions::plan_engine>& engines);
 
   host_core& core_;
   store::lease_keeper& lease_;
@@ -64,8 +71,11 @@
   std::int64_t term_ = 0;
   std::map<std::string, std::vector<wire::model_load>> demand_;
   base::time_point told_;
+  base::time_point logged_;
   // The holder by the newest news.
   std::int64_t news_term_ = 0;
+  // Whether callers have asked for any model since this host began.
+  bool demand_seen_ = false;
   base::endpoint holder_;
 };
 
