A request waits for a server that has little to read; hosts tell each other at once

Cause: most late streams were late by a pause between events: an event takes a few steps of the batch, and the prompts that arrive within them are read between (76 ms each). Each host knew an eighth of the arrivals and heard of the rest 150 ms later. Now a host tells the others at once what it sends where, and holds a request for up to a fifth of its objective while each server has more than a quarter of the accepted pause to read. Ruled out: placement (replicas were there), processor time. Watches gather changes for 200 ms: calls to the store cost less.

--- a/src/host/constants.h
+++ b/src/host/constants.h
@@ -28,6 +28,13 @@
 // The same when a server frees itself within some steps.
 inline constexpr std::chrono::milliseconds kShortComeBack{150};
 
+// A stream pauses while its server reads other prompts. A request waits for a
+// server that has at most this part of the accepted pause to read before it:
+// an event is a few steps long, and each may read one more prompt.
+inline constexpr double kReadingAheadPart = 0.25;
+// The same for routes that state no pause.
+inline constexpr std::chrono::milliseconds kUsualEventGap{300};
+
 // Sends of one request, those that certainly did not run included.
 inline constexpr int kMostSends = 4;
 
@@ -46,7 +53,7 @@
 inline constexpr std::chrono::duration<double, std::milli> kServiceGuess{30};
 
 // How often a host tells the others what it has under way.
-inline constexpr std::chrono::milliseconds kLoadInterval{150};
+inline constexpr std::chrono::milliseconds kLoadInterval{250};
 
 // Hosts that are told directly at a time: each costs some 10 microseconds to
 // send to and as much to receive from.
--- a/src/host/process/host.cc
+++ b/src/host/process/host.cc
@@ -38,6 +38,8 @@
 
 // Key of the record in which a host tells what it has under way.
 constexpr std::string_view kLoadRecord = "load";
+// The same for the servers at which something has changed, told at once.
+constexpr std::string_view kUseRecord = "use";
 
 // Entries that lapse while the store is in trouble are used for so long.
 constexpr milliseconds kLapseGrace{1800};
@@ -154,6 +156,14 @@
       stop_signals_(context, SIGTERM, SIGINT),
       reload_signals_(context, SIGHUP),
       reread_(std::move(reread)) {
+  core_.use_changed = [this](const known_server& server) {
+    // Plain services are balanced well enough by what each host knows.
+    if (server.entry.models.empty())
+      return;
+    wire::host_load load;
+    load.servers.push_back(server_book::OwnLoad(server));
+    peers_.Tell(std::string(kUseRecord), wire::Encode(load));
+  };
   core_.want_adapter = [this](std::string service, std::string model,
                               std::string adapter, milliseconds timeout) {
     return placement_.WantAdapter(std::move(service), std::move(model),
@@ -255,8 +265,12 @@
     const auto load = wire::DecodeHostLoad(record.value);
     if (!load)
       return;
-    core_.servers.TakeLoad(record.sender, load->servers);
+    core_.servers.TakeLoads(record.sender, load->servers);
     placement_.TakeDemand(record.sender, load->models);
+  } else if (record.key == kUseRecord) {
+    const auto load = wire::DecodeHostLoad(record.value);
+    if (load)
+      core_.servers.TakeSomeLoads(record.sender, load->servers);
   } else if (record.key == kPlacedRecord) {
     const auto news = wire::DecodePlacementNews(record.value);
     if (news)
--- a/src/host/process/host_core.h
+++ b/src/host/process/host_core.h
@@ -52,6 +52,8 @@
   std::int64_t hosts = 1;
   // This host stops soon: streams that would not end in time are refused.
   bool refuses_streams = false;
+  // What this host has under way at a server has changed; tells the others.
+  std::function<void(const known_server& server)> use_changed;
   // Has an adapter loaded by the holder of the lease; the instance that holds
   // it then, or the reason why none does.
   std::function<boost::asio::awaitable<base::result<std::string>>(
--- a/src/host/process/server_book.cc
+++ b/src/host/process/server_book.cc
@@ -2,6 +2,7 @@
 #include "host/process/server_book.h"
 
 #include <algorithm>
+#include <utility>
 
 #include "base/identifier.h"
 
@@ -58,6 +59,10 @@
   memory.seen.erase(oldest);
 }
 
+server_use UseOf(const wire::server_load& load) {
+  return {load.running, load.unread_tokens, load.held_tokens};
+}
+
 const catalog::held_model* FindModel(const catalog::backend_server& entry,
                                      std::string_view name) {
   const auto found =
@@ -183,12 +188,12 @@
     const milliseconds cost =
         expected * (1 + kBlurShare * blur(random)) + kBlur * blur(random);
     if (!best || cost < best_cost) {
-      best = server_choice{server, expected, offer.kept_tokens};
+      const milliseconds ahead =
+          wish.weight.per_token * static_cast<double>(offer.unread_tokens);
+      best = server_choice{server, expected, ahead, offer.kept_tokens};
       best_cost = cost;
     }
   }
-  if (best && best->server->trust.last_suspension.count() != 0)
-    best->server->trust.on_trial = true;
   return best;
 }
 
@@ -213,12 +218,29 @@
   }
 }
 
-void server_book::TakeLoad(const std::string& host,
-                           const std::vector<wire::server_load>& loads) {
-  loads_[host] = loads;
+void server_book::TakeLoads(const std::string& host,
+                            const std::vector<wire::server_load>& loads) {
+  loads_[host].clear();
+  for (const wire::server_load& each : loads)
+    loads_[host][each.server] = UseOf(each);
   RecountOthers();
 }
 
+void server_book::TakeSomeLoads(const std::string& host,
+                                const std::vector<wire::server_load>& loads) {
+  auto& known = loads_[host];
+  for (const wire::server_load& each : loads) {
+    const server_use use = UseOf(each);
+    const server_use before = std::exchange(known[each.server], use);
+    const auto server = FindKey(each.server);
+    if (server == nullptr)
+      continue;
+    server->others.running += use.running - before.running;
+    server->others.unread_tokens += use.unread_tokens - before.unread_tokens;
+    server->others.held_tokens += use.held_tokens - before.held_tokens;
+  }
+}
+
 void server_book::ForgetHost(const std::string& host) {
   if (loads_.erase(host) > 0)
     RecountOthers();
@@ -228,28 +250,31 @@
   for (const auto& [instance, server] : servers_)
     server->others = {};
   for (const auto& [host, loads] : loads_) {
-    for (const wire::server_load& each : loads) {
-      const auto server = FindKey(each.server);
+    for (const auto& [key, use] : loads) {
+      const auto server = FindKey(key);
       if (server == nullptr)
         continue;
-      server->others.running += each.running;
-      server->others.unread_tokens += each.unread_tokens;
-      server->others.held_tokens += each.held_tokens;
+      server->others.running += use.running;
+      server->others.unread_tokens += use.unread_tokens;
+      server->others.held_tokens += use.held_tokens;
     }
   }
 }
 
+wire::server_load server_book::OwnLoad(const known_server& server) {
+  wire::server_load load;
+  load.server = server.key;
+  load.running = static_cast<std::int32_t>(server.own.running);
+  load.unread_tokens = static_cast<std::int32_t>(server.own.unread_tokens);
+  load.held_tokens = static_cast<std::int32_t>(server.own.held_tokens);
+  return load;
+}
+
 std::vector<wire::server_load> server_book::OwnLoads() const {
   std::vector<wire::server_load> out;
   for (const auto& [instance, server] : servers_) {
-    if (server->own.running == 0)
-      continue;
-    wire::server_load load;
-    load.server = server->key;
-    load.running = static_cast<std::int32_t>(server->own.running);
-    load.unread_tokens = static_cast<std::int32_t>(server->own.unread_tokens);
-    load.held_tokens = static_cast<std::int32_t>(server->own.held_tokens);
-    out.push_back(std::move(load));
+    if (server->own.running != 0)
+      out.push_back(OwnLoad(*server));
   }
   return out;
 }
--- a/src/host/process/server_book.h
+++ b/src/host/process/server_book.h
@@ -83,6 +83,8 @@
 struct server_choice {
   std::shared_ptr<known_server> server;
   std::chrono::duration<double, std::milli> expected{0};
+  // How long the server reads prompts that came before.
+  std::chrono::duration<double, std::milli> reading_ahead{0};
   std::int64_t kept_tokens = 0;
 };
 
@@ -115,13 +117,17 @@
                              const request_head& head,
                              base::time_point now);
 
-  // Takes in what another host has under way; replaces what it said before.
-  void TakeLoad(const std::string& host,
-                const std::vector<wire::server_load>& loads);
+  // Takes in all that another host has under way, instead of what it said
+  // before; or what it has at some servers, beside what it said of others.
+  void TakeLoads(const std::string& host,
+                 const std::vector<wire::server_load>& loads);
+  void TakeSomeLoads(const std::string& host,
+                     const std::vector<wire::server_load>& loads);
   void ForgetHost(const std::string& host);
 
   // What this host has under way, for the others.
   std::vector<wire::server_load> OwnLoads() const;
+  static wire::server_load OwnLoad(const known_server& server);
 
   std::shared_ptr<known_server> Find(std::string_view instance) const;
   std::shared_ptr<known_server> FindKey(unit_key key) const;
@@ -136,7 +142,7 @@
   std::string zone_;
   std::map<std::string, std::shared_ptr<known_server>, std::less<>> servers_;
   std::map<unit_key, std::weak_ptr<known_server>> by_key_;
-  std::map<std::string, std::vector<wire::server_load>> loads_;
+  std::map<std::string, std::map<unit_key, server_use>> loads_;
 };
 
 }  // namespace valeledge::host
--- a/src/host/process/store_mirror.cc
+++ b/src/host/process/store_mirror.cc
@@ -27,6 +27,10 @@
 // be in force, since an answer may get lost on a cut connection.
 constexpr std::chrono::milliseconds kWatchLength{1800};
 
+// After changes the next watch begins so much later, so that changes which
+// come together cost one call: each call has a price.
+constexpr std::chrono::milliseconds kGather{200};
+
 // Pauses after failed calls; the store's calls are counted and limited.
 constexpr std::chrono::milliseconds kFirstPause{50};
 constexpr std::chrono::milliseconds kLongestPause{600};
@@ -117,6 +121,7 @@
 
 asio::awaitable<bool> store_mirror::Follow() {
   std::int64_t at = revision_;
+  asio::steady_timer timer(context_);
   while (true) {
     const auto changes =
         co_await store_.AwaitChange(prefix_, at + 1, kWatchLength);
@@ -133,6 +138,10 @@
     }
     at = std::max(at, changes->revision);
     Advance(changes->revision);
+    if (changes->events.empty())
+      continue;
+    timer.expires_after(kGather);
+    co_await timer.async_wait(kAwait);
   }
 }
 
--- a/src/host/request/relay.cc
+++ b/src/host/request/relay.cc
@@ -59,6 +59,7 @@
   server_wish Wish() const;
   base::time_point RefuseAt() const;
   milliseconds Left() const;
+  bool ShouldWait(const server_choice& choice) const;
   asio::awaitable<base::result<server_choice>> Place();
   asio::awaitable<base::result<void>> WantAdapter();
 
@@ -187,6 +188,16 @@
   co_return base::result<void>();
 }
 
+// Whether a server with less to read should be waited for, so that streams
+// which run there do not pause for too long.
+bool relay::ShouldWait(const server_choice& choice) const {
+  if (head_.model.empty())
+    return false;
+  const milliseconds gap =
+      route_->event_gap.count() > 0 ? route_->event_gap : kUsualEventGap;
+  return choice.reading_ahead > gap * kReadingAheadPart;
+}
+
 asio::awaitable<base::result<server_choice>> relay::Place() {
   asio::steady_timer pause(core_.context);
   base::error reason =
@@ -196,11 +207,12 @@
     const auto now = std::chrono::steady_clock::now();
     const server_wish wish = Wish();
     auto choice = core_.servers.Choose(wish, *service_, now, core_.random);
-    if (choice)
+    const bool late = now >= RefuseAt();
+    if (choice && (late || !ShouldWait(*choice)))
       co_return std::move(*choice);
-    if (now >= RefuseAt())
+    if (late)
       break;
-    if (!core_.servers.AnyHolds(wish, now)) {
+    if (!choice && !core_.servers.AnyHolds(wish, now)) {
       if (head_.adapter.empty())
         break;
       const auto placed = co_await WantAdapter();
--- a/src/host/request/server_visit.cc
+++ b/src/host/request/server_visit.cc
@@ -36,6 +36,10 @@
   ++server_->own.running;
   server_->own.unread_tokens += weight_.prompt_tokens;
   server_->own.held_tokens += weight_.held_tokens;
+  // A server that was suspended gets one request as a trial.
+  if (server_->trust.last_suspension.count() != 0)
+    server_->trust.on_trial = true;
+  core_.use_changed(*server_);
   tokens_ahead_ = server_->own.unread_tokens + server_->others.unread_tokens;
 }
 
@@ -46,6 +50,9 @@
   if (unread_)
     server_->own.unread_tokens -= weight_.prompt_tokens;
   server_->trust.on_trial = false;
+  // The end of a stream can wait for the next report.
+  if (unread_)
+    core_.use_changed(*server_);
 }
 
 void server_visit::FirstByte() {
@@ -53,6 +60,7 @@
     return;
   unread_ = false;
   server_->own.unread_tokens -= weight_.prompt_tokens;
+  core_.use_changed(*server_);
   const milliseconds took = std::chrono::steady_clock::now() - begun_;
   const bool engine = weight_.per_token.count() > 0;
   if (!engine) {
