A server that is seen to leave is gone at once, also after an outage

Only what is found missing by reading again can have lapsed; what the watch reports is gone. Ruled out: the watch (it had answered), the 200 ms of gathering changes. Test that failed first: test_host, only_what_went_during_an_outage_has_lapsed.

--- a/src/host/process/store_mirror.cc
+++ b/src/host/process/store_mirror.cc
@@ -35,8 +35,8 @@
 constexpr std::chrono::milliseconds kFirstPause{50};
 constexpr std::chrono::milliseconds kLongestPause{600};
 
-// Entries that lapse within this time of a failed call may belong to servers
-// that live: they have two seconds to come back.
+// Entries that are found gone within this time of a failed call may belong to
+// servers that live: they have two seconds to come back.
 constexpr std::chrono::milliseconds kTroubleMemory{2500};
 
 }  // namespace
@@ -86,9 +86,9 @@
   events_.put(key, known.value);
 }
 
-void store_mirror::Remove(const std::string& key) {
+void store_mirror::Remove(const std::string& key, bool lapsed) {
   if (values_.erase(key) > 0)
-    events_.removed(key, FailedWithin(kTroubleMemory));
+    events_.removed(key, lapsed);
 }
 
 void store_mirror::Replace(std::map<std::string, mirrored_value> values,
@@ -98,8 +98,11 @@
     if (!values.contains(key) && value.revision <= revision)
       missing.push_back(key);
   }
+  // What is seen to go while the store answers is gone; what went unseen may
+  // have lapsed with the store.
+  const bool lapsed = FailedWithin(kTroubleMemory);
   for (const std::string& key : missing)
-    Remove(key);
+    Remove(key, lapsed);
   for (auto& [key, value] : values)
     Put(key, std::move(value));
   Advance(revision);
@@ -132,7 +135,7 @@
       co_return gone;
     for (const store::kv_event& each : changes->events) {
       if (each.deleted)
-        Remove(each.pair.key);
+        Remove(each.pair.key, false);
       else
         Put(each.pair.key, {each.pair.value, each.pair.mod_revision});
     }
--- a/src/host/process/store_mirror.h
+++ b/src/host/process/store_mirror.h
@@ -62,7 +62,7 @@
   void Replace(std::map<std::string, mirrored_value> values,
                std::int64_t revision);
   void Put(const std::string& key, mirrored_value value);
-  void Remove(const std::string& key);
+  void Remove(const std::string& key, bool lapsed);
   void Advance(std::int64_t revision);
   void NoteAnswered(bool answered);
 
--- /dev/null
+++ b/tests/auto/host/test_store_mirror.cc
@@ -0,0 +1,115 @@
+// SPDX-License-Identifier: MIT
+#include "host/process/store_mirror.h"
+
+#include <functional>
+#include <string>
+#include <vector>
+
+#include <boost/asio/redirect_error.hpp>
+#include <boost/test/unit_test.hpp>
+
+#include "fake_store.h"
+
+namespace {
+
+using namespace valeledge;
+
+// A mirror of a store in memory, and what it has told.
+struct world {
+  world()
+      : store(context),
+        mirror(context,
+               store,
+               "",
+               {[this](const auto& key, const auto&) { put.push_back(key); },
+                [this](const auto& key, bool lapsed) {
+                  removed.emplace_back(key, lapsed);
+                },
+                [](std::int64_t) {}}) {}
+
+  // Runs until `done`, which an event of the mirror brings about.
+  void RunUntil(const std::function<bool()>& done) {
+    while (!done())
+      BOOST_REQUIRE_NE(context.run_one_for(std::chrono::seconds(20)), 0u);
+  }
+
+  boost::asio::io_context context{1};
+  test::fake_store store;
+  std::vector<std::string> put;
+  std::vector<std::pair<std::string, bool>> removed;
+  host::store_mirror mirror;
+};
+
+BOOST_AUTO_TEST_SUITE(store_mirror)
+
+BOOST_AUTO_TEST_CASE(reads_all_and_follows_changes) {
+  world here;
+  here.store.Put("a", "1");
+  here.mirror.Start();
+  here.RunUntil([&] { return here.put.size() == 1; });
+  here.store.Put("b", "2");
+  here.RunUntil([&] { return here.put.size() == 2; });
+  here.store.Remove("a");
+  here.RunUntil([&] { return here.removed.size() == 1; });
+  BOOST_TEST(here.removed.front().first == "a");
+  BOOST_TEST(!here.removed.front().second);
+  BOOST_TEST(here.mirror.IsCurrent());
+}
+
+// Servers that are taken away just after an outage are gone at once; only what
+// went during the outage may come back.
+BOOST_AUTO_TEST_CASE(only_what_went_during_an_outage_has_lapsed) {
+  world here;
+  here.store.Put("lapses", "1");
+  here.store.Put("leaves", "1");
+  here.mirror.Start();
+  here.RunUntil([&] { return here.put.size() == 2; });
+  here.store.down = true;
+  here.store.Wake();
+  here.RunUntil([&] { return !here.mirror.IsCurrent(); });
+  here.store.Remove("lapses");
+  here.store.down = false;
+  here.RunUntil([&] { return here.removed.size() == 1; });
+  BOOST_TEST(here.removed.back().first == "lapses");
+  BOOST_TEST(here.removed.back().second);
+  here.store.Remove("leaves");
+  here.RunUntil([&] { return here.removed.size() == 2; });
+  BOOST_TEST(here.removed.back().first == "leaves");
+  BOOST_TEST(!here.removed.back().second);
+}
+
+BOOST_AUTO_TEST_CASE(reads_again_after_a_lost_history) {
+  world here;
+  here.store.Put("a", "1");
+  here.mirror.Start();
+  here.RunUntil([&] { return here.put.size() == 1; });
+  here.store.history_gone = true;
+  here.store.Put("b", "2");
+  here.RunUntil([&] { return here.put.size() == 2; });
+  BOOST_TEST(here.put.back() == "b");
+}
+
+// A host that the store turns away takes the copy of another; an older copy
+// changes nothing.
+BOOST_AUTO_TEST_CASE(takes_only_newer_copies) {
+  world here;
+  here.store.Put("a", "1");
+  here.mirror.Start();
+  here.RunUntil([&] { return here.put.size() == 1; });
+  wire::mirror_copy copy = here.mirror.Copy();
+  wire::mirror_entry entry;
+  entry.key = "b";
+  entry.value = "2";
+  entry.revision = copy.revision + 1;
+  copy.entries.push_back(entry);
+  here.mirror.Take(copy);
+  BOOST_TEST(here.put.size() == 1u);
+  copy.revision += 1;
+  here.mirror.Take(copy);
+  BOOST_TEST(here.put.size() == 2u);
+  BOOST_TEST(here.mirror.revision() == copy.revision);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace
--- /dev/null
+++ b/tests/auto/platform/test_codecs.cc
@@ -0,0 +1,112 @@
+// SPDX-License-Identifier: MIT
+#include <boost/beast/http.hpp>
+#include <boost/test/unit_test.hpp>
+
+#include "catalog_codec.h"
+#include "request_codec.h"
+#include "settings_file.h"
+
+namespace {
+
+using namespace valeledge;
+using std::chrono::milliseconds;
+
+BOOST_AUTO_TEST_SUITE(codecs)
+
+BOOST_AUTO_TEST_CASE(a_configuration_is_read_and_unknown_fields_ignored) {
+  const auto read = platform::DecodeConfiguration(R"({
+    "Version": 7, "Other": [1],
+    "Routes": [
+      {"Name": "r1", "Host": "a.example", "PathPrefix": "/x/",
+       "Kind": "stream", "TimeoutMs": 30000, "SloMs": 8000, "Priority": 1,
+       "Service": "s1", "MaxAttempts": 2, "Resumable": true, "GapAimMs": 300},
+      {"Name": "r2", "Host": "a.example", "PathPrefix": "/x/y/",
+       "Kind": "new kind", "TimeoutMs": 100,
+       "Backends": [{"Service": "s1", "Weight": 90},
+                    {"Service": "s2", "Weight": 10}]}],
+    "Services": [
+      {"Name": "s1", "MaxConns": 300, "Engine": {
+        "Slots": 48, "KvCapacity": 1000, "WeightsMb": 200000,
+        "AdapterSlots": 8, "LoadsPerS": 2.1, "Models": [
+          {"Name": "m", "WeightsMb": 65099.99, "LoadS": 9, "Adapters": 3,
+           "AdapterMb": 12, "WarmS": 1.2, "DiskS": 2}]}},
+      {"Name": "s2"}],
+    "Limits": {"MaxHeaderBytes": 1, "MaxBodyBytes": 2,
+               "HeaderTimeoutMs": 3, "IdleTimeoutMs": 4}})");
+  BOOST_REQUIRE(read.has_value());
+  BOOST_TEST(read->version == 7);
+  const catalog::route* deep = read->FindRoute("a.example", "/x/y/z");
+  BOOST_REQUIRE(deep != nullptr);
+  BOOST_TEST(deep->name == "r2");
+  BOOST_TEST(!deep->MayRepeat());
+  BOOST_TEST(deep->services.size() == 2u);
+  BOOST_TEST(read->FindRoute("a.example", "/x/a")->MayRepeat());
+  BOOST_TEST(read->FindRoute("b.example", "/x/a") == nullptr);
+  const catalog::service* engines = read->FindService("s1");
+  BOOST_REQUIRE(engines != nullptr);
+  BOOST_TEST(engines->engines.Find("m")->weights_mb == 65100);
+  BOOST_TEST((engines->engines.Find("m")->load_from_disk ==
+              milliseconds(2000)));
+  BOOST_TEST(!read->FindService("s2")->HasModels());
+  BOOST_TEST(read->limits.idle_timeout.count() == 4);
+}
+
+BOOST_AUTO_TEST_CASE(broken_values_are_errors) {
+  BOOST_TEST(!platform::DecodeConfiguration("[]"));
+  BOOST_TEST(!platform::DecodeConfiguration("{\"Version\": "));
+  BOOST_TEST(!platform::DecodeServer("i-1", "{}"));
+  BOOST_TEST(!platform::DecodeEngineState("null"));
+  BOOST_TEST(!platform::ParseSettings("NodeName = "));
+  BOOST_TEST(!platform::ParseSettings("NodeName = \"a\""));
+}
+
+BOOST_AUTO_TEST_CASE(an_entry_of_a_server_is_read) {
+  const auto read = platform::DecodeServer("i-1", R"({"Service": "s",
+    "Address": "10.0.0.1:80", "Zone": "z", "Slots": 6, "State": "draining",
+    "Seq": 4, "Models": [{"Name": "m", "Version": 1, "Adapters": ["a1"]}],
+    "AtHand": {"InMemory": ["m"], "OnDisk": ["m", "n"]}})");
+  BOOST_REQUIRE(read.has_value());
+  BOOST_TEST(read->instance == "i-1");
+  BOOST_TEST(read->draining);
+  BOOST_TEST(read->models.front().adapters.front() == "a1");
+  BOOST_TEST(read->on_disk.size() == 2u);
+}
+
+BOOST_AUTO_TEST_CASE(a_request_is_read_and_an_attempt_written) {
+  const host::dialect speech = platform::MakeDialect();
+  net::http_request request;
+  request.set("X-Request-Id", "9c41");
+  request.set("X-Deadline-Ms", "1500");
+  request.set("X-Model", "m/a3");
+  request.set("X-Token-Count", "1460,80");
+  request.set("X-Prompt-Prefix", "5c1e07a2:800,91bd3f06:410");
+  const host::request_head head = speech.read_request(request);
+  BOOST_TEST(head.id == "9c41");
+  BOOST_TEST(head.deadline->count() == 1500);
+  BOOST_TEST(head.model == "m");
+  BOOST_TEST(head.adapter == "a3");
+  BOOST_TEST(head.prompt_tokens == 1460);
+  BOOST_TEST(head.expected_tokens == 80);
+  BOOST_REQUIRE(head.prompt.size() == 2u);
+  BOOST_TEST(head.prompt.back().id == 0x91bd3f06u);
+  host::attempt_head attempt;
+  attempt.deadline = milliseconds(900);
+  attempt.instance = "i-1";
+  attempt.resume_after = "12";
+  speech.write_attempt(request, attempt);
+  BOOST_TEST(request["X-Deadline-Ms"] == "900");
+  BOOST_TEST(request["X-Expect-Instance"] == "i-1");
+  BOOST_TEST(request["Last-Event-Id"] == "12");
+  BOOST_TEST(request["X-Request-Id"] == "9c41");
+}
+
+BOOST_AUTO_TEST_CASE(events_have_ids) {
+  const host::dialect speech = platform::MakeDialect();
+  BOOST_TEST(speech.read_event_id("id: 7\ndata: id: 9\n\n").value() == 7);
+  BOOST_TEST(speech.read_event_id("data: x\r\nid:8\r\n\r\n").value() == 8);
+  BOOST_TEST(!speech.read_event_id("data: x\n\n"));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace
