One host a zone follows the store for all; the others take its copies

Now one host of each zone follows, every datagram says which revision its sender has, and who has less asks for what has changed since. Each host knows how long ago the store answered anybody it hears of; after 1.1 s of silence it reads for itself. Ruled out: longer watches (an answer may be lost on a cut), fewer keys. Tests: test_host, store_mirror suite.

--- a/src/host/process/host.cc
+++ b/src/host/process/host.cc
@@ -41,12 +41,19 @@
 // The same for the servers at which something has changed, told at once.
 constexpr std::string_view kUseRecord = "use";
 
+// Hosts of each availability zone that follow the store for the others.
+constexpr std::string_view kFollowDuty = "follow/store";
+constexpr std::size_t kFollowersPerZone = 1;
+
+// Stands for an age that is not known.
+constexpr std::int32_t kUnknownAge = -1;
+
 // Entries that lapse while the store is in trouble are used for so long.
 constexpr milliseconds kLapseGrace{1800};
 
 // A copy of the store is asked of one peer at a time, and so often.
 constexpr milliseconds kCopyTimeout{500};
-constexpr milliseconds kCopyPause{300};
+constexpr milliseconds kCopyPause{30};
 
 // After SIGTERM the balancer needs two looks, a second apart, to send no new
 // connections; callers then still use the ones they have.
@@ -74,6 +81,8 @@
   void Apply(catalog::configuration newer);
   void TakeTold(const membership::direct_record& record);
   void CountMembers();
+  bool FollowsStore() const;
+  void MaybeFetchCopy(const base::endpoint& peer);
   bool IsReady() const;
   asio::awaitable<wire::envelope> Answer(wire::envelope call);
   asio::awaitable<void> FetchCopy(base::endpoint peer);
@@ -97,7 +106,6 @@
   bool fetching_ = false;
   bool leaving_ = false;
   bool stopped_ = false;
-  std::vector<wire::server_load> told_loads_;
 };
 
 host::host(asio::io_context& context,
@@ -111,7 +119,8 @@
           context,
           *store_,
           core_.speech.keys.watched_prefix,
-          {[this](const auto& key, const auto& value) { PutKey(key, value); },
+          {[this] { return FollowsStore(); },
+           [this](const auto& key, const auto& value) { PutKey(key, value); },
            [this](const auto& key, bool lapsed) { RemoveKey(key, lapsed); },
            [this](std::int64_t revision) {
              peers_.AnnounceRevision(revision);
@@ -120,17 +129,11 @@
              core_.settings,
              {[this](const auto& record) { TakeTold(record); },
               [this] { CountMembers(); },
-              [this](const base::endpoint& peer) {
-                const bool wanted = !mirror_.IsCurrent() && !fetching_;
-                if (!wanted)
-                  return;
-                fetching_ = true;
-                asio::co_spawn(core_.context, FetchCopy(peer), asio::detached);
-              },
+              [this](const base::endpoint& peer) { MaybeFetchCopy(peer); },
               [this](wire::envelope call) { return Answer(std::move(call)); }}),
       lease_(context,
              *store_,
-             core_.settings.name,
+             base::ToString(core_.settings.peer_listen),
              core_.settings.lease_length,
              [this] {
                return mirror_.IsCurrent() && !leaving_ &&
@@ -162,7 +165,8 @@
       return;
     wire::host_load load;
     load.servers.push_back(server_book::OwnLoad(server));
-    peers_.Tell(std::string(kUseRecord), wire::Encode(load));
+    peers_.Tell(std::string(kUseRecord), wire::Encode(load),
+                {kMostTold, false, std::nullopt});
   };
   core_.want_adapter = [this](std::string service, std::string model,
                               std::string adapter, milliseconds timeout) {
@@ -231,6 +235,12 @@
                 {{"key", key}, {"reason", decoded.error().message}});
     return;
   }
+  if (key == store::kLeaderKey) {
+    // Whoever reads the store finds the others through the lease's holder.
+    if (const auto holder = base::ParseEndpoint(value))
+      peers_.SetSeeds({*holder});
+    return;
+  }
   if (!key.starts_with(keys.server_prefix))
     return;
   const std::string instance = key.substr(keys.server_prefix.size());
@@ -265,6 +275,8 @@
     const auto load = wire::DecodeHostLoad(record.value);
     if (!load)
       return;
+    if (load->store_age_ms >= 0)
+      mirror_.HearAge(milliseconds(load->store_age_ms));
     core_.servers.TakeLoads(record.sender, load->servers);
     placement_.TakeDemand(record.sender, load->models);
   } else if (record.key == kUseRecord) {
@@ -278,6 +290,18 @@
   }
 }
 
+bool host::FollowsStore() const {
+  return !leaving_ &&
+         peers_.IsChosen(std::string(kFollowDuty), kFollowersPerZone);
+}
+
+void host::MaybeFetchCopy(const base::endpoint& peer) {
+  if (fetching_ || !mirror_.WantsCopy())
+    return;
+  fetching_ = true;
+  asio::co_spawn(core_.context, FetchCopy(peer), asio::detached);
+}
+
 void host::CountMembers() {
   core_.hosts = peers_.CountServing();
 }
@@ -285,7 +309,7 @@
 asio::awaitable<wire::envelope> host::Answer(wire::envelope call) {
   wire::envelope reply;
   if (call.__isset.mirror_wanted) {
-    reply.__set_mirror(mirror_.Copy());
+    reply.__set_mirror(mirror_.CopySince(call.mirror_wanted.since));
   } else if (call.__isset.adapter_wanted) {
     const auto adapter =
         co_await placement_.AnswerAdapter(std::move(call.adapter_wanted));
@@ -309,7 +333,6 @@
 
 asio::awaitable<void> host::ReportLoop() {
   asio::steady_timer timer(core_.context);
-  int quiet = 0;
   while (true) {
     timer.expires_after(kLoadInterval);
     co_await timer.async_wait(kAwait);
@@ -319,11 +342,12 @@
     wire::host_load load;
     load.servers = core_.servers.OwnLoads();
     load.models = core_.demand.Loads();
-    // An idle host says so now and then.
-    const bool idle = load.servers.empty() && load.models.empty();
-    quiet = idle ? quiet + 1 : 0;
-    if (!idle || quiet % 8 == 1)
-      peers_.Tell(std::string(kLoadRecord), wire::Encode(load));
+    const auto age = mirror_.Age();
+    load.store_age_ms =
+        age ? static_cast<std::int32_t>(age->count()) : kUnknownAge;
+    // Idle hosts still say how old what they know of the store is.
+    peers_.Tell(std::string(kLoadRecord), wire::Encode(load),
+                {kMostTold, false, placement_.holder()});
     for (const std::string& name : peers_.TakeDead()) {
       core_.servers.ForgetHost(name);
       placement_.ForgetHost(name);
--- a/src/host/process/peer_link.cc
+++ b/src/host/process/peer_link.cc
@@ -11,6 +11,7 @@
 #include <boost/asio/use_awaitable.hpp>
 
 #include "host/constants.h"
+#include "membership/ownership.h"
 #include "wire/codec.h"
 
 namespace valeledge::host {
@@ -104,11 +105,22 @@
     events_.newer_copy(*events.newer_table_at);
 }
 
-void peer_link::Tell(const std::string& key, std::string value) {
-  Publish(membership::TellDirectly(gossip_, key, std::move(value), kMostTold,
+void peer_link::Tell(const std::string& key,
+                     std::string value,
+                     const membership::direct_audience& audience) {
+  Publish(membership::TellDirectly(gossip_, key, std::move(value), audience,
                                    random_));
 }
 
+bool peer_link::IsChosen(const std::string& duty, std::size_t count) const {
+  const auto members = membership::Members(gossip_);
+  const auto chosen = membership::ChooseOwners(members, duty, 0,
+                                               gossip_.self.zone, count);
+  return std::ranges::any_of(chosen, [&](const membership::member* each) {
+    return each->id == gossip_.self.id;
+  });
+}
+
 void peer_link::AnnounceLeaving() {
   Publish(membership::AnnounceLeaving(gossip_, random_));
 }
--- a/src/host/process/peer_link.h
+++ b/src/host/process/peer_link.h
@@ -46,9 +46,13 @@
 
   base::result<void> Start();
 
-  // Tells a fact of this host to the others, or to some of them where there
-  // are many.
-  void Tell(const std::string& key, std::string value);
+  // Tells a fact of this host to others.
+  void Tell(const std::string& key,
+            std::string value,
+            const membership::direct_audience& audience);
+  // Whether this host is one of the `count` of its availability zone that are
+  // chosen for a duty.
+  bool IsChosen(const std::string& duty, std::size_t count) const;
   void AnnounceLeaving();
   // This host's copy of the store has this revision.
   void AnnounceRevision(std::int64_t revision);
--- a/src/host/process/placement_duty.cc
+++ b/src/host/process/placement_duty.cc
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <limits>
 #include <utility>
 
 #include <boost/asio/as_tuple.hpp>
@@ -38,6 +39,10 @@
 // The news is told again after so long, for hosts that missed it.
 constexpr std::chrono::milliseconds kNewsInterval{1000};
 
+// Changes are told to every host: requests must not go where a model is about
+// to be given up.
+constexpr std::size_t kAllHosts = std::numeric_limits<std::size_t>::max();
+
 // A fact that is younger than this is not contradicted by news that may have
 // been written before it.
 constexpr std::chrono::milliseconds kNewsAge{300};
@@ -285,6 +290,7 @@
     if (term != term_) {
       term_ = term;
       desk_.Begin();
+      told_engines_.clear();
     }
     if (term == 0 || core_.configuration == nullptr)
       continue;
@@ -297,16 +303,19 @@
       }
     }
     const auto now = std::chrono::steady_clock::now();
-    if (desk_.TakeChanged() || now - told_ >= kNewsInterval) {
+    const bool everything = now - told_ >= kNewsInterval;
+    if (everything)
       told_ = now;
-      TellNews();
-    }
+    if (desk_.TakeChanged() || everything)
+      TellNews(everything);
   }
 }
 
-void placement_duty::TellNews() {
-  wire::placement_news news;
-  news.term = term_;
+void placement_duty::TellNews(bool everything) {
+  wire::placement_news changed;
+  wire::placement_news all;
+  changed.term = term_;
+  all.term = term_;
   for (const auto& [instance, engine] : desk_.engines()) {
     if (!engine->accepted)
       continue;
@@ -321,10 +330,22 @@
         placed.withdrawn.push_back(KeyOf(name));
       }
     }
-    news.engines.push_back(std::move(placed));
+    wire::placed_engine& before = told_engines_[placed.server];
+    if (placed != before) {
+      before = placed;
+      changed.engines.push_back(placed);
+    }
+    all.engines.push_back(std::move(placed));
+  }
+  TakeNews(all, core_.settings.peer_listen);
+  if (!changed.engines.empty()) {
+    peers_.Tell(std::string(kPlacedRecord), wire::Encode(changed),
+                {kAllHosts, false, std::nullopt});
+  }
+  if (everything) {
+    peers_.Tell(std::string(kPlacedRecord), wire::Encode(all),
+                {kMostTold, false, std::nullopt});
   }
-  TakeNews(news, core_.settings.peer_listen);
-  peers_.Tell(std::string(kPlacedRecord), wire::Encode(news));
 }
 
 void placement_duty::TakeNews(const wire::placement_news& news,
--- a/src/host/process/placement_duty.h
+++ b/src/host/process/placement_duty.h
@@ -6,6 +6,7 @@
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -37,6 +38,11 @@
   // Takes in what the holder of the lease knows; older terms are ignored.
   void TakeNews(const wire::placement_news& news, const base::endpoint& holder);
 
+  // The holder of the lease by the newest news.
+  std::optional<base::endpoint> holder() const {
+    return news_term_ == 0 ? std::nullopt : std::optional(holder_);
+  }
+
   // Has an adapter loaded: here if this host holds the lease, else by the
   // holder. The instance that holds it then.
   boost::asio::awaitable<base::result<std::string>> WantAdapter(
@@ -59,7 +65,8 @@
   std::int64_t ReplicasForAdapters(const catalog::engine& kind,
                                    const catalog::model& model) const;
   wire::model_load DemandFor(unit_key model) const;
-  void TellNews();
+  // Tells all hosts what has changed, and some of them everything.
+  void TellNews(bool everything);
   void LogDemand(const catalog::service& service,
                  const std::vector<decisions::plan_model>& models,
                  const std::vector<decisions::plan_engine>& engines);
@@ -71,6 +78,8 @@
   std::int64_t term_ = 0;
   std::map<std::string, std::vector<wire::model_load>> demand_;
   base::time_point told_;
+  // What was last told of each engine.
+  std::map<unit_key, wire::placed_engine> told_engines_;
   base::time_point logged_;
   // The holder by the newest news.
   std::int64_t news_term_ = 0;
--- a/src/host/process/store_mirror.cc
+++ b/src/host/process/store_mirror.cc
@@ -23,9 +23,29 @@
 constexpr auto kAwait = asio::as_tuple(asio::use_awaitable);
 constexpr std::string_view kCategory = "mirror";
 
-// One watch waits so long: shorter than the time within which changes must
-// be in force, since an answer may get lost on a cut connection.
-constexpr std::chrono::milliseconds kWatchLength{1800};
+// One watch waits so long. Only a few hosts watch, so each may ask often; that
+// the store has answered is what the others go by.
+constexpr std::chrono::milliseconds kWatchLength{1000};
+
+// Without an answer of the store to anybody for so long, a host reads for
+// itself: changes must be in force everywhere within two seconds.
+constexpr std::chrono::milliseconds kTakeOver{1100};
+
+// So much later at the most, so that not all hosts read at once.
+constexpr std::chrono::milliseconds kTakeOverSpread{250};
+
+// A host that stands in for others and is refused asks again after so long.
+constexpr std::chrono::milliseconds kStandInPause{1500};
+
+// A host that does not follow the store looks for a reason to after so long.
+constexpr std::chrono::milliseconds kLookPause{100};
+
+// A watch answers at once when something has changed, but for the time in
+// which changes are gathered.
+constexpr std::chrono::milliseconds kAnswerDue{400};
+
+// Deletions that are kept for other hosts.
+constexpr std::size_t kDeletionsKept = 500;
 
 // After changes the next watch begins so much later, so that changes which
 // come together cost one call: each call has a price.
@@ -60,6 +80,8 @@
 
 void store_mirror::NoteAnswered(bool answered) {
   current_ = answered;
+  if (answered)
+    answered_at_ = std::chrono::steady_clock::now();
   if (!answered) {
     failed_at_ = std::chrono::steady_clock::now();
     failed_once_ = true;
@@ -86,9 +108,22 @@
   events_.put(key, known.value);
 }
 
-void store_mirror::Remove(const std::string& key, bool lapsed) {
-  if (values_.erase(key) > 0)
-    events_.removed(key, lapsed);
+void store_mirror::Remove(const std::string& key,
+                          std::int64_t revision,
+                          bool lapsed) {
+  const auto known = values_.find(key);
+  if (known == values_.end() || known->second.revision > revision)
+    return;
+  values_.erase(known);
+  deletions_[key] = {revision, lapsed};
+  if (deletions_.size() > kDeletionsKept) {
+    const auto oldest = std::ranges::min_element(
+        deletions_, {},
+        [](const auto& each) { return each.second.revision; });
+    forgotten_ = std::max(forgotten_, oldest->second.revision);
+    deletions_.erase(oldest);
+  }
+  events_.removed(key, lapsed);
 }
 
 void store_mirror::Replace(std::map<std::string, mirrored_value> values,
@@ -102,12 +137,40 @@
   // have lapsed with the store.
   const bool lapsed = FailedWithin(kTroubleMemory);
   for (const std::string& key : missing)
-    Remove(key, lapsed);
+    Remove(key, revision, lapsed);
   for (auto& [key, value] : values)
     Put(key, std::move(value));
   Advance(revision);
 }
 
+std::optional<std::chrono::milliseconds> store_mirror::Age() const {
+  std::optional<base::time_point> newest = answered_at_;
+  if (heard_at_ && (!newest || *heard_at_ > *newest))
+    newest = heard_at_;
+  if (!newest)
+    return std::nullopt;
+  return std::chrono::duration_cast<std::chrono::milliseconds>(
+      std::chrono::steady_clock::now() - *newest);
+}
+
+void store_mirror::HearAge(std::chrono::milliseconds age) {
+  const auto at = std::chrono::steady_clock::now() - age;
+  if (!heard_at_ || at > *heard_at_)
+    heard_at_ = at;
+}
+
+bool store_mirror::OthersFollow() const {
+  return revision_ > 0 && heard_at_ &&
+         std::chrono::steady_clock::now() - *heard_at_ < kTakeOver;
+}
+
+bool store_mirror::WantsCopy() const {
+  const bool due = answered_at_ && std::chrono::steady_clock::now() -
+                                           *answered_at_ <
+                                       kAnswerDue;
+  return !current_ || !due;
+}
+
 asio::awaitable<bool> store_mirror::ReadAll() {
   store::kv_transaction read;
   read.on_success.push_back(store::GetPrefix(prefix_));
@@ -135,12 +198,14 @@
       co_return gone;
     for (const store::kv_event& each : changes->events) {
       if (each.deleted)
-        Remove(each.pair.key, false);
+        Remove(each.pair.key, each.pair.mod_revision, false);
       else
         Put(each.pair.key, {each.pair.value, each.pair.mod_revision});
     }
     at = std::max(at, changes->revision);
     Advance(changes->revision);
+    if (!events_.follows() && OthersFollow())
+      co_return true;
     if (changes->events.empty())
       continue;
     timer.expires_after(kGather);
@@ -150,9 +215,24 @@
 
 asio::awaitable<void> store_mirror::Loop() {
   std::mt19937_64 random{std::random_device{}()};
+  const auto between = [&](std::chrono::milliseconds from,
+                           std::chrono::milliseconds to) {
+    std::uniform_int_distribution<std::int64_t> any(from.count(), to.count());
+    return std::chrono::milliseconds(any(random));
+  };
   asio::steady_timer timer(context_);
   std::chrono::milliseconds pause = kFirstPause;
   while (true) {
+    if (!events_.follows() && OthersFollow()) {
+      current_ = false;
+      timer.expires_after(kLookPause);
+      co_await timer.async_wait(kAwait);
+      if (OthersFollow() || events_.follows())
+        continue;
+      timer.expires_after(between({}, kTakeOverSpread));
+      co_await timer.async_wait(kAwait);
+      continue;
+    }
     const bool read = co_await ReadAll();
     if (read) {
       pause = kFirstPause;
@@ -160,34 +240,56 @@
       if (again)
         continue;
     }
-    std::uniform_int_distribution<std::int64_t> any(pause.count() / 2,
-                                                    pause.count());
-    timer.expires_after(std::chrono::milliseconds(any(random)));
+    timer.expires_after(events_.follows() || revision_ == 0
+                            ? between(pause / 2, pause)
+                            : between(kStandInPause / 2, kStandInPause));
     co_await timer.async_wait(kAwait);
     pause = std::min(pause * 2, kLongestPause);
   }
 }
 
-wire::mirror_copy store_mirror::Copy() const {
+wire::mirror_copy store_mirror::CopySince(std::int64_t revision) const {
   wire::mirror_copy copy;
   copy.revision = revision_;
+  copy.whole = revision == 0 || revision < forgotten_;
   for (const auto& [key, value] : values_) {
+    if (!copy.whole && value.revision <= revision)
+      continue;
     wire::mirror_entry entry;
     entry.key = key;
     entry.value = value.value;
     entry.revision = value.revision;
     copy.entries.push_back(std::move(entry));
   }
+  if (copy.whole)
+    return copy;
+  for (const auto& [key, deletion] : deletions_) {
+    if (deletion.revision <= revision)
+      continue;
+    wire::mirror_entry entry;
+    entry.key = key;
+    entry.revision = deletion.revision;
+    entry.lapsed = deletion.lapsed;
+    copy.deleted.push_back(std::move(entry));
+  }
   return copy;
 }
 
 void store_mirror::Take(const wire::mirror_copy& copy) {
   if (copy.revision <= revision_)
     return;
-  std::map<std::string, mirrored_value> values;
+  if (copy.whole) {
+    std::map<std::string, mirrored_value> values;
+    for (const wire::mirror_entry& each : copy.entries)
+      values[each.key] = {each.value, each.revision};
+    Replace(std::move(values), copy.revision);
+    return;
+  }
+  for (const wire::mirror_entry& each : copy.deleted)
+    Remove(each.key, each.revision, each.lapsed);
   for (const wire::mirror_entry& each : copy.entries)
-    values[each.key] = {each.value, each.revision};
-  Replace(std::move(values), copy.revision);
+    Put(each.key, {each.value, each.revision});
+  Advance(copy.revision);
 }
 
 }  // namespace valeledge::host
--- a/src/host/process/store_mirror.h
+++ b/src/host/process/store_mirror.h
@@ -7,6 +7,7 @@
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <optional>
 #include <string>
 
 #include <boost/asio/awaitable.hpp>
@@ -23,8 +24,10 @@
   std::int64_t revision = 0;
 };
 
-// What changed; functions run on the host's thread.
+// What the owner of a mirror is told and asked; runs on the host's thread.
 struct mirror_events {
+  // Whether this host is one of those that follow the store for all.
+  std::function<bool()> follows;
   std::function<void(const std::string& key, const std::string& value)> put;
   // `lapsed`: the store has been in trouble, and the key's owner may live.
   std::function<void(const std::string& key, bool lapsed)> removed;
@@ -32,8 +35,15 @@
   std::function<void(std::int64_t revision)> advanced;
 };
 
-// Reads all keys under a prefix, then follows their changes. While the store
-// does not answer, copies of other hosts may be taken in instead.
+// A key that was deleted lately.
+struct mirrored_deletion {
+  std::int64_t revision = 0;
+  bool lapsed = false;
+};
+
+// All keys under a prefix. A few hosts read them and follow their changes; the
+// others take in copies of theirs, and read for themselves as soon as the
+// store has answered none of those they hear of for a while.
 class store_mirror {
  public:
   store_mirror(boost::asio::io_context& context,
@@ -43,15 +53,23 @@
 
   void Start();
 
-  // Whether the newest call to the store went well.
+  // Whether this host follows the store and the newest call went well.
   bool IsCurrent() const { return current_; }
+  // Whether a newer copy should be asked of another host: the store's own
+  // answer, if one is due here, is late.
+  bool WantsCopy() const;
+  // How long ago the store last answered any host that is known of; nothing
+  // if it never did.
+  std::optional<std::chrono::milliseconds> Age() const;
+  // Another host knows that the store answered so long ago.
+  void HearAge(std::chrono::milliseconds age);
   // Whether a call failed within `span` before now.
   bool FailedWithin(std::chrono::milliseconds span) const;
   std::int64_t revision() const { return revision_; }
   bool HasKey(const std::string& key) const { return values_.contains(key); }
 
-  // The whole mirror, for another host.
-  wire::mirror_copy Copy() const;
+  // What another host lacks that has everything up to a revision.
+  wire::mirror_copy CopySince(std::int64_t revision) const;
   // Takes in another host's copy, if it is newer.
   void Take(const wire::mirror_copy& copy);
 
@@ -62,7 +80,8 @@
   void Replace(std::map<std::string, mirrored_value> values,
                std::int64_t revision);
   void Put(const std::string& key, mirrored_value value);
-  void Remove(const std::string& key, bool lapsed);
+  void Remove(const std::string& key, std::int64_t revision, bool lapsed);
+  bool OthersFollow() const;
   void Advance(std::int64_t revision);
   void NoteAnswered(bool answered);
 
@@ -71,7 +90,13 @@
   std::string prefix_;
   mirror_events events_;
   std::map<std::string, mirrored_value> values_;
+  std::map<std::string, mirrored_deletion> deletions_;
+  // Deletions up to here are forgotten.
+  std::int64_t forgotten_ = 0;
   std::int64_t revision_ = 0;
+  // When the store last answered this host, and any other that is known of.
+  std::optional<base::time_point> answered_at_;
+  std::optional<base::time_point> heard_at_;
   bool current_ = false;
   bool was_down_ = false;
   base::time_point failed_at_;
--- a/src/membership/gossip.cc
+++ b/src/membership/gossip.cc
@@ -467,7 +467,7 @@
 gossip_events TellDirectly(gossip_state& state,
                            const std::string& key,
                            std::string value,
-                           std::size_t most,
+                           const direct_audience& audience,
                            random_source& random) {
   gossip_events events;
   soft_record record;
@@ -479,8 +479,19 @@
   message.table_revision = state.table_revision;
   message.digest = static_cast<std::int64_t>(state.digest);
   message.records.push_back(std::move(record));
-  for (const known_member* each : PickOthers(state, most, {}, random))
-    events.datagrams.push_back({each->address, message});
+  auto others = PickOthers(state, state.others.size(), {}, random);
+  if (audience.own_zone_first) {
+    std::ranges::stable_partition(others, [&](const known_member* each) {
+      return each->record.zone == state.self.zone;
+    });
+  }
+  bool told = !audience.always;
+  for (std::size_t i = 0; i < std::min(audience.most, others.size()); ++i) {
+    told = told || others[i]->address == *audience.always;
+    events.datagrams.push_back({others[i]->address, message});
+  }
+  if (!told && base::ToString(*audience.always) != state.self.address)
+    events.datagrams.push_back({*audience.always, message});
   return events;
 }
 
--- a/src/membership/gossip.h
+++ b/src/membership/gossip.h
@@ -177,13 +177,22 @@
                              std::string value,
                              std::chrono::system_clock::time_point now);
 
-// Tells a fact to at most `most` members that are not dead, each directly:
-// for what is outdated before it would have travelled on. Others are chosen
-// each time if there are more.
+// Whom a fact is told directly.
+struct direct_audience {
+  // At most so many members, chosen anew each time.
+  std::size_t most = 0;
+  // Those of this process's availability zone first.
+  bool own_zone_first = false;
+  // This one in any case; empty for none.
+  std::optional<base::endpoint> always;
+};
+
+// Tells a fact to members that are not dead, each directly: for what is
+// outdated before it would have travelled on.
 gossip_events TellDirectly(gossip_state& state,
                            const std::string& key,
                            std::string value,
-                           std::size_t most,
+                           const direct_audience& audience,
                            random_source& random);
 
 // Every known member, this process included.
--- a/src/wire/messages.thrift
+++ b/src/wire/messages.thrift
@@ -198,6 +198,9 @@
 struct host_load {
   1: list<server_load> servers,
   2: list<model_load> models,
+  // How long ago, in milliseconds, the key-value service last answered any
+  // host that this one has heard of; negative if that is not known.
+  3: i32 store_age_ms,
 }
 
 // What the holder of the lease knows of one engine before its entry says so.
@@ -238,11 +241,17 @@
   1: string key,
   2: binary value,
   3: i64 revision,
+  // Deleted keys: its owner may live, since the service was in trouble.
+  4: bool lapsed,
 }
 
 struct mirror_copy {
   1: i64 revision,
+  // All keys if `whole`, else those that changed after the asker's revision.
   2: list<mirror_entry> entries,
+  3: bool whole,
+  // Keys that were deleted after the asker's revision; empty if `whole`.
+  4: list<mirror_entry> deleted,
 }
 
 struct acknowledgement {
--- a/tests/auto/host/test_store_mirror.cc
+++ b/tests/auto/host/test_store_mirror.cc
@@ -21,7 +21,8 @@
         mirror(context,
                store,
                "",
-               {[this](const auto& key, const auto&) { put.push_back(key); },
+               {[this] { return follows; },
+                [this](const auto& key, const auto&) { put.push_back(key); },
                 [this](const auto& key, bool lapsed) {
                   removed.emplace_back(key, lapsed);
                 },
@@ -35,6 +36,7 @@
 
   boost::asio::io_context context{1};
   test::fake_store store;
+  bool follows = true;
   std::vector<std::string> put;
   std::vector<std::pair<std::string, bool>> removed;
   host::store_mirror mirror;
@@ -96,7 +98,7 @@
   here.store.Put("a", "1");
   here.mirror.Start();
   here.RunUntil([&] { return here.put.size() == 1; });
-  wire::mirror_copy copy = here.mirror.Copy();
+  wire::mirror_copy copy = here.mirror.CopySince(0);
   wire::mirror_entry entry;
   entry.key = "b";
   entry.value = "2";
@@ -110,6 +112,43 @@
   BOOST_TEST(here.mirror.revision() == copy.revision);
 }
 
+// A host that does not follow the store reads it once, then only takes copies,
+// until nobody has heard of the store for a while.
+BOOST_AUTO_TEST_CASE(stands_in_when_nobody_follows) {
+  world here;
+  here.follows = false;
+  here.store.Put("a", "1");
+  here.mirror.HearAge(std::chrono::milliseconds(0));
+  here.mirror.Start();
+  here.RunUntil([&] { return here.put.size() == 1; });
+  here.store.Wake();
+  here.mirror.HearAge(std::chrono::milliseconds(0));
+  here.store.Put("b", "2");
+  here.RunUntil([&] { return here.put.size() == 2; });
+  BOOST_TEST(here.mirror.Age().has_value());
+}
+
+BOOST_AUTO_TEST_CASE(a_copy_since_a_revision_has_changes_and_deletions) {
+  world here;
+  here.store.Put("a", "1");
+  here.store.Put("b", "1");
+  here.mirror.Start();
+  here.RunUntil([&] { return here.put.size() == 2; });
+  const std::int64_t before = here.mirror.revision();
+  here.store.Remove("a");
+  here.store.Put("c", "1");
+  here.RunUntil([&] { return here.put.size() == 3; });
+  const wire::mirror_copy copy = here.mirror.CopySince(before);
+  BOOST_TEST(!copy.whole);
+  BOOST_REQUIRE(copy.entries.size() == 1u);
+  BOOST_TEST(copy.entries.front().key == "c");
+  BOOST_REQUIRE(copy.deleted.size() == 1u);
+  BOOST_TEST(copy.deleted.front().key == "a");
+  world other;
+  other.mirror.Take(here.mirror.CopySince(0));
+  BOOST_TEST(other.put.size() == 2u);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
