--- a/src/base/logging.cc
+++ b/src/base/logging.cc
@@ -113,7 +113,9 @@
          std::initializer_list<log_field> fields) {
   const log_event_entry& entry =
       *std::ranges::find(kEntries, event, &log_event_entry::event);
-  if (!spdlog::default_logger_raw()->should_log(entry.level))
+  // There is none after StopLogging.
+  spdlog::logger* logger = spdlog::default_logger_raw();
+  if (logger == nullptr || !logger->should_log(entry.level))
     return;
   if (process_format == log_format::kJson)
     spdlog::log(entry.level, "{}", AsJson(entry, category, fields).substr(1));
--- a/src/host/request/relay.cc
+++ b/src/host/request/relay.cc
@@ -316,6 +316,9 @@
   else
     visit.Answered();
   if (failed && route_->MayRepeat()) {
+    last_error_ = base::MakeError(
+        result_code::kOutcomeUnknown, base::outcome::kUnknown,
+        "the backend server answered " + std::to_string(whole.result_int()));
     failure_ = std::move(whole);
     co_return attempt_end::kUnknown;
   }
--- a/src/tools/ctl/main.cc
+++ b/src/tools/ctl/main.cc
@@ -12,6 +12,7 @@
 #include "gateway/process/gateway_settings.h"
 #include "node/program.h"
 #include "scheduler/process/scheduler_settings.h"
+#include "tools/ctl/explain_command.h"
 #include "tools/ctl/orders_command.h"
 #include "tools/ctl/output.h"
 #include "tools/ctl/status_command.h"
@@ -36,6 +37,7 @@
   orders ended CONTROLLER-ID          valeledgectl orders ended controller-3
   status                              valeledgectl status --admin 127.0.0.1:7003
   why REQUEST-ID                      valeledgectl why 4f2a... --admin 127.0.0.1:7003
+  explain REQUEST-ID FILE...          valeledgectl explain 4f2a... host-*.log
   settings check PROGRAM FILE         valeledgectl settings check gateway gateway.toml
 
 Exit statuses: 0 done; 1 refused (a rule of the table, or another operator was
@@ -118,6 +120,10 @@
       return valeledge::ctl::EndController(*platform, words[2], *timeout);
     return exit_status::kUsage;
   }
+  if (verb == "explain" && words.size() >= 2) {
+    return valeledge::ctl::RunExplain(words[1],
+                                      {words.begin() + 2, words.end()});
+  }
   const auto admin = Address(parsed, "admin");
   if (!admin)
     return exit_status::kUsage;
--- a/tests/auto/platform/test_codecs.cc
+++ b/tests/auto/platform/test_codecs.cc
@@ -72,6 +72,20 @@
   BOOST_TEST(read->on_disk.size() == 2u);
 }
 
+// Adapters on their way take places as well: an engine that is ordered to
+// take more than it has places for ends.
+BOOST_AUTO_TEST_CASE(adapters_on_their_way_are_held) {
+  const auto state = platform::DecodeEngineState(R"({"Seq": 9, "Busy": true,
+    "Models": [{"Name": "m", "Version": 1, "Adapters": ["a1"]}],
+    "Coming": ["m/a2@1", "n/a3@1", "broken"],
+    "AtHand": {"InMemory": [], "OnDisk": ["m"]}})");
+  BOOST_REQUIRE(state.has_value());
+  BOOST_TEST(state->orders_accepted == 9);
+  BOOST_TEST(state->busy);
+  BOOST_REQUIRE(state->models.size() == 1u);
+  BOOST_TEST(state->models.front().adapters.size() == 2u);
+}
+
 BOOST_AUTO_TEST_CASE(a_request_is_read_and_an_attempt_written) {
   const host::dialect speech = platform::MakeDialect();
   net::http_request request;
