A fixed set of hosts is told at once what is sent to a server

Cause: on the grown sites 16 of 70 hosts, others each time, heard what was sent where; nobody knew a server well. Now the hosts that are told are chosen for the server by rendezvous, each prefers servers that it knows well, and a datagram names its sender only. Small sites as before.

--- a/src/host/process/host.cc
+++ b/src/host/process/host.cc
@@ -83,6 +83,7 @@
   void TakeTold(const membership::direct_record& record);
   void CountMembers();
   bool FollowsStore() const;
+  bool IsWellKnown(const std::string& instance) const;
   void MaybeFetchCopy(const base::endpoint& peer);
   bool IsReady() const;
   void UpdateGauges();
@@ -181,7 +182,7 @@
     wire::host_load load;
     load.servers.push_back(server_book::OwnLoad(server));
     peers_.Tell(std::string(kUseRecord), wire::Encode(load),
-                {kMostTold, false, std::nullopt});
+                {kMostTold, server.entry.instance, std::nullopt});
   };
   core_.want_adapter = [this](std::string service, std::string model,
                               std::string adapter, milliseconds timeout) {
@@ -295,6 +296,7 @@
   }
   const bool draining = entry->draining;
   const bool changed = core_.servers.Put(std::move(*entry));
+  core_.servers.Find(instance)->well_known = IsWellKnown(instance);
   if (changed) {
     base::Log(kCategory,
               draining ? log_event::kServerLeaving : log_event::kServerUp,
@@ -335,7 +337,8 @@
 
 bool host::FollowsStore() const {
   return !leaving_ &&
-         peers_.IsChosen(std::string(kFollowDuty), kFollowersPerZone);
+         peers_.IsChosen(std::string(kFollowDuty), kFollowersPerZone,
+                         peer_link::scope::kZone);
 }
 
 void host::MaybeFetchCopy(const base::endpoint& peer) {
@@ -347,6 +350,14 @@
 
 void host::CountMembers() {
   core_.hosts = peers_.CountServing();
+  for (const auto& [instance, server] : core_.servers.servers())
+    server->well_known = IsWellKnown(instance);
+}
+
+// The hosts that are chosen for a server are told at once what others send
+// there; where there are few hosts, these are all.
+bool host::IsWellKnown(const std::string& instance) const {
+  return peers_.IsChosen(instance, kMostTold, peer_link::scope::kAll);
 }
 
 asio::awaitable<wire::envelope> host::Answer(wire::envelope call) {
@@ -391,7 +402,7 @@
         age ? static_cast<std::int32_t>(age->count()) : kUnknownAge;
     // Idle hosts still say how old what they know of the store is.
     peers_.Tell(std::string(kLoadRecord), wire::Encode(load),
-                {kMostTold, false, placement_.holder()});
+                {kMostTold, {}, placement_.holder()});
     for (const std::string& name : peers_.TakeDead()) {
       core_.servers.ForgetHost(name);
       placement_.ForgetHost(name);
--- a/src/host/process/peer_link.cc
+++ b/src/host/process/peer_link.cc
@@ -112,10 +112,13 @@
                                    random_));
 }
 
-bool peer_link::IsChosen(const std::string& duty, std::size_t count) const {
+bool peer_link::IsChosen(const std::string& subject,
+                         std::size_t count,
+                         scope among) const {
   const auto members = membership::Members(gossip_);
+  const std::string zone = among == scope::kZone ? gossip_.self.zone : "";
   const auto chosen =
-      membership::ChooseOwners(members, duty, 0, gossip_.self.zone, count);
+      membership::ChooseOwners(members, subject, 0, zone, count);
   return std::ranges::any_of(chosen, [&](const membership::member* each) {
     return each->id == gossip_.self.id;
   });
--- a/src/host/process/peer_link.h
+++ b/src/host/process/peer_link.h
@@ -50,9 +50,12 @@
   void Tell(const std::string& key,
             std::string value,
             const membership::direct_audience& audience);
-  // Whether this host is one of the `count` of its availability zone that are
-  // chosen for a duty.
-  bool IsChosen(const std::string& duty, std::size_t count) const;
+  // Whether this host is one of the `count` that are chosen for a subject,
+  // among those of its availability zone or all.
+  enum class scope { kZone, kAll };
+  bool IsChosen(const std::string& subject,
+                std::size_t count,
+                scope among) const;
   void AnnounceLeaving();
   // This host's copy of the store has this revision.
   void AnnounceRevision(std::int64_t revision);
--- a/src/host/process/placement_duty.cc
+++ b/src/host/process/placement_duty.cc
@@ -375,11 +375,11 @@
   TakeNews(all, core_.settings.peer_listen);
   if (!changed.engines.empty()) {
     peers_.Tell(std::string(kPlacedRecord), wire::Encode(changed),
-                {kAllHosts, false, std::nullopt});
+                {kAllHosts, {}, std::nullopt});
   }
   if (everything) {
     peers_.Tell(std::string(kPlacedRecord), wire::Encode(all),
-                {kMostTold, false, std::nullopt});
+                {kMostTold, {}, std::nullopt});
   }
 }
 
--- a/src/host/process/server_book.cc
+++ b/src/host/process/server_book.cc
@@ -26,6 +26,9 @@
 // Choices are blurred by up to this much, so that hosts which know the same
 // do not all choose the same server.
 constexpr milliseconds kBlur{4};
+// A server of which this host hears late is taken when those it knows well are
+// busier by about one prompt.
+constexpr milliseconds kUnsure{60};
 constexpr double kBlurShare = 0.25;
 
 // Hash of the model and all parts up to and with one part.
@@ -185,8 +188,10 @@
     offer.same_zone = server->entry.zone == zone_;
     offer.slowness = server->trust.slowness;
     const milliseconds expected = ExpectedWait(offer, wish.weight);
-    const milliseconds cost =
-        expected * (1 + kBlurShare * blur(random)) + kBlur * blur(random);
+    const milliseconds unsure = server->well_known ? milliseconds(0) : kUnsure;
+    const milliseconds cost = unsure +
+                              expected * (1 + kBlurShare * blur(random)) +
+                              kBlur * blur(random);
     if (!best || cost < best_cost) {
       const milliseconds ahead =
           wish.weight.per_token * static_cast<double>(offer.unread_tokens);
--- a/src/host/process/server_book.h
+++ b/src/host/process/server_book.h
@@ -55,6 +55,8 @@
   unit_key key = 0;
   // Its entry is gone, or says that it is leaving: no new requests.
   bool leaving = false;
+  // This host hears at once of what others send there.
+  bool well_known = true;
   // Its entry went while the store was in trouble: it is used until here.
   std::optional<base::time_point> lapses_at;
   server_use own;
--- a/src/membership/gossip.cc
+++ b/src/membership/gossip.cc
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "membership/gossip_news.h"
+#include "membership/ownership.h"
 
 namespace valeledge::membership {
 
@@ -75,6 +76,21 @@
   return candidates;
 }
 
+// Addresses of the members, this process excepted, that are among the `count`
+// chosen for a subject.
+std::vector<base::endpoint> ChosenFor(const gossip_state& state,
+                                      const std::string& subject,
+                                      std::size_t count) {
+  std::vector<base::endpoint> out;
+  const auto members = Members(state);
+  for (const member* each : ChooseOwners(members, subject, 0, {}, count)) {
+    const auto known = state.others.find(each->id);
+    if (known != state.others.end())
+      out.push_back(known->second.address);
+  }
+  return out;
+}
+
 void SpreadAtOnce(gossip_state& state,
                   gossip_events& events,
                   random_source& random) {
@@ -178,6 +194,20 @@
   events.records.push_back(heard.key);
 }
 
+// Facts that a known member tells this one alone.
+void HearDirectly(const gossip_state& state,
+                  const wire::gossip_message& message,
+                  gossip_events& events) {
+  const auto sender = state.others.find(message.sender.id);
+  if (sender == state.others.end())
+    return;
+  const base::endpoint& address = sender->second.address;
+  for (const soft_record& each : message.records)
+    events.direct.push_back({message.sender.id, address, each.key, each.value});
+  if (message.table_revision > state.table_revision)
+    events.newer_table_at = address;
+}
+
 // Everything this process knows, in datagrams of the usual size.
 void SendAll(gossip_state& state,
              gossip_events& events,
@@ -369,20 +399,16 @@
                       base::time_point now,
                       random_source& random) {
   gossip_events events;
+  if (message.kind == static_cast<std::int32_t>(gossip_kind::kDirect)) {
+    HearDirectly(state, message, events);
+    return events;
+  }
   const bool fresh = IsFresh(state, message.sender);
   bool urgent = HearOfMember(state, message.sender, now, events);
   for (const member& each : message.updates)
     urgent |= HearOfMember(state, each, now, events);
-  const bool direct =
-      message.kind == static_cast<std::int32_t>(gossip_kind::kDirect);
-  const auto sender = base::ParseEndpoint(message.sender.address);
-  for (const soft_record& each : message.records) {
-    if (!direct)
-      HearOfRecord(state, each, events);
-    else if (sender)
-      events.direct.push_back(
-          {message.sender.id, *sender, each.key, each.value});
-  }
+  for (const soft_record& each : message.records)
+    HearOfRecord(state, each, events);
   TellOfDoubt(state, message.sender.id, from, events);
   if (message.table_revision > state.table_revision)
     events.newer_table_at = base::ParseEndpoint(message.sender.address);
@@ -473,25 +499,27 @@
   soft_record record;
   record.key = key;
   record.value = std::move(value);
+  // The receiver knows this process already, or learns of it from its pings.
   wire::gossip_message message;
   message.kind = static_cast<std::int32_t>(gossip_kind::kDirect);
-  message.sender = state.self;
+  message.sender.id = state.self.id;
   message.table_revision = state.table_revision;
-  message.digest = static_cast<std::int64_t>(state.digest);
   message.records.push_back(std::move(record));
-  auto others = PickOthers(state, state.others.size(), {}, random);
-  if (audience.own_zone_first) {
-    std::ranges::stable_partition(others, [&](const known_member* each) {
-      return each->record.zone == state.self.zone;
-    });
-  }
-  bool told = !audience.always;
-  for (std::size_t i = 0; i < std::min(audience.most, others.size()); ++i) {
-    told = told || others[i]->address == *audience.always;
-    events.datagrams.push_back({others[i]->address, message});
+  std::vector<base::endpoint> to;
+  if (audience.subject.empty()) {
+    for (const known_member* each :
+         PickOthers(state, audience.most, {}, random))
+      to.push_back(each->address);
+  } else {
+    to = ChosenFor(state, audience.subject, audience.most);
   }
-  if (!told && base::ToString(*audience.always) != state.self.address)
-    events.datagrams.push_back({*audience.always, message});
+  const bool add = audience.always &&
+                   std::ranges::find(to, *audience.always) == to.end() &&
+                   base::ToString(*audience.always) != state.self.address;
+  if (add)
+    to.push_back(*audience.always);
+  for (const base::endpoint& each : to)
+    events.datagrams.push_back({each, message});
   return events;
 }
 
--- a/src/membership/gossip.h
+++ b/src/membership/gossip.h
@@ -179,10 +179,11 @@
 
 // Whom a fact is told directly.
 struct direct_audience {
-  // At most so many members, chosen anew each time.
+  // At most so many members.
   std::size_t most = 0;
-  // Those of this process's availability zone first.
-  bool own_zone_first = false;
+  // Chosen by rendezvous for this subject, the same for everyone who tells;
+  // empty: others each time.
+  std::string subject;
   // This one in any case; empty for none.
   std::optional<base::endpoint> always;
 };
