--- a/tests/auto/membership/test_gossip.cc
+++ b/tests/auto/membership/test_gossip.cc
@@ -177,6 +177,40 @@
   }
 }
 
+// Whoever tells of a subject tells the same members, itself excepted; what is
+// told reaches them and does not travel on.
+BOOST_AUTO_TEST_CASE(facts_told_directly_reach_the_same_members) {
+  fake_network net(24, {}, 5);
+  net.Run(10s, [&] { return AllKnowAll(net); });
+  const direct_audience audience{6, "i-1", std::nullopt};
+  std::set<base::endpoint> told;
+  for (int teller = 0; teller < 24; ++teller) {
+    const auto events =
+        TellDirectly(net.At(teller), "use", "1", audience, net.random());
+    for (const outgoing& each : events.datagrams) {
+      told.insert(each.to);
+      BOOST_TEST((each.to != fake_network::Address(teller)));
+      const auto heard =
+          Receive(net.At(each.to.port - 1000), each.message,
+                  fake_network::Address(teller), net.now(), net.random());
+      BOOST_REQUIRE(heard.direct.size() == 1u);
+      BOOST_TEST(heard.direct.front().sender == "n" + std::to_string(teller));
+      BOOST_TEST(heard.datagrams.empty());
+    }
+  }
+  BOOST_TEST(told.size() == 6u);
+}
+
+BOOST_AUTO_TEST_CASE(a_stranger_tells_nothing) {
+  fake_network net(2, {}, 5);
+  const auto events = TellDirectly(
+      net.At(0), "use", "1", {6, {}, fake_network::Address(1)}, net.random());
+  BOOST_REQUIRE(events.datagrams.size() == 1u);
+  const auto heard = Receive(net.At(1), events.datagrams.front().message,
+                             fake_network::Address(0), net.now(), net.random());
+  BOOST_TEST(heard.direct.empty());
+}
+
 BOOST_AUTO_TEST_CASE(owners_are_chosen_alike_and_move_little) {
   fake_network net(10, {}, 11);
   net.Run(10s, [&] { return AllKnowAll(net); });
