relay.cc split: finding the route, finding a server, relaying

relay.cc had 656 lines and three jobs. routed_request holds what is known of a request, server_search finds where it goes next, relay sends and passes on; gossip_builder stands alone. Found while reading, each with a test or a reason: - A server at which a stream should go on and that answers something else was passed on within the answer that had begun; the stream is broken off now (test_host, a_stream_that_cannot_go_on_is_broken_off). - A request that would come too late is refused after a fifth of its objective, not after the longer time it may be held.

--- /dev/null
+++ b/src/host/request/routed_request.cc
@@ -0,0 +1,89 @@
+// SPDX-License-Identifier: MIT
+#include "host/request/routed_request.h"
+
+#include <algorithm>
+
+#include <boost/beast/http.hpp>
+
+#include "host/constants.h"
+
+namespace valeledge::host {
+
+namespace {
+
+namespace http = boost::beast::http;
+using std::chrono::duration_cast;
+using std::chrono::milliseconds;
+
+// One of the route's services, by their weights.
+const catalog::weighted_service& ChooseService(const catalog::route& route,
+                                               std::mt19937_64& random) {
+  double total = 0;
+  for (const auto& each : route.services)
+    total += each.weight;
+  std::uniform_real_distribution<double> any(0, total);
+  double at = any(random);
+  for (const auto& each : route.services) {
+    at -= each.weight;
+    if (at < 0)
+      return each;
+  }
+  return route.services.back();
+}
+
+bool FindRoute(host_core& core,
+               const net::http_request& request,
+               routed_request& routed) {
+  const std::string_view target(request.target().data(),
+                                request.target().size());
+  const std::string_view path = target.substr(0, target.find('?'));
+  const auto authority = request[http::field::host];
+  routed.route = routed.configuration->FindRoute(
+      std::string_view(authority.data(), authority.size()), path);
+  if (routed.route == nullptr || routed.route->services.empty())
+    return false;
+  routed.service = routed.configuration->FindService(
+      ChooseService(*routed.route, core.random).service);
+  return routed.service != nullptr;
+}
+
+}  // namespace
+
+bool RouteRequest(host_core& core,
+                  const net::http_request& request,
+                  routed_request& routed) {
+  if (!FindRoute(core, request, routed))
+    return false;
+  routed.head = core.speech.read_request(request);
+  const request_head& head = routed.head;
+  milliseconds allowed = routed.route->timeout;
+  if (head.deadline)
+    allowed = std::min(allowed, *head.deadline);
+  routed.deadline = routed.arrived + allowed;
+  const bool of_model = !head.model.empty();
+  routed.demand = of_model
+                      ? &core.demand.At(head.model, kReadingGuess)
+                      : &core.demand.At(routed.service->name, kServiceGuess);
+  ++routed.demand->arrivals;
+  routed.demand->tokens += head.prompt_tokens;
+  if (of_model) {
+    routed.weight.prompt_tokens = head.prompt_tokens;
+    routed.weight.held_tokens = head.prompt_tokens + head.expected_tokens;
+    routed.weight.per_token = routed.demand->cost;
+  } else {
+    routed.weight.service_time = routed.demand->cost;
+  }
+  return true;
+}
+
+milliseconds Left(const routed_request& routed) {
+  return duration_cast<milliseconds>(routed.deadline -
+                                     std::chrono::steady_clock::now());
+}
+
+std::int64_t MillisecondsSince(base::time_point begun) {
+  return duration_cast<milliseconds>(std::chrono::steady_clock::now() - begun)
+      .count();
+}
+
+}  // namespace valeledge::host
--- /dev/null
+++ b/src/host/request/routed_request.h
@@ -0,0 +1,46 @@
+// SPDX-License-Identifier: MIT
+// A caller's request with its route and what it will cost a server.
+#ifndef VALELEDGE_HOST_REQUEST_ROUTED_REQUEST_H_
+#define VALELEDGE_HOST_REQUEST_ROUTED_REQUEST_H_
+
+#include <chrono>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "host/process/host_core.h"
+#include "net/http_client.h"
+
+namespace valeledge::host {
+
+struct routed_request {
+  // Keeps the route and the service alive.
+  std::shared_ptr<const catalog::configuration> configuration;
+  const catalog::route* route = nullptr;
+  const catalog::service* service = nullptr;
+  request_head head;
+  decisions::request_weight weight;
+  model_demand* demand = nullptr;
+  base::time_point arrived;
+  // The caller's own deadline or the route's time, whichever is first.
+  base::time_point deadline;
+  // Instances that have failed this request.
+  std::vector<std::string> avoid;
+};
+
+// Finds the route and one of its services, reads the head, and counts the
+// request as demand; false if there is no route. `routed.configuration` and
+// `routed.arrived` are set by the caller.
+bool RouteRequest(host_core& core,
+                  const net::http_request& request,
+                  routed_request& routed);
+
+// Time until the deadline; negative after it.
+std::chrono::milliseconds Left(const routed_request& routed);
+
+// Milliseconds since `begun`, for log lines.
+std::int64_t MillisecondsSince(base::time_point begun);
+
+}  // namespace valeledge::host
+
+#endif  // VALELEDGE_HOST_REQUEST_ROUTED_REQUEST_H_
--- /dev/null
+++ b/src/host/request/server_search.cc
@@ -0,0 +1,140 @@
+// SPDX-License-Identifier: MIT
+#include "host/request/server_search.h"
+
+#include <algorithm>
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include "host/constants.h"
+
+namespace valeledge::host {
+
+namespace {
+
+namespace asio = boost::asio;
+using base::result_code;
+using std::chrono::duration_cast;
+using std::chrono::milliseconds;
+
+constexpr auto kAwait = asio::as_tuple(asio::use_awaitable);
+
+server_wish WishOf(const routed_request& routed) {
+  server_wish wish;
+  wish.service = routed.service->name;
+  wish.model = routed.head.model;
+  wish.adapter = routed.head.adapter;
+  wish.head = &routed.head;
+  wish.weight = routed.weight;
+  wish.avoid = &routed.avoid;
+  return wish;
+}
+
+// When a part of the objective has passed, or all of the time.
+base::time_point PartOfObjective(const routed_request& routed, double part) {
+  const auto patience =
+      duration_cast<milliseconds>(routed.route->objective * part);
+  return std::min(routed.arrived + patience, routed.deadline);
+}
+
+asio::awaitable<base::result<void>> WantAdapter(host_core& core,
+                                                const routed_request& routed) {
+  const auto until = PartOfObjective(routed, kRefuseWithin);
+  const auto patience =
+      duration_cast<milliseconds>(until - std::chrono::steady_clock::now());
+  if (patience.count() <= 0) {
+    co_return base::NotRun(result_code::kNoBackendServer,
+                           "no backend server holds the adapter yet");
+  }
+  const request_head& head = routed.head;
+  const auto holder = co_await core.want_adapter(
+      routed.service->name, head.model, head.adapter, patience);
+  if (!holder)
+    co_return tl::make_unexpected(holder.error());
+  const auto server = core.servers.Find(*holder);
+  if (server != nullptr) {
+    const holding_fact fact{true, std::chrono::steady_clock::now()};
+    server->facts[KeyOf(AdapterUnit(head.model, head.adapter))] = fact;
+  }
+  co_return base::result<void>();
+}
+
+// Whether a server with less to read should be waited for, so that streams
+// which run there do not pause for too long.
+bool ShouldWait(const routed_request& routed, const server_choice& choice) {
+  if (routed.head.model.empty())
+    return false;
+  const catalog::route& route = *routed.route;
+  const milliseconds gap =
+      route.event_gap.count() > 0 ? route.event_gap : kUsualEventGap;
+  return choice.reading_ahead > gap * kReadingAheadPart;
+}
+
+// Whether the request would come too late where it would go, so that coming
+// back serves its caller better. One that has come back already is served
+// late rather than refused again: its deadline is shorter than others'.
+bool WouldBeLate(const routed_request& routed, const server_choice& choice) {
+  if (routed.head.model.empty())
+    return false;
+  const catalog::route& route = *routed.route;
+  const auto& deadline = routed.head.deadline;
+  const bool came_back = deadline && *deadline < route.timeout * kFirstTimePart;
+  const auto waited = std::chrono::steady_clock::now() - routed.arrived;
+  return !came_back && choice.expected + waited > route.objective;
+}
+
+// When a refused caller should come back: spread, so that those who are
+// refused together do not come together.
+milliseconds ComeBack(host_core& core, const routed_request& routed) {
+  constexpr double kLeastPart = 0.5;
+  constexpr double kMostPart = 1.5;
+  std::uniform_real_distribution<double> any(kLeastPart, kMostPart);
+  const auto spread =
+      duration_cast<milliseconds>(kUsualComeBack * any(core.random));
+  const auto most = duration_cast<milliseconds>(Left(routed) * kComeBackWithin);
+  return std::max(std::min(spread, most), milliseconds(0));
+}
+
+}  // namespace
+
+asio::awaitable<base::result<server_choice>> FindServer(
+    host_core& core,
+    const routed_request& routed,
+    bool first_attempt,
+    const net::http_responder& responder) {
+  asio::steady_timer pause(core.context);
+  base::error reason =
+      base::MakeError(result_code::kNoBackendServer, base::outcome::kNotRun,
+                      "no backend server takes requests for this now");
+  while (!responder.caller_gone()) {
+    const auto now = std::chrono::steady_clock::now();
+    const server_wish wish = WishOf(routed);
+    auto choice = core.servers.Choose(wish, *routed.service, now, core.random);
+    const bool refusable = now >= PartOfObjective(routed, kRefuseWithin);
+    if (choice && refusable && first_attempt && WouldBeLate(routed, *choice)) {
+      reason = base::MakeError(result_code::kOverloaded, base::outcome::kNotRun,
+                               "all backend servers for this are busy");
+      break;
+    }
+    const bool held = now >= PartOfObjective(routed, kHoldWithin);
+    if (choice && (held || !ShouldWait(routed, *choice)))
+      co_return std::move(*choice);
+    if (!choice && refusable)
+      break;
+    if (!choice && !core.servers.AnyHolds(wish, now)) {
+      if (routed.head.adapter.empty())
+        break;
+      const auto placed = co_await WantAdapter(core, routed);
+      if (placed)
+        continue;
+      reason.message = placed.error().message;
+    }
+    pause.expires_after(kChoicePause);
+    co_await pause.async_wait(kAwait);
+  }
+  reason.retry_after = ComeBack(core, routed);
+  co_return tl::make_unexpected(reason);
+}
+
+}  // namespace valeledge::host
--- a/src/membership/gossip.cc
+++ b/src/membership/gossip.cc
@@ -338,43 +338,6 @@
 
 }  // namespace
 
-gossip_builder& gossip_builder::Settings(gossip_settings settings) {
-  state_.settings = settings;
-  return *this;
-}
-
-gossip_builder& gossip_builder::Self(std::string id,
-                                     base::endpoint address,
-                                     std::string zone,
-                                     std::int32_t roles) {
-  state_.self.id = std::move(id);
-  state_.self.address = base::ToString(address);
-  state_.self.zone = std::move(zone);
-  state_.self.roles = roles;
-  return *this;
-}
-
-gossip_builder& gossip_builder::Incarnation(
-    std::chrono::system_clock::time_point started) {
-  state_.self.incarnation =
-      std::chrono::duration_cast<std::chrono::microseconds>(
-          started.time_since_epoch())
-          .count();
-  return *this;
-}
-
-gossip_builder& gossip_builder::Seeds(std::vector<base::endpoint> seeds) {
-  state_.seeds = std::move(seeds);
-  return *this;
-}
-
-gossip_state gossip_builder::Build() const {
-  gossip_state state = state_;
-  ToggleDigest(state, state.self);
-  AddRumor(state, state.self.id, true);
-  return state;
-}
-
 gossip_events Tick(gossip_state& state,
                    base::time_point now,
                    random_source& random) {
--- a/tests/auto/host/test_relay.cc
+++ b/tests/auto/host/test_relay.cc
@@ -301,6 +301,27 @@
   BOOST_TEST(here.second.requests.front()["Last-Event-Id"] == "1");
 }
 
+// The server at which a stream should go on may refuse it for good; nothing of
+// that may stand within the answer that has begun.
+BOOST_AUTO_TEST_CASE(a_stream_that_cannot_go_on_is_broken_off) {
+  world here;
+  here.AddServer("i-1", here.first.address());
+  here.first.script = {{kStreamHead + Chunk(Event(1)), ending::kClose}};
+  here.second.script = {
+      {"HTTP/1.1 400 Bad Request\r\nX-Request-Id: $ID\r\n"
+       "X-Server-Stamp: s\r\nContent-Length: 4\r\n\r\noops"}};
+  bool added = false;
+  const seen_answer seen = here.Ask("/resumed/", [&](fake_responder&) {
+    if (!added && !here.first.requests.empty()) {
+      added = true;
+      here.AddServer("i-2", here.second.address());
+    }
+  });
+  BOOST_TEST(seen.body == Event(1));
+  BOOST_TEST(seen.status == 200);
+  BOOST_TEST(seen.broken);
+}
+
 BOOST_AUTO_TEST_CASE(a_caller_that_leaves_frees_its_server) {
   for (const std::string path : {"/once/", "/stream/"}) {
     world here;
