A stream that goes on elsewhere must not skip an event

Found while reading: events that the caller has were dropped, gaps were passed on. Test that failed first: test_host, a_stream_never_skips_an_event. An event that is too large ended a request without any answer; it fails the attempt now.

--- a/src/host/request/relay.cc
+++ b/src/host/request/relay.cc
@@ -78,6 +78,8 @@
   std::int64_t runs_ = 0;
   // The head has gone to the caller.
   bool started_ = false;
+  // The event that came next does not follow the last one.
+  bool out_of_order_ = false;
   std::string last_event_;
   // When the last event went to the caller, the first, and the widest pause.
   base::time_point event_at_;
@@ -146,21 +148,29 @@
   co_return attempt_end::kDone;
 }
 
-// Passes on all whole events; false if the caller is gone or the stream is
-// not in order.
+// Passes on all whole events up to one that does not follow; false if the
+// caller is gone.
 asio::awaitable<bool> relay::PassEvents(event_splitter& events,
                                         const net::http_response_header& head,
                                         server_visit& visit) {
   std::string batch;
-  while (const auto event = events.Next()) {
+  while (!out_of_order_) {
+    const auto event = events.Next();
+    if (!event)
+      break;
     const auto id = core_.speech.read_event_id(*event);
-    if (id) {
-      // A server that goes on elsewhere may repeat what the caller has.
-      const std::string text = std::to_string(*id);
-      if (!last_event_.empty() && *id <= std::atoll(last_event_.c_str()))
+    if (id && !last_event_.empty()) {
+      const std::int64_t last = std::atoll(last_event_.c_str());
+      // A server that goes on elsewhere may repeat what the caller has, but
+      // must not leave anything out.
+      if (*id <= last)
         continue;
-      last_event_ = text;
+      out_of_order_ = *id != last + 1;
     }
+    if (out_of_order_)
+      break;
+    if (id)
+      last_event_ = std::to_string(*id);
     batch.append(*event);
   }
   if (batch.empty())
@@ -197,10 +207,19 @@
       break;
     events.Append(*piece);
     const bool passed = co_await PassEvents(events, exchange.header(), visit);
-    if (!passed || events.IsOverlong()) {
+    if (!passed) {
       exchange.Abandon();
       co_return attempt_end::kDone;
     }
+    if (out_of_order_ || events.IsOverlong()) {
+      last_error_ = base::MakeError(
+          result_code::kAnswerBroken, base::outcome::kUnknown,
+          out_of_order_ ? "an event is missing" : "an event is too large");
+      out_of_order_ = false;
+      exchange.Abandon();
+      visit.Failed(false);
+      co_return attempt_end::kUnknown;
+    }
   }
   if (!events.Rest().empty()) {
     // A stream that ends within an event is not whole.
--- a/tests/auto/host/test_relay.cc
+++ b/tests/auto/host/test_relay.cc
@@ -301,6 +301,22 @@
   BOOST_TEST(here.second.requests.front()["Last-Event-Id"] == "1");
 }
 
+BOOST_AUTO_TEST_CASE(a_stream_never_skips_an_event) {
+  world here;
+  here.AddServer("i-1", here.first.address());
+  here.first.script = {{kStreamHead + Chunk(Event(1)), ending::kClose}};
+  here.second.script = {{kStreamHead + Chunk(Event(3)) + "0\r\n\r\n"}};
+  bool added = false;
+  const seen_answer seen = here.Ask("/resumed/", [&](fake_responder&) {
+    if (!added && !here.first.requests.empty()) {
+      added = true;
+      here.AddServer("i-2", here.second.address());
+    }
+  });
+  BOOST_TEST(seen.body == Event(1));
+  BOOST_TEST(seen.broken);
+}
+
 // The server at which a stream should go on may refuse it for good; nothing of
 // that may stand within the answer that has begun.
 BOOST_AUTO_TEST_CASE(a_stream_that_cannot_go_on_is_broken_off) {
