--- a/src/host/request/relay.cc
+++ b/src/host/request/relay.cc
@@ -7,9 +7,6 @@
 #include <utility>
 #include <vector>
 
-#include <boost/asio/as_tuple.hpp>
-#include <boost/asio/steady_timer.hpp>
-#include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/http.hpp>
 
 #include "base/logging.h"
@@ -33,8 +30,6 @@
 using std::chrono::duration_cast;
 using std::chrono::milliseconds;
 
-constexpr auto kAwait = asio::as_tuple(asio::use_awaitable);
-
 // How one attempt ended.
 enum class attempt_end {
   // The caller has its whole answer, or is gone.
--- a/tests/auto/net/test_http.cc
+++ b/tests/auto/net/test_http.cc
@@ -116,6 +116,59 @@
   BOOST_TEST(StatusOf(broken) == "400");
 }
 
+// Before a stop each answer ends its connection, so that callers go elsewhere;
+// nobody who still comes is turned away.
+BOOST_AUTO_TEST_CASE(answers_before_a_stop_end_their_connections) {
+  bench one;
+  const std::string request = "GET / HTTP/1.1\r\nHost: a\r\n\r\n";
+  std::string before;
+  std::string after;
+  BOOST_TEST(one.Run([&]() -> asio::awaitable<void> {
+    before = co_await one.Raw(request);
+    one.server.CloseAfterAnswers();
+    after = co_await one.Raw(request);
+  }));
+  BOOST_TEST(StatusOf(before) == "200");
+  BOOST_TEST(before.find("Connection: close") == std::string::npos);
+  BOOST_TEST(StatusOf(after) == "200");
+  BOOST_TEST(after.find("Connection: close") != std::string::npos);
+}
+
+// A call that is given up while it waits closes its connection, and later
+// calls under the same guard are not sent.
+BOOST_AUTO_TEST_CASE(a_call_that_is_given_up_ends_at_once) {
+  bool gone = false;
+  bench one({},
+            [&](net::http_request&,
+                net::http_responder& responder) -> asio::awaitable<void> {
+              responder.OnCallerGone([&] { gone = true; });
+              asio::steady_timer never(one.context, 10s);
+              while (!gone) {
+                never.expires_after(1ms);
+                co_await never.async_wait(kAwait);
+              }
+            });
+  net::open_guard guard;
+  base::outcome first = base::outcome::kCompleted;
+  base::outcome second = base::outcome::kCompleted;
+  BOOST_TEST(one.Run([&]() -> asio::awaitable<void> {
+    asio::steady_timer soon(one.context, 20ms);
+    soon.async_wait([&](const boost::system::error_code&) { guard.Cancel(); });
+    for (base::outcome* each : {&first, &second}) {
+      const auto opened = co_await one.client.Open(
+          one.where, net::MakeRequest(boost::beast::http::verb::get, "/"), 1s,
+          5s, net::connection_use::kPooled, &guard);
+      *each = opened ? base::outcome::kCompleted : opened.error().what_ran;
+    }
+    while (!gone) {
+      soon.expires_after(1ms);
+      co_await soon.async_wait(kAwait);
+    }
+  }));
+  BOOST_TEST((first == base::outcome::kUnknown));
+  BOOST_TEST((second == base::outcome::kNotRun));
+}
+
 BOOST_AUTO_TEST_CASE(a_slow_sender_is_told_so) {
   net::http_limits limits;
   limits.receive_timeout = 30ms;
