--- a/src/host/process/server_book.cc
+++ b/src/host/process/server_book.cc
@@ -157,6 +157,34 @@
     Remove(instance, false, {}, now);
 }
 
+bool server_book::IsCandidate(const known_server& server,
+                              const server_wish& wish,
+                              base::time_point now) const {
+  const bool usable = !server.leaving && server.entry.service == wish.service &&
+                      decisions::MayUse(server.trust, now);
+  const bool tried = std::ranges::find(*wish.avoid, server.entry.instance) !=
+                     wish.avoid->end();
+  return usable && !tried &&
+         (wish.model.empty() || server.Holds(wish.model, wish.adapter, now));
+}
+
+decisions::server_offer server_book::OfferOf(const known_server& server,
+                                             const server_wish& wish,
+                                             const catalog::service& service,
+                                             base::time_point now) const {
+  decisions::server_offer offer;
+  offer.slots = std::max<std::int64_t>(server.entry.slots, 1);
+  offer.running = server.own.running + server.others.running;
+  offer.unread_tokens = server.own.unread_tokens + server.others.unread_tokens;
+  offer.held_tokens = server.own.held_tokens + server.others.held_tokens;
+  offer.token_memory = service.engines.token_memory;
+  if (!wish.model.empty())
+    offer.kept_tokens = KeptTokens(server, *wish.head, now);
+  offer.same_zone = server.entry.zone == zone_;
+  offer.slowness = server.trust.slowness;
+  return offer;
+}
+
 std::optional<server_choice> server_book::Choose(
     const server_wish& wish,
     const catalog::service& service,
@@ -166,38 +194,20 @@
   milliseconds best_cost{0};
   std::uniform_real_distribution<double> blur(0, 1);
   for (const auto& [instance, server] : servers_) {
-    const bool usable =
-        !server->leaving && server->entry.service == wish.service &&
-        decisions::MayUse(server->trust, now) &&
-        std::ranges::find(*wish.avoid, instance) == wish.avoid->end();
-    if (!usable)
+    if (!IsCandidate(*server, wish, now))
       continue;
-    const bool holds =
-        wish.model.empty() || server->Holds(wish.model, wish.adapter, now);
-    if (!holds)
-      continue;
-    decisions::server_offer offer;
-    offer.slots = std::max<std::int64_t>(server->entry.slots, 1);
-    offer.running = server->own.running + server->others.running;
-    offer.unread_tokens =
-        server->own.unread_tokens + server->others.unread_tokens;
-    offer.held_tokens = server->own.held_tokens + server->others.held_tokens;
-    offer.token_memory = service.engines.token_memory;
-    if (!wish.model.empty())
-      offer.kept_tokens = KeptTokens(*server, *wish.head, now);
-    offer.same_zone = server->entry.zone == zone_;
-    offer.slowness = server->trust.slowness;
+    const decisions::server_offer offer = OfferOf(*server, wish, service, now);
     const milliseconds expected = ExpectedWait(offer, wish.weight);
     const milliseconds unsure = server->well_known ? milliseconds(0) : kUnsure;
     const milliseconds cost = unsure +
                               expected * (1 + kBlurShare * blur(random)) +
                               kBlur * blur(random);
-    if (!best || cost < best_cost) {
-      const milliseconds ahead =
-          wish.weight.per_token * static_cast<double>(offer.unread_tokens);
-      best = server_choice{server, expected, ahead, offer.kept_tokens};
-      best_cost = cost;
-    }
+    if (best && cost >= best_cost)
+      continue;
+    const milliseconds ahead =
+        wish.weight.per_token * static_cast<double>(offer.unread_tokens);
+    best = server_choice{server, expected, ahead, offer.kept_tokens};
+    best_cost = cost;
   }
   return best;
 }
--- a/src/host/process/server_book.h
+++ b/src/host/process/server_book.h
@@ -140,6 +140,15 @@
 
  private:
   void RecountOthers();
+  // Whether a server may take a request at all.
+  bool IsCandidate(const known_server& server,
+                   const server_wish& wish,
+                   base::time_point now) const;
+  // The server as the request sees it.
+  decisions::server_offer OfferOf(const known_server& server,
+                                  const server_wish& wish,
+                                  const catalog::service& service,
+                                  base::time_point now) const;
 
   std::string zone_;
   std::map<std::string, std::shared_ptr<known_server>, std::less<>> servers_;
--- a/src/host/request/relay.cc
+++ b/src/host/request/relay.cc
@@ -477,16 +477,6 @@
 
 }  // namespace
 
-bool TakeRepeat(host_core& core, const std::string& service) {
-  decisions::retry_limits limits;
-  limits.ratio = core.settings.retry_ratio;
-  limits.slack = static_cast<double>(core.settings.retry_slack);
-  limits.window = core.settings.retry_window;
-  limits.hosts = core.hosts;
-  return decisions::TakeRepeat(core.retries[service], limits,
-                               std::chrono::steady_clock::now());
-}
-
 asio::awaitable<void> RelayRequest(host_core& core,
                                    net::http_request& request,
                                    net::http_responder& responder) {
--- /dev/null
+++ b/tests/auto/host/test_server_book.cc
@@ -0,0 +1,114 @@
+// SPDX-License-Identifier: MIT
+#include "host/process/server_book.h"
+
+#include <boost/test/unit_test.hpp>
+
+namespace {
+
+using namespace valeledge;
+using namespace std::chrono_literals;
+
+// Two engines of one service that hold model m, and a request for it.
+struct world {
+  world() {
+    service.name = "s";
+    service.engines.token_memory = 100'000;
+    for (const std::string instance : {"i-1", "i-2"}) {
+      catalog::backend_server entry;
+      entry.instance = instance;
+      entry.service = "s";
+      entry.zone = "z";
+      entry.slots = 8;
+      entry.models.push_back({"m", 1, {"a1"}});
+      book.Put(entry);
+    }
+    head.model = "m";
+    wish.service = "s";
+    wish.model = head.model;
+    wish.head = &head;
+    wish.avoid = &avoid;
+    wish.weight.prompt_tokens = 1000;
+    wish.weight.per_token = std::chrono::duration<double, std::milli>(0.05);
+  }
+
+  std::string Choose() {
+    const auto choice = book.Choose(wish, service, now, random);
+    return choice ? choice->server->entry.instance : std::string("none");
+  }
+
+  host::server_book book{"z"};
+  catalog::service service;
+  host::request_head head;
+  host::server_wish wish;
+  std::vector<std::string> avoid;
+  base::time_point now = std::chrono::steady_clock::now();
+  std::mt19937_64 random{3};
+};
+
+wire::server_load Load(const std::string& instance, std::int32_t unread) {
+  wire::server_load load;
+  load.server = host::KeyOf(instance);
+  load.running = 1;
+  load.unread_tokens = unread;
+  return load;
+}
+
+BOOST_AUTO_TEST_SUITE(server_book)
+
+BOOST_AUTO_TEST_CASE(requests_go_where_other_hosts_have_sent_least) {
+  world here;
+  here.book.TakeLoads("host-2", {Load("i-1", 20'000)});
+  BOOST_TEST(here.Choose() == "i-2");
+  here.book.TakeSomeLoads("host-2", {Load("i-1", 0), Load("i-2", 20'000)});
+  BOOST_TEST(here.Choose() == "i-1");
+  here.book.ForgetHost("host-2");
+  BOOST_TEST(here.book.Find("i-2")->others.unread_tokens == 0);
+}
+
+BOOST_AUTO_TEST_CASE(leaving_suspended_and_tried_servers_get_nothing) {
+  world here;
+  here.avoid.push_back("i-1");
+  BOOST_TEST(here.Choose() == "i-2");
+  decisions::NoteFailure(here.book.Find("i-2")->trust, true, here.now);
+  BOOST_TEST(here.Choose() == "none");
+  here.now += 10s;
+  BOOST_TEST(here.Choose() == "i-2");
+  catalog::backend_server entry = here.book.Find("i-2")->entry;
+  entry.draining = true;
+  here.book.Put(entry);
+  BOOST_TEST(here.Choose() == "none");
+  // One instance does not come back from leaving.
+  entry.draining = false;
+  here.book.Put(entry);
+  BOOST_TEST(here.Choose() == "none");
+}
+
+BOOST_AUTO_TEST_CASE(a_lapsed_entry_is_used_for_a_while) {
+  world here;
+  here.avoid.push_back("i-2");
+  here.book.Remove("i-1", true, 1800ms, here.now);
+  BOOST_TEST(here.Choose() == "i-1");
+  here.book.Sweep(here.now + 1800ms);
+  BOOST_TEST(here.Choose() == "none");
+}
+
+BOOST_AUTO_TEST_CASE(newer_facts_stand_against_an_entry) {
+  world here;
+  here.avoid.push_back("i-2");
+  here.wish.adapter = "a1";
+  BOOST_TEST(here.Choose() == "i-1");
+  here.wish.adapter = "a2";
+  BOOST_TEST(here.Choose() == "none");
+  auto& facts = here.book.Find("i-1")->facts;
+  facts[host::KeyOf("m/a2")] = {true, here.now};
+  BOOST_TEST(here.Choose() == "i-1");
+  facts[host::KeyOf("m")] = {false, here.now};
+  BOOST_TEST(here.Choose() == "none");
+  here.wish.adapter = "a1";
+  here.now += 10s;
+  BOOST_TEST(here.Choose() == "i-1");
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace
