A new holder of the lease counts the last one's loads

Found while reading: the comment said so, the code did not. Now it starts none until the window has passed. Ruled out: a record in the store for each load (a call each).

--- a/src/host/process/order_desk.cc
+++ b/src/host/process/order_desk.cc
@@ -78,11 +78,13 @@
 order_desk::order_desk(host_core& core, std::function<std::int64_t()> term)
     : core_(core), term_(std::move(term)) {}
 
-void order_desk::Begin() {
+void order_desk::Begin(bool nobody_before) {
   engines_.clear();
-  // Loads that the last holder started are not known: as many as may be are
-  // taken to have started just now.
   store_loads_.clear();
+  if (!nobody_before) {
+    no_store_loads_until_ =
+        std::chrono::steady_clock::now() + core_.settings.load_window;
+  }
   changed_ = true;
 }
 
@@ -152,6 +154,8 @@
 
 std::int64_t order_desk::StoreLoadsLeft(double per_second) {
   const auto now = std::chrono::steady_clock::now();
+  if (now < no_store_loads_until_)
+    return 0;
   const std::chrono::duration<double> window = core_.settings.load_window;
   const auto most =
       static_cast<std::int64_t>(std::floor(per_second * window.count()));
--- a/src/host/process/order_desk.h
+++ b/src/host/process/order_desk.h
@@ -26,8 +26,10 @@
   // it is asked before each.
   order_desk(host_core& core, std::function<std::int64_t()> term);
 
-  // A new term begins: nothing is believed any more.
-  void Begin();
+  // A new term begins: nothing is believed any more. Unless nobody held the
+  // lease before, nothing is loaded from the weight store until whatever the
+  // last holder started no longer counts.
+  void Begin(bool nobody_before);
   // Takes in the list of servers, and asks engines whose state is not known.
   void Refresh();
 
@@ -73,6 +75,7 @@
   std::function<std::int64_t()> term_;
   std::map<std::string, engine_ptr, std::less<>> engines_;
   std::deque<base::time_point> store_loads_;
+  base::time_point no_store_loads_until_;
   bool changed_ = false;
 };
 
--- a/src/host/process/placement_duty.cc
+++ b/src/host/process/placement_duty.cc
@@ -89,12 +89,14 @@
 std::int64_t placement_duty::OrderTerm() const {
   const std::int64_t term = lease_.CertainTerm();
   const auto now = std::chrono::steady_clock::now();
-  // The last holder's orders have ended by then; there was none if the whole
-  // system has only just been started for the first time.
-  const bool nobody_before = core_.settings.first_start &&
-                             lease_.taken_at() - core_.started < kFirstTerm;
+  // The last holder's orders have ended by then.
   const bool waited = now - lease_.taken_at() >= core_.settings.lease_length;
-  return waited || nobody_before ? term : 0;
+  return waited || NobodyBefore() ? term : 0;
+}
+
+bool placement_duty::NobodyBefore() const {
+  return core_.settings.first_start &&
+         lease_.taken_at() - core_.started < kFirstTerm;
 }
 
 void placement_duty::TakeDemand(const std::string& host,
@@ -324,7 +326,7 @@
       term_ = term;
       term_since_ = std::chrono::steady_clock::now();
       settled_ = false;
-      desk_.Begin();
+      desk_.Begin(NobodyBefore());
       told_engines_.clear();
     }
     if (term == 0 || core_.configuration == nullptr)
