A host that stops refuses what may outlast it, from 2.7 s on

Ruled out: the drain itself (idle connections were closed as planned). Now whatever has a deadline after the host's end is refused as not run from 2.7 s on, streams and others alike.

--- a/src/host/process/host.cc
+++ b/src/host/process/host.cc
@@ -58,7 +58,9 @@
 
 // After SIGTERM the balancer needs two looks, a second apart, to send no new
 // connections; callers then still use the ones they have.
-constexpr milliseconds kTakesStreams{3000};
+// What comes later than 3 s must not be broken off, so what may last too long
+// is refused a little sooner.
+constexpr milliseconds kTakesAll{2700};
 constexpr milliseconds kTakesRequests{4200};
 // What is still under way so long before SIGKILL is broken off.
 constexpr milliseconds kStopMargin{400};
@@ -461,7 +463,8 @@
   bool drained = false;
   while (true) {
     const auto passed = std::chrono::steady_clock::now() - begun;
-    core_.refuses_streams = passed >= kTakesStreams;
+    if (passed >= kTakesAll)
+      core_.stops_at = begun + core_.settings.stop_grace - kStopMargin;
     if (passed >= kTakesRequests && !drained) {
       drained = true;
       callers_.Drain();
--- a/src/host/process/host_core.h
+++ b/src/host/process/host_core.h
@@ -7,6 +7,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <random>
 #include <string>
 #include <utility>
@@ -52,8 +53,8 @@
   std::map<std::string, decisions::retry_window, std::less<>> retries;
   // Hosts that take requests, this one included.
   std::int64_t hosts = 1;
-  // This host stops soon: streams that would not end in time are refused.
-  bool refuses_streams = false;
+  // Set once this host stops soon: what may last longer is refused.
+  std::optional<base::time_point> stops_at;
   // What this host has under way at a server has changed; tells the others.
   std::function<void(const known_server& server)> use_changed;
   // Has an adapter loaded by the holder of the lease; the instance that holds
--- a/src/host/request/relay.cc
+++ b/src/host/request/relay.cc
@@ -424,8 +424,7 @@
   decisions::NoteRequest(core_.retries[routed_.service->name], routed_.arrived);
   guard_ = std::make_shared<net::open_guard>();
   responder_.OnCallerGone([guard = guard_] { guard->Cancel(); });
-  const bool stopping =
-      core_.refuses_streams && routed_.route->kind == route_kind::kStream;
+  const bool stopping = core_.stops_at && routed_.deadline > *core_.stops_at;
   if (stopping) {
     auto leaving =
         base::MakeError(result_code::kLeaving, base::outcome::kNotRun,
--- a/tests/auto/host/test_relay.cc
+++ b/tests/auto/host/test_relay.cc
@@ -364,6 +364,19 @@
   BOOST_TEST(here.Ask("/once/").status == 504);
 }
 
+// A host that stops takes what ends before it does, and nothing else.
+BOOST_AUTO_TEST_CASE(what_would_outlast_a_stopping_host_is_refused) {
+  world here;
+  here.AddServer("i-1", here.first.address());
+  const auto now = std::chrono::steady_clock::now();
+  here.core->stops_at = now + here.timeout / 2;
+  BOOST_TEST(here.Ask("/stream/").status == 503);
+  BOOST_TEST(here.Ask("/once/").status == 503);
+  BOOST_TEST(here.first.requests.empty());
+  here.core->stops_at = now + 4 * here.timeout;
+  BOOST_TEST(here.Ask("/once/").status == 200);
+}
+
 BOOST_AUTO_TEST_CASE(without_a_route_or_configuration) {
   world here;
   BOOST_TEST(here.Ask("/other/").status == 404);
