An engine may go while one of its adapters is waited for

Found by reading from the order in the logs, then shown by a test under the sanitizer (heap-use-after-free). Beside it, a service that the configuration here does not name was dereferenced as null; the second test shows that. The no-delay option of a connection could throw if a caller left in the same instant; it is now set without.

--- a/src/host/process/order_desk.cc
+++ b/src/host/process/order_desk.cc
@@ -284,10 +284,10 @@
   }
 }
 
-order_desk::engine_ptr order_desk::ChooseForAdapter(
-    const std::string& service,
-    const std::string& model,
-    const std::string& adapter) {
+order_desk::engine_ptr order_desk::ChooseForAdapter(const std::string& service,
+                                                    const std::string& model,
+                                                    const std::string& adapter,
+                                                    std::int64_t slots) {
   engine_ptr best;
   std::pair<std::int64_t, std::uint64_t> best_rank;
   const std::string unit = AdapterUnit(model, adapter);
@@ -301,8 +301,6 @@
       continue;
     // Few adapters first; among equals the same engine each time, since what
     // it held before loads faster.
-    const std::int64_t slots =
-        core_.configuration->FindService(service)->engines.adapter_slots;
     const std::int64_t crowded = AdaptersHeld(*engine) >= slots ? 1 : 0;
     const std::pair rank(crowded,
                          ~base::RendezvousWeight(unit, server.entry.instance));
@@ -340,34 +338,57 @@
   co_return gone&& AdaptersHeld(*engine) < slots;
 }
 
+order_desk::engine_ptr order_desk::FindAdapter(const std::string& model,
+                                               const std::string& adapter) {
+  for (const auto& [instance, engine] : engines_) {
+    const bool usable = IsHeld(*engine, model) && !engine->server->leaving;
+    if (usable && engine->models.find(model)->second.adapters.contains(adapter))
+      return engine;
+  }
+  return nullptr;
+}
+
+asio::awaitable<base::result<std::string>> order_desk::AwaitAdapter(
+    engine_ptr engine,
+    std::string model,
+    std::string adapter) {
+  const auto now = std::chrono::steady_clock::now();
+  base::time_point& ready = engine->models[model].adapters[adapter];
+  if (ready <= now) {
+    ready = now;
+    co_return engine->server->entry.instance;
+  }
+  // One that is being loaded for another request is waited for as well;
+  // meanwhile the engine may go, and others come.
+  co_await Pause(std::chrono::ceil<milliseconds>(ready - now));
+  if (engine->server->leaving) {
+    co_return base::NotRun(result_code::kNoBackendServer,
+                           "the engine that was loading the adapter left");
+  }
+  co_return engine->server->entry.instance;
+}
+
 asio::awaitable<base::result<std::string>> order_desk::EnsureAdapter(
     std::string service,
     std::string model,
     std::string adapter) {
-  const auto now = std::chrono::steady_clock::now();
-  for (const auto& [instance, engine] : engines_) {
-    if (!IsHeld(*engine, model) || engine->server->leaving)
-      continue;
-    auto& adapters = engine->models.find(model)->second.adapters;
-    const auto found = adapters.find(adapter);
-    if (found == adapters.end())
-      continue;
-    // One that is being loaded for another request is waited for as well.
-    const auto ready = found->second;
-    if (ready > now)
-      co_await Pause(std::chrono::ceil<milliseconds>(ready - now));
-    else
-      found->second = now;
-    co_return instance;
+  const engine_ptr holder = FindAdapter(model, adapter);
+  if (holder != nullptr) {
+    auto held = co_await AwaitAdapter(holder, model, adapter);
+    co_return held;
   }
-  const engine_ptr engine = ChooseForAdapter(service, model, adapter);
+  const catalog::service* kind = core_.configuration->FindService(service);
+  if (kind == nullptr) {
+    co_return base::NotRun(result_code::kNoBackendServer,
+                           "the service is not in the configuration here");
+  }
+  const std::int64_t slots = kind->engines.adapter_slots;
+  const engine_ptr engine = ChooseForAdapter(service, model, adapter, slots);
   if (engine == nullptr) {
     co_return base::NotRun(result_code::kNoBackendServer,
                            "no engine can take the adapter now");
   }
-  const catalog::service* kind = core_.configuration->FindService(service);
-  const bool room =
-      co_await MakeAdapterRoom(engine, kind->engines.adapter_slots);
+  const bool room = co_await MakeAdapterRoom(engine, slots);
   if (!room) {
     co_return base::NotRun(result_code::kNoRoom, "no adapter could make room");
   }
--- a/src/host/process/order_desk.h
+++ b/src/host/process/order_desk.h
@@ -66,7 +66,13 @@
   boost::asio::awaitable<void> Ask(engine_ptr engine);
   engine_ptr ChooseForAdapter(const std::string& service,
                               const std::string& model,
-                              const std::string& adapter);
+                              const std::string& adapter,
+                              std::int64_t slots);
+  // An engine that has the adapter or is loading it; null if none does.
+  engine_ptr FindAdapter(const std::string& model, const std::string& adapter);
+  // Waits until such an engine has it.
+  boost::asio::awaitable<base::result<std::string>>
+  AwaitAdapter(engine_ptr engine, std::string model, std::string adapter);
   boost::asio::awaitable<bool> MakeAdapterRoom(engine_ptr engine,
                                                std::int64_t slots);
   void AskLater(engine_record& engine, std::chrono::milliseconds after);
--- a/src/net/http_client.cc
+++ b/src/net/http_client.cc
@@ -224,7 +224,9 @@
       co_return base::NotRun(result_code::kBackendUnreachable,
                              Explain(where, "no connection", failed));
     }
-    link->stream.socket().set_option(asio::ip::tcp::no_delay(true));
+    // Without it the call is slower, and no less right.
+    boost::system::error_code ignored;
+    link->stream.socket().set_option(asio::ip::tcp::no_delay(true), ignored);
   }
   watched.link_ = link.get();
   if (request.find(http::field::host) == request.end())
--- a/tests/auto/host/test_order_desk.cc
+++ b/tests/auto/host/test_order_desk.cc
@@ -3,6 +3,9 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include <boost/asio/steady_timer.hpp>
+
+#include "backend_stand_in.h"
 #include "request_codec.h"
 
 namespace {
@@ -10,8 +13,93 @@
 using namespace valeledge;
 using namespace std::chrono_literals;
 
+// An engine "i-1" that holds model m of service s, and a desk that orders.
+struct engine_site {
+  engine_site() {
+    catalog::configuration configuration;
+    catalog::service service;
+    service.name = "s";
+    service.engines.weights_mb = 1000;
+    service.engines.adapter_slots = 4;
+    catalog::model model;
+    model.name = "m";
+    model.weights_mb = 100;
+    model.adapters = 4;
+    service.engines.models.push_back(model);
+    configuration.services.push_back(service);
+    core.configuration =
+        std::make_shared<const catalog::configuration>(configuration);
+    catalog::backend_server entry;
+    entry.instance = "i-1";
+    entry.service = "s";
+    entry.address = backend.address();
+    entry.models.push_back({"m", 1, {}});
+    core.servers.Put(entry);
+    desk.Begin(true);
+  }
+
+  // Runs until the engine's state is known.
+  void Settle() {
+    const std::string state =
+        R"({"Models":[{"Name":"m","Version":1,"Adapters":[]}],"Seq":0})";
+    backend.script = {{"HTTP/1.1 200 OK\r\nContent-Length: " +
+                       std::to_string(state.size()) + "\r\n\r\n" + state},
+                      {"HTTP/1.1 202 Accepted\r\nContent-Length: 0\r\n\r\n"}};
+    desk.Refresh();
+    while (!desk.engines().at("i-1")->accepted)
+      context.run_one();
+  }
+
+  // Asks for an adapter; the outcome is there once it is known.
+  std::shared_ptr<std::optional<base::result<std::string>>> Want(
+      const std::string& adapter) {
+    auto out = std::make_shared<std::optional<base::result<std::string>>>();
+    boost::asio::co_spawn(
+        context,
+        [this, adapter, out]() -> boost::asio::awaitable<void> {
+          *out = co_await desk.EnsureAdapter("s", "m", adapter);
+        },
+        boost::asio::detached);
+    return out;
+  }
+
+  boost::asio::io_context context{1};
+  test::backend_stand_in backend{context};
+  host::host_core core{context, host::host_settings(), platform::MakeDialect()};
+  host::order_desk desk{core, [] { return 1; }};
+};
+
 BOOST_AUTO_TEST_SUITE(order_desk)
 
+// The second request waits for the adapter that the first one has ordered;
+// meanwhile the engine leaves.
+BOOST_AUTO_TEST_CASE(an_engine_may_go_while_its_adapter_is_waited_for) {
+  engine_site site;
+  site.Settle();
+  const auto first = site.Want("a1");
+  while (site.desk.engines().at("i-1")->models.at("m").adapters.empty())
+    site.context.run_one();
+  const auto second = site.Want("a1");
+  site.context.poll();
+  site.core.servers.Remove("i-1", false, 0ms, std::chrono::steady_clock::now());
+  site.desk.Refresh();
+  BOOST_TEST(site.desk.engines().empty());
+  while (!*first || !*second)
+    site.context.run_one();
+  BOOST_TEST(!(*second)->has_value());
+}
+
+// A host with a newer configuration may ask for what this one does not know.
+BOOST_AUTO_TEST_CASE(an_adapter_of_an_unknown_service_is_refused) {
+  engine_site site;
+  site.Settle();
+  site.core.configuration = std::make_shared<const catalog::configuration>();
+  const auto wanted = site.Want("a1");
+  while (!*wanted)
+    site.context.run_one();
+  BOOST_TEST(!(*wanted)->has_value());
+}
+
 // What the last holder of the lease has started is not known, and counts with
 // what the new one starts.
 BOOST_AUTO_TEST_CASE(a_new_holder_loads_nothing_from_the_store_at_first) {
