The store, not the clock, says whether a holder of the lease is the first

Now every holder writes a key that is never deleted, and only one whose write found none is the first. A lost answer counts as not first. Ruled out: reading the key from the mirror, which may be a second old.

--- a/src/host/host_settings.h
+++ b/src/host/host_settings.h
@@ -32,7 +32,8 @@
   // Length of the lease whose holder gives orders to engines, and how long a
   // new holder waits for the orders of the last one to end.
   std::chrono::milliseconds lease_length{3000};
-  // The whole system starts for the first time: nobody held the lease before.
+  // The whole system starts for the first time, as far as the settings know: a
+  // host that is restarted early may still be told so.
   bool first_start = false;
 
   // The time between SIGTERM and SIGKILL.
--- a/src/host/process/host.cc
+++ b/src/host/process/host.cc
@@ -137,14 +137,16 @@
               [this] { CountMembers(); },
               [this](const base::endpoint& peer) { MaybeFetchCopy(peer); },
               [this](wire::envelope call) { return Answer(std::move(call)); }}),
-      lease_(context,
-             *store_,
-             base::ToString(core_.settings.peer_listen),
-             core_.settings.lease_length,
-             [this] {
-               return mirror_.IsCurrent() && !leaving_ &&
-                      !mirror_.HasKey(std::string(store::kLeaderKey));
-             }),
+      lease_(
+          context,
+          *store_,
+          base::ToString(core_.settings.peer_listen),
+          core_.settings.lease_length,
+          [this] {
+            return mirror_.IsCurrent() && !leaving_ &&
+                   !mirror_.HasKey(std::string(store::kLeaderKey));
+          },
+          core_.settings.first_start),
       placement_(core_, lease_, peers_),
       callers_(
           context,
--- a/src/host/process/placement_duty.cc
+++ b/src/host/process/placement_duty.cc
@@ -47,10 +47,6 @@
 // been written before it.
 constexpr std::chrono::milliseconds kNewsAge{300};
 
-// A lease taken so soon after the first start is the first one there is: a
-// second could only follow when the first has run out.
-constexpr std::chrono::milliseconds kFirstTerm{1500};
-
 // Without a new engine for so long all are taken to be known; servers write
 // their entries within a few seconds of their start.
 constexpr std::chrono::milliseconds kSettling{900};
@@ -91,12 +87,7 @@
   const auto now = std::chrono::steady_clock::now();
   // The last holder's orders have ended by then.
   const bool waited = now - lease_.taken_at() >= core_.settings.lease_length;
-  return waited || NobodyBefore() ? term : 0;
-}
-
-bool placement_duty::NobodyBefore() const {
-  return core_.settings.first_start &&
-         lease_.taken_at() - core_.started < kFirstTerm;
+  return waited || lease_.is_first_holder() ? term : 0;
 }
 
 void placement_duty::TakeDemand(const std::string& host,
@@ -326,7 +317,7 @@
       term_ = term;
       term_since_ = std::chrono::steady_clock::now();
       settled_ = false;
-      desk_.Begin(NobodyBefore());
+      desk_.Begin(lease_.is_first_holder());
       told_engines_.clear();
     }
     if (term == 0 || core_.configuration == nullptr)
--- a/src/host/process/placement_duty.h
+++ b/src/host/process/placement_duty.h
@@ -58,8 +58,6 @@
  private:
   boost::asio::awaitable<void> Loop();
   std::int64_t OrderTerm() const;
-  // Whether this host's lease is the first one of the whole system.
-  bool NobodyBefore() const;
   // Whether the list of engines is whole, as far as can be told.
   bool IsSettled();
   void Plan(const catalog::service& service);
--- a/src/store/constants.h
+++ b/src/store/constants.h
@@ -14,6 +14,10 @@
 inline constexpr std::string_view kRowPrefix = "valeledge/table/rows/";
 inline constexpr std::string_view kHistoryPrefix = "valeledge/table/history/";
 inline constexpr std::string_view kLeaderKey = "valeledge/controller/leader";
+// Written by every holder of the lease, and never deleted: it tells whether
+// there has been one before.
+inline constexpr std::string_view kFormerLeaderKey =
+    "valeledge/controller/former";
 inline constexpr std::string_view kReservationPrefix =
     "valeledge/reservations/";
 inline constexpr std::string_view kClaimPrefix = "valeledge/claims/";
--- a/src/store/lease_keeper.cc
+++ b/src/store/lease_keeper.cc
@@ -37,12 +37,14 @@
                            kv_client& service,
                            std::string holder,
                            std::chrono::microseconds length,
-                           std::function<bool()> is_candidate)
+                           std::function<bool()> is_candidate,
+                           bool maybe_first)
     : context_(context),
       service_(service),
       holder_(std::move(holder)),
       length_(length),
-      is_candidate_(std::move(is_candidate)) {}
+      is_candidate_(std::move(is_candidate)),
+      maybe_first_(maybe_first) {}
 
 std::int64_t lease_keeper::CertainTerm() const {
   return std::chrono::steady_clock::now() < safe_until_ ? term_.load() : 0;
@@ -72,10 +74,7 @@
       std::chrono::ceil<std::chrono::seconds>(length_));
   if (!granted)
     co_return;
-  kv_transaction take;
-  take.conditions.push_back(Absent(std::string(kLeaderKey)));
-  take.on_success.push_back(Put(std::string(kLeaderKey), holder_, *granted));
-  const auto taken = co_await service_.Run(std::move(take));
+  const auto taken = co_await WriteHolder(*granted);
   if (!taken || !taken->succeeded) {
     // A lost answer is not settled: the lease lapses by itself.
     co_await service_.RevokeLease(*granted);
@@ -88,6 +87,22 @@
   base::Log(kCategory, log_event::kLeaseTaken, {{"term", taken->revision}});
 }
 
+asio::awaitable<base::result<kv_transaction_result>> lease_keeper::WriteHolder(
+    std::int64_t lease) {
+  kv_transaction take;
+  take.conditions.push_back(Absent(std::string(kLeaderKey)));
+  if (maybe_first_)
+    take.conditions.push_back(Absent(std::string(kFormerLeaderKey)));
+  take.on_success.push_back(Put(std::string(kLeaderKey), holder_, lease));
+  take.on_success.push_back(Put(std::string(kFormerLeaderKey), holder_));
+  auto taken = co_await service_.Run(std::move(take));
+  is_first_holder_ = taken && taken->succeeded && maybe_first_;
+  // Only one that succeeds at once is first: after a lost answer this process
+  // itself may have been, and its orders may be on their way.
+  maybe_first_ = false;
+  co_return taken;
+}
+
 asio::awaitable<void> lease_keeper::Keep() {
   const auto asked = std::chrono::steady_clock::now();
   const auto kept = co_await service_.KeepLease(lease_);
--- a/src/store/lease_keeper.h
+++ b/src/store/lease_keeper.h
@@ -22,11 +22,13 @@
 // key-value service.
 class lease_keeper {
  public:
+  // `maybe_first`: nobody is known to have held the lease before.
   lease_keeper(boost::asio::io_context& context,
                kv_client& service,
                std::string holder,
                std::chrono::microseconds length,
-               std::function<bool()> is_candidate);
+               std::function<bool()> is_candidate,
+               bool maybe_first = false);
 
   void Start();
   // Takes no lease from now on and gives up the one that is held.
@@ -42,12 +44,17 @@
   std::int64_t CertainTerm() const;
   // When the present lease was taken.
   std::chrono::steady_clock::time_point taken_at() const { return taken_at_; }
+  // Whether nobody held the lease before this process, as the service says.
+  bool is_first_holder() const { return is_first_holder_; }
   // A write has shown that the lease is gone; from any thread.
   void NoteLost(std::int64_t term);
 
  private:
   boost::asio::awaitable<void> Loop();
   boost::asio::awaitable<void> TryTake();
+  // Writes the keys of a holder under a lease that was granted for it.
+  boost::asio::awaitable<base::result<kv_transaction_result>> WriteHolder(
+      std::int64_t lease);
   boost::asio::awaitable<void> Keep();
   boost::asio::awaitable<void> GiveUp();
 
@@ -56,6 +63,8 @@
   std::string holder_;
   std::chrono::microseconds length_;
   std::function<bool()> is_candidate_;
+  bool maybe_first_;
+  bool is_first_holder_ = false;
   std::int64_t lease_ = 0;
   std::chrono::steady_clock::time_point safe_until_;
   std::chrono::steady_clock::time_point taken_at_;
--- a/tests/auto/host/fake_store.h
+++ b/tests/auto/host/fake_store.h
@@ -4,11 +4,14 @@
 #ifndef VALELEDGE_TESTS_AUTO_HOST_FAKE_STORE_H_
 #define VALELEDGE_TESTS_AUTO_HOST_FAKE_STORE_H_
 
+#include <algorithm>
 #include <map>
+#include <set>
 #include <string>
 #include <utility>
 #include <vector>
 
+#include <boost/asio/redirect_error.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
@@ -24,6 +27,12 @@
 
   // Calls fail while this is set.
   bool down = false;
+  // Leases are granted; their keys go with them.
+  bool grants_leases = false;
+  // Transactions without conditions so far.
+  int reads = 0;
+  // Writes whose answers get lost after they were done.
+  int answers_to_lose = 0;
   // Watches answer that the history is gone once.
   bool history_gone = false;
 
@@ -50,15 +59,24 @@
   void Wake() { changed_.cancel(); }
 
   boost::asio::awaitable<base::result<store::kv_transaction_result>> Run(
-      store::kv_transaction) override {
+      store::kv_transaction transaction) override {
     if (down)
       co_return Unavailable();
+    reads += transaction.conditions.empty() ? 1 : 0;
     store::kv_transaction_result result;
-    result.succeeded = true;
+    result.succeeded = std::ranges::none_of(transaction.conditions,
+                                            [&](const store::kv_compare& each) {
+                                              return keys_.contains(each.key);
+                                            });
+    if (result.succeeded) {
+      for (const store::kv_operation& each : transaction.on_success)
+        result.results.push_back(Do(each));
+    }
     result.revision = revision_;
-    result.results.resize(1);
-    for (const auto& [key, pair] : keys_)
-      result.results.front().pairs.push_back(pair);
+    if (answers_to_lose > 0 && !transaction.conditions.empty()) {
+      --answers_to_lose;
+      co_return base::Unknown(base::result_code::kPlatformAnswerLost, "lost");
+    }
     co_return result;
   }
 
@@ -88,18 +106,51 @@
 
   boost::asio::awaitable<base::result<std::int64_t>> GrantLease(
       std::chrono::seconds) override {
-    co_return Unavailable();
+    if (!grants_leases)
+      co_return Unavailable();
+    co_return ++leases_;
   }
-  boost::asio::awaitable<base::result<void>> KeepLease(std::int64_t) override {
-    co_return Unavailable();
+  boost::asio::awaitable<base::result<void>> KeepLease(
+      std::int64_t lease) override {
+    if (!grants_leases || ended_.contains(lease))
+      co_return base::NotRun(base::result_code::kLeaseLost, "gone");
+    co_return base::result<void>();
   }
   boost::asio::awaitable<base::result<void>> RevokeLease(
-      std::int64_t) override {
-    co_return Unavailable();
+      std::int64_t lease) override {
+    if (!grants_leases)
+      co_return Unavailable();
+    ended_.insert(lease);
+    std::vector<std::string> keys;
+    for (const auto& [key, pair] : keys_) {
+      if (of_lease_[key] == lease)
+        keys.push_back(key);
+    }
+    for (const std::string& key : keys)
+      Remove(key);
+    co_return base::result<void>();
   }
   std::int64_t bytes() const override { return 0; }
 
  private:
+  store::kv_operation_result Do(const store::kv_operation& operation) {
+    using kind = store::kv_operation::kind;
+    store::kv_operation_result result;
+    if (operation.what == kind::kPut) {
+      Put(operation.key, operation.value);
+      of_lease_[operation.key] = operation.lease;
+    }
+    for (const auto& [key, pair] : keys_) {
+      const bool read =
+          (operation.what == kind::kGet && key == operation.key) ||
+          (operation.what == kind::kGetPrefix &&
+           key.starts_with(operation.key));
+      if (read)
+        result.pairs.push_back(pair);
+    }
+    return result;
+  }
+
   static tl::unexpected<base::error> Unavailable() {
     return base::NotRun(base::result_code::kPlatformUnavailable, "down");
   }
@@ -107,6 +158,9 @@
   std::map<std::string, store::kv_pair> keys_;
   std::vector<store::kv_event> events_;
   std::int64_t revision_ = 0;
+  std::int64_t leases_ = 0;
+  std::set<std::int64_t> ended_;
+  std::map<std::string, std::int64_t> of_lease_;
   boost::asio::steady_timer changed_;
 };
 
