A randomized fault soak of real hosts, with stand-ins for the platform

Ruled out: the scenario language as a base (its stand-ins speak the product's own protocols), C++ stand-ins (three times the code), processes for the stand-ins (the ledger would need a protocol).

--- a/scripts/check-boundary.sh
+++ b/scripts/check-boundary.sh
@@ -5,7 +5,7 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 most_lines=1500
-if git grep -nwFf platform/names.txt -- src deploy scripts ':!scripts/check-boundary.sh'; then
+if git grep -nwFf platform/names.txt -- src deploy scripts tests/soak ':!scripts/check-boundary.sh'; then
   echo "the platform's names stand outside platform/" >&2
   exit 1
 fi
--- a/scripts/install-packages.sh
+++ b/scripts/install-packages.sh
@@ -2,7 +2,7 @@
 # SPDX-License-Identifier: MIT
 # Installs what the build and the tests need (Debian 12).
 set -euo pipefail
-packages=(g++ cmake ninja-build pkg-config python3 ccache
+packages=(g++ cmake ninja-build pkg-config python3 python3-aiohttp ccache
   libboost1.81-dev libboost-test1.81-dev libcxxopts-dev libspdlog-dev
   libexpected-dev libtomlplusplus-dev libthrift-dev libxxhash-dev
   librapidcheck-dev rumur "$@")
--- /dev/null
+++ b/tests/soak/callers.py
@@ -0,0 +1,133 @@
+# SPDX-License-Identifier: MIT
+"""Callers that keep their connections open, and look at every answer."""
+import asyncio
+import json
+import random
+import re
+
+import aiohttp
+
+from platform_standin import backends, deployment
+from ledger import Ledger, Sent
+
+EVENT = re.compile(rb"id: (\d+)\ndata: ([^\n]*)\n\n")
+DEADLINE_MS = 4000
+TOKENS = 25
+LEAVES_AFTER_S = 0.1
+
+
+class Caller:
+    """One client: a kept connection to one host, one request at a time."""
+
+    def __init__(self, ledger: Ledger, rng: random.Random, host, models,
+                 adapters: int):
+        self.ledger, self.rng, self.host = ledger, rng, host
+        self.models, self.adapters = models, adapters
+        # Share of requests whose caller leaves before it has the answer.
+        self.leaves_early = 0.03
+        self.stopping = False
+
+    async def run(self) -> None:
+        while not self.stopping:
+            connector = aiohttp.TCPConnector(limit=1, force_close=False)
+            async with aiohttp.ClientSession(connector=connector) as session:
+                # The connection is kept for many requests, also while its
+                # host stops.
+                for _ in range(self.rng.randint(5, 40)):
+                    if self.stopping:
+                        break
+                    await self.ask(session)
+                    await asyncio.sleep(self.rng.expovariate(20))
+
+    def _pick(self):
+        kind = self.rng.choices(
+            [deployment.STREAM, deployment.RESUMABLE, deployment.ONCE,
+             deployment.SAFE], [4, 2, 3, 3])[0]
+        model = ""
+        if kind in (deployment.STREAM, deployment.RESUMABLE):
+            # A few models are asked for most.
+            at = min(int(self.rng.expovariate(0.7)), len(self.models) - 1)
+            model = self.models[at]
+            if self.adapters and self.rng.random() < 0.25:
+                model += f"/a{self.rng.randint(1, self.adapters)}"
+        return kind, model
+
+    async def ask(self, session) -> bool:
+        """One request of any kind; true if it was served."""
+        kind, model = self._pick()
+        return await self.send(session, kind, model)
+
+    async def send(self, session, kind: str, model: str) -> bool:
+        """Sends one request; true if it was served."""
+        name = f"{self.rng.getrandbits(64):016x}"
+        streams = bool(model)
+        # Routes that are added later are like the idempotent one.
+        may_repeat = kind not in (deployment.STREAM, deployment.ONCE)
+        method = "GET" if may_repeat and not streams else "POST"
+        body = b"" if method == "GET" else f"body of {name}".encode()
+        target = f"/{kind}/{name}"
+        self.ledger.sent[name] = Sent(kind, method, target, body, may_repeat,
+                                      2 if may_repeat else 1, self.host.name)
+        headers = deployment.request_headers(name, DEADLINE_MS, model, TOKENS)
+        url = f"http://127.0.0.1:{self.host.proxy.port}{target}"
+        leaves = self.rng.random() < self.leaves_early
+        patience = LEAVES_AFTER_S if leaves else DEADLINE_MS / 1000 + 2
+        try:
+            async with asyncio.timeout(patience):
+                async with session.request(method, url, data=body or None,
+                                           headers=headers) as answer:
+                    if streams and answer.status == 200:
+                        await self._take_stream(name, kind, answer)
+                    else:
+                        await self._take_whole(name, kind, answer)
+                    return answer.status == 200
+        except asyncio.TimeoutError:
+            self.ledger.count(kind, "left" if leaves else "no answer")
+            if not leaves and not self.host.disturbed():
+                self.ledger.break_promise(
+                    "deadline", f"{name} ({kind}) had no answer from "
+                    f"{self.host.name} after {patience} s")
+            return False
+        except (aiohttp.ClientError, ConnectionError) as failed:
+            self.ledger.count(kind, "cut")
+            self.host.note_cut(name, kind, type(failed).__name__)
+            return False
+
+    async def _take_whole(self, name, kind, answer) -> None:
+        body = await answer.text()
+        if not deployment.is_signed(answer.headers):
+            self._take_own(name, kind, answer)
+            return
+        if deployment.answered_id(answer.headers) != name:
+            self.ledger.break_promise("mixed", f"{name} got another's answer")
+        if answer.status == 200 and body != backends.whole_body(name):
+            self.ledger.break_promise("whole", f"{name} got another body")
+        self.ledger.count(kind, "served" if answer.status == 200 else "failed")
+
+    def _take_own(self, name, kind, answer) -> None:
+        """An answer that the host made itself."""
+        if answer.status < 400:
+            self.ledger.break_promise("mixed", f"{name} got a success of no "
+                                      "server")
+        if answer.status == 404:
+            self.ledger.break_promise("denied", f"{name} was denied")
+        if deployment.promises_not_run(answer.status):
+            self.ledger.refused(name)
+            self.ledger.count(kind, "refused")
+            return
+        self.ledger.count(kind, f"own {answer.status}")
+
+    async def _take_stream(self, name, kind, answer) -> None:
+        if deployment.answered_id(answer.headers) != name:
+            self.ledger.break_promise("mixed", f"{name} got another's stream")
+        data = await answer.read()
+        events = EVENT.findall(data)
+        if b"".join(b"id: %s\ndata: %s\n\n" % each for each in events) != data:
+            self.ledger.break_promise("whole", f"{name}: an event in parts")
+        numbers = [int(number) for number, _ in events]
+        if numbers != list(range(1, TOKENS + 1)):
+            self.ledger.break_promise("order", f"{name} ended as whole with "
+                                      f"events {numbers}")
+        if any(json.loads(text)["of"] != name for _, text in events):
+            self.ledger.break_promise("mixed", f"{name} got another's event")
+        self.ledger.count(kind, "served")
--- /dev/null
+++ b/tests/soak/faults.py
@@ -0,0 +1,259 @@
+# SPDX-License-Identifier: MIT
+"""Faults as a seeded plan: what is done to whom, when and for how long."""
+import asyncio
+import random
+import time
+from dataclasses import dataclass
+
+from proxy import Mode
+
+
+@dataclass(frozen=True)
+class Fault:
+    """One entry of a plan."""
+    at: float
+    kind: str
+    target: int
+    for_s: float
+
+    def __str__(self):
+        return (f"{self.at:6.2f} s {self.kind} #{self.target} "
+                f"for {self.for_s:.2f} s")
+
+
+# How often each kind comes, against the others.
+KINDS = {
+    "host_kill": 3, "host_freeze": 3, "host_stop": 4, "host_reload": 2,
+    "hosts_roll": 2, "herd_kill": 1, "host_clock": 2,
+    "callers_reset": 2, "callers_delay": 2,
+    "store_cut": 2, "store_silent": 2, "store_silent_back": 2,
+    "store_reset": 2, "store_down": 2, "store_lapse": 1, "store_slow": 2,
+    "store_lost": 2, "store_forgets": 2,
+    "server_crash": 3, "server_leave": 3, "server_refuse": 2,
+    "server_reset": 2, "server_delay": 2, "server_silent": 2,
+    "server_lost": 2, "server_errors": 2, "orders_late": 3,
+    "configuration": 4,
+}
+
+
+def make_plan(rng: random.Random, seconds: float, count: int) -> list[Fault]:
+    """Faults in the order of their times; they come in series and overlap."""
+    kinds, weights = list(KINDS), list(KINDS.values())
+    plan = []
+    while len(plan) < count:
+        kind = rng.choices(kinds, weights)[0]
+        at = rng.uniform(0, seconds)
+        for_s = rng.uniform(0.2, 3.0)
+        target = rng.randrange(1000)
+        # One in four comes again soon, at the same place.
+        for again in range(rng.choices([1, 2, 3], [9, 2, 1])[0]):
+            plan.append(Fault(at + again * rng.uniform(0.1, 1.5), kind, target,
+                              for_s))
+    return sorted(plan[:count], key=lambda each: each.at)
+
+
+class Injector:
+    """Carries out a plan on a site, from outside its programs."""
+
+    def __init__(self, site):
+        self.site = site
+        self.busy = set()
+
+    async def play(self, plan: list[Fault]) -> None:
+        began = time.monotonic()
+        running = []
+        for fault in plan:
+            await asyncio.sleep(max(0, began + fault.at - time.monotonic()))
+            running.append(asyncio.create_task(self._run(fault)))
+        await asyncio.gather(*running)
+
+    async def _run(self, fault: Fault) -> None:
+        family, _, rest = fault.kind.partition("_")
+        act = getattr(self, "_" + fault.kind, None)
+        if act is None:
+            act = getattr(self, "_" + family)
+            await act(fault, rest)
+            return
+        await act(fault)
+
+    def _host(self, fault):
+        """The host that is meant; None if something else is done to it now."""
+        host = self.site.hosts[fault.target % len(self.site.hosts)]
+        return host if host.alive() and host not in self.busy else None
+
+    # -- hosts ---------------------------------------------------------------
+
+    async def _host_kill(self, fault):
+        host = self._host(fault)
+        if host is None:
+            return
+        self.busy.add(host)
+        await host.kill()
+        await asyncio.sleep(fault.for_s / 3)
+        await host.start(first=False)
+        host.disturb(0)
+        self.busy.discard(host)
+
+    async def _herd_kill(self, fault):
+        """Many at once; all keep what they were told at their start."""
+        herd = [host for host in self.site.hosts if host not in self.busy]
+        self.busy.update(herd)
+        await asyncio.gather(*(host.kill() for host in herd))
+        await asyncio.sleep(fault.for_s / 3)
+        for host in herd:
+            await host.start(first=False)
+            host.disturb(0)
+            self.busy.discard(host)
+
+    async def _host_freeze(self, fault):
+        host = self._host(fault)
+        if host is None:
+            return
+        self.busy.add(host)
+        host.freeze(fault.for_s)
+        await asyncio.sleep(fault.for_s)
+        host.thaw()
+        self.busy.discard(host)
+
+    async def _host_stop(self, fault):
+        host = self._host(fault)
+        if host is None:
+            return
+        self.busy.add(host)
+        await host.stop()
+        await host.start(first=False)
+        self.busy.discard(host)
+
+    async def _hosts_roll(self, fault):
+        for at in range(len(self.site.hosts)):
+            await self._host_stop(Fault(0, "host_stop", at, fault.for_s))
+
+    async def _host_reload(self, fault):
+        host = self._host(fault)
+        if host is not None:
+            host.reload()
+
+    async def _host_clock(self, fault):
+        """The time of day jumps between two starts, forward or back."""
+        host = self._host(fault)
+        if host is None:
+            return
+        host.clock_offset_s = (fault.target % 41) - 20
+        await self._host_kill(fault)
+
+    async def _callers(self, fault, how):
+        host = self._host(fault)
+        if host is None:
+            return
+        host.disturb(fault.for_s)
+        if how == "reset":
+            host.proxy.reset()
+            return
+        host.proxy.mode = Mode.DELAY
+        await asyncio.sleep(fault.for_s)
+        host.proxy.mode = Mode.PASS
+
+    # -- the store -----------------------------------------------------------
+
+    async def _store(self, fault, how):
+        """What is between one host and the store."""
+        host = self.site.hosts[fault.target % len(self.site.hosts)]
+        self.site.blind_for(fault.for_s)
+        if how == "reset":
+            host.store_proxy.reset()
+            return
+        host.store_proxy.mode = {"cut": Mode.REFUSE, "silent": Mode.SILENT,
+                                 "silent_back": Mode.SILENT_BACK}[how]
+        if how == "cut":
+            host.store_proxy.reset()
+        await asyncio.sleep(fault.for_s)
+        host.store_proxy.mode = Mode.PASS
+
+    async def _with_store(self, fault, **faults):
+        state = self.site.store.faults
+        self.site.blind_for(fault.for_s)
+        before = {name: getattr(type(state)(), name) for name in faults}
+        for name, value in faults.items():
+            setattr(state, name, value)
+        await asyncio.sleep(fault.for_s)
+        for name, value in before.items():
+            setattr(state, name, value)
+
+    async def _store_down(self, fault):
+        await self._with_store(fault, status=503)
+
+    async def _store_lapse(self, fault):
+        await self._with_store(fault, status=503, lapse=True)
+
+    async def _store_slow(self, fault):
+        await self._with_store(fault, delay=0.2)
+
+    async def _store_lost(self, fault):
+        await self._with_store(fault, lost_answers=0.4)
+
+    async def _store_forgets(self, fault):
+        del fault
+        self.site.blind_for(0)
+        self.site.store.forget_history()
+
+    # -- backend servers -----------------------------------------------------
+
+    async def _server(self, fault, how):
+        """What is between the hosts and one backend server, or what it does."""
+        at = fault.target % len(self.site.servers)
+        server, proxy = self.site.servers[at], self.site.server_proxies[at]
+        until = time.monotonic() + fault.for_s + 1
+        self.site.ledger.spoil(server.instance, until)
+        if how == "reset":
+            proxy.reset()
+            return
+        if how in ("lost", "errors"):
+            name = {"lost": "lost_answers", "errors": "errors"}[how]
+            setattr(server, name, 0.3)
+            await asyncio.sleep(fault.for_s)
+            setattr(server, name, 0.0)
+            return
+        proxy.mode = {"refuse": Mode.REFUSE, "delay": Mode.DELAY,
+                      "silent": Mode.SILENT}[how]
+        if how == "refuse":
+            proxy.reset()
+        await asyncio.sleep(fault.for_s)
+        proxy.mode = Mode.PASS
+
+    async def _server_crash(self, fault):
+        at = fault.target % len(self.site.servers)
+        server, proxy = self.site.servers[at], self.site.server_proxies[at]
+        if not server.up or server.draining:
+            return
+        self.site.ledger.spoil(server.instance, time.monotonic() + 3600)
+        await server.crash()
+        proxy.reset()
+        await asyncio.sleep(fault.for_s)
+        await server.boot()
+
+    async def _server_leave(self, fault):
+        at = fault.target % len(self.site.servers)
+        server = self.site.servers[at]
+        others = [each for each in self.site.servers
+                  if each.service == server.service and each.up
+                  and not each.draining]
+        if not server.up or server.draining or len(others) < 2:
+            return
+        gone = server.instance
+        await server.leave()
+        while server.up:
+            await asyncio.sleep(0.1)
+        self.site.ledger.spoil(gone, time.monotonic() + 3600)
+        await server.boot()
+
+    async def _orders_late(self, fault):
+        engines = self.site.engines
+        engine = engines[fault.target % len(engines)]
+        engine.late_orders = 0.5
+        await asyncio.sleep(fault.for_s)
+        engine.late_orders = 0.0
+
+    # -- the operator --------------------------------------------------------
+
+    async def _configuration(self, fault):
+        await self.site.change_configuration(fault.target % 2 == 0)
--- /dev/null
+++ b/tests/soak/hosts.py
@@ -0,0 +1,163 @@
+# SPDX-License-Identifier: MIT
+"""Hosts: real programs as separate processes, started and signalled here."""
+import asyncio
+import os
+import pathlib
+import signal
+import socket
+import time
+
+import aiohttp
+
+from platform_standin import deployment
+from proxy import Proxy
+
+GRACE_S = 4.0
+LEASE_MS = 1500
+# A host counts as disturbed for so long after what was done to it.
+AFTER_S = 3.0
+
+
+# Below the ports that the kernel gives out by itself, so that nothing else
+# takes one while a host is down.
+PORTS = range(12000, 32000)
+PORTS_OF_RUN = 200
+
+
+def ports_of_run():
+    """Ports of this run alone: runs that go on beside it have other ones."""
+    runs = len(PORTS) // PORTS_OF_RUN
+    first = PORTS.start + os.getpid() % runs * PORTS_OF_RUN
+    for port in range(first, first + PORTS_OF_RUN):
+        if is_free(port):
+            yield port
+
+
+def is_free(port: int) -> bool:
+    """Whether nobody has the port, for TCP or UDP."""
+    for kind in (socket.SOCK_STREAM, socket.SOCK_DGRAM):
+        with socket.socket(socket.AF_INET, kind) as probe:
+            try:
+                probe.bind(("127.0.0.1", port))
+            except OSError:
+                return False
+    return True
+
+
+class Host:
+    """One host, its settings, its proxies and its log."""
+
+    def __init__(self, name, zone, program, folder: pathlib.Path, store,
+                 ledger, ports, clock_shim=None):
+        self.name, self.zone, self.program = name, zone, program
+        self.folder, self.store, self.ledger = folder, store, ledger
+        self.clock_shim = clock_shim
+        self.clock_offset_s = 0
+        self.ports = {name: next(ports)
+                      for name in ("callers", "ready", "peers")}
+        self.proxy = Proxy(self.ports["callers"])
+        self.store_proxy = Proxy(store.port)
+        self.process = None
+        self.seeds = []
+        # Until when what callers see of it is no one's fault.
+        self.disturbed_until = 0.0
+        # When it was told to stop, if it was and has not ended.
+        self.stopping_since = None
+        self.expects_end = False
+        self.frozen = False
+
+    async def prepare(self) -> None:
+        await self.proxy.start()
+        await self.store_proxy.start()
+
+    def disturb(self, seconds: float) -> None:
+        self.disturbed_until = max(self.disturbed_until,
+                                   time.monotonic() + seconds + AFTER_S)
+
+    def disturbed(self) -> bool:
+        return time.monotonic() < self.disturbed_until
+
+    async def start(self, first: bool) -> None:
+        path = self.folder / f"{self.name}.toml"
+        path.write_text(deployment.settings(
+            self.name, self.zone, self.ports, self.store_proxy.port,
+            self.seeds, first, GRACE_S, LEASE_MS))
+        environment = dict(os.environ)
+        if self.clock_shim:
+            environment["LD_PRELOAD"] = str(self.clock_shim)
+            environment["SOAK_CLOCK_OFFSET_S"] = str(self.clock_offset_s)
+            # The sanitizer wants to be loaded first, but does not need to.
+            environment["ASAN_OPTIONS"] = "verify_asan_link_order=0"
+        with open(self.folder / f"{self.name}.log", "ab") as log:
+            self.process = await asyncio.create_subprocess_exec(
+                str(self.program), "--settings", str(path), stdout=log,
+                stderr=log, env=environment)
+        self.expects_end, self.stopping_since = False, None
+        asyncio.ensure_future(self._watch(self.process))
+
+    async def _watch(self, process) -> None:
+        status = await process.wait()
+        if not self.expects_end:
+            self.ledger.break_promise(
+                "own-end", f"{self.name} ended by itself, status {status}")
+        elif self.stopping_since is not None and status != 0:
+            self.ledger.break_promise(
+                "own-end", f"{self.name} ended with status {status} as it "
+                "was stopped")
+
+    def alive(self) -> bool:
+        return self.process is not None and self.process.returncode is None
+
+    async def kill(self) -> None:
+        self.disturb(0)
+        self.expects_end = True
+        self.frozen = False
+        if self.alive():
+            self.process.send_signal(signal.SIGKILL)
+            await self.process.wait()
+
+    async def stop(self) -> None:
+        """SIGTERM; what it has taken must be answered."""
+        self.expects_end = True
+        self.stopping_since = time.monotonic()
+        self.process.send_signal(signal.SIGTERM)
+        try:
+            await asyncio.wait_for(self.process.wait(), GRACE_S)
+        except asyncio.TimeoutError:
+            self.ledger.break_promise("stop", f"{self.name} outlived its grace")
+            await self.kill()
+
+    def freeze(self, seconds: float) -> None:
+        self.disturb(seconds)
+        self.frozen = True
+        self.process.send_signal(signal.SIGSTOP)
+
+    def thaw(self) -> None:
+        self.disturb(0)
+        if self.frozen and self.alive():
+            self.process.send_signal(signal.SIGCONT)
+        self.frozen = False
+
+    def reload(self) -> None:
+        self.process.send_signal(signal.SIGHUP)
+
+    def note_cut(self, name: str, kind: str, reason: str) -> None:
+        """A caller's connection ended without a whole answer. That is this
+        host's fault if nothing disturbed it and a request had been read: one
+        that no server was sent may have crossed the close."""
+        ran = self.ledger.run.get(name)
+        sound = ran and not self.ledger.spoiled_at(ran[-1].instance)
+        if sound and not self.disturbed():
+            self.ledger.break_promise(
+                "cut", f"{name} ({kind}) ran and was cut by {self.name}: "
+                f"{reason}")
+
+    async def is_ready(self) -> bool:
+        url = f"http://127.0.0.1:{self.ports['ready']}{deployment.READY_PATH}"
+        try:
+            timeout = aiohttp.ClientTimeout(total=0.5)
+            async with aiohttp.ClientSession(timeout=timeout) as session:
+                async with session.get(url) as answer:
+                    return answer.status == 200
+        except (aiohttp.ClientError, asyncio.TimeoutError, OSError):
+            return False
--- /dev/null
+++ b/tests/soak/ledger.py
@@ -0,0 +1,118 @@
+# SPDX-License-Identifier: MIT
+"""What callers and backend servers saw, and the promises that it must keep."""
+import collections
+import time
+from dataclasses import dataclass
+
+# A server that said it leaves may be sent requests for so long: the bound of
+# two seconds, and half a second for this machine's own delays.
+DRAIN_S = 2.5
+
+
+@dataclass(frozen=True)
+class Run:
+    """One request that began at a backend server."""
+    instance: str
+    method: str
+    target: str
+    body: bytes
+    at: float
+
+
+@dataclass(frozen=True)
+class Sent:
+    """One request as its caller sent it."""
+    kind: str
+    method: str
+    target: str
+    body: bytes
+    may_repeat: bool
+    most_runs: int
+    host: str
+
+
+class Ledger:
+    """Takes in what is seen, and says which promises were broken."""
+
+    def __init__(self):
+        self.began = time.monotonic()
+        self.sent: dict[str, Sent] = {}
+        self.run: dict[str, list[Run]] = collections.defaultdict(list)
+        self.not_run: dict[str, float] = {}
+        self.broken: list[str] = []
+        self.outcomes = collections.Counter()
+        self.leaving: dict[str, float] = {}
+        self.holders: dict[int, str] = {}
+        self.newest_term: dict[str, int] = {}
+        # Instances whose answers were broken off or lost, and until when.
+        self.spoiled: dict[str, float] = {}
+        # Spans in which hosts could not know what the store holds.
+        self.blind: list[tuple[float, float]] = []
+
+    def break_promise(self, name: str, text: str) -> None:
+        at = time.monotonic() - self.began
+        self.broken.append(f"{at:7.2f} s {name}: {text}")
+
+    # -- from backend servers -------------------------------------------------
+
+    def runs(self, request_id, instance, method, target, body, at) -> None:
+        sent = self.sent.get(request_id)
+        if sent is None:
+            self.break_promise("unasked", f"{request_id} was never sent")
+            return
+        same = (sent.method, sent.target, sent.body) == (method, target, body)
+        if not same:
+            self.break_promise("changed", f"{request_id} is not as it was sent")
+        self.run[request_id].append(Run(instance, method, target, body, at))
+        if not sent.may_repeat and len(self.run[request_id]) > 1:
+            self.break_promise("twice", f"{request_id} ({sent.kind}) ran at " +
+                               ", ".join(each.instance
+                                         for each in self.run[request_id]))
+        if len(self.run[request_id]) > sent.most_runs:
+            self.break_promise("attempts", f"{request_id} ran too often")
+        if request_id in self.not_run:
+            self.break_promise("not-run", f"{request_id} ran after all")
+        left = self.leaving.get(instance)
+        if left is not None and at - left > DRAIN_S:
+            self._late_at_leaving(request_id, instance, left, at)
+
+    def _late_at_leaving(self, request_id, instance, left, at) -> None:
+        # Hosts are only held to it if they could hear of it all the while.
+        if any(begin < at and end > left for begin, end in self.blind):
+            return
+        self.break_promise("drain", f"{request_id} reached {instance} "
+                           f"{at - left:.2f} s after it left")
+
+    def leaves(self, instance, at) -> None:
+        self.leaving[instance] = at
+
+    def orders(self, instance, holder, term, at) -> None:
+        del at
+        known = self.holders.setdefault(term, holder)
+        if known != holder:
+            self.break_promise("one-holder", f"{holder} and {known} both gave "
+                               f"orders in term {term}")
+        if term < self.newest_term.get(instance, 0):
+            self.break_promise("fence", f"{instance} took term {term} late")
+        self.newest_term[instance] = term
+
+    def overfull(self, instance, what) -> None:
+        self.break_promise("memory", f"{instance} was given more {what} than "
+                           "it holds")
+
+    def spoil(self, instance, until) -> None:
+        self.spoiled[instance] = max(self.spoiled.get(instance, 0), until)
+
+    def spoiled_at(self, instance) -> bool:
+        """Whether an answer of this instance may have been broken there."""
+        return time.monotonic() < self.spoiled.get(instance, 0)
+
+    # -- from callers ----------------------------------------------------------
+
+    def refused(self, request_id) -> None:
+        self.not_run[request_id] = time.monotonic()
+        if self.run[request_id]:
+            self.break_promise("not-run", f"{request_id} was refused, but ran")
+
+    def count(self, kind: str, outcome: str) -> None:
+        self.outcomes[kind, outcome] += 1
--- /dev/null
+++ b/tests/soak/soak.py
@@ -0,0 +1,250 @@
+# SPDX-License-Identifier: MIT
+"""A randomized soak of real programs: `soak.py --seeds 1-50 [--seconds 20]`.
+
+Starts hosts as separate processes on loopback, between callers and stand-ins
+for the platform, injects faults from outside, and checks the promises of
+docs/SOAK.md from what callers and backend servers see."""
+import argparse
+import asyncio
+import pathlib
+import random
+import shutil
+import sys
+import tempfile
+import time
+
+import aiohttp
+
+HERE = pathlib.Path(__file__).resolve().parent
+sys.path[:0] = [str(HERE), str(HERE.parent.parent / "platform")]
+
+from platform_standin import backends, deployment  # noqa: E402
+from platform_standin.store import Store  # noqa: E402
+from callers import Caller  # noqa: E402
+from faults import Injector, make_plan  # noqa: E402
+from hosts import Host, ports_of_run  # noqa: E402
+from ledger import Ledger  # noqa: E402
+from proxy import Proxy  # noqa: E402
+
+ZONES = ["z1", "z2", "z3"]
+# Megabytes of models on engines that hold about two and a half of them.
+MODELS = {"m0": 300, "m1": 400, "m2": 250, "m3": 400, "m4": 300}
+MEMORY_MB, SLOTS, ADAPTERS, ADAPTER_SLOTS = 900, 12, 4, 3
+# After the last fault all must be served again within this time: a lease
+# runs out, its next holder waits as long, and loads what is missing.
+RECOVER_S = 15.0
+# A change that was acknowledged is in force everywhere after this time.
+APPLY_S = 2.5
+
+
+class Site:
+    """Everything that one run has started."""
+
+    def __init__(self, seed: int, args, folder: pathlib.Path):
+        self.rng = random.Random(seed)
+        self.args, self.folder = args, folder
+        self.ledger = Ledger()
+        self.store = Store(random.Random(seed + 1))
+        self.engines, self.servers, self.server_proxies = [], [], []
+        self.hosts = []
+        self.callers = []
+        self.version = 1
+        self.added: list[str] = []
+
+    def blind_for(self, seconds: float) -> None:
+        """Hosts may not know what the store holds for so long, and a little
+        longer, while they look again."""
+        now = time.monotonic()
+        self.ledger.blind.append((now, now + seconds + 3.0))
+
+    async def build(self) -> None:
+        await self.store.start()
+        names = list(MODELS)
+        for at in range(self.args.engines):
+            engine = backends.Engine(
+                self.store, self.ledger, random.Random(self.rng.random()),
+                deployment.ENGINE_SERVICE, ZONES[at % len(ZONES)], SLOTS,
+                models=MODELS, memory_mb=MEMORY_MB,
+                adapter_slots=ADAPTER_SLOTS)
+            engine.first = [names[at % len(names)],
+                            names[(at + 1) % len(names)]]
+            self.engines.append(engine)
+        plain = [backends.PlainService(
+            self.store, self.ledger, random.Random(self.rng.random()),
+            deployment.PLAIN_SERVICE, ZONES[at % len(ZONES)], SLOTS)
+            for at in range(3)]
+        self.servers = self.engines + plain
+        for server in self.servers:
+            await server.start()
+            proxy = Proxy(server.port)
+            await proxy.start()
+            server.shown_port = proxy.port
+            self.server_proxies.append(proxy)
+            await server.boot()
+        await self.write_configuration()
+        ports = ports_of_run()
+        for at in range(self.args.hosts):
+            host = Host(f"h{at + 1}", ZONES[at % len(ZONES)],
+                        self.args.program, self.folder, self.store,
+                        self.ledger, ports, self.args.clock_shim)
+            await host.prepare()
+            self.hosts.append(host)
+        for host in self.hosts:
+            host.seeds = [each.ports["peers"] for each in self.hosts[:3]]
+            await host.start(first=True)
+
+    async def write_configuration(self) -> None:
+        await self.store.put(
+            deployment.CONFIGURATION_KEY,
+            deployment.configuration(self.version, MODELS, MEMORY_MB, SLOTS,
+                                     ADAPTERS, ADAPTER_SLOTS, self.added))
+
+    async def change_configuration(self, add: bool) -> None:
+        """Adds a route or writes the same ones under a new version, then looks
+        whether calm hosts have it in time."""
+        self.version += self.rng.randint(1, 5)
+        route = f"extra{self.version}"
+        if add:
+            self.added.append(route)
+        await self.write_configuration()
+        acknowledged = time.monotonic()
+        if not add:
+            return
+        await asyncio.sleep(APPLY_S)
+        blind = any(end > acknowledged for _, end in self.ledger.blind)
+        for host in self.hosts:
+            if not blind and host.alive() and not host.disturbed() and (
+                    host.stopping_since is None):
+                await self._look_for_route(host, route)
+
+    async def _look_for_route(self, host, route: str) -> None:
+        await self._probe(host, route, "")
+
+    async def _probe(self, host, kind: str, model: str) -> bool:
+        """One patient request over a new connection; whether it was served."""
+        caller = Caller(self.ledger, self.rng, host, list(MODELS), 0)
+        caller.leaves_early = 0
+        async with aiohttp.ClientSession() as session:
+            return await caller.send(session, kind, model)
+
+    async def until_all_serve(self, seconds: float, when: str) -> None:
+        """Waits until each model and service is served through each host."""
+        missing = [(host, kind, model) for host in self.hosts
+                   for kind, model in [
+                       *[(deployment.STREAM, model) for model in MODELS],
+                       (deployment.ONCE, "")]]
+        until = time.monotonic() + seconds
+        while missing and time.monotonic() < until:
+            served = await asyncio.gather(*(self._probe(*each)
+                                            for each in missing))
+            missing = [each for each, done in zip(missing, served) if not done]
+            if missing:
+                await asyncio.sleep(0.3)
+        if missing:
+            names = [f"{model or kind} at {host.name}"
+                     for host, kind, model in missing]
+            self.ledger.break_promise(
+                "reachable", f"{when}, after {seconds} s: {names[:4]}")
+
+    async def run(self, plan) -> None:
+        await self.build()
+        await self.until_all_serve(RECOVER_S, "at the start")
+        names = list(MODELS)
+        tasks = []
+        for at in range(self.args.callers):
+            caller = Caller(self.ledger, random.Random(self.rng.random()),
+                            self.hosts[at % len(self.hosts)], names, ADAPTERS)
+            self.callers.append(caller)
+            tasks.append(asyncio.create_task(caller.run()))
+        await Injector(self).play(plan)
+        for caller in self.callers:
+            caller.stopping = True
+        await asyncio.gather(*tasks)
+        await self.until_all_serve(RECOVER_S, "after the faults")
+
+    async def end(self) -> None:
+        for host in self.hosts:
+            host.thaw()
+        await asyncio.gather(*(host.stop() for host in self.hosts
+                               if host.alive()))
+        for host in self.hosts:
+            await host.proxy.stop()
+            await host.store_proxy.stop()
+        for proxy in self.server_proxies:
+            await proxy.stop()
+        for server in self.servers:
+            await server.runner.cleanup()
+        await self.store.stop()
+
+
+async def soak(seed: int, args) -> bool:
+    folder = pathlib.Path(tempfile.mkdtemp(prefix=f"soak-{seed}-"))
+    plan = make_plan(random.Random(seed), args.seconds,
+                     int(args.seconds * args.faults_per_second))
+    (folder / "plan.txt").write_text("\n".join(map(str, plan)) + "\n")
+    site = Site(seed, args, folder)
+    try:
+        await site.run(plan)
+    finally:
+        await site.end()
+    counts = ", ".join(f"{kind} {outcome} {count}" for (kind, outcome), count
+                       in sorted(site.ledger.outcomes.items()))
+    print(f"seed {seed}: {len(plan)} faults; {counts}", flush=True)
+    if not site.ledger.broken:
+        shutil.rmtree(folder)
+        return True
+    for line in site.ledger.broken[:20]:
+        print(f"  BROKEN {line}")
+    print(f"  plan and logs: {folder}", flush=True)
+    return False
+
+
+def seeds_of(text: str) -> list[int]:
+    first, _, last = text.partition("-")
+    return list(range(int(first), int(last or first) + 1))
+
+
+def play_regressions(args) -> list[int]:
+    """Plays every seed of the list as it failed once; those that fail."""
+    failed = []
+    for line in args.regressions.read_text().splitlines():
+        words = line.partition("#")[0].split()
+        if not words:
+            continue
+        again = argparse.Namespace(**vars(args))
+        again.seconds, again.faults_per_second = map(float, words[1:3])
+        if not asyncio.run(soak(int(words[0]), again)):
+            failed.append(int(words[0]))
+    return failed
+
+
+def main() -> int:
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--seeds", default="1", help="N or FIRST-LAST")
+    parser.add_argument("--fresh", type=int, default=0,
+                        help="play so many seeds drawn now instead")
+    parser.add_argument("--program", type=pathlib.Path, required=True)
+    parser.add_argument("--clock-shim", type=pathlib.Path,
+                        help="library that moves a host's time of day")
+    parser.add_argument("--regressions", type=pathlib.Path,
+                        help="file of seeds to play first")
+    parser.add_argument("--seconds", type=float, default=20)
+    parser.add_argument("--faults-per-second", type=float, default=0.6)
+    parser.add_argument("--hosts", type=int, default=4)
+    parser.add_argument("--engines", type=int, default=6)
+    parser.add_argument("--callers", type=int, default=16)
+    args = parser.parse_args()
+    seeds = seeds_of(args.seeds)
+    if args.fresh:
+        seeds = [random.SystemRandom().randrange(10 ** 9)
+                 for _ in range(args.fresh)]
+    failed = play_regressions(args) if args.regressions else []
+    failed += [seed for seed in seeds if not asyncio.run(soak(seed, args))]
+    if failed:
+        print(f"failed seeds: {failed}")
+    print(f"soak: {len(seeds)} seeds drawn or given, {len(failed)} failed")
+    return 1 if failed else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/tests/soak/test_ledger.py
@@ -0,0 +1,92 @@
+# SPDX-License-Identifier: MIT
+"""The ledger must see each promise that is broken, and nothing else."""
+import pathlib
+import sys
+import time
+import unittest
+
+sys.path.insert(0, str(pathlib.Path(__file__).resolve().parent))
+
+from ledger import DRAIN_S, Ledger, Sent  # noqa: E402
+
+
+class LedgerTest(unittest.TestCase):
+    """One broken promise a test."""
+
+    def setUp(self):
+        self.ledger = Ledger()
+        self.now = time.monotonic()
+
+    def send(self, name, may_repeat=False):
+        self.ledger.sent[name] = Sent("once", "POST", "/x", b"body",
+                                      may_repeat, 2 if may_repeat else 1, "h1")
+
+    def run_at(self, name, instance="i-1", body=b"body", after=0.0):
+        self.ledger.runs(name, instance, "POST", "/x", body, self.now + after)
+
+    def broken(self):
+        return [line.split()[2].rstrip(":") for line in self.ledger.broken]
+
+    def test_a_proper_run_is_fine(self):
+        self.send("a")
+        self.run_at("a")
+        self.assertEqual(self.broken(), [])
+
+    def test_what_nobody_sent(self):
+        self.run_at("a")
+        self.assertEqual(self.broken(), ["unasked"])
+
+    def test_another_body(self):
+        self.send("a")
+        self.run_at("a", body=b"bod")
+        self.assertEqual(self.broken(), ["changed"])
+
+    def test_two_runs_of_what_may_run_once(self):
+        self.send("a")
+        self.run_at("a")
+        self.run_at("a", "i-2")
+        self.assertEqual(self.broken()[0], "twice")
+
+    def test_more_runs_than_the_route_allows(self):
+        self.send("a", may_repeat=True)
+        for instance in ("i-1", "i-2", "i-3"):
+            self.run_at("a", instance)
+        self.assertEqual(self.broken(), ["attempts"])
+
+    def test_a_refusal_after_a_run(self):
+        self.send("a")
+        self.run_at("a")
+        self.ledger.refused("a")
+        self.assertEqual(self.broken(), ["not-run"])
+
+    def test_a_run_after_a_refusal(self):
+        self.send("a")
+        self.ledger.refused("a")
+        self.run_at("a")
+        self.assertEqual(self.broken(), ["not-run"])
+
+    def test_a_request_at_a_server_that_left(self):
+        self.send("a")
+        self.ledger.leaves("i-1", self.now)
+        self.run_at("a", after=DRAIN_S + 0.1)
+        self.assertEqual(self.broken(), ["drain"])
+
+    def test_hosts_that_could_not_know_that_it_left(self):
+        self.send("a")
+        self.ledger.blind.append((self.now - 1, self.now + 1))
+        self.ledger.leaves("i-1", self.now)
+        self.run_at("a", after=DRAIN_S + 0.1)
+        self.assertEqual(self.broken(), [])
+
+    def test_two_holders_in_one_term(self):
+        self.ledger.orders("i-1", "h1", 4, self.now)
+        self.ledger.orders("i-2", "h2", 4, self.now)
+        self.assertEqual(self.broken(), ["one-holder"])
+
+    def test_an_engine_that_is_overfull(self):
+        self.ledger.overfull("i-1", "weights")
+        self.assertEqual(self.broken(), ["memory"])
+
+
+if __name__ == "__main__":
+    unittest.main()
