Lines of the log are written within a second, and trouble at once

Warnings now flush at once, the rest once a second from the host's own loop. Ruled out: a flush for each line (a system call each), spdlog's periodic flush (a thread more).

--- a/src/base/logging.cc
+++ b/src/base/logging.cc
@@ -95,6 +95,8 @@
   auto logger = std::make_shared<spdlog::async_logger>(
       "valeledge", std::move(sink), spdlog::thread_pool(),
       spdlog::async_overflow_policy::overrun_oldest);
+  // What tells of trouble should be readable even if the process ends at once.
+  logger->flush_on(spdlog::level::warn);
   Install(std::move(logger), format, level);
 }
 
@@ -104,6 +106,11 @@
                          : static_cast<std::int64_t>(pool->overrun_counter());
 }
 
+void FlushLogging() {
+  if (spdlog::logger* logger = spdlog::default_logger_raw(); logger != nullptr)
+    logger->flush();
+}
+
 void StopLogging() {
   spdlog::shutdown();
 }
--- a/src/base/logging.h
+++ b/src/base/logging.h
@@ -52,6 +52,9 @@
 // Lines that were dropped so far since nobody took them.
 std::int64_t LinesDropped();
 
+// Has lines that wait in a buffer written soon; does not wait for it.
+void FlushLogging();
+
 // Writes what waits, as far as it is taken within a moment; call at the end.
 void StopLogging();
 
--- a/src/host/process/host.cc
+++ b/src/host/process/host.cc
@@ -56,6 +56,10 @@
 constexpr milliseconds kCopyTimeout{500};
 constexpr milliseconds kCopyPause{30};
 
+// Lines of the log are written at most so late: an engineer who follows the
+// log should see what has just been.
+constexpr milliseconds kLogDelay{1000};
+
 class host {
  public:
   host(asio::io_context& context,
@@ -378,6 +382,7 @@
 
 asio::awaitable<void> host::ReportLoop() {
   asio::steady_timer timer(core_.context);
+  base::time_point flushed;
   while (true) {
     timer.expires_after(kLoadInterval);
     co_await timer.async_wait(kAwait);
@@ -385,6 +390,10 @@
     core_.servers.Sweep(now);
     core_.demand.Roll(now);
     core_.log.TellLeftOut();
+    if (now - flushed >= kLogDelay) {
+      flushed = now;
+      base::FlushLogging();
+    }
     wire::host_load load;
     load.servers = core_.servers.OwnLoads();
     load.models = core_.demand.Loads();
