How far demand moves along the list of models is learned

Now the step is learned by comparing arrivals with what they were nine seconds ago; until a move was seen, the next two models are expected to rise.

--- a/src/host/process/placement_duty.cc
+++ b/src/host/process/placement_duty.cc
@@ -53,7 +53,7 @@
 constexpr std::chrono::milliseconds kMostSettling{4000};
 
 // Models that hold this many more replicas than others are busy at the start.
-constexpr std::int64_t kBusyReplicas = 3;
+constexpr double kBusyReplicas = 3;
 
 // Before any demand is seen, the replicas of busy models stand for it: this
 // part of them stays, and a successor is given this part of as many.
@@ -61,9 +61,18 @@
 constexpr double kSuccessorAtFirst = 0.8;
 
 // The part of a model's demand that its successor in the operators' list is
-// expected to have soon.
+// given replicas for before it rises.
 constexpr double kSuccession = 0.8;
 
+// Milliseconds of one engine's time that reading so many tokens a second takes
+// each second, for a model that is asked for like this.
+double ReadingWork(double tokens, const wire::model_load& model) {
+  // Microseconds for a thousand tokens.
+  const double reading =
+      model.reading_us != 0 ? model.reading_us : kReadingGuess.count() * 1e6;
+  return tokens * reading / 1e6;
+}
+
 bool Holds(const wire::placed_engine& engine, unit_key unit) {
   return std::ranges::find(engine.held, unit) != engine.held.end();
 }
@@ -175,49 +184,73 @@
   return (most + kind.adapter_slots - 1) / kind.adapter_slots;
 }
 
-// Demand moves on along the operators' list of models: each is expected to
-// have soon what the one before it has now.
+decisions::plan_model placement_duty::PlanModelOf(
+    const catalog::service& service,
+    const catalog::model& model) const {
+  const wire::model_load demand = DemandFor(KeyOf(model.name));
+  decisions::plan_model out;
+  out.weights_mb = model.weights_mb;
+  out.load_from_memory = model.load_from_memory;
+  out.load_from_disk = model.load_from_disk;
+  out.load_from_store = model.load_from_store;
+  out.arrival_rate = demand.arrival_rate / 1000.0;
+  out.running = demand.running;
+  out.work = ReadingWork(demand.token_rate, demand);
+  out.least_replicas = ReplicasForAdapters(service.engines, model);
+  return out;
+}
+
 std::vector<decisions::plan_model> placement_duty::PlanModelsOf(
-    const catalog::service& service) const {
+    const catalog::service& service) {
   std::vector<decisions::plan_model> out;
-  wire::model_load before;
-  std::int64_t replicas_before = 0;
+  std::vector<double> arrivals;
+  std::vector<double> tokens;
   for (const catalog::model& each : service.engines.models) {
-    const wire::model_load demand = DemandFor(KeyOf(each.name));
-    decisions::plan_model model;
-    model.weights_mb = each.weights_mb;
-    model.load_from_memory = each.load_from_memory;
-    model.load_from_disk = each.load_from_disk;
-    model.load_from_store = each.load_from_store;
-    model.arrival_rate = demand.arrival_rate / 1000.0;
-    model.running = demand.running;
-    // Tokens a second times microseconds for a thousand tokens.
-    const std::int32_t reading =
-        demand.reading_us != 0
-            ? demand.reading_us
-            : static_cast<std::int32_t>(kReadingGuess.count() * 1e6);
-    model.work = static_cast<double>(demand.token_rate) * reading / 1e6;
-    model.future_work =
-        kSuccession * static_cast<double>(before.token_rate) * reading / 1e6;
-    model.least_replicas = ReplicasForAdapters(service.engines, each);
-    const std::int64_t replicas = FirstReplicas(each.name);
-    if (!demand_seen_) {
-      const auto part = [](double share, std::int64_t of) {
-        return of >= kBusyReplicas ? static_cast<std::int64_t>(std::ceil(
-                                         share * static_cast<double>(of)))
-                                   : 1;
-      };
-      model.least_replicas =
-          std::max(model.least_replicas, part(kKeptAtFirst, replicas));
-      model.least_replicas_soon = part(kSuccessorAtFirst, replicas_before);
-    }
-    out.push_back(model);
-    before = demand;
-    replicas_before = replicas;
+    out.push_back(PlanModelOf(service, each));
+    arrivals.push_back(out.back().arrival_rate);
+    tokens.push_back(DemandFor(KeyOf(each.name)).token_rate);
   }
+  decisions::demand_shift& shift = shifts_[service.name];
+  const auto known = shift.step;
+  decisions::NoteDemand(shift, std::chrono::steady_clock::now(), arrivals);
+  if (shift.step != known) {
+    base::Log(kCategory, base::log_event::kDemandMoved,
+              {{"service", service.name},
+               {"places", static_cast<std::int64_t>(*shift.step)}});
+  }
+  const auto soon = decisions::DemandAfterMove(shift, tokens);
+  for (std::size_t i = 0; i < out.size(); ++i) {
+    const std::string& name = service.engines.models[i].name;
+    out[i].future_work =
+        kSuccession * ReadingWork(soon[i], DemandFor(KeyOf(name)));
+  }
+  if (!demand_seen_)
+    PlanByFirstReplicas(service, shift, out);
   return out;
 }
 
+// Before anything is asked for, the replicas of busy models stand for their
+// demand.
+void placement_duty::PlanByFirstReplicas(
+    const catalog::service& service,
+    const decisions::demand_shift& shift,
+    std::vector<decisions::plan_model>& models) const {
+  std::vector<double> replicas;
+  for (const catalog::model& each : service.engines.models)
+    replicas.push_back(static_cast<double>(FirstReplicas(each.name)));
+  const auto soon = decisions::DemandAfterMove(shift, replicas);
+  const auto part = [](double share, double of) {
+    return of >= kBusyReplicas
+               ? static_cast<std::int64_t>(std::ceil(share * of))
+               : std::int64_t{1};
+  };
+  for (std::size_t i = 0; i < models.size(); ++i) {
+    models[i].least_replicas =
+        std::max(models[i].least_replicas, part(kKeptAtFirst, replicas[i]));
+    models[i].least_replicas_soon = part(kSuccessorAtFirst, soon[i]);
+  }
+}
+
 void placement_duty::LogDemand(
     const catalog::service& service,
     const std::vector<decisions::plan_model>& models,
--- a/src/host/process/placement_duty.h
+++ b/src/host/process/placement_duty.h
@@ -12,6 +12,7 @@
 
 #include <boost/asio/awaitable.hpp>
 
+#include "decisions/demand_shift.h"
 #include "decisions/model_plan.h"
 #include "host/process/host_core.h"
 #include "host/process/order_desk.h"
@@ -62,7 +63,12 @@
   bool IsSettled();
   void Plan(const catalog::service& service);
   std::vector<decisions::plan_model> PlanModelsOf(
-      const catalog::service& service) const;
+      const catalog::service& service);
+  decisions::plan_model PlanModelOf(const catalog::service& service,
+                                    const catalog::model& model) const;
+  void PlanByFirstReplicas(const catalog::service& service,
+                           const decisions::demand_shift& shift,
+                           std::vector<decisions::plan_model>& models) const;
   std::int64_t CountReplicas(const std::string& model) const;
   std::int64_t FirstReplicas(const std::string& model) const;
   std::int64_t ReplicasForAdapters(const catalog::engine& kind,
@@ -81,6 +87,8 @@
   std::int64_t term_ = 0;
   base::time_point term_since_;
   std::map<std::string, std::vector<wire::model_load>> demand_;
+  // How the demand for each service's models moves along its list.
+  std::map<std::string, decisions::demand_shift> shifts_;
   base::time_point told_;
   // What was last told of each engine.
   std::map<unit_key, wire::placed_engine> told_engines_;
