--- a/tests/soak/proxy.py
+++ b/tests/soak/proxy.py
@@ -45,13 +45,6 @@
             for writer in pair:
                 _abort(writer)
 
-    def reset_far_only(self) -> None:
-        """Breaks connections so that only the far end hears of it; the near
-        end's next bytes go nowhere."""
-        for near, far in list(self.pairs):
-            del near
-            _abort(far)
-
     async def _accept(self, reader, near) -> None:
         if self.mode is Mode.REFUSE:
             _abort(near)
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -115,10 +115,7 @@
         for host in self.hosts:
             if not blind and host.alive() and not host.disturbed() and (
                     host.stopping_since is None):
-                await self._look_for_route(host, route)
-
-    async def _look_for_route(self, host, route: str) -> None:
-        await self._probe(host, route, "")
+                await self._probe(host, route, "")
 
     async def _probe(self, host, kind: str, model: str) -> bool:
         """One patient request over a new connection; whether it was served."""
