--- a/tests/auto/store/test_lease_keeper.cc
+++ b/tests/auto/store/test_lease_keeper.cc
@@ -22,6 +22,18 @@
     return made;
   }
 
+  // The process that takes the lease after `first` has given it up.
+  std::unique_ptr<store::lease_keeper> Follow(store::lease_keeper& first,
+                                              const std::string& name,
+                                              bool maybe_first) {
+    first.Resign();
+    while (first.term() != 0)
+      context.run_one();
+    auto next = Begin(name, maybe_first);
+    AwaitTerm(*next);
+    return next;
+  }
+
   void AwaitTerm(const store::lease_keeper& keeper) {
     while (keeper.term() == 0)
       context.run_one();
@@ -38,12 +50,8 @@
   const auto first = here.Begin("h1", true);
   here.AwaitTerm(*first);
   BOOST_TEST(first->is_first_holder());
-  first->Resign();
-  while (first->term() != 0)
-    here.context.run_one();
   // Its settings say that the system starts for the first time, as they did.
-  const auto restarted = here.Begin("h1", true);
-  here.AwaitTerm(*restarted);
+  const auto restarted = here.Follow(*first, "h1", true);
   BOOST_TEST(!restarted->is_first_holder());
 }
 
@@ -52,11 +60,7 @@
   const auto first = here.Begin("h1", false);
   here.AwaitTerm(*first);
   BOOST_TEST(!first->is_first_holder());
-  first->Resign();
-  while (first->term() != 0)
-    here.context.run_one();
-  const auto second = here.Begin("h2", true);
-  here.AwaitTerm(*second);
+  const auto second = here.Follow(*first, "h2", true);
   BOOST_TEST(!second->is_first_holder());
 }
 
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -87,19 +87,18 @@
         host = self._host(fault)
         if host is None:
             return
-        self.busy.add(host)
-        await host.kill()
-        await asyncio.sleep(fault.for_s / 3)
-        await host.start(first=False)
-        host.disturb(0)
-        self.busy.discard(host)
+        await self._kill([host], fault.for_s / 3)
 
     async def _herd_kill(self, fault):
         """Many at once; all keep what they were told at their start."""
         herd = [host for host in self.site.hosts if host not in self.busy]
+        await self._kill(herd, fault.for_s / 3)
+
+    async def _kill(self, herd, down_s: float):
+        """Kills hosts at the same moment, and starts them again."""
         self.busy.update(herd)
         await asyncio.gather(*(host.kill() for host in herd))
-        await asyncio.sleep(fault.for_s / 3)
+        await asyncio.sleep(down_s)
         for host in herd:
             await host.start(first=False)
             host.disturb(0)
