A copy of the store on a narrow link is waited for

The configuration had 1,654 routes, 280 KB: 225 ms at 10 Mbit/s. A host that fetched a copy gave up after 500 ms and asked again, so that three hosts at one peer got nothing and kept its link full. Now a copy has 2 s; after 500 ms without one another peer is asked beside it, three at the most. Tests: test_host, copy_fetches.

--- a/src/host/process/host.cc
+++ b/src/host/process/host.cc
@@ -13,6 +13,7 @@
 
 #include "base/logging.h"
 #include "host/constants.h"
+#include "host/process/copy_fetches.h"
 #include "host/process/host_core.h"
 #include "host/process/peer_link.h"
 #include "host/process/placement_duty.h"
@@ -52,8 +53,7 @@
 // Entries that lapse while the store is in trouble are used for so long.
 constexpr milliseconds kLapseGrace{1800};
 
-// A copy of the store is asked of one peer at a time, and so often.
-constexpr milliseconds kCopyTimeout{500};
+// After a copy of the store the next is asked for no sooner.
 constexpr milliseconds kCopyPause{30};
 
 // Lines of the log are written at most so late: an engineer who follows the
@@ -96,7 +96,7 @@
   net::http_server metrics_;
   stop_duty stop_;
   reload_duty reload_;
-  bool fetching_ = false;
+  copy_fetches fetches_;
 };
 
 host::host(asio::io_context& context,
@@ -337,9 +337,9 @@
 }
 
 void host::MaybeFetchCopy(const base::endpoint& peer) {
-  if (fetching_ || !mirror_.WantsCopy())
+  const auto now = std::chrono::steady_clock::now();
+  if (!mirror_.WantsCopy() || !BeginFetch(fetches_, peer, now))
     return;
-  fetching_ = true;
   asio::co_spawn(core_.context, FetchCopy(peer), asio::detached);
 }
 
@@ -377,7 +377,7 @@
     mirror_.Take(reply->mirror);
   asio::steady_timer timer(core_.context, kCopyPause);
   co_await timer.async_wait(kAwait);
-  fetching_ = false;
+  EndFetch(fetches_, peer);
 }
 
 asio::awaitable<void> host::ReportLoop() {
--- /dev/null
+++ b/tests/auto/host/test_copy_fetches.cc
@@ -0,0 +1,50 @@
+// SPDX-License-Identifier: MIT
+#include "host/process/copy_fetches.h"
+
+#include <boost/test/unit_test.hpp>
+
+namespace {
+
+using namespace valeledge;
+using namespace std::chrono_literals;
+
+BOOST_AUTO_TEST_SUITE(copy_fetches)
+
+const base::endpoint kOne{"10.0.0.1", 1};
+const base::endpoint kTwo{"10.0.0.2", 1};
+const base::endpoint kThree{"10.0.0.3", 1};
+const base::endpoint kFour{"10.0.0.4", 1};
+constexpr base::time_point kBegun{100s};
+
+// Four hosts at 10 Mbit/s fetch 280 KB from one peer, which takes 0.9 s.
+BOOST_AUTO_TEST_CASE(a_copy_on_a_shared_narrow_link_is_waited_for) {
+  constexpr std::chrono::duration<double> kTakes{4 * 280e3 * 8 / 10e6};
+  BOOST_TEST((host::kCopyTimeout > kTakes));
+  host::copy_fetches fetches;
+  BOOST_TEST(host::BeginFetch(fetches, kOne, kBegun));
+  BOOST_TEST(!host::BeginFetch(fetches, kTwo, kBegun + 400ms));
+  // The same peer is not asked twice at a time.
+  BOOST_TEST(!host::BeginFetch(fetches, kOne, kBegun + 600ms));
+}
+
+BOOST_AUTO_TEST_CASE(another_peer_is_asked_beside_one_that_gives_nothing) {
+  host::copy_fetches fetches;
+  BOOST_TEST(host::BeginFetch(fetches, kOne, kBegun));
+  BOOST_TEST(host::BeginFetch(fetches, kTwo, kBegun + 500ms));
+  BOOST_TEST(!host::BeginFetch(fetches, kThree, kBegun + 900ms));
+  BOOST_TEST(host::BeginFetch(fetches, kThree, kBegun + 1000ms));
+  BOOST_TEST(!host::BeginFetch(fetches, kFour, kBegun + 1500ms));
+  host::EndFetch(fetches, kTwo);
+  BOOST_TEST(host::BeginFetch(fetches, kFour, kBegun + 1500ms));
+}
+
+BOOST_AUTO_TEST_CASE(after_a_copy_the_next_may_be_fetched_at_once) {
+  host::copy_fetches fetches;
+  BOOST_TEST(host::BeginFetch(fetches, kOne, kBegun));
+  host::EndFetch(fetches, kOne);
+  BOOST_TEST(host::BeginFetch(fetches, kOne, kBegun + 30ms));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace
