--- a/tests/soak/hosts.py
+++ b/tests/soak/hosts.py
@@ -121,11 +121,19 @@
         self.expects_end = True
         self.stopping_since = time.monotonic()
         self.process.send_signal(signal.SIGTERM)
+        while not await self._ends_within(GRACE_S):
+            # A stall of this program or machine took time from the host's.
+            if self.ledger.stalled_at < time.monotonic() - GRACE_S - 1:
+                self.ledger.break_promise("stop",
+                                          f"{self.name} outlived its grace")
+                await self.kill()
+
+    async def _ends_within(self, seconds: float) -> bool:
         try:
-            await asyncio.wait_for(self.process.wait(), GRACE_S)
+            await asyncio.wait_for(self.process.wait(), seconds)
         except asyncio.TimeoutError:
-            self.ledger.break_promise("stop", f"{self.name} outlived its grace")
-            await self.kill()
+            return False
+        return True
 
     def freeze(self, seconds: float) -> None:
         self.disturb(seconds)
--- a/tests/soak/ledger.py
+++ b/tests/soak/ledger.py
@@ -41,6 +41,10 @@
         self.not_run: dict[str, float] = {}
         self.broken: list[str] = []
         self.outcomes = collections.Counter()
+        # Seconds for which this program itself did not run, and when it was
+        # found out last.
+        self.stalled_s = 0.0
+        self.stalled_at = 0.0
         self.leaving: dict[str, float] = {}
         self.holders: dict[int, str] = {}
         self.newest_term: dict[str, int] = {}
@@ -53,6 +57,12 @@
         at = time.monotonic() - self.began
         self.broken.append(f"{at:7.2f} s {name}: {text}")
 
+    def note_stall(self, seconds: float) -> None:
+        """Times that were measured meanwhile say nothing of the hosts."""
+        self.stalled_s += seconds
+        self.stalled_at = time.monotonic()
+        self.blind.append((self.stalled_at - seconds, self.stalled_at + 3.0))
+
     # -- from backend servers -------------------------------------------------
 
     def runs(self, request_id, instance, method, target, body, at) -> None:
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -35,6 +35,8 @@
 RECOVER_S = 15.0
 # A change that was acknowledged is in force everywhere after this time.
 APPLY_S = 2.5
+# How often the soak looks whether it runs itself, and how late it may be.
+TICK_S, STALL_S = 0.05, 0.4
 
 
 class Site:
@@ -50,6 +52,7 @@
         self.callers = []
         self.version = 1
         self.added: list[str] = []
+        self.watch = None
 
     def blind_for(self, seconds: float) -> None:
         """Hosts may not know what the store holds for so long, and a little
@@ -57,6 +60,19 @@
         now = time.monotonic()
         self.ledger.blind.append((now, now + seconds + 3.0))
 
+    async def watch_own_time(self) -> None:
+        """Finds spans in which this program did not run: a machine that is
+        full, or whose disk is, holds up callers and hosts alike."""
+        last = time.monotonic()
+        while True:
+            await asyncio.sleep(TICK_S)
+            now = time.monotonic()
+            if now - last > STALL_S:
+                self.ledger.note_stall(now - last)
+                for host in self.hosts:
+                    host.disturb(now - last)
+            last = now
+
     async def build(self) -> None:
         await self.store.start()
         names = list(MODELS)
@@ -131,7 +147,9 @@
                        *[(deployment.STREAM, model) for model in MODELS],
                        (deployment.ONCE, "")]]
         until = time.monotonic() + seconds
-        while missing and time.monotonic() < until:
+        stalled = self.ledger.stalled_s
+        while missing and (time.monotonic() <
+                           until + self.ledger.stalled_s - stalled):
             served = await asyncio.gather(*(self._probe(*each)
                                             for each in missing))
             missing = [each for each, done in zip(missing, served) if not done]
@@ -144,6 +162,7 @@
                 "reachable", f"{when}, after {seconds} s: {names[:4]}")
 
     async def run(self, plan) -> None:
+        self.watch = asyncio.create_task(self.watch_own_time())
         await self.build()
         await self.until_all_serve(RECOVER_S, "at the start")
         names = list(MODELS)
@@ -164,6 +183,7 @@
             host.thaw()
         await asyncio.gather(*(host.stop() for host in self.hosts
                                if host.alive()))
+        self.watch.cancel()
         for host in self.hosts:
             await host.proxy.stop()
             await host.store_proxy.stop()
@@ -186,7 +206,8 @@
         await site.end()
     counts = ", ".join(f"{kind} {outcome} {count}" for (kind, outcome), count
                        in sorted(site.ledger.outcomes.items()))
-    print(f"seed {seed}: {len(plan)} faults; {counts}", flush=True)
+    print(f"seed {seed}: {len(plan)} faults; {counts}; the soak itself stood "
+          f"still for {site.ledger.stalled_s:.1f} s", flush=True)
     if not site.ledger.broken:
         shutil.rmtree(folder)
         return True
