--- a/tests/auto/net/test_http.cc
+++ b/tests/auto/net/test_http.cc
@@ -141,7 +141,7 @@
   bool gone = false;
   net::open_guard guard;
   // Cancelled once the server has seen the connection close.
-  std::optional<asio::steady_timer> noticed;
+  std::function<void()> notice;
   bench one({},
             [&](net::http_request&,
                 net::http_responder& responder) -> asio::awaitable<void> {
@@ -149,13 +149,14 @@
               responder.OnCallerGone([&] {
                 gone = true;
                 waiting.cancel();
-                noticed->cancel();
+                notice();
               });
               // The call is under way: its request is here.
               guard.Cancel();
               co_await waiting.async_wait(kAwait);
             });
-  noticed.emplace(one.context, kNever);
+  asio::steady_timer noticed(one.context, kNever);
+  notice = [&noticed] { noticed.cancel(); };
   base::outcome first = base::outcome::kCompleted;
   base::outcome second = base::outcome::kCompleted;
   BOOST_TEST(one.Run([&]() -> asio::awaitable<void> {
@@ -166,7 +167,7 @@
       *each = opened ? base::outcome::kCompleted : opened.error().what_ran;
     }
     if (!gone)
-      co_await noticed->async_wait(kAwait);
+      co_await noticed.async_wait(kAwait);
   }));
   BOOST_TEST(gone);
   BOOST_TEST((first == base::outcome::kUnknown));
