What steers engines no longer passes from callers to any server

Cause: the adapter passed on every field of a caller's request that it did not set itself. Callers who reserve, pin, copy or name versions thereby had requests rejected (X-Expect-Version, X-Hold) and engines' memory taken. Ruled out: dropping unknown fields altogether, since callers' own must pass.

--- a/tests/auto/platform/test_codecs.cc
+++ b/tests/auto/platform/test_codecs.cc
@@ -1,4 +1,9 @@
 // SPDX-License-Identifier: MIT
+#include <algorithm>
+#include <cctype>
+#include <string>
+#include <utility>
+
 #include <boost/beast/http.hpp>
 #include <boost/test/unit_test.hpp>
 
@@ -114,6 +119,51 @@
   BOOST_TEST(request["X-Request-Id"] == "9c41");
 }
 
+// What only the system may ask of a server, as a caller could write it.
+constexpr const char* kReservedFields[] = {
+    "X-Request-Priority", "X-Expect-Instance", "X-Expect-Version", "X-Hold",
+    "X-Pin-Ms",           "X-Kv-Backup",       "Kv-Fetch",         "Kv-From"};
+
+// A caller that steers engines itself takes what is reserved for others.
+BOOST_AUTO_TEST_CASE(no_field_of_the_system_passes_from_a_caller) {
+  const host::dialect speech = platform::MakeDialect();
+  for (const char* field : kReservedFields) {
+    for (const char* model : {"m", ""}) {
+      BOOST_TEST_CONTEXT(field << " with model '" << model << "'") {
+        net::http_request request;
+        request.set(field, "from the caller");
+        // A second one, spelled otherwise, is the same field.
+        std::string lower(field);
+        std::ranges::transform(lower, lower.begin(), ::tolower);
+        request.insert(lower, "again");
+        if (*model != 0)
+          request.set("X-Model", model);
+        speech.write_attempt(request, {});
+        for (const auto& each : request)
+          BOOST_TEST(!each.value().starts_with("from the caller"));
+        BOOST_TEST(request.count(field) <= 1u);
+        BOOST_TEST(request[field] != "again");
+      }
+    }
+  }
+}
+
+BOOST_AUTO_TEST_CASE(a_callers_own_fields_pass) {
+  const host::dialect speech = platform::MakeDialect();
+  const std::pair<const char*, const char*> fields[] = {
+      {"X-Request-Id", "9c41"},         {"X-Model", "m/a3"},
+      {"X-Token-Count", "1460,80"},     {"X-Prompt-Prefix", "5c1e07a2:800"},
+      {"X-Length-Hint", "40"},          {"Last-Event-Id", "7"},
+      {"Content-Type", "text/plain"},   {"X-Hold-Music", "yes"},
+      {"Authorization", "Bearer abcd"}, {"X-Forwarded-For", "10.0.0.1"}};
+  net::http_request request;
+  for (const auto& [name, value] : fields)
+    request.set(name, value);
+  speech.write_attempt(request, {});
+  for (const auto& [name, value] : fields)
+    BOOST_TEST(request[name] == value, name << " is changed");
+}
+
 BOOST_AUTO_TEST_CASE(events_have_ids) {
   const host::dialect speech = platform::MakeDialect();
   BOOST_TEST(speech.read_event_id("id: 7\ndata: id: 9\n\n").value() == 7);
