Replicas go to the models for which they serve most

Cause: every one of 26 models kept a replica, 26 of 36 places, and of 27 places when three engines are away, while four models carry nearly all demand: a model with 120 requests a second had one replica for eight seconds though six engines had its weights on disk. Ruled out: that loads are slow (a disk takes 1.2 s) or forbidden (24 of 70 allowed loads from the weight store were used). Now a replica's worth is the requests a second that it serves on time, with the loss of an engine and what is expected soon weighed in; what adds most comes first, and takes the place of what takes away clearly less. A model without a copy elsewhere keeps its last replica. Models whose callers can all wait for a load from a copy need no replica to be worth something. What the first replicas say of demand fades over the first four seconds of traffic instead of ending with the first request, at which busy models lost replicas (t = 0: 4 and 2 replicas of the second and third model became 1 and 2).

--- a/src/host/process/demand_meter.cc
+++ b/src/host/process/demand_meter.cc
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <limits>
 
 #include "host/constants.h"
 #include "host/process/server_book.h"
@@ -65,6 +66,9 @@
     load.token_rate = static_cast<std::int32_t>(each.token_rate);
     load.running = static_cast<std::int32_t>(each.running);
     load.reading_us = static_cast<std::int32_t>(each.cost.count() * 1e6);
+    load.objective_ms = static_cast<std::int32_t>(
+        std::min(each.objective.count(),
+                 std::int64_t{std::numeric_limits<std::int32_t>::max()}));
     out.push_back(std::move(load));
   }
   return out;
--- a/src/host/process/demand_meter.h
+++ b/src/host/process/demand_meter.h
@@ -26,6 +26,8 @@
   std::int64_t running = 0;
   // How long a server takes to read one prompt token, or with a whole call.
   std::chrono::duration<double, std::milli> cost{0};
+  // Shortest objective of the requests so far.
+  std::chrono::milliseconds objective = std::chrono::milliseconds::max();
 };
 
 // Lives on the host's thread.
--- a/src/host/process/engine_book.cc
+++ b/src/host/process/engine_book.cc
@@ -35,10 +35,44 @@
          found->second.now == engine_model::phase::kHeld;
 }
 
+bool IsListed(const engine_record& engine, std::string_view model) {
+  const auto& listed = engine.server->entry.models;
+  return std::ranges::find(listed, model, &catalog::held_model::name) !=
+         listed.end();
+}
+
+bool TakeEntry(engine_record& engine) {
+  using enum engine_model::phase;
+  if (!engine.changing || engine.sending || !engine.accepted)
+    return false;
+  for (auto& [name, model] : engine.models) {
+    const bool listed = IsListed(engine, name);
+    const bool loaded = model.now == kLoading && model.acknowledged &&
+                        !model.listed_before && listed;
+    const bool unloaded =
+        model.now == kUnloading && model.listed_before && !listed;
+    if (!loaded && !unloaded)
+      continue;
+    if (loaded) {
+      model.now = kHeld;
+      model.since = std::chrono::steady_clock::now();
+    } else {
+      engine.models.erase(name);
+    }
+    engine.changing = false;
+    engine.in_memory = engine.server->entry.in_memory;
+    engine.on_disk = engine.server->entry.on_disk;
+    return true;
+  }
+  return false;
+}
+
 void TakeState(engine_record& engine,
                const catalog::engine_state& state,
                base::time_point now) {
   using enum engine_model::phase;
+  // What an engine holds when it is first asked is not new there.
+  const base::time_point arrived = engine.accepted ? now : base::time_point();
   engine.accepted = state.orders_accepted;
   engine.in_memory = state.in_memory;
   engine.on_disk = state.on_disk;
@@ -46,7 +80,9 @@
   for (const catalog::held_model& each : state.models) {
     const auto known = engine.models.find(each.name);
     engine_model model;
-    model.since = now;
+    model.since = arrived;
+    if (known != engine.models.end() && known->second.now == kHeld)
+      model.since = known->second.since;
     const bool giving_up = known != engine.models.end() && state.busy &&
                            known->second.now == kUnloading;
     if (giving_up)
--- a/src/host/process/engine_book.h
+++ b/src/host/process/engine_book.h
@@ -26,6 +26,11 @@
   // When it was ordered; a load's end is expected at `due`.
   base::time_point since;
   base::time_point due;
+  // The engine's entry listed it when the order was given, so that the entry
+  // cannot tell when a load of it has ended, but when an unload has.
+  bool listed_before = false;
+  // The engine has accepted the order to load it.
+  bool acknowledged = false;
   // Adapters with the time at which each was last asked for.
   std::map<std::string, base::time_point, std::less<>> adapters;
 };
@@ -54,9 +59,16 @@
                         const catalog::engine& kind);
 std::int64_t AdaptersHeld(const engine_record& engine);
 
+// Whether the engine's entry lists the model.
+bool IsListed(const engine_record& engine, std::string_view model);
+
 // Whether the model is there and takes requests.
 bool IsHeld(const engine_record& engine, std::string_view model);
 
+// Takes in that the engine's entry, which it writes anew at the end of an
+// order, shows that the order under way has ended; false if it does not.
+bool TakeEntry(engine_record& engine);
+
 // Takes in an engine's own account of itself, which is as of `asked` or a
 // little earlier. Loads and adapters ordered later are kept.
 void TakeState(engine_record& engine,
--- a/src/host/process/placement_duty.cc
+++ b/src/host/process/placement_duty.cc
@@ -60,6 +60,27 @@
 constexpr double kKeptAtFirst = 0.5;
 constexpr double kSuccessorAtFirst = 0.8;
 
+// A model stays at least so long: a load takes one to two seconds from a disk,
+// and its first requests are answered within another.
+constexpr std::chrono::milliseconds kShortestStay{2500};
+
+// Rates over a longer time are smoothed over this: models that are asked for
+// every few seconds are not idle in between.
+constexpr std::chrono::duration<double> kSteadyWindow{8};
+
+// From the wish for a model to its first answer, beside the load itself: the
+// wish, the order and the news of its end travel, and a place is made.
+constexpr std::chrono::milliseconds kSwapTime{1500};
+
+// What one of the first replicas stands for: requests a second, and the
+// milliseconds of reading a second that an engine is given for one model.
+constexpr double kRateOfFirst = 5;
+constexpr double kWorkOfFirst = 250;
+
+// Measured rates follow the demand only after their window: until they are
+// trusted alone, the first replicas stand for it less and less.
+constexpr std::chrono::duration<double> kDemandTrusted{4};
+
 // The part of a model's demand that its successor in the operators' list is
 // given replicas for before it rises.
 constexpr double kSuccession = 0.8;
@@ -73,6 +94,31 @@
   return tokens * reading / 1e6;
 }
 
+// What the others are told of a load that is under way.
+wire::coming_model ComingOf(const std::string& name,
+                            const engine_model& model,
+                            base::time_point now) {
+  wire::coming_model out;
+  out.model = KeyOf(name);
+  const auto left =
+      std::chrono::ceil<std::chrono::milliseconds>(model.due - now);
+  out.due_ms =
+      static_cast<std::int32_t>(std::max<std::int64_t>(left.count(), 0));
+  return out;
+}
+
+// Whether what is known of an engine differs from what was told; that a load
+// comes nearer to its end is none.
+bool IsNews(const wire::placed_engine& placed,
+            const wire::placed_engine& told) {
+  return placed.server != told.server || placed.held != told.held ||
+         placed.withdrawn != told.withdrawn;
+}
+
+void RaiseTo(double& value, double least) {
+  value = std::max(value, least);
+}
+
 bool Holds(const wire::placed_engine& engine, unit_key unit) {
   return std::ranges::find(engine.held, unit) != engine.held.end();
 }
@@ -119,6 +165,9 @@
       sum.arrival_rate += each.arrival_rate;
       sum.token_rate += each.token_rate;
       sum.running += each.running;
+      const bool first = sum.objective_ms == 0;
+      sum.objective_ms = first ? each.objective_ms
+                               : std::min(sum.objective_ms, each.objective_ms);
       weighted[each.model] +=
           static_cast<double>(each.reading_us) * each.token_rate;
     }
@@ -134,6 +183,27 @@
   return sums;
 }
 
+void placement_duty::RememberDemand(const demand_table& sums) {
+  const auto now = std::chrono::steady_clock::now();
+  const std::chrono::duration<double> passed = now - steady_at_;
+  steady_at_ = now;
+  const double weight = 1 - std::exp(-passed / kSteadyWindow);
+  for (auto& [model, rate] : steady_rates_)
+    rate -= weight * rate;
+  for (const auto& [model, sum] : sums) {
+    steady_rates_[model] += weight * sum.arrival_rate / 1000.0;
+    const std::chrono::milliseconds objective(sum.objective_ms);
+    const auto known = objectives_.try_emplace(model, objective).first;
+    known->second = std::min(known->second, objective);
+  }
+}
+
+bool placement_duty::IsPatient(const catalog::model& model) const {
+  const auto found = objectives_.find(KeyOf(model.name));
+  return found != objectives_.end() &&
+         found->second >= model.load_from_disk + kSwapTime;
+}
+
 std::int64_t placement_duty::FirstReplicas(const std::string& model) const {
   const auto found = first_replicas_.find(model);
   return found == first_replicas_.end() ? 0 : found->second;
@@ -192,6 +262,9 @@
   out.load_from_store = model.load_from_store;
   out.arrival_rate = demand.arrival_rate / 1000.0;
   out.running = demand.running;
+  const auto steady = steady_rates_.find(KeyOf(model.name));
+  out.steady_rate = steady == steady_rates_.end() ? 0 : steady->second;
+  out.patient = IsPatient(model);
   out.work = ReadingWork(demand.token_rate, demand);
   out.least_replicas = ReplicasForAdapters(service.engines, model);
   return out;
@@ -204,6 +277,7 @@
   std::vector<double> arrivals;
   std::vector<double> tokens;
   demand_table sums = SumDemand();
+  RememberDemand(sums);
   for (const catalog::model& each : service.engines.models) {
     demand.push_back(sums[KeyOf(each.name)]);
     out.push_back(PlanModelOf(service, each, demand.back()));
@@ -219,32 +293,47 @@
                {"places", static_cast<std::int64_t>(*shift.step)}});
   }
   const auto soon = decisions::DemandAfterMove(shift, tokens);
-  for (std::size_t i = 0; i < out.size(); ++i)
+  const auto soon_rates = decisions::DemandAfterMove(shift, arrivals);
+  for (std::size_t i = 0; i < out.size(); ++i) {
     out[i].future_work = kSuccession * ReadingWork(soon[i], demand[i]);
-  if (!demand_seen_)
-    PlanByFirstReplicas(service, shift, out);
+    out[i].future_rate = kSuccession * soon_rates[i];
+  }
+  if (const double trust = TrustInFirstReplicas(); trust > 0)
+    PlanByFirstReplicas(service, shift, trust, out);
   return out;
 }
 
+// How far the first replicas still stand for the demand, from 1 to 0.
+double placement_duty::TrustInFirstReplicas() const {
+  if (!demand_seen_at_)
+    return 1;
+  const std::chrono::duration<double> since =
+      std::chrono::steady_clock::now() - *demand_seen_at_;
+  return 1 - since / kDemandTrusted;
+}
+
 // Before anything is asked for, the replicas of busy models stand for their
 // demand.
 void placement_duty::PlanByFirstReplicas(
     const catalog::service& service,
     const decisions::demand_shift& shift,
+    double trust,
     std::vector<decisions::plan_model>& models) const {
   std::vector<double> replicas;
   for (const catalog::model& each : service.engines.models)
     replicas.push_back(static_cast<double>(FirstReplicas(each.name)));
   const auto soon = decisions::DemandAfterMove(shift, replicas);
-  const auto part = [](double share, double of) {
-    return of >= kBusyReplicas
-               ? static_cast<std::int64_t>(std::ceil(share * of))
-               : std::int64_t{1};
-  };
   for (std::size_t i = 0; i < models.size(); ++i) {
-    models[i].least_replicas =
-        std::max(models[i].least_replicas, part(kKeptAtFirst, replicas[i]));
-    models[i].least_replicas_soon = part(kSuccessorAtFirst, soon[i]);
+    decisions::plan_model& model = models[i];
+    if (replicas[i] >= kBusyReplicas) {
+      RaiseTo(model.arrival_rate, trust * kRateOfFirst * replicas[i]);
+      RaiseTo(model.work, trust * kWorkOfFirst * kKeptAtFirst * replicas[i]);
+    }
+    if (soon[i] >= kBusyReplicas) {
+      RaiseTo(model.future_rate, trust * kRateOfFirst * soon[i]);
+      RaiseTo(model.future_work,
+              trust * kWorkOfFirst * kSuccessorAtFirst * soon[i]);
+    }
   }
 }
 
@@ -291,6 +380,7 @@
       out.push_back(position(name));
     return out;
   };
+  const auto now = std::chrono::steady_clock::now();
   std::vector<decisions::plan_engine> engines;
   std::vector<std::shared_ptr<engine_record>> records;
   for (const auto& [instance, engine] : desk_.engines()) {
@@ -307,8 +397,11 @@
       const std::size_t at = position(name);
       if (at >= kind.models.size())
         continue;
-      if (model.now == phase::kHeld)
+      if (model.now == phase::kHeld) {
         each.held.push_back(at);
+        if (now - model.since < kShortestStay)
+          each.fresh.push_back(at);
+      }
       if (model.now == phase::kLoading)
         each.loading.push_back(at);
     }
@@ -322,10 +415,11 @@
   limits.slots = kind.slots;
   limits.store_loads = desk_.StoreLoadsLeft(kind.loads_per_second);
   const auto models = PlanModelsOf(service);
-  demand_seen_ =
-      demand_seen_ || std::ranges::any_of(models, [](const auto& each) {
-        return each.arrival_rate >= kLoggedRate;
-      });
+  const bool asked = std::ranges::any_of(SumDemand(), [](const auto& each) {
+    return each.second.arrival_rate > 0;
+  });
+  if (asked && !demand_seen_at_)
+    demand_seen_at_ = now;
   LogDemand(service, models, engines);
   const auto steps = decisions::PlanModels(models, engines, limits);
   for (const decisions::plan_step& step : steps) {
@@ -374,6 +468,7 @@
   wire::placement_news all;
   changed.term = term_;
   all.term = term_;
+  const auto now = std::chrono::steady_clock::now();
   for (const auto& [instance, engine] : desk_.engines()) {
     if (!engine->accepted)
       continue;
@@ -384,13 +479,14 @@
         placed.held.push_back(KeyOf(name));
         for (const auto& [adapter, used] : model.adapters)
           placed.held.push_back(KeyOf(AdapterUnit(name, adapter)));
-      } else {
-        placed.withdrawn.push_back(KeyOf(name));
+        continue;
       }
+      placed.withdrawn.push_back(KeyOf(name));
+      if (model.now == phase::kLoading)
+        placed.coming.push_back(ComingOf(name, model, now));
     }
-    wire::placed_engine& before = told_engines_[placed.server];
-    if (placed != before) {
-      before = placed;
+    if (IsNews(placed, told_engines_[placed.server])) {
+      told_engines_[placed.server] = placed;
       changed.engines.push_back(placed);
     }
     all.engines.push_back(std::move(placed));
@@ -417,6 +513,9 @@
     const auto server = core_.servers.FindKey(each.server);
     if (server == nullptr)
       continue;
+    server->coming.clear();
+    for (const wire::coming_model& load : each.coming)
+      server->coming[load.model] = now + std::chrono::milliseconds(load.due_ms);
     for (auto& [unit, fact] : server->facts) {
       const bool contradicted =
           fact.holds && !Holds(each, unit) && now - fact.learned >= kNewsAge;
--- a/src/host/process/placement_duty.h
+++ b/src/host/process/placement_duty.h
@@ -67,14 +67,20 @@
   decisions::plan_model PlanModelOf(const catalog::service& service,
                                     const catalog::model& model,
                                     const wire::model_load& demand) const;
+  // Whether all who ask for a model can wait for a load from a copy.
+  bool IsPatient(const catalog::model& model) const;
   void PlanByFirstReplicas(const catalog::service& service,
                            const decisions::demand_shift& shift,
+                           double trust,
                            std::vector<decisions::plan_model>& models) const;
+  double TrustInFirstReplicas() const;
   std::int64_t FirstReplicas(const std::string& model) const;
   std::int64_t ReplicasForAdapters(const catalog::engine& kind,
                                    const catalog::model& model) const;
   // What all hosts are asked for, by model.
   using demand_table = std::map<unit_key, wire::model_load>;
+  // Takes the demand of all hosts into what is remembered for longer.
+  void RememberDemand(const demand_table& sums);
   demand_table SumDemand() const;
   // Tells all hosts what has changed, and some of them everything.
   void TellNews(bool everything);
@@ -89,6 +95,11 @@
   std::int64_t term_ = 0;
   base::time_point term_since_;
   std::map<std::string, std::vector<wire::model_load>> demand_;
+  // The rate at which each model is asked for, smoothed over a longer time.
+  std::map<unit_key, double> steady_rates_;
+  base::time_point steady_at_;
+  // The shortest objective with which each model was ever asked for.
+  std::map<unit_key, std::chrono::milliseconds> objectives_;
   // How the demand for each service's models moves along its list.
   std::map<std::string, decisions::demand_shift> shifts_;
   base::time_point told_;
@@ -97,8 +108,8 @@
   base::time_point logged_;
   // The holder by the newest news.
   std::int64_t news_term_ = 0;
-  // Whether callers have asked for any model since this host began.
-  bool demand_seen_ = false;
+  // When callers first asked for any model since this host began.
+  std::optional<base::time_point> demand_seen_at_;
   // Engines that were known when one was last new, and since when.
   std::size_t known_engines_ = 0;
   base::time_point known_since_;
--- a/src/host/process/server_book.cc
+++ b/src/host/process/server_book.cc
@@ -31,6 +31,9 @@
 constexpr milliseconds kUnsure{60};
 constexpr double kBlurShare = 0.25;
 
+// A load that has not ended so long after it was due is not waited for.
+constexpr auto kLateLoad = std::chrono::milliseconds(800);
+
 // Hash of the model and all parts up to and with one part.
 std::uint64_t ChainHash(std::uint64_t before, const prompt_part& part) {
   constexpr std::uint64_t kMix = 0x9e3779b97f4a7c15;
@@ -221,6 +224,44 @@
   });
 }
 
+std::optional<base::time_point> server_book::ComingAt(
+    const server_wish& wish,
+    base::time_point now) const {
+  std::optional<base::time_point> first;
+  for (const auto& [instance, server] : servers_) {
+    if (server->leaving || server->entry.service != wish.service)
+      continue;
+    const auto found = server->coming.find(KeyOf(wish.model));
+    const bool current =
+        found != server->coming.end() && now < found->second + kLateLoad;
+    if (current && (!first || found->second < *first))
+      first = found->second;
+  }
+  return first;
+}
+
+std::optional<std::chrono::milliseconds> server_book::LoadAtHand(
+    const server_wish& wish,
+    const catalog::service& service) const {
+  const catalog::model* model = service.engines.Find(wish.model);
+  std::optional<std::chrono::milliseconds> best;
+  if (model == nullptr)
+    return best;
+  for (const auto& [instance, server] : servers_) {
+    const catalog::backend_server& entry = server->entry;
+    if (server->leaving || entry.service != wish.service)
+      continue;
+    const auto has = [&](const std::vector<std::string>& copies) {
+      return std::ranges::find(copies, wish.model) != copies.end();
+    };
+    if (has(entry.in_memory))
+      return model->load_from_memory;
+    if (has(entry.on_disk))
+      best = model->load_from_disk;
+  }
+  return best;
+}
+
 void server_book::RememberPrompt(known_server& server,
                                  const request_head& head,
                                  base::time_point now) {
--- a/src/host/process/server_book.h
+++ b/src/host/process/server_book.h
@@ -63,6 +63,8 @@
   server_use others;
   decisions::server_trust trust;
   std::map<unit_key, holding_fact> facts;
+  // Models that it is loading, and when each is there.
+  std::map<unit_key, base::time_point> coming;
   prompt_memory prompts;
 
   // Whether the unit is there, by the newest that is known.
@@ -114,6 +116,14 @@
   // Whether any server holds the unit and takes requests.
   bool AnyHolds(const server_wish& wish, base::time_point now) const;
 
+  // When the first replica of a model that is being loaded is there.
+  std::optional<base::time_point> ComingAt(const server_wish& wish,
+                                           base::time_point now) const;
+  // The fastest load of a model from a copy that a server has.
+  std::optional<std::chrono::milliseconds> LoadAtHand(
+      const server_wish& wish,
+      const catalog::service& service) const;
+
   // Notes that a server has read a request's prompt.
   static void RememberPrompt(known_server& server,
                              const request_head& head,
--- a/src/host/request/routed_request.cc
+++ b/src/host/request/routed_request.cc
@@ -65,6 +65,8 @@
                       ? &core.demand.At(head.model, kReadingGuess)
                       : &core.demand.At(routed.service->name, kServiceGuess);
   ++routed.demand->arrivals;
+  routed.demand->objective =
+      std::min(routed.demand->objective, routed.route->objective);
   routed.demand->tokens += head.prompt_tokens;
   if (of_model) {
     routed.weight.prompt_tokens = head.prompt_tokens;
--- a/src/wire/messages.thrift
+++ b/src/wire/messages.thrift
@@ -192,6 +192,8 @@
   4: i32 running,
   // Microseconds that a server takes to read a thousand prompt tokens.
   5: i32 reading_us,
+  // Shortest objective of those who asked for it, in milliseconds.
+  6: i32 objective_ms,
 }
 
 // Value of the soft record "load/HOST".
@@ -203,6 +205,13 @@
   3: i32 store_age_ms,
 }
 
+// A model that an engine is loading.
+struct coming_model {
+  1: i32 model,
+  // The load ends so many milliseconds after the news was written.
+  2: i32 due_ms,
+}
+
 // What the holder of the lease knows of one engine before its entry says so.
 struct placed_engine {
   1: i32 server,
@@ -210,6 +219,7 @@
   2: list<i32> held,
   // Hashes of models that it is about to give up.
   3: list<i32> withdrawn,
+  4: list<coming_model> coming,
 }
 
 // Value of the soft record "placed/PART".
