Who cannot be served in time by a replica on its way is refused at once

Cause: callers of a model without a replica waited a fifth of their objective and were refused, whether a load was under way or not: with 5 s to spare they lost a load of 1.2 s, with 0.4 s they waited for nothing. Now the holder tells when loads end, and replica_wait decides: wait if a replica that is on its way, or may still be ordered, is there within the objective; else refuse at once, with the time at which it will be there.

--- a/src/host/request/server_search.cc
+++ b/src/host/request/server_search.cc
@@ -7,6 +7,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
+#include "decisions/replica_wait.h"
 #include "host/constants.h"
 
 namespace valeledge::host {
@@ -31,6 +32,12 @@
   return wish;
 }
 
+// The same wish for the model without its adapter.
+server_wish BareWish(server_wish wish) {
+  wish.adapter = {};
+  return wish;
+}
+
 // When a part of the objective has passed, or all of the time.
 base::time_point PartOfObjective(const routed_request& routed, double part) {
   const auto patience =
@@ -86,16 +93,34 @@
 
 // When a refused caller should come back: spread, so that those who are
 // refused together do not come together.
-milliseconds ComeBack(host_core& core, const routed_request& routed) {
+milliseconds ComeBack(host_core& core,
+                      const routed_request& routed,
+                      milliseconds usual) {
   constexpr double kLeastPart = 0.5;
   constexpr double kMostPart = 1.5;
   std::uniform_real_distribution<double> any(kLeastPart, kMostPart);
-  const auto spread =
-      duration_cast<milliseconds>(kUsualComeBack * any(core.random));
+  const auto spread = duration_cast<milliseconds>(usual * any(core.random));
   const auto most = duration_cast<milliseconds>(Left(routed) * kComeBackWithin);
   return std::max(std::min(spread, most), milliseconds(0));
 }
 
+// What is known of a model that no server has now.
+decisions::absent_model AbsentModelOf(host_core& core,
+                                      const routed_request& routed,
+                                      const server_wish& wish,
+                                      base::time_point now) {
+  decisions::absent_model out;
+  out.waited = duration_cast<milliseconds>(now - routed.arrived);
+  out.objective =
+      std::min(routed.route->objective,
+               duration_cast<milliseconds>(routed.deadline - routed.arrived));
+  if (const auto due = core.servers.ComingAt(wish, now))
+    out.due_in =
+        std::max(duration_cast<milliseconds>(*due - now), milliseconds(0));
+  out.load_at_hand = core.servers.LoadAtHand(wish, *routed.service);
+  return out;
+}
+
 }  // namespace
 
 asio::awaitable<base::result<server_choice>> FindServer(
@@ -104,6 +129,7 @@
     bool first_attempt,
     const net::http_responder& responder) {
   asio::steady_timer pause(core.context);
+  std::optional<milliseconds> come_back;
   base::error reason =
       base::MakeError(result_code::kNoBackendServer, base::outcome::kNotRun,
                       "no backend server takes requests for this now");
@@ -120,9 +146,18 @@
     const bool held = now >= PartOfObjective(routed, kHoldWithin);
     if (choice && (held || !ShouldWait(routed, *choice)))
       co_return std::move(*choice);
-    if (!choice && refusable)
+    const bool absent = !choice && !wish.model.empty() &&
+                        !core.servers.AnyHolds(BareWish(wish), now);
+    if (absent) {
+      const auto model = AbsentModelOf(core, routed, wish, now);
+      if (!decisions::ShouldAwaitReplica(model)) {
+        reason.message = "no replica of the model is there in time";
+        come_back = decisions::ReplicaExpectedIn(model);
+        break;
+      }
+    } else if (!choice && refusable) {
       break;
-    if (!choice && !core.servers.AnyHolds(wish, now)) {
+    } else if (!choice && !core.servers.AnyHolds(wish, now)) {
       if (routed.head.adapter.empty())
         break;
       const auto placed = co_await WantAdapter(core, routed);
@@ -133,7 +168,8 @@
     pause.expires_after(kChoicePause);
     co_await pause.async_wait(kAwait);
   }
-  reason.retry_after = ComeBack(core, routed);
+  reason.retry_after =
+      ComeBack(core, routed, come_back.value_or(kUsualComeBack));
   co_return tl::make_unexpected(reason);
 }
 
