Orders follow each other without waiting for a report

Cause: between a wish and its load lay 300 ms of notice, 350 ms until an engine's report could show the unload, and a plan's tick; as much again after the load. Now an engine's entry, written anew at the end of an order, ends it as well, and 100 ms of notice are left: news reaches all hosts within some milliseconds. Ruled out: ordering without notice (requests would be sent back).

--- a/src/host/process/order_desk.cc
+++ b/src/host/process/order_desk.cc
@@ -45,7 +45,7 @@
 
 // Other hosts hear of a withdrawal, and requests on their way arrive, before
 // the model is unloaded.
-constexpr milliseconds kWithdrawNotice{300};
+constexpr milliseconds kWithdrawNotice{100};
 
 // An adapter is there after about so long.
 constexpr milliseconds kAdapterTime{25};
@@ -116,6 +116,10 @@
     return core_.servers.Find(each.first) == nullptr;
   });
   for (const auto& [instance, engine] : engines_) {
+    if (!engine->asking && TakeEntry(*engine)) {
+      engine->ask_at.reset();
+      changed_ = true;
+    }
     const bool due = engine->ask_at && now >= *engine->ask_at;
     if (due && !engine->asking && !engine->sending) {
       engine->asking = true;
@@ -236,6 +240,7 @@
   loading.now = phase::kLoading;
   loading.since = now;
   loading.due = now + expected;
+  loading.listed_before = IsListed(*engine, model);
   engine->models[model] = loading;
   const order_reply reply = co_await Send(engine, order_verb::kLoad, model, {});
   if (reply == order_reply::kHolds) {
@@ -245,6 +250,7 @@
     co_return;
   }
   if (reply == order_reply::kAccepted) {
+    engine->models[model].acknowledged = true;
     // Asked from the time on at which its state should show the end.
     AskLater(*engine, expected + kStateLag);
     co_return;
@@ -280,6 +286,7 @@
     co_return;
   if (reply == order_reply::kAccepted) {
     found->second.now = phase::kUnloading;
+    found->second.listed_before = IsListed(*engine, model);
     AskLater(*engine, kStateLag);
   }
 }
