Adapters of busy models are loaded before they are asked for

Ruled out: too few slots (most engines had 4 of 8 free). Now adapter_plan loads those of models that are asked for onto engines that do nothing else, fewest holders first, and leaves two slots of each engine free.

--- a/src/host/process/engine_book.cc
+++ b/src/host/process/engine_book.cc
@@ -35,6 +35,11 @@
          found->second.now == engine_model::phase::kHeld;
 }
 
+bool IsFree(const engine_record& engine) {
+  return engine.accepted && !engine.sending && !engine.changing &&
+         !engine.asking && !engine.ask_at;
+}
+
 bool IsListed(const engine_record& engine, std::string_view model) {
   const auto& listed = engine.server->entry.models;
   return std::ranges::find(listed, model, &catalog::held_model::name) !=
--- a/src/host/process/engine_book.h
+++ b/src/host/process/engine_book.h
@@ -59,6 +59,10 @@
                         const catalog::engine& kind);
 std::int64_t AdaptersHeld(const engine_record& engine);
 
+// Whether the engine may be given an order: its state is known, and nothing is
+// under way there.
+bool IsFree(const engine_record& engine);
+
 // Whether the engine's entry lists the model.
 bool IsListed(const engine_record& engine, std::string_view model);
 
--- a/src/host/process/order_desk.cc
+++ b/src/host/process/order_desk.cc
@@ -301,9 +301,7 @@
   for (const auto& [instance, engine] : engines_) {
     const known_server& server = *engine->server;
     const bool usable = server.entry.service == service && !server.leaving &&
-                        IsHeld(*engine, model) && engine->accepted &&
-                        !engine->sending && !engine->asking &&
-                        !engine->changing && !engine->ask_at;
+                        IsHeld(*engine, model) && IsFree(*engine);
     if (!usable)
       continue;
     // Few adapters first; among equals the same engine each time, since what
@@ -345,6 +343,47 @@
   co_return gone&& AdaptersHeld(*engine) < slots;
 }
 
+asio::awaitable<order_reply> order_desk::SendAdapter(engine_ptr engine,
+                                                     std::string model,
+                                                     std::string adapter) {
+  engine->models[model].adapters[adapter] =
+      std::chrono::steady_clock::now() + kAdapterTime;
+  const order_reply reply =
+      co_await Send(engine, order_verb::kLoad, model, adapter);
+  const bool accepted =
+      reply == order_reply::kAccepted || reply == order_reply::kHolds;
+  const auto after = engine->models.find(model);
+  if (!accepted && after != engine->models.end())
+    after->second.adapters.erase(adapter);
+  changed_ = changed_ || accepted;
+  co_return reply;
+}
+
+void order_desk::LoadAdapters(engine_ptr engine,
+                              std::string model,
+                              std::vector<std::string> adapters,
+                              std::int64_t slots) {
+  asio::co_spawn(core_.context,
+                 RunAdapters(std::move(engine), std::move(model),
+                             std::move(adapters), slots),
+                 asio::detached);
+}
+
+asio::awaitable<void> order_desk::RunAdapters(engine_ptr engine,
+                                              std::string model,
+                                              std::vector<std::string> adapters,
+                                              std::int64_t slots) {
+  for (const std::string& adapter : adapters) {
+    const bool may = IsFree(*engine) && IsHeld(*engine, model) &&
+                     AdaptersHeld(*engine) < slots;
+    if (!may)
+      co_return;
+    const order_reply reply = co_await SendAdapter(engine, model, adapter);
+    if (reply != order_reply::kAccepted && reply != order_reply::kHolds)
+      co_return;
+  }
+}
+
 order_desk::engine_ptr order_desk::FindAdapter(const std::string& model,
                                                const std::string& adapter) {
   for (const auto& [instance, engine] : engines_) {
@@ -399,26 +438,18 @@
   if (!room) {
     co_return base::NotRun(result_code::kNoRoom, "no adapter could make room");
   }
-  const auto held = engine->models.find(model);
-  if (held == engine->models.end()) {
+  if (!engine->models.contains(model)) {
     co_return base::NotRun(result_code::kNoBackendServer,
                            "the engine gave up the model meanwhile");
   }
-  held->second.adapters[adapter] =
-      std::chrono::steady_clock::now() + kAdapterTime;
-  const order_reply reply =
-      co_await Send(engine, order_verb::kLoad, model, adapter);
-  const auto after = engine->models.find(model);
+  const order_reply reply = co_await SendAdapter(engine, model, adapter);
   const bool accepted =
       reply == order_reply::kAccepted || reply == order_reply::kHolds;
   if (!accepted) {
-    if (after != engine->models.end())
-      after->second.adapters.erase(adapter);
     co_return base::NotRun(
         result_code::kNoBackendServer,
         "the engine did not take the adapter: " + NameOf(reply));
   }
-  changed_ = true;
   if (reply == order_reply::kAccepted)
     co_await Pause(kAdapterTime);
   co_return engine->server->entry.instance;
--- a/src/host/process/order_desk.h
+++ b/src/host/process/order_desk.h
@@ -11,6 +11,7 @@
 #include <map>
 #include <memory>
 #include <string>
+#include <vector>
 
 #include <boost/asio/awaitable.hpp>
 
@@ -48,6 +49,13 @@
             decisions::weight_source source);
   void Unload(std::shared_ptr<engine_record> engine, const std::string& model);
 
+  // Loads adapters of a model one after the other, as long as the engine holds
+  // the model, has slots and does nothing else.
+  void LoadAdapters(std::shared_ptr<engine_record> engine,
+                    std::string model,
+                    std::vector<std::string> adapters,
+                    std::int64_t slots);
+
   // Has an adapter loaded on some engine that holds its model; the instance.
   boost::asio::awaitable<base::result<std::string>>
   EnsureAdapter(std::string service, std::string model, std::string adapter);
@@ -70,6 +78,14 @@
                               std::int64_t slots);
   // An engine that has the adapter or is loading it; null if none does.
   engine_ptr FindAdapter(const std::string& model, const std::string& adapter);
+  boost::asio::awaitable<void> RunAdapters(engine_ptr engine,
+                                           std::string model,
+                                           std::vector<std::string> adapters,
+                                           std::int64_t slots);
+  // Orders one adapter of a model that the engine holds.
+  boost::asio::awaitable<order_reply> SendAdapter(engine_ptr engine,
+                                                  std::string model,
+                                                  std::string adapter);
   // Waits until such an engine has it.
   boost::asio::awaitable<base::result<std::string>>
   AwaitAdapter(engine_ptr engine, std::string model, std::string adapter);
--- a/src/host/process/placement_duty.h
+++ b/src/host/process/placement_duty.h
@@ -12,6 +12,7 @@
 
 #include <boost/asio/awaitable.hpp>
 
+#include "decisions/adapter_plan.h"
 #include "decisions/demand_shift.h"
 #include "decisions/model_plan.h"
 #include "host/process/host_core.h"
@@ -84,6 +85,9 @@
   demand_table SumDemand() const;
   // Tells all hosts what has changed, and some of them everything.
   void TellNews(bool everything);
+  // Loads adapters that will probably be asked for.
+  void PlanAdaptersAhead(const catalog::service& service,
+                         const std::vector<decisions::plan_model>& models);
   void LogDemand(const catalog::service& service,
                  const std::vector<decisions::plan_model>& models,
                  const std::vector<decisions::plan_engine>& engines);
--- /dev/null
+++ b/tests/auto/decisions/test_adapter_plan.cc
@@ -0,0 +1,64 @@
+// SPDX-License-Identifier: MIT
+#include "decisions/adapter_plan.h"
+
+#include <map>
+
+#include <boost/test/unit_test.hpp>
+
+namespace {
+
+using namespace valeledge::decisions;
+
+adapter_engine Engine(std::int64_t slots_left,
+                      std::vector<std::size_t> models) {
+  adapter_engine engine;
+  engine.slots_left = slots_left;
+  engine.models = std::move(models);
+  return engine;
+}
+
+BOOST_AUTO_TEST_SUITE(adapter_plan)
+
+BOOST_AUTO_TEST_CASE(each_adapter_of_a_busy_model_is_somewhere) {
+  const std::vector<adapter_model> models = {{9, 40}};
+  const std::vector engines = {Engine(8, {0}), Engine(8, {0})};
+  std::map<std::int64_t, int> times;
+  for (const adapter_step& step : PlanAdapters(models, engines, 8))
+    ++times[step.unit.adapter];
+  BOOST_TEST(times.size() == 9u);
+  for (const auto& [adapter, count] : times)
+    BOOST_TEST(count <= 2);
+}
+
+// A request may name an adapter that was not foreseen.
+BOOST_AUTO_TEST_CASE(some_slots_stay_free) {
+  const std::vector<adapter_model> models = {{30, 40}};
+  const std::vector engines = {Engine(8, {0})};
+  BOOST_TEST(PlanAdapters(models, engines, 30).size() == 6u);
+  BOOST_TEST(PlanAdapters(models, engines, 4).size() == 4u);
+  BOOST_TEST(PlanAdapters(models, {Engine(2, {0})}, 4).empty());
+}
+
+BOOST_AUTO_TEST_CASE(nothing_is_loaded_for_models_that_are_not_asked_for) {
+  const std::vector<adapter_model> models = {{4, 0.1}, {4, 20}, {0, 50}};
+  for (const adapter_step& step :
+       PlanAdapters(models, {Engine(8, {0, 1, 2})}, 8)) {
+    BOOST_TEST(step.unit.model == 1u);
+  }
+}
+
+// An engine that is loading a model takes no adapters, and what it has counts.
+BOOST_AUTO_TEST_CASE(busy_engines_are_left_alone) {
+  const std::vector<adapter_model> models = {{2, 20}};
+  std::vector engines = {Engine(8, {0}), Engine(8, {0})};
+  engines[0].free = false;
+  engines[0].held = {{0, 0}};
+  const auto steps = PlanAdapters(models, engines, 1);
+  BOOST_REQUIRE(steps.size() == 1u);
+  BOOST_TEST(steps.front().engine == 1u);
+  BOOST_TEST(steps.front().unit.adapter == 1);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace
--- a/tests/auto/host/test_order_desk.cc
+++ b/tests/auto/host/test_order_desk.cc
@@ -89,6 +89,43 @@
   BOOST_TEST(!(*second)->has_value());
 }
 
+// Adapters are loaded ahead while there are slots, and by one order each.
+BOOST_AUTO_TEST_CASE(adapters_are_loaded_ahead_as_far_as_they_fit) {
+  engine_site site;
+  site.Settle();
+  site.backend.script.assign(
+      4, {"HTTP/1.1 202 Accepted\r\nContent-Length: 0\r\n\r\n"});
+  const auto engine = site.desk.engines().at("i-1");
+  site.desk.LoadAdapters(engine, "m", {"a1", "a2", "a3"}, 2);
+  while (host::AdaptersHeld(*engine) < 2 || engine->sending)
+    site.context.run_one();
+  site.context.poll();
+  BOOST_TEST(host::AdaptersHeld(*engine) == 2);
+  BOOST_TEST(*engine->accepted == 2);
+}
+
+// The entry is written anew at the end of an order; a report follows later.
+BOOST_AUTO_TEST_CASE(an_entry_shows_that_a_load_has_ended) {
+  engine_site site;
+  site.Settle();
+  const auto engine = site.desk.engines().at("i-1");
+  catalog::model model;
+  model.name = "n";
+  model.load_from_disk = 60s;
+  site.desk.Load(engine, model, decisions::weight_source::kDisk);
+  while (!engine->models.contains("n") || engine->sending)
+    site.context.run_one();
+  BOOST_REQUIRE(engine->models.at("n").acknowledged);
+  site.desk.Refresh();
+  BOOST_TEST(!host::IsHeld(*engine, "n"));
+  catalog::backend_server entry = engine->server->entry;
+  entry.models.push_back({"n", 1, {}});
+  site.core.servers.Put(entry);
+  site.desk.Refresh();
+  BOOST_TEST(host::IsHeld(*engine, "n"));
+  BOOST_TEST(host::IsFree(*engine));
+}
+
 // A host with a newer configuration may ask for what this one does not know.
 BOOST_AUTO_TEST_CASE(an_adapter_of_an_unknown_service_is_refused) {
   engine_site site;
