Placement goes on through an outage of the store and after a restart

After all hosts had been killed nobody gave orders for 6 s. Ruled out: going on without the lease by what other hosts say, which would be a second agreement beside the store. Now the lease lasts 10 s, and the pause between holders is a setting of its own, as long as before. A process that finds the lease with its own address ends it, and if no other host has held it since (a condition of the same transaction) it waits half a second for its predecessor's orders instead of the pause. A holder that is lost for good is followed later than before, by up to 7 s.

--- a/src/host/host_settings.h
+++ b/src/host/host_settings.h
@@ -29,9 +29,13 @@
   // Where metrics are read; nowhere if not set.
   std::optional<base::endpoint> metrics_listen;
 
-  // Length of the lease whose holder gives orders to engines, and how long a
-  // new holder waits for the orders of the last one to end.
-  std::chrono::milliseconds lease_length{3000};
+  // How long a new holder of the lease waits for the orders of the last one to
+  // end.
+  std::chrono::milliseconds handover_pause{3000};
+  // Length of the lease whose holder gives orders to engines. Outages of the
+  // store up to about this length stop no placement; after the loss of a holder
+  // for good placement stops for this and the pause.
+  std::chrono::milliseconds lease_length{10'000};
   // The whole system starts for the first time, as far as the settings know: a
   // host that is restarted early may still be told so.
   bool first_start = false;
--- a/src/host/process/host.cc
+++ b/src/host/process/host.cc
@@ -128,8 +128,11 @@
           base::ToString(core_.settings.peer_listen),
           core_.settings.lease_length,
           [this] {
+            // A holder of this host's own address is a process that has ended.
+            const auto holder = mirror_.Value(std::string(store::kLeaderKey));
             return mirror_.IsCurrent() && !stop_.stopping() &&
-                   !mirror_.HasKey(std::string(store::kLeaderKey));
+                   (!holder ||
+                    *holder == base::ToString(core_.settings.peer_listen));
           },
           core_.settings.first_start),
       placement_(core_, lease_, peers_),
--- a/src/host/process/placement_duty.cc
+++ b/src/host/process/placement_duty.cc
@@ -36,6 +36,9 @@
 constexpr double kLoggedRate = 1.0;
 constexpr std::string_view kCategory = "placement";
 
+// Orders that a process of this host sent before it ended arrive within this.
+constexpr std::chrono::milliseconds kOwnOrdersEnd{500};
+
 // The news is told again after so long, for hosts that missed it.
 constexpr std::chrono::milliseconds kNewsInterval{1000};
 
@@ -81,6 +84,10 @@
 // trusted alone, the first replicas stand for it less and less.
 constexpr std::chrono::duration<double> kDemandTrusted{4};
 
+// Adapters that are loaded ahead on one engine in one plan: an order and its
+// answer take some milliseconds, and all are to be out before the next plan.
+constexpr std::int64_t kAdaptersAtOnce = 4;
+
 // The part of a model's demand that its successor in the operators' list is
 // given replicas for before it rises.
 constexpr double kSuccession = 0.8;
@@ -115,6 +122,11 @@
          placed.withdrawn != told.withdrawn;
 }
 
+// Adapters are named a1, a2 and so on.
+std::string AdapterName(std::int64_t number) {
+  return "a" + std::to_string(number + 1);
+}
+
 void RaiseTo(double& value, double least) {
   value = std::max(value, least);
 }
@@ -141,7 +153,9 @@
   const std::int64_t term = lease_.CertainTerm();
   const auto now = std::chrono::steady_clock::now();
   // The last holder's orders have ended by then.
-  const bool waited = now - lease_.taken_at() >= core_.settings.lease_length;
+  const bool waited =
+      now - lease_.taken_at() >=
+      (lease_.follows_itself() ? kOwnOrdersEnd : core_.settings.handover_pause);
   return waited || lease_.is_first_holder() ? term : 0;
 }
 
@@ -390,8 +404,7 @@
     decisions::plan_engine each;
     each.zone = server.entry.zone;
     each.serving = !server.leaving;
-    each.free = engine->accepted && !engine->sending && !engine->changing &&
-                !engine->asking && !engine->ask_at;
+    each.free = IsFree(*engine);
     each.free_mb = kind.weights_mb - UsedMemory(*engine, kind);
     for (const auto& [name, model] : engine->models) {
       const std::size_t at = position(name);
@@ -429,6 +442,49 @@
     else
       desk_.Unload(records[step.engine], model.name);
   }
+  PlanAdaptersAhead(service, models);
+}
+
+void placement_duty::PlanAdaptersAhead(
+    const catalog::service& service,
+    const std::vector<decisions::plan_model>& models) {
+  const catalog::engine& kind = service.engines;
+  std::vector<decisions::adapter_model> wanted;
+  for (std::size_t i = 0; i < kind.models.size(); ++i)
+    wanted.push_back({kind.models[i].adapters, models[i].arrival_rate});
+  std::vector<decisions::adapter_engine> engines;
+  std::vector<std::shared_ptr<engine_record>> records;
+  for (const auto& [instance, engine] : desk_.engines()) {
+    const known_server& server = *engine->server;
+    if (server.entry.service != service.name || server.leaving)
+      continue;
+    decisions::adapter_engine each;
+    each.free = IsFree(*engine);
+    each.slots_left = kind.adapter_slots - AdaptersHeld(*engine);
+    for (std::size_t i = 0; i < kind.models.size(); ++i) {
+      const auto found = engine->models.find(kind.models[i].name);
+      if (found == engine->models.end() || found->second.now != phase::kHeld)
+        continue;
+      each.models.push_back(i);
+      for (std::int64_t number = 0; number < kind.models[i].adapters;
+           ++number) {
+        if (found->second.adapters.contains(AdapterName(number)))
+          each.held.push_back({i, number});
+      }
+    }
+    engines.push_back(std::move(each));
+    records.push_back(engine);
+  }
+  std::map<std::pair<std::size_t, std::size_t>, std::vector<std::string>> lists;
+  for (const decisions::adapter_step& step :
+       decisions::PlanAdapters(wanted, engines, kAdaptersAtOnce)) {
+    lists[{step.engine, step.unit.model}].push_back(
+        AdapterName(step.unit.adapter));
+  }
+  for (auto& [place, adapters] : lists) {
+    desk_.LoadAdapters(records[place.first], kind.models[place.second].name,
+                       std::move(adapters), kind.adapter_slots);
+  }
 }
 
 asio::awaitable<void> placement_duty::Loop() {
--- a/src/host/process/store_mirror.cc
+++ b/src/host/process/store_mirror.cc
@@ -247,6 +247,13 @@
   }
 }
 
+std::optional<std::string> store_mirror::Value(const std::string& key) const {
+  const auto found = values_.find(key);
+  if (found == values_.end())
+    return std::nullopt;
+  return found->second.value;
+}
+
 wire::mirror_copy store_mirror::CopySince(std::int64_t revision) const {
   wire::mirror_copy copy;
   copy.revision = revision_;
--- a/src/host/process/store_mirror.h
+++ b/src/host/process/store_mirror.h
@@ -66,7 +66,8 @@
   // Whether a call failed within `span` before now.
   bool FailedWithin(std::chrono::milliseconds span) const;
   std::int64_t revision() const { return revision_; }
-  bool HasKey(const std::string& key) const { return values_.contains(key); }
+  // What the store holds under a key; nothing if it has no such key.
+  std::optional<std::string> Value(const std::string& key) const;
 
   // What another host lacks that has everything up to a revision.
   wire::mirror_copy CopySince(std::int64_t revision) const;
--- a/src/store/constants.h
+++ b/src/store/constants.h
@@ -13,6 +13,7 @@
 inline constexpr std::string_view kRevisionKey = "valeledge/table/revision";
 inline constexpr std::string_view kRowPrefix = "valeledge/table/rows/";
 inline constexpr std::string_view kHistoryPrefix = "valeledge/table/history/";
+inline constexpr std::string_view kHolderPrefix = "valeledge/controller/";
 inline constexpr std::string_view kLeaderKey = "valeledge/controller/leader";
 // Written by every holder of the lease, and never deleted: it tells whether
 // there has been one before.
--- a/src/store/etcd_client.cc
+++ b/src/store/etcd_client.cc
@@ -79,6 +79,7 @@
   pair.value = DecodeBase64(base::StringField(object, "value")).value_or("");
   pair.create_revision = base::IntegerField(object, "create_revision");
   pair.mod_revision = base::IntegerField(object, "mod_revision");
+  pair.lease = base::IntegerField(object, "lease");
   return pair;
 }
 
--- a/src/store/kv_client.h
+++ b/src/store/kv_client.h
@@ -22,6 +22,8 @@
   std::string value;
   std::int64_t create_revision = 0;
   std::int64_t mod_revision = 0;
+  // The lease that ends the key, 0 for none.
+  std::int64_t lease = 0;
 };
 
 // A condition of a transaction: the key's revision equals `revision` (0: the
--- a/src/store/lease_keeper.cc
+++ b/src/store/lease_keeper.cc
@@ -30,6 +30,23 @@
 // Controllers that do not hold the lease look for it in this part of its
 // length, spread by a random factor.
 constexpr int kLooks = 2;
+// ... but at the least this often, so that a long lease which ends early is
+// taken again soon.
+constexpr std::chrono::milliseconds kLongestLook{1500};
+// A process that is no candidate asks itself again, without a call, after this.
+constexpr std::chrono::milliseconds kCandidateLook{200};
+
+// A renewal is sent at the least this often: what is left of the lease when the
+// service stops answering is all the time that remains.
+constexpr std::chrono::milliseconds kLongestRenewal{1000};
+
+std::optional<kv_pair> FindKey(const std::vector<kv_pair>& pairs,
+                               std::string_view key) {
+  const auto found = std::ranges::find(pairs, key, &kv_pair::key);
+  if (found == pairs.end())
+    return std::nullopt;
+  return *found;
+}
 
 }  // namespace
 
@@ -63,18 +80,28 @@
 asio::awaitable<void> lease_keeper::TryTake() {
   // One read tells most of the time that another holds it.
   kv_transaction look;
-  look.on_success.push_back(Get(std::string(kLeaderKey)));
+  look.on_success.push_back(GetPrefix(std::string(kHolderPrefix)));
   const auto seen = co_await service_.Run(std::move(look));
-  const bool held =
-      !seen || seen->results.empty() || !seen->results.front().pairs.empty();
-  if (held)
+  if (!seen || seen->results.empty())
+    co_return;
+  const auto& pairs = seen->results.front().pairs;
+  const auto leader = FindKey(pairs, kLeaderKey);
+  if (leader && leader->value != holder_)
     co_return;
+  if (leader) {
+    // A process of this name that has ended, or a write of this one whose
+    // answer got lost: nobody needs to wait until it lapses.
+    const auto ended = co_await service_.RevokeLease(leader->lease);
+    if (!ended)
+      co_return;
+  }
+  const auto former = FindKey(pairs, kFormerLeaderKey);
   const auto asked = std::chrono::steady_clock::now();
   const auto granted = co_await service_.GrantLease(
       std::chrono::ceil<std::chrono::seconds>(length_));
   if (!granted)
     co_return;
-  const auto taken = co_await WriteHolder(*granted);
+  const auto taken = co_await WriteHolder(*granted, former);
   if (!taken || !taken->succeeded) {
     // A lost answer is not settled: the lease lapses by itself.
     co_await service_.RevokeLease(*granted);
@@ -88,15 +115,19 @@
 }
 
 asio::awaitable<base::result<kv_transaction_result>> lease_keeper::WriteHolder(
-    std::int64_t lease) {
+    std::int64_t lease,
+    const std::optional<kv_pair>& former) {
   kv_transaction take;
   take.conditions.push_back(Absent(std::string(kLeaderKey)));
-  if (maybe_first_)
-    take.conditions.push_back(Absent(std::string(kFormerLeaderKey)));
+  take.conditions.push_back(
+      former ? Unchanged(std::string(kFormerLeaderKey), former->mod_revision)
+             : Absent(std::string(kFormerLeaderKey)));
   take.on_success.push_back(Put(std::string(kLeaderKey), holder_, lease));
   take.on_success.push_back(Put(std::string(kFormerLeaderKey), holder_));
   auto taken = co_await service_.Run(std::move(take));
-  is_first_holder_ = taken && taken->succeeded && maybe_first_;
+  const bool succeeded = taken && taken->succeeded;
+  is_first_holder_ = succeeded && maybe_first_ && !former;
+  follows_itself_ = succeeded && former && former->value == holder_;
   // Only one that succeeds at once is first: after a lost answer this process
   // itself may have been, and its orders may be on their way.
   maybe_first_ = false;
@@ -133,9 +164,15 @@
       co_await Keep();
     else if (!resigned_ && is_candidate_())
       co_await TryTake();
-    auto pause = length_ / kRenewals;
-    if (term_ == 0) {
-      const auto bound = (length_ / kLooks).count();
+    std::chrono::microseconds pause = std::min<std::chrono::microseconds>(
+        length_ / kRenewals, kLongestRenewal);
+    if (term_ == 0 && !is_candidate_()) {
+      pause =
+          std::min<std::chrono::microseconds>(length_ / kLooks, kCandidateLook);
+    } else if (term_ == 0) {
+      const auto bound =
+          std::min<std::chrono::microseconds>(length_ / kLooks, kLongestLook)
+              .count();
       std::uniform_int_distribution<std::int64_t> any(bound / 2, bound);
       pause = std::chrono::microseconds(any(random));
     }
--- a/src/store/lease_keeper.h
+++ b/src/store/lease_keeper.h
@@ -7,6 +7,7 @@
 #include <chrono>
 #include <cstdint>
 #include <functional>
+#include <optional>
 #include <string>
 
 #include <boost/asio/awaitable.hpp>
@@ -46,15 +47,20 @@
   std::chrono::steady_clock::time_point taken_at() const { return taken_at_; }
   // Whether nobody held the lease before this process, as the service says.
   bool is_first_holder() const { return is_first_holder_; }
+  // Whether the last holder before this process was one of the same name: a
+  // process that ended on the same machine.
+  bool follows_itself() const { return follows_itself_; }
   // A write has shown that the lease is gone; from any thread.
   void NoteLost(std::int64_t term);
 
  private:
   boost::asio::awaitable<void> Loop();
   boost::asio::awaitable<void> TryTake();
-  // Writes the keys of a holder under a lease that was granted for it.
+  // Writes the keys of a holder under a lease that was granted for it, if
+  // nobody has held the lease since `former` was read.
   boost::asio::awaitable<base::result<kv_transaction_result>> WriteHolder(
-      std::int64_t lease);
+      std::int64_t lease,
+      const std::optional<kv_pair>& former);
   boost::asio::awaitable<void> Keep();
   boost::asio::awaitable<void> GiveUp();
 
@@ -65,6 +71,7 @@
   std::function<bool()> is_candidate_;
   bool maybe_first_;
   bool is_first_holder_ = false;
+  bool follows_itself_ = false;
   std::int64_t lease_ = 0;
   std::chrono::steady_clock::time_point safe_until_;
   std::chrono::steady_clock::time_point taken_at_;
--- a/tests/auto/host/fake_store.h
+++ b/tests/auto/host/fake_store.h
@@ -64,10 +64,12 @@
       co_return Unavailable();
     reads += transaction.conditions.empty() ? 1 : 0;
     store::kv_transaction_result result;
-    result.succeeded = std::ranges::none_of(transaction.conditions,
-                                            [&](const store::kv_compare& each) {
-                                              return keys_.contains(each.key);
-                                            });
+    result.succeeded = std::ranges::all_of(
+        transaction.conditions, [&](const store::kv_compare& each) {
+          const auto found = keys_.find(each.key);
+          return each.revision ==
+                 (found == keys_.end() ? 0 : found->second.mod_revision);
+        });
     if (result.succeeded) {
       for (const store::kv_operation& each : transaction.on_success)
         result.results.push_back(Do(each));
@@ -123,7 +125,7 @@
     ended_.insert(lease);
     std::vector<std::string> keys;
     for (const auto& [key, pair] : keys_) {
-      if (of_lease_[key] == lease)
+      if (pair.lease == lease)
         keys.push_back(key);
     }
     for (const std::string& key : keys)
@@ -138,7 +140,7 @@
     store::kv_operation_result result;
     if (operation.what == kind::kPut) {
       Put(operation.key, operation.value);
-      of_lease_[operation.key] = operation.lease;
+      keys_[operation.key].lease = operation.lease;
     }
     for (const auto& [key, pair] : keys_) {
       const bool read =
@@ -160,7 +162,6 @@
   std::int64_t revision_ = 0;
   std::int64_t leases_ = 0;
   std::set<std::int64_t> ended_;
-  std::map<std::string, std::int64_t> of_lease_;
   boost::asio::steady_timer changed_;
 };
 
--- a/tests/auto/store/test_lease_keeper.cc
+++ b/tests/auto/store/test_lease_keeper.cc
@@ -73,6 +73,31 @@
   BOOST_TEST(!first->is_first_holder());
 }
 
+// A process that was killed left a lease that has yet to lapse; the next one on
+// its machine takes it over, and knows that nobody held it in between.
+BOOST_AUTO_TEST_CASE(a_restarted_process_follows_itself_at_once) {
+  site here;
+  auto killed = here.Begin("h1", true);
+  here.AwaitTerm(*killed);
+  const std::int64_t term = killed->term();
+  const auto restarted = here.Begin("h1", true);
+  here.AwaitTerm(*restarted);
+  BOOST_TEST(restarted->follows_itself());
+  BOOST_TEST(!restarted->is_first_holder());
+  BOOST_TEST(restarted->term() > term);
+}
+
+BOOST_AUTO_TEST_CASE(
+    who_comes_back_after_another_holder_does_not_follow_itself) {
+  site here;
+  const auto first = here.Begin("h1", true);
+  here.AwaitTerm(*first);
+  const auto second = here.Follow(*first, "h2", false);
+  BOOST_TEST(!second->follows_itself());
+  const auto third = here.Follow(*second, "h1", false);
+  BOOST_TEST(!third->follows_itself());
+}
+
 BOOST_AUTO_TEST_CASE(terms_rise_and_a_second_process_waits_for_the_first) {
   site here;
   const auto first = here.Begin("h1", true);
