At most a quarter of the engines load from the weight store at one time

Cause: a load from the weight store takes 6 s, and its engine takes nothing else meanwhile. When demand moved, six of twelve engines loaded the model expected next, and the one asked for 100 times a second had one replica although seven engines had its weights on disk. Ruled out: that victims were missing (engines held models that nobody asked for).

--- a/src/decisions/model_plan.cc
+++ b/src/decisions/model_plan.cc
@@ -50,6 +50,11 @@
 // Least gain, in requests a second, for which an order is given.
 constexpr double kLeastGain = 0.01;
 
+// Engines that may load from the weight store at one time, as a part of all: a
+// load takes several times as long as one from a disk, and until it ends the
+// engine takes neither other models nor adapters.
+constexpr double kStoreLoadPart = 0.25;
+
 // Preferences among engines, in requests a second: one that has less to do,
 // a zone without a replica, nothing that has to go first.
 constexpr double kRunningCost = 0.02;
@@ -240,9 +245,13 @@
   state.ready.resize(models.size());
   state.coming.resize(models.size());
   state.copies.resize(models.size());
+  std::int64_t serving = 0;
+  std::int64_t loading_from_store = 0;
   for (const plan_engine& engine : engines) {
     if (!engine.serving)
       continue;
+    ++serving;
+    loading_from_store += engine.loads_from_store ? 1 : 0;
     for (const std::size_t model : engine.held) {
       ++state.ready[model];
       ++state.coming[model];
@@ -256,6 +265,10 @@
       state.copies[model] += copy ? 1 : 0;
     }
   }
+  const auto most_loading = static_cast<std::int64_t>(
+      std::ceil(kStoreLoadPart * static_cast<double>(serving)));
+  state.limits.store_loads =
+      std::min(state.limits.store_loads, most_loading - loading_from_store);
   return state;
 }
 
--- a/src/decisions/model_plan.h
+++ b/src/decisions/model_plan.h
@@ -49,6 +49,8 @@
   std::vector<std::size_t> fresh;
   // Being loaded now; counts as a replica that is on its way.
   std::vector<std::size_t> loading;
+  // ... from the weight store.
+  bool loads_from_store = false;
   std::vector<std::size_t> in_memory;
   std::vector<std::size_t> on_disk;
   // Requests that run there now, of whatever model.
--- a/src/host/process/engine_book.h
+++ b/src/host/process/engine_book.h
@@ -26,6 +26,7 @@
   // When it was ordered; a load's end is expected at `due`.
   base::time_point since;
   base::time_point due;
+  bool from_store = false;
   // The engine's entry listed it when the order was given, so that the entry
   // cannot tell when a load of it has ended, but when an unload has.
   bool listed_before = false;
--- a/src/host/process/order_desk.cc
+++ b/src/host/process/order_desk.cc
@@ -224,22 +224,25 @@
     expected = model.load_from_memory;
   if (source == decisions::weight_source::kDisk)
     expected = model.load_from_disk;
-  if (source == decisions::weight_source::kStore)
+  const bool from_store = source == decisions::weight_source::kStore;
+  if (from_store)
     store_loads_.push_back(std::chrono::steady_clock::now());
   engine->changing = true;
   asio::co_spawn(core_.context,
-                 RunLoad(std::move(engine), model.name, expected),
+                 RunLoad(std::move(engine), model.name, expected, from_store),
                  asio::detached);
 }
 
 asio::awaitable<void> order_desk::RunLoad(engine_ptr engine,
                                           std::string model,
-                                          milliseconds expected) {
+                                          milliseconds expected,
+                                          bool from_store) {
   const auto now = std::chrono::steady_clock::now();
   engine_model loading;
   loading.now = phase::kLoading;
   loading.since = now;
   loading.due = now + expected;
+  loading.from_store = from_store;
   loading.listed_before = IsListed(*engine, model);
   engine->models[model] = loading;
   const order_reply reply = co_await Send(engine, order_verb::kLoad, model, {});
--- a/src/host/process/order_desk.h
+++ b/src/host/process/order_desk.h
@@ -69,7 +69,8 @@
                                            std::string adapter);
   boost::asio::awaitable<void> RunLoad(engine_ptr engine,
                                        std::string model,
-                                       std::chrono::milliseconds expected);
+                                       std::chrono::milliseconds expected,
+                                       bool from_store);
   boost::asio::awaitable<void> RunUnload(engine_ptr engine, std::string model);
   boost::asio::awaitable<void> Ask(engine_ptr engine);
   engine_ptr ChooseForAdapter(const std::string& service,
--- a/src/host/process/placement_duty.cc
+++ b/src/host/process/placement_duty.cc
@@ -415,8 +415,10 @@
         if (now - model.since < kShortestStay)
           each.fresh.push_back(at);
       }
-      if (model.now == phase::kLoading)
+      if (model.now == phase::kLoading) {
         each.loading.push_back(at);
+        each.loads_from_store = model.from_store;
+      }
     }
     each.in_memory = positions(engine->in_memory);
     each.on_disk = positions(engine->on_disk);
