Copies are made ahead of demand, and room is kept for what it was made for

Cause: models rose from one or two copies, so that rises were answered by loads of 6 s; and where a replica had gave way, the next plan often gave its room back to it (seen within 200 ms, unload and load of the same model). Now loads from the weight store that nothing needs bring models that the next two moves reach, and any with one copy, to engines where little is lost; an unload names what follows it, which is loaded when there is room.

--- a/src/decisions/model_plan.cc
+++ b/src/decisions/model_plan.cc
@@ -55,6 +55,18 @@
 // engine takes neither other models nor adapters.
 constexpr double kStoreLoadPart = 0.25;
 
+// Engines that should have a copy of a model that nobody asks for: the loss of
+// one then leaves another.
+constexpr std::int64_t kLeastCopies = 2;
+// The same for one that is expected to be asked for, beside the replicas that
+// it will need: copies are where other models are in demand, too.
+constexpr std::int64_t kSpareCopies = 1;
+// What a copy may take away, as a part of the rate that it prepares for: it is
+// worth the seconds by which a load from a disk is faster, if the rise comes.
+constexpr double kCopyWorth = 0.05;
+// Loads from the weight store that are left for what is asked for meanwhile.
+constexpr std::int64_t kStoreLoadsKept = 3;
+
 // Preferences among engines, in requests a second: one that has less to do,
 // a zone without a replica, nothing that has to go first.
 constexpr double kRunningCost = 0.02;
@@ -219,14 +231,14 @@
   plan_engine& engine = state.engines[place.engine];
   engine.free = false;
   if (place.room.models.empty()) {
-    state.steps.push_back({place.engine, true, model, place.source});
+    state.steps.push_back({place.engine, true, model, place.source, model});
     engine.free_mb -= state.models[model].weights_mb;
     engine.loading.push_back(model);
     if (place.source == weight_source::kStore)
       --state.limits.store_loads;
   } else {
     const std::size_t victim = place.room.models.front();
-    state.steps.push_back({place.engine, false, victim, place.source});
+    state.steps.push_back({place.engine, false, victim, place.source, model});
     std::erase(engine.held, victim);
     --state.ready[victim];
     --state.coming[victim];
@@ -259,19 +271,95 @@
     for (const std::size_t model : engine.loading)
       ++state.coming[model];
     for (std::size_t model = 0; model < models.size(); ++model) {
-      const bool copy = Contains(engine.held, model) ||
-                        Contains(engine.in_memory, model) ||
-                        Contains(engine.on_disk, model);
+      const bool copy =
+          Contains(engine.held, model) || Contains(engine.loading, model) ||
+          Contains(engine.in_memory, model) || Contains(engine.on_disk, model);
       state.copies[model] += copy ? 1 : 0;
     }
   }
-  const auto most_loading = static_cast<std::int64_t>(
-      std::ceil(kStoreLoadPart * static_cast<double>(serving)));
+  const double part = limits.quiet ? 1 : kStoreLoadPart;
+  const auto most_loading =
+      static_cast<std::int64_t>(std::ceil(part * static_cast<double>(serving)));
   state.limits.store_loads =
       std::min(state.limits.store_loads, most_loading - loading_from_store);
   return state;
 }
 
+// A rate that a model is to be prepared for.
+double ExpectedRate(const plan_model& model) {
+  return std::max(model.future_rate, model.later_rate);
+}
+
+std::int64_t CopiesWanted(const planning& state, std::size_t model) {
+  const plan_model& each = state.models[model];
+  const double rate = ExpectedRate(each);
+  if (rate <= each.arrival_rate || rate < kLeastRate)
+    return kLeastCopies;
+  const double work = std::max(each.future_work, each.later_work);
+  const auto replicas = static_cast<std::int64_t>(std::ceil(work / kWorkMark));
+  const auto most = static_cast<std::int64_t>(state.engines.size() / 2);
+  return std::clamp(replicas + kSpareCopies, kLeastCopies,
+                    std::max(most, kLeastCopies));
+}
+
+// How much a model lacks copies, in requests a second that each prepares for.
+double CopyNeed(const planning& state, std::size_t model) {
+  const auto wanted = static_cast<double>(CopiesWanted(state, model));
+  const auto missing = wanted - static_cast<double>(state.copies[model]);
+  const double rate = ExpectedRate(state.models[model]) + kLeastRate;
+  return missing > 0 ? rate * missing / (wanted * wanted) : 0;
+}
+
+std::optional<home> FindCopyHome(const planning& state, std::size_t model) {
+  const double most_loss =
+      kCopyWorth * (ExpectedRate(state.models[model]) + kLeastRate);
+  std::optional<home> best;
+  for (std::size_t i = 0; i < state.engines.size(); ++i) {
+    const plan_engine& engine = state.engines[i];
+    const bool candidate = engine.serving && engine.free &&
+                           !Contains(engine.held, model) &&
+                           !Contains(engine.loading, model) &&
+                           SourceAt(engine, model) == weight_source::kStore;
+    if (!candidate)
+      continue;
+    auto room = FindRoom(state, engine, model);
+    if (!room || room->loss > most_loss)
+      continue;
+    const double net =
+        -room->loss - kRunningCost * static_cast<double>(engine.running);
+    if (!best || net > best->gain)
+      best = home{i, std::move(*room), weight_source::kStore, net};
+  }
+  return best;
+}
+
+// Brings copies of models to engines that have none.
+void PlanCopies(planning& state) {
+  std::vector<bool> hopeless(state.models.size());
+  while (state.limits.store_loads > kStoreLoadsKept) {
+    std::optional<std::size_t> neediest;
+    double most = 0;
+    for (std::size_t i = 0; i < state.models.size(); ++i) {
+      const double need = hopeless[i] ? 0 : CopyNeed(state, i);
+      if (need > most) {
+        neediest = i;
+        most = need;
+      }
+    }
+    if (!neediest)
+      return;
+    const auto place = FindCopyHome(state, *neediest);
+    hopeless[*neediest] = !place;
+    if (!place)
+      continue;
+    Take(state, *place, *neediest);
+    ++state.copies[*neediest];
+    // The load itself follows once there is room: its turn is kept.
+    if (!place->room.models.empty())
+      --state.limits.store_loads;
+  }
+}
+
 }  // namespace
 
 double ReplicasNow(const plan_model& model, const plan_limits& limits) {
@@ -316,13 +404,15 @@
       }
     }
     if (!best || most < kLeastGain)
-      return std::move(state.steps);
+      break;
     const auto place = FindHome(state, *best);
     if (place)
       Take(state, *place, *best);
     else
       hopeless[*best] = true;
   }
+  PlanCopies(state);
+  return std::move(state.steps);
 }
 
 }  // namespace valeledge::decisions
--- a/src/decisions/model_plan.h
+++ b/src/decisions/model_plan.h
@@ -30,6 +30,9 @@
   // Work and requests a second as they will probably be soon.
   double future_work = 0;
   double future_rate = 0;
+  // The same after the move that follows.
+  double later_work = 0;
+  double later_rate = 0;
   // All who ask for it can wait for a load from a copy at hand.
   bool patient = false;
   // Replicas that are wanted for other reasons, such as places for adapters.
@@ -62,6 +65,8 @@
   std::int64_t slots = 1;
   // Loads from the weight store that may start now.
   std::int64_t store_loads = 0;
+  // Nobody asks for anything yet: engines may be kept busy.
+  bool quiet = false;
 };
 
 // One order that should be given now.
@@ -69,7 +74,10 @@
   std::size_t engine = 0;
   bool load = true;
   std::size_t model = 0;
+  // Loads: where the weights come from.
   weight_source source = weight_source::kStore;
+  // Unloads: the model that room is made for.
+  std::size_t successor = 0;
 };
 
 // Replicas that a model's demand asks for now; fractions of one are told.
@@ -86,7 +94,8 @@
 // The next orders, at most one for each engine. The load that adds most worth
 // goes first, and a replica gives way where what comes adds clearly more than
 // what goes takes away. A model without a copy on any other engine keeps its
-// last replica.
+// last replica. Loads from the weight store that are left bring copies of
+// models to the disks of engines where little is lost by it.
 std::vector<plan_step> PlanModels(const std::vector<plan_model>& models,
                                   const std::vector<plan_engine>& engines,
                                   const plan_limits& limits);
--- a/src/host/process/engine_book.h
+++ b/src/host/process/engine_book.h
@@ -15,6 +15,7 @@
 #include "base/duration.h"
 #include "catalog/backend_server.h"
 #include "catalog/configuration.h"
+#include "decisions/model_plan.h"
 #include "host/process/server_book.h"
 
 namespace valeledge::host {
@@ -36,6 +37,13 @@
   std::map<std::string, base::time_point, std::less<>> adapters;
 };
 
+// A model that room is being made for on an engine.
+struct planned_load {
+  std::string model;
+  decisions::weight_source source = decisions::weight_source::kStore;
+  base::time_point planned_at;
+};
+
 // One instance. An order takes effect only if the engine has accepted exactly
 // `accepted` orders before, so what is believed at that number is what the
 // order changes; an order without an answer is settled by asking again.
@@ -47,7 +55,9 @@
   std::map<std::string, engine_model, std::less<>> models;
   std::vector<std::string> in_memory;
   std::vector<std::string> on_disk;
+  // What is loaded as soon as there is room, so that no other plan takes it.
   // An order is on its way; a model is being loaded or unloaded.
+  std::optional<planned_load> next;
   bool sending = false;
   bool changing = false;
   // The engine should be asked for its state from here on.
--- a/src/host/process/order_desk.cc
+++ b/src/host/process/order_desk.cc
@@ -263,8 +263,11 @@
   engine->models.erase(model);
 }
 
-void order_desk::Unload(engine_ptr engine, const std::string& model) {
+void order_desk::Unload(engine_ptr engine,
+                        const std::string& model,
+                        planned_load next) {
   engine->changing = true;
+  engine->next = std::move(next);
   const auto found = engine->models.find(model);
   if (found != engine->models.end())
     found->second.now = phase::kWithdrawn;
--- a/src/host/process/order_desk.h
+++ b/src/host/process/order_desk.h
@@ -47,7 +47,10 @@
   void Load(std::shared_ptr<engine_record> engine,
             const catalog::model& model,
             decisions::weight_source source);
-  void Unload(std::shared_ptr<engine_record> engine, const std::string& model);
+  // Gives up a model to make room for another one, which is loaded next.
+  void Unload(std::shared_ptr<engine_record> engine,
+              const std::string& model,
+              planned_load next);
 
   // Loads adapters of a model one after the other, as long as the engine holds
   // the model, has slots and does nothing else.
--- a/src/host/process/placement_duty.cc
+++ b/src/host/process/placement_duty.cc
@@ -67,6 +67,10 @@
 // and its first requests are answered within another.
 constexpr std::chrono::milliseconds kShortestStay{2500};
 
+// Room that was made for a model is kept for it so long: an unload waits for
+// the streams that run.
+constexpr std::chrono::milliseconds kPlannedFor{6000};
+
 // Rates over a longer time are smoothed over this: models that are asked for
 // every few seconds are not idle in between.
 constexpr std::chrono::duration<double> kSteadyWindow{8};
@@ -308,9 +312,13 @@
   }
   const auto soon = decisions::DemandAfterMove(shift, tokens);
   const auto soon_rates = decisions::DemandAfterMove(shift, arrivals);
+  const auto later = decisions::DemandAfterMove(shift, soon);
+  const auto later_rates = decisions::DemandAfterMove(shift, soon_rates);
   for (std::size_t i = 0; i < out.size(); ++i) {
     out[i].future_work = kSuccession * ReadingWork(soon[i], demand[i]);
     out[i].future_rate = kSuccession * soon_rates[i];
+    out[i].later_work = kSuccession * ReadingWork(later[i], demand[i]);
+    out[i].later_rate = kSuccession * later_rates[i];
   }
   if (const double trust = TrustInFirstReplicas(); trust > 0)
     PlanByFirstReplicas(service, shift, trust, out);
@@ -337,6 +345,7 @@
   for (const catalog::model& each : service.engines.models)
     replicas.push_back(static_cast<double>(FirstReplicas(each.name)));
   const auto soon = decisions::DemandAfterMove(shift, replicas);
+  const auto later = decisions::DemandAfterMove(shift, soon);
   for (std::size_t i = 0; i < models.size(); ++i) {
     decisions::plan_model& model = models[i];
     if (replicas[i] >= kBusyReplicas) {
@@ -348,6 +357,11 @@
       RaiseTo(model.future_work,
               trust * kWorkOfFirst * kSuccessorAtFirst * soon[i]);
     }
+    if (later[i] >= kBusyReplicas) {
+      RaiseTo(model.later_rate, trust * kRateOfFirst * later[i]);
+      RaiseTo(model.later_work,
+              trust * kWorkOfFirst * kSuccessorAtFirst * later[i]);
+    }
   }
 }
 
@@ -381,6 +395,32 @@
   }
 }
 
+// Loads what room was made for, once there is room.
+void placement_duty::LoadNext(const std::shared_ptr<engine_record>& engine,
+                              const catalog::engine& kind,
+                              base::time_point now) {
+  if (!engine->next)
+    return;
+  const catalog::model* model = kind.Find(engine->next->model);
+  const bool late = now - engine->next->planned_at > kPlannedFor;
+  if (model == nullptr || late || engine->server->leaving) {
+    engine->next.reset();
+    return;
+  }
+  if (!IsFree(*engine))
+    return;
+  const bool fits =
+      model->weights_mb <= kind.weights_mb - UsedMemory(*engine, kind);
+  const bool from_store =
+      engine->next->source == decisions::weight_source::kStore;
+  const bool allowed =
+      !from_store || desk_.StoreLoadsLeft(kind.loads_per_second) > 0;
+  const bool held = engine->models.contains(model->name);
+  if (fits && allowed && !held)
+    desk_.Load(engine, *model, engine->next->source);
+  engine->next.reset();
+}
+
 void placement_duty::Plan(const catalog::service& service) {
   const catalog::engine& kind = service.engines;
   const auto position = [&](const std::string& name) {
@@ -397,10 +437,12 @@
   const auto now = std::chrono::steady_clock::now();
   std::vector<decisions::plan_engine> engines;
   std::vector<std::shared_ptr<engine_record>> records;
+  std::int64_t store_loads_planned = 0;
   for (const auto& [instance, engine] : desk_.engines()) {
     const known_server& server = *engine->server;
     if (server.entry.service != service.name)
       continue;
+    LoadNext(engine, kind, now);
     decisions::plan_engine each;
     each.zone = server.entry.zone;
     each.serving = !server.leaving;
@@ -420,6 +462,12 @@
         each.loads_from_store = model.from_store;
       }
     }
+    if (engine->next) {
+      each.loading.push_back(position(engine->next->model));
+      each.loads_from_store =
+          engine->next->source == decisions::weight_source::kStore;
+      store_loads_planned += each.loads_from_store ? 1 : 0;
+    }
     each.in_memory = positions(engine->in_memory);
     each.on_disk = positions(engine->on_disk);
     each.running = server.own.running + server.others.running;
@@ -428,7 +476,9 @@
   }
   decisions::plan_limits limits;
   limits.slots = kind.slots;
-  limits.store_loads = desk_.StoreLoadsLeft(kind.loads_per_second);
+  limits.store_loads =
+      desk_.StoreLoadsLeft(kind.loads_per_second) - store_loads_planned;
+  limits.quiet = !demand_seen_at_;
   const auto models = PlanModelsOf(service);
   const bool asked = std::ranges::any_of(SumDemand(), [](const auto& each) {
     return each.second.arrival_rate > 0;
@@ -442,7 +492,8 @@
     if (step.load)
       desk_.Load(records[step.engine], model, step.source);
     else
-      desk_.Unload(records[step.engine], model.name);
+      desk_.Unload(records[step.engine], model.name,
+                   {kind.models[step.successor].name, step.source, now});
   }
   PlanAdaptersAhead(service, models);
 }
--- a/src/host/process/placement_duty.h
+++ b/src/host/process/placement_duty.h
@@ -63,6 +63,9 @@
   // Whether the list of engines is whole, as far as can be told.
   bool IsSettled();
   void Plan(const catalog::service& service);
+  void LoadNext(const std::shared_ptr<engine_record>& engine,
+                const catalog::engine& kind,
+                base::time_point now);
   std::vector<decisions::plan_model> PlanModelsOf(
       const catalog::service& service);
   decisions::plan_model PlanModelOf(const catalog::service& service,
