--- a/src/host/process/server_book.cc
+++ b/src/host/process/server_book.cc
@@ -202,7 +202,7 @@
     const decisions::server_offer offer = OfferOf(*server, wish, service, now);
     const milliseconds expected = ExpectedWait(offer, wish.weight);
     const milliseconds unsure = server->well_known ? milliseconds(0) : kUnsure;
-    const milliseconds cost = unsure +
+    const milliseconds cost = unsure + PauseCost(server->pace, now) +
                               expected * (1 + kBlurShare * blur(random)) +
                               kBlur * blur(random);
     if (best && cost >= best_cost)
@@ -292,7 +292,13 @@
     if (server == nullptr)
       continue;
     server->others.running += use.running - before.running;
-    server->others.unread_tokens += use.unread_tokens - before.unread_tokens;
+    const std::int64_t sent = use.unread_tokens - before.unread_tokens;
+    server->others.unread_tokens += sent;
+    if (sent > 0) {
+      decisions::AddReading(server->pace,
+                            server->per_token * static_cast<double>(sent),
+                            std::chrono::steady_clock::now());
+    }
     server->others.held_tokens += use.held_tokens - before.held_tokens;
   }
 }
--- a/src/host/process/server_book.h
+++ b/src/host/process/server_book.h
@@ -16,6 +16,7 @@
 #include "base/duration.h"
 #include "catalog/backend_server.h"
 #include "catalog/configuration.h"
+#include "decisions/reading_pace.h"
 #include "decisions/server_cost.h"
 #include "host/dialect.h"
 #include "wire/generated/messages_types.h"
@@ -62,6 +63,9 @@
   server_use own;
   server_use others;
   decisions::server_trust trust;
+  // Prompts of all hosts, and what the last one sent from here took a token.
+  decisions::reading_pace pace;
+  std::chrono::duration<double, std::milli> per_token{0};
   std::map<unit_key, holding_fact> facts;
   // Models that it is loading, and when each is there.
   std::map<unit_key, base::time_point> coming;
--- a/src/host/request/server_visit.cc
+++ b/src/host/request/server_visit.cc
@@ -36,6 +36,10 @@
   ++server_->own.running;
   server_->own.unread_tokens += weight_.prompt_tokens;
   server_->own.held_tokens += weight_.held_tokens;
+  server_->per_token = weight_.per_token;
+  decisions::AddReading(
+      server_->pace,
+      weight_.per_token * static_cast<double>(weight_.prompt_tokens), begun_);
   // A server that was suspended gets one request as a trial.
   if (server_->trust.last_suspension.count() != 0)
     server_->trust.on_trial = true;
