--- a/src/decisions/model_plan.h
+++ b/src/decisions/model_plan.h
@@ -94,8 +94,8 @@
 // The next orders, at most one for each engine. The load that adds most worth
 // goes first, and a replica gives way where what comes adds clearly more than
 // what goes takes away. A model without a copy on any other engine keeps its
-// last replica. Loads from the weight store that are left bring copies of
-// models to the disks of engines where little is lost by it.
+// last replica. While nobody asks for anything, loads from the weight store
+// that are left bring copies of models to the disks of engines.
 std::vector<plan_step> PlanModels(const std::vector<plan_model>& models,
                                   const std::vector<plan_engine>& engines,
                                   const plan_limits& limits);
--- a/tests/auto/decisions/test_model_plan.cc
+++ b/tests/auto/decisions/test_model_plan.cc
@@ -82,7 +82,7 @@
   BOOST_TEST(PlanModels(models, engines, Limits(8)).size() == 8u);
 }
 
-// Where nothing else is wanted, what the next moves of demand reach is brought
+// Before anything is asked for, what the next moves of demand reach is brought
 // to disks, and what only one engine has.
 BOOST_AUTO_TEST_CASE(copies_are_made_ahead_where_little_is_lost) {
   std::vector models = {Model(60, 250, 10), Model(60, 0, 0), Model(60, 0, 0)};
@@ -94,13 +94,17 @@
     each.on_disk = each.held;
     each.running = 1;
   }
-  const auto steps = PlanModels(models, engines, Limits(8));
+  plan_limits quiet = Limits(4);
+  quiet.quiet = true;
+  const auto steps = PlanModels(models, engines, quiet);
   BOOST_REQUIRE(steps.size() == 1u);
   BOOST_TEST(!steps.front().load);
   BOOST_TEST(steps.front().model == 0u);
   BOOST_TEST(steps.front().successor == 1u);
-  // Some loads are left for what is asked for meanwhile.
-  BOOST_TEST(PlanModels(models, engines, Limits(3)).empty());
+  // Some loads are left for the first requests.
+  quiet.store_loads = 3;
+  BOOST_TEST(PlanModels(models, engines, quiet).empty());
+  BOOST_TEST(PlanModels(models, engines, Limits(4)).empty());
 }
 
 BOOST_AUTO_TEST_CASE(a_successor_is_prepared_where_nothing_else_needs_room) {
