Requests wait and are refused by what is expected, not by parts of their time

Cause: a request was held for up to two fifths of its objective and could be refused only after a fifth of it, whatever was expected; a full engine counted as busy for a whole answer, though one of its 48 slots is free within 50 ms. Now engine_admission decides: refuse at once what would be late, wait for less to read as long as the answer is in time all the same, else send; who has come back is not refused for being late. A full engine costs the share of an answer after which a slot is free.

--- a/src/decisions/server_cost.cc
+++ b/src/decisions/server_cost.cc
@@ -18,7 +18,8 @@
 // From this part of an engine's token memory on, requests may be preempted.
 constexpr double kTokenMemoryMark = 0.85;
 
-// Waiting for another request's place takes about as long as an answer.
+// An answer takes about so long: where all slots are taken, one of them is free
+// after its share of this.
 constexpr milliseconds kFull{2000};
 
 // Weight of the newest attempt in the smoothed shares.
@@ -48,9 +49,10 @@
                     static_cast<double>(offer.slots);
   if (!offer.same_zone)
     wait += kOtherZone;
-  if (offer.running >= offer.slots)
-    wait += kFull * (1.0 + static_cast<double>(offer.running - offer.slots) /
-                               static_cast<double>(offer.slots));
+  if (offer.running >= offer.slots) {
+    const auto ahead = static_cast<double>(offer.running - offer.slots + 1);
+    wait += kFull * (ahead / static_cast<double>(offer.slots));
+  }
   const auto memory = static_cast<double>(offer.token_memory);
   const auto held = static_cast<double>(offer.held_tokens + weight.held_tokens);
   if (memory > 0 && held > kTokenMemoryMark * memory)
--- a/src/host/constants.h
+++ b/src/host/constants.h
@@ -19,10 +19,6 @@
 // leaves time for the way back.
 inline constexpr double kRefuseWithin = 0.2;
 
-// A request waits for a server with less to read for this part of its
-// objective at the most; the rest is for reading it. 0.2 serves less.
-inline constexpr double kHoldWithin = 0.4;
-
 // A refused caller should come back within a third of its time.
 inline constexpr double kComeBackWithin = 0.33;
 
@@ -35,13 +31,7 @@
 // The same when a server frees itself within some steps.
 inline constexpr std::chrono::milliseconds kShortComeBack{150};
 
-// A stream pauses while its server reads other prompts. A request waits for a
-// server that has at most this part of the accepted pause to read before it:
-// an event is a few steps long, and each may read one more prompt. Measured on
-// high days: of streams sent behind 40 ms of reading 5% paused too long, behind
-// 40 to 80 ms 24%.
-inline constexpr double kReadingAheadPart = 0.12;
-// The same for routes that state no pause.
+// The longest pause between events where a route states none.
 inline constexpr std::chrono::milliseconds kUsualEventGap{300};
 
 // Sends of one request, those that certainly did not run included.
--- a/src/host/request/server_search.cc
+++ b/src/host/request/server_search.cc
@@ -7,6 +7,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
+#include "decisions/engine_admission.h"
 #include "decisions/replica_wait.h"
 #include "host/constants.h"
 
@@ -67,28 +68,28 @@
   co_return base::result<void>();
 }
 
-// Whether a server with less to read should be waited for, so that streams
-// which run there do not pause for too long.
-bool ShouldWait(const routed_request& routed, const server_choice& choice) {
-  if (routed.head.model.empty())
-    return false;
-  const catalog::route& route = *routed.route;
-  const milliseconds gap =
-      route.event_gap.count() > 0 ? route.event_gap : kUsualEventGap;
-  return choice.reading_ahead > gap * kReadingAheadPart;
+// Whether the caller has been refused before: its deadline is shorter than
+// others'.
+bool CameBack(const routed_request& routed) {
+  const auto& deadline = routed.head.deadline;
+  return deadline && *deadline < routed.route->timeout * kFirstTimePart;
 }
 
-// Whether the request would come too late where it would go, so that coming
-// back serves its caller better. One that has come back already is served
-// late rather than refused again: its deadline is shorter than others'.
-bool WouldBeLate(const routed_request& routed, const server_choice& choice) {
-  if (routed.head.model.empty())
-    return false;
-  const catalog::route& route = *routed.route;
-  const auto& deadline = routed.head.deadline;
-  const bool came_back = deadline && *deadline < route.timeout * kFirstTimePart;
-  const auto waited = std::chrono::steady_clock::now() - routed.arrived;
-  return !came_back && choice.expected + waited > route.objective;
+// A request of a model at the best server that holds it.
+decisions::engine_turn TurnOf(const routed_request& routed,
+                              const server_choice& choice,
+                              bool first_attempt,
+                              base::time_point now) {
+  const milliseconds gap = routed.route->event_gap;
+  decisions::engine_turn turn;
+  turn.waited = duration_cast<milliseconds>(now - routed.arrived);
+  turn.objective = routed.route->objective;
+  turn.answers_in = choice.expected;
+  turn.reading_ahead = choice.reading_ahead;
+  turn.event_gap = gap.count() > 0 ? gap : kUsualEventGap;
+  turn.look_again = kChoicePause;
+  turn.refusable = first_attempt && !CameBack(routed);
+  return turn;
 }
 
 // When a refused caller should come back: spread, so that those who are
@@ -137,15 +138,24 @@
     const auto now = std::chrono::steady_clock::now();
     const server_wish wish = WishOf(routed);
     auto choice = core.servers.Choose(wish, *routed.service, now, core.random);
-    const bool refusable = now >= PartOfObjective(routed, kRefuseWithin);
-    if (choice && refusable && first_attempt && WouldBeLate(routed, *choice)) {
-      reason = base::MakeError(result_code::kOverloaded, base::outcome::kNotRun,
-                               "all backend servers for this are busy");
-      break;
-    }
-    const bool held = now >= PartOfObjective(routed, kHoldWithin);
-    if (choice && (held || !ShouldWait(routed, *choice)))
+    if (choice && wish.model.empty())
       co_return std::move(*choice);
+    if (choice) {
+      const auto turn = TurnOf(routed, *choice, first_attempt, now);
+      const auto decided = decisions::DecideTurn(turn);
+      if (decided == decisions::turn_decision::kSend)
+        co_return std::move(*choice);
+      if (decided == decisions::turn_decision::kRefuse) {
+        reason =
+            base::MakeError(result_code::kOverloaded, base::outcome::kNotRun,
+                            "all backend servers for this are busy");
+        break;
+      }
+      pause.expires_after(kChoicePause);
+      co_await pause.async_wait(kAwait);
+      continue;
+    }
+    const bool refusable = now >= PartOfObjective(routed, kRefuseWithin);
     const bool absent = !choice && !wish.model.empty() &&
                         !core.servers.AnyHolds(BareWish(wish), now);
     if (absent) {
