--- a/src/host/process/placement_duty.cc
+++ b/src/host/process/placement_duty.cc
@@ -2,7 +2,6 @@
 #include "host/process/placement_duty.h"
 
 #include <algorithm>
-#include <cmath>
 #include <limits>
 #include <utility>
 
@@ -55,14 +54,6 @@
 constexpr std::chrono::milliseconds kSettling{900};
 constexpr std::chrono::milliseconds kMostSettling{4000};
 
-// Models that hold this many more replicas than others are busy at the start.
-constexpr double kBusyReplicas = 3;
-
-// Before any demand is seen, the replicas of busy models stand for it: this
-// part of them stays, and a successor is given this part of as many.
-constexpr double kKeptAtFirst = 0.5;
-constexpr double kSuccessorAtFirst = 0.8;
-
 // A model stays at least so long: a load takes one to two seconds from a disk,
 // and its first requests are answered within another.
 constexpr std::chrono::milliseconds kShortestStay{2500};
@@ -71,40 +62,10 @@
 // the streams that run.
 constexpr std::chrono::milliseconds kPlannedFor{6000};
 
-// Rates over a longer time are smoothed over this: models that are asked for
-// every few seconds are not idle in between.
-constexpr std::chrono::duration<double> kSteadyWindow{8};
-
-// From the wish for a model to its first answer, beside the load itself: the
-// wish, the order and the news of its end travel, and a place is made.
-constexpr std::chrono::milliseconds kSwapTime{1500};
-
-// What one of the first replicas stands for: requests a second, and the
-// milliseconds of reading a second that an engine is given for one model.
-constexpr double kRateOfFirst = 5;
-constexpr double kWorkOfFirst = 250;
-
-// Measured rates follow the demand only after their window: until they are
-// trusted alone, the first replicas stand for it less and less.
-constexpr std::chrono::duration<double> kDemandTrusted{4};
-
 // Adapters that are loaded ahead on one engine in one plan: an order and its
 // answer take some milliseconds, and all are to be out before the next plan.
 constexpr std::int64_t kAdaptersAtOnce = 4;
 
-// The part of a model's demand that its successor in the operators' list is
-// given replicas for before it rises.
-constexpr double kSuccession = 0.8;
-
-// Milliseconds of one engine's time that reading so many tokens a second takes
-// each second, for a model that is asked for like this.
-double ReadingWork(double tokens, const wire::model_load& model) {
-  // Microseconds for a thousand tokens.
-  const double reading =
-      model.reading_us != 0 ? model.reading_us : kReadingGuess.count() * 1e6;
-  return tokens * reading / 1e6;
-}
-
 // What the others are told of a load that is under way.
 wire::coming_model ComingOf(const std::string& name,
                             const engine_model& model,
@@ -131,10 +92,6 @@
   return "a" + std::to_string(number + 1);
 }
 
-void RaiseTo(double& value, double least) {
-  value = std::max(value, least);
-}
-
 bool Holds(const wire::placed_engine& engine, unit_key unit) {
   return std::ranges::find(engine.held, unit) != engine.held.end();
 }
@@ -147,6 +104,7 @@
     : core_(core),
       lease_(lease),
       peers_(peers),
+      forecast_(core.demand),
       desk_(core, [this] { return OrderTerm(); }) {}
 
 void placement_duty::Start() {
@@ -163,70 +121,6 @@
   return waited || lease_.is_first_holder() ? term : 0;
 }
 
-void placement_duty::TakeDemand(const std::string& host,
-                                const std::vector<wire::model_load>& models) {
-  demand_[host] = models;
-}
-
-void placement_duty::ForgetHost(const std::string& host) {
-  demand_.erase(host);
-}
-
-placement_duty::demand_table placement_duty::SumDemand() const {
-  demand_table sums;
-  // The mean time of reading over hosts, each with the weight of what it has
-  // read.
-  std::map<unit_key, double> weighted;
-  const auto add = [&](const std::vector<wire::model_load>& loads) {
-    for (const wire::model_load& each : loads) {
-      wire::model_load& sum = sums[each.model];
-      sum.arrival_rate += each.arrival_rate;
-      sum.token_rate += each.token_rate;
-      sum.running += each.running;
-      const bool first = sum.objective_ms == 0;
-      sum.objective_ms = first ? each.objective_ms
-                               : std::min(sum.objective_ms, each.objective_ms);
-      weighted[each.model] +=
-          static_cast<double>(each.reading_us) * each.token_rate;
-    }
-  };
-  add(core_.demand.Loads());
-  for (const auto& [host, loads] : demand_)
-    add(loads);
-  for (auto& [model, sum] : sums) {
-    if (sum.token_rate > 0)
-      sum.reading_us =
-          static_cast<std::int32_t>(weighted[model] / sum.token_rate);
-  }
-  return sums;
-}
-
-void placement_duty::RememberDemand(const demand_table& sums) {
-  const auto now = std::chrono::steady_clock::now();
-  const std::chrono::duration<double> passed = now - steady_at_;
-  steady_at_ = now;
-  const double weight = 1 - std::exp(-passed / kSteadyWindow);
-  for (auto& [model, rate] : steady_rates_)
-    rate -= weight * rate;
-  for (const auto& [model, sum] : sums) {
-    steady_rates_[model] += weight * sum.arrival_rate / 1000.0;
-    const std::chrono::milliseconds objective(sum.objective_ms);
-    const auto known = objectives_.try_emplace(model, objective).first;
-    known->second = std::min(known->second, objective);
-  }
-}
-
-bool placement_duty::IsPatient(const catalog::model& model) const {
-  const auto found = objectives_.find(KeyOf(model.name));
-  return found != objectives_.end() &&
-         found->second >= model.load_from_disk + kSwapTime;
-}
-
-std::int64_t placement_duty::FirstReplicas(const std::string& model) const {
-  const auto found = first_replicas_.find(model);
-  return found == first_replicas_.end() ? 0 : found->second;
-}
-
 // Engines enter themselves one after the other. A plan for half of them would
 // load what the others hold.
 bool placement_duty::IsSettled() {
@@ -244,11 +138,12 @@
   if (known_engines_ == 0 || (now - known_since_ < kSettling && patient))
     return false;
   settled_ = true;
-  first_replicas_.clear();
+  std::map<std::string, std::int64_t> replicas;
   for (const auto& [instance, engine] : desk_.engines()) {
     for (const auto& [name, model] : engine->models)
-      ++first_replicas_[name];
+      ++replicas[name];
   }
+  forecast_.SetFirstReplicas(std::move(replicas));
   return true;
 }
 
@@ -269,102 +164,6 @@
   return (most + kind.adapter_slots - 1) / kind.adapter_slots;
 }
 
-decisions::plan_model placement_duty::PlanModelOf(
-    const catalog::service& service,
-    const catalog::model& model,
-    const wire::model_load& demand) const {
-  decisions::plan_model out;
-  out.weights_mb = model.weights_mb;
-  out.load_from_memory = model.load_from_memory;
-  out.load_from_disk = model.load_from_disk;
-  out.load_from_store = model.load_from_store;
-  out.arrival_rate = demand.arrival_rate / 1000.0;
-  out.running = demand.running;
-  const auto steady = steady_rates_.find(KeyOf(model.name));
-  out.steady_rate = steady == steady_rates_.end() ? 0 : steady->second;
-  out.patient = IsPatient(model);
-  out.work = ReadingWork(demand.token_rate, demand);
-  out.least_replicas = ReplicasForAdapters(service.engines, model);
-  return out;
-}
-
-std::vector<decisions::plan_model> placement_duty::PlanModelsOf(
-    const catalog::service& service) {
-  std::vector<decisions::plan_model> out;
-  std::vector<wire::model_load> demand;
-  std::vector<double> arrivals;
-  std::vector<double> tokens;
-  demand_table sums = SumDemand();
-  RememberDemand(sums);
-  for (const catalog::model& each : service.engines.models) {
-    demand.push_back(sums[KeyOf(each.name)]);
-    out.push_back(PlanModelOf(service, each, demand.back()));
-    arrivals.push_back(out.back().arrival_rate);
-    tokens.push_back(demand.back().token_rate);
-  }
-  decisions::demand_shift& shift = shifts_[service.name];
-  const auto known = shift.step;
-  decisions::NoteDemand(shift, std::chrono::steady_clock::now(), arrivals);
-  if (shift.step != known) {
-    base::Log(kCategory, base::log_event::kDemandMoved,
-              {{"service", service.name},
-               {"places", static_cast<std::int64_t>(*shift.step)}});
-  }
-  const auto soon = decisions::DemandAfterMove(shift, tokens);
-  const auto soon_rates = decisions::DemandAfterMove(shift, arrivals);
-  const auto later = decisions::DemandAfterMove(shift, soon);
-  const auto later_rates = decisions::DemandAfterMove(shift, soon_rates);
-  for (std::size_t i = 0; i < out.size(); ++i) {
-    out[i].future_work = kSuccession * ReadingWork(soon[i], demand[i]);
-    out[i].future_rate = kSuccession * soon_rates[i];
-    out[i].later_work = kSuccession * ReadingWork(later[i], demand[i]);
-    out[i].later_rate = kSuccession * later_rates[i];
-  }
-  if (const double trust = TrustInFirstReplicas(); trust > 0)
-    PlanByFirstReplicas(service, shift, trust, out);
-  return out;
-}
-
-// How far the first replicas still stand for the demand, from 1 to 0.
-double placement_duty::TrustInFirstReplicas() const {
-  if (!demand_seen_at_)
-    return 1;
-  const std::chrono::duration<double> since =
-      std::chrono::steady_clock::now() - *demand_seen_at_;
-  return 1 - since / kDemandTrusted;
-}
-
-// Before anything is asked for, the replicas of busy models stand for their
-// demand.
-void placement_duty::PlanByFirstReplicas(
-    const catalog::service& service,
-    const decisions::demand_shift& shift,
-    double trust,
-    std::vector<decisions::plan_model>& models) const {
-  std::vector<double> replicas;
-  for (const catalog::model& each : service.engines.models)
-    replicas.push_back(static_cast<double>(FirstReplicas(each.name)));
-  const auto soon = decisions::DemandAfterMove(shift, replicas);
-  const auto later = decisions::DemandAfterMove(shift, soon);
-  for (std::size_t i = 0; i < models.size(); ++i) {
-    decisions::plan_model& model = models[i];
-    if (replicas[i] >= kBusyReplicas) {
-      RaiseTo(model.arrival_rate, trust * kRateOfFirst * replicas[i]);
-      RaiseTo(model.work, trust * kWorkOfFirst * kKeptAtFirst * replicas[i]);
-    }
-    if (soon[i] >= kBusyReplicas) {
-      RaiseTo(model.future_rate, trust * kRateOfFirst * soon[i]);
-      RaiseTo(model.future_work,
-              trust * kWorkOfFirst * kSuccessorAtFirst * soon[i]);
-    }
-    if (later[i] >= kBusyReplicas) {
-      RaiseTo(model.later_rate, trust * kRateOfFirst * later[i]);
-      RaiseTo(model.later_work,
-              trust * kWorkOfFirst * kSuccessorAtFirst * later[i]);
-    }
-  }
-}
-
 void placement_duty::LogDemand(
     const catalog::service& service,
     const std::vector<decisions::plan_model>& models,
@@ -395,7 +194,6 @@
   }
 }
 
-// Loads what room was made for, once there is room.
 void placement_duty::LoadNext(const std::shared_ptr<engine_record>& engine,
                               const catalog::engine& kind,
                               base::time_point now) {
@@ -478,13 +276,10 @@
   limits.slots = kind.slots;
   limits.store_loads =
       desk_.StoreLoadsLeft(kind.loads_per_second) - store_loads_planned;
-  limits.quiet = !demand_seen_at_;
-  const auto models = PlanModelsOf(service);
-  const bool asked = std::ranges::any_of(SumDemand(), [](const auto& each) {
-    return each.second.arrival_rate > 0;
-  });
-  if (asked && !demand_seen_at_)
-    demand_seen_at_ = now;
+  auto models = forecast_.Models(service);
+  for (std::size_t i = 0; i < models.size(); ++i)
+    models[i].least_replicas = ReplicasForAdapters(kind, kind.models[i]);
+  limits.quiet = forecast_.quiet();
   LogDemand(service, models, engines);
   const auto steps = decisions::PlanModels(models, engines, limits);
   for (const decisions::plan_step& step : steps) {
--- a/src/host/process/placement_duty.h
+++ b/src/host/process/placement_duty.h
@@ -13,8 +13,8 @@
 #include <boost/asio/awaitable.hpp>
 
 #include "decisions/adapter_plan.h"
-#include "decisions/demand_shift.h"
 #include "decisions/model_plan.h"
+#include "host/process/demand_forecast.h"
 #include "host/process/host_core.h"
 #include "host/process/order_desk.h"
 #include "host/process/peer_link.h"
@@ -34,8 +34,10 @@
 
   // Takes in what another host's callers ask for.
   void TakeDemand(const std::string& host,
-                  const std::vector<wire::model_load>& models);
-  void ForgetHost(const std::string& host);
+                  const std::vector<wire::model_load>& models) {
+    forecast_.Take(host, models);
+  }
+  void ForgetHost(const std::string& host) { forecast_.Forget(host); }
 
   // Takes in what the holder of the lease knows; older terms are ignored.
   void TakeNews(const wire::placement_news& news, const base::endpoint& holder);
@@ -63,29 +65,12 @@
   // Whether the list of engines is whole, as far as can be told.
   bool IsSettled();
   void Plan(const catalog::service& service);
+  // Loads what room was made for, once there is room.
   void LoadNext(const std::shared_ptr<engine_record>& engine,
                 const catalog::engine& kind,
                 base::time_point now);
-  std::vector<decisions::plan_model> PlanModelsOf(
-      const catalog::service& service);
-  decisions::plan_model PlanModelOf(const catalog::service& service,
-                                    const catalog::model& model,
-                                    const wire::model_load& demand) const;
-  // Whether all who ask for a model can wait for a load from a copy.
-  bool IsPatient(const catalog::model& model) const;
-  void PlanByFirstReplicas(const catalog::service& service,
-                           const decisions::demand_shift& shift,
-                           double trust,
-                           std::vector<decisions::plan_model>& models) const;
-  double TrustInFirstReplicas() const;
-  std::int64_t FirstReplicas(const std::string& model) const;
   std::int64_t ReplicasForAdapters(const catalog::engine& kind,
                                    const catalog::model& model) const;
-  // What all hosts are asked for, by model.
-  using demand_table = std::map<unit_key, wire::model_load>;
-  // Takes the demand of all hosts into what is remembered for longer.
-  void RememberDemand(const demand_table& sums);
-  demand_table SumDemand() const;
   // Tells all hosts what has changed, and some of them everything.
   void TellNews(bool everything);
   // Loads adapters that will probably be asked for.
@@ -98,31 +83,20 @@
   host_core& core_;
   store::lease_keeper& lease_;
   peer_link& peers_;
+  demand_forecast forecast_;
   order_desk desk_;
   std::int64_t term_ = 0;
   base::time_point term_since_;
-  std::map<std::string, std::vector<wire::model_load>> demand_;
-  // The rate at which each model is asked for, smoothed over a longer time.
-  std::map<unit_key, double> steady_rates_;
-  base::time_point steady_at_;
-  // The shortest objective with which each model was ever asked for.
-  std::map<unit_key, std::chrono::milliseconds> objectives_;
-  // How the demand for each service's models moves along its list.
-  std::map<std::string, decisions::demand_shift> shifts_;
   base::time_point told_;
   // What was last told of each engine.
   std::map<unit_key, wire::placed_engine> told_engines_;
   base::time_point logged_;
   // The holder by the newest news.
   std::int64_t news_term_ = 0;
-  // When callers first asked for any model since this host began.
-  std::optional<base::time_point> demand_seen_at_;
   // Engines that were known when one was last new, and since when.
   std::size_t known_engines_ = 0;
   base::time_point known_since_;
   bool settled_ = false;
-  // Replicas of each model when the engines were first known.
-  std::map<std::string, std::int64_t> first_replicas_;
   base::endpoint holder_;
 };
 
