A connection between hosts that goes silent is given up within a second

Cause, found by reading: calls on a connection that carries nothing any more, but was not reset, timed out one after the other, for good; nothing closed it. Ruled out: the store's calls and watches (each ends by its own timeout, and its connection with it) and servers' (the same). Now a channel that has answered nothing for a second while it was asked is closed; the next call connects anew. Test first: one connection where two were wanted.

--- a/src/net/rpc_channel.cc
+++ b/src/net/rpc_channel.cc
@@ -24,6 +24,11 @@
 // A connection that takes longer counts as failed.
 constexpr auto kConnectTimeout = std::chrono::milliseconds(500);
 
+// A connection that answers nothing for so long while it is asked has gone
+// silent: nothing but a new one gets through. Replies that take as long are
+// lost with it.
+constexpr auto kSilentAfter = std::chrono::milliseconds(1000);
+
 struct waiting_call {
   explicit waiting_call(asio::io_context& context) : done(context) {}
 
@@ -53,6 +58,8 @@
   asio::awaitable<void> ReadReplies(std::shared_ptr<detail::frame_link> from);
   bool Queue(const wire::envelope& call);
   void Fail();
+  // A call that was sent at `sent` has had no reply.
+  void NoteNoReply(std::chrono::steady_clock::time_point sent);
 
   asio::io_context& context;
   base::endpoint where;
@@ -60,6 +67,9 @@
   asio::steady_timer connected;
   bool connecting = false;
   std::shared_ptr<detail::frame_link> link;
+  // When a reply last came, and since when calls have had none.
+  std::chrono::steady_clock::time_point replied_at;
+  std::optional<std::chrono::steady_clock::time_point> silent_since;
   std::int64_t next_call = 1;
   std::map<std::int64_t, std::shared_ptr<waiting_call>> waiting;
 };
@@ -91,6 +101,7 @@
   boost::system::error_code ignored;
   fresh->socket.set_option(asio::ip::tcp::no_delay(true), ignored);
   link = fresh;
+  silent_since.reset();
   asio::co_spawn(context, ReadReplies(fresh), asio::detached);
   co_return true;
 }
@@ -103,6 +114,8 @@
     if (bytes.empty())
       break;
     counted->received += static_cast<std::int64_t>(bytes.size());
+    replied_at = std::chrono::steady_clock::now();
+    silent_since.reset();
     auto reply = wire::DecodeEnvelope(bytes);
     if (!reply)
       break;
@@ -128,6 +141,21 @@
   }
 }
 
+void rpc_channel_set::channel::NoteNoReply(
+    std::chrono::steady_clock::time_point sent) {
+  if (link == nullptr || replied_at > sent)
+    return;
+  if (!silent_since)
+    silent_since = sent;
+  const auto silent = std::chrono::steady_clock::now() - *silent_since;
+  if (silent < kSilentAfter)
+    return;
+  // Its reader ends with it, and tells the other calls.
+  link->broken = true;
+  boost::system::error_code ignored;
+  link->socket.close(ignored);
+}
+
 bool rpc_channel_set::channel::Queue(const wire::envelope& call) {
   if (link->outgoing.size() > detail::kMaxQueuedBytes)
     return false;
@@ -177,11 +205,14 @@
     co_return base::NotRun(result_code::kPeerUnreachable,
                            base::ToString(where) + ": too much waits already");
   }
+  const auto sent = std::chrono::steady_clock::now();
   entry->done.expires_after(timeout);
   co_await entry->done.async_wait(kAwait);
   if (entry->reply)
     co_return std::move(*entry->reply);
   target->waiting.erase(call.call_id);
+  if (!entry->lost)
+    target->NoteNoReply(sent);
   co_return base::Unknown(
       result_code::kPeerUnreachable,
       base::ToString(where) +
--- a/tests/auto/net/test_rpc.cc
+++ b/tests/auto/net/test_rpc.cc
@@ -2,6 +2,7 @@
 // Calls between processes: replies find their calls, failures are told.
 #include <functional>
 #include <optional>
+#include <vector>
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
@@ -109,6 +110,39 @@
   BOOST_TEST((silent->code == base::result_code::kPeerUnreachable));
 }
 
+// A connection may go silent for good without a reset: calls on it must not be
+// lost for longer than a second, while a new one works.
+BOOST_AUTO_TEST_CASE(a_silent_connection_is_given_up_within_a_second) {
+  asio::io_context context(1);
+  asio::ip::tcp::acceptor acceptor(context,
+                                   {asio::ip::address_v4::loopback(), 0});
+  std::vector<asio::ip::tcp::socket> accepted;
+  asio::co_spawn(
+      context,
+      [&]() -> asio::awaitable<void> {
+        while (true) {
+          auto [failed, socket] = co_await acceptor.async_accept(kAwait);
+          if (failed)
+            co_return;
+          accepted.push_back(std::move(socket));
+        }
+      },
+      asio::detached);
+  const base::endpoint where = net::FromTcp(acceptor.local_endpoint());
+  net::rpc_channel_set channels(context);
+  std::vector<std::size_t> connections;
+  BOOST_TEST(Run(context, [&]() -> asio::awaitable<void> {
+    for (int i = 0; i < 5; ++i) {
+      const auto reply = co_await channels.Call(where, Wanted(i), 300ms);
+      BOOST_TEST(!reply);
+      connections.push_back(accepted.size());
+    }
+  }));
+  // One slow reply is no reason; more than a second without any is.
+  const std::vector<std::size_t> expected = {1, 1, 1, 1, 2};
+  BOOST_TEST(connections == expected, boost::test_tools::per_element());
+}
+
 BOOST_AUTO_TEST_CASE(nonsense_ends_its_connection_and_nothing_else) {
   asio::io_context context(1);
   net::rpc_server server(context, AnswerBackwards);
