--- a/tests/auto/host/test_relay.cc
+++ b/tests/auto/host/test_relay.cc
@@ -155,6 +155,8 @@
     request.set(http::field::host, "a.example");
     request.set("X-Request-Id", "9c41");
     request.set("X-Other", "kept");
+    if (!model.empty())
+      request.set("X-Model", model);
     request.set(http::field::connection, "keep-alive");
     seen_answer seen;
     fake_responder responder(seen);
@@ -183,7 +185,24 @@
     });
   }
 
+  // The service becomes one of engines that load a model "m" from a disk within
+  // `load`; one of them has it on its disk. Requests ask for it.
+  std::shared_ptr<host::known_server> AddEngine(milliseconds load) {
+    model = "m";
+    catalog::model kind;
+    kind.name = model;
+    kind.load_from_disk = load;
+    configuration.services.front().engines.models.push_back(kind);
+    AddServer("i-1", first.address());
+    catalog::backend_server entry = core->servers.Find("i-1")->entry;
+    entry.on_disk.push_back(model);
+    core->servers.Put(entry);
+    return core->servers.Find("i-1");
+  }
+
   boost::asio::io_context context{1};
+  // What requests ask for; nothing but for engines.
+  std::string model;
   milliseconds timeout{2000};
   catalog::configuration configuration;
   backend_stand_in first{context};
@@ -379,6 +398,39 @@
 }
 
 // A host that stops takes what ends before it does, and nothing else.
+// A model that no engine has, and that cannot be there in time: the caller
+// hears so at once, and when to come back, instead of waiting for a part of its
+// time.
+BOOST_AUTO_TEST_CASE(what_no_load_serves_in_time_is_refused_at_once) {
+  world here;
+  here.AddEngine(milliseconds(1300));
+  int events = 0;
+  const seen_answer seen =
+      here.Ask("/stream/", [&](fake_responder&) { ++events; });
+  BOOST_TEST(seen.status == 503);
+  BOOST_TEST(here.first.requests.empty());
+  // Both servers listen and the request runs: 4 events. Waiting for a fifth of
+  // the objective would be 13 more.
+  BOOST_TEST(events <= 6);
+  const auto after = seen.fields[http::field::retry_after];
+  BOOST_TEST(std::stod(std::string(after)) > 0.1);
+}
+
+// A replica that is on its way and there in time is waited for.
+BOOST_AUTO_TEST_CASE(a_replica_on_its_way_is_waited_for) {
+  world here;
+  const auto engine = here.AddEngine(milliseconds(1300));
+  const auto now = std::chrono::steady_clock::now();
+  engine->coming[host::KeyOf("m")] = now + milliseconds(40);
+  const seen_answer seen = here.Ask("/once/", [&](fake_responder&) {
+    const auto at = std::chrono::steady_clock::now();
+    if (at >= now + milliseconds(40))
+      engine->facts[host::KeyOf("m")] = {true, at};
+  });
+  BOOST_TEST(seen.status == 200);
+  BOOST_TEST(seen.body == "hello");
+}
+
 BOOST_AUTO_TEST_CASE(what_would_outlast_a_stopping_host_is_refused) {
   world here;
   here.AddServer("i-1", here.first.address());
