A long reply that is still coming in is no silence

On a narrow link a copy of the store takes longer than a second; calls that waited behind it ran out, and closed the connection that carried it. Now any byte counts. Test first: 2 connections where 1 was wanted.

--- a/src/net/frame.h
+++ b/src/net/frame.h
@@ -5,6 +5,7 @@
 #define VALELEDGE_NET_FRAME_H_
 
 #include <array>
+#include <chrono>
 #include <cstdint>
 #include <deque>
 #include <memory>
@@ -34,6 +35,8 @@
   std::string writing;
   bool writer_running = false;
   bool broken = false;
+  // When any byte last came, of a whole frame or not.
+  std::chrono::steady_clock::time_point received_at;
 };
 
 inline void AppendFrame(std::string& out, const std::string& bytes) {
@@ -75,8 +78,14 @@
   if (failed || size > wire::kMaxFrameBytes)
     co_return std::string();
   std::string bytes(size, '\0');
+  const auto rest = [&](const boost::system::error_code& ended,
+                        std::size_t so_far) -> std::size_t {
+    if (so_far > 0)
+      link->received_at = std::chrono::steady_clock::now();
+    return ended ? 0 : size - so_far;
+  };
   const auto [cut, more] = co_await boost::asio::async_read(
-      link->socket, boost::asio::buffer(bytes), kAwait);
+      link->socket, boost::asio::buffer(bytes), rest, kAwait);
   if (cut)
     co_return std::string();
   co_return bytes;
--- a/src/net/rpc_channel.cc
+++ b/src/net/rpc_channel.cc
@@ -1,6 +1,7 @@
 // SPDX-License-Identifier: MIT
 #include "net/rpc_channel.h"
 
+#include <algorithm>
 #include <optional>
 #include <string>
 #include <utility>
@@ -143,9 +144,15 @@
 
 void rpc_channel_set::channel::NoteNoReply(
     std::chrono::steady_clock::time_point sent) {
-  if (link == nullptr || replied_at > sent)
+  if (link == nullptr)
     return;
-  if (!silent_since)
+  // A long reply that is still coming in, over a narrow link, is no silence.
+  const auto heard = std::max(replied_at, link->received_at);
+  if (heard > sent) {
+    silent_since.reset();
+    return;
+  }
+  if (!silent_since || *silent_since < heard)
     silent_since = sent;
   const auto silent = std::chrono::steady_clock::now() - *silent_since;
   if (silent < kSilentAfter)
--- a/tests/auto/net/test_rpc.cc
+++ b/tests/auto/net/test_rpc.cc
@@ -143,6 +143,46 @@
   BOOST_TEST(connections == expected, boost::test_tools::per_element());
 }
 
+// Replies wait behind a long one that takes its time on a narrow link.
+BOOST_AUTO_TEST_CASE(a_connection_on_which_a_long_reply_comes_in_stays) {
+  asio::io_context context(1);
+  asio::ip::tcp::acceptor acceptor(context,
+                                   {asio::ip::address_v4::loopback(), 0});
+  std::size_t accepted = 0;
+  asio::co_spawn(
+      context,
+      [&]() -> asio::awaitable<void> {
+        while (true) {
+          auto [failed, socket] = co_await acceptor.async_accept(kAwait);
+          if (failed)
+            co_return;
+          ++accepted;
+          // The length of a frame, and then a byte of it at a time.
+          std::string bytes("\x00\x00\x10\x00", 4);
+          asio::steady_timer pause(context);
+          bool gone = false;
+          while (!gone) {
+            const auto [cut, size] =
+                co_await asio::async_write(socket, asio::buffer(bytes), kAwait);
+            gone = static_cast<bool>(cut);
+            bytes = "x";
+            pause.expires_after(50ms);
+            co_await pause.async_wait(kAwait);
+          }
+        }
+      },
+      asio::detached);
+  const base::endpoint where = net::FromTcp(acceptor.local_endpoint());
+  net::rpc_channel_set channels(context);
+  BOOST_TEST(Run(context, [&]() -> asio::awaitable<void> {
+    for (int i = 0; i < 6; ++i) {
+      const auto reply = co_await channels.Call(where, Wanted(i), 300ms);
+      BOOST_TEST(!reply);
+    }
+  }));
+  BOOST_TEST(accepted == 1u);
+}
+
 BOOST_AUTO_TEST_CASE(nonsense_ends_its_connection_and_nothing_else) {
   asio::io_context context(1);
   net::rpc_server server(context, AnswerBackwards);
