--- a/src/decisions/demand_shift.cc
+++ b/src/decisions/demand_shift.cc
@@ -20,12 +20,12 @@
 constexpr std::size_t kMostStep = 4;
 constexpr std::size_t kLikelyStep = 2;
 
-// Two shares of demand differ by 0 (the same) to 1 (nothing in common). On the
-// bench, demand nine seconds apart differed by 0.12 to 0.25 without a move, and
-// by 0.31 to 0.46 with one.
+// Two shares of demand differ by 0 (the same) to 1 (nothing in common). In
+// trials, demand nine seconds apart differed by 0.12 to 0.25 without a move,
+// and by 0.31 to 0.46 with one.
 constexpr double kMoved = 0.3;
 // A step explains a move if it leaves at most this part of the difference:
-// moves seen on the bench leave 0.35 to 0.73 by their own step, and 0.8 to 1.1
+// moves seen in trials leave 0.35 to 0.73 by their own step, and 0.8 to 1.1
 // by others.
 constexpr double kExplained = 0.75;
 
