--- a/scripts/days_table.py
+++ b/scripts/days_table.py
@@ -19,7 +19,9 @@
     """Entries of ended scores, the oldest first."""
     for path in sorted((ROOT / "journal").glob("*.json")):
         entry = json.loads(path.read_text())
-        if entry["cmd"] == "score" and entry["ok"] and entry["days"]:
+        # A score in which a day counts nothing has ended as well.
+        ended = entry["score"] is not None and entry["days"]
+        if entry["cmd"] == "score" and ended:
             yield entry
 
 
@@ -34,7 +36,8 @@
                     entry["at"][0], entry["head"][:8], entry["site"],
                     day["name"], day["seed"], day["G"], day["served"],
                     day["refused"], day["failed"],
-                    " ".join(sorted(day["rules"]))])
+                    " ".join(sorted(day["rules"]) +
+                             (["fault"] if day["fault"] else []))])
 
 
 def write_plot(entries):
