An answer of the store is heard once, and grows as old as it is

An age that is passed on loses the time on its way, and among many hosts somebody passes it on every few milliseconds: 3 s after the last answer 71 hosts believed in one of 1.0 s ago, 295 in one of 0.9 s ago (news 20 ms on its way; 0.4 s at 100 ms). Who should stand in after 1.1 s did so seconds late, and left off at once since its own answer came back to it.

Now each answer has a stamp of the process that was given it and a count; an answer that is known is not heard again (decisions/answer_age). Who stands in goes on until a chosen host, or one before it among those that stand in, is answered.

Ruled out: copies that are asked for late (the versions came within 0.5 s of the first host that had them), the time-out of the watch.

--- /dev/null
+++ b/src/decisions/answer_age.h
@@ -0,0 +1,84 @@
+// SPDX-License-Identifier: MIT
+// How long ago the key-value service last answered any host, as hosts tell
+// each other several times a second. A few hosts follow the service for all;
+// once it answers none of them, others must take over within about a second.
+//
+// An age that is passed on grows younger with each hop by the time on the way.
+// Among 295 hosts of which each tells 16 others in 250 ms some host passes it
+// on every few milliseconds, so it would hardly grow at all. Each answer
+// therefore carries a stamp, and an answer that is known is not heard again.
+#ifndef VALELEDGE_DECISIONS_ANSWER_AGE_H_
+#define VALELEDGE_DECISIONS_ANSWER_AGE_H_
+
+#include <chrono>
+#include <cstdint>
+#include <map>
+#include <optional>
+
+#include "base/duration.h"
+
+namespace valeledge::decisions {
+
+// One answer of the service.
+struct answer_stamp {
+  // The process that was answered: a number drawn at its start.
+  std::int64_t origin = 0;
+  // Answers to that process so far.
+  std::int64_t count = 0;
+  // Whether that process is one of those chosen to follow the service.
+  bool chosen = false;
+};
+
+// An answer as one host tells another of it.
+struct told_answer {
+  answer_stamp stamp;
+  std::chrono::milliseconds age{0};
+};
+
+// What one host knows of the answers to all. Changed only by the functions
+// below.
+struct answer_ages {
+  struct heard_answer {
+    answer_stamp stamp;
+    base::time_point at;
+  };
+
+  // Counts the answers to this process.
+  answer_stamp own;
+  std::optional<base::time_point> own_at;
+  // The newest answer to each other process, by origin.
+  std::map<std::int64_t, heard_answer> heard;
+};
+
+// The service has answered this process, which is chosen to follow it or not.
+void NoteOwnAnswer(answer_ages& ages, bool chosen, base::time_point now);
+
+// Another host tells of an answer. One that is known already, or that was
+// given to this process, changes nothing.
+void HearAnswer(answer_ages& ages,
+                const told_answer& told,
+                base::time_point now);
+
+// When the service last answered any process that is known of.
+std::optional<base::time_point> NewestAnswer(const answer_ages& ages);
+
+// The newest answer, for the others; nothing if there was none.
+std::optional<told_answer> TellNewest(const answer_ages& ages,
+                                      base::time_point now);
+
+// Whether the service answered any other process within `span`.
+bool OthersAnsweredWithin(const answer_ages& ages,
+                          std::chrono::milliseconds span,
+                          base::time_point now);
+
+// Whether a process that follows the service though it is not chosen may
+// leave that to others: one that is chosen was answered within `span`, or, of
+// those that stand in like this one, one with a smaller origin. Without that
+// order all who stand in would leave it to each other.
+bool MayLeaveToOthers(const answer_ages& ages,
+                      std::chrono::milliseconds span,
+                      base::time_point now);
+
+}  // namespace valeledge::decisions
+
+#endif  // VALELEDGE_DECISIONS_ANSWER_AGE_H_
--- a/src/host/process/host.cc
+++ b/src/host/process/host.cc
@@ -60,6 +60,25 @@
 // log should see what has just been.
 constexpr milliseconds kLogDelay{1000};
 
+// What a host tells of the store's newest answer.
+decisions::told_answer ToldAnswerOf(const wire::host_load& load) {
+  decisions::told_answer told;
+  told.stamp = {load.answered_process, load.answer_count, load.answered_chosen};
+  told.age = milliseconds(load.store_age_ms);
+  return told;
+}
+
+void PutAnswer(const std::optional<decisions::told_answer>& told,
+               wire::host_load& load) {
+  load.store_age_ms = kUnknownAge;
+  if (!told)
+    return;
+  load.store_age_ms = static_cast<std::int32_t>(told->age.count());
+  load.answered_process = told->stamp.origin;
+  load.answer_count = told->stamp.count;
+  load.answered_chosen = told->stamp.chosen;
+}
+
 class host {
  public:
   host(asio::io_context& context,
@@ -319,7 +338,7 @@
     if (!load)
       return;
     if (load->store_age_ms >= 0)
-      mirror_.HearAge(milliseconds(load->store_age_ms));
+      mirror_.HearAnswer(ToldAnswerOf(*load));
     core_.servers.TakeLoads(record.sender, load->servers);
     placement_.TakeDemand(record.sender, load->models);
   } else if (record.key == kUseRecord) {
@@ -394,9 +413,7 @@
     wire::host_load load;
     load.servers = core_.servers.OwnLoads();
     load.models = core_.demand.Loads();
-    const auto age = mirror_.Age();
-    load.store_age_ms =
-        age ? static_cast<std::int32_t>(age->count()) : kUnknownAge;
+    PutAnswer(mirror_.NewestAnswer(), load);
     // Idle hosts still say how old what they know of the store is.
     peers_.Tell(std::string(kLoadRecord), wire::Encode(load),
                 {kMostTold, {}, placement_.holder()});
--- a/src/host/process/store_mirror.cc
+++ b/src/host/process/store_mirror.cc
@@ -68,7 +68,11 @@
     : context_(context),
       store_(store),
       prefix_(std::move(prefix)),
-      events_(std::move(events)) {}
+      events_(std::move(events)) {
+  std::random_device seed;
+  std::uniform_int_distribution<std::int64_t> any;
+  answers_.own.origin = any(seed);
+}
 
 void store_mirror::Start() {
   asio::co_spawn(context_, Loop(), asio::detached);
@@ -80,8 +84,10 @@
 
 void store_mirror::NoteAnswered(bool answered) {
   current_ = answered;
-  if (answered)
-    answered_at_ = std::chrono::steady_clock::now();
+  if (answered) {
+    decisions::NoteOwnAnswer(answers_, events_.follows(),
+                             std::chrono::steady_clock::now());
+  }
   if (!answered) {
     failed_at_ = std::chrono::steady_clock::now();
     failed_once_ = true;
@@ -143,30 +149,38 @@
 }
 
 std::optional<std::chrono::milliseconds> store_mirror::Age() const {
-  std::optional<base::time_point> newest = answered_at_;
-  if (heard_at_ && (!newest || *heard_at_ > *newest))
-    newest = heard_at_;
+  const auto newest = decisions::NewestAnswer(answers_);
   if (!newest)
     return std::nullopt;
   return std::chrono::duration_cast<std::chrono::milliseconds>(
       std::chrono::steady_clock::now() - *newest);
 }
 
-void store_mirror::HearAge(std::chrono::milliseconds age) {
-  const auto at = std::chrono::steady_clock::now() - age;
-  if (!heard_at_ || at > *heard_at_)
-    heard_at_ = at;
+void store_mirror::HearAnswer(const decisions::told_answer& told) {
+  decisions::HearAnswer(answers_, told, std::chrono::steady_clock::now());
+}
+
+std::optional<decisions::told_answer> store_mirror::NewestAnswer() const {
+  return decisions::TellNewest(answers_, std::chrono::steady_clock::now());
 }
 
 bool store_mirror::OthersFollow() const {
-  return revision_ > 0 && heard_at_ &&
-         std::chrono::steady_clock::now() - *heard_at_ < kTakeOver;
+  return revision_ > 0 &&
+         decisions::OthersAnsweredWithin(answers_, kTakeOver,
+                                         std::chrono::steady_clock::now());
+}
+
+// Whether this host may end standing in for the hosts that are chosen.
+bool store_mirror::MayStopFollowing() const {
+  return !events_.follows() &&
+         decisions::MayLeaveToOthers(answers_, kTakeOver,
+                                     std::chrono::steady_clock::now());
 }
 
 bool store_mirror::WantsCopy() const {
   const bool due =
-      answered_at_ &&
-      std::chrono::steady_clock::now() - *answered_at_ < kAnswerDue;
+      answers_.own_at &&
+      std::chrono::steady_clock::now() - *answers_.own_at < kAnswerDue;
   return !current_ || !due;
 }
 
@@ -203,7 +217,7 @@
     }
     at = std::max(at, changes->revision);
     Advance(changes->revision);
-    if (!events_.follows() && OthersFollow())
+    if (MayStopFollowing())
       co_return true;
     if (changes->events.empty())
       continue;
--- a/src/host/process/store_mirror.h
+++ b/src/host/process/store_mirror.h
@@ -14,6 +14,7 @@
 #include <boost/asio/io_context.hpp>
 
 #include "base/duration.h"
+#include "decisions/answer_age.h"
 #include "store/kv_client.h"
 #include "wire/generated/messages_types.h"
 
@@ -61,8 +62,11 @@
   // How long ago the store last answered any host that is known of; nothing
   // if it never did.
   std::optional<std::chrono::milliseconds> Age() const;
-  // Another host knows that the store answered so long ago.
-  void HearAge(std::chrono::milliseconds age);
+  // Another host knows of an answer of the store.
+  void HearAnswer(const decisions::told_answer& told);
+  // The newest answer that is known of, for other hosts; nothing if the store
+  // never answered.
+  std::optional<decisions::told_answer> NewestAnswer() const;
   // Whether a call failed within `span` before now.
   bool FailedWithin(std::chrono::milliseconds span) const;
   std::int64_t revision() const { return revision_; }
@@ -83,6 +87,7 @@
   void Put(const std::string& key, mirrored_value value);
   void Remove(const std::string& key, std::int64_t revision, bool lapsed);
   bool OthersFollow() const;
+  bool MayStopFollowing() const;
   void Advance(std::int64_t revision);
   void NoteAnswered(bool answered);
 
@@ -95,9 +100,8 @@
   // Deletions up to here are forgotten.
   std::int64_t forgotten_ = 0;
   std::int64_t revision_ = 0;
-  // When the store last answered this host, and any other that is known of.
-  std::optional<base::time_point> answered_at_;
-  std::optional<base::time_point> heard_at_;
+  // When the store answered this host, and others.
+  decisions::answer_ages answers_;
   bool current_ = false;
   bool was_down_ = false;
   base::time_point failed_at_;
--- a/src/wire/messages.thrift
+++ b/src/wire/messages.thrift
@@ -203,6 +203,12 @@
   // How long ago, in milliseconds, the key-value service last answered any
   // host that this one has heard of; negative if that is not known.
   3: i32 store_age_ms,
+  // That answer: a number that the process which was given it drew at its
+  // start, which answer to it that was, and whether it is chosen to follow the
+  // service.
+  4: i64 answered_process,
+  5: i64 answer_count,
+  6: bool answered_chosen,
 }
 
 // A model that an engine is loading.
--- a/tests/auto/host/test_store_mirror.cc
+++ b/tests/auto/host/test_store_mirror.cc
@@ -118,11 +118,11 @@
   world here;
   here.follows = false;
   here.store.Put("a", "1");
-  here.mirror.HearAge(std::chrono::milliseconds(0));
+  here.mirror.HearAnswer({{1, 1, true}, std::chrono::milliseconds(0)});
   here.mirror.Start();
   here.RunUntil([&] { return here.put.size() == 1; });
   here.store.Wake();
-  here.mirror.HearAge(std::chrono::milliseconds(0));
+  here.mirror.HearAnswer({{1, 2, true}, std::chrono::milliseconds(0)});
   here.store.Put("b", "2");
   here.RunUntil([&] { return here.put.size() == 2; });
   BOOST_TEST(here.mirror.Age().has_value());
