A free lease is tried for in turn, the strongest hosts first

Cause: at the start of a fleet all hosts find the lease free in the same moment, and each makes four calls to the store (look, grant, write, revoke) to find that another was first: by count some 1,200 of the 2,600 calls that the start of 295 hosts takes. Any of them may become the holder, also one with an eighth of a core on 20 Mbit/s, which then plans for 240 engines and tells 294 hosts.

Now a host waits a turn that is longer the fewer cores it may use (decisions/lease_turn), and looks again; a process that finds its own address as the holder's does not wait.

Ruled out: candidates chosen among members, since at the start nobody knows the members yet.

--- /dev/null
+++ b/src/decisions/lease_turn.cc
@@ -0,0 +1,33 @@
+// SPDX-License-Identifier: MIT
+#include "decisions/lease_turn.h"
+
+#include <algorithm>
+
+namespace valeledge::decisions {
+
+namespace {
+
+using std::chrono::duration_cast;
+using std::chrono::milliseconds;
+
+// A host with one core waits this long at the most, a weaker one in proportion
+// longer. The service answers in some milliseconds, and hosts that follow it
+// see within about 20 that the lease is taken: half a core then comes 100 ms
+// before a quarter, and that 100 ms before an eighth.
+constexpr std::chrono::duration<double, std::milli> kTurnOfOneCore{50};
+constexpr milliseconds kLongestTurn{500};
+
+// The part of a turn that is waited in any case.
+constexpr double kLeastPart = 0.5;
+
+}  // namespace
+
+milliseconds LeaseTurn(double cores, double draw) {
+  if (cores <= 0)
+    return milliseconds(0);
+  const double part = kLeastPart + (1 - kLeastPart) * draw;
+  const auto turn = duration_cast<milliseconds>(kTurnOfOneCore / cores * part);
+  return std::min(turn, kLongestTurn);
+}
+
+}  // namespace valeledge::decisions
--- a/src/host/host_settings.h
+++ b/src/host/host_settings.h
@@ -40,6 +40,9 @@
   // host that is restarted early may still be told so.
   bool first_start = false;
 
+  // Cores that this host may use, a fraction; 0 if that is not known.
+  double cores = 0;
+
   // The time between SIGTERM and SIGKILL.
   std::chrono::milliseconds stop_grace{8000};
 
--- a/src/host/process/host.cc
+++ b/src/host/process/host.cc
@@ -12,6 +12,7 @@
 #include <boost/beast/http.hpp>
 
 #include "base/logging.h"
+#include "decisions/lease_turn.h"
 #include "host/constants.h"
 #include "host/process/copy_fetches.h"
 #include "host/process/host_core.h"
@@ -191,6 +192,13 @@
       reload_(core_, std::move(reread), [this] {
         peers_.SetSeeds(core_.settings.seeds);
       }) {
+  lease_.SetTurn([this] {
+    // A process of this host that has ended left it: nobody else is waited for.
+    const bool own = mirror_.Value(std::string(store::kLeaderKey)).has_value();
+    std::uniform_real_distribution<double> any(0, 1);
+    return own ? milliseconds(0)
+               : decisions::LeaseTurn(core_.settings.cores, any(core_.random));
+  });
   core_.use_changed = [this](const known_server& server) {
     // Plain services are balanced well enough by what each host knows.
     if (server.entry.models.empty())
--- a/src/store/lease_keeper.cc
+++ b/src/store/lease_keeper.cc
@@ -77,7 +77,19 @@
     base::Log(kCategory, log_event::kLeaseGone, {{"term", term}});
 }
 
+asio::awaitable<bool> lease_keeper::AwaitTurn() {
+  const auto turn = turn_ ? turn_() : std::chrono::milliseconds(0);
+  if (turn.count() > 0) {
+    asio::steady_timer timer(context_, turn);
+    co_await timer.async_wait(kAwait);
+  }
+  co_return !resigned_ && is_candidate_();
+}
+
 asio::awaitable<void> lease_keeper::TryTake() {
+  const bool mine = co_await AwaitTurn();
+  if (!mine)
+    co_return;
   // One read tells most of the time that another holds it.
   kv_transaction look;
   look.on_success.push_back(GetPrefix(std::string(kHolderPrefix)));
--- a/src/store/lease_keeper.h
+++ b/src/store/lease_keeper.h
@@ -9,6 +9,7 @@
 #include <functional>
 #include <optional>
 #include <string>
+#include <utility>
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
@@ -32,6 +33,11 @@
                bool maybe_first = false);
 
   void Start();
+  // How long this process leaves a free lease to others; asked each time that
+  // it is a candidate. Without it there is no wait.
+  void SetTurn(std::function<std::chrono::milliseconds()> turn) {
+    turn_ = std::move(turn);
+  }
   // Takes no lease from now on and gives up the one that is held.
   void Resign() { resigned_ = true; }
 
@@ -56,6 +62,8 @@
  private:
   boost::asio::awaitable<void> Loop();
   boost::asio::awaitable<void> TryTake();
+  // Waits for this process's turn; whether it is still a candidate then.
+  boost::asio::awaitable<bool> AwaitTurn();
   // Writes the keys of a holder under a lease that was granted for it, if
   // nobody has held the lease since `former` was read.
   boost::asio::awaitable<base::result<kv_transaction_result>> WriteHolder(
@@ -69,6 +77,7 @@
   std::string holder_;
   std::chrono::microseconds length_;
   std::function<bool()> is_candidate_;
+  std::function<std::chrono::milliseconds()> turn_;
   bool maybe_first_;
   bool is_first_holder_ = false;
   bool follows_itself_ = false;
