Fewer bytes between zones: demand goes to the holder, copies come from the own zone

Cause: two thirds of a host's report, which goes to 16 others four times a second, say what its callers ask for, and only the holder of the lease plans for that. Copies of the store's changes were fetched from whichever peer first showed a newer revision, four of five times one of another zone, though each zone has a host that follows the store.

Now the demand goes to the holder alone (to the 16 while no holder is known), and a peer of another zone is asked for a copy only after 300 ms without one from the own zone, or without any copy at all.

Tests: a report of a host among 295 has 143 bytes in place of 364; the own zone is asked first.

--- a/src/host/process/copy_fetches.h
+++ b/src/host/process/copy_fetches.h
@@ -8,6 +8,7 @@
 
 #include <chrono>
 #include <cstddef>
+#include <optional>
 #include <set>
 
 #include "base/duration.h"
@@ -25,15 +26,28 @@
 // Peers that are asked at the same time.
 inline constexpr std::size_t kMostCopies = 3;
 
+// Peers of other availability zones are asked once a newer copy has been known
+// of for so long: one host of each zone follows the store, so that the copies
+// of 58 others need not cross zones, where bytes have a price. While callers
+// are served a host hears from its own zone every 30 ms.
+inline constexpr std::chrono::milliseconds kOwnZoneFirst{300};
+
 struct copy_fetches {
   std::set<base::endpoint> asked;
   base::time_point last_begun;
+  // Since when a newer copy is known of that no peer has given.
+  std::optional<base::time_point> behind_since;
 };
 
-// Notes that a peer is asked, if it may be now.
+// Notes that a peer with a newer copy is asked, if it may be now.
 inline bool BeginFetch(copy_fetches& fetches,
                        const base::endpoint& peer,
+                       bool same_zone,
                        base::time_point now) {
+  if (!fetches.behind_since)
+    fetches.behind_since = now;
+  if (!same_zone && now - *fetches.behind_since < kOwnZoneFirst)
+    return false;
   const bool patient =
       !fetches.asked.empty() && now - fetches.last_begun < kCopyPatience;
   if (patient || fetches.asked.size() >= kMostCopies)
@@ -44,6 +58,11 @@
   return true;
 }
 
+// A peer has given its copy; there may be a newer one by now.
+inline void NoteCopy(copy_fetches& fetches) {
+  fetches.behind_since.reset();
+}
+
 inline void EndFetch(copy_fetches& fetches, const base::endpoint& peer) {
   fetches.asked.erase(peer);
 }
--- a/src/host/process/host.cc
+++ b/src/host/process/host.cc
@@ -43,6 +43,8 @@
 constexpr std::string_view kLoadRecord = "load";
 // The same for the servers at which something has changed, told at once.
 constexpr std::string_view kUseRecord = "use";
+// The same with what this host's callers ask for, for the holder of the lease.
+constexpr std::string_view kDemandRecord = "demand";
 
 // Hosts of each availability zone that follow the store for the others.
 constexpr std::string_view kFollowDuty = "follow/store";
@@ -97,11 +99,12 @@
   void TakeTold(const membership::direct_record& record);
   bool FollowsStore();
   bool IsWellKnown(const std::string& instance);
-  void MaybeFetchCopy(const base::endpoint& peer);
+  void MaybeFetchCopy(const base::endpoint& peer, bool same_zone);
   bool IsReady() const;
   void UpdateGauges();
   asio::awaitable<wire::envelope> Answer(wire::envelope call);
   asio::awaitable<void> FetchCopy(base::endpoint peer);
+  void TellLoad();
   asio::awaitable<void> ReportLoop();
 
   host_core core_;
@@ -139,7 +142,9 @@
              core_.settings,
              {[this](const auto& record) { TakeTold(record); },
               [this] { core_.hosts = peers_.CountServing(); },
-              [this](const base::endpoint& peer) { MaybeFetchCopy(peer); },
+              [this](const base::endpoint& peer, bool same_zone) {
+                MaybeFetchCopy(peer, same_zone);
+              },
               [this](wire::envelope call) { return Answer(std::move(call)); }}),
       lease_(
           context,
@@ -341,14 +346,16 @@
 }
 
 void host::TakeTold(const membership::direct_record& record) {
-  if (record.key == kLoadRecord) {
+  const bool with_demand = record.key == kDemandRecord;
+  if (record.key == kLoadRecord || with_demand) {
     const auto load = wire::DecodeHostLoad(record.value);
     if (!load)
       return;
     if (load->store_age_ms >= 0)
       mirror_.HearAnswer(ToldAnswerOf(*load));
     core_.servers.TakeLoads(record.sender, load->servers);
-    placement_.TakeDemand(record.sender, load->models);
+    if (with_demand)
+      placement_.TakeDemand(record.sender, load->models);
   } else if (record.key == kUseRecord) {
     const auto load = wire::DecodeHostLoad(record.value);
     if (load)
@@ -366,9 +373,11 @@
                          peer_link::scope::kZone);
 }
 
-void host::MaybeFetchCopy(const base::endpoint& peer) {
+void host::MaybeFetchCopy(const base::endpoint& peer, bool same_zone) {
   const auto now = std::chrono::steady_clock::now();
-  if (!mirror_.WantsCopy() || !BeginFetch(fetches_, peer, now))
+  // Without any copy there is no time to be choosy.
+  const bool near = same_zone || mirror_.revision() == 0;
+  if (!mirror_.WantsCopy() || !BeginFetch(fetches_, peer, near, now))
     return;
   asio::co_spawn(core_.context, FetchCopy(peer), asio::detached);
 }
@@ -397,13 +406,35 @@
   wanted.since = mirror_.revision();
   call.__set_mirror_wanted(wanted);
   const auto reply = co_await peers_.Call(peer, std::move(call), kCopyTimeout);
-  if (reply && reply->__isset.mirror)
+  if (reply && reply->__isset.mirror) {
     mirror_.Take(reply->mirror);
+    NoteCopy(fetches_);
+  }
   asio::steady_timer timer(core_.context, kCopyPause);
   co_await timer.async_wait(kAwait);
   EndFetch(fetches_, peer);
 }
 
+// Idle hosts still say how old what they know of the store is. Only the holder
+// of the lease plans for what is asked for, and a new one makes itself known to
+// all at once: without the demand a report of a host among 295 has 143 bytes in
+// place of 364, and 16 hosts get it four times a second.
+void host::TellLoad() {
+  wire::host_load load;
+  load.servers = core_.servers.OwnLoads();
+  PutAnswer(mirror_.NewestAnswer(), load);
+  const auto holder = placement_.holder();
+  if (holder) {
+    peers_.Tell(std::string(kLoadRecord), wire::Encode(load), {kMostTold});
+    load.models = core_.demand.Loads();
+    peers_.Tell(std::string(kDemandRecord), wire::Encode(load),
+                {0, {}, holder});
+  } else {
+    load.models = core_.demand.Loads();
+    peers_.Tell(std::string(kDemandRecord), wire::Encode(load), {kMostTold});
+  }
+}
+
 asio::awaitable<void> host::ReportLoop() {
   asio::steady_timer timer(core_.context);
   base::time_point flushed;
@@ -418,13 +449,7 @@
       flushed = now;
       base::FlushLogging();
     }
-    wire::host_load load;
-    load.servers = core_.servers.OwnLoads();
-    load.models = core_.demand.Loads();
-    PutAnswer(mirror_.NewestAnswer(), load);
-    // Idle hosts still say how old what they know of the store is.
-    peers_.Tell(std::string(kLoadRecord), wire::Encode(load),
-                {kMostTold, {}, placement_.holder()});
+    TellLoad();
     for (const std::string& name : peers_.TakeDead()) {
       core_.servers.ForgetHost(name);
       placement_.ForgetHost(name);
--- a/src/host/process/peer_link.cc
+++ b/src/host/process/peer_link.cc
@@ -104,8 +104,10 @@
   }
   if (!events.changed.empty())
     events_.members();
-  if (events.newer_table_at)
-    events_.newer_copy(*events.newer_table_at);
+  if (events.newer_table_at) {
+    events_.newer_copy(*events.newer_table_at,
+                       events.newer_table_zone == gossip_.self.zone);
+  }
 }
 
 void peer_link::Tell(const std::string& key,
--- a/src/host/process/peer_link.h
+++ b/src/host/process/peer_link.h
@@ -32,8 +32,9 @@
   std::function<void(const membership::direct_record& record)> told;
   // A member came, left or changed its health.
   std::function<void()> members;
-  // This peer's copy of the store is newer than ours.
-  std::function<void(const base::endpoint& peer)> newer_copy;
+  // This peer's copy of the store is newer than ours; whether it is of this
+  // host's availability zone.
+  std::function<void(const base::endpoint& peer, bool same_zone)> newer_copy;
   net::rpc_handler call;
 };
 
--- a/src/membership/gossip.cc
+++ b/src/membership/gossip.cc
@@ -4,6 +4,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "membership/gossip_direct.h"
 #include "membership/gossip_news.h"
 
 namespace valeledge::membership {
@@ -12,8 +13,10 @@
 
 using detail::AddRumor;
 using detail::AttachNews;
+using detail::IsDead;
 using detail::known_member;
 using detail::NoteMemberChanged;
+using detail::PickOthers;
 
 // Members asked to probe one that did not answer.
 constexpr std::size_t kIndirectProbes = 2;
@@ -28,11 +31,6 @@
 // Relayed pings are forgotten after this many probe timeouts.
 constexpr int kRelayTimeouts = 10;
 
-// Suspects are probed as well, the dead are not.
-bool IsDead(const known_member& each) {
-  return each.record.health == static_cast<std::int32_t>(member_health::kDead);
-}
-
 bool IsSuspect(const known_member& each) {
   return each.record.health ==
          static_cast<std::int32_t>(member_health::kSuspect);
@@ -66,34 +64,6 @@
   events.datagrams.push_back(std::move(each));
 }
 
-std::vector<const known_member*> PickOthers(const gossip_state& state,
-                                            std::size_t count,
-                                            const std::string& except,
-                                            random_source& random) {
-  std::vector<const known_member*> candidates;
-  for (const auto& [id, each] : state.others) {
-    if (id != except && !IsDead(each))
-      candidates.push_back(&each);
-  }
-  std::ranges::shuffle(candidates, random);
-  candidates.resize(std::min(count, candidates.size()));
-  return candidates;
-}
-
-// Addresses of the members, this process excepted, that are among the `count`
-// chosen for a subject.
-std::vector<base::endpoint> ChosenFor(gossip_state& state,
-                                      const std::string& subject,
-                                      std::size_t count) {
-  std::vector<base::endpoint> out;
-  for (const std::string& id : ChosenMembers(state, {subject, {}, count})) {
-    const auto known = state.others.find(id);
-    if (known != state.others.end())
-      out.push_back(known->second.address);
-  }
-  return out;
-}
-
 void SpreadAtOnce(gossip_state& state,
                   gossip_events& events,
                   random_source& random) {
@@ -211,8 +181,10 @@
   const base::endpoint& address = sender->second.address;
   for (const soft_record& each : message.records)
     events.direct.push_back({message.sender.id, address, each.key, each.value});
-  if (message.table_revision > state.table_revision)
+  if (message.table_revision > state.table_revision) {
     events.newer_table_at = address;
+    events.newer_table_zone = sender->second.record.zone;
+  }
 }
 
 // Everything this process knows, in datagrams of the usual size.
@@ -383,8 +355,10 @@
   for (const soft_record& each : message.records)
     HearOfRecord(state, each, events);
   TellOfDoubt(state, message.sender.id, from, events);
-  if (message.table_revision > state.table_revision)
+  if (message.table_revision > state.table_revision) {
     events.newer_table_at = base::ParseEndpoint(message.sender.address);
+    events.newer_table_zone = message.sender.zone;
+  }
   switch (static_cast<gossip_kind>(message.kind)) {
     case gossip_kind::kPing:
       Send(state, events, from, gossip_kind::kAck, message.sequence);
@@ -465,39 +439,6 @@
   return events;
 }
 
-gossip_events TellDirectly(gossip_state& state,
-                           const std::string& key,
-                           std::string value,
-                           const direct_audience& audience,
-                           random_source& random) {
-  gossip_events events;
-  soft_record record;
-  record.key = key;
-  record.value = std::move(value);
-  // The receiver knows this process already, or learns of it from its pings.
-  wire::gossip_message message;
-  message.kind = static_cast<std::int32_t>(gossip_kind::kDirect);
-  message.sender.id = state.self.id;
-  message.table_revision = state.table_revision;
-  message.records.push_back(std::move(record));
-  std::vector<base::endpoint> to;
-  if (audience.subject.empty()) {
-    for (const known_member* each :
-         PickOthers(state, audience.most, {}, random))
-      to.push_back(each->address);
-  } else {
-    to = ChosenFor(state, audience.subject, audience.most);
-  }
-  const bool add = audience.always &&
-                   std::ranges::find(to, *audience.always) == to.end() &&
-                   base::ToString(*audience.always) != state.self.address;
-  if (add)
-    to.push_back(*audience.always);
-  if (!to.empty())
-    events.datagrams.push_back({std::move(to), std::move(message)});
-  return events;
-}
-
 std::vector<member> Members(const gossip_state& state) {
   std::vector<member> out;
   out.reserve(state.others.size() + 1);
--- a/src/membership/gossip.h
+++ b/src/membership/gossip.h
@@ -78,8 +78,10 @@
   // In the order in which they came; a later one replaces an earlier one of
   // the same sender and key.
   std::vector<direct_record> direct;
-  // A peer with a newer table revision than this process.
+  // A peer with a newer table revision than this process, and its availability
+  // zone.
   std::optional<base::endpoint> newer_table_at;
+  std::string newer_table_zone;
   bool refuted = false;
 };
 
--- /dev/null
+++ b/src/membership/gossip_direct.h
@@ -0,0 +1,26 @@
+// SPDX-License-Identifier: MIT
+// Whom a process tells something without being asked.
+#ifndef VALELEDGE_MEMBERSHIP_GOSSIP_DIRECT_H_
+#define VALELEDGE_MEMBERSHIP_GOSSIP_DIRECT_H_
+
+#include <cstddef>
+#include <string>
+#include <vector>
+
+#include "membership/gossip.h"
+
+namespace valeledge::membership::detail {
+
+// Suspects are probed and told as well, the dead are not.
+bool IsDead(const known_member& each);
+
+// Up to `count` members that are not dead, at random; not the one whose id is
+// `except`.
+std::vector<const known_member*> PickOthers(const gossip_state& state,
+                                            std::size_t count,
+                                            const std::string& except,
+                                            random_source& random);
+
+}  // namespace valeledge::membership::detail
+
+#endif  // VALELEDGE_MEMBERSHIP_GOSSIP_DIRECT_H_
--- a/tests/auto/host/test_at_size.cc
+++ b/tests/auto/host/test_at_size.cc
@@ -3,12 +3,14 @@
 // not anybody asks for anything; the processor time of it is compared with a
 // fixed loop, so that the verdict does not depend on the machine.
 #include <ctime>
+#include <limits>
 
 #include <boost/test/unit_test.hpp>
 
 #include "base/identifier.h"
 #include "host/process/server_book.h"
 #include "membership/gossip.h"
+#include "wire/codec.h"
 
 namespace {
 
@@ -151,4 +153,56 @@
                                       << second.count() * 1000 << " ms");
 }
 
+// A host among 295 has some four requests running, and ten models were asked
+// for there in the last seconds.
+wire::host_load UsualLoad() {
+  constexpr int kRunning = 4;
+  constexpr int kModels = 10;
+  wire::host_load load;
+  for (int i = 0; i < kRunning; ++i) {
+    wire::server_load each;
+    each.server = host::KeyOf(InstanceOf(i));
+    each.running = 1;
+    each.unread_tokens = 1460;
+    each.held_tokens = 1700;
+    load.servers.push_back(each);
+  }
+  for (int i = 0; i < kModels; ++i) {
+    wire::model_load each;
+    each.model = host::KeyOf("model-" + std::to_string(i));
+    each.arrival_rate = 300;
+    each.token_rate = 400;
+    each.running = 1;
+    each.reading_us = 55'000;
+    each.objective_ms = 1000;
+    load.models.push_back(each);
+  }
+  load.store_age_ms = 300;
+  load.answered_process = std::numeric_limits<std::int64_t>::max() / 3;
+  load.answer_count = 200;
+  return load;
+}
+
+std::size_t BytesOf(const wire::host_load& load) {
+  gossip_state state =
+      gossip_builder()
+          .Self("front-city-hall-45", {"10.1.0.38", 8144}, "z", role::kGateway)
+          .Build();
+  random_source random{7};
+  const auto events =
+      TellDirectly(state, "load", wire::Encode(load),
+                   {0, {}, base::endpoint{"10.1.0.39", 8144}}, random);
+  return wire::Encode(events.datagrams.front().message).size();
+}
+
+// Reports go to 16 hosts four times a second, what is asked for to one.
+BOOST_AUTO_TEST_CASE(a_report_without_demand_is_half_as_long) {
+  wire::host_load load = UsualLoad();
+  const std::size_t with = BytesOf(load);
+  load.models.clear();
+  const std::size_t without = BytesOf(load);
+  BOOST_TEST_MESSAGE("with demand " << with << " bytes, without " << without);
+  BOOST_TEST(2 * without < with);
+}
+
 }  // namespace
--- a/tests/auto/host/test_copy_fetches.cc
+++ b/tests/auto/host/test_copy_fetches.cc
@@ -21,28 +21,42 @@
   constexpr std::chrono::duration<double> kTakes{4 * 280e3 * 8 / 10e6};
   BOOST_TEST((host::kCopyTimeout > kTakes));
   host::copy_fetches fetches;
-  BOOST_TEST(host::BeginFetch(fetches, kOne, kBegun));
-  BOOST_TEST(!host::BeginFetch(fetches, kTwo, kBegun + 400ms));
+  BOOST_TEST(host::BeginFetch(fetches, kOne, true, kBegun));
+  BOOST_TEST(!host::BeginFetch(fetches, kTwo, true, kBegun + 400ms));
   // The same peer is not asked twice at a time.
-  BOOST_TEST(!host::BeginFetch(fetches, kOne, kBegun + 600ms));
+  BOOST_TEST(!host::BeginFetch(fetches, kOne, true, kBegun + 600ms));
 }
 
 BOOST_AUTO_TEST_CASE(another_peer_is_asked_beside_one_that_gives_nothing) {
   host::copy_fetches fetches;
-  BOOST_TEST(host::BeginFetch(fetches, kOne, kBegun));
-  BOOST_TEST(host::BeginFetch(fetches, kTwo, kBegun + 500ms));
-  BOOST_TEST(!host::BeginFetch(fetches, kThree, kBegun + 900ms));
-  BOOST_TEST(host::BeginFetch(fetches, kThree, kBegun + 1000ms));
-  BOOST_TEST(!host::BeginFetch(fetches, kFour, kBegun + 1500ms));
+  BOOST_TEST(host::BeginFetch(fetches, kOne, true, kBegun));
+  BOOST_TEST(host::BeginFetch(fetches, kTwo, true, kBegun + 500ms));
+  BOOST_TEST(!host::BeginFetch(fetches, kThree, true, kBegun + 900ms));
+  BOOST_TEST(host::BeginFetch(fetches, kThree, true, kBegun + 1000ms));
+  BOOST_TEST(!host::BeginFetch(fetches, kFour, true, kBegun + 1500ms));
   host::EndFetch(fetches, kTwo);
-  BOOST_TEST(host::BeginFetch(fetches, kFour, kBegun + 1500ms));
+  BOOST_TEST(host::BeginFetch(fetches, kFour, true, kBegun + 1500ms));
 }
 
 BOOST_AUTO_TEST_CASE(after_a_copy_the_next_may_be_fetched_at_once) {
   host::copy_fetches fetches;
-  BOOST_TEST(host::BeginFetch(fetches, kOne, kBegun));
+  BOOST_TEST(host::BeginFetch(fetches, kOne, true, kBegun));
   host::EndFetch(fetches, kOne);
-  BOOST_TEST(host::BeginFetch(fetches, kOne, kBegun + 30ms));
+  BOOST_TEST(host::BeginFetch(fetches, kOne, true, kBegun + 30ms));
+}
+
+// Each zone has a host that follows the store: copies cross zones only if none
+// comes from the own one.
+BOOST_AUTO_TEST_CASE(the_own_zone_is_asked_first) {
+  host::copy_fetches fetches;
+  BOOST_TEST(!host::BeginFetch(fetches, kOne, false, kBegun));
+  BOOST_TEST(host::BeginFetch(fetches, kTwo, true, kBegun + 40ms));
+  host::NoteCopy(fetches);
+  host::EndFetch(fetches, kTwo);
+  // The next newer copy is waited for anew.
+  BOOST_TEST(!host::BeginFetch(fetches, kOne, false, kBegun + 320ms));
+  BOOST_TEST(!host::BeginFetch(fetches, kOne, false, kBegun + 600ms));
+  BOOST_TEST(host::BeginFetch(fetches, kOne, false, kBegun + 620ms));
 }
 
 BOOST_AUTO_TEST_SUITE_END()
