What a plan reads of an engine has a file of its own, and looks models up by name once

No behaviour changed: names that the configuration does not know were passed on as a position past the end, which the planner skipped; they are left out now. Tests of the view are new, there were none.

--- a/src/host/process/placement_duty.cc
+++ b/src/host/process/placement_duty.cc
@@ -13,6 +13,7 @@
 
 #include "base/logging.h"
 #include "host/constants.h"
+#include "host/process/plan_view.h"
 #include "wire/codec.h"
 
 namespace valeledge::host {
@@ -54,10 +55,6 @@
 constexpr std::chrono::milliseconds kSettling{900};
 constexpr std::chrono::milliseconds kMostSettling{4000};
 
-// A model stays at least so long: a load takes one to two seconds from a disk,
-// and its first requests are answered within another.
-constexpr std::chrono::milliseconds kShortestStay{2500};
-
 // Room that was made for a model is kept for it so long: an unload waits for
 // the streams that run.
 constexpr std::chrono::milliseconds kPlannedFor{6000};
@@ -221,56 +218,20 @@
 
 void placement_duty::Plan(const catalog::service& service) {
   const catalog::engine& kind = service.engines;
-  const auto position = [&](const std::string& name) {
-    const auto found =
-        std::ranges::find(kind.models, name, &catalog::model::name);
-    return static_cast<std::size_t>(found - kind.models.begin());
-  };
-  const auto positions = [&](const std::vector<std::string>& names) {
-    std::vector<std::size_t> out;
-    for (const std::string& name : names)
-      out.push_back(position(name));
-    return out;
-  };
+  const model_index index = IndexOf(kind);
   const auto now = std::chrono::steady_clock::now();
   std::vector<decisions::plan_engine> engines;
   std::vector<std::shared_ptr<engine_record>> records;
   std::int64_t store_loads_planned = 0;
   for (const auto& [instance, engine] : desk_.engines()) {
-    const known_server& server = *engine->server;
-    if (server.entry.service != service.name)
+    if (engine->server->entry.service != service.name)
       continue;
     LoadNext(engine, kind, now);
-    decisions::plan_engine each;
-    each.zone = server.entry.zone;
-    each.serving = !server.leaving;
-    each.free = IsFree(*engine);
-    each.free_mb = kind.weights_mb - UsedMemory(*engine, kind);
-    for (const auto& [name, model] : engine->models) {
-      const std::size_t at = position(name);
-      if (at >= kind.models.size())
-        continue;
-      if (model.now == phase::kHeld) {
-        each.held.push_back(at);
-        if (now - model.since < kShortestStay)
-          each.fresh.push_back(at);
-      }
-      if (model.now == phase::kLoading) {
-        each.loading.push_back(at);
-        each.loads_from_store = model.from_store;
-      }
-    }
-    if (engine->next) {
-      each.loading.push_back(position(engine->next->model));
-      each.loads_from_store =
-          engine->next->source == decisions::weight_source::kStore;
-      store_loads_planned += each.loads_from_store ? 1 : 0;
-    }
-    each.in_memory = positions(engine->in_memory);
-    each.on_disk = positions(engine->on_disk);
-    each.running = server.own.running + server.others.running;
-    engines.push_back(std::move(each));
+    engines.push_back(ViewOf(*engine, index, now));
     records.push_back(engine);
+    const bool waits_for_room = engine->next.has_value();
+    if (waits_for_room && engines.back().loads_from_store)
+      ++store_loads_planned;
   }
   decisions::plan_limits limits;
   limits.slots = kind.slots;
--- /dev/null
+++ b/src/host/process/plan_view.cc
@@ -0,0 +1,85 @@
+// SPDX-License-Identifier: MIT
+#include "host/process/plan_view.h"
+
+#include <string>
+#include <vector>
+
+namespace valeledge::host {
+
+namespace {
+
+using phase = engine_model::phase;
+
+// A model stays at least so long: a load takes one to two seconds from a disk,
+// and its first requests are answered within another.
+constexpr std::chrono::milliseconds kShortestStay{2500};
+
+std::vector<std::size_t> PositionsOf(const std::vector<std::string>& names,
+                                     const model_index& index) {
+  std::vector<std::size_t> out;
+  for (const std::string& name : names) {
+    const auto found = index.positions.find(name);
+    if (found != index.positions.end())
+      out.push_back(found->second);
+  }
+  return out;
+}
+
+void AddModel(const engine_model& model,
+              std::size_t position,
+              base::time_point now,
+              decisions::plan_engine& view) {
+  if (model.now == phase::kHeld) {
+    view.held.push_back(position);
+    if (now - model.since < kShortestStay)
+      view.fresh.push_back(position);
+  }
+  if (model.now == phase::kLoading) {
+    view.loading.push_back(position);
+    view.loads_from_store = model.from_store;
+  }
+}
+
+// A load that room is being made for counts as one that is under way.
+void AddPlanned(const planned_load& next,
+                const model_index& index,
+                decisions::plan_engine& view) {
+  const auto found = index.positions.find(next.model);
+  if (found == index.positions.end())
+    return;
+  view.loading.push_back(found->second);
+  view.loads_from_store = next.source == decisions::weight_source::kStore;
+}
+
+}  // namespace
+
+model_index IndexOf(const catalog::engine& kind) {
+  model_index out{kind, {}};
+  for (std::size_t i = 0; i < kind.models.size(); ++i)
+    out.positions.emplace(kind.models[i].name, i);
+  return out;
+}
+
+decisions::plan_engine ViewOf(const engine_record& engine,
+                              const model_index& index,
+                              base::time_point now) {
+  const known_server& server = *engine.server;
+  decisions::plan_engine view;
+  view.zone = server.entry.zone;
+  view.serving = !server.leaving;
+  view.free = IsFree(engine);
+  view.free_mb = index.kind.weights_mb - UsedMemory(engine, index.kind);
+  for (const auto& [name, model] : engine.models) {
+    const auto found = index.positions.find(name);
+    if (found != index.positions.end())
+      AddModel(model, found->second, now, view);
+  }
+  if (engine.next)
+    AddPlanned(*engine.next, index, view);
+  view.in_memory = PositionsOf(engine.in_memory, index);
+  view.on_disk = PositionsOf(engine.on_disk, index);
+  view.running = server.own.running + server.others.running;
+  return view;
+}
+
+}  // namespace valeledge::host
--- /dev/null
+++ b/src/host/process/plan_view.h
@@ -0,0 +1,35 @@
+// SPDX-License-Identifier: MIT
+// What a plan reads of the engines that the holder of the lease believes in:
+// their models as positions in the operators' list.
+#ifndef VALELEDGE_HOST_PROCESS_PLAN_VIEW_H_
+#define VALELEDGE_HOST_PROCESS_PLAN_VIEW_H_
+
+#include <cstddef>
+#include <string_view>
+#include <unordered_map>
+
+#include "base/duration.h"
+#include "catalog/configuration.h"
+#include "decisions/model_plan.h"
+#include "host/process/engine_book.h"
+
+namespace valeledge::host {
+
+// A service's models by name. Refers to the configuration that it was made
+// from, which must outlive it.
+struct model_index {
+  const catalog::engine& kind;
+  std::unordered_map<std::string_view, std::size_t> positions;
+};
+
+model_index IndexOf(const catalog::engine& kind);
+
+// One engine as a plan sees it; models that the configuration does not name are
+// left out, but for the room they take.
+decisions::plan_engine ViewOf(const engine_record& engine,
+                              const model_index& index,
+                              base::time_point now);
+
+}  // namespace valeledge::host
+
+#endif  // VALELEDGE_HOST_PROCESS_PLAN_VIEW_H_
--- /dev/null
+++ b/tests/auto/host/test_plan_view.cc
@@ -0,0 +1,98 @@
+// SPDX-License-Identifier: MIT
+#include "host/process/plan_view.h"
+
+#include <boost/test/unit_test.hpp>
+
+namespace {
+
+using namespace valeledge;
+using namespace std::chrono_literals;
+using phase = host::engine_model::phase;
+using positions = std::vector<std::size_t>;
+
+struct world {
+  world() {
+    kind.weights_mb = 200;
+    for (const char* name : {"a", "b", "c", "d"}) {
+      catalog::model model;
+      model.name = name;
+      model.weights_mb = 50;
+      kind.models.push_back(model);
+    }
+    engine.server = std::make_shared<host::known_server>();
+    engine.server->entry.zone = "z";
+    engine.server->own.running = 2;
+    engine.server->others.running = 3;
+    engine.accepted = 1;
+  }
+
+  host::engine_model& Put(const std::string& name, phase now_in) {
+    host::engine_model& model = engine.models[name];
+    model.now = now_in;
+    model.since = now - 10s;
+    return model;
+  }
+
+  decisions::plan_engine View() const {
+    return host::ViewOf(engine, host::IndexOf(kind), now);
+  }
+
+  catalog::engine kind;
+  host::engine_record engine;
+  base::time_point now = std::chrono::steady_clock::now();
+};
+
+BOOST_AUTO_TEST_SUITE(plan_view)
+
+BOOST_AUTO_TEST_CASE(models_are_told_by_their_place_in_the_list) {
+  world here;
+  here.Put("b", phase::kHeld);
+  here.Put("d", phase::kHeld).since = here.now - 1s;
+  here.Put("c", phase::kWithdrawn);
+  here.engine.in_memory = {"c"};
+  here.engine.on_disk = {"a", "b", "gone"};
+  const auto view = here.View();
+  BOOST_TEST(view.zone == "z");
+  BOOST_TEST(view.serving);
+  BOOST_TEST(view.free);
+  BOOST_TEST(view.free_mb == 50);
+  BOOST_TEST(view.held == positions({1, 3}));
+  BOOST_TEST(view.fresh == positions({3}));
+  BOOST_TEST(view.loading.empty());
+  BOOST_TEST(view.in_memory == positions({2}));
+  BOOST_TEST(view.on_disk == positions({0, 1}));
+  BOOST_TEST(view.running == 5);
+}
+
+// A model that the configuration no longer names is told of nowhere, but takes
+// room all the same.
+BOOST_AUTO_TEST_CASE(models_without_a_place_still_take_room) {
+  world here;
+  here.Put("gone", phase::kHeld);
+  const auto view = here.View();
+  BOOST_TEST(view.held.empty());
+  BOOST_TEST(view.free_mb == 0);
+}
+
+// What room is being made for counts as a load, so that no other plan wants it.
+BOOST_AUTO_TEST_CASE(loads_under_way_and_planned_ones_are_told_alike) {
+  world here;
+  here.engine.changing = true;
+  here.Put("a", phase::kLoading).from_store = true;
+  auto view = here.View();
+  BOOST_TEST(!view.free);
+  BOOST_TEST(view.loading == positions({0}));
+  BOOST_TEST(view.loads_from_store);
+  here.engine.models.clear();
+  here.engine.next =
+      host::planned_load{"c", decisions::weight_source::kDisk, here.now};
+  view = here.View();
+  BOOST_TEST(view.loading == positions({2}));
+  BOOST_TEST(!view.loads_from_store);
+  here.engine.next->source = decisions::weight_source::kStore;
+  BOOST_TEST(here.View().loads_from_store);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace
