Adapters are counted once a plan, not once for each model

Each plan asked for each of 336 models how many adapters all 240 engines hold of it: 80,000 look-ups ten times a second at the holder of the lease. Now one pass over the engines counts them all. The rule is the same, and has a test now.

--- a/src/host/process/placement_duty.cc
+++ b/src/host/process/placement_duty.cc
@@ -144,23 +144,6 @@
   return true;
 }
 
-// Adapters take places on the engines that hold their model: once all are
-// taken, another replica is wanted.
-std::int64_t placement_duty::ReplicasForAdapters(
-    const catalog::engine& kind,
-    const catalog::model& model) const {
-  if (model.adapters == 0 || kind.adapter_slots == 0)
-    return 1;
-  std::int64_t held = 0;
-  for (const auto& [instance, engine] : desk_.engines()) {
-    const auto found = engine->models.find(model.name);
-    if (found != engine->models.end())
-      held += static_cast<std::int64_t>(found->second.adapters.size());
-  }
-  const std::int64_t most = std::min(held + 1, model.adapters);
-  return (most + kind.adapter_slots - 1) / kind.adapter_slots;
-}
-
 void placement_duty::LogDemand(
     const catalog::service& service,
     const std::vector<decisions::plan_model>& models,
@@ -238,8 +221,9 @@
   limits.store_loads =
       desk_.StoreLoadsLeft(kind.loads_per_second) - store_loads_planned;
   auto models = forecast_.Models(service);
+  const auto least = ReplicasForAdapters(records, index);
   for (std::size_t i = 0; i < models.size(); ++i)
-    models[i].least_replicas = ReplicasForAdapters(kind, kind.models[i]);
+    models[i].least_replicas = least[i];
   limits.quiet = forecast_.quiet();
   LogDemand(service, models, engines);
   const auto steps = decisions::PlanModels(models, engines, limits);
--- a/src/host/process/placement_duty.h
+++ b/src/host/process/placement_duty.h
@@ -69,8 +69,6 @@
   void LoadNext(const std::shared_ptr<engine_record>& engine,
                 const catalog::engine& kind,
                 base::time_point now);
-  std::int64_t ReplicasForAdapters(const catalog::engine& kind,
-                                   const catalog::model& model) const;
   // Tells all hosts what has changed, and some of them everything.
   void TellNews(bool everything);
   // Loads adapters that will probably be asked for.
--- a/src/host/process/plan_view.cc
+++ b/src/host/process/plan_view.cc
@@ -1,8 +1,8 @@
 // SPDX-License-Identifier: MIT
 #include "host/process/plan_view.h"
 
+#include <algorithm>
 #include <string>
-#include <vector>
 
 namespace valeledge::host {
 
@@ -82,4 +82,26 @@
   return view;
 }
 
+std::vector<std::int64_t> ReplicasForAdapters(
+    const std::vector<std::shared_ptr<engine_record>>& engines,
+    const model_index& index) {
+  std::vector<std::int64_t> held(index.kind.models.size(), 0);
+  for (const auto& engine : engines) {
+    for (const auto& [name, model] : engine->models) {
+      const auto found = index.positions.find(name);
+      if (found != index.positions.end())
+        held[found->second] += static_cast<std::int64_t>(model.adapters.size());
+    }
+  }
+  const std::int64_t slots = index.kind.adapter_slots;
+  std::vector<std::int64_t> out;
+  for (std::size_t i = 0; i < held.size(); ++i) {
+    const std::int64_t most =
+        std::min(held[i] + 1, index.kind.models[i].adapters);
+    const bool needs = most > 0 && slots > 0;
+    out.push_back(needs ? (most + slots - 1) / slots : 1);
+  }
+  return out;
+}
+
 }  // namespace valeledge::host
--- a/src/host/process/plan_view.h
+++ b/src/host/process/plan_view.h
@@ -5,8 +5,11 @@
 #define VALELEDGE_HOST_PROCESS_PLAN_VIEW_H_
 
 #include <cstddef>
+#include <cstdint>
+#include <memory>
 #include <string_view>
 #include <unordered_map>
+#include <vector>
 
 #include "base/duration.h"
 #include "catalog/configuration.h"
@@ -30,6 +33,12 @@
                               const model_index& index,
                               base::time_point now);
 
+// Replicas of each model that its adapters ask for: they take places on the
+// engines that hold it, and once all are taken another replica is wanted.
+std::vector<std::int64_t> ReplicasForAdapters(
+    const std::vector<std::shared_ptr<engine_record>>& engines,
+    const model_index& index);
+
 }  // namespace valeledge::host
 
 #endif  // VALELEDGE_HOST_PROCESS_PLAN_VIEW_H_
--- a/tests/auto/host/test_plan_view.cc
+++ b/tests/auto/host/test_plan_view.cc
@@ -93,6 +93,25 @@
   BOOST_TEST(here.View().loads_from_store);
 }
 
+// Two places for adapters on an engine: the third adapter of a model asks for a
+// second replica, and no more than all its adapters for another.
+BOOST_AUTO_TEST_CASE(adapters_ask_for_replicas) {
+  world here;
+  here.kind.adapter_slots = 2;
+  here.kind.models[0].adapters = 10;
+  here.kind.models[1].adapters = 3;
+  const auto second = std::make_shared<host::engine_record>();
+  second->models["a"].adapters["a3"] = here.now;
+  second->models["b"].adapters["a3"] = here.now;
+  here.engine.models["a"].adapters = {{"a1", here.now}, {"a2", here.now}};
+  here.engine.models["b"].adapters = {{"a1", here.now}, {"a2", here.now}};
+  here.engine.models["gone"].adapters["a1"] = here.now;
+  const auto first = std::make_shared<host::engine_record>(here.engine);
+  const auto index = host::IndexOf(here.kind);
+  const auto least = host::ReplicasForAdapters({first, second}, index);
+  BOOST_TEST(least == std::vector<std::int64_t>({2, 2, 1, 1}));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
