Full exchanges between members have a file of their own; a later process at another address is not outdone

A process that is frozen and replaced by one of the same name at another address would otherwise contend with it for the highest incarnation once it wakes; by reading, no run. The rest are moves and comments.

--- a/src/host/process/host.cc
+++ b/src/host/process/host.cc
@@ -424,15 +424,11 @@
   load.servers = core_.servers.OwnLoads();
   PutAnswer(mirror_.NewestAnswer(), load);
   const auto holder = placement_.holder();
-  if (holder) {
+  if (holder)
     peers_.Tell(std::string(kLoadRecord), wire::Encode(load), {kMostTold});
-    load.models = core_.demand.Loads();
-    peers_.Tell(std::string(kDemandRecord), wire::Encode(load),
-                {0, {}, holder});
-  } else {
-    load.models = core_.demand.Loads();
-    peers_.Tell(std::string(kDemandRecord), wire::Encode(load), {kMostTold});
-  }
+  load.models = core_.demand.Loads();
+  peers_.Tell(std::string(kDemandRecord), wire::Encode(load),
+              {holder ? 0 : kMostTold, {}, holder});
 }
 
 asio::awaitable<void> host::ReportLoop() {
--- a/src/membership/gossip.cc
+++ b/src/membership/gossip.cc
@@ -6,33 +6,27 @@
 
 #include "membership/gossip_direct.h"
 #include "membership/gossip_news.h"
+#include "membership/gossip_sync.h"
 
 namespace valeledge::membership {
 
 namespace {
 
 using detail::AddRumor;
+using detail::AskForAll;
 using detail::AttachNews;
 using detail::IsDead;
+using detail::IsFresh;
 using detail::known_member;
 using detail::NoteMemberChanged;
 using detail::PickOthers;
+using detail::SendAll;
+using detail::SendAllIfDifferent;
+using detail::WantsAll;
 
 // Members asked to probe one that did not answer.
 constexpr std::size_t kIndirectProbes = 2;
 
-// A process asks those it probes for everything they know after this time as
-// long as it learns of new members, then after twice as long each time. Of 295
-// processes that start together each knew all others after 25 s as long as
-// those that were asked decided how often they tell, after 5 s now (virtual
-// time).
-constexpr auto kFirstAsk = std::chrono::milliseconds(500);
-constexpr auto kLongestAsk = std::chrono::seconds(10);
-
-// Without being asked, everything is told to peers that know something else
-// once in this time.
-constexpr auto kSyncInterval = std::chrono::seconds(10);
-
 // Suspects are found overdue so much later at the most. Looking at 294 members
 // at each tick was a fifth of what an idle host did (sampled profile).
 constexpr auto kJudgeInterval = std::chrono::milliseconds(250);
@@ -112,7 +106,10 @@
 void HearOfSelf(gossip_state& state,
                 const member& heard,
                 gossip_events& events) {
-  if (heard.incarnation > state.self.incarnation) {
+  // At another address it is a later process of this name, which replaced this.
+  const bool earlier = heard.incarnation > state.self.incarnation &&
+                       heard.address == state.self.address;
+  if (earlier) {
     OutdoEarlierRun(state, heard, events);
     return;
   }
@@ -217,56 +214,6 @@
   }
 }
 
-// Everything this process knows, in datagrams of the usual size.
-void SendAll(gossip_state& state,
-             gossip_events& events,
-             const base::endpoint& to) {
-  for (wire::gossip_message& each : detail::SplitAll(state)) {
-    each.kind = static_cast<std::int32_t>(gossip_kind::kSync);
-    each.sender = state.self;
-    each.table_revision = state.table_revision;
-    each.digest = static_cast<std::int64_t>(state.digest);
-    events.datagrams.push_back({{to}, std::move(each)});
-  }
-}
-
-// A run that was not heard of before knows nothing and is told everything.
-bool IsFresh(const gossip_state& state, const member& sender) {
-  const auto known = state.others.find(sender.id);
-  return known == state.others.end() ||
-         known->second.record.incarnation < sender.incarnation;
-}
-
-bool WantsAll(const gossip_state& state, const wire::gossip_message& message) {
-  return message.wants_all &&
-         static_cast<std::uint64_t>(message.digest) != state.digest;
-}
-
-// Whether a process that is probed now is asked for everything it knows.
-bool AskForAll(gossip_state& state, base::time_point now) {
-  if (now < state.next_ask)
-    return false;
-  const bool learned = state.others.size() > state.known_at_ask;
-  const auto next = learned ? kFirstAsk : 2 * state.ask_pause;
-  state.ask_pause =
-      std::clamp<std::chrono::microseconds>(next, kFirstAsk, kLongestAsk);
-  state.next_ask = now + state.ask_pause;
-  state.known_at_ask = state.others.size();
-  return true;
-}
-
-void SendAllIfDifferent(gossip_state& state,
-                        const wire::gossip_message& message,
-                        const base::endpoint& from,
-                        base::time_point now,
-                        gossip_events& events) {
-  const bool same = static_cast<std::uint64_t>(message.digest) == state.digest;
-  if (same || now < state.next_sync)
-    return;
-  state.next_sync = now + kSyncInterval;
-  SendAll(state, events, from);
-}
-
 void EndProbe(gossip_state& state,
               base::time_point now,
               gossip_events& events) {
