--- a/tests/auto/host/test_at_size.cc
+++ b/tests/auto/host/test_at_size.cc
@@ -4,6 +4,7 @@
 // fixed loop, so that the verdict does not depend on the machine.
 #include <ctime>
 #include <limits>
+#include <map>
 
 #include <boost/test/unit_test.hpp>
 
@@ -29,9 +30,6 @@
 constexpr int kTicks = 20;
 constexpr int kRequests = 4;
 
-// The fixed loop: a hash for each engine and host.
-constexpr int kLoopLength = kHosts * kEngines;
-
 std::string InstanceOf(int engine) {
   return "instance-" + std::to_string(engine);
 }
@@ -43,11 +41,21 @@
          std::chrono::nanoseconds(now.tv_nsec);
 }
 
+// Ranks all hosts for each engine. What the sanitizers add to it they add to
+// what is compared with it as well.
 std::chrono::nanoseconds FixedLoop() {
+  std::map<std::string, std::uint64_t> hosts;
+  for (int i = 0; i < kHosts; ++i)
+    hosts["host-" + std::to_string(i)] = 0;
   const auto begun = ProcessorTime();
   std::uint64_t sum = 0;
-  for (int i = 0; i < kLoopLength; ++i)
-    sum ^= base::StableHash("a-host-of-this-zone", sum + 1);
+  for (int engine = 0; engine < kEngines; ++engine) {
+    const std::string instance = InstanceOf(engine);
+    for (auto& [name, weight] : hosts) {
+      weight = base::RendezvousWeight(instance, name);
+      sum ^= weight;
+    }
+  }
   BOOST_TEST(sum != 0u);
   return ProcessorTime() - begun;
 }
@@ -133,10 +141,11 @@
   base::time_point now = std::chrono::steady_clock::now();
 };
 
-// A second of a host takes 0.8 fixed loops. It took 10.3 while every choice
-// read all members anew, and every report of a host counted all reports again.
+// A second of a host takes a third of the fixed loop, 0.3 ms where the figure
+// before was measured as well: 3.8 ms while every choice read all members anew,
+// and every report of a host counted all reports again.
 BOOST_AUTO_TEST_CASE(a_second_of_one_host_among_many_is_cheap) {
-  constexpr double kMostLoops = 2;
+  constexpr double kMostLoops = 1.5;
   world here;
   here.Second();
   constexpr int kSeconds = 5;
