What comes late brings nothing back that has gone

Cause: an answer of the store that holds a large configuration takes a second on a narrow link. It is as old as its revision; a host that has had newer copies meanwhile took an entry of it for new if it did not know the key, also one whose deletion it had just heard of. Nothing took it away again, since the deletion was older than the revision from which the host went on. An entry of an answer that is older than what the host has everything of is dropped if its key is not known; in a copy that has both an entry and its deletion the later of the two holds. Ruled out: a check against the deletions that are remembered; they are forgotten after 500, and a whole copy has none.

--- a/src/host/process/store_mirror.cc
+++ b/src/host/process/store_mirror.cc
@@ -136,7 +136,15 @@
   events_.advanced(revision);
 }
 
-void store_mirror::Put(const std::string& key, mirrored_value value) {
+void store_mirror::Put(const std::string& key,
+                       mirrored_value value,
+                       std::int64_t told_at) {
+  // A large answer may take a second on its way, and peers tell more meanwhile:
+  // of what was known then, all that still holds is known here already. Without
+  // this a server that had gone came back for 12 s at 12 of 63 hosts.
+  const bool late = told_at < revision_ && value.revision <= revision_;
+  if (late && !values_.contains(key))
+    return;
   mirrored_value& known = values_[key];
   if (value.revision <= known.revision)
     return;
@@ -174,7 +182,7 @@
   for (const std::string& key : missing)
     Remove(key, revision, lapsed);
   for (auto& [key, value] : values)
-    Put(key, std::move(value));
+    Put(key, std::move(value), revision);
   Advance(revision);
 }
 
@@ -243,7 +251,8 @@
       if (each.deleted)
         Remove(each.pair.key, each.pair.mod_revision, false);
       else
-        Put(each.pair.key, {each.pair.value, each.pair.mod_revision, {}});
+        Put(each.pair.key, {each.pair.value, each.pair.mod_revision, {}},
+            changes->revision);
     }
     at = std::max(at, changes->revision);
     Advance(changes->revision);
@@ -340,10 +349,11 @@
     Replace(std::move(values), copy.revision);
     return true;
   }
+  for (auto& [key, value] : values)
+    Put(key, std::move(value), copy.revision);
+  // After the entries: of an entry and a later deletion the deletion holds.
   for (const wire::mirror_entry& each : copy.deleted)
     Remove(each.key, each.revision, each.lapsed);
-  for (auto& [key, value] : values)
-    Put(key, std::move(value));
   Advance(copy.revision);
   return true;
 }
--- a/src/host/process/store_mirror.h
+++ b/src/host/process/store_mirror.h
@@ -90,7 +90,8 @@
   boost::asio::awaitable<bool> Follow();
   void Replace(std::map<std::string, mirrored_value> values,
                std::int64_t revision);
-  void Put(const std::string& key, mirrored_value value);
+  // `told_at` is the revision of the answer that holds the value.
+  void Put(const std::string& key, mirrored_value value, std::int64_t told_at);
   void Remove(const std::string& key, std::int64_t revision, bool lapsed);
   bool OthersFollow() const;
   bool MayStopFollowing() const;
--- a/tests/auto/host/fake_store.h
+++ b/tests/auto/host/fake_store.h
@@ -33,9 +33,10 @@
   int reads = 0;
   // Writes whose answers get lost after they were done.
   int answers_to_lose = 0;
-  // Answers to watches are on their way until this is no longer set and Wake is
-  // called.
+  // Answers to watches, or to readings, are on their way until this is no
+  // longer set and Wake is called.
   bool holds_watches = false;
+  bool holds_reads = false;
   // How many are.
   int held = 0;
   // Watches answer that the history is gone once.
@@ -80,6 +81,10 @@
         result.results.push_back(Do(each));
     }
     result.revision = revision_;
+    ++held;
+    while (holds_reads)
+      co_await Changed();
+    --held;
     if (answers_to_lose > 0 && !transaction.conditions.empty()) {
       --answers_to_lose;
       co_return base::Unknown(base::result_code::kPlatformAnswerLost, "lost");
--- a/tests/auto/host/test_late_answers.cc
+++ b/tests/auto/host/test_late_answers.cc
@@ -2,18 +2,19 @@
 // What users saw: a request reached a backend server 3.5 s after the server had
 // announced that it leaves, from a host that had known it for 3.2 s.
 //
-// Order of events: a large configuration was on its way to the host that
-// follows the store for its availability zone, on a narrow link. The same
-// answer held an earlier change of a server's entry. Meanwhile the host heard
-// from another one that the server had gone, and forgot it; then the answer
-// came in whole, and brought the server back. From there it came back at nine
-// hosts, at two of them for 12 s.
+// Order of events: a large configuration was on its way to hosts that read the
+// store, on narrow links. The same answer held an earlier state of a server's
+// entry. Meanwhile the hosts heard from another one that the server had gone,
+// and forgot it; then the answer came in whole, and brought the server back. It
+// came back at 12 of 63 hosts, and stayed until they read everything again, 12
+// s later.
 //
 // Cause: what came late was taken for new if its key was not known, though it
 // was older than what this host had everything of.
 //
 // Evidence: in the logs of the day each of those hosts says that the server is
-// gone, and 17 to 150 ms later that it is there again.
+// gone, and 3 to 244 ms later that it is there again; no copy that they could
+// have had it from was given before the first of them had it.
 #include <functional>
 #include <string>
 
@@ -81,6 +82,26 @@
   BOOST_TEST(here.mirror.CopySince(1).entries.size() == 1u);
 }
 
+// The same for a reading of everything: its pages are no older than its
+// revision, but that may be older than what peers have told meanwhile.
+BOOST_AUTO_TEST_CASE(a_reading_that_comes_late_brings_nothing_back) {
+  world here;
+  here.store.Put("server", "1");
+  here.store.holds_reads = true;
+  here.mirror.Start();
+  here.RunUntil([&] { return here.store.held == 1; });
+  wire::mirror_copy copy;
+  copy.revision = 4;
+  copy.whole = true;
+  copy.entries.push_back(Entry("other", 4));
+  here.mirror.Take(copy);
+  here.store.holds_reads = false;
+  here.store.Wake();
+  here.RunUntil([&] { return here.mirror.IsCurrent(); });
+  BOOST_TEST(!here.mirror.Value("server").has_value());
+  BOOST_TEST(here.mirror.Value("other").has_value());
+}
+
 // A host that has it back already gives both the entry and its deletion.
 BOOST_AUTO_TEST_CASE(of_an_entry_and_its_later_deletion_the_deletion_holds) {
   world here;
