Hosts with wide links follow the store for the others

Cause: who follows the store for an availability zone was chosen by name alone. In the incident it was a host on 10 Mbit/s, beside two on 200: 0.8 s until it has a configuration of 4,250 routes, and all copies of its zone over its link. A member says whether its link is wide (50 Mbit/s: the largest value within a quarter of a second); those are chosen while there are any. Tests: members_with_the_preferred_role_come_first; membership and host passed.

--- a/src/host/process/host.cc
+++ b/src/host/process/host.cc
@@ -46,7 +46,9 @@
 // The same with what this host's callers ask for, for the holder of the lease.
 constexpr std::string_view kDemandRecord = "demand";
 
-// Hosts of each availability zone that follow the store for the others.
+// Hosts of each availability zone that follow the store for the others, those
+// with wide links if there are any: on a link of 10 Mbit/s a configuration of
+// 4,250 routes takes 0.8 s from the store, and each copy of it 0.1 s.
 constexpr std::string_view kFollowDuty = "follow/store";
 constexpr std::size_t kFollowersPerZone = 1;
 
@@ -366,7 +368,7 @@
 bool host::FollowsStore() {
   return !stop_.stopping() &&
          peers_.IsChosen(std::string(kFollowDuty), kFollowersPerZone,
-                         peer_link::scope::kZone);
+                         peer_link::scope::kZone, membership::kWideLink);
 }
 
 // The hosts that are chosen for a server are told at once what others send
--- a/src/host/process/peer_link.cc
+++ b/src/host/process/peer_link.cc
@@ -22,6 +22,17 @@
 
 constexpr auto kAwait = asio::as_tuple(asio::use_awaitable);
 
+// 50 Mbit/s: the largest value of the store, 1 MB, 1.4 MB in base64, comes in
+// within a quarter of a second.
+constexpr double kWideLinkBytes = 50e6 / 8;
+
+std::int32_t RolesOf(const host_settings& settings) {
+  std::int32_t roles = membership::kGateway | membership::kController;
+  if (settings.link_bytes >= kWideLinkBytes)
+    roles |= membership::kWideLink;
+  return roles;
+}
+
 membership::gossip_state MakeGossip(const host_settings& settings) {
   membership::gossip_settings times;
   // The budget of second sends is divided among the living: a dead host's
@@ -32,7 +43,7 @@
   return membership::gossip_builder()
       .Settings(times)
       .Self(settings.name, settings.peer_listen, settings.zone,
-            membership::kGateway | membership::kController)
+            RolesOf(settings))
       .Incarnation(std::chrono::system_clock::now())
       .Seeds(std::move(seeds))
       .Build();
@@ -120,10 +131,11 @@
 
 bool peer_link::IsChosen(const std::string& subject,
                          std::size_t count,
-                         scope among) {
+                         scope among,
+                         std::int32_t prefers) {
   const std::string zone = among == scope::kZone ? gossip_.self.zone : "";
   const auto& chosen =
-      membership::ChosenMembers(gossip_, {subject, zone, count});
+      membership::ChosenMembers(gossip_, {subject, zone, count, prefers});
   return std::ranges::find(chosen, gossip_.self.id) != chosen.end();
 }
 
--- a/src/host/process/peer_link.h
+++ b/src/host/process/peer_link.h
@@ -52,9 +52,13 @@
             std::string value,
             const membership::direct_audience& audience);
   // Whether this host is one of the `count` that are chosen for a subject,
-  // among those of its availability zone or all.
+  // among those of its availability zone or all; among those with the roles in
+  // `prefers`, if there are any.
   enum class scope { kZone, kAll };
-  bool IsChosen(const std::string& subject, std::size_t count, scope among);
+  bool IsChosen(const std::string& subject,
+                std::size_t count,
+                scope among,
+                std::int32_t prefers = 0);
   void AnnounceLeaving();
   // This host's copy of the store has this revision.
   void AnnounceRevision(std::int64_t revision);
--- a/src/membership/choices.cc
+++ b/src/membership/choices.cc
@@ -19,11 +19,15 @@
   members.push_back(&state.self);
   for (const auto& [id, each] : state.others)
     members.push_back(&each.record);
+  auto chosen = ChooseOwners(members, question.subject, question.prefers,
+                             question.zone, question.count);
+  if (chosen.empty()) {
+    chosen = ChooseOwners(members, question.subject, 0, question.zone,
+                          question.count);
+  }
   std::vector<std::string> out;
-  for (const member* each : ChooseOwners(members, question.subject, 0,
-                                         question.zone, question.count)) {
+  for (const member* each : chosen)
     out.push_back(each->id);
-  }
   return out;
 }
 
--- a/src/membership/choices.h
+++ b/src/membership/choices.h
@@ -6,6 +6,7 @@
 
 #include <compare>
 #include <cstddef>
+#include <cstdint>
 #include <map>
 #include <string>
 #include <vector>
@@ -17,11 +18,13 @@
 struct gossip_state;
 
 // The `count` members that are chosen by rendezvous for `subject`, of one
-// availability zone or, if it is empty, of all.
+// availability zone or, if it is empty, of all. Only members with all roles in
+// `prefers` are chosen, if there are any.
 struct choice_question {
   std::string subject;
   std::string zone;
   std::size_t count = 0;
+  std::int32_t prefers = 0;
 
   auto operator<=>(const choice_question&) const = default;
 };
--- a/src/membership/member.h
+++ b/src/membership/member.h
@@ -18,6 +18,8 @@
   kGateway = 1,
   kScheduler = 2,
   kController = 4,
+  // Its link is wide enough to read and hand on large values for others.
+  kWideLink = 8,
 };
 
 using member = wire::member_record;
--- a/tests/auto/membership/test_choices.cc
+++ b/tests/auto/membership/test_choices.cc
@@ -56,6 +56,35 @@
 
 }  // namespace
 
+// Members with the preferred role are chosen while there are any, whoever they
+// are, and any others then.
+BOOST_AUTO_TEST_CASE(members_with_the_preferred_role_come_first) {
+  world here;
+  for (int i = 1; i < kMembers; ++i) {
+    member each = MemberOf(i, 1);
+    if (i == 5 || i == 7)
+      each.roles |= role::kWideLink;
+    here.Hear(each);
+  }
+  const choice_question any{"duty", "", 1, 0};
+  const choice_question wide{"duty", "", 1, role::kWideLink};
+  const std::string first = ChosenMembers(here.state, wide).front();
+  BOOST_TEST((first == "n5" || first == "n7"));
+  const int other = first == "n5" ? 7 : 5;
+  for (const int leaves : {12 - other, other}) {
+    member each = MemberOf(leaves, 1);
+    each.roles |= role::kWideLink;
+    each.leaving = true;
+    here.Hear(each);
+    if (leaves != other) {
+      BOOST_TEST(ChosenMembers(here.state, wide).front() ==
+                 "n" + std::to_string(other));
+    }
+  }
+  BOOST_TEST(ChosenMembers(here.state, wide).front() ==
+             ChosenMembers(here.state, any).front());
+}
+
 // Members come, leave, are found dead, come back and start anew in any order;
 // after each change every choice is the one that is made without memory.
 BOOST_AUTO_TEST_CASE(remembered_choices_follow_every_change) {
