The table of the other programs is fetched from one peer at a time, while it comes in

Cause: the same as of the copies of the store, in the three programs: a fetch had 2 s as a whole, and each peer with a newer table was asked at once, as many as there are. It uses the same decisions now. Ruled out: closing the connection of a fetch that is given up; it carries other calls, and one that is silent for 1 s is closed already.

--- a/src/decisions/copy_fetches.cc
+++ b/src/decisions/copy_fetches.cc
@@ -30,6 +30,12 @@
   return fetches.asked.try_emplace(peer, copy_fetch{now, 0, now}).second;
 }
 
+void NoteAsked(copy_fetches& fetches,
+               const base::endpoint& peer,
+               base::time_point now) {
+  fetches.asked.insert_or_assign(peer, copy_fetch{now, 0, now});
+}
+
 void NoteBytes(copy_fetches& fetches,
                const base::endpoint& peer,
                std::int64_t bytes,
--- a/src/decisions/copy_fetches.h
+++ b/src/decisions/copy_fetches.h
@@ -1,6 +1,7 @@
 // SPDX-License-Identifier: MIT
-// Which peers are asked for their copy of the key-value service, and how long
-// each copy is waited for.
+// Which peers are asked for their copy of what the key-value service holds (all
+// keys of a host, the table of the other programs), and how long each copy is
+// waited for.
 //
 // A large configuration takes half a second and more on a narrow link, and
 // several hosts may ask the same peer. So a copy is waited for as long as it
@@ -65,6 +66,12 @@
                 bool same_zone,
                 base::time_point now);
 
+// Notes that a peer is asked whatever else is, as a process does that has no
+// copy at all.
+void NoteAsked(copy_fetches& fetches,
+               const base::endpoint& peer,
+               base::time_point now);
+
 // So many bytes have come from a peer that was asked, the last of them at
 // `heard`.
 void NoteBytes(copy_fetches& fetches,
--- a/src/node/constants.h
+++ b/src/node/constants.h
@@ -12,10 +12,6 @@
 inline constexpr std::chrono::microseconds kTickInterval =
     std::chrono::milliseconds(50);
 
-// Longest wait for a table delta from a peer.
-inline constexpr std::chrono::microseconds kFetchTimeout =
-    std::chrono::seconds(2);
-
 // A process without a table asks this many peers before it serves.
 inline constexpr std::size_t kFirstTablePeers = 3;
 
--- a/src/node/node.cc
+++ b/src/node/node.cc
@@ -260,6 +260,14 @@
                                      timeout);
 }
 
+asio::awaitable<base::result<wire::envelope>> node::CallPeer(
+    base::endpoint where,
+    wire::envelope call,
+    net::reply_limit limit) {
+  co_return co_await channels_->Call(std::move(where), std::move(call),
+                                     std::move(limit));
+}
+
 void node::UpdateGauges() {
   const auto set = [this](std::string_view name, std::int64_t value) {
     metrics_.Gauge(name).Set(value);
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -91,6 +91,9 @@
       base::endpoint where,
       wire::envelope call,
       std::chrono::microseconds timeout);
+  // The same, waiting as long as `limit` says.
+  boost::asio::awaitable<base::result<wire::envelope>>
+  CallPeer(base::endpoint where, wire::envelope call, net::reply_limit limit);
 
  private:
   friend class table_sync;
--- a/src/node/table_sync.h
+++ b/src/node/table_sync.h
@@ -7,11 +7,11 @@
 #include <atomic>
 #include <chrono>
 #include <cstdint>
-#include <set>
 
 #include <boost/asio/awaitable.hpp>
 
 #include "base/endpoint.h"
+#include "decisions/copy_fetches.h"
 
 namespace valeledge::node {
 
@@ -34,6 +34,7 @@
   bool IsWatcher() const;
 
  private:
+  // Fetches what is newer at a peer that is noted as asked.
   boost::asio::awaitable<void> Fetch(base::endpoint peer);
   boost::asio::awaitable<void> FindFirstTable();
   boost::asio::awaitable<void> WatchLoop();
@@ -42,7 +43,7 @@
 
   node& owner_;
   std::atomic<bool> has_table_ = false;
-  std::set<base::endpoint> fetching_;
+  decisions::copy_fetches fetches_;
   // The platform's revision that the next read starts from.
   std::int64_t next_read_ = 0;
   std::int64_t next_watch_ = 1;
