A host that is behind does not say that a path is unknown

Cause: in the incident a host knew for 32 s of a newer configuration that it could not get, and answered 404 for a route of that one; a caller gives up for good on 404, and on 503 asks another host. Gauge valeledge_copy_behind_ms says for how long. Ruled out: not being ready meanwhile; when a configuration is large many hosts are behind for a second, and all of them would leave the rotation at once. Tests: without_a_route_or_configuration (a case more), a_host_is_behind_from_the_first_news_of_a_newer_copy.

--- a/src/decisions/copy_fetches.cc
+++ b/src/decisions/copy_fetches.cc
@@ -59,6 +59,14 @@
   fetches.behind_since.reset();
 }
 
+std::chrono::milliseconds BehindFor(const copy_fetches& fetches,
+                                    base::time_point now) {
+  if (!fetches.behind_since)
+    return std::chrono::milliseconds(0);
+  return std::chrono::duration_cast<std::chrono::milliseconds>(
+      now - *fetches.behind_since);
+}
+
 void EndFetch(copy_fetches& fetches, const base::endpoint& peer) {
   fetches.asked.erase(peer);
 }
--- a/src/decisions/copy_fetches.h
+++ b/src/decisions/copy_fetches.h
@@ -36,6 +36,11 @@
 // costs the first no more than as long again.
 inline constexpr std::chrono::milliseconds kSlowCopy{1500};
 
+// A host that has known of a newer copy for so long without any newer one does
+// not tell callers that something does not exist: copies come some 20 times a
+// second when all is well.
+inline constexpr std::chrono::milliseconds kBehindAfter{1000};
+
 // Peers that are asked at the same time: more only share the asker's own link.
 inline constexpr std::size_t kMostCopies = 2;
 
@@ -84,9 +89,13 @@
 base::time_point GiveUpAt(const copy_fetches& fetches,
                           const base::endpoint& peer);
 
-// A peer has given its copy; there may be a newer one by now.
+// What this host has is newer than before; there may be a newer copy by now.
 void NoteCopy(copy_fetches& fetches);
 
+// How long a newer copy has been known of that has not come; zero if none is.
+std::chrono::milliseconds BehindFor(const copy_fetches& fetches,
+                                    base::time_point now);
+
 // A peer has given its copy, or is not waited for any longer.
 void EndFetch(copy_fetches& fetches, const base::endpoint& peer);
 
--- a/src/host/process/copy_duty.cc
+++ b/src/host/process/copy_duty.cc
@@ -62,6 +62,10 @@
   asio::co_spawn(core_.context, Fetch(peer), asio::detached);
 }
 
+milliseconds copy_duty::BehindFor() const {
+  return decisions::BehindFor(fetches_, std::chrono::steady_clock::now());
+}
+
 wire::envelope copy_duty::Give(const wire::mirror_request& wanted) {
   wire::envelope reply;
   if (decisions::MayGiveCopy(peers_.QueuedBytes(), core_.settings.link_bytes)) {
@@ -92,6 +96,7 @@
   const fetch_end end = TakeReply(wanted.since, reply);
   TellEnd(peer, wanted.since, end, reply);
   if (end == fetch_end::kTaken) {
+    // Also if it is no newer than what has come meanwhile.
     decisions::NoteCopy(fetches_);
     DropOthers(peer);
   }
--- a/src/host/process/copy_duty.h
+++ b/src/host/process/copy_duty.h
@@ -4,6 +4,7 @@
 #ifndef VALELEDGE_HOST_PROCESS_COPY_DUTY_H_
 #define VALELEDGE_HOST_PROCESS_COPY_DUTY_H_
 
+#include <chrono>
 #include <cstdint>
 #include <string>
 
@@ -23,6 +24,10 @@
 
   // A peer, of this host's availability zone or not, has a newer copy.
   void HearNewer(const base::endpoint& peer, bool same_zone);
+  // This host has something newer than before, from a peer or the store.
+  void NoteAdvanced() { decisions::NoteCopy(fetches_); }
+  // How long a newer copy has been known of that has not come.
+  std::chrono::milliseconds BehindFor() const;
   // The reply to a peer that asks for this host's copy; tells it to ask another
   // if too much waits to be sent already.
   wire::envelope Give(const wire::mirror_request& wanted);
--- a/src/host/process/host.cc
+++ b/src/host/process/host.cc
@@ -134,6 +134,7 @@
            [this](const auto& key, bool lapsed) { RemoveKey(key, lapsed); },
            [this](std::int64_t revision) {
              peers_.AnnounceRevision(revision);
+             copies_.NoteAdvanced();
            }}),
       peers_(context,
              core_.settings,
@@ -213,6 +214,9 @@
   };
   core_.servers.SetHearsAtOnce(
       [this](const std::string& instance) { return IsWellKnown(instance); });
+  core_.is_behind = [this] {
+    return copies_.BehindFor() >= decisions::kBehindAfter;
+  };
   core_.want_adapter = [this](std::string service, std::string model,
                               std::string adapter, milliseconds timeout) {
     return placement_.WantAdapter(std::move(service), std::move(model),
@@ -267,6 +271,7 @@
   set("valeledge_store_revision", mirror_.revision());
   set("valeledge_store_age_ms",
       mirror_.Age().value_or(milliseconds(kUnknownAge)).count());
+  set("valeledge_copy_behind_ms", copies_.BehindFor().count());
   set("valeledge_lease_term", lease_.CertainTerm());
   set("valeledge_peer_bytes", peers_.bytes());
   set("valeledge_store_bytes", store_->bytes());
--- a/src/host/process/host_core.h
+++ b/src/host/process/host_core.h
@@ -53,6 +53,9 @@
   std::map<std::string, decisions::retry_window, std::less<>> retries;
   // Hosts that take requests, this one included.
   std::int64_t hosts = 1;
+  // Whether a newer copy of the store has been known of for long that has not
+  // come: what is not known here may exist.
+  std::function<bool()> is_behind = [] { return false; };
   // Set once this host stops soon: what may last longer is refused.
   std::optional<base::time_point> stops_at;
   // What this host has under way at a server has changed; tells the others.
--- a/tests/auto/decisions/test_copy_fetches.cc
+++ b/tests/auto/decisions/test_copy_fetches.cc
@@ -79,6 +79,17 @@
   BOOST_TEST(decisions::BeginFetch(fetches, kOne, false, kBegun + 620ms));
 }
 
+BOOST_AUTO_TEST_CASE(a_host_is_behind_from_the_first_news_of_a_newer_copy) {
+  decisions::copy_fetches fetches;
+  BOOST_TEST(decisions::BehindFor(fetches, kBegun).count() == 0);
+  BOOST_TEST(decisions::BeginFetch(fetches, kOne, true, kBegun));
+  decisions::EndFetch(fetches, kOne);
+  BOOST_TEST(decisions::BeginFetch(fetches, kTwo, true, kBegun + 2s));
+  BOOST_TEST(decisions::BehindFor(fetches, kBegun + 3s).count() == 3000);
+  decisions::NoteCopy(fetches);
+  BOOST_TEST(decisions::BehindFor(fetches, kBegun + 4s).count() == 0);
+}
+
 // 10 Mbit/s: 375 KB leave in 300 ms.
 BOOST_AUTO_TEST_CASE(a_host_with_much_to_send_gives_no_copy) {
   constexpr double kNarrow = 10e6 / 8;
--- a/tests/auto/host/test_relay.cc
+++ b/tests/auto/host/test_relay.cc
@@ -448,6 +448,10 @@
   BOOST_TEST(here.Ask("/other/").status == 404);
   here.configuration.routes.clear();
   BOOST_TEST(here.Ask("/once/").status == 404);
+  // A host that knows of something newer does not say that a path is unknown.
+  here.core->is_behind = [] { return true; };
+  const auto early = here.Ask("/other/");
+  BOOST_TEST(early.status == 503);
   net::http_request request;
   seen_answer seen;
   fake_responder responder(seen);
