--- a/src/host/request/relay.cc
+++ b/src/host/request/relay.cc
@@ -65,7 +65,6 @@
                                    server_visit& visit);
   asio::awaitable<bool> StartAnswer(const net::http_response_header& head);
   bool MayGoOn(attempt_end end);
-  base::error NoRoute() const;
   asio::awaitable<void> Fail(base::error failed);
   void NoteEnd(const server_choice& choice);
   void NotePause();
@@ -412,20 +411,6 @@
   co_await responder_.Send(RenderFailure(failed));
 }
 
-// A caller gives up for good what does not exist, and asks another host for
-// what is not known here yet.
-base::error relay::NoRoute() const {
-  if (!core_.is_behind()) {
-    return base::MakeError(result_code::kUnknownPath, base::outcome::kNotRun,
-                           "no route has this host and path");
-  }
-  auto early = base::MakeError(
-      result_code::kNoBackendServer, base::outcome::kNotRun,
-      "no route has this host and path in an older configuration");
-  early.retry_after = kShortComeBack;
-  return early;
-}
-
 asio::awaitable<void> relay::Run() {
   routed_.configuration = core_.configuration;
   routed_.arrived = std::chrono::steady_clock::now();
@@ -438,7 +423,7 @@
     co_return;
   }
   if (!RouteRequest(core_, request_, routed_)) {
-    co_await Fail(NoRoute());
+    co_await Fail(NoRoute(core_));
     co_return;
   }
   last_event_ = routed_.head.resume_after;
--- a/src/host/request/routed_request.cc
+++ b/src/host/request/routed_request.cc
@@ -78,6 +78,19 @@
   return true;
 }
 
+base::error NoRoute(const host_core& core) {
+  if (!core.is_behind()) {
+    return base::MakeError(base::result_code::kUnknownPath,
+                           base::outcome::kNotRun,
+                           "no route has this host and path");
+  }
+  auto early = base::MakeError(
+      base::result_code::kNoBackendServer, base::outcome::kNotRun,
+      "no route has this host and path in an older configuration");
+  early.retry_after = kShortComeBack;
+  return early;
+}
+
 milliseconds Left(const routed_request& routed) {
   return duration_cast<milliseconds>(routed.deadline -
                                      std::chrono::steady_clock::now());
--- a/src/host/request/routed_request.h
+++ b/src/host/request/routed_request.h
@@ -35,6 +35,11 @@
                   const net::http_request& request,
                   routed_request& routed);
 
+// Why a request has no route: callers give up for good what does not exist
+// (kUnknownPath), and ask another host for what is not known here yet
+// (kNoBackendServer, with when to come back).
+base::error NoRoute(const host_core& core);
+
 // Time until the deadline; negative after it.
 std::chrono::milliseconds Left(const routed_request& routed);
 
