A stream that is to be broken off has begun: the condition of a scenario made exact

Cause: whole-answer-or-error.scn killed the engines once requests were with them, which may be before a first event; then an error that says that the outcome is unknown is right, and the script expects a broken stream. It waits for an event at the caller now, and expects what it did. Ruled out: a longer wait or another expectation.

--- a/scripts/deployment.py
+++ b/scripts/deployment.py
@@ -41,15 +41,24 @@
             continue
 
 
-def call(port, method, path, body=None, headers=None, timeout=20):
-    """One HTTP call; (status, headers, body text)."""
+def call(port, method, path, body=None, headers=None, timeout=20,
+         on_part=None):
+    """One HTTP call; (status, headers, body text). `on_part` gets the body as
+    it comes."""
     connection = http.client.HTTPConnection("127.0.0.1", port, timeout=timeout)
     try:
         data = json.dumps(body) if isinstance(body, (dict, list)) else body
         connection.request(method, path, data, headers or {})
         answer = connection.getresponse()
-        text = answer.read().decode()
-        return answer.status, dict(answer.getheaders()), text
+        if on_part is None:
+            text = answer.read().decode()
+            return answer.status, dict(answer.getheaders()), text
+        parts = []
+        while part := answer.read1():
+            parts.append(part)
+            on_part(part)
+        return (answer.status, dict(answer.getheaders()),
+                b"".join(parts).decode())
     finally:
         connection.close()
 
@@ -273,13 +282,13 @@
 
 
 def chat(port, model, text="Draft the spring season roster", stream=False,
-         max_tokens=16, headers=None, timeout=30):
+         max_tokens=16, headers=None, timeout=30, on_part=None):
     """One completion; (status, headers, body)."""
     body = {"model": model, "stream": stream, "max_tokens": max_tokens,
             "messages": [{"role": "user", "content": text}]}
     return call(port, "POST", "/v1/chat/completions", body,
                 {"Content-Type": "application/json", **(headers or {})},
-                timeout)
+                timeout, on_part)
 
 
 def text_of_stream(body):
--- a/tests/scenarios/language.py
+++ b/tests/scenarios/language.py
@@ -49,6 +49,8 @@
         self.status, self.headers, self.body = 0, {}, ""
         self.error = ""
         self.took = 0.0
+        # An event of its stream has come.
+        self.streaming = False
 
     def run(self):
         started = time.monotonic()
@@ -69,7 +71,7 @@
             self.status, self.headers, self.body = dep.chat(
                 port, self.target, self.given.get("text", "Draft the roster"),
                 "stream" in self.given, int(self.given.get("tokens", 16)),
-                headers, 60)
+                headers, 60, self.note_part if "stream" in self.given else None)
             return
         if "key" in self.given:
             headers["Idempotency-Key"] = self.given["key"]
@@ -77,6 +79,9 @@
             port, "POST", f"/services/{self.target}/book",
             {"note": self.given.get("text", "")}, headers, 60)
 
+    def note_part(self, part):
+        self.streaming = self.streaming or b"data: " in part
+
     def outcome(self):
         """completed, not_run, unknown, or broken for a cut answer."""
         if self.error:
@@ -479,6 +484,10 @@
         return sum(dep.get_json(self.port(name), "/load")["in_flight"]
                    for name in self.engines) >= int(words[0])
 
+    def is_streaming(self, words):
+        """streaming NAME...: each of these callers has had an event."""
+        return all(self.requests[name].streaming for name in words)
+
     def is_claimed_or_running(self, words):
         """claimed-or-running N: so many claims have been written."""
         del words
