What waits in a host that stops is refused at once

Cause: a stopping host refuses, from 2.7 s after the signal on, what may outlast it, but asked that only of what comes then. A stream of a patient kind that came 2.1 s after the signal waited in the host for a replica, up to its objective of 8 s; 7.6 s after the signal it was broken off without an answer, and had reached no server. Tests: what_waits_in_a_host_that_stops_is_refused_at_once failed before; test_host passed. A comment that stood at the wrong test is at its own again.

--- a/src/host/request/relay.cc
+++ b/src/host/request/relay.cc
@@ -430,13 +430,8 @@
   decisions::NoteRequest(core_.retries[routed_.service->name], routed_.arrived);
   guard_ = std::make_shared<net::open_guard>();
   responder_.OnCallerGone([guard = guard_] { guard->Cancel(); });
-  const bool stopping = core_.stops_at && routed_.deadline > *core_.stops_at;
-  if (stopping) {
-    auto leaving =
-        base::MakeError(result_code::kLeaving, base::outcome::kNotRun,
-                        "this host is about to stop");
-    leaving.retry_after = milliseconds(0);
-    co_await Fail(std::move(leaving));
+  if (const auto leaving = LeavingTooSoon(core_, routed_)) {
+    co_await Fail(*leaving);
     co_return;
   }
   bool ran = false;
--- a/src/host/request/routed_request.cc
+++ b/src/host/request/routed_request.cc
@@ -78,6 +78,17 @@
   return true;
 }
 
+std::optional<base::error> LeavingTooSoon(const host_core& core,
+                                          const routed_request& routed) {
+  if (!core.stops_at || routed.deadline <= *core.stops_at)
+    return std::nullopt;
+  auto leaving =
+      base::MakeError(base::result_code::kLeaving, base::outcome::kNotRun,
+                      "this host is about to stop");
+  leaving.retry_after = milliseconds(0);
+  return leaving;
+}
+
 base::error NoRoute(const host_core& core) {
   if (!core.is_behind()) {
     return base::MakeError(base::result_code::kUnknownPath,
--- a/src/host/request/routed_request.h
+++ b/src/host/request/routed_request.h
@@ -5,6 +5,7 @@
 
 #include <chrono>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -35,6 +36,11 @@
                   const net::http_request& request,
                   routed_request& routed);
 
+// Why a request that has not been sent is refused by a host that is about to
+// stop: it may outlast the host. Nothing if it does not, or the host stays.
+std::optional<base::error> LeavingTooSoon(const host_core& core,
+                                          const routed_request& routed);
+
 // Why a request has no route: callers give up for good what does not exist
 // (kUnknownPath), and ask another host for what is not known here yet
 // (kNoBackendServer, with when to come back).
--- a/src/host/request/server_search.cc
+++ b/src/host/request/server_search.cc
@@ -136,6 +136,11 @@
                       "no backend server takes requests for this now");
   while (!responder.caller_gone()) {
     const auto now = std::chrono::steady_clock::now();
+    // What waits here for a replica, up to 8 s, would be broken off without an
+    // answer.
+    const auto leaving = LeavingTooSoon(core, routed);
+    if (leaving && first_attempt)
+      co_return tl::make_unexpected(*leaving);
     const server_wish wish = WishOf(routed);
     auto choice = core.servers.Choose(wish, *routed.service, now, core.random);
     if (choice && wish.model.empty())
--- a/tests/auto/host/test_relay.cc
+++ b/tests/auto/host/test_relay.cc
@@ -397,7 +397,6 @@
   BOOST_TEST(here.Ask("/once/").status == 504);
 }
 
-// A host that stops takes what ends before it does, and nothing else.
 // A model that no engine has, and that cannot be there in time: the caller
 // hears so at once, and when to come back, instead of waiting for a part of its
 // time.
@@ -431,6 +430,27 @@
   BOOST_TEST(seen.body == "hello");
 }
 
+// What users saw: a connection closed without any answer while a host was
+// stopped as planned. Its caller had sent a stream of a patient kind 2.1 s
+// after the signal, when all is still taken. The request waited in the host for
+// a replica, which may take up to 8 s, and 7.6 s after the signal what is under
+// way is broken off. It had reached no server. Cause: only what comes was asked
+// whether it may outlast the host, not what waits.
+BOOST_AUTO_TEST_CASE(what_waits_in_a_host_that_stops_is_refused_at_once) {
+  world here;
+  const auto engine = here.AddEngine(milliseconds(1300));
+  const auto now = std::chrono::steady_clock::now();
+  engine->coming[host::KeyOf("m")] = now + milliseconds(600);
+  const seen_answer seen = here.Ask("/stream/", [&](fake_responder&) {
+    if (std::chrono::steady_clock::now() >= now + milliseconds(100))
+      here.core->stops_at = now + here.timeout / 2;
+  });
+  BOOST_TEST(seen.status == 503);
+  BOOST_TEST(here.first.requests.empty());
+  BOOST_TEST((std::chrono::steady_clock::now() < now + milliseconds(400)));
+}
+
+// A host that stops takes what ends before it does, and nothing else.
 BOOST_AUTO_TEST_CASE(what_would_outlast_a_stopping_host_is_refused) {
   world here;
   here.AddServer("i-1", here.first.address());
