Sight: which request a server broke off, and how far its answer was

The incident's record cannot tell which requests are the same one, nor what ran at a server when it ended. The client tells a closed connection from time that ran out. No decision changes; unit tests pass.

--- a/src/base/error.h
+++ b/src/base/error.h
@@ -20,6 +20,9 @@
   std::string message;
   // When coming back helps: how long to wait first.
   std::optional<std::chrono::milliseconds> retry_after;
+  // The other side closed or reset the connection once the request was handed
+  // over: no time ran out, and nothing damaged came.
+  bool connection_lost = false;
 };
 
 // A value, or the error that kept it from being had.
--- a/src/host/request/relay.cc
+++ b/src/host/request/relay.cc
@@ -11,8 +11,10 @@
 
 #include "base/logging.h"
 #include "host/constants.h"
+#include "host/request/attempt_progress.h"
 #include "host/request/event_splitter.h"
 #include "host/request/final_answers.h"
+#include "host/request/request_digest.h"
 #include "host/request/routed_request.h"
 #include "host/request/server_search.h"
 #include "host/request/server_visit.h"
@@ -68,6 +70,9 @@
   asio::awaitable<void> Fail(base::error failed);
   void NoteEnd(const server_choice& choice);
   void NotePause();
+  // The connection of an attempt has failed; tells whether its server broke it
+  // off.
+  void NoteBroken(const server_choice& choice);
 
   host_core& core_;
   net::http_request& request_;
@@ -78,6 +83,7 @@
   std::int64_t runs_ = 0;
   // The head has gone to the caller.
   bool started_ = false;
+  attempt_progress progress_;
   // The event that came next does not follow the last one.
   bool out_of_order_ = false;
   std::string last_event_;
@@ -113,6 +119,8 @@
     visit.Failed(false);
     co_return tl::make_unexpected(attempt_end::kUnknown);
   }
+  if (!piece->empty() && !progress_.first_part_at)
+    progress_.first_part_at = std::chrono::steady_clock::now();
   co_return *piece;
 }
 
@@ -259,6 +267,8 @@
   server_visit visit(core_, choice, routed_.head, routed_.weight,
                      *routed_.demand);
   ++sends_;
+  progress_ = {std::chrono::steady_clock::now(), {}, {}};
+  last_error_ = {};
   core_.log.Write(
       log_weight::kOrdinary, log_event::kAttemptSent, routed_.head.id,
       {{"request", routed_.head.id},
@@ -293,6 +303,7 @@
                      {"reason", last_error_.message}});
     co_return not_run ? attempt_end::kNotRun : attempt_end::kUnknown;
   }
+  progress_.head_at = std::chrono::steady_clock::now();
   net::http_exchange& exchange = **opened;
   responder_.OnCallerGone([weak = std::weak_ptr<net::http_exchange>(*opened)] {
     if (const auto open = weak.lock())
@@ -349,6 +360,22 @@
   return TakeRepeat(core_, routed_.service->name);
 }
 
+void relay::NoteBroken(const server_choice& choice) {
+  if (!last_error_.connection_lost)
+    return;
+  const std::string_view reached = ReachedName(progress_);
+  core_.metrics.Counter("valeledge_broken_off_total", reached).Add();
+  core_.log.Write(
+      log_weight::kTrouble, log_event::kAttemptBrokenOff, routed_.head.id,
+      {{"request", routed_.head.id},
+       {"digest", DigestText(DigestOf(request_, responder_.caller()))},
+       {"route", routed_.route->name},
+       {"server", choice.server->entry.instance},
+       {"attempt", sends_},
+       {"reached", std::string(reached)},
+       {"after_ms", MillisecondsSince(progress_.sent)}});
+}
+
 void relay::NotePause() {
   const auto now = std::chrono::steady_clock::now();
   if (!started_) {
@@ -451,6 +478,8 @@
       NoteEnd(*choice);
       co_return;
     }
+    if (end == attempt_end::kUnknown)
+      NoteBroken(*choice);
     ran = ran || end == attempt_end::kUnknown;
     if (!MayGoOn(end))
       break;
--- /dev/null
+++ b/src/host/request/request_digest.cc
@@ -0,0 +1,41 @@
+// SPDX-License-Identifier: MIT
+#include "host/request/request_digest.h"
+
+#include <array>
+#include <cinttypes>
+#include <cstdio>
+
+#include <boost/beast/http.hpp>
+
+#include "base/identifier.h"
+
+namespace valeledge::host {
+
+namespace {
+
+namespace http = boost::beast::http;
+
+}  // namespace
+
+std::uint64_t DigestOf(const net::http_request& request,
+                       std::string_view caller) {
+  const auto authority = request[http::field::host];
+  const auto method = request.method_string();
+  const auto target = request.target();
+  // Each part begins from the hash of those before it, so that bytes cannot
+  // move from one part to the next.
+  std::uint64_t digest = base::StableHash(caller);
+  digest = base::StableHash({authority.data(), authority.size()}, digest);
+  digest = base::StableHash({method.data(), method.size()}, digest);
+  digest = base::StableHash({target.data(), target.size()}, digest);
+  return base::StableHash(request.body(), digest);
+}
+
+std::string DigestText(std::uint64_t digest) {
+  std::array<char, 17> text;
+  const int length =
+      std::snprintf(text.data(), text.size(), "%016" PRIx64, digest);
+  return std::string(text.data(), static_cast<std::size_t>(length));
+}
+
+}  // namespace valeledge::host
--- a/src/net/http_client.cc
+++ b/src/net/http_client.cc
@@ -96,6 +96,20 @@
          failed.message();
 }
 
+// An error after which the work may have run, because the connection failed.
+tl::unexpected<base::error> Broken(result_code code,
+                                   std::string message,
+                                   const boost::system::error_code& failed) {
+  auto error =
+      base::MakeError(code, base::outcome::kUnknown, std::move(message));
+  error.connection_lost = failed == http::error::end_of_stream ||
+                          failed == http::error::partial_message ||
+                          failed == asio::error::eof ||
+                          failed == asio::error::connection_reset ||
+                          failed == asio::error::broken_pipe;
+  return tl::make_unexpected(std::move(error));
+}
+
 }  // namespace
 
 struct http_client::pool {
@@ -172,8 +186,8 @@
   state_->reading = false;
   if (failed) {
     Abandon();
-    co_return base::Unknown(result_code::kAnswerBroken,
-                            Explain(state_->where, "answer cut", failed));
+    co_return Broken(result_code::kAnswerBroken,
+                     Explain(state_->where, "answer cut", failed), failed);
   }
   co_return std::string_view(state_->piece.data(), taken);
 }
@@ -239,7 +253,7 @@
     const std::string message = Explain(where, "request cut", write_failed);
     if (written == 0)
       co_return base::NotRun(result_code::kBackendUnreachable, message);
-    co_return base::Unknown(result_code::kOutcomeUnknown, message);
+    co_return Broken(result_code::kOutcomeUnknown, message, write_failed);
   }
   pool_->bytes += static_cast<std::int64_t>(written);
   auto state = std::make_unique<http_exchange::state>();
@@ -252,8 +266,8 @@
       state->link->stream, state->link->buffer, state->parser, kAwait);
   pool_->bytes += static_cast<std::int64_t>(header_bytes);
   if (read_failed) {
-    co_return base::Unknown(result_code::kOutcomeUnknown,
-                            Explain(where, "no answer", read_failed));
+    co_return Broken(result_code::kOutcomeUnknown,
+                     Explain(where, "no answer", read_failed), read_failed);
   }
   co_return std::shared_ptr<http_exchange>(new http_exchange(std::move(state)));
 }
--- a/src/net/http_server.cc
+++ b/src/net/http_server.cc
@@ -119,6 +119,7 @@
   asio::awaitable<bool> Write(std::string_view piece) override;
   asio::awaitable<bool> Finish() override;
   void Break() override;
+  std::string caller() const override;
   bool caller_gone() const override { return gone_; }
   void OnCallerGone(std::function<void()> action) override;
 
@@ -155,6 +156,12 @@
     on_gone_ = std::move(action);
 }
 
+std::string session::caller() const {
+  boost::system::error_code failed;
+  const auto from = stream_.socket().remote_endpoint(failed);
+  return failed ? std::string() : from.address().to_string();
+}
+
 void session::CloseIfIdle() {
   if (in_handler_ || receiving_)
     return;
--- a/tests/auto/host/test_relay.cc
+++ b/tests/auto/host/test_relay.cc
@@ -78,6 +78,7 @@
     co_return !gone_;
   }
   void Break() override { seen_.broken = true; }
+  std::string caller() const override { return "127.0.0.1"; }
   bool caller_gone() const override { return gone_; }
   void OnCallerGone(std::function<void()> action) override {
     action_ = std::move(action);
@@ -304,6 +305,23 @@
   BOOST_TEST(here.Ask("/once/").status == 502);
 }
 
+BOOST_AUTO_TEST_CASE(how_far_a_broken_off_answer_was_is_counted) {
+  const auto counted = [](const scripted_answer& answer,
+                          std::string_view reached) {
+    world here;
+    here.AddServer("i-1", here.first.address());
+    here.first.script = {answer};
+    here.Ask("/stream/");
+    return here.core->metrics.Counter("valeledge_broken_off_total", reached)
+        .value.load();
+  };
+  BOOST_TEST(counted({"", ending::kClose}, "nothing") == 1);
+  BOOST_TEST(counted({kStreamHead, ending::kClose}, "head") == 1);
+  const std::string begun = kStreamHead + Chunk(Event(1));
+  BOOST_TEST(counted({begun, ending::kReset}, "parts") == 1);
+  BOOST_TEST(counted({kNotRun}, "nothing") == 0);
+}
+
 BOOST_AUTO_TEST_CASE(streams_pass_whole_events_only) {
   world here;
   here.AddServer("i-1", here.first.address());
--- /dev/null
+++ b/tests/auto/host/test_request_digest.cc
@@ -0,0 +1,58 @@
+// SPDX-License-Identifier: MIT
+#include "host/request/request_digest.h"
+
+#include <set>
+#include <string>
+
+#include <boost/beast/http.hpp>
+#include <boost/test/unit_test.hpp>
+
+namespace {
+
+using namespace valeledge;
+namespace http = boost::beast::http;
+
+net::http_request Request(const std::string& target, const std::string& body) {
+  auto request = net::MakeRequest(http::verb::post, target, body);
+  request.set(http::field::host, "a.example");
+  return request;
+}
+
+BOOST_AUTO_TEST_SUITE(request_digest)
+
+BOOST_AUTO_TEST_CASE(attempts_of_one_caller_at_one_request_are_the_same) {
+  auto first = Request("/a/x?q=1", "body");
+  first.set("X-Request-Id", "1");
+  first.set("X-Deadline-Ms", "15000");
+  first.set(http::field::connection, "keep-alive");
+  auto second = Request("/a/x?q=1", "body");
+  second.set("X-Request-Id", "2");
+  second.set("X-Deadline-Ms", "9000");
+  second.set(http::field::connection, "close");
+  BOOST_TEST(host::DigestOf(first, "10.0.0.1") ==
+             host::DigestOf(second, "10.0.0.1"));
+}
+
+BOOST_AUTO_TEST_CASE(anything_else_that_differs_makes_another_request) {
+  std::set<std::uint64_t> digests;
+  auto other_method = Request("/a/x", "body");
+  other_method.method(http::verb::put);
+  auto other_authority = Request("/a/x", "body");
+  other_authority.set(http::field::host, "b.example");
+  digests.insert(host::DigestOf(Request("/a/x", "body"), "10.0.0.1"));
+  digests.insert(host::DigestOf(Request("/a/x", "body"), "10.0.0.2"));
+  digests.insert(host::DigestOf(Request("/a/x", "bodies"), "10.0.0.1"));
+  digests.insert(host::DigestOf(Request("/a/x?q", "body"), "10.0.0.1"));
+  digests.insert(host::DigestOf(Request("/a/xb", "ody"), "10.0.0.1"));
+  digests.insert(host::DigestOf(other_method, "10.0.0.1"));
+  digests.insert(host::DigestOf(other_authority, "10.0.0.1"));
+  BOOST_TEST(digests.size() == 7u);
+}
+
+BOOST_AUTO_TEST_CASE(is_written_in_sixteen_digits) {
+  BOOST_TEST(host::DigestText(0xab) == "00000000000000ab");
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace
--- a/tests/auto/net/test_http.cc
+++ b/tests/auto/net/test_http.cc
@@ -208,6 +208,23 @@
         one.where, net::MakeRequest(http::verb::post, "/", "x"), 1s);
   }));
   BOOST_TEST((answer->error().what_ran == base::outcome::kUnknown));
+  BOOST_TEST(answer->error().connection_lost);
+}
+
+BOOST_AUTO_TEST_CASE(a_server_that_says_nothing_has_not_closed_the_connection) {
+  bench one(
+      {},
+      [](net::http_request&, net::http_responder&) -> asio::awaitable<void> {
+        // Answers nothing and keeps the connection.
+        co_return;
+      });
+  std::optional<base::result<net::http_response>> answer;
+  BOOST_TEST(one.Run([&]() -> asio::awaitable<void> {
+    answer = co_await one.client.Fetch(
+        one.where, net::MakeRequest(http::verb::get, "/"), 30ms);
+  }));
+  BOOST_REQUIRE(!answer->has_value());
+  BOOST_TEST(!answer->error().connection_lost);
 }
 
 BOOST_AUTO_TEST_CASE(an_answer_cut_in_the_middle_is_an_error) {
@@ -227,6 +244,7 @@
   }));
   BOOST_REQUIRE(!answer->has_value());
   BOOST_TEST((answer->error().code == base::result_code::kAnswerBroken));
+  BOOST_TEST(answer->error().connection_lost);
 }
 
 BOOST_AUTO_TEST_CASE(a_connection_left_in_the_middle_is_not_used_again) {
