A request is told by what it is and by credentials, not by an address; ends count in turn

Cause: the caller's address was part of what tells requests apart, and the caller came from others. Now it is the credentials (Authorization), beside authority, method, path and body; the address is not read any more.

Since many callers may then send the same request (a path without a body), two ends count as two only if the second attempt was sent after the first end: a zone that is lost takes many servers at once, and the same path is at all of them. Processes tell each other how long an attempt took, in microseconds, and a whole answer takes back what was told before.

--- a/src/decisions/quarantine.cc
+++ b/src/decisions/quarantine.cc
@@ -32,6 +32,14 @@
   return !each.held_since && now - each.newest >= kHoldTime;
 }
 
+// Whether two ends count as one: attempts that were under way at the same time,
+// or what is told of one server again.
+bool AreOne(const server_end& one, const server_end& other) {
+  const bool in_turn = one.sent >= other.at || other.sent >= one.at;
+  const auto apart = one.at > other.at ? one.at - other.at : other.at - one.at;
+  return !in_turn || (one.server == other.server && apart < kSameEnd);
+}
+
 // Makes room for one more: what is held back stays, and of the others the one
 // whose last end is the longest ago goes.
 bool MakeRoom(quarantine& known) {
@@ -73,12 +81,9 @@
   if (each == nullptr)
     return false;
   Age(*each, now);
-  const bool same =
-      std::ranges::any_of(each->ends, [&end](const server_end& other) {
-        const auto apart = end.at - other.at;
-        return other.server == end.server && apart < kSameEnd &&
-               apart > -kSameEnd;
-      });
+  const bool same = std::ranges::any_of(
+      each->ends,
+      [&end](const server_end& other) { return AreOne(end, other); });
   if (same)
     return false;
   each->newest = std::max(each->newest, end.at);
--- a/src/decisions/quarantine.h
+++ b/src/decisions/quarantine.h
@@ -59,9 +59,15 @@
 // Whether the server may have ended since it ran this request.
 bool IsSuspect(const broken_attempt& attempt);
 
-// The end of one server, named by a hash.
+// The end of one server, named by a hash, while a request was there.
+//
+// Two ends count as two only if the second attempt was sent after the first
+// end: when a zone or a rack is lost, many servers end at once, and a path that
+// many callers ask for is at all of them. What ends its server comes again.
 struct server_end {
   std::int32_t server = 0;
+  // When the attempt was sent to the server, and when that ended.
+  base::time_point sent;
   base::time_point at;
 };
 
--- a/src/host/process/host.cc
+++ b/src/host/process/host.cc
@@ -222,8 +222,9 @@
     peers_.Tell(std::string(kUseRecord), wire::Encode(load),
                 {kMostTold, server.entry.instance, std::nullopt});
   };
-  core_.server_ended = [this](std::uint64_t digest, std::int32_t server) {
-    quarantine_.NoteEnd(digest, server);
+  core_.server_ended = [this](std::uint64_t digest,
+                              const decisions::server_end& end) {
+    quarantine_.NoteEnd(digest, end);
   };
   core_.suspect_answered = [this](std::uint64_t digest) {
     quarantine_.NoteWhole(digest);
--- a/src/host/process/host_core.h
+++ b/src/host/process/host_core.h
@@ -54,9 +54,10 @@
   std::map<std::string, decisions::retry_window, std::less<>> retries;
   // Requests under which servers end.
   decisions::quarantine quarantine;
-  // A server has ended while a request of this host was there, named by a
-  // hash; tells the others.
-  std::function<void(std::uint64_t digest, std::int32_t server)> server_ended;
+  // A server has ended while a request of this host was there; tells the
+  // others.
+  std::function<void(std::uint64_t digest, const decisions::server_end& end)>
+      server_ended;
   // A request that was suspected has been answered whole; tells the others.
   std::function<void(std::uint64_t digest)> suspect_answered;
   // Hosts that take requests, this one included.
--- a/src/host/process/quarantine_duty.cc
+++ b/src/host/process/quarantine_duty.cc
@@ -13,7 +13,6 @@
 #include <boost/asio/use_awaitable.hpp>
 
 #include "base/logging.h"
-#include "decisions/quarantine.h"
 #include "host/constants.h"
 #include "host/request/request_digest.h"
 #include "store/constants.h"
@@ -25,6 +24,7 @@
 
 namespace asio = boost::asio;
 using base::log_event;
+using std::chrono::duration_cast;
 using std::chrono::milliseconds;
 
 constexpr auto kAwait = asio::as_tuple(asio::use_awaitable);
@@ -33,9 +33,6 @@
 // What a host has seen is told for so long: datagrams get lost, and others are
 // cut off, frozen or starting.
 constexpr std::chrono::seconds kToldFor{10};
-// Facts in one datagram, the newest: each takes some 20 bytes.
-constexpr std::size_t kMostFacts = 24;
-
 // Requests share so many subjects, by which those who hear of their ends are
 // chosen: enough that no host hears of most, and few enough to be remembered.
 constexpr std::uint64_t kSubjects = 64;
@@ -70,21 +67,6 @@
   return digest;
 }
 
-void AddFact(std::uint64_t digest,
-             const std::optional<std::int32_t>& server,
-             milliseconds age,
-             wire::end_news& news) {
-  if (!server) {
-    news.cleared.push_back(static_cast<std::int64_t>(digest));
-    return;
-  }
-  wire::server_end end;
-  end.request = static_cast<std::int64_t>(digest);
-  end.server = *server;
-  end.age_ms = static_cast<std::int32_t>(age.count());
-  news.ends.push_back(end);
-}
-
 }  // namespace
 
 quarantine_duty::quarantine_duty(host_core& core,
@@ -92,10 +74,11 @@
                                  quarantine_links links)
     : core_(core), store_(store), links_(std::move(links)) {}
 
-void quarantine_duty::NoteEnd(std::uint64_t digest, std::int32_t server) {
+void quarantine_duty::NoteEnd(std::uint64_t digest,
+                              const decisions::server_end& end) {
   const auto now = std::chrono::steady_clock::now();
-  Tell({digest, server, now});
-  if (decisions::NoteEnd(core_.quarantine, digest, {server, now}, now))
+  Tell({digest, end, now});
+  if (decisions::NoteEnd(core_.quarantine, digest, end, now))
     Hold(digest, "ends");
 }
 
@@ -104,13 +87,10 @@
     Tell({digest, std::nullopt, std::chrono::steady_clock::now()});
 }
 
-void quarantine_duty::Tell(const told_fact& fact) {
-  wire::end_news news;
-  AddFact(fact.digest, fact.server, milliseconds(0), news);
+void quarantine_duty::Tell(const decisions::quarantine_fact& fact) {
+  decisions::AddFact(told_, fact);
+  const auto news = decisions::NewsOf({fact}, fact.at);
   links_.tell(wire::Encode(news), {kMostTold, SubjectOf(fact.digest), {}});
-  told_.push_back(fact);
-  if (told_.size() > kMostFacts)
-    told_.pop_front();
 }
 
 void quarantine_duty::TellAgain() {
@@ -120,25 +100,16 @@
     told_.pop_front();
   if (told_.empty())
     return;
-  wire::end_news news;
-  for (const told_fact& each : told_) {
-    const auto age = std::chrono::duration_cast<milliseconds>(now - each.at);
-    AddFact(each.digest, each.server, age, news);
-  }
+  const auto news = decisions::NewsOf(told_, now);
   links_.tell(wire::Encode(news), {kMostTold, {}, {}});
 }
 
 void quarantine_duty::TakeNews(const wire::end_news& news) {
+  decisions::DropCleared(told_, news);
   const auto now = std::chrono::steady_clock::now();
-  for (const std::int64_t each : news.cleared)
-    decisions::NoteWhole(core_.quarantine, static_cast<std::uint64_t>(each));
-  for (const wire::server_end& each : news.ends) {
-    const auto digest = static_cast<std::uint64_t>(each.request);
-    const decisions::server_end end{each.server,
-                                    now - milliseconds(each.age_ms)};
-    if (decisions::NoteEnd(core_.quarantine, digest, end, now))
-      Hold(digest, "told");
-  }
+  for (const std::uint64_t digest :
+       decisions::TakeNews(core_.quarantine, news, now))
+    Hold(digest, "told");
 }
 
 void quarantine_duty::Hold(std::uint64_t digest, std::string_view by) {
@@ -193,7 +164,7 @@
 
 asio::awaitable<bool> quarantine_duty::Write(std::uint64_t digest) {
   const auto lease = co_await store_.GrantLease(
-      std::chrono::duration_cast<std::chrono::seconds>(decisions::kHoldTime));
+      duration_cast<std::chrono::seconds>(decisions::kHoldTime));
   if (!lease)
     co_return false;
   const std::string key = KeyOfHold(digest);
--- a/src/host/process/quarantine_duty.h
+++ b/src/host/process/quarantine_duty.h
@@ -11,15 +11,14 @@
 #define VALELEDGE_HOST_PROCESS_QUARANTINE_DUTY_H_
 
 #include <cstdint>
-#include <deque>
 #include <functional>
-#include <optional>
 #include <set>
 #include <string>
 #include <string_view>
 
 #include <boost/asio/awaitable.hpp>
 
+#include "decisions/quarantine_news.h"
 #include "host/process/host_core.h"
 #include "membership/gossip.h"
 #include "store/kv_client.h"
@@ -47,7 +46,7 @@
                   quarantine_links links);
 
   // A server has ended while a request of this host was there.
-  void NoteEnd(std::uint64_t digest, std::int32_t server);
+  void NoteEnd(std::uint64_t digest, const decisions::server_end& end);
   // A server has answered a request of this host whole.
   void NoteWhole(std::uint64_t digest);
 
@@ -62,15 +61,7 @@
   void TellAgain();
 
  private:
-  // Something of this host's own that others are told.
-  struct told_fact {
-    std::uint64_t digest = 0;
-    // The server that ended; nothing if the request was answered whole.
-    std::optional<std::int32_t> server;
-    base::time_point at;
-  };
-
-  void Tell(const told_fact& fact);
+  void Tell(const decisions::quarantine_fact& fact);
   void Hold(std::uint64_t digest, std::string_view by);
   boost::asio::awaitable<void> Keep(std::uint64_t digest);
   boost::asio::awaitable<bool> Write(std::uint64_t digest);
@@ -78,8 +69,8 @@
   host_core& core_;
   store::kv_client& store_;
   quarantine_links links_;
-  // The oldest first.
-  std::deque<told_fact> told_;
+  // What this host has seen lately.
+  decisions::quarantine_facts told_;
   // Requests that the store says are held back.
   std::set<std::uint64_t> kept_;
 };
--- a/src/host/request/ending_watch.cc
+++ b/src/host/request/ending_watch.cc
@@ -28,7 +28,7 @@
 
 std::uint64_t ending_watch::Digest() {
   if (!digest_)
-    digest_ = DigestOf(request_, responder_.caller());
+    digest_ = DigestOf(request_);
   return *digest_;
 }
 
@@ -63,8 +63,10 @@
                    {"server", server.entry.instance},
                    {"reached", std::string(reached)},
                    {"after_ms", MillisecondsSince(progress.sent)}});
-  if (decisions::IsSuspect(BrokenAttemptOf(progress, failed)))
-    core_.server_ended(Digest(), server.key);
+  if (!decisions::IsSuspect(BrokenAttemptOf(progress, failed)))
+    return;
+  const auto now = std::chrono::steady_clock::now();
+  core_.server_ended(Digest(), {server.key, progress.sent, now});
 }
 
 void ending_watch::AnsweredWhole() {
--- a/src/host/request/ending_watch.h
+++ b/src/host/request/ending_watch.h
@@ -9,17 +9,15 @@
 #include "host/process/host_core.h"
 #include "host/request/attempt_progress.h"
 #include "host/request/routed_request.h"
-#include "net/http_server.h"
+#include "net/http_client.h"
 
 namespace valeledge::host {
 
 class ending_watch {
  public:
-  // All must outlive the watch.
-  ending_watch(host_core& core,
-               const net::http_request& request,
-               const net::http_responder& responder)
-      : core_(core), request_(request), responder_(responder) {}
+  // Both must outlive the watch.
+  ending_watch(host_core& core, const net::http_request& request)
+      : core_(core), request_(request) {}
 
   // Why the request is not sent to any server, if it is held back.
   std::optional<base::error> HeldBack();
@@ -39,7 +37,6 @@
 
   host_core& core_;
   const net::http_request& request_;
-  const net::http_responder& responder_;
   std::optional<std::uint64_t> digest_;
 };
 
--- a/src/host/request/relay.cc
+++ b/src/host/request/relay.cc
@@ -50,7 +50,7 @@
       : core_(core),
         request_(request),
         responder_(responder),
-        ending_(core, request, responder) {}
+        ending_(core, request) {}
 
   asio::awaitable<void> Run();
 
--- a/src/host/request/request_digest.cc
+++ b/src/host/request/request_digest.cc
@@ -17,14 +17,15 @@
 
 }  // namespace
 
-std::uint64_t DigestOf(const net::http_request& request,
-                       std::string_view caller) {
+std::uint64_t DigestOf(const net::http_request& request) {
+  const auto credentials = request[http::field::authorization];
   const auto authority = request[http::field::host];
   const auto method = request.method_string();
   const auto target = request.target();
   // Each part begins from the hash of those before it, so that bytes cannot
   // move from one part to the next.
-  std::uint64_t digest = base::StableHash(caller);
+  std::uint64_t digest =
+      base::StableHash({credentials.data(), credentials.size()});
   digest = base::StableHash({authority.data(), authority.size()}, digest);
   digest = base::StableHash({method.data(), method.size()}, digest);
   digest = base::StableHash({target.data(), target.size()}, digest);
--- a/src/host/request/request_digest.h
+++ b/src/host/request/request_digest.h
@@ -5,17 +5,21 @@
 
 #include <cstdint>
 #include <string>
-#include <string_view>
 
 #include "net/http_client.h"
 
 namespace valeledge::host {
 
 // The same for each attempt of a caller at one request, at every host: of its
-// authority, method, path with query, body, and the caller's address. Its id
-// and its deadline are others each time.
-std::uint64_t DigestOf(const net::http_request& request,
-                       std::string_view caller);
+// authority, method, path with query, body, and the caller's credentials
+// (Authorization), so that one caller cannot have another's request held back.
+//
+// The caller's address is no part of it: callers come from pools of addresses,
+// and the same request came to hosts of three availability zones, where each
+// address comes to those of one. With the address a request that ends its
+// servers was sent on 8 and 9 times after it had ended three. Nor are its id
+// and its deadline, which are others each time.
+std::uint64_t DigestOf(const net::http_request& request);
 
 // A digest as people and keys write it: 16 hexadecimal digits.
 std::string DigestText(std::uint64_t digest);
--- a/src/net/http_server.cc
+++ b/src/net/http_server.cc
@@ -107,10 +107,6 @@
           std::shared_ptr<http_server_state> server)
       : stream_(std::move(socket)), server_(std::move(server)) {
     server_->sessions.insert(this);
-    boost::system::error_code failed;
-    const auto from = stream_.socket().remote_endpoint(failed);
-    if (!failed)
-      caller_ = from.address().to_string();
   }
 
   ~session() override { server_->sessions.erase(this); }
@@ -123,7 +119,6 @@
   asio::awaitable<bool> Write(std::string_view piece) override;
   asio::awaitable<bool> Finish() override;
   void Break() override;
-  std::string caller() const override { return caller_; }
   bool caller_gone() const override { return gone_; }
   void OnCallerGone(std::function<void()> action) override;
 
@@ -135,9 +130,6 @@
   void NoteGone();
 
   beast::tcp_stream stream_;
-  // Read when the connection is new: a socket whose other side has gone no
-  // longer tells.
-  std::string caller_;
   std::shared_ptr<http_server_state> server_;
   beast::flat_buffer buffer_;
   std::function<void()> on_gone_;
--- a/src/net/http_server.h
+++ b/src/net/http_server.h
@@ -55,9 +55,6 @@
   // that the answer is not whole.
   virtual void Break() = 0;
 
-  // Where the request came from: an address without a port, since callers come
-  // back over new connections; empty if it had gone when it was accepted.
-  virtual std::string caller() const = 0;
   virtual bool caller_gone() const = 0;
   // Called once, from the server's thread, when the caller goes away.
   virtual void OnCallerGone(std::function<void()> action) = 0;
--- a/src/wire/messages.thrift
+++ b/src/wire/messages.thrift
@@ -282,8 +282,11 @@
   1: i64 request,
   // The server's name as a hash.
   2: i32 server,
-  // How long before the message was written, in milliseconds.
-  3: i32 age_ms,
+  // How long before the message was written, in microseconds: a second attempt
+  // may follow the end within a millisecond.
+  3: i64 age_us,
+  // How long before the end the request had been sent there, in microseconds.
+  4: i64 took_us,
 }
 
 // Value of the soft record "ends": what a host has seen of requests under which
--- a/tests/auto/decisions/test_quarantine.cc
+++ b/tests/auto/decisions/test_quarantine.cc
@@ -13,12 +13,12 @@
 constexpr base::time_point kBegun{100s};
 constexpr std::uint64_t kRequest = 7;
 
-// An end of a server that is told at once.
+// An end of a server, 100 ms after it was sent the request, told at once.
 bool End(decisions::quarantine& known,
          std::int32_t server,
          base::time_point at,
          std::uint64_t request = kRequest) {
-  return decisions::NoteEnd(known, request, {server, at}, at);
+  return decisions::NoteEnd(known, request, {server, at - 100ms, at}, at);
 }
 
 bool IsHeld(const decisions::quarantine& known,
@@ -44,16 +44,28 @@
 BOOST_AUTO_TEST_CASE(what_is_told_of_one_end_counts_once) {
   decisions::quarantine known;
   for (auto after = 0ms; after < 10s; after += 250ms) {
-    const decisions::server_end end{1, kBegun + 3ms};
-    decisions::NoteEnd(known, kRequest, end, kBegun + after);
-    decisions::NoteEnd(known, kRequest, {2, kBegun + after % 2s},
-                       kBegun + after);
+    const auto told_at = kBegun + after;
+    const auto late = kBegun + after % 2s;
+    decisions::NoteEnd(known, kRequest, {1, kBegun - 1s, kBegun + 3ms},
+                       told_at);
+    decisions::NoteEnd(known, kRequest, {2, late, late + 100ms}, told_at);
   }
   BOOST_TEST(!IsHeld(known, kBegun + 10s));
   // The same server, back after some seconds.
   BOOST_TEST(End(known, 1, kBegun + 10s));
 }
 
+// A path that many ask for is at all servers of a zone when that is lost.
+BOOST_AUTO_TEST_CASE(servers_that_end_at_once_count_as_one_end) {
+  decisions::quarantine known;
+  for (std::int32_t server = 0; server < 6; ++server)
+    BOOST_TEST(!End(known, server, kBegun + std::chrono::milliseconds(server)));
+  // The next attempts were sent after that.
+  BOOST_TEST(!End(known, 7, kBegun + 300ms));
+  BOOST_TEST(!End(known, 8, kBegun + 350ms));
+  BOOST_TEST(End(known, 9, kBegun + 500ms));
+}
+
 BOOST_AUTO_TEST_CASE(only_what_was_at_the_beginning_of_its_answer_is_suspect) {
   BOOST_TEST(decisions::IsSuspect({true, {}}));
   BOOST_TEST(decisions::IsSuspect({true, 100ms}));
--- a/tests/auto/host/relay_world.h
+++ b/tests/auto/host/relay_world.h
@@ -76,14 +76,12 @@
     co_return !gone_;
   }
   void Break() override { seen_.broken = true; }
-  std::string caller() const override { return caller_address; }
   bool caller_gone() const override { return gone_; }
   void OnCallerGone(std::function<void()> action) override {
     action_ = std::move(action);
     ++watches;
   }
 
-  std::string caller_address = "10.0.0.1";
   // Times that somebody asked to be told when the caller leaves: the second
   // time, the head of an answer is here.
   int watches = 0;
@@ -109,9 +107,9 @@
     core = std::make_unique<host::host_core>(context, settings,
                                              platform::MakeDialect());
     core->use_changed = [](const host::known_server&) {};
-    core->server_ended = [this](std::uint64_t digest, std::int32_t server) {
-      const auto now = std::chrono::steady_clock::now();
-      decisions::NoteEnd(core->quarantine, digest, {server, now}, now);
+    core->server_ended = [this](std::uint64_t digest,
+                                const decisions::server_end& end) {
+      decisions::NoteEnd(core->quarantine, digest, end, end.at);
     };
     core->suspect_answered = [this](std::uint64_t digest) {
       decisions::NoteWhole(core->quarantine, digest);
@@ -163,12 +161,12 @@
     request.set(boost::beast::http::field::host, "a.example");
     request.set("X-Request-Id", "9c4" + std::to_string(++asked));
     request.set("X-Other", "kept");
+    request.set("X-Forwarded-For", caller_address);
     if (!model.empty())
       request.set("X-Model", model);
     request.set(boost::beast::http::field::connection, "keep-alive");
     seen_answer seen;
     fake_responder responder(seen);
-    responder.caller_address = caller_address;
     boost::asio::co_spawn(context,
                           host::RelayRequest(*core, request, responder),
                           [&](const std::exception_ptr& thrown) {
--- a/tests/auto/host/test_quarantine_duty.cc
+++ b/tests/auto/host/test_quarantine_duty.cc
@@ -24,6 +24,12 @@
 constexpr std::uint64_t kRequest = 0xfedcba9876543210;
 const std::string kKey = "valeledge/held/fedcba9876543210";
 
+// An attempt that was sent, and at once its server ended.
+decisions::server_end EndOf(std::int32_t server) {
+  const auto now = std::chrono::steady_clock::now();
+  return {server, now, now};
+}
+
 class fleet {
  public:
   // `hearing` hosts are told of ends; the others only read the store.
@@ -139,7 +145,7 @@
   fleet here(8, 8);
   for (std::size_t i = 0; i < 3; ++i) {
     BOOST_TEST(here.CountHolding() == 0u);
-    here.At(i).NoteEnd(kRequest, static_cast<std::int32_t>(i));
+    here.At(i).NoteEnd(kRequest, EndOf(static_cast<std::int32_t>(i)));
   }
   BOOST_TEST(here.CountHolding() == 8u);
 }
@@ -147,7 +153,7 @@
 BOOST_AUTO_TEST_CASE(hosts_that_hear_nothing_learn_it_from_the_store) {
   fleet here(300, 16);
   for (std::size_t i = 0; i < 3; ++i)
-    here.At(100 + i).NoteEnd(kRequest, static_cast<std::int32_t>(i));
+    here.At(100 + i).NoteEnd(kRequest, EndOf(static_cast<std::int32_t>(i)));
   BOOST_TEST(here.CountHolding() == 16u);
   here.Settle();
   BOOST_TEST(here.CountHolding() == 300u);
@@ -161,7 +167,7 @@
   fleet here(3, 3);
   here.cut = {2};
   for (std::int32_t server = 0; server < 3; ++server)
-    here.At(0).NoteEnd(kRequest, server);
+    here.At(0).NoteEnd(kRequest, EndOf(server));
   BOOST_TEST(here.CountHolding() == 2u);
   here.cut.clear();
   here.At(0).TellAgain();
@@ -173,7 +179,7 @@
   here.store.down = true;
   here.store.grants_leases = false;
   for (std::int32_t server = 0; server < 3; ++server)
-    here.At(1).NoteEnd(kRequest, server);
+    here.At(1).NoteEnd(kRequest, EndOf(server));
   here.Settle();
   BOOST_TEST(here.CountHolding() == 4u);
   here.store.down = false;
@@ -187,18 +193,24 @@
   // Chosen, and not there.
   here.first = 7;
   for (std::int32_t server = 0; server < 3; ++server)
-    here.At(0).NoteEnd(kRequest, server);
+    here.At(0).NoteEnd(kRequest, EndOf(server));
   here.RunUntilStored();
   BOOST_TEST(here.StoreHas());
 }
 
 BOOST_AUTO_TEST_CASE(a_whole_answer_clears_a_request_everywhere) {
   fleet here(3, 3);
-  here.At(0).NoteEnd(kRequest, 1);
-  here.At(1).NoteEnd(kRequest, 2);
+  here.At(0).NoteEnd(kRequest, EndOf(1));
+  here.At(1).NoteEnd(kRequest, EndOf(2));
   here.At(2).NoteWhole(kRequest);
-  here.At(0).NoteEnd(kRequest, 3);
+  // Nobody tells of what was before.
+  for (std::size_t i = 0; i < 3; ++i)
+    here.At(i).TellAgain();
+  here.At(0).NoteEnd(kRequest, EndOf(3));
+  here.At(1).NoteEnd(kRequest, EndOf(4));
   BOOST_TEST(here.CountHolding() == 0u);
+  here.At(2).NoteEnd(kRequest, EndOf(5));
+  BOOST_TEST(here.CountHolding() == 3u);
 }
 
 BOOST_AUTO_TEST_CASE(a_key_that_goes_lifts_the_hold_unless_the_store_was_down) {
--- a/tests/auto/host/test_request_digest.cc
+++ b/tests/auto/host/test_request_digest.cc
@@ -29,23 +29,24 @@
   second.set("X-Request-Id", "2");
   second.set("X-Deadline-Ms", "9000");
   second.set(http::field::connection, "close");
-  BOOST_TEST(host::DigestOf(first, "10.0.0.1") ==
-             host::DigestOf(second, "10.0.0.1"));
+  BOOST_TEST(host::DigestOf(first) == host::DigestOf(second));
 }
 
 BOOST_AUTO_TEST_CASE(anything_else_that_differs_makes_another_request) {
   std::set<std::uint64_t> digests;
   auto other_method = Request("/a/x", "body");
   other_method.method(http::verb::put);
+  auto other_caller = Request("/a/x", "body");
+  other_caller.set(http::field::authorization, "Bearer another");
   auto other_authority = Request("/a/x", "body");
   other_authority.set(http::field::host, "b.example");
-  digests.insert(host::DigestOf(Request("/a/x", "body"), "10.0.0.1"));
-  digests.insert(host::DigestOf(Request("/a/x", "body"), "10.0.0.2"));
-  digests.insert(host::DigestOf(Request("/a/x", "bodies"), "10.0.0.1"));
-  digests.insert(host::DigestOf(Request("/a/x?q", "body"), "10.0.0.1"));
-  digests.insert(host::DigestOf(Request("/a/xb", "ody"), "10.0.0.1"));
-  digests.insert(host::DigestOf(other_method, "10.0.0.1"));
-  digests.insert(host::DigestOf(other_authority, "10.0.0.1"));
+  digests.insert(host::DigestOf(Request("/a/x", "body")));
+  digests.insert(host::DigestOf(other_caller));
+  digests.insert(host::DigestOf(Request("/a/x", "bodies")));
+  digests.insert(host::DigestOf(Request("/a/x?q", "body")));
+  digests.insert(host::DigestOf(Request("/a/xb", "ody")));
+  digests.insert(host::DigestOf(other_method));
+  digests.insert(host::DigestOf(other_authority));
   BOOST_TEST(digests.size() == 7u);
 }
 
--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -25,6 +25,8 @@
         self.models, self.adapters = models, adapters
         # Share of requests whose caller leaves before it has the answer.
         self.leaves_early = 0.03
+        # Whether it connects to the host itself, with its own address.
+        self.direct = False
         self.stopping = False
 
     async def run(self) -> None:
@@ -74,7 +76,9 @@
                                       2 if may_repeat else 1, self.host.name,
                                       not self.host.disturbed())
         headers = deployment.request_headers(name, DEADLINE_MS, model, TOKENS)
-        url = f"http://127.0.0.1:{self.host.proxy.port}{target}"
+        port = (self.host.ports["callers"] if self.direct
+                else self.host.proxy.port)
+        url = f"http://127.0.0.1:{port}{target}"
         leaves = self.rng.random() < self.leaves_early
         patience = LEAVES_AFTER_S if leaves else DEADLINE_MS / 1000 + 2
         try:
--- a/tests/soak/test_ending_requests.py
+++ b/tests/soak/test_ending_requests.py
@@ -28,6 +28,8 @@
 
     async def asyncSetUp(self):
         self.folder = tempfile.TemporaryDirectory()
+        # Callers come from pools of addresses.
+        self.addresses = (f"127.0.1.{last}" for last in range(1, 255))
         self.site = soak.Site(7, ARGS, pathlib.Path(self.folder.name))
         await self.site.build()
         await self.site.until_all_serve(soak.RECOVER_S, "at the start")
@@ -40,13 +42,17 @@
         caller = Caller(self.site.ledger, self.site.rng, host,
                         list(soak.MODELS), 0)
         caller.leaves_early = 0
+        caller.direct = True
         return caller
 
     async def send_to_all(self, kind, model, text, times=ATTEMPTS_A_HOST):
         """The request in turn to each host, again and again."""
         for _ in range(times):
             for host in self.site.hosts:
-                async with aiohttp.ClientSession() as session:
+                connector = aiohttp.TCPConnector(
+                    local_addr=(next(self.addresses), 0))
+                async with aiohttp.ClientSession(
+                        connector=connector) as session:
                     await self.caller(host).send(session, kind, model, text)
                 await asyncio.sleep(PAUSE_S)
 
