--- a/src/gateway/process/grant_client.cc
+++ b/src/gateway/process/grant_client.cc
@@ -82,7 +82,7 @@
 }  // namespace
 
 grant_client::grant_client(node::node& node, std::string routing)
-    : node_(node), routing_(std::move(routing)) {}
+    : node_(node), routing_(std::move(routing)), ending_(node) {}
 
 void grant_client::Start() {
   asio::co_spawn(node_.peers().context(), RepeatInFlight(), asio::detached);
@@ -163,6 +163,7 @@
     return tl::make_unexpected(NoServer(wish));
   grant given;
   given.attempt_id = wish.attempt_id;
+  given.digest = wish.digest;
   given.partner = wish.partner;
   given.server = chosen->name;
   given.address = *base::ParseEndpoint(chosen->address);
@@ -192,6 +193,7 @@
   const auto address = base::ParseEndpoint(answer.address);
   grant given;
   given.attempt_id = wish.attempt_id;
+  given.digest = wish.digest;
   given.partner = wish.partner;
   given.server = answer.server;
   given.cell = std::move(cell);
@@ -213,6 +215,13 @@
 }
 
 asio::awaitable<base::result<grant>> grant_client::Ask(grant_wish wish) {
+  if (const auto held = ending_.HeldFor(wish.digest)) {
+    auto refusal =
+        base::MakeError(result_code::kHeldBack, base::outcome::kNotRun,
+                        "backend servers ended under this request");
+    refusal.retry_after = *held;
+    co_return tl::make_unexpected(std::move(refusal));
+  }
   const decisions::unit_hash unit = decisions::HashUnit(wish.unit);
   const bool alone = routing_ != "scheduler" && wish.idempotency_key.empty();
   if (alone)
@@ -261,6 +270,10 @@
 
 void grant_client::End(const grant& given, const attempt_result& result) {
   in_flight_.erase(given.attempt_id);
+  if (result.server_ended)
+    ending_.NoteEnd(given.digest, given.server, result.took);
+  else if (result.what_ran == base::outcome::kCompleted)
+    ending_.NoteWhole(given.digest);
   if (!given.scheduler) {
     fallback_.End(given.server);
     return;
--- a/src/gateway/process/grant_client.h
+++ b/src/gateway/process/grant_client.h
@@ -16,6 +16,7 @@
 
 #include "base/error.h"
 #include "decisions/routing.h"
+#include "gateway/process/ending_requests.h"
 #include "gateway/process/fallback.h"
 #include "node/node.h"
 #include "wire/generated/messages_types.h"
@@ -26,6 +27,8 @@
 struct grant_wish {
   std::string request_id;
   std::string attempt_id;
+  // See request_frame.
+  std::uint64_t digest = 0;
   std::string partner;
   // "model/NAME", "adapter/NAME" or "service/NAME".
   std::string unit;
@@ -45,6 +48,8 @@
 // Leave to send one attempt to one backend server.
 struct grant {
   std::string attempt_id;
+  // See request_frame.
+  std::uint64_t digest = 0;
   std::string partner;
   std::string server;
   base::endpoint address;
@@ -62,6 +67,10 @@
 struct attempt_result {
   base::outcome what_ran = base::outcome::kUnknown;
   bool unreachable = false;
+  // The server closed the connection at the beginning of its answer or before.
+  bool server_ended = false;
+  // From the grant to the end.
+  std::chrono::microseconds took{0};
   bool draining = false;
   std::int32_t tokens = 0;
   std::chrono::microseconds first_token{0};
@@ -117,6 +126,7 @@
   node::node& node_;
   std::string routing_;
   fallback fallback_;
+  ending_requests ending_;
   std::mt19937_64 random_{std::random_device{}()};
   // Schedulers that could not be reached.
   std::map<base::endpoint, avoided_run> avoided_;
--- a/src/gateway/request/attempt.cc
+++ b/src/gateway/request/attempt.cc
@@ -136,6 +136,19 @@
   co_return base::result<void>();
 }
 
+decisions::broken_attempt BrokenAttemptOf(
+    const base::error& failed,
+    base::time_point started,
+    std::chrono::microseconds first_token) {
+  decisions::broken_attempt out;
+  out.connection_lost = failed.connection_lost;
+  if (first_token.count() > 0) {
+    out.answering = std::chrono::duration_cast<std::chrono::milliseconds>(
+        std::chrono::steady_clock::now() - started - first_token);
+  }
+  return out;
+}
+
 bool IsDraining(const net::http_response_header& header) {
   const auto field = header.find("Valeledge-Draining");
   return field != header.end();
@@ -162,6 +175,8 @@
   if (!opened) {
     out.told.what_ran = opened.error().what_ran;
     out.told.unreachable = true;
+    out.told.server_ended =
+        decisions::IsSuspect({opened.error().connection_lost, {}});
     out.ended = tl::make_unexpected(opened.error());
     co_return out;
   }
@@ -191,8 +206,11 @@
     return sink(chunk);
   };
   out.ended = co_await ReadAnswer(request, frame, answer, noting);
-  if (!out.ended)
+  if (!out.ended) {
     (*opened)->Abandon();
+    out.told.server_ended = decisions::IsSuspect(
+        BrokenAttemptOf(out.ended.error(), started, out.told.first_token));
+  }
   frame.open.reset();
   out.told.tokens = static_cast<std::int32_t>(answer.tokens - tokens_before);
   out.told.what_ran =
--- a/src/gateway/request/chat_exchange.cc
+++ b/src/gateway/request/chat_exchange.cc
@@ -60,6 +60,7 @@
   grant_wish wish;
   wish.request_id = request_.frame.id;
   wish.attempt_id = base::NewIdentifier();
+  wish.digest = request_.frame.digest;
   wish.partner = request_.frame.partner;
   wish.unit = request_.frame.unit;
   wish.limited = request_.frame.model;
@@ -117,9 +118,10 @@
   granted_ = given.has_value();
   if (!given)
     co_return tl::make_unexpected(given.error());
+  const auto granted_at = std::chrono::steady_clock::now();
   front_.metrics()
       .Distribution("valeledge_grant_seconds")
-      .Record(std::chrono::steady_clock::now() - asked);
+      .Record(granted_at - asked);
   server_ = given->server;
   attempt_end end;
   if (responder_.caller_gone()) {
@@ -133,6 +135,8 @@
         request_, {front_.settings(), front_.http(), *given, open_}, answer_,
         sink);
   }
+  end.told.took = std::chrono::duration_cast<std::chrono::microseconds>(
+      std::chrono::steady_clock::now() - granted_at);
   shared.node.peers().Submit([&shared, given = *given, told = end.told] {
     shared.grants.End(given, told);
   });
--- a/src/gateway/request/chat_request.cc
+++ b/src/gateway/request/chat_request.cc
@@ -60,6 +60,10 @@
   frame.partner = row.partner;
   frame.model = row.name;
   frame.unit = table::KeyOf(row);
+  const auto target = request.target();
+  frame.digest = base::StableHash({target.data(), target.size()},
+                                  base::StableHash(row.partner));
+  frame.digest = base::StableHash(request.body(), frame.digest);
   frame.priority = static_cast<std::int32_t>(row.priority);
   frame.started = std::chrono::steady_clock::now();
   auto time = settings.deadline;
--- a/src/gateway/request/chat_request.h
+++ b/src/gateway/request/chat_request.h
@@ -24,6 +24,8 @@
   std::string unit;
   // The name that logs and limits use.
   std::string model;
+  // The same each time the partner submits the same request.
+  std::uint64_t digest = 0;
   std::int32_t priority = 5;
   std::chrono::steady_clock::time_point started;
   std::chrono::steady_clock::time_point deadline;
--- a/src/gateway/request/service_exchange.cc
+++ b/src/gateway/request/service_exchange.cc
@@ -121,6 +121,7 @@
   grant_wish wish;
   wish.request_id = call_.frame.id;
   wish.attempt_id = base::NewIdentifier();
+  wish.digest = call_.frame.digest;
   wish.partner = call_.frame.partner;
   wish.unit = call_.frame.unit;
   wish.limited = call_.frame.model;
@@ -226,14 +227,19 @@
     co_await Replay(*given);
     co_return net::http_response();
   }
+  const auto granted_at = std::chrono::steady_clock::now();
   auto answer = co_await Send(*given);
   attempt_result told;
+  told.took = std::chrono::duration_cast<std::chrono::microseconds>(
+      std::chrono::steady_clock::now() - granted_at);
   told.tokens = 1;
   if (answer) {
     told.what_ran = base::outcome::kCompleted;
   } else {
     told.what_ran = answer.error().what_ran;
     told.unreachable = answer.error().code == result_code::kBackendUnreachable;
+    told.server_ended =
+        decisions::IsSuspect({answer.error().connection_lost, {}});
     avoid_.push_back(given->server);
     NoteAttemptFailed(front_, kCategory, call_.frame, *given, answer.error());
   }
--- a/tests/scenarios/language.py
+++ b/tests/scenarios/language.py
@@ -518,6 +518,14 @@
         """one-lease C1 C2: exactly one says that it holds the lease."""
         return sum(bool(self.is_holds_lease([name])) for name in words) == 1
 
+    def is_holds(self, words):
+        """holds GATEWAY MODEL tokens=N: it holds such a request back."""
+        given = options(words[2:])
+        status, _, body = dep.chat(self.port(words[0]), words[1],
+                                   "Draft the roster",
+                                   max_tokens=int(given["tokens"]))
+        return status == 503 and json.loads(body)["error"]["code"] == 2010
+
     def is_ready_everywhere(self, words):
         """ready-everywhere E...: a scheduler that answers has them up."""
         for name in words:
