--- a/src/decisions/quarantine.cc
+++ b/src/decisions/quarantine.cc
@@ -136,6 +136,12 @@
                                      now);
 }
 
+bool IsSuspected(const quarantine& known, std::uint64_t digest) {
+  const auto found = known.suspects.find(digest);
+  return found != known.suspects.end() &&
+         (found->second.held_since || found->second.ends.size() > 1);
+}
+
 std::size_t CountHeld(const quarantine& known, base::time_point now) {
   return static_cast<std::size_t>(std::ranges::count_if(
       known.suspects,
--- a/src/decisions/quarantine.h
+++ b/src/decisions/quarantine.h
@@ -111,6 +111,10 @@
                                                  std::uint64_t digest,
                                                  base::time_point now);
 
+// Whether more than one server has ended under a request, or it is held back:
+// of those that were at a single end most have only been there.
+bool IsSuspected(const quarantine& known, std::uint64_t digest);
+
 // How many requests are held back.
 std::size_t CountHeld(const quarantine& known, base::time_point now);
 
--- a/src/decisions/quarantine_news.cc
+++ b/src/decisions/quarantine_news.cc
@@ -1,6 +1,8 @@
 // SPDX-License-Identifier: MIT
 #include "decisions/quarantine_news.h"
 
+#include <algorithm>
+
 namespace valeledge::decisions {
 
 namespace {
@@ -46,7 +48,10 @@
 
 wire::end_news NewsOf(const quarantine_facts& facts, base::time_point now) {
   wire::end_news news;
-  for (const quarantine_fact& each : facts) {
+  const std::size_t left_out =
+      facts.size() - std::min(facts.size(), kMostToldAtOnce);
+  for (std::size_t i = left_out; i < facts.size(); ++i) {
+    const quarantine_fact& each = facts[i];
     if (each.end)
       news.ends.push_back(ToWire(each.digest, *each.end, now));
     else
--- a/src/decisions/quarantine_news.h
+++ b/src/decisions/quarantine_news.h
@@ -15,9 +15,13 @@
 
 namespace valeledge::decisions {
 
-// Facts that one process tells, the newest: each takes some 20 bytes, and all
-// fit into one datagram.
-inline constexpr std::size_t kMostFacts = 24;
+// Facts that one process keeps, the newest: those of several ends with all the
+// requests that were there.
+inline constexpr std::size_t kMostFacts = 256;
+
+// Facts in one message, the newest: each takes some 20 bytes, and all fit into
+// one datagram.
+inline constexpr std::size_t kMostToldAtOnce = 24;
 
 // Something that a process has seen itself.
 struct quarantine_fact {
@@ -38,7 +42,8 @@
 // Drops the ends under requests that another process has seen answered whole.
 void DropCleared(quarantine_facts& facts, const wire::end_news& news);
 
-// Facts as they are told at `now`; ages stand for times, since clocks differ.
+// The newest facts as they are told at `now`; ages stand for times, since
+// clocks differ.
 wire::end_news NewsOf(const quarantine_facts& facts, base::time_point now);
 
 // Takes in what another process told: the requests that are held back from now
--- a/src/host/process/quarantine_duty.cc
+++ b/src/host/process/quarantine_duty.cc
@@ -30,8 +30,10 @@
 constexpr auto kAwait = asio::as_tuple(asio::use_awaitable);
 constexpr std::string_view kCategory = "quarantine";
 
-// What a host has seen is told for so long: datagrams get lost, and others are
-// cut off, frozen or starting.
+// What a host has seen of requests that more than one server has ended under is
+// told for so long: datagrams get lost, and others are cut off, frozen or
+// starting. Told of all requests that were at an end, this would be up to 40
+// KB a second from each host.
 constexpr std::chrono::seconds kToldFor{10};
 // Requests share so many subjects, by which those who hear of their ends are
 // chosen: enough that no host hears of most, and few enough to be remembered.
@@ -98,9 +100,14 @@
   decisions::Sweep(core_.quarantine, now);
   while (!told_.empty() && now - told_.front().at >= kToldFor)
     told_.pop_front();
-  if (told_.empty())
+  decisions::quarantine_facts worth_telling;
+  for (const decisions::quarantine_fact& each : told_) {
+    if (!each.end || decisions::IsSuspected(core_.quarantine, each.digest))
+      worth_telling.push_back(each);
+  }
+  if (worth_telling.empty())
     return;
-  const auto news = decisions::NewsOf(told_, now);
+  const auto news = decisions::NewsOf(worth_telling, now);
   links_.tell(wire::Encode(news), {kMostTold, {}, {}});
 }
 
--- a/src/host/process/quarantine_duty.h
+++ b/src/host/process/quarantine_duty.h
@@ -2,8 +2,9 @@
 // Shares between hosts which requests servers end under, and keeps in the store
 // which are held back.
 //
-// Hosts tell each other of each end at once, and again for some seconds: in a
-// fleet of up to 17 hosts all hear all. In larger ones the same 16 hear of all
+// Hosts tell each other of each end at once, and again for some seconds once a
+// second server has ended under the request: in a fleet of up to 17 hosts all
+// hear all. In larger ones the same 16 hear of all
 // ends under one request, and what they find is known to the others, and to
 // hosts that start later, by a key in the store. While the store is away, those
 // who have heard act all the same.
@@ -57,7 +58,8 @@
   bool PutKey(std::string_view key);
   bool RemoveKey(std::string_view key, bool lapsed);
 
-  // Tells again what was told lately. Call every quarter of a second.
+  // Tells again what was told lately of requests that are suspected more than
+  // others. Call every quarter of a second.
   void TellAgain();
 
  private:
--- a/tests/auto/decisions/test_quarantine.cc
+++ b/tests/auto/decisions/test_quarantine.cc
@@ -1,5 +1,5 @@
 // SPDX-License-Identifier: MIT
-#include "decisions/quarantine.h"
+#include "decisions/quarantine_news.h"
 
 #include <random>
 
@@ -158,6 +158,27 @@
   BOOST_TEST(held == 0);
 }
 
+BOOST_AUTO_TEST_CASE(what_is_told_is_bounded_and_keeps_its_times) {
+  decisions::quarantine_facts facts;
+  for (std::uint64_t request = 0; request < 1000; ++request) {
+    const decisions::server_end end{5, kBegun, kBegun + 1500us};
+    decisions::AddFact(facts, {request, end, kBegun + 1500us});
+  }
+  BOOST_TEST(facts.size() == decisions::kMostFacts);
+  const auto news = decisions::NewsOf(facts, kBegun + 3s);
+  BOOST_TEST(news.ends.size() == decisions::kMostToldAtOnce);
+  BOOST_TEST(news.ends.back().request == 999);
+  BOOST_TEST(news.ends.back().took_us == 1500);
+  BOOST_TEST(news.ends.back().age_us == 2'998'500);
+  // Clocks of processes differ; what was told at once is heard at once.
+  decisions::quarantine known;
+  const base::time_point elsewhere{9000s};
+  decisions::TakeNews(known, news, elsewhere);
+  const auto& heard = known.suspects.at(999).ends.front();
+  BOOST_TEST((heard.at == elsewhere - 2'998'500us));
+  BOOST_TEST((heard.sent == heard.at - 1500us));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
--- a/tests/auto/host/test_quarantine_duty.cc
+++ b/tests/auto/host/test_quarantine_duty.cc
@@ -116,6 +116,8 @@
   std::size_t first = 0;
   // Hosts that nothing reaches and that reach nobody.
   std::set<std::size_t> cut;
+  // Messages that were sent.
+  int told = 0;
 
  private:
   struct one_host {
@@ -126,6 +128,7 @@
   };
 
   void Deliver(std::size_t from, const std::string& value) {
+    ++told;
     const auto news = wire::DecodeEndNews(value);
     BOOST_REQUIRE(news.has_value());
     for (std::size_t i = 0; i < hearing_; ++i) {
@@ -174,6 +177,20 @@
   BOOST_TEST(here.Holds(2));
 }
 
+// Of the many requests that are at one end, only those at a second are told of
+// again.
+BOOST_AUTO_TEST_CASE(what_was_at_one_end_only_is_told_once) {
+  fleet here(3, 3);
+  here.At(0).NoteEnd(kRequest, EndOf(1));
+  const int told = here.told;
+  for (int i = 0; i < 8; ++i)
+    here.At(0).TellAgain();
+  BOOST_TEST(here.told == told);
+  here.At(1).NoteEnd(kRequest, EndOf(2));
+  here.At(0).TellAgain();
+  BOOST_TEST(here.told == told + 2);
+}
+
 BOOST_AUTO_TEST_CASE(hosts_act_without_the_store_and_write_once_it_is_back) {
   fleet here(4, 4);
   here.store.down = true;
