A hold that ended is not brought back by what is told of ends before it

An operator deletes the key, and a host that has not heard of it yet tells of the ends of the last seconds again: held at once. Ends before the release no longer count; the test tells one again and failed before. Digests are written by one function, in base, in gateways too.

--- a/src/base/identifier.cc
+++ b/src/base/identifier.cc
@@ -3,6 +3,10 @@
 
 #include <xxhash.h>
 
+#include <array>
+#include <cinttypes>
+#include <cstdio>
+
 #include <boost/uuid/random_generator.hpp>
 #include <boost/uuid/uuid.hpp>
 
@@ -20,6 +24,13 @@
   return text;
 }
 
+std::string HexText(std::uint64_t number) {
+  std::array<char, 17> text;
+  const int length =
+      std::snprintf(text.data(), text.size(), "%016" PRIx64, number);
+  return std::string(text.data(), static_cast<std::size_t>(length));
+}
+
 std::uint64_t StableHash(std::string_view text, std::uint64_t seed) {
   return XXH3_64bits_withSeed(text.data(), text.size(), seed);
 }
--- a/src/base/identifier.h
+++ b/src/base/identifier.h
@@ -12,6 +12,9 @@
 // A random 128-bit identifier in lower-case hexadecimal.
 std::string NewIdentifier();
 
+// A number as 16 hexadecimal digits.
+std::string HexText(std::uint64_t number);
+
 // A 64-bit hash that is the same in every process and version.
 std::uint64_t StableHash(std::string_view text, std::uint64_t seed = 0);
 
--- a/src/decisions/quarantine.cc
+++ b/src/decisions/quarantine.cc
@@ -15,14 +15,18 @@
   return each.held_since && now < *each.held_since + kHoldTime;
 }
 
-// Holds that have run out, and ends that are too old.
+// What was told of it before, and may be told again, no longer counts.
+void EndHold(suspect& each, base::time_point now) {
+  each.held_since.reset();
+  each.released_at = now;
+  each.ends.clear();
+  each.newest = now;
+}
+
+// Ends holds that have run out, and forgets ends that are too old.
 void Age(suspect& each, base::time_point now) {
-  if (each.held_since && !IsHeld(each, now)) {
-    each.held_since.reset();
-    each.was_held = true;
-    each.ends.clear();
-    each.newest = now;
-  }
+  if (each.held_since && !IsHeld(each, now))
+    EndHold(each, now);
   std::erase_if(each.ends, [now](const server_end& end) {
     return now - end.at >= kHoldTime;
   });
@@ -84,14 +88,15 @@
   const bool same = std::ranges::any_of(
       each->ends,
       [&end](const server_end& other) { return AreOne(end, other); });
-  if (same)
+  const bool before = each->released_at && end.at < *each->released_at;
+  if (same || before)
     return false;
   each->newest = std::max(each->newest, end.at);
   if (each->ends.size() < kEndsToHold)
     each->ends.push_back(end);
   if (each->held_since)
     return false;
-  if (each->ends.size() < kEndsToHold && !each->was_held)
+  if (each->ends.size() < kEndsToHold && !each->released_at)
     return false;
   each->held_since = now;
   return true;
@@ -117,13 +122,10 @@
   return true;
 }
 
-void Release(quarantine& known, std::uint64_t digest) {
+void Release(quarantine& known, std::uint64_t digest, base::time_point now) {
   const auto found = known.suspects.find(digest);
-  if (found == known.suspects.end() || !found->second.held_since)
-    return;
-  found->second.held_since.reset();
-  found->second.was_held = true;
-  found->second.ends.clear();
+  if (found != known.suspects.end() && found->second.held_since)
+    EndHold(found->second, now);
 }
 
 std::optional<milliseconds> HeldFor(const quarantine& known,
--- a/src/decisions/quarantine.h
+++ b/src/decisions/quarantine.h
@@ -3,12 +3,12 @@
 // of death).
 //
 // A request that makes its server end comes again under another id, at any
-// host, and takes the next server with it: a fleet of 18 engines lost 38 in 75
-// s to it, and half of the requests for the most wanted model. All that is
-// seen of an end is that connections close, those of everybody whom the server
-// was working for. So a request is told by its digest, ends are counted for
-// each request by all hosts together, and only what has been there at several
-// ends is held back.
+// host, and takes the next server with it: of 18 engines, 46 ended in 75 s as
+// they came back, and 53 requests a second were answered in place of 91. All
+// that is seen of an end is that connections close, those of everybody whom the
+// server was working for. So a request is told by its digest, ends are counted
+// for each request by all hosts together, and only what has been there at
+// several ends is held back.
 #ifndef VALELEDGE_DECISIONS_QUARANTINE_H_
 #define VALELEDGE_DECISIONS_QUARANTINE_H_
 
@@ -77,8 +77,8 @@
 struct suspect {
   std::vector<server_end> ends;
   std::optional<base::time_point> held_since;
-  // It was held back before: one end more is enough.
-  bool was_held = false;
+  // It was held back before: one end more is enough, if it comes after this.
+  std::optional<base::time_point> released_at;
   base::time_point newest;
 };
 
@@ -103,8 +103,8 @@
 // True if it was suspected until now; what is held back stays so.
 bool NoteWhole(quarantine& known, std::uint64_t digest);
 
-// The request is no longer held back; one end more and it is again.
-void Release(quarantine& known, std::uint64_t digest);
+// The request is no longer held back; one end more from now on and it is again.
+void Release(quarantine& known, std::uint64_t digest, base::time_point now);
 
 // For how much longer a request is held back; nothing if it is not.
 std::optional<std::chrono::milliseconds> HeldFor(const quarantine& known,
--- a/src/gateway/process/ending_requests.cc
+++ b/src/gateway/process/ending_requests.cc
@@ -17,7 +17,7 @@
 
 void LogHeld(std::uint64_t digest) {
   base::Log(kCategory, base::log_event::kRequestHeld,
-            {{"digest", static_cast<std::int64_t>(digest)}});
+            {{"digest", base::HexText(digest)}});
 }
 
 }  // namespace
--- a/src/host/process/quarantine_duty.cc
+++ b/src/host/process/quarantine_duty.cc
@@ -12,9 +12,9 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
+#include "base/identifier.h"
 #include "base/logging.h"
 #include "host/constants.h"
-#include "host/request/request_digest.h"
 #include "store/constants.h"
 #include "wire/codec.h"
 
@@ -53,7 +53,7 @@
 }
 
 std::string KeyOfHold(std::uint64_t digest) {
-  return std::string(store::kHeldPrefix) + DigestText(digest);
+  return std::string(store::kHeldPrefix) + base::HexText(digest);
 }
 
 // The digest in a key; nothing if the key is of something else.
@@ -121,7 +121,7 @@
 
 void quarantine_duty::Hold(std::uint64_t digest, std::string_view by) {
   base::Log(kCategory, log_event::kRequestHeld,
-            {{"digest", DigestText(digest)}, {"by", std::string(by)}});
+            {{"digest", base::HexText(digest)}, {"by", std::string(by)}});
   if (by != "store")
     asio::co_spawn(core_.context, Keep(digest), asio::detached);
 }
@@ -144,9 +144,10 @@
   kept_.erase(*digest);
   if (lapsed)
     return true;
-  decisions::Release(core_.quarantine, *digest);
+  decisions::Release(core_.quarantine, *digest,
+                     std::chrono::steady_clock::now());
   base::Log(kCategory, log_event::kRequestReleased,
-            {{"digest", DigestText(*digest)}});
+            {{"digest", base::HexText(*digest)}});
   return true;
 }
 
--- a/src/host/request/ending_watch.cc
+++ b/src/host/request/ending_watch.cc
@@ -3,6 +3,7 @@
 
 #include <string>
 
+#include "base/identifier.h"
 #include "base/logging.h"
 #include "host/request/request_digest.h"
 
@@ -41,7 +42,7 @@
     return std::nullopt;
   auto error =
       base::MakeError(base::result_code::kHeldBack, base::outcome::kNotRun,
-                      "request " + DigestText(Digest()) +
+                      "request " + base::HexText(Digest()) +
                           " is held back: backend servers ended under it");
   error.retry_after = *held;
   return error;
@@ -58,7 +59,7 @@
   core_.log.Write(base::log_weight::kTrouble,
                   base::log_event::kAttemptBrokenOff, routed.head.id,
                   {{"request", routed.head.id},
-                   {"digest", DigestText(Digest())},
+                   {"digest", base::HexText(Digest())},
                    {"route", routed.route->name},
                    {"server", server.entry.instance},
                    {"reached", std::string(reached)},
--- a/src/host/request/request_digest.cc
+++ b/src/host/request/request_digest.cc
@@ -1,10 +1,6 @@
 // SPDX-License-Identifier: MIT
 #include "host/request/request_digest.h"
 
-#include <array>
-#include <cinttypes>
-#include <cstdio>
-
 #include <boost/beast/http.hpp>
 
 #include "base/identifier.h"
@@ -32,11 +28,4 @@
   return base::StableHash(request.body(), digest);
 }
 
-std::string DigestText(std::uint64_t digest) {
-  std::array<char, 17> text;
-  const int length =
-      std::snprintf(text.data(), text.size(), "%016" PRIx64, digest);
-  return std::string(text.data(), static_cast<std::size_t>(length));
-}
-
 }  // namespace valeledge::host
--- a/src/host/request/request_digest.h
+++ b/src/host/request/request_digest.h
@@ -4,7 +4,6 @@
 #define VALELEDGE_HOST_REQUEST_REQUEST_DIGEST_H_
 
 #include <cstdint>
-#include <string>
 
 #include "net/http_client.h"
 
@@ -21,9 +20,6 @@
 // and its deadline, which are others each time.
 std::uint64_t DigestOf(const net::http_request& request);
 
-// A digest as people and keys write it: 16 hexadecimal digits.
-std::string DigestText(std::uint64_t digest);
-
 }  // namespace valeledge::host
 
 #endif  // VALELEDGE_HOST_REQUEST_REQUEST_DIGEST_H_
--- a/tests/auto/base/test_values.cc
+++ b/tests/auto/base/test_values.cc
@@ -7,6 +7,7 @@
 #include "base/duration.h"
 #include "base/duty.h"
 #include "base/endpoint.h"
+#include "base/identifier.h"
 #include "base/json.h"
 #include "base/metrics.h"
 
@@ -92,3 +93,8 @@
   BOOST_TEST(!ParseJsonObject("[1]").has_value());
   BOOST_TEST(ParseJsonObject("{\"a\":1}").has_value());
 }
+
+BOOST_AUTO_TEST_CASE(numbers_are_written_in_sixteen_digits) {
+  BOOST_TEST(HexText(0xab) == "00000000000000ab");
+  BOOST_TEST(HexText(0xfedcba9876543210) == "fedcba9876543210");
+}
--- a/tests/auto/decisions/test_quarantine.cc
+++ b/tests/auto/decisions/test_quarantine.cc
@@ -98,10 +98,12 @@
     BOOST_TEST(IsHeld(known, now - 1s));
     if (released) {
       now = kBegun + 5s;
-      decisions::Release(known, kRequest);
+      decisions::Release(known, kRequest, now);
     }
     decisions::Sweep(known, now);
     BOOST_TEST(!IsHeld(known, now));
+    // What others tell again of ends before.
+    BOOST_TEST(!End(known, 8, now - 1s));
     BOOST_TEST(End(known, 9, now + 1s));
     BOOST_TEST(IsHeld(known, now + 1s));
   }
--- a/tests/auto/host/test_request_digest.cc
+++ b/tests/auto/host/test_request_digest.cc
@@ -50,10 +50,6 @@
   BOOST_TEST(digests.size() == 7u);
 }
 
-BOOST_AUTO_TEST_CASE(is_written_in_sixteen_digits) {
-  BOOST_TEST(host::DigestText(0xab) == "00000000000000ab");
-}
-
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
