--- a/tests/auto/host/test_late_answers.cc
+++ b/tests/auto/host/test_late_answers.cc
@@ -15,37 +15,17 @@
 // Evidence: in the logs of the day each of those hosts says that the server is
 // gone, and 3 to 244 ms later that it is there again; no copy that they could
 // have had it from was given before the first of them had it.
-#include <functional>
 #include <string>
 
-#include <boost/asio/io_context.hpp>
 #include <boost/test/unit_test.hpp>
 
-#include "fake_store.h"
-#include "host/process/store_mirror.h"
+#include "mirror_world.h"
 
 namespace {
 
 using namespace valeledge;
 
-struct world {
-  world()
-      : store(context),
-        mirror(context,
-               store,
-               "",
-               {[] { return true; }, [](const auto&, const auto&) {},
-                [](const auto&, bool) {}, [](std::int64_t) {}}) {}
-
-  void RunUntil(const std::function<bool()>& done) {
-    while (!done())
-      BOOST_REQUIRE_NE(context.run_one_for(std::chrono::seconds(20)), 0u);
-  }
-
-  boost::asio::io_context context{1};
-  test::fake_store store;
-  host::store_mirror mirror;
-};
+using world = test::mirror_world;
 
 wire::mirror_entry Entry(const std::string& key, std::int64_t revision) {
   wire::mirror_entry entry;
--- a/tests/auto/host/test_store_mirror.cc
+++ b/tests/auto/host/test_store_mirror.cc
@@ -8,39 +8,13 @@
 #include <boost/asio/redirect_error.hpp>
 #include <boost/test/unit_test.hpp>
 
-#include "fake_store.h"
+#include "mirror_world.h"
 
 namespace {
 
 using namespace valeledge;
 
-// A mirror of a store in memory, and what it has told.
-struct world {
-  world()
-      : store(context),
-        mirror(context,
-               store,
-               "",
-               {[this] { return follows; },
-                [this](const auto& key, const auto&) { put.push_back(key); },
-                [this](const auto& key, bool lapsed) {
-                  removed.emplace_back(key, lapsed);
-                },
-                [](std::int64_t) {}}) {}
-
-  // Runs until `done`, which an event of the mirror brings about.
-  void RunUntil(const std::function<bool()>& done) {
-    while (!done())
-      BOOST_REQUIRE_NE(context.run_one_for(std::chrono::seconds(20)), 0u);
-  }
-
-  boost::asio::io_context context{1};
-  test::fake_store store;
-  bool follows = true;
-  std::vector<std::string> put;
-  std::vector<std::pair<std::string, bool>> removed;
-  host::store_mirror mirror;
-};
+using world = test::mirror_world;
 
 BOOST_AUTO_TEST_SUITE(store_mirror)
 
