A server's failure clears no suspicion

A server that fails part of its requests may answer 500 without having run them; by reading, a request that ends servers would be cleared by it and sent on. Only a whole answer that is no failure clears now, in hosts and gateways. Test with the change: three ends with failures in between hold the request (5 sends of 24); whole answers in between clear it (12 of 12).

--- a/src/decisions/quarantine.h
+++ b/src/decisions/quarantine.h
@@ -99,7 +99,8 @@
 // The request is held back by all hosts. True if it was not before.
 bool NoteHeld(quarantine& known, std::uint64_t digest, base::time_point now);
 
-// A server has answered the request whole: what ended others was not this.
+// A server has answered the request whole and well: what ended others was not
+// this.
 // True if it was suspected until now; what is held back stays so.
 bool NoteWhole(quarantine& known, std::uint64_t digest);
 
--- a/src/gateway/process/grant_client.cc
+++ b/src/gateway/process/grant_client.cc
@@ -272,7 +272,7 @@
   in_flight_.erase(given.attempt_id);
   if (result.server_ended)
     ending_.NoteEnd(given.digest, given.server, result.took);
-  else if (result.what_ran == base::outcome::kCompleted)
+  else if (result.answered_well)
     ending_.NoteWhole(given.digest);
   if (!given.scheduler) {
     fallback_.End(given.server);
--- a/src/gateway/process/grant_client.h
+++ b/src/gateway/process/grant_client.h
@@ -69,6 +69,8 @@
   bool unreachable = false;
   // The server closed the connection at the beginning of its answer or before.
   bool server_ended = false;
+  // The whole answer has come, and is no failure of the server.
+  bool answered_well = false;
   // From the grant to the end.
   std::chrono::microseconds took{0};
   bool draining = false;
--- a/src/gateway/request/attempt.cc
+++ b/src/gateway/request/attempt.cc
@@ -213,6 +213,7 @@
   }
   frame.open.reset();
   out.told.tokens = static_cast<std::int32_t>(answer.tokens - tokens_before);
+  out.told.answered_well = out.ended.has_value();
   out.told.what_ran =
       out.ended ? base::outcome::kCompleted : base::outcome::kUnknown;
   co_return out;
--- a/src/gateway/request/service_exchange.cc
+++ b/src/gateway/request/service_exchange.cc
@@ -235,6 +235,7 @@
   told.tokens = 1;
   if (answer) {
     told.what_ran = base::outcome::kCompleted;
+    told.answered_well = answer->result_int() < 500;
   } else {
     told.what_ran = answer.error().what_ran;
     told.unreachable = answer.error().code == result_code::kBackendUnreachable;
--- a/src/host/request/ending_watch.cc
+++ b/src/host/request/ending_watch.cc
@@ -70,7 +70,7 @@
   core_.server_ended(Digest(), {server.key, progress.sent, now});
 }
 
-void ending_watch::AnsweredWhole() {
+void ending_watch::AnsweredWell() {
   // Most of the time nothing is suspected, and nothing is worked out.
   if (!core_.quarantine.suspects.empty())
     core_.suspect_answered(Digest());
--- a/src/host/request/ending_watch.h
+++ b/src/host/request/ending_watch.h
@@ -28,8 +28,9 @@
                      const attempt_progress& progress,
                      const base::error& failed);
 
-  // A server's whole answer has come.
-  void AnsweredWhole();
+  // A server's whole answer has come, and is no failure of the server: one that
+  // fails some of its requests may not have run this one.
+  void AnsweredWell();
 
  private:
   // Worked out once, and only if it is needed.
--- a/src/host/request/relay.cc
+++ b/src/host/request/relay.cc
@@ -154,13 +154,13 @@
     visit.Failed(false);
     co_return attempt_end::kUnknown;
   }
-  // Also a failure: the server that ran the request has outlived it.
-  ending_.AnsweredWhole();
   const bool failed = whole.result_int() >= 500;
-  if (failed)
+  if (failed) {
     visit.Failed(false);
-  else
+  } else {
     visit.Answered();
+    ending_.AnsweredWell();
+  }
   if (failed && routed_.route->MayRepeat()) {
     last_error_ = base::MakeError(
         result_code::kOutcomeUnknown, base::outcome::kUnknown,
@@ -244,7 +244,7 @@
     co_return attempt_end::kUnknown;
   }
   visit.Answered();
-  ending_.AnsweredWhole();
+  ending_.AnsweredWell();
   if (!started_)
     co_await StartAnswer(exchange.header());
   co_await responder_.Finish();
--- a/tests/auto/host/test_ending_requests.cc
+++ b/tests/auto/host/test_ending_requests.cc
@@ -98,6 +98,32 @@
   BOOST_TEST(here.Sends() == 3u);
 }
 
+// Servers that fail some of their requests do not say that they ran this one.
+BOOST_AUTO_TEST_CASE(a_failure_in_between_clears_nothing) {
+  ending_world here(12);
+  for (int i = 0; i < 24; ++i) {
+    for (backend_stand_in& each : here.servers) {
+      each.script = {i % 2 == 1 ? scripted_answer{kFailed}
+                                : scripted_answer{kStreamHead, ending::kReset}};
+    }
+    here.AskOnce("/once/");
+  }
+  // Three that ended, and two that failed in between.
+  BOOST_TEST(here.Sends() == 5u);
+}
+
+BOOST_AUTO_TEST_CASE(a_whole_answer_in_between_clears) {
+  ending_world here(12);
+  for (int i = 0; i < 12; ++i) {
+    for (backend_stand_in& each : here.servers) {
+      each.script = {i % 3 == 2 ? scripted_answer{kWhole}
+                                : scripted_answer{kStreamHead, ending::kReset}};
+    }
+    here.AskOnce("/once/");
+  }
+  BOOST_TEST(here.Sends() == 12u);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
