Callers' keys and their workspaces: certain everywhere, also at a host that is cut off

The catalogue learns workspaces; each request is checked, on open connections too; the workspace is told to the server, the key to nobody. Fields that a caller names in Connection end there (RFC 9110, 7.6.1), before ours are set.

A host goes by a key only while it is certain that none was taken away: as of the time at which it asked for a reading of the store that was sent later, once it has everything up to the revision found. Ages are of a clock that counts a suspension. Ruled out: the age of the store's last answer as hosts tell it, which proves nothing for a message that waited while its receiver was frozen; the answer of a watch, which may hear nothing for a second while changes are made.

--- a/src/catalog/configuration.cc
+++ b/src/catalog/configuration.cc
@@ -24,6 +24,11 @@
   return best;
 }
 
+const workspace* configuration::FindWorkspace(std::string_view key) const {
+  const auto found = keys.Find(key);
+  return found ? &workspaces[*found] : nullptr;
+}
+
 const service* configuration::FindService(std::string_view name) const {
   const auto found = std::ranges::find(services, name, &service::name);
   return found == services.end() ? nullptr : &*found;
--- a/src/catalog/configuration.h
+++ b/src/catalog/configuration.h
@@ -10,6 +10,9 @@
 #include <string_view>
 #include <vector>
 
+#include "catalog/key_index.h"
+#include "catalog/workspace.h"
+
 namespace valeledge::catalog {
 
 // What a request of a route allows.
@@ -48,6 +51,8 @@
   std::int64_t attempts = 1;
   // A broken stream may go on at another backend server.
   bool resumable = false;
+  // Callers need no key.
+  bool is_public = false;
   std::vector<weighted_service> services;
 
   // Whether a request may run again after it may have run.
@@ -111,7 +116,14 @@
   std::vector<route> routes;
   std::vector<service> services;
   caller_limits limits;
-
+  // Whether callers need a key of a workspace, but for public routes.
+  bool needs_keys = false;
+  std::vector<workspace> workspaces;
+  // Made of the workspaces.
+  key_index keys;
+
+  // The workspace that a key belongs to; null if none has it.
+  const workspace* FindWorkspace(std::string_view key) const;
   // The route of the authority with the longest prefix that begins `path`;
   // null if there is none.
   const route* FindRoute(std::string_view authority,
--- a/src/host/dialect.h
+++ b/src/host/dialect.h
@@ -7,6 +7,7 @@
 #include <chrono>
 #include <cstdint>
 #include <optional>
+#include <span>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -40,6 +41,11 @@
   std::vector<prompt_part> prompt;
   // The id of the last event that the caller has, if it resumes a stream.
   std::string resume_after;
+  // What the caller shows to belong to a workspace: a secret, so it goes to no
+  // server, log or metric. Empty if there is none or more than one.
+  std::string key;
+  // It says how many tokens it has.
+  bool tells_tokens = false;
 };
 
 // What an attempt at a backend server adds to the caller's request.
@@ -50,6 +56,8 @@
   std::int64_t priority = 0;
   // Set when a stream goes on after this event.
   std::string resume_after;
+  // The workspace of the caller; empty if the route needs none.
+  std::string workspace;
 };
 
 // What an answer says about itself.
@@ -108,6 +116,9 @@
 // The functions of one outside protocol.
 struct dialect {
   request_head (*read_request)(const net::http_request& request);
+  // Fields that pass through every connection on a request's way.
+  std::span<const std::string_view> whole_path_fields;
+  // Erases what only this system may set, whoever set it, and sets it.
   void (*write_attempt)(net::http_request& request, const attempt_head& head);
   answer_head (*read_answer)(const net::http_response_header& answer);
   // The id of an event of a stream; nothing if it has none.
--- a/src/host/host_settings.h
+++ b/src/host/host_settings.h
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "base/endpoint.h"
+#include "decisions/key_certainty.h"
 
 namespace valeledge::host {
 
@@ -54,6 +55,9 @@
   std::int64_t retry_slack = 0;
   std::chrono::milliseconds retry_window{10'000};
 
+  // How soon what operators change of keys is in force.
+  decisions::key_bounds keys;
+
   // Loads from the weight store are counted over this window.
   std::chrono::milliseconds load_window{5000};
 };
--- a/src/host/process/host.cc
+++ b/src/host/process/host.cc
@@ -14,6 +14,7 @@
 #include "base/logging.h"
 #include "decisions/lease_turn.h"
 #include "host/constants.h"
+#include "host/process/barrier_duty.h"
 #include "host/process/copy_duty.h"
 #include "host/process/host_core.h"
 #include "host/process/peer_link.h"
@@ -53,6 +54,11 @@
 constexpr std::string_view kFollowDuty = "follow/store";
 constexpr std::size_t kFollowersPerZone = 1;
 
+// Hosts that may be asked to read the store for others: one does, the others
+// are asked in turn if it does not answer.
+constexpr std::string_view kReadDuty = "read/store";
+constexpr std::size_t kReaders = 4;
+
 // Stands for an age that is not known.
 constexpr std::int32_t kUnknownAge = -1;
 
@@ -111,6 +117,7 @@
   peer_link peers_;
   copy_duty copies_;
   quarantine_duty quarantine_;
+  barrier_duty barrier_;
   store::lease_keeper lease_;
   placement_duty placement_;
   net::http_server callers_;
@@ -137,6 +144,7 @@
            [this](std::int64_t revision) {
              peers_.AnnounceRevision(revision);
              copies_.NoteAdvanced();
+             barrier_.NoteRevision();
            }}),
       peers_(context,
              core_.settings,
@@ -155,6 +163,19 @@
                    [this](const std::string& subject) {
                      return peers_.IsChosen(subject, 1, peer_link::scope::kAll);
                    }}),
+      barrier_(
+          core_,
+          *store_,
+          {[this](const base::endpoint& to,
+                  std::string_view record,
+                  std::string value) {
+             peers_.Tell(std::string(record), std::move(value), {0, {}, to});
+           },
+           [this] {
+             return peers_.ChosenAddresses(std::string(kReadDuty), kReaders,
+                                           membership::kWideLink);
+           },
+           [this] { return mirror_.revision(); }}),
       lease_(
           context,
           *store_,
@@ -262,6 +283,7 @@
   mirror_.Start();
   lease_.Start();
   placement_.Start();
+  barrier_.Start();
   asio::co_spawn(core_.context, ReportLoop(), asio::detached);
   stop_.Start();
   reload_.Start();
@@ -271,7 +293,9 @@
 }
 
 bool host::IsReady() const {
-  return core_.configuration != nullptr && !stop_.stopping();
+  // Callers are better off at a host that can tell whether their keys are good.
+  return core_.configuration != nullptr && !stop_.stopping() &&
+         !barrier_.IsUncertain();
 }
 
 void host::UpdateGauges() {
@@ -292,6 +316,10 @@
       static_cast<std::int64_t>(decisions::CountHeld(
           core_.quarantine, std::chrono::steady_clock::now())));
   set("valeledge_copy_behind_ms", copies_.BehindFor().count());
+  const auto certainty =
+      decisions::AgeOf(core_.certainty, base::boot_clock::now());
+  set("valeledge_key_certainty_ms",
+      certainty.value_or(milliseconds(kUnknownAge)).count());
   set("valeledge_lease_term", lease_.CertainTerm());
   set("valeledge_peer_bytes", peers_.bytes());
   set("valeledge_store_bytes", store_->bytes());
@@ -389,6 +417,14 @@
     const auto news = wire::DecodeEndNews(record.value);
     if (news)
       quarantine_.TakeNews(*news);
+  } else if (record.key == kReadingWantedRecord) {
+    const auto question = wire::DecodeStoreReading(record.value);
+    if (question)
+      barrier_.TakeQuestion(record.sender_address, *question);
+  } else if (record.key == kReadingRecord) {
+    const auto reading = wire::DecodeStoreReading(record.value);
+    if (reading)
+      barrier_.TakeReading(*reading);
   } else if (record.key == kPlacedRecord) {
     const auto news = wire::DecodePlacementNews(record.value);
     if (news)
--- a/src/host/process/host_core.h
+++ b/src/host/process/host_core.h
@@ -17,6 +17,7 @@
 
 #include "base/metrics.h"
 #include "catalog/configuration.h"
+#include "decisions/key_certainty.h"
 #include "decisions/quarantine.h"
 #include "decisions/retry_window.h"
 #include "host/dialect.h"
@@ -51,6 +52,8 @@
   std::mt19937_64 random{std::random_device{}()};
   // The configuration in force; null before the first one is known.
   std::shared_ptr<const catalog::configuration> configuration;
+  // How old the certainty is with which this host knows which keys are good.
+  decisions::key_certainty certainty;
   std::map<std::string, decisions::retry_window, std::less<>> retries;
   // Requests under which servers end.
   decisions::quarantine quarantine;
--- a/src/host/process/peer_link.cc
+++ b/src/host/process/peer_link.cc
@@ -139,6 +139,22 @@
   return std::ranges::find(chosen, gossip_.self.id) != chosen.end();
 }
 
+std::vector<base::endpoint> peer_link::ChosenAddresses(
+    const std::string& subject,
+    std::size_t count,
+    std::int32_t prefers) {
+  std::vector<base::endpoint> out;
+  for (const std::string& id :
+       membership::ChosenMembers(gossip_, {subject, {}, count, prefers})) {
+    const auto known = gossip_.others.find(id);
+    if (known != gossip_.others.end())
+      out.push_back(known->second.address);
+    else if (id == gossip_.self.id)
+      out.push_back(listen_);
+  }
+  return out;
+}
+
 void peer_link::AnnounceLeaving() {
   Publish(membership::AnnounceLeaving(gossip_, random_));
 }
--- a/src/host/process/peer_link.h
+++ b/src/host/process/peer_link.h
@@ -59,6 +59,11 @@
                 std::size_t count,
                 scope among,
                 std::int32_t prefers = 0);
+  // Addresses of those that are chosen for a subject among all, best first;
+  // this host's own may be one.
+  std::vector<base::endpoint> ChosenAddresses(const std::string& subject,
+                                              std::size_t count,
+                                              std::int32_t prefers = 0);
   void AnnounceLeaving();
   // This host's copy of the store has this revision.
   void AnnounceRevision(std::int64_t revision);
--- a/src/host/request/final_answers.cc
+++ b/src/host/request/final_answers.cc
@@ -1,8 +1,11 @@
 // SPDX-License-Identifier: MIT
 #include "host/request/final_answers.h"
 
+#include <algorithm>
 #include <array>
 #include <cstdio>
+#include <string>
+#include <vector>
 
 #include <boost/beast/http.hpp>
 #include <boost/json.hpp>
@@ -31,6 +34,28 @@
     fields.erase(each);
 }
 
+bool IsSame(std::string_view one, std::string_view other) {
+  return boost::beast::iequals({one.data(), one.size()},
+                               {other.data(), other.size()});
+}
+
+bool IsOneOf(std::span<const std::string_view> names, std::string_view name) {
+  return std::ranges::any_of(
+      names, [&](std::string_view each) { return IsSame(each, name); });
+}
+
+// Fields that the request names as concerning one connection alone.
+std::vector<std::string> NamedAsConnectionFields(
+    const net::http_request& request) {
+  std::vector<std::string> names;
+  const auto [begin, end] = request.equal_range(http::field::connection);
+  for (auto field = begin; field != end; ++field) {
+    for (const auto& name : http::token_list(field->value()))
+      names.emplace_back(name.data(), name.size());
+  }
+  return names;
+}
+
 std::string Seconds(std::chrono::milliseconds value) {
   std::array<char, 32> text;
   const int length =
@@ -58,8 +83,14 @@
   return answer;
 }
 
-net::http_request ForwardableRequest(const net::http_request& request) {
+net::http_request ForwardableRequest(
+    const net::http_request& request,
+    std::span<const std::string_view> whole_path) {
   net::http_request forwarded = request;
+  for (const std::string& each : NamedAsConnectionFields(request)) {
+    if (!IsOneOf(whole_path, each) && !IsSame(each, "Host"))
+      forwarded.erase(each);
+  }
   EraseConnectionFields(forwarded);
   return forwarded;
 }
--- a/src/host/request/final_answers.h
+++ b/src/host/request/final_answers.h
@@ -4,6 +4,9 @@
 #ifndef VALELEDGE_HOST_REQUEST_FINAL_ANSWERS_H_
 #define VALELEDGE_HOST_REQUEST_FINAL_ANSWERS_H_
 
+#include <span>
+#include <string_view>
+
 #include "base/error.h"
 #include "net/http_client.h"
 
@@ -13,8 +16,12 @@
 // coming back helps, when.
 net::http_response RenderFailure(const base::error& failed);
 
-// The caller's request without the fields that concern its connection only.
-net::http_request ForwardableRequest(const net::http_request& request);
+// The caller's request without the fields that concern its connection only
+// (RFC 9110, 7.6.1), those that it names as such included, but for the fields
+// in `whole_path`.
+net::http_request ForwardableRequest(
+    const net::http_request& request,
+    std::span<const std::string_view> whole_path);
 
 // A backend server's head without the fields that concern its connection.
 net::http_response_header ForwardableHead(net::http_response_header head);
--- a/src/host/request/relay.cc
+++ b/src/host/request/relay.cc
@@ -12,6 +12,7 @@
 #include "base/logging.h"
 #include "host/constants.h"
 #include "host/request/attempt_progress.h"
+#include "host/request/caller_check.h"
 #include "host/request/ending_watch.h"
 #include "host/request/event_splitter.h"
 #include "host/request/final_answers.h"
@@ -253,11 +254,12 @@
 
 asio::awaitable<attempt_end> relay::Attempt(const server_choice& choice) {
   known_server& server = *choice.server;
-  auto forwarded = ForwardableRequest(request_);
+  auto forwarded = ForwardableRequest(request_, core_.speech.whole_path_fields);
   attempt_head added;
   added.deadline = std::max(Left(routed_), milliseconds(1));
   added.instance = server.entry.instance;
-  added.priority = routed_.route->priority;
+  added.priority = PriorityOf(routed_);
+  added.workspace = WorkspaceName(routed_);
   const bool goes_on = started_ || !routed_.head.resume_after.empty();
   if (goes_on)
     added.resume_after = last_event_;
@@ -277,6 +279,7 @@
       log_weight::kOrdinary, log_event::kAttemptSent, routed_.head.id,
       {{"request", routed_.head.id},
        {"route", routed_.route->name},
+       {"workspace", added.workspace},
        {"unit", AdapterUnit(routed_.head.model, routed_.head.adapter)},
        {"version", routed_.configuration->version},
        {"server", server.entry.instance},
@@ -406,6 +409,7 @@
       {{"request", routed_.head.id},
        {"route",
         routed_.route == nullptr ? std::string() : routed_.route->name},
+       {"workspace", WorkspaceName(routed_)},
        {"unit", AdapterUnit(routed_.head.model, routed_.head.adapter)},
        {"version",
         routed_.configuration == nullptr ? 0 : routed_.configuration->version},
@@ -441,6 +445,10 @@
     co_await Fail(NoRoute(core_));
     co_return;
   }
+  if (const auto refused = CheckCaller(core_, routed_)) {
+    co_await Fail(*refused);
+    co_return;
+  }
   last_event_ = routed_.head.resume_after;
   decisions::NoteRequest(core_.retries[routed_.service->name], routed_.arrived);
   guard_ = std::make_shared<net::open_guard>();
--- a/src/host/request/routed_request.cc
+++ b/src/host/request/routed_request.cc
@@ -78,6 +78,16 @@
   return true;
 }
 
+std::int64_t PriorityOf(const routed_request& routed) {
+  const bool ranked =
+      routed.workspace != nullptr && routed.workspace->priority.has_value();
+  return ranked ? *routed.workspace->priority : routed.route->priority;
+}
+
+std::string WorkspaceName(const routed_request& routed) {
+  return routed.workspace == nullptr ? std::string() : routed.workspace->name;
+}
+
 std::optional<base::error> LeavingTooSoon(const host_core& core,
                                           const routed_request& routed) {
   if (!core.stops_at || routed.deadline <= *core.stops_at)
--- a/src/host/request/routed_request.h
+++ b/src/host/request/routed_request.h
@@ -19,6 +19,8 @@
   std::shared_ptr<const catalog::configuration> configuration;
   const catalog::route* route = nullptr;
   const catalog::service* service = nullptr;
+  // Of the caller; null if the route needs none.
+  const catalog::workspace* workspace = nullptr;
   request_head head;
   decisions::request_weight weight;
   model_demand* demand = nullptr;
@@ -36,6 +38,13 @@
                   const net::http_request& request,
                   routed_request& routed);
 
+// How urgent a request is: its workspace's rank goes before its route's. 0 is
+// the most urgent.
+std::int64_t PriorityOf(const routed_request& routed);
+
+// The name of the caller's workspace; empty if the route needs none.
+std::string WorkspaceName(const routed_request& routed);
+
 // Why a request that has not been sent is refused by a host that is about to
 // stop: it may outlast the host. Nothing if it does not, or the host stays.
 std::optional<base::error> LeavingTooSoon(const host_core& core,
--- a/src/membership/gossip_direct.cc
+++ b/src/membership/gossip_direct.cc
@@ -17,6 +17,8 @@
                                             const std::string& except,
                                             random_source& random) {
   std::vector<const known_member*> candidates;
+  if (count == 0)
+    return candidates;
   for (const auto& [id, each] : state.others) {
     if (id != except && !IsDead(each))
       candidates.push_back(&each);
--- a/src/wire/codec.cc
+++ b/src/wire/codec.cc
@@ -68,6 +68,10 @@
   return EncodeMessage(message);
 }
 
+std::string Encode(const store_reading& message) {
+  return EncodeMessage(message);
+}
+
 std::optional<envelope> DecodeEnvelope(std::string_view bytes) {
   return DecodeMessage<envelope>(bytes);
 }
@@ -96,4 +100,8 @@
   return DecodeMessage<end_news>(bytes);
 }
 
+std::optional<store_reading> DecodeStoreReading(std::string_view bytes) {
+  return DecodeMessage<store_reading>(bytes);
+}
+
 }  // namespace valeledge::wire
--- a/src/wire/messages.thrift
+++ b/src/wire/messages.thrift
@@ -297,6 +297,16 @@
   2: list<i64> cleared,
 }
 
+// Asks for a reading of the key-value service, and tells what it found.
+struct store_reading {
+  // The process that asks: a number drawn at its start.
+  1: i64 origin,
+  // Its own clock when it asked, in microseconds; of no meaning to others.
+  2: i64 asked_us,
+  // The service's revision; 0 in a question.
+  3: i64 revision,
+}
+
 struct acknowledgement {
   1: i32 code,
 }
--- a/tests/auto/host/relay_world.h
+++ b/tests/auto/host/relay_world.h
@@ -8,6 +8,8 @@
 #include <memory>
 #include <sstream>
 #include <string>
+#include <utility>
+#include <vector>
 
 #include <boost/beast/http.hpp>
 #include <boost/test/unit_test.hpp>
@@ -165,6 +167,8 @@
     if (!model.empty())
       request.set("X-Model", model);
     request.set(boost::beast::http::field::connection, "keep-alive");
+    for (const auto& [name, value] : added_fields)
+      request.insert(name, value);
     seen_answer seen;
     fake_responder responder(seen);
     boost::asio::co_spawn(context,
@@ -213,6 +217,8 @@
   int asked = 0;
   // Where requests come from.
   std::string caller_address = "10.0.0.1";
+  // Fields that requests have beside those that all have.
+  std::vector<std::pair<std::string, std::string>> added_fields;
   // What requests ask for; nothing but for engines.
   std::string model;
   std::chrono::milliseconds timeout{2000};
--- /dev/null
+++ b/tests/auto/host/test_caller_keys.cc
@@ -0,0 +1,171 @@
+// SPDX-License-Identifier: MIT
+// Callers show a key; their workspace is told to servers, the key never.
+#include <string>
+#include <utility>
+#include <vector>
+
+#include <boost/beast/http.hpp>
+#include <boost/test/unit_test.hpp>
+
+#include "host/request/caller_check.h"
+#include "relay_world.h"
+
+namespace {
+
+using namespace valeledge;
+using namespace valeledge::test;
+using namespace std::chrono_literals;
+namespace http = boost::beast::http;
+
+using caller_fields = std::vector<std::pair<std::string, std::string>>;
+
+// A host whose callers need keys.
+struct keyed_world : world {
+  keyed_world() {
+    configuration.needs_keys = true;
+    configuration.workspaces.push_back({"choir", {"key-one", "key-two"}, 7});
+    configuration.workspaces.push_back({"band", {"key-three"}, {}});
+    configuration.keys = catalog::key_index(configuration.workspaces);
+    core->settings.keys = {5s, 3s};
+    BeCertainAsOf(0s);
+    AddServer("i-1", first.address());
+  }
+
+  // What is known was complete so long ago.
+  void BeCertainAsOf(std::chrono::milliseconds age) {
+    core->certainty.complete_as_of = base::boot_clock::now() - age;
+  }
+
+  seen_answer AskAs(const caller_fields& fields,
+                    const std::string& path = "/once/") {
+    added_fields = fields;
+    return Ask(path);
+  }
+};
+
+BOOST_AUTO_TEST_SUITE(caller_keys)
+
+BOOST_AUTO_TEST_CASE(the_workspace_is_told_and_the_key_is_not) {
+  keyed_world here;
+  for (const std::string key : {"key-one", "key-two"}) {
+    BOOST_TEST(here.AskAs({{"Api-Key", key}}).status == 200);
+    const net::http_request& sent = here.first.requests.back();
+    BOOST_TEST(sent["X-Tenant"] == "choir");
+    BOOST_TEST(sent.count("Api-Key") == 0u);
+  }
+  BOOST_TEST(here.AskAs({{"Api-Key", "key-three"}}).status == 200);
+  BOOST_TEST(here.first.requests.back()["X-Tenant"] == "band");
+}
+
+BOOST_AUTO_TEST_CASE(who_has_no_good_key_is_refused_and_reaches_no_server) {
+  keyed_world here;
+  const std::vector<caller_fields> wrong = {
+      {},
+      {{"Api-Key", ""}},
+      {{"Api-Key", "key-on"}},
+      {{"Api-Key", "key-one "}, {"Api-Key", "key-one"}},
+      {{"Api-Key", "key-one"}, {"Api-Key", "key-three"}},
+      {{"X-Tenant", "choir"}},
+  };
+  for (const caller_fields& fields : wrong) {
+    const seen_answer seen = here.AskAs(fields);
+    BOOST_TEST(seen.status == 401);
+    BOOST_TEST(seen.body.find("key-") == std::string::npos);
+  }
+  BOOST_TEST(here.first.requests.empty());
+}
+
+// Whatever a caller sends under the names that this system sets, the server
+// gets one field, and what this system says.
+BOOST_AUTO_TEST_CASE(what_the_system_sets_is_set_last) {
+  keyed_world here;
+  const caller_fields key{{"Api-Key", "key-one"}};
+  const std::vector<caller_fields> spoofs = {
+      {{"X-Tenant", "band"}},
+      {{"x-tenant", "band"}},
+      {{"X-Tenant", "band"}, {"X-TENANT", "other"}},
+      {{"X-Tenant", ""}},
+      {{"Connection", "X-Tenant"}, {"X-Tenant", "band"}},
+      {{"Connection", "close, x-tenant , x-expect-instance"}},
+      {{"Connection", "api-key"}},
+      {{"X-Expect-Instance", "i-2"}},
+  };
+  for (caller_fields fields : spoofs) {
+    fields.insert(fields.end(), key.begin(), key.end());
+    BOOST_TEST(here.AskAs(fields).status == 200);
+    const net::http_request& sent = here.first.requests.back();
+    BOOST_TEST(sent.count("X-Tenant") == 1u);
+    BOOST_TEST(sent["X-Tenant"] == "choir");
+    BOOST_TEST(sent.count("Api-Key") == 0u);
+    BOOST_TEST(sent["X-Expect-Instance"] == "i-1");
+  }
+}
+
+// RFC 9110, 7.6.1.
+BOOST_AUTO_TEST_CASE(fields_of_one_connection_end_there) {
+  keyed_world here;
+  here.AskAs({{"Api-Key", "key-one"},
+              {"Connection", "keep-alive, X-Hop"},
+              {"Connection", "X-Request-Id, Host"},
+              {"X-Hop", "1"}});
+  BOOST_REQUIRE(here.first.requests.size() == 1u);
+  const net::http_request& sent = here.first.requests.back();
+  BOOST_TEST(sent.count("X-Hop") == 0u);
+  // These are for the server, whatever the caller says.
+  BOOST_TEST(sent["X-Request-Id"] == "9c41");
+  BOOST_TEST(sent[http::field::host] == "a.example");
+}
+
+BOOST_AUTO_TEST_CASE(public_routes_need_no_key_and_tell_no_workspace) {
+  keyed_world here;
+  for (catalog::route& each : here.configuration.routes)
+    each.is_public = true;
+  here.BeCertainAsOf(1h);
+  BOOST_TEST(here.AskAs({{"X-Tenant", "choir"}, {"Api-Key", "x"}}).status ==
+             200);
+  const net::http_request& sent = here.first.requests.back();
+  BOOST_TEST(sent.count("X-Tenant") == 0u);
+  BOOST_TEST(sent.count("Api-Key") == 0u);
+}
+
+BOOST_AUTO_TEST_CASE(without_workspaces_nothing_is_asked_for) {
+  world here;
+  here.AddServer("i-1", here.first.address());
+  here.added_fields = {{"X-Tenant", "choir"}};
+  BOOST_TEST(here.Ask("/once/").status == 200);
+  BOOST_TEST(here.first.requests.back().count("X-Tenant") == 0u);
+}
+
+BOOST_AUTO_TEST_CASE(a_host_that_cannot_tell_says_so_and_not_that_a_key_is_bad) {
+  keyed_world here;
+  const caller_fields good{{"Api-Key", "key-one"}};
+  const caller_fields unknown{{"Api-Key", "key-new"}};
+  here.BeCertainAsOf(4s);
+  BOOST_TEST(here.AskAs(good).status == 200);
+  const seen_answer early = here.AskAs(unknown);
+  BOOST_TEST(early.status == 503);
+  BOOST_TEST(!early.fields[http::field::retry_after].empty());
+  here.BeCertainAsOf(5s);
+  BOOST_TEST(here.AskAs(good).status == 503);
+  BOOST_TEST(here.first.requests.size() == 1u);
+  here.core->certainty.complete_as_of.reset();
+  BOOST_TEST(here.AskAs(good).status == 503);
+  here.BeCertainAsOf(0s);
+  BOOST_TEST(here.AskAs(good).status == 200);
+}
+
+BOOST_AUTO_TEST_CASE(a_workspaces_rank_goes_before_its_routes) {
+  keyed_world here;
+  here.AddEngine(1s);
+  here.configuration.routes.front().priority = 2;
+  host::known_server& engine = *here.core->servers.Find("i-1");
+  engine.facts[host::KeyOf("m")] = {true, std::chrono::steady_clock::now()};
+  BOOST_TEST(here.AskAs({{"Api-Key", "key-one"}}).status == 200);
+  BOOST_TEST(here.first.requests.back()["X-Request-Priority"] == "7");
+  BOOST_TEST(here.AskAs({{"Api-Key", "key-three"}}).status == 200);
+  BOOST_TEST(here.first.requests.back()["X-Request-Priority"] == "2");
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace
