Limits of workspaces over all hosts: one owner each, asked for each request

So an owner by rendezvous, hosts with wide links first.

Hence: hosts go on for two seconds of what they were given, doubted owners are passed over, owners that start give something after 0.35 s without a new member, and a host is certain of keys by its own full reading.

--- a/src/host/dialect.h
+++ b/src/host/dialect.h
@@ -44,8 +44,9 @@
   // What the caller shows to belong to a workspace: a secret, so it goes to no
   // server, log or metric. Empty if there is none or more than one.
   std::string key;
-  // It says how many tokens it has.
-  bool tells_tokens = false;
+  // All tokens of the request, prompt and answer, as it says; nothing if it
+  // does not.
+  std::optional<std::int64_t> told_tokens;
 };
 
 // What an attempt at a backend server adds to the caller's request.
--- a/src/host/process/barrier_duty.cc
+++ b/src/host/process/barrier_duty.cc
@@ -70,10 +70,8 @@
 
 bool barrier_duty::IsUncertain() const {
   const auto& bound = core_.settings.keys.revoked_within;
-  if (core_.configuration == nullptr || !core_.configuration->needs_keys ||
-      !bound) {
+  if (!NeedsKeys() || !bound)
     return false;
-  }
   const auto age = decisions::AgeOf(core_.certainty, boot_clock::now());
   return decisions::JudgeKey(true, age, core_.settings.keys) !=
          decisions::key_verdict::kGood;
@@ -81,6 +79,19 @@
 
 void barrier_duty::NoteRevision() {
   decisions::NoteRevision(core_.certainty, links_.revision());
+  // A host that has just got its first copy serves nobody until it is certain.
+  if (NeedsKeys() && !has_asked_)
+    Ask();
+}
+
+void barrier_duty::NoteComplete(decisions::boot_time asked) {
+  const std::int64_t revision = links_.revision();
+  decisions::NoteReading(core_.certainty, {asked, revision}, revision,
+                         boot_clock::now());
+}
+
+bool barrier_duty::NeedsKeys() const {
+  return core_.configuration != nullptr && core_.configuration->needs_keys;
 }
 
 wire::store_reading barrier_duty::MakeQuestion() const {
@@ -147,6 +158,7 @@
 }
 
 void barrier_duty::Ask() {
+  has_asked_ = true;
   const auto now = boot_clock::now();
   const auto unanswered = now - answered_at_;
   const std::vector<base::endpoint> readers = links_.readers();
@@ -185,8 +197,7 @@
   std::uniform_int_distribution<std::int64_t> any(-kAskSpread.count(),
                                                   kAskSpread.count());
   while (true) {
-    const bool needed =
-        core_.configuration != nullptr && core_.configuration->needs_keys;
+    const bool needed = NeedsKeys();
     if (needed)
       Ask();
     TellCertainty();
--- a/src/host/process/barrier_duty.h
+++ b/src/host/process/barrier_duty.h
@@ -59,6 +59,8 @@
   void TakeReading(const wire::store_reading& reading);
   // More of the store is here than before.
   void NoteRevision();
+  // All that the store held when this host asked for it is here.
+  void NoteComplete(decisions::boot_time asked);
 
   // Whether keys are needed and this host cannot tell which are good.
   bool IsUncertain() const;
@@ -70,6 +72,7 @@
     wire::store_reading reading;
   };
 
+  bool NeedsKeys() const;
   boost::asio::awaitable<void> Loop();
   // Asks the readers whose turn it is.
   void Ask();
@@ -90,6 +93,7 @@
   decisions::boot_time answered_at_;
   std::vector<question> waiting_;
   bool is_reading_ = false;
+  bool has_asked_ = false;
   std::optional<decisions::boot_time> read_failed_at_;
   bool was_uncertain_ = false;
 };
--- a/src/host/process/host_core.h
+++ b/src/host/process/host_core.h
@@ -72,6 +72,15 @@
   std::optional<base::time_point> stops_at;
   // What this host has under way at a server has changed; tells the others.
   std::function<void(const known_server& server)> use_changed;
+  // Takes what a request counts from the limit of its workspace; the reason why
+  // it may not be sent.
+  std::function<boost::asio::awaitable<base::result<void>>(
+      std::string workspace,
+      double count)>
+      take_limit;
+  // A request that was taken from a limit has not run, and never will.
+  std::function<void(const std::string& workspace, double count)>
+      give_limit_back;
   // Has an adapter loaded by the holder of the lease; the instance that holds
   // it then, or the reason why none does.
   std::function<boost::asio::awaitable<base::result<std::string>>(
--- a/src/host/process/peer_link.cc
+++ b/src/host/process/peer_link.cc
@@ -114,8 +114,12 @@
     if (found == gossip_.others.end() || found->second.record.health == dead)
       dead_.push_back(name);
   }
-  if (!events.changed.empty())
+  if (!events.changed.empty()) {
+    const std::int64_t serving = CountServing();
+    if (serving > std::exchange(serving_, serving))
+      events_.joined();
     events_.members();
+  }
   if (events.newer_table_at) {
     events_.newer_copy(*events.newer_table_at,
                        events.newer_table_zone == gossip_.self.zone);
@@ -155,6 +159,23 @@
   return out;
 }
 
+std::optional<base::endpoint> peer_link::FirstSound(const std::string& subject,
+                                                    std::int32_t prefers) {
+  // More of them than this are hardly doubted at a time.
+  constexpr std::size_t kLooked = 4;
+  const auto alive =
+      static_cast<std::int32_t>(membership::member_health::kAlive);
+  for (const std::string& id :
+       membership::ChosenMembers(gossip_, {subject, {}, kLooked, prefers})) {
+    if (id == gossip_.self.id)
+      return listen_;
+    const auto known = gossip_.others.find(id);
+    if (known != gossip_.others.end() && known->second.record.health == alive)
+      return known->second.address;
+  }
+  return std::nullopt;
+}
+
 void peer_link::AnnounceLeaving() {
   Publish(membership::AnnounceLeaving(gossip_, random_));
 }
@@ -181,6 +202,13 @@
   return others + (membership::TakesWork(gossip_.self) ? 1 : 0);
 }
 
+double peer_link::SeenPart() const {
+  const auto known = std::ranges::count_if(
+      gossip_.others,
+      [](const auto& each) { return !each.second.record.leaving; });
+  return static_cast<double>(CountServing()) / static_cast<double>(known + 1);
+}
+
 std::vector<std::string> peer_link::TakeDead() {
   return std::exchange(dead_, {});
 }
--- a/src/host/process/peer_link.h
+++ b/src/host/process/peer_link.h
@@ -8,6 +8,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <random>
 #include <string>
 #include <string_view>
@@ -32,6 +33,8 @@
   std::function<void(const membership::direct_record& record)> told;
   // A member came, left or changed its health.
   std::function<void()> members;
+  // A host that was not known before takes requests.
+  std::function<void()> joined;
   // This peer's copy of the store is newer than ours; whether it is of this
   // host's availability zone.
   std::function<void(const base::endpoint& peer, bool same_zone)> newer_copy;
@@ -64,6 +67,10 @@
   std::vector<base::endpoint> ChosenAddresses(const std::string& subject,
                                               std::size_t count,
                                               std::int32_t prefers = 0);
+  // The address of the first that is chosen for a subject and that nobody takes
+  // for dead or doubts; nothing if there is none.
+  std::optional<base::endpoint> FirstSound(const std::string& subject,
+                                           std::int32_t prefers);
   void AnnounceLeaving();
   // This host's copy of the store has this revision.
   void AnnounceRevision(std::int64_t revision);
@@ -73,6 +80,9 @@
 
   // Hosts that take requests, this one included.
   std::int64_t CountServing() const;
+  // Hosts that take requests, as a part of those that have been known lately,
+  // but for those that left by themselves.
+  double SeenPart() const;
   // Names of hosts that were found dead since the last call.
   std::vector<std::string> TakeDead();
 
@@ -110,6 +120,7 @@
   net::rpc_channel_set copies_;
   net::rpc_server calls_;
   std::vector<std::string> dead_;
+  std::int64_t serving_ = 1;
 };
 
 }  // namespace valeledge::host
--- a/src/host/process/store_mirror.cc
+++ b/src/host/process/store_mirror.cc
@@ -230,6 +230,7 @@
 asio::awaitable<bool> store_mirror::ReadAll() {
   store::kv_transaction read;
   read.on_success.push_back(store::GetPrefix(prefix_));
+  const auto asked = base::boot_clock::now();
   const auto answer = co_await store_.Run(std::move(read));
   NoteAnswered(answer.has_value());
   if (!answer)
@@ -238,6 +239,7 @@
   for (const store::kv_pair& pair : answer->results.front().pairs)
     values[pair.key] = {pair.value, pair.mod_revision, {}};
   Replace(std::move(values), answer->revision);
+  events_.complete(asked);
   co_return true;
 }
 
--- a/src/host/process/store_mirror.h
+++ b/src/host/process/store_mirror.h
@@ -13,6 +13,7 @@
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
 
+#include "base/boot_clock.h"
 #include "base/duration.h"
 #include "decisions/answer_age.h"
 #include "store/kv_client.h"
@@ -36,6 +37,8 @@
   std::function<void(const std::string& key, const std::string& value)> put;
   // `lapsed`: the store has been in trouble, and the key's owner may live.
   std::function<void(const std::string& key, bool lapsed)> removed;
+  // All that the store held when it was asked at this time is here.
+  std::function<void(base::boot_clock::time_point asked)> complete;
   // The mirror has a newer revision than before.
   std::function<void(std::int64_t revision)> advanced;
 };
--- a/src/host/request/relay.cc
+++ b/src/host/request/relay.cc
@@ -16,6 +16,7 @@
 #include "host/request/ending_watch.h"
 #include "host/request/event_splitter.h"
 #include "host/request/final_answers.h"
+#include "host/request/limit_charge.h"
 #include "host/request/routed_request.h"
 #include "host/request/server_search.h"
 #include "host/request/server_visit.h"
@@ -81,6 +82,7 @@
   ending_watch ending_;
   routed_request routed_;
   std::shared_ptr<net::open_guard> guard_;
+  std::unique_ptr<limit_charge> charge_;
   int sends_ = 0;
   std::int64_t runs_ = 0;
   // The head has gone to the caller.
@@ -461,6 +463,12 @@
     co_await Fail(*held);
     co_return;
   }
+  charge_ = std::make_unique<limit_charge>(core_, routed_);
+  const auto within = co_await charge_->Take();
+  if (!within) {
+    co_await Fail(within.error());
+    co_return;
+  }
   bool ran = false;
   while (true) {
     auto choice =
@@ -479,6 +487,8 @@
       co_return;
     }
     const attempt_end end = co_await Attempt(*choice);
+    if (end == attempt_end::kDone)
+      charge_->Keep();
     if (end == attempt_end::kDone || responder_.caller_gone()) {
       NoteEnd(*choice);
       co_return;
@@ -486,6 +496,8 @@
     if (end == attempt_end::kUnknown) {
       ending_.AttemptFailed(routed_, *choice->server, progress_, last_error_);
     }
+    if (end == attempt_end::kUnknown)
+      charge_->Keep();
     ran = ran || end == attempt_end::kUnknown;
     if (!MayGoOn(end))
       break;
--- a/src/wire/messages.thrift
+++ b/src/wire/messages.thrift
@@ -307,6 +307,19 @@
   3: i64 revision,
 }
 
+// Asks the owner of a workspace's limit for a request.
+struct limit_question {
+  1: string workspace,
+  // What the request counts; negative: a request that was granted has not run.
+  2: double count,
+}
+
+struct limit_reply {
+  // 0: granted, 1: beyond the limit, 2: this host does not own the limit.
+  1: i32 verdict,
+  2: i64 retry_after_us,
+}
+
 struct acknowledgement {
   1: i32 code,
 }
@@ -329,4 +342,6 @@
   21: optional adapter_reply adapter,
   22: optional mirror_request mirror_wanted,
   23: optional mirror_copy mirror,
+  24: optional limit_question limit_wanted,
+  25: optional limit_reply limit,
 }
--- a/tests/auto/decisions/test_key_certainty.cc
+++ b/tests/auto/decisions/test_key_certainty.cc
@@ -82,9 +82,8 @@
   for (int play = 0; play < 300; ++play) {
     std::uniform_int_distribution<int> delay(0, play % 2 == 0 ? 20 : 9000);
     std::uniform_int_distribution<int> any(0, 9);
-    const auto revoked_at =
-        std::chrono::milliseconds(std::uniform_int_distribution(0, 20'000)(
-            random));
+    const auto revoked_at = std::chrono::milliseconds(
+        std::uniform_int_distribution(0, 20'000)(random));
     // The store's revision rises from 1 to 2 as the key goes.
     const auto revision_at = [&](std::chrono::milliseconds when) {
       return when >= revoked_at ? 2 : 1;
--- /dev/null
+++ b/tests/auto/decisions/test_workspace_limit.cc
@@ -0,0 +1,170 @@
+// SPDX-License-Identifier: MIT
+#include "decisions/workspace_limit.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include "limit_world.h"
+
+namespace {
+
+using namespace valeledge;
+using namespace valeledge::decisions;
+using namespace valeledge::test;
+using namespace std::chrono_literals;
+using std::chrono::milliseconds;
+
+const base::time_point kStart = base::time_point() + 1h;
+
+catalog::workspace_limit Limit(double rate, double burst) {
+  catalog::workspace_limit out;
+  out.unit = catalog::limit_unit::kTokens;
+  out.rate = rate;
+  out.burst = burst;
+  out.plain_tokens = 200;
+  return out;
+}
+
+BOOST_AUTO_TEST_SUITE(workspace_limits)
+
+BOOST_AUTO_TEST_CASE(requests_count_by_their_unit) {
+  catalog::workspace_limit limit = Limit(100, 100);
+  BOOST_TEST(CountOf(limit, 1540) == 1540);
+  BOOST_TEST(CountOf(limit, {}) == 200);
+  // No caller adds to its limit.
+  BOOST_TEST(CountOf(limit, -5000) == 0);
+  limit.unit = catalog::limit_unit::kRequests;
+  BOOST_TEST(CountOf(limit, 1540) == 1);
+}
+
+BOOST_AUTO_TEST_CASE(an_owner_gives_rate_and_burst_once_it_has_settled) {
+  const auto limit = Limit(1000, 2000);
+  limit_account account = OpenAccount(limit, kStart);
+  BOOST_TEST((TakeFrom(account, limit, 1, 100, kStart + 100ms).verdict ==
+              limit_verdict::kNotOwned));
+  double given = 0;
+  for (auto now = 400ms; now < 10s; now += 1ms) {
+    if (TakeFrom(account, limit, 1, 50, kStart + now).verdict ==
+        limit_verdict::kGranted)
+      given += 50;
+  }
+  // What it began with, and the rate since.
+  BOOST_TEST(given <= 200 + 1000 * 10);
+  BOOST_TEST(given >= 200 + 1000 * 9.9);
+}
+
+BOOST_AUTO_TEST_CASE(a_part_of_the_hosts_gets_that_part) {
+  const auto limit = Limit(1000, 1000);
+  limit_account account = OpenAccount(limit, kStart);
+  double given = 0;
+  for (auto now = 400ms; now < 8s; now += 1ms) {
+    if (TakeFrom(account, limit, 0.25, 10, kStart + now).verdict ==
+        limit_verdict::kGranted)
+      given += 10;
+  }
+  BOOST_TEST(given <= 100 + 250 * 8);
+}
+
+BOOST_AUTO_TEST_CASE(a_request_above_the_burst_passes_when_nothing_else_does) {
+  const auto limit = Limit(100, 500);
+  limit_account account = OpenAccount(limit, kStart);
+  BOOST_TEST((TakeFrom(account, limit, 1, 900, kStart + 400ms).verdict ==
+              limit_verdict::kExceeded));
+  BOOST_TEST((TakeFrom(account, limit, 1, 900, kStart + 10s).verdict ==
+              limit_verdict::kGranted));
+  BOOST_TEST((TakeFrom(account, limit, 1, 10, kStart + 13s).verdict ==
+              limit_verdict::kExceeded));
+}
+
+BOOST_AUTO_TEST_CASE(a_lowered_limit_holds_from_then_on) {
+  limit_account account = OpenAccount(Limit(1000, 8000), kStart);
+  TakeFrom(account, Limit(1000, 8000), 1, 0, kStart + 9s);
+  double given = 0;
+  for (auto now = 9s + 0ms; now < 17s; now += 1ms) {
+    if (TakeFrom(account, Limit(100, 100), 1, 10, kStart + now).verdict ==
+        limit_verdict::kGranted)
+      given += 10;
+  }
+  BOOST_TEST(given <= 100 + 100 * 8);
+}
+
+BOOST_AUTO_TEST_CASE(those_who_are_refused_come_back_one_after_the_other) {
+  const auto limit = Limit(1000, 1000);
+  limit_account account = OpenAccount(limit, kStart);
+  const auto now = kStart + 5s;
+  TakeFrom(account, limit, 1, 1000, now);
+  auto last = 0ms;
+  for (int i = 0; i < 20; ++i) {
+    const auto refused = TakeFrom(account, limit, 1, 100, now);
+    BOOST_REQUIRE((refused.verdict == limit_verdict::kExceeded));
+    BOOST_TEST((refused.retry_after - last >= 100ms));
+    last = refused.retry_after;
+  }
+  for (int i = 0; i < 2000; ++i)
+    TakeFrom(account, limit, 1, 100, now);
+  BOOST_TEST((TakeFrom(account, limit, 1, 100, now).retry_after <= 30s));
+}
+
+BOOST_AUTO_TEST_CASE(what_did_not_run_is_given_back) {
+  const auto limit = Limit(1, 1000);
+  limit_account account = OpenAccount(limit, kStart);
+  account.bucket.level = 1000;
+  const auto now = kStart + 1s;
+  BOOST_TEST((TakeFrom(account, limit, 1, 1000, now).verdict ==
+              limit_verdict::kGranted));
+  GiveBack(account, 1000);
+  BOOST_TEST((TakeFrom(account, limit, 1, 1000, now).verdict ==
+              limit_verdict::kGranted));
+  GiveBack(account, 50'000);
+  BOOST_TEST(account.bucket.level <= 1000);
+  GiveBack(account, -1);
+  BOOST_TEST(account.bucket.level == 1000);
+}
+
+BOOST_AUTO_TEST_CASE(without_its_owner_a_host_goes_on_for_a_moment) {
+  limit_allowance allowance;
+  BOOST_TEST(!TakeWithoutOwner(allowance, 10, 0.5, kStart));
+  for (auto now = 0ms; now < 10s; now += 10ms)
+    NoteGranted(allowance, 10, kStart + now);
+  double given = 0;
+  for (auto now = 10s + 0ms; now < 20s; now += 1ms)
+    given += TakeWithoutOwner(allowance, 10, 1, kStart + now) ? 10 : 0;
+  // It was given 1,000 a second.
+  BOOST_TEST(given >= 1900);
+  BOOST_TEST(given <= 2100);
+}
+
+// A limit over 69 hosts, of which a workspace with a large and one with a small
+// limit ask for 7.5 times their usual.
+BOOST_AUTO_TEST_CASE(a_hot_workspace_uses_its_limit_and_no_more) {
+  for (const double rate : {5000.0, 300'000.0}) {
+    limit_day day;
+    day.limit = Limit(rate, rate);
+    day.usual = 0.45;
+    day.hot = 7.5;
+    const limit_outcome seen = PlayOwner(day);
+    BOOST_TEST(seen.worst_overrun <= 1.0);
+    BOOST_TEST(seen.used_when_hot >= 0.97);
+    BOOST_TEST(seen.refused_below <= 0.005);
+  }
+}
+
+// What must hold whatever happens to the owner and between the hosts: never
+// more than what operators allow in any window of 8 s.
+BOOST_AUTO_TEST_CASE(no_trouble_overruns_a_limit) {
+  for (const limit_trouble trouble :
+       {limit_trouble::kCutThird, limit_trouble::kOwnerKilled,
+        limit_trouble::kOwnerFrozen, limit_trouble::kAllRestarted}) {
+    for (const int hosts : {69, 300}) {
+      limit_day day;
+      day.hosts = hosts;
+      day.limit = Limit(100'000, 100'000);
+      day.hot = 7.5;
+      day.trouble = trouble;
+      BOOST_TEST(PlayOwner(day).worst_overrun <= 1.0);
+    }
+  }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace
--- a/tests/auto/host/mirror_world.h
+++ b/tests/auto/host/mirror_world.h
@@ -27,7 +27,7 @@
                 [this](const auto& key, bool lapsed) {
                   removed.emplace_back(key, lapsed);
                 },
-                [](std::int64_t) {}}) {}
+                [](auto) {}, [](std::int64_t) {}}) {}
 
   // Runs until `done`, which an event of the mirror brings about.
   void RunUntil(const std::function<bool()>& done) {
--- a/tests/auto/host/test_caller_keys.cc
+++ b/tests/auto/host/test_caller_keys.cc
@@ -136,7 +136,8 @@
   BOOST_TEST(here.first.requests.back().count("X-Tenant") == 0u);
 }
 
-BOOST_AUTO_TEST_CASE(a_host_that_cannot_tell_says_so_and_not_that_a_key_is_bad) {
+BOOST_AUTO_TEST_CASE(
+    a_host_that_cannot_tell_says_so_and_not_that_a_key_is_bad) {
   keyed_world here;
   const caller_fields good{{"Api-Key", "key-one"}};
   const caller_fields unknown{{"Api-Key", "key-new"}};
--- a/tests/auto/host/test_copy_spread.cc
+++ b/tests/auto/host/test_copy_spread.cc
@@ -212,7 +212,7 @@
   host::store_mirror mirror(
       context, store, "",
       {[] { return false; }, [](const auto&, const auto&) {},
-       [](const auto&, bool) {}, [](std::int64_t) {}});
+       [](const auto&, bool) {}, [](auto) {}, [](std::int64_t) {}});
   wire::mirror_copy read;
   read.revision = 2;
   read.whole = true;
