Doubts about a host travel at once; a limit's owner that is silent is probed next

News of a doubt travelled with probes, one a second. Now it is sent on at once, and who waits for a host has it probed next. Readings of the store for keys no longer wait for one that is not answered: a store that was silent for 4.5 s was found well up to 1.5 s late. Ruled out: a second owner beside the first, which overruns the limit when only some hosts cannot reach the first.

--- a/src/host/process/barrier_duty.cc
+++ b/src/host/process/barrier_duty.cc
@@ -120,29 +120,28 @@
 
 void barrier_duty::Await(question asked) {
   waiting_.push_back(std::move(asked));
-  if (std::exchange(is_reading_, true))
+  if (std::exchange(is_gathering_, true))
     return;
   asio::co_spawn(core_.context, Read(), asio::detached);
 }
 
+// One that is not answered does not keep the next from being sent: a store that
+// was silent answers nothing on connections from before.
 asio::awaitable<void> barrier_duty::Read() {
-  asio::steady_timer timer(core_.context);
-  while (!waiting_.empty()) {
-    // At once if this host knows nothing yet: nobody is served meanwhile.
-    if (core_.certainty.complete_as_of) {
-      timer.expires_after(kGather);
-      co_await timer.async_wait(kAwait);
-    }
-    const std::vector<question> asked = std::exchange(waiting_, {});
-    store::kv_transaction read;
-    read.on_success.push_back(store::Get(std::string(store::kLeaderKey)));
-    const auto found = co_await store_.Run(std::move(read));
-    if (found && found->revision > 0)
-      Answer(asked, found->revision);
-    else
-      read_failed_at_ = boot_clock::now();
+  // At once if this host knows nothing yet: nobody is served meanwhile.
+  if (core_.certainty.complete_as_of) {
+    asio::steady_timer timer(core_.context, kGather);
+    co_await timer.async_wait(kAwait);
   }
-  is_reading_ = false;
+  is_gathering_ = false;
+  const std::vector<question> asked = std::exchange(waiting_, {});
+  store::kv_transaction read;
+  read.on_success.push_back(store::Get(std::string(store::kLeaderKey)));
+  const auto found = co_await store_.Run(std::move(read));
+  if (found && found->revision > 0)
+    Answer(asked, found->revision);
+  else
+    read_failed_at_ = boot_clock::now();
 }
 
 void barrier_duty::Answer(const std::vector<question>& asked,
--- a/src/host/process/barrier_duty.h
+++ b/src/host/process/barrier_duty.h
@@ -92,7 +92,7 @@
   std::size_t turn_ = 0;
   decisions::boot_time answered_at_;
   std::vector<question> waiting_;
-  bool is_reading_ = false;
+  bool is_gathering_ = false;
   bool has_asked_ = false;
   std::optional<decisions::boot_time> read_failed_at_;
   bool was_uncertain_ = false;
--- a/src/host/process/host.cc
+++ b/src/host/process/host.cc
@@ -193,7 +193,8 @@
                   wire::envelope call,
                   std::chrono::microseconds timeout) {
              return peers_.Call(std::move(where), std::move(call), timeout);
-           }}),
+           },
+           [this](const base::endpoint& owner) { peers_.Doubt(owner); }}),
       lease_(
           context,
           *store_,
--- a/src/host/process/limit_duty.cc
+++ b/src/host/process/limit_duty.cc
@@ -141,6 +141,8 @@
   call.__set_limit_wanted(std::move(question));
   const auto reply =
       co_await links_.call(*owner, std::move(call), kOwnerTimeout);
+  if (!reply)
+    links_.doubt(*owner);
   if (!reply || !reply->__isset.limit)
     co_return std::nullopt;
   co_return reply->limit;
--- a/src/host/process/limit_duty.h
+++ b/src/host/process/limit_duty.h
@@ -31,6 +31,8 @@
       wire::envelope call,
       std::chrono::microseconds timeout)>
       call;
+  // An owner did not answer.
+  std::function<void(const base::endpoint& owner)> doubt;
 };
 
 class limit_duty {
--- a/src/host/process/peer_link.cc
+++ b/src/host/process/peer_link.cc
@@ -176,6 +176,10 @@
   return std::nullopt;
 }
 
+void peer_link::Doubt(const base::endpoint& where) {
+  membership::ProbeNext(gossip_, where);
+}
+
 void peer_link::AnnounceLeaving() {
   Publish(membership::AnnounceLeaving(gossip_, random_));
 }
--- a/src/host/process/peer_link.h
+++ b/src/host/process/peer_link.h
@@ -71,6 +71,8 @@
   // for dead or doubts; nothing if there is none.
   std::optional<base::endpoint> FirstSound(const std::string& subject,
                                            std::int32_t prefers);
+  // A host did not answer in time, and is looked at next.
+  void Doubt(const base::endpoint& where);
   void AnnounceLeaving();
   // This host's copy of the store has this revision.
   void AnnounceRevision(std::int64_t revision);
--- a/src/membership/gossip.cc
+++ b/src/membership/gossip.cc
@@ -182,7 +182,11 @@
   }
   AddRumor(state, heard.id, true);
   events.changed.push_back(heard.id);
-  return known.record.leaving && !before.leaving;
+  // Who waits for a process that has ended should learn of it at once, and of
+  // one that was doubted wrongly as well.
+  const bool doubted = known.record.health != before.health &&
+                       known.record.incarnation == before.incarnation;
+  return (known.record.leaving && !before.leaving) || doubted;
 }
 
 void HearOfRecord(gossip_state& state,
@@ -216,13 +220,16 @@
 
 void EndProbe(gossip_state& state,
               base::time_point now,
+              random_source& random,
               gossip_events& events) {
   const auto probed = std::exchange(state.probing, std::nullopt);
   const auto found = state.others.find(probed->target);
   if (found == state.others.end() || IsDead(found->second))
     return;
-  if (!IsSuspect(found->second))
-    SetHealth(state, found->second, member_health::kSuspect, now, events);
+  if (IsSuspect(found->second))
+    return;
+  SetHealth(state, found->second, member_health::kSuspect, now, events);
+  SpreadAtOnce(state, events, random);
 }
 
 void ContinueProbe(gossip_state& state,
@@ -232,7 +239,7 @@
   detail::probe& probed = *state.probing;
   const auto waited = now - probed.sent;
   if (waited >= state.settings.probe_interval) {
-    EndProbe(state, now, events);
+    EndProbe(state, now, random, events);
     return;
   }
   if (probed.indirect || waited < state.settings.probe_timeout)
@@ -394,6 +401,17 @@
   return events;
 }
 
+void ProbeNext(gossip_state& state, const base::endpoint& address) {
+  for (const auto& [id, each] : state.others) {
+    if (each.address != address || IsDead(each))
+      continue;
+    const bool under_way = state.probing && state.probing->target == id;
+    if (!under_way)
+      state.probe_order.push_back(id);
+    return;
+  }
+}
+
 gossip_events AnnounceLeaving(gossip_state& state, random_source& random) {
   gossip_events events;
   const member before = state.self;
--- a/src/membership/gossip.h
+++ b/src/membership/gossip.h
@@ -173,6 +173,10 @@
                       base::time_point now,
                       random_source& random);
 
+// The process at this address did not answer a call: it is the next to be
+// probed.
+void ProbeNext(gossip_state& state, const base::endpoint& address);
+
 // This process takes no new work from now on; cannot be unsaid.
 gossip_events AnnounceLeaving(gossip_state& state, random_source& random);
 
--- a/tests/auto/host/test_limit_duty.cc
+++ b/tests/auto/host/test_limit_duty.cc
@@ -55,6 +55,7 @@
       reply.__set_limit(answer);
       co_return reply;
     };
+    links.doubt = [this](const base::endpoint& at) { doubted.push_back(at); };
     duty = std::make_unique<host::limit_duty>(*core, std::move(links));
   }
 
@@ -78,6 +79,7 @@
   bool answers = true;
   wire::limit_reply answer;
   std::vector<wire::limit_question> calls;
+  std::vector<base::endpoint> doubted;
   std::unique_ptr<host::limit_duty> duty;
 };
 
@@ -109,6 +111,8 @@
     taken += here.Take().has_value() ? 1 : 0;
   BOOST_TEST(taken >= 80);
   BOOST_TEST(taken <= 101);
+  BOOST_REQUIRE(!here.doubted.empty());
+  BOOST_TEST((here.doubted.front() == kOther));
   const auto refused = here.Take();
   BOOST_REQUIRE(!refused.has_value());
   BOOST_TEST((refused.error().code == base::result_code::kNoLimitOwner));
