Places of plain services, dealt out by one host for each service

One host, by rendezvous, deals out the places; a request waits with it, and is refused at once if it would wait for over half of what its work leaves of the objective. Without an answer of that host each chooses as before.

--- /dev/null
+++ b/src/decisions/place_ledger.h
@@ -0,0 +1,95 @@
+// SPDX-License-Identifier: MIT
+// Which server of a plain service gets the next request, where one host deals
+// out the places of all servers.
+//
+// Answers the load at which servers are nearly full: hosts that each know a few
+// requests of their own send to servers whose places are taken, and are turned
+// away, or wait there behind others for longer than callers do. The host that
+// deals knows all that is under way. A request waits with it, the one that is
+// due first before the others, and is refused at once if there will be no place
+// in time.
+#ifndef VALELEDGE_DECISIONS_PLACE_LEDGER_H_
+#define VALELEDGE_DECISIONS_PLACE_LEDGER_H_
+
+#include <chrono>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "base/duration.h"
+
+namespace valeledge::decisions {
+
+// A server whose places are dealt out.
+struct dealt_server {
+  std::int64_t slots = 1;
+  // When each place that was given falls back if nobody gives it back, by the
+  // number under which it was given.
+  std::map<std::int64_t, base::time_point> taken;
+};
+
+// A request that waits for a place.
+struct place_wish {
+  std::int64_t number = 0;
+  std::int64_t priority = 0;
+  // Without a place by then it is not worth sending.
+  base::time_point due;
+  // Servers that it should not get.
+  std::vector<std::string> avoid;
+};
+
+// All places of one service. Changed only by the functions below.
+struct place_ledger {
+  std::map<std::string, dealt_server, std::less<>> servers;
+  std::vector<place_wish> waiting;
+  // How long a place is taken, smoothed.
+  std::chrono::duration<double, std::milli> usual{60};
+  std::int64_t last_number = 0;
+};
+
+// A place that has been given.
+struct dealt_place {
+  std::int64_t number = 0;
+  std::string server;
+};
+
+// The servers that may be used now; those that are missing get nothing more.
+void SetServers(place_ledger& ledger,
+                const std::map<std::string, std::int64_t>& slots);
+
+// How long a request waits at the most that has so much time left: half of what
+// its own work leaves, since the work of some takes much longer than usual. A
+// longer queue serves no more, and what it serves comes late.
+std::chrono::milliseconds PatienceOf(const place_ledger& ledger,
+                                     std::chrono::milliseconds left);
+
+// How long a request that comes now will wait for a place; nothing if there is
+// no server at all.
+std::optional<std::chrono::milliseconds> ExpectedWait(
+    const place_ledger& ledger,
+    std::int64_t priority);
+
+// Adds a request that waits; its number.
+std::int64_t AddWish(place_ledger& ledger, place_wish wish);
+
+// Gives free places to those who wait, the more urgent first, of the same rank
+// the one that is due first. Each server is given one request more than it has
+// slots, which begins as soon as one ends.
+std::vector<dealt_place> Deal(place_ledger& ledger, base::time_point now);
+
+// Drops those who are due, and takes back places that nobody gave back.
+// Numbers of those who were dropped.
+std::vector<std::int64_t> Expire(place_ledger& ledger, base::time_point now);
+
+// A place is free again. `took`: how long it was taken by a request that ran.
+void GiveBackPlace(
+    place_ledger& ledger,
+    const std::string& server,
+    std::int64_t number,
+    std::optional<std::chrono::duration<double, std::milli>> took);
+
+}  // namespace valeledge::decisions
+
+#endif  // VALELEDGE_DECISIONS_PLACE_LEDGER_H_
--- a/src/host/host_settings.h
+++ b/src/host/host_settings.h
@@ -58,6 +58,10 @@
   // How soon what operators change of keys is in force.
   decisions::key_bounds keys;
 
+  // One host for each plain service deals out the places of its servers; else
+  // each host chooses by what it knows.
+  bool deals_places = true;
+
   // Loads from the weight store are counted over this window.
   std::chrono::milliseconds load_window{5000};
 };
--- a/src/host/process/host.cc
+++ b/src/host/process/host.cc
@@ -19,6 +19,7 @@
 #include "host/process/host_core.h"
 #include "host/process/limit_duty.h"
 #include "host/process/peer_link.h"
+#include "host/process/place_duty.h"
 #include "host/process/placement_duty.h"
 #include "host/process/quarantine_duty.h"
 #include "host/process/reload_duty.h"
@@ -63,6 +64,9 @@
 // Owns the limit of the workspace that follows.
 constexpr std::string_view kLimitDuty = "limit/";
 
+// Deals out the places of the plain service that follows.
+constexpr std::string_view kPlaceDuty = "places/";
+
 // Stands for an age that is not known.
 constexpr std::int32_t kUnknownAge = -1;
 
@@ -124,6 +128,7 @@
   quarantine_duty quarantine_;
   barrier_duty barrier_;
   limit_duty limits_;
+  place_duty places_;
   store::lease_keeper lease_;
   placement_duty placement_;
   net::http_server callers_;
@@ -195,6 +200,17 @@
              return peers_.Call(std::move(where), std::move(call), timeout);
            },
            [this](const base::endpoint& owner) { peers_.Doubt(owner); }}),
+      places_(core_,
+              {[this](const std::string& service) {
+                 return peers_.FirstSound(std::string(kPlaceDuty) + service,
+                                          membership::kWideLink);
+               },
+               [this](base::endpoint where,
+                      wire::envelope call,
+                      std::chrono::microseconds timeout) {
+                 return peers_.Call(std::move(where), std::move(call), timeout);
+               },
+               [this](const base::endpoint& dealer) { peers_.Doubt(dealer); }}),
       lease_(
           context,
           *store_,
@@ -280,6 +296,11 @@
   core_.give_limit_back = [this](const std::string& workspace, double count) {
     limits_.GiveBack(workspace, count);
   };
+  if (core_.settings.deals_places) {
+    core_.take_place = [this](place_request wanted) {
+      return places_.Take(std::move(wanted));
+    };
+  }
   core_.want_adapter = [this](std::string service, std::string model,
                               std::string adapter, milliseconds timeout) {
     return placement_.WantAdapter(std::move(service), std::move(model),
@@ -482,6 +503,12 @@
     reply = copies_.Give(call.mirror_wanted);
   } else if (call.__isset.limit_wanted) {
     reply.__set_limit(limits_.Answer(call.limit_wanted));
+  } else if (call.__isset.place_wanted) {
+    const auto place = co_await places_.Answer(std::move(call.place_wanted));
+    reply.__set_place(place);
+  } else if (call.__isset.place_ended) {
+    places_.TakeBack(call.place_ended);
+    reply.__set_done({});
   } else if (call.__isset.adapter_wanted) {
     const auto adapter =
         co_await placement_.AnswerAdapter(std::move(call.adapter_wanted));
@@ -516,6 +543,7 @@
     core_.servers.Sweep(now);
     core_.demand.Roll(now);
     limits_.Roll(now);
+    places_.Roll(now);
     quarantine_.TellAgain();
     core_.log.TellLeftOut();
     if (now - flushed >= kLogDelay) {
--- a/src/host/process/host_core.h
+++ b/src/host/process/host_core.h
@@ -22,6 +22,7 @@
 #include "decisions/retry_window.h"
 #include "host/dialect.h"
 #include "host/host_settings.h"
+#include "host/process/dealt_place.h"
 #include "host/process/demand_meter.h"
 #include "host/process/request_log.h"
 #include "host/process/server_book.h"
@@ -81,6 +82,11 @@
   // A request that was taken from a limit has not run, and never will.
   std::function<void(const std::string& workspace, double count)>
       give_limit_back;
+  // Waits for a place at a server of a plain service; nothing if this host
+  // chooses by itself. Unset: it always does.
+  std::function<boost::asio::awaitable<
+      base::result<std::shared_ptr<dealt_place>>>(place_request wanted)>
+      take_place;
   // Has an adapter loaded by the holder of the lease; the instance that holds
   // it then, or the reason why none does.
   std::function<boost::asio::awaitable<base::result<std::string>>(
--- a/src/host/process/server_book.h
+++ b/src/host/process/server_book.h
@@ -20,6 +20,7 @@
 #include "decisions/reading_pace.h"
 #include "decisions/server_cost.h"
 #include "host/dialect.h"
+#include "host/process/dealt_place.h"
 #include "wire/generated/messages_types.h"
 
 namespace valeledge::host {
@@ -93,6 +94,8 @@
   // How long the server reads prompts that came before.
   std::chrono::duration<double, std::milli> reading_ahead{0};
   std::int64_t kept_tokens = 0;
+  // Where places are dealt out; null if this host has chosen by itself.
+  std::shared_ptr<dealt_place> place;
 };
 
 // All known instances. Lives on the host's thread.
--- a/src/host/request/server_search.cc
+++ b/src/host/request/server_search.cc
@@ -122,6 +122,56 @@
   return out;
 }
 
+// Servers that this request has tried, and those that this host does not use
+// now.
+std::vector<std::string> AvoidedOf(const host_core& core,
+                                   const routed_request& routed,
+                                   base::time_point now) {
+  std::vector<std::string> out = routed.avoid;
+  for (const auto& [instance, server] : core.servers.servers()) {
+    const bool suspended = server->entry.service == routed.service->name &&
+                           !decisions::MayUse(server->trust, now);
+    if (suspended)
+      out.push_back(instance);
+  }
+  return out;
+}
+
+// What is left of the time within which a request is answered on time.
+milliseconds LeftOnTime(const routed_request& routed, base::time_point now) {
+  const auto due =
+      std::min(routed.arrived + routed.route->objective, routed.deadline);
+  return std::max(duration_cast<milliseconds>(due - now), milliseconds(0));
+}
+
+// Waits for a place where the service's places are dealt out; else goes by this
+// host's own choice.
+asio::awaitable<base::result<server_choice>> TakeDealtPlace(
+    host_core& core,
+    const routed_request& routed,
+    server_choice own) {
+  if (!core.take_place)
+    co_return std::move(own);
+  const auto now = std::chrono::steady_clock::now();
+  place_request wanted;
+  wanted.service = routed.service->name;
+  wanted.priority = PriorityOf(routed);
+  wanted.left = LeftOnTime(routed, now);
+  wanted.avoid = AvoidedOf(core, routed, now);
+  auto dealt = co_await core.take_place(std::move(wanted));
+  if (!dealt)
+    co_return tl::make_unexpected(dealt.error());
+  if (*dealt == nullptr)
+    co_return std::move(own);
+  auto server = core.servers.Find((*dealt)->server());
+  // It may have left meanwhile, as this host knows.
+  if (server == nullptr || server->leaving)
+    co_return std::move(own);
+  own.server = std::move(server);
+  own.place = std::move(*dealt);
+  co_return std::move(own);
+}
+
 }  // namespace
 
 asio::awaitable<base::result<server_choice>> FindServer(
@@ -143,8 +193,10 @@
       co_return tl::make_unexpected(*leaving);
     const server_wish wish = WishOf(routed);
     auto choice = core.servers.Choose(wish, *routed.service, now, core.random);
-    if (choice && wish.model.empty())
-      co_return std::move(*choice);
+    if (choice && wish.model.empty()) {
+      auto dealt = co_await TakeDealtPlace(core, routed, std::move(*choice));
+      co_return std::move(dealt);
+    }
     if (choice) {
       const auto turn = TurnOf(routed, *choice, first_attempt, now);
       const auto decided = decisions::DecideTurn(turn);
--- a/src/host/request/server_visit.cc
+++ b/src/host/request/server_visit.cc
@@ -26,6 +26,7 @@
                            model_demand& demand)
     : core_(core),
       server_(choice.server),
+      place_(choice.place),
       head_(head),
       weight_(weight),
       demand_(demand),
@@ -44,6 +45,8 @@
   if (server_->trust.last_suspension.count() != 0)
     server_->trust.on_trial = true;
   core_.use_changed(*server_);
+  if (place_)
+    place_->NoteSent();
   tokens_ahead_ = server_->own.unread_tokens + server_->others.unread_tokens;
 }
 
@@ -86,11 +89,18 @@
   }
 }
 
+void server_visit::EndPlace(place_end_kind how) {
+  if (place_)
+    place_->NoteEnd(how);
+}
+
 void server_visit::Answered() {
+  EndPlace(place_end_kind::kAnswered);
   server_->trust.failures *= 0.8;
 }
 
 void server_visit::Failed(bool certain) {
+  EndPlace(certain ? place_end_kind::kUnusable : place_end_kind::kFailed);
   decisions::NoteFailure(server_->trust, certain,
                          std::chrono::steady_clock::now());
 }
@@ -98,6 +108,7 @@
 void server_visit::Refused(const answer_head& answer) {
   const auto now = std::chrono::steady_clock::now();
   if (!answer.misdirected) {
+    EndPlace(place_end_kind::kFull);
     decisions::NoteFull(server_->trust, now);
     return;
   }
--- a/src/wire/messages.thrift
+++ b/src/wire/messages.thrift
@@ -320,6 +320,35 @@
   2: i64 retry_after_us,
 }
 
+// Asks the host that deals out the places of a plain service for one.
+struct place_question {
+  1: string service_name,
+  2: i64 priority,
+  // What is left of the time within which the request is answered on time.
+  3: i64 left_ms,
+  // Servers that it should not get.
+  4: list<string> avoid,
+}
+
+struct place_reply {
+  // 0: given, 1: there is none in time, 2: this host deals out none.
+  1: i32 verdict,
+  2: i64 number,
+  3: string server,
+  4: i64 retry_after_us,
+}
+
+// A place is given back.
+struct place_end {
+  1: string service_name,
+  2: string server,
+  3: i64 number,
+  // 0: not used, 1: answered, 2: failed, 3: the server was full,
+  // 4: the server takes no requests.
+  4: i32 how,
+  5: i64 took_us,
+}
+
 struct acknowledgement {
   1: i32 code,
 }
@@ -344,4 +373,7 @@
   23: optional mirror_copy mirror,
   24: optional limit_question limit_wanted,
   25: optional limit_reply limit,
+  26: optional place_question place_wanted,
+  27: optional place_reply place,
+  28: optional place_end place_ended,
 }
