Only engines without any weights load from the store beside the quarter

Hypothesis: an engine that was started again has copies on its disk, and a load of 6 s from the store keeps it from loads of 1 to 2 s.

--- a/src/decisions/model_plan.cc
+++ b/src/decisions/model_plan.cc
@@ -50,11 +50,11 @@
 // Least gain, in requests a second, for which an order is given.
 constexpr double kLeastGain = 0.01;
 
-// Engines that hold something and may load from the weight store at one time,
-// as a part of all: a load takes several times as long as one from a disk, and
-// until it ends the engine takes neither other models nor adapters. One that
-// holds nothing takes nothing from anybody while it loads: after a series of
-// replacements most engines are empty.
+// Engines with weights that may load from the weight store at one time, as a
+// part of all: a load takes several times as long as one from a disk, and until
+// it ends the engine takes neither other models nor adapters. One that has no
+// weights in any way takes nothing from anybody while it loads: after a series
+// of replacements most engines are like that.
 constexpr double kStoreLoadPart = 0.25;
 
 // Engines that should have a copy of a model that nobody asks for: the loss of
@@ -90,7 +90,7 @@
   const std::vector<plan_model>& models;
   std::vector<plan_engine> engines;
   plan_limits limits;
-  // Engines that hold something and may begin to load from the weight store.
+  // Engines with weights that may begin to load from the weight store.
   std::int64_t store_loads_beside = 0;
   // Replicas that serve, and those with what is being loaded.
   std::vector<std::int64_t> ready;
@@ -211,9 +211,15 @@
   double gain = 0;
 };
 
+// One that has just come: it holds nothing, and has no copies either.
+bool IsBare(const plan_engine& engine) {
+  return engine.held.empty() && engine.in_memory.empty() &&
+         engine.on_disk.empty();
+}
+
 bool MayLoadFromStore(const planning& state, const plan_engine& engine) {
   return state.limits.store_loads > 0 &&
-         (engine.held.empty() || state.store_loads_beside > 0);
+         (IsBare(engine) || state.store_loads_beside > 0);
 }
 
 std::optional<home> FindHome(const planning& state, std::size_t model) {
@@ -266,7 +272,7 @@
     engine.loading.push_back(model);
     if (place.source == weight_source::kStore) {
       --state.limits.store_loads;
-      state.store_loads_beside -= engine.held.empty() ? 0 : 1;
+      state.store_loads_beside -= IsBare(engine) ? 0 : 1;
     }
   } else {
     const std::size_t victim = place.room.models.front();
@@ -312,7 +318,7 @@
     if (!engine.serving)
       continue;
     ++serving;
-    const bool beside = engine.loads_from_store && !engine.held.empty();
+    const bool beside = engine.loads_from_store && !IsBare(engine);
     loading_from_store += beside ? 1 : 0;
     for (const std::size_t model : engine.held) {
       ++state.ready[model];
--- a/tests/auto/decisions/test_model_plan.cc
+++ b/tests/auto/decisions/test_model_plan.cc
@@ -82,7 +82,8 @@
   BOOST_TEST(PlanModels(models, engines, Limits(8)).size() == 8u);
 }
 
-// While an engine that holds nothing loads, nobody loses anything.
+// While an engine without any weights loads, nobody loses anything. One that
+// was started again has copies, and loads faster from them.
 BOOST_AUTO_TEST_CASE(empty_engines_all_load_from_the_store) {
   const std::vector models = {Model(60, 2000, 10), Model(60, 2000, 10)};
   std::vector engines(8, Engine(60, {}));
@@ -93,6 +94,9 @@
     engines[i].held = {1};
   engines[0].loads_from_store = true;
   BOOST_TEST(PlanModels(models, engines, Limits(8)).size() == 5u);
+  for (std::size_t i = 4; i < 8; ++i)
+    engines[i].on_disk = {2};
+  BOOST_TEST(PlanModels(models, engines, Limits(8)).size() == 1u);
 }
 
 // A replica on an engine whose slots are taken adds little.
