Places that are dealt out: hosts judge servers themselves; log lines and duties apart

Now the dealer leaves a server alone for 30 ms that turned a request away; whom to avoid for longer each host tells it by its own trust.

--- a/src/decisions/place_ledger.cc
+++ b/src/decisions/place_ledger.cc
@@ -19,6 +19,9 @@
 // ended or is cut off.
 constexpr std::chrono::seconds kLongestTaken{3};
 
+// After it has turned a request away a server gets none for so long.
+constexpr std::chrono::milliseconds kRest{30};
+
 // Weight of the newest request in the smoothed time.
 constexpr double kSmoothing = 0.05;
 
@@ -42,12 +45,14 @@
 // The least loaded server that has room and is not avoided; null if there is
 // none.
 std::pair<const std::string, dealt_server>* FindRoom(place_ledger& ledger,
-                                                     const place_wish& wish) {
+                                                     const place_wish& wish,
+                                                     base::time_point now) {
   std::pair<const std::string, dealt_server>* best = nullptr;
   for (auto& each : ledger.servers) {
     const bool avoided =
         std::ranges::find(wish.avoid, each.first) != wish.avoid.end();
-    if (avoided || !HasRoom(each.second))
+    const bool rests = now < each.second.rests_until;
+    if (avoided || rests || !HasRoom(each.second))
       continue;
     if (best == nullptr || Load(each.second) < Load(best->second))
       best = &each;
@@ -102,7 +107,7 @@
     return std::tie(each.priority, each.due, each.number);
   });
   std::erase_if(ledger.waiting, [&](const place_wish& wish) {
-    auto* room = FindRoom(ledger, wish);
+    auto* room = FindRoom(ledger, wish, now);
     if (room == nullptr)
       return false;
     room->second.taken[wish.number] = now + kLongestTaken;
@@ -127,6 +132,14 @@
   return dropped;
 }
 
+void Rest(place_ledger& ledger,
+          const std::string& server,
+          base::time_point now) {
+  const auto found = ledger.servers.find(server);
+  if (found != ledger.servers.end())
+    found->second.rests_until = now + kRest;
+}
+
 void GiveBackPlace(place_ledger& ledger,
                    const std::string& server,
                    std::int64_t number,
--- a/src/decisions/place_ledger.h
+++ b/src/decisions/place_ledger.h
@@ -28,6 +28,8 @@
   // When each place that was given falls back if nobody gives it back, by the
   // number under which it was given.
   std::map<std::int64_t, base::time_point> taken;
+  // It has turned a request away, and gets none until then.
+  base::time_point rests_until;
 };
 
 // A request that waits for a place.
@@ -83,6 +85,13 @@
 // Numbers of those who were dropped.
 std::vector<std::int64_t> Expire(place_ledger& ledger, base::time_point now);
 
+// A server has turned a request away, or could not be reached: others go first
+// for a moment. Hosts judge by themselves which servers to avoid for longer;
+// what one host sees of lost answers would keep all others away.
+void Rest(place_ledger& ledger,
+          const std::string& server,
+          base::time_point now);
+
 // A place is free again. `took`: how long it was taken by a request that ran.
 void GiveBackPlace(
     place_ledger& ledger,
--- a/src/host/process/host.cc
+++ b/src/host/process/host.cc
@@ -17,9 +17,8 @@
 #include "host/process/barrier_duty.h"
 #include "host/process/copy_duty.h"
 #include "host/process/host_core.h"
-#include "host/process/limit_duty.h"
+#include "host/process/owner_duties.h"
 #include "host/process/peer_link.h"
-#include "host/process/place_duty.h"
 #include "host/process/placement_duty.h"
 #include "host/process/quarantine_duty.h"
 #include "host/process/reload_duty.h"
@@ -61,12 +60,6 @@
 constexpr std::string_view kReadDuty = "read/store";
 constexpr std::size_t kReaders = 4;
 
-// Owns the limit of the workspace that follows.
-constexpr std::string_view kLimitDuty = "limit/";
-
-// Deals out the places of the plain service that follows.
-constexpr std::string_view kPlaceDuty = "places/";
-
 // Stands for an age that is not known.
 constexpr std::int32_t kUnknownAge = -1;
 
@@ -112,7 +105,6 @@
   void Apply(catalog::configuration newer);
   void TakeTold(const membership::direct_record& record);
   bool FollowsStore();
-  std::optional<base::endpoint> OwnerOf(const std::string& workspace);
   bool IsWellKnown(const std::string& instance);
   bool IsReady() const;
   void UpdateGauges();
@@ -127,8 +119,7 @@
   copy_duty copies_;
   quarantine_duty quarantine_;
   barrier_duty barrier_;
-  limit_duty limits_;
-  place_duty places_;
+  owner_duties owned_;
   store::lease_keeper lease_;
   placement_duty placement_;
   net::http_server callers_;
@@ -158,16 +149,15 @@
              copies_.NoteAdvanced();
              barrier_.NoteRevision();
            }}),
-      peers_(
-          context,
-          core_.settings,
-          {[this](const auto& record) { TakeTold(record); },
-           [this] { core_.hosts = peers_.CountServing(); },
-           [this] { limits_.NoteNewMember(std::chrono::steady_clock::now()); },
-           [this](const base::endpoint& peer, bool same_zone) {
-             copies_.HearNewer(peer, same_zone);
-           },
-           [this](wire::envelope call) { return Answer(std::move(call)); }}),
+      peers_(context,
+             core_.settings,
+             {[this](const auto& record) { TakeTold(record); },
+              [this] { core_.hosts = peers_.CountServing(); },
+              [this] { owned_.NoteNewMember(); },
+              [this](const base::endpoint& peer, bool same_zone) {
+                copies_.HearNewer(peer, same_zone);
+              },
+              [this](wire::envelope call) { return Answer(std::move(call)); }}),
       copies_(core_, mirror_, peers_),
       quarantine_(core_,
                   *store_,
@@ -190,27 +180,7 @@
                                            membership::kWideLink);
            },
            [this] { return mirror_.revision(); }}),
-      limits_(
-          core_,
-          {[this](const std::string& workspace) { return OwnerOf(workspace); },
-           [this] { return peers_.SeenPart(); },
-           [this](base::endpoint where,
-                  wire::envelope call,
-                  std::chrono::microseconds timeout) {
-             return peers_.Call(std::move(where), std::move(call), timeout);
-           },
-           [this](const base::endpoint& owner) { peers_.Doubt(owner); }}),
-      places_(core_,
-              {[this](const std::string& service) {
-                 return peers_.FirstSound(std::string(kPlaceDuty) + service,
-                                          membership::kWideLink);
-               },
-               [this](base::endpoint where,
-                      wire::envelope call,
-                      std::chrono::microseconds timeout) {
-                 return peers_.Call(std::move(where), std::move(call), timeout);
-               },
-               [this](const base::endpoint& dealer) { peers_.Doubt(dealer); }}),
+      owned_(core_, peers_),
       lease_(
           context,
           *store_,
@@ -290,17 +260,6 @@
   core_.is_behind = [this] {
     return copies_.BehindFor() >= decisions::kBehindAfter;
   };
-  core_.take_limit = [this](std::string workspace, double count) {
-    return limits_.Take(std::move(workspace), count);
-  };
-  core_.give_limit_back = [this](const std::string& workspace, double count) {
-    limits_.GiveBack(workspace, count);
-  };
-  if (core_.settings.deals_places) {
-    core_.take_place = [this](place_request wanted) {
-      return places_.Take(std::move(wanted));
-    };
-  }
   core_.want_adapter = [this](std::string service, std::string model,
                               std::string adapter, milliseconds timeout) {
     return placement_.WantAdapter(std::move(service), std::move(model),
@@ -484,13 +443,6 @@
                          peer_link::scope::kZone, membership::kWideLink);
 }
 
-// The owner of a workspace's limit is asked for each of its requests: one with
-// more than others to spend.
-std::optional<base::endpoint> host::OwnerOf(const std::string& workspace) {
-  return peers_.FirstSound(std::string(kLimitDuty) + workspace,
-                           membership::kWideLink);
-}
-
 // The hosts that are chosen for a server are told at once what others send
 // there; where there are few hosts, these are all.
 bool host::IsWellKnown(const std::string& instance) {
@@ -501,14 +453,8 @@
   wire::envelope reply;
   if (call.__isset.mirror_wanted) {
     reply = copies_.Give(call.mirror_wanted);
-  } else if (call.__isset.limit_wanted) {
-    reply.__set_limit(limits_.Answer(call.limit_wanted));
-  } else if (call.__isset.place_wanted) {
-    const auto place = co_await places_.Answer(std::move(call.place_wanted));
-    reply.__set_place(place);
-  } else if (call.__isset.place_ended) {
-    places_.TakeBack(call.place_ended);
-    reply.__set_done({});
+  } else if (owner_duties::IsFor(call)) {
+    reply = co_await owned_.Answer(std::move(call));
   } else if (call.__isset.adapter_wanted) {
     const auto adapter =
         co_await placement_.AnswerAdapter(std::move(call.adapter_wanted));
@@ -542,8 +488,7 @@
     const auto now = std::chrono::steady_clock::now();
     core_.servers.Sweep(now);
     core_.demand.Roll(now);
-    limits_.Roll(now);
-    places_.Roll(now);
+    owned_.Roll(now);
     quarantine_.TellAgain();
     core_.log.TellLeftOut();
     if (now - flushed >= kLogDelay) {
--- a/src/host/process/place_duty.cc
+++ b/src/host/process/place_duty.cc
@@ -60,9 +60,7 @@
                          base::time_point now) {
   std::map<std::string, std::int64_t> slots;
   for (const auto& [instance, server] : core_.servers.servers()) {
-    const bool usable = !server->leaving && server->entry.service == service &&
-                        decisions::MayUse(server->trust, now);
-    if (usable)
+    if (!server->leaving && server->entry.service == service)
       slots[instance] = server->entry.slots;
   }
   decisions::SetServers(dealt.ledger, slots);
@@ -70,10 +68,6 @@
   for (const auto& [number, server] : decisions::Deal(dealt.ledger, now)) {
     waiter& found = dealt.waiters.at(number);
     found.server = server;
-    // One that is the trial of a server that was suspended is the only one.
-    known_server& known = *core_.servers.Find(server);
-    if (known.trust.last_suspension.count() != 0)
-      known.trust.on_trial = true;
     found.timer->cancel();
   }
 }
@@ -117,45 +111,21 @@
 }
 
 void place_duty::TakeBack(const wire::place_end& end) {
-  const auto server = core_.servers.Find(end.server);
-  if (server != nullptr)
-    Learn(server->trust, end);
-  FreePlace(end);
-}
-
-// What other hosts see of a server tells this one as well.
-void place_duty::Learn(decisions::server_trust& trust,
-                       const wire::place_end& end) {
-  const auto now = std::chrono::steady_clock::now();
-  switch (static_cast<place_end_kind>(end.how)) {
-    case place_end_kind::kAnswered:
-      decisions::NoteAnswer(trust, microseconds(end.took_us),
-                            deals_[end.service_name].ledger.usual);
-      break;
-    case place_end_kind::kFailed:
-      decisions::NoteFailure(trust, false, now);
-      break;
-    case place_end_kind::kUnusable:
-      decisions::NoteFailure(trust, true, now);
-      break;
-    case place_end_kind::kFull:
-      decisions::NoteFull(trust, now);
-      break;
-    case place_end_kind::kUnused:
-      trust.on_trial = false;
-      break;
-  }
-}
-
-void place_duty::FreePlace(const wire::place_end& end) {
   const auto found = deals_.find(end.service_name);
   if (found == deals_.end())
     return;
+  decisions::place_ledger& ledger = found->second.ledger;
+  const auto now = std::chrono::steady_clock::now();
+  const auto how = static_cast<place_end_kind>(end.how);
   std::optional<std::chrono::duration<double, std::milli>> took;
-  if (end.how == static_cast<std::int32_t>(place_end_kind::kAnswered))
+  if (how == place_end_kind::kAnswered)
     took = microseconds(end.took_us);
-  decisions::GiveBackPlace(found->second.ledger, end.server, end.number, took);
-  DealOut(end.service_name, found->second, std::chrono::steady_clock::now());
+  decisions::GiveBackPlace(ledger, end.server, end.number, took);
+  const bool turned_away =
+      how == place_end_kind::kFull || how == place_end_kind::kUnusable;
+  if (turned_away)
+    decisions::Rest(ledger, end.server, now);
+  DealOut(end.service_name, found->second, now);
 }
 
 void place_duty::Roll(base::time_point now) {
@@ -208,7 +178,7 @@
 void place_duty::GiveBack(wire::place_end end) {
   const auto dealer = links_.dealer(end.service_name);
   if (dealer && *dealer == core_.settings.peer_listen) {
-    FreePlace(end);
+    TakeBack(end);
     return;
   }
   asio::co_spawn(core_.context, SendBack(std::move(end)), asio::detached);
--- a/src/host/process/place_duty.h
+++ b/src/host/process/place_duty.h
@@ -72,8 +72,6 @@
       wire::place_question question,
       std::chrono::milliseconds longest);
   void DealOut(const std::string& service, deal& dealt, base::time_point now);
-  void Learn(decisions::server_trust& trust, const wire::place_end& end);
-  void FreePlace(const wire::place_end& end);
   std::shared_ptr<dealt_place> MakePlace(const std::string& service,
                                          const wire::place_reply& reply);
   void GiveBack(wire::place_end end);
--- a/src/host/request/relay.cc
+++ b/src/host/request/relay.cc
@@ -9,7 +9,6 @@
 
 #include <boost/beast/http.hpp>
 
-#include "base/logging.h"
 #include "host/constants.h"
 #include "host/request/attempt_progress.h"
 #include "host/request/caller_check.h"
@@ -17,6 +16,7 @@
 #include "host/request/event_splitter.h"
 #include "host/request/final_answers.h"
 #include "host/request/limit_charge.h"
+#include "host/request/request_story.h"
 #include "host/request/routed_request.h"
 #include "host/request/server_search.h"
 #include "host/request/server_visit.h"
@@ -27,8 +27,6 @@
 
 namespace asio = boost::asio;
 namespace http = boost::beast::http;
-using base::log_event;
-using base::log_weight;
 using base::result_code;
 using catalog::route_kind;
 using std::chrono::duration_cast;
@@ -73,7 +71,6 @@
   asio::awaitable<bool> StartAnswer(const net::http_response_header& head);
   bool MayGoOn(attempt_end end);
   asio::awaitable<void> Fail(base::error failed);
-  void NoteEnd(const server_choice& choice);
   void NotePause();
 
   host_core& core_;
@@ -83,18 +80,13 @@
   routed_request routed_;
   std::shared_ptr<net::open_guard> guard_;
   std::unique_ptr<limit_charge> charge_;
-  int sends_ = 0;
+  request_story story_;
   std::int64_t runs_ = 0;
-  // The head has gone to the caller.
-  bool started_ = false;
   attempt_progress progress_;
   // The event that came next does not follow the last one.
   bool out_of_order_ = false;
-  std::string last_event_;
-  // When the last event went to the caller, the first, and the widest pause.
+  // When the last event went to the caller.
   base::time_point event_at_;
-  milliseconds first_event_{0};
-  milliseconds widest_pause_{0};
   // A server's own failure, kept for the case that no other attempt follows.
   std::optional<net::http_response> failure_;
   base::error last_error_;
@@ -102,7 +94,7 @@
 
 asio::awaitable<bool> relay::StartAnswer(
     const net::http_response_header& head) {
-  started_ = true;
+  story_.started = true;
   const bool sent = co_await responder_.Start(ForwardableHead(head));
   co_return sent;
 }
@@ -148,7 +140,7 @@
   net::http_response_header passed = ForwardableHead(answer.base());
   net::http_response whole(std::move(passed));
   whole.body() = std::move(answer.body());
-  if (started_) {
+  if (story_.started) {
     // The server at which a stream was to go on answered something else.
     last_error_ = base::MakeError(
         result_code::kAnswerBroken, base::outcome::kUnknown,
@@ -186,8 +178,8 @@
     if (!event)
       break;
     const auto id = core_.speech.read_event_id(*event);
-    if (id && !last_event_.empty()) {
-      const std::int64_t last = std::atoll(last_event_.c_str());
+    if (id && !story_.last_event.empty()) {
+      const std::int64_t last = std::atoll(story_.last_event.c_str());
       // A server that goes on elsewhere may repeat what the caller has, but
       // must not leave anything out.
       if (*id <= last)
@@ -197,14 +189,14 @@
     if (out_of_order_)
       break;
     if (id)
-      last_event_ = std::to_string(*id);
+      story_.last_event = std::to_string(*id);
     batch.append(*event);
   }
   if (batch.empty())
     co_return true;
   visit.FirstByte();
   NotePause();
-  if (!started_) {
+  if (!story_.started) {
     const bool begun = co_await StartAnswer(head);
     if (!begun)
       co_return false;
@@ -248,7 +240,7 @@
   }
   visit.Answered();
   ending_.AnsweredWell();
-  if (!started_)
+  if (!story_.started)
     co_await StartAnswer(exchange.header());
   co_await responder_.Finish();
   co_return attempt_end::kDone;
@@ -262,9 +254,9 @@
   added.instance = server.entry.instance;
   added.priority = PriorityOf(routed_);
   added.workspace = WorkspaceName(routed_);
-  const bool goes_on = started_ || !routed_.head.resume_after.empty();
+  const bool goes_on = story_.started || !routed_.head.resume_after.empty();
   if (goes_on)
-    added.resume_after = last_event_;
+    added.resume_after = story_.last_event;
   core_.speech.write_attempt(forwarded, added);
   milliseconds silence = Left(routed_);
   if (routed_.route->MayRepeat() && runs_ + 1 < routed_.route->attempts) {
@@ -274,25 +266,10 @@
   }
   server_visit visit(core_, choice, routed_.head, routed_.weight,
                      *routed_.demand);
-  ++sends_;
+  ++story_.sends;
   progress_ = {std::chrono::steady_clock::now(), {}, {}};
   last_error_ = {};
-  core_.log.Write(
-      log_weight::kOrdinary, log_event::kAttemptSent, routed_.head.id,
-      {{"request", routed_.head.id},
-       {"route", routed_.route->name},
-       {"workspace", added.workspace},
-       {"unit", AdapterUnit(routed_.head.model, routed_.head.adapter)},
-       {"version", routed_.configuration->version},
-       {"server", server.entry.instance},
-       {"attempt", sends_},
-       {"resumes_after", added.resume_after},
-       {"expected_ms", static_cast<std::int64_t>(choice.expected.count())},
-       {"reading_ahead_ms",
-        static_cast<std::int64_t>(choice.reading_ahead.count())},
-       {"running", server.own.running + server.others.running},
-       {"after_ms", MillisecondsSince(routed_.arrived)},
-       {"left_ms", static_cast<std::int64_t>(added.deadline.count())}});
+  TellSent(core_, routed_, story_, choice, added);
   auto opened = co_await core_.http.Open(
       server.entry.address, std::move(forwarded),
       std::min(Left(routed_), kConnectTimeout), silence,
@@ -303,13 +280,7 @@
     last_error_ = opened.error();
     const bool not_run = last_error_.what_ran == base::outcome::kNotRun;
     visit.Failed(not_run || Left(routed_).count() > 0);
-    core_.log.Write(log_weight::kTrouble, log_event::kAttemptFailed,
-                    routed_.head.id,
-                    {{"request", routed_.head.id},
-                     {"server", server.entry.instance},
-                     {"attempt", sends_},
-                     {"not_run", std::int64_t{not_run}},
-                     {"reason", last_error_.message}});
+    TellFailed(core_, routed_, story_, server, last_error_);
     co_return not_run ? attempt_end::kNotRun : attempt_end::kUnknown;
   }
   progress_.head_at = std::chrono::steady_clock::now();
@@ -356,7 +327,7 @@
 
 // Whether another attempt may follow one that ended so.
 bool relay::MayGoOn(attempt_end end) {
-  if (sends_ >= kMostSends || Left(routed_).count() <= 0)
+  if (story_.sends >= kMostSends || Left(routed_).count() <= 0)
     return false;
   if (end == attempt_end::kUnknown) {
     ++runs_;
@@ -371,57 +342,20 @@
 
 void relay::NotePause() {
   const auto now = std::chrono::steady_clock::now();
-  if (!started_) {
-    first_event_ = duration_cast<milliseconds>(now - routed_.arrived);
+  if (!story_.started) {
+    story_.first_event = duration_cast<milliseconds>(now - routed_.arrived);
   } else {
-    widest_pause_ =
-        std::max(widest_pause_, duration_cast<milliseconds>(now - event_at_));
+    story_.widest_pause = std::max(
+        story_.widest_pause, duration_cast<milliseconds>(now - event_at_));
   }
   event_at_ = now;
 }
 
-void relay::NoteEnd(const server_choice& choice) {
-  const bool left = responder_.caller_gone();
-  core_.metrics.Distribution("valeledge_request_seconds")
-      .Record(std::chrono::steady_clock::now() - routed_.arrived);
-  core_.metrics
-      .Counter("valeledge_requests_total", left ? "caller_left" : "answered")
-      .Add();
-  core_.log.Write(
-      log_weight::kOrdinary,
-      left ? log_event::kCallerLeft : log_event::kRequestServed,
-      routed_.head.id,
-      {{"request", routed_.head.id},
-       {"server", choice.server->entry.instance},
-       {"sends", sends_},
-       {"unit", AdapterUnit(routed_.head.model, routed_.head.adapter)},
-       {"last_event", last_event_},
-       {"first_event_ms", first_event_.count()},
-       {"widest_pause_ms", widest_pause_.count()},
-       {"after_ms", MillisecondsSince(routed_.arrived)}});
-}
-
 asio::awaitable<void> relay::Fail(base::error failed) {
   if (responder_.caller_gone())
     co_return;
-  core_.metrics.CountRefusal(failed.code);
-  core_.metrics.Counter("valeledge_requests_total", "failed").Add();
-  core_.log.Write(
-      log_weight::kTrouble, log_event::kRequestRefused, routed_.head.id,
-      {{"request", routed_.head.id},
-       {"route",
-        routed_.route == nullptr ? std::string() : routed_.route->name},
-       {"workspace", WorkspaceName(routed_)},
-       {"unit", AdapterUnit(routed_.head.model, routed_.head.adapter)},
-       {"version",
-        routed_.configuration == nullptr ? 0 : routed_.configuration->version},
-       {"code", static_cast<std::int64_t>(failed.code)},
-       {"outcome", std::string(base::ToString(failed.what_ran))},
-       {"sends", sends_},
-       {"started", std::int64_t{started_}},
-       {"after_ms", MillisecondsSince(routed_.arrived)},
-       {"reason", failed.message}});
-  if (started_) {
+  TellRefused(core_, routed_, story_, failed);
+  if (story_.started) {
     responder_.Break();
     co_return;
   }
@@ -451,7 +385,7 @@
     co_await Fail(*refused);
     co_return;
   }
-  last_event_ = routed_.head.resume_after;
+  story_.last_event = routed_.head.resume_after;
   decisions::NoteRequest(core_.retries[routed_.service->name], routed_.arrived);
   guard_ = std::make_shared<net::open_guard>();
   responder_.OnCallerGone([guard = guard_] { guard->Cancel(); });
@@ -471,8 +405,8 @@
   }
   bool ran = false;
   while (true) {
-    auto choice =
-        co_await FindServer(core_, routed_, !ran && !started_, responder_);
+    auto choice = co_await FindServer(core_, routed_, !ran && !story_.started,
+                                      responder_);
     // While it waited, or by its own last attempt, the request may have become
     // one that no server should get.
     const auto held = ending_.HeldBack();
@@ -490,7 +424,8 @@
     if (end == attempt_end::kDone)
       charge_->Keep();
     if (end == attempt_end::kDone || responder_.caller_gone()) {
-      NoteEnd(*choice);
+      TellEnd(core_, routed_, story_, *choice->server,
+              responder_.caller_gone());
       co_return;
     }
     if (end == attempt_end::kUnknown) {
--- /dev/null
+++ b/src/host/request/request_story.cc
@@ -0,0 +1,106 @@
+// SPDX-License-Identifier: MIT
+#include "host/request/request_story.h"
+
+#include "base/logging.h"
+
+namespace valeledge::host {
+
+namespace {
+
+using base::log_event;
+using base::log_weight;
+
+std::string UnitOf(const routed_request& routed) {
+  return AdapterUnit(routed.head.model, routed.head.adapter);
+}
+
+}  // namespace
+
+void TellSent(host_core& core,
+              const routed_request& routed,
+              const request_story& story,
+              const server_choice& choice,
+              const attempt_head& added) {
+  const known_server& server = *choice.server;
+  core.log.Write(
+      log_weight::kOrdinary, log_event::kAttemptSent, routed.head.id,
+      {{"request", routed.head.id},
+       {"route", routed.route->name},
+       {"workspace", added.workspace},
+       {"unit", UnitOf(routed)},
+       {"version", routed.configuration->version},
+       {"server", server.entry.instance},
+       {"attempt", story.sends},
+       {"resumes_after", added.resume_after},
+       {"expected_ms", static_cast<std::int64_t>(choice.expected.count())},
+       {"reading_ahead_ms",
+        static_cast<std::int64_t>(choice.reading_ahead.count())},
+       {"running", server.own.running + server.others.running},
+       {"dealt", std::int64_t{choice.place != nullptr}},
+       {"after_ms", MillisecondsSince(routed.arrived)},
+       {"left_ms", static_cast<std::int64_t>(added.deadline.count())}});
+}
+
+void TellFailed(host_core& core,
+                const routed_request& routed,
+                const request_story& story,
+                const known_server& server,
+                const base::error& failed) {
+  const bool not_run = failed.what_ran == base::outcome::kNotRun;
+  core.log.Write(log_weight::kTrouble, log_event::kAttemptFailed,
+                 routed.head.id,
+                 {{"request", routed.head.id},
+                  {"server", server.entry.instance},
+                  {"attempt", story.sends},
+                  {"not_run", std::int64_t{not_run}},
+                  {"reason", failed.message}});
+}
+
+void TellEnd(host_core& core,
+             const routed_request& routed,
+             const request_story& story,
+             const known_server& server,
+             bool has_left) {
+  core.metrics.Distribution("valeledge_request_seconds")
+      .Record(std::chrono::steady_clock::now() - routed.arrived);
+  core.metrics
+      .Counter("valeledge_requests_total",
+               has_left ? "caller_left" : "answered")
+      .Add();
+  core.log.Write(log_weight::kOrdinary,
+                 has_left ? log_event::kCallerLeft : log_event::kRequestServed,
+                 routed.head.id,
+                 {{"request", routed.head.id},
+                  {"server", server.entry.instance},
+                  {"sends", story.sends},
+                  {"unit", UnitOf(routed)},
+                  {"last_event", story.last_event},
+                  {"first_event_ms", story.first_event.count()},
+                  {"widest_pause_ms", story.widest_pause.count()},
+                  {"after_ms", MillisecondsSince(routed.arrived)}});
+}
+
+void TellRefused(host_core& core,
+                 const routed_request& routed,
+                 const request_story& story,
+                 const base::error& failed) {
+  core.metrics.CountRefusal(failed.code);
+  core.metrics.Counter("valeledge_requests_total", "failed").Add();
+  const bool has_route = routed.route != nullptr;
+  const bool has_version = routed.configuration != nullptr;
+  core.log.Write(log_weight::kTrouble, log_event::kRequestRefused,
+                 routed.head.id,
+                 {{"request", routed.head.id},
+                  {"route", has_route ? routed.route->name : std::string()},
+                  {"workspace", WorkspaceName(routed)},
+                  {"unit", UnitOf(routed)},
+                  {"version", has_version ? routed.configuration->version : 0},
+                  {"code", static_cast<std::int64_t>(failed.code)},
+                  {"outcome", std::string(base::ToString(failed.what_ran))},
+                  {"sends", story.sends},
+                  {"started", std::int64_t{story.started}},
+                  {"after_ms", MillisecondsSince(routed.arrived)},
+                  {"reason", failed.message}});
+}
+
+}  // namespace valeledge::host
