--- a/src/base/boot_clock.h
+++ b/src/base/boot_clock.h
@@ -15,7 +15,9 @@
   using rep = duration::rep;
   using period = duration::period;
   using time_point = std::chrono::time_point<boot_clock>;
-  static constexpr bool is_steady = true;
+  // The name is the standard's.
+  static constexpr bool is_steady =
+      true;  // NOLINT(readability-identifier-naming)
 
   static time_point now() noexcept;
 };
--- a/src/host/process/limit_duty.cc
+++ b/src/host/process/limit_duty.cc
@@ -138,7 +138,7 @@
   if (*owner == core_.settings.peer_listen)
     co_return Answer(question);
   wire::envelope call;
-  call.__set_limit_wanted(std::move(question));
+  call.__set_limit_wanted(question);
   const auto reply =
       co_await links_.call(*owner, std::move(call), kOwnerTimeout);
   if (!reply)
--- a/src/host/process/place_duty.cc
+++ b/src/host/process/place_duty.cc
@@ -148,7 +148,7 @@
   if (now < silent_until)
     co_return std::nullopt;
   wire::envelope call;
-  call.__set_place_wanted(std::move(question));
+  call.__set_place_wanted(question);
   const auto reply =
       co_await links_.call(*dealer, std::move(call), longest + kDealerMargin);
   if (reply && reply->__isset.place)
@@ -189,7 +189,7 @@
   if (!dealer)
     co_return;
   wire::envelope call;
-  call.__set_place_ended(std::move(end));
+  call.__set_place_ended(end);
   co_await links_.call(*dealer, std::move(call), kDealerMargin);
 }
 
