--- a/src/base/boot_clock.h
+++ b/src/base/boot_clock.h
@@ -16,8 +16,8 @@
   using period = duration::period;
   using time_point = std::chrono::time_point<boot_clock>;
   // The name is the standard's.
-  static constexpr bool is_steady =
-      true;  // NOLINT(readability-identifier-naming)
+  // NOLINTNEXTLINE(readability-identifier-naming)
+  static constexpr bool is_steady = true;
 
   static time_point now() noexcept;
 };
