--- a/src/host/process/barrier_duty.cc
+++ b/src/host/process/certainty_duty.cc
@@ -1,5 +1,5 @@
 // SPDX-License-Identifier: MIT
-#include "host/process/barrier_duty.h"
+#include "host/process/certainty_duty.h"
 
 #include <algorithm>
 #include <random>
@@ -52,9 +52,9 @@
 
 }  // namespace
 
-barrier_duty::barrier_duty(host_core& core,
-                           store::kv_client& store,
-                           barrier_links links)
+certainty_duty::certainty_duty(host_core& core,
+                               store::kv_client& store,
+                               certainty_links links)
     : core_(core),
       store_(store),
       links_(std::move(links)),
@@ -64,11 +64,11 @@
   origin_ = any(seed);
 }
 
-void barrier_duty::Start() {
+void certainty_duty::Start() {
   asio::co_spawn(core_.context, Loop(), asio::detached);
 }
 
-bool barrier_duty::IsUncertain() const {
+bool certainty_duty::IsUncertain() const {
   const auto& bound = core_.settings.keys.revoked_within;
   if (!NeedsKeys() || !bound)
     return false;
@@ -77,24 +77,24 @@
          decisions::key_verdict::kGood;
 }
 
-void barrier_duty::NoteRevision() {
+void certainty_duty::NoteRevision() {
   decisions::NoteRevision(core_.certainty, links_.revision());
   // A host that has just got its first copy serves nobody until it is certain.
   if (NeedsKeys() && !has_asked_)
     Ask();
 }
 
-void barrier_duty::NoteComplete(decisions::boot_time asked) {
+void certainty_duty::NoteComplete(decisions::boot_time asked) {
   const std::int64_t revision = links_.revision();
   decisions::NoteReading(core_.certainty, {asked, revision}, revision,
                          boot_clock::now());
 }
 
-bool barrier_duty::NeedsKeys() const {
+bool certainty_duty::NeedsKeys() const {
   return core_.configuration != nullptr && core_.configuration->needs_keys;
 }
 
-wire::store_reading barrier_duty::MakeQuestion() const {
+wire::store_reading certainty_duty::MakeQuestion() const {
   wire::store_reading out;
   out.origin = origin_;
   out.asked_us =
@@ -103,12 +103,12 @@
   return out;
 }
 
-void barrier_duty::TakeQuestion(const base::endpoint& from,
-                                const wire::store_reading& question) {
+void certainty_duty::TakeQuestion(const base::endpoint& from,
+                                  const wire::store_reading& question) {
   Await({from, question});
 }
 
-void barrier_duty::TakeReading(const wire::store_reading& reading) {
+void certainty_duty::TakeReading(const wire::store_reading& reading) {
   if (reading.origin != origin_)
     return;
   const auto now = boot_clock::now();
@@ -118,7 +118,7 @@
                          links_.revision(), now);
 }
 
-void barrier_duty::Await(question asked) {
+void certainty_duty::Await(question asked) {
   waiting_.push_back(std::move(asked));
   if (std::exchange(is_gathering_, true))
     return;
@@ -127,7 +127,7 @@
 
 // One that is not answered does not keep the next from being sent: a store that
 // was silent answers nothing on connections from before.
-asio::awaitable<void> barrier_duty::Read() {
+asio::awaitable<void> certainty_duty::Read() {
   // At once if this host knows nothing yet: nobody is served meanwhile.
   if (core_.certainty.complete_as_of) {
     asio::steady_timer timer(core_.context, kGather);
@@ -144,8 +144,8 @@
     read_failed_at_ = boot_clock::now();
 }
 
-void barrier_duty::Answer(const std::vector<question>& asked,
-                          std::int64_t revision) {
+void certainty_duty::Answer(const std::vector<question>& asked,
+                            std::int64_t revision) {
   for (const question& each : asked) {
     wire::store_reading reading = each.reading;
     reading.revision = revision;
@@ -156,7 +156,7 @@
   }
 }
 
-void barrier_duty::Ask() {
+void certainty_duty::Ask() {
   has_asked_ = true;
   const auto now = boot_clock::now();
   const auto unanswered = now - answered_at_;
@@ -180,7 +180,7 @@
     Await({std::nullopt, question});
 }
 
-void barrier_duty::TellCertainty() {
+void certainty_duty::TellCertainty() {
   const bool uncertain = IsUncertain();
   if (std::exchange(was_uncertain_, uncertain) == uncertain)
     return;
@@ -191,7 +191,7 @@
       {{"age_ms", age ? age->count() : -1}, {"revision", links_.revision()}});
 }
 
-asio::awaitable<void> barrier_duty::Loop() {
+asio::awaitable<void> certainty_duty::Loop() {
   asio::steady_timer timer(core_.context);
   std::uniform_int_distribution<std::int64_t> any(-kAskSpread.count(),
                                                   kAskSpread.count());
--- a/src/host/process/barrier_duty.h
+++ b/src/host/process/certainty_duty.h
@@ -7,8 +7,8 @@
 // own time back with the store's revision. A datagram that is lost, late or
 // repeated makes nothing younger than it is. Without answers a host turns to
 // the next reader, and in the end reads for itself.
-#ifndef VALELEDGE_HOST_PROCESS_BARRIER_DUTY_H_
-#define VALELEDGE_HOST_PROCESS_BARRIER_DUTY_H_
+#ifndef VALELEDGE_HOST_PROCESS_CERTAINTY_DUTY_H_
+#define VALELEDGE_HOST_PROCESS_CERTAINTY_DUTY_H_
 
 #include <chrono>
 #include <cstdint>
@@ -34,7 +34,7 @@
 inline constexpr std::string_view kReadingRecord = "reading";
 
 // What the duty needs of the others; runs on the host's thread.
-struct barrier_links {
+struct certainty_links {
   // Tells one host a fact.
   std::function<void(const base::endpoint& to,
                      std::string_view record,
@@ -47,9 +47,11 @@
   std::function<std::int64_t()> revision;
 };
 
-class barrier_duty {
+class certainty_duty {
  public:
-  barrier_duty(host_core& core, store::kv_client& store, barrier_links links);
+  certainty_duty(host_core& core,
+                 store::kv_client& store,
+                 certainty_links links);
 
   void Start();
 
@@ -85,7 +87,7 @@
 
   host_core& core_;
   store::kv_client& store_;
-  barrier_links links_;
+  certainty_links links_;
   // Tells this process from others at the same address.
   std::int64_t origin_ = 0;
   // Among the readers, the one that answered last.
@@ -100,4 +102,4 @@
 
 }  // namespace valeledge::host
 
-#endif  // VALELEDGE_HOST_PROCESS_BARRIER_DUTY_H_
+#endif  // VALELEDGE_HOST_PROCESS_CERTAINTY_DUTY_H_
--- a/src/host/process/host.cc
+++ b/src/host/process/host.cc
@@ -14,7 +14,7 @@
 #include "base/logging.h"
 #include "decisions/lease_turn.h"
 #include "host/constants.h"
-#include "host/process/barrier_duty.h"
+#include "host/process/certainty_duty.h"
 #include "host/process/copy_duty.h"
 #include "host/process/host_core.h"
 #include "host/process/owner_duties.h"
@@ -118,7 +118,7 @@
   peer_link peers_;
   copy_duty copies_;
   quarantine_duty quarantine_;
-  barrier_duty barrier_;
+  certainty_duty certainty_;
   owner_duties owned_;
   store::lease_keeper lease_;
   placement_duty placement_;
@@ -143,11 +143,11 @@
           {[this] { return FollowsStore(); },
            [this](const auto& key, const auto& value) { PutKey(key, value); },
            [this](const auto& key, bool lapsed) { RemoveKey(key, lapsed); },
-           [this](auto asked) { barrier_.NoteComplete(asked); },
+           [this](auto asked) { certainty_.NoteComplete(asked); },
            [this](std::int64_t revision) {
              peers_.AnnounceRevision(revision);
              copies_.NoteAdvanced();
-             barrier_.NoteRevision();
+             certainty_.NoteRevision();
            }}),
       peers_(context,
              core_.settings,
@@ -167,7 +167,7 @@
                    [this](const std::string& subject) {
                      return peers_.IsChosen(subject, 1, peer_link::scope::kAll);
                    }}),
-      barrier_(
+      certainty_(
           core_,
           *store_,
           {[this](const base::endpoint& to,
@@ -288,7 +288,7 @@
   mirror_.Start();
   lease_.Start();
   placement_.Start();
-  barrier_.Start();
+  certainty_.Start();
   asio::co_spawn(core_.context, ReportLoop(), asio::detached);
   stop_.Start();
   reload_.Start();
@@ -300,7 +300,7 @@
 bool host::IsReady() const {
   // Callers are better off at a host that can tell whether their keys are good.
   return core_.configuration != nullptr && !stop_.stopping() &&
-         !barrier_.IsUncertain();
+         !certainty_.IsUncertain();
 }
 
 void host::UpdateGauges() {
@@ -425,11 +425,11 @@
   } else if (record.key == kReadingWantedRecord) {
     const auto question = wire::DecodeStoreReading(record.value);
     if (question)
-      barrier_.TakeQuestion(record.sender_address, *question);
+      certainty_.TakeQuestion(record.sender_address, *question);
   } else if (record.key == kReadingRecord) {
     const auto reading = wire::DecodeStoreReading(record.value);
     if (reading)
-      barrier_.TakeReading(*reading);
+      certainty_.TakeReading(*reading);
   } else if (record.key == kPlacedRecord) {
     const auto news = wire::DecodePlacementNews(record.value);
     if (news)
