--- a/tests/auto/membership/test_gossip.cc
+++ b/tests/auto/membership/test_gossip.cc
@@ -79,6 +79,24 @@
   BOOST_TEST(took > 4s);
 }
 
+// Who waits for a process that has ended goes to the next one once it is
+// doubted: hosts go on without the owner of a limit for two seconds.
+BOOST_AUTO_TEST_CASE(a_doubt_is_known_everywhere_within_two_seconds) {
+  const auto is_doubted = [](const member* each) { return !IsAlive(each); };
+  for (const unsigned seed : {1U, 2U, 3U}) {
+    fake_network net(69, {}, seed);
+    net.Run(20s, [&] { return AllKnowAll(net); });
+    net.Silence(7);
+    // Those that wait for it have it probed next.
+    for (int i = 0; i < 69; ++i) {
+      if (i != 7)
+        ProbeNext(net.At(i), fake_network::Address(7));
+    }
+    const auto took = net.Run(20s, [&] { return net.AllSay(7, is_doubted); });
+    BOOST_TEST(took <= 2s, "took " << took.count() << " us");
+  }
+}
+
 BOOST_AUTO_TEST_CASE(a_process_that_only_paused_comes_back) {
   fake_network net(16, {}, 5);
   net.Run(10s, [&] { return AllKnowAll(net); });
