Counters and log lines of retry budgets

Retries were counted by reason alone, so that a window over the budget could not be told apart by process, by the hosts that it saw, or by what was charged and what was sent. Event 2014 and valeledge_retry_budget_total tell it.

No change of what is sent.

--- a/src/host/process/host.cc
+++ b/src/host/process/host.cc
@@ -491,6 +491,7 @@
     owned_.Roll(now);
     quarantine_.TellAgain();
     core_.log.TellLeftOut();
+    core_.retries.LogUse(core_.hosts, now);
     if (now - flushed >= kLogDelay) {
       flushed = now;
       base::FlushLogging();
--- a/src/host/process/host_core.h
+++ b/src/host/process/host_core.h
@@ -19,12 +19,12 @@
 #include "catalog/configuration.h"
 #include "decisions/key_certainty.h"
 #include "decisions/quarantine.h"
-#include "decisions/retry_window.h"
 #include "host/dialect.h"
 #include "host/host_settings.h"
 #include "host/process/dealt_place.h"
 #include "host/process/demand_meter.h"
 #include "host/process/request_log.h"
+#include "host/process/retry_budgets.h"
 #include "host/process/server_book.h"
 #include "net/http_client.h"
 
@@ -55,7 +55,7 @@
   std::shared_ptr<const catalog::configuration> configuration;
   // How old the certainty is with which this host knows which keys are good.
   decisions::key_certainty certainty;
-  std::map<std::string, decisions::retry_window, std::less<>> retries;
+  retry_budgets retries{settings, metrics};
   // Requests under which servers end.
   decisions::quarantine quarantine;
   // A server has ended while a request of this host was there; tells the
@@ -97,10 +97,6 @@
       want_adapter;
 };
 
-// Whether another send of a request to this service is within the budget of
-// all hosts; takes it from there if so.
-bool TakeRepeat(host_core& core, const std::string& service);
-
 }  // namespace valeledge::host
 
 #endif  // VALELEDGE_HOST_PROCESS_HOST_CORE_H_
--- /dev/null
+++ b/src/host/process/retry_budgets.h
@@ -0,0 +1,54 @@
+// SPDX-License-Identifier: MIT
+// Retry budgets of this host, one for each service.
+#ifndef VALELEDGE_HOST_PROCESS_RETRY_BUDGETS_H_
+#define VALELEDGE_HOST_PROCESS_RETRY_BUDGETS_H_
+
+#include <cstdint>
+#include <map>
+#include <string>
+
+#include "base/metrics.h"
+#include "decisions/retry_window.h"
+#include "host/host_settings.h"
+
+namespace valeledge::host {
+
+class retry_budgets {
+ public:
+  retry_budgets(const host_settings& settings, base::metrics& metrics);
+
+  // Counts a caller's request for a service.
+  void NoteRequest(const std::string& service, base::time_point now);
+
+  // Takes one retry from the budget of a service; false if it is exhausted.
+  // `hosts`: hosts that take requests, this one included.
+  bool TryAcquire(const std::string& service,
+                  std::int64_t hosts,
+                  base::time_point now);
+
+  // Counts an attempt after one that never reached a backend server: it needs
+  // no budget.
+  void NoteFree(const std::string& service);
+
+  // Logs the use of each budget since the last call that did; at most once a
+  // second. Call several times a second.
+  void LogUse(std::int64_t hosts, base::time_point now);
+
+ private:
+  struct service_budget {
+    decisions::retry_window window;
+    std::int64_t requests = 0;
+    std::int64_t granted = 0;
+    std::int64_t refused = 0;
+    std::int64_t free = 0;
+  };
+
+  const host_settings& settings_;
+  base::metrics& metrics_;
+  std::map<std::string, service_budget, std::less<>> services_;
+  base::time_point logged_;
+};
+
+}  // namespace valeledge::host
+
+#endif  // VALELEDGE_HOST_PROCESS_RETRY_BUDGETS_H_
--- a/src/host/request/relay.cc
+++ b/src/host/request/relay.cc
@@ -335,9 +335,12 @@
       return false;
   }
   // What never reached a server is no second send there.
-  if (last_error_.code == result_code::kBackendUnreachable)
+  if (last_error_.code == result_code::kBackendUnreachable) {
+    core_.retries.NoteFree(routed_.service->name);
     return true;
-  return TakeRepeat(core_, routed_.service->name);
+  }
+  return core_.retries.TryAcquire(routed_.service->name, core_.hosts,
+                                  std::chrono::steady_clock::now());
 }
 
 void relay::NotePause() {
@@ -386,7 +389,7 @@
     co_return;
   }
   story_.last_event = routed_.head.resume_after;
-  decisions::NoteRequest(core_.retries[routed_.service->name], routed_.arrived);
+  core_.retries.NoteRequest(routed_.service->name, routed_.arrived);
   guard_ = std::make_shared<net::open_guard>();
   responder_.OnCallerGone([guard = guard_] { guard->Cancel(); });
   if (const auto leaving = LeavingTooSoon(core_, routed_)) {
