--- /dev/null
+++ b/tests/auto/decisions/retry_world.h
@@ -0,0 +1,161 @@
+// SPDX-License-Identifier: MIT
+// Retry budgets of many hosts, played in virtual time: callers send requests,
+// attempts fail, and hosts start again, lose sight of each other, or stop.
+#ifndef VALELEDGE_TESTS_AUTO_DECISIONS_RETRY_WORLD_H_
+#define VALELEDGE_TESTS_AUTO_DECISIONS_RETRY_WORLD_H_
+
+#include <algorithm>
+#include <chrono>
+#include <cstdint>
+#include <functional>
+#include <random>
+#include <vector>
+
+#include "decisions/retry_window.h"
+
+namespace valeledge::test {
+
+// One process of a host; gone with its budget when the host starts again.
+struct retry_process {
+  decisions::retry_window budget;
+  double started = -1000;
+};
+
+// A day of `seconds` in steps of 10 ms.
+struct retry_day {
+  int hosts = 7;
+  double slack = 54;
+  double seconds = 40;
+  // Requests a second of all callers together.
+  std::function<double(double now)> rate = [](double) { return 104.0; };
+  // Whether a host takes requests; its callers go to others meanwhile.
+  std::function<bool(int host, double now)> is_up = [](int, double) {
+    return true;
+  };
+  // Hosts that a host sees, itself included.
+  std::function<int(int host, double now)> seen = [](int, double) { return 7; };
+  // When hosts are killed; they are back at once.
+  std::vector<std::pair<double, int>> kills;
+  // The part of attempts that fail.
+  std::function<double(double now)> failing = [](double) { return 1.0; };
+  std::uint64_t seed = 40001;
+};
+
+struct retry_outcome {
+  // Most retries in 10 s beyond what is allowed for all hosts; negative while
+  // there is room.
+  double worst_excess = -1e9;
+  double requests = 0;
+  double wanted = 0;
+  double granted = 0;
+};
+
+namespace detail {
+
+inline constexpr double kStep = 0.01;
+inline constexpr std::size_t kWindowSteps = 1000;
+inline constexpr double kRatio = 0.2;
+// Attempts of one request.
+inline constexpr int kMostAttempts = 4;
+
+inline base::time_point At(double seconds) {
+  return base::time_point() +
+         std::chrono::duration_cast<base::time_point::duration>(
+             std::chrono::duration<double>(3600 + seconds));
+}
+
+inline void NoteRequest(retry_process& process, double now) {
+  decisions::NoteRequest(process.budget, At(now));
+}
+
+inline bool TryAcquire(retry_process& process,
+                       const retry_day& day,
+                       int host,
+                       double now) {
+  decisions::retry_limits limits;
+  limits.ratio = kRatio;
+  limits.slack = day.slack;
+  limits.hosts = day.seen(host, now);
+  return decisions::TakeRepeat(process.budget, limits, At(now));
+}
+
+// Compares each window of 10 s with the requests of it, of the one before it
+// and of the one half a window before it, whichever has most.
+inline double WorstExcess(const std::vector<double>& requests,
+                          const std::vector<double>& retries,
+                          double slack) {
+  std::vector<double> asked(requests.size() + 1);
+  std::vector<double> sent(retries.size() + 1);
+  for (std::size_t i = 0; i < requests.size(); ++i) {
+    asked[i + 1] = asked[i] + requests[i];
+    sent[i + 1] = sent[i] + retries[i];
+  }
+  const auto in_window = [](const std::vector<double>& sums,
+                            std::size_t begin) {
+    const std::size_t end = std::min(begin + kWindowSteps, sums.size() - 1);
+    return sums[end] - sums[begin];
+  };
+  double worst = -1e9;
+  for (std::size_t begin = 0; begin < requests.size(); ++begin) {
+    double most = in_window(asked, begin);
+    for (const std::size_t before : {kWindowSteps / 2, kWindowSteps}) {
+      if (begin >= before)
+        most = std::max(most, in_window(asked, begin - before));
+    }
+    worst = std::max(worst, in_window(sent, begin) - kRatio * most - slack);
+  }
+  return worst;
+}
+
+}  // namespace detail
+
+inline retry_outcome PlayRetries(const retry_day& day) {
+  std::mt19937_64 random(day.seed);
+  std::uniform_real_distribution<double> any(0, 1);
+  std::vector<retry_process> processes(static_cast<std::size_t>(day.hosts));
+  std::vector<double> requests;
+  std::vector<double> retries;
+  retry_outcome out;
+  auto kills = day.kills;
+  std::ranges::sort(kills);
+  std::size_t next_kill = 0;
+  for (double now = 0; now < day.seconds; now += detail::kStep) {
+    while (next_kill < kills.size() && kills[next_kill].first <= now) {
+      const auto host = static_cast<std::size_t>(kills[next_kill].second);
+      processes[host] = {{}, now};
+      ++next_kill;
+    }
+    std::vector<int> up;
+    for (int host = 0; host < day.hosts; ++host) {
+      if (day.is_up(host, now))
+        up.push_back(host);
+    }
+    requests.push_back(0);
+    retries.push_back(0);
+    std::poisson_distribution<int> arrivals(day.rate(now) * detail::kStep);
+    for (int left = arrivals(random); left > 0; --left) {
+      requests.back() += 1;
+      if (up.empty())
+        continue;
+      const int host = up[random() % up.size()];
+      auto& process = processes[static_cast<std::size_t>(host)];
+      detail::NoteRequest(process, now);
+      for (int attempt = 1; attempt < detail::kMostAttempts; ++attempt) {
+        if (any(random) >= day.failing(now))
+          break;
+        out.wanted += 1;
+        if (!detail::TryAcquire(process, day, host, now))
+          break;
+        retries.back() += 1;
+      }
+    }
+    out.requests += requests.back();
+    out.granted += retries.back();
+  }
+  out.worst_excess = detail::WorstExcess(requests, retries, day.slack);
+  return out;
+}
+
+}  // namespace valeledge::test
+
+#endif  // VALELEDGE_TESTS_AUTO_DECISIONS_RETRY_WORLD_H_
