A retry is charged when it is sent

What callers got: a retry was taken from the budget when the attempt before it had failed.

Now the budget is asked when an attempt fails, so that nothing waits for a server without one, and pays right before the next attempt is sent; a retry that reaches no server pays for the next one (host/request/retry_permit).

--- a/src/host/process/retry_budgets.cc
+++ b/src/host/process/retry_budgets.cc
@@ -42,11 +42,22 @@
 
 bool retry_budgets::TryAcquire(const std::string& service,
                                base::time_point now) {
+  if (!MayRetry(service, now))
+    return false;
   service_budget& known = Find(service);
-  const bool granted = decisions::TryAcquireRetry(known.budget, Policy(), now);
-  ++(granted ? known.granted : known.refused);
-  metrics_.Counter(kCounter, granted ? "granted" : "exhausted").Add();
-  return granted;
+  ++known.granted;
+  metrics_.Counter(kCounter, "granted").Add();
+  return decisions::TryAcquireRetry(known.budget, Policy(), now);
+}
+
+bool retry_budgets::MayRetry(const std::string& service, base::time_point now) {
+  service_budget& known = Find(service);
+  const bool may = decisions::MayRetry(known.budget, Policy(), now);
+  if (!may) {
+    ++known.refused;
+    metrics_.Counter(kCounter, "exhausted").Add();
+  }
+  return may;
 }
 
 void retry_budgets::NoteFree(const std::string& service) {
--- a/src/host/process/retry_budgets.h
+++ b/src/host/process/retry_budgets.h
@@ -26,6 +26,9 @@
   // Takes one retry from the budget of a service; false if it is exhausted.
   bool TryAcquire(const std::string& service, base::time_point now);
 
+  // Whether the budget of a service allows a retry now.
+  bool MayRetry(const std::string& service, base::time_point now);
+
   // Counts an attempt after one that never reached a backend server: it needs
   // no budget.
   void NoteFree(const std::string& service);
--- a/src/host/request/relay.cc
+++ b/src/host/request/relay.cc
@@ -17,6 +17,7 @@
 #include "host/request/final_answers.h"
 #include "host/request/limit_charge.h"
 #include "host/request/request_story.h"
+#include "host/request/retry_permit.h"
 #include "host/request/routed_request.h"
 #include "host/request/server_search.h"
 #include "host/request/server_visit.h"
@@ -50,7 +51,8 @@
       : core_(core),
         request_(request),
         responder_(responder),
-        ending_(core, request) {}
+        ending_(core, request),
+        permit_(core.retries) {}
 
   asio::awaitable<void> Run();
 
@@ -77,6 +79,7 @@
   net::http_request& request_;
   net::http_responder& responder_;
   ending_watch ending_;
+  retry_permit permit_;
   routed_request routed_;
   std::shared_ptr<net::open_guard> guard_;
   std::unique_ptr<limit_charge> charge_;
@@ -334,13 +337,9 @@
     if (!routed_.route->MayRepeat() || runs_ >= routed_.route->attempts)
       return false;
   }
-  // What never reached a server is no second send there.
-  if (last_error_.code == result_code::kBackendUnreachable) {
-    core_.retries.NoteFree(routed_.service->name);
-    return true;
-  }
-  return core_.retries.TryAcquire(routed_.service->name,
-                                  std::chrono::steady_clock::now());
+  permit_.NoteFailed(last_error_);
+  return permit_.MayAcquire(routed_.service->name,
+                            std::chrono::steady_clock::now());
 }
 
 void relay::NotePause() {
@@ -423,6 +422,10 @@
       co_await Fail(std::move(failed));
       co_return;
     }
+    if (!permit_.Acquire(routed_.service->name,
+                         std::chrono::steady_clock::now())) {
+      break;
+    }
     const attempt_end end = co_await Attempt(*choice);
     if (end == attempt_end::kDone)
       charge_->Keep();
--- a/tests/auto/host/test_relay.cc
+++ b/tests/auto/host/test_relay.cc
@@ -75,6 +75,17 @@
   BOOST_TEST(here.second.requests.size() == 1u);
 }
 
+BOOST_AUTO_TEST_CASE(a_retry_that_finds_no_server_is_not_charged) {
+  world here;
+  here.AddServer("i-1", here.first.address());
+  here.first.script = {{kNotRun}};
+  BOOST_TEST(here.Ask("/safe/").status == 503);
+  BOOST_TEST(here.first.requests.size() == 1u);
+  const auto& granted =
+      here.core->metrics.Counter("valeledge_retry_budget_total", "granted");
+  BOOST_TEST(granted.value == 0);
+}
+
 BOOST_AUTO_TEST_CASE(an_answer_to_another_request_is_not_passed_on) {
   world here;
   here.AddServer("i-1", here.first.address());
