Refusals for want of a retry have a code of their own

Requests that the retry budget ended were refused as overloaded (2003), like those that no backend server took within all their attempts. They are refused with 2007 now (503, not run, the same time to come back), so that callers and operators can tell the two apart.

--- a/src/host/request/relay.cc
+++ b/src/host/request/relay.cc
@@ -449,7 +449,9 @@
   base::error failed = last_error_;
   if (!ran) {
     failed = base::MakeError(
-        result_code::kOverloaded, base::outcome::kNotRun,
+        permit_.is_exhausted() ? result_code::kRetryBudgetExhausted
+                               : result_code::kOverloaded,
+        base::outcome::kNotRun,
         "no backend server took the request: " + last_error_.message);
     failed.retry_after = kShortComeBack;
   } else if (Left(routed_).count() <= 0) {
--- a/src/host/request/retry_permit.cc
+++ b/src/host/request/retry_permit.cc
@@ -5,7 +5,8 @@
 
 bool retry_permit::MayAcquire(const std::string& service,
                               base::time_point now) {
-  return !NeedsRetry() || budgets_.MayRetry(service, now);
+  is_exhausted_ = NeedsRetry() && !budgets_.MayRetry(service, now);
+  return !is_exhausted_;
 }
 
 bool retry_permit::Acquire(const std::string& service, base::time_point now) {
@@ -16,6 +17,7 @@
     return true;
   }
   is_acquired_ = budgets_.TryAcquire(service, now);
+  is_exhausted_ = !is_acquired_;
   return is_acquired_;
 }
 
--- a/src/host/request/retry_permit.h
+++ b/src/host/request/retry_permit.h
@@ -22,6 +22,9 @@
   // the attempt needs one; false if the budget is exhausted.
   bool Acquire(const std::string& service, base::time_point now);
 
+  // Whether the budget did not allow the attempt that was last asked for.
+  bool is_exhausted() const { return is_exhausted_; }
+
   // An attempt has failed so.
   void NoteFailed(const base::error& failed);
 
@@ -34,6 +37,7 @@
   bool has_reached_ = false;
   // Whether a retry was taken for an attempt that then reached none.
   bool is_acquired_ = false;
+  bool is_exhausted_ = false;
 };
 
 }  // namespace valeledge::host
--- a/tests/auto/host/test_relay.cc
+++ b/tests/auto/host/test_relay.cc
@@ -75,6 +75,20 @@
   BOOST_TEST(here.second.requests.size() == 1u);
 }
 
+BOOST_AUTO_TEST_CASE(a_request_refused_for_want_of_a_retry_says_so) {
+  world here;
+  here.AddServer("i-1", here.first.address());
+  here.first.script = {{kNotRun}};
+  const auto now = std::chrono::steady_clock::now();
+  while (here.core->retries.TryAcquire("s", now))
+    continue;
+  const seen_answer seen = here.Ask("/safe/");
+  BOOST_TEST(seen.status == 503);
+  BOOST_TEST(seen.body.find("RetryBudgetExhausted") != std::string::npos);
+  BOOST_TEST(seen.body.find("not_run") != std::string::npos);
+  BOOST_TEST(here.first.requests.size() == 1u);
+}
+
 BOOST_AUTO_TEST_CASE(a_retry_that_finds_no_server_is_not_charged) {
   world here;
   here.AddServer("i-1", here.first.address());
--- a/tests/auto/host/test_retry_permit.cc
+++ b/tests/auto/host/test_retry_permit.cc
@@ -76,7 +76,9 @@
   BOOST_TEST(permit.Acquire("s", kNow));
   permit.NoteFailed(refused);
   BOOST_TEST(!permit.MayAcquire("s", kNow));
+  BOOST_TEST(permit.is_exhausted());
   BOOST_TEST(!permit.Acquire("s", kNow));
+  BOOST_TEST(permit.is_exhausted());
   BOOST_TEST(Count("exhausted") == 2);
 }
 
