A workspace's limit is kept while hosts are cut off from its owner

Each part had a bound, their sum had none that is the limit's.

Now an owner keeps back what silent hosts were given, a new owner gives at most what its askers were given before (or half of what falls to so many hosts) until membership has settled, and begins with nothing; hosts without an owner go on at their rate in place of all at once.

--- a/src/host/process/limit_duty.cc
+++ b/src/host/process/limit_duty.cc
@@ -68,6 +68,10 @@
   return limited ? &found->limit : nullptr;
 }
 
+bool limit_duty::IsFresh(base::time_point now) const {
+  return now - core_.started < kFresh;
+}
+
 bool limit_duty::Owns(const std::string& workspace) const {
   const auto owner = links_.owner(workspace);
   return owner && *owner == core_.settings.peer_listen;
@@ -83,7 +87,8 @@
   for (const catalog::workspace& each : core_.configuration->workspaces) {
     if (each.limit.IsSet() && !accounts_.contains(each.name) &&
         Owns(each.name)) {
-      accounts_.emplace(each.name, decisions::OpenAccount(each.limit, now));
+      accounts_.emplace(each.name,
+                        decisions::OpenAccount(each.limit, IsFresh(now), now));
     }
   }
 }
@@ -110,7 +115,7 @@
 // Hosts that start together find each other within a second or more, and each
 // takes itself for the owner of everything before.
 void limit_duty::NoteNewMember(base::time_point now) {
-  if (now - core_.started >= kFresh)
+  if (!IsFresh(now))
     return;
   for (auto& [name, account] : accounts_)
     account.owned_since = now;
@@ -125,9 +130,12 @@
     decisions::GiveBack(account->second, -question.count);
     return ToReply({limit_verdict::kGranted});
   }
-  return ToReply(decisions::TakeFrom(account->second, *limit,
-                                     links_.seen_part(), question.count,
-                                     std::chrono::steady_clock::now()));
+  const auto now = std::chrono::steady_clock::now();
+  decisions::limit_members members = links_.members();
+  members.is_fresh = IsFresh(now);
+  return ToReply(decisions::TakeFrom(
+      account->second, *limit, members,
+      {question.host, question.count, question.usual}, now));
 }
 
 asio::awaitable<std::optional<wire::limit_reply>> limit_duty::AskOwner(
@@ -197,10 +205,14 @@
 
 asio::awaitable<base::result<void>> limit_duty::Take(std::string workspace,
                                                      double count) {
+  relation& known = relations_[workspace];
+  const auto now = std::chrono::steady_clock::now();
+  decisions::NoteAsking(known.allowance, now);
   wire::limit_question question;
   question.workspace = workspace;
   question.count = count;
-  relation& known = relations_[workspace];
+  question.host = core_.settings.name;
+  question.usual = decisions::UsualRate(known.allowance, now);
   const bool waits_for_another = known.is_silent && known.is_asked;
   std::optional<wire::limit_reply> reply;
   if (!waits_for_another) {
--- a/src/host/process/limit_duty.h
+++ b/src/host/process/limit_duty.h
@@ -24,8 +24,8 @@
   // The host that owns the limit of a workspace; nothing if there is none.
   std::function<std::optional<base::endpoint>(const std::string& workspace)>
       owner;
-  // Hosts that are seen now, as a part of all that are known.
-  std::function<double()> seen_part;
+  // What this host knows of the others.
+  std::function<decisions::limit_members()> members;
   std::function<boost::asio::awaitable<base::result<wire::envelope>>(
       base::endpoint where,
       wire::envelope call,
@@ -67,6 +67,8 @@
 
   boost::asio::awaitable<std::optional<wire::limit_reply>> AskTwice(
       wire::limit_question question);
+  // Whether this host has just started.
+  bool IsFresh(base::time_point now) const;
   bool Owns(const std::string& workspace) const;
   // Nothing if this host has no limit of that name.
   const catalog::workspace_limit* FindLimit(const std::string& name) const;
--- a/src/host/process/owner_duties.cc
+++ b/src/host/process/owner_duties.cc
@@ -44,7 +44,9 @@
     return peers_.FirstSound(std::string(kLimitSubject) + workspace,
                              kPreferred);
   };
-  links.seen_part = [this] { return peers_.SeenPart(); };
+  links.members = [this] {
+    return decisions::limit_members{peers_.SeenPart(), peers_.CountKnown()};
+  };
   links.call = [this](base::endpoint where, wire::envelope call,
                       std::chrono::microseconds timeout) {
     return peers_.Call(std::move(where), std::move(call), timeout);
--- a/src/host/process/peer_link.cc
+++ b/src/host/process/peer_link.cc
@@ -205,11 +205,16 @@
   return others + (membership::TakesWork(gossip_.self) ? 1 : 0);
 }
 
-double peer_link::SeenPart() const {
-  const auto known = std::ranges::count_if(
+std::int64_t peer_link::CountKnown() const {
+  const auto others = std::ranges::count_if(
       gossip_.others,
       [](const auto& each) { return !each.second.record.leaving; });
-  return static_cast<double>(CountServing()) / static_cast<double>(known + 1);
+  return others + 1;
+}
+
+double peer_link::SeenPart() const {
+  return static_cast<double>(CountServing()) /
+         static_cast<double>(CountKnown());
 }
 
 std::vector<std::string> peer_link::TakeDead() {
--- a/src/host/process/peer_link.h
+++ b/src/host/process/peer_link.h
@@ -82,8 +82,9 @@
 
   // Hosts that take requests, this one included.
   std::int64_t CountServing() const;
-  // Hosts that take requests, as a part of those that have been known lately,
-  // but for those that left by themselves.
+  // Hosts that have been known lately, but for those that left by themselves;
+  // and those that take requests as a part of them.
+  std::int64_t CountKnown() const;
   double SeenPart() const;
   // Names of hosts that were found dead since the last call.
   std::vector<std::string> TakeDead();
--- a/src/wire/messages.thrift
+++ b/src/wire/messages.thrift
@@ -312,6 +312,9 @@
   1: string workspace,
   // What the request counts; negative: a request that was granted has not run.
   2: double count,
+  // The host that asks, and what it was given a second before.
+  3: string host,
+  4: double usual,
 }
 
 struct limit_reply {
