Limits of workspaces in the field's terms; true times to come back

Names and comments of the limiter say what the field says: TryAcquire, limiter_state, clients, visible fraction, reserved. Numbers and messages unchanged.

One change of behaviour: a new owner, which grants little until membership has settled, told callers to come back after up to 30 s; it tells them the time until it settles, spread (retries_wait_for_a_new_owner_no_longer_than_needed, 30 s before).

--- a/src/decisions/workspace_limit.cc
+++ b/src/decisions/workspace_limit.cc
@@ -10,45 +10,42 @@
 
 using seconds = std::chrono::duration<double>;
 
-// An owner gives nothing for so long: the one before it may not know yet that
-// it is none any more, and hosts that start together do not know each other.
-constexpr std::chrono::milliseconds kOwnerSettles{350};
+// An owner grants nothing for so long: the previous one may not know yet that
+// it is replaced, and hosts that start together do not know each other.
+constexpr std::chrono::milliseconds kOwnerSettleTime{350};
 
-// What an owner begins with that has just started, as a part of the burst: what
-// was left of it is not known.
+// The initial level of an owner whose process has just started, as a fraction
+// of the burst.
 constexpr double kFirstLevel = 0.1;
 
-// Those who are refused are told to come back within this time at the most.
-constexpr std::chrono::seconds kLatestReturn{30};
+constexpr std::chrono::seconds kLongestRetryAfter{30};
 
-// What a host was given a second is averaged over about this time.
+// Time constant of smoothed rates.
 constexpr seconds kRateTime{2};
 
-// Without its owner a host goes on at its rate for so long, until the next
-// owner is found, and with so much of it at once.
-constexpr seconds kWithoutOwner{2};
-constexpr seconds kAtOnce{0.3};
+// A host without an owner grants so much of its rate by itself, and so much of
+// that at once.
+constexpr seconds kOwnerlessTime{2};
+constexpr seconds kOwnerlessBurst{0.3};
 
-// A host that asks so often is known to be silent soon: after so many of its
-// intervals, and after so long at least.
+// A host that sends requests so often is found silent soon: after so many of
+// its intervals, and after so long at least.
 constexpr seconds kRegularInterval{0.2};
-constexpr std::int64_t kRegularAsks = 8;
+constexpr std::int64_t kRegularCount = 8;
 constexpr double kSilentIntervals = 6;
 constexpr seconds kSilentAfter{0.3};
 
-// What other hosts go on with is not kept back for them: it is so much less.
-constexpr double kIrregularPart = 0.25;
+// Nothing is reserved for other hosts: they state this fraction of their rate.
+constexpr double kIrregularFraction = 0.25;
 
-// After so long members agree on who is there: what is kept back for silent
-// hosts is free, and a new owner gives by the members it sees.
-constexpr seconds kMembersSettle{4};
+// Members agree on who is visible after so long.
+constexpr seconds kMembershipSettleTime{4};
 
-// Meanwhile a new owner gives this part of what falls to the hosts that ask it,
-// if they were given less before.
-constexpr double kUnsettledPart = 0.5;
+// Until then a new owner grants at least this fraction of its clients' even
+// share.
+constexpr double kUnsettledFraction = 0.5;
 
-// Askers are looked through so often.
-constexpr std::chrono::milliseconds kLook{50};
+constexpr std::chrono::milliseconds kClientUpdate{50};
 
 double Decayed(double rate, seconds passed) {
   return passed.count() > 0 ? rate * std::exp(-passed / kRateTime) : rate;
@@ -59,87 +56,120 @@
   allowance.updated = now;
 }
 
-void NoteAsk(ask_rhythm& rhythm, base::time_point now) {
+void NoteInterval(request_interval& requests, base::time_point now) {
   constexpr double kWeight = 0.1;
-  const seconds passed = now - rhythm.last;
-  if (rhythm.asks == 1)
-    rhythm.interval = passed;
-  else if (rhythm.asks > 1)
-    rhythm.interval += kWeight * (passed - rhythm.interval);
-  ++rhythm.asks;
-  rhythm.last = now;
+  const seconds passed = now - requests.last;
+  if (requests.count == 1)
+    requests.interval = passed;
+  else if (requests.count > 1)
+    requests.interval += kWeight * (passed - requests.interval);
+  ++requests.count;
+  requests.last = now;
 }
 
-bool IsRegular(const ask_rhythm& rhythm) {
-  return rhythm.asks >= kRegularAsks && rhythm.interval <= kRegularInterval;
+bool IsRegular(const request_interval& requests) {
+  return requests.count >= kRegularCount &&
+         requests.interval <= kRegularInterval;
 }
 
-bool IsSilent(const ask_rhythm& rhythm, base::time_point now) {
-  return IsRegular(rhythm) &&
-         now - rhythm.last >
-             std::max(kSilentAfter, rhythm.interval * kSilentIntervals);
+bool IsSilent(const request_interval& requests, base::time_point now) {
+  return IsRegular(requests) &&
+         now - requests.last >
+             std::max(kSilentAfter, requests.interval * kSilentIntervals);
 }
 
-void NoteAsked(limit_account& account,
-               const limit_request& request,
-               base::time_point now) {
-  const auto [found, is_new] = account.askers.try_emplace(request.host);
-  limit_asker& asker = found->second;
+void NoteRequestOf(limiter_state& limiter,
+                   const limit_request& request,
+                   base::time_point now) {
+  const auto [found, is_new] = limiter.clients.try_emplace(request.host);
+  limiter_client& client = found->second;
   if (is_new) {
-    asker.rate = request.usual;
-    asker.updated = now;
+    client.rate = request.usual;
+    client.updated = now;
   }
-  NoteAsk(asker.rhythm, now);
+  NoteInterval(client.requests, now);
 }
 
-void NoteGivenTo(limit_account& account,
-                 const limit_request& request,
-                 base::time_point now) {
-  limit_asker& asker = account.askers[request.host];
-  asker.rate = Decayed(asker.rate, now - asker.updated) +
-               request.count / kRateTime.count();
-  asker.updated = now;
+void NoteGrantedTo(limiter_state& limiter,
+                   const limit_request& request,
+                   base::time_point now) {
+  limiter_client& client = limiter.clients[request.host];
+  client.rate = Decayed(client.rate, now - client.updated) +
+                request.count / kRateTime.count();
+  client.updated = now;
 }
 
-void LookAtAskers(limit_account& account, base::time_point now) {
-  if (now - account.looked < kLook)
+void UpdateClients(limiter_state& limiter, base::time_point now) {
+  if (now - limiter.clients_updated < kClientUpdate)
     return;
-  account.looked = now;
-  account.kept_back = 0;
-  account.given = 0;
-  std::erase_if(account.askers, [now](const auto& each) {
-    return now - each.second.rhythm.last > kMembersSettle;
+  limiter.clients_updated = now;
+  limiter.reserved = 0;
+  limiter.granted_rate = 0;
+  std::erase_if(limiter.clients, [now](const auto& each) {
+    return now - each.second.requests.last > kMembershipSettleTime;
   });
-  for (const auto& [host, asker] : account.askers) {
-    const double rate = Decayed(asker.rate, asker.rhythm.last - asker.updated);
-    account.given += rate;
-    if (IsSilent(asker.rhythm, now))
-      account.kept_back += rate;
+  for (const auto& [host, client] : limiter.clients) {
+    const double rate =
+        Decayed(client.rate, client.requests.last - client.updated);
+    limiter.granted_rate += rate;
+    if (IsSilent(client.requests, now))
+      limiter.reserved += rate;
   }
 }
 
-// What an owner may give a second.
-double RateOf(const limit_account& account,
-              const catalog::workspace_limit& limit,
-              const limit_members& members,
-              base::time_point now) {
-  const double part = std::clamp(members.seen_part, 0.0, 1.0);
-  const bool settled =
-      members.is_fresh || now - account.owned_since >= kMembersSettle;
-  if (settled) {
-    // Hosts that are silent are those that are not seen any more soon.
-    const double missing = std::max(limit.rate * (1 - part), account.kept_back);
+bool IsSettled(const limiter_state& limiter,
+               const limit_members& members,
+               base::time_point now) {
+  return members.is_fresh || now - limiter.owned_since >= kMembershipSettleTime;
+}
+
+// Tokens a second that an owner may grant.
+double GrantableRate(const limiter_state& limiter,
+                     const catalog::workspace_limit& limit,
+                     const limit_members& members,
+                     base::time_point now) {
+  const double part = std::clamp(members.visible_fraction, 0.0, 1.0);
+  if (IsSettled(limiter, members, now)) {
+    // Silent hosts are the ones that are not visible soon after.
+    const double missing = std::max(limit.rate * (1 - part), limiter.reserved);
     return std::max(limit.rate - missing, 0.0);
   }
-  const double askers =
-      static_cast<double>(account.askers.size()) /
+  const double clients =
+      static_cast<double>(limiter.clients.size()) /
       static_cast<double>(std::max<std::int64_t>(members.known, 1));
   const double most =
-      std::max(account.given - account.kept_back,
-               limit.rate * kUnsettledPart * std::min(askers, 1.0));
+      std::max(limiter.granted_rate - limiter.reserved,
+               limit.rate * kUnsettledFraction * std::min(clients, 1.0));
   return std::min(limit.rate * part, most);
 }
 
+// The time after which a refused request is worth sending again.
+std::chrono::milliseconds RetryAfter(limiter_state& limiter,
+                                     const limit_members& members,
+                                     double count,
+                                     base::time_point now) {
+  const token_bucket& bucket = limiter.bucket;
+  base::time_point::duration wait = kLongestRetryAfter;
+  if (bucket.rate > 0) {
+    const auto turn = std::chrono::duration_cast<base::time_point::duration>(
+        seconds(count / bucket.rate));
+    limiter.next_retry =
+        std::max(limiter.next_retry, now + TimeUntil(bucket, count)) + turn;
+    limiter.next_retry = std::min(limiter.next_retry, now + kLongestRetryAfter);
+    wait = limiter.next_retry - now;
+  }
+  // The rate rises once membership has settled; retries stay spread.
+  if (!IsSettled(limiter, members, now)) {
+    const auto settled_in = limiter.owned_since + kMembershipSettleTime - now;
+    constexpr int kSpread = 8;
+    wait = std::min(
+        wait,
+        std::chrono::duration_cast<base::time_point::duration>(settled_in) +
+            wait / kSpread);
+  }
+  return std::chrono::ceil<std::chrono::milliseconds>(wait);
+}
+
 }  // namespace
 
 double CountOf(const catalog::workspace_limit& limit,
@@ -150,64 +180,55 @@
       std::max<std::int64_t>(tokens.value_or(limit.plain_tokens), 0));
 }
 
-limit_account OpenAccount(const catalog::workspace_limit& limit,
+limiter_state MakeLimiter(const catalog::workspace_limit& limit,
                           bool is_fresh,
                           base::time_point now) {
-  limit_account account;
-  // Of an owner that may go on elsewhere nothing is taken over.
-  account.bucket.level = is_fresh ? kFirstLevel * limit.burst : 0;
-  account.bucket.filled = now;
-  account.owned_since = now;
-  return account;
+  limiter_state limiter;
+  // The previous owner may still grant what it has.
+  limiter.bucket.level = is_fresh ? kFirstLevel * limit.burst : 0;
+  limiter.bucket.filled = now;
+  limiter.owned_since = now;
+  return limiter;
 }
 
-limit_answer TakeFrom(limit_account& account,
-                      const catalog::workspace_limit& limit,
-                      const limit_members& members,
-                      const limit_request& request,
-                      base::time_point now) {
+limit_answer TryAcquire(limiter_state& limiter,
+                        const catalog::workspace_limit& limit,
+                        const limit_members& members,
+                        const limit_request& request,
+                        base::time_point now) {
   const double count = request.count;
-  token_bucket& bucket = account.bucket;
-  NoteAsked(account, request, now);
-  LookAtAskers(account, now);
-  bucket.rate = RateOf(account, limit, members, now);
+  token_bucket& bucket = limiter.bucket;
+  NoteRequestOf(limiter, request, now);
+  UpdateClients(limiter, now);
+  bucket.rate = GrantableRate(limiter, limit, members, now);
   bucket.burst = limit.burst;
   Refill(bucket, now);
   // A burst that was lowered holds at once.
   bucket.level = std::min(bucket.level, bucket.burst);
-  if (now - account.owned_since < kOwnerSettles)
+  if (now - limiter.owned_since < kOwnerSettleTime)
     return {limit_verdict::kNotOwned};
-  account.asked += count;
+  limiter.asked += count;
   if (TryTake(bucket, count, now)) {
-    account.granted += count;
-    NoteGivenTo(account, request, now);
+    limiter.granted += count;
+    NoteGrantedTo(limiter, request, now);
     return {limit_verdict::kGranted};
   }
-  if (bucket.rate <= 0)
-    return {limit_verdict::kExceeded, kLatestReturn};
-  const auto turn = std::chrono::duration_cast<base::time_point::duration>(
-      seconds(count / bucket.rate));
-  account.next_return =
-      std::max(account.next_return, now + TimeUntil(bucket, count)) + turn;
-  account.next_return = std::min(account.next_return, now + kLatestReturn);
-  return {
-      limit_verdict::kExceeded,
-      std::chrono::ceil<std::chrono::milliseconds>(account.next_return - now)};
+  return {limit_verdict::kExceeded, RetryAfter(limiter, members, count, now)};
 }
 
-void GiveBack(limit_account& account, double count) {
-  account.bucket.level = std::min(account.bucket.level + std::max(count, 0.0),
-                                  account.bucket.burst);
+void Release(limiter_state& limiter, double count) {
+  limiter.bucket.level = std::min(limiter.bucket.level + std::max(count, 0.0),
+                                  limiter.bucket.burst);
 }
 
-void NoteAsking(limit_allowance& allowance, base::time_point now) {
-  NoteAsk(allowance.rhythm, now);
+void NoteRequest(limit_allowance& allowance, base::time_point now) {
+  NoteInterval(allowance.requests, now);
 }
 
 double UsualRate(const limit_allowance& allowance, base::time_point now) {
   const double rate =
-      Decayed(allowance.rate, now - allowance.updated - kWithoutOwner);
-  return IsRegular(allowance.rhythm) ? rate : rate * kIrregularPart;
+      Decayed(allowance.rate, now - allowance.updated - kOwnerlessTime);
+  return IsRegular(allowance.requests) ? rate : rate * kIrregularFraction;
 }
 
 void NoteGranted(limit_allowance& allowance,
@@ -218,26 +239,27 @@
   allowance.left.reset();
 }
 
-bool TakeWithoutOwner(limit_allowance& allowance,
-                      double count,
-                      double chance,
-                      base::time_point now) {
+bool TryAcquireWithoutOwner(limit_allowance& allowance,
+                            double count,
+                            double chance,
+                            base::time_point now) {
   if (!allowance.left) {
     Decay(allowance, now);
-    allowance.left = allowance.rate * kAtOnce.count();
+    allowance.left = allowance.rate * kOwnerlessBurst.count();
     allowance.silent_since = now;
     allowance.grown = now;
   }
   double& left = *allowance.left;
-  const seconds growing =
-      IsRegular(allowance.rhythm) ? kWithoutOwner - kAtOnce : seconds(0);
+  const seconds growing = IsRegular(allowance.requests)
+                              ? kOwnerlessTime - kOwnerlessBurst
+                              : seconds(0);
   const auto until =
       allowance.silent_since +
       std::chrono::duration_cast<base::time_point::duration>(growing);
   const seconds grown = std::min(now, until) - allowance.grown;
   if (grown.count() > 0) {
     left = std::min(left + allowance.rate * grown.count(),
-                    allowance.rate * kAtOnce.count());
+                    allowance.rate * kOwnerlessBurst.count());
     allowance.grown = now;
   }
   if (left >= count) {
@@ -245,7 +267,7 @@
     return true;
   }
   const bool may_grow =
-      now < until && count <= allowance.rate * kAtOnce.count();
+      now < until && count <= allowance.rate * kOwnerlessBurst.count();
   if (may_grow)
     return false;
   const bool taken = chance * count < left;
--- a/src/decisions/workspace_limit.h
+++ b/src/decisions/workspace_limit.h
@@ -6,14 +6,12 @@
 // where it was asked, so that an even rise at all hosts, or callers at a few of
 // them, neither overrun the limit nor are refused below it.
 //
-// Two owners together give hardly more than the limit, though members disagree
-// on who owns it. An owner keeps back what hosts were given that have fallen
-// silent: they go on with it, under another owner or without one. A new owner
-// gives only what the hosts that ask it were given before, until membership has
-// settled, or half of what falls to so many hosts if that is more; from then on
-// the part of the rate that the members it sees make of
-// those it knows. A host whose owner does not answer goes on at its rate for a
-// moment.
+// Members may disagree on who owns a limit, as in a network partition. What two
+// owners grant together is bounded: an owner reserves the rate of hosts that
+// fell silent, since these go on without it. A new owner grants the rate that
+// its clients had before, or half of their even share, until membership has
+// settled; from then on the visible fraction of the rate. A host whose owner
+// does not answer goes on at its rate for a short time.
 #ifndef VALELEDGE_DECISIONS_WORKSPACE_LIMIT_H_
 #define VALELEDGE_DECISIONS_WORKSPACE_LIMIT_H_
 
@@ -34,35 +32,34 @@
 double CountOf(const catalog::workspace_limit& limit,
                std::optional<std::int64_t> tokens);
 
-// How often one host asks for a limit.
-struct ask_rhythm {
-  std::int64_t asks = 0;
+// How often one host sends requests of a workspace.
+struct request_interval {
+  std::int64_t count = 0;
   base::time_point last;
-  // Between two of them, smoothed.
+  // Between two requests, smoothed.
   std::chrono::duration<double> interval{0};
 };
 
 // What an owner knows of one host that asks it.
-struct limit_asker {
-  // What it is given a second.
+struct limiter_client {
+  // Tokens granted to it a second.
   double rate = 0;
   base::time_point updated;
-  ask_rhythm rhythm;
+  request_interval requests;
 };
 
-// The account of a limit at its owner. Changed only by the functions below.
-struct limit_account {
+// The state of a limit at its owner. Changed only by the functions below.
+struct limiter_state {
   token_bucket bucket;
   base::time_point owned_since;
-  std::map<std::string, limit_asker> askers;
-  // Of the rate, for hosts that are silent; and all that askers were given, as
-  // of the last look at them.
-  double kept_back = 0;
-  double given = 0;
-  base::time_point looked;
-  // Those who are refused come back one after the other: the next one then.
-  base::time_point next_return;
-  // Since they were last told of.
+  std::map<std::string, limiter_client> clients;
+  // Tokens a second: reserved for silent clients, and granted to all.
+  double reserved = 0;
+  double granted_rate = 0;
+  base::time_point clients_updated;
+  // Retries of refused requests are spread: the next one is due then.
+  base::time_point next_retry;
+  // Tokens since the last log line.
   double asked = 0;
   double granted = 0;
 };
@@ -81,39 +78,40 @@
   std::chrono::milliseconds retry_after{0};
 };
 
-// This host has come to own a limit. `is_fresh`: it has just started.
-limit_account OpenAccount(const catalog::workspace_limit& limit,
+// Makes the state of a limit that this host now owns. `is_fresh`: its process
+// has just started.
+limiter_state MakeLimiter(const catalog::workspace_limit& limit,
                           bool is_fresh,
                           base::time_point now);
 
-// A host asks for one request.
+// What a host asks for one request.
 struct limit_request {
   // Unique among hosts.
   std::string host;
   double count = 0;
-  // What the host was given a second before.
+  // Tokens that were granted to the host a second, by any owner.
   double usual = 0;
 };
 
 // What an owner knows of its members.
 struct limit_members {
-  // Hosts that are seen now as a part of all that are known, from 0 to 1.
-  double seen_part = 1;
-  // Hosts that are known, seen or not.
+  // Visible hosts as a fraction of the known ones, from 0 to 1.
+  double visible_fraction = 1;
+  // Hosts that are known, visible or not.
   std::int64_t known = 1;
-  // Whether the owner has just started: no host was given anything before.
+  // Whether the owner's process has just started.
   bool is_fresh = false;
 };
 
-// Takes what one request counts.
-limit_answer TakeFrom(limit_account& account,
-                      const catalog::workspace_limit& limit,
-                      const limit_members& members,
-                      const limit_request& request,
-                      base::time_point now);
+// Acquires the tokens of one request.
+limit_answer TryAcquire(limiter_state& limiter,
+                        const catalog::workspace_limit& limit,
+                        const limit_members& members,
+                        const limit_request& request,
+                        base::time_point now);
 
-// A request that was granted has not run, and never will.
-void GiveBack(limit_account& account, double count);
+// Returns the tokens of a request that was granted and will never run.
+void Release(limiter_state& limiter, double count);
 
 // What one host may go on with while a limit's owner does not answer. Changed
 // only by the functions below.
@@ -121,7 +119,7 @@
   // What it was given a second, lately.
   double rate = 0;
   base::time_point updated;
-  ask_rhythm rhythm;
+  request_interval requests;
   // While the owner does not answer: what is left of the allowance, since when
   // it has been silent, and up to when the allowance has grown.
   std::optional<double> left;
@@ -129,10 +127,10 @@
   base::time_point grown;
 };
 
-// A host asks the owner, or would.
-void NoteAsking(limit_allowance& allowance, base::time_point now);
+// Counts a request of the workspace at this host.
+void NoteRequest(limit_allowance& allowance, base::time_point now);
 
-// What a host tells a new owner that it was given a second.
+// The rate that a host states to an owner, in tokens a second.
 double UsualRate(const limit_allowance& allowance, base::time_point now);
 
 // The owner has granted a request.
@@ -142,10 +140,10 @@
 
 // The owner does not answer: whether the request may be sent all the same.
 // `chance`, drawn evenly from 0 to 1, decides what is left of one request.
-bool TakeWithoutOwner(limit_allowance& allowance,
-                      double count,
-                      double chance,
-                      base::time_point now);
+bool TryAcquireWithoutOwner(limit_allowance& allowance,
+                            double count,
+                            double chance,
+                            base::time_point now);
 
 }  // namespace valeledge::decisions
 
--- a/src/host/process/limit_duty.cc
+++ b/src/host/process/limit_duty.cc
@@ -88,7 +88,7 @@
     if (each.limit.IsSet() && !accounts_.contains(each.name) &&
         Owns(each.name)) {
       accounts_.emplace(each.name,
-                        decisions::OpenAccount(each.limit, IsFresh(now), now));
+                        decisions::MakeLimiter(each.limit, IsFresh(now), now));
     }
   }
 }
@@ -127,13 +127,13 @@
   if (account == accounts_.end() || limit == nullptr)
     return ToReply({});
   if (question.count < 0) {
-    decisions::GiveBack(account->second, -question.count);
+    decisions::Release(account->second, -question.count);
     return ToReply({limit_verdict::kGranted});
   }
   const auto now = std::chrono::steady_clock::now();
   decisions::limit_members members = links_.members();
   members.is_fresh = IsFresh(now);
-  return ToReply(decisions::TakeFrom(
+  return ToReply(decisions::TryAcquire(
       account->second, *limit, members,
       {question.host, question.count, question.usual}, now));
 }
@@ -191,8 +191,8 @@
     return tl::make_unexpected(std::move(beyond));
   }
   std::uniform_real_distribution<double> any(0, 1);
-  if (decisions::TakeWithoutOwner(known.allowance, count, any(core_.random),
-                                  now)) {
+  if (decisions::TryAcquireWithoutOwner(known.allowance, count,
+                                        any(core_.random), now)) {
     core_.metrics.Counter("valeledge_limits_total", "without_owner").Add();
     return {};
   }
@@ -207,7 +207,7 @@
                                                      double count) {
   relation& known = relations_[workspace];
   const auto now = std::chrono::steady_clock::now();
-  decisions::NoteAsking(known.allowance, now);
+  decisions::NoteRequest(known.allowance, now);
   wire::limit_question question;
   question.workspace = workspace;
   question.count = count;
--- a/src/host/process/limit_duty.h
+++ b/src/host/process/limit_duty.h
@@ -83,7 +83,7 @@
 
   host_core& core_;
   limit_links links_;
-  std::map<std::string, decisions::limit_account> accounts_;
+  std::map<std::string, decisions::limiter_state> accounts_;
   std::map<std::string, relation> relations_;
   base::time_point told_;
 };
--- a/src/host/process/owner_duties.cc
+++ b/src/host/process/owner_duties.cc
@@ -45,7 +45,8 @@
                              kPreferred);
   };
   links.members = [this] {
-    return decisions::limit_members{peers_.SeenPart(), peers_.CountKnown()};
+    return decisions::limit_members{peers_.VisibleFraction(),
+                                    peers_.CountKnown()};
   };
   links.call = [this](base::endpoint where, wire::envelope call,
                       std::chrono::microseconds timeout) {
--- a/src/host/process/peer_link.cc
+++ b/src/host/process/peer_link.cc
@@ -212,7 +212,7 @@
   return others + 1;
 }
 
-double peer_link::SeenPart() const {
+double peer_link::VisibleFraction() const {
   return static_cast<double>(CountServing()) /
          static_cast<double>(CountKnown());
 }
--- a/src/host/process/peer_link.h
+++ b/src/host/process/peer_link.h
@@ -85,7 +85,7 @@
   // Hosts that have been known lately, but for those that left by themselves;
   // and those that take requests as a part of them.
   std::int64_t CountKnown() const;
-  double SeenPart() const;
+  double VisibleFraction() const;
   // Names of hosts that were found dead since the last call.
   std::vector<std::string> TakeDead();
 
--- a/tests/auto/decisions/limit_fleet.h
+++ b/tests/auto/decisions/limit_fleet.h
@@ -120,7 +120,7 @@
  private:
   struct host {
     decisions::limit_allowance allowance;
-    std::optional<decisions::limit_account> account;
+    std::optional<decisions::limiter_state> account;
   };
 
   // Whether two hosts reach each other now, and since when they do not.
@@ -158,7 +158,7 @@
     return from;
   }
 
-  double SeenPart(std::size_t from, double now) const {
+  double VisibleFraction(std::size_t from, double now) const {
     double seen = 0;
     for (std::size_t each = 0; each < hosts_.size(); ++each)
       seen += UnseenFor(from, each, now) < kDeadAfter ? 1 : 0;
@@ -194,33 +194,33 @@
         account.reset();
       else if (!account)
         account =
-            decisions::OpenAccount(Limit(now), IsFresh(now), FleetTime(now));
+            decisions::MakeLimiter(Limit(now), IsFresh(now), FleetTime(now));
     }
   }
 
   bool Ask(std::size_t from, double now) {
-    host& asker = hosts_[from];
-    decisions::NoteAsking(asker.allowance, FleetTime(now));
+    host& client = hosts_[from];
+    decisions::NoteRequest(client.allowance, FleetTime(now));
     const std::size_t owner = OwnerFor(from, now);
     auto verdict = decisions::limit_verdict::kNotOwned;
     auto& account = hosts_[owner].account;
     if (account && !ApartSince(from, owner, now)) {
-      const decisions::limit_members members{SeenPart(owner, now), day_.hosts,
-                                             IsFresh(now)};
+      const decisions::limit_members members{VisibleFraction(owner, now),
+                                             day_.hosts, IsFresh(now)};
       const decisions::limit_request request{
           std::to_string(from), day_.tokens,
-          decisions::UsualRate(asker.allowance, FleetTime(now))};
-      verdict = decisions::TakeFrom(*account, Limit(now), members, request,
-                                    FleetTime(now))
+          decisions::UsualRate(client.allowance, FleetTime(now))};
+      verdict = decisions::TryAcquire(*account, Limit(now), members, request,
+                                      FleetTime(now))
                     .verdict;
     }
     if (verdict == decisions::limit_verdict::kGranted)
-      decisions::NoteGranted(asker.allowance, day_.tokens, FleetTime(now));
+      decisions::NoteGranted(client.allowance, day_.tokens, FleetTime(now));
     if (verdict != decisions::limit_verdict::kNotOwned)
       return verdict == decisions::limit_verdict::kGranted;
     std::uniform_real_distribution<double> any(0, 1);
-    return decisions::TakeWithoutOwner(asker.allowance, day_.tokens,
-                                       any(random_), FleetTime(now));
+    return decisions::TryAcquireWithoutOwner(client.allowance, day_.tokens,
+                                             any(random_), FleetTime(now));
   }
 
   void Note(std::size_t from, double now) {
--- a/tests/auto/decisions/limit_world.h
+++ b/tests/auto/decisions/limit_world.h
@@ -127,9 +127,9 @@
 };
 
 // Calls `ask` (host, time) for each request of a day; true if it is granted.
-template <typename asker, typename stepper>
+template <typename client, typename stepper>
 limit_outcome PlayDay(const limit_day& day,
-                      const asker& ask,
+                      const client& ask,
                       const stepper& step,
                       const double& messages) {
   std::mt19937_64 random(day.seed);
@@ -159,17 +159,17 @@
 
 // One owner for the limit, asked for each request.
 inline limit_outcome PlayOwner(const limit_day& day) {
-  using decisions::limit_account;
   using decisions::limit_allowance;
   using decisions::limit_verdict;
+  using decisions::limiter_state;
   using detail::At;
   std::mt19937_64 random(day.seed + 1);
   std::uniform_real_distribution<double> any(0, 1);
   std::vector<limit_allowance> allowances(static_cast<std::size_t>(day.hosts));
   double messages = 0;
   // The owner before the trouble, and the one after it.
-  limit_account first = decisions::OpenAccount(day.limit, true, At(0));
-  std::optional<limit_account> second;
+  limiter_state first = decisions::MakeLimiter(day.limit, true, At(0));
+  std::optional<limiter_state> second;
   const double found = day.trouble == limit_trouble::kOwnerFrozen    ? 1.5
                        : day.trouble == limit_trouble::kAllRestarted ? 1.0
                                                                      : 2.0;
@@ -183,12 +183,12 @@
     if (struck)
       std::ranges::fill(allowances, limit_allowance());
     if (loses_owner && !second && now >= detail::kTroubleAt + found)
-      second = decisions::OpenAccount(day.limit, restarted, At(now));
+      second = decisions::MakeLimiter(day.limit, restarted, At(now));
   };
   const auto ask = [&](int host, double now) {
     limit_allowance& allowance = allowances[static_cast<std::size_t>(host)];
-    decisions::NoteAsking(allowance, At(now));
-    limit_account* owner = &first;
+    decisions::NoteRequest(allowance, At(now));
+    limiter_state* owner = &first;
     const bool lost = loses_owner && now >= detail::kTroubleAt;
     // A tenth of the hosts still ask the one that was frozen once it is back.
     const bool back = day.trouble == limit_trouble::kOwnerFrozen &&
@@ -205,16 +205,17 @@
           std::to_string(host), day.tokens,
           decisions::UsualRate(allowance, At(now))};
       const bool is_fresh = now < 10 || (restarted && owner != &first);
-      verdict = decisions::TakeFrom(*owner, day.limit, {1, day.hosts, is_fresh},
-                                    request, At(now))
-                    .verdict;
+      verdict =
+          decisions::TryAcquire(*owner, day.limit, {1, day.hosts, is_fresh},
+                                request, At(now))
+              .verdict;
     }
     if (verdict == limit_verdict::kGranted)
       decisions::NoteGranted(allowance, day.tokens, At(now));
     if (verdict != limit_verdict::kNotOwned)
       return verdict == limit_verdict::kGranted;
-    return decisions::TakeWithoutOwner(allowance, day.tokens, any(random),
-                                       At(now));
+    return decisions::TryAcquireWithoutOwner(allowance, day.tokens, any(random),
+                                             At(now));
   };
   return detail::PlayDay(day, ask, step, messages);
 }
--- a/tests/auto/decisions/test_workspace_limit.cc
+++ b/tests/auto/decisions/test_workspace_limit.cc
@@ -25,12 +25,13 @@
 }
 
 // One host asks an owner that has just started and sees a part of the others.
-limit_answer Take(limit_account& account,
+limit_answer Take(limiter_state& account,
                   const catalog::workspace_limit& limit,
-                  double seen_part,
+                  double visible_fraction,
                   double count,
                   base::time_point now) {
-  return TakeFrom(account, limit, {seen_part, 1, true}, {"h", count, 0}, now);
+  return TryAcquire(account, limit, {visible_fraction, 1, true},
+                    {"h", count, 0}, now);
 }
 
 BOOST_AUTO_TEST_SUITE(workspace_limits)
@@ -47,7 +48,7 @@
 
 BOOST_AUTO_TEST_CASE(an_owner_gives_rate_and_burst_once_it_has_settled) {
   const auto limit = Limit(1000, 2000);
-  limit_account account = OpenAccount(limit, true, kStart);
+  limiter_state account = MakeLimiter(limit, true, kStart);
   BOOST_TEST((Take(account, limit, 1, 100, kStart + 100ms).verdict ==
               limit_verdict::kNotOwned));
   double given = 0;
@@ -63,7 +64,7 @@
 
 BOOST_AUTO_TEST_CASE(a_part_of_the_hosts_gets_that_part) {
   const auto limit = Limit(1000, 1000);
-  limit_account account = OpenAccount(limit, true, kStart);
+  limiter_state account = MakeLimiter(limit, true, kStart);
   double given = 0;
   for (auto now = 400ms; now < 8s; now += 1ms) {
     if (Take(account, limit, 0.25, 10, kStart + now).verdict ==
@@ -75,7 +76,7 @@
 
 BOOST_AUTO_TEST_CASE(a_request_above_the_burst_passes_when_nothing_else_does) {
   const auto limit = Limit(100, 500);
-  limit_account account = OpenAccount(limit, true, kStart);
+  limiter_state account = MakeLimiter(limit, true, kStart);
   BOOST_TEST((Take(account, limit, 1, 900, kStart + 400ms).verdict ==
               limit_verdict::kExceeded));
   BOOST_TEST((Take(account, limit, 1, 900, kStart + 10s).verdict ==
@@ -85,7 +86,7 @@
 }
 
 BOOST_AUTO_TEST_CASE(a_lowered_limit_holds_from_then_on) {
-  limit_account account = OpenAccount(Limit(1000, 8000), true, kStart);
+  limiter_state account = MakeLimiter(Limit(1000, 8000), true, kStart);
   Take(account, Limit(1000, 8000), 1, 0, kStart + 9s);
   double given = 0;
   for (auto now = 9s + 0ms; now < 17s; now += 1ms) {
@@ -98,7 +99,7 @@
 
 BOOST_AUTO_TEST_CASE(those_who_are_refused_come_back_one_after_the_other) {
   const auto limit = Limit(1000, 1000);
-  limit_account account = OpenAccount(limit, true, kStart);
+  limiter_state account = MakeLimiter(limit, true, kStart);
   const auto now = kStart + 5s;
   Take(account, limit, 1, 1000, now);
   auto last = 0ms;
@@ -115,30 +116,30 @@
 
 BOOST_AUTO_TEST_CASE(what_did_not_run_is_given_back) {
   const auto limit = Limit(1, 1000);
-  limit_account account = OpenAccount(limit, true, kStart);
+  limiter_state account = MakeLimiter(limit, true, kStart);
   account.bucket.level = 1000;
   const auto now = kStart + 1s;
   BOOST_TEST(
       (Take(account, limit, 1, 1000, now).verdict == limit_verdict::kGranted));
-  GiveBack(account, 1000);
+  Release(account, 1000);
   BOOST_TEST(
       (Take(account, limit, 1, 1000, now).verdict == limit_verdict::kGranted));
-  GiveBack(account, 50'000);
+  Release(account, 50'000);
   BOOST_TEST(account.bucket.level <= 1000);
-  GiveBack(account, -1);
+  Release(account, -1);
   BOOST_TEST(account.bucket.level == 1000);
 }
 
 BOOST_AUTO_TEST_CASE(without_its_owner_a_host_goes_on_for_a_moment) {
   limit_allowance allowance;
-  BOOST_TEST(!TakeWithoutOwner(allowance, 10, 0.5, kStart));
+  BOOST_TEST(!TryAcquireWithoutOwner(allowance, 10, 0.5, kStart));
   for (auto now = 0ms; now < 10s; now += 10ms) {
-    NoteAsking(allowance, kStart + now);
+    NoteRequest(allowance, kStart + now);
     NoteGranted(allowance, 10, kStart + now);
   }
   double given = 0;
   for (auto now = 10s + 0ms; now < 20s; now += 1ms)
-    given += TakeWithoutOwner(allowance, 10, 1, kStart + now) ? 10 : 0;
+    given += TryAcquireWithoutOwner(allowance, 10, 1, kStart + now) ? 10 : 0;
   // It was given 1,000 a second.
   BOOST_TEST(given >= 1900);
   BOOST_TEST(given <= 2100);
@@ -147,13 +148,13 @@
 BOOST_AUTO_TEST_CASE(a_host_that_asks_seldom_goes_on_with_less) {
   limit_allowance allowance;
   for (auto now = 0ms; now < 10s; now += 500ms) {
-    NoteAsking(allowance, kStart + now);
+    NoteRequest(allowance, kStart + now);
     NoteGranted(allowance, 500, kStart + now);
   }
   BOOST_TEST(UsualRate(allowance, kStart + 10s) <= 300);
   double given = 0;
   for (auto now = 10s + 0ms; now < 20s; now += 1ms)
-    given += TakeWithoutOwner(allowance, 10, 1, kStart + now) ? 10 : 0;
+    given += TryAcquireWithoutOwner(allowance, 10, 1, kStart + now) ? 10 : 0;
   BOOST_TEST(given >= 200);
   BOOST_TEST(given <= 350);
 }
@@ -162,10 +163,11 @@
 // more, until it knows which hosts are there.
 BOOST_AUTO_TEST_CASE(a_new_owner_gives_what_was_given_before) {
   const auto limit = Limit(1000, 2000);
-  limit_account account = OpenAccount(limit, false, kStart);
+  limiter_state account = MakeLimiter(limit, false, kStart);
   double given = 0;
   for (auto now = 0ms; now < 3s; now += 5ms) {
-    if (TakeFrom(account, limit, {1, 100, false}, {"h", 10, 300}, kStart + now)
+    if (TryAcquire(account, limit, {1, 100, false}, {"h", 10, 300},
+                   kStart + now)
             .verdict == limit_verdict::kGranted) {
       given += 10;
     }
@@ -174,12 +176,25 @@
   BOOST_TEST(given <= 1.1 * 300 * 3);
 }
 
+// Nobody is sent away for longer than it takes until more may be given.
+BOOST_AUTO_TEST_CASE(retries_wait_for_a_new_owner_no_longer_than_needed) {
+  const auto limit = Limit(1000, 2000);
+  limiter_state limiter = MakeLimiter(limit, false, kStart);
+  for (int i = 0; i < 100; ++i) {
+    const auto refused =
+        TryAcquire(limiter, limit, {1, 100, false}, {"h", 500, 0}, kStart + 1s);
+    BOOST_REQUIRE((refused.verdict == limit_verdict::kExceeded));
+    BOOST_TEST((refused.retry_after <= 7s));
+  }
+}
+
 // What a host was given that has fallen silent is not given to others.
 BOOST_AUTO_TEST_CASE(the_part_of_a_silent_host_is_kept_back) {
   const auto limit = Limit(1000, 1000);
-  limit_account account = OpenAccount(limit, true, kStart);
+  limiter_state account = MakeLimiter(limit, true, kStart);
   const auto ask = [&](const char* host, std::chrono::milliseconds at) {
-    return TakeFrom(account, limit, {1, 100, true}, {host, 10, 0}, kStart + at)
+    return TryAcquire(account, limit, {1, 100, true}, {host, 10, 0},
+                      kStart + at)
                .verdict == limit_verdict::kGranted;
   };
   for (auto now = 400ms; now < 10s; now += 5ms) {
