Request log lines and attempts in the field's terms

request_trace and Log* in place of request_story and Tell*, server_attempt in place of server_visit, attempts in place of sends. No change of behaviour; fields of log lines and numbers stay.

--- a/src/host/constants.h
+++ b/src/host/constants.h
@@ -34,8 +34,8 @@
 // The longest pause between events where a route states none.
 inline constexpr std::chrono::milliseconds kUsualEventGap{300};
 
-// Sends of one request, those that certainly did not run included.
-inline constexpr int kMostSends = 4;
+// Attempts of one request, those that certainly did not run included.
+inline constexpr int kMaxAttempts = 4;
 
 // Without a sign of life for this part of the objective, an idempotent
 // request is given up at one server and sent to another.
--- a/src/host/process/copy_duty.cc
+++ b/src/host/process/copy_duty.cc
@@ -94,7 +94,7 @@
   const auto reply =
       co_await peers_.CallForCopy(peer, std::move(call), std::move(limit));
   const fetch_end end = TakeReply(wanted.since, reply);
-  TellEnd(peer, wanted.since, end, reply);
+  LogEnd(peer, wanted.since, end, reply);
   if (end == fetch_end::kTaken) {
     // Also if it is no newer than what has come meanwhile.
     decisions::NoteCopy(fetches_);
@@ -124,10 +124,10 @@
   }
 }
 
-void copy_duty::TellEnd(const base::endpoint& peer,
-                        std::int64_t since,
-                        fetch_end end,
-                        const base::result<wire::envelope>& reply) {
+void copy_duty::LogEnd(const base::endpoint& peer,
+                       std::int64_t since,
+                       fetch_end end,
+                       const base::result<wire::envelope>& reply) {
   const decisions::copy_fetch& fetch = fetches_.asked.at(peer);
   core_.metrics.Counter("valeledge_copy_bytes_total").Add(fetch.bytes);
   core_.metrics.Counter("valeledge_copies_total", NameOf(end)).Add();
--- a/src/host/request/relay.cc
+++ b/src/host/request/relay.cc
@@ -16,11 +16,11 @@
 #include "host/request/event_splitter.h"
 #include "host/request/final_answers.h"
 #include "host/request/limit_charge.h"
-#include "host/request/request_story.h"
+#include "host/request/request_trace.h"
 #include "host/request/retry_permit.h"
 #include "host/request/routed_request.h"
 #include "host/request/server_search.h"
-#include "host/request/server_visit.h"
+#include "host/request/server_attempt.h"
 
 namespace valeledge::host {
 
@@ -62,14 +62,14 @@
   // ended; the server is at fault unless the caller is gone.
   asio::awaitable<tl::expected<std::string_view, attempt_end>> NextPiece(
       net::http_exchange& exchange,
-      server_visit& visit);
+      server_attempt& attempt);
   asio::awaitable<attempt_end> TakeWhole(net::http_exchange& exchange,
-                                         server_visit& visit);
+                                         server_attempt& attempt);
   asio::awaitable<attempt_end> TakeStream(net::http_exchange& exchange,
-                                          server_visit& visit);
+                                          server_attempt& attempt);
   asio::awaitable<bool> PassEvents(event_splitter& events,
                                    const net::http_response_header& head,
-                                   server_visit& visit);
+                                   server_attempt& attempt);
   asio::awaitable<bool> StartAnswer(const net::http_response_header& head);
   bool MayGoOn(attempt_end end);
   asio::awaitable<void> Fail(base::error failed);
@@ -83,7 +83,7 @@
   routed_request routed_;
   std::shared_ptr<net::open_guard> guard_;
   std::unique_ptr<limit_charge> charge_;
-  request_story story_;
+  request_trace trace_;
   std::int64_t runs_ = 0;
   attempt_progress progress_;
   // The event that came next does not follow the last one.
@@ -97,14 +97,14 @@
 
 asio::awaitable<bool> relay::StartAnswer(
     const net::http_response_header& head) {
-  story_.started = true;
+  trace_.started = true;
   const bool sent = co_await responder_.Start(ForwardableHead(head));
   co_return sent;
 }
 
 asio::awaitable<tl::expected<std::string_view, attempt_end>> relay::NextPiece(
     net::http_exchange& exchange,
-    server_visit& visit) {
+    server_attempt& attempt) {
   const auto left = Left(routed_);
   if (left.count() <= 0)
     co_return tl::make_unexpected(attempt_end::kUnknown);
@@ -115,7 +115,7 @@
   }
   if (!piece) {
     last_error_ = piece.error();
-    visit.Failed(false);
+    attempt.Failed(false);
     co_return tl::make_unexpected(attempt_end::kUnknown);
   }
   if (!piece->empty() && !progress_.first_part_at)
@@ -124,10 +124,10 @@
 }
 
 asio::awaitable<attempt_end> relay::TakeWhole(net::http_exchange& exchange,
-                                              server_visit& visit) {
+                                              server_attempt& attempt) {
   net::http_response answer(exchange.header());
   while (true) {
-    const auto piece = co_await NextPiece(exchange, visit);
+    const auto piece = co_await NextPiece(exchange, attempt);
     if (!piece)
       co_return piece.error();
     if (piece->empty())
@@ -139,24 +139,24 @@
       co_return attempt_end::kUnknown;
     }
   }
-  visit.FirstByte();
+  attempt.FirstByte();
   net::http_response_header passed = ForwardableHead(answer.base());
   net::http_response whole(std::move(passed));
   whole.body() = std::move(answer.body());
-  if (story_.started) {
+  if (trace_.started) {
     // The server at which a stream was to go on answered something else.
     last_error_ = base::MakeError(
         result_code::kAnswerBroken, base::outcome::kUnknown,
         "the stream does not go on: the backend server answered " +
             std::to_string(whole.result_int()));
-    visit.Failed(false);
+    attempt.Failed(false);
     co_return attempt_end::kUnknown;
   }
   const bool failed = whole.result_int() >= 500;
   if (failed) {
-    visit.Failed(false);
+    attempt.Failed(false);
   } else {
-    visit.Answered();
+    attempt.Answered();
     ending_.AnsweredWell();
   }
   if (failed && routed_.route->MayRepeat()) {
@@ -174,15 +174,15 @@
 // caller is gone.
 asio::awaitable<bool> relay::PassEvents(event_splitter& events,
                                         const net::http_response_header& head,
-                                        server_visit& visit) {
+                                        server_attempt& attempt) {
   std::string batch;
   while (!out_of_order_) {
     const auto event = events.Next();
     if (!event)
       break;
     const auto id = core_.speech.read_event_id(*event);
-    if (id && !story_.last_event.empty()) {
-      const std::int64_t last = std::atoll(story_.last_event.c_str());
+    if (id && !trace_.last_event.empty()) {
+      const std::int64_t last = std::atoll(trace_.last_event.c_str());
       // A server that goes on elsewhere may repeat what the caller has, but
       // must not leave anything out.
       if (*id <= last)
@@ -192,14 +192,14 @@
     if (out_of_order_)
       break;
     if (id)
-      story_.last_event = std::to_string(*id);
+      trace_.last_event = std::to_string(*id);
     batch.append(*event);
   }
   if (batch.empty())
     co_return true;
-  visit.FirstByte();
+  attempt.FirstByte();
   NotePause();
-  if (!story_.started) {
+  if (!trace_.started) {
     const bool begun = co_await StartAnswer(head);
     if (!begun)
       co_return false;
@@ -209,16 +209,16 @@
 }
 
 asio::awaitable<attempt_end> relay::TakeStream(net::http_exchange& exchange,
-                                               server_visit& visit) {
+                                               server_attempt& attempt) {
   event_splitter events;
   while (true) {
-    const auto piece = co_await NextPiece(exchange, visit);
+    const auto piece = co_await NextPiece(exchange, attempt);
     if (!piece)
       co_return piece.error();
     if (piece->empty())
       break;
     events.Append(*piece);
-    const bool passed = co_await PassEvents(events, exchange.header(), visit);
+    const bool passed = co_await PassEvents(events, exchange.header(), attempt);
     if (!passed) {
       exchange.Abandon();
       co_return attempt_end::kDone;
@@ -229,7 +229,7 @@
           out_of_order_ ? "an event is missing" : "an event is too large");
       out_of_order_ = false;
       exchange.Abandon();
-      visit.Failed(false);
+      attempt.Failed(false);
       co_return attempt_end::kUnknown;
     }
   }
@@ -238,12 +238,12 @@
     last_error_ =
         base::MakeError(result_code::kAnswerBroken, base::outcome::kUnknown,
                         "the stream ended within an event");
-    visit.Failed(false);
+    attempt.Failed(false);
     co_return attempt_end::kUnknown;
   }
-  visit.Answered();
+  attempt.Answered();
   ending_.AnsweredWell();
-  if (!story_.started)
+  if (!trace_.started)
     co_await StartAnswer(exchange.header());
   co_await responder_.Finish();
   co_return attempt_end::kDone;
@@ -257,9 +257,9 @@
   added.instance = server.entry.instance;
   added.priority = PriorityOf(routed_);
   added.workspace = WorkspaceName(routed_);
-  const bool goes_on = story_.started || !routed_.head.resume_after.empty();
+  const bool goes_on = trace_.started || !routed_.head.resume_after.empty();
   if (goes_on)
-    added.resume_after = story_.last_event;
+    added.resume_after = trace_.last_event;
   core_.speech.write_attempt(forwarded, added);
   milliseconds silence = Left(routed_);
   if (routed_.route->MayRepeat() && runs_ + 1 < routed_.route->attempts) {
@@ -267,12 +267,12 @@
         duration_cast<milliseconds>(routed_.route->objective * kSilentPart);
     silence = std::min({silence, part, kLongestSilence});
   }
-  server_visit visit(core_, choice, routed_.head, routed_.weight,
-                     *routed_.demand);
-  ++story_.sends;
+  server_attempt attempt(core_, choice, routed_.head, routed_.weight,
+                         *routed_.demand);
+  ++trace_.attempts;
   progress_ = {std::chrono::steady_clock::now(), {}, {}};
   last_error_ = {};
-  TellSent(core_, routed_, story_, choice, added);
+  LogSent(core_, routed_, trace_, choice, added);
   auto opened = co_await core_.http.Open(
       server.entry.address, std::move(forwarded),
       std::min(Left(routed_), kConnectTimeout), silence,
@@ -282,8 +282,8 @@
   if (!opened) {
     last_error_ = opened.error();
     const bool not_run = last_error_.what_ran == base::outcome::kNotRun;
-    visit.Failed(not_run || Left(routed_).count() > 0);
-    TellFailed(core_, routed_, story_, server, last_error_);
+    attempt.Failed(not_run || Left(routed_).count() > 0);
+    LogFailed(core_, routed_, trace_, server, last_error_);
     co_return not_run ? attempt_end::kNotRun : attempt_end::kUnknown;
   }
   progress_.head_at = std::chrono::steady_clock::now();
@@ -298,14 +298,14 @@
   if (foreign ||
       (!answer.is_signed && !answer.not_run && !answer.misdirected)) {
     exchange.Abandon();
-    visit.Failed(false);
+    attempt.Failed(false);
     last_error_ =
         base::MakeError(result_code::kAnswerBroken, base::outcome::kUnknown,
                         "an answer that is not this request's");
     co_return attempt_end::kUnknown;
   }
   if (answer.not_run || answer.misdirected) {
-    visit.Refused(answer);
+    attempt.Refused(answer);
     last_error_ =
         base::MakeError(result_code::kBackendRefused, base::outcome::kNotRun,
                         "the backend server answered " +
@@ -321,16 +321,16 @@
   const bool streams = routed_.route->kind == route_kind::kStream &&
                        exchange.header().result_int() == 200;
   if (streams) {
-    const attempt_end end = co_await TakeStream(exchange, visit);
+    const attempt_end end = co_await TakeStream(exchange, attempt);
     co_return end;
   }
-  const attempt_end end = co_await TakeWhole(exchange, visit);
+  const attempt_end end = co_await TakeWhole(exchange, attempt);
   co_return end;
 }
 
 // Whether another attempt may follow one that ended so.
 bool relay::MayGoOn(attempt_end end) {
-  if (story_.sends >= kMostSends || Left(routed_).count() <= 0)
+  if (trace_.attempts >= kMaxAttempts || Left(routed_).count() <= 0)
     return false;
   if (end == attempt_end::kUnknown) {
     ++runs_;
@@ -344,11 +344,11 @@
 
 void relay::NotePause() {
   const auto now = std::chrono::steady_clock::now();
-  if (!story_.started) {
-    story_.first_event = duration_cast<milliseconds>(now - routed_.arrived);
+  if (!trace_.started) {
+    trace_.first_event = duration_cast<milliseconds>(now - routed_.arrived);
   } else {
-    story_.widest_pause = std::max(
-        story_.widest_pause, duration_cast<milliseconds>(now - event_at_));
+    trace_.widest_pause = std::max(
+        trace_.widest_pause, duration_cast<milliseconds>(now - event_at_));
   }
   event_at_ = now;
 }
@@ -356,8 +356,8 @@
 asio::awaitable<void> relay::Fail(base::error failed) {
   if (responder_.caller_gone())
     co_return;
-  TellRefused(core_, routed_, story_, failed);
-  if (story_.started) {
+  LogRefused(core_, routed_, trace_, failed);
+  if (trace_.started) {
     responder_.Break();
     co_return;
   }
@@ -387,7 +387,7 @@
     co_await Fail(*refused);
     co_return;
   }
-  story_.last_event = routed_.head.resume_after;
+  trace_.last_event = routed_.head.resume_after;
   core_.retries.NoteRequest(routed_.service->name, routed_.arrived);
   guard_ = std::make_shared<net::open_guard>();
   responder_.OnCallerGone([guard = guard_] { guard->Cancel(); });
@@ -407,7 +407,7 @@
   }
   bool ran = false;
   while (true) {
-    auto choice = co_await FindServer(core_, routed_, !ran && !story_.started,
+    auto choice = co_await FindServer(core_, routed_, !ran && !trace_.started,
                                       responder_);
     // While it waited, or by its own last attempt, the request may have become
     // one that no server should get.
@@ -430,8 +430,7 @@
     if (end == attempt_end::kDone)
       charge_->Keep();
     if (end == attempt_end::kDone || responder_.caller_gone()) {
-      TellEnd(core_, routed_, story_, *choice->server,
-              responder_.caller_gone());
+      LogEnd(core_, routed_, trace_, *choice->server, responder_.caller_gone());
       co_return;
     }
     if (end == attempt_end::kUnknown) {
--- a/src/host/request/request_story.cc
+++ b/src/host/request/request_trace.cc
@@ -1,5 +1,5 @@
 // SPDX-License-Identifier: MIT
-#include "host/request/request_story.h"
+#include "host/request/request_trace.h"
 
 #include "base/logging.h"
 
@@ -16,11 +16,11 @@
 
 }  // namespace
 
-void TellSent(host_core& core,
-              const routed_request& routed,
-              const request_story& story,
-              const server_choice& choice,
-              const attempt_head& added) {
+void LogSent(host_core& core,
+             const routed_request& routed,
+             const request_trace& trace,
+             const server_choice& choice,
+             const attempt_head& added) {
   const known_server& server = *choice.server;
   core.log.Write(
       log_weight::kOrdinary, log_event::kAttemptSent, routed.head.id,
@@ -30,7 +30,7 @@
        {"unit", UnitOf(routed)},
        {"version", routed.configuration->version},
        {"server", server.entry.instance},
-       {"attempt", story.sends},
+       {"attempt", trace.attempts},
        {"resumes_after", added.resume_after},
        {"expected_ms", static_cast<std::int64_t>(choice.expected.count())},
        {"reading_ahead_ms",
@@ -41,26 +41,26 @@
        {"left_ms", static_cast<std::int64_t>(added.deadline.count())}});
 }
 
-void TellFailed(host_core& core,
-                const routed_request& routed,
-                const request_story& story,
-                const known_server& server,
-                const base::error& failed) {
+void LogFailed(host_core& core,
+               const routed_request& routed,
+               const request_trace& trace,
+               const known_server& server,
+               const base::error& failed) {
   const bool not_run = failed.what_ran == base::outcome::kNotRun;
   core.log.Write(log_weight::kTrouble, log_event::kAttemptFailed,
                  routed.head.id,
                  {{"request", routed.head.id},
                   {"server", server.entry.instance},
-                  {"attempt", story.sends},
+                  {"attempt", trace.attempts},
                   {"not_run", std::int64_t{not_run}},
                   {"reason", failed.message}});
 }
 
-void TellEnd(host_core& core,
-             const routed_request& routed,
-             const request_story& story,
-             const known_server& server,
-             bool has_left) {
+void LogEnd(host_core& core,
+            const routed_request& routed,
+            const request_trace& trace,
+            const known_server& server,
+            bool has_left) {
   core.metrics.Distribution("valeledge_request_seconds")
       .Record(std::chrono::steady_clock::now() - routed.arrived);
   core.metrics
@@ -72,18 +72,18 @@
                  routed.head.id,
                  {{"request", routed.head.id},
                   {"server", server.entry.instance},
-                  {"sends", story.sends},
+                  {"sends", trace.attempts},
                   {"unit", UnitOf(routed)},
-                  {"last_event", story.last_event},
-                  {"first_event_ms", story.first_event.count()},
-                  {"widest_pause_ms", story.widest_pause.count()},
+                  {"last_event", trace.last_event},
+                  {"first_event_ms", trace.first_event.count()},
+                  {"widest_pause_ms", trace.widest_pause.count()},
                   {"after_ms", MillisecondsSince(routed.arrived)}});
 }
 
-void TellRefused(host_core& core,
-                 const routed_request& routed,
-                 const request_story& story,
-                 const base::error& failed) {
+void LogRefused(host_core& core,
+                const routed_request& routed,
+                const request_trace& trace,
+                const base::error& failed) {
   core.metrics.CountRefusal(failed.code);
   core.metrics.Counter("valeledge_requests_total", "failed").Add();
   const bool has_route = routed.route != nullptr;
@@ -97,8 +97,8 @@
                   {"version", has_version ? routed.configuration->version : 0},
                   {"code", static_cast<std::int64_t>(failed.code)},
                   {"outcome", std::string(base::ToString(failed.what_ran))},
-                  {"sends", story.sends},
-                  {"started", std::int64_t{story.started}},
+                  {"sends", trace.attempts},
+                  {"started", std::int64_t{trace.started}},
                   {"after_ms", MillisecondsSince(routed.arrived)},
                   {"reason", failed.message}});
 }
--- /dev/null
+++ b/src/host/request/request_trace.h
@@ -0,0 +1,54 @@
+// SPDX-License-Identifier: MIT
+// Log lines of one request.
+#ifndef VALELEDGE_HOST_REQUEST_REQUEST_TRACE_H_
+#define VALELEDGE_HOST_REQUEST_REQUEST_TRACE_H_
+
+#include <chrono>
+#include <string>
+
+#include "base/error.h"
+#include "host/process/host_core.h"
+#include "host/request/routed_request.h"
+
+namespace valeledge::host {
+
+// How far a request has come.
+struct request_trace {
+  int attempts = 0;
+  // The head has gone to the caller.
+  bool started = false;
+  std::string last_event;
+  std::chrono::milliseconds first_event{0};
+  std::chrono::milliseconds widest_pause{0};
+};
+
+// Logs an attempt that is sent to the chosen server.
+void LogSent(host_core& core,
+             const routed_request& routed,
+             const request_trace& trace,
+             const server_choice& choice,
+             const attempt_head& added);
+
+// Logs an attempt without a response.
+void LogFailed(host_core& core,
+               const routed_request& routed,
+               const request_trace& trace,
+               const known_server& server,
+               const base::error& failed);
+
+// Logs that the caller has its whole response, or has left.
+void LogEnd(host_core& core,
+            const routed_request& routed,
+            const request_trace& trace,
+            const known_server& server,
+            bool has_left);
+
+// Logs that a request is refused, or ends without a whole response.
+void LogRefused(host_core& core,
+                const routed_request& routed,
+                const request_trace& trace,
+                const base::error& failed);
+
+}  // namespace valeledge::host
+
+#endif  // VALELEDGE_HOST_REQUEST_REQUEST_TRACE_H_
--- a/src/host/request/server_visit.cc
+++ b/src/host/request/server_attempt.cc
@@ -1,5 +1,5 @@
 // SPDX-License-Identifier: MIT
-#include "host/request/server_visit.h"
+#include "host/request/server_attempt.h"
 
 #include <algorithm>
 
@@ -19,11 +19,11 @@
 
 }  // namespace
 
-server_visit::server_visit(host_core& core,
-                           const server_choice& choice,
-                           const request_head& head,
-                           const decisions::request_weight& weight,
-                           model_demand& demand)
+server_attempt::server_attempt(host_core& core,
+                               const server_choice& choice,
+                               const request_head& head,
+                               const decisions::request_weight& weight,
+                               model_demand& demand)
     : core_(core),
       server_(choice.server),
       place_(choice.place),
@@ -50,7 +50,7 @@
   tokens_ahead_ = server_->own.unread_tokens + server_->others.unread_tokens;
 }
 
-server_visit::~server_visit() {
+server_attempt::~server_attempt() {
   --demand_.running;
   --server_->own.running;
   server_->own.held_tokens -= weight_.held_tokens;
@@ -62,7 +62,7 @@
     core_.use_changed(*server_);
 }
 
-void server_visit::FirstByte() {
+void server_attempt::FirstByte() {
   if (!unread_)
     return;
   unread_ = false;
@@ -89,23 +89,23 @@
   }
 }
 
-void server_visit::EndPlace(place_end_kind how) {
+void server_attempt::EndPlace(place_end_kind how) {
   if (place_)
     place_->NoteEnd(how);
 }
 
-void server_visit::Answered() {
+void server_attempt::Answered() {
   EndPlace(place_end_kind::kAnswered);
   server_->trust.failures *= 0.8;
 }
 
-void server_visit::Failed(bool certain) {
+void server_attempt::Failed(bool certain) {
   EndPlace(certain ? place_end_kind::kUnusable : place_end_kind::kFailed);
   decisions::NoteFailure(server_->trust, certain,
                          std::chrono::steady_clock::now());
 }
 
-void server_visit::Refused(const answer_head& answer) {
+void server_attempt::Refused(const answer_head& answer) {
   const auto now = std::chrono::steady_clock::now();
   if (!answer.misdirected) {
     EndPlace(place_end_kind::kFull);
--- a/src/host/request/server_visit.h
+++ b/src/host/request/server_attempt.h
@@ -1,7 +1,7 @@
 // SPDX-License-Identifier: MIT
-// The accounts of one attempt at one backend server.
-#ifndef VALELEDGE_HOST_REQUEST_SERVER_VISIT_H_
-#define VALELEDGE_HOST_REQUEST_SERVER_VISIT_H_
+// One attempt at one backend server, as it counts in load and health.
+#ifndef VALELEDGE_HOST_REQUEST_SERVER_ATTEMPT_H_
+#define VALELEDGE_HOST_REQUEST_SERVER_ATTEMPT_H_
 
 #include <chrono>
 #include <memory>
@@ -10,18 +10,18 @@
 
 namespace valeledge::host {
 
-// Counts the request at its server as long as it lives, and tells the server's
-// accounts how the attempt went.
-class server_visit {
+// Counts the request at its server while in flight, and updates the server's
+// health by how the attempt ended.
+class server_attempt {
  public:
-  server_visit(host_core& core,
-               const server_choice& choice,
-               const request_head& head,
-               const decisions::request_weight& weight,
-               model_demand& demand);
-  ~server_visit();
-  server_visit(const server_visit&) = delete;
-  server_visit& operator=(const server_visit&) = delete;
+  server_attempt(host_core& core,
+                 const server_choice& choice,
+                 const request_head& head,
+                 const decisions::request_weight& weight,
+                 model_demand& demand);
+  ~server_attempt();
+  server_attempt(const server_attempt&) = delete;
+  server_attempt& operator=(const server_attempt&) = delete;
 
   // The first byte of the answer is here: the prompt has been read.
   void FirstByte();
@@ -50,4 +50,4 @@
 
 }  // namespace valeledge::host
 
-#endif  // VALELEDGE_HOST_REQUEST_SERVER_VISIT_H_
+#endif  // VALELEDGE_HOST_REQUEST_SERVER_ATTEMPT_H_
--- a/src/tools/ctl/explain_command.cc
+++ b/src/tools/ctl/explain_command.cc
@@ -31,16 +31,16 @@
     auto read = ReadLogLines(file);
     std::ranges::move(read, std::back_inserter(lines));
   }
-  const auto story = Explain(lines, request, kSecondsBefore);
-  if (story.empty()) {
+  const auto trace = Explain(lines, request, kSecondsBefore);
+  if (trace.empty()) {
     std::cerr << "no line names request " << request
               << ": its lines may have been left out (event 2008), or its host "
                  "never read it\n";
     return exit_status::kRefused;
   }
-  for (const log_line& each : story)
+  for (const log_line& each : trace)
     std::cout << each.prefix << boost::json::serialize(each.fields) << "\n";
-  std::cout << "verdict: " << Verdict(story, request) << "\n";
+  std::cout << "verdict: " << Verdict(trace, request) << "\n";
   return exit_status::kOk;
 }
 
--- a/src/tools/ctl/explanation.cc
+++ b/src/tools/ctl/explanation.cc
@@ -20,7 +20,7 @@
 constexpr std::array<std::string_view, 5> kBeliefs = {"host", "mirror", "lease",
                                                       "orders", "placement"};
 
-// Seconds since midnight; enough to compare within one story.
+// Seconds since midnight; enough to compare within one trace.
 double SecondsOfDay(std::string_view time) {
   const std::size_t at = time.find('T');
   int hours = 0;
@@ -48,11 +48,11 @@
   return server.empty() || servers.contains(server);
 }
 
-const log_line* FindLast(const std::vector<log_line>& story,
+const log_line* FindLast(const std::vector<log_line>& trace,
                          std::string_view request,
                          std::string_view name) {
   const log_line* last = nullptr;
-  for (const log_line& each : story) {
+  for (const log_line& each : trace) {
     if (IsAbout(each, request) && StringField(each.fields, "name") == name)
       last = &each;
   }
@@ -96,33 +96,33 @@
       first = each.time;
     last = std::max(last, each.time);
   }
-  std::vector<log_line> story;
+  std::vector<log_line> trace;
   if (first.empty())
-    return story;
+    return trace;
   const double from = SecondsOfDay(first) - seconds_before;
   for (const log_line& each : lines) {
     const bool near = SecondsOfDay(each.time) >= from && each.time <= last;
     if (IsAbout(each, request) || (near && Touches(each, servers)))
-      story.push_back(each);
+      trace.push_back(each);
   }
-  std::ranges::stable_sort(story, {}, &log_line::time);
-  return story;
+  std::ranges::stable_sort(trace, {}, &log_line::time);
+  return trace;
 }
 
-std::string Verdict(const std::vector<log_line>& story,
+std::string Verdict(const std::vector<log_line>& trace,
                     std::string_view request) {
-  const log_line* served = FindLast(story, request, "RequestServed");
+  const log_line* served = FindLast(trace, request, "RequestServed");
   if (served != nullptr) {
     return "served by " + StringField(served->fields, "server") + " after " +
            std::to_string(IntegerField(served->fields, "after_ms")) + " ms";
   }
-  const log_line* left = FindLast(story, request, "CallerLeft");
+  const log_line* left = FindLast(trace, request, "CallerLeft");
   if (left != nullptr) {
     return "the caller left after " +
            std::to_string(IntegerField(left->fields, "after_ms")) + " ms";
   }
-  const log_line* refused = FindLast(story, request, "RequestRefused");
-  const log_line* failed = FindLast(story, request, "AttemptFailed");
+  const log_line* refused = FindLast(trace, request, "RequestRefused");
+  const log_line* failed = FindLast(trace, request, "AttemptFailed");
   if (refused == nullptr) {
     return "no end is logged: the host was stopped, killed or cut off from "
            "whoever collects its log";
--- a/src/tools/ctl/explanation.h
+++ b/src/tools/ctl/explanation.h
@@ -1,5 +1,5 @@
 // SPDX-License-Identifier: MIT
-// One request's story from the log lines of all hosts.
+// One request's trace from the log lines of all hosts.
 #ifndef VALELEDGE_TOOLS_CTL_EXPLANATION_H_
 #define VALELEDGE_TOOLS_CTL_EXPLANATION_H_
 
@@ -33,7 +33,7 @@
 
 // What most probably became of the request, in one sentence, from the lines
 // that Explain gave.
-std::string Verdict(const std::vector<log_line>& story,
+std::string Verdict(const std::vector<log_line>& trace,
                     std::string_view request);
 
 }  // namespace valeledge::ctl
--- a/tests/auto/tools/test_explanation.cc
+++ b/tests/auto/tools/test_explanation.cc
@@ -31,16 +31,16 @@
 BOOST_AUTO_TEST_SUITE(explanation)
 
 BOOST_AUTO_TEST_CASE(tells_what_was_believed_of_the_requests_servers) {
-  const auto story = Explain(
+  const auto trace = Explain(
       Read("no log line\n" + kSent +
            Line("09.000", "host", "ServerLeaving", R"("server":"i-1")") +
            Line("09.500", "host", "ServerLeaving", R"("server":"i-2")") +
            Line("01.000", "host", "ServerUp", R"("server":"i-1")") +
            Line("10.050", "lease", "LeaseGone", R"("term":3)")),
       "r1", 3);
-  BOOST_REQUIRE(story.size() == 3u);
-  BOOST_TEST(story.front().time == "2026-05-17T13:25:09.000Z");
-  BOOST_TEST(story.back().prefix == "host-1 ");
+  BOOST_REQUIRE(trace.size() == 3u);
+  BOOST_TEST(trace.front().time == "2026-05-17T13:25:09.000Z");
+  BOOST_TEST(trace.back().prefix == "host-1 ");
   BOOST_TEST(Explain(Read(kSent), "r2", 3).empty());
 }
 
@@ -49,8 +49,8 @@
       Line("10.300", "request", "AttemptFailed",
            R"("request":"r1","server":"i-1","reason":"end of stream")");
   const auto verdict = [&](const std::string& last) {
-    const auto story = Explain(Read(kSent + failed + last), "r1", 3);
-    return Verdict(story, "r1");
+    const auto trace = Explain(Read(kSent + failed + last), "r1", 3);
+    return Verdict(trace, "r1");
   };
   const auto refused = [&](const std::string& fields) {
     return Line("10.400", "request", "RequestRefused",
