--- a/src/host/process/demand_forecast.h
+++ b/src/host/process/demand_forecast.h
@@ -16,7 +16,7 @@
 #include "decisions/demand_shift.h"
 #include "decisions/model_plan.h"
 #include "host/process/demand_meter.h"
-#include "host/process/server_book.h"
+#include "host/process/server_registry.h"
 #include "wire/generated/messages_types.h"
 
 namespace valeledge::host {
--- a/src/host/process/demand_meter.cc
+++ b/src/host/process/demand_meter.cc
@@ -6,7 +6,7 @@
 #include <limits>
 
 #include "host/constants.h"
-#include "host/process/server_book.h"
+#include "host/process/server_registry.h"
 
 namespace valeledge::host {
 
--- a/src/host/process/engine_book.cc
+++ b/src/host/process/engine_registry.cc
@@ -1,5 +1,5 @@
 // SPDX-License-Identifier: MIT
-#include "host/process/engine_book.h"
+#include "host/process/engine_registry.h"
 
 #include <algorithm>
 
--- a/src/host/process/engine_book.h
+++ b/src/host/process/engine_registry.h
@@ -1,7 +1,7 @@
 // SPDX-License-Identifier: MIT
 // What the holder of the lease believes of each engine it gives orders to.
-#ifndef VALELEDGE_HOST_PROCESS_ENGINE_BOOK_H_
-#define VALELEDGE_HOST_PROCESS_ENGINE_BOOK_H_
+#ifndef VALELEDGE_HOST_PROCESS_ENGINE_REGISTRY_H_
+#define VALELEDGE_HOST_PROCESS_ENGINE_REGISTRY_H_
 
 #include <cstdint>
 #include <map>
@@ -16,7 +16,7 @@
 #include "catalog/backend_server.h"
 #include "catalog/configuration.h"
 #include "decisions/model_plan.h"
-#include "host/process/server_book.h"
+#include "host/process/server_registry.h"
 
 namespace valeledge::host {
 
@@ -92,4 +92,4 @@
 
 }  // namespace valeledge::host
 
-#endif  // VALELEDGE_HOST_PROCESS_ENGINE_BOOK_H_
+#endif  // VALELEDGE_HOST_PROCESS_ENGINE_REGISTRY_H_
--- a/src/host/process/host.cc
+++ b/src/host/process/host.cc
@@ -244,7 +244,7 @@
     if (server.entry.models.empty())
       return;
     wire::host_load load;
-    load.servers.push_back(server_book::OwnLoad(server));
+    load.servers.push_back(server_registry::OwnLoad(server));
     peers_.Tell(std::string(kUseRecord), wire::Encode(load),
                 {kMostTold, server.entry.instance, std::nullopt});
   };
--- a/src/host/process/host_core.h
+++ b/src/host/process/host_core.h
@@ -25,7 +25,7 @@
 #include "host/process/demand_meter.h"
 #include "host/process/request_log.h"
 #include "host/process/retry_budgets.h"
-#include "host/process/server_book.h"
+#include "host/process/server_registry.h"
 #include "net/http_client.h"
 
 namespace valeledge::host {
@@ -47,7 +47,7 @@
   const dialect speech;
   base::metrics metrics;
   request_log log{metrics};
-  server_book servers;
+  server_registry servers;
   demand_meter demand;
   net::http_client http;
   std::mt19937_64 random{std::random_device{}()};
--- a/src/host/process/order_desk.cc
+++ b/src/host/process/order_dispatcher.cc
@@ -1,5 +1,5 @@
 // SPDX-License-Identifier: MIT
-#include "host/process/order_desk.h"
+#include "host/process/order_dispatcher.h"
 
 #include <algorithm>
 #include <cmath>
@@ -75,10 +75,11 @@
 
 }  // namespace
 
-order_desk::order_desk(host_core& core, std::function<std::int64_t()> term)
+order_dispatcher::order_dispatcher(host_core& core,
+                                   std::function<std::int64_t()> term)
     : core_(core), term_(std::move(term)) {}
 
-void order_desk::Begin(bool nobody_before) {
+void order_dispatcher::Begin(bool nobody_before) {
   engines_.clear();
   store_loads_.clear();
   if (!nobody_before) {
@@ -88,17 +89,17 @@
   changed_ = true;
 }
 
-bool order_desk::TakeChanged() {
+bool order_dispatcher::TakeChanged() {
   return std::exchange(changed_, false);
 }
 
-void order_desk::AskLater(engine_record& engine, milliseconds after) {
+void order_dispatcher::AskLater(engine_record& engine, milliseconds after) {
   const auto at = std::chrono::steady_clock::now() + after;
   if (!engine.ask_at || at > *engine.ask_at)
     engine.ask_at = at;
 }
 
-void order_desk::Refresh() {
+void order_dispatcher::Refresh() {
   const auto now = std::chrono::steady_clock::now();
   for (const auto& [instance, server] : core_.servers.servers()) {
     const catalog::service* service =
@@ -128,7 +129,7 @@
   }
 }
 
-asio::awaitable<void> order_desk::Ask(engine_ptr engine) {
+asio::awaitable<void> order_dispatcher::Ask(engine_ptr engine) {
   engine->ask_at.reset();
   const auto& entry = engine->server->entry;
   auto question = core_.speech.make_state_question(entry.instance);
@@ -156,7 +157,7 @@
   changed_ = true;
 }
 
-std::int64_t order_desk::StoreLoadsLeft(double per_second) {
+std::int64_t order_dispatcher::StoreLoadsLeft(double per_second) {
   const auto now = std::chrono::steady_clock::now();
   if (now < no_store_loads_until_)
     return 0;
@@ -170,10 +171,10 @@
   return most - static_cast<std::int64_t>(store_loads_.size());
 }
 
-asio::awaitable<order_reply> order_desk::Send(engine_ptr engine,
-                                              order_verb verb,
-                                              std::string model,
-                                              std::string adapter) {
+asio::awaitable<order_reply> order_dispatcher::Send(engine_ptr engine,
+                                                    order_verb verb,
+                                                    std::string model,
+                                                    std::string adapter) {
   engine_order order;
   order.verb = verb;
   order.instance = engine->server->entry.instance;
@@ -216,9 +217,9 @@
   co_return reply;
 }
 
-void order_desk::Load(engine_ptr engine,
-                      const catalog::model& model,
-                      decisions::weight_source source) {
+void order_dispatcher::Load(engine_ptr engine,
+                            const catalog::model& model,
+                            decisions::weight_source source) {
   milliseconds expected = model.load_from_store;
   if (source == decisions::weight_source::kMemory)
     expected = model.load_from_memory;
@@ -233,10 +234,10 @@
                  asio::detached);
 }
 
-asio::awaitable<void> order_desk::RunLoad(engine_ptr engine,
-                                          std::string model,
-                                          milliseconds expected,
-                                          bool from_store) {
+asio::awaitable<void> order_dispatcher::RunLoad(engine_ptr engine,
+                                                std::string model,
+                                                milliseconds expected,
+                                                bool from_store) {
   const auto now = std::chrono::steady_clock::now();
   engine_model loading;
   loading.now = phase::kLoading;
@@ -263,9 +264,9 @@
   engine->models.erase(model);
 }
 
-void order_desk::Unload(engine_ptr engine,
-                        const std::string& model,
-                        planned_load next) {
+void order_dispatcher::Unload(engine_ptr engine,
+                              const std::string& model,
+                              planned_load next) {
   engine->changing = true;
   engine->next = std::move(next);
   const auto found = engine->models.find(model);
@@ -276,8 +277,8 @@
                  asio::detached);
 }
 
-asio::awaitable<void> order_desk::RunUnload(engine_ptr engine,
-                                            std::string model) {
+asio::awaitable<void> order_dispatcher::RunUnload(engine_ptr engine,
+                                                  std::string model) {
   co_await Pause(kWithdrawNotice);
   const order_reply reply =
       co_await Send(engine, order_verb::kUnload, model, {});
@@ -297,10 +298,11 @@
   }
 }
 
-order_desk::engine_ptr order_desk::ChooseForAdapter(const std::string& service,
-                                                    const std::string& model,
-                                                    const std::string& adapter,
-                                                    std::int64_t slots) {
+order_dispatcher::engine_ptr order_dispatcher::ChooseForAdapter(
+    const std::string& service,
+    const std::string& model,
+    const std::string& adapter,
+    std::int64_t slots) {
   engine_ptr best;
   std::pair<std::int64_t, std::uint64_t> best_rank;
   const std::string unit = AdapterUnit(model, adapter);
@@ -323,8 +325,8 @@
   return best;
 }
 
-asio::awaitable<bool> order_desk::MakeAdapterRoom(engine_ptr engine,
-                                                  std::int64_t slots) {
+asio::awaitable<bool> order_dispatcher::MakeAdapterRoom(engine_ptr engine,
+                                                        std::int64_t slots) {
   if (AdaptersHeld(*engine) < slots)
     co_return true;
   std::string victim_model;
@@ -349,9 +351,10 @@
   co_return gone&& AdaptersHeld(*engine) < slots;
 }
 
-asio::awaitable<order_reply> order_desk::SendAdapter(engine_ptr engine,
-                                                     std::string model,
-                                                     std::string adapter) {
+asio::awaitable<order_reply> order_dispatcher::SendAdapter(
+    engine_ptr engine,
+    std::string model,
+    std::string adapter) {
   engine->models[model].adapters[adapter] =
       std::chrono::steady_clock::now() + kAdapterTime;
   const order_reply reply =
@@ -365,20 +368,21 @@
   co_return reply;
 }
 
-void order_desk::LoadAdapters(engine_ptr engine,
-                              std::string model,
-                              std::vector<std::string> adapters,
-                              std::int64_t slots) {
+void order_dispatcher::LoadAdapters(engine_ptr engine,
+                                    std::string model,
+                                    std::vector<std::string> adapters,
+                                    std::int64_t slots) {
   asio::co_spawn(core_.context,
                  RunAdapters(std::move(engine), std::move(model),
                              std::move(adapters), slots),
                  asio::detached);
 }
 
-asio::awaitable<void> order_desk::RunAdapters(engine_ptr engine,
-                                              std::string model,
-                                              std::vector<std::string> adapters,
-                                              std::int64_t slots) {
+asio::awaitable<void> order_dispatcher::RunAdapters(
+    engine_ptr engine,
+    std::string model,
+    std::vector<std::string> adapters,
+    std::int64_t slots) {
   for (const std::string& adapter : adapters) {
     const bool may = IsFree(*engine) && IsHeld(*engine, model) &&
                      AdaptersHeld(*engine) < slots;
@@ -390,8 +394,9 @@
   }
 }
 
-order_desk::engine_ptr order_desk::FindAdapter(const std::string& model,
-                                               const std::string& adapter) {
+order_dispatcher::engine_ptr order_dispatcher::FindAdapter(
+    const std::string& model,
+    const std::string& adapter) {
   for (const auto& [instance, engine] : engines_) {
     const bool usable = IsHeld(*engine, model) && !engine->server->leaving;
     if (usable && engine->models.find(model)->second.adapters.contains(adapter))
@@ -400,7 +405,7 @@
   return nullptr;
 }
 
-asio::awaitable<base::result<std::string>> order_desk::AwaitAdapter(
+asio::awaitable<base::result<std::string>> order_dispatcher::AwaitAdapter(
     engine_ptr engine,
     std::string model,
     std::string adapter) {
@@ -420,7 +425,7 @@
   co_return engine->server->entry.instance;
 }
 
-asio::awaitable<base::result<std::string>> order_desk::EnsureAdapter(
+asio::awaitable<base::result<std::string>> order_dispatcher::EnsureAdapter(
     std::string service,
     std::string model,
     std::string adapter) {
--- a/src/host/process/order_desk.h
+++ b/src/host/process/order_dispatcher.h
@@ -1,8 +1,8 @@
 // SPDX-License-Identifier: MIT
 // Sends orders to engines while this host holds the lease, and keeps what it
 // believes of them.
-#ifndef VALELEDGE_HOST_PROCESS_ORDER_DESK_H_
-#define VALELEDGE_HOST_PROCESS_ORDER_DESK_H_
+#ifndef VALELEDGE_HOST_PROCESS_ORDER_DISPATCHER_H_
+#define VALELEDGE_HOST_PROCESS_ORDER_DISPATCHER_H_
 
 #include <chrono>
 #include <cstdint>
@@ -16,16 +16,16 @@
 #include <boost/asio/awaitable.hpp>
 
 #include "decisions/model_plan.h"
-#include "host/process/engine_book.h"
+#include "host/process/engine_registry.h"
 #include "host/process/host_core.h"
 
 namespace valeledge::host {
 
-class order_desk {
+class order_dispatcher {
  public:
   // `term` gives the term under which orders may be sent now, 0 if none may;
   // it is asked before each.
-  order_desk(host_core& core, std::function<std::int64_t()> term);
+  order_dispatcher(host_core& core, std::function<std::int64_t()> term);
 
   // A new term begins: nothing is believed any more. Unless nobody held the
   // lease before, nothing is loaded from the weight store until whatever the
@@ -107,4 +107,4 @@
 
 }  // namespace valeledge::host
 
-#endif  // VALELEDGE_HOST_PROCESS_ORDER_DESK_H_
+#endif  // VALELEDGE_HOST_PROCESS_ORDER_DISPATCHER_H_
--- a/src/host/process/placement_duty.cc
+++ b/src/host/process/placement_duty.cc
@@ -96,7 +96,7 @@
       lease_(lease),
       peers_(peers),
       forecast_(core.demand),
-      desk_(core, [this] { return OrderTerm(); }) {}
+      dispatcher_(core, [this] { return OrderTerm(); }) {}
 
 void placement_duty::Start() {
   asio::co_spawn(core_.context, Loop(), asio::detached);
@@ -118,11 +118,11 @@
   if (settled_)
     return true;
   const auto now = std::chrono::steady_clock::now();
-  const bool known = std::ranges::all_of(desk_.engines(), [](const auto& each) {
-    return each.second->accepted.has_value();
-  });
-  if (desk_.engines().size() != known_engines_ || !known) {
-    known_engines_ = desk_.engines().size();
+  const bool known = std::ranges::all_of(
+      dispatcher_.engines(),
+      [](const auto& each) { return each.second->accepted.has_value(); });
+  if (dispatcher_.engines().size() != known_engines_ || !known) {
+    known_engines_ = dispatcher_.engines().size();
     known_since_ = now;
   }
   const bool patient = now - term_since_ < kMostSettling;
@@ -130,7 +130,7 @@
     return false;
   settled_ = true;
   std::map<std::string, std::int64_t> replicas;
-  for (const auto& [instance, engine] : desk_.engines()) {
+  for (const auto& [instance, engine] : dispatcher_.engines()) {
     for (const auto& [name, model] : engine->models)
       ++replicas[name];
   }
@@ -186,10 +186,10 @@
   const bool from_store =
       engine->next->source == decisions::weight_source::kStore;
   const bool allowed =
-      !from_store || desk_.StoreLoadsLeft(kind.loads_per_second) > 0;
+      !from_store || dispatcher_.StoreLoadsLeft(kind.loads_per_second) > 0;
   const bool held = engine->models.contains(model->name);
   if (fits && allowed && !held)
-    desk_.Load(engine, *model, engine->next->source);
+    dispatcher_.Load(engine, *model, engine->next->source);
   engine->next.reset();
 }
 
@@ -200,7 +200,7 @@
   std::vector<decisions::plan_engine> engines;
   std::vector<std::shared_ptr<engine_record>> records;
   std::int64_t store_loads_planned = 0;
-  for (const auto& [instance, engine] : desk_.engines()) {
+  for (const auto& [instance, engine] : dispatcher_.engines()) {
     if (engine->server->entry.service != service.name)
       continue;
     LoadNext(engine, kind, now);
@@ -213,7 +213,7 @@
   decisions::plan_limits limits;
   limits.slots = kind.slots;
   limits.store_loads =
-      desk_.StoreLoadsLeft(kind.loads_per_second) - store_loads_planned;
+      dispatcher_.StoreLoadsLeft(kind.loads_per_second) - store_loads_planned;
   auto models = forecast_.Models(service);
   const auto least = ReplicasForAdapters(records, index);
   for (std::size_t i = 0; i < models.size(); ++i)
@@ -224,10 +224,10 @@
   for (const decisions::plan_step& step : steps) {
     const catalog::model& model = kind.models[step.model];
     if (step.load)
-      desk_.Load(records[step.engine], model, step.source);
+      dispatcher_.Load(records[step.engine], model, step.source);
     else
-      desk_.Unload(records[step.engine], model.name,
-                   {kind.models[step.successor].name, step.source, now});
+      dispatcher_.Unload(records[step.engine], model.name,
+                         {kind.models[step.successor].name, step.source, now});
   }
   PlanAdaptersAhead(models, records, index);
 }
@@ -255,8 +255,9 @@
         AdapterName(step.unit.adapter));
   }
   for (auto& [place, adapters] : lists) {
-    desk_.LoadAdapters(serving[place.first], kind.models[place.second].name,
-                       std::move(adapters), kind.adapter_slots);
+    dispatcher_.LoadAdapters(serving[place.first],
+                             kind.models[place.second].name,
+                             std::move(adapters), kind.adapter_slots);
   }
 }
 
@@ -270,12 +271,12 @@
       term_ = term;
       term_since_ = std::chrono::steady_clock::now();
       settled_ = false;
-      desk_.Begin(lease_.is_first_holder());
+      dispatcher_.Begin(lease_.is_first_holder());
       told_engines_.clear();
     }
     if (term == 0 || core_.configuration == nullptr)
       continue;
-    desk_.Refresh();
+    dispatcher_.Refresh();
     if (OrderTerm() != 0 && IsSettled()) {
       const auto configuration = core_.configuration;
       for (const catalog::service& each : configuration->services) {
@@ -287,7 +288,7 @@
     const bool everything = now - told_ >= kNewsInterval;
     if (everything)
       told_ = now;
-    if (desk_.TakeChanged() || everything)
+    if (dispatcher_.TakeChanged() || everything)
       TellNews(everything);
   }
 }
@@ -298,7 +299,7 @@
   changed.term = term_;
   all.term = term_;
   const auto now = std::chrono::steady_clock::now();
-  for (const auto& [instance, engine] : desk_.engines()) {
+  for (const auto& [instance, engine] : dispatcher_.engines()) {
     if (!engine->accepted)
       continue;
     wire::placed_engine placed;
@@ -365,7 +366,7 @@
     reply.code = static_cast<std::int32_t>(result_code::kLeaseLost);
     co_return reply;
   }
-  const auto holder = co_await desk_.EnsureAdapter(
+  const auto holder = co_await dispatcher_.EnsureAdapter(
       wanted.service_name, wanted.model, wanted.adapter);
   if (holder)
     reply.instance = *holder;
@@ -380,7 +381,7 @@
     std::string adapter,
     std::chrono::milliseconds timeout) {
   if (OrderTerm() != 0) {
-    auto here = co_await desk_.EnsureAdapter(service, model, adapter);
+    auto here = co_await dispatcher_.EnsureAdapter(service, model, adapter);
     co_return here;
   }
   if (news_term_ == 0) {
--- a/src/host/process/placement_duty.h
+++ b/src/host/process/placement_duty.h
@@ -16,7 +16,7 @@
 #include "decisions/model_plan.h"
 #include "host/process/demand_forecast.h"
 #include "host/process/host_core.h"
-#include "host/process/order_desk.h"
+#include "host/process/order_dispatcher.h"
 #include "host/process/peer_link.h"
 #include "host/process/plan_view.h"
 #include "store/lease_keeper.h"
@@ -85,7 +85,7 @@
   store::lease_keeper& lease_;
   peer_link& peers_;
   demand_forecast forecast_;
-  order_desk desk_;
+  order_dispatcher dispatcher_;
   std::int64_t term_ = 0;
   base::time_point term_since_;
   base::time_point told_;
--- a/src/host/process/plan_view.h
+++ b/src/host/process/plan_view.h
@@ -16,7 +16,7 @@
 #include "catalog/configuration.h"
 #include "decisions/adapter_plan.h"
 #include "decisions/model_plan.h"
-#include "host/process/engine_book.h"
+#include "host/process/engine_registry.h"
 
 namespace valeledge::host {
 
--- a/src/host/process/server_book.cc
+++ b/src/host/process/server_registry.cc
@@ -1,5 +1,5 @@
 // SPDX-License-Identifier: MIT
-#include "host/process/server_book.h"
+#include "host/process/server_registry.h"
 
 #include <algorithm>
 #include <utility>
@@ -109,7 +109,7 @@
   return fact(AdapterUnit(model, adapter), kAdapterFactLife).value_or(listed);
 }
 
-bool server_book::Put(catalog::backend_server entry) {
+bool server_registry::Put(catalog::backend_server entry) {
   auto& slot = servers_[entry.instance];
   if (slot == nullptr) {
     slot = std::make_shared<known_server>();
@@ -136,10 +136,10 @@
   return changed;
 }
 
-void server_book::Remove(const std::string& instance,
-                         bool lapsed,
-                         std::chrono::milliseconds grace,
-                         base::time_point now) {
+void server_registry::Remove(const std::string& instance,
+                             bool lapsed,
+                             std::chrono::milliseconds grace,
+                             base::time_point now) {
   const auto found = servers_.find(instance);
   if (found == servers_.end())
     return;
@@ -156,7 +156,7 @@
   servers_.erase(found);
 }
 
-void server_book::Sweep(base::time_point now) {
+void server_registry::Sweep(base::time_point now) {
   if (!any_lapses_)
     return;
   any_lapses_ = false;
@@ -173,9 +173,9 @@
     Remove(instance, false, {}, now);
 }
 
-bool server_book::IsCandidate(const known_server& server,
-                              const server_wish& wish,
-                              base::time_point now) const {
+bool server_registry::IsCandidate(const known_server& server,
+                                  const server_wish& wish,
+                                  base::time_point now) const {
   const bool usable = !server.leaving && server.entry.service == wish.service &&
                       decisions::MayUse(server.trust, now);
   const bool tried = std::ranges::find(*wish.avoid, server.entry.instance) !=
@@ -184,10 +184,11 @@
          (wish.model.empty() || server.Holds(wish.model, wish.adapter, now));
 }
 
-decisions::server_offer server_book::OfferOf(const known_server& server,
-                                             const server_wish& wish,
-                                             const catalog::service& service,
-                                             base::time_point now) const {
+decisions::server_offer server_registry::OfferOf(
+    const known_server& server,
+    const server_wish& wish,
+    const catalog::service& service,
+    base::time_point now) const {
   decisions::server_offer offer;
   offer.slots = std::max<std::int64_t>(server.entry.slots, 1);
   offer.running = server.own.running + server.others.running;
@@ -201,7 +202,7 @@
   return offer;
 }
 
-std::optional<server_choice> server_book::Choose(
+std::optional<server_choice> server_registry::Choose(
     const server_wish& wish,
     const catalog::service& service,
     base::time_point now,
@@ -229,8 +230,8 @@
   return best;
 }
 
-bool server_book::AnyHolds(const server_wish& wish,
-                           base::time_point now) const {
+bool server_registry::AnyHolds(const server_wish& wish,
+                               base::time_point now) const {
   return std::ranges::any_of(servers_, [&](const auto& each) {
     const known_server& server = *each.second;
     return !server.leaving && server.entry.service == wish.service &&
@@ -238,7 +239,7 @@
   });
 }
 
-std::optional<base::time_point> server_book::ComingAt(
+std::optional<base::time_point> server_registry::ComingAt(
     const server_wish& wish,
     base::time_point now) const {
   std::optional<base::time_point> first;
@@ -254,7 +255,7 @@
   return first;
 }
 
-std::optional<std::chrono::milliseconds> server_book::LoadAtHand(
+std::optional<std::chrono::milliseconds> server_registry::LoadAtHand(
     const server_wish& wish,
     const catalog::service& service) const {
   const catalog::model* model = service.engines.Find(wish.model);
@@ -276,9 +277,9 @@
   return best;
 }
 
-void server_book::RememberPrompt(known_server& server,
-                                 const request_head& head,
-                                 base::time_point now) {
+void server_registry::RememberPrompt(known_server& server,
+                                     const request_head& head,
+                                     base::time_point now) {
   std::uint64_t chain = ChainStart(head);
   for (const prompt_part& part : head.prompt) {
     chain = ChainHash(chain, part);
@@ -288,8 +289,8 @@
   }
 }
 
-void server_book::TakeLoads(const std::string& host,
-                            const std::vector<wire::server_load>& loads) {
+void server_registry::TakeLoads(const std::string& host,
+                                const std::vector<wire::server_load>& loads) {
   auto& known = loads_[host];
   for (const auto& [key, use] : known)
     AddUse(key, use, -1);
@@ -301,8 +302,9 @@
   }
 }
 
-void server_book::TakeSomeLoads(const std::string& host,
-                                const std::vector<wire::server_load>& loads) {
+void server_registry::TakeSomeLoads(
+    const std::string& host,
+    const std::vector<wire::server_load>& loads) {
   auto& known = loads_[host];
   for (const wire::server_load& each : loads) {
     const server_use use = UseOf(each);
@@ -322,7 +324,7 @@
   }
 }
 
-void server_book::ForgetHost(const std::string& host) {
+void server_registry::ForgetHost(const std::string& host) {
   const auto found = loads_.find(host);
   if (found == loads_.end())
     return;
@@ -331,9 +333,9 @@
   loads_.erase(found);
 }
 
-void server_book::AddUse(unit_key key,
-                         const server_use& use,
-                         std::int64_t times) const {
+void server_registry::AddUse(unit_key key,
+                             const server_use& use,
+                             std::int64_t times) const {
   const auto server = FindKey(key);
   if (server == nullptr)
     return;
@@ -342,7 +344,7 @@
   server->others.held_tokens += times * use.held_tokens;
 }
 
-wire::server_load server_book::OwnLoad(const known_server& server) {
+wire::server_load server_registry::OwnLoad(const known_server& server) {
   wire::server_load load;
   load.server = server.key;
   load.running = static_cast<std::int32_t>(server.own.running);
@@ -351,7 +353,7 @@
   return load;
 }
 
-std::vector<wire::server_load> server_book::OwnLoads() const {
+std::vector<wire::server_load> server_registry::OwnLoads() const {
   std::vector<wire::server_load> out;
   for (const auto& [instance, server] : servers_) {
     if (server->own.running != 0)
@@ -360,13 +362,13 @@
   return out;
 }
 
-std::shared_ptr<known_server> server_book::Find(
+std::shared_ptr<known_server> server_registry::Find(
     std::string_view instance) const {
   const auto found = servers_.find(instance);
   return found == servers_.end() ? nullptr : found->second;
 }
 
-std::shared_ptr<known_server> server_book::FindKey(unit_key key) const {
+std::shared_ptr<known_server> server_registry::FindKey(unit_key key) const {
   const auto found = by_key_.find(key);
   return found == by_key_.end() ? nullptr : found->second.lock();
 }
--- a/src/host/process/server_book.h
+++ b/src/host/process/server_registry.h
@@ -1,7 +1,7 @@
 // SPDX-License-Identifier: MIT
 // What this host believes of every backend server, and the choice among them.
-#ifndef VALELEDGE_HOST_PROCESS_SERVER_BOOK_H_
-#define VALELEDGE_HOST_PROCESS_SERVER_BOOK_H_
+#ifndef VALELEDGE_HOST_PROCESS_SERVER_REGISTRY_H_
+#define VALELEDGE_HOST_PROCESS_SERVER_REGISTRY_H_
 
 #include <chrono>
 #include <cstdint>
@@ -99,9 +99,9 @@
 };
 
 // All known instances. Lives on the host's thread.
-class server_book {
+class server_registry {
  public:
-  explicit server_book(std::string zone) : zone_(std::move(zone)) {}
+  explicit server_registry(std::string zone) : zone_(std::move(zone)) {}
 
   // Whether this host hears at once of what others send to an instance; asked
   // only of instances that a request may go to, since members of a large fleet
@@ -186,4 +186,4 @@
 
 }  // namespace valeledge::host
 
-#endif  // VALELEDGE_HOST_PROCESS_SERVER_BOOK_H_
+#endif  // VALELEDGE_HOST_PROCESS_SERVER_REGISTRY_H_
--- a/src/host/request/server_attempt.cc
+++ b/src/host/request/server_attempt.cc
@@ -77,8 +77,8 @@
     decisions::NoteAnswer(server_->trust, took, demand_.cost);
     return;
   }
-  server_book::RememberPrompt(*server_, head_,
-                              std::chrono::steady_clock::now());
+  server_registry::RememberPrompt(*server_, head_,
+                                  std::chrono::steady_clock::now());
   decisions::NoteAnswer(server_->trust, took,
                         expected_ + milliseconds(kFirstSteps));
   if (tokens_ahead_ >= kTellingTokens) {
--- a/tests/auto/host/test_at_size.cc
+++ b/tests/auto/host/test_at_size.cc
@@ -9,7 +9,7 @@
 #include <boost/test/unit_test.hpp>
 
 #include "base/identifier.h"
-#include "host/process/server_book.h"
+#include "host/process/server_registry.h"
 #include "membership/gossip.h"
 #include "wire/codec.h"
 
@@ -135,7 +135,7 @@
   }
 
   gossip_state state;
-  host::server_book book{"z"};
+  host::server_registry book{"z"};
   catalog::service service;
   random_source random{7};
   base::time_point now = std::chrono::steady_clock::now();
--- a/tests/auto/host/test_order_desk.cc
+++ b/tests/auto/host/test_order_dispatcher.cc
@@ -1,5 +1,5 @@
 // SPDX-License-Identifier: MIT
-#include "host/process/order_desk.h"
+#include "host/process/order_dispatcher.h"
 
 #include <boost/test/unit_test.hpp>
 
@@ -13,7 +13,8 @@
 using namespace valeledge;
 using namespace std::chrono_literals;
 
-// An engine "i-1" that holds model m of service s, and a desk that orders.
+// An engine "i-1" that holds model m of service s, and a dispatcher that
+// orders.
 struct engine_site {
   engine_site() {
     catalog::configuration configuration;
@@ -35,7 +36,7 @@
     entry.address = backend.address();
     entry.models.push_back({"m", 1, {}});
     core.servers.Put(entry);
-    desk.Begin(true);
+    dispatcher.Begin(true);
   }
 
   // Runs until the engine's state is known.
@@ -45,8 +46,8 @@
     backend.script = {{"HTTP/1.1 200 OK\r\nContent-Length: " +
                        std::to_string(state.size()) + "\r\n\r\n" + state},
                       {"HTTP/1.1 202 Accepted\r\nContent-Length: 0\r\n\r\n"}};
-    desk.Refresh();
-    while (!desk.engines().at("i-1")->accepted)
+    dispatcher.Refresh();
+    while (!dispatcher.engines().at("i-1")->accepted)
       context.run_one();
   }
 
@@ -57,7 +58,7 @@
     boost::asio::co_spawn(
         context,
         [this, adapter, out]() -> boost::asio::awaitable<void> {
-          *out = co_await desk.EnsureAdapter("s", "m", adapter);
+          *out = co_await dispatcher.EnsureAdapter("s", "m", adapter);
         },
         boost::asio::detached);
     return out;
@@ -66,10 +67,10 @@
   boost::asio::io_context context{1};
   test::backend_stand_in backend{context};
   host::host_core core{context, host::host_settings(), platform::MakeDialect()};
-  host::order_desk desk{core, [] { return 1; }};
+  host::order_dispatcher dispatcher{core, [] { return 1; }};
 };
 
-BOOST_AUTO_TEST_SUITE(order_desk)
+BOOST_AUTO_TEST_SUITE(order_dispatcher)
 
 // The second request waits for the adapter that the first one has ordered;
 // meanwhile the engine leaves.
@@ -77,13 +78,13 @@
   engine_site site;
   site.Settle();
   const auto first = site.Want("a1");
-  while (site.desk.engines().at("i-1")->models.at("m").adapters.empty())
+  while (site.dispatcher.engines().at("i-1")->models.at("m").adapters.empty())
     site.context.run_one();
   const auto second = site.Want("a1");
   site.context.poll();
   site.core.servers.Remove("i-1", false, 0ms, std::chrono::steady_clock::now());
-  site.desk.Refresh();
-  BOOST_TEST(site.desk.engines().empty());
+  site.dispatcher.Refresh();
+  BOOST_TEST(site.dispatcher.engines().empty());
   while (!*first || !*second)
     site.context.run_one();
   BOOST_TEST(!(*second)->has_value());
@@ -95,8 +96,8 @@
   site.Settle();
   site.backend.script.assign(
       4, {"HTTP/1.1 202 Accepted\r\nContent-Length: 0\r\n\r\n"});
-  const auto engine = site.desk.engines().at("i-1");
-  site.desk.LoadAdapters(engine, "m", {"a1", "a2", "a3"}, 2);
+  const auto engine = site.dispatcher.engines().at("i-1");
+  site.dispatcher.LoadAdapters(engine, "m", {"a1", "a2", "a3"}, 2);
   while (host::AdaptersHeld(*engine) < 2 || engine->sending)
     site.context.run_one();
   site.context.poll();
@@ -108,20 +109,20 @@
 BOOST_AUTO_TEST_CASE(an_entry_shows_that_a_load_has_ended) {
   engine_site site;
   site.Settle();
-  const auto engine = site.desk.engines().at("i-1");
+  const auto engine = site.dispatcher.engines().at("i-1");
   catalog::model model;
   model.name = "n";
   model.load_from_disk = 60s;
-  site.desk.Load(engine, model, decisions::weight_source::kDisk);
+  site.dispatcher.Load(engine, model, decisions::weight_source::kDisk);
   while (!engine->models.contains("n") || engine->sending)
     site.context.run_one();
   BOOST_REQUIRE(engine->models.at("n").acknowledged);
-  site.desk.Refresh();
+  site.dispatcher.Refresh();
   BOOST_TEST(!host::IsHeld(*engine, "n"));
   catalog::backend_server entry = engine->server->entry;
   entry.models.push_back({"n", 1, {}});
   site.core.servers.Put(entry);
-  site.desk.Refresh();
+  site.dispatcher.Refresh();
   BOOST_TEST(host::IsHeld(*engine, "n"));
   BOOST_TEST(host::IsFree(*engine));
 }
@@ -144,11 +145,11 @@
   host::host_settings settings;
   settings.load_window = 5000ms;
   host::host_core core(context, settings, platform::MakeDialect());
-  host::order_desk desk(core, [] { return 1; });
-  desk.Begin(true);
-  BOOST_TEST(desk.StoreLoadsLeft(2.1) == 10);
-  desk.Begin(false);
-  BOOST_TEST(desk.StoreLoadsLeft(2.1) == 0);
+  host::order_dispatcher dispatcher(core, [] { return 1; });
+  dispatcher.Begin(true);
+  BOOST_TEST(dispatcher.StoreLoadsLeft(2.1) == 10);
+  dispatcher.Begin(false);
+  BOOST_TEST(dispatcher.StoreLoadsLeft(2.1) == 0);
 }
 
 BOOST_AUTO_TEST_CASE(adapters_take_room_from_weights) {
--- a/tests/auto/host/test_server_book.cc
+++ b/tests/auto/host/test_server_registry.cc
@@ -1,5 +1,5 @@
 // SPDX-License-Identifier: MIT
-#include "host/process/server_book.h"
+#include "host/process/server_registry.h"
 
 #include <boost/test/unit_test.hpp>
 
@@ -20,7 +20,7 @@
       entry.zone = "z";
       entry.slots = 8;
       entry.models.push_back({"m", 1, {"a1"}});
-      book.Put(entry);
+      registry.Put(entry);
     }
     head.model = "m";
     wish.service = "s";
@@ -32,11 +32,11 @@
   }
 
   std::string Choose() {
-    const auto choice = book.Choose(wish, service, now, random);
+    const auto choice = registry.Choose(wish, service, now, random);
     return choice ? choice->server->entry.instance : std::string("none");
   }
 
-  host::server_book book{"z"};
+  host::server_registry registry{"z"};
   catalog::service service;
   host::request_head head;
   host::server_wish wish;
@@ -53,46 +53,46 @@
   return load;
 }
 
-BOOST_AUTO_TEST_SUITE(server_book)
+BOOST_AUTO_TEST_SUITE(server_registry)
 
 BOOST_AUTO_TEST_CASE(requests_go_where_other_hosts_have_sent_least) {
   world here;
-  here.book.TakeLoads("host-2", {Load("i-1", 20'000)});
+  here.registry.TakeLoads("host-2", {Load("i-1", 20'000)});
   BOOST_TEST(here.Choose() == "i-2");
-  here.book.TakeSomeLoads("host-2", {Load("i-1", 0), Load("i-2", 20'000)});
+  here.registry.TakeSomeLoads("host-2", {Load("i-1", 0), Load("i-2", 20'000)});
   BOOST_TEST(here.Choose() == "i-1");
-  here.book.ForgetHost("host-2");
-  BOOST_TEST(here.book.Find("i-2")->others.unread_tokens == 0);
+  here.registry.ForgetHost("host-2");
+  BOOST_TEST(here.registry.Find("i-2")->others.unread_tokens == 0);
 }
 
 // Each report of a host replaces its last one; what it told of a server before
 // that server's entry came counts from then on.
 BOOST_AUTO_TEST_CASE(reports_of_hosts_add_up) {
   world here;
-  here.book.TakeLoads("host-2", {Load("i-1", 100), Load("i-3", 7)});
-  here.book.TakeLoads("host-3", {Load("i-1", 20)});
-  BOOST_TEST(here.book.Find("i-1")->others.unread_tokens == 120);
-  here.book.TakeSomeLoads("host-3", {Load("i-1", 30)});
-  here.book.TakeLoads("host-2", {Load("i-2", 5), Load("i-3", 8)});
-  BOOST_TEST(here.book.Find("i-1")->others.unread_tokens == 30);
-  BOOST_TEST(here.book.Find("i-1")->others.running == 1);
-  BOOST_TEST(here.book.Find("i-2")->others.unread_tokens == 5);
+  here.registry.TakeLoads("host-2", {Load("i-1", 100), Load("i-3", 7)});
+  here.registry.TakeLoads("host-3", {Load("i-1", 20)});
+  BOOST_TEST(here.registry.Find("i-1")->others.unread_tokens == 120);
+  here.registry.TakeSomeLoads("host-3", {Load("i-1", 30)});
+  here.registry.TakeLoads("host-2", {Load("i-2", 5), Load("i-3", 8)});
+  BOOST_TEST(here.registry.Find("i-1")->others.unread_tokens == 30);
+  BOOST_TEST(here.registry.Find("i-1")->others.running == 1);
+  BOOST_TEST(here.registry.Find("i-2")->others.unread_tokens == 5);
   catalog::backend_server entry;
   entry.instance = "i-3";
-  here.book.Put(entry);
-  BOOST_TEST(here.book.Find("i-3")->others.unread_tokens == 8);
-  here.book.ForgetHost("host-2");
-  here.book.ForgetHost("host-3");
+  here.registry.Put(entry);
+  BOOST_TEST(here.registry.Find("i-3")->others.unread_tokens == 8);
+  here.registry.ForgetHost("host-2");
+  here.registry.ForgetHost("host-3");
   for (const std::string instance : {"i-1", "i-2", "i-3"}) {
-    BOOST_TEST(here.book.Find(instance)->others.unread_tokens == 0);
-    BOOST_TEST(here.book.Find(instance)->others.running == 0);
+    BOOST_TEST(here.registry.Find(instance)->others.unread_tokens == 0);
+    BOOST_TEST(here.registry.Find(instance)->others.running == 0);
   }
 }
 
 // Of servers that are equal the one of which this host hears at once is taken.
 BOOST_AUTO_TEST_CASE(servers_that_are_heard_of_at_once_are_preferred) {
   world here;
-  here.book.SetHearsAtOnce(
+  here.registry.SetHearsAtOnce(
       [](const std::string& instance) { return instance == "i-2"; });
   BOOST_TEST(here.Choose() == "i-2");
 }
@@ -101,26 +101,26 @@
   world here;
   here.avoid.push_back("i-1");
   BOOST_TEST(here.Choose() == "i-2");
-  decisions::NoteFailure(here.book.Find("i-2")->trust, true, here.now);
+  decisions::NoteFailure(here.registry.Find("i-2")->trust, true, here.now);
   BOOST_TEST(here.Choose() == "none");
   here.now += 10s;
   BOOST_TEST(here.Choose() == "i-2");
-  catalog::backend_server entry = here.book.Find("i-2")->entry;
+  catalog::backend_server entry = here.registry.Find("i-2")->entry;
   entry.draining = true;
-  here.book.Put(entry);
+  here.registry.Put(entry);
   BOOST_TEST(here.Choose() == "none");
   // One instance does not come back from leaving.
   entry.draining = false;
-  here.book.Put(entry);
+  here.registry.Put(entry);
   BOOST_TEST(here.Choose() == "none");
 }
 
 BOOST_AUTO_TEST_CASE(a_lapsed_entry_is_used_for_a_while) {
   world here;
   here.avoid.push_back("i-2");
-  here.book.Remove("i-1", true, 1800ms, here.now);
+  here.registry.Remove("i-1", true, 1800ms, here.now);
   BOOST_TEST(here.Choose() == "i-1");
-  here.book.Sweep(here.now + 1800ms);
+  here.registry.Sweep(here.now + 1800ms);
   BOOST_TEST(here.Choose() == "none");
 }
 
@@ -131,7 +131,7 @@
   BOOST_TEST(here.Choose() == "i-1");
   here.wish.adapter = "a2";
   BOOST_TEST(here.Choose() == "none");
-  auto& facts = here.book.Find("i-1")->facts;
+  auto& facts = here.registry.Find("i-1")->facts;
   facts[host::KeyOf("m/a2")] = {true, here.now};
   BOOST_TEST(here.Choose() == "i-1");
   facts[host::KeyOf("m")] = {false, here.now};
