Test: what a host without an owner may use grows with time

a_silent_owner_costs_what_was_usual_and_no_more failed with the sanitizers (18 where 17 were allowed, 4 of 6 runs): its 1,000 requests take longer there, and the allowance grows by 50 a second meanwhile. The bound counts that time, and is one request tighter at once.

--- a/tests/auto/host/test_limit_duty.cc
+++ b/tests/auto/host/test_limit_duty.cc
@@ -106,12 +106,15 @@
   for (int i = 0; i < 100; ++i)
     here.Take();
   here.answers = false;
+  const auto begun = std::chrono::steady_clock::now();
   int taken = 0;
   for (int i = 0; i < 1000; ++i)
     taken += here.Take().has_value() ? 1 : 0;
-  // It was given 50 a second, and may use three tenths of that at once.
+  const std::chrono::duration<double> passed =
+      std::chrono::steady_clock::now() - begun;
+  // It was given 50 a second: three tenths of that at once, the rest with time.
   BOOST_TEST(taken >= 13);
-  BOOST_TEST(taken <= 17);
+  BOOST_TEST(taken <= 16 + 50 * passed.count());
   BOOST_REQUIRE(!here.doubted.empty());
   BOOST_TEST((here.doubted.front() == kOther));
   const auto refused = here.Take();
