--- a/src/host/constants.h
+++ b/src/host/constants.h
@@ -35,7 +35,7 @@
 inline constexpr std::chrono::milliseconds kUsualEventGap{300};
 
 // Attempts of one request, those that certainly did not run included.
-inline constexpr int kMaxAttempts = 4;
+inline constexpr int kAttemptLimit = 4;
 
 // Without a sign of life for this part of the objective, an idempotent
 // request is given up at one server and sent to another.
--- a/src/host/request/relay.cc
+++ b/src/host/request/relay.cc
@@ -330,7 +330,7 @@
 
 // Whether another attempt may follow one that ended so.
 bool relay::MayGoOn(attempt_end end) {
-  if (trace_.attempts >= kMaxAttempts || Left(routed_).count() <= 0)
+  if (trace_.attempts >= kAttemptLimit || Left(routed_).count() <= 0)
     return false;
   if (end == attempt_end::kUnknown) {
     ++runs_;
