Evacuated zones get nothing new; cold servers get what they tolerate

Change: an evacuated zone's servers take no new requests, in every choice and in the plan of models; a cold server gets a share that each host works out without a view of the others, and its dealer's places at a pace. Ruled out: half of the rate for hosts and half for the dealer; the test of 985 hosts and two dealers got 20 requests in a second where 15 are allowed.

--- a/src/catalog/backend_server.h
+++ b/src/catalog/backend_server.h
@@ -29,6 +29,8 @@
   std::string zone;
   std::int64_t slots = 1;
   bool draining = false;
+  // How long it stays cold after it has written this; 0 if it is warm.
+  std::chrono::milliseconds cold_for{0};
   std::vector<held_model> models;
   // Models whose weights are kept on the server though it does not hold them.
   std::vector<std::string> in_memory;
--- a/src/catalog/configuration.h
+++ b/src/catalog/configuration.h
@@ -96,6 +96,11 @@
   std::string name;
   // Connections that one backend server accepts from all hosts together.
   std::int64_t connections = 0;
+  // How long a backend server is cold after its start, and the requests a
+  // second that it tolerates meanwhile from all hosts together; 0 if there is
+  // no such bound.
+  std::chrono::milliseconds cold_time{0};
+  double cold_rate = 0;
   // No models: a plain service.
   engine engines;
 
--- a/src/decisions/place_ledger.cc
+++ b/src/decisions/place_ledger.cc
@@ -63,11 +63,14 @@
 }  // namespace
 
 void SetServers(place_ledger& ledger,
-                const std::map<std::string, std::int64_t>& slots) {
+                const std::map<std::string, server_capacity>& usable) {
   std::erase_if(ledger.servers,
-                [&](const auto& each) { return !slots.contains(each.first); });
-  for (const auto& [name, count] : slots)
-    ledger.servers[name].slots = std::max<std::int64_t>(count, 1);
+                [&](const auto& each) { return !usable.contains(each.first); });
+  for (const auto& [name, capacity] : usable) {
+    dealt_server& server = ledger.servers[name];
+    server.slots = std::max<std::int64_t>(capacity.slots, 1);
+    server.pause = capacity.pause;
+  }
 }
 
 std::chrono::milliseconds PatienceOf(const place_ledger& ledger,
@@ -111,6 +114,8 @@
     if (room == nullptr)
       return false;
     room->second.taken[wish.number] = now + kLongestTaken;
+    if (room->second.pause.count() > 0)
+      room->second.rests_until = now + room->second.pause;
     out.push_back({wish.number, room->first});
     return true;
   });
@@ -137,7 +142,8 @@
           base::time_point now) {
   const auto found = ledger.servers.find(server);
   if (found != ledger.servers.end())
-    found->second.rests_until = now + kRest;
+    found->second.rests_until =
+        std::max(found->second.rests_until, now + kRest);
 }
 
 void GiveBackPlace(place_ledger& ledger,
--- a/src/decisions/place_ledger.h
+++ b/src/decisions/place_ledger.h
@@ -30,6 +30,14 @@
   std::map<std::int64_t, base::time_point> taken;
   // It has turned a request away, and gets none until then.
   base::time_point rests_until;
+  // Between two places that it is given; 0 unless it is cold.
+  std::chrono::milliseconds pause{0};
+};
+
+// What a server can take now.
+struct server_capacity {
+  std::int64_t slots = 1;
+  std::chrono::milliseconds pause{0};
 };
 
 // A request that waits for a place.
@@ -59,7 +67,7 @@
 
 // The servers that may be used now; those that are missing get nothing more.
 void SetServers(place_ledger& ledger,
-                const std::map<std::string, std::int64_t>& slots);
+                const std::map<std::string, server_capacity>& usable);
 
 // How long a request waits at the most that has so much time left: half of what
 // its own work leaves, since the work of some takes much longer than usual. A
--- a/src/host/dialect.h
+++ b/src/host/dialect.h
@@ -110,7 +110,10 @@
 struct store_keys {
   std::string configuration;
   std::string server_prefix;
-  // Covers both.
+  // Followed by an availability zone: nothing new goes to its backend servers
+  // while the key exists.
+  std::string evacuation_prefix;
+  // Covers all of them.
   std::string watched_prefix;
 };
 
--- a/src/host/process/host.cc
+++ b/src/host/process/host.cc
@@ -2,6 +2,8 @@
 #include "host/process/host.h"
 
 #include <algorithm>
+#include <optional>
+#include <string>
 #include <utility>
 
 #include <boost/asio/as_tuple.hpp>
@@ -12,6 +14,7 @@
 #include <boost/beast/http.hpp>
 
 #include "base/logging.h"
+#include "decisions/cold_start.h"
 #include "decisions/lease_turn.h"
 #include "host/constants.h"
 #include "host/process/certainty_duty.h"
@@ -66,6 +69,9 @@
 // Entries that lapse while the store is in trouble are used for so long.
 constexpr milliseconds kLapseGrace{1800};
 
+// A host knows the others so long after its start.
+constexpr milliseconds kHostsKnown{5000};
+
 // Lines of the log are written at most so late: an engineer who follows the
 // log should see what has just been.
 constexpr milliseconds kLogDelay{1000};
@@ -100,12 +106,14 @@
   base::result<void> Start();
 
  private:
+  std::optional<std::string> ZoneOf(const std::string& key) const;
   void PutKey(const std::string& key, const std::string& value);
   void RemoveKey(const std::string& key, bool lapsed);
   void Apply(catalog::configuration newer);
   void TakeTold(const membership::direct_record& record);
   bool FollowsStore();
   bool IsWellKnown(const std::string& instance);
+  decisions::cold_share ColdShare();
   bool IsReady() const;
   void UpdateGauges();
   asio::awaitable<wire::envelope> Answer(wire::envelope call);
@@ -127,6 +135,7 @@
   net::http_server metrics_;
   stop_duty stop_;
   reload_duty reload_;
+  std::int64_t most_hosts_ = 1;
 };
 
 host::host(asio::io_context& context,
@@ -257,6 +266,7 @@
   };
   core_.servers.SetHearsAtOnce(
       [this](const std::string& instance) { return IsWellKnown(instance); });
+  core_.servers.SetColdShare([this] { return ColdShare(); });
   core_.is_behind = [this] {
     return copies_.BehindFor() >= decisions::kBehindAfter;
   };
@@ -297,6 +307,16 @@
   return {};
 }
 
+// Hosts that are not seen any more may still send.
+decisions::cold_share host::ColdShare() {
+  most_hosts_ = std::max(most_hosts_, peers_.CountKnown());
+  decisions::cold_share share;
+  share.hosts = most_hosts_;
+  share.settled =
+      std::chrono::steady_clock::now() - core_.started >= kHostsKnown;
+  return share;
+}
+
 bool host::IsReady() const {
   // Callers are better off at a host that can tell whether their keys are good.
   return core_.configuration != nullptr && !stop_.stopping() &&
@@ -355,6 +375,15 @@
       std::make_shared<const catalog::configuration>(std::move(newer));
 }
 
+// The availability zone that a key says is being evacuated; nothing for other
+// keys.
+std::optional<std::string> host::ZoneOf(const std::string& key) const {
+  const std::string& prefix = core_.speech.keys.evacuation_prefix;
+  if (prefix.empty() || !key.starts_with(prefix) || key.size() == prefix.size())
+    return std::nullopt;
+  return key.substr(prefix.size());
+}
+
 void host::PutKey(const std::string& key, const std::string& value) {
   const store_keys& keys = core_.speech.keys;
   if (key == keys.configuration) {
@@ -372,6 +401,11 @@
       peers_.SetSeeds({*holder});
     return;
   }
+  if (const auto zone = ZoneOf(key)) {
+    core_.servers.Evacuate(*zone);
+    base::Log(kCategory, log_event::kZoneEvacuated, {{"zone", *zone}});
+    return;
+  }
   if (quarantine_.PutKey(key) || !key.starts_with(keys.server_prefix))
     return;
   const std::string instance = key.substr(keys.server_prefix.size());
@@ -382,7 +416,8 @@
     return;
   }
   const bool draining = entry->draining;
-  const bool changed = core_.servers.Put(std::move(*entry));
+  const bool changed =
+      core_.servers.Put(std::move(*entry), std::chrono::steady_clock::now());
   if (changed) {
     base::Log(kCategory,
               draining ? log_event::kServerLeaving : log_event::kServerUp,
@@ -392,6 +427,11 @@
 
 void host::RemoveKey(const std::string& key, bool lapsed) {
   const store_keys& keys = core_.speech.keys;
+  if (const auto zone = ZoneOf(key)) {
+    core_.servers.EndEvacuation(*zone, std::chrono::steady_clock::now());
+    base::Log(kCategory, log_event::kZoneTakenBack, {{"zone", *zone}});
+    return;
+  }
   if (quarantine_.RemoveKey(key, lapsed) ||
       !key.starts_with(keys.server_prefix)) {
     return;
--- a/src/host/process/order_dispatcher.cc
+++ b/src/host/process/order_dispatcher.cc
@@ -308,8 +308,9 @@
   const std::string unit = AdapterUnit(model, adapter);
   for (const auto& [instance, engine] : engines_) {
     const known_server& server = *engine->server;
-    const bool usable = server.entry.service == service && !server.leaving &&
-                        IsHeld(*engine, model) && IsFree(*engine);
+    const bool usable = server.entry.service == service &&
+                        server.TakesRequests() && IsHeld(*engine, model) &&
+                        IsFree(*engine);
     if (!usable)
       continue;
     // Few adapters first; among equals the same engine each time, since what
@@ -398,7 +399,8 @@
     const std::string& model,
     const std::string& adapter) {
   for (const auto& [instance, engine] : engines_) {
-    const bool usable = IsHeld(*engine, model) && !engine->server->leaving;
+    const bool usable =
+        IsHeld(*engine, model) && engine->server->TakesRequests();
     if (usable && engine->models.find(model)->second.adapters.contains(adapter))
       return engine;
   }
@@ -418,7 +420,7 @@
   // One that is being loaded for another request is waited for as well;
   // meanwhile the engine may go, and others come.
   co_await Pause(std::chrono::ceil<milliseconds>(ready - now));
-  if (engine->server->leaving) {
+  if (!engine->server->TakesRequests()) {
     co_return base::NotRun(result_code::kNoBackendServer,
                            "the engine that was loading the adapter left");
   }
--- a/src/host/process/place_duty.cc
+++ b/src/host/process/place_duty.cc
@@ -55,15 +55,29 @@
 place_duty::place_duty(host_core& core, place_links links)
     : core_(core), links_(std::move(links)) {}
 
+// A cold server counts with one slot: it adds little to what the others do.
+std::map<std::string, decisions::server_capacity> place_duty::UsableServers(
+    const std::string& service,
+    base::time_point now) const {
+  const catalog::service* kind =
+      core_.configuration ? core_.configuration->FindService(service) : nullptr;
+  std::map<std::string, decisions::server_capacity> out;
+  for (const auto& [instance, server] : core_.servers.servers()) {
+    if (!server->TakesRequests() || server->entry.service != service)
+      continue;
+    const bool cold = kind != nullptr && server->IsCold(*kind, now);
+    out[instance] =
+        cold ? decisions::server_capacity{1, decisions::ColdDealPause(
+                                                 kind->cold_rate)}
+             : decisions::server_capacity{server->entry.slots};
+  }
+  return out;
+}
+
 void place_duty::DealOut(const std::string& service,
                          deal& dealt,
                          base::time_point now) {
-  std::map<std::string, std::int64_t> slots;
-  for (const auto& [instance, server] : core_.servers.servers()) {
-    if (!server->leaving && server->entry.service == service)
-      slots[instance] = server->entry.slots;
-  }
-  decisions::SetServers(dealt.ledger, slots);
+  decisions::SetServers(dealt.ledger, UsableServers(service, now));
   decisions::Expire(dealt.ledger, now);
   for (const auto& [number, server] : decisions::Deal(dealt.ledger, now)) {
     waiter& found = dealt.waiters.at(number);
--- a/src/host/process/placement_duty.cc
+++ b/src/host/process/placement_duty.cc
@@ -175,7 +175,7 @@
     return;
   const catalog::model* model = kind.Find(engine->next->model);
   const bool late = now - engine->next->planned_at > kPlannedFor;
-  if (model == nullptr || late || engine->server->leaving) {
+  if (model == nullptr || late || !engine->server->TakesRequests()) {
     engine->next.reset();
     return;
   }
@@ -243,7 +243,7 @@
   std::vector<decisions::adapter_engine> engines;
   std::vector<std::shared_ptr<engine_record>> serving;
   for (const auto& engine : records) {
-    if (engine->server->leaving)
+    if (!engine->server->TakesRequests())
       continue;
     engines.push_back(AdapterViewOf(*engine, index));
     serving.push_back(engine);
--- a/src/host/process/plan_view.cc
+++ b/src/host/process/plan_view.cc
@@ -66,7 +66,7 @@
   const known_server& server = *engine.server;
   decisions::plan_engine view;
   view.zone = server.entry.zone;
-  view.serving = !server.leaving;
+  view.serving = server.TakesRequests();
   view.free = IsFree(engine);
   view.free_mb = index.kind.weights_mb - UsedMemory(engine, index.kind);
   for (const auto& [name, model] : engine.models) {
--- a/src/host/process/server_registry.cc
+++ b/src/host/process/server_registry.cc
@@ -109,7 +109,15 @@
   return fact(AdapterUnit(model, adapter), kAdapterFactLife).value_or(listed);
 }
 
-bool server_registry::Put(catalog::backend_server entry) {
+bool known_server::IsCold(const catalog::service& service,
+                          base::time_point now) const {
+  if (service.cold_rate <= 0)
+    return false;
+  const bool may_be = taken_back_at && now < *taken_back_at + service.cold_time;
+  return may_be || decisions::IsCold(cold, now);
+}
+
+bool server_registry::Put(catalog::backend_server entry, base::time_point now) {
   auto& slot = servers_[entry.instance];
   if (slot == nullptr) {
     slot = std::make_shared<known_server>();
@@ -117,6 +125,8 @@
     by_key_[slot->key] = slot;
     slot->leaving = entry.draining;
     slot->entry = std::move(entry);
+    slot->evacuated = evacuated_zones_.contains(slot->entry.zone);
+    decisions::NoteCold(slot->cold, slot->entry.cold_for, now);
     // Other hosts may have told of it before its entry came.
     for (const auto& [host, loads] : loads_) {
       const auto use = loads.find(slot->key);
@@ -130,6 +140,9 @@
   // may come back.
   const bool left = slot->leaving && slot->entry.draining;
   slot->entry = std::move(entry);
+  slot->evacuated = evacuated_zones_.contains(slot->entry.zone);
+  slot->taken_back_at.reset();
+  decisions::NoteCold(slot->cold, slot->entry.cold_for, now);
   slot->entry.draining = slot->entry.draining || left;
   slot->leaving = slot->entry.draining;
   slot->lapses_at.reset();
@@ -173,10 +186,30 @@
     Remove(instance, false, {}, now);
 }
 
+void server_registry::Evacuate(const std::string& zone) {
+  evacuated_zones_.insert(zone);
+  for (const auto& [instance, server] : servers_) {
+    if (server->entry.zone == zone)
+      server->evacuated = true;
+  }
+}
+
+void server_registry::EndEvacuation(const std::string& zone,
+                                    base::time_point now) {
+  evacuated_zones_.erase(zone);
+  for (const auto& [instance, server] : servers_) {
+    if (server->entry.zone != zone)
+      continue;
+    server->evacuated = false;
+    server->taken_back_at = now;
+  }
+}
+
 bool server_registry::IsCandidate(const known_server& server,
                                   const server_wish& wish,
                                   base::time_point now) const {
-  const bool usable = !server.leaving && server.entry.service == wish.service &&
+  const bool usable = server.TakesRequests() &&
+                      server.entry.service == wish.service &&
                       decisions::MayUse(server.trust, now);
   const bool tried = std::ranges::find(*wish.avoid, server.entry.instance) !=
                      wish.avoid->end();
@@ -207,11 +240,46 @@
     const catalog::service& service,
     base::time_point now,
     std::mt19937_64& random) {
+  auto warm = ChooseWarm(wish, service, now, random);
+  if (warm || service.cold_rate <= 0)
+    return warm;
+  return ChooseCold(wish, service, now, random);
+}
+
+std::optional<server_choice> server_registry::ChooseCold(
+    const server_wish& wish,
+    const catalog::service& service,
+    base::time_point now,
+    std::mt19937_64& random) const {
+  decisions::cold_share share;
+  if (cold_share_)
+    share = cold_share_();
+  share.rate = service.cold_rate;
+  for (const auto& [instance, server] : servers_) {
+    const bool candidate =
+        IsCandidate(*server, wish, now) && server->IsCold(service, now);
+    if (!candidate ||
+        !decisions::TakeColdTurn(server->cold, share, now, random))
+      continue;
+    const decisions::server_offer offer = OfferOf(*server, wish, service, now);
+    const milliseconds ahead =
+        wish.weight.per_token * static_cast<double>(offer.unread_tokens);
+    return server_choice{server, ExpectedWait(offer, wish.weight), ahead,
+                         offer.kept_tokens};
+  }
+  return std::nullopt;
+}
+
+std::optional<server_choice> server_registry::ChooseWarm(
+    const server_wish& wish,
+    const catalog::service& service,
+    base::time_point now,
+    std::mt19937_64& random) const {
   std::optional<server_choice> best;
   milliseconds best_cost{0};
   std::uniform_real_distribution<double> blur(0, 1);
   for (const auto& [instance, server] : servers_) {
-    if (!IsCandidate(*server, wish, now))
+    if (!IsCandidate(*server, wish, now) || server->IsCold(service, now))
       continue;
     const decisions::server_offer offer = OfferOf(*server, wish, service, now);
     const milliseconds expected = ExpectedWait(offer, wish.weight);
@@ -234,7 +302,7 @@
                                base::time_point now) const {
   return std::ranges::any_of(servers_, [&](const auto& each) {
     const known_server& server = *each.second;
-    return !server.leaving && server.entry.service == wish.service &&
+    return server.TakesRequests() && server.entry.service == wish.service &&
            (wish.model.empty() || server.Holds(wish.model, wish.adapter, now));
   });
 }
@@ -244,7 +312,7 @@
     base::time_point now) const {
   std::optional<base::time_point> first;
   for (const auto& [instance, server] : servers_) {
-    if (server->leaving || server->entry.service != wish.service)
+    if (!server->TakesRequests() || server->entry.service != wish.service)
       continue;
     const auto found = server->coming.find(KeyOf(wish.model));
     const bool current =
@@ -264,7 +332,7 @@
     return best;
   for (const auto& [instance, server] : servers_) {
     const catalog::backend_server& entry = server->entry;
-    if (server->leaving || entry.service != wish.service)
+    if (!server->TakesRequests() || entry.service != wish.service)
       continue;
     const auto has = [&](const std::vector<std::string>& copies) {
       return std::ranges::find(copies, wish.model) != copies.end();
--- a/src/host/process/server_registry.h
+++ b/src/host/process/server_registry.h
@@ -10,6 +10,7 @@
 #include <memory>
 #include <optional>
 #include <random>
+#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -17,6 +18,7 @@
 #include "base/duration.h"
 #include "catalog/backend_server.h"
 #include "catalog/configuration.h"
+#include "decisions/cold_start.h"
 #include "decisions/reading_pace.h"
 #include "decisions/server_cost.h"
 #include "host/dialect.h"
@@ -58,6 +60,13 @@
   unit_key key = 0;
   // Its entry is gone, or says that it is leaving: no new requests.
   bool leaving = false;
+  // Operators are emptying its availability zone: no new requests either, but
+  // it may be used again.
+  bool evacuated = false;
+  // When its zone was last taken back: it may have become cold meanwhile, and
+  // has not written its entry since.
+  std::optional<base::time_point> taken_back_at;
+  decisions::cold_server cold;
   // Its entry went while the store was in trouble: it is used until here.
   std::optional<base::time_point> lapses_at;
   server_use own;
@@ -71,6 +80,10 @@
   std::map<unit_key, base::time_point> coming;
   prompt_memory prompts;
 
+  bool TakesRequests() const { return !leaving && !evacuated; }
+  // Whether it tolerates only a few requests now.
+  bool IsCold(const catalog::service& service, base::time_point now) const;
+
   // Whether the unit is there, by the newest that is known.
   bool Holds(std::string_view model,
              std::string_view adapter,
@@ -110,8 +123,14 @@
     hears_at_once_ = std::move(hears);
   }
 
+  // What this host may send to cold servers, but for the rate, which differs
+  // with the service. Unset: as if there were no other host.
+  void SetColdShare(std::function<decisions::cold_share()> share) {
+    cold_share_ = std::move(share);
+  }
+
   // Takes in an entry; true if it changed what may be sent there.
-  bool Put(catalog::backend_server entry);
+  bool Put(catalog::backend_server entry, base::time_point now);
   // The entry is gone. If `lapsed`, the server may still live: it is used for
   // another `grace`.
   void Remove(const std::string& instance,
@@ -121,7 +140,12 @@
   // Ends what has lapsed.
   void Sweep(base::time_point now);
 
-  // The best server for a request; nothing if none may be used.
+  // Operators empty an availability zone, or take it back.
+  void Evacuate(const std::string& zone);
+  void EndEvacuation(const std::string& zone, base::time_point now);
+
+  // The best server for a request; nothing if none may be used. A cold server
+  // is used only where there is no other, and for a few requests.
   std::optional<server_choice> Choose(const server_wish& wish,
                                       const catalog::service& service,
                                       base::time_point now,
@@ -169,6 +193,14 @@
   bool IsCandidate(const known_server& server,
                    const server_wish& wish,
                    base::time_point now) const;
+  std::optional<server_choice> ChooseWarm(const server_wish& wish,
+                                          const catalog::service& service,
+                                          base::time_point now,
+                                          std::mt19937_64& random) const;
+  std::optional<server_choice> ChooseCold(const server_wish& wish,
+                                          const catalog::service& service,
+                                          base::time_point now,
+                                          std::mt19937_64& random) const;
   // The server as the request sees it.
   decisions::server_offer OfferOf(const known_server& server,
                                   const server_wish& wish,
@@ -177,9 +209,11 @@
 
   std::string zone_;
   std::function<bool(const std::string& instance)> hears_at_once_;
+  std::function<decisions::cold_share()> cold_share_;
   std::map<std::string, std::shared_ptr<known_server>, std::less<>> servers_;
   std::map<unit_key, std::weak_ptr<known_server>> by_key_;
   std::map<std::string, std::map<unit_key, server_use>> loads_;
+  std::set<std::string> evacuated_zones_;
   // Some entry may have lapsed.
   bool any_lapses_ = false;
 };
--- a/src/host/request/server_search.cc
+++ b/src/host/request/server_search.cc
@@ -165,7 +165,7 @@
     co_return std::move(own);
   auto server = core.servers.Find((*dealt)->server());
   // It may have left meanwhile, as this host knows.
-  if (server == nullptr || server->leaving)
+  if (server == nullptr || !server->TakesRequests())
     co_return std::move(own);
   own.server = std::move(server);
   own.place = std::move(*dealt);
--- /dev/null
+++ b/tests/auto/decisions/test_cold_start.cc
@@ -0,0 +1,117 @@
+// SPDX-License-Identifier: MIT
+// What all hosts together send to a cold server, in virtual time.
+#include "decisions/cold_start.h"
+
+#include <algorithm>
+#include <random>
+#include <vector>
+
+#include <boost/test/unit_test.hpp>
+
+namespace {
+
+using namespace valeledge;
+using namespace valeledge::decisions;
+using namespace std::chrono_literals;
+
+const base::time_point kStart = base::time_point() + 1h;
+
+// What a server tolerates, and what is sent at the most, as operators state it.
+constexpr double kRate = 6.9;
+constexpr double kOver = 1.5;
+constexpr std::int64_t kSlack = 5;
+
+// One host that always has a request for the server.
+struct host {
+  cold_server server;
+  cold_share share{kRate, 1, true};
+  std::mt19937_64 random;
+};
+
+// Hosts that know how many they are.
+std::vector<host> Fleet(std::int64_t hosts, std::uint64_t seed) {
+  std::vector<host> out(static_cast<std::size_t>(hosts));
+  for (host& each : out) {
+    each.share.hosts = hosts;
+    each.random.seed(seed++);
+  }
+  return out;
+}
+
+// All moments at which the server gets a request while it is cold for `span`,
+// beside `dealers` that give out its places as fast as they may.
+std::vector<base::time_point> Arrivals(std::vector<host>& fleet,
+                                       std::chrono::milliseconds span,
+                                       int dealers) {
+  std::vector<base::time_point> out;
+  for (host& each : fleet)
+    NoteCold(each.server, span, kStart);
+  for (auto now = kStart; now < kStart + span; now += 10ms) {
+    for (host& each : fleet) {
+      if (TakeColdTurn(each.server, each.share, now, each.random))
+        out.push_back(now);
+    }
+  }
+  for (int dealer = 0; dealer < dealers; ++dealer) {
+    for (auto at = kStart; at < kStart + span; at += ColdDealPause(kRate))
+      out.push_back(at);
+  }
+  std::ranges::sort(out);
+  return out;
+}
+
+std::int64_t MostInASecond(const std::vector<base::time_point>& arrivals) {
+  std::int64_t most = 0;
+  for (std::size_t first = 0, last = 0; last < arrivals.size(); ++last) {
+    while (arrivals[last] - arrivals[first] >= 1s)
+      ++first;
+    most = std::max(most, static_cast<std::int64_t>(last - first + 1));
+  }
+  return most;
+}
+
+BOOST_AUTO_TEST_SUITE(cold_starts)
+
+BOOST_AUTO_TEST_CASE(a_cold_server_gets_what_it_tolerates_from_any_fleet) {
+  const auto bound = static_cast<std::int64_t>(kRate * kOver) + kSlack;
+  for (const std::int64_t hosts : {1, 7, 69, 985}) {
+    std::int64_t worst = 0;
+    for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+      auto fleet = Fleet(hosts, seed * 10'000);
+      worst = std::max(worst, MostInASecond(Arrivals(fleet, 4s, 2)));
+    }
+    BOOST_TEST_CONTEXT(hosts << " hosts")
+    BOOST_TEST(worst <= bound);
+  }
+}
+
+// A server that is cold for long is used all the same.
+BOOST_AUTO_TEST_CASE(hosts_use_a_quarter_of_what_a_cold_server_tolerates) {
+  auto fleet = Fleet(69, 5);
+  const auto arrivals = Arrivals(fleet, 60s, 0);
+  BOOST_TEST(arrivals.size() > 0.8 * 60 * kRate / 4);
+}
+
+BOOST_AUTO_TEST_CASE(a_host_that_has_just_started_sends_nothing_there) {
+  auto fleet = Fleet(69, 5);
+  for (host& each : fleet)
+    each.share = {kRate, 1, false};
+  BOOST_TEST(Arrivals(fleet, 4s, 0).empty());
+}
+
+// The server says how long it stays cold each time it writes its entry.
+BOOST_AUTO_TEST_CASE(an_entry_does_not_give_a_host_its_turn_again) {
+  auto fleet = Fleet(1, 5);
+  host& one = fleet.front();
+  one.share.hosts = 69;
+  NoteCold(one.server, 60s, kStart);
+  auto now = kStart;
+  while (!TakeColdTurn(one.server, one.share, now, one.random))
+    now += 10ms;
+  NoteCold(one.server, 50s, now);
+  BOOST_TEST(!TakeColdTurn(one.server, one.share, now + 10s, one.random));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace
--- a/tests/auto/decisions/test_place_ledger.cc
+++ b/tests/auto/decisions/test_place_ledger.cc
@@ -22,9 +22,9 @@
 
 place_ledger Ledger(std::int64_t servers, std::int64_t slots) {
   place_ledger out;
-  std::map<std::string, std::int64_t> all;
+  std::map<std::string, server_capacity> all;
   for (std::int64_t i = 0; i < servers; ++i)
-    all["s" + std::to_string(i)] = slots;
+    all["s" + std::to_string(i)] = {slots};
   SetServers(out, all);
   return out;
 }
@@ -204,7 +204,7 @@
 
 BOOST_AUTO_TEST_CASE(servers_that_go_get_nothing_more) {
   place_ledger ledger = Ledger(2, 1);
-  SetServers(ledger, {{"s1", 1}});
+  SetServers(ledger, {{"s1", {1}}});
   AddWish(ledger, Wish(0, 100ms));
   BOOST_TEST(Deal(ledger, kStart).front().server == "s1");
   SetServers(ledger, {});
@@ -214,6 +214,20 @@
 // What callers get as more and more of them come. Before: at twice the load
 // that servers bear 0.58 of what they can do was on time, and 51 in 100
 // requests were turned away by servers; now 0.93, and none.
+BOOST_AUTO_TEST_CASE(a_cold_server_is_given_places_at_its_pace) {
+  place_ledger ledger;
+  SetServers(ledger, {{"cold", {1, 300ms}}, {"warm", {6}}});
+  int given = 0;
+  for (auto now = kStart; now < kStart + 3s; now += 10ms) {
+    AddWish(ledger, Wish(1, 60s));
+    for (const auto& place : Deal(ledger, now)) {
+      given += place.server == "cold" ? 1 : 0;
+      GiveBackPlace(ledger, place.server, place.number, 5ms);
+    }
+  }
+  BOOST_TEST(given == 10);
+}
+
 BOOST_AUTO_TEST_CASE(goodput_stays_as_load_grows) {
   const double capacity = kServers * kSlots / kWork * 60'000;
   for (const double load : {0.55, 0.9, 1.0, 2.0, 4.0}) {
--- a/tests/auto/host/relay_world.h
+++ b/tests/auto/host/relay_world.h
@@ -151,7 +151,7 @@
     entry.address = address;
     entry.zone = "z";
     entry.slots = 4;
-    core->servers.Put(entry);
+    core->servers.Put(entry, std::chrono::steady_clock::now());
   }
 
   // Sends one request and runs until its answer; `meanwhile` is called after
@@ -210,7 +210,7 @@
     AddServer("i-1", first.address());
     catalog::backend_server entry = core->servers.Find("i-1")->entry;
     entry.on_disk.push_back(model);
-    core->servers.Put(entry);
+    core->servers.Put(entry, std::chrono::steady_clock::now());
     return core->servers.Find("i-1");
   }
 
--- a/tests/auto/host/test_at_size.cc
+++ b/tests/auto/host/test_at_size.cc
@@ -89,7 +89,7 @@
       entry.slots = 12;
       entry.models.push_back({"m" + std::to_string(i % 40), 1, {}});
       entry.models.push_back({"m" + std::to_string(40 + i % 40), 1, {}});
-      book.Put(std::move(entry));
+      book.Put(std::move(entry), now);
     }
   }
 
--- a/tests/auto/host/test_order_dispatcher.cc
+++ b/tests/auto/host/test_order_dispatcher.cc
@@ -35,7 +35,7 @@
     entry.service = "s";
     entry.address = backend.address();
     entry.models.push_back({"m", 1, {}});
-    core.servers.Put(entry);
+    core.servers.Put(entry, std::chrono::steady_clock::now());
     dispatcher.Begin(true);
   }
 
@@ -121,7 +121,7 @@
   BOOST_TEST(!host::IsHeld(*engine, "n"));
   catalog::backend_server entry = engine->server->entry;
   entry.models.push_back({"n", 1, {}});
-  site.core.servers.Put(entry);
+  site.core.servers.Put(entry, std::chrono::steady_clock::now());
   site.dispatcher.Refresh();
   BOOST_TEST(host::IsHeld(*engine, "n"));
   BOOST_TEST(host::IsFree(*engine));
--- a/tests/auto/host/test_place_duty.cc
+++ b/tests/auto/host/test_place_duty.cc
@@ -59,7 +59,7 @@
     entry.instance = instance;
     entry.service = "desk";
     entry.slots = slots;
-    dealer_core->servers.Put(entry);
+    dealer_core->servers.Put(entry, std::chrono::steady_clock::now());
   }
 
   using taken = base::result<std::shared_ptr<host::dealt_place>>;
--- a/tests/auto/host/test_server_registry.cc
+++ b/tests/auto/host/test_server_registry.cc
@@ -20,7 +20,7 @@
       entry.zone = "z";
       entry.slots = 8;
       entry.models.push_back({"m", 1, {"a1"}});
-      registry.Put(entry);
+      registry.Put(entry, now);
     }
     head.model = "m";
     wish.service = "s";
@@ -79,7 +79,7 @@
   BOOST_TEST(here.registry.Find("i-2")->others.unread_tokens == 5);
   catalog::backend_server entry;
   entry.instance = "i-3";
-  here.registry.Put(entry);
+  here.registry.Put(entry, here.now);
   BOOST_TEST(here.registry.Find("i-3")->others.unread_tokens == 8);
   here.registry.ForgetHost("host-2");
   here.registry.ForgetHost("host-3");
@@ -107,14 +107,66 @@
   BOOST_TEST(here.Choose() == "i-2");
   catalog::backend_server entry = here.registry.Find("i-2")->entry;
   entry.draining = true;
-  here.registry.Put(entry);
+  here.registry.Put(entry, here.now);
   BOOST_TEST(here.Choose() == "none");
   // One instance does not come back from leaving.
   entry.draining = false;
-  here.registry.Put(entry);
+  here.registry.Put(entry, here.now);
   BOOST_TEST(here.Choose() == "none");
 }
 
+BOOST_AUTO_TEST_CASE(an_evacuated_zone_gets_nothing_until_it_is_taken_back) {
+  world here;
+  here.registry.Evacuate("z");
+  BOOST_TEST(here.Choose() == "none");
+  BOOST_TEST(!here.registry.AnyHolds(here.wish, here.now));
+  // A server that comes meanwhile stands in the zone as well.
+  catalog::backend_server entry = here.registry.Find("i-1")->entry;
+  entry.instance = "i-3";
+  here.registry.Put(entry, here.now);
+  BOOST_TEST(here.Choose() == "none");
+  here.registry.EndEvacuation("z", here.now);
+  BOOST_TEST(here.Choose() != "none");
+}
+
+BOOST_AUTO_TEST_CASE(a_cold_server_is_used_only_beside_no_warm_one) {
+  world here;
+  here.service.cold_rate = 6.9;
+  here.service.cold_time = 3s;
+  here.registry.SetColdShare([] { return decisions::cold_share{0, 64, true}; });
+  catalog::backend_server entry = here.registry.Find("i-1")->entry;
+  entry.cold_for = 3s;
+  here.registry.Put(entry, here.now);
+  for (int i = 0; i < 100; ++i)
+    BOOST_TEST(here.Choose() == "i-2");
+  here.avoid.push_back("i-2");
+  // Its turn comes within 64 hosts' pauses, 19 s, and most likely not now.
+  int sent = 0;
+  for (int i = 0; i < 1000; ++i)
+    sent += here.Choose() == "none" ? 0 : 1;
+  BOOST_TEST(sent <= 1);
+  here.now += 3s;
+  BOOST_TEST(here.Choose() == "i-1");
+}
+
+// Its servers may have become cold, and have not said so yet.
+BOOST_AUTO_TEST_CASE(a_zone_that_is_taken_back_counts_as_cold) {
+  world here;
+  here.service.cold_rate = 6.9;
+  here.service.cold_time = 3s;
+  here.registry.SetColdShare([] {
+    return decisions::cold_share{0, 64, false};
+  });
+  here.registry.Evacuate("z");
+  here.registry.EndEvacuation("z", here.now);
+  BOOST_TEST(here.Choose() == "none");
+  here.registry.Put(here.registry.Find("i-2")->entry, here.now);
+  BOOST_TEST(here.Choose() == "i-2");
+  here.avoid.push_back("i-2");
+  here.now += 3s;
+  BOOST_TEST(here.Choose() == "i-1");
+}
+
 BOOST_AUTO_TEST_CASE(a_lapsed_entry_is_used_for_a_while) {
   world here;
   here.avoid.push_back("i-2");
--- a/tests/auto/platform/test_codecs.cc
+++ b/tests/auto/platform/test_codecs.cc
@@ -35,7 +35,7 @@
         "AdapterSlots": 8, "LoadsPerS": 2.1, "Models": [
           {"Name": "m", "WeightsMb": 65099.99, "LoadS": 9, "Adapters": 3,
            "AdapterMb": 12, "WarmS": 1.2, "DiskS": 2}]}},
-      {"Name": "s2"}],
+      {"Name": "s2", "ColdS": 3.0, "ColdPerS": 6.9}],
     "Limits": {"MaxHeaderBytes": 1, "MaxBodyBytes": 2,
                "HeaderTimeoutMs": 3, "IdleTimeoutMs": 4}})");
   BOOST_REQUIRE(read.has_value());
@@ -53,6 +53,8 @@
   BOOST_TEST(
       (engines->engines.Find("m")->load_from_disk == milliseconds(2000)));
   BOOST_TEST(!read->FindService("s2")->HasModels());
+  BOOST_TEST((read->FindService("s2")->cold_time == milliseconds(3000)));
+  BOOST_TEST(read->FindService("s2")->cold_rate == 6.9);
   BOOST_TEST(read->limits.idle_timeout.count() == 4);
 }
 
@@ -68,11 +70,12 @@
 BOOST_AUTO_TEST_CASE(an_entry_of_a_server_is_read) {
   const auto read = platform::DecodeServer("i-1", R"({"Service": "s",
     "Address": "10.0.0.1:80", "Zone": "z", "Slots": 6, "State": "draining",
-    "Seq": 4, "Models": [{"Name": "m", "Version": 1, "Adapters": ["a1"]}],
+    "ColdLeftMs": 2500, "Seq": 4, "Models": [{"Name": "m", "Version": 1, "Adapters": ["a1"]}],
     "AtHand": {"InMemory": ["m"], "OnDisk": ["m", "n"]}})");
   BOOST_REQUIRE(read.has_value());
   BOOST_TEST(read->instance == "i-1");
   BOOST_TEST(read->draining);
+  BOOST_TEST((read->cold_for == milliseconds(2500)));
   BOOST_TEST(read->models.front().adapters.front() == "a1");
   BOOST_TEST(read->on_disk.size() == 2u);
 }
