--- a/src/decisions/cold_start.h
+++ b/src/decisions/cold_start.h
@@ -1,7 +1,7 @@
 // SPDX-License-Identifier: MIT
 // How many requests a backend server gets while it is cold.
 //
-// Answers the load at which a zone's servers come back together beside a
+// For the load at which a zone's servers come back together beside a
 // burst: each tolerates a few requests a second from all hosts together, and
 // ends if it gets many more. Hosts that cannot see each other keep the bound as
 // well, since each takes a part of it that needs no word of the others.
--- a/src/host/process/host.cc
+++ b/src/host/process/host.cc
@@ -95,6 +95,16 @@
   load.answered_chosen = told->stamp.chosen;
 }
 
+// The availability zone that a key says is being evacuated; nothing for other
+// keys.
+std::optional<std::string> EvacuatedZone(const store_keys& keys,
+                                         const std::string& key) {
+  const std::string& prefix = keys.evacuation_prefix;
+  if (prefix.empty() || !key.starts_with(prefix) || key.size() == prefix.size())
+    return std::nullopt;
+  return key.substr(prefix.size());
+}
+
 class host {
  public:
   host(asio::io_context& context,
@@ -106,7 +116,6 @@
   base::result<void> Start();
 
  private:
-  std::optional<std::string> ZoneOf(const std::string& key) const;
   void PutKey(const std::string& key, const std::string& value);
   void RemoveKey(const std::string& key, bool lapsed);
   void Apply(catalog::configuration newer);
@@ -375,15 +384,6 @@
       std::make_shared<const catalog::configuration>(std::move(newer));
 }
 
-// The availability zone that a key says is being evacuated; nothing for other
-// keys.
-std::optional<std::string> host::ZoneOf(const std::string& key) const {
-  const std::string& prefix = core_.speech.keys.evacuation_prefix;
-  if (prefix.empty() || !key.starts_with(prefix) || key.size() == prefix.size())
-    return std::nullopt;
-  return key.substr(prefix.size());
-}
-
 void host::PutKey(const std::string& key, const std::string& value) {
   const store_keys& keys = core_.speech.keys;
   if (key == keys.configuration) {
@@ -401,7 +401,7 @@
       peers_.SetSeeds({*holder});
     return;
   }
-  if (const auto zone = ZoneOf(key)) {
+  if (const auto zone = EvacuatedZone(keys, key)) {
     core_.servers.Evacuate(*zone);
     base::Log(kCategory, log_event::kZoneEvacuated, {{"zone", *zone}});
     return;
@@ -427,7 +427,7 @@
 
 void host::RemoveKey(const std::string& key, bool lapsed) {
   const store_keys& keys = core_.speech.keys;
-  if (const auto zone = ZoneOf(key)) {
+  if (const auto zone = EvacuatedZone(keys, key)) {
     core_.servers.EndEvacuation(*zone, std::chrono::steady_clock::now());
     base::Log(kCategory, log_event::kZoneTakenBack, {{"zone", *zone}});
     return;
--- a/src/host/process/place_duty.cc
+++ b/src/host/process/place_duty.cc
@@ -50,19 +50,15 @@
   return reply;
 }
 
-}  // namespace
-
-place_duty::place_duty(host_core& core, place_links links)
-    : core_(core), links_(std::move(links)) {}
-
 // A cold server counts with one slot: it adds little to what the others do.
-std::map<std::string, decisions::server_capacity> place_duty::UsableServers(
+std::map<std::string, decisions::server_capacity> UsableServers(
+    const host_core& core,
     const std::string& service,
-    base::time_point now) const {
+    base::time_point now) {
   const catalog::service* kind =
-      core_.configuration ? core_.configuration->FindService(service) : nullptr;
+      core.configuration ? core.configuration->FindService(service) : nullptr;
   std::map<std::string, decisions::server_capacity> out;
-  for (const auto& [instance, server] : core_.servers.servers()) {
+  for (const auto& [instance, server] : core.servers.servers()) {
     if (!server->TakesRequests() || server->entry.service != service)
       continue;
     const bool cold = kind != nullptr && server->IsCold(*kind, now);
@@ -74,10 +70,15 @@
   return out;
 }
 
+}  // namespace
+
+place_duty::place_duty(host_core& core, place_links links)
+    : core_(core), links_(std::move(links)) {}
+
 void place_duty::DealOut(const std::string& service,
                          deal& dealt,
                          base::time_point now) {
-  decisions::SetServers(dealt.ledger, UsableServers(service, now));
+  decisions::SetServers(dealt.ledger, UsableServers(core_, service, now));
   decisions::Expire(dealt.ledger, now);
   for (const auto& [number, server] : decisions::Deal(dealt.ledger, now)) {
     waiter& found = dealt.waiters.at(number);
--- a/src/host/process/place_duty.h
+++ b/src/host/process/place_duty.h
@@ -71,9 +71,6 @@
   boost::asio::awaitable<std::optional<wire::place_reply>> AskDealer(
       wire::place_question question,
       std::chrono::milliseconds longest);
-  std::map<std::string, decisions::server_capacity> UsableServers(
-      const std::string& service,
-      base::time_point now) const;
   void DealOut(const std::string& service, deal& dealt, base::time_point now);
   std::shared_ptr<dealt_place> MakePlace(const std::string& service,
                                          const wire::place_reply& reply);
