Few hosts read the store at a start; copies are packed as one

Cause: each host of a fleet that starts together reads the whole store by itself, some ten pages: calls and bytes of a start grow with hosts times keys. Copies from peers repeat 4,000 alike entries unpacked. Change: a host without a copy waits 0.4 s for the others to become known; then those read that are chosen for their zone among the hosts they know, the others take copies, and read for themselves after 1.5 to 3 s. A copy of many small entries is one Zstandard frame. Bytes that are told are counted by kind (valeledge_told_bytes).

--- a/src/host/process/copy_duty.cc
+++ b/src/host/process/copy_duty.cc
@@ -69,7 +69,7 @@
 wire::envelope copy_duty::Give(const wire::mirror_request& wanted) {
   wire::envelope reply;
   if (decisions::MayGiveCopy(peers_.QueuedBytes(), core_.settings.link_bytes)) {
-    reply.__set_mirror(mirror_.CopySince(wanted.since, wanted.takes_packed));
+    reply.__set_mirror(mirror_.CopyFor(wanted));
     return reply;
   }
   core_.metrics.Counter("valeledge_copies_total", "refused").Add();
@@ -84,6 +84,7 @@
   wire::mirror_request wanted;
   wanted.since = mirror_.revision();
   wanted.__set_takes_packed(true);
+  wanted.__set_takes_packed_copy(true);
   call.__set_mirror_wanted(wanted);
   // A named one: the compiler (GCC 12) destroys a temporary function twice that
   // is made within an awaited call.
--- a/src/host/process/host.cc
+++ b/src/host/process/host.cc
@@ -166,7 +166,8 @@
              peers_.AnnounceRevision(revision);
              copies_.NoteAdvanced();
              certainty_.NoteRevision();
-           }}),
+           },
+           [this] { return peers_.KnowsOthers(); }}),
       peers_(context,
              core_.settings,
              {[this](const auto& record) { TakeTold(record); },
@@ -356,6 +357,8 @@
       certainty.value_or(milliseconds(kUnknownAge)).count());
   set("valeledge_lease_term", lease_.CertainTerm());
   set("valeledge_peer_bytes", peers_.bytes());
+  for (const auto& [kind, bytes] : peers_.told_bytes())
+    core_.metrics.Gauge("valeledge_told_bytes", kind).Set(bytes);
   set("valeledge_store_bytes", store_->bytes());
   set("valeledge_log_lines_dropped", base::LinesDropped());
 }
--- a/src/host/process/peer_link.cc
+++ b/src/host/process/peer_link.cc
@@ -26,6 +26,9 @@
 // within a quarter of a second.
 constexpr double kWideLinkBytes = 50e6 / 8;
 
+// Datagrams of membership itself, among those of other kinds.
+constexpr std::string_view kMembership = "membership";
+
 std::int32_t RolesOf(const host_settings& settings) {
   std::int32_t roles = membership::kGateway | membership::kController;
   if (settings.link_bytes >= kWideLinkBytes)
@@ -33,6 +36,14 @@
   return roles;
 }
 
+// What a datagram is counted as.
+std::string KindOf(const wire::gossip_message& message) {
+  const bool direct = message.kind == static_cast<std::int32_t>(
+                                          membership::gossip_kind::kDirect);
+  return direct && !message.records.empty() ? message.records.front().key
+                                            : std::string(kMembership);
+}
+
 membership::gossip_state MakeGossip(const host_settings& settings) {
   membership::gossip_settings times;
   // What a dead host owned should find another owner soon.
@@ -101,6 +112,8 @@
 void peer_link::Publish(membership::gossip_events events) {
   for (const membership::outgoing& each : events.datagrams) {
     const std::string bytes = wire::Encode(each.message);
+    told_bytes_[KindOf(each.message)] +=
+        static_cast<std::int64_t>(bytes.size() * each.to.size());
     for (const base::endpoint& to : each.to)
       datagrams_.Send(to, bytes);
   }
--- a/src/host/process/peer_link.h
+++ b/src/host/process/peer_link.h
@@ -7,6 +7,7 @@
 #include <chrono>
 #include <cstdint>
 #include <functional>
+#include <map>
 #include <memory>
 #include <optional>
 #include <random>
@@ -80,6 +81,7 @@
   // Asks peers at these addresses too when looking for others.
   void SetSeeds(const std::vector<base::endpoint>& seeds);
 
+  bool KnowsOthers() const { return !gossip_.others.empty(); }
   // Hosts that take requests, this one included.
   std::int64_t CountServing() const;
   // Hosts that have been known lately, but for those that left by themselves;
@@ -108,6 +110,10 @@
   std::int64_t QueuedBytes() const { return calls_.queued_bytes(); }
 
   std::int64_t bytes() const;
+  // Bytes of datagrams sent so far, by the kind of what they tell.
+  const std::map<std::string, std::int64_t>& told_bytes() const {
+    return told_bytes_;
+  }
 
  private:
   void Receive(std::string_view bytes, const base::endpoint& from);
@@ -126,6 +132,7 @@
   net::rpc_server calls_;
   std::vector<std::string> dead_;
   std::int64_t serving_ = 1;
+  std::map<std::string, std::int64_t> told_bytes_;
 };
 
 }  // namespace valeledge::host
--- a/src/host/process/store_mirror.cc
+++ b/src/host/process/store_mirror.cc
@@ -12,6 +12,7 @@
 #include <boost/asio/use_awaitable.hpp>
 
 #include "base/logging.h"
+#include "decisions/first_reading.h"
 #include "wire/codec.h"
 #include "wire/packing.h"
 
@@ -42,6 +43,9 @@
 // A host that does not follow the store looks for a reason to after so long.
 constexpr std::chrono::milliseconds kLookPause{100};
 
+// A host that has just started looks for a copy after so long.
+constexpr std::chrono::milliseconds kFirstLook{20};
+
 // A watch answers at once when something has changed, but for the time in
 // which changes are gathered.
 constexpr std::chrono::milliseconds kAnswerDue{400};
@@ -64,6 +68,33 @@
 // Room for the largest value of the store, 1 MB, and for growth.
 constexpr std::size_t kMostUnpacked = wire::kMaxFrameBytes;
 
+// A copy of fewer bytes is not packed as one: it fits into a segment.
+constexpr std::size_t kPackCopyFrom = 1400;
+
+// Room for all keys of the largest fleet planned for, some 8,000 servers of
+// 400 bytes each, and for large values.
+constexpr std::size_t kMostUnpackedCopy = 16 * 1024 * 1024;
+
+// The same copy, packed as one if that makes it smaller.
+wire::mirror_copy PackCopy(wire::mirror_copy copy) {
+  const auto packed = wire::Pack(wire::Encode(copy), kPackCopyFrom);
+  if (!packed)
+    return copy;
+  wire::mirror_copy out;
+  out.revision = copy.revision;
+  out.whole = copy.whole;
+  out.__set_packed(*packed);
+  return out;
+}
+
+// What another host gave; nothing if it cannot be read.
+std::optional<wire::mirror_copy> UnpackCopy(const wire::mirror_copy& copy) {
+  if (!copy.__isset.packed)
+    return copy;
+  const auto bytes = wire::Unpack(copy.packed, kMostUnpackedCopy);
+  return bytes ? wire::DecodeMirrorCopy(*bytes) : std::nullopt;
+}
+
 // A value as it came from another host; nothing if it cannot be read.
 std::optional<mirrored_value> ValueOf(const wire::mirror_entry& entry) {
   mirrored_value value;
@@ -272,8 +303,28 @@
   }
 }
 
+// Hosts that start together would all read the whole store.
+asio::awaitable<void> store_mirror::AwaitFirstCopy(std::mt19937_64& random) {
+  const auto begun = std::chrono::steady_clock::now();
+  decisions::first_reading view;
+  view.draw = std::uniform_real_distribution<double>(0, 1)(random);
+  asio::steady_timer timer(context_);
+  while (true) {
+    view.since_start = std::chrono::duration_cast<std::chrono::milliseconds>(
+        std::chrono::steady_clock::now() - begun);
+    view.knows_others = events_.knows_others && events_.knows_others();
+    view.chosen = events_.follows();
+    const bool copied = OthersFollow();
+    if (copied || decisions::ShouldReadFirst(view))
+      co_return;
+    timer.expires_after(kFirstLook);
+    co_await timer.async_wait(kAwait);
+  }
+}
+
 asio::awaitable<void> store_mirror::Loop() {
   std::mt19937_64 random{std::random_device{}()};
+  co_await AwaitFirstCopy(random);
   const auto between = [&](std::chrono::milliseconds from,
                            std::chrono::milliseconds to) {
     std::uniform_int_distribution<std::int64_t> any(from.count(), to.count());
@@ -316,6 +367,11 @@
   return found->second.value;
 }
 
+wire::mirror_copy store_mirror::CopyFor(const wire::mirror_request& wanted) {
+  auto copy = CopySince(wanted.since, wanted.takes_packed);
+  return wanted.takes_packed_copy ? PackCopy(std::move(copy)) : copy;
+}
+
 wire::mirror_copy store_mirror::CopySince(std::int64_t revision, bool packed) {
   wire::mirror_copy copy;
   copy.revision = revision_;
@@ -343,9 +399,13 @@
   return copy;
 }
 
-bool store_mirror::Take(const wire::mirror_copy& copy) {
-  if (copy.revision <= revision_)
+bool store_mirror::Take(const wire::mirror_copy& given) {
+  if (given.revision <= revision_)
     return true;
+  const auto unpacked = UnpackCopy(given);
+  if (!unpacked)
+    return false;
+  const wire::mirror_copy& copy = *unpacked;
   std::map<std::string, mirrored_value> values;
   for (const wire::mirror_entry& each : copy.entries) {
     auto value = ValueOf(each);
--- a/src/host/process/store_mirror.h
+++ b/src/host/process/store_mirror.h
@@ -8,6 +8,7 @@
 #include <functional>
 #include <map>
 #include <optional>
+#include <random>
 #include <string>
 
 #include <boost/asio/awaitable.hpp>
@@ -41,6 +42,8 @@
   std::function<void(base::boot_clock::time_point asked)> complete;
   // The mirror has a newer revision than before.
   std::function<void(std::int64_t revision)> advanced;
+  // Whether this host knows of others. Unset: it never does.
+  std::function<bool()> knows_others = {};
 };
 
 // A key that was deleted lately.
@@ -80,14 +83,17 @@
   // What the store holds under a key; nothing if it has no such key.
   std::optional<std::string> Value(const std::string& key) const;
 
+  // What another host asks for.
+  wire::mirror_copy CopyFor(const wire::mirror_request& wanted);
   // What another host lacks that has everything up to a revision, large values
   // packed unless it takes none.
   wire::mirror_copy CopySince(std::int64_t revision, bool packed = true);
   // Takes in another host's copy, if it is newer and can be read; whether it
   // could.
-  bool Take(const wire::mirror_copy& copy);
+  bool Take(const wire::mirror_copy& given);
 
  private:
+  boost::asio::awaitable<void> AwaitFirstCopy(std::mt19937_64& random);
   boost::asio::awaitable<void> Loop();
   boost::asio::awaitable<bool> ReadAll();
   boost::asio::awaitable<bool> Follow();
--- a/src/wire/codec.cc
+++ b/src/wire/codec.cc
@@ -72,6 +72,10 @@
   return EncodeMessage(message);
 }
 
+std::string Encode(const mirror_copy& message) {
+  return EncodeMessage(message);
+}
+
 std::optional<envelope> DecodeEnvelope(std::string_view bytes) {
   return DecodeMessage<envelope>(bytes);
 }
@@ -104,4 +108,8 @@
   return DecodeMessage<store_reading>(bytes);
 }
 
+std::optional<mirror_copy> DecodeMirrorCopy(std::string_view bytes) {
+  return DecodeMessage<mirror_copy>(bytes);
+}
+
 }  // namespace valeledge::wire
--- a/src/wire/codec.h
+++ b/src/wire/codec.h
@@ -23,6 +23,7 @@
 std::string Encode(const placement_news& message);
 std::string Encode(const end_news& message);
 std::string Encode(const store_reading& message);
+std::string Encode(const mirror_copy& message);
 
 // The message in `bytes`; nothing if they are not one whole message.
 std::optional<envelope> DecodeEnvelope(std::string_view bytes);
@@ -33,6 +34,7 @@
 std::optional<placement_news> DecodePlacementNews(std::string_view bytes);
 std::optional<end_news> DecodeEndNews(std::string_view bytes);
 std::optional<store_reading> DecodeStoreReading(std::string_view bytes);
+std::optional<mirror_copy> DecodeMirrorCopy(std::string_view bytes);
 
 }  // namespace valeledge::wire
 
--- a/src/wire/messages.thrift
+++ b/src/wire/messages.thrift
@@ -255,6 +255,8 @@
   1: i64 since,
   // Values may come packed.
   2: optional bool takes_packed,
+  // The copy may come packed as one.
+  3: optional bool takes_packed_copy,
 }
 
 struct mirror_entry {
@@ -274,6 +276,9 @@
   3: bool whole,
   // Keys that were deleted after the asker's revision; empty if `whole`.
   4: list<mirror_entry> deleted,
+  // Another copy, packed, in place of `entries` and `deleted`: entries of
+  // backend servers are alike, and small by themselves.
+  5: optional binary packed,
 }
 
 // A backend server has ended while a host's request was there.
--- a/src/wire/packing.cc
+++ b/src/wire/packing.cc
@@ -13,8 +13,8 @@
 
 }  // namespace
 
-std::optional<std::string> Pack(std::string_view value) {
-  if (value.size() < kPackFrom)
+std::optional<std::string> Pack(std::string_view value, std::size_t from) {
+  if (value.size() < from)
     return std::nullopt;
   std::string packed(ZSTD_compressBound(value.size()), '\0');
   const std::size_t size = ZSTD_compress(packed.data(), packed.size(),
--- a/src/wire/packing.h
+++ b/src/wire/packing.h
@@ -14,9 +14,10 @@
 // Values of fewer bytes are not worth packing: they fit into a few segments.
 inline constexpr std::size_t kPackFrom = 16 * 1024;
 
-// `value` as a frame of Zstandard (RFC 8878); nothing if it is small or does
-// not become smaller.
-std::optional<std::string> Pack(std::string_view value);
+// `value` as a frame of Zstandard (RFC 8878); nothing if it has fewer bytes
+// than `from` or does not become smaller.
+std::optional<std::string> Pack(std::string_view value,
+                                std::size_t from = kPackFrom);
 
 // The value that was packed; nothing if the bytes are no whole frame, or if it
 // would have more than `most` bytes.
--- a/tests/auto/host/mirror_world.h
+++ b/tests/auto/host/mirror_world.h
@@ -27,7 +27,8 @@
                 [this](const auto& key, bool lapsed) {
                   removed.emplace_back(key, lapsed);
                 },
-                [](auto) {}, [](std::int64_t) {}}) {}
+                [](auto) {}, [](std::int64_t) {},
+                [this] { return knows_others; }}) {}
 
   // Runs until `done`, which an event of the mirror brings about.
   void RunUntil(const std::function<bool()>& done) {
@@ -38,6 +39,7 @@
   boost::asio::io_context context{1};
   fake_store store;
   bool follows = true;
+  bool knows_others = false;
   std::vector<std::string> put;
   std::vector<std::pair<std::string, bool>> removed;
   host::store_mirror mirror;
--- a/tests/auto/host/test_store_mirror.cc
+++ b/tests/auto/host/test_store_mirror.cc
@@ -9,6 +9,7 @@
 #include <boost/test/unit_test.hpp>
 
 #include "mirror_world.h"
+#include "wire/codec.h"
 
 namespace {
 
@@ -166,6 +167,46 @@
   BOOST_TEST(third.put.empty());
 }
 
+// Entries of backend servers are alike, and too small to pack by themselves.
+BOOST_AUTO_TEST_CASE(a_copy_of_many_small_entries_is_packed_as_one) {
+  world first;
+  constexpr std::size_t kServers = 1000;
+  for (std::size_t i = 0; i < kServers; ++i) {
+    first.store.Put("servers/" + std::to_string(i),
+                    R"({"address":"10.0.0.)" + std::to_string(i) +
+                        R"(:80","zone":"z","state":"ready","slots":12})");
+  }
+  first.mirror.Start();
+  first.RunUntil([&] { return first.put.size() == kServers; });
+  wire::mirror_request wanted;
+  wanted.__set_takes_packed(true);
+  const wire::mirror_copy plain = first.mirror.CopyFor(wanted);
+  wanted.__set_takes_packed_copy(true);
+  wire::mirror_copy packed = first.mirror.CopyFor(wanted);
+  BOOST_TEST(wire::Encode(packed).size() < wire::Encode(plain).size() / 4);
+  world second;
+  BOOST_TEST(second.mirror.Take(packed));
+  BOOST_TEST((second.mirror.CopyFor({}) == plain));
+  world third;
+  packed.packed.pop_back();
+  BOOST_TEST(!third.mirror.Take(packed));
+  BOOST_TEST(third.mirror.revision() == 0);
+}
+
+// Hosts that start together read the store one for each zone.
+BOOST_AUTO_TEST_CASE(a_host_that_knows_others_waits_for_their_copy) {
+  world here;
+  here.follows = false;
+  here.knows_others = true;
+  here.store.Put("a", "1");
+  here.mirror.Start();
+  here.context.run_for(std::chrono::milliseconds(600));
+  BOOST_TEST(here.store.reads == 0);
+  here.follows = true;
+  here.RunUntil([&] { return here.put.size() == 1; });
+  BOOST_TEST(here.store.reads == 1);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
