Adapters are loaded ahead by demand, not by engines

Cause: every free slot of every engine was filled, whatever one holder more is worth; loads ahead grew with engines. Test: 100, 1,000 and 4,000 engines get the same loads.

--- a/src/decisions/adapter_plan.cc
+++ b/src/decisions/adapter_plan.cc
@@ -15,6 +15,10 @@
 // Models below this many requests a second get no adapters ahead.
 constexpr double kLeastRate = 0.5;
 
+// What one more engine with an adapter must be worth, in requests a second:
+// without a bound every slot of every engine is filled, however many there are.
+constexpr double kLeastWorth = 0.005;
+
 using unit_count = std::map<adapter_unit, std::int64_t>;
 
 // The adapter that an engine should have next; nothing if none.
@@ -37,6 +41,8 @@
       const double asked =
           kind.arrival_rate / static_cast<double>(kind.adapters);
       const double worth = asked / ((1 + others) * (1 + others));
+      if (worth < kLeastWorth)
+        continue;
       if (!best || worth > most) {
         best = unit;
         most = worth;
--- a/tests/auto/decisions/test_adapter_plan.cc
+++ b/tests/auto/decisions/test_adapter_plan.cc
@@ -30,6 +30,19 @@
     BOOST_TEST(count <= 2);
 }
 
+// Loads ahead follow the demand, not the engines.
+BOOST_AUTO_TEST_CASE(loads_ahead_do_not_grow_with_engines) {
+  const std::vector<adapter_model> models = {{14, 20}, {14, 2}};
+  std::map<std::size_t, std::size_t> steps;
+  for (const std::size_t count : {100u, 1000u, 4000u}) {
+    const std::vector engines(count, Engine(8, {0, 1}));
+    steps[count] = PlanAdapters(models, engines, 8).size();
+  }
+  BOOST_TEST(steps[1000] == steps[100]);
+  BOOST_TEST(steps[4000] == steps[100]);
+  BOOST_TEST(steps[100] >= 2 * (14u + 14u));
+}
+
 // A request may name an adapter that was not foreseen.
 BOOST_AUTO_TEST_CASE(some_slots_stay_free) {
   const std::vector<adapter_model> models = {{30, 40}};
