Idle hosts tell few; followers of the store tell their zone

Cause: each host told 16 others four times a second, though all that an idle host has to tell is how old the store's newest answer is, and that took two rounds and more to come around among 985 hosts. Change: a host with nothing under way, now and when it last told, tells four; a host that follows the store tells all of its zone, so that the answer's way no longer grows with hosts.

--- a/src/host/process/host.cc
+++ b/src/host/process/host.cc
@@ -2,6 +2,7 @@
 #include "host/process/host.h"
 
 #include <algorithm>
+#include <limits>
 #include <optional>
 #include <string>
 #include <utility>
@@ -63,6 +64,11 @@
 constexpr std::string_view kReadDuty = "read/store";
 constexpr std::size_t kReaders = 4;
 
+// Hosts that are told by one that has nothing under way: only what it knows of
+// the store, which others tell as well.
+constexpr std::size_t kToldByIdle = 4;
+constexpr std::size_t kAllHosts = std::numeric_limits<std::size_t>::max();
+
 // Stands for an age that is not known.
 constexpr std::int32_t kUnknownAge = -1;
 
@@ -145,6 +151,8 @@
   stop_duty stop_;
   reload_duty reload_;
   std::int64_t most_hosts_ = 1;
+  // Whether the last report told of any use of servers.
+  bool told_any_use_ = false;
 };
 
 host::host(asio::io_context& context,
@@ -506,17 +514,28 @@
   co_return reply;
 }
 
-// Idle hosts still say how old what they know of the store is. Only the holder
-// of the lease plans for what is asked for, and a new one makes itself known to
-// all at once: without the demand a report of a host among 295 has 143 bytes in
-// place of 364, and 16 hosts get it four times a second.
+// Idle hosts still say how old what they know of the store is; hosts that
+// follow the store say it to all of their availability zone, so that its way
+// there does not grow with hosts. Only the holder of the lease plans for what
+// is asked for, and a new one makes itself known to all at once: without the
+// demand a report of a host among 295 has 143 bytes in place of 364, and 16
+// hosts get it four times a second.
 void host::TellLoad() {
   wire::host_load load;
   load.servers = core_.servers.OwnLoads();
   PutAnswer(mirror_.NewestAnswer(), load);
   const auto holder = placement_.holder();
-  if (holder)
-    peers_.Tell(std::string(kLoadRecord), wire::Encode(load), {kMostTold});
+  const bool uses = !load.servers.empty();
+  const bool used = std::exchange(told_any_use_, uses);
+  if (holder) {
+    const std::string value = wire::Encode(load);
+    peers_.Tell(std::string(kLoadRecord), value,
+                {uses || used ? kMostTold : kToldByIdle});
+    if (FollowsStore() && mirror_.IsCurrent()) {
+      peers_.Tell(std::string(kLoadRecord), value,
+                  {kAllHosts, {}, std::nullopt, core_.settings.zone});
+    }
+  }
   load.models = core_.demand.Loads();
   peers_.Tell(std::string(kDemandRecord), wire::Encode(load),
               {holder ? 0 : kMostTold, {}, holder});
--- a/src/membership/gossip.h
+++ b/src/membership/gossip.h
@@ -200,6 +200,8 @@
   std::string subject;
   // This one in any case; empty for none.
   std::optional<base::endpoint> always;
+  // Only members of this availability zone; empty: of any.
+  std::string zone = {};
 };
 
 // Tells a fact to members that are not dead, each directly: for what is
--- a/src/membership/gossip_direct.cc
+++ b/src/membership/gossip_direct.cc
@@ -15,12 +15,14 @@
 std::vector<const known_member*> PickOthers(const gossip_state& state,
                                             std::size_t count,
                                             const std::string& except,
-                                            random_source& random) {
+                                            random_source& random,
+                                            const std::string& zone) {
   std::vector<const known_member*> candidates;
   if (count == 0)
     return candidates;
   for (const auto& [id, each] : state.others) {
-    if (id != except && !IsDead(each))
+    const bool near = zone.empty() || each.record.zone == zone;
+    if (near && id != except && !IsDead(each))
       candidates.push_back(&each);
   }
   std::ranges::shuffle(candidates, random);
@@ -35,10 +37,11 @@
 // Addresses of the members, this process excepted, that are among the `count`
 // chosen for a subject.
 std::vector<base::endpoint> ChosenFor(gossip_state& state,
-                                      const std::string& subject,
-                                      std::size_t count) {
+                                      const direct_audience& audience) {
   std::vector<base::endpoint> out;
-  for (const std::string& id : ChosenMembers(state, {subject, {}, count})) {
+  const choice_question question{audience.subject, audience.zone,
+                                 audience.most};
+  for (const std::string& id : ChosenMembers(state, question)) {
     const auto known = state.others.find(id);
     if (known != state.others.end())
       out.push_back(known->second.address);
@@ -66,10 +69,10 @@
   std::vector<base::endpoint> to;
   if (audience.subject.empty()) {
     for (const detail::known_member* each :
-         detail::PickOthers(state, audience.most, {}, random))
+         detail::PickOthers(state, audience.most, {}, random, audience.zone))
       to.push_back(each->address);
   } else {
-    to = ChosenFor(state, audience.subject, audience.most);
+    to = ChosenFor(state, audience);
   }
   const bool add = audience.always &&
                    std::ranges::find(to, *audience.always) == to.end() &&
--- a/src/membership/gossip_direct.h
+++ b/src/membership/gossip_direct.h
@@ -19,7 +19,8 @@
 std::vector<const known_member*> PickOthers(const gossip_state& state,
                                             std::size_t count,
                                             const std::string& except,
-                                            random_source& random);
+                                            random_source& random,
+                                            const std::string& zone = {});
 
 }  // namespace valeledge::membership::detail
 
