News of engines goes to zones, in parts that fit into a datagram

What was seen: all news of 3,920 engines, some 200 KB, was given to one datagram once a second and at the start of each term. It was never sent: a datagram holds 65,507 bytes (some 1,600 engines), and the error was not looked at. Changes went from the holder to each host by itself. Change: at most 100 engines in a datagram; changes go to two hosts of each other zone, which hand them on there, and directly where there are at most 16 hosts; news that is told again takes engines in turn. A new holder tells what differs from the engines' entries, and each second who it is. Ruled out: telling everything to a whole zone each second: 2 MB a second from each host that hands it on.

--- a/src/host/constants.h
+++ b/src/host/constants.h
@@ -58,6 +58,9 @@
 // send to and as much to receive from.
 inline constexpr std::size_t kMostTold = 16;
 
+// Engines in one datagram of news: each has a few models and their adapters.
+inline constexpr std::size_t kEnginesInNews = 100;
+
 // How often gossip is given the time.
 inline constexpr std::chrono::milliseconds kGossipTick{50};
 
--- a/src/host/process/peer_link.cc
+++ b/src/host/process/peer_link.cc
@@ -2,6 +2,7 @@
 #include "host/process/peer_link.h"
 
 #include <algorithm>
+#include <set>
 #include <utility>
 
 #include <boost/asio/as_tuple.hpp>
@@ -145,6 +146,18 @@
                                    random_));
 }
 
+void peer_link::TellRelays(const std::string& key,
+                           const std::string& value,
+                           const std::string& subject,
+                           std::size_t count) {
+  std::set<std::string> zones;
+  for (const auto& [id, each] : gossip_.others)
+    zones.insert(each.record.zone);
+  zones.erase(gossip_.self.zone);
+  for (const std::string& zone : zones)
+    Tell(key, value, {count, subject, std::nullopt, zone});
+}
+
 bool peer_link::IsChosen(const std::string& subject,
                          std::size_t count,
                          scope among,
--- a/src/host/process/placement_duty.cc
+++ b/src/host/process/placement_duty.cc
@@ -38,9 +38,16 @@
 // Orders that a process of this host sent before it ended arrive within this.
 constexpr std::chrono::milliseconds kOwnOrdersEnd{500};
 
-// The news is told again after so long, for hosts that missed it.
+// News is told again after so long, for hosts that missed it: of as many
+// engines as a datagram holds, of all in turn. Servers' own entries tell the
+// same a little later.
 constexpr std::chrono::milliseconds kNewsInterval{1000};
 
+// Hosts of each availability zone that hand news on to the others of it: two,
+// since one may have ended.
+constexpr std::string_view kRelayDuty = "relay/placed";
+constexpr std::size_t kRelaysPerZone = 2;
+
 // Changes are told to every host: requests must not go where a model is about
 // to be given up.
 constexpr std::size_t kAllHosts = std::numeric_limits<std::size_t>::max();
@@ -75,6 +82,39 @@
   return out;
 }
 
+// What others are told of an engine.
+wire::placed_engine PlacedOf(const engine_record& engine,
+                             base::time_point now) {
+  wire::placed_engine placed;
+  placed.server = engine.server->key;
+  for (const auto& [name, model] : engine.models) {
+    if (model.now == phase::kHeld) {
+      placed.held.push_back(KeyOf(name));
+      for (const auto& [adapter, used] : model.adapters)
+        placed.held.push_back(KeyOf(AdapterUnit(name, adapter)));
+      continue;
+    }
+    placed.withdrawn.push_back(KeyOf(name));
+    if (model.now == phase::kLoading)
+      placed.coming.push_back(ComingOf(name, model, now));
+  }
+  std::ranges::sort(placed.held);
+  return placed;
+}
+
+// What all hosts know of an engine by its entry.
+wire::placed_engine EntryOf(const catalog::backend_server& entry) {
+  wire::placed_engine placed;
+  placed.server = KeyOf(entry.instance);
+  for (const catalog::held_model& each : entry.models) {
+    placed.held.push_back(KeyOf(each.name));
+    for (const std::string& adapter : each.adapters)
+      placed.held.push_back(KeyOf(AdapterUnit(each.name, adapter)));
+  }
+  std::ranges::sort(placed.held);
+  return placed;
+}
+
 // Whether what is known of an engine differs from what was told; that a load
 // comes nearer to its end is none.
 bool IsNews(const wire::placed_engine& placed,
@@ -285,59 +325,94 @@
       }
     }
     const auto now = std::chrono::steady_clock::now();
-    const bool everything = now - told_ >= kNewsInterval;
-    if (everything)
+    const bool again = now - told_ >= kNewsInterval;
+    if (again)
       told_ = now;
-    if (dispatcher_.TakeChanged() || everything)
-      TellNews(everything);
+    if (dispatcher_.TakeChanged() || again)
+      TellNews(again);
   }
 }
 
-void placement_duty::TellNews(bool everything) {
-  wire::placement_news changed;
-  wire::placement_news all;
-  changed.term = term_;
-  all.term = term_;
+wire::placement_news placement_duty::NewsOf(
+    std::span<const wire::placed_engine> engines) const {
+  wire::placement_news news;
+  news.term = term_;
+  news.engines.assign(engines.begin(), engines.end());
+  news.__set_holder(base::ToString(core_.settings.peer_listen));
+  return news;
+}
+
+void placement_duty::TellNews(bool again) {
+  std::vector<wire::placed_engine> changed;
+  std::vector<wire::placed_engine> all;
   const auto now = std::chrono::steady_clock::now();
   for (const auto& [instance, engine] : dispatcher_.engines()) {
     if (!engine->accepted)
       continue;
-    wire::placed_engine placed;
-    placed.server = engine->server->key;
-    for (const auto& [name, model] : engine->models) {
-      if (model.now == phase::kHeld) {
-        placed.held.push_back(KeyOf(name));
-        for (const auto& [adapter, used] : model.adapters)
-          placed.held.push_back(KeyOf(AdapterUnit(name, adapter)));
-        continue;
-      }
-      placed.withdrawn.push_back(KeyOf(name));
-      if (model.now == phase::kLoading)
-        placed.coming.push_back(ComingOf(name, model, now));
-    }
-    if (IsNews(placed, told_engines_[placed.server])) {
-      told_engines_[placed.server] = placed;
-      changed.engines.push_back(placed);
+    wire::placed_engine placed = PlacedOf(*engine, now);
+    const auto told =
+        told_engines_.try_emplace(placed.server, EntryOf(engine->server->entry))
+            .first;
+    if (IsNews(placed, told->second)) {
+      told->second = placed;
+      changed.push_back(placed);
     }
-    all.engines.push_back(std::move(placed));
-  }
-  TakeNews(all, core_.settings.peer_listen);
-  if (!changed.engines.empty()) {
-    peers_.Tell(std::string(kPlacedRecord), wire::Encode(changed),
-                {kAllHosts, {}, std::nullopt});
-  }
-  if (everything) {
-    peers_.Tell(std::string(kPlacedRecord), wire::Encode(all),
-                {kMostTold, {}, std::nullopt});
+    all.push_back(std::move(placed));
   }
+  TakeNews(NewsOf(all), core_.settings.peer_listen);
+  if (!changed.empty() || again)
+    TellChanged(changed);
+  if (again)
+    TellAgain(all);
+}
+
+// Without anything that has changed it tells who holds the lease.
+void placement_duty::TellChanged(
+    const std::vector<wire::placed_engine>& engines) {
+  const std::string key(kPlacedRecord);
+  const bool few = static_cast<std::size_t>(core_.hosts) <= kMostTold;
+  std::size_t begin = 0;
+  do {
+    const std::size_t count = std::min(kEnginesInNews, engines.size() - begin);
+    wire::placement_news news =
+        NewsOf(std::span(engines).subspan(begin, count));
+    begin += count;
+    const std::string zone = few ? std::string() : core_.settings.zone;
+    peers_.Tell(key, wire::Encode(news), {kAllHosts, {}, std::nullopt, zone});
+    if (few)
+      continue;
+    news.__set_hand_on(true);
+    peers_.TellRelays(key, wire::Encode(news), std::string(kRelayDuty),
+                      kRelaysPerZone);
+  } while (begin < engines.size());
+}
+
+void placement_duty::TellAgain(
+    const std::vector<wire::placed_engine>& engines) {
+  std::vector<wire::placed_engine> some;
+  const std::size_t count = std::min(kEnginesInNews, engines.size());
+  for (std::size_t i = 0; i < count; ++i)
+    some.push_back(engines[next_told_++ % engines.size()]);
+  peers_.Tell(std::string(kPlacedRecord), wire::Encode(NewsOf(some)),
+              {kMostTold, {}, std::nullopt});
+}
+
+void placement_duty::HandOn(wire::placement_news news) {
+  news.__isset.hand_on = false;
+  peers_.Tell(std::string(kPlacedRecord), wire::Encode(news),
+              {kAllHosts, {}, std::nullopt, core_.settings.zone});
 }
 
 void placement_duty::TakeNews(const wire::placement_news& news,
-                              const base::endpoint& holder) {
+                              const base::endpoint& teller) {
   if (news.term < news_term_)
     return;
   news_term_ = news.term;
-  holder_ = holder;
+  const auto holder =
+      news.__isset.holder ? base::ParseEndpoint(news.holder) : std::nullopt;
+  holder_ = holder.value_or(teller);
+  if (news.__isset.hand_on && news.hand_on)
+    HandOn(news);
   const auto now = std::chrono::steady_clock::now();
   for (const wire::placed_engine& each : news.engines) {
     const auto server = core_.servers.FindKey(each.server);
--- a/src/host/process/placement_duty.h
+++ b/src/host/process/placement_duty.h
@@ -7,6 +7,7 @@
 #include <functional>
 #include <map>
 #include <optional>
+#include <span>
 #include <string>
 #include <vector>
 
@@ -40,8 +41,9 @@
   }
   void ForgetHost(const std::string& host) { forecast_.Forget(host); }
 
-  // Takes in what the holder of the lease knows; older terms are ignored.
-  void TakeNews(const wire::placement_news& news, const base::endpoint& holder);
+  // Takes in what the holder of the lease knows, and hands it on if it says so;
+  // older terms are ignored. `teller`: whose datagram it is.
+  void TakeNews(const wire::placement_news& news, const base::endpoint& teller);
 
   // The holder of the lease by the newest news.
   std::optional<base::endpoint> holder() const {
@@ -70,8 +72,14 @@
   void LoadNext(const std::shared_ptr<engine_record>& engine,
                 const catalog::engine& kind,
                 base::time_point now);
-  // Tells all hosts what has changed, and some of them everything.
-  void TellNews(bool everything);
+  // Tells all hosts what has changed; and, if `again`, some of them what is
+  // known of some engines, of all in turn.
+  void TellNews(bool again);
+  void TellChanged(const std::vector<wire::placed_engine>& engines);
+  void TellAgain(const std::vector<wire::placed_engine>& engines);
+  wire::placement_news NewsOf(
+      std::span<const wire::placed_engine> engines) const;
+  void HandOn(wire::placement_news news);
   // Loads adapters that will probably be asked for.
   void PlanAdaptersAhead(
       const std::vector<decisions::plan_model>& models,
@@ -91,6 +99,8 @@
   base::time_point told_;
   // What was last told of each engine.
   std::map<unit_key, wire::placed_engine> told_engines_;
+  // The engine whose turn it is to be told again.
+  std::size_t next_told_ = 0;
   base::time_point logged_;
   // The holder by the newest news.
   std::int64_t news_term_ = 0;
--- a/src/wire/messages.thrift
+++ b/src/wire/messages.thrift
@@ -234,6 +234,10 @@
 struct placement_news {
   1: i64 term,
   2: list<placed_engine> engines,
+  // The address of the holder of the lease; absent: whoever tells it.
+  3: optional string holder,
+  // Whoever is told tells the others of its availability zone.
+  4: optional bool hand_on,
 }
 
 // Asks the holder of the lease to have an adapter loaded somewhere.
--- a/tests/auto/host/test_at_size.cc
+++ b/tests/auto/host/test_at_size.cc
@@ -9,6 +9,7 @@
 #include <boost/test/unit_test.hpp>
 
 #include "base/identifier.h"
+#include "host/constants.h"
 #include "host/process/server_registry.h"
 #include "membership/gossip.h"
 #include "wire/codec.h"
@@ -214,4 +215,23 @@
   BOOST_TEST(2 * without < with);
 }
 
+// A datagram that is too large is never sent: with all engines in one, nobody
+// learnt of a change beside 1,600 engines.
+BOOST_AUTO_TEST_CASE(a_part_of_the_news_of_engines_fits_into_a_datagram) {
+  constexpr std::size_t kDatagramBytes = 65'507;
+  constexpr int kModels = 4;
+  constexpr int kAdapters = 32;
+  wire::placement_news news;
+  news.__set_holder("127.127.127.127:65535");
+  for (std::size_t i = 0; i < host::kEnginesInNews; ++i) {
+    wire::placed_engine engine;
+    engine.server = std::numeric_limits<std::int32_t>::max();
+    engine.held.assign(kModels + kAdapters, engine.server);
+    engine.withdrawn.assign(kModels, engine.server);
+    engine.coming.resize(kModels);
+    news.engines.push_back(engine);
+  }
+  BOOST_TEST(wire::Encode(news).size() < kDatagramBytes / 2);
+}
+
 }  // namespace
