A quiet store answers before other hosts stand in

Cause: a watch waits 1.0 s where nothing changes, and hosts take the store for silent after 1.1 s without news of an answer, which comes with the next report, up to 0.25 s later. Change: a watch waits 0.65 s at the most. Test: a_quiet_store_answers_before_others_stand_in (failed: 1.0 s and a report's interval are more than 1.0 s).

--- a/src/host/process/store_mirror.cc
+++ b/src/host/process/store_mirror.cc
@@ -13,6 +13,7 @@
 
 #include "base/logging.h"
 #include "decisions/first_reading.h"
+#include "host/constants.h"
 #include "wire/codec.h"
 #include "wire/packing.h"
 
@@ -26,14 +27,19 @@
 constexpr auto kAwait = asio::as_tuple(asio::use_awaitable);
 constexpr std::string_view kCategory = "mirror";
 
-// One watch waits so long. Only a few hosts watch, so each may ask often; that
-// the store has answered is what the others go by.
-constexpr std::chrono::milliseconds kWatchLength{1000};
-
 // Without an answer of the store to anybody for so long, a host reads for
 // itself: changes must be in force everywhere within two seconds.
 constexpr std::chrono::milliseconds kTakeOver{1100};
 
+// From an answer until the hosts of its availability zone have heard of it: the
+// next report of the host that follows the store, and its way.
+constexpr std::chrono::milliseconds kHeardWithin =
+    kLoadInterval + std::chrono::milliseconds(200);
+
+// One watch waits so long where nothing changes: that the store has answered is
+// what the others go by.
+constexpr std::chrono::milliseconds kWatchLength = kTakeOver - kHeardWithin;
+
 // So much later at the most, so that not all hosts read at once.
 constexpr std::chrono::milliseconds kTakeOverSpread{250};
 
--- a/tests/auto/host/fake_store.h
+++ b/tests/auto/host/fake_store.h
@@ -41,6 +41,8 @@
   int held = 0;
   // A part of an answer that is on its way has come.
   std::optional<base::time_point> heard;
+  // How long the last watch may wait at the most.
+  std::optional<std::chrono::microseconds> longest_watch;
   // Watches answer that the history is gone once.
   bool history_gone = false;
 
@@ -97,7 +99,8 @@
   boost::asio::awaitable<base::result<store::kv_changes>> AwaitChange(
       std::string,
       std::int64_t from,
-      std::chrono::microseconds) override {
+      std::chrono::microseconds longest) override {
+    longest_watch = longest;
     while (true) {
       if (down)
         co_return Unavailable();
--- a/tests/auto/host/test_store_mirror.cc
+++ b/tests/auto/host/test_store_mirror.cc
@@ -8,6 +8,7 @@
 #include <boost/asio/redirect_error.hpp>
 #include <boost/test/unit_test.hpp>
 
+#include "host/constants.h"
 #include "mirror_world.h"
 #include "wire/codec.h"
 
@@ -167,6 +168,19 @@
   BOOST_TEST(third.put.empty());
 }
 
+// Where nothing changes for a second, no host that hears of the answers a
+// little later takes the store for silent and reads for itself.
+BOOST_AUTO_TEST_CASE(a_quiet_store_answers_before_others_stand_in) {
+  constexpr std::chrono::milliseconds kTakenForSilent{1100};
+  world here;
+  here.store.Put("a", "1");
+  here.mirror.Start();
+  here.RunUntil([&] { return here.put.size() == 1; });
+  BOOST_REQUIRE(here.store.longest_watch.has_value());
+  BOOST_TEST((*here.store.longest_watch + host::kLoadInterval <
+              kTakenForSilent - std::chrono::milliseconds(100)));
+}
+
 // Entries of backend servers are alike, and too small to pack by themselves.
 BOOST_AUTO_TEST_CASE(a_copy_of_many_small_entries_is_packed_as_one) {
   world first;
