The controller of placement publishes; fewer words of our own

placement_duty is placement_controller, TellNews and the like publish or report, responses are responses.

--- a/src/host/process/host.cc
+++ b/src/host/process/host.cc
@@ -23,7 +23,7 @@
 #include "host/process/host_core.h"
 #include "host/process/owner_duties.h"
 #include "host/process/peer_link.h"
-#include "host/process/placement_duty.h"
+#include "host/process/placement_controller.h"
 #include "host/process/quarantine_duty.h"
 #include "host/process/reload_duty.h"
 #include "host/process/stop_duty.h"
@@ -132,7 +132,7 @@
   bool IsReady() const;
   void UpdateGauges();
   asio::awaitable<wire::envelope> Answer(wire::envelope call);
-  void TellLoad();
+  void ReportLoad();
   asio::awaitable<void> ReportLoop();
 
   host_core core_;
@@ -144,7 +144,7 @@
   certainty_duty certainty_;
   owner_duties owned_;
   store::lease_keeper lease_;
-  placement_duty placement_;
+  placement_controller placement_;
   net::http_server callers_;
   net::http_server readiness_;
   net::http_server metrics_;
@@ -234,8 +234,8 @@
           {},
           [this](net::http_request&,
                  net::http_responder& responder) -> asio::awaitable<void> {
-            auto answer = net::MakeJsonResponse(IsReady() ? 200 : 503, "{}");
-            co_await responder.Send(std::move(answer));
+            auto response = net::MakeJsonResponse(IsReady() ? 200 : 503, "{}");
+            co_await responder.Send(std::move(response));
           },
           RenderFailure),
       metrics_(
@@ -244,10 +244,10 @@
           [this](net::http_request&,
                  net::http_responder& responder) -> asio::awaitable<void> {
             UpdateGauges();
-            net::http_response answer(boost::beast::http::status::ok, 11);
-            answer.set(boost::beast::http::field::content_type, "text/plain");
-            answer.body() = core_.metrics.Render();
-            co_await responder.Send(std::move(answer));
+            net::http_response response(boost::beast::http::status::ok, 11);
+            response.set(boost::beast::http::field::content_type, "text/plain");
+            response.body() = core_.metrics.Render();
+            co_await responder.Send(std::move(response));
           },
           RenderFailure),
       stop_(core_,
@@ -520,7 +520,7 @@
 // is asked for, and a new one makes itself known to all at once: without the
 // demand a report of a host among 295 has 143 bytes in place of 364, and 16
 // hosts get it four times a second.
-void host::TellLoad() {
+void host::ReportLoad() {
   wire::host_load load;
   load.servers = core_.servers.OwnLoads();
   PutAnswer(mirror_.NewestAnswer(), load);
@@ -551,14 +551,14 @@
     core_.servers.Sweep(now);
     core_.demand.Roll(now);
     owned_.Roll(now);
-    quarantine_.TellAgain();
+    quarantine_.Republish();
     core_.log.TellLeftOut();
     core_.retries.LogUse(core_.hosts, now);
     if (now - flushed >= kLogDelay) {
       flushed = now;
       base::FlushLogging();
     }
-    TellLoad();
+    ReportLoad();
     for (const std::string& name : peers_.TakeDead()) {
       core_.servers.ForgetHost(name);
       placement_.ForgetHost(name);
--- a/src/host/process/peer_link.cc
+++ b/src/host/process/peer_link.cc
@@ -146,10 +146,10 @@
                                    random_));
 }
 
-void peer_link::TellRelays(const std::string& key,
-                           const std::string& value,
-                           const std::string& subject,
-                           std::size_t count) {
+void peer_link::SendToRelays(const std::string& key,
+                             const std::string& value,
+                             const std::string& subject,
+                             std::size_t count) {
   std::set<std::string> zones;
   for (const auto& [id, each] : gossip_.others)
     zones.insert(each.record.zone);
--- a/src/host/process/peer_link.h
+++ b/src/host/process/peer_link.h
@@ -57,10 +57,10 @@
             const membership::direct_audience& audience);
   // Tells a fact to those that hand it on, `count` in each other availability
   // zone, chosen for a subject.
-  void TellRelays(const std::string& key,
-                  const std::string& value,
-                  const std::string& subject,
-                  std::size_t count);
+  void SendToRelays(const std::string& key,
+                    const std::string& value,
+                    const std::string& subject,
+                    std::size_t count);
   // Whether this host is one of the `count` that are chosen for a subject,
   // among those of its availability zone or all; among those with the roles in
   // `prefers`, if there are any.
--- a/src/host/process/placement_duty.cc
+++ b/src/host/process/placement_controller.cc
@@ -1,5 +1,5 @@
 // SPDX-License-Identifier: MIT
-#include "host/process/placement_duty.h"
+#include "host/process/placement_controller.h"
 
 #include <algorithm>
 #include <limits>
@@ -129,20 +129,20 @@
 
 }  // namespace
 
-placement_duty::placement_duty(host_core& core,
-                               store::lease_keeper& lease,
-                               peer_link& peers)
+placement_controller::placement_controller(host_core& core,
+                                           store::lease_keeper& lease,
+                                           peer_link& peers)
     : core_(core),
       lease_(lease),
       peers_(peers),
       forecast_(core.demand),
       dispatcher_(core, [this] { return OrderTerm(); }) {}
 
-void placement_duty::Start() {
+void placement_controller::Start() {
   asio::co_spawn(core_.context, Loop(), asio::detached);
 }
 
-std::int64_t placement_duty::OrderTerm() const {
+std::int64_t placement_controller::OrderTerm() const {
   const std::int64_t term = lease_.CertainTerm();
   const auto now = std::chrono::steady_clock::now();
   // The last holder's orders have ended by then.
@@ -154,7 +154,7 @@
 
 // Engines enter themselves one after the other. A plan for half of them would
 // load what the others hold.
-bool placement_duty::IsSettled() {
+bool placement_controller::IsSettled() {
   if (settled_)
     return true;
   const auto now = std::chrono::steady_clock::now();
@@ -178,7 +178,7 @@
   return true;
 }
 
-void placement_duty::LogDemand(
+void placement_controller::LogDemand(
     const catalog::service& service,
     const std::vector<decisions::plan_model>& models,
     const std::vector<decisions::plan_engine>& engines) {
@@ -208,9 +208,10 @@
   }
 }
 
-void placement_duty::LoadNext(const std::shared_ptr<engine_record>& engine,
-                              const catalog::engine& kind,
-                              base::time_point now) {
+void placement_controller::LoadNext(
+    const std::shared_ptr<engine_record>& engine,
+    const catalog::engine& kind,
+    base::time_point now) {
   if (!engine->next)
     return;
   const catalog::model* model = kind.Find(engine->next->model);
@@ -233,7 +234,7 @@
   engine->next.reset();
 }
 
-void placement_duty::Plan(const catalog::service& service) {
+void placement_controller::Plan(const catalog::service& service) {
   const catalog::engine& kind = service.engines;
   const model_index index = IndexOf(kind);
   const auto now = std::chrono::steady_clock::now();
@@ -272,7 +273,7 @@
   PlanAdaptersAhead(models, records, index);
 }
 
-void placement_duty::PlanAdaptersAhead(
+void placement_controller::PlanAdaptersAhead(
     const std::vector<decisions::plan_model>& models,
     const std::vector<std::shared_ptr<engine_record>>& records,
     const model_index& index) {
@@ -301,7 +302,7 @@
   }
 }
 
-asio::awaitable<void> placement_duty::Loop() {
+asio::awaitable<void> placement_controller::Loop() {
   asio::steady_timer timer(core_.context);
   while (true) {
     timer.expires_after(kPlanInterval);
@@ -329,11 +330,11 @@
     if (again)
       told_ = now;
     if (dispatcher_.TakeChanged() || again)
-      TellNews(again);
+      PublishNews(again);
   }
 }
 
-wire::placement_news placement_duty::NewsOf(
+wire::placement_news placement_controller::NewsOf(
     std::span<const wire::placed_engine> engines) const {
   wire::placement_news news;
   news.term = term_;
@@ -342,7 +343,7 @@
   return news;
 }
 
-void placement_duty::TellNews(bool again) {
+void placement_controller::PublishNews(bool again) {
   std::vector<wire::placed_engine> changed;
   std::vector<wire::placed_engine> all;
   const auto now = std::chrono::steady_clock::now();
@@ -361,13 +362,13 @@
   }
   TakeNews(NewsOf(all), core_.settings.peer_listen);
   if (!changed.empty() || again)
-    TellChanged(changed);
+    PublishChanges(changed);
   if (again)
-    TellAgain(all);
+    Republish(all);
 }
 
 // Without anything that has changed it tells who holds the lease.
-void placement_duty::TellChanged(
+void placement_controller::PublishChanges(
     const std::vector<wire::placed_engine>& engines) {
   const std::string key(kPlacedRecord);
   const bool few = static_cast<std::size_t>(core_.hosts) <= kMostTold;
@@ -382,12 +383,12 @@
     if (few)
       continue;
     news.__set_hand_on(true);
-    peers_.TellRelays(key, wire::Encode(news), std::string(kRelayDuty),
-                      kRelaysPerZone);
+    peers_.SendToRelays(key, wire::Encode(news), std::string(kRelayDuty),
+                        kRelaysPerZone);
   } while (begin < engines.size());
 }
 
-void placement_duty::TellAgain(
+void placement_controller::Republish(
     const std::vector<wire::placed_engine>& engines) {
   std::vector<wire::placed_engine> some;
   const std::size_t count = std::min(kEnginesInNews, engines.size());
@@ -397,14 +398,14 @@
               {kMostTold, {}, std::nullopt});
 }
 
-void placement_duty::HandOn(wire::placement_news news) {
+void placement_controller::HandOn(wire::placement_news news) {
   news.__isset.hand_on = false;
   peers_.Tell(std::string(kPlacedRecord), wire::Encode(news),
               {kAllHosts, {}, std::nullopt, core_.settings.zone});
 }
 
-void placement_duty::TakeNews(const wire::placement_news& news,
-                              const base::endpoint& teller) {
+void placement_controller::TakeNews(const wire::placement_news& news,
+                                    const base::endpoint& teller) {
   if (news.term < news_term_)
     return;
   news_term_ = news.term;
@@ -434,7 +435,7 @@
   }
 }
 
-asio::awaitable<wire::adapter_reply> placement_duty::AnswerAdapter(
+asio::awaitable<wire::adapter_reply> placement_controller::AnswerAdapter(
     wire::adapter_request wanted) {
   wire::adapter_reply reply;
   if (OrderTerm() == 0 || core_.configuration == nullptr) {
@@ -450,7 +451,7 @@
   co_return reply;
 }
 
-asio::awaitable<base::result<std::string>> placement_duty::WantAdapter(
+asio::awaitable<base::result<std::string>> placement_controller::WantAdapter(
     std::string service,
     std::string model,
     std::string adapter,
--- a/src/host/process/placement_duty.h
+++ b/src/host/process/placement_controller.h
@@ -1,7 +1,7 @@
 // SPDX-License-Identifier: MIT
 // Places models and adapters on engines while this host holds the lease.
-#ifndef VALELEDGE_HOST_PROCESS_PLACEMENT_DUTY_H_
-#define VALELEDGE_HOST_PROCESS_PLACEMENT_DUTY_H_
+#ifndef VALELEDGE_HOST_PROCESS_PLACEMENT_CONTROLLER_H_
+#define VALELEDGE_HOST_PROCESS_PLACEMENT_CONTROLLER_H_
 
 #include <cstdint>
 #include <functional>
@@ -28,9 +28,11 @@
 // Key of the record in which the holder tells what it knows of engines.
 inline constexpr std::string_view kPlacedRecord = "placed";
 
-class placement_duty {
+class placement_controller {
  public:
-  placement_duty(host_core& core, store::lease_keeper& lease, peer_link& peers);
+  placement_controller(host_core& core,
+                       store::lease_keeper& lease,
+                       peer_link& peers);
 
   void Start();
 
@@ -74,9 +76,9 @@
                 base::time_point now);
   // Tells all hosts what has changed; and, if `again`, some of them what is
   // known of some engines, of all in turn.
-  void TellNews(bool again);
-  void TellChanged(const std::vector<wire::placed_engine>& engines);
-  void TellAgain(const std::vector<wire::placed_engine>& engines);
+  void PublishNews(bool again);
+  void PublishChanges(const std::vector<wire::placed_engine>& engines);
+  void Republish(const std::vector<wire::placed_engine>& engines);
   wire::placement_news NewsOf(
       std::span<const wire::placed_engine> engines) const;
   void HandOn(wire::placement_news news);
@@ -113,4 +115,4 @@
 
 }  // namespace valeledge::host
 
-#endif  // VALELEDGE_HOST_PROCESS_PLACEMENT_DUTY_H_
+#endif  // VALELEDGE_HOST_PROCESS_PLACEMENT_CONTROLLER_H_
--- a/src/host/process/quarantine_duty.cc
+++ b/src/host/process/quarantine_duty.cc
@@ -95,7 +95,7 @@
   links_.tell(wire::Encode(news), {kMostTold, SubjectOf(fact.digest), {}});
 }
 
-void quarantine_duty::TellAgain() {
+void quarantine_duty::Republish() {
   const auto now = std::chrono::steady_clock::now();
   decisions::Sweep(core_.quarantine, now);
   while (!told_.empty() && now - told_.front().at >= kToldFor)
--- a/src/host/process/quarantine_duty.h
+++ b/src/host/process/quarantine_duty.h
@@ -60,7 +60,7 @@
 
   // Tells again what was told lately of requests that are suspected more than
   // others. Call every quarter of a second.
-  void TellAgain();
+  void Republish();
 
  private:
   void Tell(const decisions::quarantine_fact& fact);
--- a/tests/auto/host/test_quarantine_duty.cc
+++ b/tests/auto/host/test_quarantine_duty.cc
@@ -173,7 +173,7 @@
     here.At(0).NoteEnd(kRequest, EndOf(server));
   BOOST_TEST(here.CountHolding() == 2u);
   here.cut.clear();
-  here.At(0).TellAgain();
+  here.At(0).Republish();
   BOOST_TEST(here.Holds(2));
 }
 
@@ -184,10 +184,10 @@
   here.At(0).NoteEnd(kRequest, EndOf(1));
   const int told = here.told;
   for (int i = 0; i < 8; ++i)
-    here.At(0).TellAgain();
+    here.At(0).Republish();
   BOOST_TEST(here.told == told);
   here.At(1).NoteEnd(kRequest, EndOf(2));
-  here.At(0).TellAgain();
+  here.At(0).Republish();
   BOOST_TEST(here.told == told + 2);
 }
 
@@ -222,7 +222,7 @@
   here.At(2).NoteWhole(kRequest);
   // Nobody tells of what was before.
   for (std::size_t i = 0; i < 3; ++i)
-    here.At(i).TellAgain();
+    here.At(i).Republish();
   here.At(0).NoteEnd(kRequest, EndOf(3));
   here.At(1).NoteEnd(kRequest, EndOf(4));
   BOOST_TEST(here.CountHolding() == 0u);
