Engines are all known only after their heartbeat; what each first holds counts

Cause: engines write their first entries within one heartbeat, 5 s here and 1.2 s on earlier deployments; 0.9 s without a new one passed for all of them being known, and what two of them held for what all held. The others' replicas counted as surplus. Change: a host that has started lately waits for half a heartbeat without a new engine (at most a heartbeat and 0.9 s); what each engine holds when it is first known counts for the demand before demand is seen, whenever it comes. Ruled out: demand seen too early (none before the first request: logged); a change of the holder (one holder until 0 s).

--- a/src/host/host_settings.h
+++ b/src/host/host_settings.h
@@ -63,6 +63,10 @@
   // each host chooses by what it knows.
   bool deals_places = true;
 
+  // How often backend servers write their entries, the first of them within
+  // this of their start.
+  std::chrono::milliseconds server_heartbeat{1200};
+
   // Loads from the weight store are counted over this window.
   std::chrono::milliseconds load_window{5000};
 };
--- a/src/host/process/demand_forecast.h
+++ b/src/host/process/demand_forecast.h
@@ -32,11 +32,10 @@
             const std::vector<wire::model_load>& models);
   void Forget(const std::string& host);
 
-  // Replicas of each model when the engines were first known: until demand is
-  // seen they tell which models are busy.
-  void SetFirstReplicas(std::map<std::string, std::int64_t> replicas) {
-    first_replicas_ = std::move(replicas);
-  }
+  // An engine holds this model when it is first known: until demand is seen,
+  // the replicas of all engines tell which models are busy.
+  void AddFirstReplica(const std::string& model) { ++first_replicas_[model]; }
+  void ForgetFirstReplicas() { first_replicas_.clear(); }
 
   // The models of a service in the order of its list, as a plan sees them. Each
   // call takes the demand of the moment into what is remembered.
--- a/src/host/process/placement_controller.cc
+++ b/src/host/process/placement_controller.cc
@@ -12,6 +12,7 @@
 #include <boost/asio/use_awaitable.hpp>
 
 #include "base/logging.h"
+#include "decisions/engine_settling.h"
 #include "host/constants.h"
 #include "wire/codec.h"
 
@@ -56,11 +57,6 @@
 // been written before it.
 constexpr std::chrono::milliseconds kNewsAge{300};
 
-// Without a new engine for so long all are taken to be known; servers write
-// their entries within a few seconds of their start.
-constexpr std::chrono::milliseconds kSettling{900};
-constexpr std::chrono::milliseconds kMostSettling{4000};
-
 // Room that was made for a model is kept for it so long: an unload waits for
 // the streams that run.
 constexpr std::chrono::milliseconds kPlannedFor{6000};
@@ -152,6 +148,19 @@
   return waited || lease_.is_first_holder() ? term : 0;
 }
 
+// What engines hold when they are first known stands for demand, as long as
+// nobody has asked for anything.
+void placement_controller::CountFirstReplicas() {
+  if (!forecast_.quiet() && settled_)
+    return;
+  for (const auto& [instance, engine] : dispatcher_.engines()) {
+    if (!engine->accepted || !counted_.insert(instance).second)
+      continue;
+    for (const auto& [name, model] : engine->models)
+      forecast_.AddFirstReplica(name);
+  }
+}
+
 // Engines enter themselves one after the other. A plan for half of them would
 // load what the others hold.
 bool placement_controller::IsSettled() {
@@ -165,16 +174,15 @@
     known_engines_ = dispatcher_.engines().size();
     known_since_ = now;
   }
-  const bool patient = now - term_since_ < kMostSettling;
-  if (known_engines_ == 0 || (now - known_since_ < kSettling && patient))
+  const auto since = [now](base::time_point then) {
+    return std::chrono::duration_cast<std::chrono::milliseconds>(now - then);
+  };
+  const decisions::engine_view view{since(core_.started), since(term_since_),
+                                    since(known_since_),
+                                    core_.settings.server_heartbeat};
+  if (known_engines_ == 0 || !decisions::AreAllKnown(view))
     return false;
   settled_ = true;
-  std::map<std::string, std::int64_t> replicas;
-  for (const auto& [instance, engine] : dispatcher_.engines()) {
-    for (const auto& [name, model] : engine->models)
-      ++replicas[name];
-  }
-  forecast_.SetFirstReplicas(std::move(replicas));
   return true;
 }
 
@@ -312,12 +320,15 @@
       term_ = term;
       term_since_ = std::chrono::steady_clock::now();
       settled_ = false;
+      counted_.clear();
+      forecast_.ForgetFirstReplicas();
       dispatcher_.Begin(lease_.is_first_holder());
       told_engines_.clear();
     }
     if (term == 0 || core_.configuration == nullptr)
       continue;
     dispatcher_.Refresh();
+    CountFirstReplicas();
     if (OrderTerm() != 0 && IsSettled()) {
       const auto configuration = core_.configuration;
       for (const catalog::service& each : configuration->services) {
--- a/src/host/process/placement_controller.h
+++ b/src/host/process/placement_controller.h
@@ -7,6 +7,7 @@
 #include <functional>
 #include <map>
 #include <optional>
+#include <set>
 #include <span>
 #include <string>
 #include <vector>
@@ -69,6 +70,7 @@
   std::int64_t OrderTerm() const;
   // Whether the list of engines is whole, as far as can be told.
   bool IsSettled();
+  void CountFirstReplicas();
   void Plan(const catalog::service& service);
   // Loads what room was made for, once there is room.
   void LoadNext(const std::shared_ptr<engine_record>& engine,
@@ -110,6 +112,8 @@
   std::size_t known_engines_ = 0;
   base::time_point known_since_;
   bool settled_ = false;
+  // Engines whose first replicas have been counted in this term.
+  std::set<std::string> counted_;
   base::endpoint holder_;
 };
 
--- a/tests/auto/host/test_demand_forecast.cc
+++ b/tests/auto/host/test_demand_forecast.cc
@@ -73,7 +73,10 @@
 BOOST_AUTO_TEST_CASE(first_replicas_stand_for_demand) {
   const host::demand_meter own;
   host::demand_forecast forecast(own);
-  forecast.SetFirstReplicas({{"a", 6}, {"b", 1}, {"c", 1}});
+  for (int i = 0; i < 6; ++i)
+    forecast.AddFirstReplica("a");
+  forecast.AddFirstReplica("b");
+  forecast.AddFirstReplica("c");
   const auto models = forecast.Models(ThreeModels());
   BOOST_TEST(models[0].arrival_rate > 10);
   BOOST_TEST(models[1].arrival_rate == 0);
