--- a/src/decisions/model_plan.cc
+++ b/src/decisions/model_plan.cc
@@ -109,7 +109,8 @@
   // zone, with what is being loaded.
   std::vector<std::size_t> zones;
   std::vector<std::vector<std::int64_t>> in_zone;
-  // Engines with a copy of each model's weights beside those in use.
+  // Engines with a copy of each model's weights beside those in use; empty if
+  // all engines are looked at.
   std::vector<std::vector<std::size_t>> at_hand;
   // All engines that may be given an order, those with least to do first.
   std::vector<std::size_t> idlest;
@@ -290,7 +291,8 @@
 
 std::optional<home> FindHome(planning& state, std::size_t model) {
   std::optional<home> best;
-  LookThrough(state, model, state.at_hand[model], best);
+  if (!state.at_hand.empty())
+    LookThrough(state, model, state.at_hand[model], best);
   LookThrough(state, model, state.idlest, best);
   return best;
 }
@@ -357,12 +359,16 @@
   }
 }
 
-// Where each model may be brought, those first that have least to do.
+// Where each model may be brought, those first that have least to do if there
+// are too many to look at.
 void IndexEngines(planning& state) {
   for (std::size_t i = 0; i < state.engines.size(); ++i) {
     if (state.engines[i].serving && state.engines[i].free)
       state.idlest.push_back(i);
   }
+  // Where all are looked at their order does not matter.
+  if (state.idlest.size() <= kMostLooked)
+    return;
   std::ranges::sort(state.idlest, {}, [&](std::size_t position) {
     const plan_engine& engine = state.engines[position];
     return std::tuple(engine.running, -engine.free_mb, position);
