Requests are served only in the homes of their route and workspace

Change: a server's region, from the settings' zones, must be among the homes of the route and of the workspace, in a host's own choice, in retries, and for places that are dealt out. Tests: a_request_is_served_only_in_its_homes; the codec reads homes.

--- a/src/catalog/configuration.h
+++ b/src/catalog/configuration.h
@@ -53,6 +53,8 @@
   bool resumable = false;
   // Callers need no key.
   bool is_public = false;
+  // Regions in which its requests may be served; empty: in any.
+  std::vector<std::string> homes;
   std::vector<weighted_service> services;
 
   // Whether a request may run again after it may have run.
--- a/src/catalog/workspace.h
+++ b/src/catalog/workspace.h
@@ -34,6 +34,9 @@
   // Goes before the priority of a route; 0 is the most urgent.
   std::optional<std::int64_t> priority;
   workspace_limit limit;
+  // Regions in which its requests may be served, beside what their route says;
+  // empty: in any.
+  std::vector<std::string> homes;
 };
 
 }  // namespace valeledge::catalog
--- a/src/host/host_settings.h
+++ b/src/host/host_settings.h
@@ -5,6 +5,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <map>
 #include <optional>
 #include <string>
 #include <vector>
@@ -18,6 +19,8 @@
   // Unique among hosts; a restarted host keeps its name.
   std::string name;
   std::string zone;
+  // The region of each availability zone.
+  std::map<std::string, std::string> zone_regions;
   // Where callers connect.
   base::endpoint caller_listen;
   // Where the balancer asks whether this host serves.
--- a/src/host/process/host_core.h
+++ b/src/host/process/host_core.h
@@ -37,7 +37,7 @@
       : context(context_in),
         settings(std::move(settings_in)),
         speech(std::move(speech_in)),
-        servers(settings.zone),
+        servers(settings.zone, settings.zone_regions),
         http(context) {}
 
   boost::asio::io_context& context;
--- a/src/host/process/server_registry.cc
+++ b/src/host/process/server_registry.cc
@@ -89,6 +89,14 @@
   return unit;
 }
 
+bool IsAtHome(const server_wish& wish, const std::string& region) {
+  const auto allows = [&](const std::vector<std::string>* homes) {
+    return homes == nullptr || homes->empty() ||
+           std::ranges::find(*homes, region) != homes->end();
+  };
+  return allows(wish.route_homes) && allows(wish.workspace_homes);
+}
+
 bool known_server::Holds(std::string_view model,
                          std::string_view adapter,
                          base::time_point now) const {
@@ -126,6 +134,8 @@
     slot->leaving = entry.draining;
     slot->entry = std::move(entry);
     slot->evacuated = evacuated_zones_.contains(slot->entry.zone);
+    const auto region = regions_.find(slot->entry.zone);
+    slot->region = region == regions_.end() ? "" : region->second;
     decisions::NoteCold(slot->cold, slot->entry.cold_for, now);
     // Other hosts may have told of it before its entry came.
     for (const auto& [host, loads] : loads_) {
@@ -205,12 +215,17 @@
   }
 }
 
+bool server_registry::IsOpenTo(const known_server& server,
+                               const server_wish& wish) const {
+  return server.TakesRequests() && server.entry.service == wish.service &&
+         IsAtHome(wish, server.region);
+}
+
 bool server_registry::IsCandidate(const known_server& server,
                                   const server_wish& wish,
                                   base::time_point now) const {
-  const bool usable = server.TakesRequests() &&
-                      server.entry.service == wish.service &&
-                      decisions::MayUse(server.trust, now);
+  const bool usable =
+      IsOpenTo(server, wish) && decisions::MayUse(server.trust, now);
   const bool tried = std::ranges::find(*wish.avoid, server.entry.instance) !=
                      wish.avoid->end();
   return usable && !tried &&
@@ -302,7 +317,7 @@
                                base::time_point now) const {
   return std::ranges::any_of(servers_, [&](const auto& each) {
     const known_server& server = *each.second;
-    return server.TakesRequests() && server.entry.service == wish.service &&
+    return IsOpenTo(server, wish) &&
            (wish.model.empty() || server.Holds(wish.model, wish.adapter, now));
   });
 }
@@ -312,7 +327,7 @@
     base::time_point now) const {
   std::optional<base::time_point> first;
   for (const auto& [instance, server] : servers_) {
-    if (!server->TakesRequests() || server->entry.service != wish.service)
+    if (!IsOpenTo(*server, wish))
       continue;
     const auto found = server->coming.find(KeyOf(wish.model));
     const bool current =
@@ -332,7 +347,7 @@
     return best;
   for (const auto& [instance, server] : servers_) {
     const catalog::backend_server& entry = server->entry;
-    if (!server->TakesRequests() || entry.service != wish.service)
+    if (!IsOpenTo(*server, wish))
       continue;
     const auto has = [&](const std::vector<std::string>& copies) {
       return std::ranges::find(copies, wish.model) != copies.end();
--- a/src/host/process/server_registry.h
+++ b/src/host/process/server_registry.h
@@ -67,6 +67,8 @@
   // has not written its entry since.
   std::optional<base::time_point> taken_back_at;
   decisions::cold_server cold;
+  // The region of its availability zone; empty if that is not known.
+  std::string region;
   // Its entry went while the store was in trouble: it is used until here.
   std::optional<base::time_point> lapses_at;
   server_use own;
@@ -99,8 +101,15 @@
   decisions::request_weight weight;
   // Instances that have failed this request.
   const std::vector<std::string>* avoid = nullptr;
+  // Regions to which the request's route and its workspace bind it; null or
+  // empty: to none.
+  const std::vector<std::string>* route_homes = nullptr;
+  const std::vector<std::string>* workspace_homes = nullptr;
 };
 
+// Whether a request may be served in a region.
+bool IsAtHome(const server_wish& wish, const std::string& region);
+
 struct server_choice {
   std::shared_ptr<known_server> server;
   std::chrono::duration<double, std::milli> expected{0};
@@ -114,7 +123,10 @@
 // All known instances. Lives on the host's thread.
 class server_registry {
  public:
-  explicit server_registry(std::string zone) : zone_(std::move(zone)) {}
+  // `regions`: the region of each availability zone.
+  explicit server_registry(std::string zone,
+                           std::map<std::string, std::string> regions = {})
+      : zone_(std::move(zone)), regions_(std::move(regions)) {}
 
   // Whether this host hears at once of what others send to an instance; asked
   // only of instances that a request may go to, since members of a large fleet
@@ -186,6 +198,8 @@
   }
 
  private:
+  // Whether a server takes requests of this kind at all, busy or not.
+  bool IsOpenTo(const known_server& server, const server_wish& wish) const;
   // Adds what another host has at a server to that server's sums, or takes it
   // away.
   void AddUse(unit_key key, const server_use& use, std::int64_t times) const;
@@ -208,6 +222,7 @@
                                   base::time_point now) const;
 
   std::string zone_;
+  std::map<std::string, std::string> regions_;
   std::function<bool(const std::string& instance)> hears_at_once_;
   std::function<decisions::cold_share()> cold_share_;
   std::map<std::string, std::shared_ptr<known_server>, std::less<>> servers_;
--- a/src/host/request/server_search.cc
+++ b/src/host/request/server_search.cc
@@ -30,6 +30,9 @@
   wish.head = &routed.head;
   wish.weight = routed.weight;
   wish.avoid = &routed.avoid;
+  wish.route_homes = &routed.route->homes;
+  if (routed.workspace != nullptr)
+    wish.workspace_homes = &routed.workspace->homes;
   return wish;
 }
 
@@ -122,16 +125,17 @@
   return out;
 }
 
-// Servers that this request has tried, and those that this host does not use
-// now.
+// Servers that this request has tried, those that this host does not use now,
+// and those to which the request may not go.
 std::vector<std::string> AvoidedOf(const host_core& core,
                                    const routed_request& routed,
                                    base::time_point now) {
   std::vector<std::string> out = routed.avoid;
+  const server_wish wish = WishOf(routed);
   for (const auto& [instance, server] : core.servers.servers()) {
-    const bool suspended = server->entry.service == routed.service->name &&
-                           !decisions::MayUse(server->trust, now);
-    if (suspended)
+    const bool unusable = !decisions::MayUse(server->trust, now) ||
+                          !IsAtHome(wish, server->region);
+    if (server->entry.service == routed.service->name && unusable)
       out.push_back(instance);
   }
   return out;
@@ -165,8 +169,10 @@
     co_return std::move(own);
   auto server = core.servers.Find((*dealt)->server());
   // It may have left meanwhile, as this host knows.
-  if (server == nullptr || !server->TakesRequests())
+  if (server == nullptr || !server->TakesRequests() ||
+      !IsAtHome(WishOf(routed), server->region)) {
     co_return std::move(own);
+  }
   own.server = std::move(server);
   own.place = std::move(*dealt);
   co_return std::move(own);
--- a/tests/auto/host/test_server_registry.cc
+++ b/tests/auto/host/test_server_registry.cc
@@ -129,6 +129,34 @@
   BOOST_TEST(here.Choose() != "none");
 }
 
+// Where route and workspace both have homes, both bind.
+BOOST_AUTO_TEST_CASE(a_request_is_served_only_in_its_homes) {
+  world here;
+  here.registry = host::server_registry("z", {{"z", "west"}, {"y", "south"}});
+  for (const auto& [instance, zone] :
+       {std::pair{"i-1", "z"}, {"i-2", "y"}, {"i-3", "nowhere"}}) {
+    catalog::backend_server entry;
+    entry.instance = instance;
+    entry.service = "s";
+    entry.zone = zone;
+    entry.models.push_back({"m", 1, {}});
+    here.registry.Put(entry, here.now);
+  }
+  const std::vector<std::string> west = {"west"};
+  const std::vector<std::string> both = {"west", "south"};
+  const std::vector<std::string> south = {"south"};
+  here.wish.route_homes = &west;
+  for (int i = 0; i < 20; ++i)
+    BOOST_TEST(here.Choose() == "i-1");
+  here.wish.route_homes = &both;
+  here.wish.workspace_homes = &south;
+  for (int i = 0; i < 20; ++i)
+    BOOST_TEST(here.Choose() == "i-2");
+  here.wish.route_homes = &west;
+  BOOST_TEST(here.Choose() == "none");
+  BOOST_TEST(!here.registry.AnyHolds(here.wish, here.now));
+}
+
 BOOST_AUTO_TEST_CASE(a_cold_server_is_used_only_beside_no_warm_one) {
   world here;
   here.service.cold_rate = 6.9;
--- a/tests/auto/platform/test_codecs.cc
+++ b/tests/auto/platform/test_codecs.cc
@@ -24,7 +24,8 @@
     "Routes": [
       {"Name": "r1", "Host": "a.example", "PathPrefix": "/x/",
        "Kind": "stream", "TimeoutMs": 30000, "SloMs": 8000, "Priority": 1,
-       "Service": "s1", "MaxAttempts": 2, "Resumable": true, "GapAimMs": 300},
+       "Service": "s1", "MaxAttempts": 2, "Resumable": true, "GapAimMs": 300,
+       "AllowedRegions": ["west"]},
       {"Name": "r2", "Host": "a.example", "PathPrefix": "/x/y/",
        "Kind": "new kind", "TimeoutMs": 100,
        "Backends": [{"Service": "s1", "Weight": 90},
@@ -45,7 +46,9 @@
   BOOST_TEST(deep->name == "r2");
   BOOST_TEST(!deep->MayRepeat());
   BOOST_TEST(deep->services.size() == 2u);
-  BOOST_TEST(read->FindRoute("a.example", "/x/a")->MayRepeat());
+  const catalog::route* bound = read->FindRoute("a.example", "/x/a");
+  BOOST_TEST(bound->MayRepeat());
+  BOOST_TEST(bound->homes == std::vector<std::string>{"west"});
   BOOST_TEST(read->FindRoute("b.example", "/x/a") == nullptr);
   const catalog::service* engines = read->FindService("s1");
   BOOST_REQUIRE(engines != nullptr);
