A host that stands in follows the store from its copy

Cause: hosts whose followers the store turns away read the whole store anew, ten pages and 1.4 MB each, though they have a copy that is a second old. Change: a host with a copy goes on from its revision; it reads all if the store no longer has the changes, or has failed here lately, since what went meanwhile may have lapsed. Tests: a_host_that_stands_in_goes_on_from_its_copy; a_copy_is_read_anew_once_its_history_is_gone.

--- a/src/host/process/store_mirror.cc
+++ b/src/host/process/store_mirror.cc
@@ -276,6 +276,7 @@
   for (const store::kv_pair& pair : answer->results.front().pairs)
     values[pair.key] = {pair.value, pair.mod_revision, {}};
   Replace(std::move(values), answer->revision);
+  history_gone_ = false;
   events_.complete(asked);
   co_return true;
 }
@@ -289,6 +290,7 @@
     const bool gone =
         !changes && changes.error().code == base::result_code::kHistoryGone;
     NoteAnswered(changes.has_value() || gone);
+    history_gone_ = gone;
     if (!changes)
       co_return gone;
     for (const store::kv_event& each : changes->events) {
@@ -328,6 +330,8 @@
   }
 }
 
+// A host that has a copy goes on from it, unless the store has just failed
+// here: what went meanwhile may have lapsed, which only a whole reading shows.
 asio::awaitable<void> store_mirror::Loop() {
   std::mt19937_64 random{std::random_device{}()};
   co_await AwaitFirstCopy(random);
@@ -351,7 +355,9 @@
     }
     if (!events_.follows() && revision_ > 0)
       base::Log(kCategory, log_event::kStandingIn);
-    const bool read = co_await ReadAll();
+    const bool known =
+        revision_ > 0 && !history_gone_ && !FailedWithin(kTroubleMemory);
+    const bool read = known || co_await ReadAll();
     if (read) {
       pause = kFirstPause;
       const bool again = co_await Follow();
--- a/src/host/process/store_mirror.h
+++ b/src/host/process/store_mirror.h
@@ -122,6 +122,8 @@
   std::optional<base::time_point> answered_at_;
   bool current_ = false;
   bool was_down_ = false;
+  // The store no longer has the changes since this host's revision.
+  bool history_gone_ = false;
   base::time_point failed_at_;
   bool failed_once_ = false;
 };
--- a/tests/auto/host/test_store_mirror.cc
+++ b/tests/auto/host/test_store_mirror.cc
@@ -56,6 +56,19 @@
   BOOST_TEST(!here.removed.back().second);
 }
 
+BOOST_AUTO_TEST_CASE(a_copy_is_read_anew_once_its_history_is_gone) {
+  world here;
+  here.store.Put("a", "1");
+  here.mirror.Start();
+  here.RunUntil([&] { return here.put.size() == 1; });
+  const int reads = here.store.reads;
+  here.store.history_gone = true;
+  here.store.Wake();
+  here.store.Put("b", "2");
+  here.RunUntil([&] { return here.put.size() == 2; });
+  BOOST_TEST(here.store.reads == reads + 1);
+}
+
 BOOST_AUTO_TEST_CASE(reads_again_after_a_lost_history) {
   world here;
   here.store.Put("a", "1");
@@ -181,6 +194,24 @@
               kTakenForSilent - std::chrono::milliseconds(100)));
 }
 
+// A fleet whose followers are cut off would read the whole store host by host.
+BOOST_AUTO_TEST_CASE(a_host_that_stands_in_goes_on_from_its_copy) {
+  world first;
+  first.store.Put("a", "1");
+  first.mirror.Start();
+  first.RunUntil([&] { return first.put.size() == 1; });
+  world here;
+  here.follows = false;
+  here.knows_others = true;
+  here.store.Put("a", "1");
+  BOOST_TEST(here.mirror.Take(first.mirror.CopySince(0)));
+  here.store.Put("b", "2");
+  here.mirror.Start();
+  // Nobody is known to be answered by the store.
+  here.RunUntil([&] { return here.put.size() == 2; });
+  BOOST_TEST(here.store.reads == 0);
+}
+
 // Entries of backend servers are alike, and too small to pack by themselves.
 BOOST_AUTO_TEST_CASE(a_copy_of_many_small_entries_is_packed_as_one) {
   world first;
