Connections that servers close soon are closed

What was seen: 4,853 descriptors on one host of the fleet (985 hosts, 4,000 servers), where small hosts have 4,100, and 106 MB there. Cause: a connection that is idle for longer than its server keeps it was dropped only when the same server was asked again; the holder of the lease asks each of 3,920 engines now and then, and kept a descriptor and a buffer for each, long closed by the other side. Test: connections_that_servers_close_soon_are_closed (30 of 31 stayed before).

--- a/src/host/process/host.cc
+++ b/src/host/process/host.cc
@@ -367,6 +367,7 @@
   set("valeledge_peer_bytes", peers_.bytes());
   for (const auto& [kind, bytes] : peers_.told_bytes())
     core_.metrics.Gauge("valeledge_told_bytes", kind).Set(bytes);
+  set("valeledge_idle_connections", core_.http.idle_connections());
   set("valeledge_store_bytes", store_->bytes());
   set("valeledge_log_lines_dropped", base::LinesDropped());
 }
@@ -549,6 +550,7 @@
     co_await timer.async_wait(kAwait);
     const auto now = std::chrono::steady_clock::now();
     core_.servers.Sweep(now);
+    core_.http.CloseStale();
     core_.demand.Roll(now);
     owned_.Roll(now);
     quarantine_.Republish();
--- a/src/net/http_client.cc
+++ b/src/net/http_client.cc
@@ -327,6 +327,23 @@
   co_return answer;
 }
 
+void http_client::CloseStale() {
+  const auto now = std::chrono::steady_clock::now();
+  for (auto& [where, connections] : pool_->idle) {
+    std::erase_if(connections,
+                  [now](const auto& each) { return now >= each->stale_at; });
+  }
+  std::erase_if(pool_->idle,
+                [](const auto& endpoint) { return endpoint.second.empty(); });
+}
+
+std::int64_t http_client::idle_connections() const {
+  std::int64_t count = 0;
+  for (const auto& [where, connections] : pool_->idle)
+    count += static_cast<std::int64_t>(connections.size());
+  return count;
+}
+
 std::int64_t http_client::bytes() const {
   return pool_->bytes;
 }
--- a/src/net/http_client.h
+++ b/src/net/http_client.h
@@ -128,6 +128,12 @@
       connection_use use = connection_use::kPooled,
       open_guard* guard = nullptr);
 
+  // Closes idle connections that are not used any more: those that servers are
+  // about to close, or have closed, keep descriptors and memory until then.
+  // Call several times a second.
+  void CloseStale();
+  std::int64_t idle_connections() const;
+
   // Bytes of requests and answers so far.
   std::int64_t bytes() const;
 
--- a/tests/auto/net/test_http.cc
+++ b/tests/auto/net/test_http.cc
@@ -291,6 +291,41 @@
   BOOST_TEST(both);
 }
 
+// A host that asks thousands of servers now and then kept a descriptor for
+// each, long after they had closed the connection.
+BOOST_AUTO_TEST_CASE(connections_that_servers_close_soon_are_closed) {
+  constexpr std::int64_t kServers = 30;
+  const auto respond =
+      [](net::http_request& request,
+         net::http_responder& responder) -> asio::awaitable<void> {
+    auto response = net::MakeJsonResponse(200, "{}");
+    // Shorter than a second is not used again.
+    const bool soon = request.target() == "/soon";
+    response.set(http::field::keep_alive, soon ? "timeout=1" : "timeout=60");
+    co_await responder.Send(std::move(response));
+  };
+  bench one({}, respond);
+  std::vector<std::unique_ptr<net::http_server>> servers;
+  std::int64_t before = 0;
+  std::int64_t after = 0;
+  BOOST_TEST(one.Run([&]() -> asio::awaitable<void> {
+    for (std::int64_t i = 0; i < kServers; ++i) {
+      servers.push_back(std::make_unique<net::http_server>(
+          one.context, net::http_limits{}, respond, RenderFault));
+      const auto where = *servers.back()->Start({"127.0.0.1", 0});
+      co_await one.client.Fetch(
+          where, net::MakeRequest(http::verb::get, "/soon", ""), 1s);
+    }
+    co_await one.client.Fetch(one.where,
+                              net::MakeRequest(http::verb::get, "/", ""), 1s);
+    before = one.client.idle_connections();
+    one.client.CloseStale();
+    after = one.client.idle_connections();
+  }));
+  BOOST_TEST(before == kServers + 1);
+  BOOST_TEST(after == 1);
+}
+
 BOOST_AUTO_TEST_CASE(a_caller_that_goes_away_is_noticed) {
   asio::steady_timer* waiting = nullptr;
   bool gone = false;
