A backend server's own rate limit is read, logged and counted

The record of the incident cannot tell hypotheses apart: no line or counter shows that a server named a limit, to whom and when, or that it took it back. Several values count as the lowest, text that is no rate is ignored, counted and logged once. A response whose request was sent before the known limit came may be older than it, and only lowers it.

No decision reads it yet.

--- a/src/host/dialect.h
+++ b/src/host/dialect.h
@@ -72,6 +72,11 @@
   bool misdirected = false;
   // The instance that answered; empty if it does not say.
   std::string instance;
+  // Requests a second that the server takes from all hosts together; nothing if
+  // it advertises no limit.
+  std::optional<double> limit;
+  // It advertises a limit that is no rate.
+  bool limit_unreadable = false;
 };
 
 enum class order_verb { kLoad, kUnload };
--- a/src/host/process/host.cc
+++ b/src/host/process/host.cc
@@ -350,6 +350,10 @@
   set("valeledge_hosts", core_.hosts);
   set("valeledge_backend_servers",
       static_cast<std::int64_t>(core_.servers.servers().size()));
+  set("valeledge_limited_servers",
+      std::ranges::count_if(core_.servers.servers(), [](const auto& each) {
+        return each.second->limit.has_value();
+      }));
   set("valeledge_configuration_version",
       core_.configuration == nullptr ? 0 : core_.configuration->version);
   set("valeledge_store_revision", mirror_.revision());
--- a/src/host/process/server_registry.h
+++ b/src/host/process/server_registry.h
@@ -18,6 +18,7 @@
 #include "base/duration.h"
 #include "catalog/backend_server.h"
 #include "catalog/configuration.h"
+#include "decisions/advertised_limit.h"
 #include "decisions/cold_start.h"
 #include "decisions/reading_pace.h"
 #include "decisions/server_cost.h"
@@ -81,6 +82,10 @@
   // Models that it is loading, and when each is there.
   std::map<unit_key, base::time_point> coming;
   prompt_memory prompts;
+  // The rate limit that it advertises, if it does.
+  std::optional<decisions::advertised_limit> limit;
+  // It has advertised something that is no rate.
+  bool limit_unreadable = false;
 
   bool TakesRequests() const { return !leaving && !evacuated; }
   // Whether it tolerates only a few requests now.
--- /dev/null
+++ b/src/host/request/limit_reading.cc
@@ -0,0 +1,72 @@
+// SPDX-License-Identifier: MIT
+#include "host/request/limit_reading.h"
+
+#include <cmath>
+#include <cstdint>
+#include <string>
+
+#include "base/logging.h"
+
+namespace valeledge::host {
+
+namespace {
+
+using base::log_event;
+using decisions::limit_change;
+
+constexpr std::string_view kCategory = "limits";
+constexpr std::string_view kCounter = "valeledge_server_limits_total";
+
+// Thousandths of a request a second.
+std::int64_t MilliOf(double rate) {
+  constexpr double kMost = 1e15;
+  return std::llround(std::fmin(rate * 1000, kMost));
+}
+
+void ReportChange(host_core& core,
+                  const known_server& server,
+                  limit_change change) {
+  const std::string& instance = server.entry.instance;
+  if (change == limit_change::kWithdrawn) {
+    core.metrics.Counter(kCounter, "withdrawn").Add();
+    base::Log(kCategory, log_event::kServerLimitEnded, {{"server", instance}});
+    return;
+  }
+  const bool is_new = change == limit_change::kAdvertised;
+  core.metrics.Counter(kCounter, is_new ? "advertised" : "changed").Add();
+  base::Log(kCategory, log_event::kServerLimitSeen,
+            {{"server", instance},
+             {"service", server.entry.service},
+             {"milli_a_second", MilliOf(server.limit->rate)},
+             {"new", std::int64_t{is_new}}});
+}
+
+}  // namespace
+
+void ReadLimit(host_core& core,
+               known_server& server,
+               const answer_head& response,
+               base::time_point sent) {
+  // Another instance may have the address by now.
+  if (response.misdirected)
+    return;
+  if (response.limit_unreadable) {
+    core.metrics.Counter(kCounter, "unreadable").Add();
+    if (!server.limit_unreadable) {
+      base::Log(kCategory, log_event::kServerLimitUnreadable,
+                {{"server", server.entry.instance}});
+    }
+    server.limit_unreadable = true;
+    return;
+  }
+  // Refusals of a busy server need not carry the field.
+  if (!response.limit && response.not_run)
+    return;
+  const decisions::limit_observation seen{response.limit, sent,
+                                          std::chrono::steady_clock::now()};
+  const limit_change change = decisions::Observe(server.limit, seen);
+  if (change != limit_change::kNone)
+    ReportChange(core, server, change);
+}
+
+}  // namespace valeledge::host
--- a/src/host/request/relay.cc
+++ b/src/host/request/relay.cc
@@ -16,6 +16,7 @@
 #include "host/request/event_splitter.h"
 #include "host/request/final_answers.h"
 #include "host/request/limit_charge.h"
+#include "host/request/limit_reading.h"
 #include "host/request/request_trace.h"
 #include "host/request/retry_permit.h"
 #include "host/request/routed_request.h"
@@ -292,11 +293,11 @@
     if (const auto open = weak.lock())
       open->Abandon();
   });
-  const answer_head answer = core_.speech.read_answer(exchange.header());
+  const answer_head response = core_.speech.read_answer(exchange.header());
   const bool foreign =
-      !answer.request_id.empty() && answer.request_id != routed_.head.id;
+      !response.request_id.empty() && response.request_id != routed_.head.id;
   if (foreign ||
-      (!answer.is_signed && !answer.not_run && !answer.misdirected)) {
+      (!response.is_signed && !response.not_run && !response.misdirected)) {
     exchange.Abandon();
     attempt.Failed(false);
     last_error_ =
@@ -304,8 +305,9 @@
                         "an answer that is not this request's");
     co_return attempt_end::kUnknown;
   }
-  if (answer.not_run || answer.misdirected) {
-    attempt.Refused(answer);
+  ReadLimit(core_, server, response, progress_.sent);
+  if (response.not_run || response.misdirected) {
+    attempt.Refused(response);
     last_error_ =
         base::MakeError(result_code::kBackendRefused, base::outcome::kNotRun,
                         "the backend server answered " +
--- a/tests/auto/host/relay_world.h
+++ b/tests/auto/host/relay_world.h
@@ -102,7 +102,10 @@
 
 // One host's part that relays, with two backend servers.
 struct world {
-  world() {
+  world() : world(std::make_shared<boost::asio::io_context>(1)) {}
+  // Hosts that share an event loop can use the same backend servers.
+  explicit world(std::shared_ptr<boost::asio::io_context> shared_context)
+      : event_loop(std::move(shared_context)), context(*event_loop) {
     host::host_settings settings;
     settings.zone = "z";
     core = std::make_unique<host::host_core>(context, settings,
@@ -214,7 +217,8 @@
     return core->servers.Find("i-1");
   }
 
-  boost::asio::io_context context{1};
+  std::shared_ptr<boost::asio::io_context> event_loop;
+  boost::asio::io_context& context;
   // Requests so far: each has an id of its own.
   int asked = 0;
   // Where requests come from.
--- a/tests/auto/platform/test_codecs.cc
+++ b/tests/auto/platform/test_codecs.cc
@@ -3,6 +3,7 @@
 #include <cctype>
 #include <string>
 #include <utility>
+#include <vector>
 
 #include <boost/beast/http.hpp>
 #include <boost/test/unit_test.hpp>
@@ -125,6 +126,34 @@
   BOOST_TEST(request["X-Request-Id"] == "9c41");
 }
 
+host::answer_head ReadLimits(const std::vector<std::string>& values) {
+  net::http_response_header response;
+  for (const std::string& value : values)
+    response.insert("Server-Limit", value);
+  return platform::MakeDialect().read_answer(response);
+}
+
+BOOST_AUTO_TEST_CASE(a_servers_limit_is_read) {
+  BOOST_TEST(!ReadLimits({}).limit.has_value());
+  BOOST_TEST(!ReadLimits({}).limit_unreadable);
+  BOOST_TEST(ReadLimits({"2.3"}).limit.value() == 2.3);
+  BOOST_TEST(ReadLimits({"0"}).limit.value() == 0);
+  BOOST_TEST(ReadLimits({"1e300"}).limit.value() == 1e300);
+  BOOST_TEST(ReadLimits({"4", "1.5"}).limit.value() == 1.5);
+  BOOST_TEST(ReadLimits({"few", "7"}).limit.value() == 7);
+}
+
+BOOST_AUTO_TEST_CASE(a_servers_limit_that_is_no_rate_is_no_limit) {
+  for (const char* text : {"", "-1", "nan", "inf", "few", "2,3", "1 1", "1e999",
+                           "0x10", "+1", "1;", "--"}) {
+    BOOST_TEST_CONTEXT("'" << text << "'") {
+      const host::answer_head head = ReadLimits({text});
+      BOOST_TEST(!head.limit.has_value());
+      BOOST_TEST(head.limit_unreadable);
+    }
+  }
+}
+
 // What only the system may ask of a server, as a caller could write it.
 constexpr const char* kReservedFields[] = {
     "X-Request-Priority", "X-Expect-Instance", "X-Expect-Version", "X-Hold",
