The lease counts the time for which a machine was suspended

A holder whose machine is suspended takes the lease for its own when it goes on: the steady clock stood still meanwhile, while another host may have taken it. The end of the lease is counted by the clock that goes on, as the certainty of keys is. By reading; no test can suspend a machine, the tests of the lease keeper pass as before.

--- a/src/store/lease_keeper.cc
+++ b/src/store/lease_keeper.cc
@@ -64,7 +64,7 @@
       maybe_first_(maybe_first) {}
 
 std::int64_t lease_keeper::CertainTerm() const {
-  return std::chrono::steady_clock::now() < safe_until_ ? term_.load() : 0;
+  return base::boot_clock::now() < safe_until_ ? term_.load() : 0;
 }
 
 void lease_keeper::Start() {
@@ -108,7 +108,7 @@
       co_return;
   }
   const auto former = FindKey(pairs, kFormerLeaderKey);
-  const auto asked = std::chrono::steady_clock::now();
+  const auto asked = base::boot_clock::now();
   const auto granted = co_await service_.GrantLease(
       std::chrono::ceil<std::chrono::seconds>(length_));
   if (!granted)
@@ -147,14 +147,14 @@
 }
 
 asio::awaitable<void> lease_keeper::Keep() {
-  const auto asked = std::chrono::steady_clock::now();
+  const auto asked = base::boot_clock::now();
   const auto kept = co_await service_.KeepLease(lease_);
   if (kept) {
     safe_until_ = asked + length_;
     co_return;
   }
   const bool gone = kept.error().code == base::result_code::kLeaseLost ||
-                    std::chrono::steady_clock::now() >= safe_until_;
+                    base::boot_clock::now() >= safe_until_;
   if (gone)
     NoteLost(term_);
 }
--- a/src/store/lease_keeper.h
+++ b/src/store/lease_keeper.h
@@ -14,6 +14,7 @@
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
 
+#include "base/boot_clock.h"
 #include "store/kv_client.h"
 
 namespace valeledge::store {
@@ -82,7 +83,8 @@
   bool is_first_holder_ = false;
   bool follows_itself_ = false;
   std::int64_t lease_ = 0;
-  std::chrono::steady_clock::time_point safe_until_;
+  // A suspended machine loses the lease as well.
+  base::boot_clock::time_point safe_until_;
   std::chrono::steady_clock::time_point taken_at_;
   std::atomic<std::int64_t> term_ = 0;
   std::atomic<bool> resigned_ = false;
