--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -71,6 +71,21 @@
     return sorted(plan + more, key=lambda each: each.at)
 
 
+# Limits that servers advertise, and how many come in a run; rates a second.
+LIMITS = [0, 1, 2, 3]
+RATES = [0, 0.5, 1, 2.3, 8]
+
+
+def add_limits(plan: list[Fault], rng: random.Random,
+               seconds: float) -> list[Fault]:
+    """The plan with a few limits that servers advertise for a while; by a
+    generator of its own as well."""
+    more = [Fault(rng.uniform(0, seconds / 2), "limit", rng.randrange(1000),
+                  rng.uniform(6.0, 12.0))
+            for _ in range(rng.choice(LIMITS))]
+    return sorted(plan + more, key=lambda each: each.at)
+
+
 class Injector:
     """Carries out a plan on a site, from outside its programs."""
 
@@ -271,6 +286,21 @@
         await asyncio.sleep(fault.for_s)
         engine.late_orders = 0.0
 
+    async def _limit(self, fault, how):
+        """A server advertises a limit, lowers it, and withdraws it; some do so
+        only while they run several requests."""
+        del how
+        server = self.site.servers[fault.target % len(self.site.servers)]
+        if server.limit is not None:
+            return
+        rate = RATES[fault.target % len(RATES)]
+        server.limits_from = 3 if fault.target % 4 == 0 else 0
+        server.limit = 2 * rate
+        await asyncio.sleep(fault.for_s / 3)
+        server.limit = rate
+        await asyncio.sleep(fault.for_s * 2 / 3)
+        server.limit, server.limits_from = None, 0
+
     # -- callers -------------------------------------------------------------
 
     async def _request_ends(self, fault):
--- a/tests/soak/hosts.py
+++ b/tests/soak/hosts.py
@@ -97,6 +97,7 @@
 
     async def _watch(self, process) -> None:
         status = await process.wait()
+        self.ledger.forgets(self.name)
         if not self.expects_end:
             self.ledger.break_promise(
                 "own-end", f"{self.name} ended by itself, status {status}")
--- a/tests/soak/ledger.py
+++ b/tests/soak/ledger.py
@@ -10,6 +10,22 @@
 # A request that has ended three servers reaches servers at most three times
 # more, later than it takes hosts to tell each other.
 ENDS_MOST, SENDS_MORE, TELL_S = 3, 3, 2.0
+# What a server that advertises a limit may get in a window, from hosts that
+# have known of it for a while; judged once the limit is so old.
+LIMIT_WINDOW_S, LIMIT_OVER, LIMIT_SLACK = 4.0, 1.5, 5
+LIMIT_KNOWN_S, LIMIT_SETTLED_S = 0.5, 4.0
+
+
+@dataclass
+class Limit:
+    """What one server advertises, and what it gets meanwhile."""
+    rate: float
+    since: float
+    # When each host was first told, by its name.
+    told: dict
+    # Requests of hosts that knew.
+    arrivals: collections.deque
+    total: int = 0
 
 
 @dataclass(frozen=True)
@@ -59,6 +75,9 @@
         # it was sent to servers too late after that.
         self.ended: dict[tuple, list[float]] = collections.defaultdict(list)
         self.late_sends = collections.Counter()
+        # Limits that servers advertise now, by instance; how often they came.
+        self.limits: dict[str, Limit] = {}
+        self.limits_seen = 0
         # Spans in which hosts could not know what the store holds.
         self.blind: list[tuple[float, float]] = []
 
@@ -118,6 +137,48 @@
         self.break_promise("drain", f"{request_id} reached {instance} "
                            f"{at - left:.2f} s after it left")
 
+    def advertises(self, request_id, instance, rate, at) -> None:
+        """An answer to a request says which limit its server has, if any."""
+        if rate is None:
+            self.limits.pop(instance, None)
+            return
+        known = self.limits.get(instance)
+        if known is None or known.rate != rate:
+            self.limits_seen += 1
+            known = self.limits[instance] = Limit(rate, at, {},
+                                                  collections.deque())
+        sent = self.sent.get(request_id)
+        if sent is not None:
+            known.told.setdefault(sent.host, at)
+
+    def forgets(self, host) -> None:
+        """A host's process has ended, and what it knew."""
+        for limit in self.limits.values():
+            limit.told.pop(host, None)
+
+    def arrives(self, request_id, instance, at) -> None:
+        """A request reaches a server, which may refuse it."""
+        limit, sent = self.limits.get(instance), self.sent.get(request_id)
+        if limit is None or sent is None:
+            return
+        if at - limit.told.get(sent.host, at) < LIMIT_KNOWN_S:
+            return
+        limit.total += 1
+        window = limit.arrivals
+        window.append(at)
+        while at - window[0] >= LIMIT_WINDOW_S:
+            window.popleft()
+        allowed = int(LIMIT_OVER * LIMIT_WINDOW_S * limit.rate + LIMIT_SLACK)
+        # What a disturbed link held up arrives at once.
+        held_up = (at - LIMIT_WINDOW_S < self.spoiled.get(instance, 0)
+                   or at - LIMIT_WINDOW_S < self.stalled_at)
+        settled = window[0] - limit.since >= LIMIT_SETTLED_S
+        if settled and not held_up and len(window) > allowed:
+            self.break_promise("limit", f"{instance} takes {limit.rate} a "
+                               f"second and got {len(window)} in "
+                               f"{LIMIT_WINDOW_S} s; allowed {allowed}")
+            window.clear()
+
     def leaves(self, instance, at) -> None:
         self.leaving[instance] = at
 
--- a/tests/soak/test_ledger.py
+++ b/tests/soak/test_ledger.py
@@ -7,7 +7,7 @@
 
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parent))
 
-from ledger import DRAIN_S, TELL_S, Ledger, Sent  # noqa: E402
+from ledger import DRAIN_S, LIMIT_SETTLED_S, TELL_S, Ledger, Sent  # noqa: E402
 
 
 class LedgerTest(unittest.TestCase):
@@ -100,6 +100,41 @@
         self.run_at("b3", "i-9", after=TELL_S + 0.1)
         self.assertEqual(self.broken(), ["ending"])
 
+    def advertise(self, host_known_for):
+        """A limit of 1 a second, known to the host h1 for so long by now."""
+        self.send("told")
+        self.ledger.advertises("told", "i-1", 1, self.now - host_known_for)
+
+    def arrive(self, count, name="told"):
+        for at in range(count):
+            self.ledger.arrives(name, "i-1", self.now + at / 10)
+
+    def test_more_requests_than_a_server_takes(self):
+        self.advertise(LIMIT_SETTLED_S)
+        self.arrive(11)
+        self.assertEqual(self.broken(), [])
+        self.ledger.arrives("told", "i-1", self.now + 3)
+        self.assertEqual(self.broken(), ["limit"])
+
+    def test_hosts_that_a_server_has_not_told_of_its_limit(self):
+        self.advertise(LIMIT_SETTLED_S)
+        self.ledger.sent["other"] = Sent("once", "POST", "/x", b"body", False,
+                                         1, "h2")
+        self.arrive(30, "other")
+        self.assertEqual(self.broken(), [])
+
+    def test_a_limit_that_was_withdrawn(self):
+        self.advertise(LIMIT_SETTLED_S)
+        self.ledger.advertises("told", "i-1", None, self.now)
+        self.arrive(30)
+        self.assertEqual(self.broken(), [])
+
+    def test_a_host_that_has_restarted_knows_nothing(self):
+        self.advertise(LIMIT_SETTLED_S)
+        self.ledger.forgets("h1")
+        self.arrive(30)
+        self.assertEqual(self.broken(), [])
+
 
 if __name__ == "__main__":
     unittest.main()
