--- a/src/host/process/host.cc
+++ b/src/host/process/host.cc
@@ -2,7 +2,6 @@
 #include "host/process/host.h"
 
 #include <algorithm>
-#include <limits>
 #include <optional>
 #include <string>
 #include <utility>
@@ -21,6 +20,7 @@
 #include "host/process/certainty_duty.h"
 #include "host/process/copy_duty.h"
 #include "host/process/host_core.h"
+#include "host/process/load_reports.h"
 #include "host/process/owner_duties.h"
 #include "host/process/peer_link.h"
 #include "host/process/placement_controller.h"
@@ -28,6 +28,7 @@
 #include "host/process/reload_duty.h"
 #include "host/process/server_limits.h"
 #include "host/process/stop_duty.h"
+#include "host/process/store_feed.h"
 #include "host/process/store_mirror.h"
 #include "host/request/final_answers.h"
 #include "host/request/relay.h"
@@ -47,13 +48,6 @@
 constexpr auto kAwait = asio::as_tuple(asio::use_awaitable);
 constexpr std::string_view kCategory = "host";
 
-// Key of the record in which a host tells what it has under way.
-constexpr std::string_view kLoadRecord = "load";
-// The same for the servers at which something has changed, told at once.
-constexpr std::string_view kUseRecord = "use";
-// The same with what this host's callers ask for, for the holder of the lease.
-constexpr std::string_view kDemandRecord = "demand";
-
 // Hosts of each availability zone that follow the store for the others, those
 // with wide links if there are any: on a link of 10 Mbit/s a configuration of
 // 4,250 routes takes 0.8 s from the store, and each packed copy of it 0.04 s.
@@ -65,17 +59,9 @@
 constexpr std::string_view kReadDuty = "read/store";
 constexpr std::size_t kReaders = 4;
 
-// Hosts that are told by one that has nothing under way: only what it knows of
-// the store, which others tell as well.
-constexpr std::size_t kToldByIdle = 4;
-constexpr std::size_t kAllHosts = std::numeric_limits<std::size_t>::max();
-
 // Stands for an age that is not known.
 constexpr std::int32_t kUnknownAge = -1;
 
-// Entries that lapse while the store is in trouble are used for so long.
-constexpr milliseconds kLapseGrace{1800};
-
 // A host knows the others so long after its start.
 constexpr milliseconds kHostsKnown{5000};
 
@@ -83,35 +69,6 @@
 // log should see what has just been.
 constexpr milliseconds kLogDelay{1000};
 
-// What a host tells of the store's newest answer.
-decisions::told_answer ToldAnswerOf(const wire::host_load& load) {
-  decisions::told_answer told;
-  told.stamp = {load.answered_process, load.answer_count, load.answered_chosen};
-  told.age = milliseconds(load.store_age_ms);
-  return told;
-}
-
-void PutAnswer(const std::optional<decisions::told_answer>& told,
-               wire::host_load& load) {
-  load.store_age_ms = kUnknownAge;
-  if (!told)
-    return;
-  load.store_age_ms = static_cast<std::int32_t>(told->age.count());
-  load.answered_process = told->stamp.origin;
-  load.answer_count = told->stamp.count;
-  load.answered_chosen = told->stamp.chosen;
-}
-
-// The availability zone that a key says is being evacuated; nothing for other
-// keys.
-std::optional<std::string> EvacuatedZone(const store_keys& keys,
-                                         const std::string& key) {
-  const std::string& prefix = keys.evacuation_prefix;
-  if (prefix.empty() || !key.starts_with(prefix) || key.size() == prefix.size())
-    return std::nullopt;
-  return key.substr(prefix.size());
-}
-
 class host {
  public:
   host(asio::io_context& context,
@@ -123,9 +80,7 @@
   base::result<void> Start();
 
  private:
-  void PutKey(const std::string& key, const std::string& value);
-  void RemoveKey(const std::string& key, bool lapsed);
-  void Apply(catalog::configuration newer);
+  store_feed_links FeedLinks();
   void TakeTold(const membership::direct_record& record);
   bool FollowsStore();
   bool IsWellKnown(const std::string& instance);
@@ -134,11 +89,11 @@
   server_limit_links LimitLinks();
   void UpdateGauges();
   asio::awaitable<wire::envelope> Answer(wire::envelope call);
-  void ReportLoad();
   asio::awaitable<void> ReportLoop();
 
   host_core core_;
   std::unique_ptr<store::kv_client> store_;
+  store_feed feed_;
   store_mirror mirror_;
   peer_link peers_;
   copy_duty copies_;
@@ -148,14 +103,13 @@
   store::lease_keeper lease_;
   placement_controller placement_;
   server_limits limits_;
+  load_reports loads_;
   net::http_server callers_;
   net::http_server readiness_;
   net::http_server metrics_;
   stop_duty stop_;
   reload_duty reload_;
   std::int64_t most_hosts_ = 1;
-  // Whether the last report told of any use of servers.
-  bool told_any_use_ = false;
 };
 
 host::host(asio::io_context& context,
@@ -165,13 +119,16 @@
            settings_reader reread)
     : core_(context, std::move(settings), std::move(speech)),
       store_(make_store(context, core_.settings)),
+      feed_(core_, FeedLinks()),
       mirror_(
           context,
           *store_,
           core_.speech.keys.watched_prefix,
           {[this] { return FollowsStore(); },
-           [this](const auto& key, const auto& value) { PutKey(key, value); },
-           [this](const auto& key, bool lapsed) { RemoveKey(key, lapsed); },
+           [this](const auto& key, const auto& value) {
+             feed_.Put(key, value);
+           },
+           [this](const auto& key, bool lapsed) { feed_.Remove(key, lapsed); },
            [this](auto asked) { certainty_.NoteComplete(asked); },
            [this](std::int64_t revision) {
              peers_.AnnounceRevision(revision);
@@ -226,6 +183,7 @@
           core_.settings.first_start),
       placement_(core_, lease_, peers_),
       limits_(core_, LimitLinks()),
+      loads_(core_, peers_, mirror_, placement_),
       callers_(
           context,
           {},
@@ -271,13 +229,7 @@
                : decisions::LeaseTurn(core_.settings.cores, any(core_.random));
   });
   core_.use_changed = [this](const known_server& server) {
-    // Plain services are balanced well enough by what each host knows.
-    if (server.entry.models.empty())
-      return;
-    wire::host_load load;
-    load.servers.push_back(server_registry::OwnLoad(server));
-    peers_.Tell(std::string(kUseRecord), wire::Encode(load),
-                {kMostTold, server.entry.instance, std::nullopt});
+    loads_.ReportUse(server);
   };
   core_.server_ended = [this](std::uint64_t digest,
                               const decisions::server_end& end) {
@@ -329,6 +281,29 @@
   return {};
 }
 
+store_feed_links host::FeedLinks() {
+  store_feed_links links;
+  links.configured = [this](const catalog::configuration& newer) {
+    net::http_limits limits;
+    limits.header_bytes = newer.limits.header_bytes;
+    limits.body_bytes = newer.limits.body_bytes;
+    limits.receive_timeout = newer.limits.header_timeout;
+    limits.idle_timeout = newer.limits.idle_timeout;
+    callers_.SetLimits(limits);
+  };
+  // Whoever reads the store finds the others through the lease's holder.
+  links.holder_seen = [this](const base::endpoint& holder) {
+    peers_.SetSeeds({holder});
+  };
+  links.held_put = [this](const std::string& key) {
+    return quarantine_.PutKey(key);
+  };
+  links.held_removed = [this](const std::string& key, bool lapsed) {
+    return quarantine_.RemoveKey(key, lapsed);
+  };
+  return links;
+}
+
 server_limit_links host::LimitLinks() {
   server_limit_links links;
   links.term = [this] { return lease_.CertainTerm(); };
@@ -401,105 +376,10 @@
   set("valeledge_log_lines_dropped", base::LinesDropped());
 }
 
-void host::Apply(catalog::configuration newer) {
-  const bool stale = core_.configuration != nullptr &&
-                     newer.version <= core_.configuration->version;
-  if (stale) {
-    if (newer.version < core_.configuration->version) {
-      base::Log(kCategory, log_event::kRevisionWentBack,
-                {{"platform", newer.version},
-                 {"here", core_.configuration->version}});
-    }
-    return;
-  }
-  net::http_limits limits;
-  limits.header_bytes = newer.limits.header_bytes;
-  limits.body_bytes = newer.limits.body_bytes;
-  limits.receive_timeout = newer.limits.header_timeout;
-  limits.idle_timeout = newer.limits.idle_timeout;
-  callers_.SetLimits(limits);
-  base::Log(kCategory, log_event::kTableApplied,
-            {{"version", newer.version},
-             {"routes", static_cast<std::int64_t>(newer.routes.size())}});
-  core_.configuration =
-      std::make_shared<const catalog::configuration>(std::move(newer));
-}
-
-void host::PutKey(const std::string& key, const std::string& value) {
-  const store_keys& keys = core_.speech.keys;
-  if (key == keys.configuration) {
-    auto decoded = core_.speech.decode_configuration(value);
-    if (decoded)
-      Apply(std::move(*decoded));
-    else
-      base::Log(kCategory, log_event::kStoredValueBroken,
-                {{"key", key}, {"reason", decoded.error().message}});
-    return;
-  }
-  if (key == store::kLeaderKey) {
-    // Whoever reads the store finds the others through the lease's holder.
-    if (const auto holder = base::ParseEndpoint(value))
-      peers_.SetSeeds({*holder});
-    return;
-  }
-  if (const auto zone = EvacuatedZone(keys, key)) {
-    core_.servers.Evacuate(*zone);
-    base::Log(kCategory, log_event::kZoneEvacuated, {{"zone", *zone}});
-    return;
-  }
-  if (quarantine_.PutKey(key) || !key.starts_with(keys.server_prefix))
-    return;
-  const std::string instance = key.substr(keys.server_prefix.size());
-  auto entry = core_.speech.decode_server(instance, value);
-  if (!entry) {
-    base::Log(kCategory, log_event::kStoredValueBroken,
-              {{"key", key}, {"reason", entry.error().message}});
-    return;
-  }
-  const bool draining = entry->draining;
-  const bool changed =
-      core_.servers.Put(std::move(*entry), std::chrono::steady_clock::now());
-  if (changed) {
-    base::Log(kCategory,
-              draining ? log_event::kServerLeaving : log_event::kServerUp,
-              {{"server", instance}});
-  }
-}
-
-void host::RemoveKey(const std::string& key, bool lapsed) {
-  const store_keys& keys = core_.speech.keys;
-  if (const auto zone = EvacuatedZone(keys, key)) {
-    core_.servers.EndEvacuation(*zone, std::chrono::steady_clock::now());
-    base::Log(kCategory, log_event::kZoneTakenBack, {{"zone", *zone}});
-    return;
-  }
-  if (quarantine_.RemoveKey(key, lapsed) ||
-      !key.starts_with(keys.server_prefix)) {
-    return;
-  }
-  const std::string instance = key.substr(keys.server_prefix.size());
-  base::Log(kCategory, log_event::kServerDown,
-            {{"server", instance}, {"lapsed", std::int64_t{lapsed}}});
-  core_.servers.Remove(instance, lapsed, kLapseGrace,
-                       std::chrono::steady_clock::now());
-}
-
 void host::TakeTold(const membership::direct_record& record) {
-  const bool with_demand = record.key == kDemandRecord;
-  if (record.key == kLoadRecord || with_demand) {
-    const auto load = wire::DecodeHostLoad(record.value);
-    if (!load)
-      return;
-    if (load->store_age_ms >= 0)
-      mirror_.HearAnswer(ToldAnswerOf(*load));
-    core_.servers.TakeLoads(record.sender, load->servers);
-    if (with_demand)
-      placement_.TakeDemand(record.sender, load->models);
-  } else if (record.key == kUseRecord) {
-    const auto load = wire::DecodeHostLoad(record.value);
-    if (load)
-      core_.servers.TakeSomeLoads(record.sender, load->servers);
-  } else if (record.key == kEndsRecord) {
+  if (loads_.Take(record))
+    return;
+  if (record.key == kEndsRecord) {
     const auto news = wire::DecodeEndNews(record.value);
     if (news)
       quarantine_.TakeNews(*news);
@@ -553,33 +433,6 @@
   co_return reply;
 }
 
-// Idle hosts still say how old what they know of the store is; hosts that
-// follow the store say it to all of their availability zone, so that its way
-// there does not grow with hosts. Only the holder of the lease plans for what
-// is asked for, and a new one makes itself known to all at once: without the
-// demand a report of a host among 295 has 143 bytes in place of 364, and 16
-// hosts get it four times a second.
-void host::ReportLoad() {
-  wire::host_load load;
-  load.servers = core_.servers.OwnLoads();
-  PutAnswer(mirror_.NewestAnswer(), load);
-  const auto holder = placement_.holder();
-  const bool uses = !load.servers.empty();
-  const bool used = std::exchange(told_any_use_, uses);
-  if (holder) {
-    const std::string value = wire::Encode(load);
-    peers_.Tell(std::string(kLoadRecord), value,
-                {uses || used ? kMostTold : kToldByIdle});
-    if (FollowsStore() && mirror_.IsCurrent()) {
-      peers_.Tell(std::string(kLoadRecord), value,
-                  {kAllHosts, {}, std::nullopt, core_.settings.zone});
-    }
-  }
-  load.models = core_.demand.Loads();
-  peers_.Tell(std::string(kDemandRecord), wire::Encode(load),
-              {holder ? 0 : kMostTold, {}, holder});
-}
-
 asio::awaitable<void> host::ReportLoop() {
   asio::steady_timer timer(core_.context);
   base::time_point flushed;
@@ -599,7 +452,7 @@
       flushed = now;
       base::FlushLogging();
     }
-    ReportLoad();
+    loads_.Report(FollowsStore());
     for (const std::string& name : peers_.TakeDead()) {
       core_.servers.ForgetHost(name);
       placement_.ForgetHost(name);
--- /dev/null
+++ b/src/host/process/store_feed.cc
@@ -0,0 +1,123 @@
+// SPDX-License-Identifier: MIT
+#include "host/process/store_feed.h"
+
+#include <chrono>
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <utility>
+
+#include "base/logging.h"
+#include "store/constants.h"
+
+namespace valeledge::host {
+
+namespace {
+
+using base::log_event;
+using std::chrono::milliseconds;
+
+constexpr std::string_view kCategory = "host";
+
+// Entries that lapse while the store is in trouble are used for so long.
+constexpr milliseconds kLapseGrace{1800};
+
+// The availability zone that a key says is being evacuated; nothing for other
+// keys.
+std::optional<std::string> EvacuatedZone(const store_keys& keys,
+                                         const std::string& key) {
+  const std::string& prefix = keys.evacuation_prefix;
+  if (prefix.empty() || !key.starts_with(prefix) || key.size() == prefix.size())
+    return std::nullopt;
+  return key.substr(prefix.size());
+}
+
+void LogBroken(const std::string& key, const base::error& broken) {
+  base::Log(kCategory, log_event::kStoredValueBroken,
+            {{"key", key}, {"reason", broken.message}});
+}
+
+}  // namespace
+
+store_feed::store_feed(host_core& core, store_feed_links links)
+    : core_(core), links_(std::move(links)) {}
+
+void store_feed::Apply(catalog::configuration newer) {
+  const bool stale = core_.configuration != nullptr &&
+                     newer.version <= core_.configuration->version;
+  if (stale) {
+    if (newer.version < core_.configuration->version) {
+      base::Log(kCategory, log_event::kRevisionWentBack,
+                {{"platform", newer.version},
+                 {"here", core_.configuration->version}});
+    }
+    return;
+  }
+  links_.configured(newer);
+  base::Log(kCategory, log_event::kTableApplied,
+            {{"version", newer.version},
+             {"routes", static_cast<std::int64_t>(newer.routes.size())}});
+  core_.configuration =
+      std::make_shared<const catalog::configuration>(std::move(newer));
+}
+
+void store_feed::Put(const std::string& key, const std::string& value) {
+  const store_keys& keys = core_.speech.keys;
+  if (key == keys.configuration) {
+    auto decoded = core_.speech.decode_configuration(value);
+    if (decoded)
+      Apply(std::move(*decoded));
+    else
+      LogBroken(key, decoded.error());
+    return;
+  }
+  if (key == store::kLeaderKey) {
+    if (const auto holder = base::ParseEndpoint(value))
+      links_.holder_seen(*holder);
+    return;
+  }
+  if (const auto zone = EvacuatedZone(keys, key)) {
+    core_.servers.Evacuate(*zone);
+    base::Log(kCategory, log_event::kZoneEvacuated, {{"zone", *zone}});
+    return;
+  }
+  if (!links_.held_put(key) && key.starts_with(keys.server_prefix))
+    PutServer(key.substr(keys.server_prefix.size()), value);
+}
+
+void store_feed::PutServer(const std::string& instance,
+                           const std::string& value) {
+  auto entry = core_.speech.decode_server(instance, value);
+  if (!entry) {
+    LogBroken(core_.speech.keys.server_prefix + instance, entry.error());
+    return;
+  }
+  const bool draining = entry->draining;
+  const bool changed =
+      core_.servers.Put(std::move(*entry), std::chrono::steady_clock::now());
+  if (changed) {
+    base::Log(kCategory,
+              draining ? log_event::kServerLeaving : log_event::kServerUp,
+              {{"server", instance}});
+  }
+}
+
+void store_feed::Remove(const std::string& key, bool lapsed) {
+  const store_keys& keys = core_.speech.keys;
+  if (const auto zone = EvacuatedZone(keys, key)) {
+    core_.servers.EndEvacuation(*zone, std::chrono::steady_clock::now());
+    base::Log(kCategory, log_event::kZoneTakenBack, {{"zone", *zone}});
+    return;
+  }
+  if (links_.held_removed(key, lapsed) ||
+      !key.starts_with(keys.server_prefix)) {
+    return;
+  }
+  const std::string instance = key.substr(keys.server_prefix.size());
+  base::Log(kCategory, log_event::kServerDown,
+            {{"server", instance}, {"lapsed", std::int64_t{lapsed}}});
+  core_.servers.Remove(instance, lapsed, kLapseGrace,
+                       std::chrono::steady_clock::now());
+}
+
+}  // namespace valeledge::host
