A test: a workspace's limit while its owner is frozen

The owner is frozen twice, and once while a third of the hosts is cut off; it keeps its state, notices nothing, and takes up at once what has come meanwhile. 7, 69, 300 hosts, two rates: no overrun, on the code as it is.

--- a/tests/auto/decisions/limit_fleet.h
+++ b/tests/auto/decisions/limit_fleet.h
@@ -30,6 +30,13 @@
   bool isolates = false;
 };
 
+// From `begin` to `end`, the owner's process is frozen: it answers nothing,
+// does not notice that time passes, and then takes up what has come meanwhile.
+struct owner_freeze {
+  double begin = 0;
+  double end = 0;
+};
+
 // One workspace from 0 to 34 s, hot from 6 to 30 s.
 struct limit_fleet_day {
   int hosts = 69;
@@ -38,6 +45,7 @@
   double hot = 8;
   double tokens = 1500;
   std::vector<fleet_cut> cuts;
+  std::vector<owner_freeze> freezes;
   // When the limit falls to a tenth, if ever.
   std::optional<double> lowered_at;
   // When all hosts start again, if ever.
@@ -109,8 +117,17 @@
       const double rate =
           day_.limit.rate * day_.usual * (is_hot ? day_.hot : 1) / day_.tokens;
       std::poisson_distribution<int> arrivals(rate * kFleetStep);
-      for (int left = arrivals(random_); left > 0; --left)
-        Note(random_() % hosts_.size(), now);
+      for (int left = arrivals(random_); left > 0; --left) {
+        const std::size_t host = random_() % hosts_.size();
+        if (host == 0 && IsFrozen(now))
+          ++held_up_;
+        else
+          Note(host, now);
+      }
+      if (!IsFrozen(now)) {
+        for (; held_up_ > 0; --held_up_)
+          Note(0, now);
+      }
     }
     out_.used_when_calm = calm_given_ / std::max(calm_due_, 1.0);
     out_.used_when_cut = cut_given_ / std::max(cut_due_, 1.0);
@@ -132,9 +149,20 @@
       if (now >= cut.begin && now < cut.end && sides_[i][a] != sides_[i][b])
         return cut.begin;
     }
+    for (const owner_freeze& freeze : day_.freezes) {
+      const bool frozen = now >= freeze.begin && now < freeze.end;
+      if (frozen && (a == 0) != (b == 0))
+        return freeze.begin;
+    }
     return std::nullopt;
   }
 
+  bool IsFrozen(double now) const {
+    return std::ranges::any_of(day_.freezes, [now](const owner_freeze& each) {
+      return now >= each.begin && now < each.end;
+    });
+  }
+
   // For how long a host has not seen another, as it notices it; negative while
   // it sees it.
   double UnseenFor(std::size_t from, std::size_t other, double now) const {
@@ -147,6 +175,12 @@
       if (apart && noticed)
         unseen = std::max(unseen, now - cut.begin);
     }
+    for (const owner_freeze& freeze : day_.freezes) {
+      const bool noticed =
+          now >= freeze.begin + kDoubtedAfter && now < freeze.end + kSeenAfter;
+      if (noticed && from != 0 && other == 0)
+        unseen = std::max(unseen, now - freeze.begin);
+    }
     return unseen;
   }
 
@@ -279,6 +313,8 @@
   limit_fleet_outcome out_;
   std::deque<std::pair<double, double>> given_;
   double sum_ = 0;
+  // Requests that came to a frozen owner.
+  int held_up_ = 0;
   double next_roll_ = 0;
   bool restarted_ = false;
   double calm_given_ = 0;
--- a/tests/auto/decisions/test_limit_fleet.cc
+++ b/tests/auto/decisions/test_limit_fleet.cc
@@ -77,6 +77,18 @@
            [](limit_fleet_day& day) { day.lowered_at = 14; });
 }
 
+BOOST_AUTO_TEST_CASE(when_the_owner_is_frozen_twice) {
+  CheckAll({}, [](limit_fleet_day& day) {
+    day.freezes = {{13, 18}, {21, 23}};
+  });
+}
+
+BOOST_AUTO_TEST_CASE(when_the_owner_is_frozen_while_a_third_is_cut_off) {
+  CheckAll({{14, 20, 0.3, false}}, [](limit_fleet_day& day) {
+    day.freezes = {{13, 18}};
+  });
+}
+
 BOOST_AUTO_TEST_CASE(when_all_hosts_start_again) {
   CheckAll({}, [](limit_fleet_day& day) { day.restarted_at = 14; });
 }
