--- a/src/host/process/placement_controller.cc
+++ b/src/host/process/placement_controller.cc
@@ -109,12 +109,6 @@
          placed.withdrawn != told.withdrawn;
 }
 
-// Whether the engine's own limit is lower than what is asked of it.
-bool IsBound(const engine_record& engine, base::time_point now) {
-  const known_server& server = *engine.server;
-  return server.IsLimited() && now < server.limit_binds_until;
-}
-
 bool Holds(const wire::placed_engine& engine, unit_key unit) {
   return std::ranges::find(engine.held, unit) != engine.held.end();
 }
@@ -245,21 +239,17 @@
   std::vector<decisions::plan_engine> engines;
   std::vector<std::shared_ptr<engine_record>> records;
   std::int64_t store_loads_planned = 0;
-  bool any_unbound = false;
   for (const auto& [instance, engine] : dispatcher_.engines()) {
     if (engine->server->entry.service != service.name)
       continue;
     LoadNext(engine, kind, now);
     engines.push_back(ViewOf(*engine, index, now));
     records.push_back(engine);
-    any_unbound = any_unbound || !IsBound(*engine, now);
     const bool waits_for_room = engine->next.has_value();
     if (waits_for_room && engines.back().loads_from_store)
       ++store_loads_planned;
   }
-  // What a limit keeps from an engine is served by others, if there are any.
-  for (std::size_t i = 0; any_unbound && i < engines.size(); ++i)
-    engines[i].serving = engines[i].serving && !IsBound(*records[i], now);
+  LeaveOutBound(records, now, engines);
   decisions::plan_limits limits;
   limits.slots = kind.slots;
   limits.store_loads =
--- a/src/host/process/plan_view.cc
+++ b/src/host/process/plan_view.cc
@@ -82,6 +82,19 @@
   return view;
 }
 
+void LeaveOutBound(const std::vector<std::shared_ptr<engine_record>>& engines,
+                   base::time_point now,
+                   std::vector<decisions::plan_engine>& views) {
+  const auto is_bound = [now](const std::shared_ptr<engine_record>& engine) {
+    const known_server& server = *engine->server;
+    return server.IsLimited() && now < server.limit_binds_until;
+  };
+  if (std::ranges::all_of(engines, is_bound))
+    return;
+  for (std::size_t i = 0; i < engines.size(); ++i)
+    views[i].serving = views[i].serving && !is_bound(engines[i]);
+}
+
 // Looks at the models that the engine has: a look at each of 336 models on each
 // of 240 engines was the largest part of what the holder of the lease did in a
 // plan.
--- a/tests/auto/decisions/test_server_limiter.cc
+++ b/tests/auto/decisions/test_server_limiter.cc
@@ -141,7 +141,8 @@
 BOOST_AUTO_TEST_SUITE(server_limiters)
 
 // The users' rule for any 4 s: one and a half times the limit and 5 requests.
-BOOST_AUTO_TEST_CASE(all_hosts_together_keep_a_servers_limit_in_any_trouble) {
+BOOST_AUTO_TEST_CASE(
+    a_servers_limit_is_not_overrun_by_all_hosts_in_any_trouble) {
   for (const std::int64_t hosts : {8, 69, 985}) {
     for (const double rate : {0.0, 0.1, 1.0, 2.3, 7.0, 50.0}) {
       const auto allowed = static_cast<std::int64_t>(1.5 * 4 * rate + 5);
--- a/tests/auto/host/test_place_duty.cc
+++ b/tests/auto/host/test_place_duty.cc
@@ -163,6 +163,17 @@
   BOOST_TEST((*none == nullptr));
 }
 
+BOOST_AUTO_TEST_CASE(a_server_that_advertises_a_limit_is_not_dealt) {
+  dealt_pair here;
+  here.AddServer("s2", 4);
+  here.dealer_core->servers.Find("s2")->advertised.limit = {
+      2, std::chrono::steady_clock::now()};
+  const auto place = here.Take(300ms);
+  BOOST_REQUIRE(place.has_value());
+  BOOST_REQUIRE(*place != nullptr);
+  BOOST_TEST((*place)->server() == "s1");
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
--- a/tests/auto/host/test_plan_view.cc
+++ b/tests/auto/host/test_plan_view.cc
@@ -131,6 +131,35 @@
   BOOST_TEST(least == std::vector<std::int64_t>({2, 2, 1, 1}));
 }
 
+// A model that only a server in need holds gets a replica elsewhere.
+BOOST_AUTO_TEST_CASE(an_engine_whose_limit_binds_does_not_serve_for_a_plan) {
+  world here;
+  std::vector<std::shared_ptr<host::engine_record>> engines;
+  for (int i = 0; i < 2; ++i) {
+    engines.push_back(std::make_shared<host::engine_record>(here.engine));
+    engines.back()->server = std::make_shared<host::known_server>();
+  }
+  host::known_server& limited = *engines.front()->server;
+  limited.advertised.limit = {1, here.now};
+  std::vector<decisions::plan_engine> views(2);
+  host::LeaveOutBound(engines, here.now, views);
+  BOOST_TEST(views[0].serving);
+  limited.limit_binds_until = here.now + 1s;
+  host::LeaveOutBound(engines, here.now, views);
+  BOOST_TEST(!views[0].serving);
+  BOOST_TEST(views[1].serving);
+}
+
+BOOST_AUTO_TEST_CASE(engines_whose_limits_all_bind_serve_for_a_plan) {
+  world here;
+  const auto engine = std::make_shared<host::engine_record>(here.engine);
+  engine->server->advertised.limit = {1, here.now};
+  engine->server->limit_binds_until = here.now + 1s;
+  std::vector<decisions::plan_engine> views(1);
+  host::LeaveOutBound({engine}, here.now, views);
+  BOOST_TEST(views[0].serving);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
--- a/tests/auto/host/test_server_limit_fleet.cc
+++ b/tests/auto/host/test_server_limit_fleet.cc
@@ -78,7 +78,7 @@
 BOOST_AUTO_TEST_SUITE(server_limit_fleet)
 
 // The users' rule for any 4 s: one and a half times the limit and 5 requests.
-BOOST_AUTO_TEST_CASE(hosts_that_know_a_limit_keep_it_together) {
+BOOST_AUTO_TEST_CASE(a_servers_limit_is_not_overrun_by_hosts_that_were_told) {
   constexpr std::size_t kAllowed = 11;
   constexpr int kHosts = 8;
   constexpr int kRequestsEach = 5;
