A request without a permit waits for a replica that comes in time

A request whose only engines are limited was refused at once also where another engine was loading its model in time. It waits then, as where no engine has the model. The choice of a server, its permit and its place are a function of their own.

--- a/src/host/process/store_feed.cc
+++ b/src/host/process/store_feed.cc
@@ -40,7 +40,7 @@
 }  // namespace
 
 store_feed::store_feed(host_core& core, store_feed_links links)
-    : core_(core), links_(std::move(links)) {}
+    : core_(core), links_(std::move(links)), keys_(core.speech.keys) {}
 
 void store_feed::Apply(catalog::configuration newer) {
   const bool stale = core_.configuration != nullptr &&
@@ -62,8 +62,7 @@
 }
 
 void store_feed::Put(const std::string& key, const std::string& value) {
-  const store_keys& keys = core_.speech.keys;
-  if (key == keys.configuration) {
+  if (key == keys_.configuration) {
     auto decoded = core_.speech.decode_configuration(value);
     if (decoded)
       Apply(std::move(*decoded));
@@ -76,20 +75,20 @@
       links_.holder_seen(*holder);
     return;
   }
-  if (const auto zone = EvacuatedZone(keys, key)) {
+  if (const auto zone = EvacuatedZone(keys_, key)) {
     core_.servers.Evacuate(*zone);
     base::Log(kCategory, log_event::kZoneEvacuated, {{"zone", *zone}});
     return;
   }
-  if (!links_.held_put(key) && key.starts_with(keys.server_prefix))
-    PutServer(key.substr(keys.server_prefix.size()), value);
+  if (!links_.held_put(key) && key.starts_with(keys_.server_prefix))
+    PutServer(key, value);
 }
 
-void store_feed::PutServer(const std::string& instance,
-                           const std::string& value) {
+void store_feed::PutServer(const std::string& key, const std::string& value) {
+  const std::string instance = key.substr(keys_.server_prefix.size());
   auto entry = core_.speech.decode_server(instance, value);
   if (!entry) {
-    LogBroken(core_.speech.keys.server_prefix + instance, entry.error());
+    LogBroken(key, entry.error());
     return;
   }
   const bool draining = entry->draining;
@@ -103,17 +102,16 @@
 }
 
 void store_feed::Remove(const std::string& key, bool lapsed) {
-  const store_keys& keys = core_.speech.keys;
-  if (const auto zone = EvacuatedZone(keys, key)) {
+  if (const auto zone = EvacuatedZone(keys_, key)) {
     core_.servers.EndEvacuation(*zone, std::chrono::steady_clock::now());
     base::Log(kCategory, log_event::kZoneTakenBack, {{"zone", *zone}});
     return;
   }
   if (links_.held_removed(key, lapsed) ||
-      !key.starts_with(keys.server_prefix)) {
+      !key.starts_with(keys_.server_prefix)) {
     return;
   }
-  const std::string instance = key.substr(keys.server_prefix.size());
+  const std::string instance = key.substr(keys_.server_prefix.size());
   base::Log(kCategory, log_event::kServerDown,
             {{"server", instance}, {"lapsed", std::int64_t{lapsed}}});
   core_.servers.Remove(instance, lapsed, kLapseGrace,
--- a/src/host/process/store_feed.h
+++ b/src/host/process/store_feed.h
@@ -34,10 +34,11 @@
 
  private:
   void Apply(catalog::configuration newer);
-  void PutServer(const std::string& instance, const std::string& value);
+  void PutServer(const std::string& key, const std::string& value);
 
   host_core& core_;
   store_feed_links links_;
+  const store_keys& keys_;
 };
 
 }  // namespace valeledge::host
--- a/src/host/request/server_search.cc
+++ b/src/host/request/server_search.cc
@@ -149,13 +149,10 @@
   return std::max(duration_cast<milliseconds>(due - now), milliseconds(0));
 }
 
-// Whether the request may be sent to the server that was chosen; asks for a
-// permit if the server advertises a limit.
+// Asks for a permit to send the request to a server that advertises a limit.
 asio::awaitable<bool> AcquirePermit(host_core& core,
                                     const routed_request& routed,
                                     const server_choice& choice) {
-  if (!choice.server->IsLimited())
-    co_return true;
   if (!core.take_permit) {
     choice.server->closed_until =
         std::chrono::steady_clock::now() + kUsualComeBack;
@@ -163,7 +160,9 @@
   }
   const bool granted =
       co_await core.take_permit(choice.server, PriorityOf(routed));
-  co_return granted&& choice.server->TakesRequests();
+  if (!granted)
+    co_return false;
+  co_return choice.server->TakesRequests();
 }
 
 // Waits for a place where the service's places are dealt out; else goes by this
@@ -196,6 +195,54 @@
   co_return std::move(own);
 }
 
+// What the request needs beside the server that was chosen: a permit if it
+// advertises a limit, a place if its places are dealt out. Nothing if another
+// server is to be chosen.
+asio::awaitable<base::result<std::optional<server_choice>>>
+Secure(host_core& core, const routed_request& routed, server_choice choice) {
+  std::optional<server_choice> secured;
+  if (choice.server->IsLimited()) {
+    const bool permitted = co_await AcquirePermit(core, routed, choice);
+    if (permitted)
+      secured = std::move(choice);
+    co_return std::move(secured);
+  }
+  if (!routed.head.model.empty()) {
+    secured = std::move(choice);
+    co_return std::move(secured);
+  }
+  auto dealt = co_await TakeDealtPlace(core, routed, std::move(choice));
+  if (!dealt)
+    co_return tl::make_unexpected(dealt.error());
+  // It may have advertised a limit meanwhile.
+  if (!dealt->server->IsLimited())
+    secured = std::move(*dealt);
+  co_return std::move(secured);
+}
+
+// How long no server of the request has a permit, if that is too long to wait;
+// nothing otherwise.
+std::optional<milliseconds> PermittedTooLate(host_core& core,
+                                             const routed_request& routed,
+                                             const server_wish& wish,
+                                             base::time_point now) {
+  const auto permitted_at = core.servers.PermittedAt(wish, now);
+  if (!permitted_at || *permitted_at < PartOfObjective(routed, kRefuseWithin))
+    return std::nullopt;
+  return duration_cast<milliseconds>(*permitted_at - now);
+}
+
+// Whether a replica that is being loaded is there in time.
+bool ReplicaComesInTime(host_core& core,
+                        const routed_request& routed,
+                        const server_wish& wish,
+                        base::time_point now) {
+  if (wish.model.empty())
+    return false;
+  const auto model = AbsentModelOf(core, routed, wish, now);
+  return model.due_in && decisions::ShouldAwaitReplica(model);
+}
+
 }  // namespace
 
 asio::awaitable<base::result<server_choice>> FindServer(
@@ -217,45 +264,40 @@
       co_return tl::make_unexpected(*leaving);
     const server_wish wish = WishOf(routed);
     auto choice = core.servers.Choose(wish, *routed.service, now, core.random);
-    if (choice && wish.model.empty()) {
-      const bool is_limited = choice->server->IsLimited();
-      if (!is_limited) {
-        auto dealt = co_await TakeDealtPlace(core, routed, std::move(*choice));
-        if (!dealt || !(*dealt).server->IsLimited())
-          co_return std::move(dealt);
-        continue;
-      }
-      const bool permitted = co_await AcquirePermit(core, routed, *choice);
-      if (permitted)
-        co_return std::move(*choice);
-      continue;
-    }
-    if (choice) {
+    if (choice && !wish.model.empty()) {
       const auto turn = TurnOf(routed, *choice, first_attempt, now);
       const auto decided = decisions::DecideTurn(turn);
-      if (decided == decisions::turn_decision::kSend) {
-        const bool permitted = co_await AcquirePermit(core, routed, *choice);
-        if (permitted)
-          co_return std::move(*choice);
-        continue;
-      }
       if (decided == decisions::turn_decision::kRefuse) {
         reason =
             base::MakeError(result_code::kOverloaded, base::outcome::kNotRun,
                             "all backend servers for this are busy");
         break;
       }
+      if (decided == decisions::turn_decision::kWait) {
+        pause.expires_after(kChoicePause);
+        co_await pause.async_wait(kAwait);
+        continue;
+      }
+    }
+    if (choice) {
+      auto secured = co_await Secure(core, routed, std::move(*choice));
+      if (!secured)
+        co_return tl::make_unexpected(secured.error());
+      if (*secured)
+        co_return std::move(**secured);
+      continue;
+    }
+    const auto permitted_in = PermittedTooLate(core, routed, wish, now);
+    if (permitted_in && ReplicaComesInTime(core, routed, wish, now)) {
       pause.expires_after(kChoicePause);
       co_await pause.async_wait(kAwait);
       continue;
     }
-    const auto permitted_at = core.servers.PermittedAt(wish, now);
-    if (permitted_at &&
-        *permitted_at >= PartOfObjective(routed, kRefuseWithin)) {
+    if (permitted_in) {
       reason = base::MakeError(
           result_code::kServerLimit, base::outcome::kNotRun,
           "the backend servers for this have reached their limits");
-      retry_after = duration_cast<milliseconds>(*permitted_at - now);
+      retry_after = permitted_in;
       break;
     }
     const bool refusable = now >= PartOfObjective(routed, kRefuseWithin);
--- a/tests/auto/host/test_server_limits.cc
+++ b/tests/auto/host/test_server_limits.cc
@@ -78,6 +78,33 @@
   BOOST_TEST(here.second.requests.size() == 10u);
 }
 
+// The only engine with the model has no permit, and another one loads it.
+BOOST_AUTO_TEST_CASE(a_request_without_a_permit_waits_for_a_replica_in_time) {
+  world here;
+  here.AddEngine(10s);
+  const auto hold = [&here](const std::string& instance) {
+    auto entry = here.core->servers.Find(instance)->entry;
+    entry.models.push_back({here.model, 1, {}});
+    here.core->servers.Put(entry, std::chrono::steady_clock::now());
+  };
+  hold("i-1");
+  here.AddServer("i-2", here.second.address());
+  const auto begun = std::chrono::steady_clock::now();
+  const auto limited = here.core->servers.Find("i-1");
+  limited->advertised.limit = {1, begun};
+  limited->closed_until = begun + 10s;
+  const auto loading = here.core->servers.Find("i-2");
+  loading->coming[host::KeyOf(here.model)] = begun + 400ms;
+  const seen_answer seen = here.Ask("/once/", [&](fake_responder&) {
+    const auto waited = std::chrono::steady_clock::now() - begun;
+    if (waited >= 300ms && loading->entry.models.empty())
+      hold("i-2");
+  });
+  BOOST_TEST(seen.status == 200);
+  BOOST_TEST(here.first.requests.empty());
+  BOOST_TEST(here.second.requests.size() == 1u);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
