--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -286,10 +286,9 @@
         await asyncio.sleep(fault.for_s)
         engine.late_orders = 0.0
 
-    async def _limit(self, fault, how):
+    async def _limit(self, fault):
         """A server advertises a limit, lowers it, and withdraws it; some do so
         only while they run several requests."""
-        del how
         server = self.site.servers[fault.target % len(self.site.servers)]
         if server.limit is not None:
             return
