Free places of plain services are dealt though the last ones took long

Cause, by its log: the machine stood still for 9.6 s around the start, the first four requests took 1.3 to 1.9 s; the dealer took a place for slower than any request had time, let each wait for 0 ms, and dropped it before it looked for a free place. As none was sent, none told otherwise. Patience is 1 ms at the least: a free place is given, a full service still refuses at once.

free_places_are_dealt_though_the_last_ones_took_long failed before.

--- a/src/decisions/place_ledger.cc
+++ b/src/decisions/place_ledger.cc
@@ -22,6 +22,10 @@
 // After it has turned a request away a server gets none for so long.
 constexpr std::chrono::milliseconds kRest{30};
 
+// A place that is free is taken at once, however long the last ones took: only
+// requests that are sent tell how long they take now.
+constexpr milliseconds kLeastPatience{1};
+
 // Weight of the newest request in the smoothed time.
 constexpr double kSmoothing = 0.05;
 
@@ -77,7 +81,7 @@
                                      std::chrono::milliseconds left) {
   const milliseconds spare = (milliseconds(left) - ledger.usual) / 2;
   return std::chrono::duration_cast<std::chrono::milliseconds>(
-      std::max(spare, milliseconds(0)));
+      std::max(spare, kLeastPatience));
 }
 
 std::optional<std::chrono::milliseconds> ExpectedWait(
--- a/tests/auto/decisions/test_place_ledger.cc
+++ b/tests/auto/decisions/test_place_ledger.cc
@@ -245,6 +245,18 @@
   }
 }
 
+// Servers or hosts stood still for a while: places seemed to be taken for
+// longer than requests have, and no request tells that they are not.
+BOOST_AUTO_TEST_CASE(free_places_are_dealt_though_the_last_ones_took_long) {
+  place_ledger ledger = Ledger(1, 1);
+  ledger.usual = 5s;
+  const auto first = AddWish(ledger, Wish(0, PatienceOf(ledger, 300ms)));
+  BOOST_TEST(Expire(ledger, kStart).empty());
+  BOOST_REQUIRE(Deal(ledger, kStart).size() == 1u);
+  GiveBackPlace(ledger, "s0", first, 30ms);
+  BOOST_TEST((ledger.usual < 5s));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
