--- a/src/host/process/server_limits.cc
+++ b/src/host/process/server_limits.cc
@@ -105,7 +105,7 @@
   if (!holder || std::chrono::steady_clock::now() < silent_until_)
     co_return std::nullopt;
   wire::envelope call;
-  call.__set_permit_wanted(std::move(wanted));
+  call.__set_permit_wanted(wanted);
   const auto reply =
       co_await links_.call(*holder, std::move(call), kHolderTimeout);
   if (reply && reply->__isset.permit)
@@ -224,7 +224,7 @@
   if (!holder)
     co_return;
   wire::envelope call;
-  call.__set_limit_changed(std::move(changed));
+  call.__set_limit_changed(changed);
   // A lost report is made up for by the next request for a permit.
   co_await links_.call(*holder, std::move(call), kHolderTimeout);
 }
