Sight: what servers state in responses about leaving and backoff is read, logged and counted

Callers saw nothing of this: no behaviour changes.

- decisions/server_notices holds what one run has stated, apart from its entry.
- process/response_updates applies responses of requests, orders and queries.

--- a/src/host/external_protocol.h
+++ b/src/host/external_protocol.h
@@ -80,6 +80,13 @@
   std::optional<double> limit;
   // The advertised limit is not a valid rate.
   bool limit_unreadable = false;
+  // The server states that it is leaving.
+  bool is_leaving = false;
+  // Time for which the server wants no requests from this host; not set if it
+  // does not state one.
+  std::optional<std::chrono::milliseconds> backoff;
+  // The stated time cannot be parsed.
+  bool backoff_unreadable = false;
 };
 
 enum class order_verb { kLoad, kUnload };
--- a/src/host/process/order_dispatcher.cc
+++ b/src/host/process/order_dispatcher.cc
@@ -15,6 +15,7 @@
 #include "base/identifier.h"
 #include "base/logging.h"
 #include "host/constants.h"
+#include "host/process/response_updates.h"
 
 namespace valeledge::host {
 
@@ -133,9 +134,12 @@
   engine->query_at.reset();
   const auto& entry = engine->server->entry;
   auto request = core_.protocol.make_state_request(entry.instance);
+  const auto sent = std::chrono::steady_clock::now();
   const auto response = co_await core_.http.Fetch(
       entry.address, std::move(request), kOrderTimeout);
   engine->querying = false;
+  if (response)
+    ApplyControlResponse(core_, *engine->server, response->base(), sent);
   const bool responded = response && response->result_int() == 200;
   const auto state = responded
                          ? core_.protocol.decode_state(response->body())
@@ -187,9 +191,12 @@
     co_return order_reply::kFenced;
   engine->sending = true;
   auto request = core_.protocol.make_order(order);
+  const auto sent = std::chrono::steady_clock::now();
   const auto response = co_await core_.http.Fetch(
       engine->server->entry.address, std::move(request), kOrderTimeout);
   engine->sending = false;
+  if (response)
+    ApplyControlResponse(core_, *engine->server, response->base(), sent);
   order_reply reply = order_reply::kUnknown;
   if (response)
     reply = core_.protocol.read_order_reply(
--- /dev/null
+++ b/src/host/process/response_updates.cc
@@ -0,0 +1,90 @@
+// SPDX-License-Identifier: MIT
+#include "host/process/response_updates.h"
+
+#include <cstdint>
+#include <string>
+
+#include "base/logging.h"
+#include "decisions/server_notices.h"
+#include "host/process/limit_updates.h"
+
+namespace valeledge::host {
+
+namespace {
+
+using base::log_event;
+
+constexpr std::string_view kCategory = "notices";
+constexpr std::string_view kCounter = "valeledge_server_notices_total";
+
+// The address of a server may belong to another instance by now.
+bool IsOfInstance(const response_metadata& response,
+                  const known_server& server) {
+  if (response.instance.empty())
+    return !response.misdirected;
+  return response.instance == server.entry.instance;
+}
+
+void RecordUnreadable(host_core& core, known_server& server) {
+  core.metrics.Counter(kCounter, "unreadable").Add();
+  if (!server.backoff_unreadable) {
+    base::Log(kCategory, log_event::kServerBackoffUnreadable,
+              {{"server", server.entry.instance}});
+  }
+  server.backoff_unreadable = true;
+}
+
+void ApplyNotices(host_core& core,
+                  known_server& server,
+                  const response_metadata& response) {
+  if (!IsOfInstance(response, server))
+    return;
+  if (response.backoff_unreadable)
+    RecordUnreadable(core, server);
+  const decisions::response_notice notice{response.is_leaving, response.backoff,
+                                          std::chrono::steady_clock::now()};
+  const auto changes = decisions::Observe(server.notices, notice);
+  if (response.backoff)
+    core.metrics.Counter(kCounter, "backoff").Add();
+  if (changes.started_leaving) {
+    core.metrics.Counter(kCounter, "leaving").Add();
+    base::Log(kCategory, log_event::kServerLeaving,
+              {{"server", server.entry.instance}, {"source", "response"}});
+  }
+  if (changes.started_backoff) {
+    base::Log(kCategory, log_event::kServerBackoffStarted,
+              {{"server", server.entry.instance},
+               {"service", server.entry.service},
+               {"for_ms", std::int64_t{response.backoff->count()}}});
+  }
+}
+
+}  // namespace
+
+void ApplyRequestResponse(host_core& core,
+                          known_server& server,
+                          const response_metadata& response,
+                          base::time_point sent) {
+  ApplyResponseLimit(core, server, response, sent);
+  ApplyNotices(core, server, response);
+}
+
+void ApplyControlResponse(host_core& core,
+                          known_server& server,
+                          const net::http_response_header& header,
+                          base::time_point sent) {
+  const response_metadata response = core.protocol.read_response(header);
+  if (response.limit)
+    ApplyResponseLimit(core, server, response, sent);
+  ApplyNotices(core, server, response);
+}
+
+void CountSendAgainstNotice(host_core& core, const known_server& server) {
+  constexpr std::string_view kSends = "valeledge_sends_against_notice_total";
+  if (server.SaysLeaving())
+    core.metrics.Counter(kSends, "leaving").Add();
+  if (server.IsBackingOff())
+    core.metrics.Counter(kSends, "backoff").Add();
+}
+
+}  // namespace valeledge::host
--- a/src/host/process/server_registry.h
+++ b/src/host/process/server_registry.h
@@ -23,6 +23,7 @@
 #include "decisions/cold_start.h"
 #include "decisions/read_pacing.h"
 #include "decisions/server_cost.h"
+#include "decisions/server_notices.h"
 #include "host/external_protocol.h"
 #include "host/process/slot_handle.h"
 #include "wire/generated/messages_types.h"
@@ -92,6 +93,10 @@
   decisions::limit_view advertised;
   // It has advertised a limit that cannot be parsed.
   bool limit_unreadable = false;
+  // Its statements in responses to this host.
+  decisions::server_notices notices;
+  // It has asked for a backoff with a time that cannot be parsed.
+  bool backoff_unreadable = false;
   // No permit was available for it; none is requested before this time.
   base::time_point permit_retry_at;
   // This host is waiting for a permit for it.
@@ -104,6 +109,12 @@
   bool IsPermitted(base::time_point now) const {
     return !IsLimited() || (!permit_pending && now >= permit_retry_at);
   }
+  // Whether one of its responses has stated that it is leaving.
+  bool SaysLeaving() const { return notices.leaving_since.has_value(); }
+  // Whether it has asked this host to send nothing now.
+  bool IsBackingOff() const {
+    return decisions::IsBackingOff(notices, std::chrono::steady_clock::now());
+  }
   bool TakesRequests() const { return !leaving && !evacuated; }
   // Whether the server is warming up and can take only a few requests.
   bool IsCold(const catalog::service& service, base::time_point now) const;
--- a/src/host/process/store_update_handler.cc
+++ b/src/host/process/store_update_handler.cc
@@ -104,7 +104,7 @@
   if (changed) {
     base::Log(kCategory,
               draining ? log_event::kServerLeaving : log_event::kServerUp,
-              {{"server", instance}});
+              {{"server", instance}, {"source", "entry"}});
   }
 }
 
--- a/src/host/request/relay.cc
+++ b/src/host/request/relay.cc
@@ -10,7 +10,7 @@
 #include <boost/beast/http.hpp>
 
 #include "host/constants.h"
-#include "host/process/limit_updates.h"
+#include "host/process/response_updates.h"
 #include "host/request/attempt_progress.h"
 #include "host/request/caller_authentication.h"
 #include "host/request/crash_monitor.h"
@@ -286,6 +286,7 @@
   progress_ = {std::chrono::steady_clock::now(), {}, {}};
   last_error_ = {};
   LogAttemptSent(core_, routed_, trace_, choice, attempt_fields);
+  CountSendAgainstNotice(core_, server);
   auto opened = co_await core_.http.Open(
       server.entry.address, std::move(forwarded),
       std::min(RemainingTime(routed_), kConnectTimeout), header_timeout,
@@ -318,7 +319,7 @@
         "the response is unsigned or belongs to another request");
     co_return attempt_outcome::kUnknown;
   }
-  ApplyResponseLimit(core_, server, metadata, progress_.sent);
+  ApplyRequestResponse(core_, server, metadata, progress_.sent);
   if (metadata.not_run || metadata.misdirected) {
     attempt.OnRefused(metadata);
     last_error_ =
--- a/src/host/request/request_trace.cc
+++ b/src/host/request/request_trace.cc
@@ -1,6 +1,9 @@
 // SPDX-License-Identifier: MIT
 #include "host/request/request_trace.h"
 
+#include <algorithm>
+#include <chrono>
+
 #include "base/logging.h"
 
 namespace valeledge::host {
@@ -14,6 +17,12 @@
   return AdapterUnit(routed.metadata.model, routed.metadata.adapter);
 }
 
+std::int64_t MillisecondsUntil(base::time_point when) {
+  const auto left = std::chrono::ceil<std::chrono::milliseconds>(
+      when - std::chrono::steady_clock::now());
+  return std::max<std::int64_t>(left.count(), 0);
+}
+
 }  // namespace
 
 void LogAttemptSent(host_core& core,
@@ -38,6 +47,8 @@
        {"running", server.own.running + server.others.running},
        {"dealt", std::int64_t{choice.slot != nullptr}},
        {"limited", std::int64_t{server.IsLimited()}},
+       {"says_leaving", std::int64_t{server.SaysLeaving()}},
+       {"backoff_ms", MillisecondsUntil(server.notices.backoff_until)},
        {"after_ms", MillisecondsSince(routed.arrived)},
        {"left_ms",
         static_cast<std::int64_t>(attempt_fields.deadline.count())}});
--- a/tests/auto/platform/test_codecs.cc
+++ b/tests/auto/platform/test_codecs.cc
@@ -154,6 +154,32 @@
   }
 }
 
+BOOST_AUTO_TEST_CASE(a_leaving_server_is_known_by_its_responses) {
+  const host::external_protocol speech = platform::MakeDialect();
+  net::http_response_header header;
+  BOOST_TEST(!speech.read_response(header).is_leaving);
+  header.set("Server-Leaving", "1");
+  BOOST_TEST(speech.read_response(header).is_leaving);
+  header.set("Server-Leaving", "0");
+  BOOST_TEST(!speech.read_response(header).is_leaving);
+}
+
+BOOST_AUTO_TEST_CASE(only_a_refusal_asks_for_a_backoff) {
+  const host::external_protocol speech = platform::MakeDialect();
+  for (const int status : {200, 400, 421, 429, 500, 503}) {
+    BOOST_TEST_CONTEXT(status) {
+      net::http_response_header header;
+      header.result(status);
+      header.set("Retry-After", "2.5");
+      const bool refuses = status == 429 || status == 503;
+      const auto backoff = speech.read_response(header).backoff;
+      BOOST_TEST(backoff.has_value() == refuses);
+      header.set("Retry-After", "later");
+      BOOST_TEST(speech.read_response(header).backoff_unreadable == refuses);
+    }
+  }
+}
+
 // What only the system may ask of a server, as a caller could write it.
 constexpr const char* kReservedFields[] = {
     "X-Request-Priority", "X-Expect-Instance", "X-Expect-Version", "X-Hold",
