A server that says in its responses that it leaves gets no more requests

What callers saw: requests, also ones that may run once, at a server about to exit; in the record 2.1 s after a response had said so (bound 2 s). Cause: no code read the statement; a host learnt that a server leaves from its entry alone, which the store accepted 12 s later. The mark of a 421 of another instance had a fault of the same kind: the next heartbeat undid it. Change: responses and entries are facts with lives of their own (server_notices, known_server::leaving); what a response said holds until the run ends. One check, known_server::SendBlock, is asked when a server is selected, when a slot or permit arrives, and on the ready connection right before the request is written. A server that starts again under its id (its start time) is a new run, also for orders.

--- a/src/catalog/backend_server.h
+++ b/src/catalog/backend_server.h
@@ -20,10 +20,12 @@
   std::vector<std::string> adapters;
 };
 
-// The entry of a backend server in the list of servers. Each start of a
-// server is another instance.
+// The entry of a backend server in the list of servers.
 struct backend_server {
   std::string instance;
+  // Start of the server's run by its own clock; a server may start again as the
+  // same instance. Not set if not stated.
+  std::optional<std::chrono::sys_time<std::chrono::milliseconds>> started_at;
   std::string service;
   base::endpoint address;
   std::string zone;
--- a/src/decisions/server_notices.cc
+++ b/src/decisions/server_notices.cc
@@ -5,6 +5,13 @@
 
 namespace valeledge::decisions {
 
+namespace {
+
+// Entries are written every few seconds and read within another second.
+constexpr std::chrono::seconds kReplacedLifetime{5};
+
+}  // namespace
+
 notice_changes Observe(server_notices& known, const response_notice& seen) {
   notice_changes changes;
   if (seen.is_leaving && !known.leaving_since) {
@@ -19,6 +26,19 @@
   return changes;
 }
 
+void RecordReplaced(server_notices& known, base::time_point now) {
+  known.replaced_at = now;
+}
+
+void ObserveEntry(server_notices& known, base::time_point now) {
+  if (known.replaced_at && now - *known.replaced_at >= kReplacedLifetime)
+    known.replaced_at.reset();
+}
+
+bool HasLeft(const server_notices& known) {
+  return known.leaving_since || known.replaced_at;
+}
+
 bool IsBackingOff(const server_notices& known, base::time_point now) {
   return now < known.backoff_until;
 }
--- a/src/decisions/server_notices.h
+++ b/src/decisions/server_notices.h
@@ -17,6 +17,8 @@
   // Receive time of the first response that stated that the server is leaving.
   // A server that leaves does not return in the same run.
   std::optional<base::time_point> leaving_since;
+  // Receive time of a response of another instance at the server's address.
+  std::optional<base::time_point> replaced_at;
   // The server wants no requests from this host before this time.
   base::time_point backoff_until;
 };
@@ -40,6 +42,17 @@
 // what another one has stated: the latest end of all backoffs counts.
 notice_changes Observe(server_notices& known, const response_notice& seen);
 
+// Records that another instance has responded at the server's address.
+void RecordReplaced(server_notices& known, base::time_point now);
+
+// Applies an update of the server's entry. An update long after a response of
+// another instance shows that the server is at its address; an earlier one may
+// have been written before that response.
+void ObserveEntry(server_notices& known, base::time_point now);
+
+// Whether the responses show that the server takes no more requests.
+bool HasLeft(const server_notices& known);
+
 bool IsBackingOff(const server_notices& known, base::time_point now);
 
 }  // namespace valeledge::decisions
--- a/src/host/process/order_dispatcher.cc
+++ b/src/host/process/order_dispatcher.cc
@@ -108,7 +108,8 @@
     if (service == nullptr || !service->HasModels())
       continue;
     auto& engine = engines_[instance];
-    if (engine == nullptr) {
+    // An engine that has started again under its id holds nothing of before.
+    if (engine == nullptr || engine->server != server) {
       engine = std::make_shared<engine_record>();
       engine->server = server;
       engine->query_at = now;
--- a/src/host/process/response_updates.cc
+++ b/src/host/process/response_updates.cc
@@ -79,12 +79,4 @@
   ApplyNotices(core, server, response);
 }
 
-void CountSendAgainstNotice(host_core& core, const known_server& server) {
-  constexpr std::string_view kSends = "valeledge_sends_against_notice_total";
-  if (server.SaysLeaving())
-    core.metrics.Counter(kSends, "leaving").Add();
-  if (server.IsBackingOff())
-    core.metrics.Counter(kSends, "backoff").Add();
-}
-
 }  // namespace valeledge::host
--- a/src/host/process/response_updates.h
+++ b/src/host/process/response_updates.h
@@ -24,10 +24,6 @@
                           const net::http_response_header& header,
                           base::time_point sent);
 
-// Counts a request that is sent although a response of the server has stated
-// that it should not be.
-void CountSendAgainstNotice(host_core& core, const known_server& server);
-
 }  // namespace valeledge::host
 
 #endif  // VALELEDGE_HOST_PROCESS_RESPONSE_UPDATES_H_
--- a/src/host/process/server_registry.cc
+++ b/src/host/process/server_registry.cc
@@ -78,6 +78,12 @@
   return found == entry.models.end() ? nullptr : &*found;
 }
 
+bool IsNewerRun(const catalog::backend_server& entry,
+                const catalog::backend_server& known) {
+  return entry.started_at && known.started_at &&
+         *entry.started_at > *known.started_at;
+}
+
 }  // namespace
 
 unit_key KeyOf(std::string_view name) {
@@ -128,8 +134,17 @@
   return may_be || decisions::IsCold(cold, now);
 }
 
+send_block known_server::SendBlock() const {
+  if (leaving || decisions::HasLeft(notices))
+    return send_block::kLeaving;
+  return evacuated ? send_block::kEvacuated : send_block::kNone;
+}
+
 bool server_registry::Put(catalog::backend_server entry, base::time_point now) {
   auto& slot = servers_[entry.instance];
+  // Nothing that is known of the earlier run applies to this one.
+  if (slot != nullptr && IsNewerRun(entry, slot->entry))
+    slot.reset();
   if (slot == nullptr) {
     slot = std::make_shared<known_server>();
     slot->key = KeyOf(entry.instance);
@@ -152,6 +167,9 @@
   // An instance that has started draining does not stop doing so, but one whose
   // entry merely expired may reappear.
   const bool left = slot->leaving && slot->entry.draining;
+  if (slot->entry.address != entry.address)
+    slot->notices.replaced_at.reset();
+  decisions::ObserveEntry(slot->notices, now);
   slot->entry = std::move(entry);
   slot->evacuated = evacuated_zones_.contains(slot->entry.zone);
   slot->reinstated_at.reset();
--- a/src/host/process/server_registry.h
+++ b/src/host/process/server_registry.h
@@ -59,12 +59,15 @@
   std::map<std::uint64_t, base::time_point> last_seen;
 };
 
-// One instance of a backend server.
+// Why a server must get no requests from this host now.
+enum class send_block { kNone, kLeaving, kEvacuated };
+
+// One run of a backend server.
 struct known_server {
   catalog::backend_server entry;
   unit_key key = 0;
   // Its entry was removed, or says that the server is draining: it gets no new
-  // requests.
+  // requests. What its responses say is in `notices`.
   bool leaving = false;
   // Its availability zone is evacuated: it gets no new requests until the
   // evacuation ends.
@@ -115,7 +118,11 @@
   bool IsBackingOff() const {
     return decisions::IsBackingOff(notices, std::chrono::steady_clock::now());
   }
-  bool TakesRequests() const { return !leaving && !evacuated; }
+  // The check that every request must pass right before it is sent, in
+  // addition to a permit or a slot if the server requires one.
+  send_block SendBlock() const;
+  // Whether it takes part in serving its models or its service.
+  bool TakesRequests() const { return SendBlock() == send_block::kNone; }
   // Whether the server is warming up and can take only a few requests.
   bool IsCold(const catalog::service& service, base::time_point now) const;
 
--- a/src/host/request/relay.cc
+++ b/src/host/request/relay.cc
@@ -20,6 +20,7 @@
 #include "host/request/request_trace.h"
 #include "host/request/retry_permit.h"
 #include "host/request/routed_request.h"
+#include "host/request/send_check.h"
 #include "host/request/server_attempt.h"
 #include "host/request/server_search.h"
 
@@ -286,13 +287,17 @@
   progress_ = {std::chrono::steady_clock::now(), {}, {}};
   last_error_ = {};
   LogAttemptSent(core_, routed_, trace_, choice, attempt_fields);
-  CountSendAgainstNotice(core_, server);
+  guard_->SetSendCheck([this, &server] { return CheckSend(core_, server); });
   auto opened = co_await core_.http.Open(
       server.entry.address, std::move(forwarded),
       std::min(RemainingTime(routed_), kConnectTimeout), header_timeout,
       net::connection_use::kPooled, guard_.get());
   if (responder_.caller_gone())
     co_return attempt_outcome::kDone;
+  if (!opened && WasWithheld(opened.error())) {
+    last_error_ = opened.error();
+    co_return attempt_outcome::kNotRun;
+  }
   if (!opened) {
     last_error_ = opened.error();
     const bool not_run = last_error_.what_ran == base::outcome::kNotRun;
--- a/src/host/request/retry_permit.cc
+++ b/src/host/request/retry_permit.cc
@@ -1,6 +1,8 @@
 // SPDX-License-Identifier: MIT
 #include "host/request/retry_permit.h"
 
+#include "host/request/send_check.h"
+
 namespace valeledge::host {
 
 bool retry_permit::MayAcquire(const std::string& service,
@@ -22,7 +24,10 @@
 }
 
 void retry_permit::RecordFailure(const base::error& failed) {
-  if (failed.code == base::result_code::kBackendUnreachable)
+  const bool reached_no_server =
+      failed.code == base::result_code::kBackendUnreachable ||
+      WasWithheld(failed);
+  if (reached_no_server)
     return;
   may_have_reached_server_ = true;
   has_unused_retry_ = false;
--- a/src/host/request/server_attempt.cc
+++ b/src/host/request/server_attempt.cc
@@ -119,7 +119,7 @@
       metadata_.model.empty() || (!response.instance.empty() &&
                                   response.instance != server_->entry.instance);
   if (gone) {
-    server_->leaving = true;
+    decisions::RecordReplaced(server_->notices, now);
     return;
   }
   // The server no longer holds the unit. Its entry does not show that yet.
--- a/src/host/request/server_search.cc
+++ b/src/host/request/server_search.cc
@@ -142,6 +142,7 @@
   const server_query query = QueryOf(routed);
   for (const auto& [instance, server] : core.servers.servers()) {
     const bool unusable = !decisions::AllowsRequests(server->trust, now) ||
+                          server->SendBlock() != send_block::kNone ||
                           server->IsLimited() ||
                           !IsInAllowedRegion(query, server->region);
     if (server->entry.service == routed.service->name && unusable)
@@ -171,12 +172,13 @@
       co_await core.acquire_permit(choice.server, PriorityOf(routed));
   if (!granted)
     co_return false;
-  co_return choice.server->TakesRequests();
+  co_return choice.server->SendBlock() == send_block::kNone;
 }
 
 // Waits for a slot if the service's slots are allocated centrally. Otherwise
-// returns this host's own choice.
-asio::awaitable<base::result<server_choice>> AcquireSlot(
+// returns this host's own choice. Returns nothing if another server must be
+// chosen.
+asio::awaitable<base::result<std::optional<server_choice>>> AcquireSlot(
     host_core& core,
     const routed_request& routed,
     server_choice local_choice) {
@@ -191,17 +193,21 @@
   auto slot = co_await core.acquire_slot(std::move(slot_request));
   if (!slot)
     co_return tl::make_unexpected(slot.error());
-  if (*slot == nullptr)
-    co_return std::move(local_choice);
-  auto server = core.servers.Find((*slot)->server());
-  // This host may have learned meanwhile that the server is not available.
-  if (server == nullptr || !server->TakesRequests() ||
-      !IsInAllowedRegion(QueryOf(routed), server->region)) {
-    co_return std::move(local_choice);
+  // This host may have learned meanwhile that a server is not available.
+  const auto may_send = [&](const known_server& server) {
+    return server.SendBlock() == send_block::kNone &&
+           IsInAllowedRegion(QueryOf(routed), server.region);
+  };
+  auto server = *slot ? core.servers.Find((*slot)->server()) : nullptr;
+  std::optional<server_choice> out;
+  if (server != nullptr && may_send(*server)) {
+    local_choice.server = std::move(server);
+    local_choice.slot = std::move(*slot);
+    out = std::move(local_choice);
+  } else if (may_send(*local_choice.server)) {
+    out = std::move(local_choice);
   }
-  local_choice.server = std::move(server);
-  local_choice.slot = std::move(*slot);
-  co_return std::move(local_choice);
+  co_return out;
 }
 
 // Acquires a permit if the chosen server advertises a limit, or a slot if its
@@ -226,7 +232,7 @@
   if (!slot)
     co_return tl::make_unexpected(slot.error());
   // The server may have advertised a limit meanwhile.
-  if (!slot->server->IsLimited())
+  if (*slot && !(*slot)->server->IsLimited())
     secured = std::move(*slot);
   co_return std::move(secured);
 }
--- a/src/net/http_client.cc
+++ b/src/net/http_client.cc
@@ -243,6 +243,14 @@
     link->stream.socket().set_option(asio::ip::tcp::no_delay(true), ignored);
   }
   watched.link_ = link.get();
+  if (watched.check_) {
+    const auto allowed = watched.check_();
+    if (!allowed) {
+      link->stale_at = std::chrono::steady_clock::now() + kIdleTimeout;
+      pool_->Give(where, std::move(link));
+      co_return tl::make_unexpected(allowed.error());
+    }
+  }
   if (request.find(http::field::host) == request.end())
     request.set(http::field::host, base::ToString(where));
   request.prepare_payload();
--- a/src/net/http_client.h
+++ b/src/net/http_client.h
@@ -66,6 +66,12 @@
 // Lets the caller of Open give it up while it waits. One call at a time.
 class open_guard {
  public:
+  // Sets a check that runs on a connection that is ready, right before the
+  // request is written. If it returns an error, nothing is sent and Open
+  // returns that error.
+  void SetSendCheck(std::function<base::result<void>()> check) {
+    check_ = std::move(check);
+  }
   // Closes the connection of the call, if there is one; a later Open with
   // this guard fails at once as not run.
   void Cancel();
@@ -73,6 +79,7 @@
 
  private:
   friend class http_client;
+  std::function<base::result<void>()> check_;
   detail::connection* link_ = nullptr;
   bool cancelled_ = false;
 };
--- a/tests/auto/host/test_order_dispatcher.cc
+++ b/tests/auto/host/test_order_dispatcher.cc
@@ -199,6 +199,33 @@
   BOOST_TEST(!engine.models.contains("loading"));
 }
 
+// Responses to orders and queries state it like those to requests.
+BOOST_AUTO_TEST_CASE(an_engine_whose_reply_says_it_leaves_is_known_to_leave) {
+  engine_fixture setup;
+  setup.DiscoverEngine();
+  setup.backend.script = {
+      {"HTTP/1.1 202 Accepted\r\nServer-Leaving: 1\r\n"
+       "Content-Length: 0\r\n\r\n"}};
+  const auto placed = setup.RequestAdapter("a1");
+  while (!*placed)
+    setup.context.run_one();
+  BOOST_TEST(!setup.core.servers.Find("i-1")->TakesRequests());
+}
+
+BOOST_AUTO_TEST_CASE(an_engine_that_starts_again_under_its_id_is_empty) {
+  engine_fixture setup;
+  setup.DiscoverEngine();
+  const auto before = setup.dispatcher.engines().at("i-1");
+  const catalog::backend_server entry = before->server->entry;
+  setup.core.servers.Remove("i-1", false, 0ms,
+                            std::chrono::steady_clock::now());
+  setup.core.servers.Put(entry, std::chrono::steady_clock::now());
+  setup.dispatcher.Refresh();
+  const auto after = setup.dispatcher.engines().at("i-1");
+  BOOST_TEST((after->server == setup.core.servers.Find("i-1")));
+  BOOST_TEST(!after->accepted.has_value());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
--- a/tests/auto/host/test_server_registry.cc
+++ b/tests/auto/host/test_server_registry.cc
@@ -230,6 +230,40 @@
   BOOST_TEST(setup.Choose() == "i-1");
 }
 
+// Each heartbeat of a server updates its entry.
+BOOST_AUTO_TEST_CASE(a_heartbeat_does_not_undo_what_responses_have_shown) {
+  fixture setup;
+  const auto first = setup.registry.Find("i-1");
+  first->notices.leaving_since = setup.now;
+  decisions::RecordReplaced(setup.registry.Find("i-2")->notices, setup.now);
+  setup.registry.Put(first->entry, setup.now + 1s);
+  setup.registry.Put(setup.registry.Find("i-2")->entry, setup.now + 1s);
+  BOOST_TEST(setup.Choose() == "none");
+  // The second one still writes its entry, so it is there.
+  setup.registry.Put(first->entry, setup.now + 10s);
+  setup.registry.Put(setup.registry.Find("i-2")->entry, setup.now + 10s);
+  BOOST_TEST(setup.Choose() == "i-2");
+}
+
+BOOST_AUTO_TEST_CASE(a_server_that_starts_again_under_its_id_is_used) {
+  fixture setup;
+  using std::chrono::sys_time;
+  catalog::backend_server entry = setup.registry.Find("i-1")->entry;
+  entry.started_at = sys_time<std::chrono::milliseconds>(1000ms);
+  setup.registry.Remove("i-2", false, 0ms, setup.now);
+  setup.registry.Put(entry, setup.now);
+  const auto earlier = setup.registry.Find("i-1");
+  earlier->notices.leaving_since = setup.now;
+  entry.draining = true;
+  setup.registry.Put(entry, setup.now);
+  BOOST_TEST(setup.Choose() == "none");
+  entry.draining = false;
+  entry.started_at = sys_time<std::chrono::milliseconds>(2000ms);
+  BOOST_TEST(setup.registry.Put(entry, setup.now));
+  BOOST_TEST(setup.Choose() == "i-1");
+  BOOST_TEST((setup.registry.Find("i-1") != earlier));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
