A server that asks for a pause gets no requests from this host until it ends

Cause: no code read Retry-After of a 503; a full server was avoided for 30 ms, and one that refuses at once has no load, so it looked like the best choice. Change: the backoff is a part of server_notices, apart from server_health, so neither failures nor probes end it; the latest end counts. After it one request is sent as a trial. Engines in a backoff still count as replicas, since they return, but no adapters are loaded ahead there.

--- a/src/decisions/server_notices.h
+++ b/src/decisions/server_notices.h
@@ -21,6 +21,11 @@
   std::optional<base::time_point> replaced_at;
   // The server wants no requests from this host before this time.
   base::time_point backoff_until;
+  // After a backoff, one request is sent as a trial, and the others wait for
+  // its response until this time.
+  base::time_point trial_until;
+  // The next request is a trial.
+  bool trial_due = false;
 };
 
 // What one response states.
@@ -53,8 +58,20 @@
 // Whether the responses show that the server takes no more requests.
 bool HasLeft(const server_notices& known);
 
+// Whether the server wants no requests from this host now.
 bool IsBackingOff(const server_notices& known, base::time_point now);
 
+// Whether the server is in a backoff, or a trial is in progress.
+bool IsPaused(const server_notices& known, base::time_point now);
+
+// When the pause ends; in the past if there is none.
+base::time_point PausedUntil(const server_notices& known);
+
+// Call when a request is about to be sent. Returns true if it is the trial;
+// EndTrial() must be called once its response or its failure is known.
+bool BeginTrial(server_notices& known, base::time_point now);
+void EndTrial(server_notices& known);
+
 }  // namespace valeledge::decisions
 
 #endif  // VALELEDGE_DECISIONS_SERVER_NOTICES_H_
--- a/src/host/process/order_dispatcher.cc
+++ b/src/host/process/order_dispatcher.cc
@@ -322,11 +322,14 @@
                         IsIdle(*engine);
     if (!usable)
       continue;
-    // Prefers engines with free adapter slots and no rate limit. Among equals
-    // picks the same engine each time, since it reloads an adapter that it held
-    // before faster.
-    const std::int64_t crowded =
-        AdaptersHeld(*engine) >= slots || server.IsLimited() ? 1 : 0;
+    // Prefers engines with free adapter slots and no rate limit or backoff.
+    // Among equals picks the same engine each time, since it reloads an adapter
+    // that it held before faster.
+    const std::int64_t crowded = AdaptersHeld(*engine) >= slots ||
+                                         server.IsLimited() ||
+                                         server.IsBackingOff()
+                                     ? 1
+                                     : 0;
     const std::pair rank(crowded,
                          ~base::RendezvousWeight(unit, server.entry.instance));
     if (best == nullptr || rank < best_rank) {
--- a/src/host/process/placement_controller.cc
+++ b/src/host/process/placement_controller.cc
@@ -286,7 +286,7 @@
   std::vector<std::shared_ptr<engine_record>> serving;
   for (const auto& engine : records) {
     const known_server& server = *engine->server;
-    if (!server.TakesRequests() || server.IsLimited())
+    if (!server.TakesRequests() || server.IsLimited() || server.IsBackingOff())
       continue;
     engines.push_back(AdapterViewOf(*engine, index));
     serving.push_back(engine);
--- a/src/host/process/server_registry.cc
+++ b/src/host/process/server_registry.cc
@@ -134,10 +134,13 @@
   return may_be || decisions::IsCold(cold, now);
 }
 
-send_block known_server::SendBlock() const {
+send_block known_server::SendBlock(base::time_point now) const {
   if (leaving || decisions::HasLeft(notices))
     return send_block::kLeaving;
-  return evacuated ? send_block::kEvacuated : send_block::kNone;
+  if (evacuated)
+    return send_block::kEvacuated;
+  return decisions::IsBackingOff(notices, now) ? send_block::kBackoff
+                                               : send_block::kNone;
 }
 
 bool server_registry::Put(catalog::backend_server entry, base::time_point now) {
@@ -245,17 +248,17 @@
 bool server_registry::IsCandidate(const known_server& server,
                                   const server_query& query,
                                   base::time_point now) const {
-  return server.IsPermitted(now) && IsUsable(server, query, now);
+  return server.IsPermitted(now) && IsEligible(server, query, now) &&
+         !decisions::IsPaused(server.notices, now) &&
+         decisions::AllowsRequests(server.trust, now);
 }
 
-bool server_registry::IsUsable(const known_server& server,
-                               const server_query& query,
-                               base::time_point now) const {
-  const bool usable = AcceptsRequest(server, query) &&
-                      decisions::AllowsRequests(server.trust, now);
+bool server_registry::IsEligible(const known_server& server,
+                                 const server_query& query,
+                                 base::time_point now) const {
   const bool tried = std::ranges::find(*query.avoid, server.entry.instance) !=
                      query.avoid->end();
-  return usable && !tried &&
+  return AcceptsRequest(server, query) && !tried &&
          (query.model.empty() || server.Holds(query.model, query.adapter, now));
 }
 
@@ -355,19 +358,37 @@
   });
 }
 
-std::optional<base::time_point> server_registry::EarliestPermit(
+bool server_registry::AnyEligible(const server_query& query,
+                                  base::time_point now) const {
+  return std::ranges::any_of(servers_, [&](const auto& each) {
+    return IsEligible(*each.second, query, now);
+  });
+}
+
+std::optional<server_release> server_registry::EarliestRelease(
     const server_query& query,
     base::time_point now) const {
-  std::optional<base::time_point> first;
+  std::optional<server_release> first;
+  bool any_stated = false;
   for (const auto& [instance, server] : servers_) {
-    if (!IsUsable(*server, query, now))
+    if (!IsEligible(*server, query, now))
       continue;
-    if (server->IsPermitted(now))
+    const bool needs_permit = !server->IsPermitted(now);
+    const bool is_stated =
+        needs_permit || decisions::IsBackingOff(server->notices, now);
+    const auto paused_until = std::max(decisions::PausedUntil(server->notices),
+                                       server->trust.suspended_until);
+    server_release release{paused_until, false};
+    if (needs_permit && server->permit_retry_at >= paused_until)
+      release = {server->permit_retry_at, true};
+    const bool is_available = !needs_permit && release.at <= now;
+    if (is_available)
       return std::nullopt;
-    if (!first || server->permit_retry_at < *first)
-      first = server->permit_retry_at;
+    any_stated = any_stated || is_stated;
+    if (!first || release.at < first->at)
+      first = release;
   }
-  return first;
+  return any_stated ? first : std::nullopt;
 }
 
 std::optional<base::time_point> server_registry::EarliestLoadDue(
--- a/src/host/process/server_registry.h
+++ b/src/host/process/server_registry.h
@@ -60,7 +60,7 @@
 };
 
 // Why a server must get no requests from this host now.
-enum class send_block { kNone, kLeaving, kEvacuated };
+enum class send_block { kNone, kLeaving, kEvacuated, kBackoff };
 
 // One run of a backend server.
 struct known_server {
@@ -118,11 +118,14 @@
   bool IsBackingOff() const {
     return decisions::IsBackingOff(notices, std::chrono::steady_clock::now());
   }
+  // Whether it takes part in serving its models or its service, apart from
+  // pauses that end by themselves.
+  bool TakesRequests() const {
+    return !leaving && !evacuated && !decisions::HasLeft(notices);
+  }
   // The check that every request must pass right before it is sent, in
   // addition to a permit or a slot if the server requires one.
-  send_block SendBlock() const;
-  // Whether it takes part in serving its models or its service.
-  bool TakesRequests() const { return SendBlock() == send_block::kNone; }
+  send_block SendBlock(base::time_point now) const;
   // Whether the server is warming up and can take only a few requests.
   bool IsCold(const catalog::service& service, base::time_point now) const;
 
@@ -161,6 +164,13 @@
   std::shared_ptr<slot_handle> slot;
 };
 
+// When and after which kind of pause a server may be used again.
+struct server_release {
+  base::time_point at;
+  // It waits for a permit; otherwise for the end of a backoff.
+  bool by_permit = false;
+};
+
 // All known instances. Not thread-safe: used only on the host's thread.
 class server_registry {
  public:
@@ -209,10 +219,14 @@
   // Whether any server that accepts the request holds its unit.
   bool AnyHolds(const server_query& query, base::time_point now) const;
 
-  // When a permit for any usable server may be requested again; nothing if
-  // there is no usable server, or one that can be used without waiting.
-  std::optional<base::time_point> EarliestPermit(const server_query& query,
-                                                 base::time_point now) const;
+  // Whether the request may use any server once all pauses have ended.
+  bool AnyEligible(const server_query& query, base::time_point now) const;
+
+  // When the first server of the request may be used again, if all of them are
+  // unavailable for a known time and at least one by its own statement; nothing
+  // otherwise.
+  std::optional<server_release> EarliestRelease(const server_query& query,
+                                                base::time_point now) const;
 
   // When the first replica of the model that is being loaded should be ready;
   // nothing if none is being loaded.
@@ -258,11 +272,12 @@
   void AddUsage(unit_key key,
                 const server_usage& use,
                 std::int64_t times) const;
-  // Whether a server may get the request, provided that a permit is granted.
-  bool IsUsable(const known_server& server,
-                const server_query& query,
-                base::time_point now) const;
-  // IsUsable, and no permit is needed or one may be requested now.
+  // Whether a server may get the request once all its pauses have ended.
+  bool IsEligible(const known_server& server,
+                  const server_query& query,
+                  base::time_point now) const;
+  // Whether a server may get the request now, provided that a permit is granted
+  // if it needs one.
   bool IsCandidate(const known_server& server,
                    const server_query& query,
                    base::time_point now) const;
--- a/src/host/request/relay.cc
+++ b/src/host/request/relay.cc
@@ -480,7 +480,7 @@
                                : result_code::kOverloaded,
         base::outcome::kNotRun,
         "no backend server accepted the request: " + last_error_.message);
-    failed.retry_after = kShortRetryAfter;
+    failed.retry_after = RetryAfterRefusals(core_, routed_);
   } else if (RemainingTime(routed_).count() <= 0) {
     failed =
         base::MakeError(result_code::kDeadlinePassed, base::outcome::kUnknown,
--- a/src/host/request/send_check.cc
+++ b/src/host/request/send_check.cc
@@ -1,6 +1,7 @@
 // SPDX-License-Identifier: MIT
 #include "host/request/send_check.h"
 
+#include <chrono>
 #include <string_view>
 
 namespace valeledge::host {
@@ -13,6 +14,8 @@
       return "leaving";
     case send_block::kEvacuated:
       return "evacuated";
+    case send_block::kBackoff:
+      return "backoff";
     case send_block::kNone:
       break;
   }
@@ -22,16 +25,19 @@
 }  // namespace
 
 base::result<void> CheckSend(host_core& core, const known_server& server) {
-  const send_block block = server.SendBlock();
+  const send_block block = server.SendBlock(std::chrono::steady_clock::now());
   if (block == send_block::kNone)
     return {};
   core.metrics.Counter("valeledge_sends_withheld_total", NameOf(block)).Add();
-  return base::NotRun(base::result_code::kNoBackendServer,
-                      "the backend server takes no requests any more");
+  return base::NotRun(block == send_block::kBackoff
+                          ? base::result_code::kServerBackoff
+                          : base::result_code::kNoBackendServer,
+                      "the backend server takes no requests now");
 }
 
 bool WasWithheld(const base::error& failed) {
-  return failed.code == base::result_code::kNoBackendServer;
+  return failed.code == base::result_code::kNoBackendServer ||
+         failed.code == base::result_code::kServerBackoff;
 }
 
 }  // namespace valeledge::host
--- a/src/host/request/server_attempt.cc
+++ b/src/host/request/server_attempt.cc
@@ -2,6 +2,7 @@
 #include "host/request/server_attempt.h"
 
 #include <algorithm>
+#include <utility>
 
 #include "host/constants.h"
 
@@ -31,7 +32,8 @@
       metadata_(metadata),
       weight_(weight),
       demand_(demand),
-      expected_delay_(choice.expected) {
+      expected_delay_(choice.expected),
+      is_trial_(decisions::BeginTrial(server_->notices, started_at_)) {
   weight_.prompt_tokens =
       std::max<std::int64_t>(weight.prompt_tokens - choice.cached_tokens, 0);
   ++demand_.running;
@@ -59,15 +61,22 @@
   if (awaiting_first_byte_)
     server_->own.unread_tokens -= weight_.prompt_tokens;
   server_->trust.probing = false;
+  EndTrial();
   // The end of a stream is sent with the next periodic report.
   if (awaiting_first_byte_)
     core_.load_changed(*server_);
 }
 
+void server_attempt::EndTrial() {
+  if (std::exchange(is_trial_, false))
+    decisions::EndTrial(server_->notices);
+}
+
 void server_attempt::OnFirstByte() {
   if (!awaiting_first_byte_)
     return;
   awaiting_first_byte_ = false;
+  EndTrial();
   server_->own.unread_tokens -= weight_.prompt_tokens;
   core_.load_changed(*server_);
   const milliseconds took = std::chrono::steady_clock::now() - started_at_;
--- a/src/host/request/server_attempt.h
+++ b/src/host/request/server_attempt.h
@@ -35,6 +35,7 @@
 
  private:
   void EndSlot(slot_outcome how);
+  void EndTrial();
 
   host_core& core_;
   std::shared_ptr<known_server> server_;
@@ -48,6 +49,9 @@
   std::int64_t tokens_ahead_ = 0;
   base::time_point started_at_ = std::chrono::steady_clock::now();
   bool awaiting_first_byte_ = true;
+  // It is the first request after a backoff of the server, and has had no
+  // response yet.
+  bool is_trial_;
 };
 
 }  // namespace valeledge::host
--- a/src/host/request/server_search.cc
+++ b/src/host/request/server_search.cc
@@ -36,6 +36,14 @@
   return query;
 }
 
+// Returns the query of a request that no server has failed yet.
+server_query UntriedQueryOf(const routed_request& routed) {
+  static const std::vector<std::string> kNone;
+  server_query query = QueryOf(routed);
+  query.avoid = &kNone;
+  return query;
+}
+
 // Returns the same query for the base model.
 server_query WithoutAdapter(server_query query) {
   query.adapter = {};
@@ -101,14 +109,22 @@
   return turn;
 }
 
-// Returns the retry-after delay for a refused caller, with jitter so that
+// Range of the factor by which a retry-after delay is multiplied, so that
 // callers refused at the same time do not retry at the same time.
+struct jitter_range {
+  double min = 0.5;
+  double max = 1.5;
+};
+
+// Before the end of a pause a caller would only be refused again.
+constexpr jitter_range kAfterPause{1.0, 1.5};
+
+// Returns the retry-after delay for a refused caller.
 milliseconds RetryAfter(host_core& core,
                         const routed_request& routed,
-                        milliseconds base_delay) {
-  constexpr double kMinJitter = 0.5;
-  constexpr double kMaxJitter = 1.5;
-  std::uniform_real_distribution<double> any(kMinJitter, kMaxJitter);
+                        milliseconds base_delay,
+                        jitter_range jitter) {
+  std::uniform_real_distribution<double> any(jitter.min, jitter.max);
   const auto jittered_delay =
       duration_cast<milliseconds>(base_delay * any(core.random));
   const auto max_delay = duration_cast<milliseconds>(
@@ -142,7 +158,8 @@
   const server_query query = QueryOf(routed);
   for (const auto& [instance, server] : core.servers.servers()) {
     const bool unusable = !decisions::AllowsRequests(server->trust, now) ||
-                          server->SendBlock() != send_block::kNone ||
+                          server->SendBlock(now) != send_block::kNone ||
+                          decisions::IsPaused(server->notices, now) ||
                           server->IsLimited() ||
                           !IsInAllowedRegion(query, server->region);
     if (server->entry.service == routed.service->name && unusable)
@@ -172,7 +189,8 @@
       co_await core.acquire_permit(choice.server, PriorityOf(routed));
   if (!granted)
     co_return false;
-  co_return choice.server->SendBlock() == send_block::kNone;
+  co_return choice.server->SendBlock(std::chrono::steady_clock::now()) ==
+      send_block::kNone;
 }
 
 // Waits for a slot if the service's slots are allocated centrally. Otherwise
@@ -194,8 +212,9 @@
   if (!slot)
     co_return tl::make_unexpected(slot.error());
   // This host may have learned meanwhile that a server is not available.
+  const auto after_wait = std::chrono::steady_clock::now();
   const auto may_send = [&](const known_server& server) {
-    return server.SendBlock() == send_block::kNone &&
+    return server.SendBlock(after_wait) == send_block::kNone &&
            IsInAllowedRegion(QueryOf(routed), server.region);
   };
   auto server = *slot ? core.servers.Find((*slot)->server()) : nullptr;
@@ -237,17 +256,33 @@
   co_return std::move(secured);
 }
 
-// Returns the time until a permit for any server of the request may be
-// available if the request cannot wait that long, or nothing otherwise.
-std::optional<milliseconds> LatePermitDelay(host_core& core,
-                                            const routed_request& routed,
-                                            const server_query& query,
-                                            base::time_point now) {
-  const auto permitted_at = core.servers.EarliestPermit(query, now);
-  if (!permitted_at ||
-      *permitted_at < ObjectiveCutoff(routed, kRefusalObjectiveFraction))
+// Returns when the first server of the request may be used again if the request
+// cannot wait that long, or nothing otherwise.
+std::optional<server_release> LateRelease(host_core& core,
+                                          const routed_request& routed,
+                                          const server_query& query,
+                                          base::time_point now) {
+  const bool all_tried =
+      !routed.failed_instances.empty() && !core.servers.AnyEligible(query, now);
+  // This request does not return to servers that it has tried.
+  if (all_tried)
+    return core.servers.EarliestRelease(UntriedQueryOf(routed), now);
+  const auto release = core.servers.EarliestRelease(query, now);
+  if (!release ||
+      release->at < ObjectiveCutoff(routed, kRefusalObjectiveFraction))
     return std::nullopt;
-  return duration_cast<milliseconds>(*permitted_at - now);
+  return release;
+}
+
+base::error PausedError(const server_release& release) {
+  if (release.by_permit) {
+    return base::MakeError(
+        result_code::kServerLimit, base::outcome::kNotRun,
+        "the backend servers for this request are at their limits");
+  }
+  return base::MakeError(result_code::kServerBackoff, base::outcome::kNotRun,
+                         "the backend servers for this request have asked to "
+                         "receive no requests for a while");
 }
 
 // Whether a replica that is being loaded will be available in time.
@@ -263,6 +298,18 @@
 
 }  // namespace
 
+milliseconds RetryAfterRefusals(host_core& core, const routed_request& routed) {
+  const auto now = std::chrono::steady_clock::now();
+  // The caller's next attempt may use the servers that refused this one.
+  const auto release =
+      core.servers.EarliestRelease(UntriedQueryOf(routed), now);
+  if (!release)
+    return kShortRetryAfter;
+  const auto pause = duration_cast<milliseconds>(release->at - now);
+  return RetryAfter(core, routed, std::max(pause, kShortRetryAfter),
+                    kAfterPause);
+}
+
 asio::awaitable<base::result<server_choice>> FindServer(
     host_core& core,
     const routed_request& routed,
@@ -270,6 +317,7 @@
     const net::http_responder& responder) {
   asio::steady_timer pause(core.context);
   std::optional<milliseconds> retry_after;
+  jitter_range jitter;
   base::error reason =
       base::MakeError(result_code::kNoBackendServer, base::outcome::kNotRun,
                       "no backend server currently accepts this request");
@@ -306,17 +354,17 @@
         co_return std::move(**secured);
       continue;
     }
-    const auto permitted_in = LatePermitDelay(core, routed, query, now);
-    if (permitted_in && ReplicaArrivesInTime(core, routed, query, now)) {
+    const auto release = LateRelease(core, routed, query, now);
+    if (release && ReplicaArrivesInTime(core, routed, query, now)) {
       pause.expires_after(kSelectionRetryInterval);
       co_await pause.async_wait(kAwait);
       continue;
     }
-    if (permitted_in) {
-      reason = base::MakeError(
-          result_code::kServerLimit, base::outcome::kNotRun,
-          "the backend servers for this request are at their limits");
-      retry_after = permitted_in;
+    if (release) {
+      reason = PausedError(*release);
+      retry_after = duration_cast<milliseconds>(release->at - now);
+      if (!release->by_permit)
+        jitter = kAfterPause;
       break;
     }
     const bool refusable =
@@ -343,8 +391,8 @@
     pause.expires_after(kSelectionRetryInterval);
     co_await pause.async_wait(kAwait);
   }
-  reason.retry_after =
-      RetryAfter(core, routed, retry_after.value_or(kDefaultRetryAfter));
+  reason.retry_after = RetryAfter(
+      core, routed, retry_after.value_or(kDefaultRetryAfter), jitter);
   co_return tl::make_unexpected(reason);
 }
 
--- a/src/host/request/server_search.h
+++ b/src/host/request/server_search.h
@@ -3,6 +3,8 @@
 #ifndef VALELEDGE_HOST_REQUEST_SERVER_SEARCH_H_
 #define VALELEDGE_HOST_REQUEST_SERVER_SEARCH_H_
 
+#include <chrono>
+
 #include <boost/asio/awaitable.hpp>
 
 #include "host/request/routed_request.h"
@@ -20,6 +22,11 @@
     bool first_attempt,
     const net::http_responder& responder);
 
+// Returns the retry-after delay for a caller whose request was refused by all
+// servers that it was sent to.
+std::chrono::milliseconds RetryAfterRefusals(host_core& core,
+                                             const routed_request& routed);
+
 }  // namespace valeledge::host
 
 #endif  // VALELEDGE_HOST_REQUEST_SERVER_SEARCH_H_
--- a/tests/auto/decisions/test_server_notices.cc
+++ b/tests/auto/decisions/test_server_notices.cc
@@ -48,6 +48,37 @@
   BOOST_TEST(IsBackingOff(known, kStart + 3900ms));
 }
 
+BOOST_AUTO_TEST_CASE(after_a_backoff_one_request_is_sent_as_a_trial) {
+  server_notices known;
+  BOOST_TEST(!BeginTrial(known, kStart));
+  Observe(known, Refusal(1s, 0ms));
+  BOOST_TEST(IsPaused(known, kStart + 900ms));
+  BOOST_TEST(!IsPaused(known, kStart + 1s));
+  BOOST_TEST(BeginTrial(known, kStart + 1s));
+  BOOST_TEST(IsPaused(known, kStart + 1001ms));
+  BOOST_TEST(!IsBackingOff(known, kStart + 1001ms));
+  BOOST_TEST(!BeginTrial(known, kStart + 1001ms));
+  EndTrial(known);
+  BOOST_TEST(!IsPaused(known, kStart + 1010ms));
+}
+
+BOOST_AUTO_TEST_CASE(a_trial_without_a_response_does_not_hold_up_others) {
+  server_notices known;
+  Observe(known, Refusal(1s, 0ms));
+  BeginTrial(known, kStart + 1s);
+  BOOST_TEST(!IsPaused(known, kStart + 2s));
+}
+
+BOOST_AUTO_TEST_CASE(a_refused_trial_starts_the_next_backoff) {
+  server_notices known;
+  Observe(known, Refusal(1s, 0ms));
+  BeginTrial(known, kStart + 1s);
+  BOOST_TEST(Observe(known, Refusal(3s, 1010ms)).started_backoff);
+  EndTrial(known);
+  BOOST_TEST(IsBackingOff(known, kStart + 4s));
+  BOOST_TEST(BeginTrial(known, kStart + 5s));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
--- a/tests/auto/host/test_leaving_servers.cc
+++ b/tests/auto/host/test_leaving_servers.cc
@@ -3,6 +3,7 @@
 #include <chrono>
 #include <memory>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include <boost/beast/http.hpp>
@@ -110,6 +111,27 @@
   BOOST_TEST(here.second.requests.size() == 1u);
 }
 
+// The server states it while the request waits for a connection.
+BOOST_AUTO_TEST_CASE(a_request_that_waits_for_a_connection_is_not_sent) {
+  relay_world here;
+  here.AddServer("i-1", here.first.address());
+  bool has_left = false;
+  here.core->load_changed = [&](const host::known_server& server) {
+    if (std::exchange(has_left, true))
+      return;
+    const auto now = std::chrono::steady_clock::now();
+    here.core->servers.Find(server.entry.instance)->notices.leaving_since = now;
+    here.AddServer("i-2", here.second.address());
+  };
+  BOOST_TEST(here.SendRequest("/once/").status == 200);
+  BOOST_TEST(here.first.requests.empty());
+  BOOST_TEST(here.second.requests.size() == 1u);
+  const auto& withheld =
+      here.core->metrics.Counter("valeledge_sends_withheld_total", "leaving");
+  BOOST_TEST(withheld.value == 1);
+  BOOST_TEST(here.core->servers.Find("i-1")->trust.failure_rate == 0);
+}
+
 BOOST_AUTO_TEST_CASE(retries_do_not_go_to_a_leaving_server) {
   leaving_world here;
   here.second.script = {{kNotRunResponse}};
--- a/tests/auto/host/test_server_registry.cc
+++ b/tests/auto/host/test_server_registry.cc
@@ -264,6 +264,50 @@
   BOOST_TEST((setup.registry.Find("i-1") != earlier));
 }
 
+BOOST_AUTO_TEST_CASE(the_earliest_release_is_known_if_all_servers_pause) {
+  fixture setup;
+  const auto first = setup.registry.Find("i-1");
+  const auto second = setup.registry.Find("i-2");
+  const auto release = [&setup] {
+    return setup.registry.EarliestRelease(setup.query, setup.now);
+  };
+  first->notices.backoff_until = setup.now + 3s;
+  BOOST_TEST(setup.Choose() == "i-2");
+  BOOST_TEST(!release().has_value());
+  second->notices.backoff_until = setup.now + 2s;
+  BOOST_TEST(setup.Choose() == "none");
+  BOOST_REQUIRE(release().has_value());
+  BOOST_TEST((release()->at == setup.now + 2s));
+  BOOST_TEST(!release()->by_permit);
+  // A server that this host has suspended returns as well.
+  second->notices.backoff_until = {};
+  second->trust.suspended_until = setup.now + 1s;
+  BOOST_TEST((release()->at == setup.now + 1s));
+  second->trust.suspended_until = setup.now + 5s;
+  BOOST_TEST((release()->at == setup.now + 3s));
+  first->notices.backoff_until = {};
+  first->advertised.limit = {1, setup.now};
+  first->permit_retry_at = setup.now + 4s;
+  BOOST_TEST((release()->at == setup.now + 4s));
+  BOOST_TEST(release()->by_permit);
+}
+
+BOOST_AUTO_TEST_CASE(servers_suspended_by_this_host_alone_have_no_release) {
+  fixture setup;
+  for (const char* instance : {"i-1", "i-2"})
+    setup.registry.Find(instance)->trust.suspended_until = setup.now + 1s;
+  BOOST_TEST(setup.Choose() == "none");
+  BOOST_TEST(
+      !setup.registry.EarliestRelease(setup.query, setup.now).has_value());
+}
+
+BOOST_AUTO_TEST_CASE(a_server_that_pauses_still_holds_its_models) {
+  fixture setup;
+  for (const char* instance : {"i-1", "i-2"})
+    setup.registry.Find(instance)->notices.backoff_until = setup.now + 3s;
+  BOOST_TEST(setup.registry.AnyHolds(setup.query, setup.now));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
--- a/tests/auto/net/test_http.cc
+++ b/tests/auto/net/test_http.cc
@@ -5,6 +5,7 @@
 #include <functional>
 #include <optional>
 #include <string>
+#include <vector>
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
@@ -136,6 +137,36 @@
 
 // A call that is given up while it waits closes its connection, and later
 // calls under the same guard are not sent.
+BOOST_AUTO_TEST_CASE(a_request_whose_send_check_fails_is_not_sent) {
+  int received = 0;
+  bench one({},
+            [&](net::http_request&,
+                net::http_responder& responder) -> asio::awaitable<void> {
+              ++received;
+              co_await responder.Send(net::MakeJsonResponse(200, "{}"));
+            });
+  net::open_guard guard;
+  bool allowed = false;
+  guard.SetSendCheck([&allowed]() -> base::result<void> {
+    if (allowed)
+      return {};
+    return base::NotRun(base::result_code::kNoBackendServer, "withheld");
+  });
+  std::vector<bool> opened;
+  BOOST_TEST(one.Run([&]() -> asio::awaitable<void> {
+    for (allowed = false; opened.size() < 2; allowed = true) {
+      const auto exchange = co_await one.client.Open(
+          one.where, net::MakeRequest(boost::beast::http::verb::get, "/"), 1s,
+          5s, net::connection_use::kPooled, &guard);
+      opened.push_back(exchange.has_value());
+    }
+  }));
+  BOOST_REQUIRE(opened.size() == 2u);
+  BOOST_TEST(!opened.front());
+  BOOST_TEST(opened.back());
+  BOOST_TEST(received == 1);
+}
+
 BOOST_AUTO_TEST_CASE(a_call_that_is_given_up_ends_at_once) {
   constexpr auto kNever = std::chrono::steady_clock::time_point::max();
   bool gone = false;
