--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -4,6 +4,7 @@
 import json
 import random
 import re
+import time
 
 import aiohttp
 
@@ -74,7 +75,8 @@
             method, body = "POST", backends.ENDS_SERVERS + ending.encode()
         self.ledger.sent[name] = Sent(kind, method, target, body, may_repeat,
                                       2 if may_repeat else 1, self.host.name,
-                                      not self.host.disturbed())
+                                      not self.host.disturbed(),
+                                      time.monotonic())
         headers = deployment.request_headers(name, DEADLINE_MS, model, TOKENS)
         port = (self.host.ports["callers"] if self.direct
                 else self.host.proxy.port)
@@ -85,6 +87,10 @@
             async with asyncio.timeout(patience):
                 async with session.request(method, url, data=body or None,
                                            headers=headers) as answer:
+                    leaving = deployment.leaving_instance(answer.headers)
+                    if leaving:
+                        self.ledger.passes_on_leaving(
+                            leaving, self.host.name, time.monotonic())
                     if streams and answer.status == 200:
                         await self._take_stream(name, kind, answer)
                     else:
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -86,6 +86,26 @@
     return sorted(plan + more, key=lambda each: each.at)
 
 
+# Servers of which only responses say that they leave, and servers that refuse
+# requests with a backoff; how many come in a run, and for how many seconds
+# hosts are asked for.
+UNSAID_LEAVES, BACKOFFS = [0, 1, 1, 2], [1, 2, 3, 4]
+BACKOFF_S = [0.3, 1, 2, 3, 3]
+
+
+def add_notices(plan: list[Fault], rng: random.Random,
+                seconds: float) -> list[Fault]:
+    """The plan with servers that leave or ask for backoffs in responses; by a
+    generator of its own as well."""
+    more = [Fault(rng.uniform(0, seconds), "server_leave_unsaid",
+                  rng.randrange(1000), 0)
+            for _ in range(rng.choice(UNSAID_LEAVES))]
+    more += [Fault(rng.uniform(0, seconds), "server_backoff",
+                   rng.randrange(1000), rng.uniform(2.0, 8.0))
+             for _ in range(rng.choice(BACKOFFS))]
+    return sorted(plan + more, key=lambda each: each.at)
+
+
 class Injector:
     """Carries out a plan on a site, from outside its programs."""
 
@@ -256,7 +276,7 @@
     async def _server_crash(self, fault):
         at = fault.target % len(self.site.servers)
         server, proxy = self.site.servers[at], self.site.server_proxies[at]
-        if not server.up or server.draining:
+        if not server.up or server.leaving:
             return
         self.site.ledger.spoil(server.instance, time.monotonic() + 3600)
         await server.crash()
@@ -264,16 +284,29 @@
         await asyncio.sleep(fault.for_s)
         await server.boot()
 
-    async def _server_leave(self, fault):
+    async def _server_leave_unsaid(self, fault):
+        await self._server_leave(fault, tells_store=False)
+
+    async def _server_backoff(self, fault):
+        """A server refuses all requests for a while, or six in ten."""
+        server = self.site.servers[fault.target % len(self.site.servers)]
+        if server.backoff_s:
+            return
+        server.backoff_share = 0.6 if fault.target % 3 == 0 else 1.0
+        server.backoff_s = BACKOFF_S[fault.target % len(BACKOFF_S)]
+        await asyncio.sleep(fault.for_s)
+        server.backoff_s = 0.0
+
+    async def _server_leave(self, fault, tells_store=True):
         at = fault.target % len(self.site.servers)
         server = self.site.servers[at]
         others = [each for each in self.site.servers
                   if each.service == server.service and each.up
-                  and not each.draining]
-        if not server.up or server.draining or len(others) < 2:
+                  and not each.leaving]
+        if not server.up or server.leaving or len(others) < 2:
             return
         gone = server.instance
-        await server.leave()
+        await server.leave(tells_store)
         while server.up:
             await asyncio.sleep(0.1)
         self.site.ledger.spoil(gone, time.monotonic() + 3600)
--- a/tests/soak/hosts.py
+++ b/tests/soak/hosts.py
@@ -144,10 +144,13 @@
     def freeze(self, seconds: float) -> None:
         self.disturb(seconds)
         self.frozen = True
+        self.ledger.excuses(self.name)
         self.process.send_signal(signal.SIGSTOP)
 
     def thaw(self) -> None:
         self.disturb(0)
+        if self.frozen:
+            self.ledger.excuses(self.name)
         if self.frozen and self.alive():
             self.process.send_signal(signal.SIGCONT)
         self.frozen = False
--- a/tests/soak/ledger.py
+++ b/tests/soak/ledger.py
@@ -14,6 +14,9 @@
 # have known of it for a while; judged once the limit is so old.
 LIMIT_WINDOW_S, LIMIT_OVER, LIMIT_SLACK = 4.0, 1.5, 5
 LIMIT_KNOWN_S, LIMIT_SETTLED_S = 0.5, 4.0
+# What a server may get from a host that it has asked for a backoff, later than
+# this after it has asked.
+BACKOFF_MOST, BACKOFF_KNOWN_S = 2, 0.5
 
 
 @dataclass
@@ -28,6 +31,14 @@
     total: int = 0
 
 
+@dataclass
+class Backoff:
+    """The time for which a server wants no requests from one host."""
+    begin: float
+    end: float
+    arrivals: int = 0
+
+
 @dataclass(frozen=True)
 class Run:
     """One request that began at a backend server."""
@@ -50,6 +61,7 @@
     host: str
     # Its host could hear from the others for long enough before.
     calm: bool = True
+    at: float = 0.0
 
 
 class Ledger:
@@ -78,6 +90,12 @@
         # Limits that servers advertise now, by instance; how often they came.
         self.limits: dict[str, Limit] = {}
         self.limits_seen = 0
+        # When each host first passed on that a server leaves, and the backoffs
+        # that servers have asked it for, by server and host.
+        self.passed_leaving: dict[tuple, float] = {}
+        self.backoffs: dict[tuple, list[Backoff]] = collections.defaultdict(
+            list)
+        self.notices_seen = collections.Counter()
         # Spans in which hosts could not know what the store holds.
         self.blind: list[tuple[float, float]] = []
 
@@ -155,10 +173,53 @@
         """A host's process has ended, and what it knew."""
         for limit in self.limits.values():
             limit.told.pop(host, None)
+        self.excuses(host)
+
+    def excuses(self, host) -> None:
+        """A host has restarted or stood still: it is not held to what servers
+        said before."""
+        for known in (self.passed_leaving, self.backoffs):
+            for key in [key for key in known if key[1] == host]:
+                del known[key]
+
+    def passes_on_leaving(self, instance, host, at) -> None:
+        """A caller has got a response that says that its server leaves."""
+        if (instance, host) not in self.passed_leaving:
+            self.notices_seen["leaving"] += 1
+            self.passed_leaving[instance, host] = at
+
+    def asks_for_backoff(self, request_id, instance, seconds, at) -> None:
+        """A server refuses a request, and wants no others from its host."""
+        sent = self.sent.get(request_id)
+        if sent is None or self.spoiled_at(instance):
+            return
+        self.notices_seen["backoff"] += 1
+        self.backoffs[instance, sent.host].append(Backoff(at, at + seconds))
+
+    def _check_notices(self, sent, request_id, instance, at) -> None:
+        passed = self.passed_leaving.get((instance, sent.host))
+        if passed is not None and sent.at - passed > DRAIN_S:
+            self.break_promise("leaving", f"{request_id} reached {instance} "
+                               f"{sent.at - passed:.2f} s after {sent.host} "
+                               "passed on that it leaves")
+        # What a disturbed link held up arrives late.
+        if self.spoiled_at(instance):
+            return
+        for backoff in self.backoffs.get((instance, sent.host), []):
+            bound = backoff.begin + BACKOFF_KNOWN_S < at < backoff.end
+            if not bound or self.stalled_at > backoff.begin:
+                continue
+            backoff.arrivals += 1
+            if backoff.arrivals == BACKOFF_MOST + 1:
+                self.break_promise("backoff", f"{instance} asked {sent.host} "
+                                   f"for {backoff.end - backoff.begin:.1f} s "
+                                   f"without requests and got {request_id}")
 
     def arrives(self, request_id, instance, at) -> None:
         """A request reaches a server, which may refuse it."""
         limit, sent = self.limits.get(instance), self.sent.get(request_id)
+        if sent is not None:
+            self._check_notices(sent, request_id, instance, at)
         if limit is None or sent is None:
             return
         if at - limit.told.get(sent.host, at) < LIMIT_KNOWN_S:
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -23,7 +23,7 @@
 from platform_standin.store import Store  # noqa: E402
 from callers import Caller  # noqa: E402
 from faults import (Injector, add_ending_requests, add_limits,  # noqa: E402
-                    make_plan)
+                    add_notices, make_plan)
 from hosts import Host, ports_of_run  # noqa: E402
 from ledger import Ledger  # noqa: E402
 from proxy import Proxy  # noqa: E402
@@ -220,6 +220,8 @@
         plan = add_ending_requests(plan, random.Random(seed + 1), args.seconds)
     if args.limits:
         plan = add_limits(plan, random.Random(seed + 2), args.seconds)
+    if args.notices:
+        plan = add_notices(plan, random.Random(seed + 3), args.seconds)
     (folder / "plan.txt").write_text("\n".join(map(str, plan)) + "\n")
     site = Site(seed, args, folder)
     try:
@@ -230,7 +232,9 @@
                        in sorted(site.ledger.outcomes.items()))
     print(f"seed {seed}: {len(plan)} faults; {counts}; the soak itself stood "
           f"still for {site.ledger.stalled_s:.1f} s; "
-          f"{site.ledger.limits_seen} limits seen", flush=True)
+          f"{site.ledger.limits_seen} limits, "
+          f"{site.ledger.notices_seen['leaving']} leaving and "
+          f"{site.ledger.notices_seen['backoff']} backoffs seen", flush=True)
     if not site.ledger.broken:
         shutil.rmtree(folder)
         return True
@@ -256,6 +260,7 @@
         again.seconds, again.faults_per_second = map(float, words[1:3])
         again.ending_requests = len(words) > 3
         again.limits = len(words) > 4
+        again.notices = len(words) > 5
         if not asyncio.run(soak(int(words[0]), again)):
             failed.append(int(words[0]))
     return failed
@@ -279,6 +284,10 @@
     parser.add_argument("--limits", default=True,
                         action=argparse.BooleanOptionalAction,
                         help="whether some servers advertise limits")
+    parser.add_argument("--notices", default=True,
+                        action=argparse.BooleanOptionalAction,
+                        help="whether servers leave or ask for backoffs in "
+                        "their responses alone")
     parser.add_argument("--hosts", type=int, default=4)
     parser.add_argument("--engines", type=int, default=6)
     parser.add_argument("--callers", type=int, default=16)
--- a/tests/soak/test_ledger.py
+++ b/tests/soak/test_ledger.py
@@ -7,7 +7,8 @@
 
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parent))
 
-from ledger import DRAIN_S, LIMIT_SETTLED_S, TELL_S, Ledger, Sent  # noqa: E402
+from ledger import (BACKOFF_KNOWN_S, DRAIN_S, LIMIT_SETTLED_S,  # noqa: E402
+                    TELL_S, Ledger, Sent)
 
 
 class LedgerTest(unittest.TestCase):
@@ -135,6 +136,45 @@
         self.arrive(30)
         self.assertEqual(self.broken(), [])
 
+    def arrive_sent_at(self, name, host, after):
+        self.ledger.sent[name] = Sent("once", "POST", "/x", b"body", False, 1,
+                                      host, at=self.now + after)
+        self.ledger.arrives(name, "i-1", self.now + after)
+
+    def test_a_request_after_a_host_passed_on_that_its_server_leaves(self):
+        self.ledger.passes_on_leaving("i-1", "h1", self.now)
+        self.arrive_sent_at("a", "h1", DRAIN_S)
+        self.arrive_sent_at("b", "h2", DRAIN_S + 0.1)
+        self.assertEqual(self.broken(), [])
+        self.arrive_sent_at("c", "h1", DRAIN_S + 0.1)
+        self.assertEqual(self.broken(), ["leaving"])
+
+    def test_a_frozen_host_is_not_held_to_what_it_passed_on(self):
+        self.ledger.passes_on_leaving("i-1", "h1", self.now)
+        self.ledger.excuses("h1")
+        self.arrive_sent_at("a", "h1", DRAIN_S + 0.1)
+        self.assertEqual(self.broken(), [])
+
+    def ask_for_backoff(self, seconds):
+        self.send("refused")
+        self.ledger.asks_for_backoff("refused", "i-1", seconds, self.now)
+
+    def test_more_than_two_requests_in_a_backoff(self):
+        self.ask_for_backoff(3)
+        for at in range(2):
+            self.arrive_sent_at(f"a{at}", "h1", BACKOFF_KNOWN_S + 0.1)
+        self.arrive_sent_at("b", "h2", 1)
+        self.assertEqual(self.broken(), [])
+        self.arrive_sent_at("c", "h1", 2.9)
+        self.assertEqual(self.broken(), ["backoff"])
+
+    def test_requests_on_their_way_and_after_a_backoff(self):
+        self.ask_for_backoff(3)
+        for at in range(5):
+            self.arrive_sent_at(f"a{at}", "h1", BACKOFF_KNOWN_S - 0.1)
+            self.arrive_sent_at(f"b{at}", "h1", 3.1)
+        self.assertEqual(self.broken(), [])
+
 
 if __name__ == "__main__":
     unittest.main()
