--- a/src/host/external_protocol.h
+++ b/src/host/external_protocol.h
@@ -69,6 +69,8 @@
   // The response carries the stamp of a backend server, so it does not come
   // from an intermediary.
   bool is_signed = false;
+  // The body is encoded, which callers do not request: it is not the server's.
+  bool is_encoded = false;
   // The request did not run and never will.
   bool not_run = false;
   // The server does not hold the requested model, or is another instance.
--- a/src/host/request/relay.cc
+++ b/src/host/request/relay.cc
@@ -315,13 +315,13 @@
       core_.protocol.read_response(exchange.header());
   const bool is_foreign = !metadata.request_id.empty() &&
                           metadata.request_id != routed_.metadata.id;
-  if (is_foreign ||
+  if (is_foreign || metadata.is_encoded ||
       (!metadata.is_signed && !metadata.not_run && !metadata.misdirected)) {
     exchange.Abandon();
     attempt.OnFailed(false);
     last_error_ = base::MakeError(
         result_code::kAnswerBroken, base::outcome::kUnknown,
-        "the response is unsigned or belongs to another request");
+        "the response is unsigned, encoded, or belongs to another request");
     co_return attempt_outcome::kUnknown;
   }
   ApplyRequestResponse(core_, server, metadata, progress_.sent);
--- a/tests/auto/host/test_relay.cc
+++ b/tests/auto/host/test_relay.cc
@@ -112,6 +112,19 @@
   BOOST_TEST(here.SendRequest("/once/").status == 502);
 }
 
+BOOST_AUTO_TEST_CASE(an_encoded_response_is_not_forwarded) {
+  for (const std::string encoding : {"gzip", "identity"}) {
+    relay_world here;
+    here.AddServer("i-1", here.first.address());
+    std::string response = kWholeResponse;
+    response.insert(response.find("Content-Length"),
+                    "Content-Encoding: " + encoding + "\r\n");
+    here.first.script = {{response}};
+    const int expected = encoding == "identity" ? 200 : 502;
+    BOOST_TEST(here.SendRequest("/once/").status == expected);
+  }
+}
+
 BOOST_AUTO_TEST_CASE(a_second_response_invalidates_the_connection) {
   relay_world here;
   here.AddServer("i-1", here.first.address());
