A refusal without stamp and request id does not take a server out

Leaving holds until the server's run ends, so it is taken only from a response that is signed or has the request's id; a backoff ends by itself and is taken from any refusal. The case of a refusal that says it leaves has the request's id now, as servers echo it; one without is a new case that must not take the server out (it did before).

--- a/src/host/process/response_updates.cc
+++ b/src/host/process/response_updates.cc
@@ -66,7 +66,12 @@
                           const response_metadata& response,
                           base::time_point sent) {
   ApplyResponseLimit(core, server, response, sent);
-  ApplyNotices(core, server, response);
+  response_metadata statements = response;
+  // A refusal may lack the stamp. Without the request's id as well, nothing
+  // shows that the server has written it, and leaving cannot be taken back.
+  if (!response.is_signed && response.request_id.empty())
+    statements.is_leaving = false;
+  ApplyNotices(core, server, statements);
 }
 
 void ApplyControlResponse(host_core& core,
