--- a/src/host/process/host.cc
+++ b/src/host/process/host.cc
@@ -88,7 +88,6 @@
   decisions::cold_share ColdShare();
   bool IsReady() const;
   server_limit_callbacks MakeServerLimitCallbacks();
-  std::int64_t CountServers(bool (known_server::*matches)() const) const;
   void UpdateGauges();
   asio::awaitable<wire::envelope> HandleCall(wire::envelope call);
   asio::awaitable<void> ReportLoop();
@@ -358,12 +357,6 @@
          !freshness_.IsStale();
 }
 
-std::int64_t host::CountServers(bool (known_server::*matches)() const) const {
-  return std::ranges::count_if(
-      core_.servers.servers(),
-      [matches](const auto& each) { return (*each.second.*matches)(); });
-}
-
 void host::UpdateGauges() {
   const auto set = [this](std::string_view name, std::int64_t value) {
     core_.metrics.Gauge(name).Set(value);
@@ -373,10 +366,11 @@
   set("valeledge_hosts", core_.hosts);
   set("valeledge_backend_servers",
       static_cast<std::int64_t>(core_.servers.servers().size()));
-  set("valeledge_limited_servers", CountServers(&known_server::IsLimited));
-  set("valeledge_leaving_servers", CountServers(&known_server::SaysLeaving));
+  const server_registry& servers = core_.servers;
+  set("valeledge_limited_servers", servers.Count(&known_server::IsLimited));
+  set("valeledge_leaving_servers", servers.Count(&known_server::SaysLeaving));
   set("valeledge_backing_off_servers",
-      CountServers(&known_server::IsBackingOff));
+      servers.Count(&known_server::IsBackingOff));
   set("valeledge_configuration_version",
       core_.configuration == nullptr ? 0 : core_.configuration->version);
   set("valeledge_store_revision", mirror_.revision());
--- a/src/host/process/server_registry.cc
+++ b/src/host/process/server_registry.cc
@@ -12,14 +12,6 @@
 
 using milliseconds = std::chrono::duration<double, std::milli>;
 
-// How long updates of the lease holder and refusals of a server take precedence
-// over its entry: entries are written about every second and read a little
-// later.
-constexpr auto kOverrideLifetime = std::chrono::seconds(5);
-
-// Longer, since loading an adapter does not make a server update its entry.
-constexpr auto kAdapterOverrideLifetime = std::chrono::seconds(60);
-
 // Maximum number and age of the prompt prefixes recorded for one server.
 constexpr std::size_t kMaxPrompts = 256;
 constexpr auto kPromptLifetime = std::chrono::seconds(60);
@@ -71,13 +63,6 @@
   return {load.running, load.unread_tokens, load.held_tokens};
 }
 
-const catalog::held_model* FindModel(const catalog::backend_server& entry,
-                                     std::string_view name) {
-  const auto found =
-      std::ranges::find(entry.models, name, &catalog::held_model::name);
-  return found == entry.models.end() ? nullptr : &*found;
-}
-
 bool IsNewerRun(const catalog::backend_server& entry,
                 const catalog::backend_server& known) {
   return entry.started_at && known.started_at &&
@@ -86,17 +71,6 @@
 
 }  // namespace
 
-unit_key KeyOf(std::string_view name) {
-  return static_cast<unit_key>(base::StableHash(name));
-}
-
-std::string AdapterUnit(std::string_view model, std::string_view adapter) {
-  std::string unit(model);
-  if (!adapter.empty())
-    unit.append("/").append(adapter);
-  return unit;
-}
-
 bool IsInAllowedRegion(const server_query& query, const std::string& region) {
   const auto allows = [&](const std::vector<std::string>* regions) {
     return regions == nullptr || regions->empty() ||
@@ -105,44 +79,6 @@
   return allows(query.route_regions) && allows(query.workspace_regions);
 }
 
-bool known_server::Holds(std::string_view model,
-                         std::string_view adapter,
-                         base::time_point now) const {
-  const auto override_of = [&](const std::string& unit, auto lifetime) {
-    const auto found = residency_overrides.find(KeyOf(unit));
-    const bool fresh = found != residency_overrides.end() &&
-                       now - found->second.updated_at < lifetime;
-    return fresh ? std::optional<bool>(found->second.holds) : std::nullopt;
-  };
-  const catalog::held_model* held = FindModel(entry, model);
-  const bool has_model = override_of(std::string(model), kOverrideLifetime)
-                             .value_or(held != nullptr);
-  if (!has_model || adapter.empty())
-    return has_model;
-  const bool listed =
-      held != nullptr &&
-      std::ranges::find(held->adapters, adapter) != held->adapters.end();
-  return override_of(AdapterUnit(model, adapter), kAdapterOverrideLifetime)
-      .value_or(listed);
-}
-
-bool known_server::IsCold(const catalog::service& service,
-                          base::time_point now) const {
-  if (service.cold_rate <= 0)
-    return false;
-  const bool may_be = reinstated_at && now < *reinstated_at + service.cold_time;
-  return may_be || decisions::IsCold(cold, now);
-}
-
-send_block known_server::SendBlock(base::time_point now) const {
-  if (leaving || decisions::HasLeft(notices))
-    return send_block::kLeaving;
-  if (evacuated)
-    return send_block::kEvacuated;
-  return decisions::IsBackingOff(notices, now) ? send_block::kBackoff
-                                               : send_block::kNone;
-}
-
 bool server_registry::Put(catalog::backend_server entry, base::time_point now) {
   auto& slot = servers_[entry.instance];
   // Nothing that is known of the earlier run applies to this one.
@@ -520,6 +456,13 @@
   return found == servers_.end() ? nullptr : found->second;
 }
 
+std::int64_t server_registry::Count(bool (known_server::*matches)()
+                                        const) const {
+  return std::ranges::count_if(servers_, [matches](const auto& each) {
+    return (*each.second.*matches)();
+  });
+}
+
 std::shared_ptr<known_server> server_registry::FindKey(unit_key key) const {
   const auto found = by_key_.find(key);
   return found == by_key_.end() ? nullptr : found->second.lock();
--- a/src/host/request/relay.cc
+++ b/src/host/request/relay.cc
@@ -77,7 +77,6 @@
   asio::awaitable<bool> StartResponse(const net::http_response_header& header);
   bool MayRetry(attempt_outcome outcome);
   asio::awaitable<void> Fail(base::error failed);
-  void RecordEventGap();
 
   host_core& core_;
   net::http_request& request_;
@@ -92,8 +91,6 @@
   attempt_progress progress_;
   // The id of the next event does not follow that of the last one.
   bool is_event_missing_ = false;
-  // When the last event was sent to the caller.
-  base::time_point last_event_at_;
   // An error response of a server, sent to the caller if no further attempt
   // follows.
   std::optional<net::http_response> server_error_response_;
@@ -206,7 +203,7 @@
   if (batch.empty())
     co_return true;
   attempt.OnFirstByte();
-  RecordEventGap();
+  RecordEventGap(routed_, trace_);
   if (!trace_.response_started) {
     const bool begun = co_await StartResponse(header);
     if (!begun)
@@ -365,19 +362,6 @@
                             std::chrono::steady_clock::now());
 }
 
-void relay::RecordEventGap() {
-  const auto now = std::chrono::steady_clock::now();
-  if (!trace_.response_started) {
-    trace_.first_event_delay =
-        duration_cast<milliseconds>(now - routed_.arrived);
-  } else {
-    trace_.max_event_gap =
-        std::max(trace_.max_event_gap,
-                 duration_cast<milliseconds>(now - last_event_at_));
-  }
-  last_event_at_ = now;
-}
-
 asio::awaitable<void> relay::Fail(base::error failed) {
   if (responder_.caller_gone())
     co_return;
--- a/src/host/request/request_trace.cc
+++ b/src/host/request/request_trace.cc
@@ -25,6 +25,19 @@
 
 }  // namespace
 
+void RecordEventGap(const routed_request& routed, request_trace& trace) {
+  using std::chrono::duration_cast;
+  using std::chrono::milliseconds;
+  const auto now = std::chrono::steady_clock::now();
+  if (trace.response_started) {
+    const auto gap = duration_cast<milliseconds>(now - trace.last_event_at);
+    trace.max_event_gap = std::max(trace.max_event_gap, gap);
+  } else {
+    trace.first_event_delay = duration_cast<milliseconds>(now - routed.arrived);
+  }
+  trace.last_event_at = now;
+}
+
 void LogAttemptSent(host_core& core,
                     const routed_request& routed,
                     const request_trace& trace,
--- a/src/host/request/request_trace.h
+++ b/src/host/request/request_trace.h
@@ -20,8 +20,13 @@
   std::string last_event_id;
   std::chrono::milliseconds first_event_delay{0};
   std::chrono::milliseconds max_event_gap{0};
+  // When the last events were sent to the caller.
+  base::time_point last_event_at;
 };
 
+// Records that events are about to be sent to the caller.
+void RecordEventGap(const routed_request& routed, request_trace& trace);
+
 // Logs that an attempt is sent to the selected server.
 void LogAttemptSent(host_core& core,
                     const routed_request& routed,
