--- a/tests/auto/decisions/test_notices_fleet.cc
+++ b/tests/auto/decisions/test_notices_fleet.cc
@@ -31,8 +31,8 @@
 constexpr double kRequestsPerSecond = 100;
 constexpr int kServers = 4;
 
-// What one host has been told by one server, as the server sees it.
-struct told_state {
+// What one server has stated to one host, as the server sees it.
+struct stated_notices {
   base::time_point backoff_at = kStart - 1h;
   std::optional<base::time_point> leaving_at;
 };
@@ -51,7 +51,7 @@
  public:
   fleet(int hosts, std::uint32_t seed) : random_(seed) {
     notices_.resize(hosts);
-    told_.resize(hosts);
+    stated_.resize(hosts);
     std::map<std::string, decisions::server_capacity> capacity;
     for (int i = 0; i < kServers; ++i)
       capacity[std::to_string(i)] = {16, {}};
@@ -168,11 +168,11 @@
               int server,
               base::time_point sent,
               std::int64_t number) {
-    told_state& told = told_[host][server];
-    const auto since = now_ - told.backoff_at;
+    stated_notices& stated = stated_[host][server];
+    const auto since = now_ - stated.backoff_at;
     if (since > kSettled && since < kBackoff)
       ++result_.late_in_backoff;
-    if (told.leaving_at && sent - *told.leaving_at > kDrain)
+    if (stated.leaving_at && sent - *stated.leaving_at > kDrain)
       ++result_.late_at_leaving;
     const bool refuses =
         server == 0 && now_ >= kStart + 1s && now_ < kStart + 5s;
@@ -180,7 +180,7 @@
     if (server == 0 && now_ > kStart + 8s && now_ < kStart + 10s)
       ++result_.after_backoff;
     if (refuses)
-      told.backoff_at = now_;
+      stated.backoff_at = now_;
     const milliseconds work = refuses ? 1ms : 30ms;
     After(work, work + 20ms, [=, this] {
       decisions::response_notice notice{leaving, {}, now_};
@@ -188,8 +188,8 @@
         notice.backoff = kBackoff;
       decisions::Observe(notices_[host][server], notice);
       decisions::EndTrial(notices_[host][server]);
-      if (leaving && !told_[host][server].leaving_at)
-        told_[host][server].leaving_at = now_;
+      if (leaving && !stated_[host][server].leaving_at)
+        stated_[host][server].leaving_at = now_;
       After(1ms, 20ms, [this, server, number] { Release(server, number); });
       if (refuses)
         Select(host, sent);
@@ -205,7 +205,7 @@
   decisions::slot_pool pool_;
   std::map<std::int64_t, std::function<void(const std::string&)>> waiting_;
   std::vector<std::map<int, decisions::server_notices>> notices_;
-  std::vector<std::map<int, told_state>> told_;
+  std::vector<std::map<int, stated_notices>> stated_;
   fleet_result result_;
 };
 
