--- a/src/host/request/server_search.cc
+++ b/src/host/request/server_search.cc
@@ -38,9 +38,9 @@
 
 // Returns the query of a request that no server has failed yet.
 server_query UntriedQueryOf(const routed_request& routed) {
-  static const std::vector<std::string> kNone;
+  static const std::vector<std::string> none;
   server_query query = QueryOf(routed);
-  query.avoid = &kNone;
+  query.avoid = &none;
   return query;
 }
 
