Sight: a host tells whether it reaches the servers of a service

Logs could not tell a host that reaches no server from servers that are down: each attempt failed by itself (2003), then no server was left (2005). A monitor now tracks attempts in progress for each service, suspects the path after a failed or slow connection, silence or connections that break together, and opens connections to several servers to confirm or end the suspicion.

--- /dev/null
+++ b/src/decisions/path_health.cc
@@ -0,0 +1,117 @@
+// SPDX-License-Identifier: MIT
+#include "decisions/path_health.h"
+
+#include <algorithm>
+
+namespace valeledge::decisions {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+// A connection within a region is open after a few milliseconds.
+constexpr milliseconds kSlowConnect{60};
+
+// Longer than the usual time to the first byte of a response.
+constexpr milliseconds kSilence{300};
+
+// Minimum interval between probe rounds for silence alone.
+constexpr milliseconds kSilenceProbeInterval{600};
+
+// Interval between probe rounds while the path is lost.
+constexpr milliseconds kLostProbeInterval{200};
+
+// Probes of one round. One probe suffices to end a suspicion; the others are
+// needed to confirm it.
+constexpr std::size_t kFirstProbes = 1;
+constexpr std::size_t kConfirmingProbes = 3;
+
+// A path that is lost again within this time after it was regained flaps.
+constexpr std::chrono::seconds kFlapWindow{5};
+constexpr int kMinSuccesses = 2;
+constexpr int kMaxSuccesses = 8;
+
+// Servers that break off connections within this time do so for one reason.
+constexpr milliseconds kBreakOffWindow{250};
+constexpr std::size_t kServersBrokenOff = 3;
+
+}  // namespace
+
+void RecordReceived(path_health& path, base::time_point now) {
+  path.last_received = now;
+}
+
+void RecordConnectFailed(path_health& path, base::time_point now) {
+  if (!path.failed_since)
+    path.failed_since = now;
+}
+
+void RecordBrokenOff(path_health& path,
+                     const std::string& server,
+                     base::time_point now) {
+  std::erase_if(path.broken_off, [now](const auto& each) {
+    return now - each.second > kBreakOffWindow;
+  });
+  path.broken_off[server] = now;
+  if (path.broken_off.size() >= kServersBrokenOff)
+    RecordConnectFailed(path, now);
+}
+
+std::size_t ProbesDue(const path_health& path,
+                      const attempt_evidence& attempts,
+                      base::time_point now) {
+  if (path.is_lost)
+    return now - path.last_probe >= kLostProbeInterval ? kConfirmingProbes : 0;
+  const bool slow_connect = attempts.connecting_since &&
+                            now - *attempts.connecting_since >= kSlowConnect &&
+                            path.last_probe < *attempts.connecting_since;
+  if (path.failed_since || slow_connect)
+    return kConfirmingProbes;
+  const bool silent =
+      attempts.silent_since &&
+      now - std::max(*attempts.silent_since, path.last_received) >= kSilence &&
+      now - path.last_probe >= kSilenceProbeInterval;
+  return silent ? kFirstProbes : 0;
+}
+
+path_change RecordProbes(path_health& path,
+                         std::size_t tried,
+                         std::size_t reached,
+                         std::size_t servers,
+                         base::time_point now) {
+  path.last_probe = now;
+  if (reached > 0) {
+    path.failed_since.reset();
+    if (!path.is_lost || ++path.successes < path.required_successes)
+      return path_change::kNone;
+    path.is_lost = false;
+    path.changed_at = now;
+    return path_change::kRegained;
+  }
+  path.successes = 0;
+  RecordConnectFailed(path, now);
+  const bool confirmed =
+      tried > 0 && tried >= std::min(kConfirmingProbes, servers);
+  if (path.is_lost || !confirmed)
+    return path_change::kNone;
+  const bool flaps = now - path.changed_at < kFlapWindow;
+  path.required_successes =
+      flaps ? std::min(path.required_successes * 2, kMaxSuccesses)
+            : kMinSuccesses;
+  path.is_lost = true;
+  path.changed_at = now;
+  return path_change::kLost;
+}
+
+bool MayBePathLoss(const path_health& path, base::time_point now) {
+  const auto recent = std::ranges::count_if(
+      path.broken_off,
+      [now](const auto& each) { return now - each.second <= kBreakOffWindow; });
+  return path.is_lost || static_cast<std::size_t>(recent) >= kServersBrokenOff;
+}
+
+bool IsSuspected(const path_health& path) {
+  return path.is_lost || path.failed_since.has_value();
+}
+
+}  // namespace valeledge::decisions
--- /dev/null
+++ b/src/decisions/path_health.h
@@ -0,0 +1,80 @@
+// SPDX-License-Identifier: MIT
+// Decides whether this host has lost the network path to all backend servers of
+// a service, as opposed to single servers that are down, slow or silent.
+//
+// Suspicion starts with evidence from requests in progress. Only connections
+// that are opened as probes to several servers confirm it or end it.
+#ifndef VALELEDGE_DECISIONS_PATH_HEALTH_H_
+#define VALELEDGE_DECISIONS_PATH_HEALTH_H_
+
+#include <chrono>
+#include <cstddef>
+#include <map>
+#include <optional>
+#include <string>
+
+#include "base/duration.h"
+
+namespace valeledge::decisions {
+
+// What the attempts in progress at the servers of one service show.
+struct attempt_evidence {
+  // Start of the oldest attempt that still waits for its connection.
+  std::optional<base::time_point> connecting_since;
+  // Latest time at which the oldest silent attempt was sent or received data.
+  std::optional<base::time_point> silent_since;
+};
+
+// The path to the servers of one service. Modified only by the functions below.
+struct path_health {
+  bool is_lost = false;
+  // Time of the last change of `is_lost`.
+  base::time_point changed_at;
+  // Since when a connection has failed without a successful probe after it.
+  std::optional<base::time_point> failed_since;
+  base::time_point last_received;
+  base::time_point last_probe;
+  // Successful probe rounds in a row while the path is lost.
+  int successes = 0;
+  // Number of rounds that must succeed; grows while the path flaps.
+  int required_successes = 2;
+  // Servers that closed connections with requests in progress, and when.
+  std::map<std::string, base::time_point> broken_off;
+};
+
+enum class path_change { kNone, kLost, kRegained };
+
+// Records data received from any server of the service.
+void RecordReceived(path_health& path, base::time_point now);
+
+// Records that no connection could be opened to a server.
+void RecordConnectFailed(path_health& path, base::time_point now);
+
+// Records that a server's connection broke while a request was in progress.
+void RecordBrokenOff(path_health& path,
+                     const std::string& server,
+                     base::time_point now);
+
+// Returns the number of servers to probe now; 0 if no probe is due.
+std::size_t ProbesDue(const path_health& path,
+                      const attempt_evidence& attempts,
+                      base::time_point now);
+
+// Records a round of probes to `tried` of `servers` known servers, of which
+// `reached` accepted a connection.
+path_change RecordProbes(path_health& path,
+                         std::size_t tried,
+                         std::size_t reached,
+                         std::size_t servers,
+                         base::time_point now);
+
+// Whether connections that break now may be due to the path rather than to
+// crashed servers: the path is lost, or several servers broke off together.
+bool MayBePathLoss(const path_health& path, base::time_point now);
+
+// Whether a failed attempt says nothing about its server.
+bool IsSuspected(const path_health& path);
+
+}  // namespace valeledge::decisions
+
+#endif  // VALELEDGE_DECISIONS_PATH_HEALTH_H_
--- a/src/host/process/host.cc
+++ b/src/host/process/host.cc
@@ -21,6 +21,7 @@
 #include "host/process/key_freshness_monitor.h"
 #include "host/process/load_reports.h"
 #include "host/process/owner_services.h"
+#include "host/process/path_monitor.h"
 #include "host/process/peer_link.h"
 #include "host/process/placement_controller.h"
 #include "host/process/quarantine_coordinator.h"
@@ -97,6 +98,7 @@
   store_update_handler store_updates_;
   store_mirror mirror_;
   peer_link peers_;
+  path_monitor paths_;
   snapshot_service snapshots_;
   quarantine_coordinator quarantine_;
   key_freshness_monitor freshness_;
@@ -151,6 +153,7 @@
               [this](wire::envelope call) {
                 return HandleCall(std::move(call));
               }}),
+      paths_(core_),
       snapshots_(core_, mirror_, peers_),
       quarantine_(core_,
                   *store_,
@@ -239,6 +242,7 @@
                : decisions::LeaseAcquireDelay(core_.settings.cores,
                                               distribution(core_.random));
   });
+  core_.paths = &paths_;
   core_.load_changed = [this](const known_server& server) {
     loads_.ReportUsage(server);
   };
@@ -285,6 +289,7 @@
   lease_.Start();
   placement_.Start();
   freshness_.Start();
+  paths_.Start();
   asio::co_spawn(core_.context, ReportLoop(), asio::detached);
   shutdown_.Start();
   reloader_.Start();
@@ -371,6 +376,7 @@
   set("valeledge_leaving_servers", servers.Count(&known_server::SaysLeaving));
   set("valeledge_backing_off_servers",
       servers.Count(&known_server::IsBackingOff));
+  set("valeledge_lost_paths", paths_.CountLost());
   set("valeledge_configuration_version",
       core_.configuration == nullptr ? 0 : core_.configuration->version);
   set("valeledge_store_revision", mirror_.revision());
--- a/src/host/process/host_core.h
+++ b/src/host/process/host_core.h
@@ -31,6 +31,8 @@
 
 namespace valeledge::host {
 
+class path_monitor;
+
 struct host_core {
   host_core(boost::asio::io_context& context_in,
             host_settings settings_in,
@@ -57,6 +59,8 @@
   // How recent this host's knowledge of valid caller keys is.
   decisions::key_freshness freshness;
   retry_budgets retries{settings, metrics, started};
+  // Tells whether this host reaches the servers; null if it is not watched.
+  path_monitor* paths = nullptr;
   // Requests under which backend servers crash.
   decisions::quarantine quarantine;
   // Publishes that a server crashed while a request of this host was in
--- /dev/null
+++ b/src/host/request/peer_relay.h
@@ -0,0 +1,67 @@
+// SPDX-License-Identifier: MIT
+// Sending a request to backend servers through another host.
+//
+// The host that received the request from its caller decides whether it is
+// admitted, and owns its limits, deadline and retries. The other host selects
+// servers. Requests are relayed on a listener that callers cannot reach, and a
+// relayed request is not relayed again.
+#ifndef VALELEDGE_HOST_REQUEST_PEER_RELAY_H_
+#define VALELEDGE_HOST_REQUEST_PEER_RELAY_H_
+
+#include <chrono>
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include <boost/asio/awaitable.hpp>
+
+#include "base/result_code.h"
+#include "host/request/routed_request.h"
+#include "net/http_client.h"
+
+namespace valeledge::host {
+
+// What the receiving host states about a relayed request.
+struct relayed_request {
+  // Version of its configuration. Hosts must not mix versions in one request.
+  std::int64_t version = 0;
+  // Attempts that may have run the request already.
+  std::int64_t possible_executions = 0;
+  // The authenticated caller's workspace; empty if the route requires none.
+  std::string workspace;
+  // Servers that have told the receiving host that they are leaving.
+  std::vector<std::string> leaving;
+};
+
+// What the other host states about its response.
+struct relayed_response {
+  // Its own error; kOk for a response of a backend server.
+  base::result_code code = base::result_code::kOk;
+  // The backend server that responded; empty if none did.
+  std::string server;
+};
+
+// The fields of hosts; callers' requests must not carry them.
+void EraseRelayFields(net::http_request& request);
+
+void WriteRelayFields(net::http_request& request,
+                      const relayed_request& relayed);
+// Reads the fields and erases them.
+relayed_request TakeRelayFields(net::http_request& request);
+
+void WriteRelayFields(net::http_response_header& response,
+                      const relayed_response& relayed);
+relayed_response TakeRelayFields(net::http_response_header& response);
+
+// Returns the request as it is sent to another host.
+net::http_request MakeRelayedRequest(const host_core& core,
+                                     const net::http_request& request,
+                                     const routed_request& routed,
+                                     std::string_view resume_after,
+                                     std::int64_t possible_executions);
+
+}  // namespace valeledge::host
+
+#endif  // VALELEDGE_HOST_REQUEST_PEER_RELAY_H_
--- a/src/host/request/relay.cc
+++ b/src/host/request/relay.cc
@@ -116,9 +116,11 @@
   }
   if (!piece) {
     last_error_ = piece.error();
+    attempt.OnConnectionError(last_error_);
     attempt.OnFailed(false);
     co_return tl::make_unexpected(attempt_outcome::kUnknown);
   }
+  attempt.OnData();
   if (!piece->empty() && !progress_.first_body_at)
     progress_.first_body_at = std::chrono::steady_clock::now();
   co_return *piece;
@@ -284,7 +286,12 @@
   progress_ = {std::chrono::steady_clock::now(), {}, {}};
   last_error_ = {};
   LogAttemptSent(core_, routed_, trace_, choice, attempt_fields);
-  guard_->SetSendCheck([this, &server] { return CheckSend(core_, server); });
+  guard_->SetSendCheck([this, &server, &attempt] {
+    auto allowed = CheckSend(core_, server);
+    if (allowed)
+      attempt.OnSent();
+    return allowed;
+  });
   auto opened = co_await core_.http.Open(
       server.entry.address, std::move(forwarded),
       std::min(RemainingTime(routed_), kConnectTimeout), header_timeout,
@@ -297,12 +304,14 @@
   }
   if (!opened) {
     last_error_ = opened.error();
+    attempt.OnConnectionError(last_error_);
     const bool not_run = last_error_.what_ran == base::outcome::kNotRun;
     attempt.OnFailed(not_run || RemainingTime(routed_).count() > 0);
     LogAttemptFailed(core_, routed_, trace_, server, last_error_);
     co_return not_run ? attempt_outcome::kNotRun : attempt_outcome::kUnknown;
   }
   progress_.header_at = std::chrono::steady_clock::now();
+  attempt.OnData();
   net::http_exchange& exchange = **opened;
   responder_.OnCallerGone([weak = std::weak_ptr<net::http_exchange>(*opened)] {
     if (const auto open = weak.lock())
--- a/src/host/request/server_attempt.cc
+++ b/src/host/request/server_attempt.cc
@@ -29,6 +29,8 @@
     : core_(core),
       server_(choice.server),
       slot_(choice.slot),
+      tracked_(core.paths == nullptr ? nullptr
+                                     : core.paths->Track(choice.server)),
       metadata_(metadata),
       weight_(weight),
       demand_(demand),
@@ -72,6 +74,25 @@
     decisions::EndTrial(server_->notices);
 }
 
+void server_attempt::OnSent() {
+  if (tracked_ != nullptr)
+    core_.paths->OnSent(*tracked_);
+}
+
+void server_attempt::OnData() {
+  if (tracked_ != nullptr)
+    core_.paths->OnReceived(*tracked_);
+}
+
+void server_attempt::OnConnectionError(const base::error& failed) {
+  if (tracked_ == nullptr)
+    return;
+  if (failed.code == base::result_code::kBackendUnreachable)
+    core_.paths->OnConnectFailed(*tracked_);
+  else if (failed.connection_lost)
+    core_.paths->OnBrokenOff(*tracked_);
+}
+
 void server_attempt::OnFirstByte() {
   if (!awaiting_first_byte_)
     return;
--- a/src/host/request/server_attempt.h
+++ b/src/host/request/server_attempt.h
@@ -7,6 +7,7 @@
 #include <memory>
 
 #include "host/process/host_core.h"
+#include "host/process/path_monitor.h"
 
 namespace valeledge::host {
 
@@ -23,6 +24,12 @@
   server_attempt(const server_attempt&) = delete;
   server_attempt& operator=(const server_attempt&) = delete;
 
+  // The connection is open, and the request is about to be written to it.
+  void OnSent();
+  // Data of the response has arrived.
+  void OnData();
+  // No connection could be opened, or the connection failed.
+  void OnConnectionError(const base::error& failed);
   // The first byte of the response has arrived, so prefill has finished.
   void OnFirstByte();
   // The response is complete.
@@ -40,6 +47,8 @@
   host_core& core_;
   std::shared_ptr<known_server> server_;
   std::shared_ptr<slot_handle> slot_;
+  // Null if the path to the servers is not watched.
+  std::shared_ptr<tracked_attempt> tracked_;
   const request_metadata& metadata_;
   decisions::request_weight weight_;
   model_demand& demand_;
--- a/src/net/http_client.cc
+++ b/src/net/http_client.cc
@@ -210,6 +210,37 @@
 
 http_client::~http_client() = default;
 
+asio::awaitable<base::result<std::unique_ptr<detail::connection>>>
+http_client::Connect(base::endpoint where,
+                     std::chrono::microseconds timeout,
+                     open_guard* guard) {
+  auto link = std::make_unique<connection>(context_);
+  link->stream.expires_after(timeout);
+  if (guard != nullptr)
+    guard->link_ = link.get();
+  const auto [failed] =
+      co_await link->stream.async_connect(ToTcp(where), kAwait);
+  if (failed) {
+    co_return base::NotRun(result_code::kBackendUnreachable,
+                           Explain(where, "no connection", failed));
+  }
+  // Without it the call is slower, and no less right.
+  boost::system::error_code ignored;
+  link->stream.socket().set_option(asio::ip::tcp::no_delay(true), ignored);
+  co_return std::move(link);
+}
+
+asio::awaitable<base::result<void>> http_client::Preconnect(
+    base::endpoint where,
+    std::chrono::microseconds timeout) {
+  auto connected = co_await Connect(where, timeout, nullptr);
+  if (!connected)
+    co_return tl::make_unexpected(connected.error());
+  (*connected)->stale_at = std::chrono::steady_clock::now() + kIdleTimeout;
+  pool_->Give(where, std::move(*connected));
+  co_return base::result<void>();
+}
+
 asio::awaitable<base::result<std::shared_ptr<http_exchange>>> http_client::Open(
     base::endpoint where,
     http_request request,
@@ -229,18 +260,10 @@
   if (use == connection_use::kPooled)
     link = pool_->Take(where);
   if (link == nullptr) {
-    link = std::make_unique<connection>(context_);
-    link->stream.expires_after(connect_timeout);
-    watched.link_ = link.get();
-    const auto [failed] =
-        co_await link->stream.async_connect(ToTcp(where), kAwait);
-    if (failed) {
-      co_return base::NotRun(result_code::kBackendUnreachable,
-                             Explain(where, "no connection", failed));
-    }
-    // Without it the call is slower, and no less right.
-    boost::system::error_code ignored;
-    link->stream.socket().set_option(asio::ip::tcp::no_delay(true), ignored);
+    auto connected = co_await Connect(where, connect_timeout, &watched);
+    if (!connected)
+      co_return tl::make_unexpected(connected.error());
+    link = std::move(*connected);
   }
   watched.link_ = link.get();
   if (watched.check_) {
--- a/src/net/http_client.h
+++ b/src/net/http_client.h
@@ -135,6 +135,12 @@
       connection_use use = connection_use::kPooled,
       open_guard* guard = nullptr);
 
+  // Opens a connection and keeps it as an idle one. An error means that none
+  // could be opened within `timeout`.
+  boost::asio::awaitable<base::result<void>> Preconnect(
+      base::endpoint where,
+      std::chrono::microseconds timeout);
+
   // Closes idle connections that are not used any more: those that servers are
   // about to close, or have closed, keep descriptors and memory until then.
   // Call several times a second.
@@ -148,6 +154,12 @@
   friend class http_exchange;
   struct pool;
 
+  // Opens a connection for the guard's call.
+  boost::asio::awaitable<base::result<std::unique_ptr<detail::connection>>>
+  Connect(base::endpoint where,
+          std::chrono::microseconds timeout,
+          open_guard* guard);
+
   // Sends a request and reads the answer's body until `limit` says.
   boost::asio::awaitable<base::result<http_response>> ReadWhole(
       base::endpoint where,
