--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -29,6 +29,8 @@
         # Whether it connects to the host itself, with its own address.
         self.direct = False
         self.stopping = False
+        # Whether it leaves the present request before it has the answer.
+        self.left = False
 
     async def run(self) -> None:
         while not self.stopping:
@@ -64,6 +66,14 @@
                    ending: str = "") -> bool:
         """Sends one request; true if it was served. With `ending`, one that
         ends its servers, and is the same request for the same text."""
+        begun, calm = time.monotonic(), not self.host.disturbed()
+        self.left = False
+        served = await self._send(kind, model, ending, session)
+        if calm and not ending and not self.left:
+            self.ledger.tried(self.host.name, begun, served)
+        return served
+
+    async def _send(self, kind, model, ending, session) -> bool:
         name = f"{self.rng.getrandbits(64):016x}"
         streams = bool(model)
         # Routes that are added later are like the idempotent one.
@@ -81,7 +91,7 @@
         port = (self.host.ports["callers"] if self.direct
                 else self.host.proxy.port)
         url = f"http://127.0.0.1:{port}{target}"
-        leaves = self.rng.random() < self.leaves_early
+        leaves = self.left = self.rng.random() < self.leaves_early
         patience = LEAVES_AFTER_S if leaves else DEADLINE_MS / 1000 + 2
         try:
             async with asyncio.timeout(patience):
--- a/tests/soak/hosts.py
+++ b/tests/soak/hosts.py
@@ -9,8 +9,9 @@
 
 import aiohttp
 
+from ledger import CUT_KNOWN_S
 from platform_standin import deployment
-from proxy import Proxy
+from proxy import HostLink, Proxy
 
 GRACE_S = 4.0
 LEASE_MS = 1500
@@ -53,6 +54,11 @@
         self.folder, self.store, self.ledger = folder, store, ledger
         self.clock_shim = clock_shim
         self.clock_offset_s = 0
+        # Library that redirects connections to `links`, and the links by the
+        # ports that backend servers show; without it, hosts connect directly.
+        self.connect_shim = None
+        self.links = {}
+        self.links_cut_at = None
         self.ports = {name: next(ports)
                       for name in ("callers", "ready", "peers")}
         self.proxy = Proxy(self.ports["callers"])
@@ -73,6 +79,22 @@
         await self.proxy.start()
         await self.store_proxy.start()
 
+    async def add_links(self, connect_shim, server_ports) -> None:
+        """Gives this host a path of its own to each backend server."""
+        self.connect_shim = connect_shim
+        for port in server_ports:
+            self.links[port] = HostLink(port)
+            await self.links[port].start()
+
+    def cut_from_servers(self, how: str) -> None:
+        self.links_cut_at = time.monotonic()
+        for link in self.links.values():
+            link.cut(how)
+
+    async def heal_links(self) -> None:
+        for link in self.links.values():
+            await link.heal()
+
     def disturb(self, seconds: float) -> None:
         self.disturbed_until = max(self.disturbed_until,
                                    time.monotonic() + seconds + AFTER_S)
@@ -86,9 +108,13 @@
             self.name, self.zone, self.ports, self.store_proxy.port,
             self.seeds, first, GRACE_S, LEASE_MS))
         environment = dict(os.environ)
-        if self.clock_shim:
-            environment["LD_PRELOAD"] = str(self.clock_shim)
+        shims = [str(shim) for shim in (self.clock_shim, self.connect_shim)
+                 if shim]
+        if shims:
+            environment["LD_PRELOAD"] = ":".join(shims)
             environment["SOAK_CLOCK_OFFSET_S"] = str(self.clock_offset_s)
+            environment["SOAK_PORT_MAP"] = ",".join(
+                f"{port}:{link.port}" for port, link in self.links.items())
             # The sanitizer wants to be loaded first, but does not need to.
             environment["ASAN_OPTIONS"] = "verify_asan_link_order=0"
         with open(self.folder / f"{self.name}.log", "ab") as log:
@@ -179,12 +205,21 @@
         host's fault if nothing disturbed it and a request had been read: one
         that no server was sent may have crossed the close."""
         ran = self.ledger.run.get(name)
-        sound = ran and not self.ledger.spoiled_at(ran[-1].instance)
+        sound = (ran and not self.ledger.spoiled_at(ran[-1].instance)
+                 and not self._lost_with_links(name, kind))
         if sound and not self.disturbed() and not self.killed:
             self.ledger.break_promise(
                 "cut", f"{name} ({kind}) ran and was cut by {self.name}: "
                 f"{reason}")
 
+    def _lost_with_links(self, name: str, kind: str) -> bool:
+        """Whether a request that cannot be sent again was under way when the
+        links to the servers were cut, or before the host had to know it."""
+        if self.links_cut_at is None or kind in (deployment.RESUMABLE,
+                                                 deployment.SAFE):
+            return False
+        return self.ledger.sent[name].at < self.links_cut_at + CUT_KNOWN_S
+
     async def is_ready(self) -> bool:
         url = f"http://127.0.0.1:{self.ports['ready']}{deployment.READY_PATH}"
         try:
--- a/tests/soak/ledger.py
+++ b/tests/soak/ledger.py
@@ -19,6 +19,21 @@
 BACKOFF_MOST, BACKOFF_KNOWN_S = 2, 0.5
 
 
+# First tries at hosts that are cut from all servers, from so long after the
+# cut: their share served, against the others', and how many may fail anyway.
+CUT_KNOWN_S, CUT_SHARE, CUT_MOST, CUT_MOST_SHARE = 3.0, 2 / 3, 10, 1 / 50
+
+
+@dataclass
+class Cut:
+    """Hosts that are cut from all servers, and the first tries of callers at
+    them and at the others: how many there were, and how many were served."""
+    hosts: set
+    since: float
+    inside: list
+    outside: list
+
+
 @dataclass
 class Limit:
     """What one server advertises, and what it gets meanwhile."""
@@ -96,9 +111,38 @@
         self.backoffs: dict[tuple, list[Backoff]] = collections.defaultdict(
             list)
         self.notices_seen = collections.Counter()
+        # Hosts that are cut from all servers now.
+        self.cut: Cut | None = None
         # Spans in which hosts could not know what the store holds.
         self.blind: list[tuple[float, float]] = []
 
+    def cut_off(self, hosts) -> None:
+        self.cut = Cut(set(hosts), time.monotonic(), [0, 0], [0, 0])
+
+    def tried(self, host, at, served) -> None:
+        """The first try of a request that a caller sent to a calm host."""
+        cut = self.cut
+        if cut is None or at - cut.since < CUT_KNOWN_S or (
+                self.stalled_at > cut.since):
+            return
+        count = cut.inside if host in cut.hosts else cut.outside
+        count[0] += 1
+        count[1] += served
+
+    def heal(self) -> Cut:
+        """The cut ends; its counts."""
+        cut, self.cut = self.cut, None
+        tries, served = cut.inside
+        others, others_served = cut.outside
+        failed = tries - served
+        far_worse = others and (
+            served * others < CUT_SHARE * others_served * tries)
+        if far_worse and failed > CUT_MOST + CUT_MOST_SHARE * tries:
+            self.break_promise("cut-off", f"{sorted(cut.hosts)} served "
+                               f"{served} of {tries} first tries, the others "
+                               f"{others_served} of {others}")
+        return cut
+
     def break_promise(self, name: str, text: str) -> None:
         at = time.monotonic() - self.began
         self.broken.append(f"{at:7.2f} s {name}: {text}")
--- a/tests/soak/proxy.py
+++ b/tests/soak/proxy.py
@@ -32,7 +32,8 @@
         self.pairs = set()
 
     async def start(self) -> None:
-        self.server = await asyncio.start_server(self._accept, "127.0.0.1", 0)
+        self.server = await asyncio.start_server(self._accept, "127.0.0.1",
+                                                 self.port)
         self.port = self.server.sockets[0].getsockname()[1]
 
     async def stop(self) -> None:
@@ -86,6 +87,46 @@
             self.mode is Mode.SILENT_BACK and backward)
 
 
+class HostLink(Proxy):
+    """The path from one host to one backend server, which can be cut."""
+
+    def __init__(self, target: int):
+        super().__init__(target)
+        # Sockets that keep new connections from being accepted.
+        self.blocking = []
+
+    def cut(self, how: str) -> None:
+        """`silent`: nothing passes; `back`: nothing comes back; `reset`:
+        connections are reset and new ones refused; `live`: connections live
+        on and new ones are refused."""
+        self.server.close()
+        if how == "reset":
+            self.reset()
+        if how in ("silent", "back"):
+            self.mode = Mode.SILENT if how == "silent" else Mode.SILENT_BACK
+            self._block()
+
+    def _block(self) -> None:
+        """Listens with a full queue: the kernel drops opening packets."""
+        listener = socket.socket()
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        listener.bind(("127.0.0.1", self.port))
+        listener.listen(0)
+        self.blocking.append(listener)
+        for _ in range(3):
+            filler = socket.socket()
+            filler.setblocking(False)
+            filler.connect_ex(("127.0.0.1", self.port))
+            self.blocking.append(filler)
+
+    async def heal(self) -> None:
+        for each in self.blocking:
+            each.close()
+        self.blocking = []
+        self.mode = Mode.PASS
+        await self.start()
+
+
 def _abort(writer) -> None:
     """Closes a connection with a reset."""
     sock = writer.get_extra_info("socket")
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -110,6 +110,10 @@
                         self.args.program, self.folder, self.store,
                         self.ledger, ports, self.args.clock_shim)
             await host.prepare()
+            if self.args.connect_shim:
+                await host.add_links(
+                    self.args.connect_shim,
+                    [server.shown_port for server in self.servers])
             self.hosts.append(host)
         for host in self.hosts:
             host.seeds = [each.ports["peers"] for each in self.hosts[:3]]
@@ -205,6 +209,8 @@
         for host in self.hosts:
             await host.proxy.stop()
             await host.store_proxy.stop()
+            for link in host.links.values():
+                await link.stop()
         for proxy in self.server_proxies:
             await proxy.stop()
         for server in self.servers:
@@ -274,6 +280,9 @@
     parser.add_argument("--program", type=pathlib.Path, required=True)
     parser.add_argument("--clock-shim", type=pathlib.Path,
                         help="library that moves a host's time of day")
+    parser.add_argument("--connect-shim", type=pathlib.Path,
+                        help="library that gives hosts paths of their own to "
+                        "backend servers")
     parser.add_argument("--regressions", type=pathlib.Path,
                         help="file of seeds to play first")
     parser.add_argument("--seconds", type=float, default=20)
--- a/tests/soak/test_ending_requests.py
+++ b/tests/soak/test_ending_requests.py
@@ -81,6 +81,7 @@
 if __name__ == "__main__":
     parser = argparse.ArgumentParser()
     parser.add_argument("--program", required=True)
-    parser.set_defaults(hosts=3, engines=6, callers=0, clock_shim=None)
+    parser.set_defaults(hosts=3, engines=6, callers=0, clock_shim=None,
+                        connect_shim=None)
     ARGS, rest = parser.parse_known_args()
     unittest.main(argv=[sys.argv[0], *rest])
