--- a/src/decisions/relay_peers.cc
+++ b/src/decisions/relay_peers.cc
@@ -43,17 +43,18 @@
 
 std::optional<relay_peer> ChooseRelay(const relay_peers& peers,
                                       base::time_point now,
+                                      bool near,
                                       std::mt19937_64& random) {
   std::vector<const relay_peer*> usable;
-  std::vector<const relay_peer*> same_zone;
+  std::vector<const relay_peer*> preferred;
   for (const auto& [address, peer] : peers) {
     if (now < peer.avoid_until || now - peer.confirmed_at > kStatementLifetime)
       continue;
     usable.push_back(&peer);
-    if (peer.same_zone)
-      same_zone.push_back(&peer);
+    if (peer.same_zone == near)
+      preferred.push_back(&peer);
   }
-  const auto& from = same_zone.empty() ? usable : same_zone;
+  const auto& from = preferred.empty() ? usable : preferred;
   if (from.empty())
     return std::nullopt;
   std::uniform_int_distribution<std::size_t> any(0, from.size() - 1);
--- a/src/decisions/relay_peers.h
+++ b/src/decisions/relay_peers.h
@@ -43,10 +43,12 @@
                        const base::endpoint& relay_address,
                        base::time_point now);
 
-// Returns a peer for the next request, of this host's availability zone if
-// possible; nothing if there is none.
+// Returns a peer for the next request, nothing if there is none. `near`: one of
+// this host's availability zone if possible; otherwise one of another zone,
+// since the hosts of a zone may lose the path together.
 std::optional<relay_peer> ChooseRelay(const relay_peers& peers,
                                       base::time_point now,
+                                      bool near,
                                       std::mt19937_64& random);
 
 }  // namespace valeledge::decisions
--- a/src/decisions/server_cost.cc
+++ b/src/decisions/server_cost.cc
@@ -103,4 +103,10 @@
   health.suspended_until = now + health.last_suspension;
 }
 
+void ClearFailures(server_health& health) {
+  health.failure_rate = 0;
+  health.suspended_until = {};
+  health.last_suspension = {};
+}
+
 }  // namespace valeledge::decisions
--- a/src/decisions/server_cost.h
+++ b/src/decisions/server_cost.h
@@ -74,6 +74,9 @@
                    bool suspend_now,
                    base::time_point now);
 
+// Forgets failed attempts that were not the server's fault.
+void ClearFailures(server_health& health);
+
 }  // namespace valeledge::decisions
 
 #endif  // VALELEDGE_DECISIONS_SERVER_COST_H_
--- a/src/host/constants.h
+++ b/src/host/constants.h
@@ -5,6 +5,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <string_view>
 
 namespace valeledge::host {
 
@@ -12,10 +13,19 @@
 // the network path to it is down.
 inline constexpr std::chrono::milliseconds kConnectTimeout{250};
 
+// Header fields between hosts begin with this.
+inline constexpr std::string_view kRelayFieldPrefix = "Valeledge-Relay-";
+
+// Connecting to another host of the fleet, on the same terms.
+inline constexpr std::chrono::milliseconds kRelayConnectTimeout{100};
+
 // Interval at which server selection is repeated for a request that no server
 // can accept yet.
 inline constexpr std::chrono::milliseconds kSelectionRetryInterval{15};
 
+// Interval at which a request looks whether the path to the servers is known.
+inline constexpr std::chrono::milliseconds kPathRecheckInterval{5};
+
 // Fraction of the route's objective after which a waiting request is refused.
 // A refusal costs the caller least if it arrives within a quarter of the
 // objective; a fifth leaves time for the response to travel back.
@@ -36,12 +46,20 @@
 // decoding steps.
 inline constexpr std::chrono::milliseconds kShortRetryAfter{150};
 
+// Retry-after delay if no backend server can be reached. Lost paths are probed
+// more often.
+inline constexpr std::chrono::milliseconds kPathRetryAfter{500};
+
 // Maximum gap between events for routes that do not define one.
 inline constexpr std::chrono::milliseconds kDefaultEventGap{300};
 
 // Attempts per request, including those that certainly did not run.
 inline constexpr int kMaxAttempts = 4;
 
+// Hosts through which one request is sent. Each that has lost the path as well
+// says so, and is not used again soon.
+inline constexpr int kMaxRelays = 5;
+
 // If a server has not sent the response header within this fraction of the
 // objective, an idempotent request is abandoned there and sent to another
 // server.
--- a/src/host/host_settings.h
+++ b/src/host/host_settings.h
@@ -27,6 +27,9 @@
   base::endpoint readiness_listen;
   // Listens for other hosts, both datagrams and connections.
   base::endpoint peer_listen;
+  // Listens for requests that other hosts relay; port 0: any free one. Callers
+  // must not reach it.
+  base::endpoint relay_listen;
   // Hosts contacted first to join the membership; any of them may be down.
   std::vector<base::endpoint> seeds;
   base::endpoint store;
--- a/src/host/process/host.cc
+++ b/src/host/process/host.cc
@@ -64,6 +64,16 @@
 // Reported in metrics for an unknown age.
 constexpr std::int32_t kUnknownAge = -1;
 
+// Space for the header fields that hosts add to a relayed request.
+constexpr std::int64_t kRelayFieldBytes = 4 * 1024;
+
+// A server crash is reported after this delay, in which it turns out whether
+// the connections of other servers broke as well.
+constexpr milliseconds kCrashReportDelay{100};
+
+// The lease is given up if this host has not reached the engines for so long.
+constexpr milliseconds kMaxUnableHolder{1000};
+
 // By this time after its start a host knows the other hosts.
 constexpr milliseconds kDiscoveryPeriod{5000};
 
@@ -89,6 +99,9 @@
   decisions::cold_share ColdShare();
   bool IsReady() const;
   server_limit_callbacks MakeServerLimitCallbacks();
+  path_callbacks MakePathCallbacks();
+  asio::awaitable<void> ReportCrash(std::uint64_t digest,
+                                    decisions::server_crash crash);
   void UpdateGauges();
   asio::awaitable<wire::envelope> HandleCall(wire::envelope call);
   asio::awaitable<void> ReportLoop();
@@ -108,11 +121,14 @@
   server_limits server_limits_;
   load_reports loads_;
   net::http_server callers_;
+  net::http_server relays_;
   net::http_server readiness_;
   net::http_server metrics_;
   shutdown_controller shutdown_;
   settings_reloader reloader_;
   std::int64_t max_hosts_ = 1;
+  // Where other hosts relay requests to; 0 if this could not be opened.
+  std::uint16_t relay_port_ = 0;
 };
 
 host::host(asio::io_context& context,
@@ -153,7 +169,7 @@
               [this](wire::envelope call) {
                 return HandleCall(std::move(call));
               }}),
-      paths_(core_),
+      paths_(core_, MakePathCallbacks()),
       snapshots_(core_, mirror_, peers_),
       quarantine_(core_,
                   *store_,
@@ -200,7 +216,16 @@
           context,
           {},
           [this](net::http_request& request, net::http_responder& responder) {
-            return RelayRequest(core_, request, responder);
+            return RelayRequest(core_, request, responder,
+                                request_origin::kCaller);
+          },
+          MakeErrorResponse),
+      relays_(
+          context,
+          {},
+          [this](net::http_request& request, net::http_responder& responder) {
+            return RelayRequest(core_, request, responder,
+                                request_origin::kPeer);
           },
           MakeErrorResponse),
       readiness_(
@@ -226,6 +251,7 @@
           MakeErrorResponse),
       shutdown_(core_,
                 callers_,
+                relays_,
                 [this] {
                   lease_.Resign();
                   peers_.AnnounceLeaving();
@@ -248,7 +274,7 @@
   };
   core_.server_crashed = [this](std::uint64_t digest,
                                 const decisions::server_crash& end) {
-    quarantine_.OnServerCrash(digest, end);
+    asio::co_spawn(core_.context, ReportCrash(digest, end), asio::detached);
   };
   core_.suspect_completed = [this](std::uint64_t digest) {
     quarantine_.OnCompletedResponse(digest);
@@ -285,6 +311,13 @@
   const auto peers = peers_.Start();
   if (!peers)
     return peers;
+  const auto relays = relays_.Start(core_.settings.relay_listen);
+  // The host serves its own callers without it.
+  if (relays)
+    relay_port_ = relays->port;
+  else
+    base::Log(kCategory, log_event::kListenFailed,
+              {{"reason", relays.error().message}});
   mirror_.Start();
   lease_.Start();
   placement_.Start();
@@ -308,6 +341,10 @@
         limits.receive_timeout = newer.limits.header_timeout;
         limits.idle_timeout = newer.limits.idle_timeout;
         callers_.SetLimits(limits);
+        // Other hosts keep idle connections for their own time.
+        limits.idle_timeout = net::http_limits().idle_timeout;
+        limits.header_bytes += kRelayFieldBytes;
+        relays_.SetLimits(limits);
       };
   // The lease holder is the seed by which hosts that read the store discover
   // the others.
@@ -345,6 +382,31 @@
   return callbacks;
 }
 
+path_callbacks host::MakePathCallbacks() {
+  path_callbacks callbacks;
+  callbacks.sample_peers = [this](bool same_zone, std::size_t count) {
+    return peers_.SampleServing(same_zone, count);
+  };
+  callbacks.call = [this](base::endpoint where, wire::envelope call,
+                          std::chrono::microseconds timeout) {
+    return peers_.Call(std::move(where), std::move(call), timeout);
+  };
+  return callbacks;
+}
+
+asio::awaitable<void> host::ReportCrash(std::uint64_t digest,
+                                        decisions::server_crash crash) {
+  const auto server = core_.servers.FindKey(crash.server);
+  asio::steady_timer timer(core_.context, kCrashReportDelay);
+  co_await timer.async_wait(kAwait);
+  const bool is_path = server != nullptr &&
+                       paths_.MayBePathLoss(server->entry.service, crash.at);
+  if (is_path)
+    core_.metrics.Counter("valeledge_crash_reports_dropped_total").Add();
+  else
+    quarantine_.OnServerCrash(digest, crash);
+}
+
 // Hosts that are no longer visible may still send requests.
 decisions::cold_share host::ColdShare() {
   max_hosts_ = std::max(max_hosts_, peers_.CountKnown());
@@ -444,6 +506,11 @@
     reply = snapshots_.HandleRequest(call.mirror_wanted);
   } else if (owner_services::Handles(call)) {
     reply = co_await owner_services_.HandleCall(std::move(call));
+  } else if (call.__isset.path_wanted) {
+    const bool accepts =
+        !shutdown_.stopping() && core_.configuration != nullptr;
+    reply.__set_path(
+        paths_.HandleRequest(call.path_wanted, accepts ? relay_port_ : 0));
   } else if (call.__isset.permit_wanted) {
     reply.__set_permit(server_limits_.Grant(call.permit_wanted));
   } else if (call.__isset.limit_changed) {
@@ -469,6 +536,7 @@
     core_.demand.UpdateRates(now);
     owner_services_.Tick(now);
     server_limits_.Tick(now);
+    lease_.SetYielding(paths_.CannotPlaceModels(kMaxUnableHolder));
     quarantine_.Republish();
     core_.log.LogOmittedLines();
     core_.retries.LogUsage(core_.hosts, now);
--- a/src/host/process/path_monitor.cc
+++ b/src/host/process/path_monitor.cc
@@ -29,10 +29,23 @@
 constexpr milliseconds kTickInterval{50};
 constexpr milliseconds kProbeTimeout{100};
 
+// Other hosts are asked at this interval while the path is lost. A host that
+// does not reply in time may be frozen.
+constexpr milliseconds kAskInterval{400};
+constexpr milliseconds kReplyTimeout{100};
+constexpr std::size_t kPeersAskedInZone = 3;
+constexpr std::size_t kPeersAskedElsewhere = 3;
+
+// An attempt without data for so long is taken to wait for the lost path.
+constexpr milliseconds kStalled{300};
+
+// Data received this recently shows that open connections still work.
+constexpr milliseconds kRecentData{1000};
+
 // Outcome of one round of probes that run at the same time.
 struct probe_round {
   std::size_t pending = 0;
-  std::size_t reached = 0;
+  bool is_decided = false;
 };
 
 void Update(std::optional<base::time_point>& earliest, base::time_point time) {
@@ -93,6 +106,85 @@
   return found != paths_.end() && found->second.health.is_lost;
 }
 
+bool path_monitor::IsSuspected(const std::string& service) const {
+  const auto found = paths_.find(service);
+  return found != paths_.end() && decisions::IsSuspected(found->second.health);
+}
+
+bool path_monitor::MayBePathLoss(const std::string& service,
+                                 base::time_point at) const {
+  const auto found = paths_.find(service);
+  return found != paths_.end() &&
+         decisions::MayBePathLoss(found->second.health, at);
+}
+
+std::optional<decisions::relay_peer> path_monitor::ChooseRelay(
+    const std::string& service,
+    bool near) {
+  const auto found = paths_.find(service);
+  if (found == paths_.end() || !found->second.health.is_lost)
+    return std::nullopt;
+  return decisions::ChooseRelay(found->second.relays,
+                                std::chrono::steady_clock::now(), near,
+                                core_.random);
+}
+
+void path_monitor::OnRelayFailed(const std::string& service,
+                                 const base::endpoint& relay_address) {
+  decisions::RecordRelayFailed(paths_[service].relays, relay_address,
+                               std::chrono::steady_clock::now());
+}
+
+path_state path_monitor::StateOf(const std::string& service,
+                                 bool failed_before) {
+  const auto found = paths_.find(service);
+  if (found == paths_.end())
+    return path_state::kDirect;
+  const service_path& path = found->second;
+  if (!path.health.is_lost) {
+    return failed_before && path.is_probing &&
+                   decisions::IsSuspected(path.health)
+               ? path_state::kUndecided
+               : path_state::kDirect;
+  }
+  if (ChooseRelay(service, true))
+    return path_state::kThroughPeer;
+  if (!path.peers_known)
+    return path_state::kUndecided;
+  const auto now = std::chrono::steady_clock::now();
+  const bool open_connections_work =
+      now - path.health.last_received < kRecentData;
+  return open_connections_work ? path_state::kDirect : path_state::kUnreachable;
+}
+
+bool path_monitor::CannotPlaceModels(milliseconds lost_for) const {
+  if (core_.configuration == nullptr)
+    return false;
+  const auto now = std::chrono::steady_clock::now();
+  return std::ranges::any_of(paths_, [&](const auto& each) {
+    const auto& [name, path] = each;
+    const catalog::service* service = core_.configuration->FindService(name);
+    return service != nullptr && service->HasModels() && path.health.is_lost &&
+           now - path.health.changed_at >= lost_for && !path.relays.empty();
+  });
+}
+
+wire::path_reply path_monitor::HandleRequest(
+    const wire::path_question& question,
+    std::uint16_t relay_port) const {
+  const bool any_server =
+      std::ranges::any_of(core_.servers.servers(), [&](const auto& each) {
+        const known_server& server = *each.second;
+        return server.entry.service == question.service_name &&
+               server.TakesRequests();
+      });
+  wire::path_reply reply;
+  reply.reaches =
+      relay_port != 0 && any_server && !IsLost(question.service_name);
+  reply.relay_port = relay_port;
+  return reply;
+}
+
 std::int64_t path_monitor::CountLost() const {
   return std::ranges::count_if(
       paths_, [](const auto& each) { return each.second.health.is_lost; });
@@ -103,6 +195,77 @@
     std::erase_if(path.attempts,
                   [](const auto& attempt) { return attempt.expired(); });
     StartProbes(service, now);
+    if (!path.health.is_lost)
+      continue;
+    AskPeers(service, now);
+    InterruptAttempts(service, now);
+  }
+}
+
+void path_monitor::AskPeers(const std::string& service, base::time_point now) {
+  service_path& path = paths_[service];
+  if (path.peers_pending > 0 || now - path.peers_asked_at < kAskInterval)
+    return;
+  path.peers_asked_at = now;
+  for (const bool same_zone : {true, false}) {
+    const std::size_t count =
+        same_zone ? kPeersAskedInZone : kPeersAskedElsewhere;
+    for (base::endpoint& peer : callbacks_.sample_peers(same_zone, count)) {
+      ++path.peers_pending;
+      asio::co_spawn(core_.context,
+                     AskPeer(service, std::move(peer), same_zone),
+                     asio::detached);
+    }
+  }
+  path.peers_known = path.peers_known || path.peers_pending == 0;
+}
+
+asio::awaitable<void> path_monitor::AskPeer(std::string service,
+                                            base::endpoint peer,
+                                            bool same_zone) {
+  wire::path_question question;
+  question.service_name = service;
+  wire::envelope call;
+  call.__set_path_wanted(question);
+  const auto reply =
+      co_await callbacks_.call(peer, std::move(call), kReplyTimeout);
+  const auto now = std::chrono::steady_clock::now();
+  service_path& path = paths_[service];
+  if (reply && reply->__isset.path && reply->path.reaches) {
+    const base::endpoint relay{
+        peer.address, static_cast<std::uint16_t>(reply->path.relay_port)};
+    decisions::RecordReaches(path.relays, peer, relay, same_zone, now);
+    InterruptAttempts(service, now);
+  } else {
+    decisions::RecordUnreached(path.relays, peer);
+  }
+  if (--path.peers_pending == 0)
+    path.peers_known = true;
+}
+
+void path_monitor::InterruptAttempts(const std::string& service,
+                                     base::time_point now) {
+  if (!ChooseRelay(service, true))
+    return;
+  for (const auto& each : paths_[service].attempts) {
+    const auto attempt = each.lock();
+    if (attempt == nullptr || !attempt->interrupt)
+      continue;
+    const bool stalled =
+        attempt->may_repeat && now - attempt->last_activity >= kStalled;
+    if (attempt->is_connecting || stalled)
+      std::exchange(attempt->interrupt, nullptr)();
+  }
+}
+
+void path_monitor::OnRegained(const std::string& service) {
+  service_path& path = paths_[service];
+  path.relays.clear();
+  path.peers_known = false;
+  // What servers were suspended for was the path.
+  for (const auto& [instance, server] : core_.servers.servers()) {
+    if (server->entry.service == service)
+      decisions::ClearFailures(server->trust);
   }
 }
 
@@ -156,9 +319,11 @@
                   server = std::move(server)]() -> asio::awaitable<void> {
       const auto connected =
           co_await core_.http.Preconnect(server, kProbeTimeout);
-      round->reached += connected ? 1 : 0;
-      if (--round->pending == 0)
-        OnProbed(service, tried, round->reached, known);
+      --round->pending;
+      if (round->is_decided || (!connected && round->pending > 0))
+        co_return;
+      round->is_decided = true;
+      OnProbed(service, tried, connected ? 1 : 0, known);
     };
     asio::co_spawn(core_.context, std::move(probe), asio::detached);
   }
@@ -179,10 +344,13 @@
   const auto change =
       decisions::RecordProbes(path.health, tried, reached, known, now);
   if (change == decisions::path_change::kLost) {
+    path.peers_asked_at = {};
+    AskPeers(service, now);
     base::Log(
         kCategory, log_event::kPathLost,
         {{"service", service}, {"servers", static_cast<std::int64_t>(known)}});
   } else if (change == decisions::path_change::kRegained) {
+    OnRegained(service);
     base::Log(
         kCategory, log_event::kPathRegained,
         {{"service", service},
--- a/src/host/process/path_monitor.h
+++ b/src/host/process/path_monitor.h
@@ -1,19 +1,26 @@
 // SPDX-License-Identifier: MIT
-// Watches whether this host reaches the backend servers of each service.
+// Watches whether this host reaches the backend servers of each service, and
+// finds other hosts that do while it does not.
 #ifndef VALELEDGE_HOST_PROCESS_PATH_MONITOR_H_
 #define VALELEDGE_HOST_PROCESS_PATH_MONITOR_H_
 
 #include <chrono>
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include <boost/asio/awaitable.hpp>
 
+#include "base/error.h"
 #include "decisions/path_health.h"
+#include "decisions/relay_peers.h"
 #include "host/process/known_server.h"
+#include "wire/generated/messages_types.h"
 
 namespace valeledge::host {
 
@@ -25,11 +32,40 @@
   // When it was begun, was sent, or last received data.
   base::time_point last_activity;
   bool is_connecting = true;
+  // Whether the request may be sent again after it was sent.
+  bool may_repeat = false;
+  // Ends the attempt, which then fails.
+  std::function<void()> interrupt;
+};
+
+// Dependencies of path_monitor, called on the host's thread.
+struct path_callbacks {
+  // Returns up to `count` other hosts, selected at random from this host's
+  // availability zone or from all others.
+  std::function<std::vector<base::endpoint>(bool same_zone, std::size_t count)>
+      sample_peers;
+  std::function<boost::asio::awaitable<base::result<wire::envelope>>(
+      base::endpoint where,
+      wire::envelope call,
+      std::chrono::microseconds timeout)>
+      call;
+};
+
+// How a request of this host can reach the servers of a service.
+enum class path_state {
+  kDirect,
+  // It is being found out whether this or another host reaches the servers.
+  kUndecided,
+  // Through another host.
+  kThroughPeer,
+  // Neither directly nor, as far as this host knows, through another one.
+  kUnreachable,
 };
 
 class path_monitor {
  public:
-  explicit path_monitor(host_core& core) : core_(core) {}
+  path_monitor(host_core& core, path_callbacks callbacks)
+      : core_(core), callbacks_(std::move(callbacks)) {}
 
   void Start();
 
@@ -46,6 +82,30 @@
   // Whether this host reaches no server of the service.
   bool IsLost(const std::string& service) const;
 
+  // Whether failures of the service's servers may be due to the path.
+  bool IsSuspected(const std::string& service) const;
+  // Whether connections that broke at the given time may be due to the path.
+  bool MayBePathLoss(const std::string& service, base::time_point at) const;
+
+  // Returns another host that reaches the servers while this one does not;
+  // nothing if the path is not lost or no such host is known. `near`: one of
+  // this availability zone is preferred.
+  std::optional<decisions::relay_peer> ChooseRelay(const std::string& service,
+                                                   bool near);
+  void OnRelayFailed(const std::string& service,
+                     const base::endpoint& relay_address);
+  // `failed_before`: an attempt of the request has failed. Such a request does
+  // not use up its attempts while the path is merely suspected.
+  path_state StateOf(const std::string& service, bool failed_before);
+  // Whether the path to any service with models has been lost for so long while
+  // another host reaches its servers.
+  bool CannotPlaceModels(std::chrono::milliseconds lost_for) const;
+
+  // Answers another host. `relay_port`: where this host takes relayed requests;
+  // 0 if it takes none.
+  wire::path_reply HandleRequest(const wire::path_question& question,
+                                 std::uint16_t relay_port) const;
+
   // Number of services to which the path is lost.
   std::int64_t CountLost() const;
 
@@ -58,6 +118,12 @@
     decisions::path_health health;
     std::vector<std::weak_ptr<tracked_attempt>> attempts;
     bool is_probing = false;
+    decisions::relay_peers relays;
+    // When other hosts were last asked, how many of them have not replied, and
+    // whether all of a round have since the path was lost.
+    base::time_point peers_asked_at;
+    std::size_t peers_pending = 0;
+    bool peers_known = false;
   };
 
   boost::asio::awaitable<void> TickLoop();
@@ -71,10 +137,20 @@
                 std::size_t tried,
                 std::size_t reached,
                 std::size_t known);
+  void OnRegained(const std::string& service);
+  // Asks other hosts whether they reach the servers.
+  void AskPeers(const std::string& service, base::time_point now);
+  boost::asio::awaitable<void> AskPeer(std::string service,
+                                       base::endpoint peer,
+                                       bool same_zone);
+  // Ends attempts that wait for the lost path, if their requests can be sent
+  // through another host.
+  void InterruptAttempts(const std::string& service, base::time_point now);
   // Addresses of the servers of a service, in random order.
   std::vector<base::endpoint> ServersOf(const std::string& service) const;
 
   host_core& core_;
+  path_callbacks callbacks_;
   std::map<std::string, service_path, std::less<>> paths_;
 };
 
--- a/src/host/process/peer_link.cc
+++ b/src/host/process/peer_link.cc
@@ -223,6 +223,20 @@
   return std::nullopt;
 }
 
+std::vector<base::endpoint> peer_link::SampleServing(bool same_zone,
+                                                     std::size_t count) {
+  std::vector<base::endpoint> serving;
+  for (const auto& [id, each] : gossip_.others) {
+    const bool in_zone = each.record.zone == gossip_.self.zone;
+    if (in_zone == same_zone && membership::TakesWork(each.record))
+      serving.push_back(each.address);
+  }
+  std::vector<base::endpoint> out;
+  std::ranges::sample(serving, std::back_inserter(out),
+                      static_cast<std::ptrdiff_t>(count), random_);
+  return out;
+}
+
 void peer_link::Suspect(const base::endpoint& where) {
   membership::ProbeNext(gossip_, where);
 }
--- a/src/host/process/peer_link.h
+++ b/src/host/process/peer_link.h
@@ -81,6 +81,9 @@
   // nor dead. Returns nothing if there is none.
   std::optional<base::endpoint> FirstHealthy(const std::string& subject,
                                              std::int32_t preferred_roles);
+  // Returns up to `count` other hosts that accept requests, selected at random
+  // from this host's availability zone or from all others.
+  std::vector<base::endpoint> SampleServing(bool same_zone, std::size_t count);
   // Probes a host next, because it did not respond in time.
   void Suspect(const base::endpoint& where);
   void AnnounceLeaving();
--- a/src/host/process/shutdown_controller.cc
+++ b/src/host/process/shutdown_controller.cc
@@ -39,9 +39,11 @@
 
 shutdown_controller::shutdown_controller(host_core& core,
                                          net::http_server& callers,
+                                         net::http_server& relays,
                                          std::function<void()> on_started)
     : core_(core),
       callers_(callers),
+      relays_(relays),
       on_started_(std::move(on_started)),
       signals_(core.context, SIGTERM, SIGINT) {}
 
@@ -59,10 +61,11 @@
 asio::awaitable<void> shutdown_controller::Stop() {
   const auto start = std::chrono::steady_clock::now();
   base::Log(kCategory, log_event::kStopRequested,
-            {{"active", callers_.active_requests()}});
+            {{"active", ActiveRequests()}});
   stopping_ = true;
   on_started_();
   callers_.CloseAfterAnswers();
+  relays_.CloseAfterAnswers();
   asio::steady_timer timer(core_.context);
   bool drained = false;
   while (true) {
@@ -72,14 +75,15 @@
     if (elapsed >= kAcceptPeriod && !drained) {
       drained = true;
       callers_.Drain();
+      relays_.Drain();
     }
-    const bool idle = drained && callers_.active_requests() == 0;
+    const bool idle = drained && ActiveRequests() == 0;
     if (idle || elapsed >= core_.settings.stop_grace - kKillMargin)
       break;
     timer.expires_after(kStopCheckInterval);
     co_await timer.async_wait(kAwait);
   }
-  const std::int64_t active = callers_.active_requests();
+  const std::int64_t active = ActiveRequests();
   base::Log(kCategory,
             active == 0 ? log_event::kProgramStopped : log_event::kStopCutShort,
             {{"active", active}});
--- a/src/host/process/shutdown_controller.h
+++ b/src/host/process/shutdown_controller.h
@@ -16,10 +16,11 @@
 
 class shutdown_controller {
  public:
-  // `on_started` is called once, when the stop begins. The event loop is
-  // stopped at its end.
+  // `relays` serves requests of other hosts' callers. `on_started` is called
+  // once, when the stop begins. The event loop is stopped at its end.
   shutdown_controller(host_core& core,
                       net::http_server& callers,
+                      net::http_server& relays,
                       std::function<void()> on_started);
 
   // Starts waiting for SIGTERM and SIGINT.
@@ -30,9 +31,13 @@
  private:
   boost::asio::awaitable<void> AwaitSignal();
   boost::asio::awaitable<void> Stop();
+  std::int64_t ActiveRequests() const {
+    return callers_.active_requests() + relays_.active_requests();
+  }
 
   host_core& core_;
   net::http_server& callers_;
+  net::http_server& relays_;
   std::function<void()> on_started_;
   boost::asio::signal_set signals_;
   bool stopping_ = false;
--- a/src/host/request/http_forwarding.cc
+++ b/src/host/request/http_forwarding.cc
@@ -11,6 +11,7 @@
 #include <boost/json.hpp>
 
 #include "base/result_code.h"
+#include "host/constants.h"
 #include "net/http_server.h"
 
 namespace valeledge::host {
@@ -39,6 +40,20 @@
                                {other.data(), other.size()});
 }
 
+template <typename fields_type>
+void EraseRelayFields(fields_type& fields) {
+  const std::size_t length = kRelayFieldPrefix.size();
+  std::vector<std::string> names;
+  for (const auto& field : fields) {
+    const auto name = field.name_string();
+    if (EqualsIgnoringCase({name.data(), std::min(length, name.size())},
+                           kRelayFieldPrefix))
+      names.emplace_back(name.data(), name.size());
+  }
+  for (const std::string& each : names)
+    fields.erase(each);
+}
+
 bool ContainsIgnoringCase(std::span<const std::string_view> names,
                           std::string_view name) {
   return std::ranges::any_of(names, [&](std::string_view each) {
@@ -95,11 +110,13 @@
       forwarded.erase(each);
   }
   EraseHopByHopFields(forwarded);
+  EraseRelayFields(forwarded);
   return forwarded;
 }
 
 net::http_response_header ForwardableHeader(net::http_response_header header) {
   EraseHopByHopFields(header);
+  EraseRelayFields(header);
   return header;
 }
 
--- a/src/host/request/peer_relay.cc
+++ b/src/host/request/peer_relay.cc
@@ -2,7 +2,6 @@
 #include "host/request/peer_relay.h"
 
 #include <algorithm>
-#include <array>
 #include <charconv>
 
 #include "host/request/http_forwarding.h"
@@ -20,10 +19,6 @@
 constexpr std::string_view kCodeField = "Valeledge-Relay-Code";
 constexpr std::string_view kServerField = "Valeledge-Relay-Server";
 
-constexpr std::array kRequestFields = {kVersionField, kExecutionsField,
-                                       kWorkspaceField, kLeavingField};
-constexpr std::array kResponseFields = {kCodeField, kServerField};
-
 template <typename fields_type>
 std::string_view Field(const fields_type& fields, std::string_view name) {
   const auto found = fields.find(name);
@@ -68,11 +63,6 @@
 
 }  // namespace
 
-void EraseRelayFields(net::http_request& request) {
-  for (const std::string_view each : kRequestFields)
-    request.erase(each);
-}
-
 void WriteRelayFields(net::http_request& request,
                       const relayed_request& relayed) {
   request.set(kVersionField, std::to_string(relayed.version));
@@ -83,13 +73,12 @@
     request.set(kLeavingField, JoinWithCommas(relayed.leaving));
 }
 
-relayed_request TakeRelayFields(net::http_request& request) {
+relayed_request ReadRelayFields(const net::http_request& request) {
   relayed_request out;
   out.version = NumberOf(Field(request, kVersionField));
   out.possible_executions = NumberOf(Field(request, kExecutionsField));
   out.workspace = Field(request, kWorkspaceField);
   out.leaving = SplitAtCommas(Field(request, kLeavingField));
-  EraseRelayFields(request);
   return out;
 }
 
@@ -101,13 +90,11 @@
     response.set(kServerField, relayed.server);
 }
 
-relayed_response TakeRelayFields(net::http_response_header& response) {
+relayed_response ReadRelayFields(const net::http_response_header& response) {
   relayed_response out;
   out.code =
       static_cast<base::result_code>(NumberOf(Field(response, kCodeField)));
   out.server = Field(response, kServerField);
-  for (const std::string_view each : kResponseFields)
-    response.erase(each);
   return out;
 }
 
--- a/src/host/request/peer_relay.h
+++ b/src/host/request/peer_relay.h
@@ -43,17 +43,15 @@
   std::string server;
 };
 
-// The fields of hosts; callers' requests must not carry them.
-void EraseRelayFields(net::http_request& request);
-
+// ForwardableRequest() and ForwardableHeader() erase these fields, so that
+// neither callers nor backend servers can set them.
 void WriteRelayFields(net::http_request& request,
                       const relayed_request& relayed);
-// Reads the fields and erases them.
-relayed_request TakeRelayFields(net::http_request& request);
+relayed_request ReadRelayFields(const net::http_request& request);
 
 void WriteRelayFields(net::http_response_header& response,
                       const relayed_response& relayed);
-relayed_response TakeRelayFields(net::http_response_header& response);
+relayed_response ReadRelayFields(const net::http_response_header& response);
 
 // Returns the request as it is sent to another host.
 net::http_request MakeRelayedRequest(const host_core& core,
--- a/src/host/request/relay.cc
+++ b/src/host/request/relay.cc
@@ -10,6 +10,7 @@
 #include <boost/beast/http.hpp>
 
 #include "host/constants.h"
+#include "host/process/path_monitor.h"
 #include "host/process/response_updates.h"
 #include "host/request/attempt_progress.h"
 #include "host/request/caller_authentication.h"
@@ -17,12 +18,14 @@
 #include "host/request/event_splitter.h"
 #include "host/request/http_forwarding.h"
 #include "host/request/limit_charge.h"
+#include "host/request/peer_relay.h"
 #include "host/request/request_trace.h"
 #include "host/request/retry_permit.h"
 #include "host/request/routed_request.h"
 #include "host/request/send_check.h"
 #include "host/request/server_attempt.h"
 #include "host/request/server_search.h"
+#include "net/retry_after.h"
 
 namespace valeledge::host {
 
@@ -43,38 +46,65 @@
   kNotRun,
   // The request may have run, and the caller has no complete response.
   kUnknown,
+  // The retry budget did not allow the attempt.
+  kDenied,
 };
 
 class relay {
  public:
   relay(host_core& core,
         net::http_request& request,
-        net::http_responder& responder)
+        net::http_responder& responder,
+        request_origin origin)
       : core_(core),
         request_(request),
         responder_(responder),
         crash_monitor_(core, request),
-        permit_(core.retries) {}
+        permit_(core.retries) {
+    routed_.is_relayed = origin == request_origin::kPeer;
+  }
 
   asio::awaitable<void> Run();
 
  private:
+  // Prepares a request that another host has received. Returns an error if
+  // this host must not serve it.
+  std::optional<base::error> AcceptRelayed(const relayed_request& relayed);
+  asio::awaitable<bool> Admit();
+  asio::awaitable<base::result<attempt_outcome>> AttemptOnce(bool ran);
   asio::awaitable<attempt_outcome> Attempt(const server_choice& choice);
+  asio::awaitable<attempt_outcome> AttemptThroughPeer(
+      const base::endpoint& peer);
+  // Handles an error of the other host itself.
+  asio::awaitable<attempt_outcome> TakePeerError(net::http_exchange& exchange,
+                                                 const base::endpoint& peer,
+                                                 result_code code);
+  // Whether a response is a server's to this request; sets the last error if
+  // not.
+  bool IsServerResponse(const response_metadata& metadata);
+  // Returns how long an attempt waits for the header of its response.
+  milliseconds HeaderTimeout() const;
+  // Applies what a server has stated to the other host.
+  void ApplyRelayedNotices(const std::string& instance,
+                           const response_metadata& metadata);
   // Returns the next part of the response body, empty at the end. An error ends
   // the attempt; a failed read counts as a failure of the server unless the
   // caller has disconnected.
   asio::awaitable<tl::expected<std::string_view, attempt_outcome>> ReadPiece(
       net::http_exchange& exchange,
-      server_attempt& attempt);
+      server_attempt* attempt);
   asio::awaitable<attempt_outcome> ForwardWholeResponse(
       net::http_exchange& exchange,
-      server_attempt& attempt);
+      server_attempt* attempt);
   asio::awaitable<attempt_outcome> ForwardStream(net::http_exchange& exchange,
-                                                 server_attempt& attempt);
+                                                 server_attempt* attempt);
   asio::awaitable<bool> ForwardEvents(event_splitter& events,
                                       const net::http_response_header& header,
-                                      server_attempt& attempt);
+                                      server_attempt* attempt);
   asio::awaitable<bool> StartResponse(const net::http_response_header& header);
+  // The header as it is passed on to the caller or to the relaying host.
+  net::http_response_header PassedHeader(
+      const net::http_response_header& header) const;
   bool MayRetry(attempt_outcome outcome);
   asio::awaitable<void> Fail(base::error failed);
 
@@ -95,17 +125,44 @@
   // follows.
   std::optional<net::http_response> server_error_response_;
   base::error last_error_;
+  // The error of the host through which the request was sent. It has decided on
+  // further attempts, so this host makes none.
+  std::optional<base::error> peer_error_;
+  // The server of the present attempt; empty if another host selects it.
+  std::string instance_;
+  // The server or host of the last attempt, for log lines.
+  std::string target_;
 };
 
 asio::awaitable<bool> relay::StartResponse(
     const net::http_response_header& header) {
   trace_.response_started = true;
-  const bool sent = co_await responder_.Start(ForwardableHeader(header));
+  const bool sent = co_await responder_.Start(PassedHeader(header));
   co_return sent;
 }
 
+net::http_response_header relay::PassedHeader(
+    const net::http_response_header& header) const {
+  auto passed = ForwardableHeader(header);
+  if (routed_.is_relayed)
+    WriteRelayFields(passed, {result_code::kOk, instance_});
+  return passed;
+}
+
+bool relay::IsServerResponse(const response_metadata& metadata) {
+  const bool is_foreign = !metadata.request_id.empty() &&
+                          metadata.request_id != routed_.metadata.id;
+  const bool is_refusal = metadata.not_run || metadata.misdirected;
+  if (!is_foreign && !metadata.is_encoded && (metadata.is_signed || is_refusal))
+    return true;
+  last_error_ = base::MakeError(
+      result_code::kAnswerBroken, base::outcome::kUnknown,
+      "the response is unsigned, encoded, or belongs to another request");
+  return false;
+}
+
 asio::awaitable<tl::expected<std::string_view, attempt_outcome>>
-relay::ReadPiece(net::http_exchange& exchange, server_attempt& attempt) {
+relay::ReadPiece(net::http_exchange& exchange, server_attempt* attempt) {
   const auto left = RemainingTime(routed_);
   if (left.count() <= 0)
     co_return tl::make_unexpected(attempt_outcome::kUnknown);
@@ -116,11 +173,14 @@
   }
   if (!piece) {
     last_error_ = piece.error();
-    attempt.OnConnectionError(last_error_);
-    attempt.OnFailed(false);
+    if (attempt != nullptr) {
+      attempt->OnConnectionError(last_error_);
+      attempt->OnFailed(false);
+    }
     co_return tl::make_unexpected(attempt_outcome::kUnknown);
   }
-  attempt.OnData();
+  if (attempt != nullptr)
+    attempt->OnData();
   if (!piece->empty() && !progress_.first_body_at)
     progress_.first_body_at = std::chrono::steady_clock::now();
   co_return *piece;
@@ -128,7 +188,7 @@
 
 asio::awaitable<attempt_outcome> relay::ForwardWholeResponse(
     net::http_exchange& exchange,
-    server_attempt& attempt) {
+    server_attempt* attempt) {
   net::http_response response(exchange.header());
   while (true) {
     const auto piece = co_await ReadPiece(exchange, attempt);
@@ -144,8 +204,9 @@
       co_return attempt_outcome::kUnknown;
     }
   }
-  attempt.OnFirstByte();
-  net::http_response_header passed = ForwardableHeader(response.base());
+  if (attempt != nullptr)
+    attempt->OnFirstByte();
+  net::http_response_header passed = PassedHeader(response.base());
   net::http_response whole(std::move(passed));
   whole.body() = std::move(response.body());
   if (trace_.response_started) {
@@ -154,17 +215,20 @@
         result_code::kAnswerBroken, base::outcome::kUnknown,
         "cannot resume the stream: the backend server responded with status " +
             std::to_string(whole.result_int()));
-    attempt.OnFailed(false);
+    if (attempt != nullptr)
+      attempt->OnFailed(false);
     co_return attempt_outcome::kUnknown;
   }
   const bool failed = whole.result_int() >= 500;
   if (failed) {
-    attempt.OnFailed(false);
+    if (attempt != nullptr)
+      attempt->OnFailed(false);
   } else {
-    attempt.OnCompleted();
+    if (attempt != nullptr)
+      attempt->OnCompleted();
     crash_monitor_.OnSuccessfulResponse();
   }
-  if (failed && routed_.route->MayRepeat()) {
+  if (failed && routed_.route->MayRepeat() && attempt != nullptr) {
     last_error_ =
         base::MakeError(result_code::kOutcomeUnknown, base::outcome::kUnknown,
                         "the backend server responded with status " +
@@ -181,7 +245,7 @@
 asio::awaitable<bool> relay::ForwardEvents(
     event_splitter& events,
     const net::http_response_header& header,
-    server_attempt& attempt) {
+    server_attempt* attempt) {
   std::string batch;
   while (!is_event_missing_) {
     const auto event = events.Next();
@@ -204,7 +268,8 @@
   }
   if (batch.empty())
     co_return true;
-  attempt.OnFirstByte();
+  if (attempt != nullptr)
+    attempt->OnFirstByte();
   RecordEventGap(routed_, trace_);
   if (!trace_.response_started) {
     const bool begun = co_await StartResponse(header);
@@ -217,7 +282,7 @@
 
 asio::awaitable<attempt_outcome> relay::ForwardStream(
     net::http_exchange& exchange,
-    server_attempt& attempt) {
+    server_attempt* attempt) {
   event_splitter events;
   while (true) {
     const auto piece = co_await ReadPiece(exchange, attempt);
@@ -239,7 +304,8 @@
                             : "an event exceeds the maximum size");
       is_event_missing_ = false;
       exchange.Abandon();
-      attempt.OnFailed(false);
+      if (attempt != nullptr)
+        attempt->OnFailed(false);
       co_return attempt_outcome::kUnknown;
     }
   }
@@ -248,10 +314,12 @@
     last_error_ =
         base::MakeError(result_code::kAnswerBroken, base::outcome::kUnknown,
                         "the stream ended in the middle of an event");
-    attempt.OnFailed(false);
+    if (attempt != nullptr)
+      attempt->OnFailed(false);
     co_return attempt_outcome::kUnknown;
   }
-  attempt.OnCompleted();
+  if (attempt != nullptr)
+    attempt->OnCompleted();
   crash_monitor_.OnSuccessfulResponse();
   if (!trace_.response_started)
     co_await StartResponse(exchange.header());
@@ -259,6 +327,17 @@
   co_return attempt_outcome::kDone;
 }
 
+milliseconds relay::HeaderTimeout() const {
+  const milliseconds left = RemainingTime(routed_);
+  const bool may_retry = routed_.route->MayRepeat() &&
+                         possible_executions_ + 1 < routed_.route->attempts;
+  if (!may_retry)
+    return left;
+  const auto part = duration_cast<milliseconds>(routed_.route->objective *
+                                                kHeaderTimeoutFraction);
+  return std::min({left, part, kMaxHeaderTimeout});
+}
+
 asio::awaitable<attempt_outcome> relay::Attempt(const server_choice& choice) {
   known_server& server = *choice.server;
   auto forwarded =
@@ -273,19 +352,19 @@
   if (is_resumed)
     attempt_fields.resume_after = trace_.last_event_id;
   core_.protocol.write_attempt(forwarded, attempt_fields);
-  milliseconds header_timeout = RemainingTime(routed_);
-  if (routed_.route->MayRepeat() &&
-      possible_executions_ + 1 < routed_.route->attempts) {
-    const auto part = duration_cast<milliseconds>(routed_.route->objective *
-                                                  kHeaderTimeoutFraction);
-    header_timeout = std::min({header_timeout, part, kMaxHeaderTimeout});
-  }
+  const milliseconds header_timeout = HeaderTimeout();
   server_attempt attempt(core_, choice, routed_.metadata, routed_.weight,
                          *routed_.demand);
   ++trace_.attempts;
   progress_ = {std::chrono::steady_clock::now(), {}, {}};
+  // What broke the last connection may have broken the idle ones as well.
+  const auto use = last_error_.connection_lost ? net::connection_use::kFresh
+                                               : net::connection_use::kPooled;
   last_error_ = {};
+  instance_ = server.entry.instance;
   LogAttemptSent(core_, routed_, trace_, choice, attempt_fields);
+  const bool may_repeat = routed_.route->MayRepeat();
+  attempt.OnInterrupt(may_repeat, [guard = guard_] { guard->Interrupt(); });
   guard_->SetSendCheck([this, &server, &attempt] {
     auto allowed = CheckSend(core_, server);
     if (allowed)
@@ -294,8 +373,8 @@
   });
   auto opened = co_await core_.http.Open(
       server.entry.address, std::move(forwarded),
-      std::min(RemainingTime(routed_), kConnectTimeout), header_timeout,
-      net::connection_use::kPooled, guard_.get());
+      std::min(RemainingTime(routed_), kConnectTimeout), header_timeout, use,
+      guard_.get());
   if (responder_.caller_gone())
     co_return attempt_outcome::kDone;
   if (!opened && WasWithheld(opened.error())) {
@@ -307,27 +386,27 @@
     attempt.OnConnectionError(last_error_);
     const bool not_run = last_error_.what_ran == base::outcome::kNotRun;
     attempt.OnFailed(not_run || RemainingTime(routed_).count() > 0);
-    LogAttemptFailed(core_, routed_, trace_, server, last_error_);
+    LogAttemptFailed(core_, routed_, trace_, server.entry.instance,
+                     last_error_);
     co_return not_run ? attempt_outcome::kNotRun : attempt_outcome::kUnknown;
   }
   progress_.header_at = std::chrono::steady_clock::now();
   attempt.OnData();
   net::http_exchange& exchange = **opened;
+  attempt.OnInterrupt(may_repeat,
+                      [weak = std::weak_ptr<net::http_exchange>(*opened)] {
+                        if (const auto open = weak.lock())
+                          open->Abandon();
+                      });
   responder_.OnCallerGone([weak = std::weak_ptr<net::http_exchange>(*opened)] {
     if (const auto open = weak.lock())
       open->Abandon();
   });
   const response_metadata metadata =
       core_.protocol.read_response(exchange.header());
-  const bool is_foreign = !metadata.request_id.empty() &&
-                          metadata.request_id != routed_.metadata.id;
-  if (is_foreign || metadata.is_encoded ||
-      (!metadata.is_signed && !metadata.not_run && !metadata.misdirected)) {
+  if (!IsServerResponse(metadata)) {
     exchange.Abandon();
     attempt.OnFailed(false);
-    last_error_ = base::MakeError(
-        result_code::kAnswerBroken, base::outcome::kUnknown,
-        "the response is unsigned, encoded, or belongs to another request");
     co_return attempt_outcome::kUnknown;
   }
   ApplyRequestResponse(core_, server, metadata, progress_.sent);
@@ -348,17 +427,111 @@
   const bool streams = routed_.route->kind == route_kind::kStream &&
                        exchange.header().result_int() == 200;
   if (streams) {
-    const attempt_outcome outcome = co_await ForwardStream(exchange, attempt);
+    const attempt_outcome outcome = co_await ForwardStream(exchange, &attempt);
+    co_return outcome;
+  }
+  const attempt_outcome outcome =
+      co_await ForwardWholeResponse(exchange, &attempt);
+  co_return outcome;
+}
+
+asio::awaitable<attempt_outcome> relay::AttemptThroughPeer(
+    const base::endpoint& peer) {
+  ++trace_.relays;
+  progress_ = {std::chrono::steady_clock::now(), {}, {}};
+  last_error_ = {};
+  instance_.clear();
+  LogAttemptRelayed(core_, routed_, trace_, peer);
+  guard_->SetSendCheck({});
+  auto opened = co_await core_.http.Open(
+      peer,
+      MakeRelayedRequest(core_, request_, routed_, trace_.last_event_id,
+                         possible_executions_),
+      std::min(RemainingTime(routed_), kRelayConnectTimeout), HeaderTimeout(),
+      net::connection_use::kPooled, guard_.get());
+  if (responder_.caller_gone())
+    co_return attempt_outcome::kDone;
+  if (!opened) {
+    last_error_ = opened.error();
+    core_.paths->OnRelayFailed(routed_.service->name, peer);
+    LogAttemptFailed(core_, routed_, trace_, base::ToString(peer), last_error_);
+    co_return last_error_.what_ran == base::outcome::kNotRun
+        ? attempt_outcome::kNotRun
+        : attempt_outcome::kUnknown;
+  }
+  progress_.header_at = std::chrono::steady_clock::now();
+  net::http_exchange& exchange = **opened;
+  responder_.OnCallerGone([weak = std::weak_ptr<net::http_exchange>(*opened)] {
+    if (const auto open = weak.lock())
+      open->Abandon();
+  });
+  const relayed_response stated = ReadRelayFields(exchange.header());
+  if (stated.code != result_code::kOk) {
+    const attempt_outcome outcome =
+        co_await TakePeerError(exchange, peer, stated.code);
+    co_return outcome;
+  }
+  const response_metadata metadata =
+      core_.protocol.read_response(exchange.header());
+  if (!IsServerResponse(metadata)) {
+    exchange.Abandon();
+    co_return attempt_outcome::kUnknown;
+  }
+  ApplyRelayedNotices(stated.server, metadata);
+  const bool streams = routed_.route->kind == route_kind::kStream &&
+                       exchange.header().result_int() == 200;
+  if (streams) {
+    const attempt_outcome outcome = co_await ForwardStream(exchange, nullptr);
     co_return outcome;
   }
   const attempt_outcome outcome =
-      co_await ForwardWholeResponse(exchange, attempt);
+      co_await ForwardWholeResponse(exchange, nullptr);
   co_return outcome;
 }
 
+asio::awaitable<attempt_outcome> relay::TakePeerError(
+    net::http_exchange& exchange,
+    const base::endpoint& peer,
+    result_code code) {
+  const bool not_run = exchange.header().result_int() < 500 ||
+                       exchange.header().result_int() == 503;
+  const auto retry_after =
+      net::ReadRetryAfter(exchange.header(), std::chrono::system_clock::now());
+  // Read the body so that the connection can be reused.
+  while (true) {
+    const auto piece = co_await exchange.ReadSome(kRelayConnectTimeout);
+    if (!piece || piece->empty())
+      break;
+  }
+  if (code == result_code::kPathLost || code == result_code::kLeaving) {
+    core_.paths->OnRelayFailed(routed_.service->name, peer);
+    last_error_ = base::MakeError(
+        result_code::kBackendUnreachable, base::outcome::kNotRun,
+        base::ToString(peer) + ": takes no requests of other hosts");
+    co_return attempt_outcome::kNotRun;
+  }
+  peer_error_ = base::MakeError(
+      code, not_run ? base::outcome::kNotRun : base::outcome::kUnknown,
+      base::ToString(peer) + ": could not serve the request");
+  peer_error_->retry_after = retry_after.delay;
+  co_return not_run ? attempt_outcome::kNotRun : attempt_outcome::kUnknown;
+}
+
+void relay::ApplyRelayedNotices(const std::string& instance,
+                                const response_metadata& metadata) {
+  const auto server = core_.servers.Find(instance);
+  if (server == nullptr)
+    return;
+  response_metadata statements = metadata;
+  // A backoff concerns the host to which the server responded.
+  statements.backoff.reset();
+  ApplyRequestResponse(core_, *server, statements, progress_.sent);
+}
+
 // Whether another attempt may follow one with this outcome.
 bool relay::MayRetry(attempt_outcome outcome) {
-  if (trace_.attempts >= kMaxAttempts || RemainingTime(routed_).count() <= 0)
+  if (trace_.attempts >= kMaxAttempts || trace_.relays >= kMaxRelays ||
+      RemainingTime(routed_).count() <= 0)
     return false;
   if (outcome == attempt_outcome::kUnknown) {
     ++possible_executions_;
@@ -383,7 +556,91 @@
     co_await responder_.Send(std::move(*server_error_response_));
     co_return;
   }
-  co_await responder_.Send(MakeErrorResponse(failed));
+  auto response = MakeErrorResponse(failed);
+  if (routed_.is_relayed)
+    WriteRelayFields(response.base(), {failed.code, {}});
+  co_await responder_.Send(std::move(response));
+}
+
+std::optional<base::error> relay::AcceptRelayed(
+    const relayed_request& relayed) {
+  const catalog::configuration& configuration = *routed_.configuration;
+  if (relayed.version != configuration.version) {
+    return base::MakeError(result_code::kPathLost, base::outcome::kNotRun,
+                           "the other host has another configuration");
+  }
+  const auto workspace = std::ranges::find(
+      configuration.workspaces, relayed.workspace, &catalog::workspace::name);
+  if (workspace != configuration.workspaces.end())
+    routed_.workspace = &*workspace;
+  possible_executions_ = relayed.possible_executions;
+  if (possible_executions_ > 0) {
+    last_error_ =
+        base::MakeError(result_code::kOutcomeUnknown, base::outcome::kUnknown,
+                        "an earlier attempt may have run the request");
+  }
+  routed_.failed_instances = relayed.leaving;
+  return std::nullopt;
+}
+
+// Decides whether the request is admitted; sends the error to its caller if it
+// is not.
+asio::awaitable<bool> relay::Admit() {
+  if (routed_.is_relayed) {
+    const auto refused = AcceptRelayed(ReadRelayFields(request_));
+    if (refused)
+      co_await Fail(*refused);
+    co_return !refused;
+  }
+  if (const auto refused = AuthenticateCaller(core_, routed_)) {
+    co_await Fail(*refused);
+    co_return false;
+  }
+  core_.retries.RecordRequest(routed_.service->name, routed_.arrived);
+  co_return true;
+}
+
+// Sends the request once, through another host if this one does not reach the
+// servers. Returns an error if no attempt can be made.
+asio::awaitable<base::result<attempt_outcome>> relay::AttemptOnce(bool ran) {
+  std::optional<decisions::relay_peer> peer;
+  std::optional<server_choice> choice;
+  while (!peer && !choice) {
+    if (core_.paths != nullptr && !routed_.is_relayed)
+      peer =
+          core_.paths->ChooseRelay(routed_.service->name, trace_.relays == 0);
+    if (peer)
+      break;
+    auto found = co_await FindServer(
+        core_, routed_, !ran && !trace_.response_started, responder_);
+    const bool has_peer = !found && !routed_.is_relayed &&
+                          found.error().code == result_code::kPathLost &&
+                          core_.paths->ChooseRelay(routed_.service->name, true);
+    if (found)
+      choice = std::move(*found);
+    else if (!has_peer)
+      co_return tl::make_unexpected(std::move(found.error()));
+  }
+  // The request may have been quarantined while it waited, or because of its
+  // last attempt.
+  if (const auto quarantined = crash_monitor_.CheckQuarantine())
+    co_return tl::make_unexpected(*quarantined);
+  if (!permit_.Acquire(routed_.service->name, std::chrono::steady_clock::now()))
+    co_return attempt_outcome::kDenied;
+  if (peer) {
+    const auto outcome = co_await AttemptThroughPeer(peer->relay_address);
+    target_ = base::ToString(peer->relay_address);
+    co_return outcome;
+  }
+  const auto outcome = co_await Attempt(*choice);
+  target_ = choice->server->entry.instance;
+  if (outcome == attempt_outcome::kUnknown && !responder_.caller_gone()) {
+    crash_monitor_.OnAttemptFailed(routed_, *choice->server, progress_,
+                                   last_error_);
+  }
+  if (outcome != attempt_outcome::kDone)
+    routed_.failed_instances.push_back(target_);
+  co_return outcome;
 }
 
 asio::awaitable<void> relay::Run() {
@@ -401,12 +658,10 @@
     co_await Fail(NoRouteError(core_));
     co_return;
   }
-  if (const auto refused = AuthenticateCaller(core_, routed_)) {
-    co_await Fail(*refused);
+  const bool admitted = co_await Admit();
+  if (!admitted)
     co_return;
-  }
   trace_.last_event_id = routed_.metadata.resume_after;
-  core_.retries.RecordRequest(routed_.service->name, routed_.arrived);
   guard_ = std::make_shared<net::open_guard>();
   responder_.OnCallerGone([guard = guard_] { guard->Cancel(); });
   if (const auto leaving = CheckStopDeadline(core_, routed_)) {
@@ -418,52 +673,44 @@
     co_return;
   }
   charge_ = std::make_unique<limit_charge>(core_, routed_);
-  const auto charged = co_await charge_->Acquire();
-  if (!charged) {
-    co_await Fail(charged.error());
-    co_return;
+  if (!routed_.is_relayed) {
+    const auto charged = co_await charge_->Acquire();
+    if (!charged) {
+      co_await Fail(charged.error());
+      co_return;
+    }
   }
-  bool ran = false;
+  bool ran = possible_executions_ > 0;
   while (true) {
-    auto choice = co_await FindServer(
-        core_, routed_, !ran && !trace_.response_started, responder_);
-    // The request may have been quarantined while it waited, or because of its
-    // last attempt.
-    const auto quarantined = crash_monitor_.CheckQuarantine();
-    if (quarantined)
-      choice = tl::make_unexpected(*quarantined);
-    if (!choice) {
+    const auto attempted = co_await AttemptOnce(ran);
+    if (!attempted) {
       // No server was found for another attempt: report the result of the last
       // one.
-      base::error failed = ran ? last_error_ : choice.error();
+      base::error failed = ran ? last_error_ : attempted.error();
       if (ran)
         failed.what_ran = base::outcome::kUnknown;
       co_await Fail(std::move(failed));
       co_return;
     }
-    if (!permit_.Acquire(routed_.service->name,
-                         std::chrono::steady_clock::now())) {
+    const attempt_outcome outcome = *attempted;
+    if (outcome == attempt_outcome::kDenied)
       break;
-    }
-    const attempt_outcome outcome = co_await Attempt(*choice);
-    if (outcome == attempt_outcome::kDone)
+    if (outcome != attempt_outcome::kNotRun)
       charge_->Commit();
     if (outcome == attempt_outcome::kDone || responder_.caller_gone()) {
-      LogCompleted(core_, routed_, trace_, *choice->server,
-                   responder_.caller_gone());
+      LogCompleted(core_, routed_, trace_, target_, responder_.caller_gone());
       co_return;
     }
-    if (outcome == attempt_outcome::kUnknown) {
-      crash_monitor_.OnAttemptFailed(routed_, *choice->server, progress_,
-                                     last_error_);
-    }
-    if (outcome == attempt_outcome::kUnknown)
-      charge_->Commit();
     ran = ran || outcome == attempt_outcome::kUnknown;
+    if (peer_error_) {
+      if (ran)
+        peer_error_->what_ran = base::outcome::kUnknown;
+      co_await Fail(*peer_error_);
+      co_return;
+    }
     if (!MayRetry(outcome))
       break;
     core_.metrics.CountRetry(last_error_.code);
-    routed_.failed_instances.push_back(choice->server->entry.instance);
     responder_.OnCallerGone([guard = guard_] { guard->Cancel(); });
   }
   base::error failed = last_error_;
@@ -489,8 +736,9 @@
 
 asio::awaitable<void> RelayRequest(host_core& core,
                                    net::http_request& request,
-                                   net::http_responder& responder) {
-  relay one(core, request, responder);
+                                   net::http_responder& responder,
+                                   request_origin origin) {
+  relay one(core, request, responder, origin);
   co_await one.Run();
 }
 
--- a/src/host/request/request_trace.cc
+++ b/src/host/request/request_trace.cc
@@ -67,16 +67,33 @@
         static_cast<std::int64_t>(attempt_fields.deadline.count())}});
 }
 
+void LogAttemptRelayed(host_core& core,
+                       const routed_request& routed,
+                       const request_trace& trace,
+                       const base::endpoint& peer) {
+  core.metrics.Counter("valeledge_relayed_requests_total", "sent").Add();
+  core.log.Write(log_weight::kOrdinary, log_event::kAttemptRelayed,
+                 routed.metadata.id,
+                 {{"request", routed.metadata.id},
+                  {"route", routed.route->name},
+                  {"unit", UnitOf(routed)},
+                  {"version", routed.configuration->version},
+                  {"peer", base::ToString(peer)},
+                  {"relay", trace.relays},
+                  {"resumes_after", trace.last_event_id},
+                  {"after_ms", MillisecondsSince(routed.arrived)}});
+}
+
 void LogAttemptFailed(host_core& core,
                       const routed_request& routed,
                       const request_trace& trace,
-                      const known_server& server,
+                      const std::string& target,
                       const base::error& failed) {
   const bool not_run = failed.what_ran == base::outcome::kNotRun;
   core.log.Write(log_weight::kTrouble, log_event::kAttemptFailed,
                  routed.metadata.id,
                  {{"request", routed.metadata.id},
-                  {"server", server.entry.instance},
+                  {"server", target},
                   {"attempt", trace.attempts},
                   {"not_run", std::int64_t{not_run}},
                   {"reason", failed.message}});
@@ -85,7 +102,7 @@
 void LogCompleted(host_core& core,
                   const routed_request& routed,
                   const request_trace& trace,
-                  const known_server& server,
+                  const std::string& target,
                   bool caller_left) {
   core.metrics.Distribution("valeledge_request_seconds")
       .Record(std::chrono::steady_clock::now() - routed.arrived);
@@ -98,7 +115,7 @@
       caller_left ? log_event::kCallerLeft : log_event::kRequestServed,
       routed.metadata.id,
       {{"request", routed.metadata.id},
-       {"server", server.entry.instance},
+       {"server", target},
        {"sends", trace.attempts},
        {"unit", UnitOf(routed)},
        {"last_event", trace.last_event_id},
--- a/src/host/request/request_trace.h
+++ b/src/host/request/request_trace.h
@@ -15,6 +15,8 @@
 // Progress of a request over all its attempts.
 struct request_trace {
   int attempts = 0;
+  // Times that the request was sent through another host.
+  int relays = 0;
   // The response header has been sent to the caller.
   bool response_started = false;
   std::string last_event_id;
@@ -34,18 +36,26 @@
                     const server_choice& choice,
                     const attempt_metadata& attempt_fields);
 
-// Logs that an attempt failed without a response.
+// Logs that the request is sent through another host.
+void LogAttemptRelayed(host_core& core,
+                       const routed_request& routed,
+                       const request_trace& trace,
+                       const base::endpoint& peer);
+
+// Logs that an attempt failed without a response. `target`: the instance, or
+// the host through which the request was sent.
 void LogAttemptFailed(host_core& core,
                       const routed_request& routed,
                       const request_trace& trace,
-                      const known_server& server,
+                      const std::string& target,
                       const base::error& failed);
 
-// Logs that the caller received its whole response, or disconnected.
+// Logs that the caller received its whole response, or disconnected. `target`
+// as above.
 void LogCompleted(host_core& core,
                   const routed_request& routed,
                   const request_trace& trace,
-                  const known_server& server,
+                  const std::string& target,
                   bool caller_left);
 
 // Logs that a request is refused, or ends without a complete response.
--- a/src/host/request/routed_request.cc
+++ b/src/host/request/routed_request.cc
@@ -65,10 +65,12 @@
       of_model
           ? &core.demand.DemandFor(metadata.model, kInitialTokenCost)
           : &core.demand.DemandFor(routed.service->name, kInitialServiceTime);
-  ++routed.demand->arrivals;
   routed.demand->objective =
       std::min(routed.demand->objective, routed.route->objective);
-  routed.demand->tokens += metadata.prompt_tokens;
+  if (!routed.is_relayed) {
+    ++routed.demand->arrivals;
+    routed.demand->tokens += metadata.prompt_tokens;
+  }
   if (of_model) {
     routed.weight.prompt_tokens = metadata.prompt_tokens;
     routed.weight.held_tokens =
--- a/src/host/request/routed_request.h
+++ b/src/host/request/routed_request.h
@@ -24,6 +24,8 @@
   request_metadata metadata;
   decisions::request_weight weight;
   model_demand* demand = nullptr;
+  // Another host has received the request, and counts it as demand.
+  bool is_relayed = false;
   base::time_point arrived;
   // The caller's deadline or the route's timeout, whichever is earlier.
   base::time_point deadline;
@@ -33,7 +35,8 @@
 
 // Finds the route and selects one of its services, parses the request metadata,
 // and counts the request as demand. Returns false if there is no route.
-// Requires `routed.configuration` and `routed.arrived` to be set.
+// Requires `routed.configuration`, `routed.arrived` and `routed.is_relayed` to
+// be set.
 bool RouteRequest(host_core& core,
                   const net::http_request& request,
                   routed_request& routed);
--- a/src/host/request/server_attempt.cc
+++ b/src/host/request/server_attempt.cc
@@ -74,6 +74,14 @@
     decisions::EndTrial(server_->notices);
 }
 
+void server_attempt::OnInterrupt(bool may_repeat,
+                                 std::function<void()> interrupt) {
+  if (tracked_ == nullptr)
+    return;
+  tracked_->may_repeat = may_repeat;
+  tracked_->interrupt = std::move(interrupt);
+}
+
 void server_attempt::OnSent() {
   if (tracked_ != nullptr)
     core_.paths->OnSent(*tracked_);
@@ -133,7 +141,11 @@
 }
 
 void server_attempt::OnFailed(bool is_definite) {
-  EndSlot(is_definite ? slot_outcome::kUnusable : slot_outcome::kFailed);
+  // Other hosts must not avoid a server that only this one fails to reach.
+  const bool is_usable =
+      !is_definite ||
+      (tracked_ != nullptr && core_.paths->IsSuspected(server_->entry.service));
+  EndSlot(is_usable ? slot_outcome::kFailed : slot_outcome::kUnusable);
   decisions::RecordFailure(server_->trust, is_definite,
                            std::chrono::steady_clock::now());
 }
--- a/src/host/request/server_attempt.h
+++ b/src/host/request/server_attempt.h
@@ -4,6 +4,7 @@
 #define VALELEDGE_HOST_REQUEST_SERVER_ATTEMPT_H_
 
 #include <chrono>
+#include <functional>
 #include <memory>
 
 #include "host/process/host_core.h"
@@ -24,6 +25,9 @@
   server_attempt(const server_attempt&) = delete;
   server_attempt& operator=(const server_attempt&) = delete;
 
+  // Sets what ends the attempt if the path to the servers is lost.
+  // `may_repeat`: also after the request was sent.
+  void OnInterrupt(bool may_repeat, std::function<void()> interrupt);
   // The connection is open, and the request is about to be written to it.
   void OnSent();
   // Data of the response has arrived.
--- a/src/host/request/server_search.cc
+++ b/src/host/request/server_search.cc
@@ -10,6 +10,7 @@
 #include "decisions/engine_admission.h"
 #include "decisions/replica_wait.h"
 #include "host/constants.h"
+#include "host/process/path_monitor.h"
 
 namespace valeledge::host {
 
@@ -296,6 +297,27 @@
   return model.ready_in && decisions::ShouldWaitForReplica(model);
 }
 
+// How the request can reach servers. A relayed request is not relayed again.
+path_state PathOf(host_core& core, const routed_request& routed) {
+  if (core.paths == nullptr)
+    return path_state::kDirect;
+  const std::string& service = routed.service->name;
+  if (routed.is_relayed) {
+    return core.paths->IsLost(service) ? path_state::kUnreachable
+                                       : path_state::kDirect;
+  }
+  return core.paths->StateOf(service, !routed.failed_instances.empty());
+}
+
+base::error PathLostError(host_core& core, const routed_request& routed) {
+  auto unreachable =
+      base::MakeError(result_code::kPathLost, base::outcome::kNotRun,
+                      "this host reaches no backend server of the service");
+  unreachable.retry_after =
+      RetryAfter(core, routed, kPathRetryAfter, jitter_range());
+  return unreachable;
+}
+
 }  // namespace
 
 milliseconds RetryAfterRefusals(host_core& core, const routed_request& routed) {
@@ -328,6 +350,14 @@
     const auto leaving = CheckStopDeadline(core, routed);
     if (leaving && first_attempt)
       co_return tl::make_unexpected(*leaving);
+    const path_state path = PathOf(core, routed);
+    if (path == path_state::kUndecided) {
+      pause.expires_after(kPathRecheckInterval);
+      co_await pause.async_wait(kAwait);
+      continue;
+    }
+    if (path != path_state::kDirect)
+      co_return tl::make_unexpected(PathLostError(core, routed));
     const server_query query = QueryOf(routed);
     auto choice = core.servers.Choose(query, *routed.service, now, core.random);
     if (choice && !query.model.empty()) {
--- a/src/net/http_client.cc
+++ b/src/net/http_client.cc
@@ -199,6 +199,10 @@
 
 void open_guard::Cancel() {
   cancelled_ = true;
+  Interrupt();
+}
+
+void open_guard::Interrupt() {
   if (link_ == nullptr)
     return;
   boost::system::error_code ignored;
--- a/src/net/http_client.h
+++ b/src/net/http_client.h
@@ -76,6 +76,9 @@
   // this guard fails at once as not run.
   void Cancel();
   bool cancelled() const { return cancelled_; }
+  // Closes the connection of the call, if there is one; a later Open with this
+  // guard may go on.
+  void Interrupt();
 
  private:
   friend class http_client;
--- a/src/store/lease_keeper.cc
+++ b/src/store/lease_keeper.cc
@@ -83,7 +83,7 @@
     asio::steady_timer timer(context_, turn);
     co_await timer.async_wait(kAwait);
   }
-  co_return !resigned_ && is_candidate_();
+  co_return MayHold() && is_candidate_();
 }
 
 asio::awaitable<void> lease_keeper::TryTake() {
@@ -170,11 +170,11 @@
   asio::steady_timer timer(context_);
   while (true) {
     const bool holds = term_ != 0;
-    if (holds && resigned_)
+    if (holds && !MayHold())
       co_await GiveUp();
     else if (holds)
       co_await Keep();
-    else if (!resigned_ && is_candidate_())
+    else if (MayHold() && is_candidate_())
       co_await TryTake();
     std::chrono::microseconds pause = std::min<std::chrono::microseconds>(
         length_ / kRenewals, kLongestRenewal);
@@ -192,8 +192,8 @@
     // A resignation is acted on soon, not at the next renewal.
     const auto wake = std::chrono::steady_clock::now() + pause;
     while (std::chrono::steady_clock::now() < wake) {
-      const bool resigning = term_ != 0 && resigned_;
-      if (resigning)
+      const bool gives_up = term_ != 0 && !MayHold();
+      if (gives_up)
         break;
       timer.expires_after(std::min<std::chrono::steady_clock::duration>(
           wake - std::chrono::steady_clock::now(),
--- a/src/store/lease_keeper.h
+++ b/src/store/lease_keeper.h
@@ -42,6 +42,10 @@
   // Takes no lease from now on and gives up the one that is held.
   void Resign() { resigned_ = true; }
 
+  // While set, takes no lease and gives up the one that is held: another
+  // controller can use it better.
+  void SetYielding(bool yields) { yields_ = yields; }
+
   // The revision at which the present lease was taken, 0 if this process does
   // not hold it; from any thread.
   std::int64_t term() const { return term_.load(); }
@@ -61,6 +65,7 @@
   void NoteLost(std::int64_t term);
 
  private:
+  bool MayHold() const { return !resigned_ && !yields_; }
   boost::asio::awaitable<void> Loop();
   boost::asio::awaitable<void> TryTake();
   // Waits for this process's turn; whether it is still a candidate then.
@@ -88,6 +93,7 @@
   std::chrono::steady_clock::time_point taken_at_;
   std::atomic<std::int64_t> term_ = 0;
   std::atomic<bool> resigned_ = false;
+  std::atomic<bool> yields_ = false;
 };
 
 }  // namespace valeledge::store
--- a/src/wire/messages.thrift
+++ b/src/wire/messages.thrift
@@ -395,6 +395,17 @@
   5: i64 took_us,
 }
 
+// Asks a host whether it reaches the backend servers of a service.
+struct path_question {
+  1: string service_name,
+}
+
+struct path_reply {
+  1: bool reaches,
+  // The port at which it takes requests that other hosts relay.
+  2: i32 relay_port,
+}
+
 struct acknowledgement {
   1: i32 code,
 }
@@ -425,4 +436,6 @@
   29: optional permit_request permit_wanted,
   30: optional permit_reply permit,
   31: optional server_limit limit_changed,
+  32: optional path_question path_wanted,
+  33: optional path_reply path,
 }
--- a/tests/auto/decisions/test_relay_peers.cc
+++ b/tests/auto/decisions/test_relay_peers.cc
@@ -23,8 +23,8 @@
     decisions::RecordReaches(peers, kFar, kFarRelay, false, kStart);
   }
 
-  base::endpoint Choose(base::time_point now) {
-    const auto chosen = decisions::ChooseRelay(peers, now, random);
+  base::endpoint Choose(base::time_point now, bool near = true) {
+    const auto chosen = decisions::ChooseRelay(peers, now, near, random);
     return chosen ? chosen->relay_address : base::endpoint();
   }
 
@@ -40,6 +40,14 @@
     BOOST_TEST((here.Choose(kStart) == kNearRelay));
 }
 
+BOOST_AUTO_TEST_CASE(a_second_choice_is_of_another_zone) {
+  peers_world here;
+  for (int i = 0; i < 20; ++i)
+    BOOST_TEST((here.Choose(kStart, false) == kFarRelay));
+  decisions::RecordUnreached(here.peers, kFar);
+  BOOST_TEST((here.Choose(kStart, false) == kNearRelay));
+}
+
 BOOST_AUTO_TEST_CASE(a_peer_that_failed_is_avoided_for_a_while) {
   peers_world here;
   decisions::RecordRelayFailed(here.peers, kNearRelay, kStart);
--- a/tests/auto/host/relay_world.h
+++ b/tests/auto/host/relay_world.h
@@ -178,7 +178,8 @@
     received_response seen;
     fake_responder responder(seen);
     boost::asio::co_spawn(context,
-                          host::RelayRequest(*core, request, responder),
+                          host::RelayRequest(*core, request, responder,
+                                             host::request_origin::kCaller),
                           [&](const std::exception_ptr& thrown) {
                             BOOST_TEST((thrown == nullptr));
                             seen.done = true;
--- /dev/null
+++ b/tests/auto/host/test_lost_paths.cc
@@ -0,0 +1,238 @@
+// SPDX-License-Identifier: MIT
+// A host that reaches no backend server, and another one that does.
+#include <chrono>
+#include <memory>
+#include <string>
+#include <utility>
+
+#include <boost/beast/http.hpp>
+#include <boost/test/unit_test.hpp>
+
+#include "host/constants.h"
+#include "host/process/path_monitor.h"
+#include "host/request/peer_relay.h"
+#include "net/http_server.h"
+#include "relay_world.h"
+
+namespace {
+
+using namespace valeledge;
+using namespace valeledge::test;
+using namespace std::chrono_literals;
+namespace http = boost::beast::http;
+
+// Port 1 of loopback refuses connections.
+const base::endpoint kRefusing{"127.0.0.1", 1};
+
+host::path_callbacks PathCallbacks(relay_world& other,
+                                   std::uint16_t& relay_port) {
+  host::path_callbacks callbacks;
+  callbacks.sample_peers = [](bool same_zone, std::size_t) {
+    return same_zone ? std::vector<base::endpoint>{{"127.0.0.1", 2}}
+                     : std::vector<base::endpoint>();
+  };
+  callbacks.call = [&other, &relay_port](base::endpoint, wire::envelope call,
+                                         std::chrono::microseconds)
+      -> boost::asio::awaitable<base::result<wire::envelope>> {
+    wire::envelope reply;
+    reply.__set_path(
+        other.core->paths->HandleRequest(call.path_wanted, relay_port));
+    co_return reply;
+  };
+  return callbacks;
+}
+
+// `cut` has addresses that refuse connections for the servers that `other`
+// reaches.
+struct lost_world {
+  lost_world() {
+    cut.core->paths = &cut_paths;
+    other.core->paths = &other_paths;
+    cut.AddServer("i-1", kRefusing);
+    cut.AddServer("i-2", kRefusing);
+    other.AddServer("i-1", other.first.address());
+    other.AddServer("i-2", other.second.address());
+    other.core->configuration =
+        std::make_shared<const catalog::configuration>(other.configuration);
+    const auto started = relays.Start({"127.0.0.1", 0});
+    relay_port = started->port;
+  }
+
+  std::size_t ServerRequests() const {
+    return other.first.requests.size() + other.second.requests.size();
+  }
+
+  std::shared_ptr<boost::asio::io_context> loop =
+      std::make_shared<boost::asio::io_context>(1);
+  relay_world cut{loop};
+  relay_world other{loop};
+  std::uint16_t relay_port = 0;
+  host::path_monitor cut_paths{*cut.core, PathCallbacks(other, relay_port)};
+  host::path_monitor other_paths{*other.core, PathCallbacks(cut, relay_port)};
+  net::http_server relays{
+      *loop,
+      {},
+      [this](net::http_request& request, net::http_responder& responder) {
+        last_relayed = request;
+        return host::RelayRequest(*other.core, request, responder,
+                                  host::request_origin::kPeer);
+      },
+      [](const base::error&) { return net::http_response(); }};
+  net::http_request last_relayed;
+};
+
+BOOST_AUTO_TEST_SUITE(lost_paths)
+
+BOOST_AUTO_TEST_CASE(a_request_of_a_cut_host_is_served_through_another_host) {
+  lost_world here;
+  const auto seen = here.cut.SendRequest("/once/");
+  BOOST_TEST(seen.status == 200);
+  BOOST_TEST(seen.body == "hello");
+  BOOST_TEST(here.ServerRequests() == 1u);
+  BOOST_TEST(here.cut_paths.IsLost("s"));
+}
+
+BOOST_AUTO_TEST_CASE(the_server_gets_the_request_of_the_caller) {
+  lost_world here;
+  here.cut.SendRequest("/once/");
+  const auto& requests = here.other.first.requests.empty()
+                             ? here.other.second.requests
+                             : here.other.first.requests;
+  BOOST_REQUIRE(requests.size() == 1u);
+  const net::http_request& got = requests.front();
+  BOOST_TEST(got.target() == "/once/x?q=1");
+  BOOST_TEST(got.body() == "body");
+  BOOST_TEST(got["X-Other"] == "kept");
+  BOOST_TEST(got["Host"] == "a.example");
+  for (const auto& field : got)
+    BOOST_TEST(!field.name_string().starts_with("Valeledge-"));
+}
+
+BOOST_AUTO_TEST_CASE(the_caller_gets_no_fields_of_hosts) {
+  lost_world here;
+  const auto seen = here.cut.SendRequest("/once/");
+  BOOST_TEST(seen.fields["X-Server-Stamp"] == "s");
+  for (const auto& field : seen.fields)
+    BOOST_TEST(!field.name_string().starts_with("Valeledge-"));
+}
+
+BOOST_AUTO_TEST_CASE(a_stream_is_relayed_event_by_event) {
+  lost_world here;
+  for (auto* server : {&here.other.first, &here.other.second}) {
+    server->script = {
+        {kStreamHeader + Chunk(Event(1)) + Chunk(Event(2)) + "0\r\n\r\n"}};
+  }
+  const auto seen = here.cut.SendRequest("/stream/");
+  BOOST_TEST(seen.status == 200);
+  BOOST_TEST(seen.body == Event(1) + Event(2) + "(end)");
+}
+
+BOOST_AUTO_TEST_CASE(only_the_first_host_counts_the_request) {
+  lost_world here;
+  here.cut.SendRequest("/once/");
+  const auto& own =
+      here.cut.core->demand.DemandFor("s", host::kInitialServiceTime);
+  const auto& relayed =
+      here.other.core->demand.DemandFor("s", host::kInitialServiceTime);
+  BOOST_TEST(own.arrivals == 1);
+  BOOST_TEST(relayed.arrivals == 0);
+}
+
+BOOST_AUTO_TEST_CASE(a_request_that_may_have_run_is_not_run_once_more) {
+  lost_world here;
+  for (auto* server : {&here.other.first, &here.other.second})
+    server->script = {{"", scripted_response::connection_action::kReset}};
+  const auto seen = here.cut.SendRequest("/once/");
+  BOOST_TEST(seen.status == 502);
+  BOOST_TEST(here.ServerRequests() == 1u);
+}
+
+BOOST_AUTO_TEST_CASE(a_server_error_is_not_retried_by_both_hosts) {
+  lost_world here;
+  for (auto* server : {&here.other.first, &here.other.second})
+    server->script = {{kFailedResponse}};
+  const auto seen = here.cut.SendRequest("/safe/");
+  BOOST_TEST(seen.status == 500);
+  BOOST_TEST(here.ServerRequests() == 2u);
+}
+
+BOOST_AUTO_TEST_CASE(a_request_is_refused_at_once_if_no_host_reaches_a_server) {
+  lost_world here;
+  here.other.core->servers.Find("i-1")->entry.address = kRefusing;
+  here.other.core->servers.Find("i-2")->entry.address = kRefusing;
+  BOOST_TEST(here.cut.SendRequest("/once/").status == 503);
+  const auto begun = std::chrono::steady_clock::now();
+  const auto seen = here.cut.SendRequest("/once/");
+  BOOST_TEST(seen.status == 503);
+  BOOST_TEST((std::chrono::steady_clock::now() - begun < 100ms));
+  BOOST_TEST(seen.fields.count(http::field::retry_after) == 1u);
+}
+
+BOOST_AUTO_TEST_CASE(hosts_with_different_configurations_relay_nothing) {
+  lost_world here;
+  here.other.configuration.version = 7;
+  here.other.core->configuration =
+      std::make_shared<const catalog::configuration>(here.other.configuration);
+  BOOST_TEST(here.cut.SendRequest("/once/").status == 503);
+  BOOST_TEST(here.ServerRequests() == 0u);
+}
+
+BOOST_AUTO_TEST_CASE(a_leaving_server_known_to_the_first_host_is_not_used) {
+  lost_world here;
+  here.cut.core->servers.Find("i-1")->notices.leaving_since =
+      std::chrono::steady_clock::now();
+  for (int i = 0; i < 10; ++i)
+    BOOST_TEST(here.cut.SendRequest("/once/").status == 200);
+  BOOST_TEST(here.other.first.requests.empty());
+}
+
+BOOST_AUTO_TEST_CASE(a_relayed_response_tells_the_first_host_who_is_leaving) {
+  lost_world here;
+  const std::string leaving = kWholeResponse;
+  for (auto* server : {&here.other.first, &here.other.second}) {
+    server->script = {{std::string(leaving).insert(
+        leaving.find("Content-Length"), "Server-Leaving: 1\r\n")}};
+  }
+  here.cut.SendRequest("/once/");
+  const bool known = here.cut.core->servers.Find("i-1")->SaysLeaving() ||
+                     here.cut.core->servers.Find("i-2")->SaysLeaving();
+  BOOST_TEST(known);
+}
+
+// A caller that sends the fields of hosts gains nothing by them.
+BOOST_AUTO_TEST_CASE(callers_cannot_set_the_fields_of_hosts) {
+  relay_world here;
+  here.AddServer("i-1", here.first.address());
+  here.added_fields = {{"Valeledge-Relay-Executions", "5"},
+                       {"valeledge-relay-workspace", "other"}};
+  BOOST_TEST(here.SendRequest("/safe/").status == 200);
+  for (const auto& field : here.first.requests.front())
+    BOOST_TEST(!boost::beast::iequals(field.name_string().substr(0, 10),
+                                      "valeledge-"));
+}
+
+BOOST_AUTO_TEST_CASE(a_path_that_is_regained_leaves_no_server_suspended) {
+  lost_world here;
+  here.cut.SendRequest("/once/");
+  here.cut.core->servers.Find("i-1")->entry.address =
+      here.other.first.address();
+  here.cut.core->servers.Find("i-2")->entry.address =
+      here.other.second.address();
+  const auto until = std::chrono::steady_clock::now() + 5s;
+  while (here.cut_paths.IsLost("s") &&
+         std::chrono::steady_clock::now() < until) {
+    here.cut_paths.Tick(std::chrono::steady_clock::now());
+    here.loop->run_one_for(20ms);
+  }
+  BOOST_TEST(!here.cut_paths.IsLost("s"));
+  const auto now = std::chrono::steady_clock::now();
+  for (const auto& [instance, server] : here.cut.core->servers.servers())
+    BOOST_TEST(decisions::AllowsRequests(server->trust, now));
+  here.last_relayed = {};
+  BOOST_TEST(here.cut.SendRequest("/once/").status == 200);
+  BOOST_TEST(here.last_relayed.target().empty());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace
--- a/tests/auto/host/test_relay.cc
+++ b/tests/auto/host/test_relay.cc
@@ -348,7 +348,8 @@
   fake_responder responder(seen);
   here.core->configuration = nullptr;
   boost::asio::co_spawn(here.context,
-                        host::RelayRequest(*here.core, request, responder),
+                        host::RelayRequest(*here.core, request, responder,
+                                           host::request_origin::kCaller),
                         boost::asio::detached);
   while (seen.status == 0)
     here.context.run_one();
--- a/tests/soak/test_hosts_cut.py
+++ b/tests/soak/test_hosts_cut.py
@@ -4,6 +4,7 @@
 import argparse
 import asyncio
 import pathlib
+import re
 import sys
 import tempfile
 import unittest
@@ -15,9 +16,10 @@
 from ledger import CUT_KNOWN_S
 from platform_standin import deployment
 
-COUNTED_S = 4.0
+COUNTED_S = 5.0
 HEALED_S = 2.0
-PAUSE_S = 0.05
+PAUSE_S = 0.02
+LEASE_KEY = "valeledge/controller/leader"
 
 ARGS = None
 
@@ -69,10 +71,20 @@
         await self.site.until_all_serve(soak.RECOVER_S, "after the cut")
         print(f"{how}, {len(hosts)} hosts cut: first tries and those served: "
               f"{cut.inside}, at the others {cut.outside}", flush=True)
+        self.show_logs_of(ledger.broken)
         self.assertEqual(ledger.broken, [])
         self.assertGreater(cut.inside[0], 20)
         return cut
 
+    def show_logs_of(self, broken):
+        """Prints what the hosts wrote about the requests that are named."""
+        names = {name for line in broken
+                 for name in re.findall(r"\b[0-9a-f]{16}\b", line)}
+        for log in pathlib.Path(self.folder.name).glob("*.log"):
+            for line in log.read_text(errors="replace").splitlines():
+                if any(name in line for name in names):
+                    print(log.stem, line)
+
     async def test_callers_of_a_host_whose_connections_hang_are_served(self):
         await self.play(self.site.hosts[:1], "silent")
 
@@ -92,6 +104,30 @@
         zone = [host for host in self.site.hosts if host.zone == soak.ZONES[0]]
         await self.play(zone, "silent")
 
+    def lease_holder(self):
+        """The host that may give orders; None if the lease is free."""
+        item = self.site.store.items.get(LEASE_KEY)
+        holders = [host for host in self.site.hosts if item is not None
+                   and item.value.decode().endswith(
+                       f":{host.ports['peers']}")]
+        return holders[0] if holders else None
+
+    async def test_a_lease_holder_that_cannot_give_orders_gives_up_the_lease(
+            self):
+        holder = self.lease_holder()
+        self.assertIsNotNone(holder)
+        successor = asyncio.create_task(self.next_holder(holder))
+        await self.play([holder], "silent")
+        self.assertTrue(await successor)
+
+    async def next_holder(self, holder):
+        """Whether another host takes the lease before the cut is judged."""
+        for _ in range(int((1.0 + CUT_KNOWN_S + COUNTED_S) / 0.1)):
+            await asyncio.sleep(0.1)
+            if self.lease_holder() not in (None, holder):
+                return True
+        return False
+
     async def test_callers_of_all_hosts_but_one_are_served(self):
         await self.play(self.site.hosts[1:], "reset")
 
