--- a/src/decisions/relay_peers.cc
+++ b/src/decisions/relay_peers.cc
@@ -1,8 +1,9 @@
 // SPDX-License-Identifier: MIT
 #include "decisions/relay_peers.h"
 
+#include <algorithm>
 #include <chrono>
-#include <utility>
+#include <vector>
 
 namespace valeledge::decisions {
 
@@ -15,6 +16,28 @@
 // whether it still reaches the servers.
 constexpr std::chrono::milliseconds kAvoidAfterFailure{300};
 
+bool IsCurrent(const relay_peer& peer, base::time_point now) {
+  return now - peer.stated_at <= kStatementLifetime;
+}
+
+bool IsUsable(const relay_peer& peer, base::time_point now) {
+  return peer.reaches && IsCurrent(peer, now) && now >= peer.avoid_until;
+}
+
+// Whether at least half of the hosts of this availability zone reach the
+// servers, by those that were asked.
+bool CanZoneRelay(const relay_peers& peers, base::time_point now) {
+  int asked = 0;
+  int reaching = 0;
+  for (const auto& [address, peer] : peers) {
+    if (!peer.same_zone || !IsCurrent(peer, now))
+      continue;
+    ++asked;
+    reaching += peer.reaches ? 1 : 0;
+  }
+  return 2 * reaching >= asked;
+}
+
 }  // namespace
 
 void RecordReaches(relay_peers& peers,
@@ -23,13 +46,20 @@
                    bool same_zone,
                    base::time_point now) {
   relay_peer& known = peers[peer];
+  known.reaches = true;
   known.relay_address = relay_address;
   known.same_zone = same_zone;
-  known.confirmed_at = now;
+  known.stated_at = now;
 }
 
-void RecordUnreached(relay_peers& peers, const base::endpoint& peer) {
-  peers.erase(peer);
+void RecordUnreached(relay_peers& peers,
+                     const base::endpoint& peer,
+                     bool same_zone,
+                     base::time_point now) {
+  relay_peer& known = peers[peer];
+  known.reaches = false;
+  known.same_zone = same_zone;
+  known.stated_at = now;
 }
 
 void RecordRelayFailed(relay_peers& peers,
@@ -41,17 +71,24 @@
   }
 }
 
+bool AnyReaches(const relay_peers& peers, base::time_point now) {
+  return std::ranges::any_of(peers, [now](const auto& each) {
+    return each.second.reaches && IsCurrent(each.second, now);
+  });
+}
+
 std::optional<relay_peer> ChooseRelay(const relay_peers& peers,
                                       base::time_point now,
                                       bool near,
                                       std::mt19937_64& random) {
   std::vector<const relay_peer*> usable;
   std::vector<const relay_peer*> preferred;
+  const bool has_preference = !near || CanZoneRelay(peers, now);
   for (const auto& [address, peer] : peers) {
-    if (now < peer.avoid_until || now - peer.confirmed_at > kStatementLifetime)
+    if (!IsUsable(peer, now))
       continue;
     usable.push_back(&peer);
-    if (peer.same_zone == near)
+    if (has_preference && peer.same_zone == near)
       preferred.push_back(&peer);
   }
   const auto& from = preferred.empty() ? usable : preferred;
--- a/src/decisions/relay_peers.h
+++ b/src/decisions/relay_peers.h
@@ -14,17 +14,19 @@
 
 namespace valeledge::decisions {
 
+// What a peer has stated last.
 struct relay_peer {
+  bool reaches = false;
   // Where it accepts relayed requests.
   base::endpoint relay_address;
   bool same_zone = false;
-  base::time_point confirmed_at;
+  base::time_point stated_at;
   // It is not used before this time, after a failure.
   base::time_point avoid_until;
 };
 
-// Peers that have stated that they reach the servers, by the address at which
-// they take calls of other hosts.
+// The peers that were asked, by the address at which they take calls of other
+// hosts.
 using relay_peers = std::map<base::endpoint, relay_peer>;
 
 // Records a peer's statement that it reaches the servers.
@@ -35,7 +37,10 @@
                    base::time_point now);
 
 // Records that the peer does not reach them, or does not respond.
-void RecordUnreached(relay_peers& peers, const base::endpoint& peer);
+void RecordUnreached(relay_peers& peers,
+                     const base::endpoint& peer,
+                     bool same_zone,
+                     base::time_point now);
 
 // Records that a request could not be sent through the peer at this relay
 // address.
@@ -43,9 +48,12 @@
                        const base::endpoint& relay_address,
                        base::time_point now);
 
+// Whether any peer is known to reach the servers.
+bool AnyReaches(const relay_peers& peers, base::time_point now);
+
 // Returns a peer for the next request, nothing if there is none. `near`: one of
-// this host's availability zone if possible; otherwise one of another zone,
-// since the hosts of a zone may lose the path together.
+// this host's availability zone if most of its hosts reach the servers, since
+// the others could not bear the requests of all. Otherwise one of another zone.
 std::optional<relay_peer> ChooseRelay(const relay_peers& peers,
                                       base::time_point now,
                                       bool near,
--- a/src/host/process/path_monitor.cc
+++ b/src/host/process/path_monitor.cc
@@ -165,7 +165,8 @@
     const auto& [name, path] = each;
     const catalog::service* service = core_.configuration->FindService(name);
     return service != nullptr && service->HasModels() && path.health.is_lost &&
-           now - path.health.changed_at >= lost_for && !path.relays.empty();
+           now - path.health.changed_at >= lost_for &&
+           decisions::AnyReaches(path.relays, now);
   });
 }
 
@@ -237,7 +238,7 @@
     decisions::RecordReaches(path.relays, peer, relay, same_zone, now);
     InterruptAttempts(service, now);
   } else {
-    decisions::RecordUnreached(path.relays, peer);
+    decisions::RecordUnreached(path.relays, peer, same_zone, now);
   }
   if (--path.peers_pending == 0)
     path.peers_known = true;
--- a/tests/auto/decisions/test_relay_peers.cc
+++ b/tests/auto/decisions/test_relay_peers.cc
@@ -44,7 +44,7 @@
   peers_world here;
   for (int i = 0; i < 20; ++i)
     BOOST_TEST((here.Choose(kStart, false) == kFarRelay));
-  decisions::RecordUnreached(here.peers, kFar);
+  decisions::RecordUnreached(here.peers, kFar, false, kStart);
   BOOST_TEST((here.Choose(kStart, false) == kNearRelay));
 }
 
@@ -57,9 +57,9 @@
 
 BOOST_AUTO_TEST_CASE(a_peer_that_is_cut_off_as_well_is_not_used) {
   peers_world here;
-  decisions::RecordUnreached(here.peers, kNear);
+  decisions::RecordUnreached(here.peers, kNear, true, kStart);
   BOOST_TEST((here.Choose(kStart) == kFarRelay));
-  decisions::RecordUnreached(here.peers, kFar);
+  decisions::RecordUnreached(here.peers, kFar, false, kStart);
   BOOST_TEST((here.Choose(kStart) == base::endpoint()));
 }
 
@@ -68,6 +68,19 @@
   BOOST_TEST((here.Choose(kStart + 3s) == base::endpoint()));
 }
 
+// The few that are left in a zone must not bear the requests of all others.
+BOOST_AUTO_TEST_CASE(a_zone_that_is_mostly_cut_off_is_not_preferred) {
+  peers_world here;
+  decisions::RecordUnreached(here.peers, {"10.0.0.3", 1}, true, kStart);
+  for (int i = 0; i < 20; ++i)
+    BOOST_TEST((here.Choose(kStart) == kNearRelay));
+  decisions::RecordUnreached(here.peers, {"10.0.0.4", 1}, true, kStart);
+  std::map<base::endpoint, int> counts;
+  for (int i = 0; i < 100; ++i)
+    ++counts[here.Choose(kStart)];
+  BOOST_TEST(counts[kFarRelay] > 20);
+}
+
 BOOST_AUTO_TEST_CASE(requests_are_spread_over_peers) {
   peers_world here;
   for (std::uint16_t port = 10; port < 14; ++port)
--- a/tests/soak/test_ledger.py
+++ b/tests/soak/test_ledger.py
@@ -7,7 +7,7 @@
 
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parent))
 
-from ledger import (BACKOFF_KNOWN_S, DRAIN_S, LIMIT_SETTLED_S,  # noqa: E402
+from ledger import (CUT_KNOWN_S, BACKOFF_KNOWN_S, DRAIN_S, LIMIT_SETTLED_S,  # noqa: E402
                     TELL_S, Ledger, Sent)
 
 
@@ -175,6 +175,25 @@
             self.arrive_sent_at(f"b{at}", "h1", 3.1)
         self.assertEqual(self.broken(), [])
 
+    def cut_off(self, inside, outside):
+        """First tries at a cut host and at another one, as (all, served)."""
+        self.ledger.cut_off(["h1"])
+        at = self.ledger.cut.since + CUT_KNOWN_S
+        for host, (tries, served) in (("h1", inside), ("h2", outside)):
+            for number in range(tries):
+                self.ledger.tried(host, at, number < served)
+                # What was sent earlier does not count.
+                self.ledger.tried(host, at - 0.1, False)
+        self.ledger.heal()
+
+    def test_callers_of_a_cut_host_are_served_far_worse(self):
+        self.cut_off((20, 13), (20, 20))
+        self.assertEqual(self.broken(), [])
+        self.cut_off((40, 40), (40, 20))
+        self.assertEqual(self.broken(), [])
+        self.cut_off((40, 26), (40, 40))
+        self.assertEqual(self.broken(), ["cut-off"])
+
 
 if __name__ == "__main__":
     unittest.main()
