Attempts that fail together suspend a server once

What callers saw, by reading: a sound server that is silent for a second fails all attempts in progress there, and each doubled its suspension, so that ten of them kept a host away for 4 s.

--- a/src/decisions/server_cost.cc
+++ b/src/decisions/server_cost.cc
@@ -89,7 +89,10 @@
 
 void RecordFailure(server_health& health,
                    bool suspend_now,
+                   base::time_point sent,
                    base::time_point now) {
+  if (sent < health.suspended_at)
+    return;
   health.failure_rate += kFailureSmoothing * (1 - health.failure_rate);
   const bool should_suspend =
       suspend_now || health.probing || health.failure_rate > kMaxFailureRate;
@@ -100,11 +103,13 @@
                         ? kFirstSuspension
                         : health.last_suspension * 2;
   health.last_suspension = std::min(next, kMaxSuspension);
+  health.suspended_at = now;
   health.suspended_until = now + health.last_suspension;
 }
 
 void ClearFailures(server_health& health) {
   health.failure_rate = 0;
+  health.suspended_at = {};
   health.suspended_until = {};
   health.last_suspension = {};
 }
--- a/src/decisions/server_cost.h
+++ b/src/decisions/server_cost.h
@@ -53,6 +53,8 @@
   double slowdown = 1;
   // No requests are sent until this time; then one is sent as a probe.
   base::time_point suspended_until;
+  // When the last suspension began.
+  base::time_point suspended_at;
   std::chrono::milliseconds last_suspension{0};
   bool probing = false;
 };
@@ -69,9 +71,11 @@
 void RecordServerFull(server_health& health, base::time_point now);
 
 // Records a failed attempt: an error, an incomplete response, or none.
-// `suspend_now` suspends the server on the first failure.
+// `suspend_now` suspends the server on the first failure. Attempts that were
+// `sent` before the last suspension began do not lengthen it.
 void RecordFailure(server_health& health,
                    bool suspend_now,
+                   base::time_point sent,
                    base::time_point now);
 
 // Forgets failed attempts that were not the server's fault.
--- a/src/host/request/server_attempt.cc
+++ b/src/host/request/server_attempt.cc
@@ -146,7 +146,7 @@
       !is_definite ||
       (tracked_ != nullptr && core_.paths->IsSuspected(server_->entry.service));
   EndSlot(is_usable ? slot_outcome::kFailed : slot_outcome::kUnusable);
-  decisions::RecordFailure(server_->trust, is_definite,
+  decisions::RecordFailure(server_->trust, is_definite, started_at_,
                            std::chrono::steady_clock::now());
 }
 
--- a/tests/auto/host/test_server_backoff.cc
+++ b/tests/auto/host/test_server_backoff.cc
@@ -67,7 +67,7 @@
 BOOST_AUTO_TEST_CASE(neither_failures_nor_probes_end_a_backoff) {
   backoff_world here("60");
   const auto now = std::chrono::steady_clock::now();
-  decisions::RecordFailure(here.server().trust, true, now - 10s);
+  decisions::RecordFailure(here.server().trust, true, now - 10s, now - 10s);
   here.SendMany();
   here.server().trust.probing = true;
   here.server().trust.probing = false;
--- a/tests/auto/host/test_server_registry.cc
+++ b/tests/auto/host/test_server_registry.cc
@@ -103,7 +103,8 @@
   fixture setup;
   setup.avoid.push_back("i-1");
   BOOST_TEST(setup.Choose() == "i-2");
-  decisions::RecordFailure(setup.registry.Find("i-2")->trust, true, setup.now);
+  decisions::RecordFailure(setup.registry.Find("i-2")->trust, true, setup.now,
+                           setup.now);
   BOOST_TEST(setup.Choose() == "none");
   setup.now += 10s;
   BOOST_TEST(setup.Choose() == "i-2");
