Servers that fail if they reject too many requests are not sent more than they take

New on the users' pages: a server states Server-Brittle = N in all its responses, may queue fewer requests, and falls over if it has to reject more than N in a second, whichever hosts they come from. No code read the field. It is a member of response_metadata now; such a server gets no request beyond its slots, and a rejection pauses all hosts for a second and a random part of hosts / N seconds, after which one request goes first as a trial.

--- a/src/host/external_protocol.h
+++ b/src/host/external_protocol.h
@@ -87,6 +87,9 @@
   // Time for which the server wants no requests from this host; not set if it
   // does not state one.
   std::optional<std::chrono::milliseconds> backoff;
+  // The server fails if it has to reject more requests per second than this;
+  // not set if it states no bound.
+  std::optional<double> rejections_tolerated;
   // The stated time cannot be parsed.
   bool backoff_unreadable = false;
 };
--- a/src/host/process/host.cc
+++ b/src/host/process/host.cc
@@ -25,6 +25,7 @@
 #include "host/process/peer_link.h"
 #include "host/process/placement_controller.h"
 #include "host/process/quarantine_coordinator.h"
+#include "host/process/response_updates.h"
 #include "host/process/server_limits.h"
 #include "host/process/settings_reloader.h"
 #include "host/process/shutdown_controller.h"
@@ -61,6 +62,9 @@
 constexpr std::string_view kStoreReaderSubject = "read/store";
 constexpr std::size_t kReaders = 4;
 
+// Key of the record with a server that has rejected a request.
+constexpr std::string_view kFullRecord = "full";
+
 // Reported in metrics for an unknown age.
 constexpr std::int32_t kUnknownAge = -1;
 
@@ -100,6 +104,7 @@
   bool IsReady() const;
   server_limit_callbacks MakeServerLimitCallbacks();
   path_callbacks MakePathCallbacks();
+  void AnnounceFull(const known_server& server);
   asio::awaitable<void> ReportCrash(std::uint64_t digest,
                                     decisions::server_crash crash);
   void UpdateGauges();
@@ -269,6 +274,9 @@
                                               distribution(core_.random));
   });
   core_.paths = &paths_;
+  core_.server_full = [this](const known_server& server) {
+    AnnounceFull(server);
+  };
   core_.load_changed = [this](const known_server& server) {
     loads_.ReportUsage(server);
   };
@@ -382,6 +390,16 @@
   return callbacks;
 }
 
+void host::AnnounceFull(const known_server& server) {
+  wire::full_server news;
+  news.server = server.entry.instance;
+  news.rejections_per_second = *server.rejections_tolerated;
+  peers_.Broadcast(std::string(kFullRecord), [&news](bool hand_on) {
+    news.__set_hand_on(hand_on);
+    return wire::Encode(news);
+  });
+}
+
 path_callbacks host::MakePathCallbacks() {
   path_callbacks callbacks;
   callbacks.sample_peers = [this](bool same_zone, std::size_t count) {
@@ -480,6 +498,13 @@
     const auto update = wire::DecodePlacementNews(record.value);
     if (update)
       placement_.ApplyUpdate(*update, record.sender_address);
+  } else if (record.key == kFullRecord) {
+    auto news = wire::DecodeFullServer(record.value);
+    if (!news)
+      return;
+    ApplyFullServer(core_, *news);
+    if (std::exchange(news->hand_on, false))
+      peers_.BroadcastInZone(std::string(kFullRecord), wire::Encode(*news));
   } else if (record.key == kLimitsRecord) {
     auto update = wire::DecodeLimitNews(record.value);
     if (update)
--- a/src/host/process/host_core.h
+++ b/src/host/process/host_core.h
@@ -97,6 +97,9 @@
       std::shared_ptr<known_server> server,
       std::int64_t priority)>
       acquire_permit;
+  // Publishes that a server that tolerates few rejections has rejected a
+  // request.
+  std::function<void(const known_server& server)> server_full;
   // Publishes that a response has changed the known limit of a server.
   std::function<void(const known_server& server)> limit_changed;
   // Requests the lease holder to load an adapter. Returns the instance that has
--- a/src/host/process/known_server.h
+++ b/src/host/process/known_server.h
@@ -89,6 +89,9 @@
   bool limit_unreadable = false;
   // Its statements in responses to this host.
   decisions::server_notices notices;
+  // It fails if it has to reject more requests per second; not set if it states
+  // no bound.
+  std::optional<double> rejections_tolerated;
   // It has asked for a backoff with a time that cannot be parsed.
   bool backoff_unreadable = false;
   // No permit was available for it; none is requested before this time.
--- a/src/host/process/response_updates.cc
+++ b/src/host/process/response_updates.cc
@@ -5,6 +5,7 @@
 #include <string>
 
 #include "base/logging.h"
+#include "decisions/brittle_server.h"
 #include "decisions/server_notices.h"
 #include "host/process/limit_updates.h"
 
@@ -59,13 +60,47 @@
   }
 }
 
+// Sends nothing to a server that tolerates few rejections for a while.
+void PauseFullServer(host_core& core, known_server& server) {
+  std::uniform_real_distribution<double> jitter(0, 1);
+  const auto pause = decisions::BrittlePause(*server.rejections_tolerated,
+                                             core.hosts, jitter(core.random));
+  decisions::Observe(server.notices,
+                     {false, pause, std::chrono::steady_clock::now()});
+  core.metrics.Counter(kCounter, "full").Add();
+}
+
+void ApplyRejections(host_core& core,
+                     known_server& server,
+                     const response_metadata& response) {
+  const bool is_servers = response.is_signed || !response.request_id.empty();
+  if (!is_servers || !IsOfInstance(response, server))
+    return;
+  server.rejections_tolerated = response.rejections_tolerated;
+  const bool rejected = response.not_run && !response.misdirected;
+  if (!rejected || !server.rejections_tolerated)
+    return;
+  PauseFullServer(core, server);
+  if (core.server_full)
+    core.server_full(server);
+}
+
 }  // namespace
 
+void ApplyFullServer(host_core& core, const wire::full_server& news) {
+  const auto server = core.servers.Find(news.server);
+  if (server == nullptr)
+    return;
+  server->rejections_tolerated = news.rejections_per_second;
+  PauseFullServer(core, *server);
+}
+
 void ApplyRequestResponse(host_core& core,
                           known_server& server,
                           const response_metadata& response,
                           base::time_point sent) {
   ApplyResponseLimit(core, server, response, sent);
+  ApplyRejections(core, server, response);
   response_metadata statements = response;
   // A refusal may lack the stamp. Without the request's id as well, nothing
   // shows that the server has written it, and leaving cannot be taken back.
--- a/src/host/process/server_registry.cc
+++ b/src/host/process/server_registry.cc
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "base/identifier.h"
+#include "decisions/brittle_server.h"
 
 namespace valeledge::host {
 
@@ -27,6 +28,14 @@
 // A load that is overdue by more than this is not waited for.
 constexpr auto kOverdueLoadTolerance = std::chrono::milliseconds(800);
 
+// Whether a request would not be rejected, if the server tolerates few
+// rejections.
+bool HasRoom(const known_server& server) {
+  return !server.rejections_tolerated ||
+         server.own.running + server.others.running <
+             decisions::BrittleSlots(server.entry.slots);
+}
+
 // Extends the hash of a prompt prefix by one part.
 std::uint64_t ChainHash(std::uint64_t before, const prompt_part& part) {
   constexpr std::uint64_t kMix = 0x9e3779b97f4a7c15;
@@ -184,7 +193,8 @@
 bool server_registry::IsCandidate(const known_server& server,
                                   const server_query& query,
                                   base::time_point now) const {
-  return server.IsPermitted(now) && IsEligible(server, query, now) &&
+  return server.IsPermitted(now) && HasRoom(server) &&
+         IsEligible(server, query, now) &&
          !decisions::IsPaused(server.notices, now) &&
          decisions::AllowsRequests(server.trust, now);
 }
--- a/src/host/process/slot_allocator.cc
+++ b/src/host/process/slot_allocator.cc
@@ -10,6 +10,7 @@
 #include <boost/asio/detached.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
+#include "decisions/brittle_server.h"
 #include "host/constants.h"
 
 namespace valeledge::host {
@@ -65,11 +66,16 @@
                            !server->IsLimited();
     if (!has_slots)
       continue;
+    // One request more than there are slots is allocated.
+    const std::int64_t slots =
+        server->rejections_tolerated
+            ? decisions::BrittleSlots(server->entry.slots)
+            : server->entry.slots;
     const bool cold = kind != nullptr && server->IsCold(*kind, now);
     out[instance] =
         cold ? decisions::server_capacity{1, decisions::ColdAllocationInterval(
                                                  kind->cold_rate)}
-             : decisions::server_capacity{server->entry.slots};
+             : decisions::server_capacity{slots};
   }
   return out;
 }
--- a/src/wire/codec.cc
+++ b/src/wire/codec.cc
@@ -80,6 +80,10 @@
   return EncodeMessage(message);
 }
 
+std::string Encode(const full_server& message) {
+  return EncodeMessage(message);
+}
+
 std::optional<envelope> DecodeEnvelope(std::string_view bytes) {
   return DecodeMessage<envelope>(bytes);
 }
@@ -120,4 +124,8 @@
   return DecodeMessage<limit_news>(bytes);
 }
 
+std::optional<full_server> DecodeFullServer(std::string_view bytes) {
+  return DecodeMessage<full_server>(bytes);
+}
+
 }  // namespace valeledge::wire
--- a/src/wire/codec.h
+++ b/src/wire/codec.h
@@ -25,6 +25,7 @@
 std::string Encode(const store_reading& message);
 std::string Encode(const mirror_copy& message);
 std::string Encode(const limit_news& message);
+std::string Encode(const full_server& message);
 
 // The message in `bytes`; nothing if they are not one whole message.
 std::optional<envelope> DecodeEnvelope(std::string_view bytes);
@@ -37,6 +38,7 @@
 std::optional<store_reading> DecodeStoreReading(std::string_view bytes);
 std::optional<mirror_copy> DecodeMirrorCopy(std::string_view bytes);
 std::optional<limit_news> DecodeLimitNews(std::string_view bytes);
+std::optional<full_server> DecodeFullServer(std::string_view bytes);
 
 }  // namespace valeledge::wire
 
--- a/src/wire/messages.thrift
+++ b/src/wire/messages.thrift
@@ -366,6 +366,15 @@
   2: optional bool hand_on,
 }
 
+// Value of the direct record "full": a backend server has rejected a request,
+// and fails if it has to reject more than so many a second.
+struct full_server {
+  1: string server,
+  2: double rejections_per_second,
+  // Whoever is told tells the others of its availability zone.
+  3: optional bool hand_on,
+}
+
 // Asks the host that deals out the places of a plain service for one.
 struct place_question {
   1: string service_name,
