Soak: hosts that are cut from all servers, and servers that are brittle

Each run plays one or two cuts of one host or of all but one, and at times servers that fall over if they reject too much; the users' rules are its promises. Traced by the hosts' logs: from 17.5 s on the server closed all connections of all hosts, while its entry stood; its earlier instance had left without saying so and had then been ended by a request, and the timer of its leaving ended the next instance.

--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -106,6 +106,25 @@
     return sorted(plan + more, key=lambda each: each.at)
 
 
+# How hosts are cut from all servers, and how often that and brittle servers
+# come in a run.
+CUTS, BRITTLE = ["silent", "back", "reset", "live"], [0, 1, 1]
+HOST_CUTS = [1, 1, 2]
+
+
+def add_partitions(plan: list[Fault], rng: random.Random,
+                   seconds: float) -> list[Fault]:
+    """The plan with hosts that are cut from all servers and with servers that
+    are brittle; by a generator of its own as well."""
+    more = [Fault(rng.uniform(0, seconds / 2), "cut_" + rng.choice(CUTS),
+                  rng.randrange(1000), rng.uniform(4.0, 8.0))
+            for _ in range(rng.choice(HOST_CUTS))]
+    more += [Fault(rng.uniform(0, seconds / 2), "server_brittle",
+                   rng.randrange(1000), rng.uniform(5.0, 8.0))
+             for _ in range(rng.choice(BRITTLE))]
+    return sorted(plan + more, key=lambda each: each.at)
+
+
 class Injector:
     """Carries out a plan on a site, from outside its programs."""
 
@@ -206,6 +225,23 @@
         await asyncio.sleep(fault.for_s)
         host.proxy.mode = Mode.PASS
 
+    async def _cut(self, fault, how):
+        """One host, or all but one, lose the path to all servers."""
+        ledger, hosts = self.site.ledger, self.site.hosts
+        if ledger.cut is not None:
+            return
+        spared = hosts[fault.target % len(hosts)]
+        chosen = [host for host in hosts if host is not spared]
+        if fault.target % 3:
+            chosen = chosen[:1]
+        ledger.cut_off([host.name for host in chosen])
+        for host in chosen:
+            host.cut_from_servers(how)
+        await asyncio.sleep(fault.for_s)
+        ledger.heal()
+        for host in chosen:
+            await host.heal_links()
+
     # -- the store -----------------------------------------------------------
 
     async def _store(self, fault, how):
@@ -284,6 +320,21 @@
         await asyncio.sleep(fault.for_s)
         await server.boot()
 
+    async def _server_brittle(self, fault):
+        """The servers of one service are brittle, and reject earlier."""
+        service = [deployment.PLAIN_SERVICE,
+                   deployment.ENGINE_SERVICE][fault.target % 2]
+        servers = [each for each in self.site.servers
+                   if each.service == service]
+        if any(each.brittle is not None for each in servers):
+            return
+        for server in servers:
+            server.brittle = 5 + fault.target % 10
+        await asyncio.sleep(fault.for_s)
+        for server in servers:
+            server.brittle = None
+        self.site.ledger.check_falls(len(servers))
+
     async def _server_leave_unsaid(self, fault):
         await self._server_leave(fault, tells_store=False)
 
@@ -307,10 +358,11 @@
             return
         gone = server.instance
         await server.leave(tells_store)
-        while server.up:
+        while server.up and server.instance == gone:
             await asyncio.sleep(0.1)
         self.site.ledger.spoil(gone, time.monotonic() + 3600)
-        await server.boot()
+        if server.instance == gone:
+            await server.boot()
 
     async def _orders_late(self, fault):
         engines = self.site.engines
--- a/tests/soak/ledger.py
+++ b/tests/soak/ledger.py
@@ -19,6 +19,8 @@
 BACKOFF_MOST, BACKOFF_KNOWN_S = 2, 0.5
 
 
+# Brittle servers that may fall over in one time, and per server.
+FALLS, FALL_SHARE = 2, 0.1
 # First tries at hosts that are cut from all servers, from so long after the
 # cut: their share served, against the others', and how many may fail anyway.
 CUT_KNOWN_S, CUT_SHARE, CUT_MOST, CUT_MOST_SHARE = 3.0, 2 / 3, 10, 1 / 50
@@ -111,6 +113,8 @@
         self.backoffs: dict[tuple, list[Backoff]] = collections.defaultdict(
             list)
         self.notices_seen = collections.Counter()
+        # Brittle servers that fell over in the present time of that kind.
+        self.fallen: list[str] = []
         # Hosts that are cut from all servers now.
         self.cut: Cut | None = None
         # Spans in which hosts could not know what the store holds.
@@ -284,6 +288,18 @@
                                f"{LIMIT_WINDOW_S} s; allowed {allowed}")
             window.clear()
 
+    def falls(self, instance, tolerated) -> None:
+        """A brittle server has had to reject too many requests."""
+        if self.stalled_at < time.monotonic() - 2:
+            self.fallen.append(f"{instance} ({tolerated} a second)")
+
+    def check_falls(self, servers: int) -> None:
+        """A time in which a service's servers were brittle is over."""
+        fallen, self.fallen = self.fallen, []
+        if len(fallen) > FALLS + FALL_SHARE * servers:
+            self.break_promise("falls", f"{len(fallen)} brittle servers of "
+                               f"{servers} fell over: {fallen}")
+
     def leaves(self, instance, at) -> None:
         self.leaving[instance] = at
 
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -23,7 +23,7 @@
 from platform_standin.store import Store  # noqa: E402
 from callers import Caller  # noqa: E402
 from faults import (Injector, add_ending_requests, add_limits,  # noqa: E402
-                    add_notices, make_plan)
+                    add_notices, add_partitions, make_plan)
 from hosts import Host, ports_of_run  # noqa: E402
 from ledger import Ledger  # noqa: E402
 from proxy import Proxy  # noqa: E402
@@ -127,7 +127,9 @@
 
         async def boot():
             await asyncio.sleep(BACK_S)
-            await server.boot()
+            # Whatever ended it otherwise may have brought it back.
+            if not server.up:
+                await server.boot()
         asyncio.ensure_future(boot())
 
     async def write_configuration(self) -> None:
@@ -228,6 +230,8 @@
         plan = add_limits(plan, random.Random(seed + 2), args.seconds)
     if args.notices:
         plan = add_notices(plan, random.Random(seed + 3), args.seconds)
+    if args.partitions and args.connect_shim:
+        plan = add_partitions(plan, random.Random(seed + 4), args.seconds)
     (folder / "plan.txt").write_text("\n".join(map(str, plan)) + "\n")
     site = Site(seed, args, folder)
     try:
@@ -267,6 +271,9 @@
         again.ending_requests = len(words) > 3
         again.limits = len(words) > 4
         again.notices = len(words) > 5
+        again.partitions = len(words) > 6
+        if not again.partitions:
+            again.connect_shim = None
         if not asyncio.run(soak(int(words[0]), again)):
             failed.append(int(words[0]))
     return failed
@@ -297,6 +304,10 @@
                         action=argparse.BooleanOptionalAction,
                         help="whether servers leave or ask for backoffs in "
                         "their responses alone")
+    parser.add_argument("--partitions", default=True,
+                        action=argparse.BooleanOptionalAction,
+                        help="whether hosts are cut from all servers, and "
+                        "servers are brittle; with --connect-shim alone")
     parser.add_argument("--hosts", type=int, default=4)
     parser.add_argument("--engines", type=int, default=6)
     parser.add_argument("--callers", type=int, default=16)
--- a/tests/soak/test_ledger.py
+++ b/tests/soak/test_ledger.py
@@ -194,6 +194,16 @@
         self.cut_off((40, 26), (40, 40))
         self.assertEqual(self.broken(), ["cut-off"])
 
+    def test_too_many_brittle_servers_fall_over(self):
+        for server in ("i-1", "i-2"):
+            self.ledger.falls(server, 5)
+        self.ledger.check_falls(6)
+        self.assertEqual(self.broken(), [])
+        for server in ("i-1", "i-2", "i-3"):
+            self.ledger.falls(server, 5)
+        self.ledger.check_falls(6)
+        self.assertEqual(self.broken(), ["falls"])
+
 
 if __name__ == "__main__":
     unittest.main()
