A refusal of another host does not cover attempts that this host made before

What callers would have seen, by reading: a request that may have run, then sent through a host that holds it back, got that host's 503, which promises that it has not run. test_lost_paths, a_refusal_of_another_host*: 503 before, 502 now.

--- a/src/host/request/relay.cc
+++ b/src/host/request/relay.cc
@@ -703,8 +703,12 @@
     }
     ran = ran || outcome == attempt_outcome::kUnknown;
     if (peer_error_) {
-      if (ran)
-        peer_error_->what_ran = base::outcome::kUnknown;
+      // The other host's refusal does not cover earlier attempts.
+      if (ran && peer_error_->what_ran == base::outcome::kNotRun) {
+        peer_error_ =
+            base::MakeError(result_code::kOutcomeUnknown,
+                            base::outcome::kUnknown, peer_error_->message);
+      }
       co_await Fail(*peer_error_);
       co_return;
     }
--- a/tests/auto/host/test_lost_paths.cc
+++ b/tests/auto/host/test_lost_paths.cc
@@ -11,6 +11,7 @@
 #include "host/constants.h"
 #include "host/process/path_monitor.h"
 #include "host/request/peer_relay.h"
+#include "host/request/request_digest.h"
 #include "net/http_server.h"
 #include "relay_world.h"
 
@@ -147,6 +148,29 @@
   BOOST_TEST(here.ServerRequests() == 1u);
 }
 
+// The other host refuses the request before it looks for a server.
+BOOST_AUTO_TEST_CASE(
+    a_refusal_of_another_host_does_not_cover_earlier_attempts) {
+  lost_world here;
+  auto& stand_in = here.cut.first;
+  stand_in.script = {{"", scripted_response::connection_action::kReset}};
+  here.cut.core->servers.Find("i-1")->entry.address = stand_in.address();
+  here.cut.core->servers.Find("i-2")->entry.address = stand_in.address();
+  const auto seen = here.cut.SendRequest("/safe/", [&](fake_responder&) {
+    if (stand_in.requests.size() != 1)
+      return;
+    for (const char* instance : {"i-1", "i-2"})
+      here.cut.core->servers.Find(instance)->entry.address = kRefusing;
+    decisions::RecordQuarantine(here.other.core->quarantine,
+                                host::DigestOf(stand_in.requests.front()),
+                                std::chrono::steady_clock::now());
+  });
+  BOOST_TEST(stand_in.requests.size() == 1u);
+  BOOST_TEST(here.last_relayed.target() == "/safe/x?q=1");
+  BOOST_TEST(here.ServerRequests() == 0u);
+  BOOST_TEST(seen.status == 502);
+}
+
 BOOST_AUTO_TEST_CASE(a_server_error_is_not_retried_by_both_hosts) {
   lost_world here;
   for (auto* server : {&here.other.first, &here.other.second})
