Rename the limit on attempts, which read like the platform's; reword five comments

kMaxAttempts was a constant of ours in three places and looks like the platform's setting of nearly that name: kAttemptLimit. No logic, no check changes.

--- a/src/decisions/retry.cc
+++ b/src/decisions/retry.cc
@@ -22,7 +22,7 @@
 retry_verdict DecideRetry(const failed_attempt& failed, retry_budget& budget) {
   const bool may_repeat =
       failed.idempotent || failed.what_ran == base::outcome::kNotRun;
-  if (!may_repeat || failed.attempts_made >= kMaxAttempts)
+  if (!may_repeat || failed.attempts_made >= kAttemptLimit)
     return retry_verdict::kAbandon;
   if (failed.remaining < kMinRemaining)
     return retry_verdict::kAbandon;
--- a/src/decisions/retry.h
+++ b/src/decisions/retry.h
@@ -41,7 +41,7 @@
 };
 
 // Maximum number of attempts for one request, including the first.
-inline constexpr std::int64_t kMaxAttempts = 4;
+inline constexpr std::int64_t kAttemptLimit = 4;
 
 // Minimum remaining time for another attempt, which could not finish in less.
 inline constexpr std::chrono::microseconds kMinRemaining =
--- a/src/host/constants.h
+++ b/src/host/constants.h
@@ -54,7 +54,7 @@
 inline constexpr std::chrono::milliseconds kDefaultEventGap{300};
 
 // Attempts per request, including those that certainly did not run.
-inline constexpr int kMaxAttempts = 4;
+inline constexpr int kAttemptLimit = 4;
 
 // Hosts through which one request is sent. Each that has lost the path as well
 // says so, and is not used again soon.
--- a/src/host/process/host.cc
+++ b/src/host/process/host.cc
@@ -75,7 +75,7 @@
 // the connections of other servers broke as well.
 constexpr milliseconds kCrashReportDelay{100};
 
-// The lease is given up if this host has not reached the engines for so long.
+// Time without a path to the engines after which the lease is given up.
 constexpr milliseconds kMaxUnableHolder{1000};
 
 // By this time after its start a host knows the other hosts.
--- a/src/host/process/host_core.h
+++ b/src/host/process/host_core.h
@@ -59,7 +59,7 @@
   // How recent this host's knowledge of valid caller keys is.
   decisions::key_freshness freshness;
   retry_budgets retries{settings, metrics, started};
-  // Tells whether this host reaches the servers; null if it is not watched.
+  // Monitors the network path to the servers; null if it is not monitored.
   path_monitor* paths = nullptr;
   // Requests under which backend servers crash.
   decisions::quarantine quarantine;
--- a/src/host/process/response_updates.h
+++ b/src/host/process/response_updates.h
@@ -24,7 +24,7 @@
                           const net::http_response_header& header,
                           base::time_point sent);
 
-// Applies the news of another host that a server has rejected a request.
+// Handles another host's report that a server has rejected a request.
 void ApplyFullServer(host_core& core, const wire::full_server& news);
 
 }  // namespace valeledge::host
--- a/src/host/request/peer_relay.h
+++ b/src/host/request/peer_relay.h
@@ -31,7 +31,7 @@
   std::int64_t possible_executions = 0;
   // The authenticated caller's workspace; empty if the route requires none.
   std::string workspace;
-  // Servers that have told the receiving host that they are leaving.
+  // Servers whose responses to the receiving host state that they are leaving.
   std::vector<std::string> leaving;
 };
 
--- a/src/host/request/relay.cc
+++ b/src/host/request/relay.cc
@@ -530,7 +530,7 @@
 
 // Whether another attempt may follow one with this outcome.
 bool relay::MayRetry(attempt_outcome outcome) {
-  if (trace_.attempts >= kMaxAttempts || trace_.relays >= kMaxRelays ||
+  if (trace_.attempts >= kAttemptLimit || trace_.relays >= kMaxRelays ||
       RemainingTime(routed_).count() <= 0)
     return false;
   if (outcome == attempt_outcome::kUnknown) {
--- a/src/wire/messages.thrift
+++ b/src/wire/messages.thrift
@@ -371,7 +371,7 @@
 struct full_server {
   1: string server,
   2: double rejections_per_second,
-  // Whoever is told tells the others of its availability zone.
+  // The recipient forwards the report within its availability zone.
   3: optional bool hand_on,
 }
 
--- a/tests/auto/decisions/retry_simulation.h
+++ b/tests/auto/decisions/retry_simulation.h
@@ -53,7 +53,7 @@
 inline constexpr std::size_t kWindowSteps = 1000;
 inline constexpr double kRatio = 0.2;
 // Maximum number of attempts for one request.
-inline constexpr int kMaxAttempts = 4;
+inline constexpr int kAttemptLimit = 4;
 
 inline base::time_point At(double seconds) {
   return base::time_point() +
@@ -134,7 +134,7 @@
       const int host = up[random() % up.size()];
       auto& process = processes[static_cast<std::size_t>(host)];
       decisions::NoteRequest(process.budget, detail::kPolicy, detail::At(now));
-      for (int attempt = 1; attempt < detail::kMaxAttempts; ++attempt) {
+      for (int attempt = 1; attempt < detail::kAttemptLimit; ++attempt) {
         if (uniform(random) >= scenario.failure_ratio(now))
           break;
         out.wanted += 1;
--- a/tests/auto/decisions/test_retry.cc
+++ b/tests/auto/decisions/test_retry.cc
@@ -23,8 +23,8 @@
 
 BOOST_AUTO_TEST_CASE(without_remaining_time_or_attempts_a_request_ends) {
   retry_budget budget;
-  BOOST_TEST((DecideRetry({outcome::kNotRun, true, kMaxAttempts, 1s}, budget) ==
-              retry_verdict::kAbandon));
+  BOOST_TEST((DecideRetry({outcome::kNotRun, true, kAttemptLimit, 1s},
+                          budget) == retry_verdict::kAbandon));
   BOOST_TEST((DecideRetry({outcome::kNotRun, true, 1, 1ms}, budget) ==
               retry_verdict::kAbandon));
 }
@@ -35,7 +35,7 @@
   for (int i = 0; i < 10'000; ++i) {
     EarnRetry(budget);
     // Every attempt fails, and the request is retried as often as allowed.
-    for (int attempt = 1; attempt < kMaxAttempts; ++attempt) {
+    for (int attempt = 1; attempt < kAttemptLimit; ++attempt) {
       const auto verdict =
           DecideRetry({outcome::kNotRun, true, attempt, 1s}, budget);
       if (verdict != retry_verdict::kRetry)
