Log the software version of servers, and the attempt that a caller resumes

The entry's Version and the request's Resumes are read; events 2006 and 3004 state them, and resumptions are counted by who makes them. No decision depends on them yet.

--- a/src/catalog/backend_server.h
+++ b/src/catalog/backend_server.h
@@ -29,6 +29,9 @@
   std::string service;
   base::endpoint address;
   std::string zone;
+  // Version of its software, not of the weights that it holds; versions have no
+  // order. Empty if not stated.
+  std::string software;
   std::int64_t slots = 1;
   bool draining = false;
   // How long it stays cold after it has written this; 0 if it is warm.
--- a/src/host/external_protocol.h
+++ b/src/host/external_protocol.h
@@ -42,6 +42,9 @@
   std::vector<prompt_part> prompt;
   // Id of the last event that the caller received, if it resumes a stream.
   std::string resume_after;
+  // Id of the attempt that brought the caller the first event of the stream
+  // that it resumes; empty if it names none or more than one.
+  std::string resumed_attempt;
   // The secret API key that identifies the caller's workspace. Must not be sent
   // to servers or written to logs or metrics. Empty if the request has none or
   // more than one.
--- a/src/host/process/store_update_handler.cc
+++ b/src/host/process/store_update_handler.cc
@@ -99,12 +99,15 @@
     return;
   }
   const bool draining = entry->draining;
+  const std::string software = entry->software;
   const bool changed =
       core_.servers.Put(std::move(*entry), std::chrono::steady_clock::now());
   if (changed) {
     base::Log(kCategory,
               draining ? log_event::kServerLeaving : log_event::kServerUp,
-              {{"server", instance}, {"source", "entry"}});
+              {{"server", instance},
+               {"source", "entry"},
+               {"software", software}});
   }
 }
 
--- a/src/host/request/request_trace.cc
+++ b/src/host/request/request_trace.cc
@@ -44,6 +44,12 @@
                     const server_choice& choice,
                     const attempt_metadata& attempt_fields) {
   const known_server& server = *choice.server;
+  if (!attempt_fields.resume_after.empty()) {
+    core.metrics
+        .Counter("valeledge_resumed_streams_total",
+                 trace.response_started ? "host" : "caller")
+        .Add();
+  }
   core.log.Write(
       log_weight::kOrdinary, log_event::kAttemptSent, routed.metadata.id,
       {{"request", routed.metadata.id},
@@ -52,8 +58,10 @@
        {"unit", UnitOf(routed)},
        {"version", routed.configuration->version},
        {"server", server.entry.instance},
+       {"software", server.entry.software},
        {"attempt", trace.attempts},
        {"resumes_after", attempt_fields.resume_after},
+       {"resumes", routed.metadata.resumed_attempt},
        {"expected_ms", static_cast<std::int64_t>(choice.expected.count())},
        {"reading_ahead_ms",
         static_cast<std::int64_t>(choice.prefill_ahead.count())},
@@ -81,6 +89,7 @@
                   {"peer", base::ToString(peer)},
                   {"relay", trace.relays},
                   {"resumes_after", trace.last_event_id},
+                  {"resumes", routed.metadata.resumed_attempt},
                   {"after_ms", MillisecondsSince(routed.arrived)}});
 }
 
