Failing tests: streams of two software versions of a service

The ledger of the soak counts both promises: joined streams, and the share of streams taken up that go on.

--- /dev/null
+++ b/tests/auto/host/test_software_versions.cc
@@ -0,0 +1,100 @@
+// SPDX-License-Identifier: MIT
+// Streams before backend servers of several software versions.
+#include <string>
+
+#include <boost/test/unit_test.hpp>
+
+#include "relay_world.h"
+
+namespace {
+
+using namespace valeledge;
+using namespace valeledge::test;
+
+using action = scripted_response::connection_action;
+
+// A stream that breaks after its first event, and the rest of it.
+const scripted_response kBroken{kStreamHeader + Chunk(Event(1)),
+                                action::kClose};
+const scripted_response kRest{kStreamHeader + Chunk(Event(2)) + Chunk("")};
+
+// Two servers, of which the second one is of the given version.
+struct versions_world : relay_world {
+  explicit versions_world(const std::string& second_version) {
+    AddServer("i-1", first.address());
+    core->servers.Find("i-1")->entry.software = "v1";
+    AddServer("i-2", second.address());
+    core->servers.Find("i-2")->entry.software = second_version;
+    // The second server is used only if the first one may not be.
+    core->servers.Find("i-2")->others.running = 3;
+  }
+
+  // A stream that its caller takes up again after its first event, naming the
+  // attempt that began it.
+  received_response TakeUp(const std::string& attempt) {
+    added_fields = {{"Last-Event-Id", "1"}, {"Resumes", attempt}};
+    return SendRequest("/resumed/");
+  }
+};
+
+BOOST_AUTO_TEST_SUITE(software_versions)
+
+BOOST_AUTO_TEST_CASE(a_broken_stream_does_not_go_on_at_another_version) {
+  versions_world world("v1.1");
+  world.first.script = {kBroken};
+  world.second.script = {kRest};
+  const auto seen = world.SendRequest("/resumed/");
+  BOOST_TEST(world.second.requests.empty());
+  BOOST_TEST(seen.broken);
+  BOOST_TEST(seen.body == Event(1));
+}
+
+BOOST_AUTO_TEST_CASE(a_broken_stream_goes_on_at_another_server_of_its_version) {
+  versions_world world("v1");
+  world.first.script = {kBroken};
+  world.second.script = {kRest};
+  const auto seen = world.SendRequest("/resumed/");
+  BOOST_TEST(seen.body == Event(1) + Event(2) + "(end)");
+}
+
+BOOST_AUTO_TEST_CASE(a_stream_without_an_event_may_begin_at_another_version) {
+  versions_world world("v1.1");
+  world.first.script = {{kStreamHeader, action::kClose}};
+  world.second.script = {{kStreamHeader + Chunk(Event(1)) + Chunk("")}};
+  const auto seen = world.SendRequest("/resumed/");
+  BOOST_TEST(seen.body == Event(1) + "(end)");
+}
+
+BOOST_AUTO_TEST_CASE(a_stream_that_is_taken_up_goes_on_at_its_version) {
+  versions_world world("v1.1");
+  // The first attempt runs at the second server.
+  world.core->servers.Find("i-1")->others.running = 4;
+  world.second.script = {{kBroken}, {kRest}};
+  world.SendRequest("/resumed/");
+  world.core->servers.Find("i-1")->others.running = 0;
+  world.core->servers.Find("i-2")->trust = {};
+  const auto seen = world.TakeUp("9c41");
+  BOOST_TEST(world.first.requests.empty());
+  BOOST_TEST(world.second.requests.size() == 2u);
+  BOOST_TEST(seen.body == Event(2) + "(end)");
+}
+
+BOOST_AUTO_TEST_CASE(a_stream_of_unknown_version_is_refused_at_once) {
+  versions_world world("v1.1");
+  const auto seen = world.TakeUp("0123");
+  BOOST_TEST(seen.status == 503);
+  BOOST_TEST(world.first.requests.empty());
+  BOOST_TEST(world.second.requests.empty());
+}
+
+BOOST_AUTO_TEST_CASE(a_stream_whose_first_attempt_is_not_named_is_refused) {
+  versions_world world("v1.1");
+  world.added_fields = {{"Last-Event-Id", "1"}};
+  const auto seen = world.SendRequest("/resumed/");
+  BOOST_TEST(seen.status == 503);
+  BOOST_TEST(world.first.requests.empty());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace
--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -5,6 +5,7 @@
 import random
 import re
 import time
+from dataclasses import dataclass
 
 import aiohttp
 
@@ -15,6 +16,17 @@
 DEADLINE_MS = 4000
 TOKENS = 25
 LEAVES_AFTER_S = 0.1
+# Callers whose hosts have all ended wait so long for one that is ready.
+RESTARTED_S = 3.0
+
+
+@dataclass
+class Stream:
+    """What a caller has of one stream, over all its attempts."""
+    # The attempt that brought the first event; empty if there was none yet.
+    begun_by: str = ""
+    last_event: int = 0
+    software: str = ""
 
 
 class Caller:
@@ -28,6 +40,11 @@
         self.leaves_early = 0.03
         # Whether it connects to the host itself, with its own address.
         self.direct = False
+        self.tokens = TOKENS
+        # Hosts at which it takes up streams that break, and whether it names
+        # the attempt that began them.
+        self.others = []
+        self.names_attempt = True
         self.stopping = False
         # Whether it leaves the present request before it has the answer.
         self.left = False
@@ -68,12 +85,47 @@
         ends its servers, and is the same request for the same text."""
         begun, calm = time.monotonic(), not self.host.disturbed()
         self.left = False
-        served = await self._send(kind, model, ending, session)
+        stream = Stream()
+        served = await self._send(kind, model, ending, session, stream)
         if calm and not ending and not self.left:
             self.ledger.tried(self.host.name, begun, served)
+            if model:
+                self.ledger.began_stream(stream.last_event > 0)
+        if not served and stream.last_event and not self.left and (
+                kind == deployment.RESUMABLE and not ending):
+            await self._take_up(model, stream)
         return served
 
-    async def _send(self, kind, model, ending, session) -> bool:
+    async def _take_up(self, model, stream) -> None:
+        """Resumes a broken stream once, at another host that is running."""
+        hosts = [host for host in self.others
+                 if host is not self.host and host.alive()]
+        if self.others and not hosts:
+            hosts = await self._until_ready()
+        if not hosts:
+            return
+        again = Caller(self.ledger, self.rng, self.rng.choice(hosts), [], 0)
+        again.leaves_early, again.tokens = 0, self.tokens
+        again.names_attempt = self.names_attempt
+        before, calm = stream.last_event, not again.host.disturbed()
+        async with aiohttp.ClientSession() as session:
+            await again._send(deployment.RESUMABLE, model, "", session, stream)
+        if calm and not again.host.disturbed():
+            self.ledger.took_up(stream.software, stream.last_event > before)
+
+    async def _until_ready(self) -> list:
+        """The hosts that are ready again first; empty if none is soon."""
+        until = time.monotonic() + RESTARTED_S
+        while time.monotonic() < until:
+            ready = await asyncio.gather(*(host.is_ready()
+                                           for host in self.others))
+            if any(ready):
+                return [host for host, is_ready in zip(self.others, ready)
+                        if is_ready]
+            await asyncio.sleep(0.05)
+        return []
+
+    async def _send(self, kind, model, ending, session, stream) -> bool:
         name = f"{self.rng.getrandbits(64):016x}"
         streams = bool(model)
         # Routes that are added later are like the idempotent one.
@@ -87,7 +139,10 @@
                                       2 if may_repeat else 1, self.host.name,
                                       not self.host.disturbed(),
                                       time.monotonic())
-        headers = deployment.request_headers(name, DEADLINE_MS, model, TOKENS)
+        headers = deployment.request_headers(
+            name, DEADLINE_MS, model, self.tokens,
+            resume_after=stream.last_event,
+            resumes=stream.begun_by if self.names_attempt else "")
         port = (self.host.ports["callers"] if self.direct
                 else self.host.proxy.port)
         url = f"http://127.0.0.1:{port}{target}"
@@ -102,7 +157,7 @@
                         self.ledger.passes_on_leaving(
                             leaving, self.host.name, time.monotonic())
                     if streams and answer.status == 200:
-                        await self._take_stream(name, kind, answer)
+                        await self._take_stream(name, kind, answer, stream)
                     else:
                         await self._take_whole(name, kind, answer)
                     if not ending and await deployment.is_held(answer):
@@ -146,17 +201,31 @@
             return
         self.ledger.count(kind, f"own {answer.status}")
 
-    async def _take_stream(self, name, kind, answer) -> None:
+    async def _take_stream(self, name, kind, answer, stream) -> None:
         if deployment.answered_id(answer.headers) != name:
             self.ledger.break_promise("mixed", f"{name} got another's stream")
-        data = await answer.read()
-        events = EVENT.findall(data)
+        data, before = bytearray(), stream.last_event
+        try:
+            async for piece in answer.content.iter_any():
+                data += piece
+        finally:
+            events = EVENT.findall(data)
+            self._note_events(name, events, stream)
         if b"".join(b"id: %s\ndata: %s\n\n" % each for each in events) != data:
             self.ledger.break_promise("whole", f"{name}: an event in parts")
         numbers = [int(number) for number, _ in events]
-        if numbers != list(range(1, TOKENS + 1)):
+        if numbers != list(range(before + 1, self.tokens + 1)):
             self.ledger.break_promise("order", f"{name} ended as whole with "
-                                      f"events {numbers}")
-        if any(json.loads(text)["of"] != name for _, text in events):
-            self.ledger.break_promise("mixed", f"{name} got another's event")
+                                      f"events {numbers} after {before}")
         self.ledger.count(kind, "served")
+
+    def _note_events(self, name, events, stream) -> None:
+        for number, text in events:
+            event = json.loads(text)
+            if event["of"] != name:
+                self.ledger.break_promise("mixed",
+                                          f"{name} got another's event")
+            stream.begun_by = stream.begun_by or name
+            stream.software = stream.software or event["software"]
+            stream.last_event = int(number)
+            self.ledger.stream_event(stream.begun_by, event["software"])
--- a/tests/soak/ledger.py
+++ b/tests/soak/ledger.py
@@ -24,6 +24,10 @@
 # First tries at hosts that are cut from all servers, from so long after the
 # cut: their share served, against the others', and how many may fail anyway.
 CUT_KNOWN_S, CUT_SHARE, CUT_MOST, CUT_MOST_SHARE = 3.0, 2 / 3, 10, 1 / 50
+# Streams that may hold events of two software versions. Of so many or more that
+# callers take up again, the share that goes on is at least this share of the
+# new streams that begin.
+JOINED_MOST, TAKEN_UP_LEAST, GOES_ON_SHARE = 2, 12, 0.5
 
 
 @dataclass
@@ -117,6 +121,14 @@
         self.fallen: list[str] = []
         # Hosts that are cut from all servers now.
         self.cut: Cut | None = None
+        # Software versions of the events of each stream, by the attempt that
+        # began it.
+        self.software: dict[str, set] = collections.defaultdict(set)
+        # How many servers of a software version serve now.
+        self.count_serving = lambda software: 0
+        # New streams, and those that callers took up again: how many there
+        # were, and how many began or went on.
+        self.new_streams, self.taken_up = [0, 0], [0, 0]
         # Spans in which hosts could not know what the store holds.
         self.blind: list[tuple[float, float]] = []
 
@@ -147,6 +159,38 @@
                                f"{others_served} of {others}")
         return cut
 
+    def stream_event(self, begun_by, software) -> None:
+        self.software[begun_by].add(software)
+
+    def began_stream(self, began) -> None:
+        self.new_streams[0] += 1
+        self.new_streams[1] += began
+
+    def took_up(self, software, went_on) -> None:
+        """A caller took a stream of this version up again at a calm host."""
+        if self.count_serving(software) < 2:
+            return
+        self.taken_up[0] += 1
+        self.taken_up[1] += went_on
+
+    def joined(self) -> list[str]:
+        """Streams that hold events of several software versions."""
+        return [begun_by for begun_by, versions in self.software.items()
+                if len(versions) > 1]
+
+    def check_streams(self) -> None:
+        joined = self.joined()
+        if len(joined) > JOINED_MOST:
+            self.break_promise("versions", f"{len(joined)} streams hold events "
+                               f"of several versions: {joined[:3]}")
+        taken_up, went_on = self.taken_up
+        new, began = self.new_streams
+        if taken_up >= TAKEN_UP_LEAST and (
+                went_on * new < GOES_ON_SHARE * began * taken_up):
+            self.break_promise("resumed", f"{went_on} of {taken_up} streams "
+                               f"that were taken up went on, {began} of {new} "
+                               "new ones began")
+
     def break_promise(self, name: str, text: str) -> None:
         at = time.monotonic() - self.began
         self.broken.append(f"{at:7.2f} s {name}: {text}")
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -54,6 +54,8 @@
         self.engines, self.servers, self.server_proxies = [], [], []
         self.hosts = []
         self.callers = []
+        # Software versions of the engines, in turn.
+        self.software = ["v1"]
         self.version = 1
         self.added: list[str] = []
         self.watch = None
@@ -77,7 +79,12 @@
                     host.disturb(now - last)
             last = now
 
+    def count_serving(self, software: str) -> int:
+        return sum(engine.up and not engine.leaving
+                   and engine.software == software for engine in self.engines)
+
     async def build(self) -> None:
+        self.ledger.count_serving = self.count_serving
         await self.store.start()
         names = list(MODELS)
         for at in range(self.args.engines):
@@ -86,6 +93,7 @@
                 deployment.ENGINE_SERVICE, ZONES[at % len(ZONES)], SLOTS,
                 models=MODELS, memory_mb=MEMORY_MB,
                 adapter_slots=ADAPTER_SLOTS)
+            engine.software = self.software[at % len(self.software)]
             engine.first = [names[at % len(names)],
                             names[(at + 1) % len(names)]]
             self.engines.append(engine)
@@ -193,6 +201,7 @@
         for at in range(self.args.callers):
             caller = Caller(self.ledger, random.Random(self.rng.random()),
                             self.hosts[at % len(self.hosts)], names, ADAPTERS)
+            caller.others = self.hosts
             self.callers.append(caller)
             tasks.append(asyncio.create_task(caller.run()))
         await Injector(self).play(plan)
@@ -200,6 +209,7 @@
             caller.stopping = True
         await asyncio.gather(*tasks)
         await self.until_all_serve(RECOVER_S, "after the faults")
+        self.ledger.check_streams()
 
     async def end(self) -> None:
         for host in self.hosts:
--- a/tests/soak/test_ledger.py
+++ b/tests/soak/test_ledger.py
@@ -204,6 +204,31 @@
         self.ledger.check_falls(6)
         self.assertEqual(self.broken(), ["falls"])
 
+    def test_streams_of_several_versions(self):
+        for name in ("a", "b", "c"):
+            self.ledger.stream_event(name, "v1")
+        self.ledger.check_streams()
+        self.assertEqual(self.broken(), [])
+        self.ledger.stream_event("a", "v2")
+        self.ledger.stream_event("b", "v2")
+        self.ledger.check_streams()
+        self.assertEqual(self.broken(), [])
+        self.ledger.stream_event("c", "v2")
+        self.ledger.check_streams()
+        self.assertEqual(self.broken(), ["versions"])
+
+    def test_streams_that_are_taken_up_go_on_far_less_than_new_ones_begin(self):
+        self.ledger.count_serving = {"v1": 2, "v2": 1}.get
+        for number in range(20):
+            self.ledger.began_stream(number < 18)
+            self.ledger.took_up("v2", False)
+            self.ledger.took_up("v1", number < 9)
+        self.ledger.check_streams()
+        self.assertEqual(self.broken(), [])
+        self.ledger.took_up("v1", False)
+        self.ledger.check_streams()
+        self.assertEqual(self.broken(), ["resumed"])
+
 
 if __name__ == "__main__":
     unittest.main()
