Streams go on only at the software version that began them

Cause: what a stream began with was forgotten at its next attempt. An attempt was restricted by service and model only; the entry's Version and the request's Resumes were read by nothing, and no host could know what another one had begun.

Now the first event that is passed on fixes service and version. Without a record the stream goes on only if the service certainly has one version. Otherwise it is refused at once (2017). Ruled out as the cause: servers that restart under their id (no engine restarted in the failing tests).

--- a/src/host/process/host.cc
+++ b/src/host/process/host.cc
@@ -32,6 +32,7 @@
 #include "host/process/snapshot_service.h"
 #include "host/process/store_mirror.h"
 #include "host/process/store_update_handler.h"
+#include "host/process/stream_origin_service.h"
 #include "host/request/http_forwarding.h"
 #include "host/request/relay.h"
 #include "net/http_server.h"
@@ -75,6 +76,10 @@
 // the connections of other servers broke as well.
 constexpr milliseconds kCrashReportDelay{100};
 
+// Any newer entry of a server is known within this time of the last response of
+// the store.
+constexpr milliseconds kMaxServerListAge{2000};
+
 // Time without a path to the engines after which the lease is given up.
 constexpr milliseconds kMaxUnableHolder{1000};
 
@@ -104,7 +109,9 @@
   bool IsReady() const;
   server_limit_callbacks MakeServerLimitCallbacks();
   path_callbacks MakePathCallbacks();
+  stream_origin_callbacks MakeStreamOriginCallbacks();
   void AnnounceFull(const known_server& server);
+  bool IsServerListCurrent() const;
   asio::awaitable<void> ReportCrash(std::uint64_t digest,
                                     decisions::server_crash crash);
   void UpdateGauges();
@@ -124,6 +131,7 @@
   store::lease_keeper lease_;
   placement_controller placement_;
   server_limits server_limits_;
+  stream_origin_service stream_origins_;
   load_reports loads_;
   net::http_server callers_;
   net::http_server relays_;
@@ -216,6 +224,7 @@
           core_.settings.first_start),
       placement_(core_, lease_, peers_),
       server_limits_(core_, MakeServerLimitCallbacks()),
+      stream_origins_(core_, MakeStreamOriginCallbacks()),
       loads_(core_, peers_, mirror_, placement_),
       callers_(
           context,
@@ -294,11 +303,13 @@
   core_.is_stale = [this] {
     return snapshots_.StaleFor() >= decisions::kStaleAfter;
   };
-  core_.request_adapter = [this](std::string service, std::string model,
-                                 std::string adapter, milliseconds timeout) {
-    return placement_.RequestAdapter(std::move(service), std::move(model),
-                                     std::move(adapter), timeout);
-  };
+  core_.request_adapter =
+      [this](std::string service, std::string model, std::string adapter,
+             std::optional<std::string> software, milliseconds timeout) {
+        return placement_.RequestAdapter(std::move(service), std::move(model),
+                                         std::move(adapter),
+                                         std::move(software), timeout);
+      };
 }
 
 base::result<void> host::Start() {
@@ -412,6 +423,32 @@
   return callbacks;
 }
 
+stream_origin_callbacks host::MakeStreamOriginCallbacks() {
+  stream_origin_callbacks callbacks;
+  callbacks.send = [this](std::string value, const std::string& subject,
+                          std::size_t count) {
+    peers_.Send(std::string(kOriginRecord), std::move(value),
+                {count, subject, {}});
+  };
+  callbacks.owners = [this](const std::string& subject, std::size_t count) {
+    auto owners = peers_.ChosenAddresses(subject, count);
+    std::erase(owners, core_.settings.peer_listen);
+    return owners;
+  };
+  callbacks.call = [this](base::endpoint where, wire::envelope call,
+                          std::chrono::microseconds timeout) {
+    return peers_.Call(std::move(where), std::move(call), timeout);
+  };
+  callbacks.is_view_current = [this] { return IsServerListCurrent(); };
+  return callbacks;
+}
+
+bool host::IsServerListCurrent() const {
+  const auto age = mirror_.Age();
+  return mirror_.revision() > 0 && age && *age <= kMaxServerListAge &&
+         !core_.is_stale();
+}
+
 asio::awaitable<void> host::ReportCrash(std::uint64_t digest,
                                         decisions::server_crash crash) {
   const auto server = core_.servers.FindKey(crash.server);
@@ -505,6 +542,10 @@
     ApplyFullServer(core_, *news);
     if (std::exchange(news->hand_on, false))
       peers_.BroadcastInZone(std::string(kFullRecord), wire::Encode(*news));
+  } else if (record.key == kOriginRecord) {
+    const auto origin = wire::DecodeStreamOrigin(record.value);
+    if (origin)
+      stream_origins_.HandleRecord(*origin);
   } else if (record.key == kLimitsRecord) {
     auto update = wire::DecodeLimitNews(record.value);
     if (update)
@@ -536,6 +577,8 @@
         !shutdown_.stopping() && core_.configuration != nullptr;
     reply.__set_path(
         paths_.HandleRequest(call.path_wanted, accepts ? relay_port_ : 0));
+  } else if (call.__isset.origin_wanted) {
+    reply.__set_origin(stream_origins_.HandleQuestion(call.origin_wanted));
   } else if (call.__isset.permit_wanted) {
     reply.__set_permit(server_limits_.Grant(call.permit_wanted));
   } else if (call.__isset.limit_changed) {
@@ -561,6 +604,7 @@
     core_.demand.UpdateRates(now);
     owner_services_.Tick(now);
     server_limits_.Tick(now);
+    stream_origins_.Tick(now);
     lease_.SetYielding(paths_.CannotPlaceModels(kMaxUnableHolder));
     quarantine_.Republish();
     core_.log.LogOmittedLines();
--- a/src/host/process/host_core.h
+++ b/src/host/process/host_core.h
@@ -20,6 +20,7 @@
 #include "catalog/configuration.h"
 #include "decisions/key_freshness.h"
 #include "decisions/quarantine.h"
+#include "decisions/stream_origin.h"
 #include "host/external_protocol.h"
 #include "host/host_settings.h"
 #include "host/process/demand_tracker.h"
@@ -63,6 +64,19 @@
   path_monitor* paths = nullptr;
   // Requests under which backend servers crash.
   decisions::quarantine quarantine;
+  // Origins of streams that began at this host or that other hosts have sent.
+  decisions::stream_origins origins;
+  // Sends the origin of a stream to other hosts. If unset, no host gets it.
+  std::function<void(std::uint64_t stream,
+                     const decisions::stream_origin& origin)>
+      publish_origin;
+  // Returns what this host and others know about the origin of a stream of the
+  // service. `stream`: unset if the caller does not name the attempt that began
+  // it. If unset, only `origins` is known.
+  std::function<boost::asio::awaitable<decisions::origin_evidence>(
+      std::optional<std::uint64_t> stream,
+      std::string service)>
+      find_origin;
   // Publishes that a server crashed while a request of this host was in
   // progress there.
   std::function<void(std::uint64_t digest, const decisions::server_crash& end)>
@@ -102,12 +116,14 @@
   std::function<void(const known_server& server)> server_full;
   // Publishes that a response has changed the known limit of a server.
   std::function<void(const known_server& server)> limit_changed;
-  // Requests the lease holder to load an adapter. Returns the instance that has
-  // loaded it, or an error.
+  // Requests the lease holder to load an adapter, on an engine of the software
+  // version if one is given. Returns the instance that has loaded it, or an
+  // error.
   std::function<boost::asio::awaitable<base::result<std::string>>(
       std::string service,
       std::string model,
       std::string adapter,
+      std::optional<std::string> software,
       std::chrono::milliseconds timeout)>
       request_adapter;
 };
--- a/src/host/process/order_dispatcher.cc
+++ b/src/host/process/order_dispatcher.cc
@@ -74,6 +74,11 @@
   return "unknown";
 }
 
+bool IsOfSoftware(const known_server& server,
+                  const std::optional<std::string>& software) {
+  return !software || server.entry.software == *software;
+}
+
 }  // namespace
 
 order_dispatcher::order_dispatcher(host_core& core,
@@ -311,15 +316,16 @@
     const std::string& service,
     const std::string& model,
     const std::string& adapter,
+    const std::optional<std::string>& software,
     std::int64_t slots) {
   engine_ptr best;
   std::pair<std::int64_t, std::uint64_t> best_rank;
   const std::string unit = AdapterUnit(model, adapter);
   for (const auto& [instance, engine] : engines_) {
     const known_server& server = *engine->server;
-    const bool usable = server.entry.service == service &&
-                        server.TakesRequests() && IsHeld(*engine, model) &&
-                        IsIdle(*engine);
+    const bool usable =
+        server.entry.service == service && IsOfSoftware(server, software) &&
+        server.TakesRequests() && IsHeld(*engine, model) && IsIdle(*engine);
     if (!usable)
       continue;
     // Prefers engines with free adapter slots and no rate limit or backoff.
@@ -412,10 +418,12 @@
 
 order_dispatcher::engine_ptr order_dispatcher::FindAdapter(
     const std::string& model,
-    const std::string& adapter) {
+    const std::string& adapter,
+    const std::optional<std::string>& software) {
   for (const auto& [instance, engine] : engines_) {
-    const bool usable =
-        IsHeld(*engine, model) && engine->server->TakesRequests();
+    const bool usable = IsHeld(*engine, model) &&
+                        engine->server->TakesRequests() &&
+                        IsOfSoftware(*engine->server, software);
     if (usable && engine->models.find(model)->second.adapters.contains(adapter))
       return engine;
   }
@@ -445,8 +453,9 @@
 asio::awaitable<base::result<std::string>> order_dispatcher::EnsureAdapter(
     std::string service,
     std::string model,
-    std::string adapter) {
-  const engine_ptr holder = FindAdapter(model, adapter);
+    std::string adapter,
+    std::optional<std::string> software) {
+  const engine_ptr holder = FindAdapter(model, adapter, software);
   if (holder != nullptr) {
     auto held = co_await AwaitAdapter(holder, model, adapter);
     co_return held;
@@ -457,7 +466,8 @@
                            "the lease holder does not know the service");
   }
   const std::int64_t slots = kind->engines.adapter_slots;
-  const engine_ptr engine = ChooseForAdapter(service, model, adapter, slots);
+  const engine_ptr engine =
+      ChooseForAdapter(service, model, adapter, software, slots);
   if (engine == nullptr) {
     co_return base::NotRun(result_code::kNoBackendServer,
                            "no engine is available to load the adapter");
--- a/src/host/process/order_dispatcher.h
+++ b/src/host/process/order_dispatcher.h
@@ -10,6 +10,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -61,10 +62,13 @@
                     std::vector<std::string> adapters,
                     std::int64_t slots);
 
-  // Ensures that some engine which holds the model has the adapter loaded.
-  // Returns the engine's instance.
-  boost::asio::awaitable<base::result<std::string>>
-  EnsureAdapter(std::string service, std::string model, std::string adapter);
+  // Ensures that some engine which holds the model has the adapter loaded, one
+  // of the software version if one is given. Returns the engine's instance.
+  boost::asio::awaitable<base::result<std::string>> EnsureAdapter(
+      std::string service,
+      std::string model,
+      std::string adapter,
+      std::optional<std::string> software);
 
  private:
   using engine_ptr = std::shared_ptr<engine_record>;
@@ -82,9 +86,12 @@
   engine_ptr ChooseForAdapter(const std::string& service,
                               const std::string& model,
                               const std::string& adapter,
+                              const std::optional<std::string>& software,
                               std::int64_t slots);
   // Returns an engine that has the adapter or is loading it; null if none does.
-  engine_ptr FindAdapter(const std::string& model, const std::string& adapter);
+  engine_ptr FindAdapter(const std::string& model,
+                         const std::string& adapter,
+                         const std::optional<std::string>& software);
   boost::asio::awaitable<void> RunAdapters(engine_ptr engine,
                                            std::string model,
                                            std::vector<std::string> adapters,
--- a/src/host/process/placement_controller.cc
+++ b/src/host/process/placement_controller.cc
@@ -447,8 +447,11 @@
     reply.code = static_cast<std::int32_t>(result_code::kLeaseLost);
     co_return reply;
   }
+  std::optional<std::string> software;
+  if (wanted.__isset.software)
+    software = wanted.software;
   const auto holder = co_await dispatcher_.EnsureAdapter(
-      wanted.service_name, wanted.model, wanted.adapter);
+      wanted.service_name, wanted.model, wanted.adapter, software);
   if (holder)
     reply.instance = *holder;
   else
@@ -460,9 +463,11 @@
     std::string service,
     std::string model,
     std::string adapter,
+    std::optional<std::string> software,
     std::chrono::milliseconds timeout) {
   if (OrderTerm() != 0) {
-    auto here = co_await dispatcher_.EnsureAdapter(service, model, adapter);
+    auto here =
+        co_await dispatcher_.EnsureAdapter(service, model, adapter, software);
     co_return here;
   }
   if (update_term_ == 0) {
@@ -473,6 +478,8 @@
   wanted.service_name = std::move(service);
   wanted.model = std::move(model);
   wanted.adapter = std::move(adapter);
+  if (software)
+    wanted.__set_software(*software);
   wire::envelope call;
   call.__set_adapter_wanted(wanted);
   const auto reply = co_await peers_.Call(holder_, std::move(call), timeout);
--- a/src/host/process/placement_controller.h
+++ b/src/host/process/placement_controller.h
@@ -56,12 +56,14 @@
     return update_term_ == 0 ? std::nullopt : std::optional(holder_);
   }
 
-  // Ensures that an adapter is loaded: directly if this host holds the lease,
-  // else by a call to the lease holder. Returns the instance that holds it.
+  // Ensures that an adapter is loaded, on an engine of the software version if
+  // one is given: directly if this host holds the lease, else by a call to the
+  // lease holder. Returns the instance that holds it.
   boost::asio::awaitable<base::result<std::string>> RequestAdapter(
       std::string service,
       std::string model,
       std::string adapter,
+      std::optional<std::string> software,
       std::chrono::milliseconds timeout);
 
   // Handles another host's request for an adapter.
--- a/src/host/process/server_registry.cc
+++ b/src/host/process/server_registry.cc
@@ -72,10 +72,12 @@
   return {load.running, load.unread_tokens, load.held_tokens};
 }
 
-bool IsNewerRun(const catalog::backend_server& entry,
+// The software of a run does not change.
+bool IsOtherRun(const catalog::backend_server& entry,
                 const catalog::backend_server& known) {
-  return entry.started_at && known.started_at &&
-         *entry.started_at > *known.started_at;
+  const bool is_newer = entry.started_at && known.started_at &&
+                        *entry.started_at > *known.started_at;
+  return is_newer || entry.software != known.software;
 }
 
 }  // namespace
@@ -88,11 +90,18 @@
   return allows(query.route_regions) && allows(query.workspace_regions);
 }
 
+bool HasRequiredSoftware(const server_query& query,
+                         const catalog::backend_server& entry) {
+  return query.software == nullptr || entry.software == *query.software;
+}
+
 bool server_registry::Put(catalog::backend_server entry, base::time_point now) {
   auto& slot = servers_[entry.instance];
   // Nothing that is known of the earlier run applies to this one.
-  if (slot != nullptr && IsNewerRun(entry, slot->entry))
+  if (slot != nullptr && IsOtherRun(entry, slot->entry)) {
+    RecordRemovedSoftware(slot->entry, now);
     slot.reset();
+  }
   if (slot == nullptr) {
     slot = std::make_shared<known_server>();
     slot->key = KeyOf(entry.instance);
@@ -143,6 +152,7 @@
     return;
   }
   server.leaving = true;
+  RecordRemovedSoftware(server.entry, now);
   by_key_.erase(server.key);
   // Requests in flight keep the object alive.
   servers_.erase(found);
@@ -165,6 +175,27 @@
     Remove(instance, false, {}, now);
 }
 
+void server_registry::RecordRemovedSoftware(
+    const catalog::backend_server& entry,
+    base::time_point now) {
+  removed_software_[{entry.service, entry.software}] = now;
+}
+
+std::set<std::string> server_registry::SoftwareSince(
+    std::string_view service,
+    base::time_point since) const {
+  std::set<std::string> out;
+  for (const auto& [instance, server] : servers_) {
+    if (server->entry.service == service)
+      out.insert(server->entry.software);
+  }
+  for (const auto& [removed, removed_at] : removed_software_) {
+    if (removed.first == service && removed_at >= since)
+      out.insert(removed.second);
+  }
+  return out;
+}
+
 void server_registry::Evacuate(const std::string& zone) {
   evacuated_zones_.insert(zone);
   for (const auto& [instance, server] : servers_) {
@@ -187,6 +218,7 @@
 bool server_registry::AcceptsRequest(const known_server& server,
                                      const server_query& query) const {
   return server.TakesRequests() && server.entry.service == query.service &&
+         HasRequiredSoftware(query, server.entry) &&
          IsInAllowedRegion(query, server.region);
 }
 
--- a/src/host/process/server_registry.h
+++ b/src/host/process/server_registry.h
@@ -14,6 +14,7 @@
 #include <set>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 #include "base/duration.h"
@@ -33,6 +34,8 @@
   std::string_view service;
   std::string_view model;
   std::string_view adapter;
+  // The software version that must run the request; null: any.
+  const std::string* software = nullptr;
   const request_metadata* head = nullptr;
   decisions::request_weight weight;
   // Instances that have failed this request.
@@ -46,6 +49,10 @@
 // Whether both the request's route and its workspace allow a region.
 bool IsInAllowedRegion(const server_query& query, const std::string& region);
 
+// Whether a server is of the software version that must run the request.
+bool HasRequiredSoftware(const server_query& query,
+                         const catalog::backend_server& entry);
+
 struct server_choice {
   std::shared_ptr<known_server> server;
   std::chrono::duration<double, std::milli> expected{0};
@@ -98,6 +105,11 @@
   // Removes servers whose grace period after the expiry has passed.
   void RemoveExpired(base::time_point now);
 
+  // Software versions of the service's servers that have been listed at any
+  // time since `since`.
+  std::set<std::string> SoftwareSince(std::string_view service,
+                                      base::time_point since) const;
+
   // Starts or ends the evacuation of an availability zone by operators.
   void Evacuate(const std::string& zone);
   void EndEvacuation(const std::string& zone, base::time_point now);
@@ -156,8 +168,11 @@
   }
 
  private:
-  // Whether a server accepts requests of this service and region, regardless
-  // of its load.
+  // Records that a run of a server has ended.
+  void RecordRemovedSoftware(const catalog::backend_server& entry,
+                             base::time_point now);
+  // Whether a server accepts requests of this service, software version and
+  // region, regardless of its load.
   bool AcceptsRequest(const known_server& server,
                       const server_query& query) const;
   // Adds another host's usage to the server's totals, `times` times: 1 adds it,
@@ -196,6 +211,9 @@
   std::map<unit_key, std::weak_ptr<known_server>> by_key_;
   std::map<std::string, std::map<unit_key, server_usage>> loads_;
   std::set<std::string> evacuated_zones_;
+  // When the last server of a service and software version was removed.
+  std::map<std::pair<std::string, std::string>, base::time_point>
+      removed_software_;
   // Whether any server may have `expires_at` set.
   bool any_expiring_ = false;
 };
--- a/src/host/process/store_update_handler.cc
+++ b/src/host/process/store_update_handler.cc
@@ -103,11 +103,9 @@
   const bool changed =
       core_.servers.Put(std::move(*entry), std::chrono::steady_clock::now());
   if (changed) {
-    base::Log(kCategory,
-              draining ? log_event::kServerLeaving : log_event::kServerUp,
-              {{"server", instance},
-               {"source", "entry"},
-               {"software", software}});
+    base::Log(
+        kCategory, draining ? log_event::kServerLeaving : log_event::kServerUp,
+        {{"server", instance}, {"source", "entry"}, {"software", software}});
   }
 }
 
--- /dev/null
+++ b/src/host/process/stream_origin_service.cc
@@ -0,0 +1,165 @@
+// SPDX-License-Identifier: MIT
+#include "host/process/stream_origin_service.h"
+
+#include <set>
+#include <utility>
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include "wire/codec.h"
+
+namespace valeledge::host {
+
+namespace {
+
+namespace asio = boost::asio;
+using std::chrono::milliseconds;
+
+constexpr auto kAwait = asio::as_tuple(asio::use_awaitable);
+
+// Hosts that are alive reply within a few milliseconds.
+constexpr milliseconds kQuestionTimeout{150};
+
+wire::stream_origin ToWire(std::uint64_t stream,
+                           const decisions::stream_origin& origin) {
+  wire::stream_origin out;
+  out.stream = static_cast<std::int64_t>(stream);
+  out.service_name = origin.service;
+  out.software = origin.software;
+  return out;
+}
+
+decisions::stream_origin FromWire(const wire::stream_origin& record) {
+  return {record.service_name, record.software};
+}
+
+}  // namespace
+
+struct stream_origin_service::pending_question {
+  explicit pending_question(asio::io_context& context) : done(context) {}
+
+  decisions::origin_evidence evidence;
+  std::size_t replies_missing = 0;
+  // Expires at the timeout; cancelled as soon as nothing more is awaited.
+  asio::steady_timer done;
+};
+
+stream_origin_service::stream_origin_service(host_core& core,
+                                             stream_origin_callbacks callbacks)
+    : core_(core), callbacks_(std::move(callbacks)) {
+  core_.publish_origin = [this](std::uint64_t stream,
+                                const decisions::stream_origin& origin) {
+    Publish(stream, origin);
+  };
+  core_.find_origin = [this](std::optional<std::uint64_t> stream,
+                             std::string service) {
+    return Find(stream, std::move(service));
+  };
+}
+
+void stream_origin_service::Publish(std::uint64_t stream,
+                                    const decisions::stream_origin& origin) {
+  callbacks_.send(wire::Encode(ToWire(stream, origin)),
+                  decisions::OriginSubject(stream), decisions::kOriginOwners);
+}
+
+void stream_origin_service::HandleRecord(const wire::stream_origin& record) {
+  decisions::RecordOrigin(core_.origins,
+                          static_cast<std::uint64_t>(record.stream),
+                          FromWire(record), std::chrono::steady_clock::now());
+}
+
+wire::origin_reply stream_origin_service::HandleQuestion(
+    const wire::origin_question& question) const {
+  const auto stream = static_cast<std::uint64_t>(question.stream);
+  const auto evidence = OwnEvidence(stream, question.service_name);
+  wire::origin_reply reply;
+  if (evidence.recorded)
+    reply.__set_origin(ToWire(stream, *evidence.recorded));
+  reply.software.assign(evidence.software.begin(), evidence.software.end());
+  reply.is_complete = evidence.is_complete;
+  return reply;
+}
+
+void stream_origin_service::Tick(base::time_point now) {
+  decisions::ObserveServerView(view_, callbacks_.is_view_current(),
+                               core_.settings.first_start, now);
+}
+
+decisions::origin_evidence stream_origin_service::OwnEvidence(
+    std::optional<std::uint64_t> stream,
+    const std::string& service) const {
+  const auto now = std::chrono::steady_clock::now();
+  decisions::origin_evidence evidence;
+  if (stream)
+    evidence.recorded = decisions::FindOrigin(core_.origins, *stream, now);
+  evidence.software =
+      core_.servers.SoftwareSince(service, now - decisions::kOriginLifetime);
+  evidence.is_complete =
+      decisions::CoversAllStreams(view_, callbacks_.is_view_current(), now);
+  return evidence;
+}
+
+asio::awaitable<decisions::origin_evidence> stream_origin_service::Find(
+    std::optional<std::uint64_t> stream,
+    std::string service) {
+  decisions::origin_evidence evidence = OwnEvidence(stream, service);
+  if (!stream || evidence.recorded)
+    co_return evidence;
+  auto replies = co_await AskOwners(*stream, std::move(service));
+  evidence.recorded = std::move(replies.recorded);
+  evidence.software.merge(replies.software);
+  evidence.is_complete = evidence.is_complete || replies.is_complete;
+  co_return evidence;
+}
+
+asio::awaitable<decisions::origin_evidence> stream_origin_service::AskOwners(
+    std::uint64_t stream,
+    std::string service) {
+  const auto owners = callbacks_.owners(decisions::OriginSubject(stream),
+                                        decisions::kAskedOwners);
+  if (owners.empty())
+    co_return decisions::origin_evidence();
+  wire::origin_question question;
+  question.stream = static_cast<std::int64_t>(stream);
+  question.service_name = std::move(service);
+  wire::envelope call;
+  call.__set_origin_wanted(question);
+  const auto pending = std::make_shared<pending_question>(core_.context);
+  pending->replies_missing = owners.size();
+  pending->done.expires_after(kQuestionTimeout);
+  for (const base::endpoint& owner : owners) {
+    asio::co_spawn(core_.context, AskOwner(pending, owner, call),
+                   asio::detached);
+  }
+  const bool is_waiting =
+      !pending->evidence.recorded && pending->replies_missing > 0;
+  if (is_waiting)
+    co_await pending->done.async_wait(kAwait);
+  co_return pending->evidence;
+}
+
+asio::awaitable<void> stream_origin_service::AskOwner(
+    std::shared_ptr<pending_question> pending,
+    base::endpoint owner,
+    wire::envelope call) {
+  const auto reply = co_await callbacks_.call(std::move(owner), std::move(call),
+                                              kQuestionTimeout);
+  --pending->replies_missing;
+  decisions::origin_evidence& evidence = pending->evidence;
+  if (reply && reply->__isset.origin) {
+    const wire::origin_reply& stated = reply->origin;
+    if (stated.__isset.origin)
+      evidence.recorded = FromWire(stated.origin);
+    evidence.software.insert(stated.software.begin(), stated.software.end());
+    evidence.is_complete = evidence.is_complete || stated.is_complete;
+  }
+  if (evidence.recorded || pending->replies_missing == 0)
+    pending->done.cancel();
+}
+
+}  // namespace valeledge::host
--- /dev/null
+++ b/src/host/process/stream_origin_service.h
@@ -0,0 +1,95 @@
+// SPDX-License-Identifier: MIT
+// Shares between hosts which service and software version began a stream, so
+// that a caller can resume it through any host.
+//
+// The host that passes on the first event of a stream sends the origin to a few
+// hosts, which are chosen by the digest of the attempt, in one datagram to
+// each. A host at which the stream is resumed asks these hosts. Origins are
+// kept in memory only: if all hosts that know an origin have ended, the stream
+// is resumed only while its service has had a single version.
+#ifndef VALELEDGE_HOST_PROCESS_STREAM_ORIGIN_SERVICE_H_
+#define VALELEDGE_HOST_PROCESS_STREAM_ORIGIN_SERVICE_H_
+
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include <boost/asio/awaitable.hpp>
+
+#include "base/endpoint.h"
+#include "decisions/stream_origin.h"
+#include "host/process/host_core.h"
+#include "wire/generated/messages_types.h"
+
+namespace valeledge::host {
+
+// Key of the record with the origin of a stream.
+inline constexpr std::string_view kOriginRecord = "origin";
+
+// Dependencies on other components; called on the host's thread.
+struct stream_origin_callbacks {
+  // Sends a value to the hosts chosen for a subject.
+  std::function<
+      void(std::string value, const std::string& subject, std::size_t count)>
+      send;
+  // The other hosts among those chosen for a subject, best first.
+  std::function<std::vector<base::endpoint>(const std::string& subject,
+                                            std::size_t count)>
+      owners;
+  std::function<boost::asio::awaitable<base::result<wire::envelope>>(
+      base::endpoint where,
+      wire::envelope call,
+      std::chrono::microseconds timeout)>
+      call;
+  // Whether this host's list of servers is current.
+  std::function<bool()> is_view_current;
+};
+
+class stream_origin_service {
+ public:
+  // `core` must outlive this object. The constructor installs the service in
+  // the core.
+  stream_origin_service(host_core& core, stream_origin_callbacks callbacks);
+
+  // Applies a record of another host.
+  void HandleRecord(const wire::stream_origin& record);
+  // Answers another host.
+  wire::origin_reply HandleQuestion(
+      const wire::origin_question& question) const;
+
+  // Must be called several times a second.
+  void Tick(base::time_point now);
+
+ private:
+  // The replies of other hosts to one question.
+  struct pending_question;
+
+  void Publish(std::uint64_t stream, const decisions::stream_origin& origin);
+  boost::asio::awaitable<decisions::origin_evidence> Find(
+      std::optional<std::uint64_t> stream,
+      std::string service);
+  // Asks the hosts that should know the origin, until one of them does.
+  boost::asio::awaitable<decisions::origin_evidence> AskOwners(
+      std::uint64_t stream,
+      std::string service);
+  boost::asio::awaitable<void> AskOwner(
+      std::shared_ptr<pending_question> pending,
+      base::endpoint owner,
+      wire::envelope call);
+  // What this host itself knows.
+  decisions::origin_evidence OwnEvidence(std::optional<std::uint64_t> stream,
+                                         const std::string& service) const;
+
+  host_core& core_;
+  stream_origin_callbacks callbacks_;
+  decisions::server_view view_;
+};
+
+}  // namespace valeledge::host
+
+#endif  // VALELEDGE_HOST_PROCESS_STREAM_ORIGIN_SERVICE_H_
--- a/src/host/request/peer_relay.cc
+++ b/src/host/request/peer_relay.cc
@@ -14,6 +14,8 @@
 
 constexpr std::string_view kVersionField = "Valeledge-Relay-Version";
 constexpr std::string_view kExecutionsField = "Valeledge-Relay-Executions";
+constexpr std::string_view kServiceField = "Valeledge-Relay-Service";
+constexpr std::string_view kSoftwareField = "Valeledge-Relay-Software";
 constexpr std::string_view kWorkspaceField = "Valeledge-Relay-Workspace";
 constexpr std::string_view kLeavingField = "Valeledge-Relay-Leaving";
 constexpr std::string_view kCodeField = "Valeledge-Relay-Code";
@@ -67,6 +69,9 @@
                       const relayed_request& relayed) {
   request.set(kVersionField, std::to_string(relayed.version));
   request.set(kExecutionsField, std::to_string(relayed.possible_executions));
+  request.set(kServiceField, relayed.service);
+  if (relayed.software)
+    request.set(kSoftwareField, *relayed.software);
   if (!relayed.workspace.empty())
     request.set(kWorkspaceField, relayed.workspace);
   if (!relayed.leaving.empty())
@@ -77,6 +82,9 @@
   relayed_request out;
   out.version = NumberOf(Field(request, kVersionField));
   out.possible_executions = NumberOf(Field(request, kExecutionsField));
+  out.service = Field(request, kServiceField);
+  if (request.find(kSoftwareField) != request.end())
+    out.software = Field(request, kSoftwareField);
   out.workspace = Field(request, kWorkspaceField);
   out.leaving = SplitAtCommas(Field(request, kLeavingField));
   return out;
@@ -88,6 +96,8 @@
     response.set(kCodeField, std::to_string(static_cast<int>(relayed.code)));
   if (!relayed.server.empty())
     response.set(kServerField, relayed.server);
+  if (relayed.code == base::result_code::kOk)
+    response.set(kSoftwareField, relayed.software);
 }
 
 relayed_response ReadRelayFields(const net::http_response_header& response) {
@@ -95,6 +105,7 @@
   out.code =
       static_cast<base::result_code>(NumberOf(Field(response, kCodeField)));
   out.server = Field(response, kServerField);
+  out.software = Field(response, kSoftwareField);
   return out;
 }
 
@@ -111,6 +122,9 @@
   relayed_request relayed;
   relayed.version = routed.configuration->version;
   relayed.possible_executions = possible_executions;
+  relayed.service = routed.service->name;
+  if (routed.origin)
+    relayed.software = routed.origin->software;
   relayed.workspace = WorkspaceName(routed);
   relayed.leaving = LeavingServers(core, routed.service->name);
   WriteRelayFields(out, relayed);
--- a/src/host/request/peer_relay.h
+++ b/src/host/request/peer_relay.h
@@ -11,6 +11,7 @@
 #include <chrono>
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -29,6 +30,10 @@
   std::int64_t version = 0;
   // Attempts that may have run the request already.
   std::int64_t possible_executions = 0;
+  // The service that the receiving host has selected.
+  std::string service;
+  // The software version that began the stream, if it is continued.
+  std::optional<std::string> software;
   // The authenticated caller's workspace; empty if the route requires none.
   std::string workspace;
   // Servers whose responses to the receiving host state that they are leaving.
@@ -41,6 +46,8 @@
   base::result_code code = base::result_code::kOk;
   // The backend server that responded; empty if none did.
   std::string server;
+  // Its software version.
+  std::string software;
 };
 
 // ForwardableRequest() and ForwardableHeader() erase these fields, so that
--- a/src/host/request/relay.cc
+++ b/src/host/request/relay.cc
@@ -25,6 +25,7 @@
 #include "host/request/send_check.h"
 #include "host/request/server_attempt.h"
 #include "host/request/server_search.h"
+#include "host/request/stream_continuation.h"
 #include "net/retry_after.h"
 
 namespace valeledge::host {
@@ -130,6 +131,8 @@
   std::optional<base::error> peer_error_;
   // The server of the present attempt; empty if another host selects it.
   std::string instance_;
+  // The software version of the server of the present attempt.
+  std::string software_;
   // The server or host of the last attempt, for log lines.
   std::string target_;
 };
@@ -145,7 +148,7 @@
     const net::http_response_header& header) const {
   auto passed = ForwardableHeader(header);
   if (routed_.is_relayed)
-    WriteRelayFields(passed, {result_code::kOk, instance_});
+    WriteRelayFields(passed, {result_code::kOk, instance_, software_});
   return passed;
 }
 
@@ -272,6 +275,7 @@
     attempt->OnFirstByte();
   RecordEventGap(routed_, trace_);
   if (!trace_.response_started) {
+    RecordStreamBegun(core_, routed_, software_);
     const bool begun = co_await StartResponse(header);
     if (!begun)
       co_return false;
@@ -362,6 +366,7 @@
                                                : net::connection_use::kPooled;
   last_error_ = {};
   instance_ = server.entry.instance;
+  software_ = server.entry.software;
   LogAttemptSent(core_, routed_, trace_, choice, attempt_fields);
   const bool may_repeat = routed_.route->MayRepeat();
   attempt.OnInterrupt(may_repeat, [guard = guard_] { guard->Interrupt(); });
@@ -477,6 +482,14 @@
     exchange.Abandon();
     co_return attempt_outcome::kUnknown;
   }
+  software_ = stated.software;
+  if (routed_.origin && routed_.origin->software != software_) {
+    last_error_ = base::MakeError(
+        result_code::kAnswerBroken, base::outcome::kUnknown,
+        base::ToString(peer) + ": continued the stream at another version");
+    exchange.Abandon();
+    co_return attempt_outcome::kUnknown;
+  }
   ApplyRelayedNotices(stated.server, metadata);
   const bool streams = routed_.route->kind == route_kind::kStream &&
                        exchange.header().result_int() == 200;
@@ -558,7 +571,7 @@
   }
   auto response = MakeErrorResponse(failed);
   if (routed_.is_relayed)
-    WriteRelayFields(response.base(), {failed.code, {}});
+    WriteRelayFields(response.base(), {failed.code, {}, {}});
   co_await responder_.Send(std::move(response));
 }
 
@@ -569,6 +582,11 @@
     return base::MakeError(result_code::kPathLost, base::outcome::kNotRun,
                            "the other host has another configuration");
   }
+  const auto* service = configuration.FindService(relayed.service);
+  if (service != nullptr)
+    routed_.service = service;
+  if (relayed.software)
+    routed_.origin = {routed_.service->name, *relayed.software};
   const auto workspace = std::ranges::find(
       configuration.workspaces, relayed.workspace, &catalog::workspace::name);
   if (workspace != configuration.workspaces.end())
@@ -596,6 +614,11 @@
     co_await Fail(*refused);
     co_return false;
   }
+  const auto continued = co_await ContinueStream(core_, routed_);
+  if (!continued) {
+    co_await Fail(continued.error());
+    co_return false;
+  }
   core_.retries.RecordRequest(routed_.service->name, routed_.arrived);
   co_return true;
 }
--- a/src/host/request/routed_request.h
+++ b/src/host/request/routed_request.h
@@ -29,6 +29,9 @@
   base::time_point arrived;
   // The caller's deadline or the route's timeout, whichever is earlier.
   base::time_point deadline;
+  // What the stream began with, once an event of it has been passed on: it goes
+  // on only there.
+  std::optional<decisions::stream_origin> origin;
   // Instances at which an attempt of this request failed.
   std::vector<std::string> failed_instances;
 };
--- a/src/host/request/server_search.cc
+++ b/src/host/request/server_search.cc
@@ -11,6 +11,7 @@
 #include "decisions/replica_wait.h"
 #include "host/constants.h"
 #include "host/process/path_monitor.h"
+#include "host/request/stream_continuation.h"
 
 namespace valeledge::host {
 
@@ -31,6 +32,8 @@
   query.head = &routed.metadata;
   query.weight = routed.weight;
   query.avoid = &routed.failed_instances;
+  if (routed.origin)
+    query.software = &routed.origin->software;
   query.route_regions = &routed.route->homes;
   if (routed.workspace != nullptr)
     query.workspace_regions = &routed.workspace->homes;
@@ -72,8 +75,12 @@
                            "no backend server has loaded the adapter yet");
   }
   const request_metadata& metadata = routed.metadata;
-  const auto holder = co_await core.request_adapter(
-      routed.service->name, metadata.model, metadata.adapter, timeout);
+  std::optional<std::string> software;
+  if (routed.origin)
+    software = routed.origin->software;
+  const auto holder =
+      co_await core.request_adapter(routed.service->name, metadata.model,
+                                    metadata.adapter, software, timeout);
   if (!holder)
     co_return tl::make_unexpected(holder.error());
   const auto server = core.servers.Find(*holder);
@@ -106,7 +113,7 @@
   turn.prompt_backlog = choice.prefill_ahead;
   turn.max_event_gap = gap.count() > 0 ? gap : kDefaultEventGap;
   turn.recheck_interval = kSelectionRetryInterval;
-  turn.refusable = first_attempt && !IsRetry(routed);
+  turn.refusable = first_attempt && !IsRetry(routed) && !routed.origin;
   return turn;
 }
 
@@ -151,7 +158,8 @@
 }
 
 // Returns the instances that this request has tried, those that this host does
-// not use at present, and those outside the regions allowed for the request.
+// not use at present, and those whose region or software version is not allowed
+// for the request.
 std::vector<std::string> ExcludedInstances(const host_core& core,
                                            const routed_request& routed,
                                            base::time_point now) {
@@ -162,7 +170,8 @@
                           server->SendBlock(now) != send_block::kNone ||
                           decisions::IsPaused(server->notices, now) ||
                           server->IsLimited() ||
-                          !IsInAllowedRegion(query, server->region);
+                          !IsInAllowedRegion(query, server->region) ||
+                          !HasRequiredSoftware(query, server->entry);
     if (server->entry.service == routed.service->name && unusable)
       out.push_back(instance);
   }
@@ -215,8 +224,10 @@
   // This host may have learned meanwhile that a server is not available.
   const auto after_wait = std::chrono::steady_clock::now();
   const auto may_send = [&](const known_server& server) {
+    const server_query query = QueryOf(routed);
     return server.SendBlock(after_wait) == send_block::kNone &&
-           IsInAllowedRegion(QueryOf(routed), server.region);
+           IsInAllowedRegion(query, server.region) &&
+           HasRequiredSoftware(query, server.entry);
   };
   auto server = *slot ? core.servers.Find((*slot)->server()) : nullptr;
   std::optional<server_choice> out;
@@ -318,6 +329,15 @@
   return unreachable;
 }
 
+// Whether any server of the software version that began the stream holds its
+// model or is loading it. Models are not loaded for streams that are resumed.
+bool CanContinue(const host_core& core,
+                 const server_query& query,
+                 base::time_point now) {
+  return core.servers.AnyHolds(WithoutAdapter(query), now) ||
+         (!query.model.empty() && core.servers.EarliestLoadDue(query, now));
+}
+
 }  // namespace
 
 milliseconds RetryAfterRefusals(host_core& core, const routed_request& routed) {
@@ -359,6 +379,11 @@
     if (path != path_state::kDirect)
       co_return tl::make_unexpected(PathLostError(core, routed));
     const server_query query = QueryOf(routed);
+    if (routed.origin && !CanContinue(core, query, now)) {
+      co_return tl::make_unexpected(NotResumableError(
+          "no backend server of the software version that began the stream "
+          "can continue it"));
+    }
     auto choice = core.servers.Choose(query, *routed.service, now, core.random);
     if (choice && !query.model.empty()) {
       const auto turn = TurnOf(routed, *choice, first_attempt, now);
--- a/src/wire/codec.cc
+++ b/src/wire/codec.cc
@@ -84,6 +84,10 @@
   return EncodeMessage(message);
 }
 
+std::string Encode(const stream_origin& message) {
+  return EncodeMessage(message);
+}
+
 std::optional<envelope> DecodeEnvelope(std::string_view bytes) {
   return DecodeMessage<envelope>(bytes);
 }
@@ -128,4 +132,8 @@
   return DecodeMessage<full_server>(bytes);
 }
 
+std::optional<stream_origin> DecodeStreamOrigin(std::string_view bytes) {
+  return DecodeMessage<stream_origin>(bytes);
+}
+
 }  // namespace valeledge::wire
--- a/src/wire/codec.h
+++ b/src/wire/codec.h
@@ -26,6 +26,7 @@
 std::string Encode(const mirror_copy& message);
 std::string Encode(const limit_news& message);
 std::string Encode(const full_server& message);
+std::string Encode(const stream_origin& message);
 
 // The message in `bytes`; nothing if they are not one whole message.
 std::optional<envelope> DecodeEnvelope(std::string_view bytes);
@@ -39,6 +40,7 @@
 std::optional<mirror_copy> DecodeMirrorCopy(std::string_view bytes);
 std::optional<limit_news> DecodeLimitNews(std::string_view bytes);
 std::optional<full_server> DecodeFullServer(std::string_view bytes);
+std::optional<stream_origin> DecodeStreamOrigin(std::string_view bytes);
 
 }  // namespace valeledge::wire
 
--- a/src/wire/messages.thrift
+++ b/src/wire/messages.thrift
@@ -245,6 +245,8 @@
   1: string service_name,
   2: string model,
   3: string adapter,
+  // The software version of the engine; absent: any.
+  4: optional string software,
 }
 
 struct adapter_reply {
@@ -404,6 +406,31 @@
   5: i64 took_us,
 }
 
+// Value of the direct record "origin": which service and software version began
+// a stream.
+struct stream_origin {
+  // The digest of the attempt that brought the first event.
+  1: i64 stream,
+  2: string service_name,
+  3: string software,
+}
+
+// Asks a host for the origin of a stream.
+struct origin_question {
+  1: i64 stream,
+  // The service of the stream's route; empty if there are several.
+  2: string service_name,
+}
+
+struct origin_reply {
+  // Absent: this host does not know it.
+  1: optional stream_origin origin,
+  // Versions of the service at which the stream may have begun, and whether
+  // there are certainly no others.
+  2: list<string> software,
+  3: bool is_complete,
+}
+
 // Asks a host whether it reaches the backend servers of a service.
 struct path_question {
   1: string service_name,
@@ -447,4 +474,6 @@
   31: optional server_limit limit_changed,
   32: optional path_question path_wanted,
   33: optional path_reply path,
+  34: optional origin_question origin_wanted,
+  35: optional origin_reply origin,
 }
--- a/tests/auto/host/test_order_dispatcher.cc
+++ b/tests/auto/host/test_order_dispatcher.cc
@@ -58,7 +58,7 @@
     boost::asio::co_spawn(
         context,
         [this, adapter, out]() -> boost::asio::awaitable<void> {
-          *out = co_await dispatcher.EnsureAdapter("s", "m", adapter);
+          *out = co_await dispatcher.EnsureAdapter("s", "m", adapter, {});
         },
         boost::asio::detached);
     return out;
