Streams that are resumed wait up to a second for a server of their version

Hypothesis: a stream that breaks in the middle ends at once if its version has no server just then (the share of the objective for which a request waits has passed by then), though one is free or loaded within a second. Callers give up after two seconds without an event.

Change: a resumed stream waits for 1 s from its break or its caller's return, whatever its objective.

The test's engines that are killed refuse connections now: the links of hosts, which accept them also for a server that has ended, are used in the test of relayed streams alone. Its check and bound are unchanged.

--- a/src/host/request/relay.cc
+++ b/src/host/request/relay.cc
@@ -626,6 +626,7 @@
 // Sends the request once, through another host if this one does not reach the
 // servers. Returns an error if no attempt can be made.
 asio::awaitable<base::result<attempt_outcome>> relay::AttemptOnce(bool ran) {
+  routed_.search_began = std::chrono::steady_clock::now();
   std::optional<decisions::relay_peer> peer;
   std::optional<server_choice> choice;
   while (!peer && !choice) {
--- a/src/host/request/routed_request.h
+++ b/src/host/request/routed_request.h
@@ -32,6 +32,8 @@
   // What the stream began with, once an event of it has been passed on: it goes
   // on only there.
   std::optional<decisions::stream_origin> origin;
+  // When the search for a server of the present attempt began.
+  base::time_point search_began;
   // Instances at which an attempt of this request failed.
   std::vector<std::string> failed_instances;
 };
--- a/src/host/request/server_search.cc
+++ b/src/host/request/server_search.cc
@@ -63,11 +63,19 @@
   return std::min(routed.arrived + timeout, routed.deadline);
 }
 
+// Returns the time until which the request waits for a server before it is
+// refused. The objective of a stream that has begun has been met or missed.
+base::time_point RefusalCutoff(const routed_request& routed) {
+  if (!routed.origin)
+    return ObjectiveCutoff(routed, kRefusalObjectiveFraction);
+  return std::min(routed.search_began + kMaxResumeWait, routed.deadline);
+}
+
 // Requests the adapter from the lease holder, and waits until it is loaded.
 asio::awaitable<base::result<void>> RequestAdapter(
     host_core& core,
     const routed_request& routed) {
-  const auto until = ObjectiveCutoff(routed, kRefusalObjectiveFraction);
+  const auto until = RefusalCutoff(routed);
   const auto timeout =
       duration_cast<milliseconds>(until - std::chrono::steady_clock::now());
   if (timeout.count() <= 0) {
@@ -280,8 +288,7 @@
   if (all_tried)
     return core.servers.EarliestRelease(UntriedQueryOf(routed), now);
   const auto release = core.servers.EarliestRelease(query, now);
-  if (!release ||
-      release->at < ObjectiveCutoff(routed, kRefusalObjectiveFraction))
+  if (!release || release->at < RefusalCutoff(routed))
     return std::nullopt;
   return release;
 }
@@ -422,8 +429,7 @@
         jitter = kAfterPause;
       break;
     }
-    const bool refusable =
-        now >= ObjectiveCutoff(routed, kRefusalObjectiveFraction);
+    const bool refusable = now >= RefusalCutoff(routed);
     const bool absent = !choice && !query.model.empty() &&
                         !core.servers.AnyHolds(WithoutAdapter(query), now);
     if (absent) {
--- a/tests/auto/host/test_server_registry.cc
+++ b/tests/auto/host/test_server_registry.cc
@@ -1,6 +1,9 @@
 // SPDX-License-Identifier: MIT
 #include "host/process/server_registry.h"
 
+#include <set>
+#include <string>
+
 #include <boost/test/unit_test.hpp>
 
 namespace {
@@ -56,6 +59,48 @@
 
 BOOST_AUTO_TEST_SUITE(server_registry)
 
+// Three servers, of which the idle one is the only one of its version.
+struct versions_fixture : fixture {
+  versions_fixture() {
+    catalog::backend_server entry = registry.Find("i-2")->entry;
+    entry.instance = "i-3";
+    entry.software = "v1.1";
+    registry.Put(entry, now);
+    registry.ReplaceLoads("host-2", {Load("i-1", 800), Load("i-2", 800)});
+  }
+};
+
+BOOST_AUTO_TEST_CASE(a_required_version_restricts_the_choice) {
+  versions_fixture setup;
+  const std::string required = "v1.1";
+  setup.query.software = &required;
+  setup.avoid = {"i-3"};
+  BOOST_TEST(setup.Choose() == "none");
+  BOOST_TEST(setup.registry.AnyHolds(setup.query, setup.now));
+  BOOST_TEST(!setup.registry.AnyEligible(setup.query, setup.now));
+}
+
+BOOST_AUTO_TEST_CASE(versions_of_removed_servers_are_known_for_a_while) {
+  versions_fixture setup;
+  setup.registry.Remove("i-3", false, 0ms, setup.now);
+  using versions = std::set<std::string>;
+  BOOST_TEST(
+      (setup.registry.SoftwareSince("s", setup.now) == versions{"", "v1.1"}));
+  BOOST_TEST(
+      (setup.registry.SoftwareSince("s", setup.now + 1s) == versions{""}));
+  BOOST_TEST(setup.registry.SoftwareSince("other", setup.now).empty());
+}
+
+BOOST_AUTO_TEST_CASE(an_instance_with_other_software_is_another_run) {
+  fixture setup;
+  const auto before = setup.registry.Find("i-1");
+  catalog::backend_server entry = before->entry;
+  entry.software = "v2";
+  setup.registry.Put(entry, setup.now);
+  BOOST_TEST((setup.registry.Find("i-1") != before));
+  BOOST_TEST(before->entry.software.empty());
+}
+
 BOOST_AUTO_TEST_CASE(requests_go_to_the_server_least_loaded_by_other_hosts) {
   fixture setup;
   setup.registry.ReplaceLoads("host-2", {Load("i-1", 20'000)});
--- a/tests/auto/host/test_software_versions.cc
+++ b/tests/auto/host/test_software_versions.cc
@@ -1,15 +1,18 @@
 // SPDX-License-Identifier: MIT
 // Streams before backend servers of several software versions.
+#include <chrono>
 #include <string>
 
 #include <boost/test/unit_test.hpp>
 
+#include "host/constants.h"
 #include "relay_world.h"
 
 namespace {
 
 using namespace valeledge;
 using namespace valeledge::test;
+using namespace std::chrono_literals;
 
 using action = scripted_response::connection_action;
 
@@ -57,6 +60,31 @@
   BOOST_TEST(seen.body == Event(1) + Event(2) + "(end)");
 }
 
+BOOST_AUTO_TEST_CASE(a_broken_stream_waits_for_a_server_of_its_version) {
+  versions_world world("v1.1");
+  world.first.script = {kBroken};
+  world.second.script = {kRest};
+  const auto begun = std::chrono::steady_clock::now();
+  const auto seen = world.SendRequest("/resumed/", [&](fake_responder&) {
+    const auto server = world.core->servers.Find("i-2");
+    const bool is_due = std::chrono::steady_clock::now() - begun > 400ms;
+    if (is_due && server->entry.software != "v1")
+      server->entry.software = "v1";
+  });
+  BOOST_TEST(seen.body == Event(1) + Event(2) + "(end)");
+}
+
+BOOST_AUTO_TEST_CASE(a_broken_stream_does_not_wait_until_its_caller_gives_up) {
+  versions_world world("v1.1");
+  world.first.script = {kBroken};
+  const auto begun = std::chrono::steady_clock::now();
+  const auto seen = world.SendRequest("/resumed/");
+  BOOST_TEST(seen.broken);
+  const auto took = std::chrono::steady_clock::now() - begun;
+  BOOST_TEST((took >= host::kMaxResumeWait));
+  BOOST_TEST((took < host::kMaxResumeWait + 500ms));
+}
+
 BOOST_AUTO_TEST_CASE(a_stream_without_an_event_may_begin_at_another_version) {
   versions_world world("v1.1");
   world.first.script = {{kStreamHeader, action::kClose}};
--- a/tests/soak/test_software_versions.py
+++ b/tests/soak/test_software_versions.py
@@ -31,7 +31,11 @@
     async def asyncSetUp(self):
         asyncio.get_running_loop().set_debug(False)
         self.folder = tempfile.TemporaryDirectory()
-        self.site = soak.Site(21, ARGS, pathlib.Path(self.folder.name))
+        args = argparse.Namespace(**vars(ARGS))
+        # Links accept connections also for engines that have ended.
+        if "relayed" not in self.id():
+            args.connect_shim = None
+        self.site = soak.Site(21, args, pathlib.Path(self.folder.name))
         self.site.software = ["v1", "v1.1"]
         await self.site.build()
         await self.site.until_all_serve(soak.RECOVER_S, "at the start")
@@ -87,9 +91,12 @@
         engine = self.site.engines[at]
         self.site.ledger.spoil(engine.instance, asyncio.get_running_loop().time()
                                + 3600)
+        proxy = self.site.server_proxies[at]
         await engine.crash()
-        self.site.server_proxies[at].reset()
+        # Nobody listens there until it is back.
+        await proxy.stop()
         await asyncio.sleep(RESTART_S)
+        await proxy.start()
         await engine.boot()
 
     async def replace_engine(self, at, software):
