Replicas of a model are placed in pairs of one software version

Hypothesis: a model that each version has on one engine loses its streams with that engine; placing the second replica at the version of the first, and not evicting one of a pair, lets them go on. No effect while a service has one version.

Change: 0.3 requests a second off the gain of a replica that would be the only one of its version while others have the model, and on the loss of an eviction that leaves such a one. Tests: two cases of test_model_plan, which fail without.

--- a/src/decisions/model_plan.cc
+++ b/src/decisions/model_plan.cc
@@ -86,6 +86,10 @@
 constexpr double kRunningCost = 0.02;
 constexpr double kZoneCost = 0.3;
 constexpr double kEvictionCost = 0.4;
+// The same for a replica without another one of its software version while
+// other versions have the model, and for an eviction that leaves such a
+// replica: streams end with it, since they cannot go on at another version.
+constexpr double kLoneReplicaCost = 0.3;
 
 // Maximum number of candidates for one replica, separately for engines with a
 // weight copy and for all engines. The number of steps of a plan grows with the
@@ -98,6 +102,21 @@
   return std::ranges::find(set, value) != set.end();
 }
 
+// Engines numbered by a property, and the replicas of each model by these
+// numbers, including those being loaded.
+struct replica_counts {
+  std::vector<std::size_t> groups;
+  std::vector<std::vector<std::int64_t>> replicas;
+  std::size_t group_count = 0;
+
+  std::int64_t& At(std::size_t model, std::size_t engine) {
+    return replicas[model][groups[engine]];
+  }
+  std::int64_t At(std::size_t model, std::size_t engine) const {
+    return replicas[model][groups[engine]];
+  }
+};
+
 // The working state of one plan.
 struct plan_state {
   const std::vector<plan_model>& models;
@@ -111,10 +130,8 @@
   std::vector<std::int64_t> planned;
   // Engines that have the weights of each model loaded, in memory or on disk.
   std::vector<std::int64_t> weight_copies;
-  // The zone of each engine as a number, and the replicas of each model by
-  // zone, including those being loaded.
-  std::vector<std::size_t> engine_zones;
-  std::vector<std::vector<std::int64_t>> replicas_by_zone;
+  replica_counts by_zone;
+  replica_counts by_software;
   // Engines with a copy of each model's weights in memory or on disk; empty if
   // all engines are scanned.
   std::vector<std::vector<std::size_t>> engines_with_copy;
@@ -196,6 +213,16 @@
   return state.ready[model] > 1 || state.weight_copies[model] > 1;
 }
 
+// Returns the cost of changing the replicas of a model at the engine's software
+// version to `count` if that leaves a single one.
+double LoneReplicaCost(const plan_state& state,
+                       std::size_t model,
+                       std::int64_t count) {
+  const bool is_lone = state.by_software.group_count > 1 && count == 1 &&
+                       state.planned[model] > 0;
+  return is_lone ? kLoneReplicaCost : 0;
+}
+
 // Models to evict so that another fits, and the loss this causes.
 struct eviction {
   std::vector<std::size_t> models;
@@ -204,16 +231,20 @@
 
 // Returns nothing if the model cannot fit.
 std::optional<eviction> FindEviction(const plan_state& state,
-                                     const plan_engine& engine,
+                                     std::size_t position,
                                      std::size_t model) {
+  const plan_engine& engine = state.engines[position];
   std::int64_t missing = state.models[model].weights_mb - engine.free_mb;
   eviction out;
   if (missing <= 0)
     return out;
   std::vector<std::pair<double, std::size_t>> by_loss;
   for (const std::size_t each : engine.loaded) {
-    if (IsEvictable(state, engine, each))
-      by_loss.emplace_back(state.losses[each], each);
+    if (!IsEvictable(state, engine, each))
+      continue;
+    const std::int64_t left = state.by_software.At(each, position) - 1;
+    by_loss.emplace_back(
+        state.losses[each] + LoneReplicaCost(state, each, left), each);
   }
   std::ranges::sort(by_loss);
   for (const auto& [loss, each] : by_loss) {
@@ -270,13 +301,13 @@
     return true;
   double net = added;
   net -= kRunningCost * static_cast<double>(engine.running);
-  net -= kZoneCost *
-         static_cast<double>(
-             state.replicas_by_zone[model][state.engine_zones[position]]);
+  net -= kZoneCost * static_cast<double>(state.by_zone.At(model, position));
+  net -=
+      LoneReplicaCost(state, model, state.by_software.At(model, position) + 1);
   // Evictions can only reduce the net gain.
   if (best && net <= best->gain)
     return true;
-  auto evictions = FindEviction(state, engine, model);
+  auto evictions = FindEviction(state, position, model);
   if (!evictions || added < kMinGainLossRatio * evictions->loss)
     return true;
   net -= evictions->loss;
@@ -311,7 +342,8 @@
                std::size_t model) {
   plan_engine& engine = state.engines[chosen.engine];
   engine.accepts_orders = false;
-  ++state.replicas_by_zone[model][state.engine_zones[chosen.engine]];
+  ++state.by_zone.At(model, chosen.engine);
+  ++state.by_software.At(model, chosen.engine);
   if (chosen.evictions.models.empty()) {
     state.steps.push_back({chosen.engine, true, model, chosen.source, model});
     engine.free_mb -= state.models[model].weights_mb;
@@ -325,7 +357,8 @@
     state.steps.push_back(
         {chosen.engine, false, evicted, chosen.source, model});
     std::erase(engine.loaded, evicted);
-    --state.replicas_by_zone[evicted][state.engine_zones[chosen.engine]];
+    --state.by_zone.At(evicted, chosen.engine);
+    --state.by_software.At(evicted, chosen.engine);
     --state.ready[evicted];
     --state.planned[evicted];
     const bool copy_remains = Contains(engine.in_memory, evicted) ||
@@ -351,24 +384,28 @@
   return out;
 }
 
-// Numbers the zones of all engines and counts the replicas in each.
-void CountByZone(plan_state& state) {
+// Numbers the engines by a property and counts the replicas.
+replica_counts CountReplicas(const std::vector<plan_engine>& engines,
+                             std::size_t models,
+                             std::string plan_engine::*property) {
+  replica_counts counts;
   std::map<std::string, std::size_t> numbers;
-  for (const plan_engine& engine : state.engines) {
-    const auto known = numbers.try_emplace(engine.zone, numbers.size()).first;
-    state.engine_zones.push_back(known->second);
+  for (const plan_engine& engine : engines) {
+    const auto known =
+        numbers.try_emplace(engine.*property, numbers.size()).first;
+    counts.groups.push_back(known->second);
   }
-  state.replicas_by_zone.assign(state.models.size(),
-                                std::vector<std::int64_t>(numbers.size()));
-  for (std::size_t i = 0; i < state.engines.size(); ++i) {
-    const plan_engine& engine = state.engines[i];
-    for (const auto* list : {&engine.loaded, &engine.loading}) {
+  counts.group_count = numbers.size();
+  counts.replicas.assign(models, std::vector<std::int64_t>(numbers.size()));
+  for (std::size_t i = 0; i < engines.size(); ++i) {
+    for (const auto* list : {&engines[i].loaded, &engines[i].loading}) {
       for (const std::size_t model : *list) {
-        if (model < state.models.size())
-          ++state.replicas_by_zone[model][state.engine_zones[i]];
+        if (model < models)
+          ++counts.At(model, i);
       }
     }
   }
+  return counts;
 }
 
 // Collects the engines that accept orders. If there are too many to scan, sorts
@@ -426,7 +463,10 @@
         ++state.weight_copies[model];
     }
   }
-  CountByZone(state);
+  state.by_zone =
+      CountReplicas(state.engines, models.size(), &plan_engine::zone);
+  state.by_software =
+      CountReplicas(state.engines, models.size(), &plan_engine::software);
   IndexEngines(state);
   const double share = limits.no_demand ? 1 : kStoreLoadShare;
   const auto max_loading = static_cast<std::int64_t>(
@@ -482,7 +522,7 @@
       continue;
     ++scanned;
     ++state.scanned_engines;
-    auto evictions = FindEviction(state, engine, model);
+    auto evictions = FindEviction(state, position, model);
     if (!evictions || evictions->loss > max_loss)
       continue;
     const double net =
--- a/src/decisions/model_plan.h
+++ b/src/decisions/model_plan.h
@@ -43,6 +43,7 @@
 // One engine. Models are indexes into the list of models.
 struct plan_engine {
   std::string zone;
+  std::string software;
   // It accepts requests: its loaded models count as replicas.
   bool serving = true;
   // An order may be sent to it now.
--- a/src/host/process/plan_view.cc
+++ b/src/host/process/plan_view.cc
@@ -66,6 +66,7 @@
   const known_server& server = *engine.server;
   decisions::plan_engine view;
   view.zone = server.entry.zone;
+  view.software = server.entry.software;
   view.serving = server.TakesRequests();
   view.accepts_orders = IsIdle(engine);
   view.free_mb = index.kind.weights_mb - UsedMemory(engine, index.kind);
--- a/tests/auto/decisions/test_model_plan.cc
+++ b/tests/auto/decisions/test_model_plan.cc
@@ -152,6 +152,34 @@
 
 // A model without demand is evicted for a model with demand if it can be loaded
 // again from a weight copy.
+// A model with one replica of each kind of software: streams can only go on at
+// the version that began them.
+BOOST_AUTO_TEST_CASE(a_second_replica_is_of_the_same_software) {
+  const std::vector models = {Model(60, 400, 10)};
+  std::vector engines = {Engine(0, {0}), Engine(60, {}), Engine(60, {})};
+  engines[0].software = "v1";
+  engines[1].software = "v2";
+  engines[2].software = "v1";
+  const auto steps = PlanModels(models, engines, Limits(5));
+  BOOST_REQUIRE(steps.size() == 1u);
+  BOOST_TEST(steps.front().engine == 2u);
+}
+
+BOOST_AUTO_TEST_CASE(no_pair_of_replicas_of_a_version_is_broken_up) {
+  const std::vector models = {Model(60, 100, 3), Model(60, 100, 3),
+                              Model(60, 900, 30)};
+  std::vector engines = {Engine(0, {0}), Engine(0, {1}), Engine(0, {0}),
+                         Engine(0, {1}), Engine(0, {1})};
+  engines[0].software = engines[2].software = "v1";
+  engines[1].software = engines[3].software = engines[4].software = "v2";
+  for (plan_engine& engine : engines)
+    engine.on_disk = {0, 1, 2};
+  const auto steps = PlanModels(models, engines, Limits(0));
+  BOOST_REQUIRE(!steps.empty());
+  BOOST_TEST(!steps.front().load);
+  BOOST_TEST(steps.front().model == 1u);
+}
+
 BOOST_AUTO_TEST_CASE(an_idle_model_is_evicted_if_another_engine_has_a_copy) {
   const std::vector models = {Model(60, 900, 30), Model(60, 0, 0)};
   std::vector engines = {Engine(0, {0}), Engine(0, {1}), Engine(0, {})};
