--- a/tests/soak/hosts.py
+++ b/tests/soak/hosts.py
@@ -69,6 +69,7 @@
         self.disturbed_until = 0.0
         # When it was told to stop, if it was and has not ended.
         self.stopping_since = None
+        self.started_at = 0.0
         self.expects_end = False
         self.frozen = False
         # It was killed and has not been started again: the kernel may take
@@ -102,6 +103,12 @@
     def disturbed(self) -> bool:
         return time.monotonic() < self.disturbed_until
 
+    def in_touch(self) -> bool:
+        """Whether callers' first tries here are judged: it runs undisturbed,
+        has not just started and does not stop."""
+        return (not self.disturbed() and self.stopping_since is None
+                and time.monotonic() - self.started_at >= AFTER_S)
+
     async def start(self, first: bool) -> None:
         path = self.folder / f"{self.name}.toml"
         path.write_text(deployment.settings(
@@ -122,6 +129,7 @@
                 str(self.program), "--settings", str(path), stdout=log,
                 stderr=log, env=environment)
         self.expects_end, self.stopping_since = False, None
+        self.started_at = time.monotonic()
         self.killed = False
         asyncio.ensure_future(self._watch(self.process))
 
--- a/tests/soak/ledger.py
+++ b/tests/soak/ledger.py
@@ -1,6 +1,7 @@
 # SPDX-License-Identifier: MIT
 """What callers and backend servers saw, and the promises that it must keep."""
 import collections
+import math
 import time
 from dataclasses import dataclass
 
@@ -24,6 +25,8 @@
 # First tries at hosts that are cut from all servers, from so long after the
 # cut: their share served, against the others', and how many may fail anyway.
 CUT_KNOWN_S, CUT_SHARE, CUT_MOST, CUT_MOST_SHARE = 3.0, 2 / 3, 10, 1 / 50
+# A host has found out by then that a cut has ended.
+REGAINED_S = 1.0
 # Streams that may hold events of two software versions. Of so many or more that
 # callers take up again, the share that goes on is at least this share of the
 # new streams that begin.
@@ -119,8 +122,10 @@
         self.notices_seen = collections.Counter()
         # Brittle servers that fell over in the present time of that kind.
         self.fallen: list[str] = []
-        # Hosts that are cut from all servers now.
+        # Hosts that are cut from all servers now, and until when the requests
+        # of each may go through another host.
         self.cut: Cut | None = None
+        self.relays_until: dict[str, float] = {}
         # Software versions of the events of each stream, by the attempt that
         # began it.
         self.software: dict[str, set] = collections.defaultdict(set)
@@ -134,6 +139,8 @@
 
     def cut_off(self, hosts) -> None:
         self.cut = Cut(set(hosts), time.monotonic(), [0, 0], [0, 0])
+        for host in hosts:
+            self.relays_until[host] = math.inf
 
     def tried(self, host, at, served) -> None:
         """The first try of a request that a caller sent to a calm host."""
@@ -148,6 +155,8 @@
     def heal(self) -> Cut:
         """The cut ends; its counts."""
         cut, self.cut = self.cut, None
+        for host in cut.hosts:
+            self.relays_until[host] = time.monotonic() + REGAINED_S
         tries, served = cut.inside
         others, others_served = cut.outside
         failed = tries - served
@@ -285,6 +294,9 @@
         sent = self.sent.get(request_id)
         if sent is None or self.spoiled_at(instance):
             return
+        # The host that was asked is the one that relays for a cut one.
+        if at < self.relays_until.get(sent.host, 0):
+            return
         self.notices_seen["backoff"] += 1
         self.backoffs[instance, sent.host].append(Backoff(at, at + seconds))
 
--- a/tests/soak/test_ledger.py
+++ b/tests/soak/test_ledger.py
@@ -204,6 +204,16 @@
         self.ledger.check_falls(6)
         self.assertEqual(self.broken(), ["falls"])
 
+    def test_a_backoff_of_a_cut_host_is_that_of_the_host_that_relays(self):
+        for name in ("a", "b", "c", "d"):
+            self.send(name)
+        self.ledger.cut_off(["h1"])
+        self.ledger.asks_for_backoff("a", "i-1", 2.0, self.now)
+        self.ledger.heal()
+        for name in ("b", "c", "d"):
+            self.ledger.arrives(name, "i-1", self.now + 1.0)
+        self.assertEqual(self.broken(), [])
+
     def test_streams_of_several_versions(self):
         for name in ("a", "b", "c"):
             self.ledger.stream_event(name, "v1")
