A relayed stream that does not state its version is refused

A host of an earlier release that relays a resumed stream would have it go on anywhere. Versions of removed servers are kept no longer than origins of streams. Tests: two cases of test_lost_paths (a relayed stream goes on at its version; one without its version is refused).

--- a/src/host/process/server_registry.cc
+++ b/src/host/process/server_registry.cc
@@ -6,6 +6,7 @@
 
 #include "base/identifier.h"
 #include "decisions/brittle_server.h"
+#include "decisions/stream_origin.h"
 
 namespace valeledge::host {
 
@@ -178,6 +179,9 @@
 void server_registry::RecordRemovedSoftware(
     const catalog::backend_server& entry,
     base::time_point now) {
+  std::erase_if(removed_software_, [now](const auto& each) {
+    return now - each.second > decisions::kOriginLifetime;
+  });
   removed_software_[{entry.service, entry.software}] = now;
 }
 
--- a/src/host/process/server_registry.h
+++ b/src/host/process/server_registry.h
@@ -211,7 +211,8 @@
   std::map<unit_key, std::weak_ptr<known_server>> by_key_;
   std::map<std::string, std::map<unit_key, server_usage>> loads_;
   std::set<std::string> evacuated_zones_;
-  // When the last server of a service and software version was removed.
+  // When the last server of a service and software version was removed; kept as
+  // long as origins of streams are.
   std::map<std::pair<std::string, std::string>, base::time_point>
       removed_software_;
   // Whether any server may have `expires_at` set.
--- a/src/host/request/relay.cc
+++ b/src/host/request/relay.cc
@@ -587,6 +587,8 @@
     routed_.service = service;
   if (relayed.software)
     routed_.origin = {routed_.service->name, *relayed.software};
+  else if (ResumesStream(routed_))
+    return NotResumableError("the other host does not state the version");
   const auto workspace = std::ranges::find(
       configuration.workspaces, relayed.workspace, &catalog::workspace::name);
   if (workspace != configuration.workspaces.end())
--- a/tests/auto/host/test_lost_paths.cc
+++ b/tests/auto/host/test_lost_paths.cc
@@ -128,6 +128,44 @@
   BOOST_TEST(seen.body == Event(1) + Event(2) + "(end)");
 }
 
+// The other host prefers the server of another version.
+BOOST_AUTO_TEST_CASE(a_relayed_stream_goes_on_at_the_version_that_began_it) {
+  lost_world here;
+  here.other.core->servers.Find("i-1")->entry.software = "v1";
+  here.other.core->servers.Find("i-2")->entry.software = "v1.1";
+  here.other.core->servers.Find("i-2")->others.running = 3;
+  here.other.first.script = {{kStreamHeader + Chunk(Event(1)),
+                              scripted_response::connection_action::kClose}};
+  here.other.second.script = {{kStreamHeader + Chunk(Event(2)) + "0\r\n\r\n"}};
+  const auto begun = here.cut.SendRequest("/resumed/");
+  BOOST_TEST(begun.body == Event(1));
+  BOOST_TEST(here.other.second.requests.empty());
+  here.cut.added_fields = {{"Last-Event-Id", "1"}, {"Resumes", "9c41"}};
+  here.cut.SendRequest("/resumed/");
+  BOOST_TEST(here.last_relayed["Valeledge-Relay-Software"] == "v1");
+  BOOST_TEST(here.other.second.requests.empty());
+}
+
+BOOST_AUTO_TEST_CASE(a_relayed_stream_without_its_version_is_refused) {
+  lost_world here;
+  net::http_request relayed = net::MakeRequest(http::verb::post, "/resumed/x");
+  relayed.set(http::field::host, "a.example");
+  relayed.set("X-Request-Id", "1");
+  relayed.set("Last-Event-Id", "1");
+  relayed.set("Valeledge-Relay-Version",
+              std::to_string(here.other.configuration.version));
+  received_response seen;
+  fake_responder responder(seen);
+  boost::asio::co_spawn(*here.loop,
+                        host::RelayRequest(*here.other.core, relayed, responder,
+                                           host::request_origin::kPeer),
+                        [&](const std::exception_ptr&) { seen.done = true; });
+  while (!seen.done)
+    BOOST_REQUIRE_NE(here.loop->run_one_for(20s), 0u);
+  BOOST_TEST(seen.status == 503);
+  BOOST_TEST(here.ServerRequests() == 0u);
+}
+
 BOOST_AUTO_TEST_CASE(only_the_first_host_counts_the_request) {
   lost_world here;
   here.cut.SendRequest("/once/");
