A process that ends while requests are in progress does not touch the destroyed host

Cause, by the stack of a core: the host is destroyed before the event loop, whose suspended requests then report their end to it (~server_attempt, load_reports, SelectMembers). A request relayed by another host over a path that hangs is still in progress when the process ends. Ruled out: memory damage while the host runs (valgrind, two runs with kills, cuts and stops: 0 errors).

Neither is destroyed now.

--- a/src/host/process/host.cc
+++ b/src/host/process/host.cc
@@ -627,11 +627,12 @@
                            external_protocol protocol,
                            const store_factory& make_store,
                            settings_reader reload_settings) {
-  // Both live until the process exits: coroutines that are interrupted by a
-  // stop still refer to them, and are destroyed with the event loop.
-  static asio::io_context context(1);
-  static host one(context, std::move(settings), std::move(protocol), make_store,
-                  std::move(reload_settings));
+  // Never destroyed: coroutines that a stop interrupts belong to the event loop
+  // and refer to the host, so neither can be destroyed before the other.
+  static auto& context = *new asio::io_context(1);
+  static auto& one =
+      *new host(context, std::move(settings), std::move(protocol), make_store,
+                std::move(reload_settings));
   const auto started = one.Start();
   if (!started)
     return started;
