Reword comments on stream origins

Eight comments used words of our own where the field has terms (owners, rendezvous selection, partitioned).

--- a/src/decisions/stream_origin.h
+++ b/src/decisions/stream_origin.h
@@ -33,12 +33,12 @@
 // still known if three of four hosts end at the same time.
 inline constexpr std::size_t kOriginOwners = 5;
 
-// Number of hosts that are asked for it. Hosts that have joined meanwhile may
-// be chosen before those that were chosen when the stream began.
+// Number of hosts that are asked for an origin. It is larger than the number of
+// owners, since hosts that joined later may rank before the original owners.
 inline constexpr std::size_t kAskedOwners = kOriginOwners + 2;
 
-// Returns the subject by which these hosts are chosen; one of a few hundred, so
-// that choices can be cached.
+// Returns the rendezvous subject that selects the owners of a stream's origin.
+// The number of distinct subjects is small enough to cache the selections.
 std::string OriginSubject(std::uint64_t stream);
 
 // The origin of a stream.
--- a/src/host/constants.h
+++ b/src/host/constants.h
@@ -31,8 +31,8 @@
 // objective; a fifth leaves time for the response to travel back.
 inline constexpr double kRefusalObjectiveFraction = 0.2;
 
-// Time for which a stream that is resumed waits for a server of its version:
-// callers give up after two seconds without an event.
+// Maximum time for which a resumed stream waits for a server of its version.
+// Callers time out after two seconds without an event.
 inline constexpr std::chrono::milliseconds kMaxResumeWait{1000};
 
 // Upper bound of the retry-after delay, as a fraction of the time that is left
--- a/src/host/process/stream_origin_service.h
+++ b/src/host/process/stream_origin_service.h
@@ -2,9 +2,9 @@
 // Shares between hosts which service and software version began a stream, so
 // that a caller can resume it through any host.
 //
-// The host that passes on the first event of a stream sends the origin to a few
-// hosts, which are chosen by the digest of the attempt, in one datagram to
-// each. A host at which the stream is resumed asks these hosts. Origins are
+// The host that forwards the first event of a stream sends the origin to a few
+// owner hosts, selected by rendezvous hashing of the attempt's digest. A host
+// at which the stream is resumed queries the owners. Origins are
 // kept in memory only: if all hosts that know an origin have ended, the stream
 // is resumed only while its service has had a single version.
 #ifndef VALELEDGE_HOST_PROCESS_STREAM_ORIGIN_SERVICE_H_
@@ -33,11 +33,12 @@
 
 // Dependencies on other components; called on the host's thread.
 struct stream_origin_callbacks {
-  // Sends a value to the hosts chosen for a subject.
+  // Sends an encoded record to up to `count` owners selected for a subject.
   std::function<
       void(std::string value, const std::string& subject, std::size_t count)>
       send;
-  // The other hosts among those chosen for a subject, best first.
+  // Returns up to `count` owners selected for a subject, without this host, in
+  // descending order of weight.
   std::function<std::vector<base::endpoint>(const std::string& subject,
                                             std::size_t count)>
       owners;
--- a/tests/auto/decisions/test_stream_origin_fleet.cc
+++ b/tests/auto/decisions/test_stream_origin_fleet.cc
@@ -89,7 +89,7 @@
         CutHosts();
     }
     KillHosts();
-    // Callers return within a second, and nobody has detected the deaths yet.
+    // Callers retry within a second, before any host is detected as dead.
     std::uniform_int_distribution<int> pause(40, 1000);
     std::multimap<base::time_point, simulated_stream> returns;
     for (const simulated_stream& stream : streams_) {
@@ -211,7 +211,7 @@
       evidence.is_complete = evidence.is_complete || reply.is_complete;
     }
     const auto origin = CertainOrigin(evidence, "s");
-    // Hosts that are cut off are not in touch: only joined streams count there.
+    // At partitioned hosts only joined streams are counted, not refusals.
     if (origin && *origin != stream.begun)
       ++result_.joined;
     if (hosts_[at].is_cut)
