Log the shared prompt parts of requests that are broken off; count unframed responses

Event 2010 states the parts of the prompt that other requests may have as well, so that what the requests at several crashes have in common can be read from the logs. Responses with neither a length nor chunks are counted (valeledge_unframed_responses_total): they look whole when their server has crashed, and can clear a request wrongly. No decision changes.

--- a/src/host/request/crash_monitor.cc
+++ b/src/host/request/crash_monitor.cc
@@ -6,6 +6,7 @@
 #include "base/identifier.h"
 #include "base/logging.h"
 #include "host/request/request_digest.h"
+#include "host/prompt_parts.h"
 
 namespace valeledge::host {
 
@@ -56,14 +57,16 @@
     return;
   const std::string_view reached = ProgressName(progress);
   core_.metrics.Counter("valeledge_broken_off_total", reached).Add();
-  core_.log.Write(base::log_weight::kTrouble,
-                  base::log_event::kAttemptBrokenOff, routed.metadata.id,
-                  {{"request", routed.metadata.id},
-                   {"digest", base::HexText(Digest())},
-                   {"route", routed.route->name},
-                   {"server", server.entry.instance},
-                   {"reached", std::string(reached)},
-                   {"after_ms", MillisecondsSince(progress.sent)}});
+  core_.log.Write(
+      base::log_weight::kTrouble, base::log_event::kAttemptBrokenOff,
+      routed.metadata.id,
+      {{"request", routed.metadata.id},
+       {"digest", base::HexText(Digest())},
+       {"route", routed.route->name},
+       {"prompt", PromptPartsText(SharedPromptParts(routed.metadata))},
+       {"server", server.entry.instance},
+       {"reached", std::string(reached)},
+       {"after_ms", MillisecondsSince(progress.sent)}});
   if (!decisions::MayHaveCrashedServer(BrokenAttemptOf(progress, failed)))
     return;
   const auto now = std::chrono::steady_clock::now();
--- a/src/host/request/relay.cc
+++ b/src/host/request/relay.cc
@@ -398,6 +398,8 @@
   progress_.header_at = std::chrono::steady_clock::now();
   attempt.OnData();
   net::http_exchange& exchange = **opened;
+  if (exchange.EndsWithConnection())
+    core_.metrics.Counter("valeledge_unframed_responses_total").Add();
   attempt.OnInterrupt(may_repeat,
                       [weak = std::weak_ptr<net::http_exchange>(*opened)] {
                         if (const auto open = weak.lock())
--- a/src/net/http_client.cc
+++ b/src/net/http_client.cc
@@ -163,6 +163,10 @@
   return state_->parser.get().base();
 }
 
+bool http_exchange::EndsWithConnection() const {
+  return state_->parser.need_eof();
+}
+
 asio::awaitable<base::result<std::string_view>> http_exchange::ReadSome(
     std::chrono::microseconds timeout) {
   if (state_->parser.is_done())
--- a/src/net/http_client.h
+++ b/src/net/http_client.h
@@ -46,6 +46,10 @@
   boost::asio::awaitable<base::result<std::string_view>> ReadSome(
       std::chrono::microseconds timeout);
 
+  // Whether the answer has neither a length nor chunks: only the end of its
+  // connection ends it, and a server that ends in between does so too.
+  bool EndsWithConnection() const;
+
   // Closes the connection now, from the same thread; a read in progress ends
   // with an error. The other side sees the caller go away.
   void Abandon();
--- a/tests/auto/net/test_http.cc
+++ b/tests/auto/net/test_http.cc
@@ -278,6 +278,43 @@
   BOOST_TEST(answer->error().connection_lost);
 }
 
+BOOST_AUTO_TEST_CASE(an_answer_without_a_length_ends_with_its_connection) {
+  bench one;
+  asio::ip::tcp::acceptor acceptor(one.context,
+                                   {asio::ip::address_v4::loopback(), 0});
+  asio::co_spawn(
+      one.context,
+      [&]() -> asio::awaitable<void> {
+        auto [failed, accepted] = co_await acceptor.async_accept(kAwait);
+        std::array<char, 1024> request;
+        co_await accepted.async_read_some(asio::buffer(request), kAwait);
+        const std::string answer = "HTTP/1.1 200 OK\r\n\r\nwhole";
+        co_await asio::async_write(accepted, asio::buffer(answer), kAwait);
+      },
+      asio::detached);
+  bool unframed = false;
+  bool framed = true;
+  std::string body;
+  BOOST_TEST(one.Run([&]() -> asio::awaitable<void> {
+    const auto where = net::FromTcp(acceptor.local_endpoint());
+    const auto ends = co_await one.client.Open(
+        where, net::MakeRequest(http::verb::get, "/"), 1s, 1s);
+    unframed = (*ends)->EndsWithConnection();
+    while (true) {
+      const auto piece = co_await (*ends)->ReadSome(1s);
+      if (!piece || piece->empty())
+        break;
+      body.append(*piece);
+    }
+    const auto stays = co_await one.client.Open(
+        one.where, net::MakeRequest(http::verb::get, "/"), 1s, 1s);
+    framed = !(*stays)->EndsWithConnection();
+  }));
+  BOOST_TEST(unframed);
+  BOOST_TEST(framed);
+  BOOST_TEST(body == "whole");
+}
+
 BOOST_AUTO_TEST_CASE(a_connection_left_in_the_middle_is_not_used_again) {
   int connections = 0;
   bench one({},
