Failing tests: requests that share one part of their prompts end servers one after the other

Real hosts before engines that end under one part of a prompt (test_ending_parts.py, nine cases, four hosts, nine engines, 24 callers of sound streams, four requests a second with the part, no two alike), on the code as landed.

--- /dev/null
+++ b/tests/auto/host/test_crashing_prompt_parts.cc
@@ -0,0 +1,86 @@
+// SPDX-License-Identifier: MIT
+// Guards against requests that share a part of their prompt and crash one
+// backend server after the other, while no two of them are alike.
+#include <string>
+#include <vector>
+
+#include "crashing_world.h"
+
+namespace {
+
+using namespace valeledge;
+using namespace valeledge::test;
+using connection_action = scripted_response::connection_action;
+
+const std::string kRoutePart = "5c1e07a2:100";
+const std::string kDocument = "91bd3f06:410";
+const std::string kCrashingPart = "dead0001:60";
+
+const scripted_response kCrash{kStreamHeader, connection_action::kReset};
+const scripted_response kSilentCrash{"", connection_action::kReset};
+const scripted_response kServed{kStreamHeader + Chunk(Event(1)) +
+                                Chunk(Event(2)) + "0\r\n\r\n"};
+
+struct prompt_world : crashing_world {
+  explicit prompt_world(int count = 12) : crashing_world(count) {}
+
+  // Sends a request that no other one is alike, to servers that all respond
+  // like this.
+  received_response Send(const std::vector<std::string>& parts,
+                         const scripted_response& response,
+                         const std::string& route = "/stream/") {
+    for (backend_stand_in& each : servers)
+      each.script = {response};
+    const std::string own = std::to_string(1000 + request_count);
+    std::string prompt;
+    for (const std::string& part : parts)
+      prompt += part + ",";
+    added_fields = {{"X-Prompt-Prefix", prompt + own + ":300"}};
+    return SendRequestOnce(route + own + "/");
+  }
+
+  // Sends requests with and without the part in turn, and returns how many of
+  // those with it have reached a server.
+  std::size_t CountSendsOfPart(const std::vector<std::string>& parts,
+                               const scripted_response& crash,
+                               const std::string& route = "/stream/") {
+    std::size_t sends = 0;
+    for (int i = 0; i < 12; ++i) {
+      const auto sound = Send({kRoutePart, kDocument}, kServed);
+      BOOST_TEST(sound.status == 200);
+      const std::size_t before = SendCount();
+      Send(parts, crash, route);
+      sends += SendCount() - before;
+    }
+    return sends;
+  }
+};
+
+BOOST_AUTO_TEST_SUITE(crashing_prompt_parts)
+
+BOOST_AUTO_TEST_CASE(a_part_is_quarantined_after_three_crashes) {
+  prompt_world here;
+  BOOST_TEST(here.CountSendsOfPart({kRoutePart, kCrashingPart, kDocument},
+                                   kCrash) == 3u);
+}
+
+BOOST_AUTO_TEST_CASE(a_first_part_is_quarantined_after_three_crashes) {
+  prompt_world here;
+  BOOST_TEST(here.CountSendsOfPart({kCrashingPart, kDocument}, kCrash) == 3u);
+}
+
+BOOST_AUTO_TEST_CASE(servers_that_crash_before_the_response_header_count_too) {
+  prompt_world here;
+  BOOST_TEST(here.CountSendsOfPart({kRoutePart, kCrashingPart, kDocument},
+                                   kSilentCrash) == 3u);
+}
+
+BOOST_AUTO_TEST_CASE(retries_by_the_host_count_too) {
+  prompt_world here;
+  BOOST_TEST(here.CountSendsOfPart({kRoutePart, kCrashingPart, kDocument},
+                                   kCrash, "/resumed/") == 3u);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace
--- a/tests/auto/host/test_crashing_requests.cc
+++ b/tests/auto/host/test_crashing_requests.cc
@@ -11,12 +11,9 @@
 // In the logs, 12 of 16 crashes had exactly one request with a response header
 // but no event, always of the same route, with a different id, and sent to one
 // server only. Retries by the hosts and the retry budget were not involved.
-#include <deque>
-#include <map>
 #include <string>
-#include <vector>
 
-#include "relay_world.h"
+#include "crashing_world.h"
 
 namespace {
 
@@ -25,50 +22,6 @@
 using std::chrono::milliseconds;
 using connection_action = scripted_response::connection_action;
 
-// Servers that crash as soon as they begin to run a request, and restart with
-// another instance name.
-struct crashing_world : relay_world {
-  explicit crashing_world(int count) {
-    for (int i = 0; i < count; ++i) {
-      backend_stand_in& server = servers.emplace_back(context);
-      server.script = {{kStreamHeader, connection_action::kReset}};
-      names.push_back("i-" + std::to_string(i));
-      AddServer(names.back(), server.address());
-    }
-  }
-
-  received_response SendRequestOnce(const std::string& path) {
-    received_response seen = SendRequest(path);
-    for (std::size_t i = 0; i < servers.size(); ++i)
-      ReplaceIfCrashed(i);
-    return seen;
-  }
-
-  // Replaces the server's instance if the server has received requests since
-  // the last replacement.
-  void ReplaceIfCrashed(std::size_t i) {
-    if (servers[i].requests.size() == requests_at_replacement[i])
-      return;
-    requests_at_replacement[i] = servers[i].requests.size();
-    core->servers.Remove(names[i], false, milliseconds(0),
-                         std::chrono::steady_clock::now());
-    names[i] += "'";
-    AddServer(names[i], servers[i].address());
-  }
-
-  std::size_t SendCount() const {
-    std::size_t sends = 0;
-    for (const backend_stand_in& each : servers)
-      sends += each.requests.size();
-    return sends;
-  }
-
-  std::deque<backend_stand_in> servers;
-  std::vector<std::string> names;
-  // Requests that each server had received when it was last replaced.
-  std::map<std::size_t, std::size_t> requests_at_replacement;
-};
-
 BOOST_AUTO_TEST_SUITE(crashing_requests)
 
 BOOST_AUTO_TEST_CASE(a_request_is_quarantined_after_three_crashes) {
--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -45,6 +45,8 @@
         # the attempt that began them.
         self.others = []
         self.names_attempt = True
+        # Parts of its prompts between the route's and the request's own.
+        self.shared_parts = []
         self.stopping = False
         # Whether it leaves the present request before it has the answer.
         self.left = False
@@ -87,6 +89,9 @@
         self.left = False
         stream = Stream()
         served = await self._send(kind, model, ending, session, stream)
+        sound = model and not self._ending_part() and not ending
+        if calm and sound and not self.left:
+            self.ledger.sound_tries.append((begun, stream.last_event > 0))
         if calm and not ending and not self.left:
             self.ledger.tried(self.host.name, begun, served)
             if model:
@@ -96,6 +101,10 @@
             await self._take_up(model, stream)
         return served
 
+    def _ending_part(self) -> str:
+        return next((part for part in self.shared_parts
+                     if part.startswith(backends.ENDING_PART)), "")
+
     async def _take_up(self, model, stream) -> None:
         """Resumes a broken stream once, at another host that is running."""
         hosts = [host for host in self.others
@@ -138,11 +147,12 @@
         self.ledger.sent[name] = Sent(kind, method, target, body, may_repeat,
                                       2 if may_repeat else 1, self.host.name,
                                       not self.host.disturbed(),
-                                      time.monotonic())
+                                      time.monotonic(), self._ending_part())
         headers = deployment.request_headers(
             name, DEADLINE_MS, model, self.tokens,
             resume_after=stream.last_event,
-            resumes=stream.begun_by if self.names_attempt else "")
+            resumes=stream.begun_by if self.names_attempt else "",
+            shared_parts=self.shared_parts)
         port = (self.host.ports["callers"] if self.direct
                 else self.host.proxy.port)
         url = f"http://127.0.0.1:{port}{target}"
@@ -160,7 +170,8 @@
                         await self._take_stream(name, kind, answer, stream)
                     else:
                         await self._take_whole(name, kind, answer)
-                    if not ending and await deployment.is_held(answer):
+                    innocent = not ending and not self._ending_part()
+                    if innocent and await deployment.is_held(answer):
                         self.ledger.break_promise(
                             "innocent", f"{name} ({kind}) is held back")
                     return answer.status == 200
@@ -173,7 +184,7 @@
             return False
         except (aiohttp.ClientError, ConnectionError) as failed:
             self.ledger.count(kind, "cut")
-            if not ending:
+            if not ending and not self._ending_part():
                 self.host.note_cut(name, kind, type(failed).__name__)
             return False
 
--- a/tests/soak/ledger.py
+++ b/tests/soak/ledger.py
@@ -11,6 +11,12 @@
 # A request that has ended three servers reaches servers at most three times
 # more, later than it takes hosts to tell each other.
 ENDS_MOST, SENDS_MORE, TELL_S = 3, 3, 2.0
+# Requests with a part of a prompt under which five servers have ended reach
+# servers at most three times more, later than this.
+PART_ENDS_MOST, PART_SENDS_MORE, PART_KNOWN_S = 5, 3, 3.0
+# From so long after that end on, sound requests begin at least this share as
+# often as before the first end; judged on at least so many each.
+SOUND_KNOWN_S, SOUND_SHARE, SOUND_LEAST = 6.0, 0.5, 20
 # What a server that advertises a limit may get in a window, from hosts that
 # have known of it for a while; judged once the limit is so old.
 LIMIT_WINDOW_S, LIMIT_OVER, LIMIT_SLACK = 4.0, 1.5, 5
@@ -86,6 +92,8 @@
     # Its host could hear from the others for long enough before.
     calm: bool = True
     at: float = 0.0
+    # The part of its prompt that ends servers, if it has one.
+    part: str = ""
 
 
 class Ledger:
@@ -111,6 +119,13 @@
         # it was sent to servers too late after that.
         self.ended: dict[tuple, list[float]] = collections.defaultdict(list)
         self.late_sends = collections.Counter()
+        # When servers ended under a part of prompts, how many requests with it
+        # reached servers, and how many of them too late.
+        self.part_ends: dict[str, list[float]] = collections.defaultdict(list)
+        self.part_arrivals = collections.Counter()
+        self.late_part_arrivals = collections.Counter()
+        # First tries of sound streams: when they were sent, whether they began.
+        self.sound_tries: list[tuple[float, bool]] = []
         # Limits that servers advertise now, by instance; how often they came.
         self.limits: dict[str, Limit] = {}
         self.limits_seen = 0
@@ -256,6 +271,39 @@
         self.break_promise("drain", f"{request_id} reached {instance} "
                            f"{at - left:.2f} s after it left")
 
+    def ends_under_part(self, part, at) -> None:
+        """A server has ended under a request with this part in its prompt."""
+        self.part_ends[part].append(at)
+
+    def _count_after_part_ends(self, sent, request_id, at) -> None:
+        self.part_arrivals[sent.part] += 1
+        ends = self.part_ends[sent.part]
+        blind = any(begin < at < end for begin, end in self.blind)
+        if len(ends) < PART_ENDS_MOST or blind or not sent.calm or (
+                at - ends[PART_ENDS_MOST - 1] <= PART_KNOWN_S):
+            return
+        self.late_part_arrivals[sent.part] += 1
+        if self.late_part_arrivals[sent.part] == PART_SENDS_MORE + 1:
+            self.break_promise("part", f"{request_id} reached a server with "
+                               f"{sent.part}, {len(ends)} have ended under it")
+
+    def check_sound(self) -> tuple[int, int, int, int]:
+        """Compares sound streams before the first end under a part, and from a
+        while after the servers had ended; the counts."""
+        ends = sorted(at for each in self.part_ends.values() for at in each)
+        known = max(each[:PART_ENDS_MOST][-1]
+                    for each in self.part_ends.values()) + SOUND_KNOWN_S
+        before = [began for at, began in self.sound_tries if at < ends[0]]
+        after = [began for at, began in self.sound_tries if at >= known]
+        counts = (sum(before), len(before), sum(after), len(after))
+        enough = min(len(before), len(after)) >= SOUND_LEAST
+        if enough and (sum(after) * len(before) <
+                       SOUND_SHARE * sum(before) * len(after)):
+            self.break_promise("sound", f"{counts[2]} of {counts[3]} sound "
+                               f"streams began, {counts[0]} of {counts[1]} "
+                               "before")
+        return counts
+
     def advertises(self, request_id, instance, rate, at) -> None:
         """An answer to a request says which limit its server has, if any."""
         if rate is None:
@@ -324,6 +372,8 @@
         limit, sent = self.limits.get(instance), self.sent.get(request_id)
         if sent is not None:
             self._check_notices(sent, request_id, instance, at)
+        if sent is not None and sent.part:
+            self._count_after_part_ends(sent, request_id, at)
         if limit is None or sent is None:
             return
         if at - limit.told.get(sent.host, at) < LIMIT_KNOWN_S:
