--- a/tests/soak/test_ledger.py
+++ b/tests/soak/test_ledger.py
@@ -8,7 +8,7 @@
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parent))
 
 from ledger import (CUT_KNOWN_S, BACKOFF_KNOWN_S, DRAIN_S, LIMIT_SETTLED_S,  # noqa: E402
-                    TELL_S, Ledger, Sent)
+                    PART_KNOWN_S, SOUND_KNOWN_S, TELL_S, Ledger, Sent)
 
 
 class LedgerTest(unittest.TestCase):
@@ -101,6 +101,34 @@
         self.run_at("b3", "i-9", after=TELL_S + 0.1)
         self.assertEqual(self.broken(), ["ending"])
 
+    def arrive_with_part(self, count, after):
+        self.ledger.sent["p"] = Sent("stream", "POST", "/x", b"body", False, 1,
+                                     "h1", part="dead1")
+        for _ in range(count):
+            self.ledger.arrives("p", "i-9", self.now + after)
+
+    def test_a_part_that_has_ended_five_servers_stays_away(self):
+        for _ in range(4):
+            self.ledger.ends_under_part("dead1", self.now)
+        self.arrive_with_part(9, PART_KNOWN_S + 0.1)
+        self.ledger.ends_under_part("dead1", self.now)
+        self.arrive_with_part(9, PART_KNOWN_S - 0.1)
+        self.arrive_with_part(3, PART_KNOWN_S + 0.1)
+        self.assertEqual(self.broken(), [])
+        self.arrive_with_part(1, PART_KNOWN_S + 0.1)
+        self.assertEqual(self.broken(), ["part"])
+
+    def test_sound_streams_begin_beside_a_part_that_ends_servers(self):
+        self.ledger.ends_under_part("dead1", self.now)
+        late = self.now + SOUND_KNOWN_S
+        self.ledger.sound_tries = [(self.now - 1, True)] * 20
+        self.ledger.sound_tries += [(late, at % 2 == 0) for at in range(20)]
+        self.ledger.check_sound()
+        self.assertEqual(self.broken(), [])
+        self.ledger.sound_tries += [(late, False)]
+        self.ledger.check_sound()
+        self.assertEqual(self.broken(), ["sound"])
+
     def advertise(self, host_known_for):
         """A limit of 1 a second, known to the host h1 for so long by now."""
         self.send("told")
