--- a/src/decisions/prompt_quarantine.h
+++ b/src/decisions/prompt_quarantine.h
@@ -49,8 +49,8 @@
 // its server, unless the server is congested.
 inline constexpr std::chrono::milliseconds kExposureTime{1000};
 
-// Two parts that were in flight at the same crashes, in different requests, are
-// told apart by another crash. After this number of crashes both are
+// If two parts were in flight at the same crashes, in different requests, the
+// decision waits for another crash. After this number of crashes both are
 // quarantined.
 inline constexpr std::size_t kMaxCrashesToTellApart = 5;
 
--- a/src/host/process/prompt_quarantine_coordinator.cc
+++ b/src/host/process/prompt_quarantine_coordinator.cc
@@ -132,9 +132,9 @@
     Begin(combination, "told");
 }
 
-// In a small fleet each host judges by itself and tells the others, which may
-// have received fewer reports. In a large one the first of the hosts that judge
-// tells all others.
+// In a small fleet each host evaluates the crashes itself and sends the result
+// to the others, which may have received fewer reports. In a large one the
+// first of the evaluating hosts sends it to all others.
 void prompt_quarantine_coordinator::Begin(
     const decisions::prompt_parts& combination,
     std::string_view by) {
--- a/src/host/process/prompt_quarantine_coordinator.h
+++ b/src/host/process/prompt_quarantine_coordinator.h
@@ -27,16 +27,17 @@
 
 // Key of the record in which hosts report crashes under prompt parts.
 inline constexpr std::string_view kPromptCrashesRecord = "prompt_crashes";
-// Subject by which the hosts that judge crashes are chosen in a large fleet.
+// Subject by which the hosts that evaluate crashes are selected in a large
+// fleet.
 inline constexpr std::string_view kPromptCrashesSubject = "prompt_crashes";
 
 // Dependencies on other components; called on the host's thread.
 struct prompt_quarantine_callbacks {
-  // Sends an update to the hosts that judge crashes.
+  // Sends an update to the hosts that evaluate crashes.
   std::function<void(const wire::prompt_quarantine_update& update)> send;
   // Sends an update to all other hosts.
   std::function<void(const wire::prompt_quarantine_update& update)> broadcast;
-  // Whether this host is the first one chosen to judge crashes.
+  // Whether this host is the first one selected to evaluate crashes.
   std::function<bool()> is_first;
 };
 
--- a/src/host/process/quarantine_key_writer.cc
+++ b/src/host/process/quarantine_key_writer.cc
@@ -24,9 +24,9 @@
 
 constexpr auto kAwait = asio::as_tuple(asio::use_awaitable);
 
-// A host that is not the first one chosen writes a quarantine key if it has not
-// seen it in the store after this delay, plus a random part of up to the same
-// length. The first host may be slow, disconnected or dead, and hosts that
+// A host that is not the first one selected writes a quarantine key if it has
+// not seen it in the store after this delay, plus a random part of up to the
+// same length. The first host may be slow, disconnected or dead, and hosts that
 // receive no reports must learn of a quarantine within three seconds. By then
 // its own write is usually visible; a redundant one costs a single call.
 constexpr milliseconds kFallbackWriteDelay{700};
