--- a/tests/auto/decisions/test_prompt_quarantine.cc
+++ b/tests/auto/decisions/test_prompt_quarantine.cc
@@ -167,8 +167,8 @@
   BOOST_TEST(here.IsRefused({kRoute}));
 }
 
-// A part that always comes with the cause is not told apart from it, and other
-// requests with it are served.
+// A part that is in flight at every crash together with the cause cannot be
+// distinguished from it. Requests with only one of the two are served.
 BOOST_AUTO_TEST_CASE(requests_with_some_parts_of_a_combination_are_served) {
   judging_host here;
   for (int i = 0; i < 3; ++i) {
--- a/tests/auto/decisions/test_prompt_quarantine_fleet.cc
+++ b/tests/auto/decisions/test_prompt_quarantine_fleet.cc
@@ -277,7 +277,8 @@
     }
   }
 
-  // The first judge tells all hosts about suspects, so that they clear them.
+  // The first evaluating host sends the suspects to all hosts, which clear
+  // those that servers have run.
   void AskForEvidence() {
     for (const auto& [part, suspect] : judges_[0].suspects) {
       if (decisions::CountCrashes(judges_[0], part) < 2)
