--- a/src/catalog/configuration.cc
+++ b/src/catalog/configuration.cc
@@ -2,6 +2,7 @@
 #include "catalog/configuration.h"
 
 #include <algorithm>
+#include <map>
 
 namespace valeledge::catalog {
 
@@ -34,4 +35,27 @@
   return found == services.end() ? nullptr : &*found;
 }
 
+void SetMixedUrgency(configuration& configuration) {
+  struct objectives {
+    std::chrono::milliseconds shortest = std::chrono::milliseconds::max();
+    std::chrono::milliseconds longest{0};
+  };
+  std::map<std::string_view, objectives> by_service;
+  for (const route& each : configuration.routes) {
+    if (each.kind != route_kind::kStream || each.objective.count() <= 0)
+      continue;
+    for (const weighted_service& target : each.services) {
+      objectives& of = by_service[target.service];
+      of.shortest = std::min(of.shortest, each.objective);
+      of.longest = std::max(of.longest, each.objective);
+    }
+  }
+  for (service& each : configuration.services) {
+    const auto found = by_service.find(each.name);
+    each.mixed_urgency =
+        found != by_service.end() &&
+        found->second.longest > found->second.shortest * kMixedUrgencyRatio;
+  }
+}
+
 }  // namespace valeledge::catalog
--- a/src/catalog/configuration.h
+++ b/src/catalog/configuration.h
@@ -103,6 +103,10 @@
   // no such bound.
   std::chrono::milliseconds cold_time{0};
   double cold_rate = 0;
+  // The objectives of its streaming routes differ by more than
+  // kMixedUrgencyRatio, so that patient requests can wait for urgent ones. Set
+  // by SetMixedUrgency.
+  bool mixed_urgency = false;
   // No models: a plain service.
   engine engines;
 
@@ -117,6 +121,11 @@
   std::chrono::milliseconds idle_timeout{15000};
 };
 
+// Ratio of the longest to the shortest objective above which a service counts
+// as one of mixed urgency: patient requests can then wait for several urgent
+// ones to complete and still be on time.
+inline constexpr int kMixedUrgencyRatio = 10;
+
 // One version of the whole. Versions only rise.
 struct configuration {
   std::int64_t version = 0;
@@ -138,6 +147,10 @@
   const service* FindService(std::string_view name) const;
 };
 
+// Sets `mixed_urgency` of all services from the objectives of the routes.
+// Routes that are not streams, or that have no objective, do not count.
+void SetMixedUrgency(configuration& configuration);
+
 }  // namespace valeledge::catalog
 
 #endif  // VALELEDGE_CATALOG_CONFIGURATION_H_
--- a/src/host/host_settings.h
+++ b/src/host/host_settings.h
@@ -12,6 +12,7 @@
 
 #include "base/endpoint.h"
 #include "decisions/key_freshness.h"
+#include "host/load_features.h"
 
 namespace valeledge::host {
 
@@ -74,6 +75,13 @@
   // written within one interval of the server's start.
   std::chrono::milliseconds server_heartbeat{1200};
 
+  // Engines reject orders whose fencing number is lower than one that they have
+  // seen.
+  bool engines_check_fences = false;
+
+  // Features for high load.
+  load_features features;
+
   // Window over which loads from the weight store are counted.
   std::chrono::milliseconds load_window{5000};
 };
--- a/tests/auto/platform/test_codecs.cc
+++ b/tests/auto/platform/test_codecs.cc
@@ -62,6 +62,39 @@
   BOOST_TEST(read->limits.idle_timeout.count() == 4);
 }
 
+// Guards against features for high load that change how other deployments are
+// served: plain routes and routes without an objective must not count.
+BOOST_AUTO_TEST_CASE(urgency_is_mixed_if_objectives_of_streams_differ) {
+  const auto read = platform::DecodeConfiguration(R"({
+    "Version": 1,
+    "Routes": [
+      {"Name": "a", "Kind": "stream", "SloMs": 500, "Service": "mixed"},
+      {"Name": "b", "Kind": "stream", "SloMs": 5001,
+       "Backends": [{"Service": "mixed", "Weight": 90},
+                    {"Service": "even", "Weight": 10}]},
+      {"Name": "c", "Kind": "stream", "SloMs": 501, "Service": "even"},
+      {"Name": "d", "Kind": "safe", "SloMs": 100, "Service": "even"},
+      {"Name": "e", "Kind": "stream", "Service": "even"}],
+    "Services": [{"Name": "mixed"}, {"Name": "even"}]})");
+  BOOST_REQUIRE(read.has_value());
+  BOOST_TEST(read->FindService("mixed")->mixed_urgency);
+  BOOST_TEST(!read->FindService("even")->mixed_urgency);
+  BOOST_TEST(host::IsEnabled(host::feature_mode::kAuto, *read));
+  BOOST_TEST(
+      !host::IsEnabled(host::feature_mode::kAuto, *read->FindService("even")));
+}
+
+BOOST_AUTO_TEST_CASE(features_are_parsed) {
+  const auto features =
+      host::ParseLoadFeatures("engine-queues=off,limit-priority=on");
+  BOOST_REQUIRE(features.has_value());
+  BOOST_TEST((features->engine_queues == host::feature_mode::kOff));
+  BOOST_TEST((features->limit_priority == host::feature_mode::kOn));
+  BOOST_TEST((features->patient_loads == host::feature_mode::kAuto));
+  for (const char* wrong : {"engine-queues", "queues=on", "patient-loads=1"})
+    BOOST_TEST(!host::ParseLoadFeatures(wrong));
+}
+
 BOOST_AUTO_TEST_CASE(broken_values_are_errors) {
   BOOST_TEST(!platform::DecodeConfiguration("[]"));
   BOOST_TEST(!platform::DecodeConfiguration("{\"Version\": "));
