Messages between hosts for the features for high load

All new fields of existing messages are optional, so that a host of an older build ignores them and is served as before. No host sends them yet.

--- a/src/wire/codec.cc
+++ b/src/wire/codec.cc
@@ -72,6 +72,14 @@
   return EncodeMessage(message);
 }
 
+std::string Encode(const engine_observations& message) {
+  return EncodeMessage(message);
+}
+
+std::string Encode(const engine_estimates& message) {
+  return EncodeMessage(message);
+}
+
 std::string Encode(const store_reading& message) {
   return EncodeMessage(message);
 }
@@ -125,6 +133,15 @@
   return DecodeMessage<prompt_quarantine_update>(bytes);
 }
 
+std::optional<engine_observations> DecodeEngineObservations(
+    std::string_view bytes) {
+  return DecodeMessage<engine_observations>(bytes);
+}
+
+std::optional<engine_estimates> DecodeEngineEstimates(std::string_view bytes) {
+  return DecodeMessage<engine_estimates>(bytes);
+}
+
 std::optional<store_reading> DecodeStoreReading(std::string_view bytes) {
   return DecodeMessage<store_reading>(bytes);
 }
--- a/src/wire/codec.h
+++ b/src/wire/codec.h
@@ -23,6 +23,8 @@
 std::string Encode(const placement_news& message);
 std::string Encode(const end_news& message);
 std::string Encode(const prompt_quarantine_update& message);
+std::string Encode(const engine_observations& message);
+std::string Encode(const engine_estimates& message);
 std::string Encode(const store_reading& message);
 std::string Encode(const mirror_copy& message);
 std::string Encode(const limit_news& message);
@@ -39,6 +41,9 @@
 std::optional<end_news> DecodeEndNews(std::string_view bytes);
 std::optional<prompt_quarantine_update> DecodePromptQuarantineUpdate(
     std::string_view bytes);
+std::optional<engine_observations> DecodeEngineObservations(
+    std::string_view bytes);
+std::optional<engine_estimates> DecodeEngineEstimates(std::string_view bytes);
 std::optional<store_reading> DecodeStoreReading(std::string_view bytes);
 std::optional<mirror_copy> DecodeMirrorCopy(std::string_view bytes);
 std::optional<limit_news> DecodeLimitNews(std::string_view bytes);
--- a/src/wire/messages.thrift
+++ b/src/wire/messages.thrift
@@ -196,6 +196,12 @@
   5: i32 reading_us,
   // Shortest objective of those who asked for it, in milliseconds.
   6: i32 objective_ms,
+  // Requests that wait for the model to be loaded, their prompt tokens, and the
+  // time left until the first of them can no longer be on time, in
+  // milliseconds.
+  7: optional i32 waiting,
+  8: optional i32 waiting_tokens,
+  9: optional i32 earliest_deadline_ms,
 }
 
 // Value of the soft record "load/HOST".
@@ -218,6 +224,8 @@
   1: i32 model,
   // The load ends so many milliseconds after the news was written.
   2: i32 due_ms,
+  // The load is planned and has not started.
+  3: optional bool planned,
 }
 
 // What the holder of the lease knows of one engine before its entry says so.
@@ -316,6 +324,16 @@
   2: i64 age_us,
   // Ids of the shared parts of the request's prompt.
   3: list<i64> parts,
+  // The server's address as a hash, which outlasts its restarts.
+  4: optional i32 engine,
+}
+
+// A request with a quarantined combination of parts that may be sent, to find
+// out whether its server crashes.
+struct quarantine_trial {
+  1: list<i64> parts,
+  // The host that asks for the trial or may send it, as a hash of its name.
+  2: i64 host,
 }
 
 // Value of the record "prompt_crashes": what a host knows of prompt parts under
@@ -328,6 +346,14 @@
   3: list<list<i64>> quarantined,
   // The receiver sends it on to the hosts of its availability zone.
   4: bool hand_on,
+  // Combinations whose quarantine ends, since a server has run a request with
+  // them or an operator has lifted it.
+  5: optional list<list<i64>> lifted,
+  // Trials that hosts ask for, and those that are granted.
+  6: optional list<quarantine_trial> trials_wanted,
+  7: optional list<quarantine_trial> trials_granted,
+  // Combinations with which a trial has crashed a server.
+  8: optional list<list<i64>> trials_failed,
 }
 
 // Asks for a reading of the key-value service, and tells what it found.
@@ -348,6 +374,10 @@
   // The host that asks, and what it was given a second before.
   3: string host,
   4: double usual,
+  // The request's priority, 0 being the most urgent, and how long it can wait
+  // for tokens. If absent, the owner decides at once.
+  5: optional i64 priority,
+  6: optional i64 patience_ms,
 }
 
 struct limit_reply {
@@ -356,6 +386,75 @@
   2: i64 retry_after_us,
 }
 
+// What one host has observed of one run of an engine since its last report.
+// Factors are those by which responses started later than expected, as natural
+// logarithms in thousandths.
+struct engine_observation {
+  1: i32 server,
+  2: i32 responses,
+  3: i32 log_factor_sum,
+  4: i64 log_factor_squares,
+  5: i32 failures,
+}
+
+// Value of the record "engine_observations", for the owners of the estimates.
+struct engine_observations {
+  1: list<engine_observation> observations,
+}
+
+// The estimate of one run of an engine, from the observations of all hosts, in
+// the same unit.
+struct engine_estimate_report {
+  1: i32 server,
+  2: i32 log_factor,
+  3: i32 log_spread,
+  // Share of failed attempts, in thousandths.
+  4: i32 failure_share,
+  // Number of recent responses on which it is based.
+  5: i32 weight,
+}
+
+// Value of the record "engine_estimates", for all hosts.
+struct engine_estimates {
+  1: list<engine_estimate_report> estimates,
+  // The receiver sends it on to the hosts of its availability zone.
+  2: optional bool hand_on,
+}
+
+// Asks the owner of a model's queue for an engine to send a request to.
+struct engine_place_question {
+  1: string service_name,
+  2: string model,
+  3: i64 priority,
+  // Empty if the caller has none.
+  4: string workspace,
+  // How long the request can wait for an engine.
+  5: i64 left_ms,
+  6: i64 tokens_to_read,
+  7: i64 tokens_to_hold,
+  // Instances of engines that must not be selected.
+  8: list<string> avoid,
+  9: optional string adapter,
+  // Longest pause between events that the request accepts; absent: the default.
+  10: optional i64 event_gap_ms,
+}
+
+struct engine_place_reply {
+  // 0: granted, 1: no engine in time, 2: this host does not own the queue.
+  1: i32 verdict,
+  2: i64 number,
+  // Instance of the engine.
+  3: string server,
+  4: i64 retry_after_us,
+}
+
+// A granted place is not needed any more.
+struct engine_place_end {
+  1: string service_name,
+  2: string model,
+  3: i64 number,
+}
+
 // The rate limit that a backend server advertises, as one host knows it.
 struct server_limit {
   // The instance.
@@ -498,4 +597,7 @@
   33: optional path_reply path,
   34: optional origin_question origin_wanted,
   35: optional origin_reply origin,
+  36: optional engine_place_question engine_place_wanted,
+  37: optional engine_place_reply engine_place,
+  38: optional engine_place_end engine_place_ended,
 }
