Prompt quarantine: judges by shares, heals by trials

Cause: a part was blamed for being present at crashes, at an exposure of 1 in 100 at least; the head that a third of all prompts share is in flight at every crash of an engine that ends by turns. Nothing ended a quarantine before its ten minutes.

Change: the chance that a part is in flight at a crash follows from the share of requests that have it and from the requests in flight; crashes of an engine that also crashes without the part count once, those under a common part once for each engine, and crashes without a common part speak against it. A run of a request with a quarantined combination acquits it everywhere; more crashes are needed to blame it again. Trials: one host grants one request at a time, twice at most if servers crash.

--- a/src/decisions/prompt_quarantine.cc
+++ b/src/decisions/prompt_quarantine.cc
@@ -5,12 +5,16 @@
 #include <cmath>
 #include <functional>
 #include <iterator>
+#include <set>
 #include <utility>
 
+#include <boost/container_hash/hash.hpp>
+
 namespace valeledge::decisions {
 
 namespace {
 
+using detail::kept_crash;
 using detail::part_crash;
 using detail::quarantined_combination;
 using detail::suspect_part;
@@ -92,10 +96,13 @@
     suspect.repeated_since = now;
 }
 
-void Forget(suspect_part& suspect, base::time_point now) {
-  suspect.crashes.clear();
-  suspect.repeated_since.reset();
-  suspect.cleared_at = now;
+// Removes the crashes up to `at`, which the part has not caused.
+void Forget(suspect_part& suspect, base::time_point at) {
+  std::erase_if(suspect.crashes,
+                [at](const part_crash& each) { return each.at <= at; });
+  if (CountSeparate(suspect.crashes) < 2)
+    suspect.repeated_since.reset();
+  suspect.cleared_at = std::max(suspect.cleared_at.value_or(at), at);
 }
 
 // Whether a part was in flight at each of the crashes.
@@ -133,6 +140,47 @@
          static_cast<double>(std::max<std::size_t>(state.recent.size(), 1));
 }
 
+// The share of recent requests that have the part and that no crash has broken:
+// requests that crash their servers do not show how common a part is.
+double UnbrokenShare(const prompt_quarantine& state, std::uint64_t part) {
+  const auto has = [part](const prompt_parts& parts) {
+    return std::ranges::binary_search(parts, part);
+  };
+  const auto sent = std::ranges::count_if(state.recent, has);
+  const auto broken = std::ranges::count_if(
+      state.outcomes, [&has](const detail::request_outcome& each) {
+        return each.crashed && has(each.parts);
+      });
+  return static_cast<double>(std::max<std::ptrdiff_t>(sent - broken, 0)) /
+         static_cast<double>(std::max<std::size_t>(state.recent.size(), 1));
+}
+
+// Mean number of different prompts in flight at the crashes of a part.
+double PromptsPerCrash(const prompt_quarantine& state,
+                       const suspect_part& suspect) {
+  std::size_t crashes = 0;
+  std::size_t prompts = 0;
+  for (const kept_crash& each : state.crashes) {
+    if (!Contains(suspect.crashes, each))
+      continue;
+    ++crashes;
+    prompts += std::max<std::size_t>(each.prompts.size(), 1);
+  }
+  return static_cast<double>(std::max<std::size_t>(prompts, 1)) /
+         static_cast<double>(std::max<std::size_t>(crashes, 1));
+}
+
+// Whether the engine has crashed without the part, so that its crashes say
+// little about it: engines that end by turns crash several times.
+bool CrashesWithout(const prompt_quarantine& state,
+                    const suspect_part& suspect,
+                    std::int32_t engine) {
+  return std::ranges::any_of(state.crashes, [&](const kept_crash& each) {
+    return each.engine == engine && !Contains(suspect.crashes, each) &&
+           !Contains(state.explained, each);
+  });
+}
+
 // Whether servers have run enough other requests since the first crash. If they
 // run few, the parts that many requests share say nothing about the cause.
 bool AreOthersServed(const prompt_quarantine& state,
@@ -180,12 +228,25 @@
   });
 }
 
-std::size_t CountSettled(const suspect_part& suspect, base::time_point now) {
+// Counts the separate crashes that all hosts have reported. An engine counts
+// once if it crashes without the part as well, or if so many requests have the
+// part that it is in flight at most crashes.
+std::size_t CountSettled(const prompt_quarantine& state,
+                         std::uint64_t part,
+                         base::time_point now) {
+  const suspect_part& suspect = state.suspects.at(part);
+  const bool is_common = ShareOf(state, {part}) >= kCommonShare;
+  std::set<std::int32_t> engines;
   std::vector<part_crash> settled;
-  std::ranges::copy_if(suspect.crashes, std::back_inserter(settled),
-                       [now](const part_crash& each) {
-                         return now - each.at >= kCrashSettleTime;
-                       });
+  for (const part_crash& each : suspect.crashes) {
+    if (now - each.at < kCrashSettleTime)
+      continue;
+    const bool is_repeated = !engines.insert(each.engine).second;
+    if (is_repeated &&
+        (is_common || CrashesWithout(state, suspect, each.engine)))
+      continue;
+    settled.push_back(each);
+  }
   return CountSeparate(settled);
 }
 
@@ -226,9 +287,10 @@
          (static_cast<double>(count) + kAssumedRuns);
 }
 
-// The probability that a request is in flight when its server crashes for a
-// reason other than this part.
+// The probability that a request with the part is in flight when a server
+// crashes for another reason.
 double CrashExposure(const prompt_quarantine& state,
+                     std::uint64_t part,
                      const suspect_part& suspect,
                      const judged_fleet& fleet,
                      base::time_point now) {
@@ -245,7 +307,34 @@
                                     : suspect.crashes.size();
   if (others.count <= tolerated)
     broken = 0;
-  return std::max({kMinCrashExposure, expected, broken});
+  const double present = 1 - std::pow(1 - UnbrokenShare(state, part),
+                                      PromptsPerCrash(state, suspect));
+  return std::max({kMinCrashExposure, expected, broken, present});
+}
+
+// Whether too many crashes happened without a part that many requests have.
+bool CrashesWithoutCommonPart(const prompt_quarantine& state,
+                              std::uint64_t part,
+                              const suspect_part& suspect,
+                              base::time_point now) {
+  if (ShareOf(state, {part}) < kCommonShare)
+    return false;
+  const auto without =
+      static_cast<double>(OtherCrashes(state, suspect, now).count);
+  const auto with = static_cast<double>(suspect.crashes.size());
+  return without > (with + without) * kMaxShareWithout;
+}
+
+// Number of crashes from which on the combination is quarantined.
+std::size_t RequiredCrashes(const prompt_quarantine& state,
+                            const prompt_parts& combination) {
+  const auto found = state.acquittals.find(combination);
+  if (found == state.acquittals.end())
+    return kCrashesToQuarantine;
+  std::size_t required = kCrashesToQuarantine;
+  for (std::size_t i = 0; i < found->second.count; ++i)
+    required = std::min(required * 2, kMaxCrashesRequired);
+  return required;
 }
 
 bool MayBeCoincidence(double exposure, std::size_t crashes) {
@@ -259,13 +348,17 @@
                                   const judged_fleet& fleet,
                                   base::time_point now) {
   const suspect_part& suspect = state.suspects.at(part);
-  const std::size_t crashes = CountSettled(suspect, now);
+  const std::size_t crashes = CountSettled(state, part, now);
   if (crashes < kCrashesToQuarantine || !suspect.repeated_since ||
       now - *suspect.repeated_since < fleet.evidence_time)
     return std::nullopt;
-  if (MayBeCoincidence(CrashExposure(state, suspect, fleet, now), crashes))
+  if (MayBeCoincidence(CrashExposure(state, part, suspect, fleet, now),
+                       crashes) ||
+      CrashesWithoutCommonPart(state, part, suspect, now))
     return std::nullopt;
   prompt_parts combination = CombinationOf(state, part, suspect);
+  if (crashes < RequiredCrashes(state, combination))
+    return std::nullopt;
   if (crashes < kMaxCrashesToTellApart && HasRival(state, suspect, combination))
     return std::nullopt;
   if (!AreOthersServed(state, combination, suspect.crashes.front().at))
@@ -278,7 +371,7 @@
                                       base::time_point now) {
   std::vector<std::pair<std::size_t, std::uint64_t>> counted;
   for (const auto& [part, suspect] : state.suspects) {
-    const std::size_t crashes = CountSettled(suspect, now);
+    const std::size_t crashes = CountSettled(state, part, now);
     if (crashes >= kCrashesToQuarantine)
       counted.emplace_back(crashes, part);
   }
@@ -301,6 +394,26 @@
   return std::nullopt;
 }
 
+void KeepCrash(prompt_quarantine& state,
+               const part_crash& crash,
+               const prompt_parts& parts) {
+  auto found = std::ranges::find_if(
+      state.crashes,
+      [&crash](const kept_crash& each) { return IsSameCrash(each, crash); });
+  if (found == state.crashes.end()) {
+    state.crashes.push_back({crash, {}});
+    if (state.crashes.size() > kMaxKeptCrashes)
+      state.crashes.pop_front();
+    found = std::prev(state.crashes.end());
+  }
+  std::uint64_t hash = parts.size();
+  for (const std::uint64_t part : parts)
+    boost::hash_combine(hash, part);
+  if (found->prompts.size() < kMaxRequestsPerCrash &&
+      std::ranges::find(found->prompts, hash) == found->prompts.end())
+    found->prompts.push_back(hash);
+}
+
 void EndQuarantine(quarantined_combination& each, base::time_point now) {
   each.since.reset();
   each.released_at = now;
@@ -323,12 +436,10 @@
 std::optional<prompt_parts> RecordPromptCrash(prompt_quarantine& state,
                                               const prompt_crash& crash,
                                               base::time_point now) {
-  const part_crash one{crash.server, crash.at};
-  if (!Contains(state.crashes, one)) {
-    state.crashes.push_back(one);
-    if (state.crashes.size() > kMaxKeptCrashes)
-      state.crashes.pop_front();
-  }
+  // A host that does not state the engine knows only its run.
+  const part_crash one{crash.server, crash.at,
+                       crash.engine == 0 ? crash.server : crash.engine};
+  KeepCrash(state, one, crash.parts);
   if (const auto released = FindReleased(state, crash)) {
     Explain(state, one, *released);
     return RecordCombination(state, *released, now) ? released : std::nullopt;
@@ -377,7 +488,7 @@
 
 prompt_parts ClearParts(prompt_quarantine& state,
                         const prompt_parts& parts,
-                        base::time_point now) {
+                        base::time_point at) {
   prompt_parts cleared;
   for (const std::uint64_t part : parts) {
     const auto found = state.suspects.find(part);
@@ -386,18 +497,47 @@
     suspect_part& suspect = found->second;
     if (!suspect.crashes.empty())
       cleared.push_back(part);
-    Forget(suspect, now);
-    suspect.last_event_at = now;
+    Forget(suspect, at);
+    suspect.last_event_at = std::max(suspect.last_event_at, at);
   }
   return cleared;
 }
 
+std::vector<prompt_parts> RefutedCombinations(const prompt_quarantine& state,
+                                              const prompt_parts& parts,
+                                              base::time_point now) {
+  std::vector<prompt_parts> refuted;
+  for (const auto& [combination, each] : state.combinations) {
+    if (IsActive(each, now) && Includes(parts, combination))
+      refuted.push_back(combination);
+  }
+  return refuted;
+}
+
+bool AcquitCombination(prompt_quarantine& state,
+                       const prompt_parts& combination,
+                       base::time_point now) {
+  const auto found = state.combinations.find(combination);
+  if (found == state.combinations.end() || !IsActive(found->second, now))
+    return false;
+  state.combinations.erase(found);
+  ForgetCrashes(state, combination, now);
+  detail::acquittal& acquitted = state.acquittals[combination];
+  ++acquitted.count;
+  acquitted.at = now;
+  return true;
+}
+
 bool RecordCombination(prompt_quarantine& state,
                        const prompt_parts& combination,
                        base::time_point now) {
   // A combination that is quarantined already may be part of it.
   if (combination.empty() || FindQuarantine(state, combination, now))
     return false;
+  const auto acquitted = state.acquittals.find(combination);
+  if (acquitted != state.acquittals.end() &&
+      now - acquitted->second.at < kAcquittalTime)
+    return false;
   const auto found = state.combinations.find(combination);
   if (found == state.combinations.end() &&
       state.combinations.size() >= kMaxCombinations)
@@ -431,13 +571,41 @@
   return std::nullopt;
 }
 
+std::optional<base::time_point> QuarantinedSince(
+    const prompt_quarantine& state,
+    const prompt_parts& combination,
+    base::time_point now) {
+  const auto found = state.combinations.find(combination);
+  if (found == state.combinations.end() || !IsActive(found->second, now))
+    return std::nullopt;
+  return found->second.since;
+}
+
+std::vector<std::int32_t> CrashedEngines(const prompt_quarantine& state,
+                                         std::chrono::milliseconds period,
+                                         base::time_point now) {
+  std::vector<std::int32_t> engines;
+  for (const kept_crash& each : state.crashes) {
+    if (now - each.at < period)
+      engines.push_back(each.engine);
+  }
+  return engines;
+}
+
 prompt_parts RefutedParts(const prompt_quarantine& state,
                           const prompt_crash& crash) {
   prompt_parts refuted;
   for (const std::uint64_t part : crash.parts) {
     const auto found = state.suspects.find(part);
-    if (found != state.suspects.end() && found->second.cleared_at &&
-        crash.at <= *found->second.cleared_at)
+    const bool is_cleared = found != state.suspects.end() &&
+                            found->second.cleared_at &&
+                            crash.at <= *found->second.cleared_at;
+    const bool has_run = std::ranges::any_of(
+        state.outcomes, [&](const detail::request_outcome& each) {
+          return !each.crashed && each.at >= crash.at &&
+                 std::ranges::binary_search(each.parts, part);
+        });
+    if (is_cleared || has_run)
       refuted.push_back(part);
   }
   return refuted;
@@ -471,6 +639,9 @@
     return !each.second.since &&
            now - *each.second.released_at >= kQuarantineDuration;
   });
+  std::erase_if(state.acquittals, [now](const auto& each) {
+    return now - each.second.at >= kQuarantineDuration;
+  });
   for (auto& [part, suspect] : state.suspects) {
     std::erase_if(suspect.crashes, [now](const part_crash& each) {
       return now - each.at >= kQuarantineDuration;
--- a/src/decisions/prompt_quarantine.h
+++ b/src/decisions/prompt_quarantine.h
@@ -42,6 +42,21 @@
 // request in between that a server runs, with at most this probability.
 inline constexpr double kMaxCoincidence = 2e-6;
 
+// If a part has been acquitted, the number of crashes from which on it is
+// quarantined again doubles with each time, up to this number.
+inline constexpr std::size_t kMaxCrashesRequired = 12;
+
+// Time after the end of a quarantine within which messages about it, which
+// hosts repeat for two seconds, are ignored.
+inline constexpr std::chrono::milliseconds kAcquittalTime{3000};
+
+// Crashes without a part speak against it as the cause: of a part that many
+// requests have, at most this share of the crashes may be without it.
+inline constexpr double kMaxShareWithout = 0.2;
+
+// Maximum number of different requests counted at one crash.
+inline constexpr std::size_t kMaxRequestsPerCrash = 16;
+
 // Lowest probability assumed for a request to be in flight at a crash.
 inline constexpr double kMinCrashExposure = 0.01;
 
@@ -97,6 +112,8 @@
   base::time_point at;
   // The shared parts of the request's prompt.
   prompt_parts parts;
+  // The engine, a hash of its address, which outlasts its restarts; 0: unknown.
+  std::int32_t engine = 0;
 };
 
 // A quarantine that a request is subject to.
@@ -110,6 +127,19 @@
 struct part_crash {
   std::int32_t server = 0;
   base::time_point at;
+  std::int32_t engine = 0;
+};
+
+// A crash with hashes of the different prompts that were in flight there.
+struct kept_crash : part_crash {
+  std::vector<std::uint64_t> prompts;
+};
+
+// Quarantines of a combination that ended since servers had run requests with
+// it.
+struct acquittal {
+  std::size_t count = 0;
+  base::time_point at;
 };
 
 struct suspect_part {
@@ -150,7 +180,8 @@
   // Crashes under requests with a quarantined combination.
   std::deque<detail::part_crash> explained;
   // All recent crashes.
-  std::deque<detail::part_crash> crashes;
+  std::deque<detail::kept_crash> crashes;
+  std::map<prompt_parts, detail::acquittal> acquittals;
 };
 
 // The fleet that crashes are judged for.
@@ -183,14 +214,27 @@
                    std::optional<std::int32_t> crashed,
                    base::time_point now);
 
-// Records that a server has run a request with these parts without crashing.
-// Returns those that were suspects.
+// Records that a server has run a request with these parts, and had not crashed
+// at `at`. Returns the parts that were suspects.
 prompt_parts ClearParts(prompt_quarantine& state,
                         const prompt_parts& parts,
-                        base::time_point now);
+                        base::time_point at);
+
+// Returns the quarantined combinations that a server has run with a request
+// with these parts.
+std::vector<prompt_parts> RefutedCombinations(const prompt_quarantine& state,
+                                              const prompt_parts& parts,
+                                              base::time_point now);
+
+// Ends a quarantine, since a server has run a request with the combination or
+// an operator has lifted it. Returns true if it was quarantined. More crashes
+// than before are needed to quarantine it again.
+bool AcquitCombination(prompt_quarantine& state,
+                       const prompt_parts& combination,
+                       base::time_point now);
 
 // Records that all hosts quarantine the combination. Returns true if it was not
-// quarantined before.
+// quarantined before, and has not just been acquitted.
 bool RecordCombination(prompt_quarantine& state,
                        const prompt_parts& combination,
                        base::time_point now);
@@ -206,6 +250,17 @@
                                              const prompt_parts& parts,
                                              base::time_point now);
 
+// Returns since when the combination is quarantined; empty if it is not.
+std::optional<base::time_point> QuarantinedSince(
+    const prompt_quarantine& state,
+    const prompt_parts& combination,
+    base::time_point now);
+
+// Returns the engines that have crashed within `period`.
+std::vector<std::int32_t> CrashedEngines(const prompt_quarantine& state,
+                                         std::chrono::milliseconds period,
+                                         base::time_point now);
+
 // Returns the parts of a reported crash that servers have run since, as far as
 // this host knows.
 prompt_parts RefutedParts(const prompt_quarantine& state,
--- a/src/decisions/prompt_quarantine_update.cc
+++ b/src/decisions/prompt_quarantine_update.cc
@@ -60,6 +60,7 @@
     report.server = each.server;
     report.age_us = duration_cast<microseconds>(now - each.at).count();
     report.parts = ToWire(each.parts);
+    report.__set_engine(each.engine);
     messages.MessageFor(each.parts.size() + 1).crashes.push_back(report);
   }
   return messages.Take();
@@ -70,8 +71,9 @@
     base::time_point now) {
   std::vector<prompt_crash> crashes;
   for (const wire::prompt_crash_report& each : update.crashes) {
-    crashes.push_back(
-        {each.server, now - microseconds(each.age_us), FromWire(each.parts)});
+    crashes.push_back({each.server, now - microseconds(each.age_us),
+                       FromWire(each.parts),
+                       each.__isset.engine ? each.engine : 0});
   }
   return crashes;
 }
--- /dev/null
+++ b/src/decisions/quarantine_trial.cc
@@ -0,0 +1,33 @@
+// SPDX-License-Identifier: MIT
+#include "decisions/quarantine_trial.h"
+
+#include <algorithm>
+
+namespace valeledge::decisions {
+
+bool TryGrantTrial(trial_schedule& schedule,
+                   const prompt_parts& combination,
+                   base::time_point since,
+                   base::time_point now) {
+  detail::trial_record& trial = schedule.trials[combination];
+  const base::time_point due =
+      std::max(trial.next_at, since + kFirstTrialDelay);
+  if (now < due || trial.failed >= kMaxFailedTrials)
+    return false;
+  trial.next_at = now + kTrialTimeout;
+  return true;
+}
+
+void RecordFailedTrial(trial_schedule& schedule,
+                       const prompt_parts& combination,
+                       base::time_point now) {
+  detail::trial_record& trial = schedule.trials[combination];
+  ++trial.failed;
+  trial.next_at = now + kTrialInterval * trial.failed;
+}
+
+void EndTrials(trial_schedule& schedule, const prompt_parts& combination) {
+  schedule.trials.erase(combination);
+}
+
+}  // namespace valeledge::decisions
--- /dev/null
+++ b/src/decisions/quarantine_trial.h
@@ -0,0 +1,73 @@
+// SPDX-License-Identifier: MIT
+// Trials of quarantined prompt parts.
+//
+// Crashes show only which requests were in flight, so that a combination of
+// parts may be quarantined wrongly; nothing would then run that could show it.
+// Now and then one request with the combination is sent after all. If its
+// server runs it, the quarantine ends at all hosts. Trials are granted by one
+// host, so that together they cost only a few servers.
+#ifndef VALELEDGE_DECISIONS_QUARANTINE_TRIAL_H_
+#define VALELEDGE_DECISIONS_QUARANTINE_TRIAL_H_
+
+#include <chrono>
+#include <cstddef>
+#include <map>
+
+#include "base/duration.h"
+#include "decisions/prompt_quarantine.h"
+
+namespace valeledge::decisions {
+
+// Time from the beginning of a quarantine to the first trial: reports of
+// requests that were in flight arrive first.
+inline constexpr std::chrono::milliseconds kFirstTrialDelay{500};
+
+// Time after which a trial without a result is granted again.
+inline constexpr std::chrono::milliseconds kTrialTimeout{1500};
+
+// Time from a failed trial to the next one; grows with each.
+inline constexpr std::chrono::milliseconds kTrialInterval{2000};
+
+// Failed trials after which a quarantine gets no more: one cause may crash at
+// most three servers once it is known, and one of its requests may already be
+// on its way when the quarantine begins.
+inline constexpr std::size_t kMaxFailedTrials = 2;
+
+// Time for which a host may begin a trial that was granted to it.
+inline constexpr std::chrono::milliseconds kTrialValidity{1000};
+
+// Engines that have crashed within this time are not used for trials: they may
+// crash again for the same reason, whatever they run.
+inline constexpr std::chrono::milliseconds kTrialCrashPeriod{10'000};
+
+namespace detail {
+
+struct trial_record {
+  base::time_point next_at;
+  std::size_t failed = 0;
+};
+
+}  // namespace detail
+
+struct trial_schedule {
+  std::map<prompt_parts, detail::trial_record> trials;
+};
+
+// Returns whether a trial of the combination, quarantined since `since`, may
+// begin now. If so, the next one is due only after its result or a time-out.
+bool TryGrantTrial(trial_schedule& schedule,
+                   const prompt_parts& combination,
+                   base::time_point since,
+                   base::time_point now);
+
+// Records that a trial has crashed its server.
+void RecordFailedTrial(trial_schedule& schedule,
+                       const prompt_parts& combination,
+                       base::time_point now);
+
+// The quarantine of the combination has ended.
+void EndTrials(trial_schedule& schedule, const prompt_parts& combination);
+
+}  // namespace valeledge::decisions
+
+#endif  // VALELEDGE_DECISIONS_QUARANTINE_TRIAL_H_
--- a/tests/auto/decisions/prompt_fleet.h
+++ b/tests/auto/decisions/prompt_fleet.h
@@ -15,6 +15,7 @@
 #include <vector>
 
 #include "decisions/prompt_quarantine.h"
+#include "decisions/quarantine_trial.h"
 
 namespace valeledge::test {
 
@@ -30,6 +31,7 @@
 inline constexpr milliseconds kCrashDelay{100};
 inline constexpr milliseconds kRestart{3000};
 inline constexpr milliseconds kEvidenceTime{1000};
+inline constexpr milliseconds kConfirmationTime{2000};
 inline constexpr std::size_t kJudges = 16;
 inline constexpr std::uint64_t kRouteParts = 3;
 inline constexpr std::uint64_t kDocuments = 60;
@@ -57,9 +59,11 @@
   double lost_zones = 0;
   double crash_series = 0;
   double killed_hosts = 0;
-  // Shares of answers that show nothing, since they are garbled or unframed,
-  // and of callers that leave before the end of their answer.
-  double unclear_answers = 0;
+  // Shares of unframed answers, which show only later that their engine has not
+  // crashed, of garbled ones, which show nothing, and of callers that leave
+  // before the end of their answer.
+  double unframed_answers = 0;
+  double garbled_answers = 0;
   double leaving_callers = 0;
 };
 
@@ -104,8 +108,11 @@
   bool is_cleared = false;
   // Its answer shows neither that it has run nor that it has not.
   bool is_unclear = false;
+  bool is_unframed = false;
   // Its engine is given by its model.
   bool has_engine = false;
+  // The combination of which it is a trial; empty if it is none.
+  prompt_parts trial;
 };
 
 class fleet {
@@ -116,7 +123,8 @@
         judges_(
             std::min(what.size.hosts,
                      what.size.hosts <= kJudges + 1 ? kJudges + 1 : kJudges)),
-        down_until_(what.size.engines) {}
+        down_until_(what.size.engines),
+        crashed_at_(what.size.engines) {}
 
   void Play() {
     for (now_ = kStart; now_ < kStart + plan_.length; now_ += kStep) {
@@ -202,6 +210,9 @@
     return std::uniform_real_distribution<double>(0, 1)(random_);
   }
 
+  // Draws nothing for a share of 0.
+  bool IsDrawn(double share) { return share > 0 && DrawShare() < share; }
+
   void SendSound() {
     request one;
     if (plan_.shares_heads)
@@ -260,7 +271,9 @@
     one.host = Draw(plan_.size.hosts);
     if (one.host < judges_.size())
       decisions::RecordPrompt(judges_[one.host], one.parts);
-    if (decisions::FindQuarantine(StateOf(one.host), one.parts, now_))
+    const auto verdict =
+        decisions::FindQuarantine(StateOf(one.host), one.parts, now_);
+    if (verdict && !MayTry(one, verdict->combination))
       return false;
     for (int tries = 0; !one.has_engine && tries < 20; ++tries) {
       one.engine = Draw(plan_.size.engines);
@@ -271,14 +284,61 @@
       return true;
     one.begins_at = now_ + milliseconds(50 + Draw(150));
     one.ends_at = one.begins_at + milliseconds(300 + Draw(1500));
-    if (DrawShare() < plan_.other.leaving_callers)
+    if (IsDrawn(plan_.other.leaving_callers))
       one.ends_at = now_ + milliseconds(Draw(400));
-    one.is_unclear = DrawShare() < plan_.other.unclear_answers ||
-                     one.ends_at < one.begins_at;
+    one.is_unclear =
+        IsDrawn(plan_.other.garbled_answers) || one.ends_at < one.begins_at;
+    one.is_unframed = IsDrawn(plan_.other.unframed_answers);
     active_.push_back(one);
     return true;
   }
 
+  // Whether the request is the trial that its host may send. If not, the host
+  // asks the first evaluating host for one.
+  bool MayTry(request& one, const prompt_parts& combination) {
+    const auto granted = granted_.find(combination);
+    const bool is_granted = granted != granted_.end() &&
+                            granted->second.host == one.host &&
+                            now_ < granted->second.until;
+    const auto crashed = decisions::CrashedEngines(
+        StateOf(one.host), decisions::kTrialCrashPeriod, now_);
+    const auto engine = static_cast<std::int32_t>(one.engine) + 1;
+    const bool is_spared =
+        std::ranges::find(crashed, engine) != crashed.end() ||
+        down_until_[one.engine] > now_;
+    if (is_granted && !is_spared) {
+      granted_.erase(granted);
+      one.trial = combination;
+      return true;
+    }
+    const std::size_t host = one.host;
+    After(kMessageDelay, [this, combination, host] {
+      const auto since =
+          decisions::QuarantinedSince(judges_[0], combination, now_);
+      if (!since ||
+          !decisions::TryGrantTrial(trials_, combination, *since, now_))
+        return;
+      After(kMessageDelay, [this, combination, host] {
+        granted_[combination] = {host, now_ + decisions::kTrialValidity};
+      });
+    });
+    return false;
+  }
+
+  // Ends the quarantines that a served request refutes, at all hosts.
+  void Acquit(const request& one) {
+    for (const prompt_parts& combination :
+         decisions::RefutedCombinations(StateOf(one.host), one.parts, now_)) {
+      After(kMessageDelay, [this, combination] {
+        for (auto& judge : judges_)
+          decisions::AcquitCombination(judge, combination, now_);
+        decisions::AcquitCombination(others_, combination, now_);
+        decisions::EndTrials(trials_, combination);
+        stored_.erase(combination);
+      });
+    }
+  }
+
   void Advance() {
     std::vector<std::size_t> crashed;
     for (request& each : active_) {
@@ -295,7 +355,10 @@
       if (!each.is_cleared && !each.is_unclear &&
           (outlasted || now_ >= each.ends_at)) {
         each.is_cleared = true;
-        Serve(each);
+        if (each.is_unframed && !outlasted)
+          ServeLater(each);
+        else
+          Serve(each);
       }
     }
     for (const std::size_t engine : crashed)
@@ -304,10 +367,20 @@
                   [this](const request& each) { return now_ >= each.ends_at; });
   }
 
+  // An entry of the engine's run that is written later confirms the answer.
+  void ServeLater(const request& one) {
+    const base::time_point ended_at = now_;
+    After(kConfirmationTime + milliseconds(Draw(1200)), [this, one, ended_at] {
+      if (crashed_at_[one.engine] < ended_at)
+        Serve(one);
+    });
+  }
+
   void Serve(const request& one) {
     if (one.host < judges_.size())
       decisions::RecordOutcome(judges_[one.host], one.parts, std::nullopt,
                                now_);
+    Acquit(one);
     const auto cleared =
         decisions::ClearParts(StateOf(one.host), one.parts, now_);
     if (cleared.empty())
@@ -322,12 +395,19 @@
     if (down_until_[engine] > now_)
       return;
     down_until_[engine] = now_ + kRestart;
+    crashed_at_[engine] = now_;
     ++runs_;
     for (const request& each : active_) {
       if (each.engine != engine ||
           now_ - each.begins_at >= decisions::kEarlyResponseWindow)
         continue;
-      const decisions::prompt_crash crash{runs_, now_, each.parts};
+      const decisions::prompt_crash crash{
+          runs_, now_, each.parts, static_cast<std::int32_t>(engine) + 1};
+      if (!each.trial.empty()) {
+        After(kReportDelay, [this, trial = each.trial] {
+          decisions::RecordFailedTrial(trials_, trial, now_);
+        });
+      }
       if (each.host < judges_.size())
         decisions::RecordOutcome(judges_[each.host], each.parts, runs_, now_);
       After(kReportDelay, [this, crash] {
@@ -370,16 +450,17 @@
     }
     if (now_ < kStart + 2s)
       return;
-    if (Happens(other.resets))
+    const double step = std::chrono::duration<double>(kStep).count();
+    if (IsDrawn(other.resets * step))
       ResetConnections(Draw(plan_.size.engines));
-    if (Happens(other.killed_hosts))
+    if (IsDrawn(other.killed_hosts * step))
       KillHosts();
-    if (Happens(other.lost_zones)) {
+    if (IsDrawn(other.lost_zones * step)) {
       for (std::size_t engine = Draw(4); engine < plan_.size.engines;
            engine += 4)
         Crash(engine);
     }
-    if (Happens(other.crash_series)) {
+    if (IsDrawn(other.crash_series * step)) {
       for (int i = 0; i < 6; ++i) {
         const std::size_t engine = Draw(plan_.size.engines);
         After(milliseconds(200 * i), [this, engine] { Crash(engine); });
@@ -423,7 +504,7 @@
         continue;
       for (const auto& each : suspect.crashes) {
         const decisions::prompt_crash crash{each.server, each.at,
-                                            suspect.companions};
+                                            suspect.companions, each.engine};
         const auto refuted = decisions::RefutedParts(others_, crash);
         decisions::RecordPromptCrash(others_, crash, now_);
         After(kMessageDelay, [this, refuted] {
@@ -440,6 +521,7 @@
   // What all other hosts know.
   decisions::prompt_quarantine others_;
   std::vector<base::time_point> down_until_;
+  std::vector<base::time_point> crashed_at_;
   std::vector<request> active_;
   std::multimap<base::time_point, std::function<void()>> pending_;
   std::map<std::uint64_t, std::vector<base::time_point>> crashes_;
@@ -449,6 +531,13 @@
   };
   std::map<prompt_parts, refusal> refusals_;
   std::vector<base::time_point> flaps_at_;
+  // Trials that the first evaluating host has granted, and to which host.
+  struct granted_trial {
+    std::size_t host = 0;
+    base::time_point until;
+  };
+  decisions::trial_schedule trials_;
+  std::map<prompt_parts, granted_trial> granted_;
   // Combinations in the key-value store.
   std::set<prompt_parts> stored_;
   std::int32_t runs_ = 0;
--- a/tests/auto/decisions/test_prompt_quarantine_sound.cc
+++ b/tests/auto/decisions/test_prompt_quarantine_sound.cc
@@ -40,7 +40,8 @@
   day.other.lost_zones = sometimes(0.2);
   day.other.crash_series = sometimes(0.5);
   day.other.killed_hosts = sometimes(0.2);
-  day.other.unclear_answers = sometimes(0.97);
+  day.other.unframed_answers = sometimes(1);
+  day.other.garbled_answers = sometimes(0.2);
   day.other.leaving_callers = sometimes(0.2);
   return day;
 }
