Prompt quarantine: trials, acquittals and evidence between hosts

Hosts that refuse a request ask the first of the evaluating hosts for a trial; a run acquits the combination at all hosts and removes its key. Responses that ended with their connections are confirmed by later entries of the same run. Evidence is asked for again whenever a part is suspected again. Operators see what a quarantine is based on, and lift it, with valeledgectl quarantine.

--- a/src/catalog/backend_server.h
+++ b/src/catalog/backend_server.h
@@ -32,6 +32,8 @@
   // Version of its software, not of the weights that it holds; versions have no
   // order. Empty if not stated.
   std::string software;
+  // Number of times that its run has written its entry; 0 if not stated.
+  std::int64_t heartbeats = 0;
   std::int64_t slots = 1;
   bool draining = false;
   // How long it stays cold after it has written this; 0 if it is warm.
--- a/src/decisions/prompt_quarantine.cc
+++ b/src/decisions/prompt_quarantine.cc
@@ -581,6 +581,19 @@
   return found->second.since;
 }
 
+quarantine_evidence EvidenceOf(const prompt_quarantine& state,
+                               const prompt_parts& combination) {
+  if (combination.empty())
+    return {};
+  const auto found = state.suspects.find(combination.front());
+  if (found == state.suspects.end())
+    return {};
+  std::set<std::int32_t> engines;
+  for (const part_crash& each : found->second.crashes)
+    engines.insert(each.engine);
+  return {CountSeparate(found->second.crashes), engines.size()};
+}
+
 std::vector<std::int32_t> CrashedEngines(const prompt_quarantine& state,
                                          std::chrono::milliseconds period,
                                          base::time_point now) {
--- a/src/decisions/prompt_quarantine.h
+++ b/src/decisions/prompt_quarantine.h
@@ -256,6 +256,16 @@
     const prompt_parts& combination,
     base::time_point now);
 
+// What a quarantine is based on.
+struct quarantine_evidence {
+  std::size_t crashes = 0;
+  std::size_t engines = 0;
+};
+
+// Returns the crashes under the combination that this host knows of.
+quarantine_evidence EvidenceOf(const prompt_quarantine& state,
+                               const prompt_parts& combination);
+
 // Returns the engines that have crashed within `period`.
 std::vector<std::int32_t> CrashedEngines(const prompt_quarantine& state,
                                          std::chrono::milliseconds period,
--- a/src/decisions/prompt_quarantine_update.cc
+++ b/src/decisions/prompt_quarantine_update.cc
@@ -53,6 +53,16 @@
   message_builder messages;
   for (const prompt_parts& each : observations.quarantined)
     messages.MessageFor(each.size()).quarantined.push_back(ToWire(each));
+  for (const prompt_parts& each : observations.lifted) {
+    auto& message = messages.MessageFor(each.size());
+    message.lifted.push_back(ToWire(each));
+    message.__isset.lifted = true;
+  }
+  for (const prompt_parts& each : observations.failed_trials) {
+    auto& message = messages.MessageFor(each.size());
+    message.trials_failed.push_back(ToWire(each));
+    message.__isset.trials_failed = true;
+  }
   for (const std::uint64_t each : observations.cleared)
     messages.MessageFor(1).cleared.push_back(static_cast<std::int64_t>(each));
   for (const prompt_crash& each : observations.crashes) {
@@ -78,22 +88,46 @@
   return crashes;
 }
 
-std::vector<prompt_parts> ApplyPromptUpdate(
+applied_prompt_update ApplyPromptUpdate(
     prompt_quarantine& state,
     const wire::prompt_quarantine_update& update,
     base::time_point now) {
-  std::vector<prompt_parts> quarantined;
+  applied_prompt_update applied;
+  for (const auto& each : update.lifted) {
+    prompt_parts combination = FromWire(each);
+    if (AcquitCombination(state, combination, now))
+      applied.lifted.push_back(std::move(combination));
+  }
   for (const auto& each : update.quarantined) {
     prompt_parts combination = FromWire(each);
     if (RecordCombination(state, combination, now))
-      quarantined.push_back(std::move(combination));
+      applied.quarantined.push_back(std::move(combination));
   }
   ClearParts(state, FromWire(update.cleared), now);
   for (const prompt_crash& crash : ReportedCrashes(update, now)) {
     if (auto again = RecordPromptCrash(state, crash, now))
-      quarantined.push_back(std::move(*again));
+      applied.quarantined.push_back(std::move(*again));
   }
-  return quarantined;
+  return applied;
+}
+
+std::vector<wire::quarantine_trial> TrialsToWire(
+    const std::vector<prompt_trial>& trials) {
+  std::vector<wire::quarantine_trial> out;
+  for (const prompt_trial& each : trials) {
+    wire::quarantine_trial& trial = out.emplace_back();
+    trial.parts = ToWire(each.combination);
+    trial.host = each.host;
+  }
+  return out;
+}
+
+std::vector<prompt_trial> TrialsFromWire(
+    const std::vector<wire::quarantine_trial>& trials) {
+  std::vector<prompt_trial> out;
+  for (const wire::quarantine_trial& each : trials)
+    out.push_back({FromWire(each.parts), each.host});
+  return out;
 }
 
 }  // namespace valeledge::decisions
--- a/src/decisions/prompt_quarantine_update.h
+++ b/src/decisions/prompt_quarantine_update.h
@@ -5,6 +5,7 @@
 #define VALELEDGE_DECISIONS_PROMPT_QUARANTINE_UPDATE_H_
 
 #include <cstddef>
+#include <cstdint>
 #include <deque>
 #include <vector>
 
@@ -27,6 +28,10 @@
   std::deque<prompt_crash> crashes;
   prompt_parts cleared;
   std::vector<prompt_parts> quarantined;
+  // Combinations whose quarantine has ended.
+  std::vector<prompt_parts> lifted;
+  // Combinations with which a trial has crashed its server.
+  std::vector<prompt_parts> failed_trials;
 };
 
 // Returns the observations as messages, with ages at `now` instead of times,
@@ -40,13 +45,31 @@
     const wire::prompt_quarantine_update& update,
     base::time_point now);
 
-// Applies an update of another host. Returns the combinations that are newly
-// quarantined.
-std::vector<prompt_parts> ApplyPromptUpdate(
+// What an update of another host has changed.
+struct applied_prompt_update {
+  std::vector<prompt_parts> quarantined;
+  std::vector<prompt_parts> lifted;
+};
+
+// Applies an update of another host.
+applied_prompt_update ApplyPromptUpdate(
     prompt_quarantine& state,
     const wire::prompt_quarantine_update& update,
     base::time_point now);
 
+// A trial of a combination and the host that asks for it or may begin it, by a
+// hash of its name.
+struct prompt_trial {
+  prompt_parts combination;
+  std::int64_t host = 0;
+};
+
+// Converts trials to and from their wire representation.
+std::vector<wire::quarantine_trial> TrialsToWire(
+    const std::vector<prompt_trial>& trials);
+std::vector<prompt_trial> TrialsFromWire(
+    const std::vector<wire::quarantine_trial>& trials);
+
 }  // namespace valeledge::decisions
 
 #endif  // VALELEDGE_DECISIONS_PROMPT_QUARANTINE_UPDATE_H_
--- a/src/host/process/host.cc
+++ b/src/host/process/host.cc
@@ -304,6 +304,12 @@
   core_.prompt_served = [this](const decisions::prompt_parts& parts) {
     prompt_quarantine_.OnServed(parts);
   };
+  core_.begin_prompt_trial = [this](const decisions::prompt_parts& parts) {
+    return prompt_quarantine_.BeginTrial(parts);
+  };
+  core_.prompt_trial_failed = [this](const decisions::prompt_parts& parts) {
+    prompt_quarantine_.OnTrialFailed(parts);
+  };
   core_.suspect_completed = [this](std::uint64_t digest) {
     quarantine_.OnCompletedResponse(digest);
   };
@@ -476,8 +482,11 @@
   // Several servers may crash together under requests with one part.
   const bool is_lost =
       server != nullptr && paths_.IsLost(server->entry.service);
-  if (!is_lost && !parts.empty())
-    prompt_quarantine_.OnServerCrash({crash.server, crash.at, parts});
+  if (!is_lost && !parts.empty()) {
+    const std::int32_t engine =
+        server == nullptr ? 0 : KeyOf(base::ToString(server->entry.address));
+    prompt_quarantine_.OnServerCrash({crash.server, crash.at, parts, engine});
+  }
 }
 
 // Hosts that are no longer visible may still send requests.
--- a/src/host/process/host_core.h
+++ b/src/host/process/host_core.h
@@ -91,6 +91,13 @@
   std::function<void(std::uint64_t digest)> suspect_completed;
   // Publishes that a server has run a request with these prompt parts.
   std::function<void(const decisions::prompt_parts& parts)> prompt_served;
+  // Whether a request with the quarantined combination may be sent as a trial.
+  // If unset, none may.
+  std::function<bool(const decisions::prompt_parts& combination)>
+      begin_prompt_trial;
+  // Publishes that a server crashed under a trial of the combination.
+  std::function<void(const decisions::prompt_parts& combination)>
+      prompt_trial_failed;
   // Number of hosts that accept requests, including this one.
   std::int64_t hosts = 1;
   // Whether a newer snapshot of the store has been known for long without being
--- a/src/host/process/prompt_quarantine_coordinator.cc
+++ b/src/host/process/prompt_quarantine_coordinator.cc
@@ -35,9 +35,18 @@
 // other hosts are asked for evidence.
 constexpr std::size_t kCrashesToRepeat = 2;
 
-// The other hosts are asked again for evidence about a suspect after this time.
+// The other hosts are asked again for evidence about a suspect after this time,
+// or earlier if it has been cleared and suspected again.
 constexpr std::chrono::seconds kAskInterval{10};
 
+// Interval at which a host asks for a trial of a combination for which it
+// refuses requests.
+constexpr std::chrono::milliseconds kTrialRequestInterval{250};
+
+// A key that disappears this long before its lease ends was removed, by a host
+// or an operator.
+constexpr std::chrono::seconds kLeaseMargin{10};
+
 // Time for which the hosts of a large fleet can clear a suspect.
 constexpr std::chrono::milliseconds kEvidenceTime{1000};
 
@@ -106,7 +115,7 @@
   reported_.push_back(crash);
   if (reported_.size() > decisions::kMaxKeptPromptCrashes)
     reported_.pop_front();
-  Send({{crash}, {}, {}});
+  Send({.crashes = {crash}});
   const auto again = decisions::RecordPromptCrash(
       core_.prompts, crash, std::chrono::steady_clock::now());
   if (again)
@@ -115,10 +124,104 @@
 
 void prompt_quarantine_coordinator::OnServed(
     const decisions::prompt_parts& parts) {
-  auto cleared = decisions::ClearParts(core_.prompts, parts,
-                                       std::chrono::steady_clock::now());
+  const auto now = std::chrono::steady_clock::now();
+  const auto refuted =
+      decisions::RefutedCombinations(core_.prompts, parts, now);
+  for (const auto& combination : refuted) {
+    decisions::AcquitCombination(core_.prompts, combination, now);
+    End(combination, "run");
+    keys_.Remove(KeyOf(combination));
+    Broadcast({.lifted = {combination}});
+  }
+  auto cleared = decisions::ClearParts(core_.prompts, parts, now);
   if (!cleared.empty())
-    Send({{}, std::move(cleared), {}});
+    Send({.cleared = std::move(cleared)});
+}
+
+std::int64_t prompt_quarantine_coordinator::HostKey() const {
+  return static_cast<std::int64_t>(base::StableHash(core_.settings.name));
+}
+
+bool prompt_quarantine_coordinator::BeginTrial(
+    const decisions::prompt_parts& combination) {
+  const auto now = std::chrono::steady_clock::now();
+  const auto granted = granted_.find(combination);
+  if (granted != granted_.end()) {
+    const bool is_valid = now < granted->second;
+    granted_.erase(granted);
+    if (is_valid) {
+      base::Log(kCategory, log_event::kQuarantineTrialBegun,
+                {{"parts", PromptPartsText(combination)}});
+      core_.metrics.Counter("valeledge_quarantine_trials_total", "begun").Add();
+      return true;
+    }
+  }
+  base::time_point& asked_at = trials_asked_[combination];
+  if (now - asked_at < kTrialRequestInterval)
+    return false;
+  asked_at = now;
+  const std::vector<decisions::prompt_trial> wanted{{combination, HostKey()}};
+  if (callbacks_.is_first()) {
+    GrantTrials(wanted);
+    return false;
+  }
+  wire::prompt_quarantine_update update;
+  update.__set_trials_wanted(decisions::TrialsToWire(wanted));
+  callbacks_.send(update);
+  return false;
+}
+
+void prompt_quarantine_coordinator::GrantTrials(
+    const std::vector<decisions::prompt_trial>& wanted) {
+  const auto now = std::chrono::steady_clock::now();
+  std::vector<decisions::prompt_trial> granted;
+  for (const decisions::prompt_trial& each : wanted) {
+    const auto since =
+        decisions::QuarantinedSince(core_.prompts, each.combination, now);
+    if (since &&
+        decisions::TryGrantTrial(trials_, each.combination, *since, now))
+      granted.push_back(each);
+  }
+  if (granted.empty())
+    return;
+  TakeGrants(granted);
+  wire::prompt_quarantine_update update;
+  update.__set_trials_granted(decisions::TrialsToWire(granted));
+  callbacks_.broadcast(update);
+}
+
+void prompt_quarantine_coordinator::TakeGrants(
+    const std::vector<decisions::prompt_trial>& granted) {
+  for (const decisions::prompt_trial& each : granted) {
+    if (each.host == HostKey()) {
+      granted_[each.combination] =
+          std::chrono::steady_clock::now() + decisions::kTrialValidity;
+    }
+  }
+}
+
+void prompt_quarantine_coordinator::OnTrialFailed(
+    const decisions::prompt_parts& combination) {
+  decisions::RecordFailedTrial(trials_, combination,
+                               std::chrono::steady_clock::now());
+  base::Log(kCategory, log_event::kQuarantineTrialFailed,
+            {{"parts", PromptPartsText(combination)}});
+  core_.metrics.Counter("valeledge_quarantine_trials_total", "failed").Add();
+  Broadcast({.failed_trials = {combination}});
+}
+
+void prompt_quarantine_coordinator::End(
+    const decisions::prompt_parts& combination,
+    std::string_view by) {
+  base::Log(kCategory, log_event::kPromptPartsReleased,
+            {{"parts", PromptPartsText(combination)}, {"by", std::string(by)}});
+  core_.metrics.Counter("valeledge_quarantines_ended_total", by).Add();
+  decisions::EndTrials(trials_, combination);
+  granted_.erase(combination);
+  trials_asked_.erase(combination);
+  std::erase_if(own_, [&combination](const own_quarantine& each) {
+    return each.combination == combination;
+  });
 }
 
 void prompt_quarantine_coordinator::HandleUpdate(
@@ -127,9 +230,18 @@
   // reported it already.
   if (IsLargeFleet())
     Refute(update);
-  for (const auto& combination : decisions::ApplyPromptUpdate(
-           core_.prompts, update, std::chrono::steady_clock::now()))
+  const auto now = std::chrono::steady_clock::now();
+  const auto applied = decisions::ApplyPromptUpdate(core_.prompts, update, now);
+  for (const auto& combination : applied.lifted)
+    End(combination, "told");
+  for (const auto& combination : applied.quarantined)
     Begin(combination, "told");
+  for (const auto& parts : update.trials_failed) {
+    decisions::RecordFailedTrial(trials_, {parts.begin(), parts.end()}, now);
+  }
+  TakeGrants(decisions::TrialsFromWire(update.trials_granted));
+  if (callbacks_.is_first())
+    GrantTrials(decisions::TrialsFromWire(update.trials_wanted));
 }
 
 // In a small fleet each host evaluates the crashes itself and sends the result
@@ -138,11 +250,22 @@
 void prompt_quarantine_coordinator::Begin(
     const decisions::prompt_parts& combination,
     std::string_view by) {
+  const auto evidence = decisions::EvidenceOf(core_.prompts, combination);
   base::Log(kCategory, log_event::kPromptPartsQuarantined,
-            {{"parts", PromptPartsText(combination)}, {"by", std::string(by)}});
+            {{"parts", PromptPartsText(combination)},
+             {"by", std::string(by)},
+             {"crashes", static_cast<std::int64_t>(evidence.crashes)},
+             {"engines", static_cast<std::int64_t>(evidence.engines)}});
   if (by == "store")
     return;
-  keys_.Write(KeyOf(combination), callbacks_.is_first(), [this, combination] {
+  const std::string value =
+      core_.settings.name + " crashes=" + std::to_string(evidence.crashes) +
+      " engines=" + std::to_string(evidence.engines) + " since=" +
+      std::to_string(std::chrono::duration_cast<std::chrono::seconds>(
+                         std::chrono::system_clock::now().time_since_epoch())
+                         .count());
+  const std::string key = KeyOf(combination);
+  keys_.Write(key, value, callbacks_.is_first(), [this, combination] {
     return decisions::FindQuarantine(core_.prompts, combination,
                                      std::chrono::steady_clock::now())
         .has_value();
@@ -150,7 +273,7 @@
   if (by != "ends" || (IsLargeFleet() && !callbacks_.is_first()))
     return;
   own_.push_back({combination, std::chrono::steady_clock::now()});
-  Broadcast({{}, {}, {combination}});
+  Broadcast({.quarantined = {combination}});
 }
 
 void prompt_quarantine_coordinator::Refute(
@@ -164,7 +287,8 @@
   std::ranges::sort(refuted);
   const auto repeated = std::ranges::unique(refuted);
   refuted.erase(repeated.begin(), repeated.end());
-  Send({{}, std::move(refuted), {}});
+  if (!refuted.empty())
+    Send({.cleared = std::move(refuted)});
 }
 
 void prompt_quarantine_coordinator::Tick() {
@@ -210,12 +334,18 @@
   });
   decisions::prompt_observations suspected;
   for (const auto& [part, suspect] : core_.prompts.suspects) {
-    if (asked_.contains(part) ||
+    const auto asked = asked_.find(part);
+    const bool is_asked =
+        asked != asked_.end() &&
+        (!suspect.repeated_since || asked->second >= *suspect.repeated_since);
+    if (is_asked ||
         decisions::CountCrashes(core_.prompts, part) < kCrashesToRepeat)
       continue;
     asked_[part] = now;
-    for (const auto& crash : suspect.crashes)
-      suspected.crashes.push_back({crash.server, crash.at, suspect.companions});
+    for (const auto& crash : suspect.crashes) {
+      suspected.crashes.push_back(
+          {crash.server, crash.at, suspect.companions, crash.engine});
+    }
   }
   Broadcast(suspected);
 }
@@ -226,8 +356,14 @@
     return false;
   keys_.OnPut(std::string(key));
   if (decisions::RecordCombination(core_.prompts, *combination,
-                                   std::chrono::steady_clock::now()))
+                                   std::chrono::steady_clock::now())) {
     Begin(*combination, "store");
+  } else if (callbacks_.is_first() &&
+             !decisions::QuarantinedSince(core_.prompts, *combination,
+                                          std::chrono::steady_clock::now())) {
+    // A host wrote the key while another one ended the quarantine.
+    keys_.Remove(std::string(key));
+  }
   return true;
 }
 
@@ -239,10 +375,18 @@
   keys_.OnRemoved(std::string(key));
   if (lapsed)
     return true;
-  decisions::ReleaseCombination(core_.prompts, *combination,
-                                std::chrono::steady_clock::now());
-  base::Log(kCategory, log_event::kPromptPartsReleased,
-            {{"parts", PromptPartsText(*combination)}});
+  const auto now = std::chrono::steady_clock::now();
+  const auto verdict =
+      decisions::FindQuarantine(core_.prompts, *combination, now);
+  // A lease that ends leaves the combination under suspicion; a key that is
+  // removed earlier acquits it.
+  if (verdict && verdict->remaining > kLeaseMargin) {
+    if (decisions::AcquitCombination(core_.prompts, *combination, now))
+      End(*combination, "store");
+    return true;
+  }
+  decisions::ReleaseCombination(core_.prompts, *combination, now);
+  End(*combination, "time");
   return true;
 }
 
--- a/src/host/process/prompt_quarantine_coordinator.h
+++ b/src/host/process/prompt_quarantine_coordinator.h
@@ -18,6 +18,7 @@
 
 #include "base/duration.h"
 #include "decisions/prompt_quarantine_update.h"
+#include "decisions/quarantine_trial.h"
 #include "host/process/host_core.h"
 #include "host/process/quarantine_key_writer.h"
 #include "store/kv_client.h"
@@ -52,6 +53,12 @@
   // A server has run a request of this host with these parts.
   void OnServed(const decisions::prompt_parts& parts);
 
+  // Whether a request of this host with the quarantined combination may be sent
+  // as a trial. If not, the host asks for a trial.
+  bool BeginTrial(const decisions::prompt_parts& combination);
+  // A trial that this host has sent has crashed its server.
+  void OnTrialFailed(const decisions::prompt_parts& combination);
+
   // Applies an update of another host.
   void HandleUpdate(const wire::prompt_quarantine_update& update);
   // Handle a key that was put into or removed from the store. Return whether it
@@ -72,6 +79,13 @@
   };
 
   bool IsLargeFleet() const;
+  // Identifies this host in messages about trials.
+  std::int64_t HostKey() const;
+  // Ends the quarantine of a combination at this host.
+  void End(const decisions::prompt_parts& combination, std::string_view by);
+  // Grants trials that hosts ask for, if this host is the first one selected.
+  void GrantTrials(const std::vector<decisions::prompt_trial>& wanted);
+  void TakeGrants(const std::vector<decisions::prompt_trial>& granted);
   void Begin(const decisions::prompt_parts& combination, std::string_view by);
   // Reports which of the suspects in the update servers have run since.
   void Refute(const wire::prompt_quarantine_update& update);
@@ -87,6 +101,11 @@
   // Recent crashes reported by this host.
   std::deque<decisions::prompt_crash> reported_;
   std::vector<own_quarantine> own_;
+  decisions::trial_schedule trials_;
+  // Trials granted to this host, and until when each may begin.
+  std::map<decisions::prompt_parts, base::time_point> granted_;
+  // When this host last asked for a trial.
+  std::map<decisions::prompt_parts, base::time_point> trials_asked_;
   // Suspects for which the other hosts were asked for evidence, and when.
   std::map<std::uint64_t, base::time_point> asked_;
 };
--- a/src/host/process/quarantine_coordinator.cc
+++ b/src/host/process/quarantine_coordinator.cc
@@ -108,8 +108,8 @@
             {{"digest", base::HexText(digest)}, {"by", std::string(by)}});
   if (by == "store")
     return;
-  keys_.Write(QuarantineKey(digest), callbacks_.is_first(SubjectOf(digest)),
-              [this, digest] {
+  keys_.Write(QuarantineKey(digest), core_.settings.name,
+              callbacks_.is_first(SubjectOf(digest)), [this, digest] {
                 return decisions::RemainingQuarantine(
                            core_.quarantine, digest,
                            std::chrono::steady_clock::now())
--- a/src/host/process/quarantine_key_writer.cc
+++ b/src/host/process/quarantine_key_writer.cc
@@ -36,16 +36,38 @@
 }  // namespace
 
 void quarantine_key_writer::Write(std::string key,
+                                  std::string value,
                                   bool is_first,
                                   std::function<bool()> is_needed) {
-  asio::co_spawn(
-      core_.context,
-      WriteUntilStored(std::move(key), is_first, std::move(is_needed)),
-      asio::detached);
+  asio::co_spawn(core_.context,
+                 WriteUntilStored(std::move(key), std::move(value), is_first,
+                                  std::move(is_needed)),
+                 asio::detached);
+}
+
+void quarantine_key_writer::Remove(std::string key) {
+  asio::co_spawn(core_.context, RemoveUntilDone(std::move(key)),
+                 asio::detached);
+}
+
+asio::awaitable<void> quarantine_key_writer::RemoveUntilDone(std::string key) {
+  asio::steady_timer timer(core_.context);
+  const auto until =
+      std::chrono::steady_clock::now() + decisions::kQuarantineDuration;
+  while (std::chrono::steady_clock::now() < until) {
+    store::kv_transaction removal;
+    removal.on_success.push_back(store::Delete(key));
+    const auto done = co_await store_.Run(std::move(removal));
+    if (done)
+      co_return;
+    timer.expires_after(kWriteRetryDelay);
+    co_await timer.async_wait(kAwait);
+  }
 }
 
 asio::awaitable<void> quarantine_key_writer::WriteUntilStored(
     std::string key,
+    std::string value,
     bool is_first,
     std::function<bool()> is_needed) {
   asio::steady_timer timer(core_.context);
@@ -57,7 +79,7 @@
     co_await timer.async_wait(kAwait);
   }
   while (!stored_.contains(key) && is_needed()) {
-    const bool written = co_await WriteOnce(key);
+    const bool written = co_await WriteOnce(key, value);
     if (written)
       co_return;
     timer.expires_after(kWriteRetryDelay);
@@ -65,14 +87,15 @@
   }
 }
 
-asio::awaitable<bool> quarantine_key_writer::WriteOnce(std::string key) {
+asio::awaitable<bool> quarantine_key_writer::WriteOnce(std::string key,
+                                                       std::string value) {
   const auto lease = co_await store_.GrantLease(
       duration_cast<std::chrono::seconds>(decisions::kQuarantineDuration));
   if (!lease)
     co_return false;
   store::kv_transaction write;
   write.conditions.push_back(store::Absent(key));
-  write.on_success.push_back(store::Put(key, core_.settings.name, *lease));
+  write.on_success.push_back(store::Put(key, value, *lease));
   const auto written = co_await store_.Run(std::move(write));
   if (written && written->succeeded)
     co_return true;
--- a/src/host/process/quarantine_key_writer.h
+++ b/src/host/process/quarantine_key_writer.h
@@ -21,10 +21,18 @@
   quarantine_key_writer(host_core& core, store::kv_client& store)
       : core_(core), store_(store) {}
 
-  // Writes a key under a lease as long as a quarantine, unless another host has
-  // done so. Repeats failed calls while `is_needed`. Of all hosts that write
-  // the key, `is_first` is set at one; the others wait for it.
-  void Write(std::string key, bool is_first, std::function<bool()> is_needed);
+  // Writes a key with a value that tells operators why, under a lease as long
+  // as a quarantine, unless another host has done so. Repeats failed calls
+  // while `is_needed`. Of all hosts that write the key, `is_first` is set at
+  // one; the others wait for it.
+  void Write(std::string key,
+             std::string value,
+             bool is_first,
+             std::function<bool()> is_needed);
+
+  // Removes a key from the store, since its quarantine has ended. Repeats
+  // failed calls until the lease of the key would have ended.
+  void Remove(std::string key);
 
   // The store contains the key, or does no more.
   void OnPut(const std::string& key) { stored_.insert(key); }
@@ -33,9 +41,11 @@
  private:
   boost::asio::awaitable<void> WriteUntilStored(
       std::string key,
+      std::string value,
       bool is_first,
       std::function<bool()> is_needed);
-  boost::asio::awaitable<bool> WriteOnce(std::string key);
+  boost::asio::awaitable<bool> WriteOnce(std::string key, std::string value);
+  boost::asio::awaitable<void> RemoveUntilDone(std::string key);
 
   host_core& core_;
   store::kv_client& store_;
--- a/src/host/process/response_updates.cc
+++ b/src/host/process/response_updates.cc
@@ -1,8 +1,11 @@
 // SPDX-License-Identifier: MIT
 #include "host/process/response_updates.h"
 
+#include <chrono>
 #include <cstdint>
 #include <string>
+#include <utility>
+#include <vector>
 
 #include "base/logging.h"
 #include "decisions/brittle_server.h"
@@ -85,6 +88,11 @@
     core.server_full(server);
 }
 
+// Time between the end of a response and an update of its server's entry that
+// shows that the server has not crashed: entries are read some time after they
+// were written.
+constexpr std::chrono::milliseconds kHeartbeatMargin{2000};
+
 }  // namespace
 
 void ApplyFullServer(host_core& core, const wire::full_server& news) {
@@ -119,4 +127,20 @@
   ApplyNotices(core, server, response);
 }
 
+void ConfirmByHeartbeat(host_core& core,
+                        known_server& server,
+                        base::time_point now) {
+  std::vector<decisions::prompt_parts> confirmed;
+  std::erase_if(server.unconfirmed, [&](unconfirmed_response& each) {
+    if (now - each.ended_at < kHeartbeatMargin)
+      return false;
+    confirmed.push_back(std::move(each.parts));
+    return true;
+  });
+  for (const decisions::prompt_parts& parts : confirmed) {
+    if (!parts.empty())
+      core.prompt_served(parts);
+  }
+}
+
 }  // namespace valeledge::host
--- a/src/host/process/store_update_handler.cc
+++ b/src/host/process/store_update_handler.cc
@@ -8,6 +8,7 @@
 #include <utility>
 
 #include "base/logging.h"
+#include "host/process/response_updates.h"
 #include "store/constants.h"
 
 namespace valeledge::host {
@@ -98,6 +99,11 @@
     LogInvalidValue(key, entry.error());
     return;
   }
+  if (const auto server = core_.servers.Find(instance);
+      server != nullptr && entry->started_at == server->entry.started_at &&
+      entry->heartbeats > server->entry.heartbeats) {
+    ConfirmByHeartbeat(core_, *server, std::chrono::steady_clock::now());
+  }
   const bool draining = entry->draining;
   const std::string software = entry->software;
   const bool changed =
--- a/src/host/request/crash_monitor.cc
+++ b/src/host/request/crash_monitor.cc
@@ -6,8 +6,10 @@
 #include <string>
 #include <utility>
 
+#include "base/endpoint.h"
 #include "base/identifier.h"
 #include "base/logging.h"
+#include "decisions/quarantine_trial.h"
 #include "host/prompt_parts.h"
 #include "host/request/request_digest.h"
 
@@ -36,6 +38,14 @@
   return duration && *duration >= decisions::kEarlyResponseWindow;
 }
 
+bool HoldsModel(const known_server& server,
+                const routed_request& routed,
+                base::time_point now) {
+  const request_metadata& metadata = routed.metadata;
+  return metadata.model.empty() ||
+         server.Holds(metadata.model, metadata.adapter, now);
+}
+
 bool IsSuccess(int status) {
   return status >= 200 && status < 300;
 }
@@ -46,7 +56,7 @@
                                                  const routed_request& routed) {
   const auto verdict = decisions::FindQuarantine(
       core.prompts, routed.shared_parts, std::chrono::steady_clock::now());
-  if (!verdict)
+  if (!verdict || verdict->combination == routed.trial)
     return std::nullopt;
   auto error = base::MakeError(
       base::result_code::kQuarantined, base::outcome::kNotRun,
@@ -56,6 +66,31 @@
   return error;
 }
 
+void BeginTrialIfGranted(host_core& core, routed_request& routed) {
+  const auto now = std::chrono::steady_clock::now();
+  const auto verdict =
+      decisions::FindQuarantine(core.prompts, routed.shared_parts, now);
+  if (!verdict || routed.is_relayed || !core.begin_prompt_trial)
+    return;
+  const auto crashed = decisions::CrashedEngines(
+      core.prompts, decisions::kTrialCrashPeriod, now);
+  std::vector<std::string> excluded;
+  bool any_left = false;
+  for (const auto& [instance, server] : core.servers.servers()) {
+    const unit_key engine = KeyOf(base::ToString(server->entry.address));
+    const bool has_crashed =
+        std::ranges::find(crashed, engine) != crashed.end();
+    if (has_crashed)
+      excluded.push_back(instance);
+    else if (server->TakesRequests() && HoldsModel(*server, routed, now))
+      any_left = true;
+  }
+  if (!any_left || !core.begin_prompt_trial(verdict->combination))
+    return;
+  routed.trial = verdict->combination;
+  routed.not_for_trial = std::move(excluded);
+}
+
 std::uint64_t crash_monitor::Digest() {
   if (!digest_)
     digest_ = DigestOf(request_);
@@ -103,6 +138,7 @@
     decisions::RecordOutcome(core_.prompts, routed_.shared_parts, server.key,
                              now);
   }
+  FailTrial();
   core_.server_crashed(Digest(), {server.key, progress.sent, now},
                        routed_.shared_parts);
 }
@@ -142,8 +178,9 @@
   if (has_run && IsSuccess(status) && !is_recorded)
     RecordRun();
   // Usually there are no suspects, and the digest need not be computed.
-  const bool any =
-      !core_.quarantine.suspects.empty() || !core_.prompts.suspects.empty();
+  const bool any = !core_.quarantine.suspects.empty() ||
+                   !core_.prompts.suspects.empty() ||
+                   !core_.prompts.combinations.empty();
   if (!any)
     return;
   const decisions::prompt_parts parts =
@@ -166,13 +203,20 @@
                            std::chrono::steady_clock::now());
 }
 
+void crash_monitor::FailTrial() {
+  if (!routed_.trial.empty() && core_.prompt_trial_failed)
+    core_.prompt_trial_failed(routed_.trial);
+}
+
 void crash_monitor::ClearRequest(std::uint64_t digest) {
   if (!core_.quarantine.suspects.empty())
     core_.suspect_completed(digest);
 }
 
 void crash_monitor::ClearParts(const decisions::prompt_parts& parts) {
-  if (!parts.empty() && !core_.prompts.suspects.empty())
+  const bool any =
+      !core_.prompts.suspects.empty() || !core_.prompts.combinations.empty();
+  if (!parts.empty() && any)
     core_.prompt_served(parts);
 }
 
--- a/src/host/request/crash_monitor.h
+++ b/src/host/request/crash_monitor.h
@@ -18,6 +18,10 @@
 std::optional<base::error> CheckPromptQuarantine(const host_core& core,
                                                  const routed_request& routed);
 
+// Begins a trial if the request's prompt parts are quarantined, this host has
+// been granted a trial, and an engine that can be spared holds the model.
+void BeginTrialIfGranted(host_core& core, routed_request& routed);
+
 class crash_monitor {
  public:
   // `core`, `request` and `routed` must outlive the monitor. `routed` must have
@@ -56,6 +60,8 @@
   // Computed on first use.
   std::uint64_t Digest();
   void RecordRun();
+  // Reports the crash if the request is a trial.
+  void FailTrial();
   void ClearRequest(std::uint64_t digest);
   void ClearParts(const decisions::prompt_parts& parts);
 
--- a/src/host/request/relay.cc
+++ b/src/host/request/relay.cc
@@ -562,7 +562,7 @@
 // Whether another attempt may follow one with this outcome.
 bool relay::MayRetry(attempt_outcome outcome) {
   if (trace_.attempts >= kAttemptLimit || trace_.relays >= kMaxRelays ||
-      RemainingTime(routed_).count() <= 0)
+      RemainingTime(routed_).count() <= 0 || !routed_.trial.empty())
     return false;
   if (outcome == attempt_outcome::kUnknown) {
     ++possible_executions_;
@@ -713,6 +713,7 @@
   }
   if (!routed_.metadata.prompt.empty())
     decisions::RecordPrompt(core_.prompts, routed_.shared_parts);
+  BeginTrialIfGranted(core_, routed_);
   if (const auto quarantined = crash_monitor_.CheckQuarantine()) {
     co_await Fail(*quarantined);
     co_return;
--- a/src/host/request/routed_request.h
+++ b/src/host/request/routed_request.h
@@ -36,6 +36,11 @@
   std::optional<decisions::stream_origin> origin;
   // When the search for a server of the present attempt began.
   base::time_point search_began;
+  // The quarantined combination of prompt parts of which the request is a
+  // trial; it is sent once. Empty if it is none.
+  decisions::prompt_parts trial;
+  // Instances that a trial must not use.
+  std::vector<std::string> not_for_trial;
   // Instances at which an attempt of this request failed.
   std::vector<std::string> failed_instances;
 };
--- a/src/host/request/server_search.cc
+++ b/src/host/request/server_search.cc
@@ -32,7 +32,8 @@
   query.adapter = routed.metadata.adapter;
   query.head = &routed.metadata;
   query.weight = routed.weight;
-  query.avoid = &routed.failed_instances;
+  query.avoid =
+      routed.trial.empty() ? &routed.failed_instances : &routed.not_for_trial;
   if (routed.origin)
     query.software = &routed.origin->software;
   query.route_regions = &routed.route->homes;
--- a/src/tools/ctl/main.cc
+++ b/src/tools/ctl/main.cc
@@ -14,6 +14,7 @@
 #include "scheduler/process/scheduler_settings.h"
 #include "tools/ctl/explain_command.h"
 #include "tools/ctl/orders_command.h"
+#include "tools/ctl/quarantine_command.h"
 #include "tools/ctl/output.h"
 #include "tools/ctl/status_command.h"
 #include "tools/ctl/table_command.h"
@@ -35,6 +36,8 @@
   table history                       valeledgectl table history
   orders show                         valeledgectl orders show
   orders ended CONTROLLER-ID          valeledgectl orders ended controller-3
+  quarantine show                     valeledgectl quarantine show
+  quarantine lift NAME                valeledgectl quarantine lift parts/00000000dead0001
   status                              valeledgectl status --admin 127.0.0.1:7003
   why REQUEST-ID                      valeledgectl why 4f2a... --admin 127.0.0.1:7003
   explain REQUEST-ID FILE...          valeledgectl explain 4f2a... host-*.log
@@ -120,6 +123,16 @@
       return valeledge::ctl::EndController(*platform, words[2], *timeout);
     return exit_status::kUsage;
   }
+  if (verb == "quarantine") {
+    const auto platform = Address(parsed, "platform");
+    if (!platform)
+      return exit_status::kUsage;
+    if (words.size() == 2 && words[1] == "show")
+      return valeledge::ctl::ShowQuarantines(*platform, *timeout, format);
+    if (words.size() == 3 && words[1] == "lift")
+      return valeledge::ctl::LiftQuarantine(*platform, words[2], *timeout);
+    return exit_status::kUsage;
+  }
   if (verb == "explain" && words.size() >= 2) {
     return valeledge::ctl::RunExplain(words[1],
                                       {words.begin() + 2, words.end()});
--- /dev/null
+++ b/src/tools/ctl/quarantine_command.cc
@@ -0,0 +1,83 @@
+// SPDX-License-Identifier: MIT
+#include "tools/ctl/quarantine_command.h"
+
+#include <iostream>
+#include <utility>
+#include <vector>
+
+#include "store/constants.h"
+#include "store/etcd_client.h"
+#include "tools/ctl/run_to_end.h"
+
+namespace valeledge::ctl {
+
+namespace {
+
+namespace asio = boost::asio;
+
+asio::awaitable<base::result<std::vector<store::kv_pair>>> ReadAll(
+    store::kv_client& service) {
+  store::kv_transaction query;
+  query.on_success.push_back(store::GetPrefix(std::string(store::kHeldPrefix)));
+  auto response = co_await service.Run(std::move(query));
+  if (!response)
+    co_return tl::make_unexpected(response.error());
+  std::vector<store::kv_pair> pairs;
+  for (store::kv_operation_result& result : response->results) {
+    for (store::kv_pair& pair : result.pairs)
+      pairs.push_back(std::move(pair));
+  }
+  co_return pairs;
+}
+
+asio::awaitable<base::result<void>> Remove(store::kv_client& service,
+                                           std::string key) {
+  const auto pairs = co_await ReadAll(service);
+  if (!pairs)
+    co_return tl::make_unexpected(pairs.error());
+  for (const store::kv_pair& pair : *pairs) {
+    if (pair.key != key)
+      continue;
+    store::kv_transaction removal;
+    removal.on_success.push_back(store::Delete(key));
+    const auto done = co_await service.Run(std::move(removal));
+    if (!done)
+      co_return tl::make_unexpected(done.error());
+    co_return base::result<void>();
+  }
+  co_return base::NotRun(base::result_code::kRevisionConflict,
+                         key + " is not quarantined");
+}
+
+}  // namespace
+
+exit_status ShowQuarantines(const base::endpoint& platform,
+                            std::chrono::microseconds timeout,
+                            output_format format) {
+  asio::io_context context(1);
+  store::etcd_client service(context, {platform, timeout}, nullptr);
+  const auto pairs = RunToEnd(context, ReadAll(service));
+  if (!pairs)
+    return Report(pairs.error());
+  listing out{{"name", "evidence"}, {}};
+  for (const store::kv_pair& pair : *pairs)
+    out.rows.push_back(
+        {pair.key.substr(store::kHeldPrefix.size()), pair.value});
+  Print(out, format);
+  return exit_status::kOk;
+}
+
+exit_status LiftQuarantine(const base::endpoint& platform,
+                           const std::string& name,
+                           std::chrono::microseconds timeout) {
+  asio::io_context context(1);
+  store::etcd_client service(context, {platform, timeout}, nullptr);
+  const auto removed = RunToEnd(
+      context, Remove(service, std::string(store::kHeldPrefix) + name));
+  if (!removed)
+    return Report(removed.error());
+  std::cout << name << " is no longer quarantined\n";
+  return exit_status::kOk;
+}
+
+}  // namespace valeledge::ctl
--- a/tests/auto/decisions/test_prompt_quarantine.cc
+++ b/tests/auto/decisions/test_prompt_quarantine.cc
@@ -263,7 +263,8 @@
   std::vector<prompt_parts> quarantined;
   for (const auto& update : updates) {
     for (auto& each :
-         decisions::ApplyPromptUpdate(there.state, update, there.now))
+         decisions::ApplyPromptUpdate(there.state, update, there.now)
+             .quarantined)
       quarantined.push_back(std::move(each));
   }
   BOOST_REQUIRE(quarantined.size() == 1u);
--- a/tests/auto/host/test_crashing_prompt_parts.cc
+++ b/tests/auto/host/test_crashing_prompt_parts.cc
@@ -1,6 +1,7 @@
 // SPDX-License-Identifier: MIT
 // Guards against requests that share a part of their prompt and crash one
 // backend server after the other, while no two of them are alike.
+#include <algorithm>
 #include <string>
 #include <vector>
 
@@ -10,6 +11,7 @@
 
 using namespace valeledge;
 using namespace valeledge::test;
+using decisions::prompt_parts;
 using connection_action = scripted_response::connection_action;
 
 const std::string kRoutePart = "5c1e07a2:100";
@@ -79,6 +81,41 @@
                                    kSilentCrash) == 3u);
 }
 
+// Guards against trials that are sent more than once, or at engines that have
+// just crashed.
+BOOST_AUTO_TEST_CASE(a_trial_is_sent_once) {
+  prompt_world here(16);
+  here.CountSendsOfPart({kRoutePart, kCrashingPart, kDocument}, kCrash);
+  int trials = 1;
+  here.core->begin_prompt_trial = [&trials](const prompt_parts&) {
+    return trials-- > 0;
+  };
+  std::vector<prompt_parts> failed;
+  here.core->prompt_trial_failed = [&failed](const prompt_parts& parts) {
+    failed.push_back(parts);
+  };
+  const std::size_t before = here.SendCount();
+  here.Send({kRoutePart, kCrashingPart}, kCrash, "/resumed/");
+  here.Send({kRoutePart, kCrashingPart}, kCrash, "/resumed/");
+  BOOST_TEST(here.SendCount() - before == 1u);
+  BOOST_REQUIRE(failed.size() == 1u);
+  BOOST_TEST((failed.front() == prompt_parts{0xdead0001}));
+}
+
+BOOST_AUTO_TEST_CASE(a_trial_that_is_served_is_reported) {
+  prompt_world here(16);
+  here.CountSendsOfPart({kRoutePart, kCrashingPart, kDocument}, kCrash);
+  here.core->begin_prompt_trial = [](const prompt_parts&) { return true; };
+  std::vector<prompt_parts> served;
+  here.core->prompt_served = [&served](const prompt_parts& parts) {
+    served.push_back(parts);
+  };
+  const auto seen = here.Send({kRoutePart, kCrashingPart}, kServed);
+  BOOST_TEST(seen.status == 200);
+  BOOST_REQUIRE(served.size() == 1u);
+  BOOST_TEST(std::ranges::includes(served.front(), prompt_parts{0xdead0001}));
+}
+
 BOOST_AUTO_TEST_CASE(retries_by_the_host_count_too) {
   prompt_world here;
   BOOST_TEST(here.CountSendsOfPart({kRoutePart, kCrashingPart, kDocument},
--- a/tests/auto/host/test_prompt_quarantine_coordinator.cc
+++ b/tests/auto/host/test_prompt_quarantine_coordinator.cc
@@ -39,7 +39,8 @@
 
   void AddHost(std::int64_t hosts) {
     const std::size_t at = hosts_.size();
-    one_host& added = *hosts_.emplace_back(std::make_unique<one_host>(context));
+    one_host& added =
+        *hosts_.emplace_back(std::make_unique<one_host>(context, at));
     added.core.hosts = hosts;
     const auto now = std::chrono::steady_clock::now();
     for (std::uint64_t i = 0; i < 60; ++i) {
@@ -55,7 +56,7 @@
                            at](const wire::prompt_quarantine_update& update) {
       Deliver(at, update, hosts_.size());
     };
-    callbacks.is_first = [at] { return at == 0; };
+    callbacks.is_first = [this, at] { return at == first; };
     added.coordinator = std::make_unique<host::prompt_quarantine_coordinator>(
         added.core, store, std::move(callbacks));
   }
@@ -115,15 +116,36 @@
     }
   }
 
+  // Returns the host that may send a trial, once one may.
+  std::optional<std::size_t> RunUntilTrial(const prompt_parts& combination) {
+    const auto until = std::chrono::steady_clock::now() + 10s;
+    while (std::chrono::steady_clock::now() < until) {
+      for (std::size_t host = 0; host < hosts_.size(); ++host) {
+        if (!disconnected.contains(host) && At(host).BeginTrial(combination))
+          return host;
+      }
+      context.restart();
+      context.run_one_for(10ms);
+    }
+    return std::nullopt;
+  }
+
   boost::asio::io_context context{1};
   test::fake_store store{context};
+  // The first host selected to evaluate crashes.
+  std::size_t first = 0;
   // Hosts that can neither send nor receive.
   std::set<std::size_t> disconnected;
 
  private:
   struct one_host {
-    explicit one_host(boost::asio::io_context& context)
-        : core(context, host::host_settings(), platform::MakeDialect()) {}
+    one_host(boost::asio::io_context& context, std::size_t number)
+        : core(context, SettingsOf(number), platform::MakeDialect()) {}
+    static host::host_settings SettingsOf(std::size_t number) {
+      host::host_settings settings;
+      settings.name = "host-" + std::to_string(number);
+      return settings;
+    }
     host::host_core core;
     std::unique_ptr<host::prompt_quarantine_coordinator> coordinator;
   };
@@ -223,6 +245,71 @@
   BOOST_TEST(here.CountRefusing({kCause}) == 1u);
 }
 
+// Guards against a quarantine that nothing ends: no request that would show
+// that the parts are sound reaches a server.
+BOOST_AUTO_TEST_CASE(a_trial_that_succeeds_ends_the_quarantine_everywhere) {
+  fleet here(8, 8);
+  here.Crash(3, {kCause}, 0);
+  here.TickAll();
+  here.RunUntilStored(kKey);
+  BOOST_TEST(here.CountRefusing({kCause}) == 8u);
+  const auto trial = here.RunUntilTrial({kCause});
+  BOOST_REQUIRE(trial.has_value());
+  for (std::size_t host = 0; host < 8; ++host)
+    BOOST_TEST(!here.At(host).BeginTrial({kCause}));
+  here.At(*trial).OnServed({7, kCause});
+  BOOST_TEST(here.CountRefusing({kCause}) == 0u);
+  // Hosts that have begun the quarantine repeat it for a while.
+  here.TickAll();
+  BOOST_TEST(here.CountRefusing({kCause}) == 0u);
+  BOOST_TEST(!here.StoreHas(kKey));
+}
+
+BOOST_AUTO_TEST_CASE(a_trial_that_fails_leaves_the_quarantine) {
+  fleet here(8, 8);
+  here.Crash(3, {kCause}, 0);
+  here.TickAll();
+  const auto trial = here.RunUntilTrial({kCause});
+  BOOST_REQUIRE(trial.has_value());
+  here.At(*trial).OnTrialFailed({kCause});
+  here.Crash(1, {kCause}, *trial);
+  here.TickAll();
+  BOOST_TEST(here.CountRefusing({kCause}) == 8u);
+}
+
+// Guards against trials that no host grants after the first one selected has
+// been lost, and against hosts of a large fleet that receive no grants.
+BOOST_AUTO_TEST_CASE(any_host_of_a_large_fleet_may_try) {
+  fleet here(300, 16);
+  here.Crash(3, {7, kCause}, 100);
+  const auto until = std::chrono::steady_clock::now() + 10s;
+  while (here.CountRefusing({7, kCause}) < 300 &&
+         std::chrono::steady_clock::now() < until) {
+    here.context.restart();
+    here.context.run_one_for(10ms);
+    here.TickAll();
+  }
+  here.disconnected = {0};
+  here.first = 1;
+  const auto trial = here.RunUntilTrial({7, kCause});
+  BOOST_REQUIRE(trial.has_value());
+  here.At(*trial).OnServed({7, kCause});
+  BOOST_TEST(here.CountRefusing({7, kCause}) == 1u);
+}
+
+// Guards against an operator's removal of a key that the next crash undoes.
+BOOST_AUTO_TEST_CASE(an_operator_lifts_a_quarantine) {
+  fleet here(4, 4);
+  here.Crash(3, {kCause}, 0);
+  here.TickAll();
+  BOOST_TEST(here.CountRefusing({kCause}) == 4u);
+  for (std::size_t host = 0; host < 4; ++host)
+    BOOST_TEST(here.At(host).RemoveKey(kKey, false));
+  here.Crash(1, {kCause}, 0);
+  here.TickAll();
+  BOOST_TEST(here.CountRefusing({kCause}) == 0u);
+}
+
 BOOST_AUTO_TEST_CASE(unrelated_keys_are_not_handled) {
   fleet here(1, 1);
   BOOST_TEST(!here.At(0).PutKey("valeledge/held/fedcba9876543210"));
