Adaptive time-outs for attempts at model engines

An attempt of a repeatable model request of a service with mixed urgency is watched from its sending until its first event, at engines and through other hosts. The retry is acquired before the attempt is abandoned, so that an exhausted budget leaves the caller with the late response rather than with 502, and the next attempt uses it. Other requests keep the fixed time-out.

--- a/src/host/process/server_registry.h
+++ b/src/host/process/server_registry.h
@@ -120,6 +120,13 @@
                                       const catalog::service& service,
                                       base::time_point now,
                                       std::mt19937_64& random);
+  // Returns the best warm server for a request; reserves nothing.
+  std::optional<server_choice> FindBest(const server_query& query,
+                                        const catalog::service& service,
+                                        base::time_point now,
+                                        std::mt19937_64& random) const {
+    return ChooseWarm(query, service, now, random);
+  }
   // Whether any server that accepts the request holds its unit.
   bool AnyHolds(const server_query& query, base::time_point now) const;
 
--- /dev/null
+++ b/src/host/request/attempt_watch.cc
@@ -0,0 +1,270 @@
+// SPDX-License-Identifier: MIT
+#include "host/request/attempt_watch.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "base/logging.h"
+#include "host/constants.h"
+#include "host/process/path_monitor.h"
+#include "host/request/server_search.h"
+
+namespace valeledge::host {
+
+namespace {
+
+using decisions::attempt_reason;
+using decisions::attempt_verdict;
+using decisions::attempt_wait;
+using std::chrono::duration_cast;
+using std::chrono::milliseconds;
+
+constexpr std::string_view kCounter = "valeledge_attempt_waits_total";
+
+// Load changes of other hosts are known within one interval of their reports.
+constexpr milliseconds kLoadKnownAfter = kLoadReportInterval;
+
+// A denied retry is requested again after the time in which a host of the
+// largest fleets earns a noticeable part of one.
+constexpr milliseconds kDeniedInterval{100};
+
+// Expected time at the engines of another host if this host knows none: half of
+// the objective, since admission sends nothing that would be late, and at most
+// what engines need for their longest prompts.
+constexpr int kUnknownExpectedDivisor = 2;
+constexpr milliseconds kMaxUnknownExpected{500};
+
+// The other host may need the time of two attempts, since it makes a second one
+// itself.
+constexpr int kAttemptsOfPeer = 2;
+
+// Above this share of an engine's token memory requests may be preempted.
+constexpr double kMaxTokenMemoryUse = 0.85;
+
+milliseconds WholeMilliseconds(std::chrono::duration<double, std::milli> time) {
+  constexpr std::chrono::duration<double, std::milli> kMax =
+      std::chrono::hours(1);
+  return duration_cast<milliseconds>(std::min(time, kMax));
+}
+
+milliseconds FixedHeaderTimeout(const routed_request& routed) {
+  return std::min(duration_cast<milliseconds>(routed.route->objective *
+                                              kHeaderTimeoutFraction),
+                  kMaxHeaderTimeout);
+}
+
+// Whether an engine can start the request immediately.
+bool HasCapacity(const server_choice& choice, const routed_request& routed) {
+  const known_server& server = *choice.server;
+  const auto memory = static_cast<double>(routed.service->engines.token_memory);
+  const std::int64_t held = server.own.held_tokens + server.others.held_tokens +
+                            routed.weight.held_tokens;
+  const bool has_memory =
+      memory <= 0 || static_cast<double>(held) <= memory * kMaxTokenMemoryUse;
+  return has_memory && !server.IsLimited() &&
+         server.own.running + server.others.running < server.entry.slots;
+}
+
+}  // namespace
+
+bool HasAdaptiveTimeout(const host_core& core, const routed_request& routed) {
+  return !routed.metadata.model.empty() &&
+         IsEnabled(core.settings.features.adaptive_timeouts, *routed.service);
+}
+
+milliseconds FirstEventLimit(const known_server& /*server*/,
+                             milliseconds expected,
+                             base::time_point /*now*/) {
+  return decisions::FixedSpreadLimit(expected);
+}
+
+watched_attempt AttemptThroughHost(host_core& core,
+                                   const routed_request& routed,
+                                   const base::endpoint& peer) {
+  watched_attempt attempt;
+  attempt.peer = peer;
+  const auto best = FindOtherServer(core, routed, {});
+  attempt.expected =
+      best ? WholeMilliseconds(best->expected)
+           : std::min(routed.route->objective / kUnknownExpectedDivisor,
+                      kMaxUnknownExpected);
+  return attempt;
+}
+
+attempt_watch::attempt_watch(host_core& core,
+                             const routed_request& routed,
+                             retry_permit& permit,
+                             watched_attempt attempt,
+                             std::function<bool()> may_send_again)
+    : core_(core),
+      routed_(routed),
+      permit_(permit),
+      attempt_(std::move(attempt)),
+      may_send_again_(std::move(may_send_again)),
+      timer_(core.context) {}
+
+void attempt_watch::Start(std::function<void()> abandon) {
+  sent_at_ = std::chrono::steady_clock::now();
+  abandon_ = std::move(abandon);
+  ScheduleNext(kLoadKnownAfter);
+}
+
+void attempt_watch::OnStarted() {
+  abandon_ = nullptr;
+  timer_.cancel();
+  if (std::exchange(was_kept_, false))
+    Count("late_start");
+}
+
+void attempt_watch::ScheduleNext(milliseconds delay) {
+  timer_.expires_after(delay);
+  // The attempt may end between the expiry of the timer and this call.
+  timer_.async_wait(
+      [weak = weak_from_this()](boost::system::error_code failed) {
+        const auto watch = weak.lock();
+        if (watch != nullptr && !failed)
+          watch->Ask();
+      });
+}
+
+void attempt_watch::Ask() {
+  if (!abandon_)
+    return;
+  const attempt_wait wait = MakeWait(std::chrono::steady_clock::now());
+  const auto decided = decisions::DecideAttempt(wait);
+  switch (decided.verdict) {
+    case attempt_verdict::kKeep:
+      if (decided.reason != attempt_reason::kWithinSpread)
+        RecordKept(wait, NameOf(decided.reason));
+      ScheduleNext(decided.ask_again_in);
+      return;
+    case attempt_verdict::kAskForRetry:
+      if (permit_.AcquireAhead(routed_.service->name,
+                               std::chrono::steady_clock::now())) {
+        Abandon(wait, decided.reason);
+        return;
+      }
+      RecordKept(wait, "retry_budget");
+      ScheduleNext(kDeniedInterval);
+      return;
+    case attempt_verdict::kGiveUp:
+      // The time-out of the connection ends the attempt.
+      return;
+  }
+}
+
+void attempt_watch::Abandon(const attempt_wait& wait, attempt_reason reason) {
+  Count(NameOf(reason));
+  core_.log.Write(
+      base::log_weight::kTrouble, base::log_event::kAttemptAbandoned,
+      routed_.metadata.id,
+      {{"request", routed_.metadata.id},
+       {"server", attempt_.server != nullptr ? attempt_.server->entry.instance
+                                             : base::ToString(attempt_.peer)},
+       {"reason", std::string(NameOf(reason))},
+       {"waited_ms", wait.waited.count()},
+       {"expected_ms", wait.expected.count()},
+       {"limit_ms", wait.spread_limit.count()},
+       {"other", other_},
+       {"other_expected_ms",
+        wait.other_expected.value_or(milliseconds(0)).count()},
+       {"left_ms", wait.deadline_left.count()}});
+  std::exchange(abandon_, nullptr)();
+}
+
+void attempt_watch::RecordKept(const attempt_wait& wait,
+                               std::string_view reason) {
+  if (std::exchange(was_kept_, true))
+    return;
+  Count("kept_" + std::string(reason));
+  core_.log.Write(
+      base::log_weight::kTrouble, base::log_event::kAttemptKept,
+      routed_.metadata.id,
+      {{"request", routed_.metadata.id},
+       {"server", attempt_.server != nullptr ? attempt_.server->entry.instance
+                                             : base::ToString(attempt_.peer)},
+       {"reason", std::string(reason)},
+       {"waited_ms", wait.waited.count()},
+       {"expected_ms", wait.expected.count()},
+       {"limit_ms", wait.spread_limit.count()},
+       {"left_ms", wait.deadline_left.count()}});
+}
+
+attempt_wait attempt_watch::MakeWait(base::time_point now) {
+  UpdateExpected(now);
+  attempt_wait wait;
+  wait.waited = duration_cast<milliseconds>(now - sent_at_);
+  wait.expected = attempt_.expected;
+  wait.objective_left = duration_cast<milliseconds>(
+      routed_.arrived + routed_.route->objective - now);
+  wait.deadline_left = RemainingTime(routed_);
+  if (attempt_.server != nullptr) {
+    wait.spread_limit =
+        FirstEventLimit(*attempt_.server, attempt_.expected, now);
+  } else {
+    wait.spread_limit =
+        kAttemptsOfPeer * decisions::FixedSpreadLimit(attempt_.expected);
+  }
+  // A whole response ends with its last token, which `expected` leaves out.
+  const bool is_whole = routed_.route->kind != catalog::route_kind::kStream;
+  if (is_whole || attempt_.server == nullptr)
+    wait.spread_limit =
+        std::max(wait.spread_limit, FixedHeaderTimeout(routed_));
+  FindOther(wait);
+  return wait;
+}
+
+void attempt_watch::FindOther(attempt_wait& wait) {
+  if (!may_send_again_())
+    return;
+  if (attempt_.server == nullptr) {
+    FindOtherPeer(wait);
+    return;
+  }
+  // While the path to the servers may be lost, path_monitor ends attempts.
+  const bool is_path_suspected =
+      core_.paths != nullptr &&
+      (core_.paths->IsLost(routed_.service->name) ||
+       core_.paths->IsSuspected(routed_.service->name));
+  if (is_path_suspected)
+    return;
+  const auto other =
+      FindOtherServer(core_, routed_, attempt_.server->entry.instance);
+  if (!other)
+    return;
+  wait.other_expected = WholeMilliseconds(other->expected);
+  wait.other_has_capacity = HasCapacity(*other, routed_);
+  other_ = other->server->entry.instance;
+}
+
+void attempt_watch::FindOtherPeer(attempt_wait& wait) {
+  const auto peer = core_.paths->ChooseRelay(routed_.service->name, false);
+  const bool is_other = peer && peer->relay_address != attempt_.peer;
+  if (!is_other && core_.paths->IsLost(routed_.service->name))
+    return;
+  wait.other_expected = attempt_.expected;
+  wait.other_has_capacity = true;
+  other_ = is_other ? base::ToString(peer->relay_address) : std::string();
+}
+
+void attempt_watch::UpdateExpected(base::time_point now) {
+  if (std::exchange(has_updated_expected_, true) || attempt_.server == nullptr)
+    return;
+  const known_server& server = *attempt_.server;
+  const std::int64_t unread =
+      server.own.unread_tokens + server.others.unread_tokens;
+  const auto reading = routed_.weight.time_per_token *
+                       static_cast<double>(unread) * server.trust.slowdown;
+  milliseconds expected = WholeMilliseconds(reading);
+  // An engine with other prompts has been reading them meanwhile. One that has
+  // only this one may hang.
+  if (unread > routed_.weight.prompt_tokens)
+    expected += duration_cast<milliseconds>(now - sent_at_);
+  attempt_.expected = std::max(attempt_.expected, expected);
+}
+
+void attempt_watch::Count(std::string_view what) {
+  core_.metrics.Counter(kCounter, what).Add();
+}
+
+}  // namespace valeledge::host
--- a/src/host/request/relay.cc
+++ b/src/host/request/relay.cc
@@ -13,6 +13,7 @@
 #include "host/process/path_monitor.h"
 #include "host/process/response_updates.h"
 #include "host/request/attempt_progress.h"
+#include "host/request/attempt_watch.h"
 #include "host/request/caller_authentication.h"
 #include "host/request/crash_monitor.h"
 #include "host/request/event_splitter.h"
@@ -83,8 +84,16 @@
   // Whether a response is a server's to this request; sets the last error if
   // not.
   bool IsServerResponse(const response_metadata& metadata);
+  // Whether another attempt may follow the present one if that may have run.
+  bool MayRepeatAttempt() const;
   // Returns how long an attempt waits for the header of its response.
   milliseconds HeaderTimeout() const;
+  // Begins to watch an attempt, if its request has an adaptive time-out.
+  void Watch(watched_attempt attempt);
+  // The request is about to be written.
+  void StartWatch();
+  // The header of a response has arrived.
+  void WatchBody(const std::shared_ptr<net::http_exchange>& exchange);
   // Applies what a server has stated to the other host.
   void ApplyRelayedNotices(const std::string& instance,
                            const response_metadata& metadata);
@@ -121,6 +130,9 @@
   std::shared_ptr<net::open_guard> guard_;
   std::unique_ptr<limit_charge> charge_;
   request_trace trace_;
+  // Watches the present attempt; null if its time-out is fixed or no other
+  // attempt may follow.
+  std::shared_ptr<attempt_watch> watch_;
   std::int64_t possible_executions_ = 0;
   attempt_progress progress_;
   // The id of the next event does not follow that of the last one.
@@ -287,6 +299,8 @@
     co_return true;
   if (attempt != nullptr)
     attempt->OnFirstByte();
+  if (watch_ != nullptr)
+    watch_->OnStarted();
   RecordEventGap(routed_, trace_);
   if (!trace_.response_started) {
     RecordStreamBegun(core_, routed_, software_);
@@ -344,17 +358,52 @@
   co_return attempt_outcome::kDone;
 }
 
+bool relay::MayRepeatAttempt() const {
+  return routed_.route->MayRepeat() &&
+         possible_executions_ + 1 < routed_.route->attempts;
+}
+
 milliseconds relay::HeaderTimeout() const {
   const milliseconds left = RemainingTime(routed_);
-  const bool may_retry = routed_.route->MayRepeat() &&
-                         possible_executions_ + 1 < routed_.route->attempts;
-  if (!may_retry)
+  if (!MayRepeatAttempt() || HasAdaptiveTimeout(core_, routed_))
     return left;
   const auto part = duration_cast<milliseconds>(routed_.route->objective *
                                                 kHeaderTimeoutFraction);
   return std::min({left, part, kMaxHeaderTimeout});
 }
 
+void relay::Watch(watched_attempt attempt) {
+  watch_ = nullptr;
+  const bool may_follow = MayRepeatAttempt() &&
+                          trace_.attempts < kAttemptLimit &&
+                          trace_.relays < kMaxRelays;
+  if (!may_follow || !HasAdaptiveTimeout(core_, routed_))
+    return;
+  watch_ = std::make_shared<attempt_watch>(
+      core_, routed_, permit_, std::move(attempt),
+      [this] { return !crash_monitor_.CheckQuarantine(); });
+}
+
+void relay::StartWatch() {
+  if (watch_ != nullptr)
+    watch_->Start([guard = guard_] { guard->Interrupt(); });
+}
+
+void relay::WatchBody(const std::shared_ptr<net::http_exchange>& exchange) {
+  if (watch_ == nullptr)
+    return;
+  const bool streams = routed_.route->kind == route_kind::kStream &&
+                       exchange->header().result_int() == 200;
+  if (!streams) {
+    watch_->OnStarted();
+    return;
+  }
+  watch_->SetAbandon([weak = std::weak_ptr<net::http_exchange>(exchange)] {
+    if (const auto open = weak.lock())
+      open->Abandon();
+  });
+}
+
 asio::awaitable<attempt_outcome> relay::Attempt(const server_choice& choice) {
   known_server& server = *choice.server;
   auto forwarded =
@@ -383,12 +432,15 @@
   LogAttemptSent(core_, routed_, trace_, choice, attempt_fields);
   const bool may_repeat = routed_.route->MayRepeat();
   attempt.OnInterrupt(may_repeat, [guard = guard_] { guard->Interrupt(); });
+  Watch({choice.server, {}, duration_cast<milliseconds>(choice.expected)});
   guard_->SetSendCheck([this, &server, &attempt] {
     if (auto quarantined = crash_monitor_.CheckQuarantine())
       return base::result<void>(tl::make_unexpected(std::move(*quarantined)));
     auto allowed = CheckSend(core_, server);
-    if (allowed)
+    if (allowed) {
       attempt.OnSent();
+      StartWatch();
+    }
     return allowed;
   });
   auto opened = co_await core_.http.Open(
@@ -412,6 +464,7 @@
   }
   progress_.header_at = std::chrono::steady_clock::now();
   attempt.OnData();
+  WatchBody(*opened);
   net::http_exchange& exchange = **opened;
   if (exchange.EndsWithConnection())
     core_.metrics.Counter("valeledge_unframed_responses_total").Add();
@@ -465,7 +518,11 @@
   last_error_ = {};
   instance_.clear();
   LogAttemptRelayed(core_, routed_, trace_, peer);
-  guard_->SetSendCheck({});
+  Watch(AttemptThroughHost(core_, routed_, peer));
+  guard_->SetSendCheck([this] {
+    StartWatch();
+    return base::result<void>();
+  });
   auto opened = co_await core_.http.Open(
       peer,
       MakeRelayedRequest(core_, request_, routed_, trace_.last_event_id,
@@ -483,6 +540,7 @@
         : attempt_outcome::kUnknown;
   }
   progress_.header_at = std::chrono::steady_clock::now();
+  WatchBody(*opened);
   net::http_exchange& exchange = **opened;
   responder_.OnCallerGone([weak = std::weak_ptr<net::http_exchange>(*opened)] {
     if (const auto open = weak.lock())
@@ -673,10 +731,12 @@
     co_return attempt_outcome::kDenied;
   if (peer) {
     const auto outcome = co_await AttemptThroughPeer(peer->relay_address);
+    watch_ = nullptr;
     target_ = base::ToString(peer->relay_address);
     co_return outcome;
   }
   const auto outcome = co_await Attempt(*choice);
+  watch_ = nullptr;
   target_ = choice->server->entry.instance;
   if (outcome == attempt_outcome::kUnknown && !responder_.caller_gone()) {
     crash_monitor_.OnAttemptFailed(*choice->server, progress_, last_error_);
--- a/src/host/request/retry_permit.cc
+++ b/src/host/request/retry_permit.cc
@@ -1,6 +1,8 @@
 // SPDX-License-Identifier: MIT
 #include "host/request/retry_permit.h"
 
+#include <utility>
+
 #include "host/request/send_check.h"
 
 namespace valeledge::host {
@@ -23,6 +25,13 @@
   return has_unused_retry_;
 }
 
+bool retry_permit::AcquireAhead(const std::string& service,
+                                base::time_point now) {
+  if (!has_retry_ahead_)
+    has_retry_ahead_ = budgets_.TryAcquire(service, now);
+  return has_retry_ahead_;
+}
+
 void retry_permit::RecordFailure(const base::error& failed) {
   const bool reached_no_server =
       failed.code == base::result_code::kBackendUnreachable ||
@@ -30,7 +39,7 @@
   if (reached_no_server)
     return;
   may_have_reached_server_ = true;
-  has_unused_retry_ = false;
+  has_unused_retry_ = std::exchange(has_retry_ahead_, false);
 }
 
 }  // namespace valeledge::host
--- a/src/host/request/retry_permit.h
+++ b/src/host/request/retry_permit.h
@@ -22,6 +22,10 @@
   // the attempt needs one; returns false if the budget is exhausted.
   bool Acquire(const std::string& service, base::time_point now);
 
+  // Consumes a retry for the attempt that will follow the one in progress, so
+  // that the latter can be abandoned. Returns false if the budget is exhausted.
+  bool AcquireAhead(const std::string& service, base::time_point now);
+
   // Whether the budget denied the last attempt passed to MayAcquire() or
   // Acquire().
   bool is_exhausted() const { return is_exhausted_; }
@@ -41,6 +45,8 @@
   bool may_have_reached_server_ = false;
   // Whether a retry was consumed for an attempt that then reached no server.
   bool has_unused_retry_ = false;
+  // Whether a retry was consumed while an attempt was in progress.
+  bool has_retry_ahead_ = false;
   bool is_exhausted_ = false;
 };
 
--- a/src/host/request/server_search.cc
+++ b/src/host/request/server_search.cc
@@ -348,6 +348,17 @@
 
 }  // namespace
 
+std::optional<server_choice> FindOtherServer(host_core& core,
+                                             const routed_request& routed,
+                                             const std::string& instance) {
+  std::vector<std::string> avoid = routed.failed_instances;
+  avoid.push_back(instance);
+  server_query query = QueryOf(routed);
+  query.avoid = &avoid;
+  return core.servers.FindBest(query, *routed.service,
+                               std::chrono::steady_clock::now(), core.random);
+}
+
 milliseconds RetryAfterRefusals(host_core& core, const routed_request& routed) {
   const auto now = std::chrono::steady_clock::now();
   // The caller's next attempt may use the servers that refused this one.
--- a/src/host/request/server_search.h
+++ b/src/host/request/server_search.h
@@ -4,6 +4,8 @@
 #define VALELEDGE_HOST_REQUEST_SERVER_SEARCH_H_
 
 #include <chrono>
+#include <optional>
+#include <string>
 
 #include <boost/asio/awaitable.hpp>
 
@@ -22,6 +24,12 @@
     bool first_attempt,
     const net::http_responder& responder);
 
+// Returns the best server for another attempt while one at `instance` is in
+// progress; nothing if there is none now.
+std::optional<server_choice> FindOtherServer(host_core& core,
+                                             const routed_request& routed,
+                                             const std::string& instance);
+
 // Returns the retry-after delay for a caller whose request was refused by all
 // servers that it was sent to.
 std::chrono::milliseconds RetryAfterRefusals(host_core& core,
--- a/tests/auto/host/backend_stand_in.h
+++ b/tests/auto/host/backend_stand_in.h
@@ -13,6 +13,7 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
@@ -46,6 +47,14 @@
   // One entry per request, in order; the last one is repeated.
   std::deque<scripted_response> script;
   std::vector<net::http_request> requests;
+  // While set, requests are recorded but not responded to.
+  bool holds_responses = false;
+  // Sends the responses that were held.
+  void ReleaseResponses() {
+    holds_responses = false;
+    released_.cancel();
+  }
+
   // Connections that the client closed while the server was not responding.
   int abandoned = 0;
 
@@ -77,6 +86,8 @@
         script.pop_front();
       const std::string id(request["X-Request-Id"]);
       requests.push_back(std::move(request));
+      while (holds_responses)
+        co_await released_.async_wait(kAwait);
       const std::size_t at = response.bytes.find("$ID");
       if (at != std::string::npos)
         response.bytes.replace(at, 3, id);
@@ -101,6 +112,8 @@
 
   boost::asio::io_context& context_;
   boost::asio::ip::tcp::acceptor acceptor_;
+  boost::asio::steady_timer released_{
+      context_, boost::asio::steady_timer::time_point::max()};
 };
 
 }  // namespace valeledge::test
--- a/tests/auto/host/test_retry_permit.cc
+++ b/tests/auto/host/test_retry_permit.cc
@@ -82,6 +82,40 @@
   BOOST_TEST(Count("exhausted") == 2);
 }
 
+// A retry that was charged while an attempt was in progress is used by the next
+// attempt, and only by that one.
+BOOST_AUTO_TEST_CASE(a_retry_acquired_ahead_is_charged_once) {
+  BOOST_TEST(permit.Acquire("s", kNow));
+  BOOST_TEST(permit.AcquireAhead("s", kNow));
+  BOOST_TEST(permit.AcquireAhead("s", kNow));
+  BOOST_TEST(Count("granted") == 1);
+  permit.RecordFailure(refused);
+  BOOST_TEST(permit.MayAcquire("s", kNow));
+  BOOST_TEST(permit.Acquire("s", kNow));
+  BOOST_TEST(Count("granted") == 1);
+  permit.RecordFailure(refused);
+  BOOST_TEST(permit.Acquire("s", kNow));
+  BOOST_TEST(Count("granted") == 2);
+}
+
+// The attempt in progress may itself use a retry.
+BOOST_AUTO_TEST_CASE(a_retry_in_use_is_not_used_again) {
+  BOOST_TEST(permit.Acquire("s", kNow));
+  permit.RecordFailure(refused);
+  BOOST_TEST(permit.Acquire("s", kNow));
+  BOOST_TEST(permit.AcquireAhead("s", kNow));
+  BOOST_TEST(Count("granted") == 2);
+}
+
+BOOST_AUTO_TEST_CASE(an_exhausted_budget_allows_no_retry_ahead) {
+  for (int i = 0; i < 4; ++i)
+    BOOST_TEST(budgets.TryAcquire("s", kNow));
+  BOOST_TEST(permit.Acquire("s", kNow));
+  BOOST_TEST(!permit.AcquireAhead("s", kNow));
+  permit.RecordFailure(refused);
+  BOOST_TEST(!permit.Acquire("s", kNow));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
