Lease keeper: a lease may be taken over before it lapses

A process that may succeed the holder ends the holder's lease, and writes itself as the holder on the same condition as for a free lease: that nobody has held it since. The lease is ended first, so that a holder that still runs learns of it by its next renewal. Without SetSuccession nothing changes.

--- a/src/store/lease_keeper.cc
+++ b/src/store/lease_keeper.cc
@@ -98,16 +98,19 @@
     co_return;
   const auto& pairs = seen->results.front().pairs;
   const auto leader = FindKey(pairs, kLeaderKey);
-  if (leader && leader->value != holder_)
+  const auto former = FindKey(pairs, kFormerLeaderKey);
+  const bool succeeds = leader && leader->value != holder_;
+  if (succeeds && !MaySucceed(former))
     co_return;
   if (leader) {
     // A process of this name that has ended, or a write of this one whose
-    // answer got lost: nobody needs to wait until it lapses.
+    // answer got lost: nobody needs to wait until it lapses. Or another holder
+    // that is lost: should it still run, it learns of the succession by its
+    // next renewal.
     const auto ended = co_await service_.RevokeLease(leader->lease);
     if (!ended)
       co_return;
   }
-  const auto former = FindKey(pairs, kFormerLeaderKey);
   const auto asked = base::boot_clock::now();
   const auto granted = co_await service_.GrantLease(
       std::chrono::ceil<std::chrono::seconds>(length_));
@@ -123,9 +126,19 @@
   safe_until_ = asked + length_;
   taken_at_ = std::chrono::steady_clock::now();
   term_ = taken->revision;
+  if (succeeds) {
+    base::Log(kCategory, log_event::kLeaseSucceeded,
+              {{"holder", leader->value},
+               {"former_term", former->mod_revision},
+               {"term", taken->revision}});
+  }
   base::Log(kCategory, log_event::kLeaseTaken, {{"term", taken->revision}});
 }
 
+bool lease_keeper::MaySucceed(const std::optional<kv_pair>& former) const {
+  return former && may_succeed_ && may_succeed_(former->mod_revision);
+}
+
 asio::awaitable<base::result<kv_transaction_result>> lease_keeper::WriteHolder(
     std::int64_t lease,
     const std::optional<kv_pair>& former) {
--- a/src/store/lease_keeper.h
+++ b/src/store/lease_keeper.h
@@ -39,6 +39,11 @@
   void SetTurn(std::function<std::chrono::milliseconds()> turn) {
     turn_ = std::move(turn);
   }
+  // Asked whether a lease that another process holds may be taken over before
+  // it lapses, with the term of that lease. Without it none is.
+  void SetSuccession(std::function<bool(std::int64_t term)> may_succeed) {
+    may_succeed_ = std::move(may_succeed);
+  }
   // Takes no lease from now on and gives up the one that is held.
   void Resign() { resigned_ = true; }
 
@@ -75,6 +80,8 @@
   boost::asio::awaitable<base::result<kv_transaction_result>> WriteHolder(
       std::int64_t lease,
       const std::optional<kv_pair>& former);
+  // Whether the lease of another process may be taken over.
+  bool MaySucceed(const std::optional<kv_pair>& former) const;
   boost::asio::awaitable<void> Keep();
   boost::asio::awaitable<void> GiveUp();
 
@@ -84,6 +91,7 @@
   std::chrono::microseconds length_;
   std::function<bool()> is_candidate_;
   std::function<std::chrono::milliseconds()> turn_;
+  std::function<bool(std::int64_t term)> may_succeed_;
   bool maybe_first_;
   bool is_first_holder_ = false;
   bool follows_itself_ = false;
--- a/tests/auto/store/test_lease_keeper.cc
+++ b/tests/auto/store/test_lease_keeper.cc
@@ -1,6 +1,11 @@
 // SPDX-License-Identifier: MIT
 #include "store/lease_keeper.h"
 
+#include <memory>
+#include <string>
+#include <utility>
+#include <vector>
+
 #include <boost/test/unit_test.hpp>
 
 #include "../host/fake_store.h"
@@ -43,6 +48,106 @@
   test::fake_store store{context};
 };
 
+// The store as a process sees it that can be suspended: calls that it makes
+// meanwhile are sent when it resumes.
+class suspended_client : public store::kv_client {
+ public:
+  suspended_client(boost::asio::io_context& context, store::kv_client& store)
+      : store_(store), resumed_(context) {
+    resumed_.expires_at(std::chrono::steady_clock::time_point::max());
+  }
+
+  bool suspended = false;
+  void Resume() {
+    suspended = false;
+    resumed_.cancel();
+  }
+
+  boost::asio::awaitable<base::result<store::kv_transaction_result>> Run(
+      store::kv_transaction transaction) override {
+    co_await AwaitResumed();
+    auto result = co_await store_.Run(std::move(transaction));
+    co_return result;
+  }
+  boost::asio::awaitable<base::result<store::kv_changes>> AwaitChange(
+      std::string prefix,
+      std::int64_t from,
+      std::chrono::microseconds max_time) override {
+    auto result =
+        co_await store_.AwaitChange(std::move(prefix), from, max_time);
+    co_return result;
+  }
+  boost::asio::awaitable<base::result<std::int64_t>> GrantLease(
+      std::chrono::seconds length) override {
+    co_await AwaitResumed();
+    auto result = co_await store_.GrantLease(length);
+    co_return result;
+  }
+  boost::asio::awaitable<base::result<void>> KeepLease(
+      std::int64_t lease) override {
+    co_await AwaitResumed();
+    auto result = co_await store_.KeepLease(lease);
+    co_return result;
+  }
+  boost::asio::awaitable<base::result<void>> RevokeLease(
+      std::int64_t lease) override {
+    co_await AwaitResumed();
+    auto result = co_await store_.RevokeLease(lease);
+    co_return result;
+  }
+  std::optional<base::time_point> HeardAt() const override {
+    return store_.HeardAt();
+  }
+  std::int64_t bytes() const override { return 0; }
+
+ private:
+  boost::asio::awaitable<void> AwaitResumed() {
+    boost::system::error_code ignored;
+    while (suspended) {
+      co_await resumed_.async_wait(
+          boost::asio::redirect_error(boost::asio::use_awaitable, ignored));
+    }
+  }
+
+  store::kv_client& store_;
+  boost::asio::steady_timer resumed_;
+};
+
+// A holder and processes that find it lost.
+struct lost_holder : site {
+  lost_holder() {
+    holder = std::make_unique<store::lease_keeper>(
+        context, client, "h1", 200ms, [] { return true; }, true);
+    holder->Start();
+    AwaitTerm(*holder);
+    term = holder->term();
+  }
+
+  std::unique_ptr<store::lease_keeper> BeginSuccessor(const std::string& name) {
+    auto made = std::make_unique<store::lease_keeper>(
+        context, store, name, 200ms, [] { return true; });
+    made->SetSuccession([this](std::int64_t held) {
+      asked_terms.push_back(held);
+      return is_lost && held == term;
+    });
+    made->Start();
+    return made;
+  }
+
+  // Lets processes look for the lease so many times.
+  void AwaitLooks(int count) {
+    const int looks = store.reads + count;
+    while (store.reads < looks)
+      context.run_one();
+  }
+
+  suspended_client client{context, store};
+  std::unique_ptr<store::lease_keeper> holder;
+  std::int64_t term = 0;
+  bool is_lost = true;
+  std::vector<std::int64_t> asked_terms;
+};
+
 BOOST_AUTO_TEST_SUITE(lease_keeper)
 
 BOOST_AUTO_TEST_CASE(only_who_takes_it_first_of_all_is_the_first_holder) {
@@ -116,6 +221,89 @@
   BOOST_TEST(first->CertainTerm() == 0);
 }
 
+// A lost holder kept its lease for 10 s, and no engine got an order.
+BOOST_AUTO_TEST_CASE(a_lease_of_a_dead_holder_is_taken_over) {
+  lost_holder here;
+  here.client.suspended = true;
+  const auto next = here.BeginSuccessor("h2");
+  here.AwaitTerm(*next);
+  BOOST_TEST(next->term() > here.term);
+  BOOST_TEST(!next->follows_itself());
+  BOOST_TEST(!next->is_first_holder());
+}
+
+BOOST_AUTO_TEST_CASE(a_suspended_holder_stops_when_it_resumes) {
+  lost_holder here;
+  here.client.suspended = true;
+  const auto next = here.BeginSuccessor("h2");
+  here.AwaitTerm(*next);
+  const std::int64_t term = next->term();
+  here.client.Resume();
+  while (here.holder->term() != 0)
+    here.context.run_one();
+  here.AwaitLooks(3);
+  BOOST_TEST(here.holder->term() == 0);
+  BOOST_TEST(next->term() == term);
+}
+
+// It reaches the store, but no other host hears it.
+BOOST_AUTO_TEST_CASE(a_partitioned_holder_stops_at_its_next_renewal) {
+  lost_holder here;
+  const auto next = here.BeginSuccessor("h2");
+  here.AwaitTerm(*next);
+  const auto begin = std::chrono::steady_clock::now();
+  while (here.holder->term() != 0)
+    here.context.run_one();
+  // Three renewals in the length of the lease.
+  BOOST_TEST((std::chrono::steady_clock::now() - begin < 200ms));
+  BOOST_TEST(here.holder->CertainTerm() == 0);
+  BOOST_TEST(next->term() != 0);
+}
+
+BOOST_AUTO_TEST_CASE(nobody_takes_over_while_the_store_is_unavailable) {
+  lost_holder here;
+  here.store.down = true;
+  const auto next = here.BeginSuccessor("h2");
+  const auto until = std::chrono::steady_clock::now() + 300ms;
+  while (std::chrono::steady_clock::now() < until)
+    here.context.run_one();
+  BOOST_TEST(next->term() == 0);
+  BOOST_TEST(here.holder->CertainTerm() == here.term);
+  BOOST_TEST(here.asked_terms.empty());
+  here.store.down = false;
+  here.AwaitTerm(*next);
+}
+
+// Both have seen the lost holder's lease before one of them takes it.
+BOOST_AUTO_TEST_CASE(only_one_of_two_successors_takes_the_lease) {
+  lost_holder here;
+  here.client.suspended = true;
+  here.store.holds_read_responses = true;
+  const auto second = here.BeginSuccessor("h2");
+  const auto third = here.BeginSuccessor("h3");
+  while (here.store.held_responses < 2)
+    here.context.run_one();
+  here.store.holds_read_responses = false;
+  here.store.Wake();
+  here.AwaitLooks(3);
+  BOOST_TEST((second->term() != 0) != (third->term() != 0));
+  // The one that has failed does not take it over from the other.
+  here.AwaitLooks(3);
+  BOOST_TEST((second->term() != 0) != (third->term() != 0));
+  BOOST_TEST(here.asked_terms.size() >= 3u);
+}
+
+BOOST_AUTO_TEST_CASE(a_lease_of_a_holder_that_is_not_lost_is_left_alone) {
+  lost_holder here;
+  here.is_lost = false;
+  const auto next = here.BeginSuccessor("h2");
+  here.AwaitLooks(4);
+  BOOST_TEST(next->term() == 0);
+  BOOST_TEST(here.holder->CertainTerm() == here.term);
+  BOOST_REQUIRE(!here.asked_terms.empty());
+  BOOST_TEST(here.asked_terms.front() == here.term);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
