Succession of a lost lease holder

Where engines check fencing numbers and a service has mixed urgency, the lease holder sends beats to seven witnesses, and sends orders and grants permits only while a majority replies. Witnesses that find it lost are candidates for its lease, in the order in which free leases are taken. The pause at a handover stays. A holder also stops when it receives an update of a newer term, or when an engine rejects an order because of its term; one that no majority has confirmed for a second gives the lease up.

--- a/src/host/host_settings.h
+++ b/src/host/host_settings.h
@@ -43,7 +43,8 @@
   // Duration of the lease whose holder sends orders to engines. Placement
   // continues through store outages of up to about this duration. After the
   // permanent loss of a lease holder it stops for this duration plus
-  // `handover_pause`.
+  // `handover_pause`, unless the holder is succeeded earlier
+  // (lease_succession).
   std::chrono::milliseconds lease_length{10'000};
   // The settings declare this the first start of the whole system. A host that
   // is restarted soon afterwards may still have this set.
--- a/src/host/process/host.cc
+++ b/src/host/process/host.cc
@@ -19,6 +19,7 @@
 #include "host/constants.h"
 #include "host/process/host_core.h"
 #include "host/process/key_freshness_monitor.h"
+#include "host/process/lease_succession.h"
 #include "host/process/load_reports.h"
 #include "host/process/owner_services.h"
 #include "host/process/path_monitor.h"
@@ -64,6 +65,9 @@
 constexpr std::string_view kStoreReaderSubject = "read/store";
 constexpr std::size_t kReaders = 4;
 
+// Subject of the hosts that watch the lease holder.
+constexpr std::string_view kLeaseWitnessSubject = "lease/witness";
+
 // Key of the record with a server that has rejected a request.
 constexpr std::string_view kFullRecord = "full";
 
@@ -81,7 +85,8 @@
 // the store.
 constexpr milliseconds kMaxServerListAge{2000};
 
-// Time without a path to the engines after which the lease is given up.
+// Time without a path to the engines, or without replies of most witnesses,
+// after which the lease is given up.
 constexpr milliseconds kMaxUnableHolder{1000};
 
 // By this time after its start a host knows the other hosts.
@@ -111,6 +116,7 @@
   server_limit_callbacks MakeServerLimitCallbacks();
   path_callbacks MakePathCallbacks();
   stream_origin_callbacks MakeStreamOriginCallbacks();
+  lease_succession_callbacks MakeLeaseSuccessionCallbacks();
   void AnnounceFull(const known_server& server);
   bool IsServerListCurrent() const;
   asio::awaitable<void> ReportCrash(std::uint64_t digest,
@@ -134,6 +140,7 @@
   key_freshness_monitor freshness_;
   owner_services owner_services_;
   store::lease_keeper lease_;
+  lease_succession succession_;
   placement_controller placement_;
   server_limits server_limits_;
   stream_origin_service stream_origins_;
@@ -225,9 +232,11 @@
             const auto holder = mirror_.Value(std::string(store::kLeaderKey));
             return mirror_.IsCurrent() && !shutdown_.stopping() &&
                    (!holder ||
-                    *holder == base::ToString(core_.settings.peer_listen));
+                    *holder == base::ToString(core_.settings.peer_listen) ||
+                    succession_.IsHolderLost());
           },
           core_.settings.first_start),
+      succession_(core_, MakeLeaseSuccessionCallbacks()),
       placement_(core_, lease_, peers_),
       server_limits_(core_, MakeServerLimitCallbacks()),
       stream_origins_(core_, MakeStreamOriginCallbacks()),
@@ -282,12 +291,16 @@
   lease_.SetTurn([this] {
     // The lease was left by an earlier process of this host, so there is no
     // other candidate to wait for.
-    const bool own = mirror_.Value(std::string(store::kLeaderKey)).has_value();
+    const bool own = mirror_.Value(std::string(store::kLeaderKey)) ==
+                     base::ToString(core_.settings.peer_listen);
     std::uniform_real_distribution<double> distribution(0, 1);
     return own ? milliseconds(0)
                : decisions::LeaseAcquireDelay(core_.settings.cores,
                                               distribution(core_.random));
   });
+  lease_.SetSuccession(
+      [this](std::int64_t term) { return succession_.IsHolderLost(term); });
+  placement_.SetOrderCheck([this] { return succession_.MaySendOrders(); });
   core_.paths = &paths_;
   core_.server_full = [this](const known_server& server) {
     AnnounceFull(server);
@@ -350,6 +363,7 @@
               {{"reason", relays.error().message}});
   mirror_.Start();
   lease_.Start();
+  succession_.Start();
   placement_.Start();
   freshness_.Start();
   paths_.Start();
@@ -394,7 +408,10 @@
 
 server_limit_callbacks host::MakeServerLimitCallbacks() {
   server_limit_callbacks callbacks;
-  callbacks.term = [this] { return lease_.CertainTerm(); };
+  callbacks.term = [this] {
+    const std::int64_t term = lease_.CertainTerm();
+    return term != 0 && succession_.MaySendOrders() ? term : 0;
+  };
   callbacks.holder = [this] { return placement_.holder(); };
   callbacks.call = [this](base::endpoint where, wire::envelope call,
                           std::chrono::microseconds timeout) {
@@ -455,6 +472,25 @@
   return callbacks;
 }
 
+lease_succession_callbacks host::MakeLeaseSuccessionCallbacks() {
+  lease_succession_callbacks callbacks;
+  callbacks.term = [this] { return lease_.CertainTerm(); };
+  callbacks.selected = [this] {
+    // The holder may be among the selected hosts, but is no witness.
+    return peers_.ChosenAddresses(std::string(kLeaseWitnessSubject),
+                                  decisions::kLeaseWitnesses + 1);
+  };
+  callbacks.holder = [this]() -> std::optional<base::endpoint> {
+    const auto holder = mirror_.Value(std::string(store::kLeaderKey));
+    return holder ? base::ParseEndpoint(*holder) : std::nullopt;
+  };
+  callbacks.send = [this](const base::endpoint& to, std::string_view record,
+                          std::string value) {
+    peers_.Send(std::string(record), std::move(value), {0, {}, to});
+  };
+  return callbacks;
+}
+
 bool host::IsServerListCurrent() const {
   const auto age = mirror_.Age();
   return mirror_.revision() > 0 && age && *age <= kMaxServerListAge &&
@@ -540,7 +576,7 @@
 }
 
 void host::HandleRecord(const membership::direct_record& record) {
-  if (loads_.HandleRecord(record))
+  if (loads_.HandleRecord(record) || succession_.HandleRecord(record))
     return;
   if (record.key == kCrashesRecord) {
     const auto update = wire::DecodeEndNews(record.value);
@@ -662,7 +698,8 @@
     owner_services_.Tick(now);
     server_limits_.Tick(now);
     stream_origins_.Tick(now);
-    lease_.SetYielding(paths_.CannotPlaceModels(kMaxUnableHolder));
+    lease_.SetYielding(paths_.CannotPlaceModels(kMaxUnableHolder) ||
+                       succession_.IsUnconfirmedFor(kMaxUnableHolder));
     quarantine_.Republish();
     prompt_quarantine_.Tick();
     core_.log.LogOmittedLines();
--- a/src/host/process/order_dispatcher.cc
+++ b/src/host/process/order_dispatcher.cc
@@ -228,6 +228,8 @@
              {"term", order.term},
              {"reply", NameOf(reply)}});
   core_.metrics.Counter("valeledge_orders_total", NameOf(reply)).Add();
+  if (reply == order_reply::kFenced && on_fenced_)
+    on_fenced_(order.term);
   co_return reply;
 }
 
--- a/src/host/process/order_dispatcher.h
+++ b/src/host/process/order_dispatcher.h
@@ -28,6 +28,12 @@
   // may be sent. It is called before each order.
   order_dispatcher(host_core& core, std::function<std::int64_t()> term);
 
+  // Sets what is called when an engine rejects an order of this term because it
+  // has seen a higher one.
+  void SetOnFenced(std::function<void(std::int64_t term)> on_fenced) {
+    on_fenced_ = std::move(on_fenced);
+  }
+
   // Starts a new term: discards all known state. Unless this host is the first
   // lease holder, it loads nothing from the weight store until loads started by
   // the previous holder no longer count against the rate limit.
@@ -113,6 +119,7 @@
 
   host_core& core_;
   std::function<std::int64_t()> term_;
+  std::function<void(std::int64_t term)> on_fenced_;
   std::map<std::string, engine_ptr, std::less<>> engines_;
   std::deque<base::time_point> store_loads_;
   base::time_point no_store_loads_until_;
--- a/src/host/process/placement_controller.cc
+++ b/src/host/process/placement_controller.cc
@@ -124,7 +124,16 @@
       lease_(lease),
       peers_(peers),
       forecast_(core.demand),
-      dispatcher_(core, [this] { return OrderTerm(); }) {}
+      dispatcher_(core, [this] { return OrderTerm(); }) {
+  dispatcher_.SetOnFenced([this](std::int64_t term) {
+    const bool may_be_succeeded =
+        core_.configuration != nullptr && core_.settings.engines_check_fences &&
+        IsEnabled(core_.settings.features.lease_succession,
+                  *core_.configuration);
+    if (may_be_succeeded)
+      lease_.NoteLost(term);
+  });
+}
 
 void placement_controller::Start() {
   asio::co_spawn(core_.context, Loop(), asio::detached);
@@ -137,7 +146,8 @@
   const bool waited = now - lease_.taken_at() >=
                       (lease_.follows_itself() ? kOwnOrdersDelivery
                                                : core_.settings.handover_pause);
-  return waited || lease_.is_first_holder() ? term : 0;
+  const bool may_send = term != 0 && (!may_send_orders_ || may_send_orders_());
+  return may_send && (waited || lease_.is_first_holder()) ? term : 0;
 }
 
 // The models that engines hold when they are discovered are the estimate of
@@ -413,6 +423,9 @@
   if (update.term < update_term_)
     return;
   update_term_ = update.term;
+  // Another host has taken the lease over.
+  if (update.term > lease_.term())
+    lease_.NoteLost(lease_.term());
   const auto holder =
       update.__isset.holder ? base::ParseEndpoint(update.holder) : std::nullopt;
   holder_ = holder.value_or(sender);
--- a/src/host/process/placement_controller.h
+++ b/src/host/process/placement_controller.h
@@ -38,6 +38,11 @@
 
   void Start();
 
+  // Sets a further condition for orders; it is checked before each one.
+  void SetOrderCheck(std::function<bool()> may_send_orders) {
+    may_send_orders_ = std::move(may_send_orders);
+  }
+
   // Replaces the demand reported by another host.
   void UpdateDemand(const std::string& host,
                     const std::vector<wire::model_load>& models) {
@@ -102,6 +107,7 @@
   host_core& core_;
   store::lease_keeper& lease_;
   peer_link& peers_;
+  std::function<bool()> may_send_orders_;
   demand_forecast forecast_;
   order_dispatcher dispatcher_;
   std::int64_t term_ = 0;
