--- a/src/host/request/attempt_watch.h
+++ b/src/host/request/attempt_watch.h
@@ -23,7 +23,8 @@
 // a fixed time-out.
 bool HasAdaptiveTimeout(const host_core& core, const routed_request& routed);
 
-// Time by which 99 in 100 responses of a server have started.
+// Time by which 99 in 100 responses of a server have started. `expected`
+// contains the server's slowdown.
 std::chrono::milliseconds FirstEventLimit(const known_server& server,
                                           std::chrono::milliseconds expected,
                                           base::time_point now);
