--- a/src/host/request/retry_permit.cc
+++ b/src/host/request/retry_permit.cc
@@ -1,6 +1,8 @@
 // SPDX-License-Identifier: MIT
 #include "host/request/retry_permit.h"
 
+#include <utility>
+
 #include "host/request/send_check.h"
 
 namespace valeledge::host {
@@ -13,7 +15,9 @@
 
 bool retry_permit::Acquire(const std::string& service, base::time_point now) {
   if (!NeedsRetry()) {
-    if (has_sent_)
+    // A retry that was acquired ahead has been counted.
+    const bool is_free = has_sent_ && !std::exchange(is_acquired_ahead_, false);
+    if (is_free)
       budgets_.RecordFreeAttempt(service);
     has_sent_ = true;
     return true;
@@ -23,6 +27,13 @@
   return has_unused_retry_;
 }
 
+bool retry_permit::AcquireAhead(const std::string& service,
+                                base::time_point now) {
+  if (!has_retry_ahead_)
+    has_retry_ahead_ = budgets_.TryAcquire(service, now);
+  return has_retry_ahead_;
+}
+
 void retry_permit::RecordFailure(const base::error& failed) {
   const bool reached_no_server =
       failed.code == base::result_code::kBackendUnreachable ||
@@ -30,7 +41,8 @@
   if (reached_no_server)
     return;
   may_have_reached_server_ = true;
-  has_unused_retry_ = false;
+  is_acquired_ahead_ = std::exchange(has_retry_ahead_, false);
+  has_unused_retry_ = is_acquired_ahead_;
 }
 
 }  // namespace valeledge::host
