--- a/tests/auto/host/fake_store.h
+++ b/tests/auto/host/fake_store.h
@@ -165,6 +165,10 @@
   store::kv_operation_result Do(const store::kv_operation& operation) {
     using kind = store::kv_operation::kind;
     store::kv_operation_result result;
+    if (operation.what == kind::kDelete) {
+      Remove(operation.key);
+      return result;
+    }
     if (operation.what == kind::kPut) {
       Put(operation.key, operation.value);
       keys_[operation.key].lease = operation.lease;
--- a/tests/auto/host/test_prompt_quarantine_coordinator.cc
+++ b/tests/auto/host/test_prompt_quarantine_coordinator.cc
@@ -108,9 +108,9 @@
     return found;
   }
 
-  void RunUntilStored(const std::string& key) {
+  void RunUntilStored(const std::string& key, bool is_stored = true) {
     const auto until = std::chrono::steady_clock::now() + 10s;
-    while (!StoreHas(key) && std::chrono::steady_clock::now() < until) {
+    while (StoreHas(key) != is_stored && std::chrono::steady_clock::now() < until) {
       context.restart();
       context.run_one_for(100ms);
     }
@@ -262,6 +262,7 @@
   // Hosts that have begun the quarantine repeat it for a while.
   here.TickAll();
   BOOST_TEST(here.CountRefusing({kCause}) == 0u);
+  here.RunUntilStored(kKey, false);
   BOOST_TEST(!here.StoreHas(kKey));
 }
 
