--- a/src/decisions/workspace_limit.cc
+++ b/src/decisions/workspace_limit.cc
@@ -96,18 +96,6 @@
   return !is_exhausted || IsRegular(allowance.requests);
 }
 
-void NoteClientRequest(limiter_state& limiter,
-                       const limit_request& request,
-                       base::time_point now) {
-  const auto [found, is_new] = limiter.clients.try_emplace(request.host);
-  limiter_client& client = found->second;
-  if (is_new) {
-    client.rate = request.typical_rate;
-    client.updated = now;
-  }
-  NoteInterval(client.requests, now);
-}
-
 void NoteClientGrant(limiter_state& limiter,
                      const limit_request& request,
                      base::time_point now) {
@@ -164,35 +152,6 @@
   return std::min(limit.rate * visible_fraction, max_rate);
 }
 
-// Delay after which a refused request should be retried.
-std::chrono::milliseconds RetryAfter(limiter_state& limiter,
-                                     const limit_members& members,
-                                     double cost,
-                                     base::time_point now) {
-  const token_bucket& bucket = limiter.bucket;
-  base::time_point::duration wait = kMaxRetryAfter;
-  if (bucket.rate > 0) {
-    const auto spacing = std::chrono::duration_cast<base::time_point::duration>(
-        seconds(cost / bucket.rate));
-    limiter.next_retry =
-        std::max(limiter.next_retry, now + TimeUntilAvailable(bucket, cost)) +
-        spacing;
-    limiter.next_retry = std::min(limiter.next_retry, now + kMaxRetryAfter);
-    wait = limiter.next_retry - now;
-  }
-  // The rate rises once membership has converged; retries stay spread.
-  if (!HasConverged(limiter, members, now)) {
-    const auto converges_in =
-        limiter.owned_since + kMembershipConvergenceTime - now;
-    constexpr int kSpread = 8;
-    wait = std::min(
-        wait,
-        std::chrono::duration_cast<base::time_point::duration>(converges_in) +
-            wait / kSpread);
-  }
-  return std::chrono::ceil<std::chrono::milliseconds>(wait);
-}
-
 }  // namespace
 
 double RequestCost(const catalog::workspace_limit& limit,
@@ -214,29 +173,95 @@
   return limiter;
 }
 
-limit_decision TryAcquire(limiter_state& limiter,
-                          const catalog::workspace_limit& limit,
-                          const limit_members& members,
-                          const limit_request& request,
-                          base::time_point now) {
-  const double cost = request.cost;
-  token_bucket& bucket = limiter.bucket;
-  NoteClientRequest(limiter, request, now);
+void NoteClientRequest(limiter_state& limiter,
+                       const limit_request& request,
+                       base::time_point now) {
+  const auto [found, is_new] = limiter.clients.try_emplace(request.host);
+  limiter_client& client = found->second;
+  if (is_new) {
+    client.rate = request.typical_rate;
+    client.updated = now;
+  }
+  NoteInterval(client.requests, now);
+}
+
+void Refill(limiter_state& limiter,
+            const catalog::workspace_limit& limit,
+            const limit_members& members,
+            base::time_point now) {
   UpdateClients(limiter, now);
+  token_bucket& bucket = limiter.bucket;
   bucket.rate = GrantableRate(limiter, limit, members, now);
   bucket.burst = limit.burst;
   Refill(bucket, now);
   // A lowered burst applies immediately.
   bucket.level = std::min(bucket.level, bucket.burst);
-  if (now - limiter.owned_since < kOwnerStartDelay)
+}
+
+base::time_point GrantsFrom(const limiter_state& limiter) {
+  return limiter.owned_since + kOwnerStartDelay;
+}
+
+bool TryGrant(limiter_state& limiter,
+              const limit_request& request,
+              double reserve,
+              base::time_point now) {
+  token_bucket& bucket = limiter.bucket;
+  if (bucket.level < std::min(request.cost + reserve, bucket.burst) ||
+      !TryTake(bucket, request.cost, now))
+    return false;
+  limiter.granted += request.cost;
+  NoteClientGrant(limiter, request, now);
+  return true;
+}
+
+std::chrono::milliseconds SpreadRetry(const limiter_state& limiter,
+                                      const limit_members& members,
+                                      double cost,
+                                      double rate,
+                                      base::time_point::duration available_in,
+                                      base::time_point& next_retry,
+                                      base::time_point now) {
+  base::time_point::duration wait = kMaxRetryAfter;
+  if (rate > 0) {
+    const auto spacing = std::chrono::duration_cast<base::time_point::duration>(
+        std::min(seconds(cost / rate), seconds(kMaxRetryAfter)));
+    next_retry = std::max(next_retry, now + available_in) + spacing;
+    next_retry = std::min(next_retry, now + kMaxRetryAfter);
+    wait = next_retry - now;
+  }
+  // The rate rises once membership has converged; retries stay spread.
+  if (!HasConverged(limiter, members, now)) {
+    const auto converges_in =
+        limiter.owned_since + kMembershipConvergenceTime - now;
+    constexpr int kSpread = 8;
+    wait = std::min(
+        wait,
+        std::chrono::duration_cast<base::time_point::duration>(converges_in) +
+            wait / kSpread);
+  }
+  return std::chrono::ceil<std::chrono::milliseconds>(wait);
+}
+
+limit_decision TryAcquire(limiter_state& limiter,
+                          const catalog::workspace_limit& limit,
+                          const limit_members& members,
+                          const limit_request& request,
+                          base::time_point now) {
+  NoteClientRequest(limiter, request, now);
+  Refill(limiter, limit, members, now);
+  if (now < GrantsFrom(limiter))
     return {limit_verdict::kNotOwned};
-  limiter.requested += cost;
-  if (TryTake(bucket, cost, now)) {
-    limiter.granted += cost;
-    NoteClientGrant(limiter, request, now);
+  limiter.requested += request.cost;
+  if (TryGrant(limiter, request, 0, now))
     return {limit_verdict::kGranted};
-  }
-  return {limit_verdict::kExceeded, RetryAfter(limiter, members, cost, now)};
+  const token_bucket& bucket = limiter.bucket;
+  const auto available_in = bucket.rate > 0
+                                ? TimeUntilAvailable(bucket, request.cost)
+                                : std::chrono::microseconds(0);
+  return {limit_verdict::kExceeded,
+          SpreadRetry(limiter, members, request.cost, bucket.rate, available_in,
+                      limiter.next_retry, now)};
 }
 
 void Release(limiter_state& limiter, double cost) {
--- a/src/decisions/workspace_limit.h
+++ b/src/decisions/workspace_limit.h
@@ -108,6 +108,39 @@
   bool is_complete = false;
 };
 
+// Records that a host has sent a request for tokens.
+void NoteClientRequest(limiter_state& limiter,
+                       const limit_request& request,
+                       base::time_point now);
+
+// Refills the tokens at the rate that the owner may grant now.
+void Refill(limiter_state& limiter,
+            const catalog::workspace_limit& limit,
+            const limit_members& members,
+            base::time_point now);
+
+// The time from which an owner grants tokens.
+base::time_point GrantsFrom(const limiter_state& limiter);
+
+// Grants the tokens of a request. Returns false if they are not there, or if
+// fewer than `reserve` would be left. Requires Refill() at `now`.
+bool TryGrant(limiter_state& limiter,
+              const limit_request& request,
+              double reserve,
+              base::time_point now);
+
+// Returns the delay after which a refused request should be retried.
+// `next_retry`: when the request refused before it should be, updated by this
+// function. `available_in`: time until its tokens will be available. `rate`: at
+// which requests like it are granted.
+std::chrono::milliseconds SpreadRetry(const limiter_state& limiter,
+                                      const limit_members& members,
+                                      double cost,
+                                      double rate,
+                                      base::time_point::duration available_in,
+                                      base::time_point& next_retry,
+                                      base::time_point now);
+
 // Acquires the tokens of one request.
 limit_decision TryAcquire(limiter_state& limiter,
                           const catalog::workspace_limit& limit,
