Requests wait for tokens at the owner of their workspace's limit

The owner keeps the call open until the tokens are granted or cannot be in time. A host whose owner is lost asks the next one with the time that is left, and continues as before if there is none. A request whose caller has gone, that is quarantined, whose path is lost or whose host stops waits no longer; what is granted to it later goes back to the owner that granted it. Without the feature no field is sent, and a question without the fields is decided at once.

Found while checking refunds: an attempt whose caller disconnected before anything was sent counted as done, so its charge was kept. It is refunded now, also when it was to go through another host. The wait for tokens no longer counts as time spent searching for a server. A count that is not a number left the bucket of a limit without a level for good; it is rejected.

--- a/src/host/process/host_core.h
+++ b/src/host/process/host_core.h
@@ -25,6 +25,7 @@
 #include "host/external_protocol.h"
 #include "host/host_settings.h"
 #include "host/process/demand_tracker.h"
+#include "host/process/limit_wait.h"
 #include "host/process/request_log.h"
 #include "host/process/retry_budgets.h"
 #include "host/process/server_registry.h"
@@ -101,10 +102,12 @@
   // Publishes that this host's load on a server has changed.
   std::function<void(const known_server& server)> load_changed;
   // Charges the cost of a request to the limit of its workspace. Returns an
-  // error if the request may not be sent.
+  // error if the request may not be sent. `wait`: if unset, this is decided at
+  // once.
   std::function<boost::asio::awaitable<base::result<void>>(
       std::string workspace,
-      double count)>
+      double count,
+      std::optional<limit_wait> wait)>
       acquire_limit;
   // Refunds the cost of a request that did not run and never will.
   std::function<void(const std::string& workspace, double count)> release_limit;
--- a/src/host/process/owner_services.cc
+++ b/src/host/process/owner_services.cc
@@ -1,6 +1,7 @@
 // SPDX-License-Identifier: MIT
 #include "host/process/owner_services.h"
 
+#include <optional>
 #include <string>
 #include <utility>
 
@@ -26,8 +27,9 @@
       peers_(peers),
       limits_(core, MakeLimitCallbacks()),
       slots_(core, MakeSlotCallbacks()) {
-  core_.acquire_limit = [this](std::string workspace, double count) {
-    return limits_.Acquire(std::move(workspace), count);
+  core_.acquire_limit = [this](std::string workspace, double count,
+                               std::optional<limit_wait> wait) {
+    return limits_.Acquire(std::move(workspace), count, std::move(wait));
   };
   core_.release_limit = [this](const std::string& workspace, double count) {
     limits_.Release(workspace, count);
@@ -96,7 +98,9 @@
     wire::envelope call) {
   wire::envelope reply;
   if (call.__isset.limit_wanted) {
-    reply.__set_limit(limits_.HandleRequest(call.limit_wanted));
+    const auto decided =
+        co_await limits_.HandleCall(std::move(call.limit_wanted));
+    reply.__set_limit(decided);
   } else if (call.__isset.place_wanted) {
     const auto slot =
         co_await slots_.HandleRequest(std::move(call.place_wanted));
--- a/src/host/process/workspace_limit_service.cc
+++ b/src/host/process/workspace_limit_service.cc
@@ -2,6 +2,7 @@
 #include "host/process/workspace_limit_service.h"
 
 #include <algorithm>
+#include <cmath>
 #include <random>
 #include <utility>
 
@@ -42,6 +43,10 @@
 // own.
 constexpr milliseconds kRetryDelay{150};
 
+// Interval at which a request that waits for tokens checks whether its caller
+// is still there and whether the owner is still the same.
+constexpr milliseconds kWaitCheckInterval{50};
+
 // An owner is typically available again within this time.
 constexpr milliseconds kNoOwnerRetryAfter{400};
 
@@ -53,6 +58,27 @@
   return reply;
 }
 
+decisions::limit_request ToRequest(const wire::limit_question& question) {
+  const bool is_rate = std::isfinite(question.usual) && question.usual >= 0;
+  return {question.host, question.count, is_rate ? question.usual : 0};
+}
+
+bool IsGranted(const std::optional<wire::limit_reply>& reply) {
+  return reply &&
+         reply->verdict == static_cast<std::int32_t>(limit_verdict::kGranted);
+}
+
+bool IsExceeded(const std::optional<wire::limit_reply>& reply) {
+  return reply &&
+         reply->verdict == static_cast<std::int32_t>(limit_verdict::kExceeded);
+}
+
+milliseconds TimeLeft(const limit_wait& wait) {
+  const auto left = std::chrono::duration_cast<milliseconds>(
+      wait.until - std::chrono::steady_clock::now());
+  return std::max(left, milliseconds(0));
+}
+
 }  // namespace
 
 workspace_limit_service::workspace_limit_service(
@@ -82,7 +108,11 @@
 
 void workspace_limit_service::Tick(base::time_point now) {
   std::erase_if(limiters_, [this](const auto& each) {
-    return FindLimit(each.first) == nullptr || !OwnsLimit(each.first);
+    const bool is_lost =
+        FindLimit(each.first) == nullptr || !OwnsLimit(each.first);
+    if (is_lost)
+      CloseQueue(each.first);
+    return is_lost;
   });
   if (core_.configuration == nullptr)
     return;
@@ -113,6 +143,27 @@
                {"rate", static_cast<std::int64_t>(limiter.bucket.rate)},
                {"left", static_cast<std::int64_t>(limiter.bucket.level)}});
   }
+  for (auto& [name, owned] : queues_)
+    LogQueue(name, owned, now);
+}
+
+void workspace_limit_service::LogQueue(const std::string& workspace,
+                                       owned_queue& owned,
+                                       base::time_point now) {
+  const auto granted = std::exchange(owned.granted, 0);
+  const auto refused = std::exchange(owned.refused, 0);
+  const auto dropped = std::exchange(owned.dropped, 0);
+  const auto waiting = static_cast<std::int64_t>(owned.queue.waiting.size());
+  if (granted + refused + dropped + waiting == 0)
+    return;
+  const double urgent = decisions::UrgentDemand(owned.queue, now);
+  base::Log(kCategory, log_event::kLimitQueueSeen,
+            {{"workspace", workspace},
+             {"waiting", waiting},
+             {"granted", granted},
+             {"refused", refused},
+             {"dropped", dropped},
+             {"urgent_demand", static_cast<std::int64_t>(urgent)}});
 }
 
 // Hosts that start together discover each other within about a second. Until
@@ -124,22 +175,128 @@
     limiter.owned_since = now;
 }
 
+decisions::limit_members workspace_limit_service::Members(
+    base::time_point now) {
+  decisions::limit_members members = callbacks_.members();
+  members.is_newly_started = HasJustStarted(now);
+  return members;
+}
+
+void workspace_limit_service::CountWait(std::string_view reason) {
+  core_.metrics.Counter("valeledge_limit_waits_total", reason).Add();
+}
+
 wire::limit_reply workspace_limit_service::HandleRequest(
     const wire::limit_question& request) {
   const auto limiter = limiters_.find(request.workspace);
   const auto* limit = FindLimit(request.workspace);
   if (limiter == limiters_.end() || limit == nullptr)
     return ToReply({});
+  // Such a count would remain in the state of the limit.
+  if (!std::isfinite(request.count)) {
+    CountWait("invalid");
+    return ToReply({});
+  }
+  const auto owned = queues_.find(request.workspace);
   if (request.count < 0) {
     decisions::Release(limiter->second, -request.count);
+    if (owned != queues_.end())
+      ServeOwned(request.workspace);
     return ToReply({limit_verdict::kGranted});
   }
   const auto now = std::chrono::steady_clock::now();
-  decisions::limit_members members = callbacks_.members();
-  members.is_newly_started = HasJustStarted(now);
-  return ToReply(
-      decisions::TryAcquire(limiter->second, *limit, members,
-                            {request.host, request.count, request.usual}, now));
+  if (owned != queues_.end())
+    decisions::RecordDirectDemand(owned->second.queue, request.count, now);
+  return ToReply(decisions::TryAcquire(limiter->second, *limit, Members(now),
+                                       ToRequest(request), now));
+}
+
+std::optional<decisions::token_wait> workspace_limit_service::ReadWait(
+    const wire::limit_question& request) {
+  if (!request.__isset.priority && !request.__isset.patience_ms)
+    return std::nullopt;
+  std::optional<std::int64_t> priority;
+  std::optional<std::int64_t> patience_ms;
+  if (request.__isset.priority)
+    priority = request.priority;
+  if (request.__isset.patience_ms)
+    patience_ms = request.patience_ms;
+  auto wait = decisions::ReadTokenWait(priority, patience_ms);
+  if (!wait)
+    CountWait("invalid");
+  return wait;
+}
+
+asio::awaitable<wire::limit_reply> workspace_limit_service::HandleCall(
+    wire::limit_question request) {
+  const auto limiter = limiters_.find(request.workspace);
+  const auto* limit = FindLimit(request.workspace);
+  const auto wait = ReadWait(request);
+  const bool may_wait = wait && limiter != limiters_.end() &&
+                        limit != nullptr && std::isfinite(request.count) &&
+                        request.count >= 0;
+  if (!may_wait)
+    co_return HandleRequest(request);
+  const auto now = std::chrono::steady_clock::now();
+  owned_queue& owned =
+      queues_.try_emplace(request.workspace, core_.context).first->second;
+  const auto number =
+      decisions::Enqueue(owned.queue, limiter->second, *limit, Members(now),
+                         ToRequest(request), *wait, now);
+  if (!number) {
+    ++owned.refused;
+    CountWait("refused");
+    co_return ToReply(number.error());
+  }
+  const auto queued = std::make_shared<queued_request>(core_.context);
+  owned.requests[*number] = queued;
+  ServeOwned(request.workspace);
+  if (!queued->decision) {
+    queued->done.expires_at(base::time_point::max());
+    co_await queued->done.async_wait(asio::as_tuple(asio::use_awaitable));
+  }
+  co_return ToReply(queued->decision.value_or(decisions::limit_decision()));
+}
+
+void workspace_limit_service::ServeOwned(const std::string& workspace) {
+  const auto limiter = limiters_.find(workspace);
+  const auto owned = queues_.find(workspace);
+  const auto* limit = FindLimit(workspace);
+  if (limiter == limiters_.end() || owned == queues_.end() || limit == nullptr)
+    return;
+  const auto now = std::chrono::steady_clock::now();
+  for (const auto& [number, decision] : decisions::ServeQueue(
+           owned->second.queue, limiter->second, *limit, Members(now), now)) {
+    const bool granted = decision.verdict == limit_verdict::kGranted;
+    ++(granted ? owned->second.granted : owned->second.dropped);
+    CountWait(granted ? "granted" : "dropped");
+    const auto queued = owned->second.requests.extract(number).mapped();
+    queued->decision = decision;
+    queued->done.cancel();
+  }
+  const auto next =
+      decisions::NextServing(owned->second.queue, limiter->second, now);
+  if (!next)
+    return;
+  owned->second.next.expires_at(*next);
+  owned->second.next.async_wait(
+      [this, workspace](const boost::system::error_code& cancelled) {
+        if (!cancelled)
+          ServeOwned(workspace);
+      });
+}
+
+// This host does not own the limit any more: the hosts ask the next owner.
+void workspace_limit_service::CloseQueue(const std::string& workspace) {
+  const auto owned = queues_.find(workspace);
+  if (owned == queues_.end())
+    return;
+  for (const auto& [number, queued] : owned->second.requests) {
+    queued->decision = decisions::limit_decision();
+    queued->done.cancel();
+    CountWait("owner_changed");
+  }
+  queues_.erase(owned);
 }
 
 asio::awaitable<std::optional<wire::limit_reply>>
@@ -208,9 +365,120 @@
   return tl::make_unexpected(std::move(no_owner));
 }
 
+asio::awaitable<void> workspace_limit_service::CallOwner(
+    base::endpoint owner,
+    wire::limit_question request,
+    microseconds timeout,
+    std::shared_ptr<pending_question> pending) {
+  const bool is_self = owner == core_.settings.peer_listen;
+  std::optional<wire::limit_reply> reply;
+  if (is_self) {
+    reply = co_await HandleCall(request);
+  } else {
+    wire::envelope call;
+    call.__set_limit_wanted(request);
+    const auto replied =
+        co_await callbacks_.call(owner, std::move(call), timeout);
+    if (!replied)
+      callbacks_.suspect(owner);
+    if (replied && replied->__isset.limit)
+      reply = replied->limit;
+  }
+  pending->is_done = true;
+  pending->reply = reply;
+  pending->poll.cancel();
+  if (!pending->is_abandoned || !IsGranted(reply))
+    co_return;
+  CountWait("returned");
+  wire::limit_question refund;
+  refund.workspace = request.workspace;
+  refund.count = -request.count;
+  if (is_self) {
+    HandleRequest(refund);
+    co_return;
+  }
+  // The owner that granted the tokens gets them back, whichever host owns the
+  // limit now.
+  wire::envelope call;
+  call.__set_limit_wanted(refund);
+  co_await callbacks_.call(owner, std::move(call), kOwnerTimeout);
+}
+
+asio::awaitable<base::result<workspace_limit_service::question_result>>
+workspace_limit_service::Ask(base::endpoint owner,
+                             wire::limit_question request,
+                             milliseconds patience,
+                             const limit_wait& wait) {
+  const std::string workspace = request.workspace;
+  request.__set_priority(wait.priority);
+  request.__set_patience_ms(patience.count());
+  const auto pending = std::make_shared<pending_question>(core_.context);
+  asio::co_spawn(
+      core_.context,
+      CallOwner(owner, std::move(request), patience + kOwnerTimeout, pending),
+      asio::detached);
+  while (!pending->is_done) {
+    pending->poll.expires_after(kWaitCheckInterval);
+    co_await pending->poll.async_wait(asio::as_tuple(asio::use_awaitable));
+    if (pending->is_done)
+      break;
+    if (auto ended = wait.check()) {
+      pending->is_abandoned = true;
+      CountWait("abandoned");
+      co_return tl::make_unexpected(std::move(*ended));
+    }
+    if (callbacks_.owner(workspace) != owner) {
+      pending->is_abandoned = true;
+      CountWait("owner_changed");
+      co_return question_result{std::nullopt, true};
+    }
+  }
+  co_return question_result{pending->reply, false};
+}
+
+asio::awaitable<base::result<std::optional<wire::limit_reply>>>
+workspace_limit_service::RequestInTime(wire::limit_question request,
+                                       limit_wait wait) {
+  owner_state& state = owner_states_[request.workspace];
+  while (const auto owner = callbacks_.owner(request.workspace)) {
+    const bool is_probe = state.is_unresponsive;
+    if (!is_probe || !state.has_pending_request) {
+      // A probe of an owner that has not responded must not take long, since
+      // no other request is sent meanwhile.
+      const auto patience = is_probe ? milliseconds(0) : TimeLeft(wait);
+      state.has_pending_request = true;
+      const auto asked = co_await Ask(*owner, request, patience, wait);
+      state.has_pending_request = false;
+      if (!asked)
+        co_return tl::make_unexpected(asked.error());
+      state.is_unresponsive = !asked->reply && !asked->has_moved;
+      const bool asks_again =
+          asked->has_moved || (is_probe && IsExceeded(asked->reply));
+      if (!asks_again && (IsGranted(asked->reply) || IsExceeded(asked->reply)))
+        co_return asked->reply;
+      if (asks_again && TimeLeft(wait).count() > 0)
+        continue;
+      if (IsExceeded(asked->reply))
+        co_return asked->reply;
+    }
+    if (TimeLeft(wait) <= kRetryDelay)
+      break;
+    asio::steady_timer timer(core_.context, kRetryDelay);
+    co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
+    if (auto ended = wait.check())
+      co_return tl::make_unexpected(std::move(*ended));
+  }
+  // No owner has decided in time.
+  std::optional<wire::limit_reply> reply;
+  if (state.allowance.rate <= 0)
+    reply = co_await RequestWithRetry(std::move(request));
+  co_return reply;
+}
+
 asio::awaitable<base::result<void>> workspace_limit_service::Acquire(
     std::string workspace,
-    double count) {
+    double count,
+    std::optional<limit_wait> wait) {
   owner_state& state = owner_states_[workspace];
   const auto now = std::chrono::steady_clock::now();
   decisions::NoteRequest(state.allowance, now);
@@ -219,6 +487,13 @@
   request.count = count;
   request.host = core_.settings.name;
   request.usual = decisions::TypicalRate(state.allowance, now);
+  if (wait) {
+    const auto decided =
+        co_await RequestInTime(std::move(request), std::move(*wait));
+    if (!decided)
+      co_return tl::make_unexpected(decided.error());
+    co_return EvaluateReply(workspace, count, *decided);
+  }
   const bool is_request_pending =
       state.is_unresponsive && state.has_pending_request;
   std::optional<wire::limit_reply> reply;
--- a/src/host/process/workspace_limit_service.h
+++ b/src/host/process/workspace_limit_service.h
@@ -8,14 +8,19 @@
 #include <chrono>
 #include <functional>
 #include <map>
+#include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 
 #include <boost/asio/awaitable.hpp>
+#include <boost/asio/steady_timer.hpp>
 
 #include "base/endpoint.h"
+#include "decisions/limit_queue.h"
 #include "decisions/workspace_limit.h"
 #include "host/process/host_core.h"
+#include "host/process/limit_wait.h"
 #include "wire/generated/messages_types.h"
 
 namespace valeledge::host {
@@ -42,14 +47,21 @@
 
   // Charges the cost of one request to the limit of its workspace. Returns an
   // error if the request may not be sent. The workspace is passed by name,
-  // since it may be removed meanwhile.
-  boost::asio::awaitable<base::result<void>> Acquire(std::string workspace,
-                                                     double count);
+  // since it may be removed meanwhile. `wait`: if unset, the owner decides at
+  // once.
+  boost::asio::awaitable<base::result<void>> Acquire(
+      std::string workspace,
+      double count,
+      std::optional<limit_wait> wait = std::nullopt);
   // Refunds the cost of a request that did not run and never will.
   void Release(const std::string& workspace, double count);
 
-  // Handles a request of another host.
+  // Handles a request of another host. HandleRequest decides at once;
+  // HandleCall returns when the tokens are granted or when it is certain that
+  // they cannot be granted in time.
   wire::limit_reply HandleRequest(const wire::limit_question& request);
+  boost::asio::awaitable<wire::limit_reply> HandleCall(
+      wire::limit_question request);
 
   // Updates the set of owned limits as members join and leave. Must be called
   // several times a second.
@@ -67,6 +79,70 @@
     bool has_pending_request = false;
   };
 
+  // A request that waits at this host for the tokens of a limit that it owns.
+  struct queued_request {
+    explicit queued_request(boost::asio::io_context& context) : done(context) {}
+
+    boost::asio::steady_timer done;
+    std::optional<decisions::limit_decision> decision;
+  };
+  // The queue of a limit that this host owns.
+  struct owned_queue {
+    explicit owned_queue(boost::asio::io_context& context) : next(context) {}
+
+    decisions::limit_queue queue;
+    std::map<std::int64_t, std::shared_ptr<queued_request>> requests;
+    // Expires when the queue must be served next.
+    boost::asio::steady_timer next;
+    // Since the last log line.
+    std::int64_t granted = 0;
+    std::int64_t refused = 0;
+    std::int64_t dropped = 0;
+  };
+  // A question to an owner.
+  struct pending_question {
+    explicit pending_question(boost::asio::io_context& context)
+        : poll(context) {}
+
+    boost::asio::steady_timer poll;
+    bool is_done = false;
+    // Nobody waits for the reply: what it grants must be returned.
+    bool is_abandoned = false;
+    std::optional<wire::limit_reply> reply;
+  };
+  // How a question ended.
+  struct question_result {
+    std::optional<wire::limit_reply> reply;
+    // Another host owns the limit now.
+    bool has_moved = false;
+  };
+
+  // The owner's side.
+  decisions::limit_members Members(base::time_point now);
+  void ServeOwned(const std::string& workspace);
+  void CloseQueue(const std::string& workspace);
+  void LogQueue(const std::string& workspace,
+                owned_queue& owned,
+                base::time_point now);
+  // How a request of another host can wait; nothing if it is decided at once.
+  std::optional<decisions::token_wait> ReadWait(
+      const wire::limit_question& request);
+
+  // The asking side.
+  boost::asio::awaitable<base::result<std::optional<wire::limit_reply>>>
+  RequestInTime(wire::limit_question request, limit_wait wait);
+  boost::asio::awaitable<base::result<question_result>> Ask(
+      base::endpoint owner,
+      wire::limit_question request,
+      std::chrono::milliseconds patience,
+      const limit_wait& wait);
+  boost::asio::awaitable<void> CallOwner(
+      base::endpoint owner,
+      wire::limit_question request,
+      std::chrono::microseconds timeout,
+      std::shared_ptr<pending_question> pending);
+  void CountWait(std::string_view reason);
+
   boost::asio::awaitable<std::optional<wire::limit_reply>> RequestWithRetry(
       wire::limit_question request);
   // Whether this host started recently.
@@ -87,6 +163,8 @@
   host_core& core_;
   workspace_limit_callbacks callbacks_;
   std::map<std::string, decisions::limiter_state> limiters_;
+  // Queues of owned limits for which any request has waited.
+  std::map<std::string, owned_queue> queues_;
   std::map<std::string, owner_state> owner_states_;
   base::time_point logged_at_;
 };
--- a/src/host/request/relay.cc
+++ b/src/host/request/relay.cc
@@ -51,6 +51,15 @@
   kDenied,
 };
 
+// Outcome of an attempt whose caller disconnected before the response header
+// arrived. What was not sent did not run, and is not charged.
+attempt_outcome OutcomeWithoutCaller(
+    const base::result<std::shared_ptr<net::http_exchange>>& opened) {
+  const bool not_run =
+      !opened && opened.error().what_ran == base::outcome::kNotRun;
+  return not_run ? attempt_outcome::kNotRun : attempt_outcome::kDone;
+}
+
 class relay {
  public:
   relay(host_core& core,
@@ -72,6 +81,11 @@
   // this host must not serve it.
   std::optional<base::error> AcceptRelayed(const relayed_request& relayed);
   asio::awaitable<bool> Admit();
+  // Charges the request to the limit of its workspace.
+  asio::awaitable<base::result<void>> Charge();
+  // Returns the error with which a request ends that waits for tokens of its
+  // workspace; nothing if it goes on.
+  std::optional<base::error> CheckWait();
   asio::awaitable<base::result<attempt_outcome>> AttemptOnce(bool ran);
   asio::awaitable<attempt_outcome> Attempt(const server_choice& choice);
   asio::awaitable<attempt_outcome> AttemptThroughPeer(
@@ -396,7 +410,7 @@
       std::min(RemainingTime(routed_), kConnectTimeout), header_timeout, use,
       guard_.get());
   if (responder_.caller_gone())
-    co_return attempt_outcome::kDone;
+    co_return OutcomeWithoutCaller(opened);
   if (!opened && WasWithheld(opened.error())) {
     last_error_ = opened.error();
     co_return attempt_outcome::kNotRun;
@@ -473,7 +487,7 @@
       std::min(RemainingTime(routed_), kRelayConnectTimeout), HeaderTimeout(),
       net::connection_use::kPooled, guard_.get());
   if (responder_.caller_gone())
-    co_return attempt_outcome::kDone;
+    co_return OutcomeWithoutCaller(opened);
   if (!opened) {
     last_error_ = opened.error();
     core_.paths->OnRelayFailed(routed_.service->name, peer);
@@ -643,6 +657,36 @@
   co_return true;
 }
 
+std::optional<base::error> relay::CheckWait() {
+  if (responder_.caller_gone()) {
+    return base::MakeError(result_code::kCallerGone, base::outcome::kNotRun,
+                           "the caller has disconnected");
+  }
+  if (auto leaving = CheckStopDeadline(core_, routed_))
+    return leaving;
+  if (auto quarantined = crash_monitor_.CheckQuarantine())
+    return quarantined;
+  const bool is_lost = core_.paths != nullptr &&
+                       core_.paths->StateOf(routed_.service->name, false) ==
+                           path_state::kUnreachable;
+  if (!is_lost)
+    return std::nullopt;
+  auto unreachable =
+      base::MakeError(result_code::kPathLost, base::outcome::kNotRun,
+                      "this host reaches no backend server of the service");
+  unreachable.retry_after = kPathRetryAfter;
+  return unreachable;
+}
+
+asio::awaitable<base::result<void>> relay::Charge() {
+  // The host that received the request has charged it.
+  if (routed_.is_relayed)
+    co_return base::result<void>();
+  auto charged = co_await charge_->Acquire([this] { return CheckWait(); });
+  routed_.token_wait = charge_->waited();
+  co_return charged;
+}
+
 // Sends the request once, through another host if this one does not reach the
 // servers. Returns an error if no attempt can be made.
 asio::awaitable<base::result<attempt_outcome>> relay::AttemptOnce(bool ran) {
@@ -718,12 +762,10 @@
     co_return;
   }
   charge_ = std::make_unique<limit_charge>(core_, routed_);
-  if (!routed_.is_relayed) {
-    const auto charged = co_await charge_->Acquire();
-    if (!charged) {
-      co_await Fail(charged.error());
-      co_return;
-    }
+  const auto charged = co_await Charge();
+  if (!charged) {
+    co_await Fail(charged.error());
+    co_return;
   }
   bool ran = possible_executions_ > 0;
   while (true) {
--- a/src/host/request/routed_request.h
+++ b/src/host/request/routed_request.h
@@ -31,6 +31,8 @@
   base::time_point arrived;
   // The caller's deadline or the route's timeout, whichever is earlier.
   base::time_point deadline;
+  // Time for which the request waited for tokens of its workspace.
+  std::chrono::milliseconds token_wait{0};
   // What the stream began with, once an event of it has been passed on: it goes
   // on only there.
   std::optional<decisions::stream_origin> origin;
--- a/src/host/request/server_search.cc
+++ b/src/host/request/server_search.cc
@@ -55,13 +55,14 @@
   return query;
 }
 
-// Returns the time at which the given fraction of the objective has elapsed, at
-// the latest the deadline.
+// Returns the time at which the given fraction of the objective has elapsed
+// since the request could be sent, at the latest the deadline.
 base::time_point ObjectiveCutoff(const routed_request& routed,
                                  double fraction) {
   const auto timeout =
       duration_cast<milliseconds>(routed.route->objective * fraction);
-  return std::min(routed.arrived + timeout, routed.deadline);
+  return std::min(routed.arrived + routed.token_wait + timeout,
+                  routed.deadline);
 }
 
 // Returns the time until which the request waits for a server before it is
--- /dev/null
+++ b/tests/auto/host/test_limit_waits.cc
@@ -0,0 +1,528 @@
+// SPDX-License-Identifier: MIT
+// Requests that wait for the tokens of their workspace's limit: the protocol
+// between a host and the owner of the limit, and refunds of what never ran.
+#include <deque>
+#include <limits>
+#include <memory>
+#include <optional>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/test/unit_test.hpp>
+
+#include "charged_world.h"
+#include "host/constants.h"
+#include "host/process/workspace_limit_service.h"
+
+namespace {
+
+using namespace valeledge;
+using namespace valeledge::test;
+using namespace std::chrono_literals;
+
+const base::endpoint kOwner{"10.0.0.1", 1};
+const base::endpoint kNextOwner{"10.0.0.2", 1};
+const base::endpoint kAsker{"10.0.0.3", 1};
+
+std::shared_ptr<const catalog::configuration> Configured() {
+  auto out = std::make_shared<catalog::configuration>();
+  catalog::workspace choir;
+  choir.name = "choir";
+  choir.limit = {catalog::limit_unit::kTokens, 10'000, 10'000, 200};
+  out->workspaces.push_back(choir);
+  return out;
+}
+
+// A host that owns the limit of "choir", 10,000 tokens per second, and one that
+// asks it.
+struct owner_and_asker {
+  // A question that a host was asked.
+  struct call {
+    base::endpoint where;
+    wire::limit_question question;
+  };
+  // What happens to the next question.
+  enum class call_action {
+    kAnswer,
+    // The connection is lost.
+    kLose,
+    // The reply arrives after Reply().
+    kDelay,
+  };
+
+  owner_and_asker() {
+    owner_settings.peer_listen = kOwner;
+    asker_settings.peer_listen = kAsker;
+    asker_settings.name = "asker";
+    owner_core = std::make_unique<host::host_core>(context, owner_settings,
+                                                   platform::MakeDialect());
+    asker_core = std::make_unique<host::host_core>(context, asker_settings,
+                                                   platform::MakeDialect());
+    owner_core->configuration = Configured();
+    asker_core->configuration = Configured();
+    owner = std::make_unique<host::workspace_limit_service>(*owner_core,
+                                                            Callbacks());
+    asker = std::make_unique<host::workspace_limit_service>(*asker_core,
+                                                            Callbacks());
+    owner->Tick(std::chrono::steady_clock::now() - 10s);
+    delayed.expires_at(base::time_point::max());
+  }
+
+  host::workspace_limit_callbacks Callbacks() {
+    host::workspace_limit_callbacks callbacks;
+    callbacks.owner = [this](const std::string&) { return present_owner; };
+    callbacks.members = [] {
+      return decisions::limit_members{1, 1, true, true};
+    };
+    callbacks.suspect = [this](const base::endpoint&) { ++suspicions; };
+    callbacks.call = [this](base::endpoint where, wire::envelope asked,
+                            std::chrono::microseconds)
+        -> boost::asio::awaitable<base::result<wire::envelope>> {
+      calls.push_back({where, asked.limit_wanted});
+      auto action = call_action::kAnswer;
+      if (!actions.empty()) {
+        action = actions.front();
+        actions.pop_front();
+      }
+      if (action == call_action::kLose)
+        co_return base::Unknown(base::result_code::kPeerUnreachable, "lost");
+      if (action == call_action::kDelay) {
+        co_await delayed.async_wait(
+            boost::asio::as_tuple(boost::asio::use_awaitable));
+      }
+      wire::envelope reply;
+      const auto decided = co_await owner->HandleCall(asked.limit_wanted);
+      reply.__set_limit(decided);
+      co_return reply;
+    };
+    return callbacks;
+  }
+
+  host::limit_wait Wait(std::chrono::milliseconds patience) {
+    host::limit_wait wait;
+    wait.priority = 2;
+    wait.until = std::chrono::steady_clock::now() + patience;
+    wait.check = [this] { return end_of_wait; };
+    return wait;
+  }
+
+  using acquired = std::optional<base::result<void>>;
+
+  // Begins a request of the asking host.
+  std::shared_ptr<acquired> Begin(double count,
+                                  std::optional<host::limit_wait> wait) {
+    auto out = std::make_shared<acquired>();
+    boost::asio::co_spawn(
+        context, asker->Acquire("choir", count, std::move(wait)),
+        [out](const std::exception_ptr&, base::result<void> result) {
+          *out = std::move(result);
+        });
+    return out;
+  }
+
+  // Begins a question to the owner.
+  std::shared_ptr<std::optional<wire::limit_reply>> Ask(
+      wire::limit_question question) {
+    auto out = std::make_shared<std::optional<wire::limit_reply>>();
+    boost::asio::co_spawn(
+        context, owner->HandleCall(std::move(question)),
+        [out](const std::exception_ptr&, wire::limit_reply reply) {
+          *out = std::move(reply);
+        });
+    return out;
+  }
+
+  void RunUntil(const std::function<bool()>& condition) {
+    context.restart();
+    while (!condition())
+      BOOST_REQUIRE_NE(context.run_one_for(std::chrono::seconds(20)), 0u);
+  }
+
+  base::result<void> Acquire(double count,
+                             std::optional<host::limit_wait> wait) {
+    const auto result = Begin(count, std::move(wait));
+    RunUntil([&] { return result->has_value(); });
+    return **result;
+  }
+
+  // Takes all tokens that are left.
+  void Exhaust() {
+    wire::limit_question question = Question(100);
+    while (owner->HandleRequest(question).verdict == 0) {
+    }
+  }
+
+  static wire::limit_question Question(double count) {
+    wire::limit_question question;
+    question.workspace = "choir";
+    question.count = count;
+    question.host = "other";
+    return question;
+  }
+
+  std::int64_t Waits(const char* reason) {
+    return owner_core->metrics.Counter("valeledge_limit_waits_total", reason)
+               .value +
+           asker_core->metrics.Counter("valeledge_limit_waits_total", reason)
+               .value;
+  }
+
+  boost::asio::io_context context{1};
+  boost::asio::steady_timer delayed{context};
+  host::host_settings owner_settings;
+  host::host_settings asker_settings;
+  std::unique_ptr<host::host_core> owner_core;
+  std::unique_ptr<host::host_core> asker_core;
+  std::unique_ptr<host::workspace_limit_service> owner;
+  std::unique_ptr<host::workspace_limit_service> asker;
+  std::optional<base::endpoint> present_owner = kOwner;
+  std::vector<call> calls;
+  std::deque<call_action> actions;
+  std::optional<base::error> end_of_wait;
+  int suspicions = 0;
+};
+
+using call_action = owner_and_asker::call_action;
+
+BOOST_AUTO_TEST_SUITE(limit_waits)
+
+BOOST_AUTO_TEST_CASE(a_question_stays_open_until_its_tokens_are_granted) {
+  owner_and_asker here;
+  here.Exhaust();
+  const auto begun = std::chrono::steady_clock::now();
+  BOOST_TEST(here.Acquire(1000, here.Wait(2s)).has_value());
+  BOOST_TEST((std::chrono::steady_clock::now() - begun >= 80ms));
+  BOOST_REQUIRE(here.calls.size() == 1u);
+  BOOST_TEST(here.calls[0].question.priority == 2);
+  BOOST_TEST(here.calls[0].question.patience_ms <= 2000);
+  BOOST_TEST(here.calls[0].question.patience_ms >= 1900);
+}
+
+BOOST_AUTO_TEST_CASE(a_question_that_cannot_be_granted_in_time_ends_at_once) {
+  owner_and_asker here;
+  here.Exhaust();
+  const auto refused = here.Acquire(5000, here.Wait(100ms));
+  BOOST_REQUIRE(!refused.has_value());
+  BOOST_TEST((refused.error().code == base::result_code::kWorkspaceLimit));
+  BOOST_TEST((refused.error().what_ran == base::outcome::kNotRun));
+  BOOST_TEST((*refused.error().retry_after >= 400ms));
+  BOOST_TEST(here.Waits("refused") == 1);
+  // The retry-after delay counts what waits.
+  BOOST_TEST((*refused.error().retry_after <= 1100ms));
+}
+
+// A host of an older build, or one whose feature is off, is served as before.
+BOOST_AUTO_TEST_CASE(a_question_without_the_fields_is_decided_at_once) {
+  owner_and_asker here;
+  here.Exhaust();
+  const auto waiting = here.Begin(1000, here.Wait(2s));
+  here.RunUntil([&] { return !here.calls.empty(); });
+  BOOST_TEST(!here.Acquire(1000, std::nullopt).has_value());
+  BOOST_TEST(!here.calls.back().question.__isset.priority);
+  BOOST_TEST(!here.calls.back().question.__isset.patience_ms);
+  here.RunUntil([&] { return waiting->has_value(); });
+  BOOST_TEST((*waiting)->has_value());
+}
+
+// Otherwise another host could hold a place for ever, or poison the state.
+BOOST_AUTO_TEST_CASE(fields_that_cannot_be_valid_count_as_absent) {
+  owner_and_asker here;
+  here.Exhaust();
+  const std::pair<std::int64_t, std::int64_t> statements[] = {
+      {-1, 1000},
+      {1, -1},
+      {std::numeric_limits<std::int64_t>::max(), 1000},
+      {1, std::numeric_limits<std::int64_t>::max()}};
+  for (const auto& [priority, patience_ms] : statements) {
+    auto question = owner_and_asker::Question(1000);
+    question.__set_priority(priority);
+    question.__set_patience_ms(patience_ms);
+    const auto reply = here.Ask(question);
+    here.context.restart();
+    while (here.context.poll_one() != 0) {
+    }
+    BOOST_REQUIRE(reply->has_value());
+    BOOST_TEST((*reply)->verdict == 1);
+  }
+  BOOST_TEST(here.Waits("invalid") == 4);
+  // One field alone says nothing.
+  auto question = owner_and_asker::Question(1000);
+  question.__set_patience_ms(1000);
+  const auto reply = here.Ask(question);
+  here.RunUntil([&] { return reply->has_value(); });
+  BOOST_TEST((*reply)->verdict == 1);
+}
+
+BOOST_AUTO_TEST_CASE(a_count_that_is_not_a_number_changes_nothing) {
+  owner_and_asker here;
+  constexpr double kInfinity = std::numeric_limits<double>::infinity();
+  for (const double bad :
+       {std::numeric_limits<double>::quiet_NaN(), kInfinity, -kInfinity}) {
+    auto question = owner_and_asker::Question(bad);
+    BOOST_TEST(here.owner->HandleRequest(question).verdict == 2);
+    question.__set_priority(1);
+    question.__set_patience_ms(100);
+    const auto reply = here.Ask(question);
+    here.RunUntil([&] { return reply->has_value(); });
+    BOOST_TEST((*reply)->verdict == 2);
+  }
+  auto question = owner_and_asker::Question(10);
+  question.usual = std::numeric_limits<double>::quiet_NaN();
+  BOOST_TEST(here.owner->HandleRequest(question).verdict == 0);
+  here.Exhaust();
+  BOOST_TEST(
+      here.owner->HandleRequest(owner_and_asker::Question(5000)).verdict == 1);
+}
+
+BOOST_AUTO_TEST_CASE(refunded_tokens_go_to_a_waiting_request) {
+  owner_and_asker here;
+  here.Exhaust();
+  const auto waiting = here.Begin(9000, here.Wait(5s));
+  here.RunUntil([&] { return !here.calls.empty(); });
+  const auto begun = std::chrono::steady_clock::now();
+  here.owner->HandleRequest(owner_and_asker::Question(-9000));
+  here.RunUntil([&] { return waiting->has_value(); });
+  BOOST_TEST((*waiting)->has_value());
+  BOOST_TEST((std::chrono::steady_clock::now() - begun < 500ms));
+}
+
+// A killed owner closes its connections.
+BOOST_AUTO_TEST_CASE(the_next_owner_is_asked_with_the_time_left) {
+  owner_and_asker here;
+  here.actions = {call_action::kLose};
+  const auto waiting = here.Begin(1000, here.Wait(2s));
+  here.RunUntil([&] { return !here.calls.empty(); });
+  here.present_owner = kNextOwner;
+  here.RunUntil([&] { return waiting->has_value(); });
+  BOOST_TEST((*waiting)->has_value());
+  BOOST_TEST(here.suspicions == 1);
+  BOOST_REQUIRE(here.calls.size() >= 2u);
+  BOOST_TEST((here.calls.back().where == kNextOwner));
+  BOOST_TEST(here.calls.back().question.patience_ms <= 1900);
+}
+
+// A suspended owner says nothing until membership notices; what it grants when
+// it goes on is returned to it.
+BOOST_AUTO_TEST_CASE(a_silent_owner_is_left_and_its_late_grant_returned) {
+  owner_and_asker here;
+  here.actions = {call_action::kDelay};
+  const auto waiting = here.Begin(1000, here.Wait(2s));
+  here.RunUntil([&] { return !here.calls.empty(); });
+  here.present_owner = kNextOwner;
+  here.RunUntil([&] { return waiting->has_value(); });
+  BOOST_TEST((*waiting)->has_value());
+  BOOST_REQUIRE(here.calls.size() == 2u);
+  BOOST_TEST((here.calls[1].where == kNextOwner));
+  here.delayed.cancel();
+  here.RunUntil([&] { return here.calls.size() == 3u; });
+  BOOST_TEST((here.calls[2].where == kOwner));
+  BOOST_TEST(here.calls[2].question.count == -1000);
+  BOOST_TEST(here.Waits("returned") == 1);
+}
+
+BOOST_AUTO_TEST_CASE(an_owner_that_loses_its_limit_lets_its_queue_go) {
+  owner_and_asker here;
+  here.Exhaust();
+  auto question = owner_and_asker::Question(9000);
+  question.__set_priority(1);
+  question.__set_patience_ms(5000);
+  const auto reply = here.Ask(question);
+  here.context.poll();
+  BOOST_TEST(!reply->has_value());
+  here.present_owner = kNextOwner;
+  here.owner->Tick(std::chrono::steady_clock::now());
+  here.RunUntil([&] { return reply->has_value(); });
+  BOOST_TEST((*reply)->verdict == 2);
+}
+
+BOOST_AUTO_TEST_CASE(without_an_owner_a_host_continues_as_before) {
+  owner_and_asker here;
+  for (int i = 0; i < 100; ++i)
+    BOOST_TEST(here.Acquire(1, here.Wait(2s)).has_value());
+  here.present_owner.reset();
+  const auto begun = std::chrono::steady_clock::now();
+  int granted = 0;
+  for (int i = 0; i < 100; ++i)
+    granted += here.Acquire(1, here.Wait(2s)).has_value() ? 1 : 0;
+  // The host was granted 50 tokens a second; three tenths are there at once.
+  BOOST_TEST(granted >= 13);
+  BOOST_TEST(granted < 100);
+  BOOST_TEST((std::chrono::steady_clock::now() - begun < 1s));
+}
+
+// An unresponsive owner is asked by one request at a time, which must not wait.
+BOOST_AUTO_TEST_CASE(an_unresponsive_owner_is_probed_without_patience) {
+  owner_and_asker here;
+  here.Acquire(1, here.Wait(80ms));
+  here.actions = {call_action::kLose};
+  here.Acquire(1, here.Wait(80ms));
+  here.Exhaust();
+  here.calls.clear();
+  BOOST_TEST(here.Acquire(1000, here.Wait(2s)).has_value());
+  BOOST_REQUIRE(here.calls.size() == 2u);
+  BOOST_TEST(here.calls[0].question.patience_ms == 0);
+  BOOST_TEST(here.calls[1].question.patience_ms > 1000);
+}
+
+BOOST_AUTO_TEST_CASE(a_request_whose_caller_has_gone_waits_no_longer) {
+  owner_and_asker here;
+  here.Exhaust();
+  const auto waiting = here.Begin(9000, here.Wait(5s));
+  here.RunUntil([&] { return !here.calls.empty(); });
+  here.end_of_wait = base::MakeError(base::result_code::kCallerGone,
+                                     base::outcome::kNotRun, "gone");
+  here.RunUntil([&] { return waiting->has_value(); });
+  BOOST_REQUIRE(!(*waiting)->has_value());
+  BOOST_TEST(((*waiting)->error().code == base::result_code::kCallerGone));
+  BOOST_TEST(here.Waits("abandoned") == 1);
+  // Its tokens are returned once they are granted.
+  here.RunUntil([&] { return here.calls.size() == 2u; });
+  BOOST_TEST(here.calls[1].question.count == -9000);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+// A host on which the feature is on for all services.
+struct waiting_world : charged_world {
+  waiting_world() {
+    core->settings.features.limit_priority = host::feature_mode::kOn;
+  }
+};
+
+BOOST_AUTO_TEST_SUITE(charges_of_waiting_requests)
+
+BOOST_AUTO_TEST_CASE(requests_of_a_service_without_mixed_urgency_do_not_wait) {
+  charged_world here;
+  here.SendRequest("/once/");
+  BOOST_REQUIRE(here.waits.size() == 1u);
+  BOOST_TEST(!here.waits.front().has_value());
+  here.configuration.services.front().mixed_urgency = true;
+  here.SendRequest("/once/");
+  BOOST_TEST(here.waits.back().has_value());
+  here.core->settings.features.limit_priority = host::feature_mode::kOff;
+  here.SendRequest("/once/");
+  BOOST_TEST(!here.waits.back().has_value());
+}
+
+// All requests of a limit have the workspace's priority, if it has one.
+BOOST_AUTO_TEST_CASE(a_request_waits_with_the_priority_of_its_route) {
+  waiting_world here;
+  here.configuration.workspaces.front().priority = 7;
+  for (catalog::route& route : here.configuration.routes) {
+    route.priority = 3;
+    route.objective = 8s;
+    route.timeout = 12s;
+  }
+  const auto begun = std::chrono::steady_clock::now();
+  here.SendRequest("/once/");
+  BOOST_REQUIRE(here.waits.back().has_value());
+  BOOST_TEST(here.waits.back()->priority == 3);
+  BOOST_TEST((here.waits.back()->until >= begun + 3900ms));
+  BOOST_TEST((here.waits.back()->until <= begun + 4500ms));
+}
+
+BOOST_AUTO_TEST_CASE(a_caller_that_leaves_during_the_wait_is_not_charged) {
+  waiting_world here;
+  bool has_ended = false;
+  here.SendRequest("/once/", [&](fake_responder& responder) {
+    if (here.acquired.empty() || has_ended)
+      return;
+    BOOST_TEST(!here.waits.back()->check().has_value());
+    responder.Disconnect();
+    has_ended = here.waits.back()->check().has_value();
+  });
+  BOOST_TEST(has_ended);
+  BOOST_TEST(here.first.requests.empty());
+  BOOST_TEST(here.IsRefunded());
+}
+
+// The attempt has begun, but nothing has been sent.
+BOOST_AUTO_TEST_CASE(a_caller_that_leaves_during_the_connect_is_not_charged) {
+  charged_world here;
+  here.SendRequest("/once/", [&](fake_responder& responder) {
+    if (!here.acquired.empty() && here.first.requests.empty())
+      responder.Disconnect();
+  });
+  BOOST_TEST(here.first.requests.empty());
+  BOOST_REQUIRE(here.released.size() == 1u);
+  BOOST_TEST(here.released.front() == here.acquired.front());
+}
+
+// The server may run the request.
+BOOST_AUTO_TEST_CASE(a_caller_that_leaves_after_the_send_is_charged) {
+  charged_world here;
+  here.first.script = {{"", scripted_response::connection_action::kHang}};
+  here.SendRequest("/once/", [&](fake_responder& responder) {
+    if (!here.first.requests.empty())
+      responder.Disconnect();
+  });
+  BOOST_TEST(here.released.empty());
+}
+
+BOOST_AUTO_TEST_CASE(a_request_that_is_quarantined_meanwhile_is_not_charged) {
+  waiting_world here;
+  // The first request of the caller crashes a server, which shows its digest.
+  std::uint64_t digest = 0;
+  here.core->server_crashed =
+      [&](std::uint64_t crashed, const decisions::server_crash&,
+          const decisions::prompt_parts&) { digest = crashed; };
+  here.first.script = {
+      {kStreamHeader, scripted_response::connection_action::kReset}};
+  here.SendRequest("/once/");
+  BOOST_REQUIRE(digest != 0u);
+  const std::size_t sent = here.first.requests.size();
+  here.acquired.clear();
+  std::optional<base::error> ended;
+  here.while_waiting = [&] {
+    decisions::RecordQuarantine(here.core->quarantine, digest,
+                                std::chrono::steady_clock::now());
+    ended = here.waits.back()->check();
+  };
+  BOOST_TEST(here.SendRequest("/once/").status == 503);
+  BOOST_REQUIRE(ended.has_value());
+  BOOST_TEST((ended->code == base::result_code::kQuarantined));
+  BOOST_TEST(here.first.requests.size() == sent);
+  BOOST_TEST(here.IsRefunded());
+}
+
+// A host that stops cannot answer for a request that waits for longer.
+BOOST_AUTO_TEST_CASE(a_request_of_a_host_that_stops_is_not_charged) {
+  waiting_world here;
+  std::optional<base::error> ended;
+  here.while_waiting = [&] {
+    here.core->stops_at = std::chrono::steady_clock::now();
+    ended = here.waits.back()->check();
+  };
+  BOOST_TEST(here.SendRequest("/once/").status == 503);
+  BOOST_REQUIRE(ended.has_value());
+  BOOST_TEST((ended->code == base::result_code::kLeaving));
+  BOOST_TEST(here.first.requests.empty());
+  BOOST_TEST(here.IsRefunded());
+}
+
+// Otherwise a request that has waited for tokens is refused by the first busy
+// server, and has waited in vain.
+BOOST_AUTO_TEST_CASE(the_wait_for_tokens_does_not_shorten_that_for_a_server) {
+  waiting_world here;
+  here.core->acquire_limit = [&](std::string, double,
+                                 std::optional<host::limit_wait>)
+      -> boost::asio::awaitable<base::result<void>> {
+    boost::asio::steady_timer tokens(here.context, 100ms);
+    co_await tokens.async_wait(
+        boost::asio::as_tuple(boost::asio::use_awaitable));
+    co_return base::result<void>();
+  };
+  // A request waits for a server for a fifth of its objective of a second.
+  here.core->servers.Find("i-1")->notices.backoff_until =
+      std::chrono::steady_clock::now() + 230ms;
+  BOOST_TEST(here.SendRequest("/once/").status == 200);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace
--- a/tests/auto/host/test_lost_paths.cc
+++ b/tests/auto/host/test_lost_paths.cc
@@ -13,7 +13,7 @@
 #include "host/request/peer_relay.h"
 #include "host/request/request_digest.h"
 #include "net/http_server.h"
-#include "relay_world.h"
+#include "charged_world.h"
 
 namespace {
 
@@ -93,6 +93,30 @@
   BOOST_TEST(here.cut_paths.IsLost("s"));
 }
 
+// The host that received a request has charged it, and gets the charge back if
+// the other host says that the request did not run.
+BOOST_AUTO_TEST_CASE(a_relayed_request_that_did_not_run_is_not_charged) {
+  lost_world here;
+  charge_log cut_charges;
+  charge_log other_charges;
+  AddChargedWorkspace(here.cut, cut_charges);
+  AddChargedWorkspace(here.other, other_charges);
+  here.other.core->configuration =
+      std::make_shared<const catalog::configuration>(here.other.configuration);
+  here.other.first.script = {{kNotRunResponse}};
+  here.other.second.script = {{kNotRunResponse}};
+  BOOST_TEST(here.cut.SendRequest("/once/").status == 503);
+  BOOST_TEST(here.ServerRequests() >= 1u);
+  BOOST_TEST(cut_charges.IsRefunded());
+  BOOST_TEST(other_charges.acquired.empty());
+  BOOST_TEST(other_charges.released.empty());
+  here.other.first.script = {{kWholeResponse}};
+  here.other.second.script = {{kWholeResponse}};
+  BOOST_TEST(here.cut.SendRequest("/once/").status == 200);
+  BOOST_TEST(cut_charges.acquired.size() == 2u);
+  BOOST_TEST(cut_charges.released.size() == 1u);
+}
+
 BOOST_AUTO_TEST_CASE(the_server_gets_the_request_of_the_caller) {
   lost_world here;
   here.cut.SendRequest("/once/");
--- a/tests/auto/host/test_workspace_limit_service.cc
+++ b/tests/auto/host/test_workspace_limit_service.cc
@@ -13,7 +13,7 @@
 #include <boost/beast/http.hpp>
 #include <boost/test/unit_test.hpp>
 
-#include "relay_world.h"
+#include "charged_world.h"
 
 namespace {
 
@@ -175,40 +175,6 @@
   BOOST_TEST(here.service->HandleRequest(request).verdict == 2);
 }
 
-// A host whose workspace has a limit; records what is charged and refunded.
-struct charged_world : relay_world {
-  charged_world() {
-    configuration.needs_keys = true;
-    catalog::workspace choir;
-    choir.name = "choir";
-    choir.keys = {"key"};
-    choir.limit = {catalog::limit_unit::kTokens, 1000, 1000, 200};
-    configuration.workspaces.push_back(choir);
-    configuration.keys = catalog::key_index(configuration.workspaces);
-    core->freshness.complete_as_of = base::boot_clock::now();
-    core->acquire_limit =
-        [this](std::string,
-               double count) -> boost::asio::awaitable<base::result<void>> {
-      acquired.push_back(count);
-      if (has_capacity)
-        co_return base::result<void>();
-      auto refused = base::MakeError(base::result_code::kWorkspaceLimit,
-                                     base::outcome::kNotRun, "full");
-      refused.retry_after = 700ms;
-      co_return tl::make_unexpected(refused);
-    };
-    core->release_limit = [this](const std::string&, double count) {
-      released.push_back(count);
-    };
-    added_fields = {{"Api-Key", "key"}};
-    AddServer("i-1", first.address());
-  }
-
-  bool has_capacity = true;
-  std::vector<double> acquired;
-  std::vector<double> released;
-};
-
 BOOST_AUTO_TEST_CASE(a_refused_workspace_gets_a_retry_after_delay) {
   charged_world here;
   here.has_capacity = false;
