Limits with waiting requests: fleet test with partitions and freezes, less work

Each case of test_limit_fleet is also played with requests that wait at the owner: those of a lost owner ask the next one with the time that is left, and what the former owner grants later is returned.

An owner looks at the membership once for each question, and a host at most once in 50 ms for all requests that wait for one limit; each of these looks goes through all hosts.

--- a/src/host/process/workspace_limit_service.cc
+++ b/src/host/process/workspace_limit_service.cc
@@ -200,8 +200,7 @@
   const auto owned = queues_.find(request.workspace);
   if (request.count < 0) {
     decisions::Release(limiter->second, -request.count);
-    if (owned != queues_.end())
-      ServeOwned(request.workspace);
+    ServeOwned(request.workspace);
     return ToReply({limit_verdict::kGranted});
   }
   const auto now = std::chrono::steady_clock::now();
@@ -240,8 +239,9 @@
   const auto now = std::chrono::steady_clock::now();
   owned_queue& owned =
       queues_.try_emplace(request.workspace, core_.context).first->second;
+  const decisions::limit_members members = Members(now);
   const auto number =
-      decisions::Enqueue(owned.queue, limiter->second, *limit, Members(now),
+      decisions::Enqueue(owned.queue, limiter->second, *limit, members,
                          ToRequest(request), *wait, now);
   if (!number) {
     ++owned.refused;
@@ -250,7 +250,7 @@
   }
   const auto queued = std::make_shared<queued_request>(core_.context);
   owned.requests[*number] = queued;
-  ServeOwned(request.workspace);
+  ServeOwned(request.workspace, members);
   if (!queued->decision) {
     queued->done.expires_at(base::time_point::max());
     co_await queued->done.async_wait(asio::as_tuple(asio::use_awaitable));
@@ -259,6 +259,14 @@
 }
 
 void workspace_limit_service::ServeOwned(const std::string& workspace) {
+  const auto owned = queues_.find(workspace);
+  if (owned != queues_.end() && !owned->second.queue.waiting.empty())
+    ServeOwned(workspace, Members(std::chrono::steady_clock::now()));
+}
+
+void workspace_limit_service::ServeOwned(
+    const std::string& workspace,
+    const decisions::limit_members& members) {
   const auto limiter = limiters_.find(workspace);
   const auto owned = queues_.find(workspace);
   const auto* limit = FindLimit(workspace);
@@ -266,7 +274,7 @@
     return;
   const auto now = std::chrono::steady_clock::now();
   for (const auto& [number, decision] : decisions::ServeQueue(
-           owned->second.queue, limiter->second, *limit, Members(now), now)) {
+           owned->second.queue, limiter->second, *limit, members, now)) {
     const bool granted = decision.verdict == limit_verdict::kGranted;
     ++(granted ? owned->second.granted : owned->second.dropped);
     CountWait(granted ? "granted" : "dropped");
@@ -404,6 +412,17 @@
   co_await callbacks_.call(owner, std::move(call), kOwnerTimeout);
 }
 
+std::optional<base::endpoint> workspace_limit_service::RecentOwner(
+    const std::string& workspace) {
+  owner_state& state = owner_states_[workspace];
+  const auto now = std::chrono::steady_clock::now();
+  if (now - state.owner_checked_at >= kWaitCheckInterval) {
+    state.owner_checked_at = now;
+    state.owner = callbacks_.owner(workspace);
+  }
+  return state.owner;
+}
+
 asio::awaitable<base::result<workspace_limit_service::question_result>>
 workspace_limit_service::Ask(base::endpoint owner,
                              wire::limit_question request,
@@ -427,7 +446,7 @@
       CountWait("abandoned");
       co_return tl::make_unexpected(std::move(*ended));
     }
-    if (callbacks_.owner(workspace) != owner) {
+    if (RecentOwner(workspace) != owner) {
       pending->is_abandoned = true;
       CountWait("owner_changed");
       co_return question_result{std::nullopt, true};
--- a/src/host/process/workspace_limit_service.h
+++ b/src/host/process/workspace_limit_service.h
@@ -77,6 +77,9 @@
     // sent to it.
     bool is_unresponsive = false;
     bool has_pending_request = false;
+    // The owner for requests that wait, and when it was determined.
+    std::optional<base::endpoint> owner;
+    base::time_point owner_checked_at;
   };
 
   // A request that waits at this host for the tokens of a limit that it owns.
@@ -118,8 +121,13 @@
   };
 
   // The owner's side.
+  // This host's view of the other hosts and of itself.
   decisions::limit_members Members(base::time_point now);
+  // Grants and refuses what waits for the tokens of a limit.
   void ServeOwned(const std::string& workspace);
+  void ServeOwned(const std::string& workspace,
+                  const decisions::limit_members& members);
+  // Ends the queue of a limit that this host does not own any more.
   void CloseQueue(const std::string& workspace);
   void LogQueue(const std::string& workspace,
                 owned_queue& owned,
@@ -129,18 +137,25 @@
       const wire::limit_question& request);
 
   // The asking side.
+  // Asks owners until one has decided or the time is up; returns nothing if
+  // none has decided. An error ends the request.
   boost::asio::awaitable<base::result<std::optional<wire::limit_reply>>>
   RequestInTime(wire::limit_question request, limit_wait wait);
+  // Asks one owner, and waits for its reply as long as the request does.
   boost::asio::awaitable<base::result<question_result>> Ask(
       base::endpoint owner,
       wire::limit_question request,
       std::chrono::milliseconds patience,
       const limit_wait& wait);
+  // Sends a question. What it grants after it was abandoned is returned.
   boost::asio::awaitable<void> CallOwner(
       base::endpoint owner,
       wire::limit_question request,
       std::chrono::microseconds timeout,
       std::shared_ptr<pending_question> pending);
+  // Returns the owner as it was known a short time ago at most: many requests
+  // may wait for one limit.
+  std::optional<base::endpoint> RecentOwner(const std::string& workspace);
   void CountWait(std::string_view reason);
 
   boost::asio::awaitable<std::optional<wire::limit_reply>> RequestWithRetry(
--- a/tests/auto/decisions/limit_fleet.h
+++ b/tests/auto/decisions/limit_fleet.h
@@ -13,8 +13,10 @@
 #include <optional>
 #include <random>
 #include <string>
+#include <utility>
 #include <vector>
 
+#include "decisions/limit_queue.h"
 #include "decisions/workspace_limit.h"
 
 namespace valeledge::test {
@@ -52,6 +54,9 @@
   std::optional<double> lowered_at;
   // Time at which all hosts restart, if ever.
   std::optional<double> restarted_at;
+  // Requests wait at the owner: every other one for up to 4 s, the others,
+  // which are more urgent, for up to 80 ms.
+  bool requests_wait = false;
   std::uint64_t seed = 42001;
 };
 
@@ -76,6 +81,9 @@
 inline constexpr double kFleetStep = 0.002;
 // Interval in seconds at which hosts check whether they own the limit.
 inline constexpr double kOwnerUpdateInterval = 0.25;
+// Interval in seconds at which a host that waits for tokens checks whether the
+// owner is still the same.
+inline constexpr double kWaitCheckInterval = 0.05;
 
 inline base::time_point FleetTime(double seconds) {
   return base::time_point() +
@@ -117,6 +125,8 @@
         next_owner_update_ = now + kOwnerUpdateInterval;
         UpdateOwners(now);
       }
+      if (scenario_.requests_wait)
+        ServeQueues(now);
       const bool is_overloaded = now >= 6 && now < 30;
       const double rate = scenario_.limit.rate * scenario_.typical_load *
                           (is_overloaded ? scenario_.overload : 1) /
@@ -142,9 +152,19 @@
   }
 
  private:
+  // A request that waits at the owner of the limit.
+  struct waiting_request {
+    std::size_t from = 0;
+    decisions::token_wait wait;
+    double until = 0;
+    // The host has asked another owner meanwhile.
+    bool is_abandoned = false;
+  };
   struct host {
     decisions::limit_allowance allowance;
     std::optional<decisions::limiter_state> limiter;
+    decisions::limit_queue queue;
+    std::map<std::int64_t, waiting_request> waiting;
   };
 
   // Time since which two hosts cannot reach each other; nullopt if they can.
@@ -241,33 +261,60 @@
     for (std::size_t each = 0; each < hosts_.size(); ++each) {
       const bool owns = OwnerFor(each, now) == each;
       auto& limiter = hosts_[each].limiter;
-      if (!owns)
-        limiter.reset();
+      if (!owns && limiter)
+        Close(each, now);
       else if (!limiter)
         limiter = decisions::MakeLimiter(Limit(now), AreHostsNewlyStarted(now),
                                          FleetTime(now));
     }
   }
 
-  bool TryAcquire(std::size_t from, double now) {
+  decisions::limit_members MembersFor(std::size_t owner, double now) const {
+    decisions::limit_members members;
+    members.visible_fraction = VisibleFraction(owner, now);
+    members.known = scenario_.hosts;
+    members.is_newly_started = AreHostsNewlyStarted(now);
+    members.is_complete = AreAllVisible(owner, now);
+    return members;
+  }
+
+  // Returns whether a request is granted; nullopt while it waits.
+  std::optional<bool> TryAcquire(std::size_t from,
+                                 const decisions::token_wait& wait,
+                                 double now) {
     host& client = hosts_[from];
-    decisions::NoteRequest(client.allowance, FleetTime(now));
     const std::size_t owner = OwnerFor(from, now);
     auto verdict = decisions::limit_verdict::kNotOwned;
     auto& limiter = hosts_[owner].limiter;
     if (limiter && !PartitionedSince(from, owner, now)) {
-      decisions::limit_members members;
-      members.visible_fraction = VisibleFraction(owner, now);
-      members.known = scenario_.hosts;
-      members.is_newly_started = AreHostsNewlyStarted(now);
-      members.is_complete = AreAllVisible(owner, now);
+      const decisions::limit_members members = MembersFor(owner, now);
       const decisions::limit_request request{
           std::to_string(from), scenario_.tokens,
           decisions::TypicalRate(client.allowance, FleetTime(now))};
-      verdict = decisions::TryAcquire(*limiter, Limit(now), members, request,
-                                      FleetTime(now))
-                    .verdict;
+      if (scenario_.requests_wait) {
+        const auto number =
+            decisions::Enqueue(hosts_[owner].queue, *limiter, Limit(now),
+                               members, request, wait, FleetTime(now));
+        if (number) {
+          const std::chrono::duration<double> patience = wait.patience;
+          hosts_[owner].waiting[*number] = {from, wait, now + patience.count()};
+          Serve(owner, now);
+          return std::nullopt;
+        }
+        verdict = number.error().verdict;
+      } else {
+        verdict = decisions::TryAcquire(*limiter, Limit(now), members, request,
+                                        FleetTime(now))
+                      .verdict;
+      }
     }
+    return Evaluate(from, verdict, now);
+  }
+
+  bool Evaluate(std::size_t from,
+                decisions::limit_verdict verdict,
+                double now) {
+    host& client = hosts_[from];
     if (verdict == decisions::limit_verdict::kExceeded)
       decisions::NoteExceeded(client.allowance, FleetTime(now));
     if (verdict == decisions::limit_verdict::kGranted)
@@ -280,8 +327,81 @@
                                              uniform(random_), FleetTime(now));
   }
 
+  // Answers the requests that are decided at one owner.
+  void Serve(std::size_t owner, double now) {
+    host& at = hosts_[owner];
+    if (!at.limiter || (owner == 0 && IsFrozen(now)))
+      return;
+    for (const auto& [number, decision] :
+         decisions::ServeQueue(at.queue, *at.limiter, Limit(now),
+                               MembersFor(owner, now), FleetTime(now))) {
+      const waiting_request asked = at.waiting.extract(number).mapped();
+      // The reply is lost.
+      if (PartitionedSince(asked.from, owner, now))
+        continue;
+      const bool granted =
+          decision.verdict == decisions::limit_verdict::kGranted;
+      if (asked.is_abandoned && granted)
+        decisions::Release(*at.limiter, scenario_.tokens);
+      if (!asked.is_abandoned)
+        Count(asked.from, Evaluate(asked.from, decision.verdict, now), now);
+    }
+  }
+
+  void ServeQueues(double now) {
+    for (std::size_t each = 0; each < hosts_.size(); ++each) {
+      if (!hosts_[each].queue.waiting.empty())
+        Serve(each, now);
+    }
+    if (now < next_wait_check_)
+      return;
+    next_wait_check_ = now + kWaitCheckInterval;
+    for (std::size_t owner = 0; owner < hosts_.size(); ++owner) {
+      std::vector<waiting_request> moved;
+      for (auto& [number, asked] : hosts_[owner].waiting) {
+        const bool is_silent = asked.from == 0 && IsFrozen(now);
+        if (asked.is_abandoned || is_silent ||
+            OwnerFor(asked.from, now) == owner)
+          continue;
+        asked.is_abandoned = true;
+        moved.push_back(asked);
+      }
+      for (const waiting_request& asked : moved)
+        AskAgain(asked, now);
+    }
+  }
+
+  // Asks the present owner with the time that is left.
+  void AskAgain(waiting_request asked, double now) {
+    asked.wait.patience = std::chrono::duration_cast<std::chrono::milliseconds>(
+        std::chrono::duration<double>(std::max(asked.until - now, 0.0)));
+    const auto granted = TryAcquire(asked.from, asked.wait, now);
+    if (granted)
+      Count(asked.from, *granted, now);
+  }
+
+  // A host does not own the limit any more.
+  void Close(std::size_t owner, double now) {
+    host& at = hosts_[owner];
+    at.limiter.reset();
+    at.queue = {};
+    for (const auto& [number, asked] : std::exchange(at.waiting, {})) {
+      if (!asked.is_abandoned && !PartitionedSince(asked.from, owner, now))
+        AskAgain(asked, now);
+    }
+  }
+
   void SendRequest(std::size_t from, double now) {
-    const bool granted = TryAcquire(from, now);
+    decisions::token_wait wait{1, std::chrono::milliseconds(80)};
+    if (scenario_.requests_wait && random_() % 2 == 0)
+      wait = {2, std::chrono::milliseconds(4000)};
+    decisions::NoteRequest(hosts_[from].allowance, FleetTime(now));
+    const auto granted = TryAcquire(from, wait, now);
+    if (granted)
+      Count(from, *granted, now);
+  }
+
+  void Count(std::size_t from, bool granted, double now) {
     const bool is_before_faults = now > 9 && now < 12;
     const bool is_partitioned =
         now > 9 && PartitionedSince(from, 0, now).has_value();
@@ -332,6 +452,7 @@
   // Requests that arrived at a frozen owner.
   int delayed_ = 0;
   double next_owner_update_ = 0;
+  double next_wait_check_ = 0;
   bool restarted_ = false;
   double granted_before_faults_ = 0;
   double due_before_faults_ = 0;
--- a/tests/auto/decisions/test_limit_fleet.cc
+++ b/tests/auto/decisions/test_limit_fleet.cc
@@ -25,18 +25,23 @@
               const std::function<void(limit_fleet_scenario&)>& change = {}) {
   for (const int hosts : {7, 69, 300}) {
     for (const double rate : {20'000.0, 177'000.0}) {
-      limit_fleet_scenario scenario = ScenarioFor(hosts, rate);
-      scenario.partitions = partitions;
-      if (change)
-        change(scenario);
-      const auto out = SimulateLimitFleet(scenario);
-      BOOST_TEST_MESSAGE(hosts << " hosts, " << rate << " per second: overrun "
-                               << out.worst_overrun << ", before faults "
-                               << out.used_before_faults << ", in partition "
-                               << out.used_in_partition);
-      BOOST_TEST_CONTEXT(hosts << " hosts, " << rate << " per second") {
-        BOOST_TEST(out.worst_overrun <= 1);
-        BOOST_TEST(out.used_before_faults >= 0.97);
+      for (const bool requests_wait : {false, true}) {
+        limit_fleet_scenario scenario = ScenarioFor(hosts, rate);
+        scenario.partitions = partitions;
+        scenario.requests_wait = requests_wait;
+        if (change)
+          change(scenario);
+        const auto out = SimulateLimitFleet(scenario);
+        BOOST_TEST_MESSAGE(hosts << " hosts, " << rate << " per second, "
+                                 << (requests_wait ? "waiting" : "at once")
+                                 << ": overrun " << out.worst_overrun
+                                 << ", before faults " << out.used_before_faults
+                                 << ", in partition " << out.used_in_partition);
+        BOOST_TEST_CONTEXT(hosts << " hosts, " << rate << " per second, "
+                                 << (requests_wait ? "waiting" : "at once")) {
+          BOOST_TEST(out.worst_overrun <= 1);
+          BOOST_TEST(out.used_before_faults >= 0.97);
+        }
       }
     }
   }
