Plan loads for requests that wait for their model

Where more models are in demand than fit in memory, a patient request whose model is held by no engine was rejected unless a load was in progress: the model plan evicts no last weight copy and knows nothing of requests that wait. patient_loads plans loads by the time that is left, or by the number of requests if more are on time that way, and gives the time at which each model will be ready.

No host uses it yet.

--- a/src/decisions/replica_wait.cc
+++ b/src/decisions/replica_wait.cc
@@ -1,36 +1,67 @@
 // SPDX-License-Identifier: MIT
 #include "decisions/replica_wait.h"
 
+#include <algorithm>
+
 namespace valeledge::decisions {
 
 namespace {
 
 using std::chrono::milliseconds;
 
-// Time from the end of a load to the first event: the state update reaches the
-// hosts, and the prompt is read together with those of other waiting requests.
-constexpr milliseconds kFirstEventDelay{300};
+// Returns the time until the first replica that is being loaded or, for a
+// patient request, planned to be loaded.
+std::optional<milliseconds> ExpectedIn(const unavailable_model& model) {
+  const bool planned = model.plan && model.plan->planned_ready_in;
+  if (!planned)
+    return model.ready_in;
+  const milliseconds planned_in = *model.plan->planned_ready_in;
+  return model.ready_in ? std::min(*model.ready_in, planned_in) : planned_in;
+}
 
-// Demand is reported every 250 ms, a plan is made every 100 ms, and an evicted
-// replica is withdrawn before the load starts. A load that has not been ordered
-// within this time has too little demand to be planned.
-constexpr milliseconds kMaxOrderDelay{900};
+milliseconds FastestLoad(std::optional<milliseconds> local,
+                         milliseconds from_store) {
+  return local ? std::min(*local, from_store) : from_store;
+}
+
+// Whether a patient request waits for a load that has not been published.
+bool WaitsForPlan(const unavailable_model& model) {
+  const milliseconds load =
+      FastestLoad(model.local_load_time, model.plan->store_load_time);
+  if (model.waited + load + kFirstEventDelay > model.objective)
+    return false;
+  const auto& plannable_for = model.plan->plannable_for;
+  return !plannable_for ||
+         *plannable_for <= kMaxOrderDelay + kMaxPublicationDelay;
+}
 
 }  // namespace
 
+bool IsPatient(milliseconds objective,
+               std::optional<milliseconds> local_load_time,
+               milliseconds store_load_time) {
+  return kMaxOrderDelay + FastestLoad(local_load_time, store_load_time) +
+             kFirstEventDelay <=
+         objective;
+}
+
 bool ShouldWaitForReplica(const unavailable_model& model) {
-  if (model.ready_in)
-    return model.waited + *model.ready_in + kFirstEventDelay <= model.objective;
+  if (const auto expected_in = ExpectedIn(model))
+    return model.waited + *expected_in + kFirstEventDelay <= model.objective;
+  if (model.plan)
+    return WaitsForPlan(model);
   return model.local_load_time && model.waited <= kMaxOrderDelay &&
          kMaxOrderDelay + *model.local_load_time + kFirstEventDelay <=
              model.objective;
 }
 
 std::optional<milliseconds> TimeToReplica(const unavailable_model& model) {
-  if (model.ready_in)
-    return *model.ready_in + kFirstEventDelay;
+  if (const auto expected_in = ExpectedIn(model))
+    return *expected_in + kFirstEventDelay;
   if (model.local_load_time)
     return kMaxOrderDelay + *model.local_load_time;
+  if (model.plan)
+    return kMaxOrderDelay + model.plan->store_load_time;
   return std::nullopt;
 }
 
