Keep replicas for bursts and for the next shift of demand

A replica beyond what the last second's demand needs was evicted for waiting requests although the model plan would have loaded it again: after a lull in a burst, or when it had been loaded for the next shift of demand. A service whose weight store allows no loads gets plans from weight copies only, and the room reserved for a planned load is not planned twice.

--- a/src/decisions/patient_loads.cc
+++ b/src/decisions/patient_loads.cc
@@ -134,7 +134,14 @@
     return each.running > 0 ? 1 : 0;
   plan_limits limits;
   limits.slots = input.limits.slots;
-  return static_cast<std::int64_t>(std::ceil(RequiredReplicas(each, limits)));
+  plan_model expected = each;
+  // A short lull is no surplus, nor are replicas that were loaded for the next
+  // shift of demand: the model plan would load them again.
+  if (each.arrival_rate > 0 && each.steady_rate > each.arrival_rate)
+    expected.work *= each.steady_rate / each.arrival_rate;
+  expected.work = std::max(expected.work, each.future_work);
+  return static_cast<std::int64_t>(
+      std::ceil(RequiredReplicas(expected, limits)));
 }
 
 // Records the weight copies in the memory and on the disk of an engine.
@@ -277,7 +284,7 @@
   const std::int64_t beyond = state.store_loads - limits.store_loads;
   if (beyond < 0)
     return milliseconds(0);
-  const double rate = std::max(limits.store_loads_per_second, 0.01);
+  const double rate = limits.store_loads_per_second;
   return limits.next_store_load +
          milliseconds(static_cast<std::int64_t>(
              1000 * static_cast<double>(beyond) / rate));
@@ -314,12 +321,15 @@
     return false;
   const plan_model& model = context.input.models[wanted.model];
   const std::int64_t missing = model.weights_mb - engine.free_mb;
-  auto evictions = FindEviction(context, state, position, missing);
-  if (!evictions)
-    return false;
   place each;
   each.engine = position;
   each.source = SourceAt(context.input.engines[position], wanted.model);
+  const bool has_store = context.input.limits.store_loads_per_second > 0;
+  if (each.source == weight_source::kStore && !has_store)
+    return false;
+  auto evictions = FindEviction(context, state, position, missing);
+  if (!evictions)
+    return false;
   each.begin_at = std::max({engine.idle_at, state.starts.top(), evictions->at});
   each.load_at = each.begin_at + kEvictionTime * evictions->models.size();
   if (each.source == weight_source::kStore)
--- a/src/decisions/patient_loads.h
+++ b/src/decisions/patient_loads.h
@@ -28,7 +28,8 @@
   // Requests that one engine runs concurrently.
   std::int64_t slots = 1;
   // Loads from the weight store that may start now. If there are none, the time
-  // until the next one may start; further ones follow at the given rate.
+  // until the next one may start; further ones follow at the given rate. A rate
+  // of 0: the weight store is not available.
   std::int64_t store_loads = 0;
   std::chrono::milliseconds next_store_load{0};
   double store_loads_per_second = 0;
--- a/src/host/process/patient_placement.cc
+++ b/src/host/process/patient_placement.cc
@@ -119,8 +119,10 @@
       view.free_mb += kind.models[each.model].weights_mb;
       std::erase(view.loaded, each.model);
     }
+    // The room for the successor is subtracted with that of all planned loads.
+    if (each.load)
+      view.free_mb -= model.weights_mb;
     view.accepts_orders = false;
-    view.free_mb -= model.weights_mb;
     view.loading.push_back(coming);
     idle_in[each.engine] = std::max(idle_in[each.engine], busy);
   }
@@ -212,8 +214,10 @@
     const service_plan& plan) {
   const catalog::engine& kind = plan.service.engines;
   const std::chrono::duration<double> window = core_.settings.load_window;
-  std::int64_t reserved = static_cast<std::int64_t>(
-      std::ceil(kReservedShare * kind.loads_per_second * window.count()));
+  // The window of a low limit may hold a single load.
+  const double most = std::floor(kind.loads_per_second * window.count());
+  auto reserved = static_cast<std::int64_t>(std::clamp(
+      std::ceil(kReservedShare * most), 0.0, std::max(most - 1, 0.0)));
   for (const auto& engine : plan.records) {
     if (engine->planned &&
         engine->planned->source == decisions::weight_source::kStore)
@@ -242,6 +246,11 @@
   if (!input.waiting.empty()) {
     for (std::size_t i = 0; i < views.size(); ++i) {
       input.idle_in.push_back(IdleIn(*plan.records[i], kind, plan.now));
+      const auto& planned = plan.records[i]->planned;
+      const catalog::model* coming =
+          planned ? kind.Find(planned->model) : nullptr;
+      if (coming != nullptr)
+        views[i].free_mb -= coming->weights_mb;
       // What an engine holds is unknown until it has reported its state.
       views[i].serving = views[i].serving && plan.records[i]->accepted;
       views[i].recently_loaded = LoadedSince(*plan.records[i], views[i], kind,
--- a/tests/auto/decisions/test_patient_loads.cc
+++ b/tests/auto/decisions/test_patient_loads.cc
@@ -122,6 +122,34 @@
   BOOST_TEST(setup.Plan().loads.empty());
 }
 
+// Guards against an eviction that the model plan undoes, after which the next
+// one follows.
+BOOST_AUTO_TEST_CASE(replicas_for_a_burst_or_a_shift_are_not_evicted) {
+  plan_fixture setup;
+  setup.models = {Model(100, 5), Model(100, 0.4)};
+  setup.engines = {Engine(0, {0}), Engine(0, {0})};
+  setup.waiting = {{1, 1, 7000ms}};
+  BOOST_TEST(!setup.Plan().loads.empty());
+  setup.models[0].steady_rate = 10;
+  BOOST_TEST(setup.Plan().loads.empty());
+  setup.models[0].steady_rate = 5;
+  setup.models[0].future_work = 400;
+  setup.models[0].future_rate = 10;
+  BOOST_TEST(setup.Plan().loads.empty());
+}
+
+BOOST_AUTO_TEST_CASE(without_a_weight_store_only_copies_are_loaded) {
+  plan_fixture setup;
+  setup.models = {Model(100, 0.4)};
+  setup.engines = {Engine(100, {})};
+  setup.waiting = {{0, 1, 7000ms}};
+  setup.limits.store_loads = 0;
+  setup.limits.store_loads_per_second = 0;
+  BOOST_TEST(setup.Plan().loads.empty());
+  setup.engines[0].on_disk = {0};
+  BOOST_TEST(setup.Plan().steps.size() == 1u);
+}
+
 // Guards against waiting models that evict each other before any request has
 // been served.
 BOOST_AUTO_TEST_CASE(a_model_keeps_its_place_while_requests_wait_for_it) {
