--- a/src/host/process/placement_controller.cc
+++ b/src/host/process/placement_controller.cc
@@ -421,8 +421,12 @@
   core_.holder.heard_at = now;
   // The first update of this process need not be the first one of its term.
   const bool is_new = update_term_ != 0 && term != update_term_;
-  if (is_new)
-    core_.holder.orders_from = now + core_.settings.handover_pause;
+  if (!is_new)
+    return;
+  core_.holder.orders_from = now + core_.settings.handover_pause;
+  // The former holder's plans are not carried out any more.
+  for (const auto& [instance, server] : core_.servers.servers())
+    server->planned_loads_due.clear();
 }
 
 void placement_controller::ApplyUpdate(const wire::placement_news& update,
--- a/src/host/request/load_wait.cc
+++ b/src/host/request/load_wait.cc
@@ -17,6 +17,11 @@
 // been heard of for this long has missed two of them.
 constexpr milliseconds kHolderSilence{3000};
 
+// A request whose model is expected after kFarLoad at the earliest selects less
+// often: each selection looks at all servers, and there are thousands.
+constexpr milliseconds kFarLoad{700};
+constexpr milliseconds kFarRecheckInterval{50};
+
 // How long after its retry-after delay a caller is expected back.
 constexpr milliseconds kReturnTolerance{1000};
 
@@ -94,6 +99,14 @@
   model.plan = plan;
 }
 
+milliseconds load_wait::RecheckInterval(
+    const decisions::unavailable_model& model) const {
+  const auto expected = decisions::TimeToReplica(model);
+  return is_patient_ && expected && *expected > kFarLoad
+             ? kFarRecheckInterval
+             : kSelectionRetryInterval;
+}
+
 void load_wait::Begin() {
   if (!is_patient_ || entry_)
     return;
--- a/src/host/request/load_wait.h
+++ b/src/host/request/load_wait.h
@@ -39,6 +39,10 @@
                base::time_point now,
                decisions::unavailable_model& model);
 
+  // Time after which a request that waits for this model selects again.
+  std::chrono::milliseconds RecheckInterval(
+      const decisions::unavailable_model& model) const;
+
   // Counts the request as waiting from now on, if it is patient.
   void Begin();
   // Counts the caller, which is rejected, as one that comes back after the
--- a/src/host/request/server_search.cc
+++ b/src/host/request/server_search.cc
@@ -443,6 +443,7 @@
         jitter = kAfterPause;
       break;
     }
+    milliseconds recheck = kSelectionRetryInterval;
     const bool refusable = now >= RefusalCutoff(routed, wait);
     const bool absent = !choice && !query.model.empty() &&
                         !core.servers.AnyHolds(WithoutAdapter(query), now);
@@ -459,6 +460,7 @@
         break;
       }
       wait.Begin();
+      recheck = wait.RecheckInterval(model);
     } else if (!choice && refusable) {
       break;
     } else if (!choice && !core.servers.AnyHolds(query, now)) {
@@ -469,7 +471,7 @@
         continue;
       reason.message = placed.error().message;
     }
-    pause.expires_after(kSelectionRetryInterval);
+    pause.expires_after(recheck);
     co_await pause.async_wait(kAwait);
   }
   reason.retry_after = RetryAfter(
--- a/tests/auto/host/test_patient_requests.cc
+++ b/tests/auto/host/test_patient_requests.cc
@@ -11,6 +11,7 @@
 #include "host/process/demand_forecast.h"
 #include "host/process/patient_placement.h"
 #include "host/process/waiting_demand.h"
+#include "host/request/load_wait.h"
 #include "relay_world.h"
 
 namespace {
@@ -150,6 +151,43 @@
   BOOST_TEST((waited < 1900ms));
 }
 
+// The time for which a load may have been planned, which limits the wait: it
+// begins anew after the pause of a new lease holder and after a load that was
+// known has failed.
+BOOST_AUTO_TEST_CASE(the_time_for_a_plan_begins_when_one_can_be_made) {
+  patient_world here;
+  const auto arrived = steady_clock::now();
+  host::routed_request routed;
+  routed.configuration =
+      std::make_shared<const catalog::configuration>(here.configuration);
+  routed.route = &routed.configuration->routes.front();
+  routed.service = &routed.configuration->services.front();
+  routed.demand = &here.core->demand.DemandFor("m", 1ms);
+  routed.arrived = arrived;
+  routed.deadline = arrived + 2s;
+  host::server_query query;
+  query.service = "s";
+  query.model = "m";
+  host::load_wait wait(*here.core, routed, query);
+  BOOST_REQUIRE(wait.IsPatient());
+  const auto plannable_for = [&](std::chrono::milliseconds after) {
+    decisions::unavailable_model model;
+    wait.AddPlan(query, arrived + after, model);
+    return model.plan->plannable_for;
+  };
+  here.core->holder.heard_at = arrived;
+  BOOST_TEST((plannable_for(400ms) == 400ms));
+  here.core->holder.orders_from = arrived + 1s;
+  BOOST_TEST((plannable_for(600ms) == 0ms));
+  BOOST_TEST((plannable_for(1300ms) == 300ms));
+  here.engine->planned_loads_due[host::KeyOf("m")] = arrived + 2s;
+  BOOST_TEST((plannable_for(1500ms) == 0ms));
+  here.engine->planned_loads_due.clear();
+  BOOST_TEST((plannable_for(1600ms) == 100ms));
+  // Nothing has been heard of the lease holder for 3 s.
+  BOOST_TEST(!plannable_for(3001ms).has_value());
+}
+
 BOOST_AUTO_TEST_CASE(a_caller_that_disconnects_waits_no_more) {
   patient_world here;
   bool waited = false;
