--- a/tests/auto/host/test_patient_placement.cc
+++ b/tests/auto/host/test_patient_placement.cc
@@ -6,6 +6,8 @@
 #include <boost/test/unit_test.hpp>
 
 #include "backend_stand_in.h"
+#include "fake_store.h"
+#include "host/process/placement_controller.h"
 #include "request_codec.h"
 
 namespace {
@@ -17,7 +19,8 @@
 std::string StateOf(const std::string& models, int orders, bool busy) {
   const std::string state = R"({"Models":[)" + models + R"(],"Seq":)" +
                             std::to_string(orders) + R"(,"Busy":)" +
-                            (busy ? "true" : "false") + "}";
+                            (busy ? "true" : "false") +
+                            R"(,"AtHand":{"InMemory":[],"OnDisk":["idle"]}})";
   return "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(state.size()) +
          "\r\n\r\n" + state;
 }
@@ -66,8 +69,11 @@
   host::engine_record& engine() { return *dispatcher.engines().at("i-1"); }
 
   void RunUntil(const std::function<bool()>& done) {
-    while (!done())
+    const auto end = steady_clock::now() + 20s;
+    while (!done()) {
       BOOST_REQUIRE_NE(context.run_one_for(20s), 0u);
+      BOOST_REQUIRE((steady_clock::now() < end));
+    }
   }
 
   void ReportWaiting(std::int32_t requests) {
@@ -234,6 +240,84 @@
   }
 }
 
+// The whole controller of one host.
+struct controller_fixture : holder_fixture {
+  controller_fixture() {
+    core.settings.server_heartbeat = 100ms;
+    store.grants_leases = true;
+  }
+
+  host::known_server& server() { return *core.servers.Find("i-1"); }
+
+  wire::placement_news UpdateOf(std::int64_t term, bool with_plan) {
+    wire::placement_news update;
+    update.term = term;
+    update.__set_holder("127.0.0.1:9");
+    if (!with_plan)
+      return update;
+    update.engines.emplace_back();
+    update.engines.front().server = server().key;
+    wire::coming_model coming;
+    coming.model = host::KeyOf("m");
+    coming.due_ms = 4000;
+    coming.__set_planned(true);
+    update.engines.front().coming.push_back(coming);
+    return update;
+  }
+
+  test::fake_store store{context};
+  store::lease_keeper lease{context, store, "h", 10s, [] { return true; },
+                            true};
+  host::peer_link peers{context, core.settings, {}};
+  host::placement_controller controller{core, lease, peers};
+};
+
+// What hosts report as waiting becomes an order to an engine, and a time that
+// is known to the requests of the lease holder's own host as well.
+BOOST_AUTO_TEST_CASE(a_lease_holder_orders_what_hosts_report_as_waiting) {
+  controller_fixture setup;
+  setup.backend.script.push_front(
+      {StateOf(R"({"Name":"idle","Version":1,"Adapters":[]})", 0, false)});
+  setup.lease.Start();
+  setup.controller.Start();
+  wire::model_load load;
+  load.model = host::KeyOf("m");
+  load.objective_ms = 8000;
+  load.__set_waiting(2);
+  load.__set_waiting_tokens(9000);
+  load.__set_earliest_deadline_ms(7900);
+  setup.controller.UpdateDemand("h1", {load});
+  setup.RunUntil([&] { return !setup.server().planned_loads_due.empty(); });
+  BOOST_TEST(setup.server().planned_loads_due.contains(host::KeyOf("m")));
+  BOOST_TEST((steady_clock::now() - setup.core.holder.heard_at < 2s));
+  const auto ordered = [&] {
+    return std::ranges::any_of(setup.backend.requests, [](const auto& each) {
+      return each.body().find("idle") != std::string::npos ||
+             std::string(each.target()).find("idle") != std::string::npos;
+    });
+  };
+  setup.RunUntil(ordered);
+}
+
+// Guards against requests that wait for loads which the former lease holder
+// planned and the present one does not know of.
+BOOST_AUTO_TEST_CASE(a_new_lease_holder_ends_the_plans_of_the_former_one) {
+  controller_fixture setup;
+  const base::endpoint sender{"127.0.0.1", 9};
+  setup.controller.ApplyUpdate(setup.UpdateOf(4, true), sender);
+  BOOST_TEST(setup.server().planned_loads_due.size() == 1u);
+  // This host has started under this term, so it knows of no pause.
+  BOOST_TEST((setup.core.holder.orders_from <= steady_clock::now()));
+  setup.controller.ApplyUpdate(setup.UpdateOf(4, false), sender);
+  BOOST_TEST(setup.server().planned_loads_due.size() == 1u);
+  setup.controller.ApplyUpdate(setup.UpdateOf(5, false), sender);
+  BOOST_TEST(setup.server().planned_loads_due.empty());
+  BOOST_TEST((setup.core.holder.orders_from > steady_clock::now() + 2s));
+  // Late updates of the former one are ignored.
+  setup.controller.ApplyUpdate(setup.UpdateOf(4, true), sender);
+  BOOST_TEST(setup.server().planned_loads_due.empty());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
