--- a/src/host/process/known_server.h
+++ b/src/host/process/known_server.h
@@ -16,6 +16,7 @@
 #include "decisions/prompt_quarantine.h"
 #include "decisions/advertised_limit.h"
 #include "decisions/cold_start.h"
+#include "decisions/engine_estimate.h"
 #include "decisions/read_pacing.h"
 #include "decisions/server_cost.h"
 #include "decisions/server_notices.h"
@@ -84,6 +85,9 @@
   server_usage own;
   server_usage others;
   decisions::server_health trust;
+  // How much later than expected its responses start, if estimates are shared
+  // for its service.
+  decisions::engine_estimate estimate;
   // Prefill work that all hosts have sent to it, and the time per prompt token
   // of the last request sent by this host.
   decisions::read_pacing pace;
