--- a/src/decisions/engine_estimate.cc
+++ b/src/decisions/engine_estimate.cc
@@ -19,27 +19,36 @@
 // 6%, which is less than the tenth from which a change is published.
 constexpr double kMaxWeight = 16;
 
-// The same while the latest observations show another speed than the estimate:
-// three more observations then move it by more than half of the difference.
-constexpr double kMaxWeightInDrift = 3;
+// The same for the variance, to which a few responses contribute most.
+constexpr double kMaxVarianceMemory = 64;
 
-// Share that older observations keep in the drift for each new one.
+// The same after a change of speed: three more observations then move the
+// estimate by more than half of the difference.
+constexpr double kMemoryAfterChange = 3;
+
+// Share that older observations keep in the drift for each new one. The speed
+// has changed if the drift exceeds the spread; of an engine that has not
+// changed, the drift's standard deviation is 0.38 times the spread.
 constexpr double kDriftMemory = 0.75;
 
-// The drift counts as a change of speed above this many times the spread. Of an
-// engine that has not changed, its standard deviation is 0.38 times the spread.
-constexpr double kDriftThreshold = 1.0;
+// Bounds in that comparison, so that a single outlier is no change.
+constexpr double kMaxDrift = 1.1;
+constexpr double kMinSpread = 0.3;
 
-// Lower bound of the spread in that comparison.
-constexpr double kMinSpread = 0.25;
+// Number of attempts as which the older ones count for the failure share.
+constexpr double kFailureMemory = 8;
 
 // Number of observations as which the prior counts: a single outlier of 2.5
 // times then shows as a factor of 1.35.
 constexpr double kPriorWeight = 2;
 
+// Response times have a longer tail than the normal distribution: if 15% take
+// 2.5 times as long, its 99th percentile with their spread is below 2.5 times.
+constexpr double kTailFactor = 1.2;
+
 // Without any observation, 99 in 100 responses are assumed to start within 3
 // times the expected time.
-const double kPriorSpread = std::log(3.0) / 2.326;
+const double kPriorSpread = std::log(3.0) / 2.326 / kTailFactor;
 
 // Without new observations, the estimate loses half of its weight in this time.
 // An engine that is avoided because it was slow is tried again after about as
@@ -61,10 +70,6 @@
   return std::exp2(-(age / std::chrono::duration<double>(kHalfLife)));
 }
 
-double WeightAt(const engine_estimate& estimate, base::time_point now) {
-  return estimate.weight * Decay(estimate, now);
-}
-
 // Mean of the logarithm of the factor, with the prior.
 double LogFactorAt(const engine_estimate& estimate, base::time_point now) {
   const double weight = WeightAt(estimate, now);
@@ -87,36 +92,50 @@
   return (low + high) / 2;
 }
 
-void MergeFailures(engine_estimate& estimate,
-                   const observation_sums& sums,
-                   base::time_point now) {
+void MergeFailures(engine_estimate& estimate, const observation_sums& sums) {
   const auto attempts = static_cast<double>(sums.responses + sums.failures);
   const double share =
       std::min(static_cast<double>(sums.failures) / attempts, 1.0);
-  estimate.failure_share *= Decay(estimate, now);
   estimate.failure_share +=
-      (share - estimate.failure_share) * attempts / (attempts + kMaxWeight / 2);
+      (share - estimate.failure_share) * attempts / (attempts + kFailureMemory);
 }
 
-// Returns the weight of the observations before these.
-double WeightBefore(engine_estimate& estimate,
-                    double deviation,
-                    double responses,
-                    base::time_point now) {
-  const double before = std::min(WeightAt(estimate, now), kMaxWeight);
-  if (before < kMaxWeightInDrift) {
+// Lets older observations count less if the latest ones show that the speed has
+// changed.
+void DetectChange(engine_estimate& estimate,
+                  double deviation,
+                  double responses) {
+  if (estimate.mean_memory < kMemoryAfterChange) {
     estimate.drift = 0;
-    return before;
+    return;
   }
   const double kept = std::pow(kDriftMemory, responses);
-  estimate.drift = kept * estimate.drift + (1 - kept) * deviation;
+  const double limited = std::clamp(deviation, -kMaxDrift, kMaxDrift);
+  estimate.drift = kept * estimate.drift + (1 - kept) * limited;
   const double spread = std::max(std::sqrt(estimate.variance), kMinSpread);
-  const bool is_changing = std::abs(estimate.drift) > kDriftThreshold * spread;
-  return is_changing ? kMaxWeightInDrift : before;
+  if (std::abs(estimate.drift) > spread)
+    estimate.mean_memory = kMemoryAfterChange;
+}
+
+// Lets all observations so far lose weight by time.
+void Age(engine_estimate& estimate, base::time_point now) {
+  const double kept = Decay(estimate, now);
+  estimate.weight *= kept;
+  estimate.mean_memory *= kept;
+  estimate.variance_memory *= kept;
+  estimate.failure_share *= kept;
+  estimate.updated_at = now;
 }
 
 }  // namespace
 
+void Add(observation_sums& sums, const observation_sums& other) {
+  sums.responses += other.responses;
+  sums.log_factor_sum += other.log_factor_sum;
+  sums.log_factor_squares += other.log_factor_squares;
+  sums.failures += other.failures;
+}
+
 void RecordObservation(observation_sums& sums,
                        const engine_estimate& estimate,
                        const engine_observation& observation,
@@ -129,6 +148,8 @@
     return;
   const double known = LogFactorAt(estimate, now);
   const double observed = std::log(observation.actual / observation.expected);
+  if (!std::isfinite(observed))
+    return;
   if (observation.failed && observed <= known)
     return;
   const double limited = std::clamp(
@@ -157,32 +178,45 @@
          sum * sum <= count * (squares + count * kTolerance);
 }
 
+bool IsValid(const engine_estimate& estimate) {
+  // Values are rounded when they are sent.
+  constexpr double kTolerance = 0.001;
+  const double widest = kMaxLogFactor - kMinLogFactor + kTolerance;
+  return estimate.log_factor >= kMinLogFactor - kTolerance &&
+         estimate.log_factor <= kMaxLogFactor + kTolerance &&
+         estimate.variance >= 0 && estimate.variance <= widest * widest &&
+         estimate.weight >= 0 && estimate.weight <= kMaxWeight &&
+         estimate.failure_share >= 0 && estimate.failure_share <= 1;
+}
+
+double WeightAt(const engine_estimate& estimate, base::time_point now) {
+  return estimate.weight * Decay(estimate, now);
+}
+
 void MergeObservations(engine_estimate& estimate,
                        const observation_sums& sums,
                        base::time_point now) {
   if (sums.IsEmpty())
     return;
-  MergeFailures(estimate, sums, now);
-  if (sums.responses == 0) {
-    estimate.weight = WeightAt(estimate, now);
-    estimate.updated_at = now;
+  Age(estimate, now);
+  MergeFailures(estimate, sums);
+  if (sums.responses == 0)
     return;
-  }
   const auto responses = static_cast<double>(sums.responses);
   const double mean = sums.log_factor_sum / responses;
-  const double within =
+  const double variance =
       std::max(sums.log_factor_squares / responses - mean * mean, 0.0);
   const double deviation = mean - estimate.log_factor;
-  const double before = WeightBefore(estimate, deviation, responses, now);
-  const double total = before + responses;
-  const double share = responses / total;
-  // Variance of the older observations and these together.
-  estimate.variance =
-      (1 - share) * (estimate.variance + share * deviation * deviation) +
-      share * within;
+  DetectChange(estimate, deviation, responses);
+  const double share = responses / (estimate.mean_memory + responses);
   estimate.log_factor += share * deviation;
-  estimate.weight = std::min(total, kMaxWeight);
-  estimate.updated_at = now;
+  const double rest = (1 - share) * deviation;
+  estimate.variance += (variance + rest * rest - estimate.variance) *
+                       responses / (estimate.variance_memory + responses);
+  estimate.weight = std::min(estimate.weight + responses, kMaxWeight);
+  estimate.mean_memory = std::min(estimate.mean_memory + responses, kMaxWeight);
+  estimate.variance_memory =
+      std::min(estimate.variance_memory + responses, kMaxVarianceMemory);
 }
 
 double CurrentFactor(const engine_estimate& estimate, base::time_point now) {
@@ -207,8 +241,7 @@
   const double variance = (weight * estimate.variance +
                            kPriorWeight * kPriorSpread * kPriorSpread) /
                           total;
-  // The mean is uncertain as well.
-  const double spread = std::sqrt(variance * (1 + 1 / (1 + weight)));
+  const double spread = std::sqrt(variance) * kTailFactor;
   return expected * std::exp(LogFactorAt(estimate, now) +
                              NormalQuantile(quantile) * spread);
 }
--- a/src/decisions/engine_estimate.h
+++ b/src/decisions/engine_estimate.h
@@ -31,6 +31,10 @@
   double variance = 0;
   // Number of recent responses on which it was based at `updated_at`.
   double weight = 0;
+  // Numbers of responses as which the mean and the variance count against new
+  // ones. That of the mean is lower after a change of speed.
+  double mean_memory = 0;
+  double variance_memory = 0;
   // Share of failed attempts at `updated_at`.
   double failure_share = 0;
   // Logarithm of the factor that is assumed without observations: the median of
@@ -61,6 +65,9 @@
   bool IsEmpty() const { return responses == 0 && failures == 0; }
 };
 
+// Adds up sums.
+void Add(observation_sums& sums, const observation_sums& other);
+
 // Adds an observation to the sums. A factor that differs from the estimate by
 // more than the usual variation of engines is limited to that. An attempt that
 // failed before its response started, but later than estimated, also counts as
@@ -78,6 +85,12 @@
                        const observation_sums& sums,
                        base::time_point now);
 
+// Whether an estimate of another host can be valid.
+bool IsValid(const engine_estimate& estimate);
+
+// Number of recent responses on which the estimate is based, with decay.
+double WeightAt(const engine_estimate& estimate, base::time_point now);
+
 // Factor by which responses start later than expected. Close to the prior while
 // there are few recent observations.
 double CurrentFactor(const engine_estimate& estimate, base::time_point now);
