Hosts share estimates of how fast engines respond

Hosts now report their observations to the owner of an engine's estimate four times a second, and the owner publishes the estimate when it has changed. It replaces server_health::slowdown in the expected wait, and scales the prompt backlog and the pause cost, for services of mixed urgency; other services are served as before. The expected time that is compared with the actual one contains no factor, and a host's cost per token is that of an engine of usual speed.

In virtual time (test_engine_estimate_service): 70 hosts, 140 engines, 500 requests per second, one in four engines at 0.55 of the speed, noise of 2.5 for 15% of the responses: after 2 s 97% of the host-engine pairs know the slow engines and 0.9% take a fast one for slow; after 10 s 100% and 0%. Engines that turn slow are known to 38% after 2 s, 85% after 3 s and 100% after 4 s. One of 985 hosts with 4,000 engines sends 13.5 kB per second.

--- a/src/decisions/engine_estimate.cc
+++ b/src/decisions/engine_estimate.cc
@@ -23,7 +23,8 @@
 constexpr double kMaxVarianceMemory = 64;
 
 // The same after a change of speed: three more observations then move the
-// estimate by more than half of the difference.
+// estimate by more than half of the difference. With 2, an engine that has not
+// changed is taken for slow in 2% of the time in place of 0%.
 constexpr double kMemoryAfterChange = 3;
 
 // Share that older observations keep in the drift for each new one. The speed
@@ -39,8 +40,8 @@
 constexpr double kFailureMemory = 8;
 
 // Number of observations as which the prior counts: a single outlier of 2.5
-// times then shows as a factor of 1.35.
-constexpr double kPriorWeight = 2;
+// times then shows as a factor of 1.45.
+constexpr double kPriorWeight = 1.5;
 
 // Response times have a longer tail than the normal distribution: if 15% take
 // 2.5 times as long, its 99th percentile with their spread is below 2.5 times.
@@ -53,7 +54,7 @@
 // Without new observations, the estimate loses half of its weight in this time.
 // An engine that is avoided because it was slow is tried again after about as
 // much.
-constexpr std::chrono::seconds kHalfLife{10};
+constexpr std::chrono::seconds kHalfLife{5};
 
 // Fewer recent responses than this do not count for the median.
 constexpr double kMinWeightForMedian = 2;
--- a/src/decisions/engine_estimate_update.cc
+++ b/src/decisions/engine_estimate_update.cc
@@ -16,6 +16,10 @@
 // observations.
 constexpr std::chrono::milliseconds kRefreshInterval{5000};
 
+// The first publication waits for this number of responses: an engine is
+// published once a second only, and one response tells little of its speed.
+constexpr double kMinFirstWeight = 1.5;
+
 const double kUsefulLogChange = std::log(1.1);
 const double kUrgentLogChange = std::log(1.25);
 
@@ -31,8 +35,10 @@
 publication_need PublicationNeed(const engine_estimate& estimate,
                                  const estimate_exchange& exchange,
                                  base::time_point now) {
-  const bool is_due = exchange.published_at == base::time_point() ||
-                      now - exchange.published_at >= kMinPublicationInterval;
+  const bool is_first = exchange.published_at == base::time_point();
+  const bool is_due =
+      is_first ? WeightAt(estimate, now) >= kMinFirstWeight
+               : now - exchange.published_at >= kMinPublicationInterval;
   if (!exchange.has_merged || !is_due)
     return publication_need::kNone;
   // Other hosts let the published estimate decay to the same prior.
@@ -42,7 +48,10 @@
       std::log(CurrentFactor(estimate, now) / CurrentFactor(known, now)));
   if (change >= kUrgentLogChange)
     return publication_need::kUrgent;
-  const bool is_old = now - exchange.published_at >= kRefreshInterval;
+  // Without the first estimates of engines of usual speed, the median of other
+  // hosts would be that of unusual ones.
+  const bool is_old =
+      is_first || now - exchange.published_at >= kRefreshInterval;
   return change >= kUsefulLogChange || is_old ? publication_need::kUseful
                                               : publication_need::kNone;
 }
--- a/src/decisions/engine_estimate_update.h
+++ b/src/decisions/engine_estimate_update.h
@@ -25,9 +25,11 @@
   // This host has merged observations as the owner since it last considered
   // publishing the estimate.
   bool has_merged = false;
-  // The estimate as it was last published by this host, and when.
+  // The estimate as it was last published, by this host or another, and when.
   engine_estimate published;
   base::time_point published_at;
+  // This host has published it as the owner, and no other host has since.
+  bool is_publisher = false;
   // This host has logged that the engine is slow.
   bool is_slow = false;
 };
--- a/src/host/process/host.cc
+++ b/src/host/process/host.cc
@@ -17,6 +17,7 @@
 #include "decisions/cold_start.h"
 #include "decisions/lease_delay.h"
 #include "host/constants.h"
+#include "host/process/engine_estimate_service.h"
 #include "host/process/host_core.h"
 #include "host/process/key_freshness_monitor.h"
 #include "host/process/load_reports.h"
@@ -111,6 +112,7 @@
   server_limit_callbacks MakeServerLimitCallbacks();
   path_callbacks MakePathCallbacks();
   stream_origin_callbacks MakeStreamOriginCallbacks();
+  engine_estimate_callbacks MakeEngineEstimateCallbacks();
   void AnnounceFull(const known_server& server);
   bool IsServerListCurrent() const;
   asio::awaitable<void> ReportCrash(std::uint64_t digest,
@@ -137,6 +139,7 @@
   placement_controller placement_;
   server_limits server_limits_;
   stream_origin_service stream_origins_;
+  engine_estimate_service engine_estimates_;
   load_reports loads_;
   net::http_server callers_;
   net::http_server relays_;
@@ -231,6 +234,7 @@
       placement_(core_, lease_, peers_),
       server_limits_(core_, MakeServerLimitCallbacks()),
       stream_origins_(core_, MakeStreamOriginCallbacks()),
+      engine_estimates_(core_, MakeEngineEstimateCallbacks()),
       loads_(core_, peers_, mirror_, placement_),
       callers_(
           context,
@@ -455,6 +459,31 @@
   return callbacks;
 }
 
+engine_estimate_callbacks host::MakeEngineEstimateCallbacks() {
+  engine_estimate_callbacks callbacks;
+  callbacks.owner = [this](const std::string& instance) {
+    return peers_.FirstHealthy(instance, 0);
+  };
+  callbacks.send = [this](const base::endpoint& to,
+                          const wire::engine_observations& update) {
+    peers_.Send(std::string(kObservationsRecord), wire::Encode(update),
+                {0, {}, to});
+  };
+  callbacks.broadcast = [this](const wire::engine_estimates& update) {
+    peers_.BroadcastEvenly(std::string(kEstimatesRecord),
+                           [&update](bool hand_on) {
+                             wire::engine_estimates sent = update;
+                             if (hand_on)
+                               sent.__set_hand_on(true);
+                             return wire::Encode(sent);
+                           });
+  };
+  callbacks.broadcast_in_zone = [this](const wire::engine_estimates& update) {
+    peers_.BroadcastInZone(std::string(kEstimatesRecord), wire::Encode(update));
+  };
+  return callbacks;
+}
+
 bool host::IsServerListCurrent() const {
   const auto age = mirror_.Age();
   return mirror_.revision() > 0 && age && *age <= kMaxServerListAge &&
@@ -571,6 +600,16 @@
     const auto origin = wire::DecodeStreamOrigin(record.value);
     if (origin)
       stream_origins_.HandleRecord(*origin);
+  } else if (record.key == kObservationsRecord) {
+    const auto update = wire::DecodeEngineObservations(record.value);
+    if (update)
+      engine_estimates_.HandleObservations(*update,
+                                           std::chrono::steady_clock::now());
+  } else if (record.key == kEstimatesRecord) {
+    auto update = wire::DecodeEngineEstimates(record.value);
+    if (update)
+      engine_estimates_.HandleEstimates(std::move(*update),
+                                        std::chrono::steady_clock::now());
   } else if (record.key == kLimitsRecord) {
     auto update = wire::DecodeLimitNews(record.value);
     if (update)
@@ -662,6 +701,7 @@
     owner_services_.Tick(now);
     server_limits_.Tick(now);
     stream_origins_.Tick(now);
+    engine_estimates_.Tick(now);
     lease_.SetYielding(paths_.CannotPlaceModels(kMaxUnableHolder));
     quarantine_.Republish();
     prompt_quarantine_.Tick();
--- a/src/host/process/host_core.h
+++ b/src/host/process/host_core.h
@@ -98,6 +98,11 @@
   std::function<bool()> is_stale = [] { return false; };
   // Set during a stop: requests that may last longer than this are refused.
   std::optional<base::time_point> stops_at;
+  // Records the outcome of an attempt at an engine for its shared estimate. If
+  // unset, none is shared.
+  std::function<void(known_server& server,
+                     const decisions::engine_observation& observation)>
+      engine_observed;
   // Publishes that this host's load on a server has changed.
   std::function<void(const known_server& server)> load_changed;
   // Charges the cost of a request to the limit of its workspace. Returns an
--- a/src/host/process/known_server.h
+++ b/src/host/process/known_server.h
@@ -17,6 +17,7 @@
 #include "decisions/advertised_limit.h"
 #include "decisions/cold_start.h"
 #include "decisions/engine_estimate.h"
+#include "decisions/engine_estimate_update.h"
 #include "decisions/read_pacing.h"
 #include "decisions/server_cost.h"
 #include "decisions/server_notices.h"
@@ -88,6 +89,7 @@
   // How much later than expected its responses start, if estimates are shared
   // for its service.
   decisions::engine_estimate estimate;
+  decisions::estimate_exchange exchange;
   // Prefill work that all hosts have sent to it, and the time per prompt token
   // of the last request sent by this host.
   decisions::read_pacing pace;
--- a/src/host/process/peer_link.cc
+++ b/src/host/process/peer_link.cc
@@ -38,6 +38,10 @@
 constexpr std::string_view kRelaySubject = "relay/placed";
 constexpr std::size_t kRelaysPerZone = 2;
 
+// Up to this number of hosts, BroadcastEvenly sends directly: a datagram of 140
+// bytes to each of them takes 18 kB.
+constexpr std::int64_t kMaxDirectHosts = 128;
+
 std::int32_t RolesOf(const host_settings& settings) {
   std::int32_t roles = membership::kGateway | membership::kController;
   if (settings.link_bytes_per_second >= kWideLinkBytes)
@@ -162,21 +166,34 @@
     return;
   }
   BroadcastInZone(key, encode(false));
-  SendToRelays(key, encode(true));
+  SendToRelays(key, encode(true), kRelaysPerZone, std::string(kRelaySubject));
+}
+
+void peer_link::BroadcastEvenly(
+    const std::string& key,
+    const std::function<std::string(bool hand_on)>& encode) {
+  if (CountServing() <= kMaxDirectHosts) {
+    Send(key, encode(false), {kAllHosts, {}, std::nullopt});
+    return;
+  }
+  BroadcastInZone(key, encode(false));
+  SendToRelays(key, encode(true), 1, {});
 }
 
 void peer_link::BroadcastInZone(const std::string& key, std::string value) {
   Send(key, std::move(value), {kAllHosts, {}, std::nullopt, gossip_.self.zone});
 }
 
-void peer_link::SendToRelays(const std::string& key, const std::string& value) {
+void peer_link::SendToRelays(const std::string& key,
+                             const std::string& value,
+                             std::size_t count,
+                             const std::string& subject) {
   std::set<std::string> zones;
   for (const auto& [id, each] : gossip_.others)
     zones.insert(each.record.zone);
   zones.erase(gossip_.self.zone);
   for (const std::string& zone : zones)
-    Send(key, value,
-         {kRelaysPerZone, std::string(kRelaySubject), std::nullopt, zone});
+    Send(key, value, {count, subject, std::nullopt, zone});
 }
 
 bool peer_link::IsChosen(const std::string& subject,
--- a/src/host/process/peer_link.h
+++ b/src/host/process/peer_link.h
@@ -62,6 +62,11 @@
   // otherwise the value for all other hosts.
   void Broadcast(const std::string& key,
                  const std::function<std::string(bool hand_on)>& encode);
+  // The same for records that many hosts send often: in a large fleet one relay
+  // in each other zone is selected at random each time, so that all hosts
+  // forward equally.
+  void BroadcastEvenly(const std::string& key,
+                       const std::function<std::string(bool hand_on)>& encode);
   // Sends a record to all other hosts of this availability zone.
   void BroadcastInZone(const std::string& key, std::string value);
   // Whether this host is among the `count` hosts chosen for a subject, within
@@ -129,7 +134,12 @@
   }
 
  private:
-  void SendToRelays(const std::string& key, const std::string& value);
+  // Sends a record to `count` relays in each other availability zone, selected
+  // for `subject`, or at random if it is empty.
+  void SendToRelays(const std::string& key,
+                    const std::string& value,
+                    std::size_t count,
+                    const std::string& subject);
   void Receive(std::string_view bytes, const base::endpoint& from);
   void Dispatch(membership::gossip_events events);
   boost::asio::awaitable<void> TickLoop();
--- a/src/host/process/server_registry.cc
+++ b/src/host/process/server_registry.cc
@@ -244,6 +244,34 @@
          (query.model.empty() || server.Holds(query.model, query.adapter, now));
 }
 
+bool server_registry::UsesSharedEstimate(
+    const server_query& query,
+    const catalog::service& service) const {
+  return !query.model.empty() && IsEnabled(shared_estimates_, service);
+}
+
+// The local slowdown of a host is based on few responses, so only a shared
+// estimate applies to the prompts ahead.
+server_choice server_registry::ChoiceOf(
+    const std::shared_ptr<known_server>& server,
+    const decisions::server_candidate& offer,
+    const server_query& query,
+    const catalog::service& service,
+    base::time_point now) const {
+  server_choice choice;
+  choice.server = server;
+  choice.expected = ExpectedWait(offer, query.weight);
+  choice.unscaled = choice.expected / offer.slowdown;
+  choice.prefill_ahead =
+      query.weight.time_per_token * static_cast<double>(offer.unread_tokens);
+  choice.cached_tokens = offer.cached_tokens;
+  if (UsesSharedEstimate(query, service)) {
+    choice.prefill_ahead *= offer.slowdown;
+    choice.relative_slowdown = decisions::RelativeFactor(server->estimate, now);
+  }
+  return choice;
+}
+
 decisions::server_candidate server_registry::OfferOf(
     const known_server& server,
     const server_query& query,
@@ -258,7 +286,9 @@
   if (!query.model.empty())
     offer.cached_tokens = CachedTokens(server, *query.head, now);
   offer.same_zone = server.entry.zone == zone_;
-  offer.slowdown = server.trust.slowdown;
+  offer.slowdown = UsesSharedEstimate(query, service)
+                       ? decisions::CurrentFactor(server.estimate, now)
+                       : server.trust.slowdown;
   return offer;
 }
 
@@ -290,10 +320,7 @@
       continue;
     const decisions::server_candidate offer =
         OfferOf(*server, query, service, now);
-    const milliseconds ahead =
-        query.weight.time_per_token * static_cast<double>(offer.unread_tokens);
-    return server_choice{server, ExpectedWait(offer, query.weight), ahead,
-                         offer.cached_tokens};
+    return ChoiceOf(server, offer, query, service, now);
   }
   return std::nullopt;
 }
@@ -306,25 +333,25 @@
   std::optional<server_choice> best;
   milliseconds best_cost{0};
   std::uniform_real_distribution<double> jitter(0, 1);
+  const bool is_shared = UsesSharedEstimate(query, service);
   for (const auto& [instance, server] : servers_) {
     if (!IsCandidate(*server, query, now) || server->IsCold(service, now))
       continue;
     const decisions::server_candidate offer =
         OfferOf(*server, query, service, now);
     const milliseconds expected = ExpectedWait(offer, query.weight);
+    const double pause_factor = is_shared ? offer.slowdown : 1;
     const bool receives_directly =
         !receives_directly_ || receives_directly_(instance);
     const milliseconds update_cost =
         receives_directly ? milliseconds(0) : kIndirectUpdateCost;
     const milliseconds cost =
-        update_cost + PauseCost(server->pace, now) +
+        update_cost + PauseCost(server->pace, now) * pause_factor +
         expected * (1 + kCostJitterShare * jitter(random)) +
         kCostJitter * jitter(random);
     if (best && cost >= best_cost)
       continue;
-    const milliseconds ahead =
-        query.weight.time_per_token * static_cast<double>(offer.unread_tokens);
-    best = server_choice{server, expected, ahead, offer.cached_tokens};
+    best = ChoiceOf(server, offer, query, service, now);
     best_cost = cost;
   }
   return best;
--- a/src/host/process/server_registry.h
+++ b/src/host/process/server_registry.h
@@ -23,6 +23,7 @@
 #include "decisions/cold_start.h"
 #include "decisions/server_cost.h"
 #include "host/external_protocol.h"
+#include "host/load_features.h"
 #include "host/process/known_server.h"
 #include "host/process/slot_handle.h"
 #include "wire/generated/messages_types.h"
@@ -56,6 +57,11 @@
 struct server_choice {
   std::shared_ptr<known_server> server;
   std::chrono::duration<double, std::milli> expected{0};
+  // The same without the slowdown factor of the server.
+  std::chrono::duration<double, std::milli> unscaled{0};
+  // Slowdown of the server relative to other engines of its service, if
+  // estimates are shared.
+  double relative_slowdown = 1;
   // Prefill time of the prompts that are queued before this one.
   std::chrono::duration<double, std::milli> prefill_ahead{0};
   std::int64_t cached_tokens = 0;
@@ -93,6 +99,10 @@
     cold_share_ = std::move(share);
   }
 
+  // Sets for which services the shared estimates of engines are used. Unset:
+  // for none.
+  void SetSharedEstimates(feature_mode mode) { shared_estimates_ = mode; }
+
   // Adds or updates an entry. Returns true if the server is new, or if its
   // draining or expiry state has changed.
   bool Put(catalog::backend_server entry, base::time_point now);
@@ -197,6 +207,15 @@
                                           const catalog::service& service,
                                           base::time_point now,
                                           std::mt19937_64& random) const;
+  // Whether the server's shared estimate applies to a request.
+  bool UsesSharedEstimate(const server_query& query,
+                          const catalog::service& service) const;
+  // The choice of a server with an offer for the request.
+  server_choice ChoiceOf(const std::shared_ptr<known_server>& server,
+                         const decisions::server_candidate& offer,
+                         const server_query& query,
+                         const catalog::service& service,
+                         base::time_point now) const;
   // The server's load and cache state as input of the cost function.
   decisions::server_candidate OfferOf(const known_server& server,
                                       const server_query& query,
@@ -207,6 +226,7 @@
   std::map<std::string, std::string> regions_;
   std::function<bool(const std::string& instance)> receives_directly_;
   std::function<decisions::cold_share()> cold_share_;
+  feature_mode shared_estimates_ = feature_mode::kOff;
   std::map<std::string, std::shared_ptr<known_server>, std::less<>> servers_;
   std::map<unit_key, std::weak_ptr<known_server>> by_key_;
   std::map<std::string, std::map<unit_key, server_usage>> loads_;
--- a/src/host/request/server_attempt.cc
+++ b/src/host/request/server_attempt.cc
@@ -35,6 +35,8 @@
       weight_(weight),
       demand_(demand),
       expected_delay_(choice.expected),
+      unscaled_delay_(choice.unscaled),
+      relative_slowdown_(choice.relative_slowdown),
       is_trial_(decisions::BeginTrial(server_->notices, started_at_)) {
   weight_.prompt_tokens =
       std::max<std::int64_t>(weight.prompt_tokens - choice.cached_tokens, 0);
@@ -122,14 +124,30 @@
   decisions::RecordResponse(
       server_->trust, took,
       expected_delay_ + milliseconds(kFirstEventOverhead));
+  ObserveEngine(false);
   if (tokens_ahead_ >= kMinTokensForCost) {
-    const milliseconds reading = took - milliseconds(kFirstEventOverhead);
+    // The cost is that of an engine of usual speed, as the expected time of all
+    // engines is computed from it.
+    const milliseconds reading =
+        (took - milliseconds(kFirstEventOverhead)) / relative_slowdown_;
     demand_tracker::UpdateCost(
         demand_,
         std::max(reading / static_cast<double>(tokens_ahead_), kMinTokenCost));
   }
 }
 
+void server_attempt::ObserveEngine(bool failed) {
+  if (!core_.engine_observed || weight_.time_per_token.count() <= 0)
+    return;
+  decisions::engine_observation observation;
+  // After the first byte, a failure shows nothing about the time until then.
+  if (!failed || awaiting_first_byte_)
+    observation.actual = std::chrono::steady_clock::now() - started_at_;
+  observation.expected = unscaled_delay_ + milliseconds(kFirstEventOverhead);
+  observation.failed = failed;
+  core_.engine_observed(*server_, observation);
+}
+
 void server_attempt::EndSlot(slot_outcome how) {
   if (slot_)
     slot_->SetOutcome(how);
@@ -146,6 +164,9 @@
       !is_definite ||
       (tracked_ != nullptr && core_.paths->IsSuspected(server_->entry.service));
   EndSlot(is_usable ? slot_outcome::kFailed : slot_outcome::kUnusable);
+  // Only this host may have lost its path to the server.
+  if (tracked_ == nullptr || !core_.paths->IsSuspected(server_->entry.service))
+    ObserveEngine(true);
   decisions::RecordFailure(server_->trust, is_definite, started_at_,
                            std::chrono::steady_clock::now());
 }
--- a/src/host/request/server_attempt.h
+++ b/src/host/request/server_attempt.h
@@ -48,6 +48,8 @@
 
  private:
   void EndSlot(slot_outcome how);
+  // Records the outcome for the shared estimate of the engine.
+  void ObserveEngine(bool failed);
   void EndTrial();
 
   host_core& core_;
@@ -59,6 +61,9 @@
   decisions::request_weight weight_;
   model_demand& demand_;
   std::chrono::duration<double, std::milli> expected_delay_;
+  // The same without the slowdown factor of the server.
+  std::chrono::duration<double, std::milli> unscaled_delay_;
+  double relative_slowdown_;
   // Prompt tokens, including this request's, that the server must process
   // before its first byte.
   std::int64_t tokens_ahead_ = 0;
--- /dev/null
+++ b/tests/auto/host/test_engine_estimate_service.cc
@@ -0,0 +1,557 @@
+// SPDX-License-Identifier: MIT
+#include "host/process/engine_estimate_service.h"
+
+#include <algorithm>
+#include <cmath>
+#include <map>
+#include <memory>
+#include <random>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include <boost/test/unit_test.hpp>
+
+#include "base/identifier.h"
+#include "membership/gossip.h"
+#include "request_codec.h"
+#include "wire/codec.h"
+
+namespace {
+
+using namespace valeledge;
+using namespace std::chrono_literals;
+using milliseconds = std::chrono::duration<double, std::milli>;
+
+constexpr milliseconds kExpected{200};
+
+// Speeds of the engines of the second deployment, as factors of the time.
+constexpr double kSlow = 1 / 0.55;
+constexpr double kFast = 1 / 1.2;
+constexpr double kNoise = 2.5;
+constexpr double kNoiseShare = 0.15;
+
+std::string InstanceName(int engine) {
+  return "instance-" + std::to_string(engine);
+}
+
+catalog::backend_server EntryOf(int engine) {
+  catalog::backend_server entry;
+  entry.instance = InstanceName(engine);
+  entry.service = "s";
+  entry.slots = 32;
+  entry.models.push_back({"m", 1, {}});
+  return entry;
+}
+
+std::shared_ptr<const catalog::configuration> MakeConfiguration(
+    bool mixed_urgency) {
+  catalog::configuration out;
+  catalog::service service;
+  service.name = "s";
+  service.mixed_urgency = mixed_urgency;
+  out.services.push_back(service);
+  return std::make_shared<const catalog::configuration>(out);
+}
+
+// Size of the datagram in which a host of a large fleet sends a value.
+std::size_t DatagramBytes(std::string_view key, const std::string& value) {
+  wire::gossip_message message;
+  message.kind = static_cast<std::int32_t>(membership::gossip_kind::kDirect);
+  message.sender.id = "host-1000";
+  message.table_revision = 1'000'000;
+  membership::soft_record record;
+  record.key = key;
+  record.value = value;
+  message.records.push_back(std::move(record));
+  return wire::Encode(message).size();
+}
+
+// Hosts that send requests to engines in virtual time.
+struct fleet {
+  struct member {
+    std::unique_ptr<host::host_core> core;
+    std::unique_ptr<host::engine_estimate_service> service;
+    bool is_running = true;
+  };
+  struct response {
+    std::size_t host = 0;
+    std::shared_ptr<host::known_server> server;
+    milliseconds took{0};
+  };
+
+  fleet(int hosts, int engine_count, bool mixed_urgency = true)
+      : factors(static_cast<std::size_t>(engine_count), kFast),
+        members(static_cast<std::size_t>(hosts)) {
+    configuration = MakeConfiguration(mixed_urgency);
+    for (std::size_t i = 0; i < members.size(); ++i)
+      Start(i);
+  }
+
+  static base::endpoint AddressOf(std::size_t host) {
+    return {"10.0.0.1", static_cast<std::uint16_t>(host + 1)};
+  }
+
+  void Start(std::size_t index) {
+    member& added = members[index];
+    host::host_settings settings;
+    settings.peer_listen = AddressOf(index);
+    added.core = std::make_unique<host::host_core>(context, settings,
+                                                   platform::MakeDialect());
+    added.core->configuration = configuration;
+    added.core->hosts = static_cast<std::int64_t>(members.size());
+    for (std::size_t i = 0; i < factors.size(); ++i)
+      added.core->servers.Put(EntryOf(static_cast<int>(i)), now);
+    host::engine_estimate_callbacks callbacks;
+    callbacks.owner = [this](const std::string& instance) {
+      return OwnerOf(instance);
+    };
+    callbacks.send = [this](const base::endpoint& to,
+                            const wire::engine_observations& update) {
+      ++reports;
+      if (IsLost())
+        return;
+      member& owner = members[to.port - 1u];
+      if (owner.is_running)
+        owner.service->HandleObservations(
+            *wire::DecodeEngineObservations(wire::Encode(update)), now);
+    };
+    callbacks.broadcast = [this, index](const wire::engine_estimates& update) {
+      ++publications;
+      for (std::size_t i = 0; i < members.size(); ++i) {
+        if (i != index && members[i].is_running && !IsLost())
+          members[i].service->HandleEstimates(
+              *wire::DecodeEngineEstimates(wire::Encode(update)), now);
+      }
+    };
+    callbacks.broadcast_in_zone = [](const wire::engine_estimates&) {};
+    added.service = std::make_unique<host::engine_estimate_service>(
+        *added.core, std::move(callbacks));
+  }
+
+  // A host that has just stopped is still taken for the owner.
+  std::optional<base::endpoint> OwnerOf(const std::string& instance) const {
+    std::optional<std::size_t> best;
+    std::uint64_t best_weight = 0;
+    for (std::size_t i = 0; i < members.size(); ++i) {
+      const std::uint64_t weight =
+          base::StableHash(instance + "/" + std::to_string(i));
+      if (known_dead.contains(i) || (best && weight <= best_weight))
+        continue;
+      best = i;
+      best_weight = weight;
+    }
+    return best ? std::optional(AddressOf(*best)) : std::nullopt;
+  }
+
+  bool IsLost() { return std::bernoulli_distribution(loss)(random); }
+
+  // Sends requests of all hosts to all engines for a while.
+  void Serve(std::chrono::milliseconds duration) {
+    std::exponential_distribution<double> interval(requests_per_second);
+    const auto end = now + duration;
+    auto next = now;
+    for (; now < end; now += 1ms) {
+      for (; next <= now;
+           next += std::chrono::duration_cast<base::time_point::duration>(
+               std::chrono::duration<double>(interval(random))))
+        Send();
+      while (!responses.empty() && responses.begin()->first <= now) {
+        Receive(responses.begin()->second);
+        responses.erase(responses.begin());
+      }
+      TickHosts();
+    }
+  }
+
+  void Send() {
+    const std::size_t host = random() % members.size();
+    const std::size_t engine = random() % factors.size();
+    if (!members[host].is_running || silent.contains(engine))
+      return;
+    const double noise =
+        std::bernoulli_distribution(kNoiseShare)(random) ? kNoise : 1;
+    response sent;
+    sent.host = host;
+    sent.server = members[host].core->servers.Find(
+        InstanceName(static_cast<int>(engine)));
+    sent.took = kExpected * factors[engine] * noise;
+    responses.emplace(
+        now + std::chrono::duration_cast<base::time_point::duration>(sent.took),
+        sent);
+  }
+
+  void Receive(const response& each) {
+    if (members[each.host].is_running)
+      members[each.host].service->Observe(*each.server, {each.took, kExpected},
+                                          now);
+  }
+
+  // Hosts do not tick at the same time.
+  void TickHosts() {
+    const auto elapsed = std::chrono::duration_cast<std::chrono::milliseconds>(
+        now.time_since_epoch());
+    for (std::size_t i = 0; i < members.size(); ++i) {
+      const auto phase = static_cast<std::int64_t>(i * 37 % 250);
+      if (members[i].is_running && elapsed.count() % 250 == phase)
+        members[i].service->Tick(now);
+    }
+  }
+
+  const decisions::engine_estimate& EstimateAt(std::size_t host,
+                                               std::size_t engine) const {
+    return members[host]
+        .core->servers.Find(InstanceName(static_cast<int>(engine)))
+        ->estimate;
+  }
+  double RelativeAt(std::size_t host, std::size_t engine) const {
+    return decisions::RelativeFactor(EstimateAt(host, engine), now);
+  }
+
+  // Share of the running hosts that take the engine for slow.
+  double ShareOfHostsThatKnowSlow(std::size_t engine) const {
+    int running = 0;
+    int know = 0;
+    for (std::size_t i = 0; i < members.size(); ++i) {
+      if (!members[i].is_running)
+        continue;
+      ++running;
+      know += RelativeAt(i, engine) > kKnownSlow ? 1 : 0;
+    }
+    return static_cast<double>(know) / running;
+  }
+  // The mean of that over a range of engines.
+  double ShareKnownSlow(std::size_t first, std::size_t last) const {
+    double sum = 0;
+    for (std::size_t i = first; i < last; ++i)
+      sum += ShareOfHostsThatKnowSlow(i);
+    return sum / static_cast<double>(last - first);
+  }
+
+  // Between the speeds of slow and fast engines, which differ by 2.18.
+  static constexpr double kKnownSlow = 1.3;
+
+  boost::asio::io_context context{1};
+  base::time_point now = base::time_point() + 1h;
+  std::mt19937_64 random{11};
+  std::shared_ptr<const catalog::configuration> configuration;
+  double requests_per_second = 500;
+  double loss = 0;
+  // Factor of each engine's response time.
+  std::vector<double> factors;
+  // Engines that get no requests.
+  std::set<std::size_t> silent;
+  std::vector<member> members;
+  // Stopped hosts that all others know to have stopped.
+  std::set<std::size_t> known_dead;
+  std::multimap<base::time_point, response> responses;
+  std::int64_t reports = 0;
+  std::int64_t publications = 0;
+};
+
+// The second deployment: one in four engines is slow.
+constexpr std::size_t kEngines = 140;
+constexpr std::size_t kSlowEngines = 35;
+
+struct deployment : fleet {
+  deployment() : fleet(70, kEngines) {
+    std::fill_n(factors.begin(), kSlowEngines, kSlow);
+  }
+};
+
+BOOST_AUTO_TEST_SUITE(engine_estimate_service)
+
+// A host alone sees a response of one engine in 20 s, so it does not know which
+// engines are slow until most of a day is over.
+BOOST_AUTO_TEST_CASE(all_hosts_know_the_slow_engines_after_two_seconds) {
+  deployment here;
+  here.Serve(2000ms);
+  BOOST_TEST_MESSAGE("after 2 s: slow known "
+                     << here.ShareKnownSlow(0, kSlowEngines)
+                     << ", fast taken for slow "
+                     << here.ShareKnownSlow(kSlowEngines, kEngines));
+  BOOST_TEST(here.ShareKnownSlow(0, kSlowEngines) > 0.9);
+  BOOST_TEST(here.ShareKnownSlow(kSlowEngines, kEngines) < 0.1);
+  here.Serve(8000ms);
+  BOOST_TEST_MESSAGE("after 10 s: slow known "
+                     << here.ShareKnownSlow(0, kSlowEngines)
+                     << ", fast taken for slow "
+                     << here.ShareKnownSlow(kSlowEngines, kEngines));
+  BOOST_TEST(here.ShareKnownSlow(0, kSlowEngines) > 0.98);
+  BOOST_TEST(here.ShareKnownSlow(kSlowEngines, kEngines) < 0.02);
+}
+
+BOOST_AUTO_TEST_CASE(engines_that_turn_slow_and_recover_are_known) {
+  deployment here;
+  here.Serve(10s);
+  constexpr std::size_t kTurned = 20;
+  const auto first = here.factors.begin() + kSlowEngines;
+  const auto share = [&](std::chrono::seconds after) {
+    const double known =
+        here.ShareKnownSlow(kSlowEngines, kSlowEngines + kTurned);
+    BOOST_TEST_MESSAGE(after.count() << " s after the change: " << known);
+    return known;
+  };
+  std::fill_n(first, kTurned, kSlow);
+  here.Serve(2s);
+  BOOST_TEST(share(2s) > 0.3);
+  here.Serve(1s);
+  BOOST_TEST(share(3s) > 0.8);
+  here.Serve(1s);
+  BOOST_TEST(share(4s) > 0.95);
+  here.Serve(4s);
+  std::fill_n(first, kTurned, kFast);
+  here.Serve(2s);
+  BOOST_TEST(share(2s) < 0.8);
+  here.Serve(1s);
+  BOOST_TEST(share(3s) < 0.2);
+  here.Serve(3s);
+  BOOST_TEST(share(6s) < 0.05);
+}
+
+// Guards against hosts that forget an engine's speed with its owner, or keep
+// the last estimate for ever.
+BOOST_AUTO_TEST_CASE(an_owner_that_is_lost_is_replaced) {
+  deployment here;
+  here.Serve(5s);
+  const auto owner = here.OwnerOf(InstanceName(0));
+  const std::size_t lost = owner->port - 1u;
+  here.members[lost].is_running = false;
+  here.Serve(2s);
+  BOOST_TEST(here.ShareOfHostsThatKnowSlow(0) > 0.95);
+  here.known_dead.insert(lost);
+  here.factors[0] = kFast;
+  here.Serve(4s);
+  BOOST_TEST(here.ShareOfHostsThatKnowSlow(0) < 0.05);
+}
+
+BOOST_AUTO_TEST_CASE(without_an_owner_a_host_uses_its_own_observations) {
+  fleet alone(1, 2);
+  alone.known_dead.insert(0);
+  alone.factors[0] = kSlow;
+  alone.requests_per_second = 8;
+  alone.Serve(10s);
+  BOOST_TEST(alone.RelativeAt(0, 0) > 1.5);
+  BOOST_TEST(alone.reports == 0);
+  BOOST_TEST(alone.publications == 0);
+}
+
+BOOST_AUTO_TEST_CASE(a_replaced_instance_starts_without_the_estimate) {
+  deployment here;
+  here.Serve(5s);
+  for (const fleet::member& each : here.members) {
+    catalog::backend_server entry = EntryOf(0);
+    entry.software = "v2";
+    each.core->servers.Put(entry, here.now);
+  }
+  BOOST_TEST(here.RelativeAt(0, 0) == 1);
+  here.factors[0] = kFast;
+  // Responses of the earlier run do not count.
+  here.Serve(300ms);
+  BOOST_TEST(here.ShareOfHostsThatKnowSlow(0) == 0);
+  here.Serve(2s);
+  BOOST_TEST(here.ShareOfHostsThatKnowSlow(0) < 0.05);
+}
+
+BOOST_AUTO_TEST_CASE(lost_reports_delay_the_estimate_only) {
+  deployment here;
+  here.loss = 0.3;
+  here.Serve(10s);
+  BOOST_TEST(here.ShareKnownSlow(0, kSlowEngines) > 0.95);
+  BOOST_TEST(here.ShareKnownSlow(kSlowEngines, kEngines) < 0.05);
+}
+
+// A sick engine that nobody uses any more must be tried again.
+BOOST_AUTO_TEST_CASE(an_engine_without_requests_returns_to_the_usual_factor) {
+  deployment here;
+  here.factors[0] = 10;
+  here.Serve(10s);
+  BOOST_TEST(here.RelativeAt(5, 0) > 5);
+  here.silent.insert(0);
+  here.Serve(25s);
+  BOOST_TEST(here.RelativeAt(5, 0) < 4);
+}
+
+// A host that starts later learns estimates that do not change any more.
+BOOST_AUTO_TEST_CASE(a_host_that_starts_late_learns_all_estimates) {
+  deployment here;
+  here.members[3].is_running = false;
+  here.Serve(10s);
+  here.members[3].is_running = true;
+  here.Serve(8s);
+  int known = 0;
+  for (std::size_t i = 0; i < kSlowEngines; ++i)
+    known += here.RelativeAt(3, i) > fleet::kKnownSlow ? 1 : 0;
+  BOOST_TEST(known >= 32);
+}
+
+BOOST_AUTO_TEST_CASE(without_mixed_urgency_nothing_is_shared) {
+  fleet plain(3, 4, false);
+  plain.factors[0] = kSlow;
+  plain.Serve(5s);
+  BOOST_TEST(plain.reports == 0);
+  BOOST_TEST(plain.publications == 0);
+  BOOST_TEST(plain.EstimateAt(0, 0).weight == 0);
+  // Also if another host of another configuration sends them.
+  wire::engine_estimates update;
+  wire::engine_estimate_report report;
+  report.server = host::KeyOf(InstanceName(0));
+  report.log_factor = 1000;
+  report.weight = 16;
+  update.estimates.push_back(report);
+  plain.members[0].service->HandleEstimates(update, plain.now);
+  BOOST_TEST(plain.EstimateAt(0, 0).weight == 0);
+}
+
+BOOST_AUTO_TEST_CASE(invalid_messages_are_ignored_and_counted) {
+  fleet here(2, 2);
+  wire::engine_observations observations;
+  wire::engine_observation observation;
+  observation.server = host::KeyOf(InstanceName(0));
+  observation.responses = -5;
+  observations.observations.push_back(observation);
+  here.members[0].service->HandleObservations(observations, here.now);
+  wire::engine_estimates estimates;
+  wire::engine_estimate_report report;
+  report.server = host::KeyOf(InstanceName(0));
+  report.log_factor = 2'000'000'000;
+  estimates.estimates.push_back(report);
+  here.members[0].service->HandleEstimates(estimates, here.now);
+  BOOST_TEST(here.EstimateAt(0, 0).weight == 0);
+  BOOST_TEST(
+      here.members[0]
+          .core->metrics.Counter("valeledge_engine_estimates_total", "invalid")
+          .value == 2);
+}
+
+// Of a fleet in which each host sends and receives what this one does: 985
+// hosts in 4 zones, 4,000 engines, and requests in the proportion of the second
+// deployment.
+struct large_fleet {
+  static constexpr std::int64_t kHosts = 985;
+  static constexpr std::int64_t kHostsInZone = 246;
+  static constexpr std::int64_t kOtherZones = 3;
+  static constexpr int kEngineCount = 4000;
+  static constexpr int kOwned = 4;
+  static constexpr double kResponsesPerEngine = 500.0 / kEngines;
+
+  large_fleet() {
+    host::host_settings settings;
+    settings.peer_listen = own;
+    core = std::make_unique<host::host_core>(context, settings,
+                                             platform::MakeDialect());
+    core->configuration = MakeConfiguration(true);
+    core->hosts = kHosts;
+    for (int i = 0; i < kEngineCount; ++i)
+      core->servers.Put(EntryOf(i), now);
+    host::engine_estimate_callbacks callbacks;
+    callbacks.owner = [this](const std::string& instance) {
+      return std::optional(owned.contains(instance) ? own : other);
+    };
+    callbacks.send = [this](const base::endpoint&,
+                            const wire::engine_observations& update) {
+      // Each engine has another owner.
+      for (const wire::engine_observation& each : update.observations) {
+        wire::engine_observations one;
+        one.observations.push_back(each);
+        bytes += static_cast<std::int64_t>(
+            DatagramBytes(host::kObservationsRecord, wire::Encode(one)));
+      }
+    };
+    // Each host forwards as many publications as it sends to other zones.
+    callbacks.broadcast = [this](const wire::engine_estimates& update) {
+      ++publications;
+      const auto size = static_cast<std::int64_t>(
+          DatagramBytes(host::kEstimatesRecord, wire::Encode(update)));
+      bytes += size * (kHostsInZone - 1 + kOtherZones);
+      bytes += size * kOtherZones * (kHostsInZone - 1);
+    };
+    callbacks.broadcast_in_zone = [](const wire::engine_estimates&) {};
+    service = std::make_unique<host::engine_estimate_service>(
+        *core, std::move(callbacks));
+    for (int i = 0; i < kOwned; ++i)
+      owned.insert(InstanceName(i));
+  }
+
+  double Factor() {
+    return std::bernoulli_distribution(kNoiseShare)(random) ? kFast * kNoise
+                                                            : kFast;
+  }
+
+  void Serve(std::chrono::seconds duration) {
+    const auto end = now + duration;
+    std::poisson_distribution<int> of_owned(kResponsesPerEngine / 4);
+    std::poisson_distribution<int> of_this_host(kResponsesPerEngine *
+                                                kEngineCount / kHosts / 4);
+    for (; now < end; now += 250ms) {
+      for (int i = 0; i < kOwned; ++i) {
+        for (int count = of_owned(random); count > 0; --count)
+          Report(i);
+      }
+      for (int count = of_this_host(random); count > 0; --count) {
+        const int engine = static_cast<int>(random() % kEngineCount);
+        service->Observe(*core->servers.Find(InstanceName(engine)),
+                         {kExpected * Factor(), kExpected}, now);
+      }
+      service->Tick(now);
+    }
+  }
+
+  void Report(int engine) {
+    decisions::observation_sums sums;
+    decisions::RecordObservation(
+        sums, core->servers.Find(InstanceName(engine))->estimate,
+        {kExpected * Factor(), kExpected}, now);
+    wire::engine_observations update;
+    update.observations.push_back(
+        decisions::ToWire(host::KeyOf(InstanceName(engine)), sums));
+    service->HandleObservations(update, now);
+  }
+
+  boost::asio::io_context context{1};
+  base::time_point now = base::time_point() + 1h;
+  std::mt19937_64 random{13};
+  const base::endpoint own{"10.0.0.1", 1};
+  const base::endpoint other{"10.0.0.2", 1};
+  std::set<std::string> owned;
+  std::unique_ptr<host::host_core> core;
+  std::unique_ptr<host::engine_estimate_service> service;
+  std::int64_t bytes = 0;
+  std::int64_t publications = 0;
+};
+
+BOOST_AUTO_TEST_CASE(one_of_985_hosts_sends_at_most_20_kB_per_second) {
+  large_fleet here;
+  here.Serve(20s);
+  here.bytes = 0;
+  here.publications = 0;
+  here.Serve(60s);
+  BOOST_TEST_MESSAGE("bytes per second " << here.bytes / 60
+                                         << ", publications in 60 s "
+                                         << here.publications);
+  BOOST_TEST(here.bytes / 60 <= 20'000);
+  BOOST_TEST(here.publications > 0);
+}
+
+// Guards against small changes that use up the budget of large ones.
+BOOST_AUTO_TEST_CASE(a_large_change_is_published_at_once_in_a_large_fleet) {
+  large_fleet here;
+  here.Serve(30s);
+  const auto server = here.core->servers.Find(InstanceName(1));
+  decisions::observation_sums sums;
+  for (int i = 0; i < 6; ++i)
+    decisions::RecordObservation(sums, server->estimate,
+                                 {kExpected * 3, kExpected}, here.now);
+  wire::engine_observations update;
+  update.observations.push_back(decisions::ToWire(server->key, sums));
+  const auto before = here.publications;
+  here.service->HandleObservations(update, here.now);
+  here.Serve(2s);
+  BOOST_TEST(here.publications > before);
+  BOOST_TEST((server->exchange.published_at >= here.now - 2s));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace
