--- a/src/host/process/engine_estimate_service.cc
+++ b/src/host/process/engine_estimate_service.cc
@@ -156,12 +156,18 @@
 }
 
 void engine_estimate_service::Tick(base::time_point now) {
+  const bool is_enabled =
+      core_.configuration != nullptr &&
+      IsEnabled(core_.settings.features.shared_estimates, *core_.configuration);
+  if (!is_enabled)
+    return;
   UpdatePriors(now);
   Report();
   Publish(now);
 }
 
 void engine_estimate_service::UpdatePriors(base::time_point now) {
+  std::int64_t slow = 0;
   std::map<std::string_view, std::vector<known_server*>> by_service;
   for (const auto& [instance, server] : core_.servers.servers()) {
     if (!server->entry.models.empty())
@@ -174,9 +180,13 @@
     for (const known_server* each : servers)
       estimates.push_back(&each->estimate);
     const double prior = decisions::MedianLogFactor(estimates, now);
-    for (known_server* each : servers)
+    for (known_server* each : servers) {
       each->estimate.log_prior = prior;
+      const double factor = decisions::RelativeFactor(each->estimate, now);
+      slow += factor >= kSlowFactor ? 1 : 0;
+    }
   }
+  core_.metrics.Gauge("valeledge_slow_engines").Set(slow);
 }
 
 // Observations that cannot be reported are dropped: this host's own estimate
@@ -191,27 +201,28 @@
     const auto owner = callbacks_.owner(instance);
     if (!owner) {
       Count("no_owner");
-      continue;
-    }
-    if (*owner == core_.settings.peer_listen) {
+    } else if (*owner == core_.settings.peer_listen) {
       exchange.has_merged = true;
-      continue;
+    } else {
+      auto& report = reports[*owner];
+      report.observations.push_back(decisions::ToWire(server->key, sums));
+      if (report.observations.size() == decisions::kMaxEnginesPerMessage)
+        SendReport(*owner, std::exchange(report, {}));
     }
-    auto& report = reports[*owner].observations;
-    report.push_back(decisions::ToWire(server->key, sums));
-    if (report.size() < decisions::kMaxEnginesPerMessage)
-      continue;
-    callbacks_.send(*owner, reports[*owner]);
-    report.clear();
   }
   for (const auto& [owner, report] : reports) {
-    if (report.observations.empty())
-      continue;
-    callbacks_.send(owner, report);
-    Count("reported");
+    if (!report.observations.empty())
+      SendReport(owner, report);
   }
 }
 
+void engine_estimate_service::SendReport(
+    const base::endpoint& owner,
+    const wire::engine_observations& report) {
+  Count("reported");
+  callbacks_.send(owner, report);
+}
+
 // Once a datagram is sent, other estimates that have changed are included.
 void engine_estimate_service::Publish(base::time_point now) {
   std::vector<known_server*> changed;
--- a/src/host/process/engine_estimate_service.h
+++ b/src/host/process/engine_estimate_service.h
@@ -71,8 +71,11 @@
   bool IsOwner(const known_server& server) const;
   void Count(std::string_view what);
   void CountInvalid();
+  // Sets the factor that is assumed for engines without observations.
   void UpdatePriors(base::time_point now);
   void Report();
+  void SendReport(const base::endpoint& owner,
+                  const wire::engine_observations& report);
   void Publish(base::time_point now);
   void PublishSome(const std::vector<known_server*>& servers,
                    decisions::publication_need need,
--- /dev/null
+++ b/tests/auto/host/test_server_attempt.cc
@@ -0,0 +1,100 @@
+// SPDX-License-Identifier: MIT
+#include "host/request/server_attempt.h"
+
+#include <memory>
+#include <vector>
+
+#include <boost/test/unit_test.hpp>
+
+#include "host/constants.h"
+#include "request_codec.h"
+
+namespace {
+
+using namespace valeledge;
+using namespace std::chrono_literals;
+using milliseconds = std::chrono::duration<double, std::milli>;
+
+// One engine, and a request for it that is expected to take 100 ms there, or
+// 300 ms with the slowdown that this host knows.
+struct fixture {
+  fixture() {
+    core.load_changed = [](const host::known_server&) {};
+    core.engine_observed = [this](host::known_server&,
+                                  const decisions::engine_observation& each) {
+      observed.push_back(each);
+    };
+    choice.server = std::make_shared<host::known_server>();
+    choice.expected = 300ms;
+    choice.unscaled = 100ms;
+    weight.prompt_tokens = 1000;
+    weight.time_per_token = milliseconds(0.1);
+    demand.cost = milliseconds(0.1);
+  }
+
+  boost::asio::io_context context{1};
+  host::host_core core{context, {}, platform::MakeDialect()};
+  host::server_choice choice;
+  host::request_metadata metadata;
+  decisions::request_weight weight;
+  host::model_demand demand;
+  std::vector<decisions::engine_observation> observed;
+};
+
+BOOST_AUTO_TEST_SUITE(server_attempt)
+
+// With the factor, every estimate would approach 1.
+BOOST_AUTO_TEST_CASE(a_response_is_observed_without_the_slowdown_factor) {
+  fixture setup;
+  host::server_attempt attempt(setup.core, setup.choice, setup.metadata,
+                               setup.weight, setup.demand);
+  attempt.OnFirstByte();
+  attempt.OnFirstByte();
+  BOOST_REQUIRE(setup.observed.size() == 1);
+  const decisions::engine_observation& one = setup.observed.front();
+  BOOST_TEST((one.expected == 100ms + host::kFirstEventOverhead));
+  BOOST_TEST((one.actual > 0ms));
+  BOOST_TEST(!one.failed);
+}
+
+BOOST_AUTO_TEST_CASE(a_failure_is_observed_with_the_time_until_then) {
+  fixture setup;
+  host::server_attempt attempt(setup.core, setup.choice, setup.metadata,
+                               setup.weight, setup.demand);
+  attempt.OnFailed(false);
+  BOOST_REQUIRE(setup.observed.size() == 1);
+  BOOST_TEST(setup.observed.front().failed);
+  BOOST_TEST((setup.observed.front().actual > 0ms));
+}
+
+// The response had started in time.
+BOOST_AUTO_TEST_CASE(a_failure_after_the_first_byte_is_no_late_response) {
+  fixture setup;
+  host::server_attempt attempt(setup.core, setup.choice, setup.metadata,
+                               setup.weight, setup.demand);
+  attempt.OnFirstByte();
+  attempt.OnFailed(false);
+  BOOST_REQUIRE(setup.observed.size() == 2);
+  BOOST_TEST(setup.observed.back().failed);
+  BOOST_TEST((setup.observed.back().actual == 0ms));
+}
+
+// A refusal does not tell how fast the engine responds.
+BOOST_AUTO_TEST_CASE(refusals_and_plain_services_are_not_observed) {
+  fixture setup;
+  {
+    host::server_attempt attempt(setup.core, setup.choice, setup.metadata,
+                                 setup.weight, setup.demand);
+    attempt.OnRefused({});
+  }
+  setup.weight.time_per_token = milliseconds(0);
+  setup.weight.service_time = 30ms;
+  host::server_attempt attempt(setup.core, setup.choice, setup.metadata,
+                               setup.weight, setup.demand);
+  attempt.OnFirstByte();
+  BOOST_TEST(setup.observed.empty());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace
