Costs of models that do not depend on what a host has learned

A host sends one or two requests for most models, and its cost per token moves by 8% per response from 0.055 ms to the actual 0.025 ms. With these costs, two hosts would observe factors of one engine that differ by up to 2.2 times, as much as the speeds that are to be told apart. Where estimates are shared, the expected time is now computed from the same initial cost at all hosts; the engines' factors contain the difference, and a relative cost per model only what several responses show beyond that. The cost that the plan uses is unchanged.

--- a/src/host/process/demand_tracker.h
+++ b/src/host/process/demand_tracker.h
@@ -11,6 +11,7 @@
 #include <vector>
 
 #include "base/duration.h"
+#include "decisions/relative_cost.h"
 #include "wire/generated/messages_types.h"
 
 namespace valeledge::host {
@@ -26,6 +27,8 @@
   std::int64_t running = 0;
   // Prefill time per prompt token, or duration of a call of a plain service.
   std::chrono::duration<double, std::milli> cost{0};
+  // Used in place of `cost` where estimates of engines are shared.
+  decisions::relative_cost relative_cost;
   // Shortest objective of all requests so far.
   std::chrono::milliseconds objective = std::chrono::milliseconds::max();
 };
--- a/src/host/process/server_registry.cc
+++ b/src/host/process/server_registry.cc
@@ -247,7 +247,7 @@
 bool server_registry::UsesSharedEstimate(
     const server_query& query,
     const catalog::service& service) const {
-  return !query.model.empty() && IsEnabled(shared_estimates_, service);
+  return !query.model.empty() && SharesEstimates(service);
 }
 
 // The local slowdown of a host is based on few responses, so only a shared
@@ -256,8 +256,7 @@
     const std::shared_ptr<known_server>& server,
     const decisions::server_candidate& offer,
     const server_query& query,
-    const catalog::service& service,
-    base::time_point now) const {
+    const catalog::service& service) const {
   server_choice choice;
   choice.server = server;
   choice.expected = ExpectedWait(offer, query.weight);
@@ -267,7 +266,7 @@
   choice.cached_tokens = offer.cached_tokens;
   if (UsesSharedEstimate(query, service)) {
     choice.prefill_ahead *= offer.slowdown;
-    choice.relative_slowdown = decisions::RelativeFactor(server->estimate, now);
+    choice.shared_factor = offer.slowdown;
   }
   return choice;
 }
@@ -320,7 +319,7 @@
       continue;
     const decisions::server_candidate offer =
         OfferOf(*server, query, service, now);
-    return ChoiceOf(server, offer, query, service, now);
+    return ChoiceOf(server, offer, query, service);
   }
   return std::nullopt;
 }
@@ -351,7 +350,7 @@
         kCostJitter * jitter(random);
     if (best && cost >= best_cost)
       continue;
-    best = ChoiceOf(server, offer, query, service, now);
+    best = ChoiceOf(server, offer, query, service);
     best_cost = cost;
   }
   return best;
--- a/src/host/process/server_registry.h
+++ b/src/host/process/server_registry.h
@@ -59,9 +59,8 @@
   std::chrono::duration<double, std::milli> expected{0};
   // The same without the slowdown factor of the server.
   std::chrono::duration<double, std::milli> unscaled{0};
-  // Slowdown of the server relative to other engines of its service, if
-  // estimates are shared.
-  double relative_slowdown = 1;
+  // The factor, if it is that of a shared estimate.
+  std::optional<double> shared_factor;
   // Prefill time of the prompts that are queued before this one.
   std::chrono::duration<double, std::milli> prefill_ahead{0};
   std::int64_t cached_tokens = 0;
@@ -102,6 +101,9 @@
   // Sets for which services the shared estimates of engines are used. Unset:
   // for none.
   void SetSharedEstimates(feature_mode mode) { shared_estimates_ = mode; }
+  bool SharesEstimates(const catalog::service& service) const {
+    return IsEnabled(shared_estimates_, service);
+  }
 
   // Adds or updates an entry. Returns true if the server is new, or if its
   // draining or expiry state has changed.
@@ -214,8 +216,7 @@
   server_choice ChoiceOf(const std::shared_ptr<known_server>& server,
                          const decisions::server_candidate& offer,
                          const server_query& query,
-                         const catalog::service& service,
-                         base::time_point now) const;
+                         const catalog::service& service) const;
   // The server's load and cache state as input of the cost function.
   decisions::server_candidate OfferOf(const known_server& server,
                                       const server_query& query,
--- a/src/host/request/routed_request.cc
+++ b/src/host/request/routed_request.cc
@@ -77,7 +77,11 @@
     routed.weight.prompt_tokens = metadata.prompt_tokens;
     routed.weight.held_tokens =
         metadata.prompt_tokens + metadata.expected_tokens;
-    routed.weight.time_per_token = routed.demand->cost;
+    routed.weight.time_per_token =
+        core.servers.SharesEstimates(*routed.service)
+            ? kInitialTokenCost *
+                  decisions::CostRatio(routed.demand->relative_cost)
+            : routed.demand->cost;
   } else {
     routed.weight.service_time = routed.demand->cost;
   }
--- a/src/host/request/server_attempt.cc
+++ b/src/host/request/server_attempt.cc
@@ -19,6 +19,11 @@
 // Lower bound that keeps a measured cost above zero.
 constexpr milliseconds kMinTokenCost{0.002};
 
+// Recent responses of an engine from which on its factor is known well enough
+// to learn the relative cost of a model from it: the factor has 0.7 of its
+// weight.
+constexpr double kMinWeightForCost = 4;
+
 }  // namespace
 
 server_attempt::server_attempt(host_core& core,
@@ -36,7 +41,7 @@
       demand_(demand),
       expected_delay_(choice.expected),
       unscaled_delay_(choice.unscaled),
-      relative_slowdown_(choice.relative_slowdown),
+      shared_factor_(choice.shared_factor),
       is_trial_(decisions::BeginTrial(server_->notices, started_at_)) {
   weight_.prompt_tokens =
       std::max<std::int64_t>(weight.prompt_tokens - choice.cached_tokens, 0);
@@ -125,11 +130,16 @@
       server_->trust, took,
       expected_delay_ + milliseconds(kFirstEventOverhead));
   ObserveEngine(false);
+  if (shared_factor_ && decisions::WeightAt(server_->estimate,
+                                            std::chrono::steady_clock::now()) >=
+                            kMinWeightForCost) {
+    decisions::RecordCost(
+        demand_.relative_cost, took,
+        (unscaled_delay_ + milliseconds(kFirstEventOverhead)) *
+            *shared_factor_);
+  }
   if (tokens_ahead_ >= kMinTokensForCost) {
-    // The cost is that of an engine of usual speed, as the expected time of all
-    // engines is computed from it.
-    const milliseconds reading =
-        (took - milliseconds(kFirstEventOverhead)) / relative_slowdown_;
+    const milliseconds reading = took - milliseconds(kFirstEventOverhead);
     demand_tracker::UpdateCost(
         demand_,
         std::max(reading / static_cast<double>(tokens_ahead_), kMinTokenCost));
--- a/src/host/request/server_attempt.h
+++ b/src/host/request/server_attempt.h
@@ -6,6 +6,7 @@
 #include <chrono>
 #include <functional>
 #include <memory>
+#include <optional>
 
 #include "host/process/host_core.h"
 #include "host/process/path_monitor.h"
@@ -63,7 +64,8 @@
   std::chrono::duration<double, std::milli> expected_delay_;
   // The same without the slowdown factor of the server.
   std::chrono::duration<double, std::milli> unscaled_delay_;
-  double relative_slowdown_;
+  // The factor, if it is that of a shared estimate.
+  std::optional<double> shared_factor_;
   // Prompt tokens, including this request's, that the server must process
   // before its first byte.
   std::int64_t tokens_ahead_ = 0;
--- a/tests/auto/host/test_server_attempt.cc
+++ b/tests/auto/host/test_server_attempt.cc
@@ -95,6 +95,29 @@
   BOOST_TEST(setup.observed.empty());
 }
 
+// The cost of a model starts from the same value at all hosts, and that which
+// other decisions use must not depend on the feature.
+BOOST_AUTO_TEST_CASE(the_relative_cost_is_learned_only_with_a_shared_factor) {
+  fixture setup;
+  {
+    host::server_attempt attempt(setup.core, setup.choice, setup.metadata,
+                                 setup.weight, setup.demand);
+    attempt.OnFirstByte();
+  }
+  BOOST_TEST(setup.demand.relative_cost.weight == 0);
+  const milliseconds cost = setup.demand.cost;
+  BOOST_TEST((cost < milliseconds(0.1)));
+  setup.choice.shared_factor = 2;
+  setup.choice.server->estimate.weight = 8;
+  setup.choice.server->estimate.updated_at = std::chrono::steady_clock::now();
+  setup.demand.cost = milliseconds(0.1);
+  host::server_attempt attempt(setup.core, setup.choice, setup.metadata,
+                               setup.weight, setup.demand);
+  attempt.OnFirstByte();
+  BOOST_TEST(setup.demand.relative_cost.weight == 1);
+  BOOST_TEST((setup.demand.cost == cost));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
--- a/tests/auto/host/test_server_registry.cc
+++ b/tests/auto/host/test_server_registry.cc
@@ -134,7 +134,7 @@
              boost::test_tools::tolerance(1e-9));
   BOOST_TEST(slow.prefill_ahead / usual.prefill_ahead == factor,
              boost::test_tools::tolerance(1e-9));
-  BOOST_TEST(slow.relative_slowdown == factor);
+  BOOST_TEST(slow.shared_factor.value_or(0) == factor);
 }
 
 BOOST_AUTO_TEST_CASE(recent_prompts_cost_more_at_a_slow_engine) {
@@ -163,7 +163,7 @@
              boost::test_tools::tolerance(1e-9));
   BOOST_TEST(late.prefill_ahead.count() == 200,
              boost::test_tools::tolerance(1e-9));
-  BOOST_TEST(late.relative_slowdown == 1);
+  BOOST_TEST(!late.shared_factor);
 }
 
 BOOST_AUTO_TEST_CASE(an_instance_with_other_software_is_another_run) {
