--- a/tests/auto/host/test_engine_estimate_service.cc
+++ b/tests/auto/host/test_engine_estimate_service.cc
@@ -125,7 +125,9 @@
               *wire::DecodeEngineEstimates(wire::Encode(update)), now);
       }
     };
-    callbacks.broadcast_in_zone = [](const wire::engine_estimates&) {};
+    callbacks.broadcast_in_zone = [this](const wire::engine_estimates& update) {
+      forwarded.push_back(update);
+    };
     added.service = std::make_unique<host::engine_estimate_service>(
         *added.core, std::move(callbacks));
   }
@@ -248,6 +250,7 @@
   std::multimap<base::time_point, response> responses;
   std::int64_t reports = 0;
   std::int64_t publications = 0;
+  std::vector<wire::engine_estimates> forwarded;
 };
 
 // The second deployment: one in four engines is slow.
@@ -404,6 +407,48 @@
   BOOST_TEST(plain.EstimateAt(0, 0).weight == 0);
 }
 
+// A datagram with which two hosts ask each other to forward would circulate.
+BOOST_AUTO_TEST_CASE(estimates_are_forwarded_once) {
+  fleet here(2, 2);
+  wire::engine_estimates update;
+  wire::engine_estimate_report report;
+  report.server = host::KeyOf(InstanceName(0));
+  report.log_factor = 700;
+  report.weight = 16;
+  update.estimates.push_back(report);
+  here.members[0].service->HandleEstimates(update, here.now);
+  BOOST_TEST(here.forwarded.empty());
+  update.__set_hand_on(true);
+  here.members[0].service->HandleEstimates(update, here.now);
+  BOOST_REQUIRE(here.forwarded.size() == 1);
+  const auto copy =
+      wire::DecodeEngineEstimates(wire::Encode(here.forwarded.front()));
+  BOOST_TEST(copy->estimates.size() == 1);
+  BOOST_TEST(!copy->hand_on);
+  BOOST_TEST(decisions::CurrentFactor(here.EstimateAt(0, 0), here.now) > 1.8);
+}
+
+BOOST_AUTO_TEST_CASE(an_owner_keeps_its_estimate) {
+  fleet here(2, 1);
+  here.factors[0] = kSlow;
+  here.Serve(3s);
+  const std::size_t owner = here.OwnerOf(InstanceName(0))->port - 1u;
+  const double before =
+      decisions::CurrentFactor(here.EstimateAt(owner, 0), here.now);
+  wire::engine_estimates update;
+  wire::engine_estimate_report report;
+  report.server = host::KeyOf(InstanceName(0));
+  report.log_factor = -700;
+  report.weight = 16;
+  update.estimates.push_back(report);
+  here.members[owner].service->HandleEstimates(update, here.now);
+  BOOST_TEST(decisions::CurrentFactor(here.EstimateAt(owner, 0), here.now) ==
+             before);
+  here.members[1 - owner].service->HandleEstimates(update, here.now);
+  BOOST_TEST(decisions::CurrentFactor(here.EstimateAt(1 - owner, 0), here.now) <
+             1);
+}
+
 BOOST_AUTO_TEST_CASE(invalid_messages_are_ignored_and_counted) {
   fleet here(2, 2);
   wire::engine_observations observations;
