--- a/src/host/request/server_attempt.cc
+++ b/src/host/request/server_attempt.cc
@@ -19,6 +19,11 @@
 // Lower bound that keeps a measured cost above zero.
 constexpr milliseconds kMinTokenCost{0.002};
 
+// Recent responses of an engine from which on its factor is known well enough
+// to learn the relative cost of a model from it: the factor has 0.7 of its
+// weight.
+constexpr double kMinWeightForCost = 4;
+
 }  // namespace
 
 server_attempt::server_attempt(host_core& core,
@@ -35,6 +40,8 @@
       weight_(weight),
       demand_(demand),
       expected_delay_(choice.expected),
+      unscaled_delay_(choice.unscaled),
+      shared_factor_(choice.shared_factor),
       is_trial_(decisions::BeginTrial(server_->notices, started_at_)) {
   weight_.prompt_tokens =
       std::max<std::int64_t>(weight.prompt_tokens - choice.cached_tokens, 0);
@@ -122,6 +129,15 @@
   decisions::RecordResponse(
       server_->trust, took,
       expected_delay_ + milliseconds(kFirstEventOverhead));
+  ObserveEngine(false);
+  if (shared_factor_ && decisions::WeightAt(server_->estimate,
+                                            std::chrono::steady_clock::now()) >=
+                            kMinWeightForCost) {
+    decisions::RecordCost(
+        demand_.relative_cost, took,
+        (unscaled_delay_ + milliseconds(kFirstEventOverhead)) *
+            *shared_factor_);
+  }
   if (tokens_ahead_ >= kMinTokensForCost) {
     const milliseconds reading = took - milliseconds(kFirstEventOverhead);
     demand_tracker::UpdateCost(
@@ -130,6 +146,18 @@
   }
 }
 
+void server_attempt::ObserveEngine(bool failed) {
+  if (!core_.engine_observed || weight_.time_per_token.count() <= 0)
+    return;
+  decisions::engine_observation observation;
+  // After the first byte, a failure shows nothing about the time until then.
+  if (!failed || awaiting_first_byte_)
+    observation.actual = std::chrono::steady_clock::now() - started_at_;
+  observation.expected = unscaled_delay_ + milliseconds(kFirstEventOverhead);
+  observation.failed = failed;
+  core_.engine_observed(*server_, observation);
+}
+
 void server_attempt::EndSlot(slot_outcome how) {
   if (slot_)
     slot_->SetOutcome(how);
@@ -146,6 +174,9 @@
       !is_definite ||
       (tracked_ != nullptr && core_.paths->IsSuspected(server_->entry.service));
   EndSlot(is_usable ? slot_outcome::kFailed : slot_outcome::kUnusable);
+  // Only this host may have lost its path to the server.
+  if (tracked_ == nullptr || !core_.paths->IsSuspected(server_->entry.service))
+    ObserveEngine(true);
   decisions::RecordFailure(server_->trust, is_definite, started_at_,
                            std::chrono::steady_clock::now());
 }
