Hosts ask the owner of a queue instead of polling for an engine

A request whose admission decision is to wait, or to be refused, or whose best engine has a queue, asks the owner of that engine's group (engine_queue_service) and is sent to the engine that the owner grants. The owner counts what it has granted until a host reports that it has sent it, for at most 250 ms, and reports queued tokens as load of the engines, so that hosts elsewhere ask too. Hosts probe an owner while they wait for it and select engines themselves after 250 ms without an answer; the next candidate is asked for 2 s.

The owner receives each load report of its engines at once, and one more at the end of a stream; 14 instead of 16 other hosts receive the first two, so that no more messages are sent than before while there is capacity.

--- a/src/decisions/engine_queue.cc
+++ b/src/decisions/engine_queue.cc
@@ -377,7 +377,8 @@
   unit.returns_until = at + duration_cast<base::time_point::duration>(
                                 ReadTime(request) * EnginePart(unit));
   return {request.number,
-          std::chrono::ceil<std::chrono::milliseconds>(at - now)};
+          std::chrono::ceil<std::chrono::milliseconds>(at - now),
+          !response.has_value()};
 }
 
 // Whether the response would be late even if the request were sent now.
--- a/src/decisions/engine_queue.h
+++ b/src/decisions/engine_queue.h
@@ -63,6 +63,8 @@
   std::int64_t number = 0;
   // Time until an engine can be expected to have capacity.
   std::chrono::milliseconds retry_after{0};
+  // No engine holds its unit and may be selected.
+  bool without_engine = false;
 };
 
 struct queue_decisions {
--- /dev/null
+++ b/src/host/process/engine_queue_service.cc
@@ -0,0 +1,644 @@
+// SPDX-License-Identifier: MIT
+#include "host/process/engine_queue_service.h"
+
+#include <algorithm>
+#include <set>
+#include <utility>
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include "base/logging.h"
+#include "host/constants.h"
+#include "host/load_features.h"
+
+namespace valeledge::host {
+
+namespace {
+
+namespace asio = boost::asio;
+using base::log_event;
+using std::chrono::duration_cast;
+using std::chrono::microseconds;
+using std::chrono::milliseconds;
+using std::chrono::nanoseconds;
+
+constexpr auto kAwait = asio::as_tuple(asio::use_awaitable);
+constexpr std::string_view kCategory = "engine_queue";
+
+// Subject for choosing the owner host, followed by the service and the group.
+constexpr std::string_view kQueueSubject = "queue/";
+
+// Without a sign of life of the owner for this time, a host selects engines by
+// itself. Owners answer questions when an engine is granted, so they are probed
+// meanwhile: once for all questions, so that the cost does not depend on their
+// number.
+constexpr milliseconds kMaxSilence{250};
+constexpr milliseconds kProbeInterval{100};
+
+// How long an owner that did not answer is not asked. By then the membership
+// suspects it if it does not answer other hosts either.
+constexpr milliseconds kSilentPause{2000};
+
+// An owner answers within this time after the end of the request's time.
+constexpr milliseconds kReplyMargin{250};
+
+// Interval at which the owner compares the queue with the reported loads: small
+// against the time in which an engine reads a prompt (20 to 75 ms).
+constexpr milliseconds kPassInterval{2};
+
+// Interval at which the owner looks which engines belong to its groups, and
+// which of them hold the queued models.
+constexpr milliseconds kHolderInterval{100};
+
+// How long an engine is reported to have a queue at least. Each change is sent
+// to the hosts that receive its loads.
+constexpr milliseconds kMinVisible{1000};
+
+// Maximum of queued tokens that are reported, about 100 ms of reading: hosts of
+// older builds then wait, and do not refuse requests that are more urgent than
+// those in the queue.
+constexpr std::int64_t kMaxVisibleTokens = 4000;
+
+// A queue that has been empty for this time is logged as ended.
+constexpr milliseconds kQueueIdle{5000};
+
+// Bounds of valid values in messages. Longest timeouts, prompts and gaps are
+// far below.
+constexpr std::int64_t kMaxPriority = 1000;
+constexpr std::int64_t kMaxLeftMs = 60'000;
+constexpr std::int64_t kMaxTokens = 10'000'000;
+constexpr std::int64_t kMinTokenNs = 1'000;
+constexpr std::int64_t kMaxTokenNs = 1'000'000;
+constexpr std::int64_t kMaxRetryAfterUs = 60'000'000;
+
+// Hosts with few measurements state an initial time per token that is too high,
+// so the lowest recent one is used; it rises by this factor with each question.
+constexpr double kTokenTimeRise = 1.002;
+
+enum class queue_verdict : std::int32_t {
+  kGranted = 0,
+  kNotInTime = 1,
+  kNotOwner = 2,
+};
+
+wire::engine_place_reply Reply(queue_verdict verdict, std::int64_t number) {
+  wire::engine_place_reply reply;
+  reply.verdict = static_cast<std::int32_t>(verdict);
+  reply.number = number;
+  return reply;
+}
+
+// Without an engine the host that asked decides whether the request waits until
+// one has loaded the model.
+wire::engine_place_reply Refusal(const decisions::engine_refusal& refusal) {
+  if (refusal.without_engine)
+    return Reply(queue_verdict::kNotOwner, refusal.number);
+  auto reply = Reply(queue_verdict::kNotInTime, refusal.number);
+  reply.retry_after_us =
+      duration_cast<microseconds>(refusal.retry_after).count();
+  return reply;
+}
+
+bool IsWithin(std::int64_t value, std::int64_t lowest, std::int64_t highest) {
+  return value >= lowest && value <= highest;
+}
+
+wire::engine_place_question QuestionOf(engine_place_request request,
+                                       std::int64_t number) {
+  wire::engine_place_question question;
+  question.service_name = std::move(request.service);
+  question.model = std::move(request.model);
+  question.priority = request.priority;
+  question.workspace = std::move(request.workspace);
+  question.left_ms = request.left.count();
+  question.tokens_to_read = request.tokens_to_read;
+  question.tokens_to_hold = request.tokens_to_hold;
+  question.avoid = std::move(request.avoid);
+  if (!request.adapter.empty())
+    question.__set_adapter(request.adapter);
+  question.__set_event_gap_ms(request.event_gap.count());
+  question.__set_number(number);
+  question.__set_token_ns(
+      duration_cast<nanoseconds>(request.token_time).count());
+  return question;
+}
+
+wire::engine_place_end EndOf(const wire::engine_place_question& question) {
+  wire::engine_place_end end;
+  end.service_name = question.service_name;
+  end.model = question.model;
+  end.number = question.number;
+  return end;
+}
+
+// Whether requests of the queue may be sent to an engine. Servers that
+// advertise a limit use permits, and those that tolerate few rejections or few
+// requests while they are cold are selected by hosts.
+bool IsSelectable(const known_server& server,
+                  const catalog::service& service,
+                  base::time_point now) {
+  return server.TakesRequests() && !server.IsLimited() &&
+         !server.rejections_tolerated && !server.IsCold(service, now) &&
+         !decisions::IsPaused(server.notices, now) &&
+         decisions::AllowsRequests(server.trust, now);
+}
+
+decisions::queue_engine EngineOf(const known_server& server,
+                                 const catalog::service& service,
+                                 base::time_point now) {
+  decisions::queue_engine engine;
+  engine.load = server_registry::LoadOf(server, service);
+  engine.pause_cost = decisions::PauseCost(server.pace, now);
+  engine.requests_sent = server.requests_sent;
+  return engine;
+}
+
+}  // namespace
+
+engine_queue_service::engine_queue_service(host_core& core,
+                                           engine_queue_links links)
+    : core_(core), links_(std::move(links)) {}
+
+void engine_queue_service::Count(std::string_view metric,
+                                 std::string_view label) {
+  core_.metrics.Counter(metric, label).Add();
+}
+
+const catalog::service* engine_queue_service::EnabledService(
+    const std::string& name) const {
+  const catalog::service* service =
+      core_.configuration ? core_.configuration->FindService(name) : nullptr;
+  const bool enabled =
+      service != nullptr && service->HasModels() &&
+      IsEnabled(core_.settings.features.engine_queues, *service);
+  return enabled ? service : nullptr;
+}
+
+std::int64_t engine_queue_service::GroupsOf(const std::string& service) {
+  const auto found = groups_.find(service);
+  if (found != groups_.end())
+    return found->second;
+  const auto engines = std::ranges::count_if(
+      core_.servers.servers(),
+      [&](const auto& each) { return each.second->entry.service == service; });
+  return groups_[service] = decisions::CountGroups(engines);
+}
+
+std::vector<base::endpoint> engine_queue_service::Candidates(
+    const std::string& service,
+    std::int64_t group) const {
+  return links_.owners(std::string(kQueueSubject) + service + "/" +
+                       std::to_string(group));
+}
+
+std::optional<base::endpoint> engine_queue_service::FindOwner(
+    const std::string& service,
+    const std::string& instance,
+    base::time_point now) {
+  const std::int64_t groups = GroupsOf(service);
+  for (const base::endpoint& each :
+       Candidates(service, decisions::GroupOf(instance, groups))) {
+    const auto known = owners_.find(each);
+    if (known == owners_.end() || now >= known->second.silent_until)
+      return each;
+  }
+  return std::nullopt;
+}
+
+std::optional<base::endpoint> engine_queue_service::OwnerOf(
+    const known_server& server) {
+  if (EnabledService(server.entry.service) == nullptr)
+    return std::nullopt;
+  auto owner = FindOwner(server.entry.service, server.entry.instance,
+                         std::chrono::steady_clock::now());
+  return owner == core_.settings.peer_listen ? std::nullopt : owner;
+}
+
+// The asking side.
+
+asio::awaitable<void> engine_queue_service::Probe(base::endpoint owner) {
+  asio::steady_timer timer(core_.context);
+  while (true) {
+    timer.expires_after(kProbeInterval);
+    co_await timer.async_wait(kAwait);
+    if (owners_[owner].pending == 0)
+      break;
+    wire::envelope call;
+    // No place has this number.
+    call.__set_engine_place_ended({});
+    const auto reply =
+        co_await links_.call(owner, std::move(call), kMaxSilence);
+    if (reply)
+      owners_[owner].heard_at = std::chrono::steady_clock::now();
+  }
+  owners_[owner].probing = false;
+}
+
+asio::awaitable<void> engine_queue_service::Ask(
+    base::endpoint owner,
+    wire::engine_place_question question,
+    std::shared_ptr<asked> state) {
+  const wire::engine_place_end end = EndOf(question);
+  base::result<wire::engine_place_reply> reply =
+      Reply(queue_verdict::kNotOwner, question.number);
+  if (owner == core_.settings.peer_listen) {
+    reply = co_await HandleQuestion(std::move(question));
+  } else {
+    const auto timeout = milliseconds(question.left_ms) + 2 * kReplyMargin;
+    wire::envelope call;
+    call.__set_engine_place_wanted(std::move(question));
+    const auto received = co_await links_.call(owner, std::move(call), timeout);
+    if (!received)
+      reply = tl::make_unexpected(received.error());
+    else if (received->__isset.engine_place)
+      reply = received->engine_place;
+  }
+  if (reply)
+    owners_[owner].heard_at = std::chrono::steady_clock::now();
+  const bool granted = reply && reply->verdict == static_cast<std::int32_t>(
+                                                      queue_verdict::kGranted);
+  if (state->abandoned && granted)
+    End(owner, end);
+  state->reply = std::move(reply);
+  state->timer.cancel();
+}
+
+void engine_queue_service::OnSilent(const base::endpoint& owner,
+                                    const std::string& service,
+                                    base::time_point now) {
+  Count("valeledge_engine_queue_answers_total", "silent");
+  known_owner& known = owners_[owner];
+  if (now < known.silent_until)
+    return;
+  known.silent_until = now + kSilentPause;
+  links_.suspect(owner);
+  base::Log(kCategory, log_event::kEngineQueueSilent,
+            {{"service", service}, {"owner", base::ToString(owner)}});
+}
+
+void engine_queue_service::End(const base::endpoint& owner,
+                               wire::engine_place_end end) {
+  if (owner == core_.settings.peer_listen)
+    HandleEnd(end);
+  else
+    asio::co_spawn(core_.context, SendEnd(owner, std::move(end)),
+                   asio::detached);
+}
+
+asio::awaitable<void> engine_queue_service::SendEnd(
+    base::endpoint owner,
+    wire::engine_place_end end) {
+  wire::envelope call;
+  call.__set_engine_place_ended(std::move(end));
+  co_await links_.call(std::move(owner), std::move(call), kReplyMargin);
+}
+
+engine_place_answer engine_queue_service::ToAnswer(
+    const base::endpoint& owner,
+    const wire::engine_place_end& end,
+    const wire::engine_place_reply& reply) {
+  engine_place_answer answer;
+  switch (static_cast<queue_verdict>(reply.verdict)) {
+    case queue_verdict::kGranted:
+      answer.verdict = engine_place_verdict::kGranted;
+      answer.place = std::make_shared<slot_handle>(
+          reply.server, [this, owner, end](slot_outcome, microseconds took) {
+            // The load reports show a request that was sent.
+            if (took.count() == 0)
+              End(owner, end);
+          });
+      Count("valeledge_engine_queue_answers_total", "granted");
+      return answer;
+    case queue_verdict::kNotInTime:
+      answer.verdict = engine_place_verdict::kRefused;
+      answer.retry_after =
+          IsWithin(reply.retry_after_us, 1, kMaxRetryAfterUs)
+              ? duration_cast<milliseconds>(microseconds(reply.retry_after_us))
+              : kShortRetryAfter;
+      Count("valeledge_engine_queue_answers_total", "refused");
+      return answer;
+    case queue_verdict::kNotOwner:
+      break;
+  }
+  Count("valeledge_engine_queue_answers_total", "not_owner");
+  return answer;
+}
+
+asio::awaitable<engine_place_answer> engine_queue_service::Acquire(
+    engine_place_request request) {
+  auto now = std::chrono::steady_clock::now();
+  const std::string service = request.service;
+  const auto is_withdrawn = std::move(request.is_withdrawn);
+  const auto owner = FindOwner(service, request.best, now);
+  if (!owner) {
+    Count("valeledge_engine_queue_answers_total", "no_owner");
+    co_return engine_place_answer();
+  }
+  const auto number = static_cast<std::int64_t>(core_.random() >> 1) | 1;
+  auto question = QuestionOf(std::move(request), number);
+  const wire::engine_place_end end = EndOf(question);
+  const bool is_own = *owner == core_.settings.peer_listen;
+  known_owner& known = owners_[*owner];
+  if (known.pending++ == 0)
+    known.heard_at = now;
+  if (!is_own && !std::exchange(known.probing, true))
+    asio::co_spawn(core_.context, Probe(*owner), asio::detached);
+  const auto state = std::make_shared<asked>(core_.context);
+  asio::co_spawn(core_.context, Ask(*owner, std::move(question), state),
+                 asio::detached);
+  engine_place_answer answer;
+  while (true) {
+    state->timer.expires_after(kSelectionRetryInterval);
+    if (!state->reply)
+      co_await state->timer.async_wait(kAwait);
+    now = std::chrono::steady_clock::now();
+    const bool failed = state->reply && !*state->reply;
+    if (state->reply && !failed) {
+      answer = ToAnswer(*owner, end, **state->reply);
+      break;
+    }
+    const bool silent =
+        failed || (!is_own && now - known.heard_at >= kMaxSilence);
+    const bool withdrawn = !silent && is_withdrawn && is_withdrawn();
+    if (!silent && !withdrawn)
+      continue;
+    state->abandoned = true;
+    if (silent)
+      OnSilent(*owner, service, now);
+    else
+      Count("valeledge_engine_queue_answers_total", "withdrawn");
+    if (withdrawn)
+      answer.verdict = engine_place_verdict::kWithdrawn;
+    // An owner that was suspended would count the request when it goes on.
+    if (!failed)
+      End(*owner, end);
+    break;
+  }
+  --known.pending;
+  co_return answer;
+}
+
+// The owner's side.
+
+void engine_queue_service::UpdateMembers(const std::string& service,
+                                         owned_queue& owned,
+                                         base::time_point now) {
+  if (owned.members_at && now - *owned.members_at < kHolderInterval)
+    return;
+  owned.members_at = now;
+  owned.members.clear();
+  const std::int64_t groups = GroupsOf(service);
+  std::set<std::int64_t> own;
+  for (std::int64_t group = 0; group < groups; ++group) {
+    const auto candidates = Candidates(service, group);
+    if (std::ranges::find(candidates, core_.settings.peer_listen) !=
+        candidates.end())
+      own.insert(group);
+  }
+  for (const auto& [instance, server] : core_.servers.servers()) {
+    if (!own.empty() && server->entry.service == service &&
+        own.contains(decisions::GroupOf(instance, groups)))
+      owned.members.push_back(server);
+  }
+}
+
+void engine_queue_service::UpdateHolders(const catalog::service& service,
+                                         owned_queue& owned,
+                                         const std::string& unit,
+                                         base::time_point now) {
+  const auto& [model, adapter] = owned.units.at(unit);
+  std::vector<std::string> holders;
+  for (const auto& server : owned.members) {
+    if (IsSelectable(*server, service, now) &&
+        server->Holds(model, adapter, now))
+      holders.push_back(server->entry.instance);
+  }
+  if (holders.empty() && !owned.queue.units.contains(unit))
+    return;
+  decisions::SetHolders(owned.queue, unit, std::move(holders));
+}
+
+std::optional<decisions::queued_request> engine_queue_service::ReadQuestion(
+    const wire::engine_place_question& question,
+    owned_queue& owned,
+    base::time_point now) {
+  const auto bad = [this](std::string_view field) {
+    Count("valeledge_engine_queue_bad_values_total", field);
+  };
+  const bool usable = question.__isset.number && question.number > 0 &&
+                      !owned.waiters.contains(question.number) &&
+                      IsWithin(question.left_ms, 1, kMaxLeftMs) &&
+                      IsWithin(question.tokens_to_read, 0, kMaxTokens) &&
+                      IsWithin(question.tokens_to_hold, 0, kMaxTokens);
+  if (!usable) {
+    bad("question");
+    return std::nullopt;
+  }
+  decisions::queued_request request;
+  request.number = question.number;
+  request.unit = AdapterUnit(question.model, question.adapter);
+  // A request without a valid priority is served after the others.
+  request.priority = kMaxPriority;
+  if (IsWithin(question.priority, 0, kMaxPriority))
+    request.priority = question.priority;
+  else
+    bad("priority");
+  request.workspace = question.workspace;
+  request.arrived = now;
+  request.deadline = now + milliseconds(question.left_ms);
+  request.weight.prompt_tokens = question.tokens_to_read;
+  request.weight.held_tokens = question.tokens_to_hold;
+  request.max_event_gap = kDefaultEventGap;
+  if (IsWithin(question.event_gap_ms, 1, kMaxLeftMs))
+    request.max_event_gap = milliseconds(question.event_gap_ms);
+  else if (question.__isset.event_gap_ms)
+    bad("event_gap");
+  auto& token_time =
+      owned.token_times.try_emplace(question.model, kInitialTokenCost)
+          .first->second;
+  token_time = std::min<std::chrono::duration<double, std::milli>>(
+      token_time * kTokenTimeRise, kInitialTokenCost);
+  if (IsWithin(question.token_ns, kMinTokenNs, kMaxTokenNs))
+    token_time = std::min<std::chrono::duration<double, std::milli>>(
+        token_time, nanoseconds(question.token_ns));
+  else if (question.__isset.token_ns)
+    bad("token_time");
+  request.weight.time_per_token = token_time;
+  request.avoid = question.avoid;
+  return request;
+}
+
+asio::awaitable<wire::engine_place_reply> engine_queue_service::HandleQuestion(
+    wire::engine_place_question question) {
+  const auto now = std::chrono::steady_clock::now();
+  const auto not_owner = Reply(queue_verdict::kNotOwner, question.number);
+  const std::string service_name = question.service_name;
+  const catalog::service* service = EnabledService(service_name);
+  if (service == nullptr)
+    co_return not_owner;
+  owned_queue& owned = queues_[service_name];
+  UpdateMembers(service_name, owned, now);
+  auto request = ReadQuestion(question, owned, now);
+  if (!request || owned.members.empty())
+    co_return not_owner;
+  owned.units[request->unit] = {question.model, question.adapter};
+  UpdateHolders(*service, owned, request->unit, now);
+  const auto unit = owned.queue.units.find(request->unit);
+  if (unit == owned.queue.units.end() || unit->second.engines.empty()) {
+    Count("valeledge_engine_queue_decisions_total", "no_engine");
+    co_return not_owner;
+  }
+  UpdateEngines(*service, owned, now);
+  const std::int64_t number = request->number;
+  const auto lapse = request->deadline + kReplyMargin;
+  if (const auto refusal =
+          decisions::Enqueue(owned.queue, std::move(*request), now)) {
+    Count("valeledge_engine_queue_decisions_total", "refused");
+    ++owned.refused;
+    co_return Refusal(*refusal);
+  }
+  asio::steady_timer timer(core_.context, lapse);
+  owned.waiters[number].timer = &timer;
+  Pass(service_name, owned);
+  if (!owned.waiters.at(number).reply) {
+    if (!std::exchange(owned.loop_runs, true))
+      asio::co_spawn(core_.context, PassLoop(service_name), asio::detached);
+    co_await timer.async_wait(kAwait);
+  }
+  auto reply = std::move(owned.waiters.at(number).reply);
+  owned.waiters.erase(number);
+  if (!reply) {
+    decisions::RemovePlace(owned.queue, number);
+    reply = Refusal({number, kShortRetryAfter});
+  }
+  co_return *reply;
+}
+
+void engine_queue_service::HandleEnd(const wire::engine_place_end& end) {
+  const auto found = queues_.find(end.service_name);
+  if (found == queues_.end() || end.number <= 0)
+    return;
+  owned_queue& owned = found->second;
+  decisions::RemovePlace(owned.queue, end.number);
+  const auto waiting = owned.waiters.find(end.number);
+  if (waiting != owned.waiters.end() && !waiting->second.reply) {
+    Count("valeledge_engine_queue_decisions_total", "withdrawn");
+    waiting->second.reply = Refusal({end.number, kShortRetryAfter});
+    waiting->second.timer->cancel();
+  }
+  Pass(end.service_name, owned);
+}
+
+void engine_queue_service::UpdateEngines(const catalog::service& service,
+                                         owned_queue& owned,
+                                         base::time_point now) {
+  std::vector<std::string> names;
+  for (const auto& [name, engine] : owned.queue.engines)
+    names.push_back(name);
+  for (const std::string& name : names) {
+    if (const auto server = core_.servers.Find(name))
+      decisions::SetEngine(owned.queue, name, EngineOf(*server, service, now));
+  }
+}
+
+void engine_queue_service::Pass(const std::string& service_name,
+                                owned_queue& owned) {
+  const auto now = std::chrono::steady_clock::now();
+  const catalog::service* service = EnabledService(service_name);
+  if (service == nullptr)
+    return;
+  if (now - owned.holders_at >= kHolderInterval) {
+    owned.holders_at = now;
+    owned.members_at.reset();
+    UpdateMembers(service_name, owned, now);
+    std::erase_if(owned.units, [&](const auto& each) {
+      return !owned.queue.units.contains(each.first);
+    });
+    for (const auto& [unit, names] : owned.units)
+      UpdateHolders(*service, owned, unit, now);
+  }
+  UpdateEngines(*service, owned, now);
+  const auto decided = decisions::Decide(owned.queue, now);
+  for (const decisions::engine_grant& each : decided.grants) {
+    auto reply = Reply(queue_verdict::kGranted, each.number);
+    reply.server = each.engine;
+    ++owned.granted;
+    Answer(owned, std::move(reply), "granted");
+  }
+  for (const decisions::engine_refusal& each : decided.refusals) {
+    ++owned.refused;
+    Answer(owned, Refusal(each), "refused_waiting");
+  }
+  Publish(owned, now);
+}
+
+void engine_queue_service::Answer(owned_queue& owned,
+                                  wire::engine_place_reply reply,
+                                  std::string_view decision) {
+  Count("valeledge_engine_queue_decisions_total", decision);
+  const auto found = owned.waiters.find(reply.number);
+  if (found == owned.waiters.end())
+    return;
+  found->second.reply = std::move(reply);
+  found->second.timer->cancel();
+}
+
+// Newcomers elsewhere that see the queue ask its owner.
+void engine_queue_service::Publish(owned_queue& owned, base::time_point now) {
+  const auto queued = decisions::QueuedTokens(owned.queue);
+  for (const auto& [name, tokens] : queued) {
+    const auto server = core_.servers.Find(name);
+    if (server == nullptr)
+      continue;
+    server->own.queued_tokens = std::min(tokens, kMaxVisibleTokens);
+    if (owned.visible.try_emplace(name, now).second)
+      core_.load_changed(*server);
+  }
+  std::erase_if(owned.visible, [&](const auto& each) {
+    if (queued.contains(each.first) || now - each.second < kMinVisible)
+      return false;
+    if (const auto server = core_.servers.Find(each.first)) {
+      server->own.queued_tokens = 0;
+      core_.load_changed(*server);
+    }
+    return true;
+  });
+}
+
+asio::awaitable<void> engine_queue_service::PassLoop(std::string service) {
+  owned_queue& owned = queues_[service];
+  asio::steady_timer timer(core_.context);
+  while (decisions::CountWaiting(owned.queue) > 0) {
+    timer.expires_after(kPassInterval);
+    co_await timer.async_wait(kAwait);
+    Pass(service, owned);
+  }
+  owned.loop_runs = false;
+}
+
+void engine_queue_service::Tick(base::time_point now) {
+  groups_.clear();
+  for (auto& [service, owned] : queues_) {
+    Pass(service, owned);
+    const std::int64_t waiting = decisions::CountWaiting(owned.queue);
+    core_.metrics.Gauge("valeledge_engine_queue_waiting", service).Set(waiting);
+    if (waiting > 0)
+      owned.used_at = now;
+    if (waiting > 0 && !std::exchange(owned.in_use, true)) {
+      base::Log(kCategory, log_event::kEngineQueueBegan,
+                {{"service", service}, {"waiting", waiting}});
+    }
+    if (!owned.in_use || now - owned.used_at < kQueueIdle)
+      continue;
+    owned.in_use = false;
+    base::Log(kCategory, log_event::kEngineQueueEnded,
+              {{"service", service},
+               {"granted", std::exchange(owned.granted, 0)},
+               {"refused", std::exchange(owned.refused, 0)}});
+  }
+}
+
+}  // namespace valeledge::host
--- a/src/host/process/host.cc
+++ b/src/host/process/host.cc
@@ -295,6 +295,9 @@
   core_.load_changed = [this](const known_server& server) {
     loads_.ReportUsage(server);
   };
+  core_.stream_ended = [this](const known_server& server) {
+    loads_.ReportToQueueOwner(server);
+  };
   core_.server_crashed = [this](std::uint64_t digest,
                                 const decisions::server_crash& end,
                                 const decisions::prompt_parts& parts) {
@@ -619,8 +622,11 @@
 // The hosts chosen for a server receive the load reports of the other hosts for
 // it at once. In a small fleet these are all hosts.
 bool host::ReceivesLoadAtOnce(const std::string& instance) {
-  return peers_.IsChosen(instance, kMaxReportRecipients,
-                         peer_link::scope::kAll);
+  const auto server = core_.servers.Find(instance);
+  const std::size_t recipients = server == nullptr
+                                     ? kMaxReportRecipients
+                                     : loads_.CountDirectRecipients(*server);
+  return peers_.IsChosen(instance, recipients, peer_link::scope::kAll);
 }
 
 asio::awaitable<wire::envelope> host::HandleCall(wire::envelope call) {
--- a/src/host/process/host_core.h
+++ b/src/host/process/host_core.h
@@ -25,6 +25,7 @@
 #include "host/external_protocol.h"
 #include "host/host_settings.h"
 #include "host/process/demand_tracker.h"
+#include "host/process/engine_place.h"
 #include "host/process/request_log.h"
 #include "host/process/retry_budgets.h"
 #include "host/process/server_registry.h"
@@ -100,6 +101,18 @@
   std::optional<base::time_point> stops_at;
   // Publishes that this host's load on a server has changed.
   std::function<void(const known_server& server)> load_changed;
+  // Publishes that a stream has ended at a server, to the owner of its queue.
+  // If unset, the next periodic report contains it.
+  std::function<void(const known_server& server)> stream_ended;
+  // Waits in the queue of a model's engines until an engine is granted. If
+  // unset, hosts select engines by themselves.
+  std::function<boost::asio::awaitable<engine_place_answer>(
+      engine_place_request request)>
+      acquire_engine;
+  // Returns the host that owns the queue of an engine; nothing if there is none
+  // or it is this host.
+  std::function<std::optional<base::endpoint>(const known_server& server)>
+      queue_owner;
   // Charges the cost of a request to the limit of its workspace. Returns an
   // error if the request may not be sent.
   std::function<boost::asio::awaitable<base::result<void>>(
--- a/src/host/process/known_server.h
+++ b/src/host/process/known_server.h
@@ -36,6 +36,9 @@
   std::int64_t running = 0;
   std::int64_t unread_tokens = 0;
   std::int64_t held_tokens = 0;
+  // Prompt tokens that are queued for it and have not been sent; not contained
+  // in unread_tokens.
+  std::int64_t queued_tokens = 0;
 };
 
 // Whether a server holds a unit, according to a source other than its entry:
@@ -83,6 +86,8 @@
   std::optional<base::time_point> expires_at;
   server_usage own;
   server_usage others;
+  // Requests that this host has sent and others have reported to have sent.
+  std::int64_t requests_sent = 0;
   decisions::server_health trust;
   // Prefill work that all hosts have sent to it, and the time per prompt token
   // of the last request sent by this host.
@@ -117,6 +122,8 @@
   bool IsPermitted(base::time_point now) const {
     return !IsLimited() || (!permit_pending && now >= permit_retry_at);
   }
+  // Whether requests are queued for it.
+  bool HasQueue() const { return own.queued_tokens + others.queued_tokens > 0; }
   // Whether one of its responses has stated that it is leaving.
   bool SaysLeaving() const { return notices.leaving_since.has_value(); }
   // Whether it has asked this host to send nothing now.
--- a/src/host/process/load_reports.cc
+++ b/src/host/process/load_reports.cc
@@ -9,6 +9,7 @@
 #include <utility>
 
 #include "host/constants.h"
+#include "host/load_features.h"
 #include "wire/codec.h"
 
 namespace valeledge::host {
@@ -88,8 +89,35 @@
     return;
   wire::host_load load;
   load.servers.push_back(server_registry::OwnLoad(server));
+  const auto owner =
+      core_.queue_owner ? core_.queue_owner(server) : std::nullopt;
   peers_.Send(std::string(kUsageRecord), wire::Encode(load),
-              {kMaxReportRecipients, server.entry.instance, std::nullopt});
+              {CountDirectRecipients(server), server.entry.instance, owner});
+}
+
+void load_reports::ReportToQueueOwner(const known_server& server) {
+  const auto owner =
+      core_.queue_owner ? core_.queue_owner(server) : std::nullopt;
+  if (!owner)
+    return;
+  wire::host_load load;
+  load.servers.push_back(server_registry::OwnLoad(server));
+  peers_.Send(std::string(kUsageRecord), wire::Encode(load), {0, {}, owner});
+}
+
+// The owner of a queue receives two reports of each request with the others,
+// and one more at its end: two recipients fewer, and no more messages than
+// without a queue.
+std::size_t load_reports::CountDirectRecipients(
+    const known_server& server) const {
+  const catalog::service* service =
+      core_.configuration
+          ? core_.configuration->FindService(server.entry.service)
+          : nullptr;
+  const bool has_queue =
+      service != nullptr &&
+      IsEnabled(core_.settings.features.engine_queues, *service);
+  return has_queue ? kMaxReportRecipients - 2 : kMaxReportRecipients;
 }
 
 bool load_reports::HandleRecord(const membership::direct_record& record) {
--- a/src/host/process/load_reports.h
+++ b/src/host/process/load_reports.h
@@ -25,6 +25,10 @@
   void Report(bool follows_store);
   // Immediately reports the load at one server.
   void ReportUsage(const known_server& server);
+  // Immediately reports the load at one server to the owner of its queue.
+  void ReportToQueueOwner(const known_server& server);
+  // Number of hosts, chosen for a server, that receive its load immediately.
+  std::size_t CountDirectRecipients(const known_server& server) const;
 
   // Handles a record of another host; returns false if it is not such a report.
   bool HandleRecord(const membership::direct_record& record);
--- a/src/host/process/owner_services.cc
+++ b/src/host/process/owner_services.cc
@@ -1,6 +1,7 @@
 // SPDX-License-Identifier: MIT
 #include "host/process/owner_services.h"
 
+#include <algorithm>
 #include <string>
 #include <utility>
 
@@ -15,6 +16,10 @@
 constexpr std::string_view kLimitSubject = "limit/";
 constexpr std::string_view kSlotSubject = "places/";
 
+// Hosts that may own a queue. The next one is asked while one does not answer;
+// more than this are rarely lost at the same time.
+constexpr std::size_t kQueueCandidates = 4;
+
 // The owner is called for each request, so a host with a wide link is
 // preferred.
 constexpr std::int32_t kPreferredRoles = membership::kHighBandwidth;
@@ -25,13 +30,20 @@
     : core_(core),
       peers_(peers),
       limits_(core, MakeLimitCallbacks()),
-      slots_(core, MakeSlotCallbacks()) {
+      slots_(core, MakeSlotCallbacks()),
+      engine_queues_(core, MakeQueueCallbacks()) {
   core_.acquire_limit = [this](std::string workspace, double count) {
     return limits_.Acquire(std::move(workspace), count);
   };
   core_.release_limit = [this](const std::string& workspace, double count) {
     limits_.Release(workspace, count);
   };
+  core_.acquire_engine = [this](engine_place_request request) {
+    return engine_queues_.Acquire(std::move(request));
+  };
+  core_.queue_owner = [this](const known_server& server) {
+    return engine_queues_.OwnerOf(server);
+  };
   if (!core_.settings.allocates_slots)
     return;
   core_.acquire_slot = [this](slot_request request) {
@@ -78,6 +90,27 @@
   return callbacks;
 }
 
+engine_queue_links owner_services::MakeQueueCallbacks() {
+  engine_queue_links callbacks;
+  callbacks.owners = [this](const std::string& subject) {
+    auto owners =
+        peers_.ChosenAddresses(subject, kQueueCandidates, kPreferredRoles);
+    const auto first = peers_.FirstHealthy(subject, kPreferredRoles);
+    const auto begin =
+        first ? std::ranges::find(owners, *first) : owners.end();
+    owners.erase(owners.begin(), begin);
+    return owners;
+  };
+  callbacks.call = [this](base::endpoint where, wire::envelope call,
+                          std::chrono::microseconds timeout) {
+    return peers_.Call(std::move(where), std::move(call), timeout);
+  };
+  callbacks.suspect = [this](const base::endpoint& owner) {
+    peers_.Suspect(owner);
+  };
+  return callbacks;
+}
+
 void owner_services::OnMemberJoined() {
   limits_.OnMemberJoined(std::chrono::steady_clock::now());
 }
@@ -85,11 +118,13 @@
 void owner_services::Tick(base::time_point now) {
   limits_.Tick(now);
   slots_.ReleaseExpired(now);
+  engine_queues_.Tick(now);
 }
 
 bool owner_services::Handles(const wire::envelope& call) {
   return call.__isset.limit_wanted || call.__isset.place_wanted ||
-         call.__isset.place_ended;
+         call.__isset.place_ended || call.__isset.engine_place_wanted ||
+         call.__isset.engine_place_ended;
 }
 
 asio::awaitable<wire::envelope> owner_services::HandleCall(
@@ -101,6 +136,13 @@
     const auto slot =
         co_await slots_.HandleRequest(std::move(call.place_wanted));
     reply.__set_place(slot);
+  } else if (call.__isset.engine_place_wanted) {
+    const auto place = co_await engine_queues_.HandleQuestion(
+        std::move(call.engine_place_wanted));
+    reply.__set_engine_place(place);
+  } else if (call.__isset.engine_place_ended) {
+    engine_queues_.HandleEnd(call.engine_place_ended);
+    reply.__set_done({});
   } else {
     slots_.HandleRelease(call.place_ended);
     reply.__set_done({});
--- a/src/host/process/owner_services.h
+++ b/src/host/process/owner_services.h
@@ -1,13 +1,14 @@
 // SPDX-License-Identifier: MIT
 // Services that one host, chosen from the whole fleet, provides to the others:
-// it owns the limits of some workspaces and allocates the slots of some plain
-// services.
+// it owns the limits of some workspaces, allocates the slots of some plain
+// services, and owns the queues for some engines.
 #ifndef VALELEDGE_HOST_PROCESS_OWNER_SERVICES_H_
 #define VALELEDGE_HOST_PROCESS_OWNER_SERVICES_H_
 
 #include <boost/asio/awaitable.hpp>
 
 #include "base/duration.h"
+#include "host/process/engine_queue_service.h"
 #include "host/process/host_core.h"
 #include "host/process/peer_link.h"
 #include "host/process/slot_allocator.h"
@@ -35,11 +36,13 @@
  private:
   workspace_limit_callbacks MakeLimitCallbacks();
   slot_allocator_links MakeSlotCallbacks();
+  engine_queue_links MakeQueueCallbacks();
 
   host_core& core_;
   peer_link& peers_;
   workspace_limit_service limits_;
   slot_allocator slots_;
+  engine_queue_service engine_queues_;
 };
 
 }  // namespace valeledge::host
--- a/src/host/process/server_registry.cc
+++ b/src/host/process/server_registry.cc
@@ -70,7 +70,9 @@
 }
 
 server_usage UsageOf(const wire::server_load& load) {
-  return {load.running, load.unread_tokens, load.held_tokens};
+  const std::int64_t queued = std::clamp<std::int64_t>(
+      load.queued_tokens, 0, std::max(load.unread_tokens, 0));
+  return {load.running, load.unread_tokens - queued, load.held_tokens, queued};
 }
 
 // The software of a run does not change.
@@ -244,21 +246,28 @@
          (query.model.empty() || server.Holds(query.model, query.adapter, now));
 }
 
-decisions::server_candidate server_registry::OfferOf(
+decisions::server_candidate server_registry::LoadOf(
     const known_server& server,
-    const server_query& query,
-    const catalog::service& service,
-    base::time_point now) const {
+    const catalog::service& service) {
   decisions::server_candidate offer;
   offer.slots = std::max<std::int64_t>(server.entry.slots, 1);
   offer.running = server.own.running + server.others.running;
   offer.unread_tokens = server.own.unread_tokens + server.others.unread_tokens;
   offer.held_tokens = server.own.held_tokens + server.others.held_tokens;
   offer.token_memory = service.engines.token_memory;
+  offer.slowdown = server.trust.slowdown;
+  return offer;
+}
+
+decisions::server_candidate server_registry::OfferOf(
+    const known_server& server,
+    const server_query& query,
+    const catalog::service& service,
+    base::time_point now) const {
+  decisions::server_candidate offer = LoadOf(server, service);
   if (!query.model.empty())
     offer.cached_tokens = CachedTokens(server, *query.head, now);
   offer.same_zone = server.entry.zone == zone_;
-  offer.slowdown = server.trust.slowdown;
   return offer;
 }
 
@@ -330,6 +339,22 @@
   return best;
 }
 
+std::optional<server_choice> server_registry::ChoiceOf(
+    const std::string& instance,
+    const server_query& query,
+    const catalog::service& service,
+    base::time_point now) const {
+  const auto server = Find(instance);
+  if (server == nullptr || !IsCandidate(*server, query, now))
+    return std::nullopt;
+  const decisions::server_candidate offer =
+      OfferOf(*server, query, service, now);
+  const milliseconds ahead =
+      query.weight.time_per_token * static_cast<double>(offer.unread_tokens);
+  return server_choice{server, ExpectedWait(offer, query.weight), ahead,
+                       offer.cached_tokens};
+}
+
 bool server_registry::AnyHolds(const server_query& query,
                                base::time_point now) const {
   return std::ranges::any_of(servers_, [&](const auto& each) {
@@ -429,11 +454,16 @@
   auto& known = loads_[host];
   for (const auto& [key, use] : known)
     AddUsage(key, use, -1);
-  known.clear();
+  const auto before = std::exchange(known, {});
   for (const wire::server_load& each : loads) {
     const auto [position, added] = known.emplace(each.server, UsageOf(each));
-    if (added)
-      AddUsage(each.server, position->second, 1);
+    if (!added)
+      continue;
+    AddUsage(each.server, position->second, 1);
+    const auto found = before.find(each.server);
+    CountSent(each.server,
+              position->second.running -
+                  (found == before.end() ? 0 : found->second.running));
   }
 }
 
@@ -455,9 +485,17 @@
                                std::chrono::steady_clock::now());
     }
     server->others.held_tokens += use.held_tokens - before.held_tokens;
+    server->others.queued_tokens += use.queued_tokens - before.queued_tokens;
+    CountSent(each.server, use.running - before.running);
   }
 }
 
+void server_registry::CountSent(unit_key key, std::int64_t more) const {
+  const auto server = more > 0 ? FindKey(key) : nullptr;
+  if (server != nullptr)
+    server->requests_sent += more;
+}
+
 void server_registry::ForgetHost(const std::string& host) {
   const auto found = loads_.find(host);
   if (found == loads_.end())
@@ -476,13 +514,18 @@
   server->others.running += times * use.running;
   server->others.unread_tokens += times * use.unread_tokens;
   server->others.held_tokens += times * use.held_tokens;
+  server->others.queued_tokens += times * use.queued_tokens;
 }
 
 wire::server_load server_registry::OwnLoad(const known_server& server) {
   wire::server_load load;
   load.server = server.key;
   load.running = static_cast<std::int32_t>(server.own.running);
-  load.unread_tokens = static_cast<std::int32_t>(server.own.unread_tokens);
+  load.unread_tokens = static_cast<std::int32_t>(server.own.unread_tokens +
+                                                 server.own.queued_tokens);
+  if (server.own.queued_tokens > 0)
+    load.__set_queued_tokens(
+        static_cast<std::int32_t>(server.own.queued_tokens));
   load.held_tokens = static_cast<std::int32_t>(server.own.held_tokens);
   return load;
 }
@@ -490,7 +533,7 @@
 std::vector<wire::server_load> server_registry::OwnLoads() const {
   std::vector<wire::server_load> out;
   for (const auto& [instance, server] : servers_) {
-    if (server->own.running != 0)
+    if (server->own.running != 0 || server->own.queued_tokens != 0)
       out.push_back(OwnLoad(*server));
   }
   return out;
--- a/src/host/process/server_registry.h
+++ b/src/host/process/server_registry.h
@@ -120,6 +120,15 @@
                                       const catalog::service& service,
                                       base::time_point now,
                                       std::mt19937_64& random);
+  // Returns this server as the choice for a request, or nothing if the request
+  // may not be sent to it.
+  std::optional<server_choice> ChoiceOf(const std::string& instance,
+                                        const server_query& query,
+                                        const catalog::service& service,
+                                        base::time_point now) const;
+  // The server's load, without requests that are queued.
+  static decisions::server_candidate LoadOf(const known_server& server,
+                                            const catalog::service& service);
   // Whether any server that accepts the request holds its unit.
   bool AnyHolds(const server_query& query, base::time_point now) const;
 
@@ -180,6 +189,8 @@
   void AddUsage(unit_key key,
                 const server_usage& use,
                 std::int64_t times) const;
+  // Counts requests that another host has sent, if `more` is above 0.
+  void CountSent(unit_key key, std::int64_t more) const;
   // Whether a server may get the request once all its pauses have ended.
   bool IsEligible(const known_server& server,
                   const server_query& query,
--- /dev/null
+++ b/src/host/request/queued_selection.cc
@@ -0,0 +1,106 @@
+// SPDX-License-Identifier: MIT
+#include "host/request/queued_selection.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "host/constants.h"
+#include "host/load_features.h"
+
+namespace valeledge::host {
+
+namespace {
+
+using std::chrono::duration_cast;
+using std::chrono::milliseconds;
+
+// Maximum wait of a request that may not be refused, as without a queue:
+// callers time out on a response without events after 2 s or more.
+constexpr milliseconds kMaxLateWait{1000};
+
+// Returns the time left until the request has to be read by an engine.
+milliseconds TimeToRead(const routed_request& routed,
+                        const decisions::engine_candidate& turn) {
+  const milliseconds limit =
+      turn.refusable ? turn.objective : std::max(turn.objective, kMaxLateWait);
+  const milliseconds left =
+      std::min(limit - turn.waited, RemainingTime(routed));
+  return left - kFirstEventOverhead;
+}
+
+// Keeps those of the instances that hold the model: the others are not selected
+// anyway.
+std::vector<std::string> HoldersAmong(const host_core& core,
+                                      const request_metadata& metadata,
+                                      std::vector<std::string> instances) {
+  const auto now = std::chrono::steady_clock::now();
+  std::erase_if(instances, [&](const std::string& each) {
+    const auto server = core.servers.Find(each);
+    return server == nullptr ||
+           !server->Holds(metadata.model, metadata.adapter, now);
+  });
+  return instances;
+}
+
+}  // namespace
+
+bool AsksForEngine(const host_core& core,
+                   const routed_request& routed,
+                   const server_choice& best,
+                   decisions::admission_decision decided) {
+  return core.acquire_engine && !best.server->IsLimited() &&
+         IsEnabled(core.settings.features.engine_queues, *routed.service) &&
+         (decided != decisions::admission_decision::kSend ||
+          best.server->HasQueue());
+}
+
+boost::asio::awaitable<queued_selection> SelectInQueue(
+    host_core& core,
+    const routed_request& routed,
+    const server_query& query,
+    const server_choice& best,
+    const decisions::engine_candidate& turn,
+    std::vector<std::string> excluded,
+    std::function<bool()> is_withdrawn) {
+  queued_selection out;
+  engine_place_request request;
+  request.left = TimeToRead(routed, turn);
+  if (request.left.count() <= 0)
+    co_return out;
+  request.service = routed.service->name;
+  request.model = routed.metadata.model;
+  request.adapter = routed.metadata.adapter;
+  request.workspace = WorkspaceName(routed);
+  request.priority = PriorityOf(routed);
+  request.tokens_to_read = std::max<std::int64_t>(
+      routed.weight.prompt_tokens - best.cached_tokens, 0);
+  request.tokens_to_hold = routed.weight.held_tokens;
+  request.token_time = routed.weight.time_per_token;
+  request.event_gap = turn.max_event_gap;
+  request.avoid = HoldersAmong(core, routed.metadata, std::move(excluded));
+  request.best = best.server->entry.instance;
+  request.is_withdrawn = std::move(is_withdrawn);
+  auto answer = co_await core.acquire_engine(std::move(request));
+  if (answer.verdict == engine_place_verdict::kWithdrawn)
+    out.outcome = queued_outcome::kSearchAgain;
+  if (answer.verdict == engine_place_verdict::kRefused && turn.refusable) {
+    out.outcome = queued_outcome::kRefused;
+    out.retry_after = answer.retry_after;
+  }
+  if (answer.verdict != engine_place_verdict::kGranted)
+    co_return out;
+  out.choice =
+      core.servers.ChoiceOf(answer.place->server(), query, *routed.service,
+                            std::chrono::steady_clock::now());
+  if (!out.choice) {
+    // This host knows the engine as unusable.
+    core.metrics.Counter("valeledge_engine_queue_answers_total", "unusable")
+        .Add();
+    co_return out;
+  }
+  out.choice->slot = std::move(answer.place);
+  out.outcome = queued_outcome::kGranted;
+  co_return out;
+}
+
+}  // namespace valeledge::host
--- /dev/null
+++ b/src/host/request/queued_selection.h
@@ -0,0 +1,58 @@
+// SPDX-License-Identifier: MIT
+// Selection of an engine through the queue of its model.
+#ifndef VALELEDGE_HOST_REQUEST_QUEUED_SELECTION_H_
+#define VALELEDGE_HOST_REQUEST_QUEUED_SELECTION_H_
+
+#include <chrono>
+#include <functional>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include <boost/asio/awaitable.hpp>
+
+#include "decisions/engine_admission.h"
+#include "host/request/routed_request.h"
+
+namespace valeledge::host {
+
+enum class queued_outcome {
+  // An engine was granted.
+  kGranted,
+  // No engine can respond in time.
+  kRefused,
+  // The request does not wait any more, or there is another reason to begin the
+  // search again.
+  kSearchAgain,
+  // This host selects an engine by itself.
+  kSelectHere,
+};
+
+struct queued_selection {
+  queued_outcome outcome = queued_outcome::kSelectHere;
+  std::optional<server_choice> choice;
+  std::chrono::milliseconds retry_after{0};
+};
+
+// Whether the request asks the owner of the queue for an engine: it would have
+// to wait or be refused, or others are waiting for the best engine.
+bool AsksForEngine(const host_core& core,
+                   const routed_request& routed,
+                   const server_choice& best,
+                   decisions::admission_decision decided);
+
+// Asks the owner for an engine and waits for its reply. `excluded`: instances
+// that must not be selected. `is_withdrawn`: whether the request has stopped
+// waiting.
+boost::asio::awaitable<queued_selection> SelectInQueue(
+    host_core& core,
+    const routed_request& routed,
+    const server_query& query,
+    const server_choice& best,
+    const decisions::engine_candidate& turn,
+    std::vector<std::string> excluded,
+    std::function<bool()> is_withdrawn);
+
+}  // namespace valeledge::host
+
+#endif  // VALELEDGE_HOST_REQUEST_QUEUED_SELECTION_H_
--- a/src/host/request/server_attempt.cc
+++ b/src/host/request/server_attempt.cc
@@ -40,6 +40,7 @@
       std::max<std::int64_t>(weight.prompt_tokens - choice.cached_tokens, 0);
   ++demand_.running;
   ++server_->own.running;
+  ++server_->requests_sent;
   server_->own.unread_tokens += weight_.prompt_tokens;
   server_->own.held_tokens += weight_.held_tokens;
   server_->per_token = weight_.time_per_token;
@@ -64,9 +65,12 @@
     server_->own.unread_tokens -= weight_.prompt_tokens;
   server_->trust.probing = false;
   EndTrial();
-  // The end of a stream is sent with the next periodic report.
+  // The end of a stream is sent with the next periodic report, and at once only
+  // to the owner of the server's queue.
   if (awaiting_first_byte_)
     core_.load_changed(*server_);
+  else if (core_.stream_ended)
+    core_.stream_ended(*server_);
 }
 
 void server_attempt::EndTrial() {
--- a/src/host/request/server_search.cc
+++ b/src/host/request/server_search.cc
@@ -12,6 +12,7 @@
 #include "host/constants.h"
 #include "host/request/crash_monitor.h"
 #include "host/process/path_monitor.h"
+#include "host/request/queued_selection.h"
 #include "host/request/stream_continuation.h"
 
 namespace valeledge::host {
@@ -136,6 +137,9 @@
 // Before the end of a pause a caller would only be refused again.
 constexpr jitter_range kAfterPause{1.0, 1.5};
 
+// The owner of a queue assigns callers different times.
+constexpr jitter_range kAfterQueue{1.0, 1.0};
+
 // Returns the retry-after delay for a refused caller.
 milliseconds RetryAfter(host_core& core,
                         const routed_request& routed,
@@ -368,6 +372,13 @@
   asio::steady_timer pause(core.context);
   std::optional<milliseconds> retry_after;
   jitter_range jitter;
+  bool may_queue = true;
+  const auto is_withdrawn = [&] {
+    return responder.caller_gone() ||
+           (first_attempt && CheckStopDeadline(core, routed)) ||
+           CheckPromptQuarantine(core, routed) ||
+           PathOf(core, routed) != path_state::kDirect;
+  };
   base::error reason =
       base::MakeError(result_code::kNoBackendServer, base::outcome::kNotRun,
                       "no backend server currently accepts this request");
@@ -398,6 +409,23 @@
     if (choice && !query.model.empty()) {
       const auto turn = TurnOf(routed, *choice, first_attempt, now);
       const auto decided = decisions::DecideAdmission(turn);
+      if (may_queue && AsksForEngine(core, routed, *choice, decided)) {
+        auto queued = co_await SelectInQueue(
+            core, routed, query, *choice, turn,
+            ExcludedInstances(core, routed, now), is_withdrawn);
+        if (queued.outcome == queued_outcome::kGranted)
+          co_return std::move(*queued.choice);
+        if (queued.outcome == queued_outcome::kRefused) {
+          reason =
+              base::MakeError(result_code::kOverloaded, base::outcome::kNotRun,
+                              "no backend server can respond in time");
+          retry_after = queued.retry_after;
+          jitter = kAfterQueue;
+          break;
+        }
+        may_queue = queued.outcome == queued_outcome::kSearchAgain;
+        continue;
+      }
       if (decided == decisions::admission_decision::kRefuse) {
         reason =
             base::MakeError(result_code::kOverloaded, base::outcome::kNotRun,
--- a/tests/auto/decisions/test_engine_queue.cc
+++ b/tests/auto/decisions/test_engine_queue.cc
@@ -433,6 +433,7 @@
   const auto decided = Decide(queue, kStart + 15ms);
   BOOST_REQUIRE_EQUAL(decided.refusals.size(), 1u);
   BOOST_TEST(decided.refusals.front().number == 1);
+  BOOST_TEST(decided.refusals.front().without_engine);
   auto avoiding = Request(2, 1, "", kStart, 2s);
   SetHolders(queue, "m", {"e1"});
   avoiding.avoid = {"e1"};
