--- a/src/decisions/engine_queue.cc
+++ b/src/decisions/engine_queue.cc
@@ -46,10 +46,12 @@
 // that a wrong estimate does not refuse everything.
 constexpr double kMaxUrgentShare = 0.9;
 
+constexpr int kArrivalRounds = 3;
+
 // A request is added if its response is expected within this share of its time.
 // The rest covers prompts that take longer than expected: of requests that
 // reach their turn with no time to spare most are refused after all.
-constexpr double kAdmittedShare = 0.85;
+constexpr double kAdmittedShare = 0.7;
 
 // A waiting request is refused only if it would be late by this factor, since
 // requests before it may be withdrawn or refused as well.
@@ -62,6 +64,10 @@
 // A caller that returns earlier is likely to meet the same queue.
 constexpr std::chrono::milliseconds kMinReturn{100};
 
+// Time from the end of the reading of a prompt to its first event: a few steps
+// of the batch.
+constexpr milliseconds kFirstEventDelay{35};
+
 // Engines in one group. An owner handles about four requests per second and
 // engine, each with up to three datagrams of 10 microseconds and a call of
 // about 60: a tenth of a core for this many engines.
@@ -98,6 +104,34 @@
   return load;
 }
 
+// Records the reading until now. A granted request that has not been reported
+// has not been sent.
+void AdvanceReading(known_engine& engine, base::time_point now) {
+  detail::reading_progress& reading = engine.reading;
+  const milliseconds unread =
+      reading.token_time * static_cast<double>(engine.state.load.unread_tokens);
+  reading.spent =
+      std::min(milliseconds(reading.spent + (now - reading.at)), unread);
+  reading.at = now;
+}
+
+// The load as a request would meet it: without a prompt of the request's size
+// if the engine has had the time to read one since the last first event. No
+// more than one, since an engine may be slower than expected.
+server_candidate LoadFor(const known_engine& engine,
+                         const queued_request& request,
+                         base::time_point now) {
+  server_candidate load = LoadOf(engine);
+  const milliseconds spent = engine.reading.spent + (now - engine.reading.at);
+  const bool has_read = engine.state.load.unread_tokens > 0 &&
+                        engine.reading.token_time.count() > 0 &&
+                        spent >= ReadTime(request) * load.slowdown;
+  if (has_read)
+    load.unread_tokens = std::max<std::int64_t>(
+        load.unread_tokens - request.weight.prompt_tokens, 0);
+  return load;
+}
+
 // Whether the request can run there without being queued or preempted.
 bool HasRoom(const server_candidate& load, const queued_request& request) {
   const auto held =
@@ -112,7 +146,7 @@
 admission_decision DecideAt(const known_engine& engine,
                             const queued_request& request,
                             base::time_point now) {
-  const server_candidate load = LoadOf(engine);
+  const server_candidate load = LoadFor(engine, request, now);
   engine_candidate turn;
   turn.waited = duration_cast<std::chrono::milliseconds>(now - request.arrived);
   turn.objective = duration_cast<std::chrono::milliseconds>(request.deadline -
@@ -189,6 +223,8 @@
   // A workspace without a tag starts at the virtual time as well.
   std::erase_if(shares.finish,
                 [&](const auto& each) { return each.second <= start; });
+  engine.reading.token_time = request.weight.time_per_token;
+  AdvanceReading(engine, now);
   engine.grants.push_back({request.number, request.weight.prompt_tokens,
                            request.weight.held_tokens, now});
 }
@@ -224,9 +260,16 @@
                                      base::time_point now) {
   known_engine& engine = queue.engines.at(name);
   const auto first = FirstAt(queue, name, engine, now);
-  if (!first ||
-      DecideAt(engine, *first->request, now) != admission_decision::kSend)
+  if (!first)
     return std::nullopt;
+  if (DecideAt(engine, *first->request, now) != admission_decision::kSend) {
+    const milliseconds left =
+        ReadTime(*first->request) * engine.state.load.slowdown -
+        engine.reading.spent;
+    engine.read_at =
+        engine.reading.at + std::chrono::ceil<std::chrono::microseconds>(left);
+    return std::nullopt;
+  }
   const queued_request request = *first->request;
   Take(queue, request.unit, {request.priority, request.workspace},
        request.number);
@@ -269,75 +312,93 @@
   return work.level * std::exp(-(passed / kArrivalWindow));
 }
 
-// Share of an engine's time that later requests take which go before this one:
-// those of a higher priority, and those of other workspaces of the same
-// priority up to their fair share.
-double UrgentShare(const engine_queue& queue,
-                   const known_engine& engine,
-                   const queued_request& request,
-                   base::time_point now) {
+// Work of another workspace of the same priority.
+struct other_work {
+  milliseconds queued{0};
+  // Part of an engine's time that its later requests take.
+  double arriving = 0;
+  // Share relative to that of the request.
+  double share = 1;
+};
+
+// Work that goes before a request at one engine.
+struct preceding_work {
+  milliseconds ahead{0};
+  // Work of the request and of earlier ones of its workspace.
+  milliseconds own{0};
+  // Part of the engine's time that later requests of higher priority take.
   double urgent = 0;
-  std::map<std::string_view, double> others;
-  for (const std::string& name : engine.units) {
-    const unit_queue& unit = queue.units.at(name);
-    for (const auto& [key, work] : unit.arriving) {
-      const double share =
-          LevelAt(work, now) / kArrivalWindow * EnginePart(unit);
-      if (key.first < request.priority)
-        urgent += share;
-      else if (key.first == request.priority && key.second != request.workspace)
-        others[key.second] += share;
+  std::map<std::string_view, other_work> others;
+};
+
+void AddQueued(preceding_work& work,
+               const unit_queue& unit,
+               const queued_request& request) {
+  const double part = EnginePart(unit);
+  for (const auto& [key, flow] : unit.flows) {
+    if (key.first > request.priority)
+      break;
+    if (key.first < request.priority) {
+      work.ahead += flow.read_time * part;
+      continue;
+    }
+    if (key.second != request.workspace) {
+      other_work& other = work.others[key.second];
+      other.queued += flow.read_time * part;
+      other.share = flow.requests.front().share / request.share;
+      continue;
+    }
+    for (const queued_request& each : flow.requests) {
+      if (!IsEarlier(each, request))
+        break;
+      work.ahead += ReadTime(each) * part;
+      work.own += ReadTime(each) * part;
     }
   }
-  const double fair =
-      std::max(1 - urgent, 0.0) / static_cast<double>(others.size() + 1);
-  for (const auto& [workspace, share] : others)
-    urgent += std::min(share, fair);
-  return std::min(urgent, kMaxUrgentShare);
+}
+
+void AddArriving(preceding_work& work,
+                 const unit_queue& unit,
+                 const queued_request& request,
+                 base::time_point now) {
+  for (const auto& [key, arriving] : unit.arriving) {
+    const double rate =
+        LevelAt(arriving, now) / kArrivalWindow * EnginePart(unit);
+    if (key.first < request.priority)
+      work.urgent += rate;
+    else if (key.first == request.priority && key.second != request.workspace)
+      work.others[key.second].arriving += rate;
+  }
 }
 
 // Expected time until an engine can begin with a request, from the work that
-// goes before it.
+// goes before it. Until then each other workspace of the same priority gets at
+// most as much as its own, in proportion to their shares.
 milliseconds TimeToTurn(const engine_queue& queue,
                         const known_engine& engine,
                         const queued_request& request,
                         base::time_point now) {
-  const milliseconds backlog =
-      request.weight.time_per_token *
-      static_cast<double>(LoadOf(engine).unread_tokens);
-  milliseconds ahead{0};
-  milliseconds own = ReadTime(request);
-  // By workspace: its work, and its share relative to that of the request.
-  std::map<std::string_view, std::pair<milliseconds, double>> others;
+  preceding_work work;
+  work.own = ReadTime(request);
   for (const std::string& name : engine.units) {
-    const unit_queue& unit = queue.units.at(name);
-    const double part = EnginePart(unit);
-    for (const auto& [key, flow] : unit.flows) {
-      if (key.first > request.priority)
-        break;
-      if (key.first < request.priority) {
-        ahead += flow.read_time * part;
-        continue;
-      }
-      if (key.second != request.workspace) {
-        auto& [work, share] = others[key.second];
-        work += flow.read_time * part;
-        share = flow.requests.front().share / request.share;
-        continue;
-      }
-      for (const queued_request& each : flow.requests) {
-        if (!IsEarlier(each, request))
-          break;
-        ahead += ReadTime(each) * part;
-        own += ReadTime(each) * part;
-      }
-    }
+    AddQueued(work, queue.units.at(name), request);
+    AddArriving(work, queue.units.at(name), request, now);
+  }
+  const double left = 1 - std::min(work.urgent, kMaxUrgentShare);
+  milliseconds wait{0};
+  // The longer the wait, the more requests arrive meanwhile; their work is
+  // bounded, and a few rounds come close.
+  for (int round = 0; round < kArrivalRounds; ++round) {
+    milliseconds ahead = work.ahead;
+    for (const auto& [workspace, other] : work.others)
+      ahead += std::min(milliseconds(other.queued + wait * other.arriving),
+                        work.own * other.share);
+    wait = ahead / left;
   }
-  // Until the request's turn, each other workspace gets at most as much as its
-  // own, in proportion to their shares.
-  for (const auto& [workspace, other] : others)
-    ahead += std::min(other.first, own * other.second);
-  return backlog + ahead / (1 - UrgentShare(queue, engine, request, now));
+  const milliseconds backlog =
+      request.weight.time_per_token *
+      static_cast<double>(LoadFor(engine, request, now).unread_tokens);
+  return backlog + wait;
 }
 
 // Expected time until the response starts, at the engine where that is first;
@@ -353,7 +414,7 @@
     const milliseconds turn = TimeToTurn(queue, engine, request, now);
     const milliseconds response =
         std::max((turn + ReadTime(request)) * engine.state.load.slowdown,
-                 ExpectedWait(LoadOf(engine), request.weight));
+                 ExpectedWait(LoadFor(engine, request, now), request.weight));
     if (!best || response < *best)
       best = response;
   }
@@ -451,8 +512,10 @@
 
 void SetEngine(engine_queue& queue,
                const std::string& name,
-               const queue_engine& state) {
+               const queue_engine& state,
+               base::time_point now) {
   known_engine& known = queue.engines[name];
+  AdvanceReading(known, now);
   const std::int64_t sent = std::clamp<std::int64_t>(
       state.requests_sent - known.state.requests_sent, 0,
       static_cast<std::int64_t>(known.grants.size()));
@@ -462,7 +525,16 @@
   known.changed = known.changed || sent > 0 || load.running != before.running ||
                   load.unread_tokens != before.unread_tokens ||
                   load.held_tokens != before.held_tokens;
+  const std::int64_t read = before.unread_tokens - load.unread_tokens;
   known.state = state;
+  // A prompt that has had its first event was read before, and the next one was
+  // not begun earlier. Without this bound differences between the expected and
+  // the actual time of each prompt add up.
+  if (read <= 0)
+    return;
+  const milliseconds left = known.reading.spent - known.reading.token_time *
+                                                      static_cast<double>(read);
+  known.reading.spent = std::clamp(left, milliseconds(0), kFirstEventDelay);
 }
 
 void SetHolders(engine_queue& queue,
@@ -509,7 +581,11 @@
     const auto lapsed = std::erase_if(engine.grants, [now](const auto& each) {
       return now - each.granted_at >= kMaxUnreported;
     });
-    engine.changed = engine.changed || check_all || lapsed > 0;
+    const bool has_read =
+        now >= engine.read_at && engine.read_at != base::time_point();
+    if (has_read)
+      engine.read_at = {};
+    engine.changed = engine.changed || check_all || lapsed > 0 || has_read;
   }
   RefuseLate(queue, now, out.refusals);
   out.grants = GrantAll(queue, now);
--- a/src/decisions/engine_queue.h
+++ b/src/decisions/engine_queue.h
@@ -91,15 +91,28 @@
   std::map<std::string, double> finish;
 };
 
+// Reading of prompts that the reports do not show: hosts report a prompt as
+// unread until its first event, which follows a few steps after the reading.
+struct reading_progress {
+  // Time spent on prompts that are reported as unread, at `at`.
+  std::chrono::duration<double, std::milli> spent{0};
+  base::time_point at;
+  // Time per token of the last granted request; 0 if there is none.
+  std::chrono::duration<double, std::milli> token_time{0};
+};
+
 struct known_engine {
   queue_engine state;
   std::vector<unreported_grant> grants;
+  reading_progress reading;
   // By priority.
   std::map<std::int64_t, fair_shares> shares;
   // Units that it holds and that requests are queued for.
   std::set<std::string> units;
   // Its load, its units or their queues have changed since the last decision.
   bool changed = true;
+  // When it will have read a prompt for which its first request waits.
+  base::time_point read_at;
 };
 
 // Waiting requests of one unit, priority and workspace, by deadline.
@@ -143,7 +156,8 @@
 // longer added to them.
 void SetEngine(engine_queue& queue,
                const std::string& name,
-               const queue_engine& state);
+               const queue_engine& state,
+               base::time_point now);
 
 // Sets the engines that hold a unit and may be selected. Engines that hold no
 // unit of the queue are dropped with what was granted at them. A unit is kept
--- a/src/host/process/engine_queue_service.cc
+++ b/src/host/process/engine_queue_service.cc
@@ -540,7 +540,8 @@
     names.push_back(name);
   for (const std::string& name : names) {
     if (const auto server = core_.servers.Find(name))
-      decisions::SetEngine(owned.queue, name, EngineOf(*server, service, now));
+      decisions::SetEngine(owned.queue, name, EngineOf(*server, service, now),
+                           now);
   }
 }
 
