All hosts are told which engines have a queue

Load changes of an engine reach 14 chosen hosts at once and the others with the periodic reports after about a second, so that most hosts of a fleet of 70 saw free engines while requests waited. The owner now reports the engines with a queue to all hosts (in larger fleets to 128 random ones) when they change, at most four times a second, and otherwise each second.

test_engine_queue_service (23), test_decisions (238) and test_host (86) pass.

--- a/src/decisions/engine_queue.cc
+++ b/src/decisions/engine_queue.cc
@@ -48,6 +48,9 @@
 
 constexpr int kArrivalRounds = 3;
 
+// Less arriving work is forgotten: a tenth of a percent of an engine.
+constexpr milliseconds kMinArrivals{1};
+
 // A request is added if its response is expected within this share of its time.
 // The rest covers prompts that take longer than expected: of requests that
 // reach their turn with no time to spare most are refused after all.
@@ -496,6 +499,11 @@
 }
 
 void ForgetIdleUnits(engine_queue& queue, base::time_point now) {
+  for (auto& [name, unit] : queue.units) {
+    std::erase_if(unit.arriving, [now](const auto& each) {
+      return LevelAt(each.second, now) < kMinArrivals;
+    });
+  }
   std::vector<std::string> idle;
   for (const auto& [name, unit] : queue.units) {
     if (unit.flows.empty() && unit.used_at &&
@@ -587,7 +595,8 @@
       engine.read_at = {};
     engine.changed = engine.changed || check_all || lapsed > 0 || has_read;
   }
-  RefuseLate(queue, now, out.refusals);
+  if (check_all)
+    RefuseLate(queue, now, out.refusals);
   out.grants = GrantAll(queue, now);
   if (check_all)
     queue.checked_at = now;
--- a/src/host/process/engine_queue_service.cc
+++ b/src/host/process/engine_queue_service.cc
@@ -2,7 +2,6 @@
 #include "host/process/engine_queue_service.h"
 
 #include <algorithm>
-#include <set>
 #include <utility>
 
 #include <boost/asio/as_tuple.hpp>
@@ -57,6 +56,10 @@
 // to the hosts that receive its loads.
 constexpr milliseconds kMinVisible{1000};
 
+// Interval at which all hosts are told again which engines have a queue, since
+// datagrams can be lost and not all hosts get each of them.
+constexpr milliseconds kReportInterval{1000};
+
 // Maximum of queued tokens that are reported, about 100 ms of reading: hosts of
 // older builds then wait, and do not refuse requests that are more urgent than
 // those in the queue.
@@ -502,7 +505,7 @@
   }
   asio::steady_timer timer(core_.context, lapse);
   owned.waiters[number].timer = &timer;
-  Pass(service_name, owned);
+  Pass(service_name, owned, now);
   if (!owned.waiters.at(number).reply) {
     if (!std::exchange(owned.loop_runs, true))
       asio::co_spawn(core_.context, PassLoop(service_name), asio::detached);
@@ -529,7 +532,7 @@
     waiting->second.reply = Refusal({end.number, kShortRetryAfter});
     waiting->second.timer->cancel();
   }
-  Pass(end.service_name, owned);
+  Pass(end.service_name, owned, std::chrono::steady_clock::now());
 }
 
 void engine_queue_service::UpdateEngines(const catalog::service& service,
@@ -546,8 +549,8 @@
 }
 
 void engine_queue_service::Pass(const std::string& service_name,
-                                owned_queue& owned) {
-  const auto now = std::chrono::steady_clock::now();
+                                owned_queue& owned,
+                                base::time_point now) {
   const catalog::service* service = EnabledService(service_name);
   if (service == nullptr)
     return;
@@ -595,8 +598,10 @@
     if (server == nullptr)
       continue;
     server->own.queued_tokens = std::min(tokens, kMaxVisibleTokens);
-    if (owned.visible.try_emplace(name, now).second)
-      core_.load_changed(*server);
+    if (!owned.visible.try_emplace(name, now).second)
+      continue;
+    owned.is_report_due = true;
+    core_.load_changed(*server);
   }
   std::erase_if(owned.visible, [&](const auto& each) {
     if (queued.contains(each.first) || now - each.second < kMinVisible)
@@ -605,17 +610,42 @@
       server->own.queued_tokens = 0;
       core_.load_changed(*server);
     }
+    owned.is_report_due = true;
+    owned.cleared.insert(each.first);
     return true;
   });
 }
 
+void engine_queue_service::ReportQueues(owned_queue& owned,
+                                        base::time_point now) {
+  const bool is_old =
+      !owned.visible.empty() && now - owned.reported_at >= kReportInterval;
+  if (!core_.queues_changed || (!owned.is_report_due && !is_old))
+    return;
+  std::vector<std::shared_ptr<known_server>> servers;
+  const auto add = [&](const std::string& instance) {
+    if (auto server = core_.servers.Find(instance))
+      servers.push_back(std::move(server));
+  };
+  for (const auto& [name, since] : owned.visible)
+    add(name);
+  for (const std::string& name : owned.cleared) {
+    if (!owned.visible.contains(name))
+      add(name);
+  }
+  owned.cleared.clear();
+  owned.is_report_due = false;
+  owned.reported_at = now;
+  core_.queues_changed(servers);
+}
+
 asio::awaitable<void> engine_queue_service::PassLoop(std::string service) {
   owned_queue& owned = queues_[service];
   asio::steady_timer timer(core_.context);
   while (decisions::CountWaiting(owned.queue) > 0) {
     timer.expires_after(kPassInterval);
     co_await timer.async_wait(kAwait);
-    Pass(service, owned);
+    Pass(service, owned, std::chrono::steady_clock::now());
   }
   owned.loop_runs = false;
 }
@@ -623,7 +653,8 @@
 void engine_queue_service::Tick(base::time_point now) {
   groups_.clear();
   for (auto& [service, owned] : queues_) {
-    Pass(service, owned);
+    Pass(service, owned, now);
+    ReportQueues(owned, now);
     const std::int64_t waiting = decisions::CountWaiting(owned.queue);
     core_.metrics.Gauge("valeledge_engine_queue_waiting", service).Set(waiting);
     if (waiting > 0)
--- a/src/host/process/engine_queue_service.h
+++ b/src/host/process/engine_queue_service.h
@@ -10,6 +10,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -84,6 +85,11 @@
     base::time_point holders_at;
     // Engines that are reported to have a queue, and since when.
     std::map<std::string, base::time_point> visible;
+    // Engines that have ceased to have one since the last report to all hosts,
+    // and when that was. It is due if the engines have changed.
+    std::set<std::string> cleared;
+    bool is_report_due = false;
+    base::time_point reported_at;
     bool loop_runs = false;
     // Whether the queue has been logged as in use, and when it was last.
     bool in_use = false;
@@ -153,12 +159,17 @@
       owned_queue& owned,
       base::time_point now);
   // Grants and refuses what the present loads call for.
-  void Pass(const std::string& service, owned_queue& owned);
+  void Pass(const std::string& service,
+            owned_queue& owned,
+            base::time_point now);
   void Answer(owned_queue& owned,
               wire::engine_place_reply reply,
               std::string_view decision);
   // Reports which engines have a queue.
   void Publish(owned_queue& owned, base::time_point now);
+  // Reports to all hosts which engines have a queue, if that has changed or the
+  // last report is old.
+  void ReportQueues(owned_queue& owned, base::time_point now);
   // Repeats Pass while requests wait.
   boost::asio::awaitable<void> PassLoop(std::string service);
 
--- a/src/host/process/host.cc
+++ b/src/host/process/host.cc
@@ -298,6 +298,9 @@
   core_.stream_ended = [this](const known_server& server) {
     loads_.ReportToQueueOwner(server);
   };
+  core_.queues_changed = [this](const auto& servers) {
+    loads_.ReportQueues(servers);
+  };
   core_.server_crashed = [this](std::uint64_t digest,
                                 const decisions::server_crash& end,
                                 const decisions::prompt_parts& parts) {
--- a/src/host/process/host_core.h
+++ b/src/host/process/host_core.h
@@ -109,6 +109,11 @@
   std::function<boost::asio::awaitable<engine_place_answer>(
       engine_place_request request)>
       acquire_engine;
+  // Publishes to all hosts which servers have begun or ceased to have a queue
+  // that this host owns. If unset, the periodic reports contain it.
+  std::function<void(
+      const std::vector<std::shared_ptr<known_server>>& servers)>
+      queues_changed;
   // Returns the host that owns the queue of an engine; nothing if there is none
   // or it is this host.
   std::function<std::optional<base::endpoint>(const known_server& server)>
--- a/src/host/process/load_reports.cc
+++ b/src/host/process/load_reports.cc
@@ -28,6 +28,9 @@
 // Recipients of reports of a host without load: these contain only the age of
 // its store mirror, which others report as well.
 constexpr std::size_t kIdleRecipients = 4;
+// Hosts that are told at once which engines have a queue. In a larger fleet
+// they are others each time, and all know it after some seconds.
+constexpr std::size_t kMaxQueueRecipients = 128;
 constexpr std::size_t kAllHosts = std::numeric_limits<std::size_t>::max();
 
 // Age on the wire if it is not known.
@@ -105,6 +108,20 @@
   peers_.Send(std::string(kUsageRecord), wire::Encode(load), {0, {}, owner});
 }
 
+void load_reports::ReportQueues(
+    const std::vector<std::shared_ptr<known_server>>& servers) {
+  wire::host_load load;
+  for (const auto& server : servers) {
+    load.servers.push_back(server_registry::OwnLoad(*server));
+    const bool is_last = server == servers.back();
+    if (load.servers.size() < kMaxEnginesPerUpdate && !is_last)
+      continue;
+    peers_.Send(std::string(kUsageRecord), wire::Encode(load),
+                {kMaxQueueRecipients});
+    load.servers.clear();
+  }
+}
+
 // The owner of a queue receives two reports of each request with the others,
 // and one more at its end: two recipients fewer, and no more messages than
 // without a queue.
--- a/src/host/process/load_reports.h
+++ b/src/host/process/load_reports.h
@@ -4,6 +4,9 @@
 #ifndef VALELEDGE_HOST_PROCESS_LOAD_REPORTS_H_
 #define VALELEDGE_HOST_PROCESS_LOAD_REPORTS_H_
 
+#include <memory>
+#include <vector>
+
 #include "host/process/host_core.h"
 #include "host/process/peer_link.h"
 #include "host/process/placement_controller.h"
@@ -27,6 +30,9 @@
   void ReportUsage(const known_server& server);
   // Immediately reports the load at one server to the owner of its queue.
   void ReportToQueueOwner(const known_server& server);
+  // Reports the load at servers whose queues this host owns, to all hosts or to
+  // a random selection of them.
+  void ReportQueues(const std::vector<std::shared_ptr<known_server>>& servers);
   // Number of hosts, chosen for a server, that receive its load immediately.
   std::size_t CountDirectRecipients(const known_server& server) const;
 
--- a/tests/auto/host/test_engine_queue_service.cc
+++ b/tests/auto/host/test_engine_queue_service.cc
@@ -257,6 +257,29 @@
   BOOST_TEST(!servers.Find("e1")->HasQueue());
 }
 
+// Guards against hosts that receive no direct reports and see free engines, and
+// against engines that seem to have a queue for ever.
+BOOST_AUTO_TEST_CASE(all_hosts_are_told_which_engines_have_a_queue) {
+  queue_world world;
+  std::vector<std::int64_t> told;
+  world.hosts[0].core->queues_changed = [&](const auto& servers) {
+    for (const auto& each : servers)
+      told.push_back(each->own.queued_tokens);
+  };
+  world.ReportLoad("e1", 4, 8000);
+  const auto asked = world.Ask(2, queue_world::Request(1, 2s));
+  world.AwaitWaiting(1);
+  BOOST_TEST(told == std::vector<std::int64_t>{kPrompt});
+  world.ReportLoad("e1", 4, 0);
+  world.Await(asked);
+  // The queue is shown for a second.
+  world.hosts[0].service->Tick(std::chrono::steady_clock::now());
+  BOOST_TEST(told.size() == 1u);
+  world.hosts[0].service->Tick(std::chrono::steady_clock::now() + 2s);
+  BOOST_REQUIRE_EQUAL(told.size(), 2u);
+  BOOST_TEST(told.back() == 0);
+}
+
 BOOST_AUTO_TEST_CASE(requests_that_cannot_be_in_time_are_refused_at_once) {
   queue_world world;
   world.ReportLoad("e1", 4, 40'000);
@@ -514,6 +537,46 @@
   BOOST_TEST(world.returned == 1);
 }
 
+// An owner that answers only when the request has stopped waiting.
+void WaitForWithdrawal(search_world& world) {
+  world.core->acquire_engine = [&world](host::engine_place_request request)
+      -> boost::asio::awaitable<host::engine_place_answer> {
+    world.asked.push_back(request);
+    boost::asio::steady_timer timer(world.context);
+    while (!request.is_withdrawn()) {
+      timer.expires_after(1ms);
+      co_await timer.async_wait(boost::asio::use_awaitable);
+    }
+    host::engine_place_answer withdrawn;
+    withdrawn.verdict = engine_place_verdict::kWithdrawn;
+    co_return withdrawn;
+  };
+}
+
+// Guards against a place that is kept for a caller that has disconnected.
+BOOST_AUTO_TEST_CASE(a_request_is_withdrawn_when_its_caller_disconnects) {
+  search_world world;
+  WaitForWithdrawal(world);
+  world.SendRequest("/safe/", [&](test::fake_responder& responder) {
+    if (!world.asked.empty())
+      responder.Disconnect();
+  });
+  BOOST_TEST(world.asked.size() == 1u);
+  BOOST_TEST(world.first.requests.empty());
+}
+
+// Guards against a request that waits longer than its host can answer for.
+BOOST_AUTO_TEST_CASE(a_request_is_withdrawn_when_its_host_stops) {
+  search_world world;
+  WaitForWithdrawal(world);
+  const auto seen = world.SendRequest("/safe/", [&](test::fake_responder&) {
+    if (!world.asked.empty())
+      world.core->stops_at = std::chrono::steady_clock::now();
+  });
+  BOOST_TEST(seen.status == 503);
+  BOOST_TEST(world.first.requests.empty());
+}
+
 BOOST_AUTO_TEST_CASE(the_queue_is_not_used_if_the_feature_is_off) {
   search_world world;
   world.core->settings.features.engine_queues = host::feature_mode::kOff;
