--- a/src/host/process/host_core.h
+++ b/src/host/process/host_core.h
@@ -25,6 +25,7 @@
 #include "host/external_protocol.h"
 #include "host/host_settings.h"
 #include "host/process/demand_tracker.h"
+#include "host/process/engine_place.h"
 #include "host/process/limit_wait.h"
 #include "host/process/request_log.h"
 #include "host/process/retry_budgets.h"
@@ -122,6 +123,22 @@
       engine_observed;
   // Publishes that this host's load on a server has changed.
   std::function<void(const known_server& server)> load_changed;
+  // Publishes that a stream has ended at a server, to the owner of its queue.
+  // If unset, the next periodic report contains it.
+  std::function<void(const known_server& server)> stream_ended;
+  // Waits in the queue of a model's engines until an engine is granted. If
+  // unset, hosts select engines by themselves.
+  std::function<boost::asio::awaitable<engine_place_answer>(
+      engine_place_request request)>
+      acquire_engine;
+  // Publishes to all hosts which servers have begun or ceased to have a queue
+  // that this host owns. If unset, the periodic reports contain it.
+  std::function<void(const std::vector<std::shared_ptr<known_server>>& servers)>
+      queues_changed;
+  // Returns the host that owns the queue of an engine; nothing if there is none
+  // or it is this host.
+  std::function<std::optional<base::endpoint>(const known_server& server)>
+      queue_owner;
   // Charges the cost of a request to the limit of its workspace. Returns an
   // error if the request may not be sent. `wait`: if unset, this is decided at
   // once.
--- a/src/host/process/load_reports.h
+++ b/src/host/process/load_reports.h
@@ -4,6 +4,9 @@
 #ifndef VALELEDGE_HOST_PROCESS_LOAD_REPORTS_H_
 #define VALELEDGE_HOST_PROCESS_LOAD_REPORTS_H_
 
+#include <memory>
+#include <vector>
+
 #include "host/process/host_core.h"
 #include "host/process/peer_link.h"
 #include "host/process/placement_controller.h"
@@ -25,6 +28,13 @@
   void Report(bool follows_store);
   // Immediately reports the load at one server.
   void ReportUsage(const known_server& server);
+  // Immediately reports the load at one server to the owner of its queue.
+  void ReportToQueueOwner(const known_server& server);
+  // Reports the load at servers whose queues this host owns, to all hosts or to
+  // a random selection of them.
+  void ReportQueues(const std::vector<std::shared_ptr<known_server>>& servers);
+  // Number of hosts, chosen for a server, that receive its load immediately.
+  std::size_t CountDirectRecipients(const known_server& server) const;
 
   // Handles a record of another host; returns false if it is not such a report.
   bool HandleRecord(const membership::direct_record& record);
