Prompt quarantine: trials that cannot overlap, and keys that outlast nothing

Found in review: trials were granted again while earlier ones could still crash their servers; a trial let a second quarantined combination through; heartbeats discarded the clearing of request digests and could be older than the end of a response; hosts that knew a quarantine from the store took the end of its lease for an operator's removal; a late removal could delete the key of a newer quarantine; state of trials outlasted their quarantine.

--- a/src/decisions/prompt_quarantine.cc
+++ b/src/decisions/prompt_quarantine.cc
@@ -560,9 +560,11 @@
 
 std::optional<prompt_verdict> FindQuarantine(const prompt_quarantine& state,
                                              const prompt_parts& parts,
-                                             base::time_point now) {
+                                             base::time_point now,
+                                             const prompt_parts& except) {
   for (const auto& [combination, each] : state.combinations) {
-    if (!IsActive(each, now) || !Includes(parts, combination))
+    if (!IsActive(each, now) || !Includes(parts, combination) ||
+        combination == except)
       continue;
     return prompt_verdict{
         combination,
--- a/src/decisions/prompt_quarantine.h
+++ b/src/decisions/prompt_quarantine.h
@@ -245,10 +245,11 @@
                         base::time_point now);
 
 // Returns the quarantine that a request with these parts is subject to; empty
-// if there is none.
+// if there is none. `except`: a combination that does not count.
 std::optional<prompt_verdict> FindQuarantine(const prompt_quarantine& state,
                                              const prompt_parts& parts,
-                                             base::time_point now);
+                                             base::time_point now,
+                                             const prompt_parts& except = {});
 
 // Returns since when the combination is quarantined; empty if it is not.
 std::optional<base::time_point> QuarantinedSince(
--- a/src/decisions/quarantine_trial.cc
+++ b/src/decisions/quarantine_trial.cc
@@ -12,9 +12,13 @@
   detail::trial_record& trial = schedule.trials[combination];
   const base::time_point due =
       std::max(trial.next_at, since + kFirstTrialDelay);
-  if (now < due || trial.failed >= kMaxFailedTrials)
+  std::erase_if(trial.open, [now](base::time_point granted_at) {
+    return now - granted_at >= kTrialLifetime;
+  });
+  if (now < due || trial.failed + trial.open.size() >= kMaxFailedTrials)
     return false;
   trial.next_at = now + kTrialTimeout;
+  trial.open.push_back(now);
   return true;
 }
 
@@ -23,6 +27,8 @@
                        base::time_point now) {
   detail::trial_record& trial = schedule.trials[combination];
   ++trial.failed;
+  if (!trial.open.empty())
+    trial.open.erase(trial.open.begin());
   trial.next_at = now + kTrialInterval * trial.failed;
 }
 
--- a/src/decisions/quarantine_trial.h
+++ b/src/decisions/quarantine_trial.h
@@ -12,6 +12,7 @@
 #include <chrono>
 #include <cstddef>
 #include <map>
+#include <vector>
 
 #include "base/duration.h"
 #include "decisions/prompt_quarantine.h"
@@ -22,9 +23,13 @@
 // requests that were in flight arrive first.
 inline constexpr std::chrono::milliseconds kFirstTrialDelay{500};
 
-// Time after which a trial without a result is granted again.
+// Minimum time between two trials: most end within it.
 inline constexpr std::chrono::milliseconds kTrialTimeout{1500};
 
+// Time for which a trial without a result counts as one that may still crash
+// its server: it is sent within two seconds and may wait in the server's queue.
+inline constexpr std::chrono::milliseconds kTrialLifetime{5000};
+
 // Time from a failed trial to the next one; grows with each.
 inline constexpr std::chrono::milliseconds kTrialInterval{2000};
 
@@ -33,7 +38,9 @@
 // on its way when the quarantine begins.
 inline constexpr std::size_t kMaxFailedTrials = 2;
 
-// Time for which a host may begin a trial that was granted to it.
+// Time for which a host may begin a trial that was granted to it, and within
+// which a request that is a trial must be sent: a trial that waits for longer
+// would overlap with the next one.
 inline constexpr std::chrono::milliseconds kTrialValidity{1000};
 
 // Engines that have crashed within this time are not used for trials: they may
@@ -45,6 +52,8 @@
 struct trial_record {
   base::time_point next_at;
   std::size_t failed = 0;
+  // When the trials without a result were granted.
+  std::vector<base::time_point> open;
 };
 
 }  // namespace detail
@@ -54,7 +63,8 @@
 };
 
 // Returns whether a trial of the combination, quarantined since `since`, may
-// begin now. If so, the next one is due only after its result or a time-out.
+// begin now. Trials that have failed and those that may still fail are at most
+// kMaxFailedTrials together.
 bool TryGrantTrial(trial_schedule& schedule,
                    const prompt_parts& combination,
                    base::time_point since,
--- a/src/host/process/known_server.h
+++ b/src/host/process/known_server.h
@@ -62,6 +62,8 @@
   std::uint64_t digest = 0;
   decisions::prompt_parts parts;
   base::time_point ended_at;
+  // Heartbeats in the server's entry when it ended.
+  std::int64_t heartbeats = 0;
 };
 
 // Why a server must get no requests from this host now.
--- a/src/host/process/prompt_quarantine_coordinator.cc
+++ b/src/host/process/prompt_quarantine_coordinator.cc
@@ -130,7 +130,7 @@
   for (const auto& combination : refuted) {
     decisions::AcquitCombination(core_.prompts, combination, now);
     End(combination, "run");
-    keys_.Remove(KeyOf(combination));
+    RemoveKey(combination);
     Broadcast({.lifted = {combination}});
   }
   auto cleared = decisions::ClearParts(core_.prompts, parts, now);
@@ -210,6 +210,14 @@
   Broadcast({.failed_trials = {combination}});
 }
 
+void prompt_quarantine_coordinator::RemoveKey(
+    const decisions::prompt_parts& combination) {
+  keys_.Remove(KeyOf(combination), [this, combination] {
+    return !decisions::QuarantinedSince(core_.prompts, combination,
+                                        std::chrono::steady_clock::now());
+  });
+}
+
 void prompt_quarantine_coordinator::End(
     const decisions::prompt_parts& combination,
     std::string_view by) {
@@ -219,6 +227,7 @@
   decisions::EndTrials(trials_, combination);
   granted_.erase(combination);
   trials_asked_.erase(combination);
+  from_store_.erase(combination);
   std::erase_if(own_, [&combination](const own_quarantine& each) {
     return each.combination == combination;
   });
@@ -294,6 +303,7 @@
 void prompt_quarantine_coordinator::Tick() {
   const auto now = std::chrono::steady_clock::now();
   decisions::Sweep(core_.prompts, now);
+  RemoveEnded(now);
   const decisions::judged_fleet fleet{
       core_.servers.servers().size(),
       IsLargeFleet() ? kEvidenceTime : std::chrono::milliseconds(0)};
@@ -306,6 +316,20 @@
     AskForEvidence(now);
 }
 
+// A quarantine may also end by its duration.
+void prompt_quarantine_coordinator::RemoveEnded(base::time_point now) {
+  const auto has_ended = [this, now](const decisions::prompt_parts& parts) {
+    return !decisions::QuarantinedSince(core_.prompts, parts, now);
+  };
+  std::erase_if(trials_.trials,
+                [&](const auto& each) { return has_ended(each.first); });
+  std::erase_if(trials_asked_,
+                [&](const auto& each) { return has_ended(each.first); });
+  std::erase_if(granted_,
+                [&](const auto& each) { return has_ended(each.first); });
+  std::erase_if(from_store_, has_ended);
+}
+
 void prompt_quarantine_coordinator::RepeatReports(base::time_point now) {
   while (!reported_.empty() && now - reported_.front().at >= kReportPeriod)
     reported_.pop_front();
@@ -357,12 +381,13 @@
   keys_.OnPut(std::string(key));
   if (decisions::RecordCombination(core_.prompts, *combination,
                                    std::chrono::steady_clock::now())) {
+    from_store_.insert(*combination);
     Begin(*combination, "store");
   } else if (callbacks_.is_first() &&
              !decisions::QuarantinedSince(core_.prompts, *combination,
                                           std::chrono::steady_clock::now())) {
     // A host wrote the key while another one ended the quarantine.
-    keys_.Remove(std::string(key));
+    RemoveKey(*combination);
   }
   return true;
 }
@@ -376,11 +401,15 @@
   if (lapsed)
     return true;
   const auto now = std::chrono::steady_clock::now();
-  const auto verdict =
-      decisions::FindQuarantine(core_.prompts, *combination, now);
+  const auto since =
+      decisions::QuarantinedSince(core_.prompts, *combination, now);
   // A lease that ends leaves the combination under suspicion; a key that is
-  // removed earlier acquits it.
-  if (verdict && verdict->remaining > kLeaseMargin) {
+  // removed earlier acquits it. A host that knows the quarantine from the store
+  // cannot tell when it began.
+  const bool is_removed =
+      since && !from_store_.contains(*combination) &&
+      now - *since < decisions::kQuarantineDuration - kLeaseMargin;
+  if (is_removed) {
     if (decisions::AcquitCombination(core_.prompts, *combination, now))
       End(*combination, "store");
     return true;
--- a/src/host/process/prompt_quarantine_coordinator.h
+++ b/src/host/process/prompt_quarantine_coordinator.h
@@ -12,6 +12,7 @@
 #include <deque>
 #include <functional>
 #include <map>
+#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -83,6 +84,9 @@
   std::int64_t HostKey() const;
   // Ends the quarantine of a combination at this host.
   void End(const decisions::prompt_parts& combination, std::string_view by);
+  // Removes the store's key of a quarantine that has ended.
+  void RemoveKey(const decisions::prompt_parts& combination);
+  void RemoveEnded(base::time_point now);
   // Grants trials that hosts ask for, if this host is the first one selected.
   void GrantTrials(const std::vector<decisions::prompt_trial>& wanted);
   void TakeGrants(const std::vector<decisions::prompt_trial>& granted);
@@ -104,6 +108,8 @@
   decisions::trial_schedule trials_;
   // Trials granted to this host, and until when each may begin.
   std::map<decisions::prompt_parts, base::time_point> granted_;
+  // Quarantines that this host knows from the store.
+  std::set<decisions::prompt_parts> from_store_;
   // When this host last asked for a trial.
   std::map<decisions::prompt_parts, base::time_point> trials_asked_;
   // Suspects for which the other hosts were asked for evidence, and when.
--- a/src/host/process/quarantine_key_writer.cc
+++ b/src/host/process/quarantine_key_writer.cc
@@ -45,16 +45,20 @@
                  asio::detached);
 }
 
-void quarantine_key_writer::Remove(std::string key) {
-  asio::co_spawn(core_.context, RemoveUntilDone(std::move(key)),
+void quarantine_key_writer::Remove(std::string key,
+                                   std::function<bool()> is_needed) {
+  asio::co_spawn(core_.context,
+                 RemoveUntilDone(std::move(key), std::move(is_needed)),
                  asio::detached);
 }
 
-asio::awaitable<void> quarantine_key_writer::RemoveUntilDone(std::string key) {
+asio::awaitable<void> quarantine_key_writer::RemoveUntilDone(
+    std::string key,
+    std::function<bool()> is_needed) {
   asio::steady_timer timer(core_.context);
   const auto until =
       std::chrono::steady_clock::now() + decisions::kQuarantineDuration;
-  while (std::chrono::steady_clock::now() < until) {
+  while (std::chrono::steady_clock::now() < until && is_needed()) {
     store::kv_transaction removal;
     removal.on_success.push_back(store::Delete(key));
     const auto done = co_await store_.Run(std::move(removal));
--- a/src/host/process/quarantine_key_writer.h
+++ b/src/host/process/quarantine_key_writer.h
@@ -31,8 +31,9 @@
              std::function<bool()> is_needed);
 
   // Removes a key from the store, since its quarantine has ended. Repeats
-  // failed calls until the lease of the key would have ended.
-  void Remove(std::string key);
+  // failed calls while `is_needed`, until the lease of the key would have
+  // ended.
+  void Remove(std::string key, std::function<bool()> is_needed);
 
   // The store contains the key, or does no more.
   void OnPut(const std::string& key) { stored_.insert(key); }
@@ -45,7 +46,8 @@
       bool is_first,
       std::function<bool()> is_needed);
   boost::asio::awaitable<bool> WriteOnce(std::string key, std::string value);
-  boost::asio::awaitable<void> RemoveUntilDone(std::string key);
+  boost::asio::awaitable<void> RemoveUntilDone(std::string key,
+                                               std::function<bool()> is_needed);
 
   host_core& core_;
   store::kv_client& store_;
--- a/src/host/process/response_updates.cc
+++ b/src/host/process/response_updates.cc
@@ -88,10 +88,12 @@
     core.server_full(server);
 }
 
-// Time between the end of a response and an update of its server's entry that
-// shows that the server has not crashed: entries are read some time after they
-// were written.
+// Time and heartbeats between the end of a response and an update of its
+// server's entry that shows that the server has not crashed: entries are read
+// some time after they were written, and the first one may have been written
+// before the end.
 constexpr std::chrono::milliseconds kHeartbeatMargin{2000};
+constexpr std::int64_t kConfirmingHeartbeats = 2;
 
 }  // namespace
 
@@ -129,17 +131,21 @@
 
 void ConfirmByHeartbeat(host_core& core,
                         known_server& server,
+                        std::int64_t heartbeats,
                         base::time_point now) {
-  std::vector<decisions::prompt_parts> confirmed;
+  std::vector<unconfirmed_response> confirmed;
   std::erase_if(server.unconfirmed, [&](unconfirmed_response& each) {
-    if (now - each.ended_at < kHeartbeatMargin)
+    if (now - each.ended_at < kHeartbeatMargin ||
+        heartbeats < each.heartbeats + kConfirmingHeartbeats)
       return false;
-    confirmed.push_back(std::move(each.parts));
+    confirmed.push_back(std::move(each));
     return true;
   });
-  for (const decisions::prompt_parts& parts : confirmed) {
-    if (!parts.empty())
-      core.prompt_served(parts);
+  for (const unconfirmed_response& each : confirmed) {
+    if (!core.quarantine.suspects.empty())
+      core.suspect_completed(each.digest);
+    if (!each.parts.empty())
+      core.prompt_served(each.parts);
   }
 }
 
--- a/src/host/process/response_updates.h
+++ b/src/host/process/response_updates.h
@@ -27,10 +27,11 @@
 // Handles another host's report that a server has rejected a request.
 void ApplyFullServer(host_core& core, const wire::full_server& news);
 
-// A server has written its entry again: its run has not crashed, so that
-// responses which ended some time ago were whole.
+// A server has written its entry `heartbeats` times: its run has not crashed,
+// so that responses which ended some time ago were whole.
 void ConfirmByHeartbeat(host_core& core,
                         known_server& server,
+                        std::int64_t heartbeats,
                         base::time_point now);
 
 }  // namespace valeledge::host
--- a/src/host/process/store_update_handler.cc
+++ b/src/host/process/store_update_handler.cc
@@ -102,7 +102,8 @@
   if (const auto server = core_.servers.Find(instance);
       server != nullptr && entry->started_at == server->entry.started_at &&
       entry->heartbeats > server->entry.heartbeats) {
-    ConfirmByHeartbeat(core_, *server, std::chrono::steady_clock::now());
+    ConfirmByHeartbeat(core_, *server, entry->heartbeats,
+                       std::chrono::steady_clock::now());
   }
   const bool draining = entry->draining;
   const std::string software = entry->software;
--- a/src/host/request/crash_monitor.cc
+++ b/src/host/request/crash_monitor.cc
@@ -54,9 +54,13 @@
 
 std::optional<base::error> CheckPromptQuarantine(const host_core& core,
                                                  const routed_request& routed) {
+  const auto now = std::chrono::steady_clock::now();
+  const bool is_trial =
+      now - routed.arrived < decisions::kTrialValidity && !routed.trial.empty();
   const auto verdict = decisions::FindQuarantine(
-      core.prompts, routed.shared_parts, std::chrono::steady_clock::now());
-  if (!verdict || verdict->combination == routed.trial)
+      core.prompts, routed.shared_parts, now,
+      is_trial ? routed.trial : decisions::prompt_parts());
+  if (!verdict)
     return std::nullopt;
   auto error = base::MakeError(
       base::result_code::kQuarantined, base::outcome::kNotRun,
@@ -68,9 +72,10 @@
 
 void BeginTrialIfGranted(host_core& core, routed_request& routed) {
   const auto now = std::chrono::steady_clock::now();
-  const auto verdict =
-      decisions::FindQuarantine(core.prompts, routed.shared_parts, now);
-  if (!verdict || routed.is_relayed || !core.begin_prompt_trial)
+  // A request with several combinations would not tell which one is sound.
+  const auto quarantined =
+      decisions::RefutedCombinations(core.prompts, routed.shared_parts, now);
+  if (quarantined.size() != 1 || routed.is_relayed || !core.begin_prompt_trial)
     return;
   const auto crashed = decisions::CrashedEngines(
       core.prompts, decisions::kTrialCrashPeriod, now);
@@ -85,9 +90,9 @@
     else if (server->TakesRequests() && HoldsModel(*server, routed, now))
       any_left = true;
   }
-  if (!any_left || !core.begin_prompt_trial(verdict->combination))
+  if (!any_left || !core.begin_prompt_trial(quarantined.front()))
     return;
-  routed.trial = verdict->combination;
+  routed.trial = quarantined.front();
   routed.not_for_trial = std::move(excluded);
 }
 
@@ -190,8 +195,9 @@
     ClearParts(parts);
     return;
   }
-  server.unconfirmed.push_back(
-      {Digest(), parts, std::chrono::steady_clock::now()});
+  server.unconfirmed.push_back({Digest(), parts,
+                                std::chrono::steady_clock::now(),
+                                server.entry.heartbeats});
   if (server.unconfirmed.size() > kMaxUnconfirmed)
     server.unconfirmed.erase(server.unconfirmed.begin());
 }
