A reference cost per token near that of known engines

The factor also scales the parts of the expected wait that do not depend on tokens. With the initial cost of 0.055 ms as the reference the factor of a usual engine was 0.45, and the wait at a full engine less than half of what it should be. With 0.025 ms it is near 1, and expected times are right from the first request.

--- a/src/host/request/routed_request.cc
+++ b/src/host/request/routed_request.cc
@@ -79,7 +79,7 @@
         metadata.prompt_tokens + metadata.expected_tokens;
     routed.weight.time_per_token =
         core.servers.SharesEstimates(*routed.service)
-            ? kInitialTokenCost *
+            ? kReferenceTokenCost *
                   decisions::CostRatio(routed.demand->relative_cost)
             : routed.demand->cost;
   } else {
--- a/tests/auto/host/test_server_attempt.cc
+++ b/tests/auto/host/test_server_attempt.cc
@@ -7,7 +7,7 @@
 #include <boost/test/unit_test.hpp>
 
 #include "host/constants.h"
-#include "request_codec.h"
+#include "relay_world.h"
 
 namespace {
 
@@ -118,6 +118,37 @@
   BOOST_TEST((setup.demand.cost == cost));
 }
 
+// Sends a request for a model whose cost this host has learned, and returns the
+// time that the estimate of the engine compares with the actual one.
+milliseconds ExpectedFor(milliseconds learned_cost, bool is_shared) {
+  test::relay_world here;
+  const auto engine = here.AddEngine(100ms);
+  engine->entry.models.push_back({"m", 1, {}});
+  here.configuration.services.front().mixed_urgency = true;
+  if (is_shared)
+    here.core->servers.SetSharedEstimates(host::feature_mode::kAuto);
+  here.core->demand.DemandFor("m", learned_cost);
+  here.added_fields = {{"X-Token-Count", "4000,10"}};
+  milliseconds expected{0};
+  here.core->engine_observed = [&](host::known_server&,
+                                   const decisions::engine_observation& one) {
+    expected = one.expected;
+  };
+  BOOST_TEST(here.SendRequest("/safe/").status == 200);
+  return expected;
+}
+
+// Guards against observations of one engine that differ between hosts as much
+// as what the hosts have learned of a model.
+BOOST_AUTO_TEST_CASE(expected_times_do_not_depend_on_what_a_host_has_learned) {
+  const milliseconds usual = ExpectedFor(host::kInitialTokenCost, true);
+  BOOST_TEST((usual == ExpectedFor(host::kInitialTokenCost / 3, true)));
+  BOOST_TEST((usual >= 4000 * host::kReferenceTokenCost));
+  BOOST_TEST((usual < 4000 * host::kReferenceTokenCost + 50ms));
+  BOOST_TEST((ExpectedFor(host::kInitialTokenCost, false) >
+              ExpectedFor(host::kInitialTokenCost / 3, false)));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
