--- a/src/host/process/engine_estimate_service.cc
+++ b/src/host/process/engine_estimate_service.cc
@@ -285,9 +285,10 @@
   budget_.rate = kPublishedBytesPerSecond;
   budget_.burst = burst;
   decisions::Refill(budget_, now);
-  if (is_first)
+  if (is_first) {
     budget_.level =
         std::max(kPublishedBytesPerSecond * kBurstSeconds, burst / 2);
+  }
   const double reserve =
       need == publication_need::kUrgent ? 0 : budget_.burst / 2;
   if (budget_.level < std::min(cost + reserve, budget_.burst))
--- a/src/host/process/known_server.h
+++ b/src/host/process/known_server.h
@@ -89,6 +89,7 @@
   // How much later than expected its responses start, if estimates are shared
   // for its service.
   decisions::engine_estimate estimate;
+  // What this host has to report and publish of that estimate.
   decisions::estimate_exchange exchange;
   // Prefill work that all hosts have sent to it, and the time per prompt token
   // of the last request sent by this host.
