Publish when the turn of a replica should end whose requests still run

With 63 places for 126 models in turns, models for which every place was in use had no planned time, so their requests were rejected after 1.9 s although a turn ended soon. The plan now expects a turn to end 2 s later; the order itself is still not sent before.

--- a/src/decisions/patient_loads.cc
+++ b/src/decisions/patient_loads.cc
@@ -23,6 +23,10 @@
 // about 7 s.
 constexpr double kMinDemandRate = 0.05;
 
+// Time in which a model that has been loaded serves the requests that waited
+// for it: their prompts are read together, and a response takes about a second.
+constexpr milliseconds kRunTime{2000};
+
 // Costs in the choice of an engine, in requests per second as in the model
 // plan: for each request that runs on it, for each eviction, and for each
 // second until the model is ready.
@@ -213,8 +217,13 @@
   if (each.had_turn)
     return each.evictable_at;
   const std::int64_t left = state.ready[each.model] - 1;
-  if (left < context.needed[each.model])
-    return std::nullopt;
+  if (left < context.needed[each.model]) {
+    // It will have served its requests by then; the order itself is not sent
+    // before it has.
+    const bool turn_ends = context.input.patient_only[each.model];
+    return turn_ends ? std::optional(each.evictable_at + kRunTime)
+                     : std::nullopt;
+  }
   // Urgent requests would be rejected for the time of a load from the weight
   // store if no engine had the weights; patient ones can wait for it.
   const plan_engine& engine = context.input.engines[position];
