--- a/tests/auto/decisions/test_patient_loads_fleet.cc
+++ b/tests/auto/decisions/test_patient_loads_fleet.cc
@@ -276,8 +276,10 @@
     if (const auto due = LoadDue(each.model))
       model.ready_in = std::max(*due - now, 0ms);
     if (with_patient_loads) {
-      model.plan = patient_plan_view{models[each.model].load_from_store,
-                                     std::nullopt, model.waited};
+      model.plan.emplace();
+      model.plan->store_load_time = models[each.model].load_from_store;
+      if (now >= holder_from)
+        model.plan->plannable_for = std::min(model.waited, now - holder_from);
       const auto found = planned.find(each.model);
       if (found != planned.end())
         model.plan->planned_ready_in = found->second - now;
@@ -371,6 +373,27 @@
   BOOST_TEST(16 * seen.rejected <= seen.served + seen.rejected);
 }
 
+// Until a new lease holder sends orders, requests wait as long as a load can be
+// in time. What they wait for is planned at once then.
+BOOST_AUTO_TEST_CASE(requests_wait_for_a_new_lease_holder) {
+  fleet_play play(true);
+  play.holder_from = 3s;
+  const counts seen = play.Play(60s);
+  Print("with a holder after 3 s", seen);
+  BOOST_TEST(16 * seen.rejected <= seen.served + seen.rejected);
+}
+
+BOOST_AUTO_TEST_CASE(requests_are_rejected_in_the_end_without_a_lease_holder) {
+  fleet_play play(true);
+  play.holder_from = 1h;
+  const counts seen = play.Play(60s);
+  Print("without a holder", seen);
+  BOOST_TEST(seen.loads == 0);
+  BOOST_TEST(seen.rejected > 0);
+  // The objective less the fastest load and the first event.
+  BOOST_TEST((seen.longest_rejection <= kObjective - 2300ms + kPlanInterval));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
