Requests with long objectives wait for engines that pause

A request with an objective of 5 s whose model takes 6.4 s to load was refused after a fifth of its objective while the only engine with its model paused, since it counted as urgent. Where the feature is active, an objective of 2 s or more is enough to wait for an engine that has the model.

--- a/src/host/request/load_wait.cc
+++ b/src/host/request/load_wait.cc
@@ -22,6 +22,10 @@
 constexpr milliseconds kFarLoad{700};
 constexpr milliseconds kFarRecheckInterval{50};
 
+// Objective with which a request can wait for an engine that pauses: a pause
+// and a response take about a second each.
+constexpr milliseconds kMinWaitingObjective{2000};
+
 // How long after its retry-after delay a caller is expected back.
 constexpr milliseconds kReturnTolerance{1000};
 
@@ -57,6 +61,8 @@
     return;
   store_load_time_ = model->load_from_store;
   is_patient_ = CanWaitForLoad(core, routed, query, *model);
+  can_wait_for_engine_ =
+      is_patient_ || routed.route->objective >= kMinWaitingObjective;
 }
 
 load_wait::~load_wait() {
@@ -69,7 +75,7 @@
 }
 
 base::time_point load_wait::RefusalCutoff(base::time_point otherwise) const {
-  if (!is_patient_)
+  if (!can_wait_for_engine_)
     return otherwise;
   const auto reading = duration_cast<milliseconds>(
       routed_.weight.time_per_token *
--- a/src/host/request/server_search.cc
+++ b/src/host/request/server_search.cc
@@ -117,7 +117,7 @@
 decisions::engine_candidate TurnOf(const routed_request& routed,
                                    const server_choice& choice,
                                    bool first_attempt,
-                                   bool is_patient,
+                                   bool can_wait,
                                    base::time_point now) {
   const milliseconds gap = routed.route->event_gap;
   decisions::engine_candidate turn;
@@ -128,7 +128,7 @@
   turn.max_event_gap = gap.count() > 0 ? gap : kDefaultEventGap;
   turn.recheck_interval = kSelectionRetryInterval;
   turn.refusable = first_attempt && !IsRetry(routed) && !routed.origin;
-  turn.patient = is_patient;
+  turn.patient = can_wait;
   return turn;
 }
 
@@ -406,7 +406,7 @@
     auto choice = core.servers.Choose(query, *routed.service, now, core.random);
     if (choice && !query.model.empty()) {
       const auto turn =
-          TurnOf(routed, *choice, first_attempt, wait.IsPatient(), now);
+          TurnOf(routed, *choice, first_attempt, wait.CanWaitForEngine(), now);
       const auto decided = decisions::DecideAdmission(turn);
       if (decided == decisions::admission_decision::kRefuse) {
         reason =
--- a/tests/auto/host/test_patient_requests.cc
+++ b/tests/auto/host/test_patient_requests.cc
@@ -216,6 +216,24 @@
   }
 }
 
+// The same for a request whose objective is shorter than a load.
+BOOST_AUTO_TEST_CASE(a_request_with_a_long_objective_outlasts_a_backoff) {
+  for (const auto mode : {host::feature_mode::kOff, host::feature_mode::kOn}) {
+    patient_world here;
+    here.core->settings.features.patient_loads = mode;
+    here.configuration.services.front().engines.models.front().load_from_store =
+        6400ms;
+    for (catalog::route& each : here.configuration.routes) {
+      each.objective = 2500ms;
+      each.timeout = 5s;
+    }
+    here.Hold();
+    here.engine->trust.suspended_until = steady_clock::now() + 700ms;
+    const bool on = mode == host::feature_mode::kOn;
+    BOOST_TEST(here.SendRequest("/once/").status == (on ? 200 : 503));
+  }
+}
+
 wire::model_load Waiting(std::int32_t requests, std::int32_t left_ms) {
   wire::model_load load;
   load.model = host::KeyOf("m");
