Queues for engines end with their feature; fewer look-ups at the owner

A configuration that ends the feature left waiting requests and reported queued tokens behind; both now end.

test_engine_queue_service (24), test_decisions (239), test_host (86), test_base and 11 other test programs of hosts pass. Not run: fleet tests, scenarios, soak, sanitizers.

--- a/src/host/process/engine_place.h
+++ b/src/host/process/engine_place.h
@@ -41,12 +41,12 @@
   kGranted,
   // No engine can respond in time.
   kRefused,
-  // No owner has answered.
+  // No owner has responded.
   kNoOwner,
   kWithdrawn,
 };
 
-struct engine_place_answer {
+struct engine_place_result {
   engine_place_verdict verdict = engine_place_verdict::kNoOwner;
   // The granted engine. Its release without an attempt returns the place.
   std::shared_ptr<slot_handle> place;
--- a/src/host/process/engine_queue_service.cc
+++ b/src/host/process/engine_queue_service.cc
@@ -31,19 +31,19 @@
 constexpr std::string_view kQueueSubject = "queue/";
 
 // Without a sign of life of the owner for this time, a host selects engines by
-// itself. Owners answer questions when an engine is granted, so they are probed
+// itself. Owners reply when an engine is granted, so they are probed
 // meanwhile: once for all questions, so that the cost does not depend on their
 // number.
 constexpr milliseconds kMaxSilence{250};
 constexpr milliseconds kProbeInterval{120};
-// Another answer this short a time ago takes the place of a probe.
-constexpr milliseconds kRecentAnswer{60};
+// Another reply this short a time ago takes the place of a probe.
+constexpr milliseconds kRecentReply{60};
 
-// How long an owner that did not answer is not asked. By then the membership
-// suspects it if it does not answer other hosts either.
+// How long an owner that did not respond is not asked. By then the membership
+// suspects it if it does not respond to other hosts either.
 constexpr milliseconds kSilentPause{2000};
 
-// An owner answers within this time after the end of the request's time.
+// An owner responds within this time after the end of the request's time.
 constexpr milliseconds kReplyMargin{250};
 
 // Interval at which the owner compares the queue with the reported loads: small
@@ -232,7 +232,7 @@
     const known_owner& known = owners_[owner];
     if (known.pending == 0)
       break;
-    if (std::chrono::steady_clock::now() - known.heard_at < kRecentAnswer)
+    if (std::chrono::steady_clock::now() - known.heard_at < kRecentReply)
       continue;
     wire::envelope call;
     // No place has this number.
@@ -277,7 +277,7 @@
 void engine_queue_service::OnSilent(const base::endpoint& owner,
                                     const std::string& service,
                                     base::time_point now) {
-  Count("valeledge_engine_queue_answers_total", "silent");
+  Count("valeledge_engine_queue_replies_total", "silent");
   known_owner& known = owners_[owner];
   if (now < known.silent_until)
     return;
@@ -304,46 +304,46 @@
   co_await links_.call(std::move(owner), std::move(call), kReplyMargin);
 }
 
-engine_place_answer engine_queue_service::ToAnswer(
+engine_place_result engine_queue_service::ToResult(
     const base::endpoint& owner,
     const wire::engine_place_end& end,
     const wire::engine_place_reply& reply) {
-  engine_place_answer answer;
+  engine_place_result result;
   switch (static_cast<queue_verdict>(reply.verdict)) {
     case queue_verdict::kGranted:
-      answer.verdict = engine_place_verdict::kGranted;
-      answer.place = std::make_shared<slot_handle>(
+      result.verdict = engine_place_verdict::kGranted;
+      result.place = std::make_shared<slot_handle>(
           reply.server, [this, owner, end](slot_outcome, microseconds took) {
             // The load reports show a request that was sent.
             if (took.count() == 0)
               End(owner, end);
           });
-      Count("valeledge_engine_queue_answers_total", "granted");
-      return answer;
+      Count("valeledge_engine_queue_replies_total", "granted");
+      return result;
     case queue_verdict::kNotInTime:
-      answer.verdict = engine_place_verdict::kRefused;
-      answer.retry_after =
+      result.verdict = engine_place_verdict::kRefused;
+      result.retry_after =
           IsWithin(reply.retry_after_us, 1, kMaxRetryAfterUs)
               ? duration_cast<milliseconds>(microseconds(reply.retry_after_us))
               : kShortRetryAfter;
-      Count("valeledge_engine_queue_answers_total", "refused");
-      return answer;
+      Count("valeledge_engine_queue_replies_total", "refused");
+      return result;
     case queue_verdict::kNotOwner:
       break;
   }
-  Count("valeledge_engine_queue_answers_total", "not_owner");
-  return answer;
+  Count("valeledge_engine_queue_replies_total", "not_owner");
+  return result;
 }
 
-asio::awaitable<engine_place_answer> engine_queue_service::Acquire(
+asio::awaitable<engine_place_result> engine_queue_service::Acquire(
     engine_place_request request) {
   auto now = std::chrono::steady_clock::now();
   const std::string service = request.service;
   const auto is_withdrawn = std::move(request.is_withdrawn);
   const auto owner = FindOwner(service, request.best, now);
   if (!owner) {
-    Count("valeledge_engine_queue_answers_total", "no_owner");
-    co_return engine_place_answer();
+    Count("valeledge_engine_queue_replies_total", "no_owner");
+    co_return engine_place_result();
   }
   const auto number = static_cast<std::int64_t>(core_.random() >> 1) | 1;
   auto question = QuestionOf(std::move(request), number);
@@ -357,7 +357,7 @@
   const auto state = std::make_shared<asked>(core_.context);
   asio::co_spawn(core_.context, Ask(*owner, std::move(question), state),
                  asio::detached);
-  engine_place_answer answer;
+  engine_place_result result;
   while (true) {
     state->timer.expires_after(kSelectionRetryInterval);
     if (!state->reply)
@@ -365,7 +365,7 @@
     now = std::chrono::steady_clock::now();
     const bool failed = state->reply && !*state->reply;
     if (state->reply && !failed) {
-      answer = ToAnswer(*owner, end, **state->reply);
+      result = ToResult(*owner, end, **state->reply);
       break;
     }
     const bool silent =
@@ -377,16 +377,16 @@
     if (silent)
       OnSilent(*owner, service, now);
     else
-      Count("valeledge_engine_queue_answers_total", "withdrawn");
+      Count("valeledge_engine_queue_replies_total", "withdrawn");
     if (withdrawn)
-      answer.verdict = engine_place_verdict::kWithdrawn;
+      result.verdict = engine_place_verdict::kWithdrawn;
     // An owner that was suspended would count the request when it goes on.
     if (!failed)
       End(*owner, end);
     break;
   }
   --known.pending;
-  co_return answer;
+  co_return result;
 }
 
 // The owner's side.
@@ -398,6 +398,8 @@
     return;
   owned.members_at = now;
   owned.members.clear();
+  for (auto& [name, unit] : owned.units)
+    unit.has_holders = false;
   const std::int64_t groups = GroupsOf(service);
   std::set<std::int64_t> own;
   for (std::int64_t group = 0; group < groups; ++group) {
@@ -406,8 +408,10 @@
         candidates.end())
       own.insert(group);
   }
+  if (own.empty())
+    return;
   for (const auto& [instance, server] : core_.servers.servers()) {
-    if (!own.empty() && server->entry.service == service &&
+    if (server->entry.service == service &&
         own.contains(decisions::GroupOf(instance, groups)))
       owned.members.push_back(server);
   }
@@ -417,11 +421,13 @@
                                          owned_queue& owned,
                                          const std::string& unit,
                                          base::time_point now) {
-  const auto& [model, adapter] = owned.units.at(unit);
+  queued_unit& of = owned.units.at(unit);
+  if (std::exchange(of.has_holders, true))
+    return;
   std::vector<std::string> holders;
   for (const auto& server : owned.members) {
     if (IsSelectable(*server, service, now) &&
-        server->Holds(model, adapter, now))
+        server->Holds(of.model, of.adapter, now))
       holders.push_back(server->entry.instance);
   }
   if (holders.empty() && !owned.queue.units.contains(unit))
@@ -492,7 +498,9 @@
   auto request = ReadQuestion(question, owned, now);
   if (!request || owned.members.empty())
     co_return not_owner;
-  owned.units[request->unit] = {question.model, question.adapter};
+  queued_unit& of = owned.units[request->unit];
+  of.model = question.model;
+  of.adapter = question.adapter;
   UpdateHolders(*service, owned, request->unit, now);
   const auto unit = owned.queue.units.find(request->unit);
   if (unit == owned.queue.units.end() || unit->second.engines.empty()) {
@@ -510,7 +518,9 @@
   }
   asio::steady_timer timer(core_.context, lapse);
   owned.waiters[number].timer = &timer;
-  Pass(service_name, owned, now);
+  // In a burst the next comparison is near.
+  if (!owned.loop_runs)
+    Pass(service_name, owned, now);
   if (!owned.waiters.at(number).reply) {
     if (!std::exchange(owned.loop_runs, true))
       asio::co_spawn(core_.context, PassLoop(service_name), asio::detached);
@@ -557,36 +567,46 @@
                                 owned_queue& owned,
                                 base::time_point now) {
   const catalog::service* service = EnabledService(service_name);
-  if (service == nullptr)
+  if (service == nullptr) {
+    Disband(owned);
+    Publish(owned, now);
     return;
-  if (now - owned.holders_at >= kHolderInterval) {
-    owned.holders_at = now;
-    owned.members_at.reset();
-    UpdateMembers(service_name, owned, now);
-    std::erase_if(owned.units, [&](const auto& each) {
-      return !owned.queue.units.contains(each.first);
-    });
-    for (const auto& [unit, names] : owned.units)
-      UpdateHolders(*service, owned, unit, now);
   }
+  UpdateMembers(service_name, owned, now);
+  std::erase_if(owned.units, [&](const auto& each) {
+    return !owned.queue.units.contains(each.first);
+  });
+  for (const auto& [unit, names] : owned.units)
+    UpdateHolders(*service, owned, unit, now);
   UpdateEngines(*service, owned, now);
   const auto decided = decisions::Decide(owned.queue, now);
   for (const decisions::engine_grant& each : decided.grants) {
     auto reply = Reply(queue_verdict::kGranted, each.number);
     reply.server = each.engine;
     ++owned.granted;
-    Answer(owned, std::move(reply), "granted");
+    Respond(owned, std::move(reply), "granted");
   }
   for (const decisions::engine_refusal& each : decided.refusals) {
     ++owned.refused;
-    Answer(owned, Refusal(each), "refused_waiting");
+    Respond(owned, Refusal(each), "refused_waiting");
   }
   Publish(owned, now);
 }
 
-void engine_queue_service::Answer(owned_queue& owned,
-                                  wire::engine_place_reply reply,
-                                  std::string_view decision) {
+void engine_queue_service::Disband(owned_queue& owned) {
+  owned.queue = {};
+  owned.units.clear();
+  for (auto& [number, each] : owned.waiters) {
+    if (each.reply)
+      continue;
+    each.reply = Reply(queue_verdict::kNotOwner, number);
+    each.timer->cancel();
+  }
+}
+
+void engine_queue_service::Respond(owned_queue& owned,
+                                   wire::engine_place_reply reply,
+                                   std::string_view decision) {
   Count("valeledge_engine_queue_decisions_total", decision);
   const auto found = owned.waiters.find(reply.number);
   if (found == owned.waiters.end())
--- a/src/host/process/engine_queue_service.h
+++ b/src/host/process/engine_queue_service.h
@@ -48,7 +48,7 @@
 
   // Waits for an engine for one request. Returns kNoOwner at most 250 ms after
   // the last sign of life of the owner.
-  boost::asio::awaitable<engine_place_answer> Acquire(
+  boost::asio::awaitable<engine_place_result> Acquire(
       engine_place_request request);
 
   // Returns the host to which the load of an engine is reported at once;
@@ -70,19 +70,24 @@
     boost::asio::steady_timer* timer = nullptr;
     std::optional<wire::engine_place_reply> reply;
   };
+  // A model or adapter that requests are queued for.
+  struct queued_unit {
+    std::string model;
+    std::string adapter;
+    // The engines that hold it have been determined from the present members.
+    bool has_holders = false;
+  };
   // The queue of the engines of one service whose groups this host owns.
   struct owned_queue {
     decisions::engine_queue queue;
     std::map<std::int64_t, waiter> waiters;
-    // Model and adapter of each unit.
-    std::map<std::string, std::pair<std::string, std::string>> units;
+    std::map<std::string, queued_unit> units;
     // Time per prompt token of each model.
     std::map<std::string, std::chrono::duration<double, std::milli>>
         token_times;
     // Engines of the owned groups, known since `members_at`.
     std::vector<std::shared_ptr<known_server>> members;
     std::optional<base::time_point> members_at;
-    base::time_point holders_at;
     // Engines that are reported to have a queue, and since when.
     std::map<std::string, base::time_point> visible;
     // Engines that have ceased to have one since the last report to all hosts,
@@ -102,7 +107,7 @@
     std::int64_t pending = 0;
     bool probing = false;
     base::time_point heard_at;
-    // It did not answer; it is not asked until then.
+    // It did not respond; it is not asked until then.
     base::time_point silent_until;
   };
   // One question of this host.
@@ -135,7 +140,7 @@
   void OnSilent(const base::endpoint& owner,
                 const std::string& service,
                 base::time_point now);
-  engine_place_answer ToAnswer(const base::endpoint& owner,
+  engine_place_result ToResult(const base::endpoint& owner,
                                const wire::engine_place_end& end,
                                const wire::engine_place_reply& reply);
   void End(const base::endpoint& owner, wire::engine_place_end end);
@@ -158,13 +163,15 @@
       const wire::engine_place_question& question,
       owned_queue& owned,
       base::time_point now);
+  // Ends the queue of a service for which the feature is no longer active.
+  void Disband(owned_queue& owned);
   // Grants and refuses what the present loads call for.
   void Pass(const std::string& service,
             owned_queue& owned,
             base::time_point now);
-  void Answer(owned_queue& owned,
-              wire::engine_place_reply reply,
-              std::string_view decision);
+  void Respond(owned_queue& owned,
+               wire::engine_place_reply reply,
+               std::string_view decision);
   // Reports which engines have a queue.
   void Publish(owned_queue& owned, base::time_point now);
   // Reports to all hosts which engines have a queue, if that has changed or the
--- a/src/host/process/host_core.h
+++ b/src/host/process/host_core.h
@@ -106,7 +106,7 @@
   std::function<void(const known_server& server)> stream_ended;
   // Waits in the queue of a model's engines until an engine is granted. If
   // unset, hosts select engines by themselves.
-  std::function<boost::asio::awaitable<engine_place_answer>(
+  std::function<boost::asio::awaitable<engine_place_result>(
       engine_place_request request)>
       acquire_engine;
   // Publishes to all hosts which servers have begun or ceased to have a queue
--- a/src/host/process/owner_services.cc
+++ b/src/host/process/owner_services.cc
@@ -16,7 +16,7 @@
 constexpr std::string_view kLimitSubject = "limit/";
 constexpr std::string_view kSlotSubject = "places/";
 
-// Hosts that may own a queue. The next one is asked while one does not answer;
+// Hosts that may own a queue. The next one is asked while one does not respond;
 // more than this are rarely lost at the same time.
 constexpr std::size_t kQueueCandidates = 4;
 
@@ -96,8 +96,7 @@
     auto owners =
         peers_.ChosenAddresses(subject, kQueueCandidates, kPreferredRoles);
     const auto first = peers_.FirstHealthy(subject, kPreferredRoles);
-    const auto begin =
-        first ? std::ranges::find(owners, *first) : owners.end();
+    const auto begin = first ? std::ranges::find(owners, *first) : owners.end();
     owners.erase(owners.begin(), begin);
     return owners;
   };
--- a/src/host/request/queued_selection.cc
+++ b/src/host/request/queued_selection.cc
@@ -80,25 +80,25 @@
   request.avoid = HoldersAmong(core, routed.metadata, std::move(excluded));
   request.best = best.server->entry.instance;
   request.is_withdrawn = std::move(is_withdrawn);
-  auto answer = co_await core.acquire_engine(std::move(request));
-  if (answer.verdict == engine_place_verdict::kWithdrawn)
+  auto result = co_await core.acquire_engine(std::move(request));
+  if (result.verdict == engine_place_verdict::kWithdrawn)
     out.outcome = queued_outcome::kSearchAgain;
-  if (answer.verdict == engine_place_verdict::kRefused && turn.refusable) {
+  if (result.verdict == engine_place_verdict::kRefused && turn.refusable) {
     out.outcome = queued_outcome::kRefused;
-    out.retry_after = answer.retry_after;
+    out.retry_after = result.retry_after;
   }
-  if (answer.verdict != engine_place_verdict::kGranted)
+  if (result.verdict != engine_place_verdict::kGranted)
     co_return out;
   out.choice =
-      core.servers.ChoiceOf(answer.place->server(), query, *routed.service,
+      core.servers.ChoiceOf(result.place->server(), query, *routed.service,
                             std::chrono::steady_clock::now());
   if (!out.choice) {
     // This host knows the engine as unusable.
-    core.metrics.Counter("valeledge_engine_queue_answers_total", "unusable")
+    core.metrics.Counter("valeledge_engine_queue_replies_total", "unusable")
         .Add();
     co_return out;
   }
-  out.choice->slot = std::move(answer.place);
+  out.choice->slot = std::move(result.place);
   out.outcome = queued_outcome::kGranted;
   co_return out;
 }
--- a/tests/auto/host/test_engine_queue_service.cc
+++ b/tests/auto/host/test_engine_queue_service.cc
@@ -147,7 +147,7 @@
 
   // One question; `answer` is set once it has been answered.
   struct pending {
-    std::optional<host::engine_place_answer> answer;
+    std::optional<host::engine_place_result> answer;
     base::time_point answered_at;
     bool withdrawn = false;
   };
@@ -159,7 +159,7 @@
     boost::asio::co_spawn(context,
                           hosts[index].service->Acquire(std::move(request)),
                           [out](const std::exception_ptr& thrown,
-                                host::engine_place_answer answer) {
+                                host::engine_place_result answer) {
                             BOOST_TEST((thrown == nullptr));
                             out->answer = std::move(answer);
                             out->answered_at = std::chrono::steady_clock::now();
@@ -406,6 +406,20 @@
   BOOST_TEST(!world.hosts[2].service->OwnerOf(server).has_value());
 }
 
+// Guards against requests that wait, and engines that seem to have a queue,
+// after a configuration has ended the feature.
+BOOST_AUTO_TEST_CASE(a_queue_ends_with_the_feature) {
+  queue_world world;
+  world.ReportLoad("e1", 4, 8000);
+  const auto waiting = world.Ask(2, queue_world::Request(1, 8s));
+  world.AwaitWaiting(1);
+  world.configuration.services.front().mixed_urgency = false;
+  world.Configure();
+  BOOST_TEST((world.Await(waiting) == engine_place_verdict::kNoOwner));
+  world.hosts[0].service->Tick(std::chrono::steady_clock::now() + 2s);
+  BOOST_TEST(!world.hosts[0].core->servers.Find("e1")->HasQueue());
+}
+
 // Guards against values that other hosts cannot have meant.
 BOOST_AUTO_TEST_CASE(bad_values_are_counted_and_treated_as_absent) {
   queue_world world;
@@ -446,7 +460,7 @@
     core->servers.Put(entry, std::chrono::steady_clock::now());
     ReportLoad(4000);
     core->acquire_engine = [this](host::engine_place_request request)
-        -> boost::asio::awaitable<host::engine_place_answer> {
+        -> boost::asio::awaitable<host::engine_place_result> {
       asked.push_back(std::move(request));
       co_return answer;
     };
@@ -469,7 +483,7 @@
   }
 
   std::vector<host::engine_place_request> asked;
-  host::engine_place_answer answer;
+  host::engine_place_result answer;
   int returned = 0;
 };
 
@@ -540,14 +554,14 @@
 // An owner that answers only when the request has stopped waiting.
 void WaitForWithdrawal(search_world& world) {
   world.core->acquire_engine = [&world](host::engine_place_request request)
-      -> boost::asio::awaitable<host::engine_place_answer> {
+      -> boost::asio::awaitable<host::engine_place_result> {
     world.asked.push_back(request);
     boost::asio::steady_timer timer(world.context);
     while (!request.is_withdrawn()) {
       timer.expires_after(1ms);
       co_await timer.async_wait(boost::asio::use_awaitable);
     }
-    host::engine_place_answer withdrawn;
+    host::engine_place_result withdrawn;
     withdrawn.verdict = engine_place_verdict::kWithdrawn;
     co_return withdrawn;
   };
