Token times of slow models are not capped at the initial estimate

The owner took the lower of the recent time per token and the initial estimate, and so a model that is read more slowly than that for a faster one. It now starts with the first stated time. Times of models that no engine holds are forgotten.

--- a/src/host/process/engine_queue_service.cc
+++ b/src/host/process/engine_queue_service.cc
@@ -82,6 +82,7 @@
 // Hosts with few measurements state an initial time per token that is too high,
 // so the lowest recent one is used; it rises by this factor with each question.
 constexpr double kTokenTimeRise = 1.002;
+constexpr std::size_t kMaxTokenTimes = 2000;
 
 enum class queue_verdict : std::int32_t {
   kGranted = 0,
@@ -470,16 +471,15 @@
     request.max_event_gap = milliseconds(question.event_gap_ms);
   else if (question.__isset.event_gap_ms)
     bad("event_gap");
-  auto& token_time =
-      owned.token_times.try_emplace(question.model, kInitialTokenCost)
-          .first->second;
-  token_time = std::min<std::chrono::duration<double, std::milli>>(
-      token_time * kTokenTimeRise, kInitialTokenCost);
-  if (IsWithin(question.token_ns, kMinTokenNs, kMaxTokenNs))
-    token_time = std::min<std::chrono::duration<double, std::milli>>(
-        token_time, nanoseconds(question.token_ns));
-  else if (question.__isset.token_ns)
+  const bool states_time =
+      IsWithin(question.token_ns, kMinTokenNs, kMaxTokenNs);
+  if (!states_time && question.__isset.token_ns)
     bad("token_time");
+  const std::chrono::duration<double, std::milli> stated =
+      states_time ? nanoseconds(question.token_ns) : kInitialTokenCost;
+  auto& token_time =
+      owned.token_times.try_emplace(question.model, stated).first->second;
+  token_time = std::min(token_time * kTokenTimeRise, stated);
   request.weight.time_per_token = token_time;
   request.avoid = question.avoid;
   return request;
@@ -578,6 +578,9 @@
   });
   for (const auto& [unit, names] : owned.units)
     UpdateHolders(*service, owned, unit, now);
+  // Questions may name models that no engine holds.
+  if (owned.token_times.size() > kMaxTokenTimes)
+    owned.token_times.clear();
   UpdateEngines(*service, owned, now);
   const auto decided = decisions::Decide(owned.queue, now);
   for (const decisions::engine_grant& each : decided.grants) {
--- a/tests/auto/host/test_engine_queue_service.cc
+++ b/tests/auto/host/test_engine_queue_service.cc
@@ -420,6 +420,26 @@
   BOOST_TEST(!world.hosts[0].core->servers.Find("e1")->HasQueue());
 }
 
+// Hosts without measurements state a time per token that is too high. Guards
+// against refusals because of it, and against a slow model that is taken for a
+// fast one.
+BOOST_AUTO_TEST_CASE(the_lowest_recent_token_time_is_used) {
+  queue_world world;
+  world.ReportLoad("e1", 4, 20'000);
+  const auto measured = world.Ask(2, queue_world::Request(1, 2s));
+  world.AwaitWaiting(1);
+  auto request = queue_world::Request(1, 2s);
+  request.token_time = 0.055ms;
+  const auto unmeasured = world.Ask(1, request);
+  world.AwaitWaiting(2);
+  // The same is refused if no host has measured the model.
+  queue_world other;
+  other.ReportLoad("e1", 4, 20'000);
+  request.token_time = 0.11ms;
+  BOOST_TEST(
+      (other.Await(other.Ask(1, request)) == engine_place_verdict::kRefused));
+}
+
 // Guards against values that other hosts cannot have meant.
 BOOST_AUTO_TEST_CASE(bad_values_are_counted_and_treated_as_absent) {
   queue_world world;
