--- a/src/host/process/host_core.h
+++ b/src/host/process/host_core.h
@@ -111,8 +111,7 @@
       acquire_engine;
   // Publishes to all hosts which servers have begun or ceased to have a queue
   // that this host owns. If unset, the periodic reports contain it.
-  std::function<void(
-      const std::vector<std::shared_ptr<known_server>>& servers)>
+  std::function<void(const std::vector<std::shared_ptr<known_server>>& servers)>
       queues_changed;
   // Returns the host that owns the queue of an engine; nothing if there is none
   // or it is this host.
