--- a/src/host/process/owner_services.cc
+++ b/src/host/process/owner_services.cc
@@ -17,7 +17,7 @@
 constexpr std::string_view kLimitSubject = "limit/";
 constexpr std::string_view kSlotSubject = "places/";
 
-// Hosts that may own a queue. The next one is asked while one does not answer;
+// Hosts that may own a queue. The next one is asked while one does not respond;
 // more than this are rarely lost at the same time.
 constexpr std::size_t kQueueCandidates = 4;
 
