Attempt time-outs use the shared estimates of engines

The time by which responses of an engine have started was three times the expected time, and load that became known later was counted with the slowdown that one host has seen, also where estimates are shared.

A watched attempt now has its expected time without any factor. Where estimates are shared, the limit is the 0.99 quantile of the engine's estimate, and later load counts with the estimate's factor. Elsewhere the spread stays fixed.

--- a/src/host/request/attempt_watch.cc
+++ b/src/host/request/attempt_watch.cc
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "base/logging.h"
+#include "decisions/engine_estimate.h"
 #include "host/constants.h"
 #include "host/process/path_monitor.h"
 #include "host/request/server_search.h"
@@ -38,6 +39,11 @@
 // itself.
 constexpr int kAttemptsOfPeer = 2;
 
+// Attempts are kept until 99 in 100 responses of their engine have started: the
+// goal is fewer than 1 in 200 abandoned attempts that would have started, and
+// leaving an engine also requires a better one and a retry.
+constexpr double kSpreadQuantile = 0.99;
+
 // Above this share of an engine's token memory requests may be preempted.
 constexpr double kMaxTokenMemoryUse = 0.85;
 
@@ -72,10 +78,38 @@
          IsEnabled(core.settings.features.adaptive_timeouts, *routed.service);
 }
 
-milliseconds FirstEventLimit(const known_server& /*server*/,
-                             milliseconds expected,
-                             base::time_point /*now*/) {
-  return decisions::FixedSpreadLimit(expected);
+milliseconds FirstEventLimit(const host_core& core,
+                             const catalog::service& service,
+                             const watched_attempt& attempt,
+                             base::time_point now) {
+  if (!core.servers.SharesEstimates(service))
+    return decisions::FixedSpreadLimit(attempt.expected);
+  return WholeMilliseconds(decisions::FirstEventQuantile(
+      attempt.server->estimate, attempt.unscaled + kFirstEventOverhead,
+      kSpreadQuantile, now));
+}
+
+void IncludeLaterLoad(const host_core& core,
+                      const routed_request& routed,
+                      milliseconds elapsed,
+                      base::time_point now,
+                      watched_attempt& attempt) {
+  const known_server& server = *attempt.server;
+  const double factor = core.servers.SharesEstimates(*routed.service)
+                            ? decisions::CurrentFactor(server.estimate, now)
+                            : server.trust.slowdown;
+  const std::int64_t unread =
+      server.own.unread_tokens + server.others.unread_tokens;
+  const auto reading =
+      routed.weight.time_per_token * static_cast<double>(unread);
+  // An engine with other prompts has been reading them meanwhile. One that has
+  // only this one may hang.
+  const bool has_others = unread > routed.weight.prompt_tokens;
+  const milliseconds read_for = has_others ? elapsed : milliseconds(0);
+  attempt.expected = std::max(attempt.expected,
+                              WholeMilliseconds(reading * factor) + read_for);
+  // The time that has passed already contains the factor.
+  attempt.unscaled = std::max(attempt.unscaled, reading + read_for / factor);
 }
 
 watched_attempt AttemptThroughHost(host_core& core,
@@ -200,8 +234,7 @@
       routed_.arrived + routed_.route->objective - now);
   wait.deadline_left = RemainingTime(routed_);
   if (attempt_.server != nullptr) {
-    wait.spread_limit =
-        FirstEventLimit(*attempt_.server, attempt_.expected, now);
+    wait.spread_limit = FirstEventLimit(core_, *routed_.service, attempt_, now);
   } else {
     wait.spread_limit =
         kAttemptsOfPeer * decisions::FixedSpreadLimit(attempt_.expected);
@@ -251,17 +284,8 @@
 void attempt_watch::UpdateExpected(base::time_point now) {
   if (std::exchange(has_updated_expected_, true) || attempt_.server == nullptr)
     return;
-  const known_server& server = *attempt_.server;
-  const std::int64_t unread =
-      server.own.unread_tokens + server.others.unread_tokens;
-  const auto reading = routed_.weight.time_per_token *
-                       static_cast<double>(unread) * server.trust.slowdown;
-  milliseconds expected = WholeMilliseconds(reading);
-  // An engine with other prompts has been reading them meanwhile. One that has
-  // only this one may hang.
-  if (unread > routed_.weight.prompt_tokens)
-    expected += duration_cast<milliseconds>(now - sent_at_);
-  attempt_.expected = std::max(attempt_.expected, expected);
+  IncludeLaterLoad(core_, routed_, duration_cast<milliseconds>(now - sent_at_),
+                   now, attempt_);
 }
 
 void attempt_watch::Count(std::string_view what) {
--- a/src/host/request/attempt_watch.h
+++ b/src/host/request/attempt_watch.h
@@ -23,22 +23,32 @@
 // a fixed time-out.
 bool HasAdaptiveTimeout(const host_core& core, const routed_request& routed);
 
-// Time by which 99 in 100 responses of a server have started. `expected`
-// contains the server's slowdown.
-std::chrono::milliseconds FirstEventLimit(const known_server& server,
-                                          std::chrono::milliseconds expected,
-                                          base::time_point now);
-
 // An attempt to be watched.
 struct watched_attempt {
   // The engine; null if the request was sent through another host.
   std::shared_ptr<known_server> server;
   // The other host.
   base::endpoint peer;
-  // Expected time to the first event.
+  // Expected time to the first event, with the engine's slowdown factor.
   std::chrono::milliseconds expected{0};
+  // The same without the factor, as shared estimates require it.
+  std::chrono::duration<double, std::milli> unscaled{0};
 };
 
+// Time by which 99 in 100 responses of the attempt's engine have started.
+std::chrono::milliseconds FirstEventLimit(const host_core& core,
+                                          const catalog::service& service,
+                                          const watched_attempt& attempt,
+                                          base::time_point now);
+
+// Includes load of other hosts that was not known when the request was sent,
+// `elapsed` ago.
+void IncludeLaterLoad(const host_core& core,
+                      const routed_request& routed,
+                      std::chrono::milliseconds elapsed,
+                      base::time_point now,
+                      watched_attempt& attempt);
+
 // Returns an attempt through another host. That host selects the engine, so the
 // time is that of the best engine that this host knows, or, if it has none,
 // derived from the objective.
--- a/src/host/request/relay.cc
+++ b/src/host/request/relay.cc
@@ -454,7 +454,10 @@
   LogAttemptSent(core_, routed_, trace_, choice, attempt_fields);
   const bool may_repeat = routed_.route->MayRepeat();
   attempt.OnInterrupt(may_repeat, [guard = guard_] { guard->Interrupt(); });
-  Watch({choice.server, {}, duration_cast<milliseconds>(choice.expected)});
+  Watch({choice.server,
+         {},
+         duration_cast<milliseconds>(choice.expected),
+         choice.unscaled});
   guard_->SetSendCheck([this, &server, &attempt] {
     if (auto quarantined = crash_monitor_.CheckQuarantine())
       return base::result<void>(tl::make_unexpected(std::move(*quarantined)));
--- a/tests/auto/host/test_attempt_watch.cc
+++ b/tests/auto/host/test_attempt_watch.cc
@@ -7,6 +7,7 @@
 // before it was known whether the retry budget allows another one: on one day
 // 1,751 requests ended with 502 for that reason.
 #include <chrono>
+#include <cmath>
 #include <functional>
 #include <memory>
 #include <string>
@@ -15,7 +16,10 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/test/unit_test.hpp>
 
+#include "decisions/engine_estimate.h"
+#include "host/constants.h"
 #include "host/process/path_monitor.h"
+#include "host/request/attempt_watch.h"
 #include "host/request/request_digest.h"
 #include "relay_world.h"
 
@@ -146,6 +150,79 @@
   BOOST_TEST((here.took >= 250ms));
 }
 
+// An estimate of an engine that takes the given multiple of the expected time,
+// from many observations without spread.
+decisions::engine_estimate SteadyEstimate(double factor) {
+  decisions::engine_estimate estimate;
+  estimate.log_factor = std::log(factor);
+  estimate.weight = 1000;
+  estimate.updated_at = std::chrono::steady_clock::now();
+  return estimate;
+}
+
+// The time-out was three times the expected time, whatever was known about the
+// engine.
+BOOST_AUTO_TEST_CASE(where_estimates_are_shared_the_spread_is_the_engines) {
+  engine_world here;
+  const catalog::service& service = here.configuration.services.front();
+  const auto now = std::chrono::steady_clock::now();
+  const host::watched_attempt attempt{
+      here.core->servers.Find("i-1"), {}, 200ms, 100ms};
+  here.Server("i-1").estimate = SteadyEstimate(2);
+  BOOST_TEST(
+      (host::FirstEventLimit(*here.core, service, attempt, now) == 600ms));
+  here.core->servers.SetSharedEstimates(host::feature_mode::kOn);
+  const auto limit = decisions::FirstEventQuantile(
+      here.Server("i-1").estimate, 100ms + host::kFirstEventOverhead, 0.99,
+      now);
+  BOOST_TEST((host::FirstEventLimit(*here.core, service, attempt, now) ==
+              std::chrono::duration_cast<milliseconds>(limit)));
+}
+
+// The slowdown that one host has seen says little where estimates are shared.
+BOOST_AUTO_TEST_CASE(later_load_counts_with_the_factor_in_use) {
+  for (const bool is_shared : {false, true}) {
+    engine_world here;
+    if (is_shared)
+      here.core->servers.SetSharedEstimates(host::feature_mode::kOn);
+    host::routed_request routed;
+    routed.service = &here.configuration.services.front();
+    routed.weight.time_per_token = 0.1ms;
+    host::known_server& server = here.Server("i-1");
+    server.others.unread_tokens = 1000;
+    server.trust.slowdown = 4;
+    server.estimate = SteadyEstimate(2);
+    host::watched_attempt attempt{here.core->servers.Find("i-1"), {}, 1ms, 1ms};
+    host::IncludeLaterLoad(*here.core, routed, 50ms, server.estimate.updated_at,
+                           attempt);
+    const milliseconds expected = is_shared ? 250ms : 450ms;
+    BOOST_TEST((attempt.expected <= expected));
+    BOOST_TEST((attempt.expected >= expected - 2ms));
+    BOOST_TEST(attempt.unscaled.count() == (is_shared ? 125 : 112.5),
+               boost::test_tools::tolerance(0.01));
+  }
+}
+
+// Expected are 660 ms with the factor. The engine's spread ends at about 800
+// ms, but at 1,530 ms if the factor counts twice, and at 1,980 ms without the
+// shared estimate.
+BOOST_AUTO_TEST_CASE(a_hung_engine_of_known_speed_is_left_after_its_spread) {
+  engine_world here;
+  here.core->servers.SetSharedEstimates(host::feature_mode::kOn);
+  here.Server("i-1").estimate = SteadyEstimate(2);
+  here.Server("i-1").others.unread_tokens = 6000;
+  here.Server("i-2").others.unread_tokens = 30000;
+  here.first.script = {{"", connection_action::kHang}};
+  here.on_first_request = [&](fake_responder&) {
+    here.Server("i-1").others.unread_tokens = 0;
+  };
+  const auto seen = here.Send("/resumed/");
+  BOOST_TEST(seen.body == kStreamBody);
+  BOOST_TEST(here.Count("spread_exceeded") == 1);
+  BOOST_TEST((here.took >= 700ms));
+  BOOST_TEST((here.took < 1500ms));
+}
+
 // The header of a response is no sign that the engine has started.
 BOOST_AUTO_TEST_CASE(an_engine_that_sends_only_a_header_is_left) {
   engine_world here;
