An update of a newer term ends a lease only with lease-succession

A holder gave its lease up when it received an update of a newer term, also where lease-succession is off or engines check no fencing numbers.

--- a/tests/auto/host/test_patient_placement.cc
+++ b/tests/auto/host/test_patient_placement.cc
@@ -299,6 +299,26 @@
   setup.RunUntil(ordered);
 }
 
+// Guards against a lease that is given up because of another host's update
+// where nobody takes leases over.
+BOOST_AUTO_TEST_CASE(an_update_of_a_newer_term_ends_a_lease_that_may_be_taken) {
+  const base::endpoint sender{"127.0.0.1", 9};
+  for (const bool checks_fences : {false, true}) {
+    for (const auto mode :
+         {host::feature_mode::kOff, host::feature_mode::kOn}) {
+      controller_fixture setup;
+      setup.core.settings.engines_check_fences = checks_fences;
+      setup.core.settings.features.lease_succession = mode;
+      setup.lease.Start();
+      setup.RunUntil([&] { return setup.lease.term() != 0; });
+      const bool is_enabled = checks_fences && mode == host::feature_mode::kOn;
+      setup.controller.ApplyUpdate(
+          setup.UpdateOf(setup.lease.term() + 1, false), sender);
+      BOOST_TEST((setup.lease.term() == 0) == is_enabled);
+    }
+  }
+}
+
 // Guards against requests that wait for loads which the former lease holder
 // planned and the present one does not know of.
 BOOST_AUTO_TEST_CASE(a_new_lease_holder_ends_the_plans_of_the_former_one) {
