A holder that was confirmed once stays bound in later terms

The exemption of holders that no majority has confirmed, meant for hosts of an older build, was reset with each term: a holder that reaches the store but not the hosts could give its lease up, take it again and send unconfirmed orders. It now ends for the life of the process with the first majority. The time since which orders are withheld is counted for the present term only; otherwise the new lease would be given up at once.

--- a/src/decisions/lease_succession.cc
+++ b/src/decisions/lease_succession.cc
@@ -42,8 +42,10 @@
                                    std::int64_t term,
                                    base::time_point now) {
   if (term != holder.term) {
+    const bool was_confirmed = holder.was_confirmed;
     holder = {};
     holder.term = term;
+    holder.was_confirmed = was_confirmed;
   }
   const bool is_due =
       holder.last_number == 0 || now - holder.last_sent >= kLeaseBeatInterval;
--- a/src/decisions/lease_succession.h
+++ b/src/decisions/lease_succession.h
@@ -66,7 +66,8 @@
 std::string ToText(const lease_beat& beat);
 std::optional<lease_beat> ParseLeaseBeat(std::string_view text);
 
-// What a holder knows about the replies of its witnesses in its present term.
+// What a holder knows about the replies of its witnesses in its present term,
+// except for `was_confirmed`.
 struct holder_confirmations {
   std::int64_t term = 0;
   std::int64_t last_number = 0;
@@ -75,7 +76,9 @@
   std::map<std::int64_t, base::time_point> sent;
   // When the newest beat was sent to which each witness has replied.
   std::map<base::endpoint, base::time_point> confirmed;
-  // Whether a majority has ever replied.
+  // Whether a majority has ever replied to this process, in any term: a holder
+  // that is cut off from the other hosts may give the lease up and take it
+  // again.
   bool was_confirmed = false;
 };
 
--- a/src/host/process/lease_succession.cc
+++ b/src/host/process/lease_succession.cc
@@ -67,7 +67,10 @@
 void lease_succession::Tick(base::time_point now) {
   if (!IsEnabled())
     return;
-  const auto beat = decisions::NextBeat(confirmations_, callbacks_.term(), now);
+  const std::int64_t term = callbacks_.term();
+  if (term == 0 || term != confirmations_.term)
+    withheld_since_.reset();
+  const auto beat = decisions::NextBeat(confirmations_, term, now);
   if (beat) {
     for (const auto& to : WitnessesOf(core_.settings.peer_listen))
       callbacks_.send(to, kBeatRecord, decisions::ToText(*beat));
@@ -134,7 +137,9 @@
 }
 
 bool lease_succession::IsUnconfirmedFor(std::chrono::milliseconds time) const {
-  return callbacks_.term() != 0 && withheld_since_ &&
+  const std::int64_t term = callbacks_.term();
+  // The replies in a term that has just begun are not known before Tick().
+  return term != 0 && term == confirmations_.term && withheld_since_ &&
          Now() - *withheld_since_ >= time;
 }
 
--- a/src/host/process/lease_succession.h
+++ b/src/host/process/lease_succession.h
@@ -75,7 +75,8 @@
   lease_succession_callbacks callbacks_;
   decisions::holder_confirmations confirmations_;
   decisions::holder_watch watch_;
-  // Since when orders have been withheld, and the term of the last logged vote.
+  // Since when orders have been withheld in the present term, and the term of
+  // the last logged vote.
   std::optional<base::time_point> withheld_since_;
   std::int64_t vote_logged_ = 0;
 };
--- a/tests/auto/decisions/test_lease_succession.cc
+++ b/tests/auto/decisions/test_lease_succession.cc
@@ -261,6 +261,23 @@
   BOOST_TEST((here.withheld == 0ms));
 }
 
+// A holder that reaches the store but not the hosts gives the lease up and
+// takes it again. In the new term it was exempt like a holder among hosts of an
+// older build.
+BOOST_AUTO_TEST_CASE(a_holder_that_was_confirmed_stays_bound_in_later_terms) {
+  holder_and_witnesses here;
+  here.Run(1s);
+  BOOST_TEST(MaySendOrders(here.holder, here.witnesses, here.now));
+  here.now += 5s;
+  BOOST_TEST(!NextBeat(here.holder, 0, here.now).has_value());
+  const auto beat = NextBeat(here.holder, kTerm + 1, here.now);
+  BOOST_REQUIRE(beat.has_value());
+  BOOST_TEST(!MaySendOrders(here.holder, here.witnesses, here.now));
+  for (const auto& witness : here.witnesses)
+    RecordReply(here.holder, witness, *beat);
+  BOOST_TEST(MaySendOrders(here.holder, here.witnesses, here.now));
+}
+
 BOOST_AUTO_TEST_CASE(a_new_term_replaces_an_older_one) {
   holder_watch watch;
   base::time_point now{100s};
--- a/tests/auto/host/test_lease_succession_service.cc
+++ b/tests/auto/host/test_lease_succession_service.cc
@@ -102,6 +102,28 @@
   BOOST_TEST(!here.services[0]->IsUnconfirmedFor(50ms));
 }
 
+// A holder that reaches the store but not the hosts may take the lease again.
+// It was exempt from confirmations then, and gave the lease up at once because
+// of the time in its former term.
+BOOST_AUTO_TEST_CASE(a_cut_holder_that_retakes_the_lease_starts_withholding) {
+  four_hosts here;
+  here.Run(300ms);
+  BOOST_TEST(here.services[0]->MaySendOrders());
+  here.is_holder_cut = true;
+  const auto until = std::chrono::steady_clock::now() + 20s;
+  while (here.services[0]->MaySendOrders() &&
+         std::chrono::steady_clock::now() < until)
+    here.context.run_one();
+  here.Run(100ms);
+  BOOST_TEST(here.services[0]->IsUnconfirmedFor(50ms));
+  here.term = 9;
+  BOOST_TEST(!here.services[0]->IsUnconfirmedFor(0ms));
+  here.services[0]->Tick(host::lease_succession::Now());
+  BOOST_TEST(!here.services[0]->IsUnconfirmedFor(0ms));
+  BOOST_TEST(!here.services[0]->MaySendOrders());
+  BOOST_TEST(here.services[0]->IsUnconfirmedFor(0ms));
+}
+
 BOOST_AUTO_TEST_CASE(nothing_is_sent_where_the_feature_is_off) {
   for (const bool checks_fences : {true, false}) {
     four_hosts here(checks_fences, !checks_fences);
