No engine is left at the last chance for one with a rate limit

Before its deadline an attempt was abandoned also if the only other engine advertises a rate limit. If that refuses the retry, the request ends with 502, although the first attempt might have responded.

--- a/src/decisions/attempt_timeout.cc
+++ b/src/decisions/attempt_timeout.cc
@@ -59,9 +59,12 @@
 }
 
 // Whether another attempt, begun now, is expected to respond before the
-// deadline, and one begun later would not surely do so.
+// deadline, and one begun later would not surely do so. If a limited engine
+// refused it, the request would end with 502, although the first attempt might
+// have responded.
 bool IsLastChance(const attempt_wait& wait) {
-  return wait.other_expected && wait.waited >= LateAfter(wait) &&
+  return wait.other_expected && !wait.other_is_limited &&
+         wait.waited >= LateAfter(wait) &&
          wait.deadline_left <= FixedSpreadLimit(*wait.other_expected) &&
          *wait.other_expected <= wait.deadline_left &&
          *wait.other_expected <= wait.waited - wait.expected;
--- a/src/decisions/attempt_timeout.h
+++ b/src/decisions/attempt_timeout.h
@@ -29,6 +29,8 @@
   std::optional<std::chrono::milliseconds> other_expected;
   // Whether that engine can run the request immediately.
   bool other_has_capacity = false;
+  // Whether that engine advertises a rate limit, which may refuse the request.
+  bool other_is_limited = false;
 };
 
 enum class attempt_verdict {
@@ -63,7 +65,8 @@
 
 // Decides about an attempt that waits for its first event. An engine is left if
 // it has exceeded its spread and another one is expected to respond earlier, or
-// if only as much time is left as another attempt needs.
+// if only as much time is left as another attempt needs at an engine without a
+// rate limit.
 attempt_decision DecideAttempt(const attempt_wait& wait);
 
 // Returns the time by which nearly all responses have started if the spread of
--- a/src/host/request/attempt_watch.cc
+++ b/src/host/request/attempt_watch.cc
@@ -268,6 +268,7 @@
     return;
   wait.other_expected = WholeMilliseconds(other->expected);
   wait.other_has_capacity = HasCapacity(*other, routed_);
+  wait.other_is_limited = other->server->IsLimited();
   other_ = other->server->entry.instance;
 }
 
--- a/tests/auto/decisions/test_attempt_timeout.cc
+++ b/tests/auto/decisions/test_attempt_timeout.cc
@@ -115,6 +115,14 @@
   BOOST_TEST((*wide >= 4700ms && *wide <= 4800ms));
 }
 
+// A limited engine may refuse the retry: the request then ended with 502.
+BOOST_AUTO_TEST_CASE(an_engine_is_not_left_for_a_limited_one) {
+  attempt_wait wait = Attempt(0ms, 100ms);
+  wait.other_has_capacity = false;
+  wait.other_is_limited = true;
+  BOOST_TEST(!LeftAfter(wait).has_value());
+}
+
 // Near the deadline an attempt that may still start is not given up.
 BOOST_AUTO_TEST_CASE(an_attempt_within_twice_its_expected_time_is_kept) {
   attempt_wait wait = Attempt(0ms, 300ms);
