An attempt abandoned while its header arrives is abandoned

If the watch abandoned an attempt while the last part of its header was being delivered, the retry was charged, but the response was used as far as it was in the connection's buffer. The exchange is now abandoned, and parts of it that are read later from the buffer count as a failed read.

--- a/src/host/request/relay.cc
+++ b/src/host/request/relay.cc
@@ -200,11 +200,14 @@
   const auto left = RemainingTime(routed_);
   if (left.count() <= 0)
     co_return tl::make_unexpected(attempt_outcome::kUnknown);
-  const auto piece = co_await exchange.ReadSome(left);
+  auto piece = co_await exchange.ReadSome(left);
   if (responder_.caller_gone()) {
     exchange.Abandon();
     co_return tl::make_unexpected(attempt_outcome::kDone);
   }
+  // A part that was in the buffer already is read from a closed connection.
+  if (piece && watch_ != nullptr && watch_->has_abandoned())
+    piece = base::Unknown(result_code::kAnswerBroken, "not read to its end");
   if (!piece) {
     last_error_ = piece.error();
     ExplainAbandoned();
@@ -414,6 +417,11 @@
 void relay::WatchBody(const std::shared_ptr<net::http_exchange>& exchange) {
   if (watch_ == nullptr)
     return;
+  // The watch has acquired a retry for it while the header arrived.
+  if (watch_->has_abandoned()) {
+    exchange->Abandon();
+    return;
+  }
   const bool streams = routed_.route->kind == route_kind::kStream &&
                        exchange->header().result_int() == 200;
   if (!streams) {
--- a/tests/auto/host/test_attempt_watch.cc
+++ b/tests/auto/host/test_attempt_watch.cc
@@ -13,6 +13,7 @@
 #include <string>
 #include <utility>
 
+#include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/test/unit_test.hpp>
 
@@ -234,6 +235,33 @@
   BOOST_TEST(here.RetriesGranted() == 1);
 }
 
+// The rest of a header that is read in two parts arrives while the attempt is
+// abandoned. The retry was charged, but the first engine's response was used.
+BOOST_AUTO_TEST_CASE(an_attempt_abandoned_with_its_header_is_left) {
+  engine_world here;
+  std::string response = kStream;
+  response.insert(response.find("\r\n") + 2,
+                  "X-Long: " + std::string(6000, 'x') + "\r\n");
+  here.first.script = {{response}};
+  here.first.holds_responses = true;
+  // Keeps the event loop busy until the attempt has exceeded its spread.
+  const auto wait = [&] {
+    while (std::chrono::steady_clock::now() < here.begun + 600ms)
+      continue;
+  };
+  here.After(200ms, [&] {
+    here.first.ReleaseResponses();
+    boost::asio::post(here.context,
+                      [&] { boost::asio::post(here.context, wait); });
+  });
+  const auto seen = here.Send("/resumed/");
+  BOOST_TEST(seen.status == 200);
+  BOOST_TEST(seen.body == kStreamBody);
+  BOOST_TEST(here.Count("spread_exceeded") == 1);
+  BOOST_TEST(here.second.requests.size() == 1u);
+  BOOST_TEST(here.RetriesGranted() == 1);
+}
+
 BOOST_AUTO_TEST_CASE(an_attempt_is_kept_while_no_other_engine_is_free) {
   engine_world here;
   here.first.holds_responses = true;
