Engine estimates: services by configuration, reports within a budget

Engines that held no model at the moment were left out of the shared estimates, and observations of them were dropped. Whether estimates are shared is now decided by the service's configuration. Reports of observations were unbounded; they now take 2 kB per second on average, and what is beyond that is kept for the next report.

--- a/src/host/process/engine_estimate_service.cc
+++ b/src/host/process/engine_estimate_service.cc
@@ -21,11 +21,16 @@
 constexpr std::string_view kCounter = "valeledge_engine_estimates_total";
 
 // Bytes per second that the publications of one host cause on average, at all
-// hosts that send or forward them. Reports of observations take less than 2 kB
-// per second, so that one of 985 hosts sends less than 20 kB per second, also
-// in the 20 s after it has been quiet.
+// hosts that send or forward them. With reports of observations, one of 985
+// hosts sends less than 20 kB per second, also in the 20 s after it has been
+// quiet.
 constexpr double kPublishedBytesPerSecond = 14'000;
 
+// Bytes per second of the reports of one host, and at once: 16 datagrams, while
+// one of 985 hosts at the load of the second deployment observes 14 engines per
+// second.
+constexpr double kReportedBytesPerSecond = 2'000;
+
 // Bytes of a datagram besides its value, and of one with the estimates of a few
 // engines.
 constexpr std::size_t kDatagramOverhead = 68;
@@ -55,12 +60,13 @@
 }
 
 bool engine_estimate_service::IsShared(const known_server& server) const {
-  if (core_.configuration == nullptr || server.entry.models.empty())
+  if (core_.configuration == nullptr)
     return false;
   const auto& services = core_.configuration->services;
   const auto service = std::ranges::find(services, server.entry.service,
                                          &catalog::service::name);
-  return service != services.end() &&
+  // An engine may hold no model for some time.
+  return service != services.end() && service->HasModels() &&
          IsEnabled(core_.settings.features.shared_estimates, *service);
 }
 
@@ -163,17 +169,15 @@
   if (!is_enabled)
     return;
   UpdatePriors(now);
-  Report();
+  Report(now);
   Publish(now);
 }
 
 void engine_estimate_service::UpdatePriors(base::time_point now) {
   std::int64_t slow = 0;
   std::map<std::string_view, std::vector<known_server*>> by_service;
-  for (const auto& [instance, server] : core_.servers.servers()) {
-    if (!server->entry.models.empty())
-      by_service[server->entry.service].push_back(server.get());
-  }
+  for (const auto& [instance, server] : core_.servers.servers())
+    by_service[server->entry.service].push_back(server.get());
   for (const auto& [service, servers] : by_service) {
     if (!IsShared(*servers.front()))
       continue;
@@ -190,38 +194,61 @@
   core_.metrics.Gauge("valeledge_slow_engines").Set(slow);
 }
 
-// Observations that cannot be reported are dropped: this host's own estimate
-// contains them.
-void engine_estimate_service::Report() {
-  std::map<base::endpoint, wire::engine_observations> reports;
+// Observations without an owner are dropped: this host's own estimate contains
+// them. Those beyond the budget are kept for the next report, which begins with
+// their owners.
+void engine_estimate_service::Report(base::time_point now) {
+  std::map<base::endpoint, std::vector<known_server*>> by_owner;
   for (const auto& [instance, server] : core_.servers.servers()) {
     decisions::estimate_exchange& exchange = server->exchange;
     if (exchange.unreported.IsEmpty())
       continue;
-    const auto sums = std::exchange(exchange.unreported, {});
     const auto owner = callbacks_.owner(instance);
-    if (!owner) {
-      Count("no_owner");
-    } else if (*owner == core_.settings.peer_listen) {
-      exchange.has_merged = true;
-    } else {
-      auto& report = reports[*owner];
-      report.observations.push_back(decisions::ToWire(server->key, sums));
-      if (report.observations.size() == decisions::kMaxEnginesPerMessage)
-        SendReport(*owner, std::exchange(report, {}));
+    if (owner && *owner != core_.settings.peer_listen) {
+      by_owner[*owner].push_back(server.get());
+      continue;
     }
+    exchange.unreported = {};
+    if (owner)
+      exchange.has_merged = true;
+    else
+      Count("no_owner");
   }
-  for (const auto& [owner, report] : reports) {
-    if (!report.observations.empty())
-      SendReport(owner, report);
+  report_budget_.rate = kReportedBytesPerSecond;
+  report_budget_.burst = kReportedBytesPerSecond;
+  decisions::Refill(report_budget_, now);
+  auto next = by_owner.upper_bound(last_reported_to_);
+  for (std::size_t i = 0; i < by_owner.size(); ++i, ++next) {
+    if (next == by_owner.end())
+      next = by_owner.begin();
+    if (!SendReport(next->first, next->second)) {
+      Count("report_deferred");
+      return;
+    }
+    last_reported_to_ = next->first;
   }
 }
 
-void engine_estimate_service::SendReport(
+bool engine_estimate_service::SendReport(
     const base::endpoint& owner,
-    const wire::engine_observations& report) {
-  Count("reported");
-  callbacks_.send(owner, report);
+    const std::vector<known_server*>& servers) {
+  for (std::size_t begin = 0; begin < servers.size();
+       begin += decisions::kMaxEnginesPerMessage) {
+    if (report_budget_.level <= 0)
+      return false;
+    const std::size_t end =
+        std::min(servers.size(), begin + decisions::kMaxEnginesPerMessage);
+    wire::engine_observations report;
+    for (std::size_t i = begin; i < end; ++i) {
+      const auto sums = std::exchange(servers[i]->exchange.unreported, {});
+      report.observations.push_back(decisions::ToWire(servers[i]->key, sums));
+    }
+    report_budget_.level -=
+        static_cast<double>(wire::Encode(report).size() + kDatagramOverhead);
+    Count("reported");
+    callbacks_.send(owner, report);
+  }
+  return true;
 }
 
 // Once a datagram is sent, other estimates that have changed are included.
--- a/src/host/process/engine_estimate_service.h
+++ b/src/host/process/engine_estimate_service.h
@@ -73,9 +73,11 @@
   void CountInvalid();
   // Sets the factor that is assumed for engines without observations.
   void UpdatePriors(base::time_point now);
-  void Report();
-  void SendReport(const base::endpoint& owner,
-                  const wire::engine_observations& report);
+  void Report(base::time_point now);
+  // Reports the observations of servers to their owner. Returns false if the
+  // budget does not allow all of them.
+  bool SendReport(const base::endpoint& owner,
+                  const std::vector<known_server*>& servers);
   void Publish(base::time_point now);
   void PublishSome(const std::vector<known_server*>& servers,
                    decisions::publication_need need,
@@ -90,6 +92,9 @@
   engine_estimate_callbacks callbacks_;
   // Bytes that publications may take, including those of forwarding hosts.
   decisions::token_bucket budget_;
+  // Bytes that reports may take, and the owner that received the last one.
+  decisions::token_bucket report_budget_;
+  base::endpoint last_reported_to_;
   bool has_logged_invalid_ = false;
 };
 
--- a/tests/auto/host/test_engine_estimate_service.cc
+++ b/tests/auto/host/test_engine_estimate_service.cc
@@ -51,6 +51,9 @@
   catalog::service service;
   service.name = "s";
   service.mixed_urgency = mixed_urgency;
+  catalog::model model;
+  model.name = "m";
+  service.engines.models.push_back(model);
   out.services.push_back(service);
   return std::make_shared<const catalog::configuration>(out);
 }
@@ -597,6 +600,57 @@
   BOOST_TEST(here.publications > 0);
 }
 
+// A burst of responses from many engines. Those whose report is delayed are not
+// forgotten.
+BOOST_AUTO_TEST_CASE(reports_beyond_their_budget_are_sent_later) {
+  large_fleet here;
+  std::set<std::int32_t> reported;
+  std::int64_t bytes = 0;
+  host::engine_estimate_callbacks callbacks;
+  // Each engine has another owner.
+  callbacks.owner = [](const std::string& instance) {
+    const auto hash = static_cast<std::uint16_t>(base::StableHash(instance));
+    return std::optional(base::endpoint{"10.0.1." + instance, hash});
+  };
+  callbacks.send = [&](const base::endpoint&,
+                       const wire::engine_observations& update) {
+    bytes += static_cast<std::int64_t>(
+        DatagramBytes(host::kObservationsRecord, wire::Encode(update)));
+    for (const wire::engine_observation& each : update.observations)
+      reported.insert(each.server);
+  };
+  here.service = std::make_unique<host::engine_estimate_service>(
+      *here.core, std::move(callbacks));
+  constexpr std::size_t kObserved = 400;
+  for (std::size_t i = 0; i < kObserved; ++i) {
+    here.service->Observe(
+        *here.core->servers.Find(InstanceName(static_cast<int>(i))),
+        {kExpected, kExpected}, here.now);
+  }
+  for (int seconds = 1; seconds <= 40; ++seconds) {
+    for (int i = 0; i < 4; ++i, here.now += 250ms)
+      here.service->Tick(here.now);
+    BOOST_TEST(bytes <= 2000 * (seconds + 1) + 500);
+  }
+  BOOST_TEST(reported.size() == kObserved);
+}
+
+// An engine that has just unloaded its only model is of the same speed.
+BOOST_AUTO_TEST_CASE(an_engine_that_holds_no_model_is_observed) {
+  fleet here(2, 1);
+  const auto server = here.members[0].core->servers.Find(InstanceName(0));
+  server->entry.models.clear();
+  here.members[0].service->Observe(*server, {kExpected, kExpected}, here.now);
+  BOOST_TEST(server->exchange.unreported.responses == 1);
+  // Servers of a service without models have no estimates.
+  auto plain = std::make_shared<catalog::configuration>(*here.configuration);
+  plain->services.front().engines.models.clear();
+  here.members[1].core->configuration = plain;
+  const auto other = here.members[1].core->servers.Find(InstanceName(0));
+  here.members[1].service->Observe(*other, {kExpected, kExpected}, here.now);
+  BOOST_TEST(other->exchange.unreported.IsEmpty());
+}
+
 // Guards against small changes that use up the budget of large ones.
 BOOST_AUTO_TEST_CASE(a_large_change_is_published_at_once_in_a_large_fleet) {
   large_fleet here;
