A trial of quarantined prompt parts is not abandoned for a retry

No retry follows a trial, but its attempt had the time-out of a repeatable request. It now gets the whole remaining time.

--- a/src/host/request/relay.cc
+++ b/src/host/request/relay.cc
@@ -379,7 +379,7 @@
 }
 
 bool relay::MayRepeatAttempt() const {
-  return routed_.route->MayRepeat() &&
+  return routed_.route->MayRepeat() && routed_.trial.empty() &&
          possible_executions_ + 1 < routed_.route->attempts;
 }
 
--- a/tests/auto/host/test_crashing_prompt_parts.cc
+++ b/tests/auto/host/test_crashing_prompt_parts.cc
@@ -2,9 +2,12 @@
 // Guards against requests that share a part of their prompt and crash one
 // backend server after the other, while no two of them are alike.
 #include <algorithm>
+#include <chrono>
 #include <string>
 #include <vector>
 
+#include <boost/asio/steady_timer.hpp>
+
 #include "crashing_world.h"
 
 namespace {
@@ -12,6 +15,7 @@
 using namespace valeledge;
 using namespace valeledge::test;
 using decisions::prompt_parts;
+using namespace std::chrono_literals;
 using connection_action = scripted_response::connection_action;
 
 const std::string kRoutePart = "5c1e07a2:100";
@@ -102,6 +106,26 @@
   BOOST_TEST((failed.front() == prompt_parts{0xdead0001}));
 }
 
+// A trial was abandoned after 0.7 of its objective, although no retry follows
+// one.
+BOOST_AUTO_TEST_CASE(a_slow_trial_is_not_abandoned) {
+  prompt_world here(16);
+  here.CountSendsOfPart({kRoutePart, kCrashingPart, kDocument}, kCrash);
+  here.core->begin_prompt_trial = [](const prompt_parts&) { return true; };
+  for (auto& route : here.configuration.routes)
+    route.objective = 300ms;
+  for (backend_stand_in& each : here.servers)
+    each.holds_responses = true;
+  boost::asio::steady_timer release(here.context, 400ms);
+  release.async_wait([&](boost::system::error_code) {
+    for (backend_stand_in& each : here.servers)
+      each.ReleaseResponses();
+  });
+  const auto seen =
+      here.Send({kRoutePart, kCrashingPart}, kServed, "/resumed/");
+  BOOST_TEST(seen.status == 200);
+}
+
 BOOST_AUTO_TEST_CASE(a_trial_that_is_served_is_reported) {
   prompt_world here(16);
   here.CountSendsOfPart({kRoutePart, kCrashingPart, kDocument}, kCrash);
