Owner of a limit: waits are estimated with the rate after convergence

Until membership has converged, a new owner grants a fraction of the limit. The waits of patient requests were estimated from this rate, so that they were refused or dropped although the limit had room for them as soon as the owner had converged. The estimates now use the visible fraction of the limit; grants are as before. The new test plays a change of owner among 100 hosts.

--- a/src/decisions/limit_queue.cc
+++ b/src/decisions/limit_queue.cc
@@ -114,7 +114,7 @@
   const demand_estimate before = DemandBefore(queue, charge.kind, now);
   const double demand =
       std::max(before.rate + deviations * before.deviation, 0.0);
-  return std::max(limiter.bucket.rate - demand, 0.0);
+  return std::max(limiter.expected_rate - demand, 0.0);
 }
 
 // Returns the tokens that a request leaves for more urgent ones.
@@ -167,7 +167,7 @@
                   std::vector<waiting_charge>::const_iterator place,
                   double ahead,
                   base::time_point now) {
-  const double rate = limiter.bucket.rate;
+  const double rate = limiter.expected_rate;
   for (; place != queue.waiting.end() &&
          place->kind.priority == charge.kind.priority;
        ++place) {
--- a/src/decisions/workspace_limit.cc
+++ b/src/decisions/workspace_limit.cc
@@ -192,6 +192,10 @@
   UpdateClients(limiter, now);
   token_bucket& bucket = limiter.bucket;
   bucket.rate = GrantableRate(limiter, limit, members, now);
+  limiter.expected_rate =
+      HasConverged(limiter, members, now)
+          ? bucket.rate
+          : limit.rate * std::clamp(members.visible_fraction, 0.0, 1.0);
   bucket.burst = limit.burst;
   Refill(bucket, now);
   // A lowered burst applies immediately.
--- a/src/decisions/workspace_limit.h
+++ b/src/decisions/workspace_limit.h
@@ -52,6 +52,10 @@
 // State of a limit at its owner. Modified by the functions below.
 struct limiter_state {
   token_bucket bucket;
+  // Tokens per second assumed in estimates of waits. Until membership has
+  // converged, the bucket's rate is lower and soon rises, so that estimates
+  // from it would refuse requests that the limit has room for.
+  double expected_rate = 0;
   base::time_point owned_since;
   std::map<std::string, limiter_client> clients;
   // Tokens per second reserved for unresponsive clients, and granted to all
--- a/tests/auto/decisions/test_limit_queue.cc
+++ b/tests/auto/decisions/test_limit_queue.cc
@@ -249,6 +249,23 @@
   BOOST_TEST(here.IsGranted(patient));
 }
 
+// A new owner grants little until membership has converged. Guards against
+// refusals, at once or after a wait, that are based on this rate.
+BOOST_AUTO_TEST_CASE(a_new_owner_refuses_nothing_that_the_limit_has_room_for) {
+  owned_limit here;
+  here.limiter = MakeLimiter(here.limit, false, kStart);
+  here.members = {1, 100, false, false};
+  std::vector<std::int64_t> numbers;
+  for (auto at = 1000ms; at < 2000ms; at += 100ms)
+    numbers.push_back(here.Ask(50, kPatient, at));
+  here.ServeUntil(2s, 3990ms);
+  // Grants are not based on the expected rate.
+  BOOST_TEST(here.limiter.granted <= 100);
+  here.ServeUntil(3990ms, 5s);
+  for (const std::int64_t number : numbers)
+    BOOST_TEST(here.IsGranted(number));
+}
+
 // What is refunded goes to the next request that waits.
 BOOST_AUTO_TEST_CASE(refunded_tokens_are_granted_to_waiting_requests) {
   owned_limit here;
