Limit queue: one huge request does not count as lasting demand

The recorded demand took the cost of a request as its caller states it. One cost of 100 million tokens counted as demand above the limit for about a minute, in which every patient request of the workspace was refused, and the square of a huge count of another host was infinite. At most the burst is recorded now, also for hosts that state no priority, and a count above 1e9 is treated as absent and counted as invalid.

--- a/src/decisions/limit_queue.cc
+++ b/src/decisions/limit_queue.cc
@@ -70,7 +70,13 @@
   return passed.count() > 0 ? std::exp(-passed / kDemandTimeConstant) : 1;
 }
 
-void Record(class_demand& demand, double cost, base::time_point now) {
+// Callers state costs freely, and no request takes more than the burst at once:
+// a single huge cost would otherwise be seen as demand that exceeds the limit.
+void Record(class_demand& demand,
+            const catalog::workspace_limit& limit,
+            double stated_cost,
+            base::time_point now) {
+  const double cost = std::min(stated_cost, limit.burst);
   const double decay = DecayUntil(demand, now);
   const double time_constant = kDemandTimeConstant.count();
   demand.rate = demand.rate * decay + cost / time_constant;
@@ -217,6 +223,10 @@
 
 }  // namespace
 
+bool IsValidCost(double cost) {
+  return std::isfinite(cost) && std::abs(cost) <= kMaxRequestCost;
+}
+
 std::optional<token_wait> ReadTokenWait(
     std::optional<std::int64_t> priority,
     std::optional<std::int64_t> patience_ms) {
@@ -254,7 +264,7 @@
   if (charge.deadline < GrantsFrom(limiter))
     return tl::make_unexpected(limit_decision{limit_verdict::kNotOwned});
   limiter.requested += request.cost;
-  Record(queue.demand[charge.kind], request.cost, now);
+  Record(queue.demand[charge.kind], limit, request.cost, now);
   const auto place =
       std::ranges::upper_bound(queue.waiting, charge, GoesBefore);
   const double ahead = CostOf(queue.waiting.begin(), place);
@@ -269,8 +279,11 @@
   return queue.last_number;
 }
 
-void RecordDirectDemand(limit_queue& queue, double cost, base::time_point now) {
-  Record(queue.direct, cost, now);
+void RecordDirectDemand(limit_queue& queue,
+                        const catalog::workspace_limit& limit,
+                        double cost,
+                        base::time_point now) {
+  Record(queue.direct, limit, cost, now);
 }
 
 std::vector<charge_outcome> ServeQueue(limit_queue& queue,
--- a/src/decisions/limit_queue.h
+++ b/src/decisions/limit_queue.h
@@ -32,6 +32,14 @@
   std::chrono::milliseconds patience{0};
 };
 
+// Highest cost of one request that can be valid: the largest prompts have some
+// million tokens.
+inline constexpr double kMaxRequestCost = 1e9;
+
+// Whether a cost that another host has stated, negative for a refund, can be
+// valid.
+bool IsValidCost(double cost);
+
 // Returns what another host has stated; nothing if a part of it is missing or
 // cannot be valid.
 std::optional<token_wait> ReadTokenWait(
@@ -103,7 +111,10 @@
     base::time_point now);
 
 // Records a request of a host that states no priority.
-void RecordDirectDemand(limit_queue& queue, double cost, base::time_point now);
+void RecordDirectDemand(limit_queue& queue,
+                        const catalog::workspace_limit& limit,
+                        double cost,
+                        base::time_point now);
 
 // Grants what can be granted now, and refuses what cannot be granted in time
 // any more. Returns the decisions in the order in which they were made.
--- a/src/host/process/workspace_limit_service.cc
+++ b/src/host/process/workspace_limit_service.cc
@@ -193,7 +193,7 @@
   if (limiter == limiters_.end() || limit == nullptr)
     return ToReply({});
   // Such a count would remain in the state of the limit.
-  if (!std::isfinite(request.count)) {
+  if (!decisions::IsValidCost(request.count)) {
     CountWait("invalid");
     return ToReply({});
   }
@@ -205,7 +205,8 @@
   }
   const auto now = std::chrono::steady_clock::now();
   if (owned != queues_.end())
-    decisions::RecordDirectDemand(owned->second.queue, request.count, now);
+    decisions::RecordDirectDemand(owned->second.queue, *limit, request.count,
+                                  now);
   return ToReply(decisions::TryAcquire(limiter->second, *limit, Members(now),
                                        ToRequest(request), now));
 }
@@ -231,9 +232,9 @@
   const auto limiter = limiters_.find(request.workspace);
   const auto* limit = FindLimit(request.workspace);
   const auto wait = ReadWait(request);
-  const bool may_wait = wait && limiter != limiters_.end() &&
-                        limit != nullptr && std::isfinite(request.count) &&
-                        request.count >= 0;
+  const bool may_wait =
+      wait && limiter != limiters_.end() && limit != nullptr &&
+      decisions::IsValidCost(request.count) && request.count >= 0;
   if (!may_wait)
     co_return HandleRequest(request);
   const auto now = std::chrono::steady_clock::now();
--- a/tests/auto/decisions/test_limit_queue.cc
+++ b/tests/auto/decisions/test_limit_queue.cc
@@ -266,6 +266,18 @@
     BOOST_TEST(here.IsGranted(number));
 }
 
+// Guards against one request, whose caller states any cost, that counts as
+// demand far above the limit for a minute.
+BOOST_AUTO_TEST_CASE(a_huge_request_does_not_block_patient_ones) {
+  owned_limit here;
+  here.Ask(1e8, kUrgent, 0ms);
+  RecordDirectDemand(here.queue, here.limit, 1e8, kStart);
+  const auto patient = here.Ask(100, kPatient, 1s);
+  BOOST_TEST(patient != 0);
+  here.ServeUntil(1s, 5s);
+  BOOST_TEST(here.IsGranted(patient));
+}
+
 // What is refunded goes to the next request that waits.
 BOOST_AUTO_TEST_CASE(refunded_tokens_are_granted_to_waiting_requests) {
   owned_limit here;
@@ -290,7 +302,7 @@
 BOOST_AUTO_TEST_CASE(direct_demand_counts_as_more_urgent) {
   owned_limit here;
   for (auto at = 0ms; at < 10s; at += 10ms) {
-    RecordDirectDemand(here.queue, 20, kStart + at);
+    RecordDirectDemand(here.queue, here.limit, 20, kStart + at);
     TryAcquire(here.limiter, here.limit, here.members, {"old", 20, 0},
                kStart + at);
   }
--- a/tests/auto/host/test_limit_waits.cc
+++ b/tests/auto/host/test_limit_waits.cc
@@ -262,7 +262,8 @@
   owner_and_asker here;
   constexpr double kInfinity = std::numeric_limits<double>::infinity();
   for (const double bad :
-       {std::numeric_limits<double>::quiet_NaN(), kInfinity, -kInfinity}) {
+       {std::numeric_limits<double>::quiet_NaN(), kInfinity, -kInfinity, 1e10,
+        std::numeric_limits<double>::max()}) {
     auto question = owner_and_asker::Question(bad);
     BOOST_TEST(here.owner->HandleRequest(question).verdict == 2);
     question.__set_priority(1);
