Limit questions: late failures suspect no healthy owner, one probe at a time

A question may be open for seconds. If its connection was lost late, or after its request had left, the owner was suspected although it had replied meanwhile. It is now suspected only if the question was not abandoned and no reply of the owner has arrived since it was sent.

A request of a host without allowance started two more calls while a probe of an unresponsive owner was pending, and any question that ended cleared the mark of a pending probe. Such a request now decides without the owner, and only the probe itself sets and clears the mark.

--- a/src/host/process/workspace_limit_service.cc
+++ b/src/host/process/workspace_limit_service.cc
@@ -47,6 +47,9 @@
 // is still there and whether the owner is still the same.
 constexpr milliseconds kWaitCheckInterval{50};
 
+// No call to an owner takes longer: it waits for at most 30 s.
+constexpr std::chrono::seconds kReplyMemory{60};
+
 // An owner is typically available again within this time.
 constexpr milliseconds kNoOwnerRetryAfter{400};
 
@@ -116,6 +119,9 @@
   });
   if (core_.configuration == nullptr)
     return;
+  std::erase_if(replied_at_, [now](const auto& each) {
+    return now - each.second > kReplyMemory;
+  });
   LogUsage(now);
   for (const catalog::workspace& each : core_.configuration->workspaces) {
     if (each.limit.IsSet() && !limiters_.contains(each.name) &&
@@ -317,15 +323,42 @@
     co_return HandleRequest(request);
   wire::envelope call;
   call.__set_limit_wanted(request);
+  const auto sent_at = std::chrono::steady_clock::now();
   const auto reply =
       co_await callbacks_.call(*owner, std::move(call), kOwnerTimeout);
-  if (!reply)
-    callbacks_.suspect(*owner);
+  if (reply)
+    replied_at_[*owner] = std::chrono::steady_clock::now();
+  else
+    Suspect(*owner, sent_at);
   if (!reply || !reply->__isset.limit)
     co_return std::nullopt;
   co_return reply->limit;
 }
 
+// A question may stay open for seconds: its connection can be lost although
+// the owner is well.
+void workspace_limit_service::Suspect(const base::endpoint& owner,
+                                      base::time_point sent_at) {
+  const auto replied = replied_at_.find(owner);
+  if (replied == replied_at_.end() || replied->second < sent_at)
+    callbacks_.suspect(owner);
+}
+
+asio::awaitable<std::optional<wire::limit_reply>>
+workspace_limit_service::RequestUnlessPending(wire::limit_question request) {
+  owner_state& state = owner_states_[request.workspace];
+  const bool is_probe = state.is_unresponsive;
+  if (is_probe && state.has_pending_request)
+    co_return std::nullopt;
+  if (is_probe)
+    state.has_pending_request = true;
+  auto reply = co_await RequestWithRetry(std::move(request));
+  if (is_probe)
+    state.has_pending_request = false;
+  state.is_unresponsive = !reply.has_value();
+  co_return reply;
+}
+
 asio::awaitable<std::optional<wire::limit_reply>>
 workspace_limit_service::RequestWithRetry(wire::limit_question request) {
   auto first = co_await RequestFromOwner(request);
@@ -386,10 +419,13 @@
   } else {
     wire::envelope call;
     call.__set_limit_wanted(request);
+    const auto sent_at = std::chrono::steady_clock::now();
     const auto replied =
         co_await callbacks_.call(owner, std::move(call), timeout);
-    if (!replied)
-      callbacks_.suspect(owner);
+    if (replied)
+      replied_at_[owner] = std::chrono::steady_clock::now();
+    else if (!pending->is_abandoned)
+      Suspect(owner, sent_at);
     if (replied && replied->__isset.limit)
       reply = replied->limit;
   }
@@ -466,9 +502,11 @@
       // A probe of an owner that has not responded must not take long, since
       // no other request is sent meanwhile.
       const auto patience = is_probe ? milliseconds(0) : TimeLeft(wait);
-      state.has_pending_request = true;
+      if (is_probe)
+        state.has_pending_request = true;
       const auto asked = co_await Ask(*owner, request, patience, wait);
-      state.has_pending_request = false;
+      if (is_probe)
+        state.has_pending_request = false;
       if (!asked)
         co_return tl::make_unexpected(asked.error());
       state.is_unresponsive = !asked->reply && !asked->has_moved;
@@ -491,7 +529,7 @@
   // No owner has decided in time.
   std::optional<wire::limit_reply> reply;
   if (state.allowance.rate <= 0)
-    reply = co_await RequestWithRetry(std::move(request));
+    reply = co_await RequestUnlessPending(std::move(request));
   co_return reply;
 }
 
@@ -514,15 +552,7 @@
       co_return tl::make_unexpected(decided.error());
     co_return EvaluateReply(workspace, count, *decided);
   }
-  const bool is_request_pending =
-      state.is_unresponsive && state.has_pending_request;
-  std::optional<wire::limit_reply> reply;
-  if (!is_request_pending) {
-    state.has_pending_request = true;
-    reply = co_await RequestWithRetry(std::move(request));
-    state.has_pending_request = false;
-    state.is_unresponsive = !reply.has_value();
-  }
+  const auto reply = co_await RequestUnlessPending(std::move(request));
   co_return EvaluateReply(workspace, count, reply);
 }
 
--- a/src/host/process/workspace_limit_service.h
+++ b/src/host/process/workspace_limit_service.h
@@ -76,6 +76,7 @@
     // The owner did not respond. Until it does, only one request at a time is
     // sent to it.
     bool is_unresponsive = false;
+    // Set and cleared by that one request.
     bool has_pending_request = false;
     // The owner for requests that wait, and when it was determined.
     std::optional<base::endpoint> owner;
@@ -160,6 +161,13 @@
 
   boost::asio::awaitable<std::optional<wire::limit_reply>> RequestWithRetry(
       wire::limit_question request);
+  // Requests a decision without a wait; returns nothing at once if another
+  // request of the workspace is pending at an unresponsive owner.
+  boost::asio::awaitable<std::optional<wire::limit_reply>> RequestUnlessPending(
+      wire::limit_question request);
+  // Reports that a call to an owner failed, unless the owner has replied since
+  // the call was sent.
+  void Suspect(const base::endpoint& owner, base::time_point sent_at);
   // Whether this host started recently.
   bool HasJustStarted(base::time_point now) const;
   bool OwnsLimit(const std::string& workspace) const;
@@ -181,6 +189,8 @@
   // Queues of owned limits for which any request has waited.
   std::map<std::string, owned_queue> queues_;
   std::map<std::string, owner_state> owner_states_;
+  // When each owner last replied.
+  std::map<base::endpoint, base::time_point> replied_at_;
   base::time_point logged_at_;
 };
 
--- a/tests/auto/host/test_limit_waits.cc
+++ b/tests/auto/host/test_limit_waits.cc
@@ -51,8 +51,10 @@
     kAnswer,
     // The connection is lost.
     kLose,
-    // The reply arrives after Reply().
+    // The reply arrives, or the connection is lost, once `delayed` is
+    // cancelled.
     kDelay,
+    kLoseLater,
   };
 
   owner_and_asker() {
@@ -91,10 +93,12 @@
       }
       if (action == call_action::kLose)
         co_return base::Unknown(base::result_code::kPeerUnreachable, "lost");
-      if (action == call_action::kDelay) {
+      if (action == call_action::kDelay || action == call_action::kLoseLater) {
         co_await delayed.async_wait(
             boost::asio::as_tuple(boost::asio::use_awaitable));
       }
+      if (action == call_action::kLoseLater)
+        co_return base::Unknown(base::result_code::kPeerUnreachable, "lost");
       wire::envelope reply;
       const auto decided = co_await owner->HandleCall(asked.limit_wanted);
       reply.__set_limit(decided);
@@ -370,6 +374,77 @@
   BOOST_TEST(here.calls[1].question.patience_ms > 1000);
 }
 
+// A question may be open for seconds. Guards against suspicions of a healthy
+// owner when its connection is lost late.
+BOOST_AUTO_TEST_CASE(an_owner_that_has_replied_since_is_not_suspected) {
+  owner_and_asker here;
+  here.actions = {call_action::kLoseLater};
+  const auto waiting = here.Begin(1, here.Wait(5s));
+  here.RunUntil([&] { return !here.calls.empty(); });
+  BOOST_TEST(here.Acquire(1, here.Wait(2s)).has_value());
+  here.delayed.cancel();
+  here.RunUntil([&] { return waiting->has_value(); });
+  BOOST_TEST((*waiting)->has_value());
+  BOOST_TEST(here.suspicions == 0);
+}
+
+BOOST_AUTO_TEST_CASE(an_abandoned_question_that_fails_suspects_nobody) {
+  owner_and_asker here;
+  here.actions = {call_action::kLoseLater};
+  const auto waiting = here.Begin(1, here.Wait(5s));
+  here.RunUntil([&] { return !here.calls.empty(); });
+  here.end_of_wait = base::MakeError(base::result_code::kCallerGone,
+                                     base::outcome::kNotRun, "gone");
+  here.RunUntil([&] { return waiting->has_value(); });
+  here.delayed.cancel();
+  here.context.restart();
+  here.context.poll();
+  BOOST_TEST(here.suspicions == 0);
+}
+
+// Guards against further calls to an unresponsive owner by requests of hosts
+// that have been granted nothing yet.
+BOOST_AUTO_TEST_CASE(a_request_without_allowance_calls_not_during_a_probe) {
+  owner_and_asker here;
+  here.actions = {call_action::kLose, call_action::kLose, call_action::kLose,
+                  call_action::kDelay};
+  BOOST_TEST(!here.Acquire(1, here.Wait(80ms)).has_value());
+  const auto probe = here.Begin(1, here.Wait(80ms));
+  here.RunUntil([&] { return here.calls.size() == 4u; });
+  BOOST_TEST(!here.Acquire(1, here.Wait(80ms)).has_value());
+  BOOST_TEST(!here.Acquire(1, std::nullopt).has_value());
+  BOOST_TEST(here.calls.size() == 4u);
+  here.delayed.cancel();
+  here.RunUntil([&] { return probe->has_value(); });
+  BOOST_TEST((*probe)->has_value());
+}
+
+// Guards against a second probe once an earlier question has ended.
+BOOST_AUTO_TEST_CASE(a_probe_is_pending_until_it_ends_itself) {
+  owner_and_asker here;
+  BOOST_TEST(here.Acquire(1, here.Wait(80ms)).has_value());
+  here.actions = {call_action::kDelay, call_action::kLose, call_action::kDelay};
+  bool has_left = false;
+  auto wait = here.Wait(5s);
+  wait.check = [&]() -> std::optional<base::error> {
+    if (!has_left)
+      return std::nullopt;
+    return base::MakeError(base::result_code::kCallerGone,
+                           base::outcome::kNotRun, "gone");
+  };
+  const auto earlier = here.Begin(1, std::move(wait));
+  here.RunUntil([&] { return here.calls.size() == 2u; });
+  here.Acquire(1, here.Wait(80ms));
+  const auto probe = here.Begin(1, here.Wait(80ms));
+  here.RunUntil([&] { return here.calls.size() == 4u; });
+  has_left = true;
+  here.RunUntil([&] { return earlier->has_value(); });
+  here.Acquire(1, here.Wait(80ms));
+  BOOST_TEST(here.calls.size() == 4u);
+  here.delayed.cancel();
+  here.RunUntil([&] { return probe->has_value(); });
+}
+
 BOOST_AUTO_TEST_CASE(a_request_whose_caller_has_gone_waits_no_longer) {
   owner_and_asker here;
   here.Exhaust();
