Patient loads: one plan does not evict the last weight copies of a model

A schedule lowered the ready replicas of an evicted model but not its weight copies, so that two loads of one plan could evict both of the last copies of a model whose callers may be urgent. The schedule now keeps the copies as well and counts each eviction.

--- a/src/decisions/patient_loads.cc
+++ b/src/decisions/patient_loads.cc
@@ -88,7 +88,9 @@
 // One attempt at an order of loads.
 struct schedule {
   std::vector<engine_state> engines;
+  // As in the context, less what has been evicted.
   std::vector<std::int64_t> ready;
+  std::vector<std::int64_t> weight_copies;
   // When each of the loads that may run at the same time can start.
   times starts;
   std::int64_t store_loads = 0;
@@ -219,7 +221,7 @@
   // store if no engine had the weights; patient ones can wait for it.
   const plan_engine& engine = context.input.engines[position];
   const bool copy_remains =
-      left > 0 || context.weight_copies[each.model] > 1 ||
+      left > 0 || state.weight_copies[each.model] > 1 ||
       context.input.patient_only[each.model] ||
       SourceAt(engine, each.model) != weight_source::kStore;
   return copy_remains ? std::optional(each.evictable_at) : std::nullopt;
@@ -392,8 +394,12 @@
   for (const std::size_t model : chosen.evictions.models) {
     const auto found =
         std::ranges::find(engine.replicas, model, &replica::model);
-    if (!found->had_turn)
+    if (!found->had_turn) {
       --state.ready[model];
+      const plan_engine& evicted_from = context.input.engines[chosen.engine];
+      if (SourceAt(evicted_from, model) == weight_source::kStore)
+        --state.weight_copies[model];
+    }
     engine.free_mb += context.input.models[model].weights_mb;
     engine.replicas.erase(found);
   }
@@ -426,6 +432,7 @@
   schedule state;
   state.engines = context.engines;
   state.ready = context.ready;
+  state.weight_copies = context.weight_copies;
   state.starts = LoadStarts(context);
   for (const waiting_model& each : waiting) {
     std::optional<place> best;
--- a/tests/auto/decisions/test_patient_loads.cc
+++ b/tests/auto/decisions/test_patient_loads.cc
@@ -122,6 +122,19 @@
   BOOST_TEST(setup.Plan().loads.empty());
 }
 
+// Guards against a plan that evicts all copies of an idle model whose callers
+// may be urgent, because each of its loads counts the copies anew.
+BOOST_AUTO_TEST_CASE(one_plan_does_not_evict_all_weight_copies_of_a_model) {
+  plan_fixture setup;
+  setup.models = {Model(100, 0), Model(200, 0.4), Model(200, 0.4)};
+  setup.engines = {Engine(100, {0}), Engine(100, {0})};
+  setup.waiting = {{1, 2, 7000ms}, {2, 2, 7000ms}};
+  const auto plan = setup.Plan();
+  BOOST_REQUIRE_EQUAL(plan.steps.size(), 1u);
+  BOOST_TEST(!plan.steps.front().load);
+  BOOST_TEST(plan.steps.front().model == 0u);
+}
+
 // Guards against an eviction that the model plan undoes, after which the next
 // one follows.
 BOOST_AUTO_TEST_CASE(replicas_for_a_burst_or_a_shift_are_not_evicted) {
