Patient requests: a caller is expected back only after its first rejection

Each rejection of a patient request counted its caller as waiting until it could be back, although callers come back once: models were loaded that nobody waited for. Only the first rejection of a first attempt counts now, known by the deadline as for admission.

--- a/src/host/request/load_wait.h
+++ b/src/host/request/load_wait.h
@@ -45,8 +45,8 @@
 
   // Counts the request as waiting from now on, if it is patient.
   void Begin();
-  // Counts the caller, which is rejected, as one that comes back after the
-  // delay, so that the load that it was told of takes place.
+  // Counts the caller, which is rejected for the first time, as one that comes
+  // back after the delay, so that the load that it was told of takes place.
   void ExpectReturn(std::chrono::milliseconds retry_after);
 
  private:
--- a/src/host/request/server_search.cc
+++ b/src/host/request/server_search.cc
@@ -517,7 +517,8 @@
   }
   reason.retry_after = RetryAfter(
       core, routed, retry_after.value_or(kDefaultRetryAfter), jitter);
-  if (is_absent)
+  // Callers come back once.
+  if (is_absent && first_attempt && !IsRetry(routed))
     wait.ExpectReturn(*reason.retry_after);
   co_return tl::make_unexpected(reason);
 }
--- a/tests/auto/host/test_patient_requests.cc
+++ b/tests/auto/host/test_patient_requests.cc
@@ -124,6 +124,19 @@
   BOOST_TEST(!here.Report().__isset.waiting);
 }
 
+// Guards against loads that nobody waits for: a caller comes back only once,
+// and its second request has a shorter deadline.
+BOOST_AUTO_TEST_CASE(a_caller_that_has_come_back_is_not_expected_again) {
+  patient_world here;
+  here.timeout = 20s;
+  for (catalog::route& each : here.configuration.routes)
+    each.timeout = 20s;
+  here.added_fields = {{"X-Deadline-Ms", "10000"}};
+  here.Plan(2000ms);
+  BOOST_TEST(here.SendRequest("/once/").status == 503);
+  BOOST_TEST(!here.Report().__isset.waiting);
+}
+
 // A load that fails is published no more; the request waits for the next one.
 BOOST_AUTO_TEST_CASE(a_request_waits_for_another_load_if_one_has_failed) {
   patient_world here;
