Planned loads of patient models wait for the weight store

An eviction can end before the weight store's rate limit allows for the load that it made room for. The planned load was dropped then, and another model could take the place. A load for patient requests is now kept, for 6 s at most as before, and its engine accepts no other order meanwhile. StartPlannedLoad has moved to the order dispatcher, which is tested without a lease. Loads of the model plan are dropped as before.

--- a/src/host/process/order_dispatcher.cc
+++ b/src/host/process/order_dispatcher.cc
@@ -30,6 +30,10 @@
 constexpr auto kAwait = asio::as_tuple(asio::use_awaitable);
 constexpr std::string_view kCategory = "orders";
 
+// How long room is reserved for a planned load: an unload waits for the running
+// streams to end.
+constexpr std::chrono::milliseconds kPlannedLoadLifetime{6000};
+
 // An order without a response within this time may still be executed.
 constexpr milliseconds kOrderTimeout{800};
 
@@ -196,6 +200,33 @@
   return std::chrono::ceil<milliseconds>(free_at - now);
 }
 
+void order_dispatcher::StartPlannedLoad(const engine_ptr& engine,
+                                        const catalog::engine& kind,
+                                        bool waits_for_store,
+                                        base::time_point now) {
+  if (!engine->planned)
+    return;
+  const catalog::model* model = kind.Find(engine->planned->model);
+  const bool late = now - engine->planned->planned_at > kPlannedLoadLifetime;
+  if (model == nullptr || late || !engine->server->TakesRequests()) {
+    engine->planned.reset();
+    return;
+  }
+  if (!IsIdle(*engine))
+    return;
+  const bool fits =
+      model->weights_mb <= kind.weights_mb - UsedMemory(*engine, kind);
+  const bool from_store =
+      engine->planned->source == decisions::weight_source::kStore;
+  const bool allowed = !from_store || StoreLoadsLeft(kind.loads_per_second) > 0;
+  const bool held = engine->models.contains(model->name);
+  if (fits && !held && !allowed && waits_for_store)
+    return;
+  if (fits && allowed && !held)
+    Load(engine, *model, engine->planned->source);
+  engine->planned.reset();
+}
+
 asio::awaitable<order_reply> order_dispatcher::Send(engine_ptr engine,
                                                     order_verb verb,
                                                     std::string model,
--- a/src/host/process/order_dispatcher.h
+++ b/src/host/process/order_dispatcher.h
@@ -64,6 +64,13 @@
   void Unload(std::shared_ptr<engine_record> engine,
               const std::string& model,
               planned_load planned);
+  // Starts the engine's planned load if there is room by now. Drops it if it is
+  // too old or cannot be started. `waits_for_store`: it is not dropped because
+  // the rate limit does not allow for it yet.
+  void StartPlannedLoad(const std::shared_ptr<engine_record>& engine,
+                        const catalog::engine& kind,
+                        bool waits_for_store,
+                        base::time_point now);
 
   // Loads adapters of a model one after the other, while the engine holds the
   // model, has free slots and is idle.
--- a/src/host/process/patient_placement.cc
+++ b/src/host/process/patient_placement.cc
@@ -90,7 +90,7 @@
 milliseconds IdleIn(const engine_record& engine,
                     const catalog::engine& kind,
                     base::time_point now) {
-  if (IsIdle(engine))
+  if (IsIdle(engine) && !engine.planned)
     return milliseconds(0);
   milliseconds out = kQueryTime;
   for (const auto& [name, model] : engine.models) {
@@ -180,6 +180,12 @@
   patient_orders_.clear();
 }
 
+bool patient_placement::HasOrdered(const engine_record& engine) const {
+  const auto order = patient_orders_.find(engine.server->entry.instance);
+  return engine.planned && order != patient_orders_.end() &&
+         order->second == engine.planned->model;
+}
+
 void patient_placement::AdjustViews(
     const service_plan& plan,
     std::vector<decisions::plan_engine>& views) {
--- a/src/host/process/patient_placement.h
+++ b/src/host/process/patient_placement.h
@@ -48,6 +48,9 @@
   // Forgets all plans; to be called at the start of a term.
   void BeginTerm();
 
+  // Whether the load that an engine has planned is for patient requests.
+  bool HasOrdered(const engine_record& engine) const;
+
   // Prepares the input of the model plan: replicas that requests wait for stay
   // for a limited time, and loads for patient requests do not count against the
   // model plan's share of loads from the weight store.
--- a/src/host/process/placement_controller.cc
+++ b/src/host/process/placement_controller.cc
@@ -48,10 +48,6 @@
 // which may have been written before it.
 constexpr std::chrono::milliseconds kMaxUpdateDelay{300};
 
-// How long room is reserved for a planned load: an unload waits for the running
-// streams to end.
-constexpr std::chrono::milliseconds kPlannedLoadLifetime{6000};
-
 // Maximum number of adapters preloaded on one engine per plan: an order and its
 // response take some milliseconds, and all orders should be sent before the
 // next plan.
@@ -219,32 +215,6 @@
   }
 }
 
-void placement_controller::StartPlannedLoad(
-    const std::shared_ptr<engine_record>& engine,
-    const catalog::engine& kind,
-    base::time_point now) {
-  if (!engine->planned)
-    return;
-  const catalog::model* model = kind.Find(engine->planned->model);
-  const bool late = now - engine->planned->planned_at > kPlannedLoadLifetime;
-  if (model == nullptr || late || !engine->server->TakesRequests()) {
-    engine->planned.reset();
-    return;
-  }
-  if (!IsIdle(*engine))
-    return;
-  const bool fits =
-      model->weights_mb <= kind.weights_mb - UsedMemory(*engine, kind);
-  const bool from_store =
-      engine->planned->source == decisions::weight_source::kStore;
-  const bool allowed =
-      !from_store || dispatcher_.StoreLoadsLeft(kind.loads_per_second) > 0;
-  const bool held = engine->models.contains(model->name);
-  if (fits && allowed && !held)
-    dispatcher_.Load(engine, *model, engine->planned->source);
-  engine->planned.reset();
-}
-
 void placement_controller::Plan(const catalog::service& service) {
   const catalog::engine& kind = service.engines;
   const model_index index = IndexOf(kind);
@@ -255,7 +225,8 @@
   for (const auto& [instance, engine] : dispatcher_.engines()) {
     if (engine->server->entry.service != service.name)
       continue;
-    StartPlannedLoad(engine, kind, now);
+    dispatcher_.StartPlannedLoad(engine, kind, patient_.HasOrdered(*engine),
+                                 now);
     engines.push_back(ViewOf(*engine, index, now));
     records.push_back(engine);
     const bool waits_for_room = engine->planned.has_value();
--- a/src/host/process/placement_controller.h
+++ b/src/host/process/placement_controller.h
@@ -85,11 +85,6 @@
   bool AreEnginesDiscovered();
   void CountInitialReplicas();
   void Plan(const catalog::service& service);
-  // Starts the engine's planned load if there is room by now. Drops it if it is
-  // too old or cannot be started.
-  void StartPlannedLoad(const std::shared_ptr<engine_record>& engine,
-                        const catalog::engine& kind,
-                        base::time_point now);
   // Publishes changed engines to all hosts. If `republish`, also sends the
   // state of some engines, all in turn, to some hosts.
   void PublishUpdates(bool republish);
--- a/src/host/process/plan_view.cc
+++ b/src/host/process/plan_view.cc
@@ -40,13 +40,15 @@
   }
 }
 
-// A planned load that waits for room counts as one in progress.
+// A planned load that waits for room or for the weight store counts as one in
+// progress: no other order may take its room.
 void AddPlanned(const planned_load& planned,
                 const model_index& index,
                 decisions::plan_engine& view) {
   const auto found = index.positions.find(planned.model);
   if (found == index.positions.end())
     return;
+  view.accepts_orders = false;
   view.loading.push_back(found->second);
   view.loads_from_store = planned.source == decisions::weight_source::kStore;
 }
--- a/tests/auto/host/test_patient_placement.cc
+++ b/tests/auto/host/test_patient_placement.cc
@@ -137,6 +137,42 @@
   setup.RunUntil([&] { return setup.backend.requests.size() == 2; });
 }
 
+// An eviction may end before the weight store's rate limit allows for the load.
+// Guards against loads that are dropped then, after which another model may
+// take the place.
+BOOST_AUTO_TEST_CASE(a_planned_load_waits_for_the_weight_store) {
+  holder_fixture setup;
+  setup.ReportWaiting(1);
+  setup.Plan();
+  setup.RunUntil([&] { return setup.backend.requests.size() == 2; });
+  BOOST_TEST(setup.patient.HasOrdered(setup.engine()));
+  const auto engine = setup.dispatcher.engines().at("i-1");
+  catalog::engine_state state;
+  state.orders_accepted = 1;
+  setup.RunUntil([&] { return !engine->sending; });
+  host::ApplyState(*engine, state, steady_clock::now());
+  engine->query_at.reset();
+  BOOST_REQUIRE(host::IsIdle(*engine));
+  catalog::engine kind = setup.core.configuration->services.front().engines;
+  const auto start = [&](double loads_per_second, std::chrono::seconds after) {
+    kind.loads_per_second = loads_per_second;
+    setup.dispatcher.StartPlannedLoad(engine, kind,
+                                      setup.patient.HasOrdered(*engine),
+                                      steady_clock::now() + after);
+  };
+  start(0, 0s);
+  BOOST_REQUIRE(engine->planned.has_value());
+  const auto index = host::IndexOf(kind);
+  BOOST_TEST(!host::ViewOf(*engine, index, steady_clock::now()).accepts_orders);
+  const auto planned = engine->planned;
+  start(0, 7s);
+  BOOST_TEST(!engine->planned.has_value());
+  engine->planned = planned;
+  start(20, 0s);
+  BOOST_TEST(!engine->planned.has_value());
+  setup.RunUntil([&] { return engine->models.contains("m"); });
+}
+
 BOOST_AUTO_TEST_CASE(without_the_feature_nothing_is_ordered_or_published) {
   holder_fixture setup;
   setup.core.settings.features.patient_loads = host::feature_mode::kAuto;
