Gauges of patient models are sums over services

valeledge_patient_models was set for each service in turn, so that it showed the last one planned. It is now the sum, and 0 after the term has ended. Orders for instances that have ended are forgotten; they stayed until the end of the term.

--- a/src/host/process/patient_placement.cc
+++ b/src/host/process/patient_placement.cc
@@ -178,6 +178,9 @@
   planned_.clear();
   published_.clear();
   patient_orders_.clear();
+  // Also forgets services that are no longer configured.
+  counts_.clear();
+  SetGauges();
 }
 
 bool patient_placement::HasOrdered(const engine_record& engine) const {
@@ -244,6 +247,8 @@
                              std::vector<decisions::plan_engine> views) {
   if (!PlansPatientLoads(core_, plan.service)) {
     Drop(plan);
+    if (counts_.erase(plan.service.name) > 0)
+      SetGauges();
     return;
   }
   const catalog::engine& kind = plan.service.engines;
@@ -318,6 +323,7 @@
   };
   std::erase_if(planned_, is_gone);
   std::erase_if(published_, is_gone);
+  std::erase_if(patient_orders_, is_gone);
   for (const auto& engine : plan.records) {
     if (const auto end = PlannedEnd(*engine, kind, plan.now))
       planned_[engine->server->entry.instance][KeyOf(engine->planned->model)] =
@@ -338,12 +344,8 @@
   const auto in_time =
       std::ranges::count_if(decided.loads, &decisions::expected_load::in_time);
   const auto late = std::ssize(decided.loads) - in_time;
-  const auto gauge = [this](std::string_view state, std::int64_t count) {
-    core_.metrics.Gauge("valeledge_patient_models", state).Set(count);
-  };
-  gauge("waiting", std::ssize(waiting));
-  gauge("in_time", in_time);
-  gauge("late", late);
+  counts_[plan.service.name] = {std::ssize(waiting), in_time, late};
+  SetGauges();
   if (late == 0 || plan.now - logged_at_ < kLogInterval)
     return;
   logged_at_ = plan.now;
@@ -353,6 +355,21 @@
              {"late", std::int64_t{late}}});
 }
 
+void patient_placement::SetGauges() {
+  model_counts sum;
+  for (const auto& [service, each] : counts_) {
+    sum.waiting += each.waiting;
+    sum.in_time += each.in_time;
+    sum.late += each.late;
+  }
+  const auto gauge = [this](std::string_view state, std::int64_t count) {
+    core_.metrics.Gauge("valeledge_patient_models", state).Set(count);
+  };
+  gauge("waiting", sum.waiting);
+  gauge("in_time", sum.in_time);
+  gauge("late", sum.late);
+}
+
 void patient_placement::Drop(const service_plan& plan) {
   for (const auto& engine : plan.records)
     planned_.erase(engine->server->entry.instance);
--- a/src/host/process/patient_placement.h
+++ b/src/host/process/patient_placement.h
@@ -4,6 +4,7 @@
 #ifndef VALELEDGE_HOST_PROCESS_PATIENT_PLACEMENT_H_
 #define VALELEDGE_HOST_PROCESS_PATIENT_PLACEMENT_H_
 
+#include <cstdint>
 #include <map>
 #include <memory>
 #include <string>
@@ -78,6 +79,13 @@
   // Planned loads of one engine with the times at which they should end.
   using planned_loads = std::map<unit_key, base::time_point>;
 
+  // Waiting models of one service, and those whose loads are planned.
+  struct model_counts {
+    std::int64_t waiting = 0;
+    std::int64_t in_time = 0;
+    std::int64_t late = 0;
+  };
+
   decisions::patient_limits LimitsOf(const service_plan& plan);
   void Send(const service_plan& plan,
             const decisions::patient_plan& decided,
@@ -86,6 +94,8 @@
   void Count(const service_plan& plan,
              const decisions::patient_plan& decided,
              const std::vector<decisions::waiting_model>& waiting);
+  // Sets the gauges to the sums over all services.
+  void SetGauges();
   // Removes the plans for engines of a service.
   void Drop(const service_plan& plan);
 
@@ -98,6 +108,8 @@
   base::time_point published_at_;
   // Instances with the models that they load for patient requests.
   std::map<std::string, std::string> patient_orders_;
+  // By service.
+  std::map<std::string, model_counts> counts_;
   base::time_point logged_at_;
 };
 
--- a/tests/auto/host/test_patient_placement.cc
+++ b/tests/auto/host/test_patient_placement.cc
@@ -235,6 +235,28 @@
   BOOST_TEST(placed.coming.front().due_ms < 5500);
 }
 
+// Guards against gauges that show only the service that was planned last.
+BOOST_AUTO_TEST_CASE(the_gauges_of_waiting_models_cover_all_services) {
+  holder_fixture setup;
+  const auto waiting = [&] {
+    return setup.core.metrics.Gauge("valeledge_patient_models", "waiting")
+        .value.load();
+  };
+  setup.ReportWaiting(1);
+  setup.Plan();
+  BOOST_TEST(waiting() == 1);
+  catalog::service other = setup.core.configuration->services.front();
+  other.name = "other";
+  other.engines.models.clear();
+  const auto index = host::IndexOf(other.engines);
+  const auto now = steady_clock::now();
+  setup.patient.Plan({other, index, {}, {}, now}, {}, {});
+  BOOST_TEST(waiting() == 1);
+  setup.ReportWaiting(0);
+  setup.Plan();
+  BOOST_TEST(waiting() == 0);
+}
+
 // Guards against a published load that no host forgets.
 BOOST_AUTO_TEST_CASE(a_plan_that_is_dropped_is_published_as_such) {
   holder_fixture setup;
