--- a/src/host/process/engine_queue_service.cc
+++ b/src/host/process/engine_queue_service.cc
@@ -262,7 +262,7 @@
     const auto timeout = milliseconds(question.left_ms) + 2 * kReplyMargin;
     wire::envelope call;
     call.__set_engine_place_wanted(std::move(question));
-    const auto received = co_await links_.call(owner, std::move(call), timeout);
+    const auto received = co_await links_.call(owner, call, timeout);
     if (!received)
       reply = tl::make_unexpected(received.error());
     else if (received->__isset.engine_place)
@@ -305,7 +305,7 @@
     wire::engine_place_end end) {
   wire::envelope call;
   call.__set_engine_place_ended(std::move(end));
-  co_await links_.call(std::move(owner), std::move(call), kReplyMargin);
+  co_await links_.call(owner, call, kReplyMargin);
 }
 
 engine_place_result engine_queue_service::ToResult(
