--- a/tests/auto/host/test_prompt_quarantine_coordinator.cc
+++ b/tests/auto/host/test_prompt_quarantine_coordinator.cc
@@ -110,7 +110,8 @@
 
   void RunUntilStored(const std::string& key, bool is_stored = true) {
     const auto until = std::chrono::steady_clock::now() + 10s;
-    while (StoreHas(key) != is_stored && std::chrono::steady_clock::now() < until) {
+    while (StoreHas(key) != is_stored &&
+           std::chrono::steady_clock::now() < until) {
       context.restart();
       context.run_one_for(100ms);
     }
