Tests of huge costs and of weight copies fail without their repairs

Both passed with the repairs removed: one asked a full bucket, for which the demand makes no difference, and the other let a single engine load at a time.

--- a/tests/auto/decisions/test_limit_queue.cc
+++ b/tests/auto/decisions/test_limit_queue.cc
@@ -269,13 +269,18 @@
 // Guards against one request, whose caller states any cost, that counts as
 // demand far above the limit for a minute.
 BOOST_AUTO_TEST_CASE(a_huge_request_does_not_block_patient_ones) {
-  owned_limit here;
-  here.Ask(1e8, kUrgent, 0ms);
-  RecordDirectDemand(here.queue, here.limit, 1e8, kStart);
-  const auto patient = here.Ask(100, kPatient, 1s);
-  BOOST_TEST(patient != 0);
-  here.ServeUntil(1s, 5s);
-  BOOST_TEST(here.IsGranted(patient));
+  for (const bool is_direct : {false, true}) {
+    owned_limit here;
+    if (is_direct)
+      RecordDirectDemand(here.queue, here.limit, 1e8, kStart);
+    else
+      here.Ask(1e8, kUrgent, 0ms);
+    // The bucket is almost empty, so that the wait depends on the demand.
+    const auto patient = here.Ask(100, kPatient, 100ms);
+    BOOST_TEST(patient != 0);
+    here.ServeUntil(100ms, 4s);
+    BOOST_TEST(here.IsGranted(patient));
+  }
 }
 
 // What is refunded goes to the next request that waits.
--- a/tests/auto/decisions/test_patient_loads.cc
+++ b/tests/auto/decisions/test_patient_loads.cc
@@ -126,13 +126,20 @@
 // may be urgent, because each of its loads counts the copies anew.
 BOOST_AUTO_TEST_CASE(one_plan_does_not_evict_all_weight_copies_of_a_model) {
   plan_fixture setup;
-  setup.models = {Model(100, 0), Model(200, 0.4), Model(200, 0.4)};
-  setup.engines = {Engine(100, {0}), Engine(100, {0})};
+  setup.models = {Model(100, 0), Model(200, 0.4), Model(200, 0.4),
+                  Model(200, 5)};
+  // Two of four engines may load at the same time, and only two have room.
+  setup.models[3].work = 400;
+  setup.engines = {Engine(100, {0}), Engine(100, {0}), Engine(0, {3}),
+                   Engine(0, {3})};
   setup.waiting = {{1, 2, 7000ms}, {2, 2, 7000ms}};
   const auto plan = setup.Plan();
   BOOST_REQUIRE_EQUAL(plan.steps.size(), 1u);
   BOOST_TEST(!plan.steps.front().load);
   BOOST_TEST(plan.steps.front().model == 0u);
+  // The second model follows the first one there.
+  for (const expected_load& each : plan.loads)
+    BOOST_TEST(each.engine == plan.steps.front().engine);
 }
 
 // Guards against an eviction that the model plan undoes, after which the next
