--- a/tests/auto/decisions/test_prompt_quarantine_sound.cc
+++ b/tests/auto/decisions/test_prompt_quarantine_sound.cc
@@ -46,9 +46,11 @@
   return day;
 }
 
-void CheckDays(const fleet_size& size, std::uint64_t count) {
+void CheckDays(const fleet_size& size,
+               std::uint64_t count,
+               std::uint64_t first = 1) {
   std::uint64_t quarantines = 0;
-  for (std::uint64_t seed = 1; seed <= count; ++seed) {
+  for (std::uint64_t seed = first; seed < first + count; ++seed) {
     fleet here(DayOf(size, seed), seed);
     here.Play();
     quarantines += here.quarantined.size();
@@ -80,4 +82,14 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_AUTO_TEST_SUITE(rare_prompt_parts)
+
+// Guards against parts that are requested so seldom that no other request comes
+// to a host while it may begin a trial.
+BOOST_AUTO_TEST_CASE(are_not_refused_for_long) {
+  CheckDays(kSmall, 1, 23);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 }  // namespace
