--- a/src/host/process/engine_queue_service.cc
+++ b/src/host/process/engine_queue_service.cc
@@ -261,8 +261,9 @@
   } else {
     const auto timeout = milliseconds(question.left_ms) + 2 * kReplyMargin;
     wire::envelope call;
-    call.__set_engine_place_wanted(std::move(question));
-    const auto received = co_await links_.call(owner, call, timeout);
+    call.engine_place_wanted = std::move(question);
+    call.__isset.engine_place_wanted = true;
+    const auto received = co_await links_.call(owner, std::move(call), timeout);
     if (!received)
       reply = tl::make_unexpected(received.error());
     else if (received->__isset.engine_place)
@@ -304,8 +305,9 @@
     base::endpoint owner,
     wire::engine_place_end end) {
   wire::envelope call;
-  call.__set_engine_place_ended(std::move(end));
-  co_await links_.call(owner, call, kReplyMargin);
+  call.engine_place_ended = std::move(end);
+  call.__isset.engine_place_ended = true;
+  co_await links_.call(std::move(owner), std::move(call), kReplyMargin);
 }
 
 engine_place_result engine_queue_service::ToResult(
