Comments of the features for high load: plainer wording

Eight comments told a story or used uncommon phrases; they now state what the constant limits, with its reason. No code changes, so nothing was measured.

--- a/src/decisions/engine_estimate_update.cc
+++ b/src/decisions/engine_estimate_update.cc
@@ -16,8 +16,8 @@
 // observations.
 constexpr std::chrono::milliseconds kRefreshInterval{5000};
 
-// The first publication waits for this number of responses: an engine is
-// published once a second only, and one response tells little of its speed.
+// Minimum number of responses before the first publication. An estimate from a
+// single response is inaccurate, and the next one follows only a second later.
 constexpr double kMinFirstWeight = 1.5;
 
 const double kUsefulLogChange = std::log(1.1);
--- a/src/decisions/lease_succession.h
+++ b/src/decisions/lease_succession.h
@@ -29,7 +29,7 @@
 // of three, as when one of two or three availability zones is lost.
 inline constexpr std::size_t kLeaseWitnesses = 7;
 
-// With fewer witnesses, nobody takes a lease over.
+// Minimum number of witnesses for a succession.
 inline constexpr std::size_t kMinLeaseWitnesses = 3;
 
 inline constexpr std::chrono::milliseconds kLeaseBeatInterval{200};
--- a/src/decisions/limit_queue.cc
+++ b/src/decisions/limit_queue.cc
@@ -17,8 +17,8 @@
 // Routes use a handful of priorities; a larger one is an error of the sender.
 constexpr std::int64_t kMaxPriority = 1000;
 
-// No objective leaves more time than this. Refused callers are told to come
-// back within the same time.
+// Maximum time for which a request waits for tokens, and maximum retry-after
+// delay.
 constexpr milliseconds kMaxPatience{30'000};
 
 // A request with a shorter objective is urgent.
--- a/src/decisions/limit_queue.h
+++ b/src/decisions/limit_queue.h
@@ -2,10 +2,9 @@
 // Requests that wait at the owner of a workspace's limit for its tokens.
 //
 // Handles a workspace whose callers ask for several times its limit, some of
-// them urgently, while others can wait for seconds. Without a queue the tokens
-// go to whoever asks at the right moment: urgent requests are refused because
-// patient ones have just used the tokens, and patient ones because none happen
-// to be left. The queue grants tokens by priority, then by deadline. Patient
+// them urgently, while others can wait for seconds. Without a queue, tokens are
+// granted in order of arrival, so that patient requests use tokens that urgent
+// ones need. The queue grants tokens by priority, then by deadline. Patient
 // requests get what the demand of more urgent ones leaves. A request that
 // cannot be granted in time is refused at once, or as soon as that is certain.
 #ifndef VALELEDGE_DECISIONS_LIMIT_QUEUE_H_
--- a/src/decisions/patient_loads.h
+++ b/src/decisions/patient_loads.h
@@ -75,9 +75,9 @@
 // half of 140 engines are enough to use up the limit of the weight store.
 inline constexpr double kMaxLoadingShare = 0.5;
 
-// Time that a replica stays after its load before another waiting model may
-// take its place if no request waits for it or runs on it: hosts hear of the
-// load, send what waits, and report that within this time. Much longer turns
+// Minimum time for which an unused replica is kept after its load. Within this
+// time hosts learn of the load, send their waiting requests to it and report
+// these. Much longer turns
 // would reject more requests where there are twice as many models as places.
 inline constexpr std::chrono::milliseconds kMinTurn{1000};
 
--- a/src/host/process/engine_queue_service.cc
+++ b/src/host/process/engine_queue_service.cc
@@ -58,8 +58,8 @@
 // to the hosts that receive its loads.
 constexpr milliseconds kMinVisible{1000};
 
-// Interval at which all hosts are told again which engines have a queue, since
-// datagrams can be lost and not all hosts get each of them.
+// Interval at which the engines that have a queue are reported again: datagrams
+// can be lost, and not all hosts receive each of them.
 constexpr milliseconds kReportInterval{1000};
 
 // Maximum of queued tokens that are reported, about 100 ms of reading: hosts of
--- a/src/host/process/host.cc
+++ b/src/host/process/host.cc
@@ -86,8 +86,8 @@
 // the store.
 constexpr milliseconds kMaxServerListAge{2000};
 
-// Time without a path to the engines, or without replies of most witnesses,
-// after which the lease is given up.
+// The lease is released after this time without a path to the engines or
+// without replies from most witnesses.
 constexpr milliseconds kMaxUnableHolder{1000};
 
 // By this time after its start a host knows the other hosts.
--- a/src/host/process/load_reports.cc
+++ b/src/host/process/load_reports.cc
@@ -29,8 +29,9 @@
 // Recipients of reports of a host without load: these contain only the age of
 // its store mirror, which others report as well.
 constexpr std::size_t kIdleRecipients = 4;
-// Hosts that are told at once which engines have a queue. In a larger fleet
-// they are others each time, and all know it after some seconds.
+// Maximum number of recipients of one report of the engines that have a queue.
+// In a larger fleet the recipients change with each report, so that all hosts
+// receive it within some seconds.
 constexpr std::size_t kMaxQueueRecipients = 128;
 constexpr std::size_t kAllHosts = std::numeric_limits<std::size_t>::max();
 
