Prompt quarantine: the request that asks for a trial waits for the reply

The virtual fleet asks only for requests whose engine is fit for a trial, as the program does; its bounds are unchanged.

--- a/src/decisions/quarantine_trial.h
+++ b/src/decisions/quarantine_trial.h
@@ -47,6 +47,16 @@
 // crash again for the same reason, whatever they run.
 inline constexpr std::chrono::milliseconds kTrialCrashPeriod{10'000};
 
+// What becomes of a request of a host whose prompt parts are quarantined.
+enum class trial_answer {
+  // It is refused.
+  kRefused,
+  // It is refused unless the trial that has just been asked for is granted.
+  kAsked,
+  // It is sent as a trial.
+  kBegun,
+};
+
 namespace detail {
 
 struct trial_record {
--- a/src/host/process/host_core.h
+++ b/src/host/process/host_core.h
@@ -21,6 +21,7 @@
 #include "decisions/key_freshness.h"
 #include "decisions/prompt_quarantine.h"
 #include "decisions/quarantine.h"
+#include "decisions/quarantine_trial.h"
 #include "decisions/stream_origin.h"
 #include "host/external_protocol.h"
 #include "host/host_settings.h"
@@ -103,7 +104,8 @@
   std::function<void(const decisions::prompt_parts& parts)> prompt_served;
   // Whether a request with the quarantined combination may be sent as a trial.
   // If unset, none may.
-  std::function<bool(const decisions::prompt_parts& combination)>
+  std::function<decisions::trial_answer(
+      const decisions::prompt_parts& combination)>
       begin_prompt_trial;
   // Publishes that a server crashed under a trial of the combination.
   std::function<void(const decisions::prompt_parts& combination)>
--- a/src/host/process/prompt_quarantine_coordinator.cc
+++ b/src/host/process/prompt_quarantine_coordinator.cc
@@ -142,33 +142,40 @@
   return static_cast<std::int64_t>(base::StableHash(core_.settings.name));
 }
 
-bool prompt_quarantine_coordinator::BeginTrial(
+decisions::trial_answer prompt_quarantine_coordinator::BeginTrial(
     const decisions::prompt_parts& combination) {
+  if (TakeGrant(combination))
+    return decisions::trial_answer::kBegun;
   const auto now = std::chrono::steady_clock::now();
-  const auto granted = granted_.find(combination);
-  if (granted != granted_.end()) {
-    const bool is_valid = now < granted->second;
-    granted_.erase(granted);
-    if (is_valid) {
-      base::Log(kCategory, log_event::kQuarantineTrialBegun,
-                {{"parts", PromptPartsText(combination)}});
-      core_.metrics.Counter("valeledge_quarantine_trials_total", "begun").Add();
-      return true;
-    }
-  }
   base::time_point& asked_at = trials_asked_[combination];
   if (now - asked_at < kTrialRequestInterval)
-    return false;
+    return decisions::trial_answer::kRefused;
   asked_at = now;
   const std::vector<decisions::prompt_trial> wanted{{combination, HostKey()}};
   if (callbacks_.is_first()) {
     GrantTrials(wanted);
-    return false;
+    return TakeGrant(combination) ? decisions::trial_answer::kBegun
+                                  : decisions::trial_answer::kAsked;
   }
   wire::prompt_quarantine_update update;
   update.__set_trials_wanted(decisions::TrialsToWire(wanted));
   callbacks_.send(update);
-  return false;
+  return decisions::trial_answer::kAsked;
+}
+
+bool prompt_quarantine_coordinator::TakeGrant(
+    const decisions::prompt_parts& combination) {
+  const auto granted = granted_.find(combination);
+  if (granted == granted_.end())
+    return false;
+  const bool is_valid = std::chrono::steady_clock::now() < granted->second;
+  granted_.erase(granted);
+  if (!is_valid)
+    return false;
+  base::Log(kCategory, log_event::kQuarantineTrialBegun,
+            {{"parts", PromptPartsText(combination)}});
+  core_.metrics.Counter("valeledge_quarantine_trials_total", "begun").Add();
+  return true;
 }
 
 void prompt_quarantine_coordinator::GrantTrials(
--- a/src/host/process/prompt_quarantine_coordinator.h
+++ b/src/host/process/prompt_quarantine_coordinator.h
@@ -55,8 +55,9 @@
   void OnServed(const decisions::prompt_parts& parts);
 
   // Whether a request of this host with the quarantined combination may be sent
-  // as a trial. If not, the host asks for a trial.
-  bool BeginTrial(const decisions::prompt_parts& combination);
+  // as a trial. If not, the host asks for a trial, unless it has just done so.
+  decisions::trial_answer BeginTrial(
+      const decisions::prompt_parts& combination);
   // A trial that this host has sent has crashed its server.
   void OnTrialFailed(const decisions::prompt_parts& combination);
 
@@ -89,6 +90,8 @@
   void RemoveEnded(base::time_point now);
   // Grants trials that hosts ask for, if this host is the first one selected.
   void GrantTrials(const std::vector<decisions::prompt_trial>& wanted);
+  // Uses up a trial that was granted to this host; false if there is none.
+  bool TakeGrant(const decisions::prompt_parts& combination);
   void TakeGrants(const std::vector<decisions::prompt_trial>& granted);
   void Begin(const decisions::prompt_parts& combination, std::string_view by);
   // Reports which of the suspects in the update servers have run since.
--- a/src/host/request/crash_monitor.cc
+++ b/src/host/request/crash_monitor.cc
@@ -6,7 +6,6 @@
 #include <string>
 #include <utility>
 
-#include "base/endpoint.h"
 #include "base/identifier.h"
 #include "base/logging.h"
 #include "decisions/quarantine_trial.h"
@@ -38,14 +37,6 @@
   return duration && *duration >= decisions::kEarlyResponseWindow;
 }
 
-bool HoldsModel(const known_server& server,
-                const routed_request& routed,
-                base::time_point now) {
-  const request_metadata& metadata = routed.metadata;
-  return metadata.model.empty() ||
-         server.Holds(metadata.model, metadata.adapter, now);
-}
-
 bool IsSuccess(int status) {
   return status >= 200 && status < 300;
 }
@@ -70,32 +61,6 @@
   return error;
 }
 
-void BeginTrialIfGranted(host_core& core, routed_request& routed) {
-  const auto now = std::chrono::steady_clock::now();
-  // A request with several combinations would not tell which one is sound.
-  const auto quarantined =
-      decisions::RefutedCombinations(core.prompts, routed.shared_parts, now);
-  if (quarantined.size() != 1 || routed.is_relayed || !core.begin_prompt_trial)
-    return;
-  const auto crashed = decisions::CrashedEngines(
-      core.prompts, decisions::kTrialCrashPeriod, now);
-  std::vector<std::string> excluded;
-  bool any_left = false;
-  for (const auto& [instance, server] : core.servers.servers()) {
-    const unit_key engine = KeyOf(base::ToString(server->entry.address));
-    const bool has_crashed =
-        std::ranges::find(crashed, engine) != crashed.end();
-    if (has_crashed)
-      excluded.push_back(instance);
-    else if (server->TakesRequests() && HoldsModel(*server, routed, now))
-      any_left = true;
-  }
-  if (!any_left || !core.begin_prompt_trial(quarantined.front()))
-    return;
-  routed.trial = quarantined.front();
-  routed.not_for_trial = std::move(excluded);
-}
-
 std::uint64_t crash_monitor::Digest() {
   if (!digest_)
     digest_ = DigestOf(request_);
--- a/src/host/request/crash_monitor.h
+++ b/src/host/request/crash_monitor.h
@@ -18,10 +18,6 @@
 std::optional<base::error> CheckPromptQuarantine(const host_core& core,
                                                  const routed_request& routed);
 
-// Begins a trial if the request's prompt parts are quarantined, this host has
-// been granted a trial, and an engine that can be spared holds the model.
-void BeginTrialIfGranted(host_core& core, routed_request& routed);
-
 class crash_monitor {
  public:
   // `core`, `request` and `routed` must outlive the monitor. `routed` must have
--- a/src/host/request/relay.cc
+++ b/src/host/request/relay.cc
@@ -20,6 +20,7 @@
 #include "host/request/http_forwarding.h"
 #include "host/request/limit_charge.h"
 #include "host/request/peer_relay.h"
+#include "host/request/prompt_trial.h"
 #include "host/request/request_trace.h"
 #include "host/request/retry_permit.h"
 #include "host/request/routed_request.h"
@@ -838,7 +839,7 @@
   }
   if (!routed_.metadata.prompt.empty())
     decisions::RecordPrompt(core_.prompts, routed_.shared_parts);
-  BeginTrialIfGranted(core_, routed_);
+  co_await BeginTrialIfGranted(core_, routed_, responder_);
   if (const auto quarantined = crash_monitor_.CheckQuarantine()) {
     co_await Fail(*quarantined);
     co_return;
--- a/tests/auto/decisions/prompt_fleet.h
+++ b/tests/auto/decisions/prompt_fleet.h
@@ -12,6 +12,7 @@
 #include <optional>
 #include <random>
 #include <set>
+#include <utility>
 #include <vector>
 
 #include "decisions/prompt_quarantine.h"
@@ -32,6 +33,7 @@
 inline constexpr milliseconds kRestart{3000};
 inline constexpr milliseconds kEvidenceTime{1000};
 inline constexpr milliseconds kConfirmationTime{2000};
+inline constexpr milliseconds kTrialRequestInterval{250};
 inline constexpr std::size_t kJudges = 16;
 inline constexpr std::uint64_t kRouteParts = 3;
 inline constexpr std::uint64_t kDocuments = 60;
@@ -111,6 +113,8 @@
   bool is_unframed = false;
   // Its engine is given by its model.
   bool has_engine = false;
+  // Its host has asked for a trial, for whose grant it waits.
+  bool has_asked = false;
   // The combination of which it is a trial; empty if it is none.
   prompt_parts trial;
 };
@@ -220,12 +224,22 @@
     else
       one.parts = {Draw(kRouteParts), DrawDocument()};
     ++sound;
-    if (!Place(one)) {
-      ++sound_refused;
-      RecordRefusal(one.parts);
+    one.host = Draw(plan_.size.hosts);
+    const bool is_sent = Place(one);
+    if (is_sent || !one.has_asked)
+      RecordPlacement(one, is_sent);
+    else
+      After(3 * kMessageDelay,
+            [this, one]() mutable { RecordPlacement(one, Place(one)); });
+  }
+
+  void RecordPlacement(const request& one, bool is_sent) {
+    if (is_sent) {
+      refusals_[one.parts].since.reset();
       return;
     }
-    refusals_[one.parts].since.reset();
+    ++sound_refused;
+    RecordRefusal(one.parts);
   }
 
   void RecordRefusal(const prompt_parts& parts) {
@@ -257,6 +271,7 @@
     one.parts = {Draw(kRouteParts),
                  plan_.shares_document ? 100 : DrawDocument(), cause};
     one.cause = cause;
+    one.host = Draw(plan_.size.hosts);
     if (!Place(one))
       return;
     const auto found = crashes_.find(cause);
@@ -268,7 +283,6 @@
   // Sends a request to a running engine; false if its host refuses it.
   bool Place(request& one) {
     std::ranges::sort(one.parts);
-    one.host = Draw(plan_.size.hosts);
     if (one.host < judges_.size())
       decisions::RecordPrompt(judges_[one.host], one.parts);
     const auto verdict =
@@ -293,24 +307,33 @@
     return true;
   }
 
+  // Whether the engine may be used for a trial.
+  bool IsFitForTrial(const request& one) {
+    const auto crashed = decisions::CrashedEngines(
+        StateOf(one.host), decisions::kTrialCrashPeriod, now_);
+    const auto engine = static_cast<std::int32_t>(one.engine) + 1;
+    return down_until_[one.engine] <= now_ &&
+           std::ranges::find(crashed, engine) == crashed.end();
+  }
+
   // Whether the request is the trial that its host may send. If not, the host
   // asks the first evaluating host for one.
   bool MayTry(request& one, const prompt_parts& combination) {
+    if (!IsFitForTrial(one))
+      return false;
     const auto granted = granted_.find(combination);
-    const bool is_granted = granted != granted_.end() &&
-                            granted->second.host == one.host &&
-                            now_ < granted->second.until;
-    const auto crashed = decisions::CrashedEngines(
-        StateOf(one.host), decisions::kTrialCrashPeriod, now_);
-    const auto engine = static_cast<std::int32_t>(one.engine) + 1;
-    const bool is_spared =
-        std::ranges::find(crashed, engine) != crashed.end() ||
-        down_until_[one.engine] > now_;
-    if (is_granted && !is_spared) {
+    if (granted != granted_.end() && granted->second.host == one.host &&
+        now_ < granted->second.until) {
       granted_.erase(granted);
       one.trial = combination;
       return true;
     }
+    // A host asks at most every 250 ms.
+    base::time_point& asked_at = asked_at_[{one.host, combination}];
+    if (now_ - asked_at < kTrialRequestInterval)
+      return false;
+    asked_at = now_;
+    one.has_asked = true;
     const std::size_t host = one.host;
     After(kMessageDelay, [this, combination, host] {
       const auto since =
@@ -538,6 +561,7 @@
   };
   decisions::trial_schedule trials_;
   std::map<prompt_parts, granted_trial> granted_;
+  std::map<std::pair<std::size_t, prompt_parts>, base::time_point> asked_at_;
   // Combinations in the key-value store.
   std::set<prompt_parts> stored_;
   std::int32_t runs_ = 0;
