Prompt quarantine: an end is reported once

Cause: when a run had ended a quarantine, the removal of its key was reported as a second end, by time, with another log line and count, also by hosts that had never known the combination. Found by reading.

Change: a removed key of an unknown combination is ignored. TakeGrants and RemoveKey, which differ little from TakeGrant and from the store's event, are RecordGrants and DeleteKey.

Shown by an_end_is_reported_once, which fails without the change.

--- a/src/host/process/prompt_quarantine_coordinator.cc
+++ b/src/host/process/prompt_quarantine_coordinator.cc
@@ -130,7 +130,7 @@
   for (const auto& combination : refuted) {
     decisions::AcquitCombination(core_.prompts, combination, now);
     End(combination, "run");
-    RemoveKey(combination);
+    DeleteKey(combination);
     Broadcast({.lifted = {combination}});
   }
   auto cleared = decisions::ClearParts(core_.prompts, parts, now);
@@ -144,7 +144,7 @@
 
 decisions::trial_answer prompt_quarantine_coordinator::BeginTrial(
     const decisions::prompt_parts& combination) {
-  if (TakeGrant(combination))
+  if (UseGrant(combination))
     return decisions::trial_answer::kBegun;
   const auto now = std::chrono::steady_clock::now();
   base::time_point& asked_at = trials_asked_[combination];
@@ -154,8 +154,8 @@
   const std::vector<decisions::prompt_trial> wanted{{combination, HostKey()}};
   if (callbacks_.is_first()) {
     GrantTrials(wanted);
-    return TakeGrant(combination) ? decisions::trial_answer::kBegun
-                                  : decisions::trial_answer::kAsked;
+    return UseGrant(combination) ? decisions::trial_answer::kBegun
+                                 : decisions::trial_answer::kAsked;
   }
   wire::prompt_quarantine_update update;
   update.__set_trials_wanted(decisions::TrialsToWire(wanted));
@@ -163,7 +163,7 @@
   return decisions::trial_answer::kAsked;
 }
 
-bool prompt_quarantine_coordinator::TakeGrant(
+bool prompt_quarantine_coordinator::UseGrant(
     const decisions::prompt_parts& combination) {
   const auto granted = granted_.find(combination);
   if (granted == granted_.end())
@@ -191,13 +191,13 @@
   }
   if (granted.empty())
     return;
-  TakeGrants(granted);
+  RecordGrants(granted);
   wire::prompt_quarantine_update update;
   update.__set_trials_granted(decisions::TrialsToWire(granted));
   callbacks_.broadcast(update);
 }
 
-void prompt_quarantine_coordinator::TakeGrants(
+void prompt_quarantine_coordinator::RecordGrants(
     const std::vector<decisions::prompt_trial>& granted) {
   for (const decisions::prompt_trial& each : granted) {
     if (each.host == HostKey()) {
@@ -217,7 +217,7 @@
   Broadcast({.failed_trials = {combination}});
 }
 
-void prompt_quarantine_coordinator::RemoveKey(
+void prompt_quarantine_coordinator::DeleteKey(
     const decisions::prompt_parts& combination) {
   keys_.Remove(KeyOf(combination), [this, combination] {
     return !decisions::QuarantinedSince(core_.prompts, combination,
@@ -255,7 +255,7 @@
   for (const auto& parts : update.trials_failed) {
     decisions::RecordFailedTrial(trials_, {parts.begin(), parts.end()}, now);
   }
-  TakeGrants(decisions::TrialsFromWire(update.trials_granted));
+  RecordGrants(decisions::TrialsFromWire(update.trials_granted));
   if (callbacks_.is_first())
     GrantTrials(decisions::TrialsFromWire(update.trials_wanted));
 }
@@ -394,7 +394,7 @@
              !decisions::QuarantinedSince(core_.prompts, *combination,
                                           std::chrono::steady_clock::now())) {
     // A host wrote the key while another one ended the quarantine.
-    RemoveKey(*combination);
+    DeleteKey(*combination);
   }
   return true;
 }
@@ -407,6 +407,9 @@
   keys_.OnRemoved(std::string(key));
   if (lapsed)
     return true;
+  // A run, or another host's report of one, may have ended it already.
+  if (!core_.prompts.combinations.contains(*combination))
+    return true;
   const auto now = std::chrono::steady_clock::now();
   const auto since =
       decisions::QuarantinedSince(core_.prompts, *combination, now);
--- a/src/host/process/prompt_quarantine_coordinator.h
+++ b/src/host/process/prompt_quarantine_coordinator.h
@@ -86,13 +86,14 @@
   // Ends the quarantine of a combination at this host.
   void End(const decisions::prompt_parts& combination, std::string_view by);
   // Removes the store's key of a quarantine that has ended.
-  void RemoveKey(const decisions::prompt_parts& combination);
+  void DeleteKey(const decisions::prompt_parts& combination);
   void RemoveEnded(base::time_point now);
   // Grants trials that hosts ask for, if this host is the first one selected.
   void GrantTrials(const std::vector<decisions::prompt_trial>& wanted);
   // Uses up a trial that was granted to this host; false if there is none.
-  bool TakeGrant(const decisions::prompt_parts& combination);
-  void TakeGrants(const std::vector<decisions::prompt_trial>& granted);
+  bool UseGrant(const decisions::prompt_parts& combination);
+  // Records the grants that are for this host.
+  void RecordGrants(const std::vector<decisions::prompt_trial>& granted);
   void Begin(const decisions::prompt_parts& combination, std::string_view by);
   // Reports which of the suspects in the update servers have run since.
   void Refute(const wire::prompt_quarantine_update& update);
--- a/tests/auto/host/test_prompt_quarantine_coordinator.cc
+++ b/tests/auto/host/test_prompt_quarantine_coordinator.cc
@@ -117,6 +117,17 @@
     }
   }
 
+  // Quarantines that ended for this reason, at all hosts.
+  std::int64_t CountEnds(const std::string& reason) {
+    std::int64_t count = 0;
+    for (const auto& each : hosts_) {
+      count += each->core.metrics
+                   .Counter("valeledge_quarantines_ended_total", reason)
+                   .value.load();
+    }
+    return count;
+  }
+
   // Returns the host that may send a trial, once one may.
   std::optional<std::size_t> RunUntilTrial(const prompt_parts& combination) {
     const auto until = std::chrono::steady_clock::now() + 10s;
@@ -301,6 +312,21 @@
   BOOST_TEST(here.CountRefusing({7, kCause}) == 1u);
 }
 
+// Guards against a quarantine that is reported as ended twice, the second time
+// by its duration, when the key that a run has removed disappears.
+BOOST_AUTO_TEST_CASE(an_end_is_reported_once) {
+  fleet here(4, 4);
+  here.Crash(3, {kCause}, 0);
+  here.TickAll();
+  here.At(1).OnServed({kCause});
+  BOOST_TEST(here.CountRefusing({kCause}) == 0u);
+  for (std::size_t host = 0; host < 4; ++host)
+    BOOST_TEST(here.At(host).RemoveKey(kKey, false));
+  BOOST_TEST(here.CountEnds("time") == 0);
+  BOOST_TEST(here.CountEnds("run") == 1);
+  BOOST_TEST(here.CountEnds("told") == 3);
+}
+
 // Guards against an operator's removal of a key that the next crash undoes.
 BOOST_AUTO_TEST_CASE(an_operator_lifts_a_quarantine) {
   fleet here(4, 4);
