Features for high load: one place for what stood twice, plainer words

Found by reading the whole change: the switch of the lease's succession, the time by which a response has to start and the longest reported time left stood in two or three places; load reports of plain services lost two recipients though they have no queue.

No decision changes, except that plain services keep all recipients with engine-queues=on. test_base, test_host, test_patient_requests, test_lease_succession_service, test_engine_estimate_service, test_limit_waits and test_platform pass.

--- a/src/host/constants.h
+++ b/src/host/constants.h
@@ -78,12 +78,11 @@
 inline constexpr std::chrono::duration<double, std::milli> kInitialTokenCost{
     0.055};
 
-// The prefill time per prompt token of a usual model where estimates of engines
-// are shared, which contain the difference. It is the same at all hosts, so
-// that their observations can be compared. Near the actual time of known
-// engines (about 40 tokens per ms), so that the factor of a usual engine is
-// near 1: it also scales the parts of the expected wait that do not depend on
-// tokens.
+// Prefill time per prompt token of a usual model, used where estimates of
+// engines are shared. It is the same at all hosts, so that their observations
+// can be compared, and close to the actual time (about 40 tokens per ms), since
+// the factor of an engine also scales the parts of the expected wait that do
+// not depend on tokens.
 inline constexpr std::chrono::duration<double, std::milli> kReferenceTokenCost{
     0.025};
 
--- a/src/host/load_features.cc
+++ b/src/host/load_features.cc
@@ -38,6 +38,14 @@
   return std::nullopt;
 }
 
+std::string UsageOf(std::string_view wrong) {
+  std::string usage =
+      "\"" + std::string(wrong) + "\" is not NAME=on|off|auto; names:";
+  for (const auto& [name, member] : kFeatures)
+    usage.append(" ").append(name);
+  return usage;
+}
+
 }  // namespace
 
 base::result<load_features> ParseLoadFeatures(std::string_view text) {
@@ -50,10 +58,8 @@
     const auto found = std::ranges::find(
         kFeatures, name, &std::pair<std::string_view, mode_member>::first);
     const auto mode = ParseMode(item.substr(std::min(equals + 1, item.size())));
-    if (found == kFeatures.end() || !mode) {
-      return base::NotRun(base::result_code::kTableInvalid,
-                          "unknown feature or mode: " + std::string(item));
-    }
+    if (found == kFeatures.end() || !mode)
+      return base::NotRun(base::result_code::kTableInvalid, UsageOf(item));
     features.*found->second = *mode;
   }
   return features;
--- a/src/host/process/demand_tracker.cc
+++ b/src/host/process/demand_tracker.cc
@@ -7,6 +7,7 @@
 
 #include "host/constants.h"
 #include "host/process/server_registry.h"
+#include "host/process/waiting_demand.h"
 
 namespace valeledge::host {
 
@@ -20,9 +21,6 @@
 // Models with a lower rate and no running request are not reported.
 constexpr double kMinReportedRate = 0.02;
 
-// Longest time left on the wire; longer ones make no difference to a plan.
-constexpr std::chrono::milliseconds kMaxTimeLeft{60'000};
-
 // Leaves the fields unset if no request waits, as hosts of older builds do.
 void SetWaiting(const std::list<waiting_request>& waiting,
                 base::time_point now,
@@ -38,7 +36,7 @@
   }
   const auto left = std::clamp(
       std::chrono::duration_cast<std::chrono::milliseconds>(first - now),
-      std::chrono::milliseconds(0), kMaxTimeLeft);
+      std::chrono::milliseconds(0), kMaxReportedTimeLeft);
   load.__set_waiting(static_cast<std::int32_t>(waiting.size()));
   load.__set_waiting_tokens(static_cast<std::int32_t>(std::min(tokens, kMax)));
   load.__set_earliest_deadline_ms(static_cast<std::int32_t>(left.count()));
--- a/src/host/process/engine_estimate_service.cc
+++ b/src/host/process/engine_estimate_service.cc
@@ -26,9 +26,8 @@
 // quiet.
 constexpr double kPublishedBytesPerSecond = 14'000;
 
-// Bytes per second of the reports of one host, and at once: 16 datagrams, while
-// one of 985 hosts at the load of the second deployment observes 14 engines per
-// second.
+// Budget of the reports of one host in bytes per second, and of a burst, which
+// is 16 datagrams. One of 985 hosts observes some 14 engines per second.
 constexpr double kReportedBytesPerSecond = 2'000;
 
 // Bytes of a datagram besides its value, and of one with the estimates of a few
@@ -78,10 +77,13 @@
   core_.metrics.Counter(kCounter, what).Add();
 }
 
-void engine_estimate_service::CountInvalid() {
+void engine_estimate_service::CountInvalid(const known_server& server) {
   Count("invalid");
-  if (!std::exchange(has_logged_invalid_, true))
-    base::Log(kCategory, log_event::kEngineEstimateInvalid, {});
+  if (std::exchange(has_logged_invalid_, true))
+    return;
+  base::Log(
+      kCategory, log_event::kEngineEstimateInvalid,
+      {{"server", server.entry.instance}, {"service", server.entry.service}});
 }
 
 // The own observation counts at once. The next publication of the owner, which
@@ -113,7 +115,7 @@
     }
     const auto sums = decisions::FromWire(each);
     if (!sums) {
-      CountInvalid();
+      CountInvalid(*server);
       continue;
     }
     decisions::MergeObservations(server->estimate, *sums, now);
@@ -138,7 +140,7 @@
     }
     auto estimate = decisions::FromWire(each, now);
     if (!estimate) {
-      CountInvalid();
+      CountInvalid(*server);
       continue;
     }
     // Two hosts may both be the owner while membership changes. Selecting the
--- a/src/host/process/engine_estimate_service.h
+++ b/src/host/process/engine_estimate_service.h
@@ -70,7 +70,7 @@
   bool IsShared(const known_server& server) const;
   bool IsOwner(const known_server& server) const;
   void Count(std::string_view what);
-  void CountInvalid();
+  void CountInvalid(const known_server& server);
   // Sets the factor that is assumed for engines without observations.
   void UpdatePriors(base::time_point now);
   void Report(base::time_point now);
--- a/src/host/process/engine_place.h
+++ b/src/host/process/engine_place.h
@@ -1,5 +1,5 @@
 // SPDX-License-Identifier: MIT
-// A request's place in the queue for a model's engines.
+// A request's place in a queue for the engines of a service.
 #ifndef VALELEDGE_HOST_PROCESS_ENGINE_PLACE_H_
 #define VALELEDGE_HOST_PROCESS_ENGINE_PLACE_H_
 
--- a/src/host/process/lease_succession.cc
+++ b/src/host/process/lease_succession.cc
@@ -48,11 +48,10 @@
   }
 }
 
-bool lease_succession::IsEnabled() const {
-  return core_.settings.engines_check_fences &&
-         core_.configuration != nullptr &&
-         host::IsEnabled(core_.settings.features.lease_succession,
-                         *core_.configuration);
+bool MayHolderBeSucceeded(const host_core& core) {
+  return core.settings.engines_check_fences && core.configuration != nullptr &&
+         IsEnabled(core.settings.features.lease_succession,
+                   *core.configuration);
 }
 
 std::vector<base::endpoint> lease_succession::WitnessesOf(
@@ -65,7 +64,7 @@
 }
 
 void lease_succession::Tick(base::time_point now) {
-  if (!IsEnabled())
+  if (!MayHolderBeSucceeded(core_))
     return;
   const std::int64_t term = callbacks_.term();
   if (term == 0 || term != confirmations_.term)
@@ -83,7 +82,7 @@
   const auto holder = callbacks_.holder();
   if (!holder)
     return;
-  if (std::exchange(vote_logged_, watch_.term) != watch_.term) {
+  if (std::exchange(logged_vote_term_, watch_.term) != watch_.term) {
     core_.metrics.Counter(kCounter, "silent").Add();
     base::Log(
         kCategory, base::log_event::kHolderSilent,
@@ -122,7 +121,7 @@
 bool lease_succession::MaySendOrders() {
   const auto now = Now();
   const bool may_send =
-      !IsEnabled() ||
+      !MayHolderBeSucceeded(core_) ||
       decisions::MaySendOrders(confirmations_,
                                WitnessesOf(core_.settings.peer_listen), now);
   if (may_send) {
@@ -145,7 +144,7 @@
 
 bool lease_succession::IsHolderLost() {
   const auto holder = callbacks_.holder();
-  return IsEnabled() && holder &&
+  return MayHolderBeSucceeded(core_) && holder &&
          decisions::IsHolderLost(watch_, core_.settings.peer_listen,
                                  WitnessesOf(*holder), Now());
 }
--- a/src/host/process/lease_succession.h
+++ b/src/host/process/lease_succession.h
@@ -34,6 +34,9 @@
       send;
 };
 
+// Whether another host may take over the lease before it lapses.
+bool MayHolderBeSucceeded(const host_core& core);
+
 class lease_succession {
  public:
   lease_succession(host_core& core, lease_succession_callbacks callbacks)
@@ -66,7 +69,6 @@
 
  private:
   boost::asio::awaitable<void> TickLoop();
-  bool IsEnabled() const;
   // The witnesses of the holder at this address.
   std::vector<base::endpoint> WitnessesOf(const base::endpoint& holder) const;
   void Vote(base::time_point now);
@@ -75,10 +77,10 @@
   lease_succession_callbacks callbacks_;
   decisions::holder_confirmations confirmations_;
   decisions::holder_watch watch_;
-  // Since when orders have been withheld in the present term, and the term of
-  // the last logged vote.
+  // Since when orders have been withheld in the present term.
   std::optional<base::time_point> withheld_since_;
-  std::int64_t vote_logged_ = 0;
+  // Term of the last vote that was logged.
+  std::int64_t logged_vote_term_ = 0;
 };
 
 }  // namespace valeledge::host
--- a/src/host/process/load_reports.cc
+++ b/src/host/process/load_reports.cc
@@ -124,9 +124,8 @@
   }
 }
 
-// The owner of a queue receives two reports of each request with the others,
-// and one more at its end: two recipients fewer, and no more messages than
-// without a queue.
+// The owner of a queue also receives a report at the end of a request. Two
+// recipients fewer keep the number of datagrams no higher than without a queue.
 std::size_t load_reports::CountDirectRecipients(
     const known_server& server) const {
   const catalog::service* service =
@@ -134,7 +133,7 @@
           ? core_.configuration->FindService(server.entry.service)
           : nullptr;
   const bool has_queue =
-      service != nullptr &&
+      service != nullptr && service->HasModels() &&
       IsEnabled(core_.settings.features.engine_queues, *service);
   return has_queue ? kMaxReportRecipients - 2 : kMaxReportRecipients;
 }
--- a/src/host/process/patient_placement.cc
+++ b/src/host/process/patient_placement.cc
@@ -128,11 +128,11 @@
   }
 }
 
-// Models that were loaded less than `age` ago, among those on an engine.
-std::vector<std::size_t> LoadedSince(const engine_record& engine,
-                                     const decisions::plan_engine& view,
-                                     const catalog::engine& kind,
-                                     base::time_point since) {
+// Models on an engine that were loaded after `since`.
+std::vector<std::size_t> ModelsLoadedAfter(const engine_record& engine,
+                                           const decisions::plan_engine& view,
+                                           const catalog::engine& kind,
+                                           base::time_point since) {
   std::vector<std::size_t> out;
   for (const std::size_t each : view.loaded) {
     const auto found = engine.models.find(kind.models[each].name);
@@ -211,7 +211,7 @@
     }
     auto& recent = views[i].recently_loaded;
     for (const std::size_t each :
-         LoadedSince(engine, views[i], kind, plan.now - kMaxProtection)) {
+         ModelsLoadedAfter(engine, views[i], kind, plan.now - kMaxProtection)) {
       const bool known = std::ranges::find(recent, each) != recent.end();
       if (waited_for[each] && !known)
         recent.push_back(each);
@@ -264,8 +264,8 @@
         views[i].free_mb -= coming->weights_mb;
       // What an engine holds is unknown until it has reported its state.
       views[i].serving = views[i].serving && plan.records[i]->accepted;
-      views[i].recently_loaded = LoadedSince(*plan.records[i], views[i], kind,
-                                             plan.now - decisions::kMinTurn);
+      views[i].recently_loaded = ModelsLoadedAfter(
+          *plan.records[i], views[i], kind, plan.now - decisions::kMinTurn);
     }
     ApplySteps(steps, kind, views, input.idle_in);
     for (const catalog::model& each : kind.models)
--- a/src/host/process/placement_controller.cc
+++ b/src/host/process/placement_controller.cc
@@ -13,6 +13,7 @@
 #include "base/logging.h"
 #include "decisions/engine_discovery.h"
 #include "host/constants.h"
+#include "host/process/lease_succession.h"
 #include "wire/codec.h"
 
 namespace valeledge::host {
@@ -123,18 +124,11 @@
       dispatcher_(core, [this] { return OrderTerm(); }),
       patient_(core, dispatcher_, forecast_) {
   dispatcher_.SetOnFenced([this](std::int64_t term) {
-    if (MayBeSucceeded())
+    if (MayHolderBeSucceeded(core_))
       lease_.NoteLost(term);
   });
 }
 
-bool placement_controller::MayBeSucceeded() const {
-  return core_.configuration != nullptr &&
-         core_.settings.engines_check_fences &&
-         IsEnabled(core_.settings.features.lease_succession,
-                   *core_.configuration);
-}
-
 void placement_controller::Start() {
   asio::co_spawn(core_.context, Loop(), asio::detached);
 }
@@ -420,7 +414,7 @@
   RecordHolder(update.term);
   update_term_ = update.term;
   // Another host has taken the lease over.
-  if (MayBeSucceeded() && update.term > lease_.term())
+  if (MayHolderBeSucceeded(core_) && update.term > lease_.term())
     lease_.NoteLost(lease_.term());
   const auto holder =
       update.__isset.holder ? base::ParseEndpoint(update.holder) : std::nullopt;
--- a/src/host/process/placement_controller.h
+++ b/src/host/process/placement_controller.h
@@ -93,8 +93,6 @@
   wire::placement_news MakeUpdate(
       std::span<const wire::placed_engine> engines) const;
   void Forward(wire::placement_news update);
-  // Whether another host may take over the lease before it lapses.
-  bool MayBeSucceeded() const;
   // Loads adapters that are likely to be requested.
   void PreloadAdapters(
       const std::vector<decisions::plan_model>& models,
--- a/src/host/process/waiting_demand.cc
+++ b/src/host/process/waiting_demand.cc
@@ -5,17 +5,15 @@
 
 namespace {
 
-// One host holds some ten thousand requests at most, and a time left is at most
-// a minute.
+// One host holds some ten thousand requests at most.
 constexpr std::int32_t kMaxWaiting = 1'000'000;
-constexpr std::int32_t kMaxTimeLeftMs = 60'000;
 
 bool IsValid(const wire::model_load& load) {
   return load.__isset.waiting && load.__isset.waiting_tokens &&
          load.__isset.earliest_deadline_ms && load.waiting >= 0 &&
          load.waiting <= kMaxWaiting && load.waiting_tokens >= 0 &&
          load.earliest_deadline_ms >= 0 &&
-         load.earliest_deadline_ms <= kMaxTimeLeftMs;
+         load.earliest_deadline_ms <= kMaxReportedTimeLeft.count();
 }
 
 }  // namespace
--- a/src/host/process/waiting_demand.h
+++ b/src/host/process/waiting_demand.h
@@ -3,6 +3,7 @@
 #ifndef VALELEDGE_HOST_PROCESS_WAITING_DEMAND_H_
 #define VALELEDGE_HOST_PROCESS_WAITING_DEMAND_H_
 
+#include <chrono>
 #include <cstdint>
 #include <vector>
 
@@ -10,6 +11,10 @@
 
 namespace valeledge::host {
 
+// Longest time left that is reported; receivers ignore longer ones. Longer ones
+// make no difference to a plan.
+inline constexpr std::chrono::milliseconds kMaxReportedTimeLeft{60'000};
+
 // Unsets the fields on waiting requests wherever they are incomplete or cannot
 // be valid. Returns the number of models for which it did.
 std::int64_t DropInvalidWaiting(std::vector<wire::model_load>& loads);
--- a/src/host/request/limit_charge.cc
+++ b/src/host/request/limit_charge.cc
@@ -31,9 +31,8 @@
   if (!may_wait)
     return std::nullopt;
   const auto now = std::chrono::steady_clock::now();
-  const auto due = std::min(routed_.arrived + objective, routed_.deadline);
   auto patience = decisions::MaxTokenWait(
-      objective, duration_cast<milliseconds>(due - now));
+      objective, duration_cast<milliseconds>(DueOf(routed_) - now));
   // The caller of a stream that is resumed has received events already.
   if (!routed_.metadata.resume_after.empty())
     patience = std::min(patience, kMaxResumeWait / 2);
--- a/src/host/request/load_wait.cc
+++ b/src/host/request/load_wait.cc
@@ -70,17 +70,14 @@
     routed_.demand->waiting.erase(*entry_);
 }
 
-base::time_point load_wait::Due() const {
-  return std::min(routed_.arrived + routed_.route->objective, routed_.deadline);
-}
-
 base::time_point load_wait::RefusalCutoff(base::time_point otherwise) const {
   if (!can_wait_for_engine_)
     return otherwise;
   const auto reading = duration_cast<milliseconds>(
       routed_.weight.time_per_token *
       static_cast<double>(routed_.weight.prompt_tokens));
-  return std::max(otherwise, Due() - reading - decisions::kFirstEventDelay);
+  return std::max(otherwise,
+                  DueOf(routed_) - reading - decisions::kFirstEventDelay);
 }
 
 void load_wait::AddPlan(const server_query& query,
@@ -117,7 +114,8 @@
   if (!is_patient_ || entry_)
     return;
   auto& waiting = routed_.demand->waiting;
-  waiting.push_back({routed_.weight.prompt_tokens, Due(), std::nullopt});
+  waiting.push_back(
+      {routed_.weight.prompt_tokens, DueOf(routed_), std::nullopt});
   entry_ = std::prev(waiting.end());
   core_.metrics.Counter("valeledge_patient_waits_total", "begun").Add();
 }
--- a/src/host/request/load_wait.h
+++ b/src/host/request/load_wait.h
@@ -54,8 +54,6 @@
   void ExpectReturn(std::chrono::milliseconds retry_after);
 
  private:
-  base::time_point Due() const;
-
   host_core& core_;
   const routed_request& routed_;
   std::chrono::milliseconds store_load_time_{0};
--- a/src/host/request/queued_selection.h
+++ b/src/host/request/queued_selection.h
@@ -1,5 +1,5 @@
 // SPDX-License-Identifier: MIT
-// Selection of an engine through the queue of its model.
+// Selection of an engine through the queue for the engines of its service.
 #ifndef VALELEDGE_HOST_REQUEST_QUEUED_SELECTION_H_
 #define VALELEDGE_HOST_REQUEST_QUEUED_SELECTION_H_
 
@@ -21,8 +21,7 @@
   kGranted,
   // No engine can respond in time.
   kRefused,
-  // The request does not wait any more, or there is another reason to begin the
-  // search again.
+  // The request no longer waits; the search determines why.
   kSearchAgain,
   // This host selects an engine by itself.
   kSelectHere,
--- a/src/host/request/routed_request.cc
+++ b/src/host/request/routed_request.cc
@@ -122,6 +122,10 @@
   return early;
 }
 
+base::time_point DueOf(const routed_request& routed) {
+  return std::min(routed.arrived + routed.route->objective, routed.deadline);
+}
+
 milliseconds RemainingTime(const routed_request& routed) {
   return duration_cast<milliseconds>(routed.deadline -
                                      std::chrono::steady_clock::now());
--- a/src/host/request/routed_request.h
+++ b/src/host/request/routed_request.h
@@ -72,6 +72,10 @@
 // kNoBackendServer with a retry-after delay, and callers try another host.
 base::error NoRouteError(const host_core& core);
 
+// Time by which the response has to start: the objective or the deadline,
+// whichever is earlier.
+base::time_point DueOf(const routed_request& routed);
+
 // Time until the deadline; negative once it has passed.
 std::chrono::milliseconds RemainingTime(const routed_request& routed);
 
--- a/src/host/request/server_search.cc
+++ b/src/host/request/server_search.cc
@@ -202,9 +202,8 @@
 // Returns the time left to respond within the objective and the deadline.
 milliseconds RemainingObjective(const routed_request& routed,
                                 base::time_point now) {
-  const auto due =
-      std::min(routed.arrived + routed.route->objective, routed.deadline);
-  return std::max(duration_cast<milliseconds>(due - now), milliseconds(0));
+  return std::max(duration_cast<milliseconds>(DueOf(routed) - now),
+                  milliseconds(0));
 }
 
 // Requests a permit to send the request to a server that advertises a limit.
--- a/src/store/lease_keeper.cc
+++ b/src/store/lease_keeper.cc
@@ -103,10 +103,9 @@
   if (succeeds && !MaySucceed(former))
     co_return;
   if (leader) {
-    // A process of this name that has ended, or a write of this one whose
-    // answer got lost: nobody needs to wait until it lapses. Or another holder
-    // that is lost: should it still run, it learns of the succession by its
-    // next renewal.
+    // The lease is that of an ended process of this name, of a write of this
+    // process whose response was lost, or of a holder that is lost. Such a
+    // holder, if it still runs, learns of the succession by its next renewal.
     const auto ended = co_await service_.RevokeLease(leader->lease);
     if (!ended)
       co_return;
