Features for high load: names and comments that needed explaining

The quantile of the normal distribution comes from Boost.Math instead of a bisection; what becomes of a request that may be a trial is the host's matter, not a decision's; constants and fields say what they bound (kMinTrialInterval, kFailedTrialDelay, recheck_in).

No behaviour changes. test_decisions, test_host, test_prompt_quarantine, test_crashing_prompt_parts, test_attempt_watch, test_lease_succession_service and test_prompt_quarantine_sound pass.

--- a/src/decisions/attempt_timeout.cc
+++ b/src/decisions/attempt_timeout.cc
@@ -19,17 +19,17 @@
 // engine, but only after this many times the expected time.
 constexpr int kLateFactor = 2;
 
-// If neither engine can be on time, the other one must be expected in this
-// fraction of the time: only the place in the queue is lost by the change.
+// If neither engine can be on time, the other one must be expected to be faster
+// by this factor, since the request loses its place in the queue.
 constexpr int kLateGain = 2;
 
 // The longest wait until a decision is made again, so that a change of the
 // other engine's load is considered.
-constexpr milliseconds kMaxAskInterval{1000};
+constexpr milliseconds kMaxRecheckInterval{1000};
 
-attempt_decision Keep(attempt_reason reason, milliseconds ask_again_in) {
+attempt_decision Keep(attempt_reason reason, milliseconds recheck_in) {
   return {attempt_verdict::kKeep, reason,
-          std::clamp(ask_again_in, milliseconds(1), kMaxAskInterval)};
+          std::clamp(recheck_in, milliseconds(1), kMaxRecheckInterval)};
 }
 
 // Returns the attempt without values that cannot be valid.
--- a/src/decisions/attempt_timeout.h
+++ b/src/decisions/attempt_timeout.h
@@ -55,18 +55,18 @@
   attempt_verdict verdict = attempt_verdict::kKeep;
   attempt_reason reason = attempt_reason::kWithinSpread;
   // Time until the decision has to be made again.
-  std::chrono::milliseconds ask_again_in{0};
+  std::chrono::milliseconds recheck_in{0};
 };
 
 // Interval at which the decision is repeated for an attempt that has exceeded
-// the spread and is kept: a twentieth of a second is lost at most when another
-// engine becomes free.
+// the spread and is kept. When another engine becomes free, at most this much
+// time is lost.
 inline constexpr std::chrono::milliseconds kAttemptRecheckInterval{50};
 
-// Decides about an attempt that waits for its first event. An engine is left if
-// it has exceeded its spread and another one is expected to respond earlier, or
-// if only as much time is left as another attempt needs at an engine without a
-// rate limit.
+// Decides about an attempt that waits for its first event. It is
+// abandoned if it has exceeded the spread of its engine and another one is
+// expected to respond earlier, or if only as much time is left as another
+// attempt needs at an engine without a rate limit.
 attempt_decision DecideAttempt(const attempt_wait& wait);
 
 // Returns the time by which nearly all responses have started if the spread of
--- a/src/decisions/engine_estimate.cc
+++ b/src/decisions/engine_estimate.cc
@@ -4,6 +4,8 @@
 #include <algorithm>
 #include <cmath>
 
+#include <boost/math/distributions/normal.hpp>
+
 namespace valeledge::decisions {
 
 namespace {
@@ -58,8 +60,7 @@
 constexpr double kPriorSpreadWeight = 8;
 
 // Without new observations, the estimate loses half of its weight in this time.
-// An engine that is avoided because it was slow is tried again after about as
-// much.
+// An engine that is avoided as slow is tried again after about the same time.
 constexpr std::chrono::seconds kHalfLife{5};
 
 // Fewer recent responses than this do not count for the median.
@@ -86,19 +87,6 @@
       kMinLogFactor, kMaxLogFactor);
 }
 
-// Quantile of the standard normal distribution, by bisection of its
-// distribution function.
-double NormalQuantile(double quantile) {
-  double low = -8;
-  double high = 8;
-  while (high - low > 1e-6) {
-    const double middle = (low + high) / 2;
-    const double below = std::erfc(-middle / std::sqrt(2.0)) / 2;
-    (below < quantile ? low : high) = middle;
-  }
-  return (low + high) / 2;
-}
-
 void MergeFailures(engine_estimate& estimate, const observation_sums& sums) {
   const auto attempts = static_cast<double>(sums.responses + sums.failures);
   const double share =
@@ -248,8 +236,10 @@
                            kPriorSpreadWeight * kPriorSpread * kPriorSpread) /
                           (weight + kPriorSpreadWeight);
   const double spread = std::sqrt(variance) * kTailFactor;
-  return expected * std::exp(LogFactorAt(estimate, now) +
-                             NormalQuantile(quantile) * spread);
+  return expected *
+         std::exp(LogFactorAt(estimate, now) +
+                  boost::math::quantile(boost::math::normal(), quantile) *
+                      spread);
 }
 
 double MedianLogFactor(const std::vector<const engine_estimate*>& estimates,
--- a/src/decisions/lease_succession.h
+++ b/src/decisions/lease_succession.h
@@ -34,8 +34,8 @@
 
 inline constexpr std::chrono::milliseconds kLeaseBeatInterval{200};
 
-// How long a reply counts, from the sending of the beat: the holder bears the
-// loss of one of two beats.
+// How long a reply counts, from the sending of the beat, so that the loss of
+// one beat in two is tolerated.
 inline constexpr std::chrono::milliseconds kConfirmationLifetime{500};
 
 // Silence of the holder after which a witness votes. Longer than a reply
@@ -55,7 +55,8 @@
 // its next holder may be of a build that sends no beats.
 inline constexpr std::chrono::seconds kMaxHolderSilence{15};
 
-// Sent to witnesses and returned by them.
+// Sent to witnesses and returned by them. A vote has the same form, with number
+// 0.
 struct lease_beat {
   // The term of the lease.
   std::int64_t term = 0;
@@ -112,7 +113,8 @@
 // Records a beat. Returns whether to reply to it.
 bool RecordBeat(holder_watch& watch, std::int64_t term, base::time_point now);
 
-// Whether this witness votes now; its vote is to be sent to the others.
+// Whether this witness votes now, which is recorded; its vote is to be sent to
+// the others.
 bool ShouldVote(holder_watch& watch, base::time_point now);
 
 void RecordVote(holder_watch& watch,
--- a/src/decisions/limit_queue.cc
+++ b/src/decisions/limit_queue.cc
@@ -46,8 +46,7 @@
 // Tokens that are kept for more urgent requests: their demand in this time, and
 // at most this part of the burst. Callers of an urgent route arrive in bursts,
 // and urgent requests cannot wait until the tokens have been refilled. With
-// twice the time, patient requests are refused that a limit at 95% of its rate
-// would let through.
+// twice the time, patient requests are refused at a load of 95% of the limit.
 constexpr seconds kReserveTime{0.25};
 constexpr double kMaxReserve = 0.5;
 
--- a/src/decisions/patient_loads.h
+++ b/src/decisions/patient_loads.h
@@ -75,10 +75,10 @@
 // half of 140 engines are enough to use up the limit of the weight store.
 inline constexpr double kMaxLoadingShare = 0.5;
 
-// Minimum time for which an unused replica is kept after its load. Within this
-// time hosts learn of the load, send their waiting requests to it and report
-// these. Much longer turns
-// would reject more requests where there are twice as many models as places.
+// Minimum time for which a replica is kept after its load even if unused:
+// within it hosts learn of the load, send their waiting requests and report
+// them. A much longer time would reject more requests where twice as many
+// models are in demand as fit.
 inline constexpr std::chrono::milliseconds kMinTurn{1000};
 
 // Time to evict a replica: its withdrawal is announced, the order is sent, and
--- a/src/decisions/quarantine_trial.cc
+++ b/src/decisions/quarantine_trial.cc
@@ -17,7 +17,7 @@
   });
   if (now < due || trial.failed + trial.open.size() >= kMaxFailedTrials)
     return false;
-  trial.next_at = now + kTrialTimeout;
+  trial.next_at = now + kMinTrialInterval;
   trial.open.push_back(now);
   return true;
 }
@@ -29,7 +29,7 @@
   ++trial.failed;
   if (!trial.open.empty())
     trial.open.erase(trial.open.begin());
-  trial.next_at = now + kTrialInterval * trial.failed;
+  trial.next_at = now + kFailedTrialDelay * trial.failed;
 }
 
 void EndTrials(trial_schedule& schedule, const prompt_parts& combination) {
--- a/src/decisions/quarantine_trial.h
+++ b/src/decisions/quarantine_trial.h
@@ -24,14 +24,14 @@
 inline constexpr std::chrono::milliseconds kFirstTrialDelay{500};
 
 // Minimum time between two trials: most end within it.
-inline constexpr std::chrono::milliseconds kTrialTimeout{1500};
+inline constexpr std::chrono::milliseconds kMinTrialInterval{1500};
 
 // Time for which a trial without a result counts as one that may still crash
 // its server: it is sent within two seconds and may wait in the server's queue.
 inline constexpr std::chrono::milliseconds kTrialLifetime{5000};
 
 // Time from a failed trial to the next one; grows with each.
-inline constexpr std::chrono::milliseconds kTrialInterval{2000};
+inline constexpr std::chrono::milliseconds kFailedTrialDelay{2000};
 
 // Failed trials after which a quarantine gets no more: one cause may crash at
 // most three servers once it is known, and one of its requests may already be
@@ -47,16 +47,6 @@
 // crash again for the same reason, whatever they run.
 inline constexpr std::chrono::milliseconds kTrialCrashPeriod{10'000};
 
-// What becomes of a request of a host whose prompt parts are quarantined.
-enum class trial_answer {
-  // It is refused.
-  kRefused,
-  // It is refused unless the trial that has just been asked for is granted.
-  kAsked,
-  // It is sent as a trial.
-  kBegun,
-};
-
 namespace detail {
 
 struct trial_record {
--- a/src/decisions/replica_wait.cc
+++ b/src/decisions/replica_wait.cc
@@ -9,8 +9,8 @@
 
 using std::chrono::milliseconds;
 
-// Returns the time until the first replica that is being loaded or, for a
-// patient request, planned to be loaded.
+// Returns the time until the first replica is ready, of those being loaded or,
+// for a patient request, planned.
 std::optional<milliseconds> ExpectedIn(const unavailable_model& model) {
   const bool planned = model.plan && model.plan->planned_ready_in;
   if (!planned)
--- a/src/host/process/host_core.h
+++ b/src/host/process/host_core.h
@@ -21,7 +21,6 @@
 #include "decisions/key_freshness.h"
 #include "decisions/prompt_quarantine.h"
 #include "decisions/quarantine.h"
-#include "decisions/quarantine_trial.h"
 #include "decisions/stream_origin.h"
 #include "host/external_protocol.h"
 #include "host/host_settings.h"
@@ -32,6 +31,7 @@
 #include "host/process/retry_budgets.h"
 #include "host/process/server_registry.h"
 #include "host/process/slot_handle.h"
+#include "host/trial_answer.h"
 #include "net/http_client.h"
 
 namespace valeledge::host {
@@ -104,8 +104,7 @@
   std::function<void(const decisions::prompt_parts& parts)> prompt_served;
   // Whether a request with the quarantined combination may be sent as a trial.
   // If unset, none may.
-  std::function<decisions::trial_answer(
-      const decisions::prompt_parts& combination)>
+  std::function<trial_answer(const decisions::prompt_parts& combination)>
       begin_prompt_trial;
   // Publishes that a server crashed under a trial of the combination.
   std::function<void(const decisions::prompt_parts& combination)>
--- a/src/host/process/prompt_quarantine_coordinator.cc
+++ b/src/host/process/prompt_quarantine_coordinator.cc
@@ -142,25 +142,24 @@
   return static_cast<std::int64_t>(base::StableHash(core_.settings.name));
 }
 
-decisions::trial_answer prompt_quarantine_coordinator::BeginTrial(
+trial_answer prompt_quarantine_coordinator::BeginTrial(
     const decisions::prompt_parts& combination) {
   if (UseGrant(combination))
-    return decisions::trial_answer::kBegun;
+    return trial_answer::kBegun;
   const auto now = std::chrono::steady_clock::now();
   base::time_point& asked_at = trials_asked_[combination];
   if (now - asked_at < kTrialRequestInterval)
-    return decisions::trial_answer::kRefused;
+    return trial_answer::kRefused;
   asked_at = now;
   const std::vector<decisions::prompt_trial> wanted{{combination, HostKey()}};
   if (callbacks_.is_first()) {
     GrantTrials(wanted);
-    return UseGrant(combination) ? decisions::trial_answer::kBegun
-                                 : decisions::trial_answer::kAsked;
+    return UseGrant(combination) ? trial_answer::kBegun : trial_answer::kAsked;
   }
   wire::prompt_quarantine_update update;
   update.__set_trials_wanted(decisions::TrialsToWire(wanted));
   callbacks_.send(update);
-  return decisions::trial_answer::kAsked;
+  return trial_answer::kAsked;
 }
 
 bool prompt_quarantine_coordinator::UseGrant(
--- a/src/host/request/attempt_watch.cc
+++ b/src/host/request/attempt_watch.cc
@@ -170,7 +170,7 @@
     case attempt_verdict::kKeep:
       if (decided.reason != attempt_reason::kWithinSpread)
         RecordKept(wait, NameOf(decided.reason));
-      ScheduleNext(decided.ask_again_in);
+      ScheduleNext(decided.recheck_in);
       return;
     case attempt_verdict::kAskForRetry:
       if (permit_.AcquireAhead(routed_.service->name,
--- a/src/host/request/prompt_trial.cc
+++ b/src/host/request/prompt_trial.cc
@@ -20,7 +20,6 @@
 namespace {
 
 namespace asio = boost::asio;
-using decisions::trial_answer;
 using std::chrono::milliseconds;
 
 constexpr auto kAwait = asio::as_tuple(asio::use_awaitable);
--- /dev/null
+++ b/src/host/trial_answer.h
@@ -0,0 +1,20 @@
+// SPDX-License-Identifier: MIT
+// Answer to the question whether a request may be sent as a trial.
+#ifndef VALELEDGE_HOST_TRIAL_ANSWER_H_
+#define VALELEDGE_HOST_TRIAL_ANSWER_H_
+
+namespace valeledge::host {
+
+// What becomes of a request of a host whose prompt parts are quarantined.
+enum class trial_answer {
+  // It is refused.
+  kRefused,
+  // It is refused unless the trial that has just been asked for is granted.
+  kAsked,
+  // It is sent as a trial.
+  kBegun,
+};
+
+}  // namespace valeledge::host
+
+#endif  // VALELEDGE_HOST_TRIAL_ANSWER_H_
--- a/tests/auto/decisions/test_attempt_timeout.cc
+++ b/tests/auto/decisions/test_attempt_timeout.cc
@@ -53,10 +53,10 @@
       return wait.waited;
     if (decided.verdict == attempt_verdict::kGiveUp)
       return std::nullopt;
-    BOOST_REQUIRE(decided.ask_again_in > 0ms);
-    wait.waited += decided.ask_again_in;
-    wait.objective_left -= decided.ask_again_in;
-    wait.deadline_left -= decided.ask_again_in;
+    BOOST_REQUIRE(decided.recheck_in > 0ms);
+    wait.waited += decided.recheck_in;
+    wait.objective_left -= decided.recheck_in;
+    wait.deadline_left -= decided.recheck_in;
   }
 }
 
@@ -86,7 +86,7 @@
   BOOST_TEST((ReasonOf(wait) == attempt_reason::kNotEarlier));
   wait.other_expected.reset();
   BOOST_TEST((ReasonOf(wait) == attempt_reason::kNoOtherEngine));
-  BOOST_TEST((DecideAttempt(wait).ask_again_in == kAttemptRecheckInterval));
+  BOOST_TEST((DecideAttempt(wait).recheck_in == kAttemptRecheckInterval));
 }
 
 // An attempt that is late anyway keeps its place in the queue unless much is
@@ -162,8 +162,8 @@
 BOOST_AUTO_TEST_CASE(the_decision_is_repeated_at_least_once_a_second) {
   attempt_wait wait = Attempt(0ms, 8s);
   wait.deadline_left = 60s;
-  BOOST_TEST((DecideAttempt(wait).ask_again_in <= 1s));
-  BOOST_TEST((DecideAttempt(wait).ask_again_in > 0ms));
+  BOOST_TEST((DecideAttempt(wait).recheck_in <= 1s));
+  BOOST_TEST((DecideAttempt(wait).recheck_in > 0ms));
 }
 
 BOOST_AUTO_TEST_SUITE_END()
@@ -224,7 +224,7 @@
     const auto decided = DecideAttempt(wait);
     if (decided.verdict != attempt_verdict::kKeep)
       return decided.verdict == attempt_verdict::kAskForRetry;
-    now += decided.ask_again_in;
+    now += decided.recheck_in;
   }
   return false;
 }
