relay.cc: admission, attempts, time-outs and forwarding in files of their own

Cause: relay.cc (918 lines) admitted a request, sent it directly and through other hosts, limited the time of attempts and forwarded responses, all as members of one class with 20 fields.

Change: the fields are the plain struct request_state; the members are free functions over it. request_admission decides and charges, direct_attempt and peer_attempt send once, attempt_timeouts limits the time of an attempt, response_forwarding forwards responses and streams, attempt_outcome names the results. relay.cc (191 lines) keeps the sequence of attempts and the errors. AdmitRequest() returns the error that its caller sends, instead of sending it in six places. The choice between a stream and a whole response, written twice before, is ForwardResponse(). Whether an event is missing is kept for each response; it was reset before each next one.

Behaviour unchanged: a comparison of all statements before and after, without names of members and parameters, differs only in the above. Before and after: test_host 99 of 99 cases, test_attempt_watch 19, test_crashing_prompt_parts 9, test_crashing_requests 6, test_lost_paths 17, test_late_responses 3, test_server_backoff 7, test_limit_waits 24, test_engine_queue_service 25, test_patient_requests 27. One case is flaky before and after, attempt_watches/a_slow_engine_within_its_spread_is_not_abandoned: the first full run after the change failed in it (503 after 136 ms), the next one passed. Run alone beside other builds, 1 of 60 runs failed without this change and 1 of 60 with it, by the same refusal in the selection of a server, which is not touched. The case is left as it is.

--- /dev/null
+++ b/src/host/request/peer_attempt.cc
@@ -0,0 +1,134 @@
+// SPDX-License-Identifier: MIT
+#include "host/request/peer_attempt.h"
+
+#include <algorithm>
+#include <chrono>
+#include <memory>
+#include <string>
+#include <utility>
+
+#include "host/constants.h"
+#include "host/process/path_monitor.h"
+#include "host/process/response_updates.h"
+#include "host/request/attempt_timeouts.h"
+#include "host/request/peer_relay.h"
+#include "host/request/response_forwarding.h"
+#include "net/retry_after.h"
+
+namespace valeledge::host {
+
+namespace {
+
+namespace asio = boost::asio;
+using base::result_code;
+
+// Handles an error of the other host itself.
+asio::awaitable<attempt_outcome> TakePeerError(request_state& state,
+                                               net::http_exchange& exchange,
+                                               const base::endpoint& peer,
+                                               result_code code) {
+  const bool not_run = exchange.header().result_int() < 500 ||
+                       exchange.header().result_int() == 503;
+  const auto retry_after =
+      net::ReadRetryAfter(exchange.header(), std::chrono::system_clock::now());
+  // Read the body so that the connection can be reused.
+  while (true) {
+    const auto piece = co_await exchange.ReadSome(kRelayConnectTimeout);
+    if (!piece || piece->empty())
+      break;
+  }
+  if (code == result_code::kPathLost || code == result_code::kLeaving) {
+    state.core.paths->OnRelayFailed(state.routed.service->name, peer);
+    state.last_error = base::MakeError(
+        result_code::kBackendUnreachable, base::outcome::kNotRun,
+        base::ToString(peer) + ": takes no requests of other hosts");
+    co_return attempt_outcome::kNotRun;
+  }
+  state.peer_error = base::MakeError(
+      code, not_run ? base::outcome::kNotRun : base::outcome::kUnknown,
+      base::ToString(peer) + ": could not serve the request");
+  state.peer_error->retry_after = retry_after.delay;
+  co_return not_run ? attempt_outcome::kNotRun : attempt_outcome::kUnknown;
+}
+
+// Applies what a server has stated to the other host.
+void ApplyRelayedNotices(request_state& state,
+                         const std::string& instance,
+                         const response_metadata& metadata) {
+  const auto server = state.core.servers.Find(instance);
+  if (server == nullptr)
+    return;
+  response_metadata statements = metadata;
+  // A backoff concerns the host to which the server responded.
+  statements.backoff.reset();
+  ApplyRequestResponse(state.core, *server, statements, state.progress.sent);
+}
+
+}  // namespace
+
+asio::awaitable<attempt_outcome> AttemptThroughPeer(
+    request_state& state,
+    const base::endpoint& peer) {
+  ++state.trace.relays;
+  state.progress = {std::chrono::steady_clock::now(), {}, {}};
+  state.last_error = {};
+  state.instance.clear();
+  LogAttemptRelayed(state.core, state.routed, state.trace, peer);
+  WatchAttempt(state, AttemptThroughHost(state.core, state.routed, peer));
+  state.guard->SetSendCheck([&state] {
+    StartWatch(state);
+    return base::result<void>();
+  });
+  auto opened = co_await state.core.http.Open(
+      peer,
+      MakeRelayedRequest(state.core, state.request, state.routed,
+                         state.trace.last_event_id, state.possible_executions),
+      std::min(RemainingTime(state.routed), kRelayConnectTimeout),
+      HeaderTimeout(state), net::connection_use::kPooled, state.guard.get());
+  if (state.responder.caller_gone())
+    co_return OutcomeWithoutCaller(opened);
+  if (!opened) {
+    state.last_error = opened.error();
+    ExplainAbandoned(state);
+    state.core.paths->OnRelayFailed(state.routed.service->name, peer);
+    LogAttemptFailed(state.core, state.routed, state.trace,
+                     base::ToString(peer), state.last_error);
+    co_return state.last_error.what_ran == base::outcome::kNotRun
+        ? attempt_outcome::kNotRun
+        : attempt_outcome::kUnknown;
+  }
+  state.progress.header_at = std::chrono::steady_clock::now();
+  WatchBody(state, *opened);
+  net::http_exchange& exchange = **opened;
+  state.responder.OnCallerGone(
+      [weak = std::weak_ptr<net::http_exchange>(*opened)] {
+        if (const auto open = weak.lock())
+          open->Abandon();
+      });
+  const relayed_response stated = ReadRelayFields(exchange.header());
+  if (stated.code != result_code::kOk) {
+    const attempt_outcome outcome =
+        co_await TakePeerError(state, exchange, peer, stated.code);
+    co_return outcome;
+  }
+  const response_metadata metadata =
+      state.core.protocol.read_response(exchange.header());
+  if (!IsServerResponse(state, metadata)) {
+    exchange.Abandon();
+    co_return attempt_outcome::kUnknown;
+  }
+  state.software = stated.software;
+  if (state.routed.origin && state.routed.origin->software != state.software) {
+    state.last_error = base::MakeError(
+        result_code::kAnswerBroken, base::outcome::kUnknown,
+        base::ToString(peer) + ": continued the stream at another version");
+    exchange.Abandon();
+    co_return attempt_outcome::kUnknown;
+  }
+  ApplyRelayedNotices(state, stated.server, metadata);
+  const attempt_outcome outcome =
+      co_await ForwardResponse(state, exchange, nullptr);
+  co_return outcome;
+}
+
+}  // namespace valeledge::host
--- /dev/null
+++ b/src/host/request/response_forwarding.cc
@@ -0,0 +1,269 @@
+// SPDX-License-Identifier: MIT
+#include "host/request/response_forwarding.h"
+
+#include <chrono>
+#include <cstdint>
+#include <cstdlib>
+#include <string>
+#include <string_view>
+#include <utility>
+
+#include "host/request/attempt_timeouts.h"
+#include "host/request/event_splitter.h"
+#include "host/request/http_forwarding.h"
+#include "host/request/peer_relay.h"
+#include "host/request/stream_continuation.h"
+
+namespace valeledge::host {
+
+namespace {
+
+namespace asio = boost::asio;
+using base::result_code;
+using catalog::route_kind;
+
+// A stream of which parts have been read.
+struct forwarded_stream {
+  event_splitter events;
+  // The id of the next event does not follow that of the last one.
+  bool is_event_missing = false;
+};
+
+// The header as it is passed on to the caller or to the relaying host.
+net::http_response_header PassedHeader(
+    const request_state& state,
+    const net::http_response_header& header) {
+  auto passed = ForwardableHeader(header);
+  if (state.routed.is_relayed)
+    WriteRelayFields(passed,
+                     {result_code::kOk, state.instance, state.software});
+  return passed;
+}
+
+asio::awaitable<bool> StartResponse(request_state& state,
+                                    const net::http_response_header& header) {
+  state.trace.response_started = true;
+  const bool sent = co_await state.responder.Start(PassedHeader(state, header));
+  co_return sent;
+}
+
+// Returns the next part of the response body, empty at the end. An error ends
+// the attempt; a failed read counts as a failure of the server unless the
+// caller has disconnected.
+asio::awaitable<tl::expected<std::string_view, attempt_outcome>> ReadPiece(
+    request_state& state,
+    net::http_exchange& exchange,
+    server_attempt* attempt) {
+  const auto left = RemainingTime(state.routed);
+  if (left.count() <= 0)
+    co_return tl::make_unexpected(attempt_outcome::kUnknown);
+  auto piece = co_await exchange.ReadSome(left);
+  if (state.responder.caller_gone()) {
+    exchange.Abandon();
+    co_return tl::make_unexpected(attempt_outcome::kDone);
+  }
+  // A part that was in the buffer already is read from a closed connection.
+  if (piece && state.watch != nullptr && state.watch->has_abandoned())
+    piece = base::Unknown(result_code::kAnswerBroken, "not read to its end");
+  if (!piece) {
+    state.last_error = piece.error();
+    ExplainAbandoned(state);
+    if (attempt != nullptr) {
+      attempt->OnConnectionError(state.last_error);
+      attempt->OnFailed(false);
+    }
+    co_return tl::make_unexpected(attempt_outcome::kUnknown);
+  }
+  if (attempt != nullptr)
+    attempt->OnData();
+  if (!piece->empty() && !state.progress.first_body_at)
+    state.progress.first_body_at = std::chrono::steady_clock::now();
+  // A relayed response is evidence at the host that reaches the server.
+  if (attempt != nullptr)
+    state.crash_monitor.OnData(state.progress);
+  co_return *piece;
+}
+
+// A whole response that is not a server error has arrived from a server.
+void OnWholeResponse(request_state& state,
+                     const net::http_exchange& exchange,
+                     server_attempt& attempt) {
+  attempt.OnCompleted();
+  state.crash_monitor.OnWholeResponse(
+      attempt.server(), state.progress,
+      static_cast<int>(exchange.header().result_int()),
+      !exchange.EndsWithConnection());
+}
+
+asio::awaitable<attempt_outcome> ForwardWholeResponse(
+    request_state& state,
+    net::http_exchange& exchange,
+    server_attempt* attempt) {
+  net::http_response response(exchange.header());
+  while (true) {
+    const auto piece = co_await ReadPiece(state, exchange, attempt);
+    if (!piece)
+      co_return piece.error();
+    if (piece->empty())
+      break;
+    response.body().append(*piece);
+    if (response.body().size() > net::kMaxAnswerBytes) {
+      state.last_error =
+          base::MakeError(result_code::kAnswerBroken, base::outcome::kUnknown,
+                          "the response exceeds the maximum size");
+      co_return attempt_outcome::kUnknown;
+    }
+  }
+  if (attempt != nullptr)
+    attempt->OnFirstByte();
+  net::http_response_header passed = PassedHeader(state, response.base());
+  net::http_response whole(std::move(passed));
+  whole.body() = std::move(response.body());
+  if (state.trace.response_started) {
+    // The server did not resume the stream but sent another response.
+    state.last_error = base::MakeError(
+        result_code::kAnswerBroken, base::outcome::kUnknown,
+        "cannot resume the stream: the backend server responded with status " +
+            std::to_string(whole.result_int()));
+    if (attempt != nullptr)
+      attempt->OnFailed(false);
+    co_return attempt_outcome::kUnknown;
+  }
+  const bool failed = whole.result_int() >= 500;
+  if (failed) {
+    if (attempt != nullptr)
+      attempt->OnFailed(false);
+  } else {
+    if (attempt != nullptr)
+      OnWholeResponse(state, exchange, *attempt);
+  }
+  if (failed && state.routed.route->MayRepeat() && attempt != nullptr) {
+    state.last_error =
+        base::MakeError(result_code::kOutcomeUnknown, base::outcome::kUnknown,
+                        "the backend server responded with status " +
+                            std::to_string(whole.result_int()));
+    state.server_error_response = std::move(whole);
+    co_return attempt_outcome::kUnknown;
+  }
+  co_await state.responder.Send(std::move(whole));
+  co_return attempt_outcome::kDone;
+}
+
+// Forwards all complete events up to a gap in their ids; returns false if the
+// caller has disconnected.
+asio::awaitable<bool> ForwardEvents(request_state& state,
+                                    forwarded_stream& stream,
+                                    const net::http_response_header& header,
+                                    server_attempt* attempt) {
+  std::string batch;
+  while (!stream.is_event_missing) {
+    const auto event = stream.events.Next();
+    if (!event)
+      break;
+    const auto id = state.core.protocol.read_event_id(*event);
+    if (id && !state.trace.last_event_id.empty()) {
+      const std::int64_t last = std::atoll(state.trace.last_event_id.c_str());
+      // A server that resumes a stream may repeat events that the caller
+      // already has, but must not skip any.
+      if (*id <= last)
+        continue;
+      stream.is_event_missing = *id != last + 1;
+    }
+    if (stream.is_event_missing)
+      break;
+    if (id)
+      state.trace.last_event_id = std::to_string(*id);
+    batch.append(*event);
+  }
+  if (batch.empty())
+    co_return true;
+  if (attempt != nullptr)
+    attempt->OnFirstByte();
+  if (state.watch != nullptr)
+    state.watch->OnStarted();
+  RecordEventGap(state.routed, state.trace);
+  if (!state.trace.response_started) {
+    RecordStreamBegun(state.core, state.routed, state.software);
+    const bool begun = co_await StartResponse(state, header);
+    if (!begun)
+      co_return false;
+  }
+  const bool sent = co_await state.responder.Write(batch);
+  co_return sent;
+}
+
+asio::awaitable<attempt_outcome> ForwardStream(request_state& state,
+                                               net::http_exchange& exchange,
+                                               server_attempt* attempt) {
+  forwarded_stream stream;
+  while (true) {
+    const auto piece = co_await ReadPiece(state, exchange, attempt);
+    if (!piece)
+      co_return piece.error();
+    if (piece->empty())
+      break;
+    stream.events.Append(*piece);
+    const bool passed =
+        co_await ForwardEvents(state, stream, exchange.header(), attempt);
+    if (!passed) {
+      exchange.Abandon();
+      co_return attempt_outcome::kDone;
+    }
+    if (stream.is_event_missing || stream.events.IsOverlong()) {
+      state.last_error = base::MakeError(
+          result_code::kAnswerBroken, base::outcome::kUnknown,
+          stream.is_event_missing ? "the stream skipped an event"
+                                  : "an event exceeds the maximum size");
+      exchange.Abandon();
+      if (attempt != nullptr)
+        attempt->OnFailed(false);
+      co_return attempt_outcome::kUnknown;
+    }
+  }
+  if (!stream.events.Remainder().empty()) {
+    // A stream that ends in the middle of an event is incomplete.
+    state.last_error =
+        base::MakeError(result_code::kAnswerBroken, base::outcome::kUnknown,
+                        "the stream ended in the middle of an event");
+    if (attempt != nullptr)
+      attempt->OnFailed(false);
+    co_return attempt_outcome::kUnknown;
+  }
+  if (attempt != nullptr)
+    OnWholeResponse(state, exchange, *attempt);
+  if (!state.trace.response_started)
+    co_await StartResponse(state, exchange.header());
+  co_await state.responder.Finish();
+  co_return attempt_outcome::kDone;
+}
+
+}  // namespace
+
+bool IsServerResponse(request_state& state, const response_metadata& metadata) {
+  const bool is_foreign = !metadata.request_id.empty() &&
+                          metadata.request_id != state.routed.metadata.id;
+  const bool is_refusal = metadata.not_run || metadata.misdirected;
+  if (!is_foreign && !metadata.is_encoded && (metadata.is_signed || is_refusal))
+    return true;
+  state.last_error = base::MakeError(
+      result_code::kAnswerBroken, base::outcome::kUnknown,
+      "the response is unsigned, encoded, or belongs to another request");
+  return false;
+}
+
+asio::awaitable<attempt_outcome> ForwardResponse(request_state& state,
+                                                 net::http_exchange& exchange,
+                                                 server_attempt* attempt) {
+  const bool streams = state.routed.route->kind == route_kind::kStream &&
+                       exchange.header().result_int() == 200;
+  if (streams) {
+    const attempt_outcome outcome =
+        co_await ForwardStream(state, exchange, attempt);
+    co_return outcome;
+  }
+  const attempt_outcome outcome =
+      co_await ForwardWholeResponse(state, exchange, attempt);
+  co_return outcome;
+}
+
+}  // namespace valeledge::host
