Prompt quarantine: the judgement of suspects is a module of its own

Cause: prompt_quarantine.cc held two jobs, the state with its updates and the judgement of suspects (chance, shares, crashes without a part, common parts).

Change: JudgeSuspects, judged_fleet, the constants and functions that only they need move to prompt_judgement.{h,cc}. Whether two reports are of one crash, the count of separate crashes and Explain are needed by both and are declared in the detail namespace of prompt_quarantine.h.

--- a/src/decisions/prompt_quarantine.h
+++ b/src/decisions/prompt_quarantine.h
@@ -7,6 +7,8 @@
 // common are therefore looked for among the parts of all these requests. A
 // request that a server runs shows that none of its parts is the cause.
 //
+// This is the state with its updates; prompt_judgement decides on suspects.
+//
 // What is quarantined is a combination: a part that was in flight at several
 // crashes in a row, with all parts that came with it each time. It is the
 // smallest set that the evidence supports, so that requests which share only
@@ -14,6 +16,7 @@
 #ifndef VALELEDGE_DECISIONS_PROMPT_QUARANTINE_H_
 #define VALELEDGE_DECISIONS_PROMPT_QUARANTINE_H_
 
+#include <algorithm>
 #include <chrono>
 #include <cstddef>
 #include <cstdint>
@@ -34,41 +37,13 @@
 // lost, parts that many requests share are in flight at all servers there.
 inline constexpr std::chrono::milliseconds kMinCrashInterval{100};
 
-// A crash is judged after this time, by when all hosts have reported the
-// requests that they had in flight there.
-inline constexpr std::chrono::milliseconds kCrashSettleTime{200};
-
-// A part is quarantined if chance would bring it to all its crashes, without a
-// request in between that a server runs, with at most this probability.
-inline constexpr double kMaxCoincidence = 2e-6;
-
-// If a part has been acquitted, the number of crashes from which on it is
-// quarantined again doubles with each time, up to this number.
-inline constexpr std::size_t kMaxCrashesRequired = 12;
-
 // Time after the end of a quarantine within which messages about it, which
 // hosts repeat for two seconds, are ignored.
 inline constexpr std::chrono::milliseconds kAcquittalTime{3000};
 
-// Crashes without a part speak against it as the cause: of a part that many
-// requests have, at most this share of the crashes may be without it.
-inline constexpr double kMaxShareWithout = 0.2;
-
 // Maximum number of different requests counted at one crash.
 inline constexpr std::size_t kMaxRequestsPerCrash = 16;
 
-// Lowest probability assumed for a request to be in flight at a crash.
-inline constexpr double kMinCrashExposure = 0.01;
-
-// Time for which a request is in flight before it shows that it does not crash
-// its server, unless the server is congested.
-inline constexpr std::chrono::milliseconds kExposureTime{1000};
-
-// If two parts were in flight at the same crashes, in different requests, the
-// decision waits for another crash. After this number of crashes both are
-// quarantined.
-inline constexpr std::size_t kMaxCrashesToTellApart = 5;
-
 // Maximum number of crashes kept for a part.
 inline constexpr std::size_t kMaxCrashesPerPart = 16;
 
@@ -76,31 +51,11 @@
 // crashes.
 inline constexpr std::size_t kMaxCombinations = 256;
 
-// Maximum number of parts in a combination, so that its key in the store is not
-// too long.
-inline constexpr std::size_t kMaxCombinationParts = 8;
-
 // Number of requests of this host that are kept to know how many have a part,
 // and number of requests whose outcomes are kept.
 inline constexpr std::size_t kMaxRecentRequests = 64;
 inline constexpr std::size_t kMaxOutcomes = 64;
 
-// While crashes break more than this share of all requests, a part must be in
-// flight at this many times as many crashes as there are others.
-inline constexpr double kOutageShare = 0.5;
-inline constexpr std::size_t kOutageRatio = 4;
-
-// A part that this share of requests has is in flight at most crashes. It is
-// quarantined only if servers have run so many other requests since the first
-// crash that they would have run one with this part as well, but for this
-// probability.
-inline constexpr double kCommonShare = 0.15;
-inline constexpr double kMaxChanceUnserved = 1e-3;
-
-// Number of requests that are assumed to have been run in addition to those
-// whose outcomes are kept: a few broken requests alone show little.
-inline constexpr double kAssumedRuns = 2;
-
 // Crashes kept whose cause is known, and all crashes kept.
 inline constexpr std::size_t kMaxExplainedCrashes = 64;
 inline constexpr std::size_t kMaxKeptCrashes = 1024;
@@ -184,13 +139,32 @@
   std::map<prompt_parts, detail::acquittal> acquittals;
 };
 
-// The fleet that crashes are judged for.
-struct judged_fleet {
-  // Number of servers that requests with prompts may reach.
-  std::size_t servers = 1;
-  // Time for which other hosts can clear a part after its second crash.
-  std::chrono::milliseconds evidence_time{0};
-};
+namespace detail {
+
+// Whether both are reports of one crash.
+inline bool IsSameCrash(const part_crash& one, const part_crash& other) {
+  const auto interval =
+      one.at > other.at ? one.at - other.at : other.at - one.at;
+  return one.server == other.server && interval < kSameCrashWindow;
+}
+
+// Whether one of the crashes is the same as `crash`.
+bool Contains(const auto& crashes, const part_crash& crash) {
+  return std::ranges::any_of(crashes, [&crash](const part_crash& each) {
+    return IsSameCrash(each, crash);
+  });
+}
+
+// Number of crashes, given in order of time, of which those closer together
+// than kMinCrashInterval count as one.
+std::size_t CountSeparate(const std::vector<part_crash>& crashes);
+
+// Removes the crash from all suspects that are not in the combination.
+void Explain(prompt_quarantine& state,
+             const part_crash& crash,
+             const prompt_parts& combination);
+
+}  // namespace detail
 
 // Records a server crash with the request in flight, seen by this or another
 // host. Returns the combination that this quarantines again, if any.
@@ -198,12 +172,6 @@
                                               const prompt_crash& crash,
                                               base::time_point now);
 
-// Quarantines the combinations that the crashes so far are due to, and returns
-// them. Call several times a second.
-std::vector<prompt_parts> JudgeSuspects(prompt_quarantine& state,
-                                        const judged_fleet& fleet,
-                                        base::time_point now);
-
 // Records a request of this host with these parts, which may be empty.
 void RecordPrompt(prompt_quarantine& state, const prompt_parts& parts);
 
--- a/src/host/process/prompt_quarantine_coordinator.cc
+++ b/src/host/process/prompt_quarantine_coordinator.cc
@@ -9,6 +9,7 @@
 
 #include "base/identifier.h"
 #include "base/logging.h"
+#include "decisions/prompt_judgement.h"
 #include "host/constants.h"
 #include "host/prompt_parts.h"
 #include "store/constants.h"
--- a/tests/auto/decisions/prompt_fleet.h
+++ b/tests/auto/decisions/prompt_fleet.h
@@ -15,6 +15,7 @@
 #include <utility>
 #include <vector>
 
+#include "decisions/prompt_judgement.h"
 #include "decisions/prompt_quarantine.h"
 #include "decisions/quarantine_trial.h"
 
--- a/tests/auto/decisions/test_prompt_quarantine.cc
+++ b/tests/auto/decisions/test_prompt_quarantine.cc
@@ -7,6 +7,7 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include "decisions/prompt_judgement.h"
 #include "decisions/prompt_quarantine_update.h"
 
 namespace {
--- a/tests/auto/host/relay_world.h
+++ b/tests/auto/host/relay_world.h
@@ -15,6 +15,7 @@
 #include <boost/test/unit_test.hpp>
 
 #include "backend_stand_in.h"
+#include "decisions/prompt_judgement.h"
 #include "host/request/relay.h"
 #include "request_codec.h"
 
