Engine queues: the owner and the asking side are two services

Change: engine_queue_owner and engine_queue_client take its place. Both use engine_queue_groups, which knows the services with queues, their groups of engines and the hosts that may own each. The client calls the owner of its own host directly, as before. owner_services holds all three. The world of the test makes three objects for each host instead of one.

--- a/src/host/process/engine_queue_service.cc
+++ b/src/host/process/engine_queue_owner.cc
@@ -1,5 +1,5 @@
 // SPDX-License-Identifier: MIT
-#include "host/process/engine_queue_service.h"
+#include "host/process/engine_queue_owner.h"
 
 #include <algorithm>
 #include <utility>
@@ -11,7 +11,6 @@
 
 #include "base/logging.h"
 #include "host/constants.h"
-#include "host/load_features.h"
 
 namespace valeledge::host {
 
@@ -19,6 +18,8 @@
 
 namespace asio = boost::asio;
 using base::log_event;
+using detail::MakeReply;
+using detail::queue_verdict;
 using std::chrono::duration_cast;
 using std::chrono::microseconds;
 using std::chrono::milliseconds;
@@ -27,25 +28,6 @@
 constexpr auto kAwait = asio::as_tuple(asio::use_awaitable);
 constexpr std::string_view kCategory = "engine_queue";
 
-// Subject for choosing the owner host, followed by the service and the group.
-constexpr std::string_view kQueueSubject = "queue/";
-
-// Without a sign of life of the owner for this time, a host selects engines by
-// itself. Owners reply when an engine is granted, so they are probed
-// meanwhile: once for all questions, so that the cost does not depend on their
-// number.
-constexpr milliseconds kMaxSilence{250};
-constexpr milliseconds kProbeInterval{120};
-// Another reply this short a time ago takes the place of a probe.
-constexpr milliseconds kRecentReply{60};
-
-// How long an owner that did not respond is not asked. By then the membership
-// suspects it if it does not respond to other hosts either.
-constexpr milliseconds kSilentPause{2000};
-
-// An owner responds within this time after the end of the request's time.
-constexpr milliseconds kReplyMargin{250};
-
 // Interval at which the owner compares the queue with the reported loads: small
 // against the time in which an engine reads a prompt (20 to 75 ms).
 constexpr milliseconds kPassInterval{2};
@@ -77,32 +59,18 @@
 constexpr std::int64_t kMaxTokens = 10'000'000;
 constexpr std::int64_t kMinTokenNs = 1'000;
 constexpr std::int64_t kMaxTokenNs = 1'000'000;
-constexpr std::int64_t kMaxRetryAfterUs = 60'000'000;
 
 // Hosts with few measurements state an initial time per token that is too high,
 // so the lowest recent one is used; it rises by this factor with each question.
 constexpr double kTokenTimeRise = 1.002;
 constexpr std::size_t kMaxTokenTimes = 2000;
 
-enum class queue_verdict : std::int32_t {
-  kGranted = 0,
-  kNotInTime = 1,
-  kNotOwner = 2,
-};
-
-wire::engine_place_reply Reply(queue_verdict verdict, std::int64_t number) {
-  wire::engine_place_reply reply;
-  reply.verdict = static_cast<std::int32_t>(verdict);
-  reply.number = number;
-  return reply;
-}
-
 // Without an engine the host that asked decides whether the request waits until
 // one has loaded the model.
 wire::engine_place_reply Refusal(const decisions::engine_refusal& refusal) {
   if (refusal.without_engine)
-    return Reply(queue_verdict::kNotOwner, refusal.number);
-  auto reply = Reply(queue_verdict::kNotInTime, refusal.number);
+    return MakeReply(queue_verdict::kNotOwner, refusal.number);
+  auto reply = MakeReply(queue_verdict::kNotInTime, refusal.number);
   reply.retry_after_us =
       duration_cast<microseconds>(refusal.retry_after).count();
   return reply;
@@ -112,34 +80,6 @@
   return value >= lowest && value <= highest;
 }
 
-wire::engine_place_question QuestionOf(engine_place_request request,
-                                       std::int64_t number) {
-  wire::engine_place_question question;
-  question.service_name = std::move(request.service);
-  question.model = std::move(request.model);
-  question.priority = request.priority;
-  question.workspace = std::move(request.workspace);
-  question.left_ms = request.left.count();
-  question.tokens_to_read = request.tokens_to_read;
-  question.tokens_to_hold = request.tokens_to_hold;
-  question.avoid = std::move(request.avoid);
-  if (!request.adapter.empty())
-    question.__set_adapter(request.adapter);
-  question.__set_event_gap_ms(request.event_gap.count());
-  question.__set_number(number);
-  question.__set_token_ns(
-      duration_cast<nanoseconds>(request.token_time).count());
-  return question;
-}
-
-wire::engine_place_end EndOf(const wire::engine_place_question& question) {
-  wire::engine_place_end end;
-  end.service_name = question.service_name;
-  end.model = question.model;
-  end.number = question.number;
-  return end;
-}
-
 // Whether requests of the queue may be sent to an engine. Servers that
 // advertise a limit use permits, and those that tolerate few rejections or few
 // requests while they are cold are selected by hosts.
@@ -167,249 +107,39 @@
 
 }  // namespace
 
-engine_queue_service::engine_queue_service(host_core& core,
-                                           engine_queue_links links)
-    : core_(core), links_(std::move(links)) {}
-
-void engine_queue_service::Count(std::string_view metric,
-                                 std::string_view label) {
-  core_.metrics.Counter(metric, label).Add();
-}
-
-const catalog::service* engine_queue_service::EnabledService(
-    const std::string& name) const {
-  const catalog::service* service =
-      core_.configuration ? core_.configuration->FindService(name) : nullptr;
-  const bool enabled =
-      service != nullptr && service->HasModels() &&
-      IsEnabled(core_.settings.features.engine_queues, *service);
-  return enabled ? service : nullptr;
-}
-
-std::int64_t engine_queue_service::GroupsOf(const std::string& service) {
-  const auto found = groups_.find(service);
-  if (found != groups_.end())
-    return found->second;
-  const auto engines = std::ranges::count_if(
-      core_.servers.servers(),
-      [&](const auto& each) { return each.second->entry.service == service; });
-  return groups_[service] = decisions::CountGroups(engines);
-}
-
-std::vector<base::endpoint> engine_queue_service::Candidates(
-    const std::string& service,
-    std::int64_t group) const {
-  return links_.owners(std::string(kQueueSubject) + service + "/" +
-                       std::to_string(group));
-}
-
-std::optional<base::endpoint> engine_queue_service::FindOwner(
-    const std::string& service,
-    const std::string& instance,
-    base::time_point now) {
-  const std::int64_t groups = GroupsOf(service);
-  for (const base::endpoint& each :
-       Candidates(service, decisions::GroupOf(instance, groups))) {
-    const auto known = owners_.find(each);
-    if (known == owners_.end() || now >= known->second.silent_until)
-      return each;
-  }
-  return std::nullopt;
-}
-
-std::optional<base::endpoint> engine_queue_service::OwnerOf(
-    const known_server& server) {
-  if (EnabledService(server.entry.service) == nullptr)
-    return std::nullopt;
-  auto owner = FindOwner(server.entry.service, server.entry.instance,
-                         std::chrono::steady_clock::now());
-  return owner == core_.settings.peer_listen ? std::nullopt : owner;
-}
-
-// The asking side.
-
-asio::awaitable<void> engine_queue_service::Probe(base::endpoint owner) {
-  asio::steady_timer timer(core_.context);
-  while (true) {
-    timer.expires_after(kProbeInterval);
-    co_await timer.async_wait(kAwait);
-    const known_owner& known = owners_[owner];
-    if (known.pending == 0)
-      break;
-    if (std::chrono::steady_clock::now() - known.heard_at < kRecentReply)
-      continue;
-    wire::envelope call;
-    // No place has this number.
-    call.__set_engine_place_ended({});
-    const auto reply =
-        co_await links_.call(owner, std::move(call), kMaxSilence);
-    if (reply)
-      owners_[owner].heard_at = std::chrono::steady_clock::now();
-  }
-  owners_[owner].probing = false;
-}
-
-asio::awaitable<void> engine_queue_service::Ask(
-    base::endpoint owner,
-    wire::engine_place_question question,
-    std::shared_ptr<asked> state) {
-  const wire::engine_place_end end = EndOf(question);
-  base::result<wire::engine_place_reply> reply =
-      Reply(queue_verdict::kNotOwner, question.number);
-  if (owner == core_.settings.peer_listen) {
-    reply = co_await HandleQuestion(std::move(question));
-  } else {
-    const auto timeout = milliseconds(question.left_ms) + 2 * kReplyMargin;
-    wire::envelope call;
-    call.engine_place_wanted = std::move(question);
-    call.__isset.engine_place_wanted = true;
-    const auto received = co_await links_.call(owner, std::move(call), timeout);
-    if (!received)
-      reply = tl::make_unexpected(received.error());
-    else if (received->__isset.engine_place)
-      reply = received->engine_place;
-  }
-  if (reply)
-    owners_[owner].heard_at = std::chrono::steady_clock::now();
-  const bool granted = reply && reply->verdict == static_cast<std::int32_t>(
-                                                      queue_verdict::kGranted);
-  if (state->abandoned && granted)
-    End(owner, end);
-  state->reply = std::move(reply);
-  state->timer.cancel();
-}
-
-void engine_queue_service::OnSilent(const base::endpoint& owner,
-                                    const std::string& service,
-                                    base::time_point now) {
-  Count("valeledge_engine_queue_replies_total", "silent");
-  known_owner& known = owners_[owner];
-  if (now < known.silent_until)
-    return;
-  known.silent_until = now + kSilentPause;
-  links_.suspect(owner);
-  base::Log(kCategory, log_event::kEngineQueueSilent,
-            {{"service", service}, {"owner", base::ToString(owner)}});
-}
+namespace detail {
 
-void engine_queue_service::End(const base::endpoint& owner,
-                               wire::engine_place_end end) {
-  if (owner == core_.settings.peer_listen)
-    HandleEnd(end);
-  else
-    asio::co_spawn(core_.context, SendEnd(owner, std::move(end)),
-                   asio::detached);
+wire::engine_place_reply MakeReply(queue_verdict verdict, std::int64_t number) {
+  wire::engine_place_reply reply;
+  reply.verdict = static_cast<std::int32_t>(verdict);
+  reply.number = number;
+  return reply;
 }
 
-asio::awaitable<void> engine_queue_service::SendEnd(
-    base::endpoint owner,
-    wire::engine_place_end end) {
-  wire::envelope call;
-  call.engine_place_ended = std::move(end);
-  call.__isset.engine_place_ended = true;
-  co_await links_.call(std::move(owner), std::move(call), kReplyMargin);
-}
+}  // namespace detail
 
-engine_place_result engine_queue_service::ToResult(
-    const base::endpoint& owner,
-    const wire::engine_place_end& end,
-    const wire::engine_place_reply& reply) {
-  engine_place_result result;
-  switch (static_cast<queue_verdict>(reply.verdict)) {
-    case queue_verdict::kGranted:
-      result.verdict = engine_place_verdict::kGranted;
-      result.place = std::make_shared<slot_handle>(
-          reply.server, [this, owner, end](slot_outcome, microseconds took) {
-            // The load reports show a request that was sent.
-            if (took.count() == 0)
-              End(owner, end);
-          });
-      Count("valeledge_engine_queue_replies_total", "granted");
-      return result;
-    case queue_verdict::kNotInTime:
-      result.verdict = engine_place_verdict::kRefused;
-      result.retry_after =
-          IsWithin(reply.retry_after_us, 1, kMaxRetryAfterUs)
-              ? duration_cast<milliseconds>(microseconds(reply.retry_after_us))
-              : kShortRetryAfter;
-      Count("valeledge_engine_queue_replies_total", "refused");
-      return result;
-    case queue_verdict::kNotOwner:
-      break;
-  }
-  Count("valeledge_engine_queue_replies_total", "not_owner");
-  return result;
-}
+engine_queue_owner::engine_queue_owner(host_core& core,
+                                       engine_queue_groups& groups)
+    : core_(core), groups_(groups) {}
 
-asio::awaitable<engine_place_result> engine_queue_service::Acquire(
-    engine_place_request request) {
-  auto now = std::chrono::steady_clock::now();
-  const std::string service = request.service;
-  const auto is_withdrawn = std::move(request.is_withdrawn);
-  const auto owner = FindOwner(service, request.best, now);
-  if (!owner) {
-    Count("valeledge_engine_queue_replies_total", "no_owner");
-    co_return engine_place_result();
-  }
-  const auto number = static_cast<std::int64_t>(core_.random() >> 1) | 1;
-  auto question = QuestionOf(std::move(request), number);
-  const wire::engine_place_end end = EndOf(question);
-  const bool is_own = *owner == core_.settings.peer_listen;
-  known_owner& known = owners_[*owner];
-  if (known.pending++ == 0)
-    known.heard_at = now;
-  if (!is_own && !std::exchange(known.probing, true))
-    asio::co_spawn(core_.context, Probe(*owner), asio::detached);
-  const auto state = std::make_shared<asked>(core_.context);
-  asio::co_spawn(core_.context, Ask(*owner, std::move(question), state),
-                 asio::detached);
-  engine_place_result result;
-  while (true) {
-    state->timer.expires_after(kSelectionRetryInterval);
-    if (!state->reply)
-      co_await state->timer.async_wait(kAwait);
-    now = std::chrono::steady_clock::now();
-    const bool failed = state->reply && !*state->reply;
-    if (state->reply && !failed) {
-      result = ToResult(*owner, end, **state->reply);
-      break;
-    }
-    const bool silent =
-        failed || (!is_own && now - known.heard_at >= kMaxSilence);
-    const bool withdrawn = !silent && is_withdrawn && is_withdrawn();
-    if (!silent && !withdrawn)
-      continue;
-    state->abandoned = true;
-    if (silent)
-      OnSilent(*owner, service, now);
-    else
-      Count("valeledge_engine_queue_replies_total", "withdrawn");
-    if (withdrawn)
-      result.verdict = engine_place_verdict::kWithdrawn;
-    // An owner that was suspended would count the request when it goes on.
-    if (!failed)
-      End(*owner, end);
-    break;
-  }
-  --known.pending;
-  co_return result;
+void engine_queue_owner::Count(std::string_view metric,
+                               std::string_view label) {
+  core_.metrics.Counter(metric, label).Add();
 }
 
-// The owner's side.
-
-void engine_queue_service::UpdateMembers(const std::string& service,
-                                         owned_queue& owned,
-                                         base::time_point now) {
+void engine_queue_owner::UpdateMembers(const std::string& service,
+                                       owned_queue& owned,
+                                       base::time_point now) {
   if (owned.members_at && now - *owned.members_at < kHolderInterval)
     return;
   owned.members_at = now;
   owned.members.clear();
   for (auto& [name, unit] : owned.units)
     unit.has_holders = false;
-  const std::int64_t groups = GroupsOf(service);
+  const std::int64_t groups = groups_.GroupsOf(service);
   std::set<std::int64_t> own;
   for (std::int64_t group = 0; group < groups; ++group) {
-    const auto candidates = Candidates(service, group);
+    const auto candidates = groups_.Candidates(service, group);
     if (std::ranges::find(candidates, core_.settings.peer_listen) !=
         candidates.end())
       own.insert(group);
@@ -423,10 +153,10 @@
   }
 }
 
-void engine_queue_service::UpdateHolders(const catalog::service& service,
-                                         owned_queue& owned,
-                                         const std::string& unit,
-                                         base::time_point now) {
+void engine_queue_owner::UpdateHolders(const catalog::service& service,
+                                       owned_queue& owned,
+                                       const std::string& unit,
+                                       base::time_point now) {
   queued_unit& of = owned.units.at(unit);
   if (std::exchange(of.has_holders, true))
     return;
@@ -441,7 +171,7 @@
   decisions::SetHolders(owned.queue, unit, std::move(holders));
 }
 
-std::optional<decisions::queued_request> engine_queue_service::ReadQuestion(
+std::optional<decisions::queued_request> engine_queue_owner::ReadQuestion(
     const wire::engine_place_question& question,
     owned_queue& owned,
     base::time_point now) {
@@ -490,12 +220,12 @@
   return request;
 }
 
-asio::awaitable<wire::engine_place_reply> engine_queue_service::HandleQuestion(
+asio::awaitable<wire::engine_place_reply> engine_queue_owner::HandleQuestion(
     wire::engine_place_question question) {
   const auto now = std::chrono::steady_clock::now();
-  const auto not_owner = Reply(queue_verdict::kNotOwner, question.number);
+  const auto not_owner = MakeReply(queue_verdict::kNotOwner, question.number);
   const std::string service_name = question.service_name;
-  const catalog::service* service = EnabledService(service_name);
+  const catalog::service* service = groups_.EnabledService(service_name);
   if (service == nullptr)
     co_return not_owner;
   owned_queue& owned = queues_[service_name];
@@ -514,7 +244,7 @@
   }
   UpdateEngines(*service, owned, now);
   const std::int64_t number = request->number;
-  const auto lapse = request->deadline + kReplyMargin;
+  const auto lapse = request->deadline + kEngineReplyMargin;
   if (const auto refusal =
           decisions::Enqueue(owned.queue, std::move(*request), now)) {
     Count("valeledge_engine_queue_decisions_total", "refused");
@@ -540,7 +270,7 @@
   co_return *reply;
 }
 
-void engine_queue_service::HandleEnd(const wire::engine_place_end& end) {
+void engine_queue_owner::HandleEnd(const wire::engine_place_end& end) {
   const auto found = queues_.find(end.service_name);
   if (found == queues_.end() || end.number <= 0)
     return;
@@ -555,9 +285,9 @@
   Pass(end.service_name, owned, std::chrono::steady_clock::now());
 }
 
-void engine_queue_service::UpdateEngines(const catalog::service& service,
-                                         owned_queue& owned,
-                                         base::time_point now) {
+void engine_queue_owner::UpdateEngines(const catalog::service& service,
+                                       owned_queue& owned,
+                                       base::time_point now) {
   std::vector<std::string> names;
   for (const auto& [name, engine] : owned.queue.engines)
     names.push_back(name);
@@ -568,10 +298,10 @@
   }
 }
 
-void engine_queue_service::Pass(const std::string& service_name,
-                                owned_queue& owned,
-                                base::time_point now) {
-  const catalog::service* service = EnabledService(service_name);
+void engine_queue_owner::Pass(const std::string& service_name,
+                              owned_queue& owned,
+                              base::time_point now) {
+  const catalog::service* service = groups_.EnabledService(service_name);
   if (service == nullptr) {
     Disband(owned);
     Publish(owned, now);
@@ -589,7 +319,7 @@
   UpdateEngines(*service, owned, now);
   const auto decided = decisions::Decide(owned.queue, now);
   for (const decisions::engine_grant& each : decided.grants) {
-    auto reply = Reply(queue_verdict::kGranted, each.number);
+    auto reply = MakeReply(queue_verdict::kGranted, each.number);
     reply.server = each.engine;
     ++owned.granted;
     Respond(owned, std::move(reply), "granted");
@@ -601,20 +331,20 @@
   Publish(owned, now);
 }
 
-void engine_queue_service::Disband(owned_queue& owned) {
+void engine_queue_owner::Disband(owned_queue& owned) {
   owned.queue = {};
   owned.units.clear();
   for (auto& [number, each] : owned.waiters) {
     if (each.reply)
       continue;
-    each.reply = Reply(queue_verdict::kNotOwner, number);
+    each.reply = MakeReply(queue_verdict::kNotOwner, number);
     each.timer->cancel();
   }
 }
 
-void engine_queue_service::Respond(owned_queue& owned,
-                                   wire::engine_place_reply reply,
-                                   std::string_view decision) {
+void engine_queue_owner::Respond(owned_queue& owned,
+                                 wire::engine_place_reply reply,
+                                 std::string_view decision) {
   Count("valeledge_engine_queue_decisions_total", decision);
   const auto found = owned.waiters.find(reply.number);
   if (found == owned.waiters.end())
@@ -624,7 +354,7 @@
 }
 
 // Newcomers elsewhere that see the queue ask its owner.
-void engine_queue_service::Publish(owned_queue& owned, base::time_point now) {
+void engine_queue_owner::Publish(owned_queue& owned, base::time_point now) {
   const auto queued = decisions::QueuedTokens(owned.queue);
   for (const auto& [name, tokens] : queued) {
     const auto server = core_.servers.Find(name);
@@ -649,8 +379,8 @@
   });
 }
 
-void engine_queue_service::ReportQueues(owned_queue& owned,
-                                        base::time_point now) {
+void engine_queue_owner::ReportQueues(owned_queue& owned,
+                                      base::time_point now) {
   const bool is_old =
       !owned.visible.empty() && now - owned.reported_at >= kReportInterval;
   if (!core_.queues_changed || (!owned.is_report_due && !is_old))
@@ -672,7 +402,7 @@
   core_.queues_changed(servers);
 }
 
-asio::awaitable<void> engine_queue_service::PassLoop(std::string service) {
+asio::awaitable<void> engine_queue_owner::PassLoop(std::string service) {
   owned_queue& owned = queues_[service];
   asio::steady_timer timer(core_.context);
   while (decisions::CountWaiting(owned.queue) > 0) {
@@ -683,8 +413,8 @@
   owned.loop_runs = false;
 }
 
-void engine_queue_service::Tick(base::time_point now) {
-  groups_.clear();
+void engine_queue_owner::Tick(base::time_point now) {
+  groups_.Recount();
   for (auto& [service, owned] : queues_) {
     Pass(service, owned, now);
     ReportQueues(owned, now);
--- a/src/host/process/owner_services.cc
+++ b/src/host/process/owner_services.cc
@@ -32,7 +32,9 @@
       peers_(peers),
       limits_(core, MakeLimitCallbacks()),
       slots_(core, MakeSlotCallbacks()),
-      engine_queues_(core, MakeQueueCallbacks()) {
+      queue_groups_(core, MakeQueueOwnerChoice()),
+      queue_owner_(core, queue_groups_),
+      queue_client_(core, queue_groups_, queue_owner_, MakeQueueCallbacks()) {
   core_.acquire_limit = [this](std::string workspace, double count,
                                std::optional<limit_wait> wait) {
     return limits_.Acquire(std::move(workspace), count, std::move(wait));
@@ -41,10 +43,10 @@
     limits_.Release(workspace, count);
   };
   core_.acquire_engine = [this](engine_place_request request) {
-    return engine_queues_.Acquire(std::move(request));
+    return queue_client_.Acquire(std::move(request));
   };
   core_.queue_owner = [this](const known_server& server) {
-    return engine_queues_.OwnerOf(server);
+    return queue_client_.OwnerOf(server);
   };
   if (!core_.settings.allocates_slots)
     return;
@@ -92,9 +94,8 @@
   return callbacks;
 }
 
-engine_queue_links owner_services::MakeQueueCallbacks() {
-  engine_queue_links callbacks;
-  callbacks.owners = [this](const std::string& subject) {
+engine_queue_groups::owner_choice owner_services::MakeQueueOwnerChoice() {
+  return [this](const std::string& subject) {
     auto owners =
         peers_.ChosenAddresses(subject, kQueueCandidates, kPreferredRoles);
     const auto first = peers_.FirstHealthy(subject, kPreferredRoles);
@@ -102,6 +103,10 @@
     owners.erase(owners.begin(), begin);
     return owners;
   };
+}
+
+engine_queue_links owner_services::MakeQueueCallbacks() {
+  engine_queue_links callbacks;
   callbacks.call = [this](base::endpoint where, wire::envelope call,
                           std::chrono::microseconds timeout) {
     return peers_.Call(std::move(where), std::move(call), timeout);
@@ -119,7 +124,7 @@
 void owner_services::Tick(base::time_point now) {
   limits_.Tick(now);
   slots_.ReleaseExpired(now);
-  engine_queues_.Tick(now);
+  queue_owner_.Tick(now);
 }
 
 bool owner_services::Handles(const wire::envelope& call) {
@@ -140,11 +145,11 @@
         co_await slots_.HandleRequest(std::move(call.place_wanted));
     reply.__set_place(slot);
   } else if (call.__isset.engine_place_wanted) {
-    const auto place = co_await engine_queues_.HandleQuestion(
+    const auto place = co_await queue_owner_.HandleQuestion(
         std::move(call.engine_place_wanted));
     reply.__set_engine_place(place);
   } else if (call.__isset.engine_place_ended) {
-    engine_queues_.HandleEnd(call.engine_place_ended);
+    queue_owner_.HandleEnd(call.engine_place_ended);
     reply.__set_done({});
   } else {
     slots_.HandleRelease(call.place_ended);
--- a/src/host/process/owner_services.h
+++ b/src/host/process/owner_services.h
@@ -8,7 +8,9 @@
 #include <boost/asio/awaitable.hpp>
 
 #include "base/duration.h"
-#include "host/process/engine_queue_service.h"
+#include "host/process/engine_queue_client.h"
+#include "host/process/engine_queue_groups.h"
+#include "host/process/engine_queue_owner.h"
 #include "host/process/host_core.h"
 #include "host/process/peer_link.h"
 #include "host/process/slot_allocator.h"
@@ -36,13 +38,16 @@
  private:
   workspace_limit_callbacks MakeLimitCallbacks();
   slot_allocator_links MakeSlotCallbacks();
+  engine_queue_groups::owner_choice MakeQueueOwnerChoice();
   engine_queue_links MakeQueueCallbacks();
 
   host_core& core_;
   peer_link& peers_;
   workspace_limit_service limits_;
   slot_allocator slots_;
-  engine_queue_service engine_queues_;
+  engine_queue_groups queue_groups_;
+  engine_queue_owner queue_owner_;
+  engine_queue_client queue_client_;
 };
 
 }  // namespace valeledge::host
--- a/tests/auto/host/test_engine_queue_service.cc
+++ b/tests/auto/host/test_engine_queue_service.cc
@@ -1,7 +1,7 @@
 // SPDX-License-Identifier: MIT
 // Queues for engines, between hosts that ask for an engine and the owner of the
 // queue, and what callers get.
-#include "host/process/engine_queue_service.h"
+#include "host/process/engine_queue_client.h"
 
 #include <map>
 #include <memory>
@@ -13,6 +13,7 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/test/unit_test.hpp>
 
+#include "host/process/engine_queue_owner.h"
 #include "relay_world.h"
 
 namespace {
@@ -32,7 +33,9 @@
   struct one_host {
     base::endpoint address;
     std::unique_ptr<host::host_core> core;
-    std::unique_ptr<host::engine_queue_service> service;
+    std::unique_ptr<host::engine_queue_groups> groups;
+    std::unique_ptr<host::engine_queue_owner> owner;
+    std::unique_ptr<host::engine_queue_client> client;
     reachability state = reachability::kAnswers;
     int suspicions = 0;
     int ends = 0;
@@ -64,17 +67,21 @@
     added.core->load_changed = [&added](const host::known_server& server) {
       added.reported.push_back(host::server_registry::OwnLoad(server));
     };
-    host::engine_queue_links links;
-    links.owners = [this](const std::string&) {
+    const auto owners = [this](const std::string&) {
       return std::vector<base::endpoint>{hosts[0].address, hosts[1].address};
     };
+    added.groups =
+        std::make_unique<host::engine_queue_groups>(*added.core, owners);
+    added.owner =
+        std::make_unique<host::engine_queue_owner>(*added.core, *added.groups);
+    host::engine_queue_links links;
     links.suspect = [&added](const base::endpoint&) { ++added.suspicions; };
     links.call = [this](base::endpoint to, wire::envelope call,
                         std::chrono::microseconds timeout) {
       return Call(std::move(to), std::move(call), timeout);
     };
-    added.service = std::make_unique<host::engine_queue_service>(
-        *added.core, std::move(links));
+    added.client = std::make_unique<host::engine_queue_client>(
+        *added.core, *added.groups, *added.owner, std::move(links));
   }
 
   boost::asio::awaitable<base::result<wire::envelope>> Call(
@@ -92,12 +99,12 @@
     if (called.state != reachability::kAnswers)
       co_return base::NotRun(base::result_code::kPeerUnreachable, "no answer");
     if (call.__isset.engine_place_wanted) {
-      const auto place = co_await called.service->HandleQuestion(
+      const auto place = co_await called.owner->HandleQuestion(
           std::move(call.engine_place_wanted));
       reply.__set_engine_place(place);
     } else {
       called.ends += call.engine_place_ended.number > 0 ? 1 : 0;
-      called.service->HandleEnd(call.engine_place_ended);
+      called.owner->HandleEnd(call.engine_place_ended);
     }
     co_return reply;
   }
@@ -157,7 +164,7 @@
     auto out = std::make_shared<pending>();
     request.is_withdrawn = [out] { return out->withdrawn; };
     boost::asio::co_spawn(context,
-                          hosts[index].service->Acquire(std::move(request)),
+                          hosts[index].client->Acquire(std::move(request)),
                           [out](const std::exception_ptr& thrown,
                                 host::engine_place_result answer) {
                             BOOST_TEST((thrown == nullptr));
@@ -185,7 +192,7 @@
   }
 
   std::int64_t Waiting() {
-    hosts[0].service->Tick(std::chrono::steady_clock::now());
+    hosts[0].owner->Tick(std::chrono::steady_clock::now());
     return hosts[0]
         .core->metrics.Gauge("valeledge_engine_queue_waiting", "s")
         .value;
@@ -273,9 +280,9 @@
   world.ReportLoad("e1", 4, 0);
   world.Await(asked);
   // The queue is shown for a second.
-  world.hosts[0].service->Tick(std::chrono::steady_clock::now());
+  world.hosts[0].owner->Tick(std::chrono::steady_clock::now());
   BOOST_TEST(told.size() == 1u);
-  world.hosts[0].service->Tick(std::chrono::steady_clock::now() + 2s);
+  world.hosts[0].owner->Tick(std::chrono::steady_clock::now() + 2s);
   BOOST_REQUIRE_EQUAL(told.size(), 2u);
   BOOST_TEST(told.back() == 0);
 }
@@ -403,7 +410,7 @@
   const auto asked = world.Ask(2, queue_world::Request(1, 800ms));
   BOOST_TEST((world.Await(asked) == engine_place_verdict::kNoOwner));
   const auto& server = *world.hosts[2].core->servers.Find("e1");
-  BOOST_TEST(!world.hosts[2].service->OwnerOf(server).has_value());
+  BOOST_TEST(!world.hosts[2].client->OwnerOf(server).has_value());
 }
 
 // Guards against requests that wait, and engines that seem to have a queue,
@@ -416,7 +423,7 @@
   world.configuration.services.front().mixed_urgency = false;
   world.Configure();
   BOOST_TEST((world.Await(waiting) == engine_place_verdict::kNoOwner));
-  world.hosts[0].service->Tick(std::chrono::steady_clock::now() + 2s);
+  world.hosts[0].owner->Tick(std::chrono::steady_clock::now() + 2s);
   BOOST_TEST(!world.hosts[0].core->servers.Find("e1")->HasQueue());
 }
 
