Engine queue: order, engine load and forecast are modules of their own

Change: engine_queue_order has the order of waiting requests (fair shares, priorities, deadlines), engine_queue_load the load of an engine with what its reports do not show yet, and engine_queue_forecast when a response is expected. The interface does not change.

No behaviour changes: the functions are moved as they are.

--- /dev/null
+++ b/src/decisions/engine_queue_forecast.cc
@@ -0,0 +1,151 @@
+// SPDX-License-Identifier: MIT
+#include "decisions/engine_queue_forecast.h"
+
+#include <algorithm>
+#include <cmath>
+#include <map>
+#include <string>
+#include <string_view>
+
+#include "decisions/engine_queue_load.h"
+#include "decisions/engine_queue_order.h"
+
+namespace valeledge::decisions::detail {
+
+namespace {
+
+using milliseconds = std::chrono::duration<double, std::milli>;
+
+// Requests that arrive later and go before a waiting one delay it as well. The
+// time over which their rate is estimated: about the objective of the routes
+// whose requests wait most often.
+constexpr milliseconds kArrivalWindow{1000};
+
+// More urgent requests are assumed to take at most this share of an engine, so
+// that a wrong estimate does not refuse everything.
+constexpr double kMaxUrgentShare = 0.9;
+
+constexpr int kArrivalRounds = 3;
+
+// Work of another workspace of the same priority.
+struct other_work {
+  milliseconds queued{0};
+  // Part of an engine's time that its later requests take.
+  double arriving = 0;
+  // Share relative to that of the request.
+  double share = 1;
+};
+
+// Work that goes before a request at one engine.
+struct preceding_work {
+  milliseconds ahead{0};
+  // Work of the request and of earlier ones of its workspace.
+  milliseconds own{0};
+  // Part of the engine's time that later requests of higher priority take.
+  double urgent = 0;
+  std::map<std::string_view, other_work> others;
+};
+
+void AddQueued(preceding_work& work,
+               const unit_queue& unit,
+               const queued_request& request) {
+  const double part = EnginePart(unit);
+  for (const auto& [key, flow] : unit.flows) {
+    if (key.first > request.priority)
+      break;
+    if (key.first < request.priority) {
+      work.ahead += flow.read_time * part;
+      continue;
+    }
+    if (key.second != request.workspace) {
+      other_work& other = work.others[key.second];
+      other.queued += flow.read_time * part;
+      other.share = flow.requests.front().share / request.share;
+      continue;
+    }
+    for (const queued_request& each : flow.requests) {
+      if (!IsEarlier(each, request))
+        break;
+      work.ahead += ReadTime(each) * part;
+      work.own += ReadTime(each) * part;
+    }
+  }
+}
+
+void AddArriving(preceding_work& work,
+                 const unit_queue& unit,
+                 const queued_request& request,
+                 base::time_point now) {
+  for (const auto& [key, arriving] : unit.arriving) {
+    const double rate =
+        LevelAt(arriving, now) / kArrivalWindow * EnginePart(unit);
+    if (key.first < request.priority)
+      work.urgent += rate;
+    else if (key.first == request.priority && key.second != request.workspace)
+      work.others[key.second].arriving += rate;
+  }
+}
+
+// Expected time until an engine can begin with a request, from the work that
+// goes before it. Until then each other workspace of the same priority gets at
+// most as much as its own, in proportion to their shares.
+milliseconds TimeToTurn(const engine_queue& queue,
+                        const known_engine& engine,
+                        const queued_request& request,
+                        base::time_point now) {
+  preceding_work work;
+  work.own = ReadTime(request);
+  for (const std::string& name : engine.units) {
+    AddQueued(work, queue.units.at(name), request);
+    AddArriving(work, queue.units.at(name), request, now);
+  }
+  const double left = 1 - std::min(work.urgent, kMaxUrgentShare);
+  milliseconds wait{0};
+  // The longer the wait, the more requests arrive meanwhile; their work is
+  // bounded, and a few rounds come close.
+  for (int round = 0; round < kArrivalRounds; ++round) {
+    milliseconds ahead = work.ahead;
+    for (const auto& [workspace, other] : work.others)
+      ahead += std::min(milliseconds(other.queued + wait * other.arriving),
+                        work.own * other.share);
+    wait = ahead / left;
+  }
+  const milliseconds backlog =
+      request.weight.time_per_token *
+      static_cast<double>(LoadFor(engine, request, now).unread_tokens);
+  return backlog + wait;
+}
+
+}  // namespace
+
+double EnginePart(const unit_queue& unit) {
+  return 1.0 /
+         static_cast<double>(std::max<std::size_t>(unit.engines.size(), 1));
+}
+
+std::chrono::duration<double, std::milli> LevelAt(const arriving_work& work,
+                                                  base::time_point now) {
+  const milliseconds passed = now - work.at;
+  return work.level * std::exp(-(passed / kArrivalWindow));
+}
+
+std::optional<std::chrono::duration<double, std::milli>> ExpectedResponse(
+    const engine_queue& queue,
+    const queued_request& request,
+    base::time_point now) {
+  std::optional<milliseconds> best;
+  for (const std::string& name : queue.units.at(request.unit).engines) {
+    if (IsAvoided(request, name))
+      continue;
+    const known_engine& engine = queue.engines.at(name);
+    const milliseconds turn = TimeToTurn(queue, engine, request, now);
+    const milliseconds response =
+        std::max((turn + ReadTime(request)) * engine.state.load.slowdown,
+                 ExpectedWait(LoadFor(engine, request, now), request.weight));
+    if (!best || response < *best)
+      best = response;
+  }
+  return best;
+}
+
+}  // namespace valeledge::decisions::detail
--- /dev/null
+++ b/src/decisions/engine_queue_forecast.h
@@ -0,0 +1,31 @@
+// SPDX-License-Identifier: MIT
+// When the response to a request of an engine_queue is expected, from the work
+// that goes before it.
+#ifndef VALELEDGE_DECISIONS_ENGINE_QUEUE_FORECAST_H_
+#define VALELEDGE_DECISIONS_ENGINE_QUEUE_FORECAST_H_
+
+#include <chrono>
+#include <optional>
+
+#include "base/duration.h"
+#include "decisions/engine_queue.h"
+
+namespace valeledge::decisions::detail {
+
+// Part of a unit's work that each of its engines does.
+double EnginePart(const unit_queue& unit);
+
+// Read time of recent arrivals at `now`.
+std::chrono::duration<double, std::milli> LevelAt(const arriving_work& work,
+                                                  base::time_point now);
+
+// Expected time until the response starts, at the engine where that is first;
+// nothing if no engine may be selected.
+std::optional<std::chrono::duration<double, std::milli>> ExpectedResponse(
+    const engine_queue& queue,
+    const queued_request& request,
+    base::time_point now);
+
+}  // namespace valeledge::decisions::detail
+
+#endif  // VALELEDGE_DECISIONS_ENGINE_QUEUE_FORECAST_H_
