Model plan and patient loads share the choice of an engine

Cause: patient_loads.cc repeated from model_plan.cc where an engine has the weights of a model, how long a load from there takes, and the costs of running requests and of evictions, which were meant to be the same.

Change: engine_choice.{h,cc} has them once. The bounds of the scans, the choice of evictions and the loops over engines stay apart: they are alike, but differ in their values or their order.

No behaviour changes: the load time is converted to a number where the model plan computes with it. test_decisions, test_patient_loads_fleet, test_patient_requests and test_host pass unchanged.

--- a/src/decisions/model_plan.cc
+++ b/src/decisions/model_plan.cc
@@ -7,10 +7,18 @@
 #include <optional>
 #include <tuple>
 
+#include "decisions/engine_choice.h"
+
 namespace valeledge::decisions {
 
 namespace {
 
+using detail::Contains;
+using detail::kEvictionCost;
+using detail::kRunningCost;
+using detail::LoadTime;
+using detail::SourceAt;
+
 // Milliseconds per second for which an engine may read prompts of one model.
 // Running streams pause meanwhile, and a few prompts in a row take as long as
 // the pause that callers accept.
@@ -81,11 +89,9 @@
 // serves little, but may serve requests that find no other replica.
 constexpr double kMinFreeShare = 0.2;
 
-// Penalties in the choice of an engine, in requests per second: for each
-// running request, for each replica in the same zone, and for each eviction.
-constexpr double kRunningCost = 0.02;
+// Penalties in the choice of an engine, in requests per second, beside those of
+// engine_choice: for each replica in the same zone.
 constexpr double kZoneCost = 0.3;
-constexpr double kEvictionCost = 0.4;
 // The same for a replica without another one of its software version while
 // other versions have the model, and for an eviction that leaves such a
 // replica: streams end with it, since they cannot go on at another version.
@@ -98,10 +104,6 @@
 // The same including engines that hold the model already or are busy.
 constexpr std::size_t kMaxVisited = 4 * kMaxScanned;
 
-bool Contains(const std::vector<std::size_t>& set, std::size_t value) {
-  return std::ranges::find(set, value) != set.end();
-}
-
 // Engines numbered by a property, and the replicas of each model by these
 // numbers, including those being loaded.
 struct replica_counts {
@@ -146,29 +148,10 @@
   std::vector<plan_step> steps;
 };
 
-weight_source SourceAt(const plan_engine& engine, std::size_t model) {
-  if (Contains(engine.in_memory, model))
-    return weight_source::kMemory;
-  if (Contains(engine.on_disk, model))
-    return weight_source::kDisk;
-  return weight_source::kStore;
-}
-
-double LoadTime(const plan_model& model, weight_source source) {
-  switch (source) {
-    case weight_source::kMemory:
-      return static_cast<double>(model.load_from_memory.count());
-    case weight_source::kDisk:
-      return static_cast<double>(model.load_from_disk.count());
-    case weight_source::kStore:
-      break;
-  }
-  return static_cast<double>(model.load_from_store.count());
-}
-
 // Returns the share of a replica's value that is left after its load time.
 double LoadTimeFactor(const plan_model& model, weight_source source) {
-  const double share = 1 - LoadTime(model, source) / kLoadHorizonMs;
+  const auto load = static_cast<double>(LoadTime(model, source).count());
+  const double share = 1 - load / kLoadHorizonMs;
   return std::max(share, kMinLoadFactor);
 }
 
--- a/src/decisions/patient_loads.cc
+++ b/src/decisions/patient_loads.cc
@@ -10,12 +10,18 @@
 #include <tuple>
 #include <utility>
 
+#include "decisions/engine_choice.h"
 #include "decisions/replica_wait.h"
 
 namespace valeledge::decisions {
 
 namespace {
 
+using detail::Contains;
+using detail::kEvictionCost;
+using detail::kRunningCost;
+using detail::LoadTime;
+using detail::SourceAt;
 using std::chrono::milliseconds;
 
 // Requests per second below which a model counts as one without demand: with
@@ -27,11 +33,8 @@
 // for it: their prompts are read together, and a response takes about a second.
 constexpr milliseconds kRunTime{2000};
 
-// Costs in the choice of an engine, in requests per second as in the model
-// plan: for each request that runs on it, for each eviction, and for each
-// second until the model is ready.
-constexpr double kRunningCost = 0.02;
-constexpr double kEvictionCost = 0.4;
+// Cost in the choice of an engine, in requests per second, beside those of
+// engine_choice: for each second until the model is ready.
 constexpr double kSecondCost = 0.05;
 
 // Maximum number of engines that are evaluated for one model, apart from those
@@ -41,10 +44,6 @@
 constexpr std::size_t kMaxScanned = 128;
 constexpr std::size_t kMaxVisited = 8 * kMaxScanned;
 
-bool Contains(const std::vector<std::size_t>& set, std::size_t value) {
-  return std::ranges::find(set, value) != set.end();
-}
-
 // A replica on an engine, and when it may be evicted if its model allows that.
 struct replica {
   std::size_t model = 0;
@@ -102,26 +101,6 @@
   std::int64_t requests_in_time = 0;
 };
 
-weight_source SourceAt(const plan_engine& engine, std::size_t model) {
-  if (Contains(engine.in_memory, model))
-    return weight_source::kMemory;
-  if (Contains(engine.on_disk, model))
-    return weight_source::kDisk;
-  return weight_source::kStore;
-}
-
-milliseconds LoadTime(const plan_model& model, weight_source source) {
-  switch (source) {
-    case weight_source::kMemory:
-      return model.load_from_memory;
-    case weight_source::kDisk:
-      return model.load_from_disk;
-    case weight_source::kStore:
-      break;
-  }
-  return model.load_from_store;
-}
-
 bool HasDemand(const plan_model& model) {
   const double now =
       std::max(model.arrival_rate, std::min(model.steady_rate, 1.0));
