valeledgectl: orders and quarantine read keys with one function

Cause: orders_command.cc and quarantine_command.cc each had the transaction that reads the keys with a prefix, and the loops over its results.

Change: ReadKeys (tools/ctl/read_keys.{h,cc}) does so; the commands interpret the pairs.

No behaviour changes: against the key-value stand-in, the programs before and after print the same and exit with the same status in 17 calls (show as table, JSON and CSV, lift, ended, an empty store, a record that cannot be read, a store that is down). The commands have no unit tests.

--- a/src/tools/ctl/orders_command.cc
+++ b/src/tools/ctl/orders_command.cc
@@ -9,6 +9,7 @@
 #include "decisions/reservation.h"
 #include "store/constants.h"
 #include "store/etcd_client.h"
+#include "tools/ctl/read_keys.h"
 #include "tools/ctl/run_to_end.h"
 
 namespace valeledge::ctl {
@@ -25,20 +26,16 @@
 
 asio::awaitable<base::result<std::vector<stored_reservation>>> ReadAll(
     store::kv_client& service) {
-  store::kv_transaction look;
-  look.on_success.push_back(
-      store::GetPrefix(std::string(store::kReservationPrefix)));
-  const auto seen = co_await service.Run(std::move(look));
-  if (!seen)
-    co_return tl::make_unexpected(seen.error());
+  const auto pairs =
+      co_await ReadKeys(service, std::string(store::kReservationPrefix));
+  if (!pairs)
+    co_return tl::make_unexpected(pairs.error());
   std::vector<stored_reservation> out;
-  for (const store::kv_operation_result& result : seen->results) {
-    for (const store::kv_pair& pair : result.pairs) {
-      auto record = decisions::DecodeReservation(pair.value);
-      if (!record)
-        co_return tl::make_unexpected(record.error());
-      out.push_back({std::move(*record), pair});
-    }
+  for (const store::kv_pair& pair : *pairs) {
+    auto record = decisions::DecodeReservation(pair.value);
+    if (!record)
+      co_return tl::make_unexpected(record.error());
+    out.push_back({std::move(*record), pair});
   }
   co_return out;
 }
--- a/src/tools/ctl/quarantine_command.cc
+++ b/src/tools/ctl/quarantine_command.cc
@@ -7,6 +7,7 @@
 
 #include "store/constants.h"
 #include "store/etcd_client.h"
+#include "tools/ctl/read_keys.h"
 #include "tools/ctl/run_to_end.h"
 
 namespace valeledge::ctl {
@@ -15,24 +16,10 @@
 
 namespace asio = boost::asio;
 
-asio::awaitable<base::result<std::vector<store::kv_pair>>> ReadAll(
-    store::kv_client& service) {
-  store::kv_transaction query;
-  query.on_success.push_back(store::GetPrefix(std::string(store::kHeldPrefix)));
-  auto response = co_await service.Run(std::move(query));
-  if (!response)
-    co_return tl::make_unexpected(response.error());
-  std::vector<store::kv_pair> pairs;
-  for (store::kv_operation_result& result : response->results) {
-    for (store::kv_pair& pair : result.pairs)
-      pairs.push_back(std::move(pair));
-  }
-  co_return pairs;
-}
-
 asio::awaitable<base::result<void>> Remove(store::kv_client& service,
                                            std::string key) {
-  const auto pairs = co_await ReadAll(service);
+  const auto pairs =
+      co_await ReadKeys(service, std::string(store::kHeldPrefix));
   if (!pairs)
     co_return tl::make_unexpected(pairs.error());
   for (const store::kv_pair& pair : *pairs) {
@@ -56,7 +43,8 @@
                             output_format format) {
   asio::io_context context(1);
   store::etcd_client service(context, {platform, timeout}, nullptr);
-  const auto pairs = RunToEnd(context, ReadAll(service));
+  const auto pairs =
+      RunToEnd(context, ReadKeys(service, std::string(store::kHeldPrefix)));
   if (!pairs)
     return Report(pairs.error());
   listing out{{"name", "evidence"}, {}};
