--- a/src/decisions/engine_admission.h
+++ b/src/decisions/engine_admission.h
@@ -9,6 +9,9 @@
 
 namespace valeledge::decisions {
 
+// Interval at which the decision is made again for a waiting request.
+inline constexpr std::chrono::milliseconds kAdmissionRecheckInterval{15};
+
 // The best engine for a request, and the request's time limits.
 struct engine_candidate {
   // Time since the request arrived, and the time limit from its arrival to the
--- a/src/decisions/engine_queue.cc
+++ b/src/decisions/engine_queue.cc
@@ -21,7 +21,6 @@
 using detail::ExpectedResponse;
 using detail::Insert;
 using detail::IsAvoided;
-using detail::kCheckInterval;
 using detail::known_engine;
 using detail::LevelAt;
 using detail::LoadOf;
@@ -57,10 +56,10 @@
 
 // Refused callers are assigned capacity at most this far ahead: the longest
 // deadline of a route is 15 s, and callers use a third of what is left of it.
-constexpr std::chrono::milliseconds kMaxReturn{5000};
+constexpr std::chrono::milliseconds kMaxRetryAfter{5000};
 
 // A caller that returns earlier is likely to meet the same queue.
-constexpr std::chrono::milliseconds kMinReturn{100};
+constexpr std::chrono::milliseconds kMinRetryAfter{100};
 
 // Engines in one group. All of a service at 70 hosts with 140 engines; at 985
 // hosts with 4,000 engines an owner then spends about a third of a core during
@@ -168,10 +167,10 @@
       response ? *response - ReadTime(request) : milliseconds(0);
   const auto earliest =
       now +
-      std::max(kMinReturn, duration_cast<std::chrono::milliseconds>(turn));
+      std::max(kMinRetryAfter, duration_cast<std::chrono::milliseconds>(turn));
   unit_queue& unit = queue.units.at(request.unit);
   const auto at =
-      std::min(std::max(earliest, unit.returns_until), now + kMaxReturn);
+      std::min(std::max(earliest, unit.returns_until), now + kMaxRetryAfter);
   unit.returns_until = at + duration_cast<base::time_point::duration>(
                                 ReadTime(request) * EnginePart(unit));
   return {request.number,
@@ -294,7 +293,7 @@
 
 queue_decisions Decide(engine_queue& queue, base::time_point now) {
   queue_decisions out;
-  const bool check_all = now - queue.checked_at >= kCheckInterval;
+  const bool check_all = now - queue.checked_at >= kAdmissionRecheckInterval;
   for (auto& [name, engine] : queue.engines) {
     const auto lapsed = std::erase_if(engine.grants, [now](const auto& each) {
       return now - each.granted_at >= kMaxUnreported;
--- a/src/decisions/engine_queue_load.cc
+++ b/src/decisions/engine_queue_load.cc
@@ -13,13 +13,6 @@
 using milliseconds = std::chrono::duration<double, std::milli>;
 using std::chrono::duration_cast;
 
-// Above this share of an engine's token memory requests may be preempted.
-constexpr double kMaxTokenMemoryUse = 0.85;
-
-// Time from the end of the reading of a prompt to its first event: a few steps
-// of the batch.
-constexpr milliseconds kFirstEventDelay{35};
-
 // Whether the request can run there without being queued or preempted.
 bool HasRoom(const server_candidate& load, const queued_request& request) {
   const auto held =
@@ -78,11 +71,12 @@
   turn.prompt_backlog =
       request.weight.time_per_token * static_cast<double>(load.unread_tokens);
   turn.max_event_gap = request.max_event_gap;
-  turn.recheck_interval = kCheckInterval;
+  turn.recheck_interval = kAdmissionRecheckInterval;
   const auto decided = DecideAdmission(turn);
   const bool must_wait =
       decided == admission_decision::kSend && !HasRoom(load, request) &&
-      turn.waited + turn.response_in + kCheckInterval <= turn.objective;
+      turn.waited + turn.response_in + kAdmissionRecheckInterval <=
+          turn.objective;
   return must_wait ? admission_decision::kWait : decided;
 }
 
@@ -110,7 +104,8 @@
   const milliseconds left =
       engine.reading.spent -
       engine.reading.token_time * static_cast<double>(read);
-  engine.reading.spent = std::clamp(left, milliseconds(0), kFirstEventDelay);
+  engine.reading.spent =
+      std::clamp<milliseconds>(left, milliseconds(0), kFirstEventOverhead);
 }
 
 }  // namespace valeledge::decisions::detail
--- a/src/decisions/engine_queue_load.h
+++ b/src/decisions/engine_queue_load.h
@@ -13,11 +13,6 @@
 
 namespace valeledge::decisions::detail {
 
-// Interval at which engines are checked whose load has not changed: a request
-// may have no time left to wait. The same as a host's interval without an
-// owner.
-inline constexpr std::chrono::milliseconds kCheckInterval{15};
-
 // The engine's load, including requests that were granted and not reported.
 server_candidate LoadOf(const known_engine& engine);
 
--- a/src/decisions/prompt_judgement.h
+++ b/src/decisions/prompt_judgement.h
@@ -21,8 +21,8 @@
 // request in between that a server runs, with at most this probability.
 inline constexpr double kMaxCoincidence = 2e-6;
 
-// If a part has been acquitted, the number of crashes from which on it is
-// quarantined again doubles with each time, up to this number.
+// The number of crashes after which a combination is quarantined again doubles
+// each time its quarantine is lifted, up to this number.
 inline constexpr std::size_t kMaxCrashesRequired = 12;
 
 // Crashes without a part speak against it as the cause: of a part that many
--- a/src/decisions/prompt_quarantine.cc
+++ b/src/decisions/prompt_quarantine.cc
@@ -223,9 +223,9 @@
   return cleared;
 }
 
-std::vector<prompt_parts> RefutedCombinations(const prompt_quarantine& state,
-                                              const prompt_parts& parts,
-                                              base::time_point now) {
+std::vector<prompt_parts> QuarantinedWithin(const prompt_quarantine& state,
+                                            const prompt_parts& parts,
+                                            base::time_point now) {
   std::vector<prompt_parts> refuted;
   for (const auto& [combination, each] : state.combinations) {
     if (IsActive(each, now) && Includes(parts, combination))
@@ -234,17 +234,17 @@
   return refuted;
 }
 
-bool AcquitCombination(prompt_quarantine& state,
-                       const prompt_parts& combination,
-                       base::time_point now) {
+bool LiftQuarantine(prompt_quarantine& state,
+                    const prompt_parts& combination,
+                    base::time_point now) {
   const auto found = state.combinations.find(combination);
   if (found == state.combinations.end() || !IsActive(found->second, now))
     return false;
   state.combinations.erase(found);
   ForgetCrashes(state, combination, now);
-  detail::acquittal& acquitted = state.acquittals[combination];
-  ++acquitted.count;
-  acquitted.at = now;
+  detail::lifted_quarantine& lifted_before = state.lifted[combination];
+  ++lifted_before.count;
+  lifted_before.at = now;
   return true;
 }
 
@@ -254,9 +254,9 @@
   // A combination that is quarantined already may be part of it.
   if (combination.empty() || FindQuarantine(state, combination, now))
     return false;
-  const auto acquitted = state.acquittals.find(combination);
-  if (acquitted != state.acquittals.end() &&
-      now - acquitted->second.at < kAcquittalTime)
+  const auto lifted_before = state.lifted.find(combination);
+  if (lifted_before != state.lifted.end() &&
+      now - lifted_before->second.at < kLiftedTime)
     return false;
   const auto found = state.combinations.find(combination);
   if (found == state.combinations.end() &&
@@ -303,17 +303,25 @@
   return found->second.since;
 }
 
+// The parts may have been in flight at other crashes as well; the one with the
+// fewest shows those of the combination.
 quarantine_evidence EvidenceOf(const prompt_quarantine& state,
                                const prompt_parts& combination) {
-  if (combination.empty())
-    return {};
-  const auto found = state.suspects.find(combination.front());
-  if (found == state.suspects.end())
+  const std::vector<part_crash>* fewest = nullptr;
+  for (const std::uint64_t part : combination) {
+    const auto found = state.suspects.find(part);
+    if (found == state.suspects.end())
+      continue;
+    const auto& crashes = found->second.crashes;
+    if (fewest == nullptr || crashes.size() < fewest->size())
+      fewest = &crashes;
+  }
+  if (fewest == nullptr)
     return {};
   std::set<std::int32_t> engines;
-  for (const part_crash& each : found->second.crashes)
+  for (const part_crash& each : *fewest)
     engines.insert(each.engine);
-  return {CountSeparate(found->second.crashes), engines.size()};
+  return {CountSeparate(*fewest), engines.size()};
 }
 
 std::vector<std::int32_t> CrashedEngines(const prompt_quarantine& state,
@@ -374,7 +382,7 @@
     return !each.second.since &&
            now - *each.second.released_at >= kQuarantineDuration;
   });
-  std::erase_if(state.acquittals, [now](const auto& each) {
+  std::erase_if(state.lifted, [now](const auto& each) {
     return now - each.second.at >= kQuarantineDuration;
   });
   for (auto& [part, suspect] : state.suspects) {
--- a/src/decisions/prompt_quarantine.h
+++ b/src/decisions/prompt_quarantine.h
@@ -39,7 +39,7 @@
 
 // Time after the end of a quarantine within which messages about it, which
 // hosts repeat for two seconds, are ignored.
-inline constexpr std::chrono::milliseconds kAcquittalTime{3000};
+inline constexpr std::chrono::milliseconds kLiftedTime{3000};
 
 // Maximum number of different requests counted at one crash.
 inline constexpr std::size_t kMaxRequestsPerCrash = 16;
@@ -90,9 +90,9 @@
   std::vector<std::uint64_t> prompts;
 };
 
-// Quarantines of a combination that ended since servers had run requests with
-// it.
-struct acquittal {
+// How often the quarantine of a combination was lifted, because a server ran a
+// request with it or by an operator.
+struct lifted_quarantine {
   std::size_t count = 0;
   base::time_point at;
 };
@@ -136,7 +136,7 @@
   std::deque<detail::part_crash> explained;
   // All recent crashes.
   std::deque<detail::kept_crash> crashes;
-  std::map<prompt_parts, detail::acquittal> acquittals;
+  std::map<prompt_parts, detail::lifted_quarantine> lifted;
 };
 
 namespace detail {
@@ -188,21 +188,21 @@
                         const prompt_parts& parts,
                         base::time_point at);
 
-// Returns the quarantined combinations that a server has run with a request
-// with these parts.
-std::vector<prompt_parts> RefutedCombinations(const prompt_quarantine& state,
-                                              const prompt_parts& parts,
-                                              base::time_point now);
+// Returns the quarantined combinations of which a request with these parts has
+// all.
+std::vector<prompt_parts> QuarantinedWithin(const prompt_quarantine& state,
+                                            const prompt_parts& parts,
+                                            base::time_point now);
 
 // Ends a quarantine, since a server has run a request with the combination or
 // an operator has lifted it. Returns true if it was quarantined. More crashes
 // than before are needed to quarantine it again.
-bool AcquitCombination(prompt_quarantine& state,
-                       const prompt_parts& combination,
-                       base::time_point now);
+bool LiftQuarantine(prompt_quarantine& state,
+                    const prompt_parts& combination,
+                    base::time_point now);
 
 // Records that all hosts quarantine the combination. Returns true if it was not
-// quarantined before, and has not just been acquitted.
+// quarantined before, and has not just been lifted_before.
 bool RecordCombination(prompt_quarantine& state,
                        const prompt_parts& combination,
                        base::time_point now);
--- a/src/decisions/prompt_quarantine_update.cc
+++ b/src/decisions/prompt_quarantine_update.cc
@@ -95,7 +95,7 @@
   applied_prompt_update applied;
   for (const auto& each : update.lifted) {
     prompt_parts combination = FromWire(each);
-    if (AcquitCombination(state, combination, now))
+    if (LiftQuarantine(state, combination, now))
       applied.lifted.push_back(std::move(combination));
   }
   for (const auto& each : update.quarantined) {
--- a/src/decisions/server_cost.cc
+++ b/src/decisions/server_cost.cc
@@ -15,9 +15,6 @@
 // Each running request lengthens the steps of an engine's batch.
 constexpr milliseconds kDelayPerRunning{1};
 
-// Above this share of an engine's token memory requests may be preempted.
-constexpr double kMaxTokenMemoryUse = 0.85;
-
 // If all slots are in use, one becomes free after this time divided by the
 // number of slots.
 constexpr milliseconds kTypicalResponseTime{2000};
--- a/src/decisions/server_cost.h
+++ b/src/decisions/server_cost.h
@@ -11,6 +11,12 @@
 
 namespace valeledge::decisions {
 
+// Above this share of an engine's token memory requests may be preempted.
+inline constexpr double kMaxTokenMemoryUse = 0.85;
+
+// Time from the end of prefill to the first event: a few steps of the batch.
+inline constexpr std::chrono::milliseconds kFirstEventOverhead{35};
+
 // A backend server as a candidate for a request.
 struct server_candidate {
   std::int64_t slots = 1;
--- a/src/host/constants.h
+++ b/src/host/constants.h
@@ -7,6 +7,8 @@
 #include <cstdint>
 #include <string_view>
 
+#include "decisions/engine_admission.h"
+
 namespace valeledge::host {
 
 // Connecting to a backend server takes a few milliseconds unless the server or
@@ -21,7 +23,8 @@
 
 // Interval at which server selection is repeated for a request that no server
 // can accept yet.
-inline constexpr std::chrono::milliseconds kSelectionRetryInterval{15};
+inline constexpr std::chrono::milliseconds kSelectionRetryInterval =
+    decisions::kAdmissionRecheckInterval;
 
 // Interval at which a request looks whether the path to the servers is known.
 inline constexpr std::chrono::milliseconds kPathRecheckInterval{5};
@@ -70,9 +73,6 @@
 inline constexpr double kHeaderTimeoutFraction = 0.7;
 inline constexpr std::chrono::milliseconds kMaxHeaderTimeout{2000};
 
-// Time from the end of prefill to the first event: a few steps of the batch.
-inline constexpr std::chrono::milliseconds kFirstEventOverhead{35};
-
 // Initial estimate of the prefill time per prompt token, used until there are
 // measurements.
 inline constexpr std::chrono::duration<double, std::milli> kInitialTokenCost{
--- a/src/host/process/host_core.h
+++ b/src/host/process/host_core.h
@@ -31,7 +31,7 @@
 #include "host/process/retry_budgets.h"
 #include "host/process/server_registry.h"
 #include "host/process/slot_handle.h"
-#include "host/trial_answer.h"
+#include "host/trial_reply.h"
 #include "net/http_client.h"
 
 namespace valeledge::host {
@@ -104,7 +104,7 @@
   std::function<void(const decisions::prompt_parts& parts)> prompt_served;
   // Whether a request with the quarantined combination may be sent as a trial.
   // If unset, none may.
-  std::function<trial_answer(const decisions::prompt_parts& combination)>
+  std::function<trial_reply(const decisions::prompt_parts& combination)>
       begin_prompt_trial;
   // Publishes that a server crashed under a trial of the combination.
   std::function<void(const decisions::prompt_parts& combination)>
--- a/src/host/process/prompt_quarantine_coordinator.cc
+++ b/src/host/process/prompt_quarantine_coordinator.cc
@@ -126,10 +126,9 @@
 void prompt_quarantine_coordinator::OnServed(
     const decisions::prompt_parts& parts) {
   const auto now = std::chrono::steady_clock::now();
-  const auto refuted =
-      decisions::RefutedCombinations(core_.prompts, parts, now);
+  const auto refuted = decisions::QuarantinedWithin(core_.prompts, parts, now);
   for (const auto& combination : refuted) {
-    decisions::AcquitCombination(core_.prompts, combination, now);
+    decisions::LiftQuarantine(core_.prompts, combination, now);
     End(combination, "run");
     DeleteKey(combination);
     Broadcast({.lifted = {combination}});
@@ -143,24 +142,24 @@
   return static_cast<std::int64_t>(base::StableHash(core_.settings.name));
 }
 
-trial_answer prompt_quarantine_coordinator::BeginTrial(
+trial_reply prompt_quarantine_coordinator::BeginTrial(
     const decisions::prompt_parts& combination) {
   if (UseGrant(combination))
-    return trial_answer::kBegun;
+    return trial_reply::kBegun;
   const auto now = std::chrono::steady_clock::now();
   base::time_point& asked_at = trials_asked_[combination];
   if (now - asked_at < kTrialRequestInterval)
-    return trial_answer::kRefused;
+    return trial_reply::kRefused;
   asked_at = now;
   const std::vector<decisions::prompt_trial> wanted{{combination, HostKey()}};
   if (callbacks_.is_first()) {
     GrantTrials(wanted);
-    return UseGrant(combination) ? trial_answer::kBegun : trial_answer::kAsked;
+    return UseGrant(combination) ? trial_reply::kBegun : trial_reply::kAsked;
   }
   wire::prompt_quarantine_update update;
   update.__set_trials_wanted(decisions::TrialsToWire(wanted));
   callbacks_.send(update);
-  return trial_answer::kAsked;
+  return trial_reply::kAsked;
 }
 
 bool prompt_quarantine_coordinator::UseGrant(
@@ -414,13 +413,13 @@
   const auto since =
       decisions::QuarantinedSince(core_.prompts, *combination, now);
   // A lease that ends leaves the combination under suspicion; a key that is
-  // removed earlier acquits it. A host that knows the quarantine from the store
+  // removed earlier lifts it. A host that knows the quarantine from the store
   // cannot tell when it began.
   const bool is_removed =
       since && !from_store_.contains(*combination) &&
       now - *since < decisions::kQuarantineDuration - kLeaseMargin;
   if (is_removed) {
-    if (decisions::AcquitCombination(core_.prompts, *combination, now))
+    if (decisions::LiftQuarantine(core_.prompts, *combination, now))
       End(*combination, "store");
     return true;
   }
--- a/src/host/process/prompt_quarantine_coordinator.h
+++ b/src/host/process/prompt_quarantine_coordinator.h
@@ -56,7 +56,7 @@
 
   // Whether a request of this host with the quarantined combination may be sent
   // as a trial. If not, the host asks for a trial, unless it has just done so.
-  trial_answer BeginTrial(const decisions::prompt_parts& combination);
+  trial_reply BeginTrial(const decisions::prompt_parts& combination);
   // A trial that this host has sent has crashed its server.
   void OnTrialFailed(const decisions::prompt_parts& combination);
 
--- a/src/host/request/attempt_watch.cc
+++ b/src/host/request/attempt_watch.cc
@@ -44,9 +44,6 @@
 // leaving an engine also requires a better one and a retry.
 constexpr double kSpreadQuantile = 0.99;
 
-// Above this share of an engine's token memory requests may be preempted.
-constexpr double kMaxTokenMemoryUse = 0.85;
-
 milliseconds WholeMilliseconds(std::chrono::duration<double, std::milli> time) {
   constexpr std::chrono::duration<double, std::milli> kMax =
       std::chrono::hours(1);
@@ -66,7 +63,8 @@
   const std::int64_t held = server.own.held_tokens + server.others.held_tokens +
                             routed.weight.held_tokens;
   const bool has_memory =
-      memory <= 0 || static_cast<double>(held) <= memory * kMaxTokenMemoryUse;
+      memory <= 0 ||
+      static_cast<double>(held) <= memory * decisions::kMaxTokenMemoryUse;
   return has_memory && !server.IsLimited() &&
          server.own.running + server.others.running < server.entry.slots;
 }
@@ -85,8 +83,8 @@
   if (!core.servers.SharesEstimates(service))
     return decisions::FixedSpreadLimit(attempt.expected);
   return WholeMilliseconds(decisions::FirstEventQuantile(
-      attempt.server->estimate, attempt.unscaled + kFirstEventOverhead,
-      kSpreadQuantile, now));
+      attempt.server->estimate,
+      attempt.unscaled + decisions::kFirstEventOverhead, kSpreadQuantile, now));
 }
 
 void IncludeLaterLoad(const host_core& core,
--- a/src/host/request/queued_selection.cc
+++ b/src/host/request/queued_selection.cc
@@ -25,7 +25,7 @@
       turn.refusable ? turn.objective : std::max(turn.objective, kMaxLateWait);
   const milliseconds left =
       std::min(limit - turn.waited, RemainingTime(routed));
-  return left - kFirstEventOverhead;
+  return left - decisions::kFirstEventOverhead;
 }
 
 // Keeps those of the instances that hold the model: the others are not selected
--- a/src/host/request/server_attempt.cc
+++ b/src/host/request/server_attempt.cc
@@ -132,18 +132,19 @@
                                 std::chrono::steady_clock::now());
   decisions::RecordResponse(
       server_->trust, took,
-      expected_delay_ + milliseconds(kFirstEventOverhead));
+      expected_delay_ + milliseconds(decisions::kFirstEventOverhead));
   ObserveEngine(false);
   if (shared_factor_ && decisions::WeightAt(server_->estimate,
                                             std::chrono::steady_clock::now()) >=
                             kMinWeightForCost) {
     decisions::RecordCost(
         demand_.relative_cost, took,
-        (unscaled_delay_ + milliseconds(kFirstEventOverhead)) *
+        (unscaled_delay_ + milliseconds(decisions::kFirstEventOverhead)) *
             *shared_factor_);
   }
   if (tokens_ahead_ >= kMinTokensForCost) {
-    const milliseconds reading = took - milliseconds(kFirstEventOverhead);
+    const milliseconds reading =
+        took - milliseconds(decisions::kFirstEventOverhead);
     demand_tracker::UpdateCost(
         demand_,
         std::max(reading / static_cast<double>(tokens_ahead_), kMinTokenCost));
@@ -157,7 +158,8 @@
   // After the first byte, a failure shows nothing about the time until then.
   if (!failed || awaiting_first_byte_)
     observation.actual = std::chrono::steady_clock::now() - started_at_;
-  observation.expected = unscaled_delay_ + milliseconds(kFirstEventOverhead);
+  observation.expected =
+      unscaled_delay_ + milliseconds(decisions::kFirstEventOverhead);
   observation.failed = failed;
   core_.engine_observed(*server_, observation);
 }
--- a/src/host/trial_answer.h
+++ b/src/host/trial_reply.h
@@ -1,12 +1,12 @@
 // SPDX-License-Identifier: MIT
-// Answer to the question whether a request may be sent as a trial.
-#ifndef VALELEDGE_HOST_TRIAL_ANSWER_H_
-#define VALELEDGE_HOST_TRIAL_ANSWER_H_
+// Whether a request may be sent as a trial.
+#ifndef VALELEDGE_HOST_TRIAL_REPLY_H_
+#define VALELEDGE_HOST_TRIAL_REPLY_H_
 
 namespace valeledge::host {
 
 // What becomes of a request of a host whose prompt parts are quarantined.
-enum class trial_answer {
+enum class trial_reply {
   // It is refused.
   kRefused,
   // It is refused unless the trial that has just been asked for is granted.
@@ -17,4 +17,4 @@
 
 }  // namespace valeledge::host
 
-#endif  // VALELEDGE_HOST_TRIAL_ANSWER_H_
+#endif  // VALELEDGE_HOST_TRIAL_REPLY_H_
--- a/src/tools/ctl/quarantine_command.cc
+++ b/src/tools/ctl/quarantine_command.cc
@@ -16,24 +16,16 @@
 
 namespace asio = boost::asio;
 
-asio::awaitable<base::result<void>> Remove(store::kv_client& service,
+// Removes the key. Returns false if the store does not contain it.
+asio::awaitable<base::result<bool>> Remove(store::kv_client& service,
                                            std::string key) {
-  const auto pairs =
-      co_await ReadKeys(service, std::string(store::kHeldPrefix));
-  if (!pairs)
-    co_return tl::make_unexpected(pairs.error());
-  for (const store::kv_pair& pair : *pairs) {
-    if (pair.key != key)
-      continue;
-    store::kv_transaction removal;
-    removal.on_success.push_back(store::Delete(key));
-    const auto done = co_await service.Run(std::move(removal));
-    if (!done)
-      co_return tl::make_unexpected(done.error());
-    co_return base::result<void>();
-  }
-  co_return base::NotRun(base::result_code::kRevisionConflict,
-                         key + " is not quarantined");
+  store::kv_transaction removal;
+  removal.conditions.push_back(store::Absent(key));
+  removal.on_failure.push_back(store::Delete(key));
+  const auto done = co_await service.Run(std::move(removal));
+  if (!done)
+    co_return tl::make_unexpected(done.error());
+  co_return !done->succeeded;
 }
 
 }  // namespace
@@ -64,6 +56,12 @@
       context, Remove(service, std::string(store::kHeldPrefix) + name));
   if (!removed)
     return Report(removed.error());
+  if (!*removed) {
+    std::cerr << name
+              << " is not quarantined; \"valeledgectl quarantine show\" "
+              << "lists what is\n";
+    return exit_status::kRefused;
+  }
   std::cout << name << " is no longer quarantined\n";
   return exit_status::kOk;
 }
--- a/tests/auto/decisions/test_prompt_quarantine.cc
+++ b/tests/auto/decisions/test_prompt_quarantine.cc
@@ -275,6 +275,20 @@
   BOOST_TEST((crashes.front().at == there.now - 3s));
 }
 
+// Guards against evidence that counts crashes of only one part of a
+// combination.
+BOOST_AUTO_TEST_CASE(evidence_counts_the_crashes_of_the_whole_combination) {
+  judging_host here;
+  here.Crash({{kDocument}});
+  for (int i = 0; i < 3; ++i) {
+    here.now += 400ms;
+    here.Crash({{kDocument, kCause}});
+  }
+  const auto evidence = decisions::EvidenceOf(here.state, {kDocument, kCause});
+  BOOST_TEST(evidence.crashes == 3u);
+  BOOST_TEST(evidence.engines == 3u);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
