One function for exponential decay, one for the fixed header time-out

Cause: the decay of a rate was written out in four decision modules, and the fixed header time-out in two files of the host. Change: base::DecayFactor and FixedHeaderTimeout. No change of behaviour. Measured: test_decisions, test_limit_queue, test_limit_fleet and test_attempt_watch passed (release). host_server_limits failed once while the load average was 33 and passed 1 of 1 afterwards; not traced.

--- a/src/decisions/engine_queue_forecast.cc
+++ b/src/decisions/engine_queue_forecast.cc
@@ -2,11 +2,11 @@
 #include "decisions/engine_queue_forecast.h"
 
 #include <algorithm>
-#include <cmath>
 #include <map>
 #include <string>
 #include <string_view>
 
+#include "base/decay.h"
 #include "decisions/engine_queue_load.h"
 #include "decisions/engine_queue_order.h"
 
@@ -125,8 +125,7 @@
 
 std::chrono::duration<double, std::milli> LevelAt(const arriving_work& work,
                                                   base::time_point now) {
-  const milliseconds passed = now - work.at;
-  return work.level * std::exp(-(passed / kArrivalWindow));
+  return work.level * base::DecayFactor(now - work.at, kArrivalWindow);
 }
 
 std::optional<std::chrono::duration<double, std::milli>> ExpectedResponse(
--- a/src/decisions/limit_queue.cc
+++ b/src/decisions/limit_queue.cc
@@ -7,6 +7,8 @@
 #include <limits>
 #include <tuple>
 
+#include "base/decay.h"
+
 namespace valeledge::decisions {
 
 namespace {
@@ -65,8 +67,7 @@
 constexpr double kDropDeviations = -1;
 
 double DecayUntil(const class_demand& demand, base::time_point now) {
-  const seconds passed = now - demand.updated;
-  return passed.count() > 0 ? std::exp(-passed / kDemandTimeConstant) : 1;
+  return base::DecayFactor(now - demand.updated, kDemandTimeConstant);
 }
 
 // Callers state costs freely, and no request takes more than the burst at once:
--- a/src/decisions/read_pacing.cc
+++ b/src/decisions/read_pacing.cc
@@ -1,7 +1,7 @@
 // SPDX-License-Identifier: MIT
 #include "decisions/read_pacing.h"
 
-#include <cmath>
+#include "base/decay.h"
 
 namespace valeledge::decisions {
 
@@ -16,8 +16,7 @@
 constexpr double kRecentReadWeight = 0.5;
 
 milliseconds LevelAt(const read_pacing& pacing, base::time_point now) {
-  const milliseconds passed = now - pacing.at;
-  return pacing.level * std::exp(-(passed / kDecayTime));
+  return pacing.level * base::DecayFactor(now - pacing.at, kDecayTime);
 }
 
 }  // namespace
--- a/src/decisions/workspace_limit.cc
+++ b/src/decisions/workspace_limit.cc
@@ -2,7 +2,8 @@
 #include "decisions/workspace_limit.h"
 
 #include <algorithm>
-#include <cmath>
+
+#include "base/decay.h"
 
 namespace valeledge::decisions {
 
@@ -56,8 +57,7 @@
 constexpr std::chrono::milliseconds kClientUpdateInterval{50};
 
 double Decayed(double rate, seconds passed) {
-  return passed.count() > 0 ? rate * std::exp(-passed / kRateTimeConstant)
-                            : rate;
+  return rate * base::DecayFactor(passed, kRateTimeConstant);
 }
 
 void Decay(limit_allowance& allowance, base::time_point now) {
--- a/src/host/request/attempt_timeouts.cc
+++ b/src/host/request/attempt_timeouts.cc
@@ -12,7 +12,6 @@
 namespace {
 
 using catalog::route_kind;
-using std::chrono::duration_cast;
 using std::chrono::milliseconds;
 
 // Whether another attempt may follow the present one if that may have run.
@@ -27,9 +26,7 @@
   const milliseconds left = RemainingTime(state.routed);
   if (!MayRepeatAttempt(state) || HasAdaptiveTimeout(state.core, state.routed))
     return left;
-  const auto part = duration_cast<milliseconds>(state.routed.route->objective *
-                                                kHeaderTimeoutFraction);
-  return std::min({left, part, kMaxHeaderTimeout});
+  return std::min(left, FixedHeaderTimeout(state.routed));
 }
 
 void WatchAttempt(request_state& state, watched_attempt attempt) {
--- a/src/host/request/attempt_watch.cc
+++ b/src/host/request/attempt_watch.cc
@@ -50,12 +50,6 @@
   return duration_cast<milliseconds>(std::min(time, kMax));
 }
 
-milliseconds FixedHeaderTimeout(const routed_request& routed) {
-  return std::min(duration_cast<milliseconds>(routed.route->objective *
-                                              kHeaderTimeoutFraction),
-                  kMaxHeaderTimeout);
-}
-
 // Whether an engine can start the request immediately.
 bool HasCapacity(const server_choice& choice, const routed_request& routed) {
   const known_server& server = *choice.server;
@@ -71,6 +65,12 @@
 
 }  // namespace
 
+milliseconds FixedHeaderTimeout(const routed_request& routed) {
+  return std::min(duration_cast<milliseconds>(routed.route->objective *
+                                              kHeaderTimeoutFraction),
+                  kMaxHeaderTimeout);
+}
+
 bool HasAdaptiveTimeout(const host_core& core, const routed_request& routed) {
   return !routed.metadata.model.empty() &&
          IsEnabled(core.settings.features.adaptive_timeouts, *routed.service);
--- a/src/host/request/attempt_watch.h
+++ b/src/host/request/attempt_watch.h
@@ -19,6 +19,10 @@
 
 namespace valeledge::host {
 
+// Returns how long an attempt waits for the header if other attempts may
+// follow it, without regard to the engine's expected time.
+std::chrono::milliseconds FixedHeaderTimeout(const routed_request& routed);
+
 // Whether attempts at the request are ended by an attempt_watch rather than by
 // a fixed time-out.
 bool HasAdaptiveTimeout(const host_core& core, const routed_request& routed);
