Soak: callers that compete for engines, faults while they wait

Cause: the fault soak knew none of the features for high load: no service of its configuration had mixed urgency, and no caller waited for an engine.

New checks: overtaken, held, patient, bounded (docs/SOAK.md).

--- a/tests/soak/ledger.py
+++ b/tests/soak/ledger.py
@@ -5,6 +5,8 @@
 import time
 from dataclasses import dataclass
 
+from load_ledger import LoadLedger
+
 # A server that said it leaves may be sent requests for so long: the bound of
 # two seconds, and half a second for this machine's own delays.
 DRAIN_S = 2.5
@@ -141,6 +143,8 @@
         # of each may go through another host.
         self.cut: Cut | None = None
         self.relays_until: dict[str, float] = {}
+        # When a host was killed or frozen last.
+        self.host_lost_at = 0.0
         # Software versions of the events of each stream, by the attempt that
         # began it.
         self.software: dict[str, set] = collections.defaultdict(set)
@@ -151,6 +155,8 @@
         self.new_streams, self.taken_up = [0, 0], [0, 0]
         # Spans in which hosts could not know what the store holds.
         self.blind: list[tuple[float, float]] = []
+        # What is promised under high load.
+        self.load = LoadLedger(self)
 
     def cut_off(self, hosts) -> None:
         self.cut = Cut(set(hosts), time.monotonic(), [0, 0], [0, 0])
@@ -236,6 +242,7 @@
         if not same:
             self.break_promise("changed", f"{request_id} is not as it was sent")
         self._count_after_ends((target, body), sent.calm, at)
+        self.load.began(request_id, at)
         self.run[request_id].append(Run(instance, method, target, body, at))
         if not sent.may_repeat and len(self.run[request_id]) > 1:
             self.break_promise("twice", f"{request_id} ({sent.kind}) ran at " +
@@ -369,6 +376,7 @@
 
     def arrives(self, request_id, instance, at) -> None:
         """A request reaches a server, which may refuse it."""
+        self.load.arrives(request_id)
         limit, sent = self.limits.get(instance), self.sent.get(request_id)
         if sent is not None:
             self._check_notices(sent, request_id, instance, at)
