Reservations for returning callers: service tests, less work in forecasts

Guards for the loss of an owner, hosts of older builds, and the option. A queue without reservations is compared once; the forecast with reservations is only made for requests that would otherwise be added. engine_queue_figures measures an owner with reservations.

--- a/src/decisions/engine_queue.cc
+++ b/src/decisions/engine_queue.cc
@@ -362,7 +362,7 @@
       RedeemReservation(queue.reserved, request.unit, request.priority,
                         request.workspace, now);
   queue.returns.redeemed += request.is_expected ? 1 : 0;
-  const auto response = ExpectedResponse(queue, request, now);
+  const auto response = ExpectedWithoutReservations(queue, request, now);
   const milliseconds left = request.deadline - now;
   detail::arriving_work& arriving =
       unit.arriving[{request.priority, request.workspace}];
@@ -370,12 +370,10 @@
   arriving.at = now;
   // The work of callers that return is known; the share that is kept free for
   // other changes is taken from the rest.
-  const auto unreserved =
-      queue.reserved.units.empty()
-          ? response
-          : ExpectedWithoutReservations(queue, request, now);
-  const bool has_time = unreserved && *unreserved <= left * kAdmittedShare;
-  const bool is_in_time = has_time && *response <= left;
+  const bool has_time = response && *response <= left * kAdmittedShare;
+  const bool is_in_time =
+      has_time && (queue.reserved.units.empty() ||
+                   *ExpectedResponse(queue, request, now) <= left);
   if (!response || (!is_in_time && !request.is_expected)) {
     queue.returns.refusals += has_time ? 1 : 0;
     return Refuse(queue, request, now);
--- a/src/decisions/return_reservations.cc
+++ b/src/decisions/return_reservations.cc
@@ -104,6 +104,9 @@
   std::int64_t dropped = 0;
   for (auto& [unit, flows] : reservations.units) {
     for (auto& [key, flow] : flows) {
+      // They are ordered by time.
+      if (now - flow.reservations.front().returns_at <= kReturnTolerance)
+        continue;
       const auto count =
           std::erase_if(flow.reservations, [&](const auto& each) {
             return now - each.returns_at > kReturnTolerance;
--- a/tests/auto/decisions/engine_queue_figures.cc
+++ b/tests/auto/decisions/engine_queue_figures.cc
@@ -38,12 +38,16 @@
   request.weight = {
       2890, 2940, std::chrono::duration<double, std::milli>(0.026), {}};
   request.max_event_gap = 400ms;
+  request.caller_deadline =
+      now + (request.deadline - now > 1s ? 15000ms : 6000ms);
   return request;
 }
 
-void Measure(int requests_per_pass) {
+// Refused callers do not return; their reservations lapse.
+void Measure(int requests_per_pass, bool reserves) {
   std::mt19937_64 random(1);
   decisions::engine_queue queue;
+  queue.reserves_returns = reserves;
   for (int model = 0; model < kModels; ++model) {
     std::vector<std::string> holders;
     for (int i = 0; i < std::max(kReplicas, 2); ++i)
@@ -92,15 +96,18 @@
   }
   std::printf(
       "%d requests/s: %.0f us for each pass of 2 ms; granted %zu, refused %zu, "
-      "longest queue %lld\n",
+      "longest queue %lld, reservations made %lld\n",
       requests_per_pass * 500, spent.count() * 1000 / kPasses, granted, refused,
-      static_cast<long long>(longest));
+      static_cast<long long>(longest),
+      static_cast<long long>(queue.returns.made));
 }
 
 }  // namespace
 
 int main() {
   for (const int requests : {1, 2, 3, 4, 6})
-    Measure(requests);
+    Measure(requests, false);
+  for (const int requests : {1, 2, 3, 4, 6})
+    Measure(requests, true);
   return 0;
 }
--- a/tests/auto/host/test_engine_queue_service.cc
+++ b/tests/auto/host/test_engine_queue_service.cc
@@ -474,6 +474,108 @@
                            "priority") == 1);
 }
 
+constexpr std::string_view kReservations =
+    "valeledge_return_reservations_total";
+
+// A request whose caller honours a delay of a second.
+host::engine_place_request RefusableRequest() {
+  auto request = queue_world::Request(1, 500ms);
+  request.caller_left = 3s;
+  return request;
+}
+
+host::engine_place_request ReturningRequest() {
+  auto request = queue_world::Request(1, 1000ms);
+  request.returning = true;
+  return request;
+}
+
+// Has the owner refuse a request, and waits for as long as the caller is told.
+void AwaitReturn(queue_world& world) {
+  world.ReportLoad("e1", 4, 20'000);
+  const auto refused = world.Ask(2, RefusableRequest());
+  BOOST_TEST((world.Await(refused) == engine_place_verdict::kRefused));
+  BOOST_TEST(refused->answer->retry_after.count() <= 990);
+  boost::asio::steady_timer timer(world.context, refused->answer->retry_after);
+  bool is_over = false;
+  timer.async_wait([&](const boost::system::error_code&) { is_over = true; });
+  world.RunUntil([&] { return is_over; });
+  world.hosts[0].owner->Tick(std::chrono::steady_clock::now());
+}
+
+// Guards against returning callers that wait behind new requests.
+BOOST_AUTO_TEST_CASE(a_returning_caller_redeems_its_reservation) {
+  queue_world world;
+  AwaitReturn(world);
+  BOOST_TEST(world.CountOf(0, kReservations, "made") == 1);
+  const auto earlier = world.Ask(1, queue_world::Request(1, 8s));
+  world.AwaitWaiting(1);
+  const auto back = world.Ask(2, ReturningRequest());
+  world.AwaitWaiting(2);
+  BOOST_TEST(world.CountOf(0, kReservations, "redeemed") == 1);
+  world.ReportLoad("e1", 4, 0);
+  BOOST_TEST((world.Await(back) == engine_place_verdict::kGranted));
+  BOOST_TEST(!earlier->answer);
+}
+
+// A host of an older build does not state that the caller returns, nor its
+// deadline. Guards against requests of such hosts that are treated as
+// returning.
+BOOST_AUTO_TEST_CASE(requests_of_older_builds_count_as_new) {
+  queue_world world;
+  AwaitReturn(world);
+  const auto earlier = world.Ask(1, queue_world::Request(1, 8s));
+  world.AwaitWaiting(1);
+  const auto back = world.Ask(2, queue_world::Request(1, 8s));
+  world.AwaitWaiting(2);
+  BOOST_TEST(world.CountOf(0, kReservations, "redeemed") == 0);
+  world.ReportLoad("e1", 4, 0);
+  BOOST_TEST((world.Await(earlier) == engine_place_verdict::kGranted));
+  const auto refused = world.Ask(2, queue_world::Request(1, 10ms));
+  BOOST_TEST((world.Await(refused) == engine_place_verdict::kRefused));
+  world.hosts[0].owner->Tick(std::chrono::steady_clock::now() + 1s);
+  BOOST_TEST(world.CountOf(0, kReservations, "made") == 1);
+  // The reservation lapses, since nobody has redeemed it.
+  BOOST_TEST(world.CountOf(0, kReservations, "lapsed") == 1);
+}
+
+// The owner that made the reservation is killed. Guards against a caller that
+// the next owner refuses or does not serve.
+BOOST_AUTO_TEST_CASE(the_next_owner_serves_callers_without_a_reservation) {
+  queue_world world;
+  AwaitReturn(world);
+  world.hosts[0].state = queue_world::reachability::kFails;
+  BOOST_TEST((world.Await(world.Ask(2, ReturningRequest())) ==
+              engine_place_verdict::kNoOwner));
+  world.ReportLoad("e1", 4, 0);
+  const auto back = world.Ask(2, ReturningRequest());
+  BOOST_TEST((world.Await(back) == engine_place_verdict::kGranted));
+  world.hosts[1].owner->Tick(std::chrono::steady_clock::now());
+  BOOST_TEST(world.CountOf(1, kReservations, "redeemed") == 0);
+}
+
+BOOST_AUTO_TEST_CASE(nothing_is_reserved_if_an_operator_disables_it) {
+  queue_world world;
+  world.hosts[0].core->settings.features.return_reservations =
+      host::feature_mode::kOff;
+  AwaitReturn(world);
+  BOOST_TEST(world.CountOf(0, kReservations, "made") == 0);
+}
+
+// Guards against a deadline that cannot be valid.
+BOOST_AUTO_TEST_CASE(a_bad_deadline_is_counted_and_treated_as_absent) {
+  queue_world world;
+  world.ReportLoad("e1", 4, 20'000);
+  auto request = RefusableRequest();
+  request.caller_left = std::chrono::milliseconds(-5);
+  BOOST_TEST(
+      (world.Await(world.Ask(2, request)) == engine_place_verdict::kRefused));
+  world.hosts[0].owner->Tick(std::chrono::steady_clock::now());
+  BOOST_TEST(world.CountOf(0, kReservations, "made") == 0);
+  BOOST_TEST(world.CountOf(0, "valeledge_engine_queue_bad_values_total",
+                           "deadline") == 1);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 // A host with an engine that has prompts to read, and a scripted owner.
@@ -618,6 +720,38 @@
   BOOST_TEST(world.first.requests.empty());
 }
 
+// The owner was lost, and the next one knows no reservation. Guards against a
+// caller that is rejected a second time.
+BOOST_AUTO_TEST_CASE(a_returning_caller_is_not_rejected_again) {
+  search_world world;
+  world.answer.verdict = engine_place_verdict::kRefused;
+  world.answer.retry_after = 350ms;
+  BOOST_TEST(world.SendRequest("/safe/").status == 503);
+  world.added_fields.emplace_back("X-Deadline-Ms", "1300");
+  const auto seen = world.SendRequest("/safe/", [&](test::fake_responder&) {
+    if (world.asked.size() > 1)
+      world.ReportLoad(0);
+  });
+  BOOST_TEST(seen.status == 200);
+  BOOST_REQUIRE_EQUAL(world.asked.size(), 2u);
+  // The owner learns which caller returns, and which may be refused.
+  BOOST_TEST(!world.asked.front().returning);
+  BOOST_TEST(world.asked.front().caller_left.has_value());
+  BOOST_TEST(world.asked.back().returning);
+  BOOST_TEST(!world.asked.back().caller_left.has_value());
+}
+
+BOOST_AUTO_TEST_CASE(no_return_is_stated_if_reservations_are_off) {
+  search_world world;
+  world.core->settings.features.return_reservations = host::feature_mode::kOff;
+  world.Grant("i-1");
+  world.added_fields.emplace_back("X-Deadline-Ms", "1300");
+  BOOST_TEST(world.SendRequest("/safe/").status == 200);
+  BOOST_REQUIRE_EQUAL(world.asked.size(), 1u);
+  BOOST_TEST(!world.asked.front().returning);
+  BOOST_TEST(!world.asked.front().caller_left.has_value());
+}
+
 BOOST_AUTO_TEST_CASE(the_queue_is_not_used_if_the_feature_is_off) {
   search_world world;
   world.core->settings.features.engine_queues = host::feature_mode::kOff;
--- a/tests/auto/platform/test_codecs.cc
+++ b/tests/auto/platform/test_codecs.cc
@@ -85,11 +85,13 @@
 }
 
 BOOST_AUTO_TEST_CASE(features_are_parsed) {
-  const auto features =
-      host::ParseLoadFeatures("engine-queues=off,limit-priority=on");
+  const auto features = host::ParseLoadFeatures(
+      "engine-queues=off,limit-priority=on,"
+      "return-reservations=off");
   BOOST_REQUIRE(features.has_value());
   BOOST_TEST((features->engine_queues == host::feature_mode::kOff));
   BOOST_TEST((features->limit_priority == host::feature_mode::kOn));
+  BOOST_TEST((features->return_reservations == host::feature_mode::kOff));
   BOOST_TEST((features->patient_loads == host::feature_mode::kAuto));
   for (const char* wrong : {"engine-queues", "queues=on", "patient-loads=1"})
     BOOST_TEST(!host::ParseLoadFeatures(wrong));
