--- a/tests/auto/decisions/test_return_reservations.cc
+++ b/tests/auto/decisions/test_return_reservations.cc
@@ -473,6 +473,27 @@
   }
 }
 
+// Guards against callers with long deadlines that leave nothing to reserve for
+// others.
+BOOST_AUTO_TEST_CASE(long_deadlines_do_not_use_up_what_may_be_reserved) {
+  engine_queue queue = OneEngine(kPrompt);
+  std::int64_t number = 0;
+  const auto refuse = [&](std::chrono::milliseconds deadline) {
+    auto request = Request(++number, 1, "w", kStart, 10ms);
+    request.caller_deadline = kStart + deadline;
+    BOOST_TEST(Enqueue(queue, request, kStart).has_value());
+  };
+  for (int i = 0; i < 200; ++i)
+    refuse(15s);
+  const auto patient = queue.returns.made;
+  BOOST_TEST(patient > 10);
+  for (int i = 0; i < 200; ++i)
+    refuse(6s);
+  BOOST_TEST(queue.returns.made > patient + 4);
+  const auto reserved = ReservedReadTime(queue.reserved, "m", 9, kStart + 10s);
+  BOOST_TEST(reserved.count() <= 0.7 * 5000);
+}
+
 // Guards against reservations for callers that return earlier, not at all, or
 // that are not told the time.
 BOOST_AUTO_TEST_CASE(nothing_is_reserved_for_callers_that_do_not_return_then) {
