Long streams apart from long prompts (stream-separation)

Cause: an engine processes prompts between the steps of its streams. Where each engine of a model serves both kinds, 35 to 37 in 100 chat-like streams had a gap of more than 400 ms.

Change: hosts report for each engine the long streams that run there and the decayed prefill time of long prompts. The selection on the host and the queue of the engines add a cost for the other kind, bounded by the time that the objective leaves.

--- a/src/decisions/engine_queue.cc
+++ b/src/decisions/engine_queue.cc
@@ -11,6 +11,7 @@
 #include "decisions/engine_queue_forecast.h"
 #include "decisions/engine_queue_load.h"
 #include "decisions/engine_queue_order.h"
+#include "decisions/engine_queue_separation.h"
 
 namespace valeledge::decisions {
 
@@ -83,7 +84,8 @@
       const auto servable =
           std::ranges::find_if(flow.requests, [&](const queued_request& each) {
             return !IsAvoided(each, name) &&
-                   DecideAt(engine, each, now) != admission_decision::kRefuse;
+                   DecideAt(engine, each, now) != admission_decision::kRefuse &&
+                   !detail::IsLeftToOther(queue, name, each, now);
           });
       if (servable == flow.requests.end())
         continue;
@@ -127,10 +129,11 @@
     return std::nullopt;
   }
   const queued_request request = *first->request;
+  const auto separated = detail::SeparatedAt(queue, name, request, now);
   Take(queue, request.unit, {request.priority, request.workspace},
        request.number);
   RecordGrant(engine, request, now);
-  return engine_grant{request.number, name};
+  return engine_grant{request.number, name, separated};
 }
 
 // Grants at the engines that have changed. The one with the least to read is
--- a/src/decisions/engine_queue.h
+++ b/src/decisions/engine_queue.h
@@ -21,6 +21,7 @@
 
 #include "base/duration.h"
 #include "decisions/server_cost.h"
+#include "decisions/stream_separation.h"
 
 namespace valeledge::decisions {
 
@@ -33,6 +34,9 @@
   // Requests that hosts have reported to have sent to it so far. An increase
   // shows that as many granted requests are contained in `load`.
   std::int64_t requests_sent = 0;
+  // Set if long prompts and long streams are kept apart; its slowdown and wait
+  // come from `load`.
+  std::optional<separated_engine> separated;
 };
 
 // A request that waits for an engine.
@@ -50,6 +54,9 @@
   base::time_point deadline;
   request_weight weight;
   std::chrono::milliseconds max_event_gap{0};
+  // See separated_request.
+  double expected_events = 0;
+  std::chrono::duration<double, std::milli> typical_prefill{0};
   // Instances that must not be selected.
   std::vector<std::string> avoid;
 };
@@ -57,6 +64,7 @@
 struct engine_grant {
   std::int64_t number = 0;
   std::string engine;
+  separated_kind separated = separated_kind::kNone;
 };
 
 struct engine_refusal {
--- a/src/host/load_features.cc
+++ b/src/host/load_features.cc
@@ -26,6 +26,8 @@
                                              &load_features::limit_priority},
     std::pair<std::string_view, mode_member>{"lease-succession",
                                              &load_features::lease_succession},
+    std::pair<std::string_view, mode_member>{"stream-separation",
+                                             &load_features::stream_separation},
 };
 
 std::optional<feature_mode> ParseMode(std::string_view text) {
--- a/src/host/load_features.h
+++ b/src/host/load_features.h
@@ -20,6 +20,7 @@
   feature_mode patient_loads = feature_mode::kAuto;
   feature_mode limit_priority = feature_mode::kAuto;
   feature_mode lease_succession = feature_mode::kAuto;
+  feature_mode stream_separation = feature_mode::kAuto;
 };
 
 // Parses a list such as "adaptive-timeouts=off,engine-queues=on". Features that
--- a/src/host/process/engine_place.h
+++ b/src/host/process/engine_place.h
@@ -29,6 +29,8 @@
   // Time in which an engine reads one prompt token.
   std::chrono::duration<double, std::milli> token_time{0};
   std::chrono::milliseconds event_gap{0};
+  // Number of events of its response; 0: unknown.
+  double expected_events = 0;
   // Instances that must not be selected.
   std::vector<std::string> avoid;
   // The engine that this host would select; it determines the owner.
--- a/src/host/process/engine_queue_client.cc
+++ b/src/host/process/engine_queue_client.cc
@@ -1,6 +1,7 @@
 // SPDX-License-Identifier: MIT
 #include "host/process/engine_queue_client.h"
 
+#include <cmath>
 #include <utility>
 
 #include <boost/asio/as_tuple.hpp>
@@ -59,6 +60,9 @@
     question.__set_adapter(request.adapter);
   question.__set_event_gap_ms(request.event_gap.count());
   question.__set_number(number);
+  if (request.expected_events > 0)
+    question.__set_expected_events(
+        static_cast<std::int64_t>(std::llround(request.expected_events)));
   question.__set_token_ns(
       duration_cast<nanoseconds>(request.token_time).count());
   return question;
--- a/src/host/process/engine_queue_owner.cc
+++ b/src/host/process/engine_queue_owner.cc
@@ -11,6 +11,7 @@
 
 #include "base/logging.h"
 #include "host/constants.h"
+#include "host/process/separation_reports.h"
 
 namespace valeledge::host {
 
@@ -59,6 +60,7 @@
 constexpr std::int64_t kMaxTokens = 10'000'000;
 constexpr std::int64_t kMinTokenNs = 1'000;
 constexpr std::int64_t kMaxTokenNs = 1'000'000;
+constexpr std::int64_t kMaxEvents = 1'000'000;
 
 // Hosts with few measurements state an initial time per token that is too high,
 // so the lowest recent one is used; it rises by this factor with each question.
@@ -102,6 +104,8 @@
     engine.load.slowdown = decisions::CurrentFactor(server.estimate, now);
   engine.pause_cost = decisions::PauseCost(server.pace, now);
   engine.requests_sent = server.requests_sent;
+  if (servers.SeparatesStreams(service))
+    engine.separated = server_registry::SeparatedOf(server, now);
   return engine;
 }
 
@@ -206,6 +210,11 @@
     request.max_event_gap = milliseconds(question.event_gap_ms);
   else if (question.__isset.event_gap_ms)
     bad("event_gap");
+  if (IsWithin(question.expected_events, 1, kMaxEvents))
+    request.expected_events = static_cast<double>(question.expected_events);
+  else if (question.__isset.expected_events)
+    bad("expected_events");
+  request.typical_prefill = core_.servers.typical_prompt().prefill;
   const bool states_time =
       IsWithin(question.token_ns, kMinTokenNs, kMaxTokenNs);
   if (!states_time && question.__isset.token_ns)
@@ -321,6 +330,8 @@
   for (const decisions::engine_grant& each : decided.grants) {
     auto reply = MakeReply(queue_verdict::kGranted, each.number);
     reply.server = each.engine;
+    if (each.separated != decisions::separated_kind::kNone)
+      Count("valeledge_separated_grants_total", NameOf(each.separated));
     ++owned.granted;
     Respond(owned, std::move(reply), "granted");
   }
--- a/src/host/process/host_core.h
+++ b/src/host/process/host_core.h
@@ -5,6 +5,7 @@
 #define VALELEDGE_HOST_PROCESS_HOST_CORE_H_
 
 #include <chrono>
+#include <cstdint>
 #include <functional>
 #include <map>
 #include <memory>
@@ -22,6 +23,7 @@
 #include "decisions/prompt_quarantine.h"
 #include "decisions/quarantine.h"
 #include "decisions/stream_origin.h"
+#include "decisions/stream_separation.h"
 #include "host/external_protocol.h"
 #include "host/host_settings.h"
 #include "host/process/demand_tracker.h"
@@ -54,7 +56,9 @@
         settings(std::move(settings_in)),
         protocol(std::move(protocol_in)),
         servers(settings.zone, settings.zone_regions),
-        http(context) {}
+        http(context) {
+    servers.SetStreamSeparation(settings.features.stream_separation);
+  }
 
   boost::asio::io_context& context;
   // Time at which this object was constructed.
@@ -78,6 +82,12 @@
   decisions::quarantine quarantine;
   // Prompt parts under which backend servers crash.
   decisions::prompt_quarantine prompts;
+  // Number of events of the streams of each route.
+  std::map<std::string, decisions::stream_length> stream_lengths;
+  // Requests that were sent to another engine to keep long streams apart from
+  // long prompts, since they were last logged.
+  std::int64_t separated_prompts = 0;
+  std::int64_t separated_streams = 0;
   // Origins of streams that began at this host or that other hosts have sent.
   decisions::stream_origins origins;
   // Sends the origin of a stream to other hosts. If unset, no host gets it.
--- a/src/host/process/known_server.h
+++ b/src/host/process/known_server.h
@@ -21,6 +21,7 @@
 #include "decisions/read_pacing.h"
 #include "decisions/server_cost.h"
 #include "decisions/server_notices.h"
+#include "decisions/stream_separation.h"
 
 namespace valeledge::host {
 
@@ -41,6 +42,10 @@
   // Prompt tokens that are queued for it and have not been sent; not contained
   // in unread_tokens.
   std::int64_t queued_tokens = 0;
+  // Streams with many events to come, and the prefill of long prompts that were
+  // sent recently.
+  std::int64_t long_streams = 0;
+  decisions::long_prefill long_prompts;
 };
 
 // Whether a server holds a unit, according to a source other than its entry:
--- a/src/host/process/load_reports.cc
+++ b/src/host/process/load_reports.cc
@@ -8,8 +8,10 @@
 #include <string>
 #include <utility>
 
+#include "base/logging.h"
 #include "host/constants.h"
 #include "host/load_features.h"
+#include "host/process/separation_reports.h"
 #include "host/process/waiting_demand.h"
 #include "wire/codec.h"
 
@@ -35,6 +37,8 @@
 constexpr std::size_t kMaxQueueRecipients = 128;
 constexpr std::size_t kAllHosts = std::numeric_limits<std::size_t>::max();
 
+constexpr std::chrono::seconds kSeparatedLogInterval{10};
+
 // Age on the wire if it is not known.
 constexpr std::int32_t kUnknownAge = -1;
 
@@ -83,11 +87,22 @@
                   {kAllHosts, {}, std::nullopt, core_.settings.zone});
     }
   }
+  LogSeparated(std::chrono::steady_clock::now());
   load.models = core_.demand.Loads();
   peers_.Send(std::string(kDemandRecord), wire::Encode(load),
               {holder ? 0 : kMaxReportRecipients, {}, holder});
 }
 
+void load_reports::LogSeparated(base::time_point now) {
+  const bool any = core_.separated_prompts + core_.separated_streams > 0;
+  if (!any || now - separated_logged_at_ < kSeparatedLogInterval)
+    return;
+  separated_logged_at_ = now;
+  base::Log("load_reports", base::log_event::kStreamsSeparated,
+            {{"long_prompts", std::exchange(core_.separated_prompts, 0)},
+             {"long_streams", std::exchange(core_.separated_streams, 0)}});
+}
+
 void load_reports::ReportUsage(const known_server& server) {
   // Plain services are balanced well enough by the periodic reports.
   if (server.entry.models.empty())
@@ -146,6 +161,9 @@
   auto load = wire::DecodeHostLoad(record.value);
   if (!load)
     return true;
+  const std::int64_t invalid = CountInvalidSeparation(load->servers);
+  if (invalid > 0)
+    core_.metrics.Counter("valeledge_invalid_separation_total").Add(invalid);
   if (is_usage) {
     core_.servers.UpdateLoads(record.sender, load->servers);
     return true;
--- a/src/host/process/load_reports.h
+++ b/src/host/process/load_reports.h
@@ -40,12 +40,16 @@
   bool HandleRecord(const membership::direct_record& record);
 
  private:
+  // Logs how many selections the separation of streams has changed.
+  void LogSeparated(base::time_point now);
+
   host_core& core_;
   peer_link& peers_;
   store_mirror& mirror_;
   placement_controller& placement_;
   // Whether the last report contained the usage of any server.
   bool reported_any_usage_ = false;
+  base::time_point separated_logged_at_;
 };
 
 }  // namespace valeledge::host
--- a/src/host/process/server_registry.cc
+++ b/src/host/process/server_registry.cc
@@ -7,6 +7,7 @@
 #include "base/identifier.h"
 #include "decisions/brittle_server.h"
 #include "decisions/stream_origin.h"
+#include "host/process/separation_reports.h"
 
 namespace valeledge::host {
 
@@ -69,12 +70,42 @@
   history.last_seen.erase(oldest);
 }
 
-server_usage UsageOf(const wire::server_load& load) {
+// Prefill that hosts have reported is kept while it is longer.
+constexpr milliseconds kMinKeptPrefill{1};
+
+server_usage UsageOf(const wire::server_load& load, base::time_point now) {
   const std::int64_t queued = std::clamp<std::int64_t>(
       load.queued_tokens, 0, std::max(load.unread_tokens, 0));
-  return {load.running, load.unread_tokens - queued, load.held_tokens, queued};
+  const reported_separation separation = ReadSeparation(load);
+  return {load.running,
+          load.unread_tokens - queued,
+          load.held_tokens,
+          queued,
+          separation.long_streams,
+          {separation.long_prefill, now}};
+}
+
+// Prefill time of the request's prompt at a server of the usual speed.
+milliseconds PrefillOf(const decisions::server_candidate& offer,
+                       const server_query& query) {
+  return query.weight.time_per_token *
+         static_cast<double>(std::max<std::int64_t>(
+             query.weight.prompt_tokens - offer.cached_tokens, 0));
 }
 
+bool IsLongPromptAt(const decisions::server_candidate& offer,
+                    const server_query& query) {
+  return decisions::IsLongPrompt(PrefillOf(offer, query), offer.slowdown,
+                                 query.max_event_gap);
+}
+
+// The server that has the lowest cost without the separation.
+struct unseparated_best {
+  std::shared_ptr<known_server> server;
+  milliseconds cost{0};
+  decisions::server_candidate offer;
+};
+
 // The software of a run does not change.
 bool IsOtherRun(const catalog::backend_server& entry,
                 const catalog::backend_server& known) {
@@ -270,6 +301,13 @@
     choice.prefill_ahead *= offer.slowdown;
     choice.shared_factor = offer.slowdown;
   }
+  if (query.model.empty() || !SeparatesStreams(service))
+    return choice;
+  separated_load& separated = choice.separated.emplace();
+  if (IsLongPromptAt(offer, query))
+    separated.prefill = PrefillOf(offer, query);
+  if (decisions::IsLongStream(query.expected_events))
+    separated.stream_events = query.expected_events;
   return choice;
 }
 
@@ -286,6 +324,38 @@
   return offer;
 }
 
+decisions::separated_engine server_registry::SeparatedOf(
+    const known_server& server,
+    base::time_point now) {
+  decisions::separated_engine engine;
+  engine.long_streams =
+      static_cast<double>(server.own.long_streams + server.others.long_streams);
+  engine.prefill_level =
+      decisions::PrefillLevel(server.own.long_prompts, now) +
+      decisions::PrefillLevel(server.others.long_prompts, now);
+  return engine;
+}
+
+milliseconds server_registry::CostOfSeparation(
+    const known_server& server,
+    const decisions::server_candidate& offer,
+    milliseconds expected,
+    const server_query& query,
+    base::time_point now) const {
+  decisions::separated_engine engine = SeparatedOf(server, now);
+  engine.slowdown = offer.slowdown;
+  engine.backlog =
+      query.weight.time_per_token * static_cast<double>(offer.unread_tokens);
+  engine.expected_wait = expected;
+  decisions::separated_request request;
+  request.prefill = PrefillOf(offer, query);
+  request.typical_prefill = typical_prompt_.prefill;
+  request.expected_events = query.expected_events;
+  request.max_event_gap = query.max_event_gap;
+  request.time_left = query.due - now;
+  return decisions::SeparationCost(engine, request);
+}
+
 decisions::server_candidate server_registry::OfferOf(
     const known_server& server,
     const server_query& query,
@@ -341,6 +411,9 @@
     std::mt19937_64& random) const {
   std::optional<server_choice> best;
   milliseconds best_cost{0};
+  unseparated_best unseparated;
+  bool any_long_streams = false;
+  const bool separates = !query.model.empty() && SeparatesStreams(service);
   std::uniform_real_distribution<double> jitter(0, 1);
   const bool is_shared = UsesSharedEstimate(query, service);
   for (const auto& [instance, server] : servers_) {
@@ -354,15 +427,37 @@
         !receives_directly_ || receives_directly_(instance);
     const milliseconds update_cost =
         receives_directly ? milliseconds(0) : kIndirectUpdateCost;
-    const milliseconds cost =
-        update_cost + PauseCost(server->pace, now) * pause_factor +
-        expected * (1 + kCostJitterShare * jitter(random)) +
-        kCostJitter * jitter(random);
+    const milliseconds pause_cost = PauseCost(server->pace, now) * pause_factor;
+    milliseconds cost = update_cost + pause_cost +
+                        expected * (1 + kCostJitterShare * jitter(random)) +
+                        kCostJitter * jitter(random);
+    if (separates) {
+      if (unseparated.server == nullptr || cost < unseparated.cost)
+        unseparated = {server, cost, offer};
+      any_long_streams =
+          any_long_streams ||
+          server->own.long_streams + server->others.long_streams > 0;
+      const bool is_long_prompt = IsLongPromptAt(offer, query);
+      // Otherwise long prompts would be spread over all engines.
+      if (is_long_prompt)
+        cost -= pause_cost;
+      if (is_long_prompt || decisions::IsLongStream(query.expected_events))
+        cost += CostOfSeparation(*server, offer, expected, query, now);
+    }
     if (best && cost >= best_cost)
       continue;
     best = ChoiceOf(server, offer, query, service);
     best_cost = cost;
   }
+  if (!best || unseparated.server == nullptr ||
+      unseparated.server == best->server)
+    return best;
+  // Without long streams long prompts are spread as before.
+  if (!any_long_streams && !decisions::IsLongStream(query.expected_events))
+    return ChoiceOf(unseparated.server, unseparated.offer, query, service);
+  best->separated->changed = IsLongPromptAt(unseparated.offer, query)
+                                 ? decisions::separated_kind::kLongPrompt
+                                 : decisions::separated_kind::kLongStream;
   return best;
 }
 
@@ -489,12 +584,14 @@
 void server_registry::ReplaceLoads(
     const std::string& host,
     const std::vector<wire::server_load>& loads) {
+  const auto now = std::chrono::steady_clock::now();
   auto& known = loads_[host];
   for (const auto& [key, use] : known)
     AddUsage(key, use, -1);
   const auto before = std::exchange(known, {});
   for (const wire::server_load& each : loads) {
-    const auto [position, added] = known.emplace(each.server, UsageOf(each));
+    const auto [position, added] =
+        known.emplace(each.server, UsageOf(each, now));
     if (!added)
       continue;
     AddUsage(each.server, position->second, 1);
@@ -503,13 +600,24 @@
               position->second.running -
                   (found == before.end() ? 0 : found->second.running));
   }
+  // A host does not report servers at which it has nothing in progress. What it
+  // sent there recently decays.
+  for (const auto& [key, use] : before) {
+    if (decisions::PrefillLevel(use.long_prompts, now) < kMinKeptPrefill)
+      continue;
+    server_usage rest;
+    rest.long_prompts = use.long_prompts;
+    if (known.emplace(key, rest).second)
+      AddUsage(key, rest, 1);
+  }
 }
 
 void server_registry::UpdateLoads(const std::string& host,
                                   const std::vector<wire::server_load>& loads) {
+  const auto now = std::chrono::steady_clock::now();
   auto& known = loads_[host];
   for (const wire::server_load& each : loads) {
-    const server_usage use = UsageOf(each);
+    const server_usage use = UsageOf(each, now);
     const server_usage before = std::exchange(known[each.server], use);
     const auto server = FindKey(each.server);
     if (server == nullptr)
@@ -518,12 +626,17 @@
     const std::int64_t sent = use.unread_tokens - before.unread_tokens;
     server->others.unread_tokens += sent;
     if (sent > 0) {
-      decisions::AddPromptRead(server->pace,
-                               server->per_token * static_cast<double>(sent),
-                               std::chrono::steady_clock::now());
+      decisions::AddPromptRead(
+          server->pace, server->per_token * static_cast<double>(sent), now);
     }
     server->others.held_tokens += use.held_tokens - before.held_tokens;
     server->others.queued_tokens += use.queued_tokens - before.queued_tokens;
+    server->others.long_streams += use.long_streams - before.long_streams;
+    decisions::AddLongPrefill(
+        server->others.long_prompts,
+        use.long_prompts.level -
+            decisions::PrefillLevel(before.long_prompts, now),
+        now);
     CountSent(each.server, use.running - before.running);
   }
 }
@@ -553,6 +666,14 @@
   server->others.unread_tokens += times * use.unread_tokens;
   server->others.held_tokens += times * use.held_tokens;
   server->others.queued_tokens += times * use.queued_tokens;
+  server->others.long_streams += times * use.long_streams;
+  if (use.long_prompts.level.count() <= 0)
+    return;
+  const auto now = std::chrono::steady_clock::now();
+  decisions::AddLongPrefill(server->others.long_prompts,
+                            decisions::PrefillLevel(use.long_prompts, now) *
+                                static_cast<double>(times),
+                            now);
 }
 
 wire::server_load server_registry::OwnLoad(const known_server& server) {
@@ -565,6 +686,7 @@
     load.__set_queued_tokens(
         static_cast<std::int32_t>(server.own.queued_tokens));
   load.held_tokens = static_cast<std::int32_t>(server.own.held_tokens);
+  SetSeparation(server.own, std::chrono::steady_clock::now(), load);
   return load;
 }
 
--- a/src/host/process/server_registry.h
+++ b/src/host/process/server_registry.h
@@ -22,6 +22,7 @@
 #include "catalog/configuration.h"
 #include "decisions/cold_start.h"
 #include "decisions/server_cost.h"
+#include "decisions/stream_separation.h"
 #include "host/external_protocol.h"
 #include "host/load_features.h"
 #include "host/process/known_server.h"
@@ -45,6 +46,12 @@
   // or empty: no restriction.
   const std::vector<std::string>* route_regions = nullptr;
   const std::vector<std::string>* workspace_regions = nullptr;
+  // For the separation of long streams from long prompts: maximum gap between
+  // events, expected number of events (0: unknown), and the time by which the
+  // response has to start.
+  std::chrono::milliseconds max_event_gap{0};
+  double expected_events = 0;
+  base::time_point due;
 };
 
 // Whether both the request's route and its workspace allow a region.
@@ -54,6 +61,17 @@
 bool HasRequiredSoftware(const server_query& query,
                          const catalog::backend_server& entry);
 
+// What a request adds to the long streams and long prompts of a server.
+struct separated_load {
+  // Expected number of events if it is a long stream; 0: it is not.
+  double stream_events = 0;
+  // Prefill time at an engine of the usual speed if it is a long prompt; 0: it
+  // is not.
+  std::chrono::duration<double, std::milli> prefill{0};
+  // Whether another server would have been selected without the separation.
+  decisions::separated_kind changed = decisions::separated_kind::kNone;
+};
+
 struct server_choice {
   std::shared_ptr<known_server> server;
   std::chrono::duration<double, std::milli> expected{0};
@@ -64,6 +82,8 @@
   // Prefill time of the prompts that are queued before this one.
   std::chrono::duration<double, std::milli> prefill_ahead{0};
   std::int64_t cached_tokens = 0;
+  // Set if long prompts and long streams are kept apart.
+  std::optional<separated_load> separated;
   // The allocated slot; null if this host selected the server by itself.
   std::shared_ptr<slot_handle> slot;
 };
@@ -105,6 +125,18 @@
     return IsEnabled(shared_estimates_, service);
   }
 
+  // Sets for which services long streams are kept apart from long prompts.
+  // Unset: for none.
+  void SetStreamSeparation(feature_mode mode) { stream_separation_ = mode; }
+  bool SeparatesStreams(const catalog::service& service) const {
+    return IsEnabled(stream_separation_, service);
+  }
+  // Long prompts that this host sends.
+  decisions::typical_prompt& typical_prompt() { return typical_prompt_; }
+  const decisions::typical_prompt& typical_prompt() const {
+    return typical_prompt_;
+  }
+
   // Adds or updates an entry. Returns true if the server is new, or if its
   // draining or expiry state has changed.
   bool Put(catalog::backend_server entry, base::time_point now);
@@ -148,6 +180,9 @@
   // The server's load, without requests that are queued.
   static decisions::server_candidate LoadOf(const known_server& server,
                                             const catalog::service& service);
+  // Its long streams and long prompts, without the expected wait.
+  static decisions::separated_engine SeparatedOf(const known_server& server,
+                                                 base::time_point now);
   // Whether any server that accepts the request holds its unit.
   bool AnyHolds(const server_query& query, base::time_point now) const;
 
@@ -231,6 +266,13 @@
                                           const catalog::service& service,
                                           base::time_point now,
                                           std::mt19937_64& random) const;
+  // Time to add to the expected wait at a server.
+  std::chrono::duration<double, std::milli> CostOfSeparation(
+      const known_server& server,
+      const decisions::server_candidate& offer,
+      std::chrono::duration<double, std::milli> expected,
+      const server_query& query,
+      base::time_point now) const;
   // Whether the server's shared estimate applies to a request.
   bool UsesSharedEstimate(const server_query& query,
                           const catalog::service& service) const;
@@ -256,6 +298,8 @@
   std::function<bool(const std::string& instance)> receives_directly_;
   std::function<decisions::cold_share()> cold_share_;
   feature_mode shared_estimates_ = feature_mode::kOff;
+  feature_mode stream_separation_ = feature_mode::kOff;
+  decisions::typical_prompt typical_prompt_;
   std::map<std::string, std::shared_ptr<known_server>, std::less<>> servers_;
   std::map<unit_key, std::weak_ptr<known_server>> by_key_;
   std::map<std::string, std::map<unit_key, server_usage>> loads_;
--- a/src/host/request/queued_selection.cc
+++ b/src/host/request/queued_selection.cc
@@ -77,6 +77,8 @@
   request.tokens_to_hold = routed.weight.held_tokens;
   request.token_time = routed.weight.time_per_token;
   request.event_gap = turn.max_event_gap;
+  if (best.separated)
+    request.expected_events = best.separated->stream_events;
   request.avoid = HoldersAmong(core, routed.metadata, std::move(excluded));
   request.best = best.server->entry.instance;
   request.is_withdrawn = std::move(is_withdrawn);
--- a/src/host/request/request_trace.h
+++ b/src/host/request/request_trace.h
@@ -4,6 +4,7 @@
 #define VALELEDGE_HOST_REQUEST_REQUEST_TRACE_H_
 
 #include <chrono>
+#include <cstdint>
 #include <string>
 
 #include "base/error.h"
@@ -20,6 +21,8 @@
   // The response header has been sent to the caller.
   bool response_started = false;
   std::string last_event_id;
+  // Events that were sent to the caller.
+  std::int64_t events = 0;
   std::chrono::milliseconds first_event_delay{0};
   std::chrono::milliseconds max_event_gap{0};
   // When the last events were sent to the caller.
--- a/src/host/request/response_forwarding.cc
+++ b/src/host/request/response_forwarding.cc
@@ -174,11 +174,14 @@
     if (id)
       state.trace.last_event_id = std::to_string(*id);
     batch.append(*event);
+    ++state.trace.events;
   }
   if (batch.empty())
     co_return true;
-  if (attempt != nullptr)
+  if (attempt != nullptr) {
     attempt->OnFirstByte();
+    attempt->OnEvents(state.trace.events);
+  }
   if (state.watch != nullptr)
     state.watch->OnStarted();
   RecordEventGap(state.routed, state.trace);
@@ -192,6 +195,15 @@
   co_return sent;
 }
 
+// Records the length of a whole stream. The rest of a stream that its caller
+// resumes is not one.
+void RecordLength(request_state& state) {
+  if (state.routed.metadata.resume_after.empty())
+    decisions::RecordStreamLength(
+        state.core.stream_lengths[state.routed.route->name],
+        state.trace.events);
+}
+
 asio::awaitable<attempt_outcome> ForwardStream(request_state& state,
                                                net::http_exchange& exchange,
                                                server_attempt* attempt) {
@@ -231,6 +243,7 @@
   }
   if (attempt != nullptr)
     OnWholeResponse(state, exchange, *attempt);
+  RecordLength(state);
   if (!state.trace.response_started)
     co_await StartResponse(state, exchange.header());
   co_await state.responder.Finish();
--- a/src/host/request/routed_request.cc
+++ b/src/host/request/routed_request.cc
@@ -75,6 +75,9 @@
   }
   if (of_model) {
     routed.weight.prompt_tokens = metadata.prompt_tokens;
+    const auto length = core.stream_lengths.find(routed.route->name);
+    if (length != core.stream_lengths.end())
+      routed.expected_events = length->second.events;
     routed.weight.held_tokens =
         metadata.prompt_tokens + metadata.expected_tokens;
     routed.weight.time_per_token =
--- a/src/host/request/routed_request.h
+++ b/src/host/request/routed_request.h
@@ -26,6 +26,9 @@
   decisions::prompt_parts shared_parts;
   decisions::request_weight weight;
   model_demand* demand = nullptr;
+  // Number of events of its response, learned from the route's other ones; 0 if
+  // it is not a stream, or none has ended yet.
+  double expected_events = 0;
   // Another host has received the request, and counts it as demand.
   bool is_relayed = false;
   base::time_point arrived;
--- a/src/host/request/server_attempt.cc
+++ b/src/host/request/server_attempt.cc
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "host/constants.h"
+#include "host/process/separation_reports.h"
 
 namespace valeledge::host {
 
@@ -42,6 +43,7 @@
       expected_delay_(choice.expected),
       unscaled_delay_(choice.unscaled),
       shared_factor_(choice.shared_factor),
+      separated_(choice.separated),
       is_trial_(decisions::BeginTrial(server_->notices, started_at_)) {
   weight_.prompt_tokens =
       std::max<std::int64_t>(weight.prompt_tokens - choice.cached_tokens, 0);
@@ -55,6 +57,7 @@
       server_->pace,
       weight_.time_per_token * static_cast<double>(weight_.prompt_tokens),
       started_at_);
+  BeginSeparated();
   // A server that was suspended receives one request as a trial.
   if (server_->trust.last_suspension.count() != 0)
     server_->trust.probing = true;
@@ -72,6 +75,7 @@
     server_->own.unread_tokens -= weight_.prompt_tokens;
   server_->trust.probing = false;
   EndTrial();
+  EndLongStream();
   // The end of a stream is sent with the next periodic report, and at once only
   // to the owner of the server's queue.
   if (awaiting_first_byte_)
@@ -80,6 +84,40 @@
     core_.stream_ended(*server_);
 }
 
+void server_attempt::BeginSeparated() {
+  if (!separated_)
+    return;
+  if (separated_->changed != decisions::separated_kind::kNone) {
+    ++(separated_->changed == decisions::separated_kind::kLongPrompt
+           ? core_.separated_prompts
+           : core_.separated_streams);
+    core_.metrics
+        .Counter("valeledge_separated_selections_total",
+                 NameOf(separated_->changed))
+        .Add();
+  }
+  is_long_stream_ = separated_->stream_events > 0;
+  if (is_long_stream_)
+    ++server_->own.long_streams;
+  if (separated_->prefill.count() <= 0)
+    return;
+  decisions::AddLongPrefill(server_->own.long_prompts, separated_->prefill,
+                            started_at_);
+  decisions::RecordLongPrompt(core_.servers.typical_prompt(),
+                              separated_->prefill);
+}
+
+void server_attempt::EndLongStream() {
+  if (std::exchange(is_long_stream_, false))
+    --server_->own.long_streams;
+}
+
+void server_attempt::OnEvents(std::int64_t count) {
+  if (is_long_stream_ && static_cast<double>(count + decisions::kFewEvents) >=
+                             separated_->stream_events)
+    EndLongStream();
+}
+
 void server_attempt::EndTrial() {
   if (std::exchange(is_trial_, false))
     decisions::EndTrial(server_->notices);
--- a/src/host/request/server_attempt.h
+++ b/src/host/request/server_attempt.h
@@ -39,6 +39,8 @@
   void OnConnectionError(const base::error& failed);
   // The first byte of the response has arrived, so prefill has finished.
   void OnFirstByte();
+  // The response has had this number of events so far.
+  void OnEvents(std::int64_t count);
   // The response is complete.
   void OnCompleted();
   // The response is an error, incomplete or missing. `is_definite` suspends the
@@ -52,6 +54,9 @@
   // Records the outcome for the shared estimate of the engine.
   void ObserveEngine(bool failed);
   void EndTrial();
+  // Adds the request to the long streams and long prompts of the server.
+  void BeginSeparated();
+  void EndLongStream();
 
   host_core& core_;
   std::shared_ptr<known_server> server_;
@@ -66,6 +71,9 @@
   std::chrono::duration<double, std::milli> unscaled_delay_;
   // The factor, if it is that of a shared estimate.
   std::optional<double> shared_factor_;
+  std::optional<separated_load> separated_;
+  // The server's long streams contain the request.
+  bool is_long_stream_ = false;
   // Prompt tokens, including this request's, that the server must process
   // before its first byte.
   std::int64_t tokens_ahead_ = 0;
--- a/src/host/request/server_search.cc
+++ b/src/host/request/server_search.cc
@@ -27,6 +27,12 @@
 
 constexpr auto kAwait = asio::as_tuple(asio::use_awaitable);
 
+// Maximum gap between events that the request's route accepts.
+milliseconds EventGapOf(const routed_request& routed) {
+  const milliseconds gap = routed.route->event_gap;
+  return gap.count() > 0 ? gap : kDefaultEventGap;
+}
+
 server_query QueryOf(const routed_request& routed) {
   server_query query;
   query.service = routed.service->name;
@@ -39,6 +45,9 @@
   if (routed.origin)
     query.software = &routed.origin->software;
   query.route_regions = &routed.route->homes;
+  query.max_event_gap = EventGapOf(routed);
+  query.expected_events = routed.expected_events;
+  query.due = DueOf(routed);
   if (routed.workspace != nullptr)
     query.workspace_regions = &routed.workspace->homes;
   return query;
@@ -122,13 +131,12 @@
                                    bool first_attempt,
                                    bool can_wait,
                                    base::time_point now) {
-  const milliseconds gap = routed.route->event_gap;
   decisions::engine_candidate turn;
   turn.waited = duration_cast<milliseconds>(now - routed.arrived);
   turn.objective = routed.route->objective;
   turn.response_in = choice.expected;
   turn.prompt_backlog = choice.prefill_ahead;
-  turn.max_event_gap = gap.count() > 0 ? gap : kDefaultEventGap;
+  turn.max_event_gap = EventGapOf(routed);
   turn.recheck_interval = kSelectionRetryInterval;
   turn.refusable = first_attempt && !IsRetry(routed) && !routed.origin;
   turn.patient = can_wait;
--- a/src/wire/messages.thrift
+++ b/src/wire/messages.thrift
@@ -185,6 +185,11 @@
   // Part of unread_tokens: prompts that are queued for the server and have not
   // been sent.
   5: optional i32 queued_tokens,
+  // Running streams that have many events to come, and the prefill time of the
+  // long prompts that were sent to the server, in milliseconds, with
+  // exponential decay over 2 s.
+  6: optional i32 long_streams,
+  7: optional i32 long_prefill_ms,
 }
 
 // What callers of one host ask of one model, named by a hash.
@@ -444,6 +449,8 @@
   11: optional i64 number,
   // Time in which an engine reads one prompt token, as measured by that host.
   12: optional i64 token_ns,
+  // Number of events that the response is expected to have; absent: unknown.
+  14: optional i64 expected_events,
 }
 
 struct engine_place_reply {
--- a/tests/auto/decisions/test_engine_queue.cc
+++ b/tests/auto/decisions/test_engine_queue.cc
@@ -547,6 +547,105 @@
   BOOST_TEST(*std::ranges::max_element(sizes) < 200);
 }
 
+// Two engines of which e1 runs long streams, and e2 processes a prompt.
+engine_queue StreamsAndPrompts(double streams) {
+  engine_queue queue;
+  SetHolders(queue, "m", {"e1", "e2"});
+  queue_engine first = Engine(0);
+  first.separated = {streams, 300ms, 1, 0ms, 0ms};
+  queue_engine second = Engine(kPrompt);
+  second.separated = {0, 1000ms, 1, 0ms, 0ms};
+  SetEngine(queue, "e1", first, kStart);
+  SetEngine(queue, "e2", second, kStart);
+  return queue;
+}
+
+queued_request LongPrompt(std::int64_t number) {
+  queued_request request = Request(number, 1, "", kStart, 800ms);
+  request.weight.prompt_tokens = 9190;
+  request.typical_prefill = 225ms;
+  return request;
+}
+
+// Guards against a queue that undoes the selection of the hosts: it would send
+// each long prompt to the first engine that is free.
+BOOST_AUTO_TEST_CASE(a_long_prompt_waits_for_an_engine_without_streams) {
+  engine_queue mixed = StreamsAndPrompts(0);
+  BOOST_TEST(!Enqueue(mixed, LongPrompt(1), kStart));
+  const auto at_once = Decide(mixed, kStart);
+  BOOST_REQUIRE(at_once.grants.size() == 1);
+  BOOST_TEST(at_once.grants.front().engine == "e1");
+  BOOST_TEST((at_once.grants.front().separated == separated_kind::kNone));
+
+  engine_queue queue = StreamsAndPrompts(10);
+  BOOST_TEST(!Enqueue(queue, LongPrompt(1), kStart));
+  BOOST_TEST(Decide(queue, kStart).grants.empty());
+  queue_engine second = Engine(0, 1);
+  second.separated = {0, 1000ms, 1, 0ms, 0ms};
+  SetEngine(queue, "e2", second, kStart + 75ms);
+  const auto decided = Decide(queue, kStart + 75ms);
+  BOOST_REQUIRE(decided.grants.size() == 1);
+  BOOST_TEST(decided.grants.front().engine == "e2");
+  BOOST_TEST((decided.grants.front().separated == separated_kind::kLongPrompt));
+}
+
+BOOST_AUTO_TEST_CASE(a_long_stream_waits_for_an_engine_without_long_prompts) {
+  engine_queue queue = StreamsAndPrompts(0);
+  queue_engine busy = Engine(0);
+  busy.separated = {0, 1800ms, 1, 0ms, 0ms};
+  SetEngine(queue, "e1", busy, kStart);
+  queue_engine calm = Engine(kPrompt);
+  calm.separated = separated_engine();
+  SetEngine(queue, "e2", calm, kStart);
+  queued_request stream = Request(1, 0, "", kStart, 500ms);
+  stream.weight.prompt_tokens = 826;
+  stream.expected_events = 58;
+  stream.typical_prefill = 225ms;
+  BOOST_TEST(!Enqueue(queue, stream, kStart));
+  BOOST_TEST(Decide(queue, kStart).grants.empty());
+  calm.load = Engine(0).load;
+  SetEngine(queue, "e2", calm, kStart + 60ms);
+  const auto decided = Decide(queue, kStart + 60ms);
+  BOOST_REQUIRE(decided.grants.size() == 1);
+  BOOST_TEST(decided.grants.front().engine == "e2");
+  BOOST_TEST((decided.grants.front().separated == separated_kind::kLongStream));
+}
+
+// Guards against requests that become late because they leave an engine to
+// others: the other engine does not become free.
+BOOST_AUTO_TEST_CASE(a_request_is_granted_in_time_if_the_other_engine_is_busy) {
+  engine_queue queue = StreamsAndPrompts(1000);
+  BOOST_TEST(!Enqueue(queue, LongPrompt(1), kStart));
+  std::optional<base::time_point> granted_at;
+  for (auto now = kStart; now < kStart + 800ms && !granted_at; now += 5ms) {
+    const auto decided = Decide(queue, now);
+    BOOST_TEST(decided.refusals.empty());
+    if (!decided.grants.empty())
+      granted_at = now;
+  }
+  BOOST_REQUIRE(granted_at.has_value());
+  BOOST_TEST((*granted_at + 237ms + kFirstEventDelay < kStart + 800ms));
+}
+
+// In a burst all engines are needed, and with one engine there is no choice.
+BOOST_AUTO_TEST_CASE(bursts_and_single_engines_are_served_without_separation) {
+  engine_queue queue = StreamsAndPrompts(10);
+  for (int number = 1; number <= 6; ++number) {
+    queued_request request = LongPrompt(number);
+    request.deadline = kStart + 5s;
+    BOOST_TEST(!Enqueue(queue, request, kStart));
+  }
+  BOOST_TEST(Decide(queue, kStart).grants.size() == 1);
+
+  engine_queue single;
+  SetHolders(single, "m", {"e1"});
+  queue_engine only = Engine(0);
+  only.separated = {10, 1000ms, 1, 0ms, 0ms};
+  SetEngine(single, "e1", only, kStart);
+  BOOST_TEST(!Enqueue(single, LongPrompt(1), kStart));
+  BOOST_TEST(Decide(single, kStart).grants.size() == 1);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
--- a/tests/auto/host/test_server_attempt.cc
+++ b/tests/auto/host/test_server_attempt.cc
@@ -149,6 +149,38 @@
               ExpectedFor(host::kInitialTokenCost / 3, false)));
 }
 
+BOOST_AUTO_TEST_CASE(attempts_are_counted_as_long_streams_and_long_prompts) {
+  fixture setup;
+  setup.choice.separated = {58, 225ms, decisions::separated_kind::kLongPrompt};
+  const auto& own = setup.choice.server->own;
+  {
+    host::server_attempt attempt(setup.core, setup.choice, setup.metadata,
+                                 setup.weight, setup.demand);
+    BOOST_TEST(own.long_streams == 1);
+    BOOST_TEST((own.long_prompts.level == 225ms));
+    BOOST_TEST(setup.core.separated_prompts == 1);
+    const auto load = host::server_registry::OwnLoad(*setup.choice.server);
+    BOOST_TEST(load.long_streams == 1);
+    BOOST_TEST(load.long_prefill_ms > 200);
+    attempt.OnEvents(51);
+    BOOST_TEST(own.long_streams == 1);
+    attempt.OnEvents(52);
+    BOOST_TEST(own.long_streams == 0);
+    attempt.OnEvents(58);
+  }
+  BOOST_TEST(own.long_streams == 0);
+}
+
+// Guards the load reports of services that do not use the feature.
+BOOST_AUTO_TEST_CASE(without_the_feature_nothing_is_counted_or_reported) {
+  fixture setup;
+  host::server_attempt attempt(setup.core, setup.choice, setup.metadata,
+                               setup.weight, setup.demand);
+  const auto load = host::server_registry::OwnLoad(*setup.choice.server);
+  BOOST_TEST(!load.__isset.long_streams);
+  BOOST_TEST(!load.__isset.long_prefill_ms);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
