Stream separation: lengths of streams, bad event counts and the option are tested

Cause: three paths of the feature had no test.

Change: tests that only whole streams teach the length of a route's streams, that an impossible number of events in a question counts as absent, and that the option is parsed.

--- a/tests/auto/host/test_engine_queue_service.cc
+++ b/tests/auto/host/test_engine_queue_service.cc
@@ -461,6 +461,12 @@
   }
   BOOST_TEST(world.CountOf(0, "valeledge_engine_queue_bad_values_total",
                            "question") == 4);
+  auto endless = queue_world::Request(1, 800ms);
+  endless.expected_events = 1e15;
+  BOOST_TEST(
+      (world.Await(world.Ask(2, endless)) == engine_place_verdict::kGranted));
+  BOOST_TEST(world.CountOf(0, "valeledge_engine_queue_bad_values_total",
+                           "expected_events") == 1);
   // A request without a valid priority is the last one.
   world.ReportLoad("e1", 4, 8000);
   const auto unknown = world.Ask(2, queue_world::Request(-7, 5s));
--- a/tests/auto/host/test_server_attempt.cc
+++ b/tests/auto/host/test_server_attempt.cc
@@ -181,6 +181,25 @@
   BOOST_TEST(!load.__isset.long_prefill_ms);
 }
 
+// Guards against lengths learned from the parts of broken streams: no request
+// of the route would be a long stream.
+BOOST_AUTO_TEST_CASE(the_length_of_streams_is_learned_from_whole_ones) {
+  test::relay_world here;
+  here.AddServer("i-1", here.first.address());
+  std::string events;
+  for (int id = 1; id <= 30; ++id)
+    events += test::Chunk(test::Event(id));
+  here.first.script = {{test::kStreamHeader + events + "0\r\n\r\n"}};
+  here.SendRequest("/stream/");
+  BOOST_REQUIRE(here.core->stream_lengths.size() == 1);
+  const auto& length = here.core->stream_lengths.begin()->second;
+  BOOST_TEST(length.events == 30);
+  here.first.script = {{test::kStreamHeader + test::Chunk(test::Event(1)),
+                        test::scripted_response::connection_action::kClose}};
+  here.SendRequest("/stream/");
+  BOOST_TEST(length.events == 30);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
--- a/tests/auto/platform/test_codecs.cc
+++ b/tests/auto/platform/test_codecs.cc
@@ -91,6 +91,10 @@
   BOOST_TEST((features->engine_queues == host::feature_mode::kOff));
   BOOST_TEST((features->limit_priority == host::feature_mode::kOn));
   BOOST_TEST((features->patient_loads == host::feature_mode::kAuto));
+  BOOST_TEST((features->stream_separation == host::feature_mode::kAuto));
+  BOOST_TEST(
+      (host::ParseLoadFeatures("stream-separation=off")->stream_separation ==
+       host::feature_mode::kOff));
   for (const char* wrong : {"engine-queues", "queues=on", "patient-loads=1"})
     BOOST_TEST(!host::ParseLoadFeatures(wrong));
 }
