--- a/src/host/load_features.cc
+++ b/src/host/load_features.cc
@@ -28,6 +28,8 @@
                                              &load_features::lease_succession},
     std::pair<std::string_view, mode_member>{
         "return-reservations", &load_features::return_reservations},
+    std::pair<std::string_view, mode_member>{"stream-separation",
+                                             &load_features::stream_separation},
 };
 
 std::optional<feature_mode> ParseMode(std::string_view text) {
--- a/src/host/process/engine_queue_client.cc
+++ b/src/host/process/engine_queue_client.cc
@@ -1,6 +1,7 @@
 // SPDX-License-Identifier: MIT
 #include "host/process/engine_queue_client.h"
 
+#include <cmath>
 #include <utility>
 
 #include <boost/asio/as_tuple.hpp>
@@ -63,6 +64,9 @@
     question.__set_returning(true);
   if (request.caller_left)
     question.__set_deadline_ms(request.caller_left->count());
+  if (request.expected_events > 0)
+    question.__set_expected_events(
+        static_cast<std::int64_t>(std::llround(request.expected_events)));
   question.__set_token_ns(
       duration_cast<nanoseconds>(request.token_time).count());
   return question;
--- a/src/wire/messages.thrift
+++ b/src/wire/messages.thrift
@@ -185,6 +185,11 @@
   // Part of unread_tokens: prompts that are queued for the server and have not
   // been sent.
   5: optional i32 queued_tokens,
+  // Running streams that have many events to come, and the prefill time of the
+  // long prompts that were sent to the server, in milliseconds, with
+  // exponential decay over 2 s.
+  6: optional i32 long_streams,
+  7: optional i32 long_prefill_ms,
 }
 
 // What callers of one host ask of one model, named by a hash.
@@ -448,6 +453,8 @@
   13: optional bool returning,
   // Time until the caller's deadline; absent: a refusal is not passed on to it.
   14: optional i64 deadline_ms,
+  // Number of events that the response is expected to have; absent: unknown.
+  15: optional i64 expected_events,
 }
 
 struct engine_place_reply {
