Return reservations: no reservation for callers that are told nothing

- A refusal without an engine reserves nothing, and a returning request redeems only if an engine may be selected.
- The bound counts only priorities at or above that of the request: a burst of priority 2 left nothing to reserve for priority 0.
- Redeemed requests do not count as arriving as well, and the review does not refuse them because others go before them; late ones are still refused.
- Reservations refuse only new requests whose callers are told of it.
Others were only sent later by their hosts.
- Reservations are searched for lapsed ones only once one can have lapsed, and are stored without the strings of their flow.
- When a queue ends, its counts are reported and its reservations count as lapsed.
- Only the first question of a search states a return, and relayed requests state none: they could redeem the reservation of another caller.
- The test of the time after the reservations has a second request, whose time does not come from kMinReturnShare.

Not changed: reservations still move the time of callers without one (returns_until).

--- a/src/decisions/engine_queue.cc
+++ b/src/decisions/engine_queue.cc
@@ -3,7 +3,6 @@
 
 #include <algorithm>
 #include <iterator>
-#include <limits>
 #include <tuple>
 #include <utility>
 
@@ -170,15 +169,15 @@
 }
 
 // Read time that is reserved until a time at the engines of a unit, also by
-// other units that they hold.
+// other units that they hold, for priorities at or above the given one.
 milliseconds ReservedAt(const engine_queue& queue,
                         const unit_queue& unit,
+                        std::int64_t priority,
                         base::time_point until) {
   milliseconds sum{0};
   for (const std::string& engine : unit.engines) {
     for (const std::string& name : queue.engines.at(engine).units)
-      sum += ReservedReadTime(queue.reserved, name,
-                              std::numeric_limits<std::int64_t>::max(), until) *
+      sum += ReservedReadTime(queue.reserved, name, priority, until) *
              EnginePart(queue.units.at(name));
   }
   return sum;
@@ -210,7 +209,8 @@
   if (rate <= 0)
     return std::nullopt;
   const milliseconds needed =
-      (ReservedAt(queue, unit, latest) + ReadTime(request)) / rate;
+      (ReservedAt(queue, unit, request.priority, latest) + ReadTime(request)) /
+      rate;
   auto at =
       std::max({earliest, now + duration_cast<ticks>(longest * kMinReturnShare),
                 now + std::chrono::ceil<ticks>(needed)});
@@ -240,7 +240,10 @@
       now +
       std::max(kMinRetryAfter, duration_cast<std::chrono::milliseconds>(turn));
   unit_queue& unit = queue.units.at(request.unit);
-  const auto reserved = Reserve(queue, request, earliest, now);
+  // Without an engine the host goes on by itself, and its caller is told
+  // nothing.
+  const auto reserved =
+      response ? Reserve(queue, request, earliest, now) : std::nullopt;
   const auto at = reserved.value_or(
       std::min(std::max(earliest, unit.returns_until), now + kMaxRetryAfter));
   const auto until = at + duration_cast<base::time_point::duration>(
@@ -251,6 +254,19 @@
           !response.has_value()};
 }
 
+// Whether reserved capacity is kept from a request. One that returns, or whose
+// caller is not told of a refusal, would only be served later by its host.
+bool IsDelayedByReservations(const queued_request& request) {
+  return !request.returning && request.caller_deadline.has_value();
+}
+
+// Whether an engine may be selected for a request.
+bool HasEngine(const engine_queue& queue, const queued_request& request) {
+  return std::ranges::any_of(
+      queue.units.at(request.unit).engines,
+      [&](const auto& name) { return !IsAvoided(request, name); });
+}
+
 // Whether the response would be late even if the request were sent now.
 bool IsLate(const engine_queue& queue,
             const queued_request& request,
@@ -290,7 +306,7 @@
 
 // Refuses the waiting requests that cannot be in time behind those that go
 // before them, the least urgent first: what is refused no longer delays the
-// others.
+// others. Those with a reservation were told to return now.
 void RefuseDisplaced(engine_queue& queue,
                      base::time_point now,
                      std::vector<engine_refusal>& refusals) {
@@ -299,9 +315,13 @@
     for (const auto& [key, flow] : unit.flows)
       std::ranges::copy(flow.requests, std::back_inserter(waiting));
     for (auto each = waiting.rbegin(); each != waiting.rend(); ++each) {
-      const auto response = ExpectedResponse(queue, *each, now);
+      const auto response =
+          IsDelayedByReservations(*each)
+              ? ExpectedResponse(queue, *each, now)
+              : ExpectedWithoutReservations(queue, *each, now);
       const milliseconds left = each->deadline - now;
-      if (response && *response <= left * kReviewTolerance)
+      if (response &&
+          (each->is_expected || *response <= left * kReviewTolerance))
         continue;
       Take(queue, name, {each->priority, each->workspace}, each->number);
       refusals.push_back(Refuse(queue, *each, now));
@@ -358,7 +378,7 @@
   unit.used_at = now;
   queue.returns.lapsed += DropLapsed(queue.reserved, now);
   request.is_expected =
-      request.returning &&
+      request.returning && HasEngine(queue, request) &&
       RedeemReservation(queue.reserved, request.unit, request.priority,
                         request.workspace, now);
   queue.returns.redeemed += request.is_expected ? 1 : 0;
@@ -366,14 +386,17 @@
   const milliseconds left = request.deadline - now;
   detail::arriving_work& arriving =
       unit.arriving[{request.priority, request.workspace}];
-  arriving.level = LevelAt(arriving, now) + ReadTime(request);
+  // The work of a request with a reservation was counted as reserved.
+  arriving.level = LevelAt(arriving, now) +
+                   (request.is_expected ? milliseconds(0) : ReadTime(request));
   arriving.at = now;
   // The work of callers that return is known; the share that is kept free for
   // other changes is taken from the rest.
   const bool has_time = response && *response <= left * kAdmittedShare;
   const bool is_in_time =
-      has_time && (queue.reserved.units.empty() ||
-                   *ExpectedResponse(queue, request, now) <= left);
+      has_time &&
+      (queue.reserved.units.empty() || !IsDelayedByReservations(request) ||
+       *ExpectedResponse(queue, request, now) <= left);
   if (!response || (!is_in_time && !request.is_expected)) {
     queue.returns.refusals += has_time ? 1 : 0;
     return Refuse(queue, request, now);
--- a/src/decisions/engine_queue.h
+++ b/src/decisions/engine_queue.h
@@ -193,7 +193,8 @@
 // Adds a request whose unit has holders. If it cannot be served in time behind
 // those that go before it, it is not added, and the time until there is
 // capacity is returned; the capacity is reserved if the caller can return then.
-// A returning request with a reservation is always added.
+// A returning request with a reservation is always added. Reservations refuse
+// only new requests whose callers are told of it.
 std::optional<engine_refusal> Enqueue(engine_queue& queue,
                                       queued_request request,
                                       base::time_point now);
--- a/src/decisions/return_reservations.cc
+++ b/src/decisions/return_reservations.cc
@@ -10,13 +10,14 @@
 namespace {
 
 using detail::reserved_flow;
+using detail::reserved_return;
 using milliseconds = std::chrono::duration<double, std::milli>;
 
 // Sums are kept so that a forecast does not read each reservation.
 void UpdateSums(reserved_flow& flow) {
   flow.sums.clear();
   milliseconds sum{0};
-  for (const return_reservation& each : flow.reservations)
+  for (const reserved_return& each : flow.reservations)
     flow.sums.push_back(sum += each.read_time);
 }
 
@@ -41,7 +42,7 @@
     const reserved_flow& flow,
     base::time_point until) {
   const auto end = std::ranges::upper_bound(flow.reservations, until, {},
-                                            &return_reservation::returns_at);
+                                            &reserved_return::returns_at);
   const auto count = std::distance(flow.reservations.begin(), end);
   return count == 0 ? milliseconds(0)
                     : flow.sums[static_cast<std::size_t>(count - 1)];
@@ -50,13 +51,14 @@
 }  // namespace detail
 
 void AddReservation(return_reservations& reservations,
-                    return_reservation added) {
+                    const return_reservation& added) {
   reserved_flow& flow =
       reservations.units[added.unit][{added.priority, added.workspace}];
   const auto after = std::ranges::upper_bound(
-      flow.reservations, added.returns_at, {}, &return_reservation::returns_at);
-  flow.reservations.insert(after, std::move(added));
+      flow.reservations, added.returns_at, {}, &reserved_return::returns_at);
+  flow.reservations.insert(after, {added.returns_at, added.read_time});
   UpdateSums(flow);
+  reservations.earliest = std::min(reservations.earliest, added.returns_at);
 }
 
 bool RedeemReservation(return_reservations& reservations,
@@ -93,7 +95,7 @@
     return std::nullopt;
   const auto& expected = flow->second.reservations;
   const auto end = std::ranges::upper_bound(expected, until, {},
-                                            &return_reservation::returns_at);
+                                            &reserved_return::returns_at);
   if (end == expected.begin())
     return std::nullopt;
   return std::prev(end)->returns_at;
@@ -101,20 +103,23 @@
 
 std::int64_t DropLapsed(return_reservations& reservations,
                         base::time_point now) {
+  if (reservations.earliest >= now - kReturnTolerance)
+    return 0;
+  reservations.earliest = base::time_point::max();
   std::int64_t dropped = 0;
   for (auto& [unit, flows] : reservations.units) {
     for (auto& [key, flow] : flows) {
-      // They are ordered by time.
-      if (now - flow.reservations.front().returns_at <= kReturnTolerance)
-        continue;
       const auto count =
           std::erase_if(flow.reservations, [&](const auto& each) {
             return now - each.returns_at > kReturnTolerance;
           });
-      if (count == 0)
-        continue;
-      UpdateSums(flow);
+      if (count > 0)
+        UpdateSums(flow);
       dropped += static_cast<std::int64_t>(count);
+      // They are ordered by time.
+      if (!flow.reservations.empty())
+        reservations.earliest = std::min(reservations.earliest,
+                                         flow.reservations.front().returns_at);
     }
     std::erase_if(flows, [](const auto& each) {
       return each.second.reservations.empty();
--- a/src/decisions/return_reservations.h
+++ b/src/decisions/return_reservations.h
@@ -42,9 +42,15 @@
 
 namespace detail {
 
+// A reservation of a flow.
+struct reserved_return {
+  base::time_point returns_at;
+  std::chrono::duration<double, std::milli> read_time{0};
+};
+
 // Reservations of one unit, priority and workspace, by time.
 struct reserved_flow {
-  std::vector<return_reservation> reservations;
+  std::vector<reserved_return> reservations;
   // Read time of each reservation and of those before it.
   std::vector<std::chrono::duration<double, std::milli>> sums;
 };
@@ -63,10 +69,13 @@
 // Not thread-safe.
 struct return_reservations {
   std::map<std::string, detail::reserved_flows> units;
+  // No caller returns before this time, so that DropLapsed need not visit all
+  // flows for each request.
+  base::time_point earliest = base::time_point::max();
 };
 
 void AddReservation(return_reservations& reservations,
-                    return_reservation added);
+                    const return_reservation& added);
 
 // Removes the earliest reservation of the unit, priority and workspace whose
 // time has come. Returns false if there is none.
--- a/src/host/process/engine_queue_owner.cc
+++ b/src/host/process/engine_queue_owner.cc
@@ -360,6 +360,9 @@
 }
 
 void engine_queue_owner::Disband(owned_queue& owned) {
+  owned.queue.returns.lapsed +=
+      decisions::CountReservations(owned.queue.reserved);
+  CountReturns(owned);
   owned.queue = {};
   owned.units.clear();
   for (auto& [number, each] : owned.waiters) {
--- a/src/host/request/queued_selection.cc
+++ b/src/host/request/queued_selection.cc
@@ -29,9 +29,11 @@
 }
 
 // Whether the request is the return of a refused caller and has not been sent
-// yet: a later attempt would redeem the reservation of another caller.
+// yet, here or by the host that relays it: a later attempt would redeem the
+// reservation of another caller.
 bool IsFirstAttemptOfReturn(const routed_request& routed) {
-  return IsRetry(routed) && !routed.origin && routed.failed_instances.empty();
+  return IsRetry(routed) && !routed.origin && !routed.is_relayed &&
+         routed.failed_instances.empty();
 }
 
 // Keeps those of the instances that hold the model: the others are not selected
@@ -66,8 +68,7 @@
     const server_query& query,
     const server_choice& best,
     const decisions::engine_candidate& turn,
-    std::vector<std::string> excluded,
-    std::function<bool()> is_withdrawn) {
+    queue_question question) {
   queued_selection out;
   engine_place_request request;
   request.left = TimeToRead(routed, turn);
@@ -83,11 +84,13 @@
   request.tokens_to_hold = routed.weight.held_tokens;
   request.token_time = routed.weight.time_per_token;
   request.event_gap = turn.max_event_gap;
-  request.avoid = HoldersAmong(core, routed.metadata, std::move(excluded));
+  request.avoid =
+      HoldersAmong(core, routed.metadata, std::move(question.excluded));
   request.best = best.server->entry.instance;
-  request.is_withdrawn = std::move(is_withdrawn);
+  request.is_withdrawn = std::move(question.is_withdrawn);
   if (IsEnabled(core.settings.features.return_reservations, *routed.service)) {
-    request.returning = IsFirstAttemptOfReturn(routed);
+    // A repeated question would redeem the reservation of another caller.
+    request.returning = question.is_first && IsFirstAttemptOfReturn(routed);
     if (turn.refusable)
       request.caller_left = RemainingTime(routed);
   }
--- a/src/host/request/queued_selection.h
+++ b/src/host/request/queued_selection.h
@@ -33,6 +33,16 @@
   std::chrono::milliseconds retry_after{0};
 };
 
+// A request's question to the owner of the queue.
+struct queue_question {
+  // Instances that must not be selected.
+  std::vector<std::string> excluded;
+  // Whether the request has stopped waiting.
+  std::function<bool()> is_withdrawn;
+  // The search for a server has not asked an owner before.
+  bool is_first = true;
+};
+
 // Whether the request asks the owner of the queue for an engine: it would have
 // to wait or be refused, or others are waiting for the best engine.
 bool AsksForEngine(const host_core& core,
@@ -40,17 +50,14 @@
                    const server_choice& best,
                    decisions::admission_decision decided);
 
-// Asks the owner for an engine and waits for its reply. `excluded`: instances
-// that must not be selected. `is_withdrawn`: whether the request has stopped
-// waiting.
+// Asks the owner for an engine and waits for its reply.
 boost::asio::awaitable<queued_selection> SelectInQueue(
     host_core& core,
     const routed_request& routed,
     const server_query& query,
     const server_choice& best,
     const decisions::engine_candidate& turn,
-    std::vector<std::string> excluded,
-    std::function<bool()> is_withdrawn);
+    queue_question question);
 
 }  // namespace valeledge::host
 
--- a/src/host/request/server_search.cc
+++ b/src/host/request/server_search.cc
@@ -2,6 +2,7 @@
 #include "host/request/server_search.h"
 
 #include <algorithm>
+#include <utility>
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -386,6 +387,7 @@
   load_wait wait(core, routed, QueryOf(routed));
   bool is_absent = false;
   bool may_queue = true;
+  bool has_asked = false;
   const auto is_withdrawn = [&] {
     return responder.caller_gone() ||
            (first_attempt && CheckStopDeadline(core, routed)) ||
@@ -424,9 +426,12 @@
           TurnOf(routed, *choice, first_attempt, wait.CanWaitForEngine(), now);
       const auto decided = decisions::DecideAdmission(turn);
       if (may_queue && AsksForEngine(core, routed, *choice, decided)) {
-        auto queued = co_await SelectInQueue(
-            core, routed, query, *choice, turn,
-            ExcludedInstances(core, routed, now), is_withdrawn);
+        queue_question question;
+        question.excluded = ExcludedInstances(core, routed, now);
+        question.is_withdrawn = is_withdrawn;
+        question.is_first = !std::exchange(has_asked, true);
+        auto queued = co_await SelectInQueue(core, routed, query, *choice, turn,
+                                             std::move(question));
         if (queued.outcome == queued_outcome::kGranted)
           co_return std::move(*queued.choice);
         if (queued.outcome == queued_outcome::kRefused) {
--- a/tests/auto/decisions/test_return_reservations.cc
+++ b/tests/auto/decisions/test_return_reservations.cc
@@ -379,6 +379,23 @@
   BOOST_TEST(of.units.empty());
 }
 
+// Guards against a visit to all reservations for each request, and against one
+// that lapses late because another was added or redeemed.
+BOOST_AUTO_TEST_CASE(the_earliest_time_of_the_reservations_is_known) {
+  return_reservations of;
+  AddReservation(of, Reservation(900ms));
+  AddReservation(of, Reservation(600ms, 0));
+  AddReservation(of, Reservation(1200ms, 1, "x"));
+  BOOST_TEST((of.earliest == kStart + 600ms));
+  BOOST_TEST(DropLapsed(of, kStart + 1101ms) == 1);
+  BOOST_TEST((of.earliest == kStart + 900ms));
+  BOOST_TEST(RedeemReservation(of, "m", 1, "w", kStart + 1101ms));
+  BOOST_TEST(DropLapsed(of, kStart + 1700ms) == 0);
+  BOOST_TEST((of.earliest == kStart + 1200ms));
+  BOOST_TEST(DropLapsed(of, kStart + 1701ms) == 1);
+  BOOST_TEST((of.earliest == base::time_point::max()));
+}
+
 // Guards against requests that are delayed by less urgent callers, or by those
 // that return after their turn.
 BOOST_AUTO_TEST_CASE(reserved_time_is_summed_by_time_and_priority) {
@@ -429,6 +446,16 @@
   BOOST_REQUIRE(refusal.has_value());
   BOOST_TEST((refusal->retry_after >= 825ms));
   BOOST_TEST(queue.returns.refusals == 1);
+  // Nothing is reserved for this one, which is late anyway, and no capacity is
+  // assigned to others without a reservation: its time is that of the reserved
+  // work.
+  auto other = Request(102, 1, "w", now, 10ms);
+  other.caller_deadline.reset();
+  queue.units.at("m").returns_until = {};
+  const auto late = Enqueue(queue, other, now);
+  BOOST_REQUIRE(late.has_value());
+  BOOST_TEST((late->retry_after >= 825ms));
+  BOOST_TEST((late->retry_after < 1485ms));
   // More urgent ones are not concerned.
   BOOST_TEST(!Enqueue(queue, Request(101, 0, "w", now), now));
 }
@@ -459,6 +486,99 @@
   BOOST_TEST((order == std::vector<std::int64_t>{2, back.number, 1}));
 }
 
+// Guards against a request that is added because of its reservation and then
+// refused because more urgent ones go before it.
+BOOST_AUTO_TEST_CASE(a_redeemed_request_is_refused_only_if_it_is_late) {
+  engine_queue queue = OneEngine(20'000);
+  for (int i = 1; i <= 5; ++i)
+    BOOST_TEST(!Enqueue(queue, Request(i, 0, "w", kStart, 5s), kStart));
+  AddReservation(queue.reserved, Reservation(0ms));
+  auto back = Returning(Request(6, 1, "w", kStart), kStart);
+  back.deadline = kStart + 700ms;
+  BOOST_TEST(!Enqueue(queue, back, kStart));
+  BOOST_TEST(Decide(queue, kStart).refusals.empty());
+  const auto decided = Decide(queue, kStart + 700ms);
+  BOOST_REQUIRE_EQUAL(decided.refusals.size(), 1u);
+  BOOST_TEST(decided.refusals.front().number == back.number);
+}
+
+// Guards against a reservation that is taken, or made, for a request that its
+// host serves by itself: its caller is told nothing.
+BOOST_AUTO_TEST_CASE(no_reservation_concerns_requests_without_an_engine) {
+  engine_queue queue = OneEngine(0);
+  auto request = Request(1, 1, "w", kStart);
+  request.avoid = {"e1"};
+  const auto refusal = Enqueue(queue, request, kStart);
+  BOOST_REQUIRE(refusal.has_value());
+  BOOST_TEST(refusal->without_engine);
+  BOOST_TEST(queue.returns.made == 0);
+  AddReservation(queue.reserved, Reservation(0ms));
+  BOOST_TEST(Enqueue(queue, Returning(request, kStart), kStart).has_value());
+  BOOST_TEST(queue.returns.redeemed == 0);
+  BOOST_TEST(CountReservations(queue.reserved) == 1);
+}
+
+// Guards against work that counts as reserved and as arriving.
+BOOST_AUTO_TEST_CASE(redeemed_requests_do_not_count_as_arriving) {
+  engine_queue queue = OneEngine(20'000);
+  AddReservation(queue.reserved, Reservation(0ms));
+  const auto level = [&] {
+    return queue.units.at("m").arriving.at({1, "w"}).level.count();
+  };
+  const auto back = Returning(Request(1, 1, "w", kStart), kStart);
+  BOOST_TEST(!Enqueue(queue, back, kStart));
+  BOOST_TEST(level() == 0);
+  auto next = back;
+  ++next.number;
+  next.deadline = kStart + 5s;
+  BOOST_TEST(!Enqueue(queue, next, kStart));
+  BOOST_TEST(level() == kReadTime.count());
+}
+
+// Guards against requests that cannot be refused and are served later by their
+// hosts because of reservations.
+BOOST_AUTO_TEST_CASE(
+    reservations_do_not_displace_requests_that_must_be_served) {
+  engine_queue queue = OneEngine(13'000);
+  for (int i = 0; i < 15; ++i)
+    AddReservation(queue.reserved, Reservation(0ms, 0));
+  const auto returning = Returning(Request(1, 1, "a", kStart), kStart);
+  BOOST_TEST(!Enqueue(queue, returning, kStart));
+  auto stated = Returning(Request(2, 1, "b", kStart), kStart);
+  stated.caller_deadline = kStart + kDeadline;
+  BOOST_TEST(!Enqueue(queue, stated, kStart));
+  auto later_attempt = Request(3, 1, "c", kStart, 1s);
+  later_attempt.caller_deadline.reset();
+  BOOST_TEST(!Enqueue(queue, later_attempt, kStart));
+  BOOST_TEST(Decide(queue, kStart).refusals.empty());
+  BOOST_TEST(CountWaiting(queue) == 3);
+  BOOST_TEST(queue.returns.refusals == 0);
+  const auto refusable = Request(4, 1, "w", kStart, 1s);
+  BOOST_TEST(Enqueue(queue, refusable, kStart).has_value());
+  BOOST_TEST(queue.returns.refusals == 1);
+}
+
+// Guards against bursts of less urgent callers that leave nothing to reserve
+// for urgent ones.
+BOOST_AUTO_TEST_CASE(less_urgent_callers_do_not_use_up_what_may_be_reserved) {
+  engine_queue queue = OneEngine(kPrompt);
+  std::int64_t number = 0;
+  const auto refuse = [&](std::int64_t priority) {
+    const auto request = Request(++number, priority, "w", kStart, 10ms);
+    BOOST_TEST(Enqueue(queue, request, kStart).has_value());
+  };
+  for (int i = 0; i < 200; ++i)
+    refuse(2);
+  const auto less_urgent = queue.returns.made;
+  BOOST_TEST(less_urgent > 5);
+  for (int i = 0; i < 200; ++i)
+    refuse(0);
+  BOOST_TEST(queue.returns.made == 2 * less_urgent);
+  for (int i = 0; i < 200; ++i)
+    refuse(2);
+  BOOST_TEST(queue.returns.made == 2 * less_urgent);
+}
+
 // Guards against a burst of refusals that blocks new requests.
 BOOST_AUTO_TEST_CASE(at_most_half_of_the_capacity_is_reserved) {
   engine_queue queue = OneEngine(kPrompt);
--- a/tests/auto/host/relay_world.h
+++ b/tests/auto/host/relay_world.h
@@ -201,8 +201,7 @@
     received_response seen;
     fake_responder responder(seen);
     boost::asio::co_spawn(context,
-                          host::RelayRequest(*core, request, responder,
-                                             host::request_origin::kCaller),
+                          host::RelayRequest(*core, request, responder, origin),
                           [&](const std::exception_ptr& thrown) {
                             BOOST_TEST((thrown == nullptr));
                             seen.done = true;
@@ -252,6 +251,8 @@
   int request_count = 0;
   // Source address of the requests.
   std::string caller_address = "10.0.0.1";
+  // Whether callers or another host send the requests.
+  host::request_origin origin = host::request_origin::kCaller;
   // Additional header fields of the requests.
   std::vector<std::pair<std::string, std::string>> added_fields;
   // Model of the requests; empty for plain services.
--- a/tests/auto/host/test_engine_queue_service.cc
+++ b/tests/auto/host/test_engine_queue_service.cc
@@ -562,6 +562,22 @@
   BOOST_TEST(world.CountOf(0, kReservations, "made") == 0);
 }
 
+// Guards against counts that are lost when the queue ends, and against
+// reservations that were made and neither redeemed nor lapsed.
+BOOST_AUTO_TEST_CASE(reservations_are_counted_when_the_queue_ends) {
+  queue_world world;
+  world.ReportLoad("e1", 4, 20'000);
+  BOOST_TEST((world.Await(world.Ask(2, RefusableRequest())) ==
+              engine_place_verdict::kRefused));
+  world.hosts[0].core->settings.features.engine_queues =
+      host::feature_mode::kOff;
+  world.hosts[0].owner->Tick(std::chrono::steady_clock::now());
+  BOOST_TEST(world.CountOf(0, kReservations, "made") == 1);
+  BOOST_TEST(world.CountOf(0, kReservations, "lapsed") == 1);
+  world.hosts[0].owner->Tick(std::chrono::steady_clock::now());
+  BOOST_TEST(world.CountOf(0, kReservations, "lapsed") == 1);
+}
+
 // Guards against a deadline that cannot be valid.
 BOOST_AUTO_TEST_CASE(a_bad_deadline_is_counted_and_treated_as_absent) {
   queue_world world;
@@ -741,6 +757,37 @@
   BOOST_TEST(!world.asked.back().caller_left.has_value());
 }
 
+// Guards against a request that redeems its own reservation and, asking again,
+// that of another caller.
+BOOST_AUTO_TEST_CASE(only_the_first_question_states_the_return) {
+  search_world world;
+  world.Grant("i-1");
+  world.core->acquire_engine = [&world](host::engine_place_request request)
+      -> boost::asio::awaitable<host::engine_place_result> {
+    world.asked.push_back(std::move(request));
+    host::engine_place_result withdrawn;
+    withdrawn.verdict = engine_place_verdict::kWithdrawn;
+    co_return world.asked.size() == 1 ? withdrawn : world.answer;
+  };
+  world.added_fields.emplace_back("X-Deadline-Ms", "1300");
+  BOOST_TEST(world.SendRequest("/safe/").status == 200);
+  BOOST_REQUIRE_EQUAL(world.asked.size(), 2u);
+  BOOST_TEST(world.asked.front().returning);
+  BOOST_TEST(!world.asked.back().returning);
+}
+
+// The host that relays the request may have asked, and states a shorter
+// deadline. Guards against the reservation of another caller being redeemed.
+BOOST_AUTO_TEST_CASE(relayed_requests_do_not_state_a_return) {
+  search_world world;
+  world.Grant("i-1");
+  world.origin = host::request_origin::kPeer;
+  world.added_fields.emplace_back("X-Deadline-Ms", "1300");
+  BOOST_TEST(world.SendRequest("/safe/").status == 200);
+  BOOST_REQUIRE_EQUAL(world.asked.size(), 1u);
+  BOOST_TEST(!world.asked.front().returning);
+}
+
 BOOST_AUTO_TEST_CASE(no_return_is_stated_if_reservations_are_off) {
   search_world world;
   world.core->settings.features.return_reservations = host::feature_mode::kOff;
