--- a/src/decisions/server_cost.cc
+++ b/src/decisions/server_cost.cc
@@ -66,6 +66,11 @@
   return now >= health.suspended_until && !health.probing;
 }
 
+bool AllowsRequestsSoon(const server_health& health, base::time_point now) {
+  return AllowsRequests(health, now) ||
+         (!health.probing && health.suspended_until - now <= kFullSuspension);
+}
+
 void RecordResponse(server_health& health,
                     milliseconds response_time,
                     milliseconds expected) {
--- a/src/decisions/server_cost.h
+++ b/src/decisions/server_cost.h
@@ -67,6 +67,10 @@
 
 bool AllowsRequests(const server_health& health, base::time_point now);
 
+// Whether requests may be sent at once or within some milliseconds, as after a
+// response that all slots are in use.
+bool AllowsRequestsSoon(const server_health& health, base::time_point now);
+
 // Records a response and its actual and expected response time.
 void RecordResponse(server_health& health,
                     std::chrono::duration<double, std::milli> response_time,
--- a/src/host/request/server_search.cc
+++ b/src/host/request/server_search.cc
@@ -2,6 +2,7 @@
 #include "host/request/server_search.h"
 
 #include <algorithm>
+#include <utility>
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -178,16 +179,19 @@
   return out;
 }
 
+using health_check = bool(const decisions::server_health&, base::time_point);
+
 // Returns the instances that this request has tried, those that this host does
 // not use at present, and those whose region or software version is not allowed
 // for the request.
 std::vector<std::string> ExcludedInstances(const host_core& core,
                                            const routed_request& routed,
-                                           base::time_point now) {
+                                           base::time_point now,
+                                           health_check& is_usable) {
   std::vector<std::string> out = routed.failed_instances;
   const server_query query = QueryOf(routed);
   for (const auto& [instance, server] : core.servers.servers()) {
-    const bool unusable = !decisions::AllowsRequests(server->trust, now) ||
+    const bool unusable = !is_usable(server->trust, now) ||
                           server->SendBlock(now) != send_block::kNone ||
                           decisions::IsPaused(server->notices, now) ||
                           server->IsLimited() ||
@@ -237,7 +241,8 @@
   slot_request.service = routed.service->name;
   slot_request.priority = PriorityOf(routed);
   slot_request.left = RemainingObjective(routed, now);
-  slot_request.avoid = ExcludedInstances(core, routed, now);
+  slot_request.avoid =
+      ExcludedInstances(core, routed, now, decisions::AllowsRequests);
   auto slot = co_await core.acquire_slot(std::move(slot_request));
   if (!slot)
     co_return tl::make_unexpected(slot.error());
@@ -394,6 +399,7 @@
   load_wait wait(core, routed, QueryOf(routed));
   bool is_absent = false;
   bool may_queue = true;
+  bool has_asked = false;
   const auto is_withdrawn = [&] {
     return responder.caller_gone() ||
            (first_attempt && CheckStopDeadline(core, routed)) ||
@@ -432,9 +438,15 @@
           TurnOf(routed, *choice, first_attempt, wait.CanWaitForEngine(), now);
       const auto decided = decisions::DecideAdmission(turn);
       if (may_queue && AsksForEngine(core, routed, *choice, decided)) {
-        auto queued = co_await SelectInQueue(
-            core, routed, query, *choice, turn,
-            ExcludedInstances(core, routed, now), is_withdrawn);
+        queue_question question;
+        // The list holds for the whole wait, so an engine that is suspended
+        // for a moment is not in it: later requests would go there first.
+        question.excluded =
+            ExcludedInstances(core, routed, now, decisions::AllowsRequestsSoon);
+        question.is_withdrawn = is_withdrawn;
+        question.is_first = !std::exchange(has_asked, true);
+        auto queued = co_await SelectInQueue(core, routed, query, *choice, turn,
+                                             std::move(question));
         if (queued.outcome == queued_outcome::kGranted)
           co_return std::move(*queued.choice);
         if (queued.outcome == queued_outcome::kRefused) {
