Stream separation: requests that cannot be refused are not held

Change: - A host states expected_events only if the feature is on and the request may be refused, and the owner separates only requests with the field. The number is rounded up: 20.3 events were a short stream for the owner. - A host decides once for each request whether its prompt is long, from the whole prompt at the usual speed. - The work before a request is that of higher priorities, and of its own one except later requests of its workspace; it is at least 0. - The backlog is that of LoadFor, which contains unreported grants. - Engines that cannot take a request now are not compared, and a grant needs one pass over the engines of its model. - The note says field 15, and what the owner does not count.

No load or soak test was run.

--- a/src/decisions/engine_queue.cc
+++ b/src/decisions/engine_queue.cc
@@ -94,9 +94,12 @@
       const double tag = StartTag(engine, key);
       const auto servable =
           std::ranges::find_if(flow.requests, [&](const queued_request& each) {
-            return !IsAvoided(each, name) &&
-                   DecideAt(engine, each, now) != admission_decision::kRefuse &&
-                   !detail::IsLeftToOther(queue, name, each, now);
+            if (IsAvoided(each, name))
+              return false;
+            const auto decided = DecideAt(engine, each, now);
+            return decided == admission_decision::kWait ||
+                   (decided == admission_decision::kSend &&
+                    !detail::IsLeftToOther(queue, name, each, now));
           });
       if (servable == flow.requests.end())
         continue;
--- a/src/decisions/engine_queue.h
+++ b/src/decisions/engine_queue.h
@@ -55,6 +55,9 @@
   base::time_point deadline;
   request_weight weight;
   std::chrono::milliseconds max_event_gap{0};
+  // Whether it may be left to another engine than the first free one. Only for
+  // requests whose deadline is their objective: the cost is bounded by it.
+  bool is_separated = false;
   // See separated_request.
   double expected_events = 0;
   std::chrono::duration<double, std::milli> typical_prefill{0};
--- a/src/decisions/engine_queue_separation.cc
+++ b/src/decisions/engine_queue_separation.cc
@@ -1,6 +1,7 @@
 // SPDX-License-Identifier: MIT
 #include "decisions/engine_queue_separation.h"
 
+#include <algorithm>
 #include <chrono>
 
 #include "decisions/engine_admission.h"
@@ -23,17 +24,20 @@
 struct separated_offer {
   milliseconds wait{0};
   milliseconds cost{0};
+
+  milliseconds Sum() const { return wait + cost; }
 };
 
 separated_offer OfferAt(const known_engine& engine,
                         const queued_request& request,
                         base::time_point now) {
+  const server_candidate load = LoadFor(engine, request, now);
   separated_offer offer;
-  offer.wait = ExpectedWait(LoadFor(engine, request, now), request.weight);
+  offer.wait = ExpectedWait(load, request.weight);
   separated_engine at = *engine.state.separated;
-  at.slowdown = engine.state.load.slowdown;
-  at.backlog = request.weight.time_per_token *
-               static_cast<double>(engine.state.load.unread_tokens);
+  at.slowdown = load.slowdown;
+  at.backlog =
+      request.weight.time_per_token * static_cast<double>(load.unread_tokens);
   at.expected_wait = offer.wait;
   offer.cost = SeparationCost(
       at, {ReadTime(request), request.typical_prefill, request.expected_events,
@@ -41,24 +45,42 @@
   return offer;
 }
 
+bool IsLongPromptAt(const known_engine& engine, const queued_request& request) {
+  return IsLongPrompt(ReadTime(request), engine.state.load.slowdown,
+                      request.max_event_gap);
+}
+
 // Whether the cost may change at which engine the request is served.
-bool IsSeparable(const engine_queue& queue,
-                 const known_engine& engine,
-                 const queued_request& request) {
-  return engine.state.separated &&
-         queue.units.at(request.unit).engines.size() > 1 &&
+bool IsSeparable(const known_engine& engine, const queued_request& request) {
+  return request.is_separated && engine.state.separated &&
          (IsLongStream(request.expected_events) ||
-          IsLongPrompt(ReadTime(request), engine.state.load.slowdown,
-                       request.max_event_gap));
+          IsLongPromptAt(engine, request));
 }
 
-// Waiting work of the unit without the request, for each of its engines.
-milliseconds WaitingWork(const unit_queue& unit,
-                         const queued_request& request) {
+// Work of the unit that goes before the request, for each of its engines. More
+// than `enough` is not counted.
+milliseconds WorkBefore(const unit_queue& unit,
+                        const queued_request& request,
+                        milliseconds enough) {
+  const double part = EnginePart(unit);
+  const flow_key own(request.priority, request.workspace);
   milliseconds work{0};
-  for (const auto& [key, flow] : unit.flows)
-    work += flow.read_time;
-  return (work - ReadTime(request)) * EnginePart(unit);
+  for (const auto& [key, flow] : unit.flows) {
+    if (key.first > request.priority)
+      break;
+    if (key != own) {
+      work += flow.read_time;
+      continue;
+    }
+    for (const queued_request& each : flow.requests) {
+      if (!IsEarlier(each, request) || work * part > enough)
+        break;
+      work += ReadTime(each);
+    }
+  }
+  // Rounding leaves the read time of a flow slightly below 0. An engine would
+  // then leave a request to an identical one.
+  return std::max(work * part, milliseconds(0));
 }
 
 }  // namespace
@@ -68,12 +90,14 @@
                    const queued_request& request,
                    base::time_point now) {
   const known_engine& engine = queue.engines.at(name);
-  if (!IsSeparable(queue, engine, request))
+  const unit_queue& unit = queue.units.at(request.unit);
+  if (!IsSeparable(engine, request) || unit.engines.size() <= 1)
     return false;
   const separated_offer here = OfferAt(engine, request, now);
-  const unit_queue& unit = queue.units.at(request.unit);
-  const milliseconds waiting = WaitingWork(unit, request);
-  if (here.cost < kMinCost || waiting >= here.wait + here.cost)
+  if (here.cost < kMinCost)
+    return false;
+  const milliseconds before = WorkBefore(unit, request, here.Sum());
+  if (before >= here.Sum())
     return false;
   for (const std::string& other_name : unit.engines) {
     const known_engine& other = queue.engines.at(other_name);
@@ -81,8 +105,7 @@
         !other.state.separated ||
         DecideAt(other, request, now) == admission_decision::kRefuse)
       continue;
-    const separated_offer there = OfferAt(other, request, now);
-    if (waiting + there.wait + there.cost < here.wait + here.cost)
+    if (before + OfferAt(other, request, now).Sum() < here.Sum())
       return true;
   }
   return false;
@@ -92,18 +115,23 @@
                            const std::string& name,
                            const queued_request& request,
                            base::time_point now) {
-  if (!queue.engines.at(name).state.separated)
+  const known_engine& engine = queue.engines.at(name);
+  if (!request.is_separated || !engine.state.separated)
     return separated_kind::kNone;
-  for (const std::string& other_name : queue.units.at(request.unit).engines) {
+  const unit_queue& unit = queue.units.at(request.unit);
+  const separated_offer here = OfferAt(engine, request, now);
+  for (const std::string& other_name : unit.engines) {
     const known_engine& other = queue.engines.at(other_name);
     if (other_name == name || IsAvoided(request, other_name) ||
-        !IsLeftToOther(queue, other_name, request, now) ||
+        !IsSeparable(other, request) ||
         DecideAt(other, request, now) != admission_decision::kSend)
       continue;
-    return IsLongPrompt(ReadTime(request), other.state.load.slowdown,
-                        request.max_event_gap)
-               ? separated_kind::kLongPrompt
-               : separated_kind::kLongStream;
+    const separated_offer there = OfferAt(other, request, now);
+    if (there.cost < kMinCost ||
+        WorkBefore(unit, request, there.Sum()) + here.Sum() >= there.Sum())
+      continue;
+    return IsLongPromptAt(other, request) ? separated_kind::kLongPrompt
+                                          : separated_kind::kLongStream;
   }
   return separated_kind::kNone;
 }
--- a/src/host/process/engine_place.h
+++ b/src/host/process/engine_place.h
@@ -30,8 +30,9 @@
   // Time in which an engine reads one prompt token.
   std::chrono::duration<double, std::milli> token_time{0};
   std::chrono::milliseconds event_gap{0};
-  // Number of events of its response; 0: unknown.
-  double expected_events = 0;
+  // Number of events of its response; 0: unknown. Unset: the owner does not
+  // separate the request.
+  std::optional<double> expected_events;
   // Instances that must not be selected.
   std::vector<std::string> avoid;
   // The caller was refused before and returns as it was told.
--- a/src/host/process/engine_queue_client.cc
+++ b/src/host/process/engine_queue_client.cc
@@ -64,9 +64,10 @@
     question.__set_returning(true);
   if (request.caller_left)
     question.__set_deadline_ms(request.caller_left->count());
-  if (request.expected_events > 0)
+  // Rounded up: 20.3 events are a long stream for the host.
+  if (request.expected_events)
     question.__set_expected_events(
-        static_cast<std::int64_t>(std::llround(request.expected_events)));
+        static_cast<std::int64_t>(std::ceil(*request.expected_events)));
   question.__set_token_ns(
       duration_cast<nanoseconds>(request.token_time).count());
   return question;
--- a/src/host/process/engine_queue_owner.cc
+++ b/src/host/process/engine_queue_owner.cc
@@ -235,10 +235,13 @@
     request.max_event_gap = milliseconds(question.event_gap_ms);
   else if (question.__isset.event_gap_ms)
     bad("event_gap");
-  if (IsWithin(question.expected_events, 1, kMaxEvents))
-    request.expected_events = static_cast<double>(question.expected_events);
-  else if (question.__isset.expected_events)
-    bad("expected_events");
+  if (question.__isset.expected_events) {
+    request.is_separated = IsWithin(question.expected_events, 0, kMaxEvents);
+    if (request.is_separated)
+      request.expected_events = static_cast<double>(question.expected_events);
+    else
+      bad("expected_events");
+  }
   request.typical_prefill = core_.servers.typical_prompt().prefill;
   const bool states_time =
       IsWithin(question.token_ns, kMinTokenNs, kMaxTokenNs);
--- a/src/host/process/server_registry.cc
+++ b/src/host/process/server_registry.cc
@@ -99,6 +99,11 @@
                                  query.max_event_gap);
 }
 
+// Whether the whole prompt is long at a server of the usual speed.
+bool IsLongRequest(const server_query& query) {
+  return IsLongPromptAt({}, query);
+}
+
 // The server that has the lowest cost without the separation.
 struct unseparated_best {
   std::shared_ptr<known_server> server;
@@ -414,6 +419,11 @@
   unseparated_best unseparated;
   bool any_long_streams = false;
   const bool separates = !query.model.empty() && SeparatesStreams(service);
+  // Not decided for each candidate, by its speed and its cached tokens: the
+  // costs of candidates would differ by the pause cost.
+  const bool is_long_prompt = IsLongRequest(query);
+  const bool is_long =
+      is_long_prompt || decisions::IsLongStream(query.expected_events);
   std::uniform_real_distribution<double> jitter(0, 1);
   const bool is_shared = UsesSharedEstimate(query, service);
   for (const auto& [instance, server] : servers_) {
@@ -437,11 +447,10 @@
       any_long_streams =
           any_long_streams ||
           server->own.long_streams + server->others.long_streams > 0;
-      const bool is_long_prompt = IsLongPromptAt(offer, query);
       // Otherwise long prompts would be spread over all engines.
       if (is_long_prompt)
         cost -= pause_cost;
-      if (is_long_prompt || decisions::IsLongStream(query.expected_events))
+      if (is_long)
         cost += CostOfSeparation(*server, offer, expected, query, now);
     }
     if (best && cost >= best_cost)
@@ -455,7 +464,7 @@
   // Without long streams long prompts are spread as before.
   if (!any_long_streams && !decisions::IsLongStream(query.expected_events))
     return ChoiceOf(unseparated.server, unseparated.offer, query, service);
-  best->separated->changed = IsLongPromptAt(unseparated.offer, query)
+  best->separated->changed = is_long_prompt
                                  ? decisions::separated_kind::kLongPrompt
                                  : decisions::separated_kind::kLongStream;
   return best;
--- a/src/host/request/queued_selection.cc
+++ b/src/host/request/queued_selection.cc
@@ -84,7 +84,9 @@
   request.tokens_to_hold = routed.weight.held_tokens;
   request.token_time = routed.weight.time_per_token;
   request.event_gap = turn.max_event_gap;
-  if (best.separated)
+  // The deadline of other requests lies after their objective. An owner would
+  // leave them to another engine although their response is late already.
+  if (best.separated && turn.refusable)
     request.expected_events = best.separated->stream_events;
   request.avoid =
       HoldersAmong(core, routed.metadata, std::move(question.excluded));
--- a/src/wire/messages.thrift
+++ b/src/wire/messages.thrift
@@ -453,7 +453,8 @@
   13: optional bool returning,
   // Time until the caller's deadline; absent: a refusal is not passed on to it.
   14: optional i64 deadline_ms,
-  // Number of events that the response is expected to have; absent: unknown.
+  // Number of events that the response is expected to have, 0 if unknown.
+  // Absent: long streams and long prompts are not separated for the request.
   15: optional i64 expected_events,
 }
 
--- a/tests/auto/decisions/test_engine_queue.cc
+++ b/tests/auto/decisions/test_engine_queue.cc
@@ -563,6 +563,7 @@
 queued_request LongPrompt(std::int64_t number) {
   queued_request request = Request(number, 1, "", kStart, 800ms);
   request.weight.prompt_tokens = 9190;
+  request.is_separated = true;
   request.typical_prefill = 225ms;
   return request;
 }
@@ -599,6 +600,7 @@
   SetEngine(queue, "e2", calm, kStart);
   queued_request stream = Request(1, 0, "", kStart, 500ms);
   stream.weight.prompt_tokens = 826;
+  stream.is_separated = true;
   stream.expected_events = 58;
   stream.typical_prefill = 225ms;
   BOOST_TEST(!Enqueue(queue, stream, kStart));
@@ -627,6 +629,60 @@
   BOOST_TEST((*granted_at + 237ms + kFirstEventDelay < kStart + 800ms));
 }
 
+// Guards against requests that cannot be refused and are held although their
+// response is late already: their deadline is no bound for the cost.
+BOOST_AUTO_TEST_CASE(a_request_that_is_not_separated_is_granted_at_once) {
+  engine_queue queue = StreamsAndPrompts(1000);
+  queued_request request = LongPrompt(1);
+  request.is_separated = false;
+  request.deadline = kStart + 8s;
+  BOOST_TEST(!Enqueue(queue, request, kStart));
+  const auto decided = Decide(queue, kStart);
+  BOOST_REQUIRE(decided.grants.size() == 1);
+  BOOST_TEST(decided.grants.front().engine == "e1");
+  BOOST_TEST((decided.grants.front().separated == separated_kind::kNone));
+}
+
+// Guards against less urgent and later requests that put a long prompt at the
+// engine of the streams: they do not delay it at the other engine.
+BOOST_AUTO_TEST_CASE(only_the_work_before_a_request_prevents_its_separation) {
+  engine_queue queue = StreamsAndPrompts(10);
+  BOOST_TEST(!Enqueue(queue, LongPrompt(1), kStart));
+  for (int number = 2; number <= 7; ++number) {
+    queued_request other = LongPrompt(number);
+    other.priority = number % 2 == 0 ? 2 : 1;
+    other.deadline = kStart + 20s;
+    other.avoid = {"e1"};
+    BOOST_TEST(!Enqueue(queue, other, kStart));
+  }
+  BOOST_TEST(Decide(queue, kStart).grants.empty());
+}
+
+// Guards against a request that each of two identical engines leaves to the
+// other one: the read time of a flow can be slightly negative by rounding.
+BOOST_AUTO_TEST_CASE(identical_engines_do_not_leave_a_request_to_each_other) {
+  for (const double rounded : {0.0, -1e-6}) {
+    engine_queue queue;
+    SetHolders(queue, "m", {"e1", "e2", "e3"});
+    queue_engine idle = Engine(0);
+    idle.separated = {10, 1000ms, 1, 0ms, 0ms};
+    SetEngine(queue, "e1", idle, kStart);
+    SetEngine(queue, "e2", idle, kStart);
+    SetEngine(queue, "e3", Engine(8000), kStart);
+    queued_request urgent = Request(1, 0, "", kStart, 8s);
+    urgent.weight.prompt_tokens = 0;
+    urgent.avoid = {"e1", "e2"};
+    BOOST_TEST(!Enqueue(queue, urgent, kStart));
+    queue.units.at("m").flows.at({0, ""}).read_time =
+        std::chrono::duration<double, std::milli>(rounded);
+    BOOST_TEST(!Enqueue(queue, LongPrompt(2), kStart));
+    const auto decided = Decide(queue, kStart);
+    BOOST_REQUIRE(decided.grants.size() == 1);
+    BOOST_TEST(decided.grants.front().number == 2);
+    BOOST_TEST((decided.grants.front().separated == separated_kind::kNone));
+  }
+}
+
 // In a burst all engines are needed, and with one engine there is no choice.
 BOOST_AUTO_TEST_CASE(bursts_and_single_engines_are_served_without_separation) {
   engine_queue queue = StreamsAndPrompts(10);
--- a/tests/auto/host/test_engine_queue_service.cc
+++ b/tests/auto/host/test_engine_queue_service.cc
@@ -447,6 +447,62 @@
       (other.Await(other.Ask(1, request)) == engine_place_verdict::kRefused));
 }
 
+// Two engines of which the first one runs long streams, and the second one
+// processes a prompt.
+void ReportStreams(queue_world& world) {
+  world.AddEngine("e2");
+  world.ReportLoad("e2", 1, kPrompt);
+  wire::server_load load;
+  load.server = host::KeyOf("e1");
+  load.running = 1;
+  load.__set_long_streams(1000);
+  load.__set_long_prefill_ms(1000);
+  for (auto& each : world.hosts)
+    each.core->servers.UpdateLoads("other", {load});
+}
+
+// Guards against requests of hosts that have not stated the field, such as
+// those that cannot be refused, which wait for another engine although they are
+// late already.
+BOOST_AUTO_TEST_CASE(only_requests_that_state_their_events_are_separated) {
+  queue_world world;
+  ReportStreams(world);
+  auto request = queue_world::Request(1, 2s);
+  request.tokens_to_read = 9190;
+  request.expected_events = 0;
+  const auto separated = world.Ask(2, request);
+  world.AwaitWaiting(1);
+  request.left = 8s;
+  request.expected_events.reset();
+  const auto other = world.Ask(2, request);
+  BOOST_TEST((world.Await(other) == engine_place_verdict::kGranted));
+  BOOST_TEST(other->answer->place->server() == "e1");
+  BOOST_TEST(!separated->answer);
+  world.ReportLoad("e2", 1, 0);
+  BOOST_TEST((world.Await(separated) == engine_place_verdict::kGranted));
+  BOOST_TEST(separated->answer->place->server() == "e2");
+}
+
+// Guards against a stream that is long for its host and short for the owner.
+BOOST_AUTO_TEST_CASE(a_stream_of_slightly_more_than_20_events_is_long) {
+  queue_world world;
+  ReportStreams(world);
+  wire::server_load load;
+  load.server = host::KeyOf("e1");
+  load.running = 1;
+  load.__set_long_prefill_ms(1900);
+  for (auto& each : world.hosts)
+    each.core->servers.UpdateLoads("other", {load});
+  auto request = queue_world::Request(1, 2s);
+  request.tokens_to_read = 826;
+  request.expected_events = 20.3;
+  const auto asked = world.Ask(2, request);
+  world.AwaitWaiting(1);
+  world.ReportLoad("e2", 1, 0);
+  BOOST_TEST((world.Await(asked) == engine_place_verdict::kGranted));
+  BOOST_TEST(asked->answer->place->server() == "e2");
+}
+
 // Guards against values that other hosts cannot have meant.
 BOOST_AUTO_TEST_CASE(bad_values_are_counted_and_treated_as_absent) {
   queue_world world;
@@ -769,6 +825,9 @@
   BOOST_TEST(world.asked.front().caller_left.has_value());
   BOOST_TEST(world.asked.back().returning);
   BOOST_TEST(!world.asked.back().caller_left.has_value());
+  // The response of a request that cannot be refused may be late already.
+  BOOST_TEST(world.asked.front().expected_events.has_value());
+  BOOST_TEST(!world.asked.back().expected_events.has_value());
 }
 
 // Guards against a request that redeems its own reservation and, asking again,
@@ -838,6 +897,15 @@
   BOOST_TEST(!world.asked.front().caller_left.has_value());
 }
 
+BOOST_AUTO_TEST_CASE(no_events_are_stated_if_the_separation_is_off) {
+  search_world world;
+  world.core->servers.SetStreamSeparation(host::feature_mode::kOff);
+  world.Grant("i-1");
+  BOOST_TEST(world.SendRequest("/safe/").status == 200);
+  BOOST_REQUIRE_EQUAL(world.asked.size(), 1u);
+  BOOST_TEST(!world.asked.front().expected_events.has_value());
+}
+
 BOOST_AUTO_TEST_CASE(the_queue_is_not_used_if_the_feature_is_off) {
   search_world world;
   world.core->settings.features.engine_queues = host::feature_mode::kOff;
--- a/tests/auto/host/test_server_attempt.cc
+++ b/tests/auto/host/test_server_attempt.cc
@@ -2,6 +2,8 @@
 #include "host/request/server_attempt.h"
 
 #include <memory>
+#include <random>
+#include <string>
 #include <vector>
 
 #include <boost/test/unit_test.hpp>
@@ -181,6 +183,57 @@
   BOOST_TEST(!load.__isset.long_prefill_ms);
 }
 
+// Sends one long prompt with a long stream to the engine that is selected for
+// it, and returns what this host reports of the engine meanwhile.
+wire::server_load LoadDuring(host::feature_mode mode) {
+  fixture setup;
+  catalog::service service;
+  service.name = "s";
+  service.mixed_urgency = true;
+  host::server_registry& servers = setup.core.servers;
+  servers.SetStreamSeparation(mode);
+  const auto now = std::chrono::steady_clock::now();
+  catalog::backend_server entry;
+  entry.instance = "i-1";
+  entry.service = "s";
+  entry.slots = 8;
+  entry.models.push_back({"m", 1, {}});
+  servers.Put(entry, now);
+  setup.metadata.model = "m";
+  setup.weight = {9000, 9050, 25us, {}};
+  const std::vector<std::string> none;
+  host::server_query query;
+  query.service = "s";
+  query.model = setup.metadata.model;
+  query.head = &setup.metadata;
+  query.weight = setup.weight;
+  query.avoid = &none;
+  query.max_event_gap = 400ms;
+  query.expected_events = 58;
+  query.due = now + 800ms;
+  std::mt19937_64 random{3};
+  const auto choice = servers.Choose(query, service, now, random);
+  BOOST_REQUIRE(choice.has_value());
+  host::server_attempt attempt(setup.core, *choice, setup.metadata,
+                               setup.weight, setup.demand);
+  return host::server_registry::OwnLoad(*choice->server);
+}
+
+// Guards against a feature that changes load reports while it is off, and
+// against one that is on and reports nothing.
+BOOST_AUTO_TEST_CASE(streams_and_prompts_are_reported_only_with_the_feature) {
+  const auto off = LoadDuring(host::feature_mode::kOff);
+  BOOST_TEST(off.running == 1);
+  BOOST_TEST(!off.__isset.long_streams);
+  BOOST_TEST(!off.__isset.long_prefill_ms);
+  const auto on = LoadDuring(host::feature_mode::kOn);
+  BOOST_TEST(on.running == 1);
+  BOOST_TEST(on.__isset.long_streams);
+  BOOST_TEST(on.long_streams == 1);
+  BOOST_TEST(on.__isset.long_prefill_ms);
+  BOOST_TEST(on.long_prefill_ms > 200);
+}
+
 // Guards against lengths learned from the parts of broken streams: no request
 // of the route would be a long stream.
 BOOST_AUTO_TEST_CASE(the_length_of_streams_is_learned_from_whole_ones) {
--- a/tests/auto/host/test_server_registry.cc
+++ b/tests/auto/host/test_server_registry.cc
@@ -485,6 +485,39 @@
   BOOST_TEST(choice->separated->stream_events == 58);
 }
 
+// Guards against costs that cannot be compared: without the pause cost only at
+// an engine that is slow enough to make the prompt a long one.
+BOOST_AUTO_TEST_CASE(the_pause_cost_counts_at_slow_and_fast_engines) {
+  separation_fixture setup;
+  setup.Report(1, 0);
+  setup.registry.UpdateLoads("host-3", {Load("i-2", 0)});
+  setup.registry.Find("i-2")->trust.slowdown = 1.2;
+  setup.query.weight = {3000, 3050, 25us, {}};
+  decisions::AddPromptRead(setup.registry.Find("i-1")->pace, 160ms, setup.now);
+  decisions::AddPromptRead(setup.registry.Find("i-2")->pace, 400ms, setup.now);
+  BOOST_TEST(setup.Choose() == "i-1");
+}
+
+// The same for an engine that has cached so much of a long prompt that the rest
+// is not long.
+BOOST_AUTO_TEST_CASE(the_pause_cost_of_long_prompts_counts_at_no_engine) {
+  separation_fixture setup;
+  wire::server_load load = Load("i-2", 0);
+  load.__set_long_streams(1);
+  setup.registry.UpdateLoads("host-3", {load});
+  setup.head.prompt = {{1, 6000}};
+  host::server_registry::RecordPrompt(*setup.registry.Find("i-2"), setup.head,
+                                      setup.now);
+  setup.head.prompt.push_back({2, 3000});
+  decisions::AddPromptRead(setup.registry.Find("i-2")->pace, 800ms, setup.now);
+  const auto choice = setup.Choice();
+  BOOST_REQUIRE(choice.has_value());
+  BOOST_TEST(choice->server->entry.instance == "i-2");
+  BOOST_TEST(
+      (choice->separated->changed == decisions::separated_kind::kLongPrompt));
+  BOOST_TEST(choice->separated->prefill.count() == 0);
+}
+
 // Guards services that do not use the feature, and hosts that switch it off,
 // against any change.
 BOOST_AUTO_TEST_CASE(without_the_feature_long_streams_change_nothing) {
