Reservations: comments in plain terms

Cause: several comments spoke of callers that are 'told', which leaves open by whom and what for. Change: comments only; they name the Retry-After time and who rejects. Ruled out: renaming Refuse and Reject into one word, since the owner refuses a question and the host rejects a request. Measured: nothing; no code changed.

--- a/src/base/decay.h
+++ b/src/base/decay.h
@@ -1,5 +1,6 @@
 // SPDX-License-Identifier: MIT
-// Exponential decay of rates and levels that are measured over a time constant.
+// Exponential decay, for rates and levels that are averaged over a time
+// constant.
 #ifndef VALELEDGE_BASE_DECAY_H_
 #define VALELEDGE_BASE_DECAY_H_
 
--- a/src/decisions/engine_queue.cc
+++ b/src/decisions/engine_queue.cc
@@ -246,8 +246,8 @@
       now +
       std::max(kMinRetryAfter, duration_cast<std::chrono::milliseconds>(turn));
   unit_queue& unit = queue.units.at(request.unit);
-  // Without an engine the host goes on by itself, and its caller is told
-  // nothing.
+  // If no engine can be selected, the asking host does not reject the request
+  // but selects by itself, so there is no caller to reserve for.
   const auto reserved =
       response ? Reserve(queue, request, earliest, now) : std::nullopt;
   const auto at = reserved.value_or(
@@ -260,8 +260,9 @@
           !response.has_value()};
 }
 
-// Whether reserved capacity is kept from a request. One that returns, or whose
-// caller is not told of a refusal, would only be served later by its host.
+// Whether a request is refused if it can be in time only with reserved
+// capacity. Hosts do not reject returning requests and those without a caller
+// deadline: a refusal by the owner would only delay them.
 bool IsDelayedByReservations(const queued_request& request) {
   return !request.returning && request.caller_deadline.has_value();
 }
@@ -311,8 +312,9 @@
 }
 
 // Refuses the waiting requests that cannot be in time behind those that go
-// before them, the least urgent first: what is refused no longer delays the
-// others. Those with a reservation were told to return now.
+// before them, the least urgent first: a refused request no longer delays the
+// others. Requests with a reservation are not refused here, since their callers
+// have returned at the time that they were given.
 void RefuseDisplaced(engine_queue& queue,
                      base::time_point now,
                      std::vector<engine_refusal>& refusals) {
--- a/src/decisions/engine_queue.h
+++ b/src/decisions/engine_queue.h
@@ -63,7 +63,7 @@
   std::chrono::duration<double, std::milli> typical_prefill{0};
   // Instances that must not be selected.
   std::vector<std::string> avoid;
-  // The caller was refused before and was told to return now.
+  // The caller was refused before and has returned after its Retry-After delay.
   bool returning = false;
   // When the caller gives up. Unset: a refusal is not passed on to it.
   std::optional<base::time_point> caller_deadline;
@@ -204,8 +204,8 @@
 // Adds a request whose unit has holders. If it cannot be served in time behind
 // those that go before it, it is not added, and the time until there is
 // capacity is returned; the capacity is reserved if the caller can return then.
-// A returning request with a reservation is always added. Reservations refuse
-// only new requests whose callers are told of it.
+// A returning request with a reservation is always added. A request is refused
+// because of reservations only if it is new and its host would reject it.
 std::optional<engine_refusal> Enqueue(engine_queue& queue,
                                       queued_request request,
                                       base::time_point now);
--- a/src/decisions/return_reservations.h
+++ b/src/decisions/return_reservations.h
@@ -1,10 +1,11 @@
 // SPDX-License-Identifier: MIT
-// Capacity that is reserved for callers of an engine queue that were refused
-// and told when to return.
+// Capacity that is reserved for refused callers of an engine queue until their
+// Retry-After time.
 //
 // Handles bursts after which refused callers return while new requests keep the
-// engines busy: without a reservation the new requests use the capacity that a
-// caller was told to return for, and its response is late.
+// engines busy: without a reservation the new requests use the capacity that
+// was expected at the Retry-After time, and the responses of the callers that
+// return are late.
 #ifndef VALELEDGE_DECISIONS_RETURN_RESERVATIONS_H_
 #define VALELEDGE_DECISIONS_RETURN_RESERVATIONS_H_
 
--- a/src/host/process/engine_place.h
+++ b/src/host/process/engine_place.h
@@ -35,7 +35,7 @@
   std::optional<double> expected_events;
   // Instances that must not be selected.
   std::vector<std::string> avoid;
-  // The caller was refused before and returns as it was told.
+  // The caller was refused before and has returned after its Retry-After delay.
   bool returning = false;
   // Time until the caller's deadline. Unset: a refusal is not passed on to it.
   std::optional<std::chrono::milliseconds> caller_left;
--- a/src/wire/messages.thrift
+++ b/src/wire/messages.thrift
@@ -449,7 +449,7 @@
   11: optional i64 number,
   // Time in which an engine reads one prompt token, as measured by that host.
   12: optional i64 token_ns,
-  // The caller was refused before and returns as it was told.
+  // The caller was refused before and has returned after its Retry-After delay.
   13: optional bool returning,
   // Time until the caller's deadline; absent: a refusal is not passed on to it.
   14: optional i64 deadline_ms,
