Attempt watch: one function names the target of an attempt in log lines

Cause: two log lines chose between the engine and the relaying host in the same words. Change: TargetOf. Ruled out: one list of fields for both lines, since they differ in the middle.

--- a/src/host/request/attempt_watch.cc
+++ b/src/host/request/attempt_watch.cc
@@ -50,6 +50,12 @@
   return duration_cast<milliseconds>(std::min(time, kMax));
 }
 
+// The engine, or the host that relays the request, for log lines.
+std::string TargetOf(const watched_attempt& attempt) {
+  return attempt.server != nullptr ? attempt.server->entry.instance
+                                   : base::ToString(attempt.peer);
+}
+
 // Whether an engine can start the request immediately.
 bool HasCapacity(const server_choice& choice, const routed_request& routed) {
   const known_server& server = *choice.server;
@@ -187,20 +193,18 @@
 
 void attempt_watch::Abandon(const attempt_wait& wait, attempt_reason reason) {
   Count(NameOf(reason));
-  core_.log.Write(
-      base::log_weight::kTrouble, base::log_event::kAttemptAbandoned,
-      routed_.metadata.id,
-      {{"request", routed_.metadata.id},
-       {"server", attempt_.server != nullptr ? attempt_.server->entry.instance
-                                             : base::ToString(attempt_.peer)},
-       {"reason", std::string(NameOf(reason))},
-       {"waited_ms", wait.waited.count()},
-       {"expected_ms", wait.expected.count()},
-       {"limit_ms", wait.spread_limit.count()},
-       {"other", other_},
-       {"other_expected_ms",
-        wait.other_expected.value_or(milliseconds(0)).count()},
-       {"left_ms", wait.deadline_left.count()}});
+  core_.log.Write(base::log_weight::kTrouble,
+                  base::log_event::kAttemptAbandoned, routed_.metadata.id,
+                  {{"request", routed_.metadata.id},
+                   {"server", TargetOf(attempt_)},
+                   {"reason", std::string(NameOf(reason))},
+                   {"waited_ms", wait.waited.count()},
+                   {"expected_ms", wait.expected.count()},
+                   {"limit_ms", wait.spread_limit.count()},
+                   {"other", other_},
+                   {"other_expected_ms",
+                    wait.other_expected.value_or(milliseconds(0)).count()},
+                   {"left_ms", wait.deadline_left.count()}});
   has_abandoned_ = true;
   std::exchange(abandon_, nullptr)();
 }
@@ -210,17 +214,15 @@
   if (std::exchange(was_kept_, true))
     return;
   Count("kept_" + std::string(reason));
-  core_.log.Write(
-      base::log_weight::kTrouble, base::log_event::kAttemptKept,
-      routed_.metadata.id,
-      {{"request", routed_.metadata.id},
-       {"server", attempt_.server != nullptr ? attempt_.server->entry.instance
-                                             : base::ToString(attempt_.peer)},
-       {"reason", std::string(reason)},
-       {"waited_ms", wait.waited.count()},
-       {"expected_ms", wait.expected.count()},
-       {"limit_ms", wait.spread_limit.count()},
-       {"left_ms", wait.deadline_left.count()}});
+  core_.log.Write(base::log_weight::kTrouble, base::log_event::kAttemptKept,
+                  routed_.metadata.id,
+                  {{"request", routed_.metadata.id},
+                   {"server", TargetOf(attempt_)},
+                   {"reason", std::string(reason)},
+                   {"waited_ms", wait.waited.count()},
+                   {"expected_ms", wait.expected.count()},
+                   {"limit_ms", wait.spread_limit.count()},
+                   {"left_ms", wait.deadline_left.count()}});
 }
 
 attempt_wait attempt_watch::MakeWait(base::time_point now) {
