Workspace limits: the owner's side is a class of its own

workspace_limit_owner now decides requests, queues those that can wait and logs the usage of owned limits; workspace_limit_service asks owners, and forwards to its workspace_limit_owner what concerns this host's own limits. The code is moved.

--- a/src/host/process/workspace_limit_service.h
+++ b/src/host/process/workspace_limit_service.h
@@ -1,7 +1,7 @@
 // SPDX-License-Identifier: MIT
 // Enforces workspace limits across all hosts. Each limit has one owner host.
-// This service requests the cost of each request from the owner, and handles
-// such requests for the limits that this host owns.
+// This service requests the cost of each request from the owner; for the limits
+// that this host owns, workspace_limit_owner handles such requests.
 #ifndef VALELEDGE_HOST_PROCESS_WORKSPACE_LIMIT_SERVICE_H_
 #define VALELEDGE_HOST_PROCESS_WORKSPACE_LIMIT_SERVICE_H_
 
@@ -11,16 +11,15 @@
 #include <memory>
 #include <optional>
 #include <string>
-#include <string_view>
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/steady_timer.hpp>
 
 #include "base/endpoint.h"
-#include "decisions/limit_queue.h"
 #include "decisions/workspace_limit.h"
 #include "host/process/host_core.h"
 #include "host/process/limit_wait.h"
+#include "host/process/workspace_limit_owner.h"
 #include "wire/generated/messages_types.h"
 
 namespace valeledge::host {
@@ -83,26 +82,6 @@
     base::time_point owner_checked_at;
   };
 
-  // A request that waits at this host for the tokens of a limit that it owns.
-  struct queued_request {
-    explicit queued_request(boost::asio::io_context& context) : done(context) {}
-
-    boost::asio::steady_timer done;
-    std::optional<decisions::limit_decision> decision;
-  };
-  // The queue of a limit that this host owns.
-  struct owned_queue {
-    explicit owned_queue(boost::asio::io_context& context) : next(context) {}
-
-    decisions::limit_queue queue;
-    std::map<std::int64_t, std::shared_ptr<queued_request>> requests;
-    // Expires when the queue must be served next.
-    boost::asio::steady_timer next;
-    // Since the last log line.
-    std::int64_t granted = 0;
-    std::int64_t refused = 0;
-    std::int64_t dropped = 0;
-  };
   // A question to an owner.
   struct pending_question {
     explicit pending_question(boost::asio::io_context& context)
@@ -121,23 +100,6 @@
     bool has_moved = false;
   };
 
-  // The owner's side.
-  // This host's view of the other hosts and of itself.
-  decisions::limit_members Members(base::time_point now);
-  // Grants and refuses what waits for the tokens of a limit.
-  void ServeOwned(const std::string& workspace);
-  void ServeOwned(const std::string& workspace,
-                  const decisions::limit_members& members);
-  // Ends the queue of a limit that this host does not own any more.
-  void CloseQueue(const std::string& workspace);
-  void LogQueue(const std::string& workspace,
-                owned_queue& owned,
-                base::time_point now);
-  // How a request of another host can wait; nothing if it is decided at once.
-  std::optional<decisions::token_wait> ReadWait(
-      const wire::limit_question& request);
-
-  // The asking side.
   // Asks owners until one has decided or the time is up; returns nothing if
   // none has decided. An error ends the request.
   boost::asio::awaitable<base::result<std::optional<wire::limit_reply>>>
@@ -157,7 +119,6 @@
   // Returns the owner as it was known a short time ago at most: many requests
   // may wait for one limit.
   std::optional<base::endpoint> RecentOwner(const std::string& workspace);
-  void CountWait(std::string_view reason);
 
   boost::asio::awaitable<std::optional<wire::limit_reply>> RequestWithRetry(
       wire::limit_question request);
@@ -168,11 +129,6 @@
   // Reports that a call to an owner failed, unless the owner has replied since
   // the call was sent.
   void Suspect(const base::endpoint& owner, base::time_point sent_at);
-  // Whether this host started recently.
-  bool HasJustStarted(base::time_point now) const;
-  bool OwnsLimit(const std::string& workspace) const;
-  // Returns null if the workspace has no limit.
-  const catalog::workspace_limit* FindLimit(const std::string& name) const;
   boost::asio::awaitable<std::optional<wire::limit_reply>> RequestFromOwner(
       wire::limit_question request);
   base::result<void> EvaluateReply(
@@ -180,18 +136,13 @@
       double count,
       const std::optional<wire::limit_reply>& reply);
 
-  // Logs the usage of the limits that this host owns.
-  void LogUsage(base::time_point now);
-
   host_core& core_;
   workspace_limit_callbacks callbacks_;
-  std::map<std::string, decisions::limiter_state> limiters_;
-  // Queues of owned limits for which any request has waited.
-  std::map<std::string, owned_queue> queues_;
+  // This host as an owner.
+  workspace_limit_owner own_;
   std::map<std::string, owner_state> owner_states_;
   // When each owner last replied.
   std::map<base::endpoint, base::time_point> replied_at_;
-  base::time_point logged_at_;
 };
 
 }  // namespace valeledge::host
