Model plan and loads for waiting requests: one file per job

model_plan_state has the state of a plan and its steps, weight_copies the plan of weight copies, replica_value the value of replicas; model_plan.cc chooses engines for replicas. patient_context has the engines, copies and needed replicas of a plan, patient_place the evictions and the choice of an engine; patient_loads.cc makes the schedules. RequiredReplicas and ReplicaValue are declared in replica_value.h, which two tests now include; their checks are unchanged. The code is moved, and types that are now in a header of `detail` have longer names.

--- a/src/decisions/model_plan.h
+++ b/src/decisions/model_plan.h
@@ -89,17 +89,6 @@
   std::int64_t scanned_engines = 0;
 };
 
-// Returns the number of replicas that the present demand requires; not rounded.
-double RequiredReplicas(const plan_model& model, const plan_limits& limits);
-
-// Returns the value of `replicas` of a model: the requests per second that they
-// serve in time, including weighted terms for expected demand and for the loss
-// of an engine. `has_copy`: some engine has a copy of the weights.
-double ReplicaValue(const plan_model& model,
-                    const plan_limits& limits,
-                    std::int64_t replicas,
-                    bool has_copy);
-
 // Returns the next orders, at most one for each engine. Loads are planned in
 // descending order of their gain, and a replica is evicted only if the gain
 // exceeds the loss by kMinGainLossRatio. The last replica of a model is kept
--- a/tests/auto/decisions/test_model_plan.cc
+++ b/tests/auto/decisions/test_model_plan.cc
@@ -6,6 +6,8 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include "decisions/replica_value.h"
+
 namespace {
 
 using namespace valeledge::decisions;
--- a/tests/auto/decisions/test_patient_loads_fleet.cc
+++ b/tests/auto/decisions/test_patient_loads_fleet.cc
@@ -15,6 +15,7 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include "decisions/replica_value.h"
 #include "decisions/replica_wait.h"
 
 namespace {
