--- a/tests/auto/host/test_retry_permit.cc
+++ b/tests/auto/host/test_retry_permit.cc
@@ -21,6 +21,12 @@
     return metrics.Counter("valeledge_retry_budget_total", what).value;
   }
 
+  // Whether another attempt may be sent after one that failed.
+  bool AcquireAfter(const base::error& failure) {
+    permit.RecordFailure(failure);
+    return permit.Acquire("s", kNow);
+  }
+
   const base::error refused{base::MakeError(result_code::kBackendRefused,
                                             base::outcome::kNotRun,
                                             "")};
@@ -45,21 +51,17 @@
 
 BOOST_AUTO_TEST_CASE(an_attempt_after_an_unreachable_server_is_free) {
   BOOST_TEST(permit.Acquire("s", kNow));
-  permit.RecordFailure(unreachable);
-  BOOST_TEST(permit.Acquire("s", kNow));
+  BOOST_TEST(AcquireAfter(unreachable));
   BOOST_TEST(Count("granted") == 0);
   BOOST_TEST(Count("free") == 1);
 }
 
 BOOST_AUTO_TEST_CASE(a_retry_is_charged_once_for_each_server_reached) {
   BOOST_TEST(permit.Acquire("s", kNow));
-  permit.RecordFailure(refused);
-  BOOST_TEST(permit.Acquire("s", kNow));
-  permit.RecordFailure(unreachable);
-  BOOST_TEST(permit.Acquire("s", kNow));
+  BOOST_TEST(AcquireAfter(refused));
+  BOOST_TEST(AcquireAfter(unreachable));
   BOOST_TEST(Count("granted") == 1);
-  permit.RecordFailure(refused);
-  BOOST_TEST(permit.Acquire("s", kNow));
+  BOOST_TEST(AcquireAfter(refused));
   BOOST_TEST(Count("granted") == 2);
 }
 
@@ -94,16 +96,14 @@
   BOOST_TEST(permit.Acquire("s", kNow));
   BOOST_TEST(Count("granted") == 1);
   BOOST_TEST(Count("free") == 0);
-  permit.RecordFailure(refused);
-  BOOST_TEST(permit.Acquire("s", kNow));
+  BOOST_TEST(AcquireAfter(refused));
   BOOST_TEST(Count("granted") == 2);
 }
 
 // The attempt in progress may itself use a retry.
 BOOST_AUTO_TEST_CASE(a_retry_in_use_is_not_used_again) {
   BOOST_TEST(permit.Acquire("s", kNow));
-  permit.RecordFailure(refused);
-  BOOST_TEST(permit.Acquire("s", kNow));
+  BOOST_TEST(AcquireAfter(refused));
   BOOST_TEST(permit.AcquireAhead("s", kNow));
   BOOST_TEST(Count("granted") == 2);
 }
@@ -113,8 +113,7 @@
     BOOST_TEST(budgets.TryAcquire("s", kNow));
   BOOST_TEST(permit.Acquire("s", kNow));
   BOOST_TEST(!permit.AcquireAhead("s", kNow));
-  permit.RecordFailure(refused);
-  BOOST_TEST(!permit.Acquire("s", kNow));
+  BOOST_TEST(!AcquireAfter(refused));
 }
 
 BOOST_AUTO_TEST_SUITE_END()
