Server registry: split by job

Change: code is moved, without a change of behaviour. reported_loads is a class of its own with what other hosts report; prompt_history has the prompt prefixes. OwnLoad and RecordPrompt are free functions; tests call them by the new name, and no check is changed.

--- a/src/host/process/load_reports.cc
+++ b/src/host/process/load_reports.cc
@@ -108,7 +108,7 @@
   if (server.entry.models.empty())
     return;
   wire::host_load load;
-  load.servers.push_back(server_registry::OwnLoad(server));
+  load.servers.push_back(OwnLoad(server));
   const auto owner =
       core_.queue_owner ? core_.queue_owner(server) : std::nullopt;
   peers_.Send(std::string(kUsageRecord), wire::Encode(load),
@@ -121,7 +121,7 @@
   if (!owner)
     return;
   wire::host_load load;
-  load.servers.push_back(server_registry::OwnLoad(server));
+  load.servers.push_back(OwnLoad(server));
   peers_.Send(std::string(kUsageRecord), wire::Encode(load), {0, {}, owner});
 }
 
@@ -129,7 +129,7 @@
     const std::vector<std::shared_ptr<known_server>>& servers) {
   wire::host_load load;
   for (const auto& server : servers) {
-    load.servers.push_back(server_registry::OwnLoad(*server));
+    load.servers.push_back(OwnLoad(*server));
     const bool is_last = server == servers.back();
     if (load.servers.size() < kMaxEnginesPerUpdate && !is_last)
       continue;
--- a/src/host/process/server_registry.h
+++ b/src/host/process/server_registry.h
@@ -26,6 +26,7 @@
 #include "host/external_protocol.h"
 #include "host/load_features.h"
 #include "host/process/known_server.h"
+#include "host/process/reported_loads.h"
 #include "host/process/slot_handle.h"
 #include "wire/generated/messages_types.h"
 
@@ -96,6 +97,8 @@
 };
 
 // All known instances. Not thread-safe: used only on the host's thread.
+// server_registry.cc has the entries, server_availability.cc tells which
+// servers may get a request, and server_selection.cc chooses one of them.
 class server_registry {
  public:
   // `regions` maps availability zones to regions.
@@ -209,26 +212,26 @@
       const server_query& query,
       const catalog::service& service) const;
 
-  // Records that a server has processed a request's prompt.
-  static void RecordPrompt(known_server& server,
-                           const request_metadata& head,
-                           base::time_point now);
-
   // ReplaceLoads replaces all loads reported by another host. UpdateLoads
   // changes only those at the given servers.
   void ReplaceLoads(const std::string& host,
-                    const std::vector<wire::server_load>& loads);
+                    const std::vector<wire::server_load>& loads) {
+    loads_.Replace(by_key_, host, loads);
+  }
   void UpdateLoads(const std::string& host,
-                   const std::vector<wire::server_load>& loads);
-  void ForgetHost(const std::string& host);
+                   const std::vector<wire::server_load>& loads) {
+    loads_.Update(by_key_, host, loads);
+  }
+  void ForgetHost(const std::string& host) { loads_.Forget(by_key_, host); }
 
   // Loads of this host, as reported to the other hosts.
   std::vector<wire::server_load> OwnLoads() const;
-  static wire::server_load OwnLoad(const known_server& server);
 
   std::shared_ptr<known_server> Find(std::string_view instance) const;
   std::int64_t Count(bool (known_server::*matches)() const) const;
-  std::shared_ptr<known_server> FindKey(unit_key key) const;
+  std::shared_ptr<known_server> FindKey(unit_key key) const {
+    return FindServer(by_key_, key);
+  }
   const std::map<std::string, std::shared_ptr<known_server>, std::less<>>&
   servers() const {
     return servers_;
@@ -242,13 +245,6 @@
   // region, regardless of its load.
   bool AcceptsRequest(const known_server& server,
                       const server_query& query) const;
-  // Adds another host's usage to the server's totals, `times` times: 1 adds it,
-  // -1 subtracts it.
-  void AddUsage(unit_key key,
-                const server_usage& use,
-                std::int64_t times) const;
-  // Counts requests that another host has sent, if `more` is above 0.
-  void CountSent(unit_key key, std::int64_t more) const;
   // Whether a server may get the request once all its pauses have ended.
   bool IsEligible(const known_server& server,
                   const server_query& query,
@@ -301,8 +297,8 @@
   feature_mode stream_separation_ = feature_mode::kOff;
   decisions::typical_prompt typical_prompt_;
   std::map<std::string, std::shared_ptr<known_server>, std::less<>> servers_;
-  std::map<unit_key, std::weak_ptr<known_server>> by_key_;
-  std::map<std::string, std::map<unit_key, server_usage>> loads_;
+  servers_by_key by_key_;
+  reported_loads loads_;
   std::set<std::string> evacuated_zones_;
   // When the last server of a service and software version was removed; kept as
   // long as origins of streams are.
--- a/src/host/request/server_attempt.cc
+++ b/src/host/request/server_attempt.cc
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "host/constants.h"
+#include "host/process/prompt_history.h"
 #include "host/process/separation_reports.h"
 
 namespace valeledge::host {
@@ -166,8 +167,7 @@
     decisions::RecordResponse(server_->trust, took, demand_.cost);
     return;
   }
-  server_registry::RecordPrompt(*server_, metadata_,
-                                std::chrono::steady_clock::now());
+  RecordPrompt(*server_, metadata_, std::chrono::steady_clock::now());
   decisions::RecordResponse(
       server_->trust, took,
       expected_delay_ + milliseconds(decisions::kFirstEventOverhead));
--- a/tests/auto/host/test_engine_queue_service.cc
+++ b/tests/auto/host/test_engine_queue_service.cc
@@ -65,7 +65,7 @@
     added.core = std::make_unique<host::host_core>(context, settings,
                                                    platform::MakeDialect());
     added.core->load_changed = [&added](const host::known_server& server) {
-      added.reported.push_back(host::server_registry::OwnLoad(server));
+      added.reported.push_back(host::OwnLoad(server));
     };
     const auto owners = [this](const std::string&) {
       return std::vector<base::endpoint>{hosts[0].address, hosts[1].address};
--- a/tests/auto/host/test_server_attempt.cc
+++ b/tests/auto/host/test_server_attempt.cc
@@ -161,7 +161,7 @@
     BOOST_TEST(own.long_streams == 1);
     BOOST_TEST((own.long_prompts.level == 225ms));
     BOOST_TEST(setup.core.separated_prompts == 1);
-    const auto load = host::server_registry::OwnLoad(*setup.choice.server);
+    const auto load = host::OwnLoad(*setup.choice.server);
     BOOST_TEST(load.long_streams == 1);
     BOOST_TEST(load.long_prefill_ms > 200);
     attempt.OnEvents(51);
@@ -178,7 +178,7 @@
   fixture setup;
   host::server_attempt attempt(setup.core, setup.choice, setup.metadata,
                                setup.weight, setup.demand);
-  const auto load = host::server_registry::OwnLoad(*setup.choice.server);
+  const auto load = host::OwnLoad(*setup.choice.server);
   BOOST_TEST(!load.__isset.long_streams);
   BOOST_TEST(!load.__isset.long_prefill_ms);
 }
@@ -216,7 +216,7 @@
   BOOST_REQUIRE(choice.has_value());
   host::server_attempt attempt(setup.core, *choice, setup.metadata,
                                setup.weight, setup.demand);
-  return host::server_registry::OwnLoad(*choice->server);
+  return host::OwnLoad(*choice->server);
 }
 
 // Guards against a feature that changes load reports while it is off, and
--- a/tests/auto/host/test_server_registry.cc
+++ b/tests/auto/host/test_server_registry.cc
@@ -7,6 +7,7 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include "host/process/prompt_history.h"
 #include "host/process/separation_reports.h"
 
 namespace {
@@ -506,8 +507,7 @@
   load.__set_long_streams(1);
   setup.registry.UpdateLoads("host-3", {load});
   setup.head.prompt = {{1, 6000}};
-  host::server_registry::RecordPrompt(*setup.registry.Find("i-2"), setup.head,
-                                      setup.now);
+  host::RecordPrompt(*setup.registry.Find("i-2"), setup.head, setup.now);
   setup.head.prompt.push_back({2, 3000});
   decisions::AddPromptRead(setup.registry.Find("i-2")->pace, 800ms, setup.now);
   const auto choice = setup.Choice();
@@ -529,7 +529,7 @@
   setup.registry.SetStreamSeparation(host::feature_mode::kAuto);
   setup.service.mixed_urgency = false;
   BOOST_TEST(setup.Choose() == "i-1");
-  const auto load = host::server_registry::OwnLoad(*setup.registry.Find("i-1"));
+  const auto load = host::OwnLoad(*setup.registry.Find("i-1"));
   BOOST_TEST(!load.__isset.long_streams);
   BOOST_TEST(!load.__isset.long_prefill_ms);
 }
