--- a/src/host/request/server_search.cc
+++ b/src/host/request/server_search.cc
@@ -15,6 +15,8 @@
 #include "host/request/load_wait.h"
 #include "host/process/path_monitor.h"
 #include "host/request/queued_selection.h"
+#include "host/request/server_queries.h"
+#include "host/request/slot_acquisition.h"
 #include "host/request/stream_continuation.h"
 
 namespace valeledge::host {
@@ -28,46 +30,6 @@
 
 constexpr auto kAwait = asio::as_tuple(asio::use_awaitable);
 
-// Maximum gap between events that the request's route accepts.
-milliseconds EventGapOf(const routed_request& routed) {
-  const milliseconds gap = routed.route->event_gap;
-  return gap.count() > 0 ? gap : kDefaultEventGap;
-}
-
-server_query QueryOf(const routed_request& routed) {
-  server_query query;
-  query.service = routed.service->name;
-  query.model = routed.metadata.model;
-  query.adapter = routed.metadata.adapter;
-  query.head = &routed.metadata;
-  query.weight = routed.weight;
-  query.avoid =
-      routed.trial.empty() ? &routed.failed_instances : &routed.not_for_trial;
-  if (routed.origin)
-    query.software = &routed.origin->software;
-  query.route_regions = &routed.route->homes;
-  query.max_event_gap = EventGapOf(routed);
-  query.expected_events = routed.expected_events;
-  query.due = DueOf(routed);
-  if (routed.workspace != nullptr)
-    query.workspace_regions = &routed.workspace->homes;
-  return query;
-}
-
-// Returns the query of a request that no server has failed yet.
-server_query UntriedQueryOf(const routed_request& routed) {
-  static const std::vector<std::string> none;
-  server_query query = QueryOf(routed);
-  query.avoid = &none;
-  return query;
-}
-
-// Returns the same query for the base model.
-server_query WithoutAdapter(server_query query) {
-  query.adapter = {};
-  return query;
-}
-
 // Returns the time at which the given fraction of the objective has elapsed
 // since the request could be sent, at the latest the deadline.
 base::time_point ObjectiveCutoff(const routed_request& routed,
@@ -118,24 +80,6 @@
   co_return base::result<void>();
 }
 
-// Describes a model request at the best server that holds the model.
-decisions::engine_candidate TurnOf(const routed_request& routed,
-                                   const server_choice& choice,
-                                   bool first_attempt,
-                                   bool can_wait,
-                                   base::time_point now) {
-  decisions::engine_candidate turn;
-  turn.waited = duration_cast<milliseconds>(now - routed.arrived);
-  turn.objective = routed.route->objective;
-  turn.response_in = choice.expected;
-  turn.prompt_backlog = choice.prefill_ahead;
-  turn.max_event_gap = EventGapOf(routed);
-  turn.recheck_interval = kSelectionRetryInterval;
-  turn.refusable = first_attempt && !IsRetry(routed) && !routed.origin;
-  turn.patient = can_wait;
-  return turn;
-}
-
 // Range of the factor by which a retry-after delay is multiplied, so that
 // callers refused at the same time do not retry at the same time.
 struct jitter_range {
@@ -162,137 +106,6 @@
   return std::max(std::min(jittered_delay, max_delay), milliseconds(0));
 }
 
-// Describes a model that no server holds now.
-decisions::unavailable_model AbsentModelOf(host_core& core,
-                                           const routed_request& routed,
-                                           const server_query& query,
-                                           base::time_point now) {
-  decisions::unavailable_model out;
-  out.waited = duration_cast<milliseconds>(now - routed.arrived);
-  out.objective =
-      std::min(routed.route->objective,
-               duration_cast<milliseconds>(routed.deadline - routed.arrived));
-  if (const auto due = core.servers.EarliestLoadDue(query, now))
-    out.ready_in =
-        std::max(duration_cast<milliseconds>(*due - now), milliseconds(0));
-  out.local_load_time = core.servers.FastestLocalLoad(query, *routed.service);
-  return out;
-}
-
-using health_check = bool(const decisions::server_health&, base::time_point);
-
-// Returns the instances that this request has tried, those that this host does
-// not use at present, and those whose region or software version is not allowed
-// for the request.
-std::vector<std::string> ExcludedInstances(const host_core& core,
-                                           const routed_request& routed,
-                                           base::time_point now,
-                                           health_check& is_usable) {
-  std::vector<std::string> out = routed.failed_instances;
-  const server_query query = QueryOf(routed);
-  for (const auto& [instance, server] : core.servers.servers()) {
-    const bool unusable = !is_usable(server->trust, now) ||
-                          server->SendBlock(now) != send_block::kNone ||
-                          decisions::IsPaused(server->notices, now) ||
-                          server->IsLimited() ||
-                          !IsInAllowedRegion(query, server->region) ||
-                          !HasRequiredSoftware(query, server->entry);
-    if (server->entry.service == routed.service->name && unusable)
-      out.push_back(instance);
-  }
-  return out;
-}
-
-// Returns the time left to respond within the objective and the deadline.
-milliseconds RemainingObjective(const routed_request& routed,
-                                base::time_point now) {
-  return std::max(duration_cast<milliseconds>(DueOf(routed) - now),
-                  milliseconds(0));
-}
-
-// Requests a permit to send the request to a server that advertises a limit.
-asio::awaitable<bool> AcquirePermit(host_core& core,
-                                    const routed_request& routed,
-                                    const server_choice& choice) {
-  if (!core.acquire_permit) {
-    choice.server->permit_retry_at =
-        std::chrono::steady_clock::now() + kDefaultRetryAfter;
-    co_return false;
-  }
-  const bool granted =
-      co_await core.acquire_permit(choice.server, PriorityOf(routed));
-  if (!granted)
-    co_return false;
-  co_return choice.server->SendBlock(std::chrono::steady_clock::now()) ==
-      send_block::kNone;
-}
-
-// Waits for a slot if the service's slots are allocated centrally. Otherwise
-// returns this host's own choice. Returns nothing if another server must be
-// chosen.
-asio::awaitable<base::result<std::optional<server_choice>>> AcquireSlot(
-    host_core& core,
-    const routed_request& routed,
-    server_choice local_choice) {
-  if (!core.acquire_slot)
-    co_return std::move(local_choice);
-  const auto now = std::chrono::steady_clock::now();
-  slot_request slot_request;
-  slot_request.service = routed.service->name;
-  slot_request.priority = PriorityOf(routed);
-  slot_request.left = RemainingObjective(routed, now);
-  slot_request.avoid =
-      ExcludedInstances(core, routed, now, decisions::AllowsRequests);
-  auto slot = co_await core.acquire_slot(std::move(slot_request));
-  if (!slot)
-    co_return tl::make_unexpected(slot.error());
-  // This host may have learned meanwhile that a server is not available.
-  const auto after_wait = std::chrono::steady_clock::now();
-  const auto may_send = [&](const known_server& server) {
-    const server_query query = QueryOf(routed);
-    return server.SendBlock(after_wait) == send_block::kNone &&
-           IsInAllowedRegion(query, server.region) &&
-           HasRequiredSoftware(query, server.entry);
-  };
-  auto server = *slot ? core.servers.Find((*slot)->server()) : nullptr;
-  std::optional<server_choice> out;
-  if (server != nullptr && may_send(*server)) {
-    local_choice.server = std::move(server);
-    local_choice.slot = std::move(*slot);
-    out = std::move(local_choice);
-  } else if (may_send(*local_choice.server)) {
-    out = std::move(local_choice);
-  }
-  co_return out;
-}
-
-// Acquires a permit if the chosen server advertises a limit, or a slot if its
-// slots are allocated centrally. Returns nothing if another server must be
-// chosen.
-asio::awaitable<base::result<std::optional<server_choice>>> AcquirePermitOrSlot(
-    host_core& core,
-    const routed_request& routed,
-    server_choice choice) {
-  std::optional<server_choice> secured;
-  if (choice.server->IsLimited()) {
-    const bool permitted = co_await AcquirePermit(core, routed, choice);
-    if (permitted)
-      secured = std::move(choice);
-    co_return std::move(secured);
-  }
-  if (!routed.metadata.model.empty()) {
-    secured = std::move(choice);
-    co_return std::move(secured);
-  }
-  auto slot = co_await AcquireSlot(core, routed, std::move(choice));
-  if (!slot)
-    co_return tl::make_unexpected(slot.error());
-  // The server may have advertised a limit meanwhile.
-  if (*slot && !(*slot)->server->IsLimited())
-    secured = std::move(*slot);
-  co_return std::move(secured);
-}
-
 // Returns when the first server of the request may be used again if the request
 // cannot wait that long, or nothing otherwise.
 std::optional<server_release> LateRelease(host_core& core,
