--- a/src/host/process/order_dispatcher.h
+++ b/src/host/process/order_dispatcher.h
@@ -8,25 +8,29 @@
 #include <cstdint>
 #include <deque>
 #include <functional>
-#include <map>
 #include <memory>
 #include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include <boost/asio/awaitable.hpp>
 
 #include "decisions/model_plan.h"
+#include "host/process/adapter_orders.h"
 #include "host/process/engine_registry.h"
 #include "host/process/host_core.h"
 
 namespace valeledge::host {
 
+// Neither copied nor moved: adapter_orders refers to its members.
 class order_dispatcher {
  public:
   // `term` returns the term under which orders may be sent now, or 0 if none
   // may be sent. It is called before each order.
   order_dispatcher(host_core& core, std::function<std::int64_t()> term);
+  order_dispatcher(const order_dispatcher&) = delete;
+  order_dispatcher& operator=(const order_dispatcher&) = delete;
 
   // Sets what is called when an engine rejects an order of this term because it
   // has seen a higher one.
@@ -42,10 +46,7 @@
   // state is due for a query.
   void Refresh();
 
-  const std::map<std::string, std::shared_ptr<engine_record>, std::less<>>&
-  engines() const {
-    return engines_;
-  }
+  const engine_map& engines() const { return engines_; }
   // Whether any engine's state has changed since the last call.
   bool TakeChanged();
 
@@ -72,20 +73,23 @@
                         bool waits_for_store,
                         base::time_point now);
 
-  // Loads adapters of a model one after the other, while the engine holds the
-  // model, has free slots and is idle.
+  // See adapter_orders::Load.
   void LoadAdapters(std::shared_ptr<engine_record> engine,
                     std::string model,
                     std::vector<std::string> adapters,
-                    std::int64_t slots);
-
-  // Ensures that some engine which holds the model has the adapter loaded, one
-  // of the software version if one is given. Returns the engine's instance.
+                    std::int64_t slots) {
+    adapters_.Load(std::move(engine), std::move(model), std::move(adapters),
+                   slots);
+  }
+  // See adapter_orders::Ensure.
   boost::asio::awaitable<base::result<std::string>> EnsureAdapter(
       std::string service,
       std::string model,
       std::string adapter,
-      std::optional<std::string> software);
+      std::optional<std::string> software) {
+    return adapters_.Ensure(std::move(service), std::move(model),
+                            std::move(adapter), std::move(software));
+  }
 
  private:
   using engine_ptr = std::shared_ptr<engine_record>;
@@ -100,41 +104,17 @@
                                        bool from_store);
   boost::asio::awaitable<void> RunUnload(engine_ptr engine, std::string model);
   boost::asio::awaitable<void> QueryState(engine_ptr engine);
-  engine_ptr ChooseForAdapter(const std::string& service,
-                              const std::string& model,
-                              const std::string& adapter,
-                              const std::optional<std::string>& software,
-                              std::int64_t slots);
-  // Returns an engine that has the adapter or is loading it; null if none does.
-  engine_ptr FindAdapter(const std::string& model,
-                         const std::string& adapter,
-                         const std::optional<std::string>& software);
-  boost::asio::awaitable<void> RunAdapters(engine_ptr engine,
-                                           std::string model,
-                                           std::vector<std::string> adapters,
-                                           std::int64_t slots);
-  // Sends the order to load one adapter of a model that the engine holds.
-  boost::asio::awaitable<order_reply> SendAdapter(engine_ptr engine,
-                                                  std::string model,
-                                                  std::string adapter);
-  // Waits until an engine found by FindAdapter has loaded the adapter. Returns
-  // its instance.
-  boost::asio::awaitable<base::result<std::string>>
-  AwaitAdapter(engine_ptr engine, std::string model, std::string adapter);
-  // Unloads the least recently used adapter if all slots are in use. Returns
-  // whether a slot is free then.
-  boost::asio::awaitable<bool> MakeAdapterRoom(engine_ptr engine,
-                                               std::int64_t slots);
   // Schedules a query of the engine's state no sooner than `after` from now.
   void QueryLater(engine_record& engine, std::chrono::milliseconds after);
 
   host_core& core_;
   std::function<std::int64_t()> term_;
   std::function<void(std::int64_t term)> on_fenced_;
-  std::map<std::string, engine_ptr, std::less<>> engines_;
+  engine_map engines_;
   std::deque<base::time_point> store_loads_;
   base::time_point no_store_loads_until_;
   bool changed_ = false;
+  adapter_orders adapters_;
 };
 
 }  // namespace valeledge::host
