Calls to owners are declared and made once

Cause: limits, slots and engine queues each declared the same two callbacks, and owner_services made them three times. Change: owner_calls, a base of the callbacks that need more. Ruled out: one struct for all three, since limits and slots ask for an owner by workspace and by service.

--- a/src/host/process/engine_queue_client.cc
+++ b/src/host/process/engine_queue_client.cc
@@ -95,7 +95,7 @@
 engine_queue_client::engine_queue_client(host_core& core,
                                          engine_queue_groups& groups,
                                          engine_queue_owner& own,
-                                         engine_queue_links links)
+                                         owner_calls links)
     : core_(core), groups_(groups), own_(own), links_(std::move(links)) {}
 
 void engine_queue_client::Count(std::string_view metric,
--- a/src/host/process/engine_queue_client.h
+++ b/src/host/process/engine_queue_client.h
@@ -20,21 +20,11 @@
 #include "host/process/engine_queue_groups.h"
 #include "host/process/engine_queue_owner.h"
 #include "host/process/host_core.h"
+#include "host/process/owner_calls.h"
 #include "wire/generated/messages_types.h"
 
 namespace valeledge::host {
 
-// Dependencies of engine_queue_client, called on the host's thread.
-struct engine_queue_links {
-  std::function<boost::asio::awaitable<base::result<wire::envelope>>(
-      base::endpoint where,
-      wire::envelope call,
-      std::chrono::microseconds timeout)>
-      call;
-  // Reports that an owner did not respond.
-  std::function<void(const base::endpoint& owner)> suspect;
-};
-
 class engine_queue_client {
  public:
   // `core`, `groups` and `own` must outlive this object, and this object the
@@ -42,7 +32,7 @@
   engine_queue_client(host_core& core,
                       engine_queue_groups& groups,
                       engine_queue_owner& own,
-                      engine_queue_links links);
+                      owner_calls links);
 
   // Waits for an engine for one request. Returns kNoOwner at most 250 ms after
   // the last sign of life of the owner.
@@ -94,7 +84,7 @@
   host_core& core_;
   engine_queue_groups& groups_;
   engine_queue_owner& own_;
-  engine_queue_links links_;
+  owner_calls links_;
   std::map<base::endpoint, known_owner> owners_;
 };
 
--- a/src/host/process/owner_services.cc
+++ b/src/host/process/owner_services.cc
@@ -34,7 +34,7 @@
       slots_(core, MakeSlotCallbacks()),
       queue_groups_(core, MakeQueueOwnerChoice()),
       queue_owner_(core, queue_groups_),
-      queue_client_(core, queue_groups_, queue_owner_, MakeQueueCallbacks()) {
+      queue_client_(core, queue_groups_, queue_owner_, MakeCalls()) {
   core_.acquire_limit = [this](std::string workspace, double count,
                                std::optional<limit_wait> wait) {
     return limits_.Acquire(std::move(workspace), count, std::move(wait));
@@ -56,7 +56,7 @@
 }
 
 workspace_limit_callbacks owner_services::MakeLimitCallbacks() {
-  workspace_limit_callbacks callbacks;
+  workspace_limit_callbacks callbacks{MakeCalls()};
   callbacks.owner = [this](const std::string& workspace) {
     return peers_.FirstHealthy(std::string(kLimitSubject) + workspace,
                                kPreferredRoles);
@@ -68,29 +68,15 @@
     members.is_complete = peers_.AreAllHealthy();
     return members;
   };
-  callbacks.call = [this](base::endpoint where, wire::envelope call,
-                          std::chrono::microseconds timeout) {
-    return peers_.Call(std::move(where), std::move(call), timeout);
-  };
-  callbacks.suspect = [this](const base::endpoint& owner) {
-    peers_.Suspect(owner);
-  };
   return callbacks;
 }
 
 slot_allocator_links owner_services::MakeSlotCallbacks() {
-  slot_allocator_links callbacks;
+  slot_allocator_links callbacks{MakeCalls()};
   callbacks.allocator = [this](const std::string& service) {
     return peers_.FirstHealthy(std::string(kSlotSubject) + service,
                                kPreferredRoles);
   };
-  callbacks.call = [this](base::endpoint where, wire::envelope call,
-                          std::chrono::microseconds timeout) {
-    return peers_.Call(std::move(where), std::move(call), timeout);
-  };
-  callbacks.suspect = [this](const base::endpoint& allocator) {
-    peers_.Suspect(allocator);
-  };
   return callbacks;
 }
 
@@ -105,16 +91,16 @@
   };
 }
 
-engine_queue_links owner_services::MakeQueueCallbacks() {
-  engine_queue_links callbacks;
-  callbacks.call = [this](base::endpoint where, wire::envelope call,
-                          std::chrono::microseconds timeout) {
+owner_calls owner_services::MakeCalls() {
+  owner_calls calls;
+  calls.call = [this](base::endpoint where, wire::envelope call,
+                      std::chrono::microseconds timeout) {
     return peers_.Call(std::move(where), std::move(call), timeout);
   };
-  callbacks.suspect = [this](const base::endpoint& owner) {
+  calls.suspect = [this](const base::endpoint& owner) {
     peers_.Suspect(owner);
   };
-  return callbacks;
+  return calls;
 }
 
 void owner_services::OnMemberJoined() {
--- a/src/host/process/owner_services.h
+++ b/src/host/process/owner_services.h
@@ -39,7 +39,7 @@
   workspace_limit_callbacks MakeLimitCallbacks();
   slot_allocator_links MakeSlotCallbacks();
   engine_queue_groups::owner_choice MakeQueueOwnerChoice();
-  engine_queue_links MakeQueueCallbacks();
+  owner_calls MakeCalls();
 
   host_core& core_;
   peer_link& peers_;
--- a/src/host/process/slot_allocator.h
+++ b/src/host/process/slot_allocator.h
@@ -19,24 +19,18 @@
 #include "base/endpoint.h"
 #include "decisions/slot_pool.h"
 #include "host/process/host_core.h"
+#include "host/process/owner_calls.h"
 #include "host/process/slot_handle.h"
 #include "wire/generated/messages_types.h"
 
 namespace valeledge::host {
 
 // Dependencies of slot_allocator, called on the host's thread.
-struct slot_allocator_links {
+struct slot_allocator_links : owner_calls {
   // Returns the host that allocates a service's slots; nothing if there is
   // none.
   std::function<std::optional<base::endpoint>(const std::string& service)>
       allocator;
-  std::function<boost::asio::awaitable<base::result<wire::envelope>>(
-      base::endpoint where,
-      wire::envelope call,
-      std::chrono::microseconds timeout)>
-      call;
-  // Reports that an allocator did not respond.
-  std::function<void(const base::endpoint& allocator)> suspect;
 };
 
 class slot_allocator {
--- a/src/host/process/workspace_limit_service.h
+++ b/src/host/process/workspace_limit_service.h
@@ -19,25 +19,19 @@
 #include "decisions/workspace_limit.h"
 #include "host/process/host_core.h"
 #include "host/process/limit_wait.h"
+#include "host/process/owner_calls.h"
 #include "host/process/workspace_limit_owner.h"
 #include "wire/generated/messages_types.h"
 
 namespace valeledge::host {
 
 // Dependencies on other components; called on the host's thread.
-struct workspace_limit_callbacks {
+struct workspace_limit_callbacks : owner_calls {
   // The host that owns the limit of a workspace, if there is one.
   std::function<std::optional<base::endpoint>(const std::string& workspace)>
       owner;
   // This host's view of the other hosts.
   std::function<decisions::limit_members()> members;
-  std::function<boost::asio::awaitable<base::result<wire::envelope>>(
-      base::endpoint where,
-      wire::envelope call,
-      std::chrono::microseconds timeout)>
-      call;
-  // Reports that an owner did not respond.
-  std::function<void(const base::endpoint& owner)> suspect;
 };
 
 class workspace_limit_service {
--- a/tests/auto/host/queue_world.h
+++ b/tests/auto/host/queue_world.h
@@ -80,7 +80,7 @@
         std::make_unique<host::engine_queue_groups>(*added.core, owners);
     added.owner =
         std::make_unique<host::engine_queue_owner>(*added.core, *added.groups);
-    host::engine_queue_links links;
+    host::owner_calls links;
     links.suspect = [&added](const base::endpoint&) { ++added.suspicions; };
     links.call = [this](base::endpoint to, wire::envelope call,
                         std::chrono::microseconds timeout) {
