Quarantine: failed trials of prompt parts are reported again and with the next request for one

What callers may see: nothing while all messages arrive. If the one datagram about a failed trial is lost at the host that grants trials, or that host has started since, it grants more of them, and each costs a backend server more. Cause: a failed trial was reported once, and counted, so that it could not be reported twice. Change: the report names the server that crashed; a server counts once. It is repeated for two seconds, and a host that asks for a trial sends the failed ones it knows of.

--- a/src/decisions/prompt_quarantine_update.cc
+++ b/src/decisions/prompt_quarantine_update.cc
@@ -58,10 +58,12 @@
     message.lifted.push_back(ToWire(each));
     message.__isset.lifted = true;
   }
-  for (const prompt_parts& each : observations.failed_trials) {
-    auto& message = messages.MessageFor(each.size());
-    message.trials_failed.push_back(ToWire(each));
+  for (const failed_trial& each : observations.failed_trials) {
+    auto& message = messages.MessageFor(each.combination.size() + 1);
+    message.trials_failed.push_back(ToWire(each.combination));
+    message.trials_failed_servers.push_back(each.server);
     message.__isset.trials_failed = true;
+    message.__isset.trials_failed_servers = true;
   }
   for (const std::uint64_t each : observations.cleared)
     messages.MessageFor(1).cleared.push_back(static_cast<std::int64_t>(each));
@@ -88,6 +90,18 @@
   return crashes;
 }
 
+std::vector<failed_trial> ReportedFailedTrials(
+    const wire::prompt_quarantine_update& update) {
+  std::vector<failed_trial> failed;
+  for (std::size_t i = 0; i < update.trials_failed.size(); ++i) {
+    const std::int32_t server = i < update.trials_failed_servers.size()
+                                    ? update.trials_failed_servers[i]
+                                    : 0;
+    failed.push_back({FromWire(update.trials_failed[i]), server});
+  }
+  return failed;
+}
+
 applied_prompt_update ApplyPromptUpdate(
     prompt_quarantine& state,
     const wire::prompt_quarantine_update& update,
--- a/src/decisions/prompt_quarantine_update.h
+++ b/src/decisions/prompt_quarantine_update.h
@@ -11,6 +11,7 @@
 
 #include "base/duration.h"
 #include "decisions/prompt_quarantine.h"
+#include "decisions/quarantine_trial.h"
 #include "wire/generated/messages_types.h"
 
 namespace valeledge::decisions {
@@ -30,8 +31,7 @@
   std::vector<prompt_parts> quarantined;
   // Combinations whose quarantine has ended.
   std::vector<prompt_parts> lifted;
-  // Combinations with which a trial has crashed its server.
-  std::vector<prompt_parts> failed_trials;
+  std::vector<failed_trial> failed_trials;
 };
 
 // Returns the observations as messages, with ages at `now` instead of times,
@@ -45,6 +45,10 @@
     const wire::prompt_quarantine_update& update,
     base::time_point now);
 
+// Returns the failed trials that another host reports.
+std::vector<failed_trial> ReportedFailedTrials(
+    const wire::prompt_quarantine_update& update);
+
 // What an update of another host has changed.
 struct applied_prompt_update {
   std::vector<prompt_parts> quarantined;
--- a/src/decisions/quarantine_trial.cc
+++ b/src/decisions/quarantine_trial.cc
@@ -15,7 +15,7 @@
   std::erase_if(trial.open, [now](base::time_point granted_at) {
     return now - granted_at >= kTrialLifetime;
   });
-  if (now < due || trial.failed + trial.open.size() >= kMaxFailedTrials)
+  if (now < due || trial.failed.size() + trial.open.size() >= kMaxFailedTrials)
     return false;
   trial.next_at = now + kMinTrialInterval;
   trial.open.push_back(now);
@@ -23,13 +23,25 @@
 }
 
 void RecordFailedTrial(trial_schedule& schedule,
-                       const prompt_parts& combination,
+                       const failed_trial& failed,
                        base::time_point now) {
-  detail::trial_record& trial = schedule.trials[combination];
-  ++trial.failed;
+  detail::trial_record& trial = schedule.trials[failed.combination];
+  if (!trial.failed.insert(failed.server).second)
+    return;
   if (!trial.open.empty())
     trial.open.erase(trial.open.begin());
-  trial.next_at = now + kFailedTrialDelay * trial.failed;
+  trial.next_at = now + kFailedTrialDelay * trial.failed.size();
+}
+
+std::vector<failed_trial> FailedTrials(const trial_schedule& schedule,
+                                       const prompt_parts& combination) {
+  std::vector<failed_trial> failed;
+  const auto found = schedule.trials.find(combination);
+  if (found == schedule.trials.end())
+    return failed;
+  for (const std::int32_t server : found->second.failed)
+    failed.push_back({combination, server});
+  return failed;
 }
 
 void EndTrials(trial_schedule& schedule, const prompt_parts& combination) {
--- a/src/decisions/quarantine_trial.h
+++ b/src/decisions/quarantine_trial.h
@@ -11,7 +11,9 @@
 
 #include <chrono>
 #include <cstddef>
+#include <cstdint>
 #include <map>
+#include <set>
 #include <vector>
 
 #include "base/duration.h"
@@ -51,7 +53,8 @@
 
 struct trial_record {
   base::time_point next_at;
-  std::size_t failed = 0;
+  // The servers that crashed under trials.
+  std::set<std::int32_t> failed;
   // When the trials without a result were granted.
   std::vector<base::time_point> open;
 };
@@ -62,6 +65,14 @@
   std::map<prompt_parts, detail::trial_record> trials;
 };
 
+// A trial of the combination under which a server crashed.
+struct failed_trial {
+  prompt_parts combination;
+  // The server, as in a prompt_crash; 0 if the host that reports it does not
+  // state it.
+  std::int32_t server = 0;
+};
+
 // Returns whether a trial of the combination, quarantined since `since`, may
 // begin now. Trials that have failed and those that may still fail are at most
 // kMaxFailedTrials together.
@@ -70,11 +81,16 @@
                    base::time_point since,
                    base::time_point now);
 
-// Records that a trial has crashed its server.
+// Records a failed trial. Reports of the same trial, which hosts repeat, count
+// once.
 void RecordFailedTrial(trial_schedule& schedule,
-                       const prompt_parts& combination,
+                       const failed_trial& failed,
                        base::time_point now);
 
+// Returns the failed trials of the combination that this host knows of.
+std::vector<failed_trial> FailedTrials(const trial_schedule& schedule,
+                                       const prompt_parts& combination);
+
 // The quarantine of the combination has ended.
 void EndTrials(trial_schedule& schedule, const prompt_parts& combination);
 
--- a/src/host/process/host_core.h
+++ b/src/host/process/host_core.h
@@ -22,6 +22,7 @@
 #include "decisions/key_freshness.h"
 #include "decisions/prompt_quarantine.h"
 #include "decisions/quarantine.h"
+#include "decisions/quarantine_trial.h"
 #include "decisions/stream_origin.h"
 #include "decisions/stream_separation.h"
 #include "host/external_protocol.h"
@@ -116,8 +117,8 @@
   // If unset, none may.
   std::function<trial_reply(const decisions::prompt_parts& combination)>
       begin_prompt_trial;
-  // Publishes that a server crashed under a trial of the combination.
-  std::function<void(const decisions::prompt_parts& combination)>
+  // Publishes that a server crashed under a trial.
+  std::function<void(const decisions::failed_trial& failed)>
       prompt_trial_failed;
   holder_view holder;
   // Number of hosts that accept requests, including this one.
--- a/src/host/process/prompt_quarantine_coordinator.cc
+++ b/src/host/process/prompt_quarantine_coordinator.cc
@@ -29,7 +29,8 @@
 // hosts may be disconnected, suspended or starting.
 constexpr std::chrono::seconds kReportPeriod{10};
 
-// Time for which a host repeats a quarantine that it has begun.
+// Time for which a host repeats a quarantine that it has begun, and a trial
+// that has failed.
 constexpr std::chrono::seconds kQuarantineReportPeriod{2};
 
 // Number of crashes of a suspect from which on its reports are repeated, and
@@ -156,6 +157,8 @@
     GrantTrials(wanted);
     return UseGrant(combination) ? trial_reply::kBegun : trial_reply::kAsked;
   }
+  // The first host may have started after these trials.
+  Send({.failed_trials = decisions::FailedTrials(trials_, combination)});
   wire::prompt_quarantine_update update;
   update.__set_trials_wanted(decisions::TrialsToWire(wanted));
   callbacks_.send(update);
@@ -207,13 +210,14 @@
 }
 
 void prompt_quarantine_coordinator::OnTrialFailed(
-    const decisions::prompt_parts& combination) {
-  decisions::RecordFailedTrial(trials_, combination,
-                               std::chrono::steady_clock::now());
+    const decisions::failed_trial& failed) {
+  const auto now = std::chrono::steady_clock::now();
+  decisions::RecordFailedTrial(trials_, failed, now);
   base::Log(kCategory, log_event::kQuarantineTrialFailed,
-            {{"parts", PromptPartsText(combination)}});
+            {{"parts", PromptPartsText(failed.combination)}});
   core_.metrics.Counter("valeledge_quarantine_trials_total", "failed").Add();
-  Broadcast({.failed_trials = {combination}});
+  own_failed_trials_.push_back({failed, now});
+  Broadcast({.failed_trials = {failed}});
 }
 
 void prompt_quarantine_coordinator::DeleteKey(
@@ -237,6 +241,10 @@
   std::erase_if(own_, [&combination](const own_quarantine& each) {
     return each.combination == combination;
   });
+  std::erase_if(own_failed_trials_,
+                [&combination](const own_failed_trial& each) {
+                  return each.trial.combination == combination;
+                });
 }
 
 void prompt_quarantine_coordinator::HandleUpdate(
@@ -251,9 +259,8 @@
     End(combination, "told");
   for (const auto& combination : applied.quarantined)
     Begin(combination, "told");
-  for (const auto& parts : update.trials_failed) {
-    decisions::RecordFailedTrial(trials_, {parts.begin(), parts.end()}, now);
-  }
+  for (const auto& failed : decisions::ReportedFailedTrials(update))
+    decisions::RecordFailedTrial(trials_, failed, now);
   RecordGrants(decisions::TrialsFromWire(update.trials_granted));
   if (callbacks_.is_first())
     GrantTrials(decisions::TrialsFromWire(update.trials_wanted));
@@ -351,9 +358,14 @@
   std::erase_if(own_, [now](const own_quarantine& each) {
     return now - each.at >= kQuarantineReportPeriod;
   });
+  std::erase_if(own_failed_trials_, [now](const own_failed_trial& each) {
+    return now - each.at >= kQuarantineReportPeriod;
+  });
   decisions::prompt_observations repeated;
   for (const own_quarantine& each : own_)
     repeated.quarantined.push_back(each.combination);
+  for (const own_failed_trial& each : own_failed_trials_)
+    repeated.failed_trials.push_back(each.trial);
   Broadcast(repeated);
 }
 
--- a/src/host/process/prompt_quarantine_coordinator.h
+++ b/src/host/process/prompt_quarantine_coordinator.h
@@ -58,7 +58,7 @@
   // as a trial. If not, the host asks for a trial, unless it has just done so.
   trial_reply BeginTrial(const decisions::prompt_parts& combination);
   // A trial that this host has sent has crashed its server.
-  void OnTrialFailed(const decisions::prompt_parts& combination);
+  void OnTrialFailed(const decisions::failed_trial& failed);
 
   // Applies an update of another host.
   void HandleUpdate(const wire::prompt_quarantine_update& update);
@@ -78,6 +78,11 @@
     decisions::prompt_parts combination;
     base::time_point at;
   };
+  // A failed trial that this host has sent.
+  struct own_failed_trial {
+    decisions::failed_trial trial;
+    base::time_point at;
+  };
 
   bool IsLargeFleet() const;
   // Identifies this host in messages about trials.
@@ -108,6 +113,7 @@
   // Recent crashes reported by this host.
   std::deque<decisions::prompt_crash> reported_;
   std::vector<own_quarantine> own_;
+  std::vector<own_failed_trial> own_failed_trials_;
   decisions::trial_schedule trials_;
   // Trials granted to this host, and until when each may begin.
   std::map<decisions::prompt_parts, base::time_point> granted_;
--- a/src/host/request/crash_monitor.h
+++ b/src/host/request/crash_monitor.h
@@ -57,7 +57,7 @@
   std::uint64_t Digest();
   void RecordRun();
   // Reports the crash if the request is a trial.
-  void FailTrial();
+  void FailTrial(const known_server& server);
   void ClearRequest(std::uint64_t digest);
   void ClearParts(const decisions::prompt_parts& parts);
 
--- a/src/wire/messages.thrift
+++ b/src/wire/messages.thrift
@@ -362,6 +362,8 @@
   7: optional list<quarantine_trial> trials_granted,
   // Combinations with which a trial has crashed a server.
   8: optional list<list<i64>> trials_failed,
+  // The servers that crashed under these trials, in the same order.
+  9: optional list<i32> trials_failed_servers,
 }
 
 // Asks for a reading of the key-value service, and tells what it found.
--- a/tests/auto/decisions/prompt_fleet.cc
+++ b/tests/auto/decisions/prompt_fleet.cc
@@ -250,8 +250,8 @@
     const decisions::prompt_crash crash{runs_, now_, each.parts,
                                         static_cast<std::int32_t>(engine) + 1};
     if (!each.trial.empty()) {
-      After(kReportDelay, [this, trial = each.trial] {
-        decisions::RecordFailedTrial(trials_, trial, now_);
+      After(kReportDelay, [this, trial = each.trial, run = runs_] {
+        decisions::RecordFailedTrial(trials_, {trial, run}, now_);
       });
     }
     if (each.host < judges_.size())
--- a/tests/auto/decisions/test_prompt_quarantine.cc
+++ b/tests/auto/decisions/test_prompt_quarantine.cc
@@ -257,18 +257,25 @@
     observations.crashes.push_back({server, kStart, parts});
   observations.cleared = {kDocument};
   observations.quarantined = {{kCause, kOtherCause}};
+  observations.failed_trials = {{{kCause}, 4}, {{kCause}, 5}};
   const auto updates = decisions::MakePromptUpdates(observations, kStart + 3s);
   BOOST_TEST(updates.size() == 5u);
   judging_host there;
   there.now = base::time_point{9000s};
   std::vector<prompt_parts> quarantined;
+  std::vector<std::int32_t> failed_at;
   for (const auto& update : updates) {
+    for (const auto& failed : decisions::ReportedFailedTrials(update)) {
+      BOOST_TEST((failed.combination == prompt_parts{kCause}));
+      failed_at.push_back(failed.server);
+    }
     for (auto& each :
          decisions::ApplyPromptUpdate(there.state, update, there.now)
              .quarantined)
       quarantined.push_back(std::move(each));
   }
   BOOST_REQUIRE(quarantined.size() == 1u);
+  BOOST_TEST((failed_at == std::vector<std::int32_t>{4, 5}));
   BOOST_TEST((quarantined.front() == prompt_parts{kCause, kOtherCause}));
   const auto& crashes = there.state.suspects.at(parts.back()).crashes;
   BOOST_TEST(crashes.size() == 9u);
--- a/tests/auto/decisions/test_quarantine_trial.cc
+++ b/tests/auto/decisions/test_quarantine_trial.cc
@@ -42,13 +42,27 @@
     if (!decisions::TryGrantTrial(schedule, kCause, kStart, kStart + at))
       continue;
     ++granted;
-    decisions::RecordFailedTrial(schedule, kCause, kStart + at);
+    decisions::RecordFailedTrial(schedule, {kCause, granted}, kStart + at);
   }
   BOOST_TEST(granted == 2);
   decisions::EndTrials(schedule, kCause);
   BOOST_TEST(decisions::TryGrantTrial(schedule, kCause, kStart, kStart + 601s));
 }
 
+// Guards against repeated reports of one failed trial that leave a sound part
+// quarantined without another trial.
+BOOST_AUTO_TEST_CASE(repeated_reports_of_a_failed_trial_count_once) {
+  decisions::trial_schedule schedule;
+  BOOST_TEST(decisions::TryGrantTrial(schedule, kCause, kStart, kStart + 1s));
+  for (auto at = 1s; at < 3s; at += 1s)
+    decisions::RecordFailedTrial(schedule, {kCause, 7}, kStart + at);
+  BOOST_TEST(decisions::FailedTrials(schedule, kCause).size() == 1u);
+  BOOST_TEST(decisions::TryGrantTrial(schedule, kCause, kStart, kStart + 3s));
+  decisions::RecordFailedTrial(schedule, {kCause, 8}, kStart + 4s);
+  BOOST_TEST(decisions::FailedTrials(schedule, kCause).size() == 2u);
+  BOOST_TEST(!decisions::TryGrantTrial(schedule, kCause, kStart, kStart + 60s));
+}
+
 // Guards against a lifted quarantine that begins again by the messages that
 // quarantined it, or as quickly as before.
 BOOST_AUTO_TEST_CASE(a_lifted_quarantine_outlasts_repeated_messages) {
--- a/tests/auto/host/test_crashing_prompt_parts.cc
+++ b/tests/auto/host/test_crashing_prompt_parts.cc
@@ -96,16 +96,18 @@
     return trials-- > 0 ? host::trial_reply::kBegun
                         : host::trial_reply::kRefused;
   };
-  std::vector<prompt_parts> failed;
-  here.core->prompt_trial_failed = [&failed](const prompt_parts& parts) {
-    failed.push_back(parts);
-  };
+  std::vector<decisions::failed_trial> failed;
+  here.core->prompt_trial_failed =
+      [&failed](const decisions::failed_trial& each) {
+        failed.push_back(each);
+      };
   const std::size_t before = here.SendCount();
   here.Send({kRoutePart, kCrashingPart}, kCrash, "/resumed/");
   here.Send({kRoutePart, kCrashingPart}, kCrash, "/resumed/");
   BOOST_TEST(here.SendCount() - before == 1u);
   BOOST_REQUIRE(failed.size() == 1u);
-  BOOST_TEST((failed.front() == prompt_parts{0xdead0001}));
+  BOOST_TEST((failed.front().combination == prompt_parts{0xdead0001}));
+  BOOST_TEST(failed.front().server != 0);
 }
 
 // A trial was abandoned after 0.7 of its objective, although no retry follows
--- a/tests/auto/host/test_prompt_quarantine_coordinator.cc
+++ b/tests/auto/host/test_prompt_quarantine_coordinator.cc
@@ -129,8 +129,9 @@
   }
 
   // Returns the host that may send a trial, once one may.
-  std::optional<std::size_t> RunUntilTrial(const prompt_parts& combination) {
-    const auto until = std::chrono::steady_clock::now() + 10s;
+  std::optional<std::size_t> RunUntilTrial(const prompt_parts& combination,
+                                           std::chrono::seconds most = 10s) {
+    const auto until = std::chrono::steady_clock::now() + most;
     while (std::chrono::steady_clock::now() < until) {
       for (std::size_t host = 0; host < hosts_.size(); ++host) {
         if (!disconnected.contains(host) &&
@@ -286,12 +287,41 @@
   here.TickAll();
   const auto trial = here.RunUntilTrial({kCause});
   BOOST_REQUIRE(trial.has_value());
-  here.At(*trial).OnTrialFailed({kCause});
+  here.At(*trial).OnTrialFailed({{kCause}, 1});
   here.Crash(1, {kCause}, *trial);
   here.TickAll();
   BOOST_TEST(here.CountRefusing({kCause}) == 8u);
 }
 
+// Guards against a lost report of a failed trial, after which the first host
+// grants more of them.
+BOOST_AUTO_TEST_CASE(a_failed_trial_is_reported_again) {
+  fleet here(8, 8);
+  here.Crash(3, {kCause}, 0);
+  here.TickAll();
+  here.disconnected = {0};
+  for (std::int32_t server = 1; server <= 2; ++server)
+    here.At(3).OnTrialFailed({{kCause}, server});
+  here.disconnected.clear();
+  here.At(3).Tick();
+  BOOST_TEST(!here.RunUntilTrial({kCause}, 2s));
+}
+
+// Guards against a host that starts, becomes the first one selected, and grants
+// trials as if none had failed.
+BOOST_AUTO_TEST_CASE(a_new_first_host_learns_of_failed_trials) {
+  fleet here(8, 9);
+  here.Crash(3, {kCause}, 0);
+  here.TickAll();
+  for (std::int32_t server = 1; server <= 2; ++server)
+    here.At(3).OnTrialFailed({{kCause}, server});
+  here.AddHost(8);
+  here.At(8).PutKey(kKey);
+  here.first = 8;
+  here.disconnected = {3};
+  BOOST_TEST(!here.RunUntilTrial({kCause}, 2s));
+}
+
 // Guards against trials that no host grants after the first one selected has
 // been lost, and against hosts of a large fleet that receive no grants.
 BOOST_AUTO_TEST_CASE(any_host_of_a_large_fleet_may_try) {
