Quarantine: a trial whose connection is reset has not failed while its server runs

What callers may see: requests with sound prompt parts refused for ten minutes. Two failed trials are the last of a quarantine, and any connection that closed early made a trial fail: engines that reset connections, hosts that are cut from their servers. Change: the host that sent the trial looks at the server's entry. Two more heartbeats of the same run, two seconds later or more: the trial is inconclusive and another one follows.

--- a/src/host/process/crash_reports.cc
+++ b/src/host/process/crash_reports.cc
@@ -46,9 +46,10 @@
   core_.begin_prompt_trial = [this](const decisions::prompt_parts& parts) {
     return prompt_quarantine_.BeginTrial(parts);
   };
-  core_.prompt_trial_failed = [this](const decisions::failed_trial& failed) {
-    prompt_quarantine_.OnTrialFailed(failed);
-  };
+  core_.prompt_trial_interrupted =
+      [this](const decisions::failed_trial& trial) {
+        prompt_quarantine_.OnTrialInterrupted(trial);
+      };
   core_.suspect_completed = [this](std::uint64_t digest) {
     quarantine_.OnCompletedResponse(digest);
   };
--- a/src/host/process/host_core.h
+++ b/src/host/process/host_core.h
@@ -117,9 +117,9 @@
   // If unset, none may.
   std::function<trial_reply(const decisions::prompt_parts& combination)>
       begin_prompt_trial;
-  // Publishes that a server crashed under a trial.
-  std::function<void(const decisions::failed_trial& failed)>
-      prompt_trial_failed;
+  // Handles that a server has closed the connection of a trial.
+  std::function<void(const decisions::failed_trial& trial)>
+      prompt_trial_interrupted;
   holder_view holder;
   // Number of hosts that accept requests, including this one.
   std::int64_t hosts = 1;
--- a/src/host/process/known_server.cc
+++ b/src/host/process/known_server.cc
@@ -17,6 +17,12 @@
 // Longer, since loading an adapter does not make a server update its entry.
 constexpr auto kAdapterOverrideLifetime = std::chrono::seconds(60);
 
+// Time and heartbeats after which an update of a server's entry shows that its
+// run had not crashed: entries are read some time after they were written, and
+// the first one may have been written before.
+constexpr std::chrono::milliseconds kHeartbeatMargin{2000};
+constexpr std::int64_t kConfirmingHeartbeats = 2;
+
 const catalog::held_model* FindModel(const catalog::backend_server& entry,
                                      std::string_view name) {
   const auto found =
@@ -37,6 +43,14 @@
   return unit;
 }
 
+bool HasOutlived(std::int64_t heartbeats,
+                 std::int64_t heartbeats_then,
+                 base::time_point at,
+                 base::time_point now) {
+  return now - at >= kHeartbeatMargin &&
+         heartbeats >= heartbeats_then + kConfirmingHeartbeats;
+}
+
 bool known_server::Holds(std::string_view model,
                          std::string_view adapter,
                          base::time_point now) const {
--- a/src/host/process/known_server.h
+++ b/src/host/process/known_server.h
@@ -71,6 +71,13 @@
   std::int64_t heartbeats = 0;
 };
 
+// Whether a run of a server that has written its entry `heartbeats` times by
+// `now` had not crashed at `at`, when the number was `heartbeats_then`.
+bool HasOutlived(std::int64_t heartbeats,
+                 std::int64_t heartbeats_then,
+                 base::time_point at,
+                 base::time_point now);
+
 // Why a server must get no requests from this host now.
 enum class send_block { kNone, kLeaving, kEvacuated, kBackoff };
 
--- a/src/host/process/prompt_quarantine_coordinator.cc
+++ b/src/host/process/prompt_quarantine_coordinator.cc
@@ -209,7 +209,37 @@
   }
 }
 
-void prompt_quarantine_coordinator::OnTrialFailed(
+void prompt_quarantine_coordinator::OnTrialInterrupted(
+    const decisions::failed_trial& trial) {
+  const auto server = core_.servers.FindKey(trial.server);
+  if (server == nullptr) {
+    FailTrial(trial);
+    return;
+  }
+  interrupted_.push_back(
+      {trial, std::chrono::steady_clock::now(), server->entry});
+}
+
+// Connections also break without a crash.
+void prompt_quarantine_coordinator::JudgeTrials(base::time_point now) {
+  std::erase_if(interrupted_, [this, now](const interrupted_trial& each) {
+    const auto server = core_.servers.FindKey(each.trial.server);
+    const bool is_same_run =
+        server != nullptr && server->entry.started_at == each.entry.started_at;
+    if (is_same_run && HasOutlived(server->entry.heartbeats,
+                                   each.entry.heartbeats, each.at, now)) {
+      core_.metrics.Counter("valeledge_quarantine_trials_total", "inconclusive")
+          .Add();
+      return true;
+    }
+    if (is_same_run && now - each.at < decisions::kTrialJudgementTime)
+      return false;
+    FailTrial(each.trial);
+    return true;
+  });
+}
+
+void prompt_quarantine_coordinator::FailTrial(
     const decisions::failed_trial& failed) {
   const auto now = std::chrono::steady_clock::now();
   decisions::RecordFailedTrial(trials_, failed, now);
@@ -241,10 +271,11 @@
   std::erase_if(own_, [&combination](const own_quarantine& each) {
     return each.combination == combination;
   });
-  std::erase_if(own_failed_trials_,
-                [&combination](const own_failed_trial& each) {
-                  return each.trial.combination == combination;
-                });
+  const auto is_of_combination = [&combination](const auto& each) {
+    return each.trial.combination == combination;
+  };
+  std::erase_if(interrupted_, is_of_combination);
+  std::erase_if(own_failed_trials_, is_of_combination);
 }
 
 void prompt_quarantine_coordinator::HandleUpdate(
@@ -317,6 +348,7 @@
   const auto now = std::chrono::steady_clock::now();
   decisions::Sweep(core_.prompts, now);
   RemoveEnded(now);
+  JudgeTrials(now);
   const decisions::judged_fleet fleet{
       core_.servers.servers().size(),
       IsLargeFleet() ? kEvidenceTime : std::chrono::milliseconds(0)};
--- a/src/host/process/prompt_quarantine_coordinator.h
+++ b/src/host/process/prompt_quarantine_coordinator.h
@@ -57,8 +57,10 @@
   // Whether a request of this host with the quarantined combination may be sent
   // as a trial. If not, the host asks for a trial, unless it has just done so.
   trial_reply BeginTrial(const decisions::prompt_parts& combination);
-  // A trial that this host has sent has crashed its server.
-  void OnTrialFailed(const decisions::failed_trial& failed);
+  // The server has closed the connection of a trial that this host has sent.
+  // The trial has failed unless the server's entry shows that it has not
+  // crashed.
+  void OnTrialInterrupted(const decisions::failed_trial& trial);
 
   // Applies an update of another host.
   void HandleUpdate(const wire::prompt_quarantine_update& update);
@@ -78,6 +80,13 @@
     decisions::prompt_parts combination;
     base::time_point at;
   };
+  // A trial of this host that has failed if its server has crashed.
+  struct interrupted_trial {
+    decisions::failed_trial trial;
+    base::time_point at;
+    // The server's entry at that time.
+    catalog::backend_server entry;
+  };
   // A failed trial that this host has sent.
   struct own_failed_trial {
     decisions::failed_trial trial;
@@ -98,6 +107,9 @@
   bool UseGrant(const decisions::prompt_parts& combination);
   // Records the grants that are for this host.
   void RecordGrants(const std::vector<decisions::prompt_trial>& granted);
+  // Tells which interrupted trials have failed.
+  void JudgeTrials(base::time_point now);
+  void FailTrial(const decisions::failed_trial& failed);
   void Begin(const decisions::prompt_parts& combination, std::string_view by);
   // Reports which of the suspects in the update servers have run since.
   void Refute(const wire::prompt_quarantine_update& update);
@@ -113,6 +125,7 @@
   // Recent crashes reported by this host.
   std::deque<decisions::prompt_crash> reported_;
   std::vector<own_quarantine> own_;
+  std::vector<interrupted_trial> interrupted_;
   std::vector<own_failed_trial> own_failed_trials_;
   decisions::trial_schedule trials_;
   // Trials granted to this host, and until when each may begin.
--- a/src/host/process/response_updates.cc
+++ b/src/host/process/response_updates.cc
@@ -88,13 +88,6 @@
     core.server_full(server);
 }
 
-// Time and heartbeats between the end of a response and an update of its
-// server's entry that shows that the server has not crashed: entries are read
-// some time after they were written, and the first one may have been written
-// before the end.
-constexpr std::chrono::milliseconds kHeartbeatMargin{2000};
-constexpr std::int64_t kConfirmingHeartbeats = 2;
-
 }  // namespace
 
 void ApplyFullServer(host_core& core, const wire::full_server& news) {
@@ -135,8 +128,7 @@
                         base::time_point now) {
   std::vector<unconfirmed_response> confirmed;
   std::erase_if(server.unconfirmed, [&](unconfirmed_response& each) {
-    if (now - each.ended_at < kHeartbeatMargin ||
-        heartbeats < each.heartbeats + kConfirmingHeartbeats)
+    if (!HasOutlived(heartbeats, each.heartbeats, each.ended_at, now))
       return false;
     confirmed.push_back(std::move(each));
     return true;
--- a/src/host/request/crash_monitor.cc
+++ b/src/host/request/crash_monitor.cc
@@ -108,7 +108,7 @@
     decisions::RecordOutcome(core_.prompts, routed_.shared_parts, server.key,
                              now);
   }
-  FailTrial(server);
+  ReportInterruptedTrial(server);
   core_.server_crashed(Digest(), {server.key, progress.sent, now},
                        routed_.shared_parts);
 }
@@ -174,9 +174,9 @@
                            std::chrono::steady_clock::now());
 }
 
-void crash_monitor::FailTrial(const known_server& server) {
-  if (!routed_.trial.empty() && core_.prompt_trial_failed)
-    core_.prompt_trial_failed({routed_.trial, server.key});
+void crash_monitor::ReportInterruptedTrial(const known_server& server) {
+  if (!routed_.trial.empty() && core_.prompt_trial_interrupted)
+    core_.prompt_trial_interrupted({routed_.trial, server.key});
 }
 
 void crash_monitor::ClearRequest(std::uint64_t digest) {
--- a/src/host/request/crash_monitor.h
+++ b/src/host/request/crash_monitor.h
@@ -56,8 +56,8 @@
   // Computed on first use.
   std::uint64_t Digest();
   void RecordRun();
-  // Reports the crash if the request is a trial.
-  void FailTrial(const known_server& server);
+  // Does nothing if the request is no trial.
+  void ReportInterruptedTrial(const known_server& server);
   void ClearRequest(std::uint64_t digest);
   void ClearParts(const decisions::prompt_parts& parts);
 
