--- a/src/host/request/request_trace.cc
+++ b/src/host/request/request_trace.cc
@@ -23,6 +23,15 @@
   return std::max<std::int64_t>(left.count(), 0);
 }
 
+// Counts requests by route, so that the share of those that are refused as
+// quarantined is known for each.
+void CountRequestOfRoute(host_core& core, const routed_request& routed) {
+  if (routed.route != nullptr) {
+    core.metrics.Counter("valeledge_route_requests_total", routed.route->name)
+        .Add();
+  }
+}
+
 }  // namespace
 
 void RecordEventGap(const routed_request& routed, request_trace& trace) {
@@ -120,6 +129,7 @@
       .Counter("valeledge_requests_total",
                caller_left ? "caller_left" : "answered")
       .Add();
+  CountRequestOfRoute(core, routed);
   core.log.Write(
       log_weight::kOrdinary,
       caller_left ? log_event::kCallerLeft : log_event::kRequestServed,
@@ -140,7 +150,13 @@
                 const base::error& failed) {
   core.metrics.CountRefusal(failed.code);
   core.metrics.Counter("valeledge_requests_total", "failed").Add();
+  CountRequestOfRoute(core, routed);
   const bool has_route = routed.route != nullptr;
+  if (has_route && failed.code == base::result_code::kQuarantined) {
+    core.metrics
+        .Counter("valeledge_quarantine_refusals_total", routed.route->name)
+        .Add();
+  }
   const bool has_version = routed.configuration != nullptr;
   core.log.Write(log_weight::kTrouble, log_event::kRequestRefused,
                  routed.metadata.id,
--- a/tests/auto/host/relay_world.h
+++ b/tests/auto/host/relay_world.h
@@ -159,6 +159,7 @@
                 catalog::route_kind kind,
                 bool resumable) {
     catalog::route route;
+    route.name = path;
     route.authority = "a.example";
     route.path_prefix = path;
     route.kind = kind;
--- a/tests/auto/host/test_crashing_prompt_parts.cc
+++ b/tests/auto/host/test_crashing_prompt_parts.cc
@@ -86,6 +86,17 @@
                                    kSilentCrash) == 3u);
 }
 
+// Guards against a quarantine of sound parts whose extent no metric shows.
+BOOST_AUTO_TEST_CASE(quarantine_refusals_are_counted_by_route) {
+  prompt_world here;
+  const auto count = [&here](const std::string& name) {
+    return here.core->metrics.Counter(name, "/stream/").value.load();
+  };
+  here.CountSendsOfPart({kRoutePart, kCrashingPart, kDocument}, kCrash);
+  BOOST_TEST(count("valeledge_quarantine_refusals_total") == 9);
+  BOOST_TEST(count("valeledge_route_requests_total") == 24);
+}
+
 // Guards against trials that are sent more than once, or at engines that have
 // just crashed.
 BOOST_AUTO_TEST_CASE(a_trial_is_sent_once) {
