Quarantine: a trial at a server has a type of its own, and ends with its quarantine

Found by reading the diff: failed_trial named trials that may not have failed, and an interrupted trial was judged after its quarantine had ended by time.

--- a/src/decisions/prompt_quarantine_update.cc
+++ b/src/decisions/prompt_quarantine_update.cc
@@ -58,7 +58,7 @@
     message.lifted.push_back(ToWire(each));
     message.__isset.lifted = true;
   }
-  for (const failed_trial& each : observations.failed_trials) {
+  for (const server_trial& each : observations.failed_trials) {
     auto& message = messages.MessageFor(each.combination.size() + 1);
     message.trials_failed.push_back(ToWire(each.combination));
     message.trials_failed_servers.push_back(each.server);
@@ -90,9 +90,9 @@
   return crashes;
 }
 
-std::vector<failed_trial> ReportedFailedTrials(
+std::vector<server_trial> ReportedFailedTrials(
     const wire::prompt_quarantine_update& update) {
-  std::vector<failed_trial> failed;
+  std::vector<server_trial> failed;
   for (std::size_t i = 0; i < update.trials_failed.size(); ++i) {
     const std::int32_t server = i < update.trials_failed_servers.size()
                                     ? update.trials_failed_servers[i]
--- a/src/decisions/prompt_quarantine_update.h
+++ b/src/decisions/prompt_quarantine_update.h
@@ -31,7 +31,8 @@
   std::vector<prompt_parts> quarantined;
   // Combinations whose quarantine has ended.
   std::vector<prompt_parts> lifted;
-  std::vector<failed_trial> failed_trials;
+  // Trials under which the server crashed.
+  std::vector<server_trial> failed_trials;
 };
 
 // Returns the observations as messages, with ages at `now` instead of times,
@@ -46,7 +47,7 @@
     base::time_point now);
 
 // Returns the failed trials that another host reports.
-std::vector<failed_trial> ReportedFailedTrials(
+std::vector<server_trial> ReportedFailedTrials(
     const wire::prompt_quarantine_update& update);
 
 // What an update of another host has changed.
--- a/src/decisions/quarantine_trial.cc
+++ b/src/decisions/quarantine_trial.cc
@@ -23,7 +23,7 @@
 }
 
 void RecordFailedTrial(trial_schedule& schedule,
-                       const failed_trial& failed,
+                       const server_trial& failed,
                        base::time_point now) {
   detail::trial_record& trial = schedule.trials[failed.combination];
   if (!trial.failed.insert(failed.server).second)
@@ -33,9 +33,9 @@
   trial.next_at = now + kFailedTrialDelay * trial.failed.size();
 }
 
-std::vector<failed_trial> FailedTrials(const trial_schedule& schedule,
+std::vector<server_trial> FailedTrials(const trial_schedule& schedule,
                                        const prompt_parts& combination) {
-  std::vector<failed_trial> failed;
+  std::vector<server_trial> failed;
   const auto found = schedule.trials.find(combination);
   if (found == schedule.trials.end())
     return failed;
--- a/src/decisions/quarantine_trial.h
+++ b/src/decisions/quarantine_trial.h
@@ -70,11 +70,10 @@
   std::map<prompt_parts, detail::trial_record> trials;
 };
 
-// A trial of the combination under which a server crashed.
-struct failed_trial {
+// A trial that was sent to a server.
+struct server_trial {
   prompt_parts combination;
-  // The server, as in a prompt_crash; 0 if the host that reports it does not
-  // state it.
+  // The server, as in a prompt_crash; 0 if another host does not state it.
   std::int32_t server = 0;
 };
 
@@ -86,14 +85,14 @@
                    base::time_point since,
                    base::time_point now);
 
-// Records a failed trial. Reports of the same trial, which hosts repeat, count
-// once.
+// Records that the server crashed under the trial. Reports of the same trial,
+// which hosts repeat, count once.
 void RecordFailedTrial(trial_schedule& schedule,
-                       const failed_trial& failed,
+                       const server_trial& failed,
                        base::time_point now);
 
 // Returns the failed trials of the combination that this host knows of.
-std::vector<failed_trial> FailedTrials(const trial_schedule& schedule,
+std::vector<server_trial> FailedTrials(const trial_schedule& schedule,
                                        const prompt_parts& combination);
 
 // The quarantine of the combination has ended.
--- a/src/host/process/crash_reports.cc
+++ b/src/host/process/crash_reports.cc
@@ -47,7 +47,7 @@
     return prompt_quarantine_.BeginTrial(parts);
   };
   core_.prompt_trial_interrupted =
-      [this](const decisions::failed_trial& trial) {
+      [this](const decisions::server_trial& trial) {
         prompt_quarantine_.OnTrialInterrupted(trial);
       };
   core_.suspect_completed = [this](std::uint64_t digest) {
--- a/src/host/process/host_core.h
+++ b/src/host/process/host_core.h
@@ -118,7 +118,7 @@
   std::function<trial_reply(const decisions::prompt_parts& combination)>
       begin_prompt_trial;
   // Handles that a server has closed the connection of a trial.
-  std::function<void(const decisions::failed_trial& trial)>
+  std::function<void(const decisions::server_trial& trial)>
       prompt_trial_interrupted;
   holder_view holder;
   // Number of hosts that accept requests, including this one.
--- a/src/host/process/prompt_quarantine_coordinator.cc
+++ b/src/host/process/prompt_quarantine_coordinator.cc
@@ -210,7 +210,7 @@
 }
 
 void prompt_quarantine_coordinator::OnTrialInterrupted(
-    const decisions::failed_trial& trial) {
+    const decisions::server_trial& trial) {
   const auto server = core_.servers.FindKey(trial.server);
   if (server == nullptr) {
     FailTrial(trial);
@@ -240,7 +240,7 @@
 }
 
 void prompt_quarantine_coordinator::FailTrial(
-    const decisions::failed_trial& failed) {
+    const decisions::server_trial& failed) {
   const auto now = std::chrono::steady_clock::now();
   decisions::RecordFailedTrial(trials_, failed, now);
   base::Log(kCategory, log_event::kQuarantineTrialFailed,
@@ -373,6 +373,9 @@
   std::erase_if(granted_,
                 [&](const auto& each) { return has_ended(each.first); });
   std::erase_if(from_store_, has_ended);
+  std::erase_if(interrupted_, [&](const interrupted_trial& each) {
+    return has_ended(each.trial.combination);
+  });
 }
 
 void prompt_quarantine_coordinator::RepeatReports(base::time_point now) {
--- a/src/host/process/prompt_quarantine_coordinator.h
+++ b/src/host/process/prompt_quarantine_coordinator.h
@@ -18,6 +18,7 @@
 #include <vector>
 
 #include "base/duration.h"
+#include "catalog/backend_server.h"
 #include "decisions/prompt_quarantine_update.h"
 #include "decisions/quarantine_trial.h"
 #include "host/process/host_core.h"
@@ -60,7 +61,7 @@
   // The server has closed the connection of a trial that this host has sent.
   // The trial has failed unless the server's entry shows that it has not
   // crashed.
-  void OnTrialInterrupted(const decisions::failed_trial& trial);
+  void OnTrialInterrupted(const decisions::server_trial& trial);
 
   // Applies an update of another host.
   void HandleUpdate(const wire::prompt_quarantine_update& update);
@@ -82,14 +83,14 @@
   };
   // A trial of this host that has failed if its server has crashed.
   struct interrupted_trial {
-    decisions::failed_trial trial;
+    decisions::server_trial trial;
     base::time_point at;
     // The server's entry at that time.
     catalog::backend_server entry;
   };
   // A failed trial that this host has sent.
   struct own_failed_trial {
-    decisions::failed_trial trial;
+    decisions::server_trial trial;
     base::time_point at;
   };
 
@@ -107,9 +108,10 @@
   bool UseGrant(const decisions::prompt_parts& combination);
   // Records the grants that are for this host.
   void RecordGrants(const std::vector<decisions::prompt_trial>& granted);
-  // Tells which interrupted trials have failed.
+  // Ends interrupted trials whose servers have crashed or have shown that they
+  // have not.
   void JudgeTrials(base::time_point now);
-  void FailTrial(const decisions::failed_trial& failed);
+  void FailTrial(const decisions::server_trial& failed);
   void Begin(const decisions::prompt_parts& combination, std::string_view by);
   // Reports which of the suspects in the update servers have run since.
   void Refute(const wire::prompt_quarantine_update& update);
--- a/tests/auto/host/test_crashing_prompt_parts.cc
+++ b/tests/auto/host/test_crashing_prompt_parts.cc
@@ -107,9 +107,9 @@
     return trials-- > 0 ? host::trial_reply::kBegun
                         : host::trial_reply::kRefused;
   };
-  std::vector<decisions::failed_trial> failed;
+  std::vector<decisions::server_trial> failed;
   here.core->prompt_trial_interrupted =
-      [&failed](const decisions::failed_trial& each) {
+      [&failed](const decisions::server_trial& each) {
         failed.push_back(each);
       };
   const std::size_t before = here.SendCount();
