Requests that end late are counted by route and by what they waited for

No decision is changed: event 2020 names a request that ends more than 100 ms after its deadline and its wait, two counters do so by route and by wait, event 6003 and a gauge state calls to other hosts that outlast their time.

--- a/src/host/process/host_gauges.cc
+++ b/src/host/process/host_gauges.cc
@@ -54,6 +54,7 @@
       freshness.value_or(milliseconds(kUnknownAge)).count());
   set("valeledge_lease_term", sources.lease.CertainTerm());
   set("valeledge_peer_bytes", sources.peers.bytes());
+  set("valeledge_peer_call_overruns", sources.peers.overrun_calls());
   for (const auto& [kind, bytes] : sources.peers.sent_bytes())
     core.metrics.Gauge("valeledge_told_bytes", kind).Set(bytes);
   set("valeledge_idle_connections", core.http.idle_connections());
--- a/src/host/process/peer_link.cc
+++ b/src/host/process/peer_link.cc
@@ -12,6 +12,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
+#include "base/logging.h"
 #include "host/constants.h"
 #include "membership/selection_cache.h"
 #include "wire/codec.h"
@@ -22,12 +23,20 @@
 
 namespace asio = boost::asio;
 
+using std::chrono::duration_cast;
+using std::chrono::milliseconds;
+
+constexpr std::string_view kCategory = "peers";
+
 constexpr auto kAwait = asio::as_tuple(asio::use_awaitable);
 
 // 50 Mbit/s: the largest value of the store, 1 MB (1.4 MB in base64), is
 // received within a quarter of a second.
 constexpr double kWideLinkBytes = 50e6 / 8;
 
+// A call that takes longer than this beyond its time is counted.
+constexpr milliseconds kOverrunTolerance{50};
+
 // Kind under which the datagrams of the membership protocol are counted.
 constexpr std::string_view kMembershipKind = "membership";
 
@@ -313,8 +322,17 @@
     base::endpoint where,
     wire::envelope call,
     std::chrono::microseconds timeout) {
-  auto reply =
-      co_await channels_.Call(std::move(where), std::move(call), timeout);
+  const auto called = std::chrono::steady_clock::now();
+  auto reply = co_await channels_.Call(where, std::move(call), timeout);
+  const auto took =
+      duration_cast<milliseconds>(std::chrono::steady_clock::now() - called);
+  if (took > timeout + kOverrunTolerance) {
+    ++overrun_calls_;
+    base::Log(kCategory, base::log_event::kPeerCallOverrun,
+              {{"host", base::ToString(where)},
+               {"took_ms", took.count()},
+               {"allowed_ms", duration_cast<milliseconds>(timeout).count()}});
+  }
   co_return reply;
 }
 
--- a/src/host/process/peer_link.h
+++ b/src/host/process/peer_link.h
@@ -128,6 +128,8 @@
   std::int64_t QueuedBytes() const { return calls_.queued_bytes(); }
 
   std::int64_t bytes() const;
+  // Number of calls that took longer than their time allowed.
+  std::int64_t overrun_calls() const { return overrun_calls_; }
   // Size of the datagrams sent so far, by record key.
   const std::map<std::string, std::int64_t>& sent_bytes() const {
     return sent_bytes_;
@@ -151,6 +153,7 @@
   std::mt19937_64 random_{std::random_device{}()};
   membership::gossip_state gossip_;
   net::udp_socket datagrams_;
+  std::int64_t overrun_calls_ = 0;
   net::rpc_channel_set channels_;
   net::rpc_channel_set snapshot_channels_;
   net::rpc_server calls_;
--- a/src/host/request/direct_attempt.cc
+++ b/src/host/request/direct_attempt.cc
@@ -72,6 +72,7 @@
     }
     return allowed;
   });
+  state.trace.wait = request_wait::kResponseHeader;
   auto opened = co_await state.core.http.Open(
       server.entry.address, std::move(forwarded),
       std::min(RemainingTime(state.routed), kConnectTimeout), header_timeout,
@@ -123,6 +124,7 @@
         base::MakeError(result_code::kBackendRefused, base::outcome::kNotRun,
                         "the backend server responded with status " +
                             std::to_string(exchange.header().result_int()));
+    state.trace.wait = request_wait::kRefusalBody;
     // Read the body of the refusal so that the connection can be reused.
     while (true) {
       const auto piece = co_await exchange.ReadSome(kConnectTimeout);
--- a/src/host/request/peer_attempt.cc
+++ b/src/host/request/peer_attempt.cc
@@ -31,6 +31,7 @@
                        exchange.header().result_int() == 503;
   const auto retry_after =
       net::ReadRetryAfter(exchange.header(), std::chrono::system_clock::now());
+  state.trace.wait = request_wait::kRefusalBody;
   // Read the body so that the connection can be reused.
   while (true) {
     const auto piece = co_await exchange.ReadSome(kRelayConnectTimeout);
@@ -79,6 +80,7 @@
     StartWatch(state);
     return base::result<void>();
   });
+  state.trace.wait = request_wait::kResponseHeader;
   auto opened = co_await state.core.http.Open(
       peer,
       MakeRelayedRequest(state.core, state.request, state.routed,
--- a/src/host/request/relay.cc
+++ b/src/host/request/relay.cc
@@ -40,7 +40,7 @@
       break;
     auto found = co_await FindServer(state.core, state.routed,
                                      !ran && !state.trace.response_started,
-                                     state.responder);
+                                     state.responder, state.trace);
     const bool has_peer =
         !found && !state.routed.is_relayed &&
         found.error().code == result_code::kPathLost &&
--- a/src/host/request/request_admission.cc
+++ b/src/host/request/request_admission.cc
@@ -61,6 +61,7 @@
   }
   if (auto refused = AuthenticateCaller(state.core, state.routed))
     co_return tl::make_unexpected(std::move(*refused));
+  state.trace.wait = request_wait::kStreamOrigin;
   auto continued = co_await ContinueStream(state.core, state.routed);
   if (!continued)
     co_return continued;
@@ -99,6 +100,7 @@
   // The host that received the request has charged it.
   if (state.routed.is_relayed)
     co_return base::result<void>();
+  state.trace.wait = request_wait::kWorkspaceTokens;
   auto charged =
       co_await state.charge->Acquire([&state] { return CheckWait(state); });
   state.routed.token_wait = state.charge->waited();
@@ -129,6 +131,7 @@
     co_return tl::make_unexpected(std::move(*leaving));
   if (!state.routed.metadata.prompt.empty())
     decisions::RecordPrompt(state.core.prompts, state.routed.shared_parts);
+  state.trace.wait = request_wait::kTrial;
   co_await BeginTrialIfGranted(state.core, state.routed, state.responder);
   if (auto quarantined = state.crash_monitor.CheckQuarantine())
     co_return tl::make_unexpected(std::move(*quarantined));
--- a/src/host/request/request_trace.cc
+++ b/src/host/request/request_trace.cc
@@ -23,6 +23,30 @@
   return std::max<std::int64_t>(left.count(), 0);
 }
 
+// A request that ends later than this after its deadline is counted as late.
+constexpr std::chrono::milliseconds kLateTolerance{100};
+
+// Records a final response that is sent after the deadline.
+void RecordIfLate(host_core& core,
+                  const routed_request& routed,
+                  const request_trace& trace) {
+  if (routed.route == nullptr)
+    return;
+  const auto late = -RemainingTime(routed);
+  if (late < kLateTolerance)
+    return;
+  core.metrics.Counter("valeledge_late_requests_total", routed.route->name)
+      .Add();
+  core.metrics.Counter("valeledge_late_waits_total", NameOf(trace.wait)).Add();
+  core.log.Write(log_weight::kTrouble, log_event::kRequestLate,
+                 routed.metadata.id,
+                 {{"request", routed.metadata.id},
+                  {"route", routed.route->name},
+                  {"waits_for", std::string(NameOf(trace.wait))},
+                  {"late_ms", late.count()},
+                  {"after_ms", MillisecondsSince(routed.arrived)}});
+}
+
 // Counts requests by route, so that the share of those that are refused as
 // quarantined is known for each.
 void CountRequestOfRoute(host_core& core, const routed_request& routed) {
@@ -34,6 +58,34 @@
 
 }  // namespace
 
+std::string_view NameOf(request_wait wait) {
+  switch (wait) {
+    case request_wait::kStreamOrigin:
+      return "stream_origin";
+    case request_wait::kTrial:
+      return "trial";
+    case request_wait::kWorkspaceTokens:
+      return "workspace_tokens";
+    case request_wait::kPath:
+      return "path";
+    case request_wait::kServer:
+      return "server";
+    case request_wait::kEngineQueue:
+      return "engine_queue";
+    case request_wait::kSlot:
+      return "slot";
+    case request_wait::kAdapter:
+      return "adapter";
+    case request_wait::kResponseHeader:
+      return "response_header";
+    case request_wait::kResponseBody:
+      return "response_body";
+    case request_wait::kRefusalBody:
+      return "refusal_body";
+  }
+  return "unknown";
+}
+
 void RecordEventGap(const routed_request& routed, request_trace& trace) {
   using std::chrono::duration_cast;
   using std::chrono::milliseconds;
@@ -130,6 +182,8 @@
                caller_left ? "caller_left" : "answered")
       .Add();
   CountRequestOfRoute(core, routed);
+  if (!caller_left)
+    RecordIfLate(core, routed, trace);
   core.log.Write(
       log_weight::kOrdinary,
       caller_left ? log_event::kCallerLeft : log_event::kRequestServed,
@@ -151,6 +205,7 @@
   core.metrics.CountRefusal(failed.code);
   core.metrics.Counter("valeledge_requests_total", "failed").Add();
   CountRequestOfRoute(core, routed);
+  RecordIfLate(core, routed, trace);
   const bool has_route = routed.route != nullptr;
   if (has_route && failed.code == base::result_code::kQuarantined) {
     core.metrics
--- a/src/host/request/request_trace.h
+++ b/src/host/request/request_trace.h
@@ -6,6 +6,7 @@
 #include <chrono>
 #include <cstdint>
 #include <string>
+#include <string_view>
 
 #include "base/error.h"
 #include "host/process/host_core.h"
@@ -13,8 +14,32 @@
 
 namespace valeledge::host {
 
+// What a request waits for.
+enum class request_wait {
+  // The origin of the stream that it resumes.
+  kStreamOrigin,
+  // The reply to a request for a trial of quarantined prompt parts.
+  kTrial,
+  kWorkspaceTokens,
+  // Whether this or another host reaches the servers.
+  kPath,
+  // Any suitable server.
+  kServer,
+  kEngineQueue,
+  // A slot or a permit.
+  kSlot,
+  kAdapter,
+  kResponseHeader,
+  kResponseBody,
+  kRefusalBody,
+};
+
+// Returns the name of the value in metrics and log lines.
+std::string_view NameOf(request_wait wait);
+
 // Progress of a request over all its attempts.
 struct request_trace {
+  request_wait wait = request_wait::kServer;
   int attempts = 0;
   // Times that the request was sent through another host.
   int relays = 0;
--- a/src/host/request/response_forwarding.cc
+++ b/src/host/request/response_forwarding.cc
@@ -267,6 +267,7 @@
 asio::awaitable<attempt_outcome> ForwardResponse(request_state& state,
                                                  net::http_exchange& exchange,
                                                  server_attempt* attempt) {
+  state.trace.wait = request_wait::kResponseBody;
   const bool streams = state.routed.route->kind == route_kind::kStream &&
                        exchange.header().result_int() == 200;
   if (streams) {
--- a/src/host/request/server_search.cc
+++ b/src/host/request/server_search.cc
@@ -205,7 +205,8 @@
     host_core& core,
     const routed_request& routed,
     bool first_attempt,
-    const net::http_responder& responder) {
+    const net::http_responder& responder,
+    request_trace& trace) {
   asio::steady_timer pause(core.context);
   std::optional<milliseconds> retry_after;
   jitter_range jitter;
@@ -223,6 +224,7 @@
       base::MakeError(result_code::kNoBackendServer, base::outcome::kNotRun,
                       "no backend server currently accepts this request");
   while (!responder.caller_gone()) {
+    trace.wait = request_wait::kServer;
     const auto now = std::chrono::steady_clock::now();
     // A request may wait up to 8 s for a replica. If the host stops earlier,
     // its connection would be closed without a response.
@@ -233,6 +235,7 @@
       co_return tl::make_unexpected(std::move(*quarantined));
     const path_state path = PathOf(core, routed);
     if (path == path_state::kUndecided) {
+      trace.wait = request_wait::kPath;
       pause.expires_after(kPathRecheckInterval);
       co_await pause.async_wait(kAwait);
       continue;
@@ -258,6 +261,7 @@
             ExcludedInstances(core, routed, now, decisions::AllowsRequestsSoon);
         question.is_withdrawn = is_withdrawn;
         question.is_first = !std::exchange(has_asked, true);
+        trace.wait = request_wait::kEngineQueue;
         auto queued = co_await SelectInQueue(core, routed, query, *choice, turn,
                                              std::move(question));
         if (queued.outcome == queued_outcome::kGranted)
@@ -287,6 +291,7 @@
       }
     }
     if (choice) {
+      trace.wait = request_wait::kSlot;
       auto secured =
           co_await AcquirePermitOrSlot(core, routed, std::move(*choice));
       if (!secured)
@@ -331,6 +336,7 @@
     } else if (!choice && !core.servers.AnyHolds(query, now)) {
       if (routed.metadata.adapter.empty())
         break;
+      trace.wait = request_wait::kAdapter;
       const auto placed = co_await RequestAdapter(core, routed, wait);
       if (placed)
         continue;
--- a/src/host/request/server_search.h
+++ b/src/host/request/server_search.h
@@ -9,6 +9,7 @@
 
 #include <boost/asio/awaitable.hpp>
 
+#include "host/request/request_trace.h"
 #include "host/request/routed_request.h"
 #include "net/http_server.h"
 
@@ -17,12 +18,14 @@
 // Returns the server for the next attempt. Waits for a suitable server, and has
 // an adapter loaded if necessary. An error has the outcome kNotRun and a
 // retry-after delay. `first_attempt`: no attempt of the request can have run
-// yet, so the request may be refused if its response would be late.
+// yet, so the request may be refused if its response would be late. `trace`
+// states what the request waits for meanwhile.
 boost::asio::awaitable<base::result<server_choice>> FindServer(
     host_core& core,
     const routed_request& routed,
     bool first_attempt,
-    const net::http_responder& responder);
+    const net::http_responder& responder,
+    request_trace& trace);
 
 // Returns the best server for another attempt while one at `instance` is in
 // progress; nothing if there is none now.
