Tests: requests that are held past their deadlines, failing

request_deadlines: with a time-out of 300 ms, requests that wait for a slot, an origin, or an adapter are answered after 1500 ms; a refusal whose body does not end holds its request as long as the server sends (2 s here).

--- a/tests/auto/host/backend_stand_in.h
+++ b/tests/auto/host/backend_stand_in.h
@@ -3,6 +3,7 @@
 #ifndef VALELEDGE_TESTS_AUTO_HOST_BACKEND_STAND_IN_H_
 #define VALELEDGE_TESTS_AUTO_HOST_BACKEND_STAND_IN_H_
 
+#include <chrono>
 #include <deque>
 #include <functional>
 #include <memory>
@@ -30,6 +31,9 @@
   std::string bytes;
   enum class connection_action { kKeep, kClose, kReset, kHang };
   connection_action after_sending = connection_action::kKeep;
+  // If set, a byte is sent at this interval until the connection is closed, at
+  // most for kMaxTrickle.
+  std::chrono::milliseconds trickle{0};
 };
 
 class backend_stand_in {
@@ -49,6 +53,8 @@
   std::vector<net::http_request> requests;
   // While set, requests are recorded but not responded to.
   bool holds_responses = false;
+  // Called for each request.
+  std::function<void()> on_request;
   // Sends the responses that were held.
   void ReleaseResponses() {
     holds_responses = false;
@@ -59,6 +65,7 @@
   int abandoned = 0;
 
  private:
+  static constexpr std::chrono::seconds kMaxTrickle{2};
   static constexpr auto kAwait =
       boost::asio::as_tuple(boost::asio::use_awaitable);
   using socket = boost::asio::ip::tcp::socket;
@@ -86,6 +93,8 @@
         script.pop_front();
       const std::string id(request["X-Request-Id"]);
       requests.push_back(std::move(request));
+      if (on_request)
+        on_request();
       while (holds_responses)
         co_await released_.async_wait(kAwait);
       const std::size_t at = response.bytes.find("$ID");
@@ -93,6 +102,10 @@
         response.bytes.replace(at, 3, id);
       co_await boost::asio::async_write(
           link, boost::asio::buffer(response.bytes), kAwait);
+      if (response.trickle.count() > 0) {
+        co_await Trickle(link, response.trickle);
+        co_return;
+      }
       if (response.after_sending == scripted_response::connection_action::kKeep)
         continue;
       if (response.after_sending ==
@@ -110,6 +123,18 @@
     }
   }
 
+  boost::asio::awaitable<void> Trickle(socket& link,
+                                       std::chrono::milliseconds interval) {
+    boost::asio::steady_timer timer(context_);
+    boost::system::error_code failed;
+    const auto until = std::chrono::steady_clock::now() + kMaxTrickle;
+    while (!failed && std::chrono::steady_clock::now() < until) {
+      timer.expires_after(interval);
+      co_await timer.async_wait(kAwait);
+      link.write_some(boost::asio::buffer("x", 1), failed);
+    }
+  }
+
   boost::asio::io_context& context_;
   boost::asio::ip::tcp::acceptor acceptor_;
   boost::asio::steady_timer released_{
