Calls to other hosts end within their time, also while they connect

Callers saw requests held past their time-outs while a host was without power: the host that gives out slots, or adapters, was called by several requests at once, and each call waited for the attempts to connect of all calls before it, 500 ms each. The time of a call began only once it was connected. In addition, calls that waited for the same attempt woke each other without end, since all of them set one shared timer again: a host spent all its processor time on it.

Now one attempt serves all calls that wait meanwhile, and its failure is theirs too; each call waits for it with a timer of its own, which ends with its time. The attempt goes on for later calls.

--- a/src/net/rpc_channel.cc
+++ b/src/net/rpc_channel.cc
@@ -2,6 +2,7 @@
 #include "net/rpc_channel.h"
 
 #include <algorithm>
+#include <list>
 #include <optional>
 #include <string>
 #include <utility>
@@ -30,6 +31,12 @@
 // lost with it.
 constexpr auto kSilentAfter = std::chrono::milliseconds(1000);
 
+// An attempt to connect, and the calls that wait for it.
+struct link_attempt {
+  bool ended = false;
+  std::list<asio::steady_timer*> waiting;
+};
+
 struct waiting_call {
   explicit waiting_call(asio::io_context& context) : done(context) {}
 
@@ -54,10 +61,14 @@
           std::shared_ptr<totals> totals_in)
       : context(context_in),
         where(std::move(where_in)),
-        counted(std::move(totals_in)),
-        connected(context_in) {}
-
-  asio::awaitable<bool> Connect();
+        counted(std::move(totals_in)) {}
+
+  bool IsLinked() const { return link != nullptr && !link->broken; }
+  // Waits at most until `until` for the connection. All calls that wait at the
+  // same time share one attempt to connect, and its failure.
+  asio::awaitable<bool> WaitForLink(
+      std::chrono::steady_clock::time_point until);
+  asio::awaitable<void> OpenLink(std::shared_ptr<link_attempt> attempt);
   asio::awaitable<void> ReadReplies(std::shared_ptr<detail::frame_link> from);
   bool Queue(const wire::envelope& call);
   void NotePart();
@@ -68,8 +79,8 @@
   asio::io_context& context;
   base::endpoint where;
   std::shared_ptr<totals> counted;
-  asio::steady_timer connected;
-  bool connecting = false;
+  // Null if none is in progress.
+  std::shared_ptr<link_attempt> opening;
   std::shared_ptr<detail::frame_link> link;
   // When a reply last came, and since when calls have had none.
   std::chrono::steady_clock::time_point replied_at;
@@ -78,15 +89,28 @@
   std::map<std::int64_t, std::shared_ptr<waiting_call>> waiting;
 };
 
-asio::awaitable<bool> rpc_channel_set::channel::Connect() {
+asio::awaitable<bool> rpc_channel_set::channel::WaitForLink(
+    std::chrono::steady_clock::time_point until) {
   const auto self = shared_from_this();
-  while (connecting) {
-    connected.expires_at(asio::steady_timer::time_point::max());
-    co_await connected.async_wait(kAwait);
-  }
-  if (link != nullptr && !link->broken)
+  if (IsLinked())
     co_return true;
-  connecting = true;
+  if (opening == nullptr) {
+    opening = std::make_shared<link_attempt>();
+    asio::co_spawn(context, OpenLink(opening), asio::detached);
+  }
+  const std::shared_ptr<link_attempt> attempt = opening;
+  asio::steady_timer timer(context, until);
+  attempt->waiting.push_back(&timer);
+  const auto place = std::prev(attempt->waiting.end());
+  if (!attempt->ended)
+    co_await timer.async_wait(kAwait);
+  attempt->waiting.erase(place);
+  co_return IsLinked();
+}
+
+asio::awaitable<void> rpc_channel_set::channel::OpenLink(
+    std::shared_ptr<link_attempt> attempt) {
+  const auto self = shared_from_this();
   auto fresh =
       std::make_shared<detail::frame_link>(asio::ip::tcp::socket(context));
   asio::steady_timer limit(context, kConnectTimeout);
@@ -98,16 +122,17 @@
   const auto [failed] =
       co_await fresh->socket.async_connect(ToTcp(where), kAwait);
   limit.cancel();
-  connecting = false;
-  connected.cancel();
-  if (failed || !fresh->socket.is_open())
-    co_return false;
-  boost::system::error_code ignored;
-  fresh->socket.set_option(asio::ip::tcp::no_delay(true), ignored);
-  link = fresh;
-  silent_since.reset();
-  asio::co_spawn(context, ReadReplies(fresh), asio::detached);
-  co_return true;
+  if (!failed && fresh->socket.is_open()) {
+    boost::system::error_code ignored;
+    fresh->socket.set_option(asio::ip::tcp::no_delay(true), ignored);
+    link = fresh;
+    silent_since.reset();
+    asio::co_spawn(context, ReadReplies(fresh), asio::detached);
+  }
+  opening = nullptr;
+  attempt->ended = true;
+  for (asio::steady_timer* each : attempt->waiting)
+    each->cancel();
 }
 
 asio::awaitable<void> rpc_channel_set::channel::ReadReplies(
@@ -208,9 +233,8 @@
     base::endpoint where,
     wire::envelope call,
     std::chrono::microseconds timeout) {
-  reply_limit limit = [timeout](const reply_progress& progress) {
-    return progress.sent + timeout;
-  };
+  const auto until = std::chrono::steady_clock::now() + timeout;
+  reply_limit limit = [until](const reply_progress&) { return until; };
   auto reply =
       co_await Send(std::move(where), std::move(call), false, std::move(limit));
   co_return reply;
@@ -231,7 +255,9 @@
     bool follows_parts,
     reply_limit limit) {
   const std::shared_ptr<channel> target = Find(where);
-  const bool connected = co_await target->Connect();
+  const auto called = std::chrono::steady_clock::now();
+  const bool connected =
+      co_await target->WaitForLink(limit({called, 0, called}));
   if (!connected) {
     co_return base::NotRun(result_code::kPeerUnreachable,
                            base::ToString(where) + ": no connection");
@@ -282,7 +308,8 @@
                              const wire::envelope& call) {
   auto send = [target = Find(where),
                call = wire::envelope(call)]() mutable -> asio::awaitable<void> {
-    const bool connected = co_await target->Connect();
+    const bool connected = co_await target->WaitForLink(
+        std::chrono::steady_clock::now() + kConnectTimeout);
     if (!connected)
       co_return;
     call.call_id = 0;
--- a/src/net/rpc_channel.h
+++ b/src/net/rpc_channel.h
@@ -39,8 +39,9 @@
   explicit rpc_channel_set(boost::asio::io_context& context);
   ~rpc_channel_set();
 
-  // Sends `call` and waits for its reply. Any failure is kPeerUnreachable;
-  // its outcome is `not_run` if the call never left this process.
+  // Sends `call` and waits for its reply; `timeout` includes the time to
+  // connect. Any failure is kPeerUnreachable; its outcome is `not_run` if the
+  // call never left this process.
   boost::asio::awaitable<base::result<wire::envelope>> Call(
       base::endpoint where,
       wire::envelope call,
