The body of a refusal no longer holds its request

Callers were held until they left by a server that refused (503 not run, or 421) with a body that does not end: it was read so that the connection could be reused, bounded only by 250 ms of silence. The same in attempts through another host, and in the gateway after the end marker of a stream. The rest is read in the background now, at most 64 KiB and 250 ms, or the connection is closed.

Same class, by reading: the time for a response header began after the time to connect, so both added up beyond the deadline; a part of a message without an end was buffered without a bound; a read did not time out while data without content kept coming.

--- a/src/gateway/request/attempt.cc
+++ b/src/gateway/request/attempt.cc
@@ -132,11 +132,7 @@
         result_code::kAnswerBroken,
         "the response of the backend server ended without its end marker");
   }
-  // Reads the end of the HTTP body, so that the connection can be reused.
-  const auto rest =
-      co_await context.open->ReadSome(context.settings.stall_timeout);
-  if (rest && !rest->empty())
-    context.open->Abandon();
+  context.http.DiscardBody(context.open);
   co_return base::result<void>();
 }
 
@@ -176,7 +172,8 @@
       std::min(Remaining(request.common), context.settings.stall_timeout);
   auto opened = co_await context.http.Open(
       context.issued.address, BuildRequest(request, context.issued, response),
-      std::min(timeout, context.settings.connect_timeout), timeout);
+      net::open_limit{std::min(timeout, context.settings.connect_timeout),
+                      timeout, request.common.deadline});
   if (!opened) {
     out.report.what_ran = opened.error().what_ran;
     out.report.unreachable = true;
--- a/src/gateway/request/service_exchange.cc
+++ b/src/gateway/request/service_exchange.cc
@@ -153,7 +153,9 @@
   const auto timeout = Remaining(call_.common);
   auto opened = co_await frontend_.http().Open(
       issued.address, std::move(request),
-      std::min(timeout, frontend_.settings().connect_timeout), timeout, use);
+      net::open_limit{std::min(timeout, frontend_.settings().connect_timeout),
+                      timeout, call_.common.deadline},
+      use);
   if (!opened)
     co_return tl::make_unexpected(opened.error());
   net::http_response response((*opened)->header());
--- a/src/host/request/direct_attempt.cc
+++ b/src/host/request/direct_attempt.cc
@@ -75,11 +75,14 @@
   state.trace.wait = request_wait::kResponseHeader;
   auto opened = co_await state.core.http.Open(
       server.entry.address, std::move(forwarded),
-      std::min(RemainingTime(state.routed), kConnectTimeout), header_timeout,
+      net::open_limit{kConnectTimeout, header_timeout, state.routed.deadline},
       use, state.guard.get());
   if (state.responder.caller_gone())
     co_return OutcomeWithoutCaller(opened);
-  if (!opened && WasWithheld(opened.error())) {
+  const bool not_sent =
+      !opened && (WasWithheld(opened.error()) ||
+                  opened.error().code == result_code::kDeadlinePassed);
+  if (not_sent) {
     state.last_error = opened.error();
     co_return attempt_outcome::kNotRun;
   }
@@ -124,13 +127,7 @@
         base::MakeError(result_code::kBackendRefused, base::outcome::kNotRun,
                         "the backend server responded with status " +
                             std::to_string(exchange.header().result_int()));
-    state.trace.wait = request_wait::kRefusalBody;
-    // Read the body of the refusal so that the connection can be reused.
-    while (true) {
-      const auto piece = co_await exchange.ReadSome(kConnectTimeout);
-      if (!piece || piece->empty())
-        break;
-    }
+    state.core.http.DiscardBody(*opened);
     co_return attempt_outcome::kNotRun;
   }
   const attempt_outcome outcome =
--- a/src/host/request/peer_attempt.cc
+++ b/src/host/request/peer_attempt.cc
@@ -23,33 +23,26 @@
 using base::result_code;
 
 // Handles an error of the other host itself.
-asio::awaitable<attempt_outcome> TakePeerError(request_state& state,
-                                               net::http_exchange& exchange,
-                                               const base::endpoint& peer,
-                                               result_code code) {
+attempt_outcome TakePeerError(request_state& state,
+                              const net::http_exchange& exchange,
+                              const base::endpoint& peer,
+                              result_code code) {
   const bool not_run = exchange.header().result_int() < 500 ||
                        exchange.header().result_int() == 503;
   const auto retry_after =
       net::ReadRetryAfter(exchange.header(), std::chrono::system_clock::now());
-  state.trace.wait = request_wait::kRefusalBody;
-  // Read the body so that the connection can be reused.
-  while (true) {
-    const auto piece = co_await exchange.ReadSome(kRelayConnectTimeout);
-    if (!piece || piece->empty())
-      break;
-  }
   if (code == result_code::kPathLost || code == result_code::kLeaving) {
     state.core.paths->OnRelayFailed(state.routed.service->name, peer);
     state.last_error = base::MakeError(
         result_code::kBackendUnreachable, base::outcome::kNotRun,
         base::ToString(peer) + ": takes no requests of other hosts");
-    co_return attempt_outcome::kNotRun;
+    return attempt_outcome::kNotRun;
   }
   state.peer_error = base::MakeError(
       code, not_run ? base::outcome::kNotRun : base::outcome::kUnknown,
       base::ToString(peer) + ": could not serve the request");
   state.peer_error->retry_after = retry_after.delay;
-  co_return not_run ? attempt_outcome::kNotRun : attempt_outcome::kUnknown;
+  return not_run ? attempt_outcome::kNotRun : attempt_outcome::kUnknown;
 }
 
 // Applies what a server has stated to the other host.
@@ -85,14 +78,16 @@
       peer,
       MakeRelayedRequest(state.core, state.request, state.routed,
                          state.trace.last_event_id, state.possible_executions),
-      std::min(RemainingTime(state.routed), kRelayConnectTimeout),
-      HeaderTimeout(state), net::connection_use::kPooled, state.guard.get());
+      net::open_limit{kRelayConnectTimeout, HeaderTimeout(state),
+                      state.routed.deadline},
+      net::connection_use::kPooled, state.guard.get());
   if (state.responder.caller_gone())
     co_return OutcomeWithoutCaller(opened);
   if (!opened) {
     state.last_error = opened.error();
     ExplainAbandoned(state);
-    state.core.paths->OnRelayFailed(state.routed.service->name, peer);
+    if (state.last_error.code != result_code::kDeadlinePassed)
+      state.core.paths->OnRelayFailed(state.routed.service->name, peer);
     LogAttemptFailed(state.core, state.routed, state.trace,
                      base::ToString(peer), state.last_error);
     co_return state.last_error.what_ran == base::outcome::kNotRun
@@ -109,9 +104,8 @@
       });
   const relayed_response stated = ReadRelayFields(exchange.header());
   if (stated.code != result_code::kOk) {
-    const attempt_outcome outcome =
-        co_await TakePeerError(state, exchange, peer, stated.code);
-    co_return outcome;
+    state.core.http.DiscardBody(*opened);
+    co_return TakePeerError(state, exchange, peer, stated.code);
   }
   const response_metadata metadata =
       state.core.protocol.read_response(exchange.header());
--- a/src/net/http_client.cc
+++ b/src/net/http_client.cc
@@ -8,6 +8,8 @@
 #include <utility>
 
 #include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
@@ -19,11 +21,15 @@
 
 namespace detail {
 
+// Largest part of a message that is read as a whole, such as its header.
+constexpr std::size_t kMaxBufferedBytes = 256 * 1024;
+
 struct connection {
   explicit connection(boost::asio::io_context& context) : stream(context) {}
 
   boost::beast::tcp_stream stream;
-  boost::beast::flat_buffer buffer;
+  // Bounded, for a message whose parts do not end.
+  boost::beast::flat_buffer buffer{kMaxBufferedBytes};
   // Idle connections are not used from here on.
   std::chrono::steady_clock::time_point stale_at;
 };
@@ -56,6 +62,11 @@
 // Largest header of an answer.
 constexpr std::uint32_t kAnswerHeaderBytes = 64 * 1024;
 
+// A body that is not used is read if it is no longer and no slower than this:
+// then a new connection costs more.
+constexpr std::size_t kMaxDiscardedBytes = 64 * 1024;
+constexpr auto kMaxDiscardTime = std::chrono::milliseconds(250);
+
 using detail::connection;
 
 // True if the other side has closed or sent something unasked: such a
@@ -174,7 +185,8 @@
   auto& body = state_->parser.get().body();
   body.data = state_->piece.data();
   body.size = state_->piece.size();
-  state_->link->stream.expires_after(timeout);
+  const auto until = std::chrono::steady_clock::now() + timeout;
+  state_->link->stream.expires_at(until);
   state_->reading = true;
   std::size_t taken = 0;
   boost::system::error_code failed;
@@ -186,6 +198,11 @@
     failed =
         code == http::error::need_buffer ? boost::system::error_code() : code;
     taken = state_->piece.size() - body.size;
+    // The stream does not time out while data is ready.
+    const bool is_late =
+        taken == 0 && std::chrono::steady_clock::now() >= until;
+    if (!failed && is_late)
+      failed = beast::error::timeout;
   }
   state_->reading = false;
   if (failed) {
@@ -220,10 +237,11 @@
 
 asio::awaitable<base::result<std::unique_ptr<detail::connection>>>
 http_client::Connect(base::endpoint where,
-                     std::chrono::microseconds timeout,
+                     open_limit limit,
                      open_guard* guard) {
   auto link = std::make_unique<connection>(context_);
-  link->stream.expires_after(timeout);
+  const auto now = std::chrono::steady_clock::now();
+  link->stream.expires_at(std::min(now + limit.connect, limit.deadline));
   if (guard != nullptr)
     guard->link_ = link.get();
   const auto [failed] =
@@ -232,6 +250,10 @@
     co_return base::NotRun(result_code::kBackendUnreachable,
                            Explain(where, "no connection", failed));
   }
+  if (std::chrono::steady_clock::now() >= limit.deadline) {
+    co_return base::NotRun(result_code::kDeadlinePassed,
+                           base::ToString(where) + ": connected too late");
+  }
   // Without it the call is slower, and no less right.
   boost::system::error_code ignored;
   link->stream.socket().set_option(asio::ip::tcp::no_delay(true), ignored);
@@ -241,7 +263,8 @@
 asio::awaitable<base::result<void>> http_client::Preconnect(
     base::endpoint where,
     std::chrono::microseconds timeout) {
-  auto connected = co_await Connect(where, timeout, nullptr);
+  const open_limit limit{timeout, {}};
+  auto connected = co_await Connect(where, limit, nullptr);
   if (!connected)
     co_return tl::make_unexpected(connected.error());
   (*connected)->stale_at = std::chrono::steady_clock::now() + kIdleTimeout;
@@ -252,8 +275,7 @@
 asio::awaitable<base::result<std::shared_ptr<http_exchange>>> http_client::Open(
     base::endpoint where,
     http_request request,
-    std::chrono::microseconds connect_timeout,
-    std::chrono::microseconds header_timeout,
+    open_limit limit,
     connection_use use,
     open_guard* guard) {
   open_guard unused;
@@ -268,7 +290,7 @@
   if (use == connection_use::kPooled)
     link = pool_->Take(where);
   if (link == nullptr) {
-    auto connected = co_await Connect(where, connect_timeout, &watched);
+    auto connected = co_await Connect(where, limit, &watched);
     if (!connected)
       co_return tl::make_unexpected(connected.error());
     link = std::move(*connected);
@@ -285,7 +307,8 @@
   if (request.find(http::field::host) == request.end())
     request.set(http::field::host, base::ToString(where));
   request.prepare_payload();
-  link->stream.expires_after(header_timeout);
+  link->stream.expires_at(std::min(
+      std::chrono::steady_clock::now() + limit.header, limit.deadline));
   const auto [write_failed, written] =
       co_await http::async_write(link->stream, request, kAwait);
   if (write_failed) {
@@ -339,8 +362,8 @@
     connection_use use,
     std::function<void()> on_part) {
   const auto deadline = std::chrono::steady_clock::now() + limit.whole;
-  auto opened = co_await Open(where, std::move(request), limit.silence,
-                              limit.silence, use);
+  const open_limit until_header{limit.silence, limit.silence, deadline};
+  auto opened = co_await Open(where, std::move(request), until_header, use);
   if (!opened)
     co_return tl::make_unexpected(opened.error());
   const std::shared_ptr<http_exchange>& exchange = *opened;
@@ -366,6 +389,27 @@
   co_return answer;
 }
 
+asio::awaitable<void> http_client::Discard(
+    std::shared_ptr<http_exchange> exchange) {
+  const auto until = std::chrono::steady_clock::now() + kMaxDiscardTime;
+  std::size_t bytes = 0;
+  while (bytes <= kMaxDiscardedBytes) {
+    const auto left = std::chrono::duration_cast<std::chrono::microseconds>(
+        until - std::chrono::steady_clock::now());
+    if (left.count() <= 0)
+      break;
+    const auto piece = co_await exchange->ReadSome(left);
+    if (!piece || piece->empty())
+      co_return;
+    bytes += piece->size();
+  }
+  exchange->Abandon();
+}
+
+void http_client::DiscardBody(std::shared_ptr<http_exchange> exchange) {
+  asio::co_spawn(context_, Discard(std::move(exchange)), asio::detached);
+}
+
 void http_client::CloseStale() {
   const auto now = std::chrono::steady_clock::now();
   for (auto& [where, connections] : pool_->idle) {
--- a/src/net/http_client.h
+++ b/src/net/http_client.h
@@ -108,6 +108,17 @@
   std::chrono::microseconds whole;
 };
 
+// How long a call may wait for its response header.
+struct open_limit {
+  // For a connection.
+  std::chrono::microseconds connect;
+  // From then on for the header.
+  std::chrono::microseconds header;
+  // For both.
+  std::chrono::steady_clock::time_point deadline =
+      std::chrono::steady_clock::time_point::max();
+};
+
 // Makes calls on one io_context; not thread-safe. Errors tell whether any
 // byte of the request was handed to a connection: `not_run` if none was,
 // `unknown` otherwise.
@@ -132,16 +143,20 @@
       std::function<void()> on_part);
 
   // Sends a request and reads the answer's header; the body is left to the
-  // exchange. `connect_timeout` bounds the connection alone. The Host field is
-  // the endpoint unless the request has one.
+  // exchange. If the connection is open only after the deadline, nothing is
+  // sent and the error is kDeadlinePassed. The Host field is the endpoint
+  // unless the request has one.
   boost::asio::awaitable<base::result<std::shared_ptr<http_exchange>>> Open(
       base::endpoint where,
       http_request request,
-      std::chrono::microseconds connect_timeout,
-      std::chrono::microseconds header_timeout,
+      open_limit limit,
       connection_use use = connection_use::kPooled,
       open_guard* guard = nullptr);
 
+  // Reads the rest of a body that is not used, in the background, so that the
+  // connection can be reused. Closes it if the rest is long or slow.
+  void DiscardBody(std::shared_ptr<http_exchange> exchange);
+
   // Opens a connection and keeps it as an idle one. An error means that none
   // could be opened within `timeout`.
   boost::asio::awaitable<base::result<void>> Preconnect(
@@ -163,9 +178,10 @@
 
   // Opens a connection for the guard's call.
   boost::asio::awaitable<base::result<std::unique_ptr<detail::connection>>>
-  Connect(base::endpoint where,
-          std::chrono::microseconds timeout,
-          open_guard* guard);
+  Connect(base::endpoint where, open_limit limit, open_guard* guard);
+
+  static boost::asio::awaitable<void> Discard(
+      std::shared_ptr<http_exchange> exchange);
 
   // Sends a request and reads the answer's body until `limit` says.
   boost::asio::awaitable<base::result<http_response>> ReadWhole(
--- a/src/store/etcd_client.cc
+++ b/src/store/etcd_client.cc
@@ -259,9 +259,11 @@
   const json::object body = {{"create_request", std::move(create)}};
   auto request = net::MakeRequest(boost::beast::http::verb::post, "/v3/watch",
                                   json::serialize(body));
-  const auto opened = co_await state_->http.Open(
-      state_->settings.service, std::move(request), state_->settings.timeout,
-      state_->settings.timeout, net::connection_use::kFresh);
+  const net::open_limit limit{state_->settings.timeout,
+                              state_->settings.timeout};
+  const auto opened =
+      co_await state_->http.Open(state_->settings.service, std::move(request),
+                                 limit, net::connection_use::kFresh);
   if (!opened)
     co_return tl::make_unexpected(AsPlatformError(opened.error()));
   const auto deadline = std::chrono::steady_clock::now() + longest;
--- a/src/tools/load/caller.cc
+++ b/src/tools/load/caller.cc
@@ -131,9 +131,9 @@
   out.at = each.at;
   const base::endpoint gateway =
       state.plan.gateways[index % state.plan.gateways.size()];
-  const auto opened =
-      co_await state.client.Open(gateway, MakeRequest(state.plan, each),
-                                 state.plan.deadline, state.plan.deadline);
+  const auto opened = co_await state.client.Open(
+      gateway, MakeRequest(state.plan, each),
+      net::open_limit{state.plan.deadline, state.plan.deadline});
   if (!opened) {
     out.code = kBroken;
     out.outcome = base::ToString(opened.error().what_ran);
--- a/tests/auto/net/test_http.cc
+++ b/tests/auto/net/test_http.cc
@@ -156,8 +156,8 @@
   BOOST_TEST(one.Run([&]() -> asio::awaitable<void> {
     for (allowed = false; opened.size() < 2; allowed = true) {
       const auto exchange = co_await one.client.Open(
-          one.where, net::MakeRequest(boost::beast::http::verb::get, "/"), 1s,
-          5s, net::connection_use::kPooled, &guard);
+          one.where, net::MakeRequest(boost::beast::http::verb::get, "/"),
+          net::open_limit{1s, 5s}, net::connection_use::kPooled, &guard);
       opened.push_back(exchange.has_value());
     }
   }));
@@ -193,8 +193,8 @@
   BOOST_TEST(one.Run([&]() -> asio::awaitable<void> {
     for (base::outcome* each : {&first, &second}) {
       const auto opened = co_await one.client.Open(
-          one.where, net::MakeRequest(boost::beast::http::verb::get, "/"), 1s,
-          5s, net::connection_use::kPooled, &guard);
+          one.where, net::MakeRequest(boost::beast::http::verb::get, "/"),
+          net::open_limit{1s, 5s}, net::connection_use::kPooled, &guard);
       *each = opened ? base::outcome::kCompleted : opened.error().what_ran;
     }
     if (!gone)
@@ -298,7 +298,7 @@
   BOOST_TEST(one.Run([&]() -> asio::awaitable<void> {
     const auto where = net::FromTcp(acceptor.local_endpoint());
     const auto ends = co_await one.client.Open(
-        where, net::MakeRequest(http::verb::get, "/"), 1s, 1s);
+        where, net::MakeRequest(http::verb::get, "/"), net::open_limit{1s, 1s});
     unframed = (*ends)->EndsWithConnection();
     while (true) {
       const auto piece = co_await (*ends)->ReadSome(1s);
@@ -307,7 +307,8 @@
       body.append(*piece);
     }
     const auto stays = co_await one.client.Open(
-        one.where, net::MakeRequest(http::verb::get, "/"), 1s, 1s);
+        one.where, net::MakeRequest(http::verb::get, "/"),
+        net::open_limit{1s, 1s});
     framed = !(*stays)->EndsWithConnection();
   }));
   BOOST_TEST(unframed);
@@ -331,7 +332,8 @@
   BOOST_TEST(one.Run([&]() -> asio::awaitable<void> {
     {
       const auto first = co_await one.client.Open(
-          one.where, net::MakeRequest(http::verb::post, "/", "first"), 1s, 1s);
+          one.where, net::MakeRequest(http::verb::post, "/", "first"),
+          net::open_limit{1s, 1s});
       co_await (*first)->ReadSome(1s);
     }
     const auto answer = co_await one.client.Fetch(
