Tests on real hosts: no response later than half a second after its time-out

The soak has a promise "late" of its own (so far a response might come up to 2 s after the caller's deadline, and no route's time-out was looked at), servers whose responses do not end, and hosts that cannot even be connected to.

--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -16,6 +16,8 @@
 DEADLINE_MS = 4000
 TOKENS = 25
 LEAVES_AFTER_S = 0.1
+# A response may end so long after its time.
+LATE_S = 0.5
 # Callers whose hosts have all ended wait so long for one that is ready.
 RESTARTED_S = 3.0
 
@@ -149,6 +151,7 @@
         target = f"/{kind}/{ending or name}"
         if ending:
             method, body = "POST", backends.ENDS_SERVERS + ending.encode()
+        begun, calm = time.monotonic(), self.host.in_touch()
         self.ledger.sent[name] = Sent(kind, method, target, body, may_repeat,
                                       2 if may_repeat else 1, self.host.name,
                                       not self.host.disturbed(),
@@ -197,6 +200,18 @@
             if not (ending or self._ending_part() or self._may_be_late(name)):
                 self.host.note_cut(name, kind, type(failed).__name__)
             return False
+        finally:
+            if calm:
+                self._check_time(name, kind, begun)
+
+    def _check_time(self, name, kind, begun) -> None:
+        """The response to a request at an undisturbed host has ended."""
+        limit = min(deployment.timeout_s(kind), self.deadline_ms / 1000)
+        took = time.monotonic() - begun
+        if took > limit + LATE_S and self.host.in_touch() and not self.left:
+            self.ledger.break_promise(
+                "late", f"{name} ({kind}) was held by {self.host.name} for "
+                f"{took:.2f} of {limit} s")
 
     def _note_sent(self, name, kind, model) -> None:
         """A request is about to be sent."""
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -10,7 +10,7 @@
 from callers import Caller
 from high_load import LoadFaults
 from platform_standin import backends, deployment
-from proxy import Mode
+from proxy import BlockedPort, Mode
 
 
 @dataclass(frozen=True)
@@ -189,6 +189,25 @@
     return sorted(plan + more, key=lambda each: each.at), True
 
 
+# Servers whose responses do not end and hosts that lose power, and how many
+# come in a run.
+ENDLESS_SPOILS_S = 8.0
+ENDLESS_SERVERS, POWER_LOSSES = [1, 2, 3], [0, 1, 1]
+
+
+def add_endless(plan: list[Fault], rng: random.Random,
+                seconds: float) -> list[Fault]:
+    """The plan with servers whose responses do not end, and with hosts that
+    lose power; by a generator of its own as well."""
+    more = [Fault(rng.uniform(0, seconds), "server_endless",
+                  rng.randrange(1000), rng.uniform(1.0, 4.0))
+            for _ in range(rng.choice(ENDLESS_SERVERS))]
+    more += [Fault(rng.uniform(0, seconds), "host_power", rng.randrange(1000),
+                   rng.uniform(1.0, 4.0))
+             for _ in range(rng.choice(POWER_LOSSES))]
+    return sorted(plan + more, key=lambda each: each.at)
+
+
 class Injector(LoadFaults):
     """Carries out a plan on a site, from outside its programs."""
 
@@ -245,6 +264,20 @@
             host.disturb(0)
             self.busy.discard(host)
 
+    async def _host_power(self, fault):
+        """A host is killed, and other hosts cannot even open a connection."""
+        host = self._host(fault)
+        if host is None:
+            return
+        self.busy.add(host)
+        await host.kill()
+        blocked = BlockedPort(host.ports["peers"])
+        await asyncio.sleep(fault.for_s)
+        blocked.close()
+        await host.start(first=False)
+        host.disturb(0)
+        self.busy.discard(host)
+
     async def _host_freeze(self, fault):
         host = self._host(fault)
         if host is None:
@@ -406,6 +439,20 @@
             server.brittle = None
         self.site.ledger.check_falls(len(servers))
 
+    async def _server_endless(self, fault):
+        """Some responses of a server do not end."""
+        server = self.site.servers[fault.target % len(self.site.servers)]
+        if server.endless:
+            return
+        server.endless = list(backends.ENDLESS)[
+            fault.target % len(backends.ENDLESS)]
+        server.endless_share = [0.2, 0.6, 1.0][fault.target % 3]
+        # Its streams end at their deadline.
+        self.site.ledger.spoil(server.instance, time.monotonic() + fault.for_s
+                               + ENDLESS_SPOILS_S)
+        await asyncio.sleep(fault.for_s)
+        server.endless = ""
+
     async def _server_leave_unsaid(self, fault):
         await self._server_leave(fault, tells_store=False)
 
--- a/tests/soak/high_load.py
+++ b/tests/soak/high_load.py
@@ -69,6 +69,9 @@
         self.deadline_ms = PATIENT_DEADLINE_MS
         self.body_start = backends.LONG_EVENTS.decode()
 
+    def _check_time(self, name, kind, begun) -> None:
+        """It is late itself."""
+
     async def _take_stream(self, name, kind, answer, stream) -> None:
         self.ledger.load.unread_streams += 1
         self.ledger.count(kind, "not read")
--- a/tests/soak/proxy.py
+++ b/tests/soak/proxy.py
@@ -87,13 +87,35 @@
             self.mode is Mode.SILENT_BACK and backward)
 
 
+class BlockedPort:
+    """A port on loopback to which no connection can be opened: the kernel drops
+    the opening packets, as for a machine without power."""
+
+    def __init__(self, port: int):
+        listener = socket.socket()
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        listener.bind(("127.0.0.1", port))
+        listener.listen(0)
+        self.sockets = [listener]
+        # They fill the queue of the listener.
+        for _ in range(3):
+            filler = socket.socket()
+            filler.setblocking(False)
+            filler.connect_ex(("127.0.0.1", port))
+            self.sockets.append(filler)
+
+    def close(self) -> None:
+        for each in self.sockets:
+            each.close()
+
+
 class HostLink(Proxy):
     """The path from one host to one backend server, which can be cut."""
 
     def __init__(self, target: int):
         super().__init__(target)
-        # Sockets that keep new connections from being accepted.
-        self.blocking = []
+        # Set while no new connection can be opened.
+        self.blocked = None
 
     def cut(self, how: str) -> None:
         """`silent`: nothing passes; `back`: nothing comes back; `reset`:
@@ -104,25 +126,12 @@
             self.reset()
         if how in ("silent", "back"):
             self.mode = Mode.SILENT if how == "silent" else Mode.SILENT_BACK
-            self._block()
-
-    def _block(self) -> None:
-        """Listens with a full queue: the kernel drops opening packets."""
-        listener = socket.socket()
-        listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        listener.bind(("127.0.0.1", self.port))
-        listener.listen(0)
-        self.blocking.append(listener)
-        for _ in range(3):
-            filler = socket.socket()
-            filler.setblocking(False)
-            filler.connect_ex(("127.0.0.1", self.port))
-            self.blocking.append(filler)
+            self.blocked = BlockedPort(self.port)
 
     async def heal(self) -> None:
-        for each in self.blocking:
-            each.close()
-        self.blocking = []
+        if self.blocked:
+            self.blocked.close()
+        self.blocked = None
         self.mode = Mode.PASS
         await self.start()
 
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -23,7 +23,7 @@
 from platform_standin.store import Store  # noqa: E402
 from callers import Caller  # noqa: E402
 from faults import (Injector, add_ending_parts,  # noqa: E402
-                    add_ending_requests, add_high_load, add_limits,
+                    add_ending_requests, add_endless, add_high_load, add_limits,
                     add_notices, add_partitions, add_versions, make_plan)
 from hosts import Host, ports_of_run  # noqa: E402
 from high_load import make_callers  # noqa: E402
@@ -273,6 +273,8 @@
     if args.high_load:
         plan, high_load = add_high_load(plan, random.Random(seed + 7),
                                         args.seconds)
+    if args.endless:
+        plan = add_endless(plan, random.Random(seed + 8), args.seconds)
     (folder / "plan.txt").write_text("\n".join(map(str, plan)) + "\n")
     site = Site(seed, args, folder)
     site.software, site.high_load = software, high_load
@@ -320,6 +322,7 @@
         again.versions = len(words) > 7
         again.ending_parts = len(words) > 8
         again.high_load = len(words) > 9
+        again.endless = len(words) > 10
         if not again.partitions:
             again.connect_shim = None
         if not asyncio.run(soak(int(words[0]), again)):
@@ -369,6 +372,10 @@
                         help="whether, in two of three seeds, urgent and "
                         "patient callers compete for engines, with faults of "
                         "their own")
+    parser.add_argument("--endless", default=True,
+                        action=argparse.BooleanOptionalAction,
+                        help="whether responses of some servers do not end, "
+                        "and hosts lose power")
     parser.add_argument("--hosts", type=int, default=4)
     parser.add_argument("--engines", type=int, default=6)
     parser.add_argument("--callers", type=int, default=16)
