Test: hosts that give out slots lose power, on real hosts

The second place of the incident, on real hosts: three of four hosts in turn are killed and cannot be connected to for 3 s, while the fourth is asked for plain services.

--- a/tests/soak/test_held_requests.py
+++ b/tests/soak/test_held_requests.py
@@ -142,6 +142,12 @@
         await self.play(self.site.hosts[2:],
                         self.lose_power(self.site.hosts[:2]))
 
+    async def test_hosts_that_give_out_slots_and_lose_power_hold_no_request(
+            self):
+        await self.play(self.site.hosts[3:],
+                        self.lose_power(self.site.hosts[:3]),
+                        [deployment.ONCE, deployment.SAFE])
+
     async def shorten(self):
         """Servers do not respond, and the operators shorten a time-out."""
         for server in self.site.servers:
