--- a/tests/soak/test_held_requests.py
+++ b/tests/soak/test_held_requests.py
@@ -23,8 +23,10 @@
 CALLERS = 12
 # Deadline of requests whose route allows more.
 DEADLINE_S = 1.5
-TIMEOUT_S = {kind: min(route["TimeoutMs"] / 1000, DEADLINE_S)
-             for kind, route in deployment.ROUTES.items()}
+TIMEOUT_S = {kind: min(deployment.timeout_s(kind), DEADLINE_S)
+             for kind in (deployment.STREAM, deployment.RESUMABLE,
+                          deployment.ONCE, deployment.SAFE)}
+SHORTENED_S = 0.5
 
 ARGS = None
 
@@ -156,11 +158,10 @@
         changed = deployment.configuration(
             self.site.version, self.site.models, soak.MEMORY_MB,
             self.site.slots, soak.ADAPTERS, soak.ADAPTER_SLOTS)
-        for route in changed["Routes"]:
-            route["TimeoutMs"] = min(route["TimeoutMs"], 500)
+        deployment.shorten_timeouts(changed, SHORTENED_S)
         await self.site.store.put(deployment.CONFIGURATION_KEY, changed)
         await asyncio.sleep(soak.APPLY_S)
-        self.timeout_s = dict.fromkeys(self.timeout_s, 0.5)
+        self.timeout_s = dict.fromkeys(self.timeout_s, SHORTENED_S)
         await asyncio.sleep(3.0)
 
     async def test_a_shortened_time_out_holds_for_new_requests(self):
