A request that was refused everywhere and waits again is stated as not run

At the deadline the timer answered 504, unknown, once any server had been asked, although servers that refuse a request have not run it. It is now 503, not run, with a time to come back, unless an attempt is in progress or may have run.

a_refused_request_that_waits_again_is_stated_as_not_run: 504 before (by reading: the condition counted attempts), 503 now.

--- a/src/host/request/failure_response.cc
+++ b/src/host/request/failure_response.cc
@@ -16,9 +16,9 @@
 }
 
 net::http_response MakeLateResponse(request_state& state) {
-  const bool may_have_run = state.trace.attempts > 0 ||
-                            state.trace.relays > 0 ||
-                            state.possible_executions > 0;
+  const bool is_at_server = state.trace.wait == request_wait::kResponseHeader ||
+                            state.trace.wait == request_wait::kResponseBody;
+  const bool may_have_run = is_at_server || state.possible_executions > 0;
   const base::error failed =
       may_have_run ? base::MakeError(base::result_code::kDeadlinePassed,
                                      base::outcome::kUnknown,
--- a/src/host/request/failure_response.h
+++ b/src/host/request/failure_response.h
@@ -13,9 +13,9 @@
 net::http_response MakeFailureResponse(const routed_request& routed,
                                        const base::error& failed);
 
-// Logs that the deadline has passed without a response, and returns one. It
-// states that the request was not run only if it has not been sent anywhere;
-// the request must not be sent afterwards.
+// Logs that the deadline has passed without a response, and returns one. If no
+// attempt is in progress and none may have run the request, it states that the
+// request was not run, so the request must not be sent afterwards.
 net::http_response MakeLateResponse(request_state& state);
 
 }  // namespace valeledge::host
--- a/tests/auto/host/test_request_deadlines.cc
+++ b/tests/auto/host/test_request_deadlines.cc
@@ -68,6 +68,25 @@
   CheckRejected(here, SendAndMeasure(here, "/once/"));
 }
 
+// Servers have refused the request, so it has not run.
+BOOST_AUTO_TEST_CASE(a_refused_request_that_waits_again_is_stated_as_not_run) {
+  deadline_world here;
+  here.first.script = {{test::kNotRunResponse}};
+  here.AddServer("i-2", here.second.address());
+  here.second.script = here.first.script;
+  int slots = 1;
+  here.core->acquire_slot = [&here, &slots](host::slot_request)
+      -> asio::awaitable<base::result<std::shared_ptr<host::slot_handle>>> {
+    if (slots-- <= 0)
+      co_await here.Delay();
+    co_return std::shared_ptr<host::slot_handle>();
+  };
+  const caller_view seen = SendAndMeasure(here, "/once/");
+  CheckOnTime(here, seen);
+  BOOST_TEST(seen.status == 503);
+  BOOST_TEST(here.first.requests.size() + here.second.requests.size() == 1u);
+}
+
 BOOST_AUTO_TEST_CASE(a_stream_of_unknown_origin_ends_by_its_deadline) {
   deadline_world here;
   here.core->find_origin =
