--- a/tests/soak/test_held_requests.py
+++ b/tests/soak/test_held_requests.py
@@ -150,6 +150,16 @@
                         self.lose_power(self.site.hosts[:3]),
                         [deployment.ONCE, deployment.SAFE])
 
+    async def lose_all_power(self):
+        await asyncio.gather(*(host.kill() for host in self.site.hosts))
+        await asyncio.sleep(1.0)
+        for host in self.site.hosts:
+            await host.start(first=False)
+        await asyncio.sleep(6.0)
+
+    async def test_hosts_that_all_lost_power_hold_no_request_afterwards(self):
+        await self.play(self.site.hosts, self.lose_all_power())
+
     async def shorten(self):
         """Servers do not respond, and the operators shorten a time-out."""
         for server in self.site.servers:
