--- a/tests/auto/host/test_request_deadlines.cc
+++ b/tests/auto/host/test_request_deadlines.cc
@@ -159,7 +159,7 @@
   const std::string refusal =
       "HTTP/1.1 503 Service Unavailable\r\nX-Not-Run: 1\r\n"
       "Content-Length: 100000\r\n\r\nx";
-  // Whichever server is chosen first refuses.
+  // The server of the first attempt refuses, the other one responds.
   here.first.script = {{refusal, {}, 50ms}, {test::kWholeResponse}};
   here.second.script = here.first.script;
   here.first.on_request = [&here] { here.second.script.pop_front(); };
--- a/tests/auto/net/test_call_limits.cc
+++ b/tests/auto/net/test_call_limits.cc
@@ -103,25 +103,33 @@
   BOOST_TEST(ended);
 }
 
+// Opens an exchange and discards its body.
+void DiscardResponse(asio::io_context& context,
+                     const base::endpoint& where,
+                     net::http_client& client,
+                     std::chrono::milliseconds settle) {
+  RunExchange(
+      context, where, client,
+      [&client](exchange_ptr exchange) -> asio::awaitable<void> {
+        client.DiscardBody(std::move(exchange));
+        co_return;
+      },
+      settle);
+}
+
 const std::string kChunkedHeader =
     "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
 
 }  // namespace
 
-// Guards against a connection that carries a body without an end for good.
+// Guards against a connection that stays open while an unused body is sent.
 BOOST_AUTO_TEST_CASE(a_discarded_body_without_an_end_is_closed) {
   asio::io_context context(1);
   raw_server server(context,
                     "HTTP/1.1 503 No\r\nContent-Length: 1000000000\r\n\r\n",
                     std::string(4096, 'x'));
   net::http_client client(context);
-  RunExchange(
-      context, server.where(), client,
-      [&](exchange_ptr exchange) -> asio::awaitable<void> {
-        client.DiscardBody(std::move(exchange));
-        co_return;
-      },
-      400ms);
+  DiscardResponse(context, server.where(), client, 400ms);
   BOOST_TEST(server.closed == 1);
 }
 
@@ -130,13 +138,7 @@
   raw_server server(context, "HTTP/1.1 503 No\r\nContent-Length: 3\r\n\r\nabc",
                     {});
   net::http_client client(context);
-  RunExchange(
-      context, server.where(), client,
-      [&](exchange_ptr exchange) -> asio::awaitable<void> {
-        client.DiscardBody(std::move(exchange));
-        co_return;
-      },
-      100ms);
+  DiscardResponse(context, server.where(), client, 100ms);
   BOOST_TEST(client.idle_connections() == 1);
 }
 
