review: case 3, streams taken up after a crash are refused while new ones begin

The entry hosts_killed_engines as a script: retries of resumed streams are refused by the shared retry budget. Nothing is fixed.

--- a/review/lib/http11.py
+++ b/review/lib/http11.py
@@ -163,6 +163,45 @@
         self.status, self.fields, self.body, self.ended = 0, {}, b"", ""
 
 
+async def read_stream(address, port, data, timeout_s, on_event):
+    """Sends one request and calls `on_event` for each whole event; the answer's
+    body is empty, and its status 0 if the stream was cut."""
+    out = Answer()
+    writer = None
+    try:
+        async with asyncio.timeout(timeout_s):
+            reader, writer = await asyncio.open_connection(address, port,
+                                                           limit=1 << 22)
+            writer.write(data)
+            await writer.drain()
+            head = await read_head(reader)
+            if head is None:
+                out.ended = "closed without a response"
+                return out
+            out.fields = head[1]
+            status = int(head[0].split(" ")[1])
+            if status != 200:
+                out.body = await read_body(reader, head[1])
+                out.status = status
+                return out
+            rest = b""
+            async for part in read_chunks(reader):
+                *events, rest = (rest + part).split(b"\n\n")
+                for event in events:
+                    on_event(event.decode())
+            out.status = status
+    except (asyncio.IncompleteReadError, ValueError):
+        out.ended = "response cut"
+    except (TimeoutError, asyncio.TimeoutError):
+        out.ended = "no response in time"
+    except OSError as failed:
+        out.ended = f"connection failed: {type(failed).__name__}"
+    finally:
+        if writer is not None:
+            writer.close()
+    return out
+
+
 async def exchange(address, port, data, timeout_s):
     """Sends one request on a new connection and reads the whole response."""
     out = Answer()
--- a/review/lib/servers.py
+++ b/review/lib/servers.py
@@ -12,9 +12,12 @@
     `on_event(what, server, request_id)` hears what happens: arrives, rejected,
     runs, answered, ended."""
 
-    def __init__(self, store, service, zone, on_event, slots=6, work_s=0.03):
+    def __init__(self, store, service, zone, on_event, slots=6, work_s=0.03,
+                 queue=4):
         self.store, self.service, self.zone = store, service, zone
         self.on_event, self.slots, self.work_s = on_event, slots, work_s
+        # Requests that may wait for a slot, and those that do.
+        self.queue, self.waiting = queue, []
         self.id = "i-" + uuid.uuid4().hex[:10]
         self.born = int(time.time() * 1000)
         self.state, self.beats, self.running = "ready", 0, 0
@@ -40,6 +43,39 @@
         self.on_event("exits", self, "")
         self.server.end()
 
+    async def crash(self, heartbeat_s=1.2):
+        """Ends without a word; its entry goes after three heartbeats."""
+        self.state = "gone"
+        self.end()
+        await asyncio.sleep(3 * heartbeat_s)
+        self.store.remove("servers/" + self.id)
+
+    async def _take_slot(self):
+        """Waits for a slot; false if too many wait already."""
+        if self.running >= self.slots:
+            if len(self.waiting) >= self.queue:
+                return False
+            turn = asyncio.Event()
+            self.waiting.append(turn)
+            try:
+                await turn.wait()
+            except asyncio.CancelledError:
+                if turn in self.waiting:
+                    self.waiting.remove(turn)
+                else:
+                    self._free_slot()
+                raise
+            return True
+        self.running += 1
+        return True
+
+    def _free_slot(self):
+        """The next in the queue takes the slot."""
+        if self.waiting:
+            self.waiting.pop(0).set()
+        else:
+            self.running -= 1
+
     def _refuse(self, request, status):
         return response(status, {
             "X-Not-Run": "1", "X-Request-Id": request.field("x-request-id"),
@@ -55,10 +91,9 @@
             self.on_event("misdirected", self, name)
             return self._refuse(request, 421)
         self.on_event("arrives", self, name)
-        if self.running >= self.slots:
+        if not await self._take_slot():
             self.on_event("rejected", self, name)
             return self._refuse(request, 503)
-        self.running += 1
         self.on_event("runs", self, name)
         try:
             await asyncio.sleep(self.work_s)
@@ -68,7 +103,7 @@
                 "X-Server-Stamp": f"{self.id}.1.2.3"},
                 f"answer to {name}".encode())
         finally:
-            self.running -= 1
+            self._free_slot()
 
 
 class Engine(PlainServer):
@@ -76,8 +111,9 @@
     for, one every `event_s`. It carries out one order at a time."""
 
     def __init__(self, *args, models=(), sizes=None, weights_mb=200000,
-                 load_s=1.0, event_s=0.05, **more):
+                 load_s=1.0, event_s=0.05, version="v1", **more):
         super().__init__(*args, **more)
+        self.version = version
         self.held = {name: set() for name in models}
         self.sizes, self.weights_mb = sizes or {}, weights_mb
         self.load_s, self.event_s = load_s, event_s
@@ -88,7 +124,8 @@
                 for name, adapters in sorted(self.held.items())]
 
     def entry(self):
-        return {**super().entry(), "Stage": "both", "Models": self._models(),
+        return {**super().entry(), "Version": self.version, "Stage": "both",
+                "Models": self._models(),
                 "AtHand": {"InMemory": [], "OnDisk": []}}
 
     async def _handle(self, request):
@@ -106,13 +143,12 @@
                                       adapter not in self.held[model]):
             self.on_event("misdirected", self, name)
             return self._refuse(request, 421)
-        if self.running >= self.slots:
+        if not await self._take_slot():
             self.on_event("rejected", self, name)
             return self._refuse(request, 503)
         return await self._stream(request, name)
 
     async def _stream(self, request, name):
-        self.running += 1
         self.on_event("runs", self, name)
         events = int(request.field("x-token-count", "1,1").split(",")[1])
         begun = int(request.field("last-event-id", "0") or 0)
@@ -125,7 +161,7 @@
                 f"X-Server-Stamp: {self.id}.1.2.3\r\nX-Weight-Versions: 1\r\n"
                 "Transfer-Encoding: chunked\r\n\r\n").encode())
             for number in range(begun + 1, events + 1):
-                event = f"id: {number}\ndata: {name} {number}\n\n".encode()
+                event = f"id: {number}\ndata: {self.version} {name}\n\n".encode()
                 writer.write(b"%x\r\n%s\r\n" % (len(event), event))
                 await writer.drain()
                 if number < events:
@@ -134,14 +170,14 @@
             self.on_event("answered", self, name)
             return None
         finally:
-            self.running -= 1
+            self._free_slot()
 
     def _report(self, request):
         if request.field("x-expect-instance", self.id) != self.id:
             return self._refuse(request, 421)
         return response(200, {"X-Instance-Id": self.id}, {
             "Stage": "both", "Models": self._models(), "Busy": self.busy,
-            "Seq": self.accepted, "Queued": 0, "Active": self.running,
+            "Seq": self.accepted, "Queued": len(self.waiting), "Active": self.running,
             "KvUsed": 0, "KvTotal": 145945, "Handles": 0, "Coming": [],
             "AtHand": {"InMemory": [], "OnDisk": []}, "born": self.born})
 
