--- /dev/null
+++ b/src/host/process/mirrored_keys.h
@@ -0,0 +1,85 @@
+// SPDX-License-Identifier: MIT
+// A host's copy of the keys of the store, and the snapshots of it that hosts
+// exchange. Performs no I/O.
+#ifndef VALELEDGE_HOST_PROCESS_MIRRORED_KEYS_H_
+#define VALELEDGE_HOST_PROCESS_MIRRORED_KEYS_H_
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <optional>
+#include <string>
+
+#include "wire/generated/messages_types.h"
+
+namespace valeledge::host {
+
+struct mirrored_value {
+  std::string value;
+  std::int64_t revision = 0;
+  // The compressed form of `value` for other hosts, cached when it was first
+  // compressed or received. Empty if it has not been requested, or if
+  // compression does not reduce its size.
+  std::optional<std::string> compressed;
+  bool compression_tried = false;
+};
+
+// A recently deleted key.
+struct mirrored_deletion {
+  std::int64_t revision = 0;
+  bool lapsed = false;
+};
+
+// Event handlers and queries of the owner.
+struct mirrored_keys_events {
+  std::function<void(const std::string& key, const std::string& value)> put;
+  // `lapsed`: the store has been unavailable, and the key's owner may still be
+  // running.
+  std::function<void(const std::string& key, bool lapsed)> removed;
+  // The keys have reached a newer revision.
+  std::function<void(std::int64_t revision)> advanced;
+  // Whether keys that are found to be missing may have lapsed.
+  std::function<bool()> may_have_lapsed;
+};
+
+class mirrored_keys {
+ public:
+  explicit mirrored_keys(mirrored_keys_events events);
+
+  std::int64_t revision() const { return revision_; }
+  // The value of a key; empty if it does not exist.
+  std::optional<std::string> Value(const std::string& key) const;
+
+  // Applies all keys that the store had at a revision.
+  void Replace(std::map<std::string, mirrored_value> values,
+               std::int64_t revision);
+  // Applies a change. `response_revision` is the revision of the response that
+  // contains the value.
+  void Put(const std::string& key,
+           mirrored_value value,
+           std::int64_t response_revision);
+  void Remove(const std::string& key, std::int64_t revision, bool lapsed);
+  // All changes up to a revision have been applied.
+  void Advance(std::int64_t revision);
+
+  // Returns the snapshot that another host requested.
+  wire::mirror_copy SnapshotFor(const wire::mirror_request& request);
+  // Returns the changes since a revision, with large values compressed if the
+  // receiver supports it.
+  wire::mirror_copy SnapshotSince(std::int64_t revision, bool compressed);
+  // Applies another host's snapshot if it is newer. Returns false if it cannot
+  // be decoded.
+  bool Apply(const wire::mirror_copy& received);
+
+ private:
+  mirrored_keys_events events_;
+  std::map<std::string, mirrored_value> values_;
+  std::map<std::string, mirrored_deletion> deletions_;
+  // Deletions up to this revision have been discarded.
+  std::int64_t discarded_up_to_ = 0;
+  std::int64_t revision_ = 0;
+};
+
+}  // namespace valeledge::host
+
+#endif  // VALELEDGE_HOST_PROCESS_MIRRORED_KEYS_H_
--- a/src/host/process/store_mirror.cc
+++ b/src/host/process/store_mirror.cc
@@ -14,8 +14,6 @@
 #include "base/logging.h"
 #include "decisions/initial_read.h"
 #include "host/constants.h"
-#include "wire/codec.h"
-#include "wire/packing.h"
 
 namespace valeledge::host {
 
@@ -58,9 +56,6 @@
 // A watch responds to a change at once, apart from the batch window.
 constexpr std::chrono::milliseconds kResponseDue{400};
 
-// Number of deletions that are kept for other hosts.
-constexpr std::size_t kMaxDeletions = 500;
-
 // Delay of the next watch after changes. Each call has a price, so changes in
 // quick succession should cost a single call.
 constexpr std::chrono::milliseconds kBatchWindow{200};
@@ -73,67 +68,6 @@
 // running servers, which have two seconds to register again.
 constexpr std::chrono::milliseconds kOutagePeriod{2500};
 
-// Sufficient for the largest value of the store, 1 MB, and for growth.
-constexpr std::size_t kMaxValueBytes = wire::kMaxFrameBytes;
-
-// Smaller snapshots are not compressed as a whole, since they fit into one
-// network segment.
-constexpr std::size_t kMinCompressedBytes = 1400;
-
-// Sufficient for all keys of the largest planned fleet, some 8,000 servers with
-// 400 bytes each, and for large values.
-constexpr std::size_t kMaxSnapshotBytes = 16 * 1024 * 1024;
-
-// Compresses a snapshot as a whole if that makes it smaller.
-wire::mirror_copy CompressSnapshot(wire::mirror_copy snapshot) {
-  const auto compressed =
-      wire::Pack(wire::Encode(snapshot), kMinCompressedBytes);
-  if (!compressed)
-    return snapshot;
-  wire::mirror_copy out;
-  out.revision = snapshot.revision;
-  out.whole = snapshot.whole;
-  out.__set_packed(*compressed);
-  return out;
-}
-
-// Returns nothing if the snapshot of another host cannot be decoded.
-std::optional<wire::mirror_copy> DecompressSnapshot(
-    const wire::mirror_copy& snapshot) {
-  if (!snapshot.__isset.packed)
-    return snapshot;
-  const auto bytes = wire::Unpack(snapshot.packed, kMaxSnapshotBytes);
-  return bytes ? wire::DecodeMirrorCopy(*bytes) : std::nullopt;
-}
-
-// Returns nothing if the value from another host cannot be decoded.
-std::optional<mirrored_value> DecodeValue(const wire::mirror_entry& entry) {
-  mirrored_value value;
-  value.revision = entry.revision;
-  if (!entry.packed) {
-    value.value = entry.value;
-    return value;
-  }
-  auto decompressed = wire::Unpack(entry.value, kMaxValueBytes);
-  if (!decompressed)
-    return std::nullopt;
-  value.value = std::move(*decompressed);
-  value.compressed = entry.value;
-  value.compression_tried = true;
-  return value;
-}
-
-void EncodeValue(mirrored_value& value,
-                 bool compressed,
-                 wire::mirror_entry& entry) {
-  if (compressed && !std::exchange(value.compression_tried, true))
-    value.compressed = wire::Pack(value.value);
-  if (compressed && value.compressed)
-    entry.__set_packed(true);
-  entry.value =
-      compressed && value.compressed ? *value.compressed : value.value;
-}
-
 }  // namespace
 
 store_mirror::store_mirror(asio::io_context& context,
@@ -143,7 +77,9 @@
     : context_(context),
       store_(store),
       prefix_(std::move(prefix)),
-      events_(std::move(events)) {
+      events_(std::move(events)),
+      keys_({events_.put, events_.removed, events_.advanced,
+             [this] { return FailedWithin(kOutagePeriod); }}) {
   std::random_device seed;
   std::uniform_int_distribution<std::int64_t> distribution;
   responses_.own.origin = distribution(seed);
@@ -175,64 +111,6 @@
             succeeded ? log_event::kPlatformUp : log_event::kPlatformDown);
 }
 
-void store_mirror::Advance(std::int64_t revision) {
-  if (revision <= revision_)
-    return;
-  revision_ = revision;
-  events_.advanced(revision);
-}
-
-void store_mirror::Put(const std::string& key,
-                       mirrored_value value,
-                       std::int64_t response_revision) {
-  // A large response may take a second to be received, while peers send newer
-  // updates. Everything in it that still exists is already known here. Without
-  // this check, removed servers reappeared for 12 s at 12 of 63 hosts.
-  const bool late =
-      response_revision < revision_ && value.revision <= revision_;
-  if (late && !values_.contains(key))
-    return;
-  mirrored_value& known = values_[key];
-  if (value.revision <= known.revision)
-    return;
-  known = std::move(value);
-  events_.put(key, known.value);
-}
-
-void store_mirror::Remove(const std::string& key,
-                          std::int64_t revision,
-                          bool lapsed) {
-  const auto known = values_.find(key);
-  if (known == values_.end() || known->second.revision > revision)
-    return;
-  values_.erase(known);
-  deletions_[key] = {revision, lapsed};
-  if (deletions_.size() > kMaxDeletions) {
-    const auto oldest = std::ranges::min_element(
-        deletions_, {}, [](const auto& each) { return each.second.revision; });
-    discarded_up_to_ = std::max(discarded_up_to_, oldest->second.revision);
-    deletions_.erase(oldest);
-  }
-  events_.removed(key, lapsed);
-}
-
-void store_mirror::Replace(std::map<std::string, mirrored_value> values,
-                           std::int64_t revision) {
-  std::vector<std::string> missing;
-  for (const auto& [key, value] : values_) {
-    if (!values.contains(key) && value.revision <= revision)
-      missing.push_back(key);
-  }
-  // A deletion that is observed while the store responds is definite. A key
-  // that was deleted unobserved may have lapsed because of the store's outage.
-  const bool lapsed = FailedWithin(kOutagePeriod);
-  for (const std::string& key : missing)
-    Remove(key, revision, lapsed);
-  for (auto& [key, value] : values)
-    Put(key, std::move(value), revision);
-  Advance(revision);
-}
-
 std::optional<std::chrono::milliseconds> store_mirror::Age() const {
   const auto newest = decisions::NewestResponseTime(responses_);
   if (!newest)
@@ -258,7 +136,7 @@
 }
 
 bool store_mirror::OthersFollow() const {
-  return revision_ > 0 &&
+  return revision() > 0 &&
          decisions::OthersRespondedWithin(responses_, kTakeoverTimeout,
                                           std::chrono::steady_clock::now());
 }
@@ -289,14 +167,14 @@
   std::map<std::string, mirrored_value> values;
   for (const store::kv_pair& pair : response->results.front().pairs)
     values[pair.key] = {pair.value, pair.mod_revision, {}};
-  Replace(std::move(values), response->revision);
+  keys_.Replace(std::move(values), response->revision);
   history_gone_ = false;
   events_.complete(requested_at);
   co_return true;
 }
 
 asio::awaitable<bool> store_mirror::Follow() {
-  std::int64_t at = revision_;
+  std::int64_t at = revision();
   asio::steady_timer timer(context_);
   while (true) {
     const auto changes =
@@ -309,13 +187,13 @@
       co_return gone;
     for (const store::kv_event& each : changes->events) {
       if (each.deleted)
-        Remove(each.pair.key, each.pair.mod_revision, false);
+        keys_.Remove(each.pair.key, each.pair.mod_revision, false);
       else
-        Put(each.pair.key, {each.pair.value, each.pair.mod_revision, {}},
-            changes->revision);
+        keys_.Put(each.pair.key, {each.pair.value, each.pair.mod_revision, {}},
+                  changes->revision);
     }
     at = std::max(at, changes->revision);
-    Advance(changes->revision);
+    keys_.Advance(changes->revision);
     if (MayStopFollowing())
       co_return true;
     if (changes->events.empty())
@@ -371,10 +249,10 @@
       co_await timer.async_wait(kAwait);
       continue;
     }
-    if (!events_.follows() && revision_ > 0)
+    if (!events_.follows() && revision() > 0)
       base::Log(kCategory, log_event::kStandingIn);
     const bool known =
-        revision_ > 0 && !history_gone_ && !FailedWithin(kOutagePeriod);
+        revision() > 0 && !history_gone_ && !FailedWithin(kOutagePeriod);
     const bool read = known || co_await ReadAll();
     if (read) {
       pause = kMinRetryPause;
@@ -383,7 +261,7 @@
         continue;
     }
     timer.expires_after(
-        events_.follows() || revision_ == 0
+        events_.follows() || revision() == 0
             ? between(pause / 2, pause)
             : between(kFallbackReaderPause / 2, kFallbackReaderPause));
     co_await timer.async_wait(kAwait);
@@ -391,76 +269,4 @@
   }
 }
 
-std::optional<std::string> store_mirror::Value(const std::string& key) const {
-  const auto found = values_.find(key);
-  if (found == values_.end())
-    return std::nullopt;
-  return found->second.value;
-}
-
-wire::mirror_copy store_mirror::SnapshotFor(
-    const wire::mirror_request& request) {
-  auto snapshot = SnapshotSince(request.since, request.takes_packed);
-  return request.takes_packed_copy ? CompressSnapshot(std::move(snapshot))
-                                   : snapshot;
-}
-
-wire::mirror_copy store_mirror::SnapshotSince(std::int64_t revision,
-                                              bool compressed) {
-  wire::mirror_copy snapshot;
-  snapshot.revision = revision_;
-  snapshot.whole = revision == 0 || revision < discarded_up_to_;
-  for (auto& [key, value] : values_) {
-    if (!snapshot.whole && value.revision <= revision)
-      continue;
-    wire::mirror_entry entry;
-    entry.key = key;
-    EncodeValue(value, compressed, entry);
-    entry.revision = value.revision;
-    snapshot.entries.push_back(std::move(entry));
-  }
-  if (snapshot.whole)
-    return snapshot;
-  for (const auto& [key, deletion] : deletions_) {
-    if (deletion.revision <= revision)
-      continue;
-    wire::mirror_entry entry;
-    entry.key = key;
-    entry.revision = deletion.revision;
-    entry.lapsed = deletion.lapsed;
-    snapshot.deleted.push_back(std::move(entry));
-  }
-  return snapshot;
-}
-
-bool store_mirror::Apply(const wire::mirror_copy& received) {
-  if (received.revision <= revision_)
-    return true;
-  const auto decompressed = DecompressSnapshot(received);
-  if (!decompressed)
-    return false;
-  const wire::mirror_copy& snapshot = *decompressed;
-  std::map<std::string, mirrored_value> values;
-  for (const wire::mirror_entry& each : snapshot.entries) {
-    auto value = DecodeValue(each);
-    // The snapshot is discarded: its revision must not be recorded without the
-    // value.
-    if (!value)
-      return false;
-    values[each.key] = std::move(*value);
-  }
-  if (snapshot.whole) {
-    Replace(std::move(values), snapshot.revision);
-    return true;
-  }
-  for (auto& [key, value] : values)
-    Put(key, std::move(value), snapshot.revision);
-  // Deletions are applied after the entries, since a deletion is newer than an
-  // entry of the same key.
-  for (const wire::mirror_entry& each : snapshot.deleted)
-    Remove(each.key, each.revision, each.lapsed);
-  Advance(snapshot.revision);
-  return true;
-}
-
 }  // namespace valeledge::host
--- a/src/host/process/store_mirror.h
+++ b/src/host/process/store_mirror.h
@@ -7,7 +7,6 @@
 #include <chrono>
 #include <cstdint>
 #include <functional>
-#include <map>
 #include <optional>
 #include <random>
 #include <string>
@@ -18,21 +17,12 @@
 #include "base/boot_clock.h"
 #include "base/duration.h"
 #include "decisions/response_age.h"
+#include "host/process/mirrored_keys.h"
 #include "store/kv_client.h"
 #include "wire/generated/messages_types.h"
 
 namespace valeledge::host {
 
-struct mirrored_value {
-  std::string value;
-  std::int64_t revision = 0;
-  // The compressed form of `value` for other hosts, cached when it was first
-  // compressed or received. Empty if it has not been requested, or if
-  // compression does not reduce its size.
-  std::optional<std::string> compressed;
-  bool compression_tried = false;
-};
-
 // Event handlers and queries of the mirror's owner; called on the host's
 // thread.
 struct mirror_events {
@@ -50,12 +40,6 @@
   std::function<bool()> knows_others = {};
 };
 
-// A recently deleted key.
-struct mirrored_deletion {
-  std::int64_t revision = 0;
-  bool lapsed = false;
-};
-
 // Mirrors all keys under a prefix. A few hosts read them from the store and
 // follow its changes. The others apply snapshots of these hosts, and become
 // fallback readers as soon as they know of no host that the store has responded
@@ -85,47 +69,42 @@
   std::optional<decisions::reported_response> NewestResponse();
   // Whether a call to the store failed within the last `span`.
   bool FailedWithin(std::chrono::milliseconds span) const;
-  std::int64_t revision() const { return revision_; }
+  std::int64_t revision() const { return keys_.revision(); }
   // The value of a key; empty if it does not exist.
-  std::optional<std::string> Value(const std::string& key) const;
+  std::optional<std::string> Value(const std::string& key) const {
+    return keys_.Value(key);
+  }
 
   // Returns the snapshot that another host requested.
-  wire::mirror_copy SnapshotFor(const wire::mirror_request& request);
+  wire::mirror_copy SnapshotFor(const wire::mirror_request& request) {
+    return keys_.SnapshotFor(request);
+  }
   // Returns the changes since a revision, with large values compressed if the
   // receiver supports it.
   wire::mirror_copy SnapshotSince(std::int64_t revision,
-                                  bool compressed = true);
+                                  bool compressed = true) {
+    return keys_.SnapshotSince(revision, compressed);
+  }
   // Applies another host's snapshot if it is newer. Returns false if it cannot
   // be decoded.
-  bool Apply(const wire::mirror_copy& received);
+  bool Apply(const wire::mirror_copy& received) {
+    return keys_.Apply(received);
+  }
 
  private:
   boost::asio::awaitable<void> AwaitInitialSnapshot(std::mt19937_64& random);
   boost::asio::awaitable<void> Loop();
   boost::asio::awaitable<bool> ReadAll();
   boost::asio::awaitable<bool> Follow();
-  void Replace(std::map<std::string, mirrored_value> values,
-               std::int64_t revision);
-  // `response_revision` is the revision of the response that contains the
-  // value.
-  void Put(const std::string& key,
-           mirrored_value value,
-           std::int64_t response_revision);
-  void Remove(const std::string& key, std::int64_t revision, bool lapsed);
   bool OthersFollow() const;
   bool MayStopFollowing() const;
-  void Advance(std::int64_t revision);
   void RecordCallResult(bool succeeded);
 
   boost::asio::io_context& context_;
   store::kv_client& store_;
   std::string prefix_;
   mirror_events events_;
-  std::map<std::string, mirrored_value> values_;
-  std::map<std::string, mirrored_deletion> deletions_;
-  // Deletions up to this revision have been discarded.
-  std::int64_t discarded_up_to_ = 0;
-  std::int64_t revision_ = 0;
+  mirrored_keys keys_;
   // Responses of the store to this host and to others.
   decisions::response_ages responses_;
   // When the last complete response was received.
