Changes are sent alone only by a host that has seen all of them

What callers saw: a host was frozen while a server's entry was removed and the zone's other host was killed and restarted. It went on to send all its streams to that server for as long as the server ran (up to 7.6 s after the removal, DrainMs is 2 s), and those running at the server's exit were lost.

Cause: a host answers a request for the changes since a revision with the deletions that it has seen. One that has read all keys at once, as each does at its start, after a failed call and after a lost history, has not seen the keys that were created and deleted before or in between. It answered with changes alone all the same, and the other host took over the revision and kept the key.

Each host now knows the gaps of its history (decisions/change_history), takes over those of the hosts that send it changes, and sends all keys to a host whose revision lies inside one. It sends changes alone to all others, also to those at the revision before its read.

Ruled out: that the store or the follower of the zone is involved. The case passes with the store read as before.

--- a/src/host/process/mirrored_keys.cc
+++ b/src/host/process/mirrored_keys.cc
@@ -76,6 +76,13 @@
       compressed && value.compressed ? *value.compressed : value.value;
 }
 
+// Returns since when the sender of changes has seen every change. A sender of
+// an earlier release does not state it.
+std::int64_t CompleteSince(const wire::mirror_copy& changes) {
+  return changes.__isset.complete_since ? changes.complete_since
+                                        : changes.revision;
+}
+
 }  // namespace
 
 mirrored_keys::mirrored_keys(mirrored_keys_events events)
@@ -89,10 +96,14 @@
 }
 
 void mirrored_keys::Advance(std::int64_t revision) {
-  if (revision <= revision_)
-    return;
-  revision_ = revision;
-  events_.advanced(revision);
+  const std::int64_t former = history_.revision;
+  decisions::RecordChanges(history_, revision);
+  AnnounceSince(former);
+}
+
+void mirrored_keys::AnnounceSince(std::int64_t former) {
+  if (history_.revision > former)
+    events_.advanced(history_.revision);
 }
 
 void mirrored_keys::Put(const std::string& key,
@@ -102,7 +113,7 @@
   // updates. Everything in it that still exists is already known here. Without
   // this check, removed servers reappeared for 12 s at 12 of 63 hosts.
   const bool late =
-      response_revision < revision_ && value.revision <= revision_;
+      response_revision < revision() && value.revision <= revision();
   if (late && !values_.contains(key))
     return;
   mirrored_value& known = values_[key];
@@ -116,19 +127,30 @@
                            std::int64_t revision,
                            bool lapsed) {
   const auto known = values_.find(key);
-  if (known == values_.end() || known->second.revision > revision)
+  const bool exists = known != values_.end();
+  if (exists && known->second.revision > revision)
+    return;
+  // Other hosts may have the key even if this one does not.
+  KeepDeletion(key, {revision, lapsed});
+  if (!exists)
     return;
   values_.erase(known);
-  deletions_[key] = {revision, lapsed};
-  if (deletions_.size() > kMaxDeletions) {
-    const auto oldest = std::ranges::min_element(
-        deletions_, {}, [](const auto& each) { return each.second.revision; });
-    discarded_up_to_ = std::max(discarded_up_to_, oldest->second.revision);
-    deletions_.erase(oldest);
-  }
   events_.removed(key, lapsed);
 }
 
+void mirrored_keys::KeepDeletion(const std::string& key,
+                                 const mirrored_deletion& deletion) {
+  mirrored_deletion& kept = deletions_[key];
+  if (deletion.revision > kept.revision)
+    kept = deletion;
+  if (deletions_.size() <= kMaxDeletions)
+    return;
+  const auto oldest = std::ranges::min_element(
+      deletions_, {}, [](const auto& each) { return each.second.revision; });
+  decisions::DiscardChanges(history_, oldest->second.revision);
+  deletions_.erase(oldest);
+}
+
 void mirrored_keys::Replace(std::map<std::string, mirrored_value> values,
                             std::int64_t revision) {
   std::vector<std::string> missing;
@@ -143,7 +165,9 @@
     Remove(key, revision, lapsed);
   for (auto& [key, value] : values)
     Put(key, std::move(value), revision);
-  Advance(revision);
+  const std::int64_t former = history_.revision;
+  decisions::RecordAllKeys(history_, revision);
+  AnnounceSince(former);
 }
 
 wire::mirror_copy mirrored_keys::SnapshotFor(
@@ -156,8 +180,9 @@
 wire::mirror_copy mirrored_keys::SnapshotSince(std::int64_t revision,
                                                bool compressed) {
   wire::mirror_copy snapshot;
-  snapshot.revision = revision_;
-  snapshot.whole = revision == 0 || revision < discarded_up_to_;
+  snapshot.revision = history_.revision;
+  snapshot.whole =
+      revision == 0 || !decisions::HasChangesSince(history_, revision);
   for (auto& [key, value] : values_) {
     if (!snapshot.whole && value.revision <= revision)
       continue;
@@ -169,6 +194,8 @@
   }
   if (snapshot.whole)
     return snapshot;
+  snapshot.__set_since(revision);
+  snapshot.__set_complete_since(decisions::CompleteSince(history_));
   for (const auto& [key, deletion] : deletions_) {
     if (deletion.revision <= revision)
       continue;
@@ -182,12 +209,20 @@
 }
 
 bool mirrored_keys::Apply(const wire::mirror_copy& received) {
-  if (received.revision <= revision_)
+  if (received.revision <= history_.revision)
     return true;
   const auto decompressed = DecompressSnapshot(received);
   if (!decompressed)
     return false;
   const wire::mirror_copy& snapshot = *decompressed;
+  const std::int64_t complete_since = CompleteSince(snapshot);
+  const std::int64_t since =
+      snapshot.__isset.since ? snapshot.since : history_.revision;
+  const bool follows_on =
+      snapshot.whole ||
+      decisions::AcceptsChanges(history_, since, complete_since);
+  if (!follows_on)
+    return true;
   std::map<std::string, mirrored_value> values;
   for (const wire::mirror_entry& each : snapshot.entries) {
     auto value = DecodeValue(each);
@@ -207,7 +242,9 @@
   // entry of the same key.
   for (const wire::mirror_entry& each : snapshot.deleted)
     Remove(each.key, each.revision, each.lapsed);
-  Advance(snapshot.revision);
+  const std::int64_t former = history_.revision;
+  decisions::RecordReceivedChanges(history_, complete_since, snapshot.revision);
+  AnnounceSince(former);
   return true;
 }
 
--- a/src/host/process/mirrored_keys.h
+++ b/src/host/process/mirrored_keys.h
@@ -10,6 +10,7 @@
 #include <optional>
 #include <string>
 
+#include "decisions/change_history.h"
 #include "wire/generated/messages_types.h"
 
 namespace valeledge::host {
@@ -46,7 +47,7 @@
  public:
   explicit mirrored_keys(mirrored_keys_events events);
 
-  std::int64_t revision() const { return revision_; }
+  std::int64_t revision() const { return history_.revision; }
   // The value of a key; empty if it does not exist.
   std::optional<std::string> Value(const std::string& key) const;
 
@@ -64,20 +65,24 @@
 
   // Returns the snapshot that another host requested.
   wire::mirror_copy SnapshotFor(const wire::mirror_request& request);
-  // Returns the changes since a revision, with large values compressed if the
-  // receiver supports it.
+  // Returns the changes since a revision, or all keys if not all of these
+  // changes are known. Large values are compressed if the receiver supports it.
   wire::mirror_copy SnapshotSince(std::int64_t revision, bool compressed);
-  // Applies another host's snapshot if it is newer. Returns false if it cannot
-  // be decoded.
+  // Applies another host's snapshot if it is newer. Changes that do not follow
+  // on from this host's revision are ignored, and have to be requested again.
+  // Returns false if it cannot be decoded.
   bool Apply(const wire::mirror_copy& received);
 
  private:
+  // Keeps a deletion for other hosts.
+  void KeepDeletion(const std::string& key, const mirrored_deletion& deletion);
+  // Announces the revision if it is newer than a former one.
+  void AnnounceSince(std::int64_t former);
+
   mirrored_keys_events events_;
   std::map<std::string, mirrored_value> values_;
   std::map<std::string, mirrored_deletion> deletions_;
-  // Deletions up to this revision have been discarded.
-  std::int64_t discarded_up_to_ = 0;
-  std::int64_t revision_ = 0;
+  decisions::change_history history_;
 };
 
 }  // namespace valeledge::host
--- a/src/wire/messages.thrift
+++ b/src/wire/messages.thrift
@@ -301,6 +301,10 @@
   // Another copy, packed, in place of `entries` and `deleted`: entries of
   // backend servers are alike, and small by themselves.
   5: optional binary packed,
+  // Unless `whole`: the asker's revision.
+  6: optional i64 since,
+  // Unless `whole`: the sender has seen every change after this revision.
+  7: optional i64 complete_since,
 }
 
 // A backend server has ended while a host's request was there.
