An outage of the store is judged by the responses to all hosts

What callers saw: while the store refused calls of three of nine hosts now and then, the others sent streams to servers up to 0.3 s longer than DrainMs after their entries had been removed; the servers exited and the streams were lost.

Cause: a host that reads all keys after a failed call took each missing key for one that may have lapsed in an outage of the store, if its own last failed call was at most 2.5 s ago, and told the others so. They used the server for 1.8 s from the moment at which they heard of it, however late that was, and ended the use in a loop that runs every 250 ms.

That calls of one host fail says nothing about the store, which serves others all the while. The hosts report its responses to each other already; an outage is now a period of 1.8 s without a response to any of them, the shortest in which an entry can expire and longer than the others need to take over from a follower that is refused. Each host judges a deletion that was not observed by the responses that it knows itself, and counts the grace from the end of the outage (2.3 s: two seconds to register, 0.3 s until hosts know), so it does not grow with each hop. The end is checked where a server is selected and before each send. The outage is logged (5011), and 3003 says for how long a server is still used.

only_keys_removed_during_an_outage_have_lapsed let the store be away for some milliseconds, which is no outage now: it waits for the shortest one and checks the same. keys_removed_while_other_hosts_are_served_have_not_lapsed is the other side of it.

--- a/src/decisions/response_age.cc
+++ b/src/decisions/response_age.cc
@@ -11,12 +11,21 @@
 // longer follows the service.
 constexpr std::chrono::seconds kResponseExpiry{30};
 
+void RecordNewest(response_ages& ages, base::time_point at) {
+  if (ages.newest_at && at <= *ages.newest_at)
+    return;
+  if (ages.newest_at && at - *ages.newest_at >= kMinOutage)
+    ages.last_outage = {*ages.newest_at, at};
+  ages.newest_at = at;
+}
+
 }  // namespace
 
 void RecordOwnResponse(response_ages& ages, bool chosen, base::time_point now) {
   ++ages.own.count;
   ages.own.chosen = chosen;
   ages.own_at = now;
+  RecordNewest(ages, now);
 }
 
 void RecordReportedResponse(response_ages& ages,
@@ -32,6 +41,7 @@
   if (known.stamp.count >= reported.stamp.count)
     return;
   known = {reported.stamp, now - reported.age};
+  RecordNewest(ages, known.at);
 }
 
 std::optional<base::time_point> NewestResponseTime(const response_ages& ages) {
@@ -67,6 +77,17 @@
   });
 }
 
+std::optional<base::time_point> LapsedUntil(const response_ages& ages,
+                                            base::time_point now) {
+  // The response that ends the outage has not been reported yet.
+  const bool is_out = !ages.newest_at || now - *ages.newest_at >= kMinOutage;
+  if (is_out)
+    return now + kLapseGrace;
+  if (!ages.last_outage || now - ages.last_outage->ended_at >= kLapseGrace)
+    return std::nullopt;
+  return ages.last_outage->ended_at + kLapseGrace;
+}
+
 bool MayStopFallbackRead(const response_ages& ages,
                          std::chrono::milliseconds span,
                          base::time_point now) {
--- a/src/host/process/host.cc
+++ b/src/host/process/host.cc
@@ -142,8 +142,8 @@
                [this](const auto& key, const auto& value) {
                  store_updates_.Put(key, value);
                },
-               [this](const auto& key, bool lapsed) {
-                 store_updates_.Remove(key, lapsed);
+               [this](const auto& key, auto lapsed_until) {
+                 store_updates_.Remove(key, lapsed_until);
                },
                [this](auto requested_at) {
                  freshness_.OnMirrorComplete(requested_at);
--- a/src/host/process/known_server.cc
+++ b/src/host/process/known_server.cc
@@ -81,7 +81,7 @@
 }
 
 send_block known_server::SendBlock(base::time_point now) const {
-  if (leaving || decisions::HasLeft(notices))
+  if (leaving || IsExpired(now) || decisions::HasLeft(notices))
     return send_block::kLeaving;
   if (evacuated)
     return send_block::kEvacuated;
--- a/src/host/process/known_server.h
+++ b/src/host/process/known_server.h
@@ -153,6 +153,10 @@
   bool IsBackingOff() const {
     return decisions::IsBackingOff(notices, std::chrono::steady_clock::now());
   }
+  // Whether its entry expired and it has not registered again in time.
+  bool IsExpired(base::time_point now) const {
+    return expires_at && now >= *expires_at;
+  }
   // Whether it takes part in serving its models or its service, apart from
   // pauses that end by themselves.
   bool TakesRequests() const {
--- a/src/host/process/mirrored_keys.cc
+++ b/src/host/process/mirrored_keys.cc
@@ -125,17 +125,19 @@
 
 void mirrored_keys::Remove(const std::string& key,
                            std::int64_t revision,
-                           bool lapsed) {
+                           bool may_have_lapsed) {
   const auto known = values_.find(key);
   const bool exists = known != values_.end();
   if (exists && known->second.revision > revision)
     return;
+  const auto lapsed_until =
+      may_have_lapsed ? events_.lapsed_until() : std::nullopt;
   // Other hosts may have the key even if this one does not.
-  KeepDeletion(key, {revision, lapsed});
+  KeepDeletion(key, {revision, lapsed_until.has_value()});
   if (!exists)
     return;
   values_.erase(known);
-  events_.removed(key, lapsed);
+  events_.removed(key, lapsed_until);
 }
 
 void mirrored_keys::KeepDeletion(const std::string& key,
@@ -158,11 +160,8 @@
     if (!values.contains(key) && value.revision <= revision)
       missing.push_back(key);
   }
-  // A deletion that is observed while the store responds is definite. A key
-  // that was deleted unobserved may have lapsed because of the store's outage.
-  const bool lapsed = events_.may_have_lapsed();
   for (const std::string& key : missing)
-    Remove(key, revision, lapsed);
+    Remove(key, revision, true);
   for (auto& [key, value] : values)
     Put(key, std::move(value), revision);
   const std::int64_t former = history_.revision;
--- a/src/host/process/mirrored_keys.h
+++ b/src/host/process/mirrored_keys.h
@@ -10,6 +10,7 @@
 #include <optional>
 #include <string>
 
+#include "base/duration.h"
 #include "decisions/change_history.h"
 #include "wire/generated/messages_types.h"
 
@@ -28,19 +29,23 @@
 // A recently deleted key.
 struct mirrored_deletion {
   std::int64_t revision = 0;
+  // It may have expired while the store was unavailable.
   bool lapsed = false;
 };
 
 // Event handlers and queries of the owner.
 struct mirrored_keys_events {
   std::function<void(const std::string& key, const std::string& value)> put;
-  // `lapsed`: the store has been unavailable, and the key's owner may still be
-  // running.
-  std::function<void(const std::string& key, bool lapsed)> removed;
+  // `lapsed_until`: the store has been unavailable, and the key's owner may
+  // still be running; it is to be treated as gone from this time on.
+  std::function<void(const std::string& key,
+                     std::optional<base::time_point> lapsed_until)>
+      removed;
   // The keys have reached a newer revision.
   std::function<void(std::int64_t revision)> advanced;
-  // Whether keys that are found to be missing may have lapsed.
-  std::function<bool()> may_have_lapsed;
+  // Until when the owners of keys that are found to be missing may still be
+  // running; nothing if the store has been available.
+  std::function<std::optional<base::time_point>()> lapsed_until;
 };
 
 class mirrored_keys {
@@ -59,7 +64,10 @@
   void Put(const std::string& key,
            mirrored_value value,
            std::int64_t response_revision);
-  void Remove(const std::string& key, std::int64_t revision, bool lapsed);
+  // `may_have_lapsed`: the deletion was not observed while it happened.
+  void Remove(const std::string& key,
+              std::int64_t revision,
+              bool may_have_lapsed);
   // All changes up to a revision have been applied.
   void Advance(std::int64_t revision);
 
--- a/src/host/process/server_availability.cc
+++ b/src/host/process/server_availability.cc
@@ -61,7 +61,7 @@
                                  base::time_point now) const {
   const bool tried = std::ranges::find(*query.avoid, server.entry.instance) !=
                      query.avoid->end();
-  return AcceptsRequest(server, query) && !tried &&
+  return AcceptsRequest(server, query) && !tried && !server.IsExpired(now) &&
          (query.model.empty() || server.Holds(query.model, query.adapter, now));
 }
 
--- a/src/host/process/store_mirror.cc
+++ b/src/host/process/store_mirror.cc
@@ -64,9 +64,9 @@
 constexpr std::chrono::milliseconds kMinRetryPause{50};
 constexpr std::chrono::milliseconds kMaxRetryPause{600};
 
-// Entries found missing within this time after a failed call may belong to
-// running servers, which have two seconds to register again.
-constexpr std::chrono::milliseconds kOutagePeriod{2500};
+// Within this time after a failed call all keys are read: deletions during an
+// outage of the store are not to be taken for observed ones.
+constexpr std::chrono::milliseconds kReadAllPeriod{2500};
 
 }  // namespace
 
@@ -78,8 +78,10 @@
       store_(store),
       prefix_(std::move(prefix)),
       events_(std::move(events)),
-      keys_({events_.put, events_.removed, events_.advanced,
-             [this] { return FailedWithin(kOutagePeriod); }}) {
+      keys_({events_.put, events_.removed, events_.advanced, [this] {
+               return decisions::LapsedUntil(responses_,
+                                             std::chrono::steady_clock::now());
+             }}) {
   std::random_device seed;
   std::uniform_int_distribution<std::int64_t> distribution;
   responses_.own.origin = distribution(seed);
@@ -99,6 +101,7 @@
     last_response_at_ = std::chrono::steady_clock::now();
     decisions::RecordOwnResponse(responses_, events_.follows(),
                                  *last_response_at_);
+    LogOutage();
   }
   if (!succeeded) {
     failed_at_ = std::chrono::steady_clock::now();
@@ -123,6 +126,19 @@
     const decisions::reported_response& report) {
   decisions::RecordReportedResponse(responses_, report,
                                     std::chrono::steady_clock::now());
+  LogOutage();
+}
+
+void store_mirror::LogOutage() {
+  const auto& outage = responses_.last_outage;
+  if (!outage || outage->ended_at == logged_outage_end_)
+    return;
+  logged_outage_end_ = outage->ended_at;
+  base::Log(
+      kCategory, log_event::kStoreOutage,
+      {{"duration_ms", std::chrono::duration_cast<std::chrono::milliseconds>(
+                           outage->ended_at - outage->began_at)
+                           .count()}});
 }
 
 std::optional<decisions::reported_response> store_mirror::NewestResponse() {
@@ -132,6 +148,7 @@
   const auto received_at = store_.HeardAt();
   if (received_at && (!responses_.own_at || *received_at > *responses_.own_at))
     decisions::RecordOwnResponse(responses_, events_.follows(), *received_at);
+  LogOutage();
   return decisions::ReportNewest(responses_, std::chrono::steady_clock::now());
 }
 
@@ -252,7 +269,7 @@
     if (!events_.follows() && revision() > 0)
       base::Log(kCategory, log_event::kStandingIn);
     const bool known =
-        revision() > 0 && !history_gone_ && !FailedWithin(kOutagePeriod);
+        revision() > 0 && !history_gone_ && !FailedWithin(kReadAllPeriod);
     const bool read = known || co_await ReadAll();
     if (read) {
       pause = kMinRetryPause;
--- a/src/host/process/store_mirror.h
+++ b/src/host/process/store_mirror.h
@@ -29,9 +29,11 @@
   // Whether this host is one of those chosen to follow the store.
   std::function<bool()> follows;
   std::function<void(const std::string& key, const std::string& value)> put;
-  // `lapsed`: the store has been unavailable, and the key's owner may still be
-  // running.
-  std::function<void(const std::string& key, bool lapsed)> removed;
+  // `lapsed_until`: the store has been unavailable, and the key's owner may
+  // still be running; it is to be treated as gone from this time on.
+  std::function<void(const std::string& key,
+                     std::optional<base::time_point> lapsed_until)>
+      removed;
   // The mirror contains everything that the store contained at `requested_at`.
   std::function<void(base::boot_clock::time_point requested_at)> complete;
   // The mirror has reached a newer revision.
@@ -99,6 +101,8 @@
   bool OthersFollow() const;
   bool MayStopFollowing() const;
   void RecordCallResult(bool succeeded);
+  // Logs an outage of the store that a response has just ended.
+  void LogOutage();
 
   boost::asio::io_context& context_;
   store::kv_client& store_;
@@ -107,6 +111,7 @@
   mirrored_keys keys_;
   // Responses of the store to this host and to others.
   decisions::response_ages responses_;
+  base::time_point logged_outage_end_;
   // When the last complete response was received.
   std::optional<base::time_point> last_response_at_;
   bool current_ = false;
--- a/src/host/process/store_update_handler.cc
+++ b/src/host/process/store_update_handler.cc
@@ -20,10 +20,6 @@
 
 constexpr std::string_view kCategory = "host";
 
-// Servers whose entries lapse while the store is unavailable are used for this
-// time.
-constexpr milliseconds kLapseGrace{1800};
-
 // Returns the availability zone whose evacuation a key requests, or nothing for
 // other keys.
 std::optional<std::string> EvacuatedZone(const store_keys& keys,
@@ -116,21 +112,28 @@
   }
 }
 
-void store_update_handler::Remove(const std::string& key, bool lapsed) {
+void store_update_handler::Remove(
+    const std::string& key,
+    std::optional<base::time_point> lapsed_until) {
+  const auto now = std::chrono::steady_clock::now();
   if (const auto zone = EvacuatedZone(keys_, key)) {
-    core_.servers.EndEvacuation(*zone, std::chrono::steady_clock::now());
+    core_.servers.EndEvacuation(*zone, now);
     base::Log(kCategory, log_event::kZoneTakenBack, {{"zone", *zone}});
     return;
   }
-  if (callbacks_.quarantine_key_removed(key, lapsed) ||
+  if (callbacks_.quarantine_key_removed(key, lapsed_until.has_value()) ||
       !key.starts_with(keys_.server_prefix)) {
     return;
   }
   const std::string instance = key.substr(keys_.server_prefix.size());
+  const auto grace = lapsed_until
+                         ? std::chrono::ceil<milliseconds>(*lapsed_until - now)
+                         : milliseconds(0);
   base::Log(kCategory, log_event::kServerDown,
-            {{"server", instance}, {"lapsed", std::int64_t{lapsed}}});
-  core_.servers.Remove(instance, lapsed, kLapseGrace,
-                       std::chrono::steady_clock::now());
+            {{"server", instance},
+             {"lapsed", std::int64_t{lapsed_until.has_value()}},
+             {"grace_ms", grace.count()}});
+  core_.servers.Remove(instance, lapsed_until.has_value(), grace, now);
 }
 
 }  // namespace valeledge::host
--- a/src/host/process/store_update_handler.h
+++ b/src/host/process/store_update_handler.h
@@ -6,8 +6,10 @@
 #define VALELEDGE_HOST_PROCESS_STORE_UPDATE_HANDLER_H_
 
 #include <functional>
+#include <optional>
 #include <string>
 
+#include "base/duration.h"
 #include "base/endpoint.h"
 #include "catalog/configuration.h"
 #include "host/process/host_core.h"
@@ -33,8 +35,10 @@
   store_update_handler(host_core& core, store_update_callbacks callbacks);
 
   void Put(const std::string& key, const std::string& value);
-  // `lapsed`: the owner of the key may still be running.
-  void Remove(const std::string& key, bool lapsed);
+  // `lapsed_until`: the owner of the key may still be running, and is used
+  // until then.
+  void Remove(const std::string& key,
+              std::optional<base::time_point> lapsed_until);
 
  private:
   void ApplyConfiguration(catalog::configuration newer);
--- a/tests/auto/decisions/test_response_age.cc
+++ b/tests/auto/decisions/test_response_age.cc
@@ -111,6 +111,34 @@
   return hosts.YoungestAge();
 }
 
+// The end of the grace period is counted from the end of the outage, also by
+// hosts that learn of the deletion later.
+BOOST_AUTO_TEST_CASE(keys_have_lapsed_only_after_an_outage) {
+  response_ages ages;
+  ages.own.origin = 1;
+  const base::time_point start = std::chrono::steady_clock::now();
+  const auto respond = [&](milliseconds at) {
+    RecordReportedResponse(ages, {{2, at.count() + 1, true}, milliseconds(0)},
+                           start + at);
+  };
+  BOOST_TEST(LapsedUntil(ages, start).has_value());
+  respond(milliseconds(0));
+  respond(kMinOutage - milliseconds(1));
+  base::time_point now = start + kMinOutage;
+  BOOST_TEST(!LapsedUntil(ages, now).has_value());
+  const auto returned = 2 * kMinOutage;
+  now = start + returned - milliseconds(1);
+  BOOST_TEST((LapsedUntil(ages, now) == now + kLapseGrace));
+  respond(returned);
+  for (const milliseconds later : {milliseconds(1), milliseconds(900)}) {
+    BOOST_TEST((LapsedUntil(ages, start + returned + later) ==
+                start + returned + kLapseGrace));
+  }
+  respond(returned + milliseconds(900));
+  respond(returned + kLapseGrace);
+  BOOST_TEST(!LapsedUntil(ages, start + returned + kLapseGrace).has_value());
+}
+
 }  // namespace
 
 // Guards against an outage of the service going unnoticed. The service
--- a/tests/auto/host/mirror_fleet.h
+++ b/tests/auto/host/mirror_fleet.h
@@ -11,6 +11,7 @@
 #include <map>
 #include <memory>
 #include <random>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -43,22 +44,38 @@
     }
   }
 
+  // Makes the store unavailable to all hosts. Meanwhile some keys expire; their
+  // owners create them again 1.7 s after its return.
+  void BreakStore(std::chrono::milliseconds duration) {
+    store_down_until_ = now_ + duration;
+    std::vector<std::string> expired;
+    for (int i = 0; i < 5; ++i) {
+      DeleteKey();
+      expired.push_back(changes_.back().key);
+      deleted_at_.erase(expired.back());
+      expired_.insert(expired.back());
+    }
+    Rest(duration + 1700ms);
+    for (const std::string& each : expired)
+      CreateKey(each);
+    Rest(500ms);
+    expired_.clear();
+  }
+
   // Disturbs the fleet for a time, and lets it come to rest.
   void Run(std::chrono::milliseconds disturbed,
            std::chrono::milliseconds rest) {
     const auto quiet_from = now_ + disturbed;
-    while (now_ < quiet_from + rest) {
-      now_ += kStep;
-      if (now_ < quiet_from)
-        Disturb();
-      else
-        EndDisturbances();
-      for (simulated_host& each : hosts_) {
-        if (IsRunning(each))
-          Step(each);
-      }
-      Deliver();
+    while (now_ < quiet_from) {
+      Disturb();
+      AdvanceTime();
     }
+    EndDisturbances();
+    Rest(rest);
+  }
+  void Rest(std::chrono::milliseconds duration) {
+    for (const auto end = now_ + duration; now_ < end;)
+      AdvanceTime();
   }
 
   // Number of hosts whose keys differ from those of the store.
@@ -70,6 +87,12 @@
       });
     });
   }
+  // Deleted keys that hosts without disturbances used for more than two seconds
+  // after the deletion.
+  const std::set<std::string>& used_too_long() const { return used_too_long_; }
+  // Keys that expired during an outage of the store and that some host did not
+  // use all the time.
+  const std::set<std::string>& missed() const { return missed_; }
   // Snapshots of all keys, and of changes alone, that hosts have sent.
   std::int64_t whole_snapshots() const { return whole_snapshots_; }
   std::int64_t change_snapshots() const { return change_snapshots_; }
@@ -80,12 +103,15 @@
   static constexpr auto kReportInterval = 250ms;
   static constexpr auto kForcedRead = 2500ms;
   static constexpr auto kMaxWatch = 650ms;
+  static constexpr auto kMaxUse = 2s;
 
   // Lost when a host restarts.
   struct process_state {
     explicit process_state(host::mirrored_keys_events events)
         : keys(std::move(events)) {}
     host::mirrored_keys keys;
+    // Until when the owners of deleted keys are used.
+    std::map<std::string, base::time_point> lapsed_until;
     decisions::response_ages ages;
     base::time_point failed_at{};
     base::time_point responded_at{};
@@ -130,8 +156,11 @@
 
   void CreateKey() {
     created_.push_back("key/" + std::to_string(created_.size()));
-    store_[created_.back()] = ++revision_;
-    changes_.push_back({created_.back(), revision_, false});
+    CreateKey(created_.back());
+  }
+  void CreateKey(const std::string& key) {
+    store_[key] = ++revision_;
+    changes_.push_back({key, revision_, false});
   }
 
   void DeleteKey() {
@@ -139,6 +168,7 @@
     std::advance(deleted, std::uniform_int_distribution<std::size_t>(
                               0, store_.size() - 1)(random_));
     changes_.push_back({deleted->first, ++revision_, true});
+    deleted_at_[deleted->first] = now_;
     store_.erase(deleted);
   }
 
@@ -181,9 +211,14 @@
   void Restart(simulated_host& host) {
     host::mirrored_keys_events events;
     events.put = [](const auto&, const auto&) {};
-    events.removed = [](const auto&, bool) {};
+    events.removed = [&host](const std::string& key, auto lapsed_until) {
+      if (lapsed_until)
+        host.process->lapsed_until[key] = *lapsed_until;
+    };
     events.advanced = [](std::int64_t) {};
-    events.may_have_lapsed = [] { return false; };
+    events.lapsed_until = [this, &host] {
+      return decisions::LapsedUntil(host.process->ages, now_);
+    };
     host.process = std::make_unique<process_state>(std::move(events));
     host.process->ages.own.origin = ++processes_;
     host.process->next_report_at = now_ + Between(0ms, kReportInterval);
@@ -197,7 +232,7 @@
   bool IsServed(const simulated_host& host) const {
     const bool refused =
         now_ < host.refused_until && now_.time_since_epoch() % 1s < 600ms;
-    return now_ >= host.cut_until && !refused;
+    return now_ >= host.cut_until && now_ >= store_down_until_ && !refused;
   }
 
   // One host a zone follows the store; a silent one is replaced after a second.
@@ -209,6 +244,39 @@
     return chosen != hosts_.end() && &*chosen == &host;
   }
 
+  void AdvanceTime() {
+    now_ += kStep;
+    for (simulated_host& each : hosts_) {
+      if (IsRunning(each))
+        Step(each);
+    }
+    Deliver();
+    CheckUse();
+  }
+
+  static bool Uses(const process_state& process,
+                   const std::string& key,
+                   base::time_point now) {
+    const auto lapsed = process.lapsed_until.find(key);
+    return process.keys.Value(key) ||
+           (lapsed != process.lapsed_until.end() && now < lapsed->second);
+  }
+
+  void CheckUse() {
+    for (const simulated_host& host : hosts_) {
+      if (host.is_disturbed)
+        continue;
+      for (const auto& [key, deleted_at] : deleted_at_) {
+        if (now_ - deleted_at > kMaxUse && Uses(*host.process, key, now_))
+          used_too_long_.insert(key);
+      }
+      for (const std::string& key : expired_) {
+        if (!Uses(*host.process, key, now_))
+          missed_.insert(key);
+      }
+    }
+  }
+
   void Step(simulated_host& host) {
     process_state& process = *host.process;
     host.ran_at = now_;
@@ -305,6 +373,11 @@
   base::time_point now_{100s};
   std::map<std::string, std::int64_t> store_;
   std::vector<std::string> created_;
+  std::map<std::string, base::time_point> deleted_at_;
+  std::set<std::string> expired_;
+  std::set<std::string> used_too_long_;
+  std::set<std::string> missed_;
+  base::time_point store_down_until_{};
   std::vector<store_change> changes_;
   std::int64_t revision_ = 0;
   std::int64_t processes_ = 0;
--- a/tests/auto/host/mirror_world.h
+++ b/tests/auto/host/mirror_world.h
@@ -24,8 +24,8 @@
                "",
                {[this] { return follows; },
                 [this](const auto& key, const auto&) { put.push_back(key); },
-                [this](const auto& key, bool lapsed) {
-                  removed.emplace_back(key, lapsed);
+                [this](const auto& key, auto lapsed_until) {
+                  removed.emplace_back(key, lapsed_until.has_value());
                 },
                 [](auto) {}, [](std::int64_t) {},
                 [this] { return knows_others; }}) {}
--- a/tests/auto/host/test_missed_deletions.cc
+++ b/tests/auto/host/test_missed_deletions.cc
@@ -21,8 +21,8 @@
 
 host::mirrored_keys MakeKeys() {
   return host::mirrored_keys({[](const auto&, const auto&) {},
-                              [](const auto&, bool) {}, [](std::int64_t) {},
-                              [] { return false; }});
+                              [](const auto&, auto) {}, [](std::int64_t) {},
+                              [] { return std::nullopt; }});
 }
 
 std::map<std::string, host::mirrored_value> Values(
@@ -131,6 +131,29 @@
                            << " of changes");
 }
 
+// Hosts that the store refuses now and then must not take this for an outage:
+// the others would use servers that have left for longer than these serve.
+BOOST_AUTO_TEST_CASE(refusals_of_some_hosts_do_not_extend_the_use_of_a_server) {
+  for (std::uint64_t seed = 1; seed <= 300; ++seed) {
+    test::mirror_fleet fleet({}, seed);
+    fleet.Run(10s, 3s);
+    BOOST_TEST(fleet.used_too_long().empty(),
+               "seed " << seed << ": " << fleet.used_too_long().size());
+  }
+}
+
+BOOST_AUTO_TEST_CASE(servers_are_used_while_they_register_after_an_outage) {
+  for (std::uint64_t seed = 1; seed <= 50; ++seed) {
+    test::mirror_fleet fleet({}, seed);
+    fleet.Rest(3s);
+    fleet.BreakStore(4s);
+    BOOST_TEST(fleet.missed().empty(),
+               "seed " << seed << ": " << fleet.missed().size());
+    fleet.Rest(3s);
+    BOOST_TEST(fleet.CountDiverged() == 0);
+  }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
--- a/tests/auto/host/test_server_registry.cc
+++ b/tests/auto/host/test_server_registry.cc
@@ -218,6 +218,19 @@
   BOOST_TEST(setup.Choose() == "none");
 }
 
+// Not only from the next periodic removal on.
+BOOST_AUTO_TEST_CASE(a_server_is_not_used_after_its_grace_period) {
+  registry_fixture setup;
+  setup.avoid.push_back("i-2");
+  setup.registry.Remove("i-1", true, 1800ms, setup.now);
+  setup.now += 1799ms;
+  BOOST_TEST(setup.Choose() == "i-1");
+  setup.now += 1ms;
+  BOOST_TEST(setup.Choose() == "none");
+  BOOST_TEST((setup.registry.Find("i-1")->SendBlock(setup.now) ==
+              host::send_block::kLeaving));
+}
+
 BOOST_AUTO_TEST_CASE(newer_residency_overrides_take_precedence_over_an_entry) {
   registry_fixture setup;
   setup.avoid.push_back("i-2");
--- a/tests/auto/host/test_snapshot_spread.cc
+++ b/tests/auto/host/test_snapshot_spread.cc
@@ -224,7 +224,7 @@
   host::store_mirror mirror(
       context, store, "",
       {[] { return false; }, [](const auto&, const auto&) {},
-       [](const auto&, bool) {}, [](auto) {}, [](std::int64_t) {}});
+       [](const auto&, auto) {}, [](auto) {}, [](std::int64_t) {}});
   wire::mirror_copy read;
   read.revision = 2;
   read.whole = true;
--- a/tests/auto/host/test_store_mirror.cc
+++ b/tests/auto/host/test_store_mirror.cc
@@ -46,6 +46,7 @@
   here.store.Wake();
   here.RunUntil([&] { return !here.mirror.IsCurrent(); });
   here.store.Remove("lapses");
+  here.RunUntil([&] { return here.mirror.Age() >= decisions::kMinOutage; });
   here.store.down = false;
   here.RunUntil([&] { return here.removed.size() == 1; });
   BOOST_TEST(here.removed.back().first == "lapses");
@@ -56,6 +57,29 @@
   BOOST_TEST(!here.removed.back().second);
 }
 
+// Servers that leave while the store refuses this host alone are gone at once.
+BOOST_AUTO_TEST_CASE(
+    keys_removed_while_other_hosts_are_served_have_not_lapsed) {
+  world here;
+  here.store.Put("leaves", "1");
+  here.mirror.Start();
+  here.RunUntil([&] { return here.put.size() == 1; });
+  here.store.down = true;
+  here.store.Wake();
+  const auto refused_at = std::chrono::steady_clock::now();
+  std::int64_t reports = 0;
+  here.RunUntil([&] {
+    here.mirror.RecordReportedResponse(
+        {{1, ++reports, true}, std::chrono::milliseconds(0)});
+    return std::chrono::steady_clock::now() - refused_at >=
+           decisions::kMinOutage;
+  });
+  here.store.Remove("leaves");
+  here.store.down = false;
+  here.RunUntil([&] { return here.removed.size() == 1; });
+  BOOST_TEST(!here.removed.back().second);
+}
+
 BOOST_AUTO_TEST_CASE(all_keys_are_read_once_after_a_lost_history) {
   world here;
   here.store.Put("a", "1");
