Soak: restarted hosts keep the first settings on every other seed

Each restart in the soak wrote Bootstrap = false, as no operator's file does by itself, which hid that a host believed the word. FailedWithin of the mirror has no user outside and becomes private.

--- a/src/host/process/store_mirror.h
+++ b/src/host/process/store_mirror.h
@@ -69,8 +69,6 @@
   // Empty if there was none. A response to this host counts as soon as parts of
   // it are received.
   std::optional<decisions::reported_response> NewestResponse();
-  // Whether a call to the store failed within the last `span`.
-  bool FailedWithin(std::chrono::milliseconds span) const;
   std::int64_t revision() const { return keys_.revision(); }
   // The value of a key; empty if it does not exist.
   std::optional<std::string> Value(const std::string& key) const {
@@ -98,6 +96,8 @@
   boost::asio::awaitable<void> Loop();
   boost::asio::awaitable<bool> ReadAll();
   boost::asio::awaitable<bool> Follow();
+  // Whether a call to the store failed within the last `span`.
+  bool FailedWithin(std::chrono::milliseconds span) const;
   bool OthersFollow() const;
   bool MayStopFollowing() const;
   void RecordCallResult(bool succeeded);
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -260,7 +260,7 @@
         await asyncio.gather(*(host.kill() for host in herd))
         await asyncio.sleep(down_s)
         for host in herd:
-            await host.start(first=False)
+            await host.start(first=self.site.keeps_settings)
             host.disturb(0)
             self.busy.discard(host)
 
@@ -274,7 +274,7 @@
         blocked = BlockedPort(host.ports["peers"])
         await asyncio.sleep(fault.for_s)
         blocked.close()
-        await host.start(first=False)
+        await host.start(first=self.site.keeps_settings)
         host.disturb(0)
         self.busy.discard(host)
 
@@ -297,7 +297,7 @@
             return
         self.busy.add(host)
         await host.stop()
-        await host.start(first=False)
+        await host.start(first=self.site.keeps_settings)
         self.busy.discard(host)
 
     async def _hosts_roll(self, fault):
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -63,6 +63,9 @@
         self.callers = []
         # Software versions of the engines, in turn.
         self.software = ["v1"]
+        # Whether hosts that are restarted keep the settings of the fleet's
+        # first start.
+        self.keeps_settings = seed % 2 == 1
         # Whether callers compete for engines.
         self.high_load = False
         self.version = 1
