--- a/src/host/process/mirrored_keys.h
+++ b/src/host/process/mirrored_keys.h
@@ -48,6 +48,8 @@
   std::function<std::optional<base::time_point>()> lapsed_until;
 };
 
+// The keys under a prefix of the store as far as this host knows them, and the
+// recent deletions.
 class mirrored_keys {
  public:
   explicit mirrored_keys(mirrored_keys_events events);
