A stream that is taken up waits for room at its version

Cause: a request is sent to the best engine even if all its slots are in use, since engines queue a few more and another one is tried after a rejection. A stream that goes on has only the engines of its version, and another attempt needs a retry, of which the hosts have spent those that they had on the streams that broke. It was refused (2007) within 10 ms, although its host knew that the engines were full.

Such a stream now waits until an engine of its version has room, for the second that it may wait for its version in any case, and is then sent to a full one. Room is the number of slots, or what the engine has been seen to hold. No retry is needed, so the bound on retries stays.

Ruled out: that no engine of the version has room (four places a second come free), and that new streams take it.

--- a/src/host/process/known_server.h
+++ b/src/host/process/known_server.h
@@ -21,6 +21,7 @@
 #include "decisions/read_pacing.h"
 #include "decisions/server_cost.h"
 #include "decisions/server_notices.h"
+#include "decisions/server_room.h"
 #include "decisions/stream_separation.h"
 
 namespace valeledge::host {
@@ -105,6 +106,7 @@
   // Requests that this host has sent and others have reported to have sent.
   std::int64_t requests_sent = 0;
   decisions::server_health trust;
+  decisions::server_room room;
   // How much later than expected its responses start, if estimates are shared
   // for its service.
   decisions::engine_estimate estimate;
@@ -145,6 +147,12 @@
   bool IsPermitted(base::time_point now) const {
     return !IsLimited() || (!permit_pending && now >= permit_retry_at);
   }
+  // Requests that this host and others have running there.
+  std::int64_t Running() const { return own.running + others.running; }
+  // Whether it would probably reject another request.
+  bool IsFull() const {
+    return decisions::IsFull(room, entry.slots, Running());
+  }
   // Whether requests are queued for it.
   bool HasQueue() const { return own.queued_tokens + others.queued_tokens > 0; }
   // Whether one of its responses has stated that it is leaving.
--- a/src/host/process/server_availability.cc
+++ b/src/host/process/server_availability.cc
@@ -21,8 +21,7 @@
 // rejections.
 bool HasRoom(const known_server& server) {
   return !server.rejections_tolerated ||
-         server.own.running + server.others.running <
-             decisions::BrittleSlots(server.entry.slots);
+         server.Running() < decisions::BrittleSlots(server.entry.slots);
 }
 
 }  // namespace
@@ -51,6 +50,7 @@
                                   const server_query& query,
                                   base::time_point now) const {
   return server.IsPermitted(now) && HasRoom(server) &&
+         !(query.avoids_full && server.IsFull()) &&
          IsEligible(server, query, now) &&
          !decisions::IsPaused(server.notices, now) &&
          decisions::AllowsRequests(server.trust, now);
--- a/src/host/request/server_attempt.cc
+++ b/src/host/request/server_attempt.cc
@@ -50,6 +50,7 @@
       std::max<std::int64_t>(weight.prompt_tokens - choice.cached_tokens, 0);
   ++demand_.running;
   ++server_->own.running;
+  running_ = server_->Running();
   ++server_->requests_sent;
   server_->own.unread_tokens += weight_.prompt_tokens;
   server_->own.held_tokens += weight_.held_tokens;
@@ -157,6 +158,7 @@
   awaiting_first_byte_ = false;
   EndTrial();
   server_->own.unread_tokens -= weight_.prompt_tokens;
+  decisions::RecordAccepted(server_->room, running_);
   core_.load_changed(*server_);
   const milliseconds took = std::chrono::steady_clock::now() - started_at_;
   core_.metrics.Distribution("valeledge_first_byte_seconds")
@@ -230,6 +232,7 @@
   if (!response.misdirected) {
     EndSlot(slot_outcome::kFull);
     decisions::RecordServerFull(server_->trust, now);
+    decisions::RecordRejected(server_->room, running_);
     return;
   }
   const bool gone =
--- a/src/host/request/server_attempt.h
+++ b/src/host/request/server_attempt.h
@@ -77,6 +77,8 @@
   // Prompt tokens, including this request's, that the server must process
   // before its first byte.
   std::int64_t tokens_ahead_ = 0;
+  // Requests at the server, with this one, when it was sent.
+  std::int64_t running_ = 0;
   base::time_point started_at_ = std::chrono::steady_clock::now();
   bool awaiting_first_byte_ = true;
   // It is the first request after a backoff of the server, and has had no
--- a/src/host/request/server_search.cc
+++ b/src/host/request/server_search.cc
@@ -11,6 +11,7 @@
 #include "decisions/engine_admission.h"
 #include "decisions/replica_wait.h"
 #include "host/constants.h"
+#include "host/load_features.h"
 #include "host/request/crash_monitor.h"
 #include "host/request/load_wait.h"
 #include "host/process/path_monitor.h"
@@ -51,6 +52,18 @@
   return std::min(routed.search_began + kMaxResumeWait, routed.deadline);
 }
 
+// Whether the request waits for an engine with room rather than be rejected. A
+// rejection may end a stream that goes on: few engines have its version, and
+// another attempt needs a retry from the budget.
+bool WaitsForRoom(const host_core& core,
+                  const routed_request& routed,
+                  const load_wait& wait,
+                  base::time_point now) {
+  return routed.origin && !routed.metadata.model.empty() &&
+         !IsEnabled(core.settings.features.engine_queues, *routed.service) &&
+         now < RefusalCutoff(routed, wait);
+}
+
 // Requests the adapter from the lease holder, and waits until it is loaded.
 asio::awaitable<base::result<void>> RequestAdapter(host_core& core,
                                                    const routed_request& routed,
@@ -244,7 +257,8 @@
     }
     if (path != path_state::kDirect)
       co_return tl::make_unexpected(PathLostError(core, routed));
-    const server_query query = QueryOf(routed);
+    server_query query = QueryOf(routed);
+    query.avoids_full = WaitsForRoom(core, routed, wait, now);
     if (routed.origin && !CanContinue(core, query, now)) {
       co_return tl::make_unexpected(NotResumableError(
           "no backend server of the software version that began the stream "
--- a/tests/auto/host/test_software_versions.cc
+++ b/tests/auto/host/test_software_versions.cc
@@ -123,6 +123,62 @@
   BOOST_TEST(world.first.requests.empty());
 }
 
+// A stream of model "m" that began at the first of two engines, of different
+// versions, and is taken up again when all slots of that engine are in use.
+struct full_engine_world : versions_world {
+  full_engine_world() : versions_world("v1.1") {
+    model = "m";
+    for (const auto& [instance, server] : core->servers.servers())
+      server->entry.models = {{model, 1, {}}};
+    engine = core->servers.Find("i-1");
+    first.script = {kBroken, kRest};
+    SendRequest("/resumed/");
+    engine->trust = {};
+    engine->room = {};
+    engine->others.running = engine->entry.slots;
+    first.on_request = [this] {
+      sent_at = std::chrono::steady_clock::now();
+      running_when_sent = engine->others.running;
+    };
+  }
+
+  std::shared_ptr<host::known_server> engine;
+  base::time_point sent_at;
+  std::int64_t running_when_sent = 0;
+};
+
+// Guards against resumed streams that end with a rejection by an engine known
+// to be full.
+BOOST_AUTO_TEST_CASE(a_stream_that_is_taken_up_waits_for_room_at_its_version) {
+  full_engine_world world;
+  const auto begun = std::chrono::steady_clock::now();
+  world.added_fields = {{"Last-Event-Id", "1"}, {"Resumes", "9c41"}};
+  const auto seen = world.SendRequest("/resumed/", [&](fake_responder&) {
+    if (std::chrono::steady_clock::now() - begun > 200ms)
+      world.engine->others.running = world.engine->entry.slots - 1;
+  });
+  BOOST_TEST(seen.body == Event(2) + "(end)");
+  BOOST_TEST(world.running_when_sent < world.engine->entry.slots);
+  BOOST_TEST(world.second.requests.empty());
+}
+
+BOOST_AUTO_TEST_CASE(a_stream_that_is_taken_up_tries_a_full_engine_at_last) {
+  full_engine_world world;
+  const auto begun = std::chrono::steady_clock::now();
+  const auto seen = world.TakeUp("9c41");
+  BOOST_TEST(seen.body == Event(2) + "(end)");
+  BOOST_TEST((world.sent_at - begun >= host::kMaxResumeWait));
+}
+
+BOOST_AUTO_TEST_CASE(a_stream_that_is_taken_up_uses_the_queue_of_its_engine) {
+  full_engine_world world;
+  decisions::RecordAccepted(world.engine->room, world.engine->entry.slots + 2);
+  const auto begun = std::chrono::steady_clock::now();
+  const auto seen = world.TakeUp("9c41");
+  BOOST_TEST(seen.body == Event(2) + "(end)");
+  BOOST_TEST((world.sent_at - begun < host::kMaxResumeWait / 2));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
