Owners of a limit allow for members that detect a partition late

An owner now reserves the rate of a silent host for 8 s, and counts hosts that become visible again only 4 s later.

--- a/src/decisions/workspace_limit.cc
+++ b/src/decisions/workspace_limit.cc
@@ -46,8 +46,16 @@
 // Time after which members agree on the visible hosts.
 constexpr seconds kMembershipConvergenceTime{4};
 
-// Before that, a new owner grants at least this fraction of its clients' even
-// share.
+// Hosts that become visible again are not counted for this time: until they
+// have noticed that this owner is back, another one grants them tokens.
+constexpr seconds kReturnDelay{4};
+
+// Time for which the rate of an unresponsive host stays reserved: all members
+// have noticed by then that it is gone.
+constexpr seconds kReservedDuration{8};
+
+// Before membership has converged, a new owner grants at least this fraction of
+// its clients' even share.
 constexpr double kUnconvergedFraction = 0.5;
 
 // A limit counts as exhausted for this time after a request beyond it was
@@ -112,7 +120,7 @@
   limiter.reserved = 0;
   limiter.granted_rate = 0;
   std::erase_if(limiter.clients, [now](const auto& each) {
-    return now - each.second.requests.last > kMembershipConvergenceTime;
+    return now - each.second.requests.last > kReservedDuration;
   });
   for (const auto& [host, client] : limiter.clients) {
     const double rate =
@@ -123,6 +131,18 @@
   }
 }
 
+void UpdateVisibleFraction(limiter_state& limiter,
+                           const limit_members& members,
+                           base::time_point now) {
+  const double visible = std::clamp(members.visible_fraction, 0.0, 1.0);
+  if (visible > limiter.visible_fraction && now < limiter.visible_until)
+    return;
+  limiter.visible_fraction = visible;
+  limiter.visible_until =
+      now +
+      std::chrono::duration_cast<base::time_point::duration>(kReturnDelay);
+}
+
 bool HasConverged(const limiter_state& limiter,
                   const limit_members& members,
                   base::time_point now) {
@@ -135,8 +155,7 @@
                      const catalog::workspace_limit& limit,
                      const limit_members& members,
                      base::time_point now) {
-  const double visible_fraction =
-      std::clamp(members.visible_fraction, 0.0, 1.0);
+  const double visible_fraction = limiter.visible_fraction;
   if (HasConverged(limiter, members, now)) {
     // Unresponsive hosts soon become invisible, so that the two are not added.
     const double missing =
@@ -190,12 +209,12 @@
             const limit_members& members,
             base::time_point now) {
   UpdateClients(limiter, now);
+  UpdateVisibleFraction(limiter, members, now);
   token_bucket& bucket = limiter.bucket;
   bucket.rate = GrantableRate(limiter, limit, members, now);
-  limiter.expected_rate =
-      HasConverged(limiter, members, now)
-          ? bucket.rate
-          : limit.rate * std::clamp(members.visible_fraction, 0.0, 1.0);
+  limiter.expected_rate = HasConverged(limiter, members, now)
+                              ? bucket.rate
+                              : limit.rate * limiter.visible_fraction;
   bucket.burst = limit.burst;
   Refill(bucket, now);
   // A lowered burst applies immediately.
--- a/src/decisions/workspace_limit.h
+++ b/src/decisions/workspace_limit.h
@@ -63,6 +63,10 @@
   double reserved = 0;
   double granted_rate = 0;
   base::time_point clients_updated_at;
+  // Lowest visible fraction of the members that was recently observed, and the
+  // time from which a higher one replaces it.
+  double visible_fraction = 1;
+  base::time_point visible_until;
   // Retries of refused requests are spread over time; the next one is due then.
   base::time_point next_retry;
   // Tokens requested and granted since the last log line.
--- a/tests/auto/decisions/limit_fleet.h
+++ b/tests/auto/decisions/limit_fleet.h
@@ -54,6 +54,9 @@
   std::optional<double> lowered_at;
   // Time at which all hosts restart, if ever.
   std::optional<double> restarted_at;
+  // Maximum time in seconds by which a host considers another one dead, or
+  // visible again, later than is usual.
+  double max_detection_delay = 0;
   // Requests wait at the owner: every other one for up to 4 s, the others,
   // which are more urgent, for up to 80 ms.
   bool requests_wait = false;
@@ -192,6 +195,15 @@
                                });
   }
 
+  // Time by which a host notices changes of another one later than is usual.
+  double DetectionDelay(std::size_t from, std::size_t other) const {
+    std::minstd_rand random(
+        static_cast<std::uint32_t>(from * hosts_.size() + other + 1));
+    random.discard(3);
+    return std::uniform_real_distribution<double>(
+        0, scenario_.max_detection_delay)(random);
+  }
+
   // Seconds for which a host has found another one unreachable; negative while
   // it is visible.
   double UnreachableFor(std::size_t from, std::size_t other, double now) const {
@@ -199,8 +211,9 @@
     for (std::size_t i = 0; i < sides_.size(); ++i) {
       const fleet_partition& partition = scenario_.partitions[i];
       const bool is_apart = sides_[i][from] != sides_[i][other];
-      const bool is_noticed = now >= partition.begin + kSuspectedAfter &&
-                              now < partition.end + kVisibleAfter;
+      const bool is_noticed =
+          now >= partition.begin + kSuspectedAfter &&
+          now < partition.end + kVisibleAfter + DetectionDelay(from, other);
       if (is_apart && is_noticed)
         unreachable_for = std::max(unreachable_for, now - partition.begin);
     }
@@ -224,7 +237,10 @@
   double VisibleFraction(std::size_t from, double now) const {
     double visible = 0;
     for (std::size_t each = 0; each < hosts_.size(); ++each)
-      visible += UnreachableFor(from, each, now) < kDeadAfter ? 1 : 0;
+      visible += UnreachableFor(from, each, now) <
+                         kDeadAfter + DetectionDelay(from, each)
+                     ? 1
+                     : 0;
     return visible / static_cast<double>(hosts_.size());
   }
 
--- a/tests/auto/decisions/test_limit_fleet.cc
+++ b/tests/auto/decisions/test_limit_fleet.cc
@@ -65,6 +65,18 @@
   CheckAll({{13, 19, 0.3, false}, {20, 26, 0.3, true}});
 }
 
+// Guards against two owners that both grant most of the rate: one that has not
+// yet detected that hosts are gone, or one whose hosts have just become visible
+// again while they still ask the other.
+BOOST_AUTO_TEST_CASE(when_members_detect_a_partition_late) {
+  const auto slow = [](limit_fleet_scenario& scenario) {
+    scenario.max_detection_delay = 3;
+  };
+  CheckAll({{12, 18, 0.35, false}, {18, 22, 0.35, false}}, slow);
+  CheckAll({{12, 18, 0.35, true}, {18, 22, 0.35, false}}, slow);
+  CheckAll({{12, 18, 0.35, false}, {18, 22, 0.35, true}}, slow);
+}
+
 BOOST_AUTO_TEST_CASE(when_halves_are_partitioned) {
   CheckAll({{13, 21, 0.5, false}});
 }
