Owners of a limit make up for what silent hosts have used

Cause: a host counts as silent after six of its intervals, at least 0.3 s. Until then its owner grants its part of the rate to others, while the host goes on with 0.3 s of its rate at once and its rate from then on. Nothing made up for it, so each cut added up to 1.5 s of the rate of the hosts that were cut off.

The owner now reserves so much more in the two seconds after.

--- a/src/decisions/workspace_limit.cc
+++ b/src/decisions/workspace_limit.cc
@@ -39,6 +39,10 @@
 constexpr double kUnresponsiveIntervals = 6;
 constexpr seconds kMinUnresponsiveTime{0.3};
 
+// Before that, such a host may have used its rate without being counted. This
+// is made up for within this time.
+constexpr seconds kCompensationTime{2};
+
 // The owner reserves nothing for other hosts. These report this fraction of
 // their rate while the limit is exhausted.
 constexpr double kIrregularFraction = 0.25;
@@ -89,11 +93,23 @@
          requests.interval <= kMaxRegularInterval;
 }
 
-bool IsUnresponsive(const request_interval& requests, base::time_point now) {
-  return IsRegular(requests) &&
-         now - requests.last >
-             std::max(kMinUnresponsiveTime,
-                      requests.interval * kUnresponsiveIntervals);
+// Time without requests after which a regular host counts as unresponsive.
+seconds UnresponsiveAfter(const request_interval& requests) {
+  return std::max(kMinUnresponsiveTime,
+                  requests.interval * kUnresponsiveIntervals);
+}
+
+// The part of its rate that is reserved for a host: none while it sends
+// requests.
+double ReservedPart(const request_interval& requests, base::time_point now) {
+  const seconds unresponsive_after = UnresponsiveAfter(requests);
+  const seconds passed = now - requests.last;
+  if (!IsRegular(requests) || passed <= unresponsive_after)
+    return 0;
+  const bool compensates = passed < unresponsive_after + kCompensationTime;
+  return compensates
+             ? 1 + (unresponsive_after + kOwnerlessBurst) / kCompensationTime
+             : 1;
 }
 
 // Whether a host may continue at its full rate without its previous owner: the
@@ -126,8 +142,7 @@
     const double rate =
         Decayed(client.rate, client.requests.last - client.updated);
     limiter.granted_rate += rate;
-    if (IsUnresponsive(client.requests, now))
-      limiter.reserved += rate;
+    limiter.reserved += rate * ReservedPart(client.requests, now);
   }
 }
 
