--- a/src/decisions/workspace_limit.cc
+++ b/src/decisions/workspace_limit.cc
@@ -39,11 +39,11 @@
 constexpr double kUnresponsiveIntervals = 6;
 constexpr seconds kMinUnresponsiveTime{0.3};
 
-// Before that, such a host may have used its rate without being counted. This
-// is made up for within this time.
+// Until it is detected, such a host uses its rate although the owner grants
+// that part to others. The owner makes up for it within this time.
 constexpr seconds kCompensationTime{2};
 
-// The owner reserves nothing for other hosts. These report this fraction of
+// The owner reserves nothing for irregular hosts. These report this fraction of
 // their rate while the limit is exhausted.
 constexpr double kIrregularFraction = 0.25;
 
--- a/src/host/process/server_registry.h
+++ b/src/host/process/server_registry.h
@@ -41,7 +41,7 @@
   const std::string* software = nullptr;
   const request_metadata* head = nullptr;
   decisions::request_weight weight;
-  // Whether servers are left out that would probably reject the request.
+  // Excludes servers that would probably reject the request.
   bool avoids_full = false;
   // Instances that have failed this request.
   const std::vector<std::string>* avoid = nullptr;
