Sight: what shows that an attempt has not run its request

TWICE, REFUSED and LOST share one statement, "not run". The logs told that a request was refused or sent again, but not on which evidence: a refusal of a server and a request that was withheld left no line. Event 2021 and valeledge_attempts_not_run_total name it, and whether a refusal names its request. No decision is changed.

--- a/src/host/request/attempt_outcome.h
+++ b/src/host/request/attempt_outcome.h
@@ -4,6 +4,7 @@
 #define VALELEDGE_HOST_REQUEST_ATTEMPT_OUTCOME_H_
 
 #include <memory>
+#include <string_view>
 
 #include "base/error.h"
 #include "net/http_client.h"
@@ -21,6 +22,23 @@
   kDenied,
 };
 
+// What shows that an attempt has not run its request and never will.
+enum class not_run_evidence {
+  // A check that failed right before the request would have been sent.
+  kWithheld,
+  // An error before any byte of the request was written.
+  kNotSent,
+  // A refusal of the server that names the request.
+  kRefusal,
+  // A refusal of the server that names no request.
+  kUnnamedRefusal,
+  // The statement of the host that relays the request.
+  kPeerStatement,
+};
+
+// Returns the name of the value in metrics and log lines.
+std::string_view NameOf(not_run_evidence evidence);
+
 // Outcome of an attempt whose caller disconnected before the response header
 // arrived. What was not sent did not run, and is not charged.
 attempt_outcome OutcomeWithoutCaller(
--- a/src/host/request/direct_attempt.cc
+++ b/src/host/request/direct_attempt.cc
@@ -84,6 +84,10 @@
                   opened.error().code == result_code::kDeadlinePassed);
   if (not_sent) {
     state.last_error = opened.error();
+    LogAttemptNotRun(
+        state.core, state.routed, state.trace, server.entry.instance,
+        WasWithheld(state.last_error) ? not_run_evidence::kWithheld
+                                      : not_run_evidence::kNotSent);
     co_return attempt_outcome::kNotRun;
   }
   if (!opened) {
@@ -94,6 +98,10 @@
     attempt.OnFailed(not_run || RemainingTime(state.routed).count() > 0);
     LogAttemptFailed(state.core, state.routed, state.trace,
                      server.entry.instance, state.last_error);
+    if (not_run) {
+      LogAttemptNotRun(state.core, state.routed, state.trace,
+                       server.entry.instance, not_run_evidence::kNotSent);
+    }
     co_return not_run ? attempt_outcome::kNotRun : attempt_outcome::kUnknown;
   }
   state.progress.header_at = std::chrono::steady_clock::now();
@@ -127,6 +135,10 @@
         base::MakeError(result_code::kBackendRefused, base::outcome::kNotRun,
                         "the backend server responded with status " +
                             std::to_string(exchange.header().result_int()));
+    LogAttemptNotRun(
+        state.core, state.routed, state.trace, server.entry.instance,
+        metadata.request_id.empty() ? not_run_evidence::kUnnamedRefusal
+                                    : not_run_evidence::kRefusal);
     state.core.http.DiscardBody(*opened);
     co_return attempt_outcome::kNotRun;
   }
--- a/src/host/request/peer_attempt.cc
+++ b/src/host/request/peer_attempt.cc
@@ -90,9 +90,11 @@
       state.core.paths->OnRelayFailed(state.routed.service->name, peer);
     LogAttemptFailed(state.core, state.routed, state.trace,
                      base::ToString(peer), state.last_error);
-    co_return state.last_error.what_ran == base::outcome::kNotRun
-        ? attempt_outcome::kNotRun
-        : attempt_outcome::kUnknown;
+    if (state.last_error.what_ran != base::outcome::kNotRun)
+      co_return attempt_outcome::kUnknown;
+    LogAttemptNotRun(state.core, state.routed, state.trace,
+                     base::ToString(peer), not_run_evidence::kNotSent);
+    co_return attempt_outcome::kNotRun;
   }
   state.progress.header_at = std::chrono::steady_clock::now();
   WatchBody(state, *opened);
@@ -105,7 +107,13 @@
   const relayed_response stated = ReadRelayFields(exchange.header());
   if (stated.code != result_code::kOk) {
     state.core.http.DiscardBody(*opened);
-    co_return TakePeerError(state, exchange, peer, stated.code);
+    const attempt_outcome outcome =
+        TakePeerError(state, exchange, peer, stated.code);
+    if (outcome == attempt_outcome::kNotRun) {
+      LogAttemptNotRun(state.core, state.routed, state.trace,
+                       base::ToString(peer), not_run_evidence::kPeerStatement);
+    }
+    co_return outcome;
   }
   const response_metadata metadata =
       state.core.protocol.read_response(exchange.header());
--- a/src/host/request/request_trace.cc
+++ b/src/host/request/request_trace.cc
@@ -169,6 +169,23 @@
                   {"reason", failed.message}});
 }
 
+void LogAttemptNotRun(host_core& core,
+                      const routed_request& routed,
+                      const request_trace& trace,
+                      const std::string& target,
+                      not_run_evidence evidence) {
+  core.metrics.Counter("valeledge_attempts_not_run_total", NameOf(evidence))
+      .Add();
+  core.log.Write(log_weight::kTrouble, log_event::kAttemptNotRun,
+                 routed.metadata.id,
+                 {{"request", routed.metadata.id},
+                  {"server", target},
+                  {"attempt", trace.attempts},
+                  {"relay", trace.relays},
+                  {"evidence", std::string(NameOf(evidence))},
+                  {"after_ms", MillisecondsSince(routed.arrived)}});
+}
+
 void LogCompleted(host_core& core,
                   const routed_request& routed,
                   const request_trace& trace,
--- a/src/host/request/request_trace.h
+++ b/src/host/request/request_trace.h
@@ -10,6 +10,7 @@
 
 #include "base/error.h"
 #include "host/process/host_core.h"
+#include "host/request/attempt_outcome.h"
 #include "host/request/routed_request.h"
 
 namespace valeledge::host {
@@ -77,6 +78,14 @@
                       const std::string& target,
                       const base::error& failed);
 
+// Logs that an attempt has not run the request, and what shows it. `target` as
+// above.
+void LogAttemptNotRun(host_core& core,
+                      const routed_request& routed,
+                      const request_trace& trace,
+                      const std::string& target,
+                      not_run_evidence evidence);
+
 // Logs that the caller received its whole response, or disconnected. `target`
 // as above.
 void LogCompleted(host_core& core,
