The status of a request that may have run promises nothing

Callers saw 503, the promise that a request has not run, for one that had been sent to a server before: the first attempt of an idempotent request lost its connection, the second was withheld right before the send, and the response took its status from the code of the last error. The body said "unknown".

Cause: status and outcome are stated apart. Now the response is made from the outcome: whatever failed last, a request that may have run gets 3005 (502) instead of a status that promises.

a_request_that_may_have_run_is_not_answered_as_not_run failed before (503), and passes. Requests that run at most once were not concerned: a possible run ends their attempts with a code of its own.

--- a/src/host/request/http_forwarding.cc
+++ b/src/host/request/http_forwarding.cc
@@ -81,10 +81,25 @@
   return std::string(text.data(), static_cast<std::size_t>(length));
 }
 
+// Statuses that state that a request has not run and never will.
+constexpr std::array kNotRunStatuses = {408, 421, 429, 503};
+
+// Returns the code of the response to a request that failed. The status of a
+// request that may have run states nothing else, whatever failed last.
+const base::result_code_entry& DescribeResponse(const base::error& failed) {
+  const base::result_code_entry& entry = base::Describe(failed.code);
+  const bool is_contradiction =
+      failed.what_ran != base::outcome::kNotRun &&
+      std::ranges::find(kNotRunStatuses, entry.http_status) !=
+          kNotRunStatuses.end();
+  return is_contradiction ? base::Describe(base::result_code::kOutcomeUnknown)
+                          : entry;
+}
+
 }  // namespace
 
 net::http_response MakeErrorResponse(const base::error& failed) {
-  const base::result_code_entry& entry = base::Describe(failed.code);
+  const base::result_code_entry& entry = DescribeResponse(failed);
   boost::json::object body;
   body["code"] = static_cast<int>(entry.code);
   body["name"] = entry.name;
