Hosts state the outcome of a relayed request, and it is not guessed

The host that receives a request read "not run" from the status of the error of the host that relays it (under 500, or 503), and from two codes whatever their status. An error with such a status and an unknown outcome would have been sent again, or answered as not run. Hosts now state the outcome in a field of their own; without it nothing is known.

an_error_of_another_host_is_not_run_only_if_it_says_so failed before (503 for an error without an outcome). While hosts of both versions run, a refusal of an older one counts as unknown.

--- a/src/host/request/failure_response.cc
+++ b/src/host/request/failure_response.cc
@@ -11,7 +11,7 @@
                                        const base::error& failed) {
   auto response = MakeErrorResponse(failed);
   if (routed.is_relayed)
-    WriteRelayFields(response.base(), {failed.code, {}, {}});
+    WriteRelayFields(response.base(), {failed.code, failed.what_ran, {}, {}});
   return response;
 }
 
--- a/src/host/request/peer_attempt.cc
+++ b/src/host/request/peer_attempt.cc
@@ -26,21 +26,22 @@
 attempt_outcome TakePeerError(request_state& state,
                               const net::http_exchange& exchange,
                               const base::endpoint& peer,
-                              result_code code) {
-  const bool not_run = exchange.header().result_int() < 500 ||
-                       exchange.header().result_int() == 503;
+                              const relayed_response& stated) {
+  const bool not_run = stated.what_ran == base::outcome::kNotRun;
   const auto retry_after =
       net::ReadRetryAfter(exchange.header(), std::chrono::system_clock::now());
-  if (code == result_code::kPathLost || code == result_code::kLeaving) {
+  const bool takes_none = stated.code == result_code::kPathLost ||
+                          stated.code == result_code::kLeaving;
+  if (not_run && takes_none) {
     state.core.paths->OnRelayFailed(state.routed.service->name, peer);
     state.last_error = base::MakeError(
         result_code::kBackendUnreachable, base::outcome::kNotRun,
         base::ToString(peer) + ": takes no requests of other hosts");
     return attempt_outcome::kNotRun;
   }
-  state.peer_error = base::MakeError(
-      code, not_run ? base::outcome::kNotRun : base::outcome::kUnknown,
-      base::ToString(peer) + ": could not serve the request");
+  state.peer_error =
+      base::MakeError(stated.code, stated.what_ran,
+                      base::ToString(peer) + ": could not serve the request");
   state.peer_error->retry_after = retry_after.delay;
   return not_run ? attempt_outcome::kNotRun : attempt_outcome::kUnknown;
 }
@@ -108,7 +109,7 @@
   if (stated.code != result_code::kOk) {
     state.core.http.DiscardBody(*opened);
     const attempt_outcome outcome =
-        TakePeerError(state, exchange, peer, stated.code);
+        TakePeerError(state, exchange, peer, stated);
     if (outcome == attempt_outcome::kNotRun) {
       LogAttemptNotRun(state.core, state.routed, state.trace,
                        base::ToString(peer), not_run_evidence::kPeerStatement);
--- a/src/host/request/peer_relay.cc
+++ b/src/host/request/peer_relay.cc
@@ -19,6 +19,7 @@
 constexpr std::string_view kWorkspaceField = "Valeledge-Relay-Workspace";
 constexpr std::string_view kLeavingField = "Valeledge-Relay-Leaving";
 constexpr std::string_view kCodeField = "Valeledge-Relay-Code";
+constexpr std::string_view kOutcomeField = "Valeledge-Relay-Outcome";
 constexpr std::string_view kServerField = "Valeledge-Relay-Server";
 
 template <typename fields_type>
@@ -92,8 +93,10 @@
 
 void WriteRelayFields(net::http_response_header& response,
                       const relayed_response& relayed) {
-  if (relayed.code != base::result_code::kOk)
+  if (relayed.code != base::result_code::kOk) {
     response.set(kCodeField, std::to_string(static_cast<int>(relayed.code)));
+    response.set(kOutcomeField, base::ToString(relayed.what_ran));
+  }
   if (!relayed.server.empty())
     response.set(kServerField, relayed.server);
   if (relayed.code == base::result_code::kOk)
@@ -104,6 +107,8 @@
   relayed_response out;
   out.code =
       static_cast<base::result_code>(NumberOf(Field(response, kCodeField)));
+  if (Field(response, kOutcomeField) == base::ToString(base::outcome::kNotRun))
+    out.what_ran = base::outcome::kNotRun;
   out.server = Field(response, kServerField);
   out.software = Field(response, kSoftwareField);
   return out;
--- a/src/host/request/peer_relay.h
+++ b/src/host/request/peer_relay.h
@@ -44,6 +44,9 @@
 struct relayed_response {
   // Its own error; kOk for a response of a backend server.
   base::result_code code = base::result_code::kOk;
+  // Whether the request has run, if the response is its own error. What is not
+  // stated is not known.
+  base::outcome what_ran = base::outcome::kUnknown;
   // The backend server that responded; empty if none did.
   std::string server;
   // Its software version.
--- a/tests/auto/host/test_lost_paths.cc
+++ b/tests/auto/host/test_lost_paths.cc
@@ -233,6 +233,28 @@
   BOOST_TEST(seen.status == 502);
 }
 
+// A host that states a code and nothing else.
+BOOST_AUTO_TEST_CASE(an_error_of_another_host_is_not_run_only_if_it_says_so) {
+  for (const std::string stated : {"unknown", "", "not_run"}) {
+    lost_world here;
+    net::http_server terse{
+        *here.loop,
+        {},
+        [&stated](net::http_request&, net::http_responder& responder)
+            -> boost::asio::awaitable<void> {
+          auto response = net::MakeJsonResponse(503, "{}");
+          response.set("Valeledge-Relay-Code", "2005");
+          if (!stated.empty())
+            response.set("Valeledge-Relay-Outcome", stated);
+          co_await responder.Send(std::move(response));
+        },
+        [](const base::error&) { return net::http_response(); }};
+    here.relay_port = terse.Start({"127.0.0.1", 0})->port;
+    const int status = here.cut.SendRequest("/once/").status;
+    BOOST_TEST(status == (stated == "not_run" ? 503 : 502));
+  }
+}
+
 BOOST_AUTO_TEST_CASE(a_server_error_is_not_retried_by_both_hosts) {
   lost_world here;
   for (auto* server : {&here.other.first, &here.other.second})
