A host is relied on only if servers have served it since this one's connections fail

Cause: silence was taken for a lost path. Each host's probes failed, and a host that was asked said that it reached the servers as long as it had not found the loss itself.

Class: an old statement is taken for evidence of now. The host that asks says for how long its connections fail; the other one must have had data or an accepted probe since then, within the last second, and probes first if it does not know. So what is under way waits for its servers, and a host whose path alone is lost is served through others as before.

a_stream_at_a_silent_server_is_not_given_up failed before (two of its three checks) and passes.

--- a/src/decisions/path_health.cc
+++ b/src/decisions/path_health.cc
@@ -44,6 +44,7 @@
 
 void RecordReceived(path_health& path, base::time_point now) {
   path.last_received = now;
+  path.last_reached = now;
 }
 
 void RecordConnectFailed(path_health& path, base::time_point now) {
@@ -86,6 +87,7 @@
                          base::time_point now) {
   path.last_probe = now;
   if (reached) {
+    path.last_reached = now;
     path.failed_since.reset();
     path.failed_rounds = 0;
     if (!path.is_lost || ++path.successes < path.required_successes)
@@ -116,6 +118,10 @@
   return path.is_lost || static_cast<std::size_t>(recent) >= kServersBrokenOff;
 }
 
+bool HasReachedSince(const path_health& path, base::time_point failing_since) {
+  return !path.is_lost && path.last_reached >= failing_since;
+}
+
 bool IsSuspected(const path_health& path) {
   return path.is_lost || path.failed_since.has_value();
 }
--- a/src/decisions/path_health.h
+++ b/src/decisions/path_health.h
@@ -33,6 +33,8 @@
   // Since when a connection has failed without a successful probe after it.
   std::optional<base::time_point> failed_since;
   base::time_point last_received;
+  // When a server last accepted a probe or sent data.
+  base::time_point last_reached;
   base::time_point last_probe;
   // Rounds of probes in a row that reached no server.
   int failed_rounds = 0;
@@ -75,6 +77,11 @@
 // crashed servers: the path is lost, or several servers broke off together.
 bool MayBePathLoss(const path_health& path, base::time_point now);
 
+// Whether a server has shown since `failing_since` that it serves this host.
+// Another host, whose connections have failed since then, has lost its path
+// only if one has: otherwise the servers themselves may be silent for a moment.
+bool HasReachedSince(const path_health& path, base::time_point failing_since);
+
 // Whether a failed attempt says nothing about its server.
 bool IsSuspected(const path_health& path);
 
--- a/src/host/process/path_monitor.cc
+++ b/src/host/process/path_monitor.cc
@@ -30,14 +30,17 @@
 constexpr milliseconds kProbeTimeout{100};
 
 // Other hosts are asked at this interval while the path is lost. A host that
-// does not reply in time may be frozen.
+// does not reply in time, which includes a round of probes, may be frozen.
 constexpr milliseconds kAskInterval{400};
-constexpr milliseconds kReplyTimeout{100};
+constexpr milliseconds kReplyTimeout{200};
 constexpr std::size_t kPeersAskedInZone = 3;
 constexpr std::size_t kPeersAskedElsewhere = 3;
 // Hosts that are used already and are asked again.
 constexpr std::size_t kPeersRefreshed = 3;
 
+// Probes that are sent for another host's question.
+constexpr std::size_t kProbesForPeer = 3;
+
 // An attempt without data for so long is taken to wait for the lost path.
 constexpr milliseconds kStalled{300};
 
@@ -175,20 +178,43 @@
   });
 }
 
-wire::path_reply path_monitor::HandleRequest(
-    const wire::path_question& question,
-    std::uint16_t relay_port) const {
+asio::awaitable<wire::path_reply> path_monitor::HandleRequest(
+    wire::path_question question,
+    std::uint16_t relay_port) {
+  const std::string& service = question.service_name;
   const bool any_server =
       std::ranges::any_of(core_.servers.servers(), [&](const auto& each) {
         const known_server& server = *each.second;
-        return server.entry.service == question.service_name &&
-               server.TakesRequests();
+        return server.entry.service == service && server.TakesRequests();
       });
   wire::path_reply reply;
-  reply.reaches =
-      relay_port != 0 && any_server && !IsLost(question.service_name);
+  reply.reaches = relay_port != 0 && any_server && !IsLost(service);
   reply.relay_port = relay_port;
-  return reply;
+  // Hosts of earlier versions do not state it.
+  if (!reply.reaches || !question.__isset.failing_ms)
+    co_return reply;
+  const auto failing = std::clamp(milliseconds(question.failing_ms),
+                                  milliseconds(0), kRecentData);
+  const auto failing_since = std::chrono::steady_clock::now() - failing;
+  if (!decisions::HasReachedSince(paths_[service].health, failing_since))
+    co_await AwaitRound(service);
+  reply.reaches =
+      decisions::HasReachedSince(paths_[service].health, failing_since);
+  co_return reply;
+}
+
+asio::awaitable<void> path_monitor::AwaitRound(std::string service) {
+  service_path& path = paths_[service];
+  if (!path.is_probing)
+    StartRound(service, kProbesForPeer);
+  if (!path.is_probing)
+    co_return;
+  if (path.round_ended == nullptr) {
+    path.round_ended = std::make_shared<asio::steady_timer>(
+        core_.context, asio::steady_timer::time_point::max());
+  }
+  const auto ended = path.round_ended;
+  co_await ended->async_wait(kAwait);
 }
 
 std::int64_t path_monitor::CountLost() const {
@@ -236,6 +262,13 @@
                                             bool same_zone) {
   wire::path_question question;
   question.service_name = service;
+  const auto failing_since = paths_[service].health.failed_since;
+  if (failing_since) {
+    question.__set_failing_ms(
+        duration_cast<milliseconds>(std::chrono::steady_clock::now() -
+                                    *failing_since)
+            .count());
+  }
   wire::envelope call;
   call.__set_path_wanted(question);
   const auto reply =
@@ -295,8 +328,12 @@
            attempt->last_activity);
   }
   const std::size_t wanted = decisions::ProbesDue(path.health, evidence, now);
-  if (wanted == 0)
-    return;
+  if (wanted > 0)
+    StartRound(service, wanted);
+}
+
+void path_monitor::StartRound(const std::string& service, std::size_t wanted) {
+  service_path& path = paths_[service];
   std::vector<base::endpoint> servers = ServersToProbe(service);
   const std::size_t known = servers.size();
   servers.resize(std::min(wanted, known));
@@ -356,6 +393,8 @@
                             std::size_t known) {
   service_path& path = paths_[service];
   path.is_probing = false;
+  if (path.round_ended != nullptr)
+    path.round_ended->cancel();
   if (reached)
     path.unreached.clear();
   else
--- a/src/host/process/path_monitor.h
+++ b/src/host/process/path_monitor.h
@@ -16,6 +16,7 @@
 #include <vector>
 
 #include <boost/asio/awaitable.hpp>
+#include <boost/asio/steady_timer.hpp>
 
 #include "base/error.h"
 #include "decisions/path_health.h"
@@ -102,10 +103,12 @@
   // another host reaches its servers.
   bool CannotPlaceModels(std::chrono::milliseconds lost_for) const;
 
-  // Answers another host. `relay_port`: where this host takes relayed requests;
-  // 0 if it takes none.
-  wire::path_reply HandleRequest(const wire::path_question& question,
-                                 std::uint16_t relay_port) const;
+  // Answers another host: whether a server has served this one since the other
+  // one's connections fail. If that is not known, probes are sent first.
+  // `relay_port`: where this host takes relayed requests; 0 if it takes none.
+  boost::asio::awaitable<wire::path_reply> HandleRequest(
+      wire::path_question question,
+      std::uint16_t relay_port);
 
   // Number of services to which the path is lost.
   std::int64_t CountLost() const;
@@ -119,6 +122,8 @@
     decisions::path_health health;
     std::vector<std::weak_ptr<tracked_attempt>> attempts;
     bool is_probing = false;
+    // Cancelled at the end of each round of probes; null until one is awaited.
+    std::shared_ptr<boost::asio::steady_timer> round_ended;
     // Servers that have been probed in vain since any was reached.
     std::set<base::endpoint> unreached;
     decisions::relay_peers relays;
@@ -131,6 +136,10 @@
 
   boost::asio::awaitable<void> TickLoop();
   void StartProbes(const std::string& service, base::time_point now);
+  // Sends up to `wanted` probes.
+  void StartRound(const std::string& service, std::size_t wanted);
+  // Waits for the end of the present round of probes, or of a new one.
+  boost::asio::awaitable<void> AwaitRound(std::string service);
   // Opens a connection to each of the servers, at the same time. `known`: the
   // number of servers of the service.
   void Probe(const std::string& service,
--- a/src/host/process/peer_messages.cc
+++ b/src/host/process/peer_messages.cc
@@ -91,8 +91,9 @@
   } else if (call.__isset.path_wanted) {
     const bool accepts =
         !services.shutdown.stopping() && services.core.configuration != nullptr;
-    reply.__set_path(services.paths.HandleRequest(
-        call.path_wanted, accepts ? services.relay_port : 0));
+    const auto path = co_await services.paths.HandleRequest(
+        std::move(call.path_wanted), accepts ? services.relay_port : 0);
+    reply.__set_path(path);
   } else if (call.__isset.origin_wanted) {
     reply.__set_origin(
         services.stream_origins.HandleQuestion(call.origin_wanted));
--- a/src/wire/messages.thrift
+++ b/src/wire/messages.thrift
@@ -585,6 +585,8 @@
 // Asks a host whether it reaches the backend servers of a service.
 struct path_question {
   1: string service_name,
+  // For how long connections of the host that asks have failed.
+  2: optional i64 failing_ms,
 }
 
 struct path_reply {
--- a/tests/auto/host/test_lost_paths.cc
+++ b/tests/auto/host/test_lost_paths.cc
@@ -35,9 +35,10 @@
   callbacks.call = [&other, &relay_port](base::endpoint, wire::envelope call,
                                          std::chrono::microseconds)
       -> boost::asio::awaitable<base::result<wire::envelope>> {
+    const auto path = co_await other.core->paths->HandleRequest(
+        std::move(call.path_wanted), relay_port);
     wire::envelope reply;
-    reply.__set_path(
-        other.core->paths->HandleRequest(call.path_wanted, relay_port));
+    reply.__set_path(path);
     co_return reply;
   };
   return callbacks;
@@ -276,6 +277,40 @@
   BOOST_TEST(seen.fields.count(http::field::retry_after) == 1u);
 }
 
+// Guards against streams that are broken off because their servers are silent
+// for a moment: another host had not noticed it, and said that it reaches them.
+BOOST_AUTO_TEST_CASE(a_stream_at_a_silent_server_is_not_given_up) {
+  lost_world here;
+  auto& server = here.other.first;
+  server.script = {{kStreamHeader + Chunk(Event(1)) + "0\r\n\r\n"}};
+  server.holds_responses = true;
+  here.cut.configuration.routes.back().objective = 10s;
+  here.cut.core->servers.Find("i-1")->entry.address = server.address();
+  here.cut.core->servers.Find("i-2")->entry.address = server.address();
+  here.cut_paths.Start();
+  here.other_paths.Start();
+  base::time_point silent_since;
+  const auto seen = here.cut.SendRequest("/resumed/", [&](fake_responder&) {
+    const auto now = std::chrono::steady_clock::now();
+    if (server.requests.empty() || !server.holds_responses)
+      return;
+    if (silent_since == base::time_point()) {
+      silent_since = now;
+      for (relay_world* each : {&here.cut, &here.other}) {
+        each->core->servers.Find("i-1")->entry.address = kRefusing;
+        each->core->servers.Find("i-2")->entry.address = kRefusing;
+      }
+    }
+    if (now - silent_since >= 800ms)
+      server.ReleaseResponses();
+  });
+  BOOST_TEST(here.cut_paths.IsLost("s"));
+  BOOST_TEST(
+      here.cut.core->metrics.Counter("valeledge_relayed_requests_total", "sent")
+          .value.load() == 0);
+  BOOST_TEST(seen.body == Event(1) + "(end)");
+}
+
 BOOST_AUTO_TEST_CASE(hosts_with_different_configurations_relay_nothing) {
   lost_world here;
   here.other.configuration.version = 7;
