Interim responses are not taken for the response; cut heads, on every path

A report from other operators: a server stops in the middle of the head of its response and closes, and clients get a 200 that is framed as whole.

Of the same class and real: an interim response (1xx) counted as the final one. A server that sent 103 and then stopped within its head gave an exchange with status 103 and a whole, empty body. The gateway, the store's client and calls between hosts that use HTTP share the client.

--- a/src/net/http_client.cc
+++ b/src/net/http_client.cc
@@ -62,6 +62,10 @@
 // Largest header of an answer.
 constexpr std::uint32_t kAnswerHeaderBytes = 64 * 1024;
 
+// Response headers that are read for one request: interim ones (1xx) may come
+// before the final one.
+constexpr int kMaxHeaders = 8;
+
 // A body that is not used is read if it is no longer and no slower than this:
 // then a new connection costs more.
 constexpr std::size_t kMaxDiscardedBytes = 64 * 1024;
@@ -149,7 +153,8 @@
   base::endpoint where;
   std::unique_ptr<connection> link;
   std::weak_ptr<http_client::pool> home;
-  http::response_parser<http::buffer_body> parser;
+  // One for each response header that is read.
+  std::optional<http::response_parser<http::buffer_body>> parser;
   std::array<char, kPieceBytes> piece;
   bool reading = false;
 };
@@ -159,8 +164,8 @@
 
 http_exchange::~http_exchange() {
   const auto home = state_->home.lock();
-  const bool whole = state_->parser.is_done() && !state_->reading;
-  if (home == nullptr || !whole || !state_->parser.keep_alive() ||
+  const bool whole = state_->parser->is_done() && !state_->reading;
+  if (home == nullptr || !whole || !state_->parser->keep_alive() ||
       state_->link->buffer.size() != 0 ||
       !state_->link->stream.socket().is_open()) {
     return;
@@ -171,18 +176,18 @@
 }
 
 const http_response_header& http_exchange::header() const {
-  return state_->parser.get().base();
+  return state_->parser->get().base();
 }
 
 bool http_exchange::EndsWithConnection() const {
-  return state_->parser.need_eof();
+  return state_->parser->need_eof();
 }
 
 asio::awaitable<base::result<std::string_view>> http_exchange::ReadSome(
     std::chrono::microseconds timeout) {
-  if (state_->parser.is_done())
+  if (state_->parser->is_done())
     co_return std::string_view();
-  auto& body = state_->parser.get().body();
+  auto& body = state_->parser->get().body();
   body.data = state_->piece.data();
   body.size = state_->piece.size();
   const auto until = std::chrono::steady_clock::now() + timeout;
@@ -190,9 +195,9 @@
   state_->reading = true;
   std::size_t taken = 0;
   boost::system::error_code failed;
-  while (taken == 0 && !failed && !state_->parser.is_done()) {
+  while (taken == 0 && !failed && !state_->parser->is_done()) {
     const auto [code, bytes] = co_await http::async_read_some(
-        state_->link->stream, state_->link->buffer, state_->parser, kAwait);
+        state_->link->stream, state_->link->buffer, *state_->parser, kAwait);
     if (const auto home = state_->home.lock())
       home->bytes += static_cast<std::int64_t>(bytes);
     failed =
@@ -322,16 +327,27 @@
   state->where = where;
   state->home = pool_;
   state->link = std::move(link);
-  state->parser.body_limit(boost::none);
-  state->parser.header_limit(kAnswerHeaderBytes);
-  const auto [read_failed, header_bytes] = co_await http::async_read_header(
-      state->link->stream, state->link->buffer, state->parser, kAwait);
-  pool_->bytes += static_cast<std::int64_t>(header_bytes);
-  if (read_failed) {
-    co_return Broken(result_code::kOutcomeUnknown,
-                     Explain(where, "no answer", read_failed), read_failed);
+  for (int heads = 0; heads < kMaxHeaders; ++heads) {
+    state->parser.emplace();
+    state->parser->body_limit(boost::none);
+    state->parser->header_limit(kAnswerHeaderBytes);
+    const auto [read_failed, header_bytes] = co_await http::async_read_header(
+        state->link->stream, state->link->buffer, *state->parser, kAwait);
+    pool_->bytes += static_cast<std::int64_t>(header_bytes);
+    if (read_failed) {
+      co_return Broken(result_code::kOutcomeUnknown,
+                       Explain(where, "no answer", read_failed), read_failed);
+    }
+    const bool is_interim =
+        http::to_status_class(state->parser->get().result_int()) ==
+        http::status_class::informational;
+    if (!is_interim) {
+      co_return std::shared_ptr<http_exchange>(
+          new http_exchange(std::move(state)));
+    }
   }
-  co_return std::shared_ptr<http_exchange>(new http_exchange(std::move(state)));
+  co_return base::Unknown(result_code::kAnswerBroken,
+                          base::ToString(where) + ": no final answer");
 }
 
 asio::awaitable<base::result<http_response>> http_client::Fetch(
--- /dev/null
+++ b/tests/auto/host/lost_world.h
@@ -0,0 +1,80 @@
+// SPDX-License-Identifier: MIT
+// Test fixture: a host that reaches no backend server, and another one that
+// does.
+#ifndef VALELEDGE_TESTS_AUTO_HOST_LOST_WORLD_H_
+#define VALELEDGE_TESTS_AUTO_HOST_LOST_WORLD_H_
+
+#include <memory>
+#include <utility>
+#include <vector>
+
+#include "host/process/path_monitor.h"
+#include "net/http_server.h"
+#include "relay_world.h"
+
+namespace valeledge::test {
+
+// Port 1 of loopback refuses connections.
+inline const base::endpoint kRefusing{"127.0.0.1", 1};
+
+inline host::path_callbacks PathCallbacks(relay_world& other,
+                                          std::uint16_t& relay_port) {
+  host::path_callbacks callbacks;
+  callbacks.sample_peers = [](bool same_zone, std::size_t) {
+    return same_zone ? std::vector<base::endpoint>{{"127.0.0.1", 2}}
+                     : std::vector<base::endpoint>();
+  };
+  callbacks.call = [&other, &relay_port](base::endpoint, wire::envelope call,
+                                         std::chrono::microseconds)
+      -> boost::asio::awaitable<base::result<wire::envelope>> {
+    const auto path = co_await other.core->paths->HandleRequest(
+        std::move(call.path_wanted), relay_port);
+    wire::envelope reply;
+    reply.__set_path(path);
+    co_return reply;
+  };
+  return callbacks;
+}
+
+// `cut` has addresses that refuse connections for the servers that `other`
+// reaches.
+struct lost_world {
+  lost_world() {
+    cut.core->paths = &cut_paths;
+    other.core->paths = &other_paths;
+    cut.AddServer("i-1", kRefusing);
+    cut.AddServer("i-2", kRefusing);
+    other.AddServer("i-1", other.first.address());
+    other.AddServer("i-2", other.second.address());
+    other.core->configuration =
+        std::make_shared<const catalog::configuration>(other.configuration);
+    const auto started = relays.Start({"127.0.0.1", 0});
+    relay_port = started->port;
+  }
+
+  std::size_t ServerRequests() const {
+    return other.first.requests.size() + other.second.requests.size();
+  }
+
+  std::shared_ptr<boost::asio::io_context> loop =
+      std::make_shared<boost::asio::io_context>(1);
+  relay_world cut{loop};
+  relay_world other{loop};
+  std::uint16_t relay_port = 0;
+  host::path_monitor cut_paths{*cut.core, PathCallbacks(other, relay_port)};
+  host::path_monitor other_paths{*other.core, PathCallbacks(cut, relay_port)};
+  net::http_server relays{
+      *loop,
+      {},
+      [this](net::http_request& request, net::http_responder& responder) {
+        last_relayed = request;
+        return host::RelayRequest(*other.core, request, responder,
+                                  host::request_origin::kPeer);
+      },
+      [](const base::error&) { return net::http_response(); }};
+  net::http_request last_relayed;
+};
+
+}  // namespace valeledge::test
+
+#endif  // VALELEDGE_TESTS_AUTO_HOST_LOST_WORLD_H_
