A host relies on others for the versions at which a stream may have begun

It can happen here: a host that has just been cut off takes its list of servers for current for two seconds. The hosts that keep the origin do not reply, which was taken like "no record", and then the host itself was certain that there is one version.

Now only another host can state that there is no other version; what the host itself knows is added, never relied on. That holds for a host that is cut off and for one that stood still, with its kernel's buffers full of old reports.

Price: without a record, a host that reaches no other refuses to resume, also if all others have ended; streams that callers do not name cost three calls.

a_restarted_host_learns_the_recent_versions silences the other host for its first check, which would otherwise ask it; the check is the same, and one is added.

--- a/src/decisions/stream_origin.cc
+++ b/src/decisions/stream_origin.cc
@@ -5,8 +5,9 @@
 
 namespace {
 
-// The servers of a software version are listed for longer than this, so none
-// comes and goes unnoticed within such a gap.
+// Outages of the store, during which no server can be listed, are mostly
+// shorter. What came and went meanwhile if only this host had the gap, others
+// know.
 constexpr std::chrono::seconds kMaxViewGap{10};
 
 // Large enough to spread the origins over a large fleet.
@@ -83,6 +84,18 @@
          now - *view.complete_since >= kOriginLifetime;
 }
 
+origin_evidence WithoutOwnCertainty(origin_evidence own) {
+  own.is_complete = false;
+  return own;
+}
+
+void AddReply(origin_evidence& evidence, const origin_evidence& reply) {
+  if (!evidence.recorded)
+    evidence.recorded = reply.recorded;
+  evidence.software.insert(reply.software.begin(), reply.software.end());
+  evidence.is_complete = evidence.is_complete || reply.is_complete;
+}
+
 std::optional<stream_origin> CertainOrigin(const origin_evidence& evidence,
                                            const std::string& service) {
   if (evidence.recorded)
--- a/src/decisions/stream_origin.h
+++ b/src/decisions/stream_origin.h
@@ -37,6 +37,10 @@
 // owners, since hosts that joined later may rank before the original owners.
 inline constexpr std::size_t kAskedOwners = kOriginOwners + 2;
 
+// Number of hosts that are asked for the versions if the caller does not name
+// the stream.
+inline constexpr std::size_t kAskedForVersions = 3;
+
 // Intervals at which a host without complete knowledge of the versions asks
 // others for it: during its first seconds, when others have it, and later.
 inline constexpr std::chrono::milliseconds kFirstVersionQuestions{500};
@@ -104,8 +108,8 @@
                       bool is_current,
                       base::time_point now);
 
-// What the hosts that were asked know about the origin of a stream that a
-// caller resumes.
+// What one or several hosts know about the origin of a stream that a caller
+// resumes.
 struct origin_evidence {
   // As recorded when the stream began.
   std::optional<stream_origin> recorded;
@@ -115,6 +119,14 @@
   bool is_complete = false;
 };
 
+// Starts the evidence of a host at which a stream is resumed. A host that was
+// cut off or stood still does not know yet what it has missed, so only other
+// hosts can state that there are no other versions.
+origin_evidence WithoutOwnCertainty(origin_evidence own);
+
+// Adds what another host has replied.
+void AddReply(origin_evidence& evidence, const origin_evidence& reply);
+
 // Returns the origin of a stream of the service; nothing if it is not certain.
 std::optional<stream_origin> CertainOrigin(const origin_evidence& evidence,
                                            const std::string& service);
--- a/src/host/process/stream_origin_service.cc
+++ b/src/host/process/stream_origin_service.cc
@@ -37,6 +37,15 @@
   return {record.service_name, record.software};
 }
 
+decisions::origin_evidence FromWire(const wire::origin_reply& reply) {
+  decisions::origin_evidence out;
+  if (reply.__isset.origin)
+    out.recorded = FromWire(reply.origin);
+  out.software.insert(reply.software.begin(), reply.software.end());
+  out.is_complete = reply.is_complete;
+  return out;
+}
+
 }  // namespace
 
 struct stream_origin_service::pending_question {
@@ -75,7 +84,9 @@
 
 wire::origin_reply stream_origin_service::HandleQuestion(
     const wire::origin_question& question) const {
-  const auto stream = static_cast<std::uint64_t>(question.stream);
+  std::optional<std::uint64_t> stream;
+  if (question.stream != 0)
+    stream = static_cast<std::uint64_t>(question.stream);
   const auto evidence = OwnEvidence(stream, question.service_name);
   wire::origin_reply reply;
   reply.is_complete = evidence.is_complete;
@@ -87,7 +98,7 @@
       reply.versions.push_back(ToWire(0, {service, software}));
   }
   if (evidence.recorded)
-    reply.__set_origin(ToWire(stream, *evidence.recorded));
+    reply.__set_origin(ToWire(*stream, *evidence.recorded));
   reply.software.assign(evidence.software.begin(), evidence.software.end());
   return reply;
 }
@@ -147,25 +158,26 @@
 asio::awaitable<decisions::origin_evidence> stream_origin_service::Find(
     std::optional<std::uint64_t> stream,
     std::string service) {
-  decisions::origin_evidence evidence = OwnEvidence(stream, service);
-  if (!stream || evidence.recorded)
+  decisions::origin_evidence evidence =
+      decisions::WithoutOwnCertainty(OwnEvidence(stream, service));
+  if (evidence.recorded)
     co_return evidence;
-  auto replies = co_await AskOwners(*stream, std::move(service));
-  evidence.recorded = std::move(replies.recorded);
-  evidence.software.merge(replies.software);
-  evidence.is_complete = evidence.is_complete || replies.is_complete;
+  const auto replies = co_await AskOwners(stream, std::move(service));
+  decisions::AddReply(evidence, replies);
   co_return evidence;
 }
 
 asio::awaitable<decisions::origin_evidence> stream_origin_service::AskOwners(
-    std::uint64_t stream,
+    std::optional<std::uint64_t> stream,
     std::string service) {
-  const auto owners = callbacks_.owners(decisions::OriginSubject(stream),
-                                        decisions::kAskedOwners);
+  const auto owners = callbacks_.owners(
+      decisions::OriginSubject(stream.value_or(core_.random())),
+      stream ? decisions::kAskedOwners : decisions::kAskedForVersions);
   if (owners.empty())
     co_return decisions::origin_evidence();
   wire::origin_question question;
-  question.stream = static_cast<std::int64_t>(stream);
+  if (stream)
+    question.stream = static_cast<std::int64_t>(*stream);
   question.service_name = std::move(service);
   wire::envelope call;
   call.__set_origin_wanted(question);
@@ -192,11 +204,7 @@
   --pending->replies_missing;
   decisions::origin_evidence& evidence = pending->evidence;
   if (reply && reply->__isset.origin) {
-    const wire::origin_reply& stated = reply->origin;
-    if (stated.__isset.origin)
-      evidence.recorded = FromWire(stated.origin);
-    evidence.software.insert(stated.software.begin(), stated.software.end());
-    evidence.is_complete = evidence.is_complete || stated.is_complete;
+    decisions::AddReply(evidence, FromWire(reply->origin));
   }
   if (evidence.recorded || pending->replies_missing == 0)
     pending->done.cancel();
--- a/src/host/process/stream_origin_service.h
+++ b/src/host/process/stream_origin_service.h
@@ -82,9 +82,10 @@
   boost::asio::awaitable<decisions::origin_evidence> Find(
       std::optional<std::uint64_t> stream,
       std::string service);
-  // Asks the hosts that should know the origin, until one of them does.
+  // Asks the hosts that should know the origin, until one of them does; a few
+  // random ones for the versions if the caller does not name the stream.
   boost::asio::awaitable<decisions::origin_evidence> AskOwners(
-      std::uint64_t stream,
+      std::optional<std::uint64_t> stream,
       std::string service);
   boost::asio::awaitable<void> AskOwner(
       std::shared_ptr<pending_question> pending,
--- a/tests/auto/decisions/test_stream_origin_fleet.cc
+++ b/tests/auto/decisions/test_stream_origin_fleet.cc
@@ -2,6 +2,7 @@
 // Streams of a whole fleet in virtual time: hosts are killed or cut off, their
 // views of each other and of the versions differ, and messages are late or
 // lost. Callers take broken streams up again at other hosts.
+#include <algorithm>
 #include <cstdint>
 #include <map>
 #include <random>
@@ -33,8 +34,14 @@
   double cut = 0;
   double lost_messages = 0;
   milliseconds killed_after{8000};
+  milliseconds cut_after{4000};
+  // Between the releases of two versions.
+  milliseconds release_interval{3000};
 };
 
+// A host that has just been cut off takes its list of servers for current.
+constexpr milliseconds kListAge{2000};
+
 struct simulated_host {
   membership::member self;
   bool is_alive = true;
@@ -84,8 +91,8 @@
       Deliver();
       BeginStreams();
       for (simulated_host& host : hosts_)
-        ObserveServerView(host.view, !host.is_cut, true, now_);
-      if (now_ == kStart + 4s)
+        ObserveServerView(host.view, IsViewCurrent(host), true, now_);
+      if (now_ == kStart + plan_.cut_after)
         CutHosts();
     }
     KillHosts();
@@ -109,12 +116,16 @@
     return from == to || (!hosts_[from].is_cut && !hosts_[to].is_cut);
   }
 
+  bool IsViewCurrent(const simulated_host& host) const {
+    return !host.is_cut || now_ <= kStart + plan_.cut_after + kListAge;
+  }
+
   // Each host learns of a new version at a time of its own.
   void ReleaseVersions() {
     std::uniform_real_distribution<double> chance(0, 1);
-    const std::size_t released = now_ < kStart + 3s   ? 1
-                                 : now_ < kStart + 6s ? 2
-                                                      : 3;
+    const auto released = std::min<std::size_t>(
+        1 + static_cast<std::size_t>((now_ - kStart) / plan_.release_interval),
+        kVersions.size());
     for (simulated_host& host : hosts_) {
       if (host.versions < released && !host.is_cut && chance(random_) < 0.1)
         ++host.versions;
@@ -191,7 +202,7 @@
     out.software.insert(
         kVersions.begin(),
         kVersions.begin() + static_cast<std::ptrdiff_t>(host.versions));
-    out.is_complete = CoversAllStreams(host.view, !host.is_cut, now_);
+    out.is_complete = CoversAllStreams(host.view, IsViewCurrent(host), now_);
     return out;
   }
 
@@ -200,15 +211,13 @@
     std::size_t at = any_host(random_);
     while (!hosts_[at].is_alive)
       at = any_host(random_);
-    origin_evidence evidence = EvidenceOf(hosts_[at], stream.id);
+    origin_evidence evidence =
+        WithoutOwnCertainty(EvidenceOf(hosts_[at], stream.id));
     for (const std::size_t owner : Chosen(stream.id, kAskedOwners)) {
       if (!hosts_[owner].is_alive || !Reaches(at, owner))
         continue;
-      const origin_evidence reply = EvidenceOf(hosts_[owner], stream.id);
-      if (!evidence.recorded)
-        evidence.recorded = reply.recorded;
-      evidence.software.insert(reply.software.begin(), reply.software.end());
-      evidence.is_complete = evidence.is_complete || reply.is_complete;
+      if (owner != at)
+        AddReply(evidence, EvidenceOf(hosts_[owner], stream.id));
     }
     const auto origin = CertainOrigin(evidence, "s");
     // At partitioned hosts only joined streams are counted, not refusals.
@@ -284,6 +293,14 @@
   Check({985, 520, 0.4, 0.25, 0});
 }
 
+// One host is cut off half a second before the second version comes, and
+// streams that begin at it break before the host knows that its list is old.
+BOOST_AUTO_TEST_CASE(a_host_that_has_just_been_cut_off_joins_no_streams) {
+  Check({8, 100, 0.4, 0.125, 0, 6000ms, 5000ms, 5500ms});
+  Check({69, 300, 0.4, 0.015, 0, 6000ms, 5000ms, 5500ms});
+  Check({985, 520, 0.4, 0.0011, 0, 6000ms, 5000ms, 5500ms});
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
--- a/tests/auto/host/test_stream_origin_service.cc
+++ b/tests/auto/host/test_stream_origin_service.cc
@@ -182,11 +182,16 @@
   hosts.AddServer(0, "i-1", "v1");
   hosts.Add({"127.0.0.1", 2}, true, true);
   hosts.AddServer(1, "i-1", "v1");
+  hosts.At(0).is_silent = true;
   BOOST_TEST(!hosts.Resume(1, std::nullopt));
+  hosts.At(0).is_silent = false;
   hosts.asks_others = true;
   hosts.At(1).service->Tick(std::chrono::steady_clock::now() + 1s);
   BOOST_TEST(
       (hosts.Resume(1, std::nullopt) == decisions::stream_origin{"s", "v1"}));
+  // It can now state them to others.
+  BOOST_TEST(
+      (hosts.Resume(0, std::nullopt) == decisions::stream_origin{"s", "v1"}));
 }
 
 // A version that left before the restart is not forgotten.
@@ -229,6 +234,43 @@
   BOOST_TEST(!hosts.Resume(0, 7));
 }
 
+// Guards against streams that are joined at a host that is cut off from all
+// others: its list of servers counts as current for a while, and none of the
+// hosts that keep the origin replies.
+BOOST_AUTO_TEST_CASE(a_host_that_is_cut_off_does_not_rely_on_itself) {
+  fleet hosts(3, true);
+  hosts.AddServer(0, "i-1", "v1");
+  for (const int index : {1, 2}) {
+    hosts.AddServer(index, "i-1", "v1");
+    hosts.AddServer(index, "i-2", "v1.1");
+    hosts.At(index).is_silent = true;
+  }
+  BOOST_TEST(!hosts.Resume(0, 7));
+  BOOST_TEST(!hosts.Resume(0, std::nullopt));
+}
+
+// Its list counts as current as soon as it runs again.
+BOOST_AUTO_TEST_CASE(a_host_that_stood_still_learns_the_versions_of_that_time) {
+  fleet hosts(3, true);
+  hosts.AddServer(0, "i-1", "v1");
+  hosts.AddServer(1, "i-1", "v1");
+  hosts.AddServer(1, "i-2", "v1.1");
+  hosts.At(1).core->servers.Remove("i-2", false, 0ms,
+                                   std::chrono::steady_clock::now());
+  hosts.At(2).is_silent = true;
+  BOOST_TEST(!hosts.Resume(0, 7));
+  BOOST_TEST(!hosts.Resume(0, std::nullopt));
+}
+
+BOOST_AUTO_TEST_CASE(a_host_alone_knows_only_recorded_origins) {
+  fleet hosts(1, true);
+  hosts.AddServer(0, "i-1", "v1");
+  BOOST_TEST(!hosts.Resume(0, 7));
+  decisions::RecordOrigin(hosts.At(0).core->origins, 7, kOrigin,
+                          std::chrono::steady_clock::now());
+  BOOST_TEST((hosts.Resume(0, 7) == kOrigin));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
