Silent servers: names of the platform in its folder; two comments

check-boundary.sh found names of the configuration in the new soak test; they go through deployment.py now, as the other tests' do. Two comments are plainer.

--- a/src/decisions/stream_origin.cc
+++ b/src/decisions/stream_origin.cc
@@ -6,8 +6,7 @@
 namespace {
 
 // Outages of the store, during which no server can be listed, are mostly
-// shorter. What came and went meanwhile if only this host had the gap, others
-// know.
+// shorter. If only this host had the gap, others know what it has missed.
 constexpr std::chrono::seconds kMaxViewGap{10};
 
 // Large enough to spread the origins over a large fleet.
--- a/src/host/request/http_forwarding.cc
+++ b/src/host/request/http_forwarding.cc
@@ -84,8 +84,8 @@
 // Statuses that state that a request has not run and never will.
 constexpr std::array kNotRunStatuses = {408, 421, 429, 503};
 
-// Returns the code of the response to a request that failed. The status of a
-// request that may have run states nothing else, whatever failed last.
+// Returns the code of the response to a request that failed. One that may have
+// run gets none of these statuses, whatever failed last.
 const base::result_code_entry& DescribeResponse(const base::error& failed) {
   const base::result_code_entry& entry = base::Describe(failed.code);
   const bool is_contradiction =
--- a/tests/soak/test_silent_servers.py
+++ b/tests/soak/test_silent_servers.py
@@ -18,6 +18,8 @@
 # Time-out of the plain routes in every other configuration, shorter than the
 # silence.
 SHORTENED_S = 0.7
+# For how long connections of callers may be idle in some of them.
+IDLE_S = 3.0
 # Configurations: how they differ from the usual one, the share of the servers
 # that is silent 0.6 s later, and for how long.
 ROUNDS = [("idle", 1.0, 1.2), ("timeout", 0.6, 1.1), ("route", 1.0, 1.3),
@@ -68,11 +70,10 @@
             site.version, site.models, soak.MEMORY_MB, site.slots,
             soak.ADAPTERS, soak.ADAPTER_SLOTS, site.added)
         if how == "idle":
-            changed["Limits"]["IdleTimeoutMs"] = 3000
+            deployment.set_idle_time(changed, IDLE_S)
         if how == "timeout":
-            for route in changed["Routes"]:
-                if route["Service"] == deployment.PLAIN_SERVICE:
-                    route["TimeoutMs"] = int(SHORTENED_S * 1000)
+            deployment.shorten_timeouts(changed, SHORTENED_S,
+                                        deployment.PLAIN_SERVICE)
         await site.store.put(deployment.CONFIGURATION_KEY, changed)
 
     async def play(self, silence):
