Overflows that the sanitizers end at: a call's time, and a test's report

The asking side of the engine queue added and converted an impossible time of a request (2^60 ms, which bad_values_are_counted_and_treated_as_absent passes on purpose); it bounds the time of its call now. patient_requests multiplied the largest count in its own fixture; it does so in 64 bits, with the same value for all others. Both failed before and pass; nothing that was checked is changed.

--- a/src/host/process/engine_queue_client.cc
+++ b/src/host/process/engine_queue_client.cc
@@ -1,6 +1,7 @@
 // SPDX-License-Identifier: MIT
 #include "host/process/engine_queue_client.h"
 
+#include <algorithm>
 #include <cmath>
 #include <utility>
 
@@ -42,6 +43,9 @@
 // suspects it if it does not respond to other hosts either.
 constexpr milliseconds kSilentPause{2000};
 
+// No request waits longer for an engine.
+constexpr milliseconds kMaxCall = std::chrono::hours(1);
+
 // Highest valid value in a reply. Longest timeouts are far below.
 constexpr std::int64_t kMaxRetryAfterUs = 60'000'000;
 
@@ -158,7 +162,8 @@
     reply = co_await own_.HandleQuestion(std::move(question));
   } else {
     const auto timeout =
-        milliseconds(question.left_ms) + 2 * kEngineReplyMargin;
+        std::clamp(milliseconds(question.left_ms), milliseconds(0), kMaxCall) +
+        2 * kEngineReplyMargin;
     wire::envelope call;
     call.engine_place_wanted = std::move(question);
     call.__isset.engine_place_wanted = true;
--- a/tests/auto/host/test_patient_requests.cc
+++ b/tests/auto/host/test_patient_requests.cc
@@ -1,6 +1,7 @@
 // SPDX-License-Identifier: MIT
 // Patient requests at one host: their wait for a load, and what the host
 // reports of it.
+#include <algorithm>
 #include <chrono>
 #include <limits>
 #include <string>
@@ -251,7 +252,8 @@
   wire::model_load load;
   load.model = host::KeyOf("m");
   load.__set_waiting(requests);
-  load.__set_waiting_tokens(9000 * std::max(requests, 0) % 1'000'000);
+  load.__set_waiting_tokens(static_cast<std::int32_t>(
+      std::int64_t{9000} * std::max(requests, 0) % 1'000'000));
   load.__set_earliest_deadline_ms(left_ms);
   return load;
 }
