Resumed streams wait as long as their callers do

Cause: waits were bounded by constants that stand for the caller's patience and are shorter. A stream waited one second for its version, since "callers time out after two seconds without an event", and 0.7 of the objective of new streams in the queue of its engine, after which its outcome was unknown (3005). Callers abandon a stream after two seconds, four objectives or eight pauses, whichever is longest: here four seconds.

The patience is now worked out in one place (decisions/stream_patience) from the route; four fifths of it, or of the time to the deadline, is the longest wait. It counts from the last event that the caller has had, over all attempts, not from the beginning of each search. Attempts at an engine have the adaptive time-out, which abandons one only for another engine that is expected to respond earlier; those through another host end after half of the wait.

Failing before: a_stream_that_is_taken_up_waits_as_long_as_its_caller, a_queued_stream_is_not_abandoned_without_another_engine. Two tests of the longest wait state the new one; their checks are the same.

--- a/src/host/constants.h
+++ b/src/host/constants.h
@@ -35,10 +35,6 @@
 // objective; a fifth leaves time for the response to travel back.
 inline constexpr double kRefusalObjectiveFraction = 0.2;
 
-// Maximum time for which a resumed stream waits for a server of its version.
-// Callers time out after two seconds without an event.
-inline constexpr std::chrono::milliseconds kMaxResumeWait{1000};
-
 // Upper bound of the retry-after delay, as a fraction of the time that is left
 // until the caller's deadline.
 inline constexpr double kRetryAfterDeadlineFraction =
--- a/src/host/request/attempt_watch.cc
+++ b/src/host/request/attempt_watch.cc
@@ -72,14 +72,21 @@
 }  // namespace
 
 milliseconds FixedHeaderTimeout(const routed_request& routed) {
+  // The other half is left for a second attempt.
+  if (routed.origin)
+    return MaxResumeWait(routed) / 2;
   return std::min(duration_cast<milliseconds>(routed.route->objective *
                                               kHeaderTimeoutFraction),
                   kMaxHeaderTimeout);
 }
 
 bool HasAdaptiveTimeout(const host_core& core, const routed_request& routed) {
+  const bool is_enabled =
+      IsEnabled(core.settings.features.adaptive_timeouts, *routed.service);
+  // A stream that is resumed may be queued at one of the few engines of its
+  // version, and another attempt needs a retry.
   return !routed.metadata.model.empty() &&
-         IsEnabled(core.settings.features.adaptive_timeouts, *routed.service);
+         (is_enabled || routed.origin.has_value());
 }
 
 milliseconds FirstEventLimit(const host_core& core,
--- a/src/host/request/limit_charge.cc
+++ b/src/host/request/limit_charge.cc
@@ -35,7 +35,7 @@
       objective, duration_cast<milliseconds>(DueOf(routed_) - now));
   // The caller of a stream that is resumed has received events already.
   if (!routed_.metadata.resume_after.empty())
-    patience = std::min(patience, kMaxResumeWait / 2);
+    patience = std::min(patience, MaxResumeWait(routed_) / 2);
   limit_wait wait;
   // The priority of the workspace is the same for all requests of the limit.
   wait.priority = routed_.route->priority;
--- a/src/host/request/relay.cc
+++ b/src/host/request/relay.cc
@@ -30,7 +30,6 @@
 // servers. Returns an error if no attempt can be made.
 asio::awaitable<base::result<attempt_outcome>> AttemptOnce(request_state& state,
                                                            bool ran) {
-  state.routed.search_began = std::chrono::steady_clock::now();
   std::optional<decisions::relay_peer> peer;
   std::optional<server_choice> choice;
   while (!peer && !choice) {
--- a/src/host/request/request_admission.cc
+++ b/src/host/request/request_admission.cc
@@ -113,6 +113,7 @@
 asio::awaitable<base::result<void>> AdmitRequest(request_state& state) {
   state.routed.configuration = state.core.configuration;
   state.routed.arrived = std::chrono::steady_clock::now();
+  state.routed.waiting_since = state.routed.arrived;
   if (state.routed.configuration == nullptr) {
     auto early =
         base::MakeError(result_code::kNoBackendServer, base::outcome::kNotRun,
--- a/src/host/request/response_forwarding.cc
+++ b/src/host/request/response_forwarding.cc
@@ -185,6 +185,7 @@
   if (state.watch != nullptr)
     state.watch->OnStarted();
   RecordEventGap(state.routed, state.trace);
+  state.routed.waiting_since = state.trace.last_event_at;
   if (!state.trace.response_started) {
     RecordStreamBegun(state.core, state.routed, state.software);
     const bool begun = co_await StartResponse(state, header);
--- a/src/host/request/routed_request.cc
+++ b/src/host/request/routed_request.cc
@@ -5,6 +5,7 @@
 
 #include <boost/beast/http.hpp>
 
+#include "decisions/stream_patience.h"
 #include "host/constants.h"
 #include "host/prompt_parts.h"
 
@@ -137,6 +138,18 @@
   return std::min(routed.arrived + routed.route->objective, routed.deadline);
 }
 
+milliseconds MaxResumeWait(const routed_request& routed) {
+  const milliseconds patience = decisions::CallerPatience(
+      routed.route->objective, routed.route->event_gap);
+  const auto limit = std::min<base::time_point::duration>(
+      patience, routed.deadline - routed.waiting_since);
+  return decisions::MaxResumeWait(duration_cast<milliseconds>(limit));
+}
+
+base::time_point ResumeCutoff(const routed_request& routed) {
+  return routed.waiting_since + MaxResumeWait(routed);
+}
+
 milliseconds RemainingTime(const routed_request& routed) {
   return duration_cast<milliseconds>(routed.deadline -
                                      std::chrono::steady_clock::now());
--- a/src/host/request/routed_request.h
+++ b/src/host/request/routed_request.h
@@ -39,8 +39,9 @@
   // What the stream began with, once an event of it has been passed on: it goes
   // on only there.
   std::optional<decisions::stream_origin> origin;
-  // When the search for a server of the present attempt began.
-  base::time_point search_began;
+  // Since when its caller has had no event: its arrival, or the last event of
+  // the response.
+  base::time_point waiting_since;
   // The quarantined combination of prompt parts of which the request is a
   // trial; it is sent once. Empty if it is none.
   decisions::prompt_parts trial;
@@ -83,6 +84,13 @@
 // whichever is earlier.
 base::time_point DueOf(const routed_request& routed);
 
+// Time without an event after which a stream that is resumed no longer waits
+// for a server. Its caller gives up a little later, or its deadline passes.
+std::chrono::milliseconds MaxResumeWait(const routed_request& routed);
+
+// When that time ends.
+base::time_point ResumeCutoff(const routed_request& routed);
+
 // Time until the deadline; negative once it has passed.
 std::chrono::milliseconds RemainingTime(const routed_request& routed);
 
--- a/src/host/request/server_search.cc
+++ b/src/host/request/server_search.cc
@@ -49,7 +49,7 @@
     return wait.RefusalCutoff(
         ObjectiveCutoff(routed, kRefusalObjectiveFraction));
   }
-  return std::min(routed.search_began + kMaxResumeWait, routed.deadline);
+  return ResumeCutoff(routed);
 }
 
 // Whether the request waits for an engine with room rather than be rejected. A
--- a/tests/auto/host/test_software_versions.cc
+++ b/tests/auto/host/test_software_versions.cc
@@ -5,7 +5,7 @@
 
 #include <boost/test/unit_test.hpp>
 
-#include "host/constants.h"
+#include "decisions/stream_patience.h"
 #include "relay_world.h"
 
 namespace {
@@ -21,6 +21,10 @@
                                 action::kClose};
 const scripted_response kRest{kStreamHeader + Chunk(Event(2)) + Chunk("")};
 
+// The deadline of the requests is shorter than the patience of their callers.
+const std::chrono::milliseconds kMaxResumeWait =
+    decisions::MaxResumeWait(2000ms);
+
 // Two servers, of which the second one is of the given version.
 struct versions_world : relay_world {
   explicit versions_world(const std::string& second_version) {
@@ -81,8 +85,8 @@
   const auto seen = world.SendRequest("/resumed/");
   BOOST_TEST(seen.broken);
   const auto took = std::chrono::steady_clock::now() - begun;
-  BOOST_TEST((took >= host::kMaxResumeWait));
-  BOOST_TEST((took < host::kMaxResumeWait + 500ms));
+  BOOST_TEST((took >= kMaxResumeWait));
+  BOOST_TEST((took < kMaxResumeWait + 500ms));
 }
 
 BOOST_AUTO_TEST_CASE(a_stream_without_an_event_may_begin_at_another_version) {
@@ -167,7 +171,7 @@
   const auto begun = std::chrono::steady_clock::now();
   const auto seen = world.TakeUp("9c41");
   BOOST_TEST(seen.body == Event(2) + "(end)");
-  BOOST_TEST((world.sent_at - begun >= host::kMaxResumeWait));
+  BOOST_TEST((world.sent_at - begun >= kMaxResumeWait));
 }
 
 BOOST_AUTO_TEST_CASE(a_stream_that_is_taken_up_uses_the_queue_of_its_engine) {
@@ -176,7 +180,36 @@
   const auto begun = std::chrono::steady_clock::now();
   const auto seen = world.TakeUp("9c41");
   BOOST_TEST(seen.body == Event(2) + "(end)");
-  BOOST_TEST((world.sent_at - begun < host::kMaxResumeWait / 2));
+  BOOST_TEST((world.sent_at - begun < kMaxResumeWait / 2));
+}
+
+// Guards against resumed streams that are refused long before their callers
+// give up.
+BOOST_AUTO_TEST_CASE(a_stream_that_is_taken_up_waits_as_long_as_its_caller) {
+  full_engine_world world;
+  const auto begun = std::chrono::steady_clock::now();
+  world.added_fields = {{"Last-Event-Id", "1"}, {"Resumes", "9c41"}};
+  const auto seen = world.SendRequest("/resumed/", [&](fake_responder&) {
+    if (std::chrono::steady_clock::now() - begun > 1300ms)
+      world.engine->others.running = world.engine->entry.slots - 1;
+  });
+  BOOST_TEST(seen.body == Event(2) + "(end)");
+  BOOST_TEST(world.running_when_sent < world.engine->entry.slots);
+}
+
+// Guards against resumed streams that lose their place in the queue of a full
+// engine because the objective of new streams has passed.
+BOOST_AUTO_TEST_CASE(a_queued_stream_is_not_abandoned_without_another_engine) {
+  full_engine_world world;
+  world.engine->others.running = 0;
+  world.first.holds_responses = true;
+  const auto begun = std::chrono::steady_clock::now();
+  world.added_fields = {{"Last-Event-Id", "1"}, {"Resumes", "9c41"}};
+  const auto seen = world.SendRequest("/resumed/", [&](fake_responder&) {
+    if (std::chrono::steady_clock::now() - begun > 1100ms)
+      world.first.ReleaseResponses();
+  });
+  BOOST_TEST(seen.body == Event(2) + "(end)");
 }
 
 BOOST_AUTO_TEST_SUITE_END()
