A rejection no longer ends a stream that is resumed

Cause: an engine that has rejected a request is not used again for it, and the request is refused at once if the budget has no retry. A stream that is resumed has few engines, and they are full at the same time.

Such a stream may return to an engine that was full, and waits for a retry as long as it may wait for room. The budget is as before: a retry is taken for each attempt after one that may have reached an engine. Not within a response: its caller can resume the stream at another host, which needs no retry.

Failing before: a_rejected_stream_returns_to_its_engine, a_rejected_stream_waits_for_a_retry.

--- a/src/host/process/retry_budgets.cc
+++ b/src/host/process/retry_budgets.cc
@@ -50,11 +50,14 @@
   return decisions::TryAcquireRetry(usage.budget, Policy(), now);
 }
 
+bool retry_budgets::HasRetry(const std::string& service, base::time_point now) {
+  return decisions::MayRetry(Find(service).budget, Policy(), now);
+}
+
 bool retry_budgets::MayRetry(const std::string& service, base::time_point now) {
-  service_budget& usage = Find(service);
-  const bool is_allowed = decisions::MayRetry(usage.budget, Policy(), now);
+  const bool is_allowed = HasRetry(service, now);
   if (!is_allowed) {
-    ++usage.refused;
+    ++Find(service).refused;
     metrics_.Counter(kCounter, "exhausted").Add();
   }
   return is_allowed;
--- a/src/host/process/retry_budgets.h
+++ b/src/host/process/retry_budgets.h
@@ -28,6 +28,9 @@
   bool TryAcquire(const std::string& service, base::time_point now);
 
   // Whether the budget of a service currently allows a retry.
+  bool HasRetry(const std::string& service, base::time_point now);
+
+  // The same, and counts a retry that it does not allow.
   bool MayRetry(const std::string& service, base::time_point now);
 
   // Counts a retry that needs no budget, since the previous attempt never
--- a/src/host/request/relay.cc
+++ b/src/host/request/relay.cc
@@ -7,6 +7,10 @@
 #include <string>
 #include <utility>
 
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
 #include "host/constants.h"
 #include "host/process/path_monitor.h"
 #include "host/request/attempt_outcome.h"
@@ -26,6 +30,10 @@
 namespace asio = boost::asio;
 using base::result_code;
 
+// Interval at which a stream that is resumed looks whether the budget has a
+// retry again.
+constexpr std::chrono::milliseconds kRetryRecheckInterval{50};
+
 // Sends the request once, through another host if this one does not reach the
 // servers. Returns an error if no attempt can be made.
 asio::awaitable<base::result<attempt_outcome>> AttemptOnce(request_state& state,
@@ -75,26 +83,50 @@
     state.crash_monitor.OnAttemptFailed(*choice->server, state.progress,
                                         state.last_error);
   }
-  if (outcome != attempt_outcome::kDone)
+  const bool resumes = state.routed.origin.has_value();
+  // A stream that is resumed may return to an engine that was full.
+  const bool was_full = resumes && outcome == attempt_outcome::kNotRun &&
+                        state.last_error.code == result_code::kBackendRefused;
+  if (outcome != attempt_outcome::kDone && !was_full)
     state.routed.failed_instances.push_back(state.target);
   co_return outcome;
 }
 
+// Waits until the budget has a retry or the caller may give up.
+asio::awaitable<bool> AwaitRetry(request_state& state) {
+  asio::steady_timer pause(state.core.context);
+  while (!state.responder.caller_gone() &&
+         std::chrono::steady_clock::now() < ResumeCutoff(state.routed)) {
+    pause.expires_after(kRetryRecheckInterval);
+    co_await pause.async_wait(asio::as_tuple(asio::use_awaitable));
+    if (state.permit.CanAcquire(state.routed.service->name,
+                                std::chrono::steady_clock::now()))
+      co_return true;
+  }
+  co_return false;
+}
+
 // Whether another attempt may follow one with this outcome.
-bool MayRetry(request_state& state, attempt_outcome outcome) {
+asio::awaitable<bool> MayRetry(request_state& state, attempt_outcome outcome) {
   if (state.trace.attempts >= kAttemptLimit ||
       state.trace.relays >= kMaxRelays ||
       RemainingTime(state.routed).count() <= 0 || !state.routed.trial.empty())
-    return false;
+    co_return false;
   if (outcome == attempt_outcome::kUnknown) {
     ++state.possible_executions;
     if (!state.routed.route->MayRepeat() ||
         state.possible_executions >= state.routed.route->attempts)
-      return false;
+      co_return false;
   }
   state.permit.RecordFailure(state.last_error);
-  return state.permit.MayAcquire(state.routed.service->name,
-                                 std::chrono::steady_clock::now());
+  if (state.permit.MayAcquire(state.routed.service->name,
+                              std::chrono::steady_clock::now()))
+    co_return true;
+  // The caller of a broken response can resume the stream at another host,
+  // which needs no retry.
+  if (!state.routed.origin || state.trace.response_started)
+    co_return false;
+  co_return co_await AwaitRetry(state);
 }
 
 asio::awaitable<void> Fail(request_state& state, base::error failed) {
@@ -178,7 +210,8 @@
       co_await Fail(state, *state.peer_error);
       co_return;
     }
-    if (!MayRetry(state, outcome))
+    const bool may_retry = co_await MayRetry(state, outcome);
+    if (!may_retry)
       break;
     state.core.metrics.CountRetry(state.last_error.code);
     state.responder.OnCallerGone([guard = state.guard] { guard->Cancel(); });
--- a/src/host/request/retry_permit.cc
+++ b/src/host/request/retry_permit.cc
@@ -13,6 +13,12 @@
   return !is_exhausted_;
 }
 
+bool retry_permit::CanAcquire(const std::string& service,
+                              base::time_point now) {
+  is_exhausted_ = NeedsRetry() && !budgets_.HasRetry(service, now);
+  return !is_exhausted_;
+}
+
 bool retry_permit::Acquire(const std::string& service, base::time_point now) {
   if (!NeedsRetry()) {
     // A retry that was acquired ahead has been counted.
--- a/src/host/request/retry_permit.h
+++ b/src/host/request/retry_permit.h
@@ -18,6 +18,9 @@
   // Whether another attempt may be sent now; does not consume the budget.
   bool MayAcquire(const std::string& service, base::time_point now);
 
+  // The same, without a metric: for requests that wait for a retry.
+  bool CanAcquire(const std::string& service, base::time_point now);
+
   // Call right before each attempt is sent. Consumes a retry from the budget if
   // the attempt needs one; returns false if the budget is exhausted.
   bool Acquire(const std::string& service, base::time_point now);
--- a/tests/auto/host/test_software_versions.cc
+++ b/tests/auto/host/test_software_versions.cc
@@ -212,6 +212,33 @@
   BOOST_TEST(seen.body == Event(2) + "(end)");
 }
 
+// Guards against resumed streams that are refused after one rejection.
+BOOST_AUTO_TEST_CASE(a_rejected_stream_returns_to_its_engine) {
+  full_engine_world world;
+  world.engine->others.running = 1;
+  world.first.script = {{kNotRunResponse}, kRest};
+  const auto seen = world.TakeUp("9c41");
+  BOOST_TEST(seen.body == Event(2) + "(end)");
+}
+
+// Guards against resumed streams that are refused because the budget has no
+// retry at the moment of a rejection.
+BOOST_AUTO_TEST_CASE(a_rejected_stream_waits_for_a_retry) {
+  full_engine_world world;
+  world.engine->others.running = 1;
+  world.first.script = {{kNotRunResponse}, kRest};
+  const auto begun = std::chrono::steady_clock::now();
+  while (world.core->retries.TryAcquire("s", begun)) {
+  }
+  world.added_fields = {{"Last-Event-Id", "1"}, {"Resumes", "9c41"}};
+  const auto seen = world.SendRequest("/resumed/", [&](fake_responder&) {
+    const auto now = std::chrono::steady_clock::now();
+    if (now - begun > 300ms)
+      world.core->retries.RecordRequest("s", now);
+  });
+  BOOST_TEST(seen.body == Event(2) + "(end)");
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
