Attempts without a connection do not use up those of a resumed stream

Cause: engines that have crashed look the emptiest, since their streams have just ended, and each host finds out for itself. An attempt for which no connection could be opened counted towards the limit of four; four crashed engines of a version were enough for a refusal.

Such attempts of a resumed stream no longer count; each instance is still tried once.

Failing before (3 of 3): attempts_without_a_connection_do_not_count.

--- a/src/host/request/attempt_timeouts.cc
+++ b/src/host/request/attempt_timeouts.cc
@@ -31,9 +31,8 @@
 
 void WatchAttempt(request_state& state, watched_attempt attempt) {
   state.watch = nullptr;
-  const bool may_follow = MayRepeatAttempt(state) &&
-                          state.trace.attempts < kAttemptLimit &&
-                          state.trace.relays < kMaxRelays;
+  const bool may_follow =
+      MayRepeatAttempt(state) && HasAttemptsLeft(state.trace);
   if (!may_follow || !HasAdaptiveTimeout(state.core, state.routed))
     return;
   state.watch = std::make_shared<attempt_watch>(
--- a/src/host/request/relay.cc
+++ b/src/host/request/relay.cc
@@ -87,6 +87,8 @@
   // A stream that is resumed may return to an engine that was full.
   const bool was_full = resumes && outcome == attempt_outcome::kNotRun &&
                         state.last_error.code == result_code::kBackendRefused;
+  if (resumes && state.last_error.code == result_code::kBackendUnreachable)
+    ++state.trace.unreachable;
   if (outcome != attempt_outcome::kDone && !was_full)
     state.routed.failed_instances.push_back(state.target);
   co_return outcome;
@@ -108,8 +110,7 @@
 
 // Whether another attempt may follow one with this outcome.
 asio::awaitable<bool> MayRetry(request_state& state, attempt_outcome outcome) {
-  if (state.trace.attempts >= kAttemptLimit ||
-      state.trace.relays >= kMaxRelays ||
+  if (!HasAttemptsLeft(state.trace) ||
       RemainingTime(state.routed).count() <= 0 || !state.routed.trial.empty())
     co_return false;
   if (outcome == attempt_outcome::kUnknown) {
--- a/src/host/request/request_trace.cc
+++ b/src/host/request/request_trace.cc
@@ -5,6 +5,7 @@
 #include <chrono>
 
 #include "base/logging.h"
+#include "host/constants.h"
 
 namespace valeledge::host {
 
@@ -85,6 +86,11 @@
                   {"after_ms", MillisecondsSince(routed.arrived)}});
 }
 
+bool HasAttemptsLeft(const request_trace& trace) {
+  return trace.attempts - trace.unreachable < kAttemptLimit &&
+         trace.relays < kMaxRelays;
+}
+
 void RecordEventGap(const routed_request& routed, request_trace& trace) {
   using std::chrono::duration_cast;
   using std::chrono::milliseconds;
--- a/src/host/request/request_trace.h
+++ b/src/host/request/request_trace.h
@@ -41,6 +41,8 @@
 struct request_trace {
   request_wait wait = request_wait::kServer;
   int attempts = 0;
+  // Those of a stream that is resumed for which no connection could be opened.
+  int unreachable = 0;
   // Times that the request was sent through another host.
   int relays = 0;
   // The response header has been sent to the caller.
@@ -54,6 +56,10 @@
   base::time_point last_event_at;
 };
 
+// Whether the request may be sent once more. Each server that cannot be reached
+// is tried once.
+bool HasAttemptsLeft(const request_trace& trace);
+
 // Records that events are about to be sent to the caller.
 void RecordEventGap(const routed_request& routed, request_trace& trace);
 
--- a/tests/auto/host/test_software_versions.cc
+++ b/tests/auto/host/test_software_versions.cc
@@ -239,6 +239,23 @@
   BOOST_TEST(seen.body == Event(2) + "(end)");
 }
 
+// Guards against resumed streams that are refused after attempts at engines
+// that have just ended.
+BOOST_AUTO_TEST_CASE(attempts_without_a_connection_do_not_count) {
+  full_engine_world world;
+  world.engine->others.running = 1;
+  // The others are selected first.
+  world.engine->others.unread_tokens = 600;
+  for (const std::string instance : {"i-3", "i-4", "i-5", "i-6", "i-7"}) {
+    world.AddServer(instance, base::endpoint{"127.0.0.1", 1});
+    const auto server = world.core->servers.Find(instance);
+    server->entry.software = "v1";
+    server->entry.models = world.engine->entry.models;
+  }
+  const auto seen = world.TakeUp("9c41");
+  BOOST_TEST(seen.body == Event(2) + "(end)");
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
