Owners of engine queues give places to resumed streams first

Cause: resumed streams passed the queue by. A host asks the owner only if the prompts ahead of a request would delay it, which a full engine does not show, so they were sent to engines of 12 slots that ran 16 to 20 requests (event 2006). Without the queues each host waited for itself: hosts learn of a stream's end within 250 ms, so several took the same place while new streams, which may go to any version, took the others (two to four a second at the two engines left).

A resumed stream for which no engine has room asks the owner of the queue, also where the feature is off. The owner ranks it before all other requests, grants it only an engine with room, and refuses it at once if the places that can come free in its time are fewer than those who wait before it. While such streams wait, the engines of their version show a queue, and new requests for these engines ask the owner as well.

--- a/src/decisions/engine_queue.cc
+++ b/src/decisions/engine_queue.cc
@@ -323,6 +323,9 @@
     for (const auto& [key, flow] : unit.flows)
       std::ranges::copy(flow.requests, std::back_inserter(waiting));
     for (auto each = waiting.rbegin(); each != waiting.rend(); ++each) {
+      // It needs room rather than reading time, and waits until its deadline.
+      if (each->resumes)
+        continue;
       const auto response =
           IsDelayedByReservations(*each)
               ? ExpectedResponse(queue, *each, now)
@@ -400,11 +403,14 @@
   arriving.at = now;
   // The work of callers that return is known; the share that is kept free for
   // other changes is taken from the rest.
-  const bool has_time = response && *response <= left * kAdmittedShare;
-  const bool is_in_time =
+  const bool has_time =
+      !request.resumes && response && *response <= left * kAdmittedShare;
+  bool is_in_time =
       has_time &&
       (queue.reserved.units.empty() || !IsDelayedByReservations(request) ||
        *ExpectedResponse(queue, request, now) <= left);
+  if (request.resumes && response)
+    is_in_time = detail::FindsRoomInTime(queue, request, now);
   if (!response || (!is_in_time && !request.is_expected)) {
     queue.returns.refusals += has_time ? 1 : 0;
     return Refuse(queue, request, now);
@@ -468,6 +474,19 @@
   return count;
 }
 
+std::int64_t CountResumed(const engine_queue& queue) {
+  std::int64_t count = 0;
+  for (const auto& [name, unit] : queue.units) {
+    for (const auto& [key, flow] : unit.flows) {
+      // Their flows are the first ones.
+      if (key.first != kResumedPriority)
+        break;
+      count += static_cast<std::int64_t>(flow.requests.size());
+    }
+  }
+  return count;
+}
+
 std::int64_t CountGroups(std::int64_t engines) {
   std::int64_t groups = 1;
   while (engines > groups * kMaxGroupEngines)
@@ -483,16 +502,27 @@
 std::map<std::string, std::int64_t> QueuedTokens(const engine_queue& queue) {
   std::map<std::string, std::int64_t> out;
   for (const auto& [name, unit] : queue.units) {
+    const auto add = [&, &unit = unit](const std::string& engine,
+                                       double tokens) {
+      if (tokens > 0)
+        out[engine] += std::max<std::int64_t>(
+            static_cast<std::int64_t>(tokens * EnginePart(unit)), 1);
+    };
     double tokens = 0;
     for (const auto& [key, flow] : unit.flows) {
-      for (const queued_request& each : flow.requests)
-        tokens += static_cast<double>(each.weight.prompt_tokens);
+      for (const queued_request& each : flow.requests) {
+        const auto own = static_cast<double>(each.weight.prompt_tokens);
+        if (!each.resumes) {
+          tokens += own;
+          continue;
+        }
+        // Engines of other software versions are left to other requests.
+        for (const std::string& engine : unit.engines)
+          add(engine, IsAvoided(each, engine) ? 0 : own);
+      }
     }
-    if (tokens <= 0)
-      continue;
     for (const std::string& engine : unit.engines)
-      out[engine] += std::max<std::int64_t>(
-          static_cast<std::int64_t>(tokens * EnginePart(unit)), 1);
+      add(engine, tokens);
   }
   return out;
 }
--- a/src/decisions/engine_queue.h
+++ b/src/decisions/engine_queue.h
@@ -35,11 +35,19 @@
   // Requests that hosts have reported to have sent to it so far. An increase
   // shows that as many granted requests are contained in `load`.
   std::int64_t requests_sent = 0;
+  // Number of requests that it has been seen to hold, with those in its own
+  // queue; 0: unknown.
+  std::int64_t capacity = 0;
   // Set if long prompts and long streams are kept apart; its slowdown and wait
   // come from `load`.
   std::optional<separated_engine> separated;
 };
 
+// Priority of streams that are resumed. They go before other requests: only the
+// engines of their software version can serve them, and their callers have
+// received a part of the response.
+inline constexpr std::int64_t kResumedPriority = -1;
+
 // A request that waits for an engine.
 struct queued_request {
   std::int64_t number = 0;
@@ -63,6 +71,9 @@
   std::chrono::duration<double, std::milli> typical_prefill{0};
   // Instances that must not be selected.
   std::vector<std::string> avoid;
+  // A stream that is resumed. Its deadline is that of its caller's patience, so
+  // it may also wait in an engine's own queue.
+  bool resumes = false;
   // The caller was refused before and has returned after its Retry-After delay.
   bool returning = false;
   // When the caller gives up. Unset: a refusal is not passed on to it.
@@ -220,6 +231,9 @@
 // Number of waiting requests.
 std::int64_t CountWaiting(const engine_queue& queue);
 
+// Number of them that are streams to be resumed.
+std::int64_t CountResumed(const engine_queue& queue);
+
 // Number of groups into which the engines of a service are divided, each with a
 // queue and an owner of its own. A power of two, so that it seldom changes.
 std::int64_t CountGroups(std::int64_t engines);
--- a/src/decisions/engine_queue_forecast.cc
+++ b/src/decisions/engine_queue_forecast.cc
@@ -5,6 +5,7 @@
 #include <map>
 #include <string>
 #include <string_view>
+#include <vector>
 
 #include "base/decay.h"
 #include "decisions/engine_queue_load.h"
@@ -27,6 +28,9 @@
 
 constexpr int kArrivalRounds = 3;
 
+// Shortest time in which the streams of an engine end on average.
+constexpr milliseconds kMinStreamTime{1000};
+
 // Work of another workspace of the same priority.
 struct other_work {
   milliseconds queued{0};
@@ -210,4 +214,35 @@
   return BestResponse(queue, request, now, false);
 }
 
+bool FindsRoomInTime(const engine_queue& queue,
+                     const queued_request& request,
+                     base::time_point now) {
+  const unit_queue& unit = queue.units.at(request.unit);
+  const milliseconds left = request.deadline - now;
+  double places = 0;
+  std::vector<std::string_view> usable;
+  for (const std::string& name : unit.engines) {
+    if (IsAvoided(request, name))
+      continue;
+    usable.push_back(name);
+    const known_engine& engine = queue.engines.at(name);
+    const server_candidate load = LoadOf(engine);
+    const std::int64_t free =
+        std::max(load.slots, engine.state.capacity) - load.running;
+    places += static_cast<double>(free) +
+              static_cast<double>(load.running) * (left / kMinStreamTime);
+  }
+  std::int64_t ahead = 0;
+  for (const auto& [key, flow] : unit.flows) {
+    if (key.first > kResumedPriority)
+      break;
+    ahead += std::ranges::count_if(flow.requests, [&](const auto& each) {
+      return std::ranges::any_of(usable, [&](std::string_view name) {
+        return !IsAvoided(each, std::string(name));
+      });
+    });
+  }
+  return static_cast<double>(ahead) < places;
+}
+
 }  // namespace valeledge::decisions::detail
--- a/src/decisions/engine_queue_forecast.h
+++ b/src/decisions/engine_queue_forecast.h
@@ -33,6 +33,13 @@
                             const queued_request& request,
                             base::time_point now);
 
+// Whether a stream that is resumed can find room at an engine before its
+// deadline, behind those that wait already. How long streams last is not known,
+// so they are assumed to be short.
+bool FindsRoomInTime(const engine_queue& queue,
+                     const queued_request& request,
+                     base::time_point now);
+
 }  // namespace valeledge::decisions::detail
 
 #endif  // VALELEDGE_DECISIONS_ENGINE_QUEUE_FORECAST_H_
--- a/src/decisions/engine_queue_load.cc
+++ b/src/decisions/engine_queue_load.cc
@@ -13,15 +13,20 @@
 using milliseconds = std::chrono::duration<double, std::milli>;
 using std::chrono::duration_cast;
 
-// Whether the request can run there without being queued or preempted.
-bool HasRoom(const server_candidate& load, const queued_request& request) {
+// Whether the request can run there without being queued or preempted. A stream
+// that is resumed may be queued.
+bool HasRoom(const server_candidate& load,
+             const queued_request& request,
+             std::int64_t capacity) {
+  const std::int64_t places =
+      request.resumes ? std::max(load.slots, capacity) : load.slots;
   const auto held =
       static_cast<double>(load.held_tokens + request.weight.held_tokens);
   const auto memory = static_cast<double>(load.token_memory);
   // An idle engine never gets more room.
   const bool fits =
       memory <= 0 || load.running == 0 || held <= kMaxTokenMemoryUse * memory;
-  return load.running < load.slots && fits;
+  return load.running < places && fits;
 }
 
 }  // namespace
@@ -72,9 +77,18 @@
       request.weight.time_per_token * static_cast<double>(load.unread_tokens);
   turn.max_event_gap = request.max_event_gap;
   turn.recheck_interval = kAdmissionRecheckInterval;
+  turn.refusable = !request.resumes;
+  turn.patient = request.resumes;
   const auto decided = DecideAdmission(turn);
+  const bool has_room = HasRoom(load, request, engine.state.capacity);
+  if (request.resumes) {
+    if (now >= request.deadline)
+      return admission_decision::kRefuse;
+    // A rejection would probably end the stream.
+    return has_room ? decided : admission_decision::kWait;
+  }
   const bool must_wait =
-      decided == admission_decision::kSend && !HasRoom(load, request) &&
+      decided == admission_decision::kSend && !has_room &&
       turn.waited + turn.response_in + kAdmissionRecheckInterval <=
           turn.objective;
   return must_wait ? admission_decision::kWait : decided;
--- a/src/host/process/engine_place.h
+++ b/src/host/process/engine_place.h
@@ -39,6 +39,8 @@
   bool returning = false;
   // Time until the caller's deadline. Unset: a refusal is not passed on to it.
   std::optional<std::chrono::milliseconds> caller_left;
+  // A stream that is resumed: only engines of its version may be selected.
+  bool resumes = false;
   // The engine that this host would select; it determines the owner.
   std::string best;
   // Whether the request no longer waits. Called often while it does.
--- a/src/host/process/engine_queue_client.cc
+++ b/src/host/process/engine_queue_client.cc
@@ -66,6 +66,8 @@
   question.__set_number(number);
   if (request.returning)
     question.__set_returning(true);
+  if (request.resumes)
+    question.__set_resumes(true);
   if (request.caller_left)
     question.__set_deadline_ms(request.caller_left->count());
   // Rounded up: 20.3 events are a long stream for the host.
@@ -123,7 +125,12 @@
 
 std::optional<base::endpoint> engine_queue_client::OwnerOf(
     const known_server& server) {
-  if (groups_.EnabledService(server.entry.service) == nullptr)
+  // Without the feature only streams that are resumed are queued.
+  const bool may_be_queued =
+      groups_.EnabledService(server.entry.service) != nullptr ||
+      (server.HasQueue() &&
+       groups_.ServiceWithEngines(server.entry.service) != nullptr);
+  if (!may_be_queued)
     return std::nullopt;
   auto owner = FindOwner(server.entry.service, server.entry.instance,
                          std::chrono::steady_clock::now());
--- a/src/host/process/engine_queue_groups.cc
+++ b/src/host/process/engine_queue_groups.cc
@@ -19,12 +19,18 @@
 engine_queue_groups::engine_queue_groups(host_core& core, owner_choice owners)
     : core_(core), owners_(std::move(owners)) {}
 
-const catalog::service* engine_queue_groups::EnabledService(
+const catalog::service* engine_queue_groups::ServiceWithEngines(
     const std::string& name) const {
   const catalog::service* service =
       core_.configuration ? core_.configuration->FindService(name) : nullptr;
+  return service != nullptr && service->HasModels() ? service : nullptr;
+}
+
+const catalog::service* engine_queue_groups::EnabledService(
+    const std::string& name) const {
+  const catalog::service* service = ServiceWithEngines(name);
   const bool enabled =
-      service != nullptr && service->HasModels() &&
+      service != nullptr &&
       IsEnabled(core_.settings.features.engine_queues, *service);
   return enabled ? service : nullptr;
 }
--- a/src/host/process/engine_queue_groups.h
+++ b/src/host/process/engine_queue_groups.h
@@ -25,6 +25,8 @@
   // `core` must outlive this object.
   engine_queue_groups(host_core& core, owner_choice owners);
 
+  // The service if it has engines; otherwise null.
+  const catalog::service* ServiceWithEngines(const std::string& name) const;
   // The service if the feature is active for it and it has engines; otherwise
   // null.
   const catalog::service* EnabledService(const std::string& name) const;
--- a/src/host/process/engine_queue_owner.cc
+++ b/src/host/process/engine_queue_owner.cc
@@ -80,6 +80,10 @@
   return reply;
 }
 
+bool IsResumed(const wire::engine_place_question& question) {
+  return question.__isset.resumes && question.resumes;
+}
+
 bool IsWithin(std::int64_t value, std::int64_t lowest, std::int64_t highest) {
   return value >= lowest && value <= highest;
 }
@@ -105,6 +109,7 @@
   if (servers.SharesEstimates(service))
     engine.load.slowdown = decisions::CurrentFactor(server.estimate, now);
   engine.pause_cost = decisions::PauseCost(server.pace, now);
+  engine.capacity = server.room.held;
   engine.requests_sent = server.requests_sent;
   if (servers.SeparatesStreams(service))
     engine.separated = server_registry::SeparatedOf(server, now);
@@ -146,6 +151,16 @@
   add("refusal", counts.refusals);
 }
 
+const catalog::service* engine_queue_owner::QueuedService(
+    const std::string& name,
+    const owned_queue& owned,
+    base::time_point now) const {
+  const bool is_resuming =
+      owned.resumed_at && now - *owned.resumed_at < kMinVisible;
+  return is_resuming ? groups_.ServiceWithEngines(name)
+                     : groups_.EnabledService(name);
+}
+
 void engine_queue_owner::UpdateMembers(const std::string& service,
                                        owned_queue& owned,
                                        base::time_point now) {
@@ -225,6 +240,9 @@
     request.priority = question.priority;
   else
     bad("priority");
+  request.resumes = IsResumed(question);
+  if (request.resumes)
+    request.priority = decisions::kResumedPriority;
   request.workspace = question.workspace;
   request.arrived = now;
   request.deadline = now + milliseconds(question.left_ms);
@@ -263,10 +281,14 @@
   const auto now = std::chrono::steady_clock::now();
   const auto not_owner = MakeReply(queue_verdict::kNotOwner, question.number);
   const std::string service_name = question.service_name;
-  const catalog::service* service = groups_.EnabledService(service_name);
-  if (service == nullptr)
+  if (groups_.ServiceWithEngines(service_name) == nullptr)
     co_return not_owner;
   owned_queue& owned = queues_[service_name];
+  if (IsResumed(question))
+    owned.resumed_at = now;
+  const catalog::service* service = QueuedService(service_name, owned, now);
+  if (service == nullptr)
+    co_return not_owner;
   UpdateMembers(service_name, owned, now);
   auto request = ReadQuestion(question, owned, now);
   if (!request || owned.members.empty())
@@ -341,7 +363,9 @@
 void engine_queue_owner::Pass(const std::string& service_name,
                               owned_queue& owned,
                               base::time_point now) {
-  const catalog::service* service = groups_.EnabledService(service_name);
+  if (decisions::CountResumed(owned.queue) > 0)
+    owned.resumed_at = now;
+  const catalog::service* service = QueuedService(service_name, owned, now);
   if (service == nullptr) {
     Disband(owned);
     Publish(owned, now);
--- a/src/host/process/engine_queue_owner.h
+++ b/src/host/process/engine_queue_owner.h
@@ -86,6 +86,8 @@
     bool is_report_due = false;
     base::time_point reported_at;
     bool loop_runs = false;
+    // When a stream that is resumed has last been queued.
+    std::optional<base::time_point> resumed_at;
     // Whether the queue has been logged as in use, and when it was last.
     bool in_use = false;
     base::time_point used_at;
@@ -115,7 +117,12 @@
       const wire::engine_place_question& question,
       owned_queue& owned,
       base::time_point now);
-  // Ends the queue of a service for which the feature is no longer active.
+  // The service if its queue is in use: with the feature, or while streams that
+  // are resumed are queued. Otherwise null.
+  const catalog::service* QueuedService(const std::string& name,
+                                        const owned_queue& owned,
+                                        base::time_point now) const;
+  // Ends the queue of a service that is no longer in use.
   void Disband(owned_queue& owned);
   // Grants and refuses what the present loads call for.
   void Pass(const std::string& service,
--- a/src/host/request/queued_selection.cc
+++ b/src/host/request/queued_selection.cc
@@ -23,8 +23,11 @@
                         const decisions::engine_candidate& turn) {
   const milliseconds limit =
       turn.refusable ? turn.objective : std::max(turn.objective, kMaxLateWait);
-  const milliseconds left =
-      std::min(limit - turn.waited, RemainingTime(routed));
+  milliseconds left = std::min(limit - turn.waited, RemainingTime(routed));
+  if (routed.origin) {
+    left = duration_cast<milliseconds>(ResumeCutoff(routed) -
+                                       std::chrono::steady_clock::now());
+  }
   return left - decisions::kFirstEventOverhead;
 }
 
@@ -56,10 +59,12 @@
                    const routed_request& routed,
                    const server_choice& best,
                    decisions::admission_decision decided) {
-  return core.acquire_engine && !best.server->IsLimited() &&
-         IsEnabled(core.settings.features.engine_queues, *routed.service) &&
-         (decided != decisions::admission_decision::kSend ||
-          best.server->HasQueue());
+  if (!core.acquire_engine || best.server->IsLimited())
+    return false;
+  const bool is_active =
+      IsEnabled(core.settings.features.engine_queues, *routed.service);
+  return best.server->HasQueue() || (routed.origin && best.server->IsFull()) ||
+         (is_active && decided != decisions::admission_decision::kSend);
 }
 
 boost::asio::awaitable<queued_selection> SelectInQueue(
@@ -88,6 +93,7 @@
   // leave them to another engine although their response is late already.
   if (best.separated && turn.refusable)
     request.expected_events = best.separated->stream_events;
+  request.resumes = routed.origin.has_value();
   request.avoid =
       HoldersAmong(core, routed.metadata, std::move(question.excluded));
   request.best = best.server->entry.instance;
@@ -98,10 +104,16 @@
     if (turn.refusable)
       request.caller_left = RemainingTime(routed);
   }
+  const auto until = std::chrono::steady_clock::now() + request.left;
   auto result = co_await core.acquire_engine(std::move(request));
   if (result.verdict == engine_place_verdict::kWithdrawn)
     out.outcome = queued_outcome::kSearchAgain;
-  if (result.verdict == engine_place_verdict::kRefused && turn.refusable) {
+  // A stream that is resumed is refused at once if no engine will have room in
+  // time. At the end of its time an engine's own queue may still take it.
+  const bool has_time =
+      std::chrono::steady_clock::now() + kSelectionRetryInterval < until;
+  const bool is_final = turn.refusable || (routed.origin && has_time);
+  if (result.verdict == engine_place_verdict::kRefused && is_final) {
     out.outcome = queued_outcome::kRefused;
     out.retry_after = result.retry_after;
   }
--- a/src/host/request/queued_selection.h
+++ b/src/host/request/queued_selection.h
@@ -43,8 +43,10 @@
   bool is_first = true;
 };
 
-// Whether the request asks the owner of the queue for an engine: it would have
-// to wait or be refused, or others are waiting for the best engine.
+// Whether the request asks the owner of the queue for an engine: others are
+// waiting for the best engine, or it is a stream that is resumed and the engine
+// is full. Where the feature is active, also if it would have to wait or be
+// refused.
 bool AsksForEngine(const host_core& core,
                    const routed_request& routed,
                    const server_choice& best,
--- a/src/host/request/server_search.cc
+++ b/src/host/request/server_search.cc
@@ -53,15 +53,33 @@
 }
 
 // Whether the request waits for an engine with room rather than be rejected. A
-// rejection may end a stream that goes on: few engines have its version, and
+// rejection may end a stream that is resumed: few engines have its version, and
 // another attempt needs a retry from the budget.
-bool WaitsForRoom(const host_core& core,
-                  const routed_request& routed,
-                  const load_wait& wait,
-                  base::time_point now) {
+bool WaitsForRoom(const routed_request& routed, base::time_point now) {
   return routed.origin && !routed.metadata.model.empty() &&
-         !IsEnabled(core.settings.features.engine_queues, *routed.service) &&
-         now < RefusalCutoff(routed, wait);
+         now < ResumeCutoff(routed);
+}
+
+// Selects a server. While the request waits for room, a full engine is selected
+// only to ask the owner of its queue.
+std::optional<server_choice> SelectServer(host_core& core,
+                                          const routed_request& routed,
+                                          const server_query& query,
+                                          bool may_queue,
+                                          base::time_point now) {
+  const catalog::service& service = *routed.service;
+  if (!WaitsForRoom(routed, now))
+    return core.servers.Choose(query, service, now, core.random);
+  server_query with_room = query;
+  with_room.avoids_full = true;
+  auto choice = core.servers.Choose(with_room, service, now, core.random);
+  if (choice || !may_queue || !core.acquire_engine)
+    return choice;
+  choice = core.servers.Choose(query, service, now, core.random);
+  // Servers with a limit have no queue.
+  if (choice && choice->server->IsLimited())
+    choice.reset();
+  return choice;
 }
 
 // Requests the adapter from the lease holder, and waits until it is loaded.
@@ -257,14 +275,13 @@
     }
     if (path != path_state::kDirect)
       co_return tl::make_unexpected(PathLostError(core, routed));
-    server_query query = QueryOf(routed);
-    query.avoids_full = WaitsForRoom(core, routed, wait, now);
+    const server_query query = QueryOf(routed);
     if (routed.origin && !CanContinue(core, query, now)) {
       co_return tl::make_unexpected(NotResumableError(
           "no backend server of the software version that began the stream "
           "can continue it"));
     }
-    auto choice = core.servers.Choose(query, *routed.service, now, core.random);
+    auto choice = SelectServer(core, routed, query, may_queue, now);
     if (choice && !query.model.empty()) {
       const auto turn =
           TurnOf(routed, *choice, first_attempt, wait.CanWaitForEngine(), now);
--- a/src/wire/messages.thrift
+++ b/src/wire/messages.thrift
@@ -462,6 +462,8 @@
   // Number of events that the response is expected to have, 0 if unknown.
   // Absent: long streams and long prompts are not separated for the request.
   15: optional i64 expected_events,
+  // A stream that is resumed: other requests may use more engines.
+  16: optional bool resumes,
 }
 
 struct engine_place_reply {
--- a/tests/auto/host/test_engine_queue_service.cc
+++ b/tests/auto/host/test_engine_queue_service.cc
@@ -213,6 +213,25 @@
   BOOST_TEST(!world.hosts[2].client->OwnerOf(server).has_value());
 }
 
+// Guards against resumed streams that only services with the feature queue, and
+// against new requests that overtake them there.
+BOOST_AUTO_TEST_CASE(streams_that_are_resumed_are_queued_without_the_feature) {
+  queue_world world;
+  world.configuration.services.front().mixed_urgency = false;
+  world.Configure();
+  world.ReportLoad("e1", 32, 0);
+  auto request = queue_world::Request(1, 3s);
+  request.resumes = true;
+  const auto resumed = world.AskQueued(2, std::move(request), 1);
+  const auto other = world.AskQueued(1, queue_world::Request(0, 3s), 2);
+  const auto& server = *world.hosts[2].core->servers.Find("e1");
+  BOOST_TEST(world.hosts[0].core->servers.Find("e1")->HasQueue());
+  world.ReportLoad("e1", 31, 0);
+  BOOST_TEST((world.Await(resumed) == engine_place_verdict::kGranted));
+  BOOST_TEST(!other->answer.has_value());
+  BOOST_TEST(!world.hosts[2].client->OwnerOf(server).has_value());
+}
+
 // Guards against requests that wait, and engines that seem to have a queue,
 // after a configuration has ended the feature.
 BOOST_AUTO_TEST_CASE(a_queue_ends_with_the_feature) {
--- a/tests/auto/host/test_software_versions.cc
+++ b/tests/auto/host/test_software_versions.cc
@@ -1,7 +1,10 @@
 // SPDX-License-Identifier: MIT
 // Streams before backend servers of several software versions.
 #include <chrono>
+#include <memory>
 #include <string>
+#include <utility>
+#include <vector>
 
 #include <boost/test/unit_test.hpp>
 
@@ -256,6 +259,70 @@
   BOOST_TEST(seen.body == Event(2) + "(end)");
 }
 
+// A host whose engines have a queue, without the feature.
+struct queued_engine_world : full_engine_world {
+  queued_engine_world() {
+    core->acquire_engine = [this](host::engine_place_request request)
+        -> boost::asio::awaitable<host::engine_place_result> {
+      asked.push_back(std::move(request));
+      host::engine_place_result answer;
+      answer.verdict = verdict;
+      answer.retry_after = 350ms;
+      if (verdict == host::engine_place_verdict::kGranted) {
+        answer.place = std::make_shared<host::slot_handle>(
+            "i-1", [](host::slot_outcome, std::chrono::microseconds) {});
+      }
+      co_return answer;
+    };
+  }
+
+  host::engine_place_verdict verdict = host::engine_place_verdict::kGranted;
+  std::vector<host::engine_place_request> asked;
+};
+
+// Guards against resumed streams that pass the queue by and are sent to full
+// engines.
+BOOST_AUTO_TEST_CASE(a_stream_that_is_taken_up_asks_the_owner_for_room) {
+  queued_engine_world world;
+  const auto seen = world.TakeUp("9c41");
+  BOOST_TEST(seen.body == Event(2) + "(end)");
+  BOOST_REQUIRE_EQUAL(world.asked.size(), 1u);
+  BOOST_TEST(world.asked.front().resumes);
+  BOOST_TEST((world.asked.front().left > 1000ms));
+  BOOST_TEST(world.asked.front().avoid == std::vector<std::string>{"i-2"},
+             boost::test_tools::per_element());
+}
+
+BOOST_AUTO_TEST_CASE(no_owner_is_asked_for_a_stream_while_there_is_room) {
+  queued_engine_world world;
+  world.engine->others.running = 0;
+  world.TakeUp("9c41");
+  BOOST_TEST(world.asked.empty());
+}
+
+// Guards against callers that wait although the owner knows that no engine will
+// have room in time.
+BOOST_AUTO_TEST_CASE(a_stream_without_hope_is_refused_at_once) {
+  queued_engine_world world;
+  world.verdict = host::engine_place_verdict::kRefused;
+  const auto begun = std::chrono::steady_clock::now();
+  const auto seen = world.TakeUp("9c41");
+  BOOST_TEST(seen.status == 503);
+  BOOST_TEST(std::string(seen.fields["Retry-After"]) != "");
+  BOOST_TEST((std::chrono::steady_clock::now() - begun < 500ms));
+}
+
+// Guards against new streams that take the places for which others wait.
+BOOST_AUTO_TEST_CASE(new_requests_ask_the_owner_while_streams_wait) {
+  queued_engine_world world;
+  world.engine->others.running = 0;
+  world.core->servers.Find("i-2")->others.running = 4;
+  world.engine->others.queued_tokens = 1;
+  world.SendRequest("/resumed/");
+  BOOST_REQUIRE_EQUAL(world.asked.size(), 1u);
+  BOOST_TEST(!world.asked.front().resumes);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
