--- a/tests/soak/hosts.py
+++ b/tests/soak/hosts.py
@@ -77,6 +77,8 @@
         self.killed = False
         # Whether its settings are those of high load.
         self.high_load = False
+        # Added to its command.
+        self.arguments = []
 
     async def prepare(self) -> None:
         await self.proxy.start()
@@ -128,8 +130,8 @@
             environment["ASAN_OPTIONS"] = "verify_asan_link_order=0"
         with open(self.folder / f"{self.name}.log", "ab") as log:
             self.process = await asyncio.create_subprocess_exec(
-                str(self.program), "--settings", str(path), stdout=log,
-                stderr=log, env=environment)
+                str(self.program), "--settings", str(path), *self.arguments,
+                stdout=log, stderr=log, env=environment)
         self.expects_end, self.stopping_since = False, None
         self.started_at = time.monotonic()
         self.killed = False
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -68,6 +68,8 @@
         self.keeps_settings = seed % 2 == 1
         # Whether callers compete for engines.
         self.high_load = False
+        # Added to the command of the hosts.
+        self.host_arguments: list[str] = []
         self.version = 1
         self.added: list[str] = []
         self.watch = None
@@ -132,6 +134,7 @@
                         self.args.program, self.folder, self.store,
                         self.ledger, ports, self.args.clock_shim)
             host.high_load = self.high_load
+            host.arguments = self.host_arguments
             await host.prepare()
             if self.args.connect_shim:
                 await host.add_links(
