Soak: servers' errors reach the hosts, and signed refusals count as promises

The ledger took only answers without a server's signature for refusals; a status promises the same with one. It also compares the status of a signed failure with what the server gave.

What tests on a site share moves to site_test.py.

--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -60,6 +60,8 @@
         self.stopping = False
         # Whether it leaves the present request before it has the answer.
         self.left = False
+        # The id of its last request.
+        self.last = ""
 
     async def run(self) -> None:
         while not self.stopping:
@@ -154,7 +156,7 @@
         return []
 
     async def _send(self, kind, model, ending, session, stream) -> bool:
-        name = f"{self.rng.getrandbits(64):016x}"
+        name = self.last = f"{self.rng.getrandbits(64):016x}"
         streams = bool(model)
         # Routes that are added later are like the idempotent one.
         may_repeat = kind not in (deployment.STREAM, deployment.ONCE,
@@ -243,6 +245,10 @@
             self.ledger.break_promise("mixed", f"{name} got another's answer")
         if answer.status == 200 and body != backends.whole_body(name):
             self.ledger.break_promise("whole", f"{name} got another body")
+        if answer.status != 200:
+            self.ledger.failed(name, answer.status)
+        if deployment.promises_not_run(answer.status):
+            self.ledger.refused(name)
         self.ledger.count(kind, "served" if answer.status == 200 else "failed")
 
     def _take_own(self, name, kind, answer) -> None:
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -402,6 +402,7 @@
             return
         if how in ("lost", "errors"):
             name = {"lost": "lost_answers", "errors": "errors"}[how]
+            server.error_statuses = backends.ERROR_STATUSES
             setattr(server, name, 0.3)
             await asyncio.sleep(fault.for_s)
             setattr(server, name, 0.0)
--- a/tests/soak/ledger.py
+++ b/tests/soak/ledger.py
@@ -106,6 +106,9 @@
         self.sent: dict[str, Sent] = {}
         self.run: dict[str, list[Run]] = collections.defaultdict(list)
         self.not_run: dict[str, float] = {}
+        # Statuses with which servers failed what they had run.
+        self.failures: dict[str, set] = collections.defaultdict(set)
+        self.failures_seen = 0
         self.broken: list[str] = []
         self.outcomes = collections.Counter()
         # Seconds for which this program itself did not run, and when it was
@@ -256,6 +259,10 @@
         if left is not None and at - left > DRAIN_S:
             self._late_at_leaving(request_id, instance, left, at)
 
+    def fails(self, request_id, status) -> None:
+        """A server answers a request that it has run with this status."""
+        self.failures[request_id].add(status)
+
     def _count_after_ends(self, request, calm, at) -> None:
         ends = self.ended.get(request, [])
         blind = any(begin < at < end for begin, end in self.blind)
@@ -445,5 +452,12 @@
         if self.run[request_id]:
             self.break_promise("not-run", f"{request_id} was refused, but ran")
 
+    def failed(self, request_id, status) -> None:
+        """A caller has got a failure with a server's signature."""
+        self.failures_seen += 1
+        if status not in self.failures[request_id]:
+            self.break_promise("mixed", f"{request_id} got {status} of a server "
+                               f"that gave {sorted(self.failures[request_id])}")
+
     def count(self, kind: str, outcome: str) -> None:
         self.outcomes[kind, outcome] += 1
--- a/tests/soak/test_ledger.py
+++ b/tests/soak/test_ledger.py
@@ -62,6 +62,13 @@
         self.ledger.refused("a")
         self.assertEqual(self.broken(), ["not-run"])
 
+    def test_a_status_that_no_server_gave(self):
+        self.ledger.fails("a", 503)
+        self.ledger.failed("a", 503)
+        self.assertEqual(self.broken(), [])
+        self.ledger.failed("a", 500)
+        self.assertEqual(self.broken(), ["mixed"])
+
     def test_a_run_after_a_refusal(self):
         self.send("a")
         self.ledger.refused("a")
--- /dev/null
+++ b/tests/soak/test_server_statuses.py
@@ -0,0 +1,82 @@
+# SPDX-License-Identifier: MIT
+"""Real hosts before servers that run requests and answer some of them with a
+failure, also with a status that a host uses for requests that have not run."""
+import argparse
+import asyncio
+import sys
+import unittest
+
+from site_test import SiteTest
+from platform_standin import backends, deployment
+
+# Share of the requests that servers run and fail.
+FAILED_SHARE = 0.2
+PLAY_S = 12.0
+CALLS = [(deployment.ONCE, "")] * 3 + [
+    (deployment.SAFE, ""), (deployment.STREAM, "m0"),
+    (deployment.RESUMABLE, "m1")]
+# Whether a test cuts hosts from the servers for a while: their requests are
+# relayed.
+CUT_AFTER_S, CUT_FOR_S = 3.0, 6.0
+
+ARGS = None
+
+
+class ServerStatuses(SiteTest):
+    """Three hosts, six engines and three plain servers."""
+
+    def arguments(self):
+        args = argparse.Namespace(**vars(ARGS))
+        if "relayed" not in self.id():
+            args.connect_shim = None
+        return args
+
+    async def after_request(self, caller, session, kind, model):
+        """A caller comes back after a promise that its request has not run."""
+        ledger, first = self.site.ledger, caller.last
+        if first not in ledger.not_run:
+            return
+        await caller.send(session, kind, model)
+        if ledger.run[first] and ledger.run[caller.last]:
+            self.ran_again += 1
+
+    async def play(self, meanwhile):
+        self.ran_again = 0
+        for server in self.site.servers:
+            server.errors = FAILED_SHARE
+            server.error_statuses = backends.ERROR_STATUSES
+        callers = self.start_callers(CALLS)
+        await meanwhile
+        await self.end_callers(callers)
+        ledger = self.site.ledger
+        print(f"{len(ledger.failures)} requests failed by servers, "
+              f"{ledger.failures_seen} seen by callers, {self.ran_again} ran "
+              "again after a refusal", flush=True)
+        self.assertGreater(ledger.failures_seen, 50)
+        self.judge()
+
+    async def cut_one(self):
+        """One host reaches no server for a while."""
+        await asyncio.sleep(CUT_AFTER_S)
+        host = self.site.hosts[0]
+        self.site.ledger.cut_off([host.name])
+        host.cut_from_servers("reset")
+        await asyncio.sleep(CUT_FOR_S)
+        await host.heal_links()
+        self.site.ledger.heal()
+        await asyncio.sleep(PLAY_S - CUT_AFTER_S - CUT_FOR_S)
+
+    async def test_what_a_server_has_run_is_not_refused(self):
+        await self.play(asyncio.sleep(PLAY_S))
+
+    async def test_what_a_server_has_run_is_not_refused_if_relayed(self):
+        await self.play(self.cut_one())
+
+
+if __name__ == "__main__":
+    parser = argparse.ArgumentParser()
+    parser.add_argument("--program", required=True)
+    parser.add_argument("--connect-shim", required=True)
+    parser.set_defaults(hosts=3, engines=6, callers=0, clock_shim=None)
+    ARGS, rest = parser.parse_known_args()
+    unittest.main(argv=[sys.argv[0], *rest])
--- a/tests/soak/test_silent_servers.py
+++ b/tests/soak/test_silent_servers.py
@@ -3,17 +3,13 @@
 configuration changes: what had been sent meanwhile runs afterwards."""
 import argparse
 import asyncio
-import pathlib
 import sys
-import tempfile
 import unittest
 
-import aiohttp
-
 import soak
-from callers import Caller
 from platform_standin import deployment
 from proxy import Mode
+from site_test import SiteTest
 
 # Time-out of the plain routes in every other configuration, shorter than the
 # silence.
@@ -32,33 +28,14 @@
 ARGS = None
 
 
-class SilentServers(unittest.IsolatedAsyncioTestCase):
+class SilentServers(SiteTest):
     """Four hosts, six engines and three plain servers."""
 
-    async def asyncSetUp(self):
-        asyncio.get_running_loop().set_debug(False)
-        self.folder = tempfile.TemporaryDirectory()
+    def arguments(self):
         args = argparse.Namespace(**vars(ARGS))
         if "connection" not in self.id():
             args.connect_shim = None
-        self.site = soak.Site(51, args, pathlib.Path(self.folder.name))
-        await self.site.build()
-        await self.site.until_all_serve(soak.RECOVER_S, "at the start")
-        self.stopping = False
-
-    async def asyncTearDown(self):
-        await self.site.end()
-        self.folder.cleanup()
-
-    async def press(self, host, kind, model):
-        """One caller that sends requests through a host all the time."""
-        caller = Caller(self.site.ledger, self.site.rng, host, [], 0)
-        caller.leaves_early = 0
-        connector = aiohttp.TCPConnector(limit=1)
-        async with aiohttp.ClientSession(connector=connector) as session:
-            while not self.stopping:
-                await caller.send(session, kind, model)
-                await asyncio.sleep(0.02)
+        return args
 
     async def configure(self, how):
         """Writes the next configuration."""
@@ -78,8 +55,7 @@
 
     async def play(self, silence):
         """`silence` makes the servers with these indices silent."""
-        callers = [asyncio.create_task(self.press(host, kind, model))
-                   for host in self.site.hosts for kind, model in CALLS]
+        callers = self.start_callers(CALLS)
         await asyncio.sleep(1.0)
         servers = range(len(self.site.servers))
         for how, share, seconds in ROUNDS * ARGS.repeat:
@@ -88,25 +64,8 @@
             chosen = self.site.rng.sample(servers, int(share * len(servers)))
             await silence(chosen, seconds)
             await asyncio.sleep(PAUSE_S)
-        self.stopping = True
-        await asyncio.gather(*callers)
-        ledger = self.site.ledger
-        print(f"{len(ledger.sent)} requests, {len(ledger.not_run)} refused; "
-              f"broken: {len(ledger.broken)}", flush=True)
-        for line in ledger.broken:
-            print(line, flush=True)
-        self.show_logs_of(ledger.broken)
-        self.assertGreater(len(ledger.sent), 500)
-        self.assertEqual(ledger.broken, [])
-
-    def show_logs_of(self, broken):
-        """Prints what the hosts wrote about the requests that are named."""
-        names = {word for line in broken for word in line.split()
-                 if len(word) == 16}
-        for log in pathlib.Path(self.folder.name).glob("*.log"):
-            for line in log.read_text(errors="replace").splitlines():
-                if any(name in line for name in names):
-                    print(log.stem, line)
+        await self.end_callers(callers)
+        self.judge()
 
     async def hold_bytes(self, chosen, seconds):
         """The servers' machines accept connections, and pass nothing on."""
