Sight: the status with which a server failed a request

Event 2009 has the status that was passed on, event 2003 names each failure of a server that may have run the request, and valeledge_server_failures_total counts them by status: the first hypothesis of the incident left no line. What a status states is in one place (decisions/response_status). No decision is changed.

--- /dev/null
+++ b/src/decisions/response_status.cc
@@ -0,0 +1,28 @@
+// SPDX-License-Identifier: MIT
+#include "decisions/response_status.h"
+
+#include <algorithm>
+#include <array>
+
+namespace valeledge::decisions {
+
+namespace {
+
+constexpr std::array kPromises = {408, 421, 429, 503};
+
+// Those below 500: timeout, too early (RFC 8470) and too many requests.
+constexpr std::array kClientStatusesOfFailures = {408, 425, 429};
+
+}  // namespace
+
+bool PromisesNotRun(int status) {
+  return std::ranges::find(kPromises, status) != kPromises.end();
+}
+
+bool IsServerFailure(int status) {
+  return status >= 500 ||
+         std::ranges::find(kClientStatusesOfFailures, status) !=
+             kClientStatusesOfFailures.end();
+}
+
+}  // namespace valeledge::decisions
--- a/src/host/request/http_forwarding.cc
+++ b/src/host/request/http_forwarding.cc
@@ -11,6 +11,7 @@
 #include <boost/json.hpp>
 
 #include "base/result_code.h"
+#include "decisions/response_status.h"
 #include "host/constants.h"
 #include "net/http_server.h"
 
@@ -81,17 +82,12 @@
   return std::string(text.data(), static_cast<std::size_t>(length));
 }
 
-// Statuses that state that a request has not run and never will.
-constexpr std::array kNotRunStatuses = {408, 421, 429, 503};
-
 // Returns the code of the response to a request that failed. One that may have
 // run gets none of these statuses, whatever failed last.
 const base::result_code_entry& DescribeResponse(const base::error& failed) {
   const base::result_code_entry& entry = base::Describe(failed.code);
-  const bool is_contradiction =
-      failed.what_ran != base::outcome::kNotRun &&
-      std::ranges::find(kNotRunStatuses, entry.http_status) !=
-          kNotRunStatuses.end();
+  const bool is_contradiction = failed.what_ran != base::outcome::kNotRun &&
+                                decisions::PromisesNotRun(entry.http_status);
   return is_contradiction ? base::Describe(base::result_code::kOutcomeUnknown)
                           : entry;
 }
--- a/src/host/request/request_trace.cc
+++ b/src/host/request/request_trace.cc
@@ -175,6 +175,19 @@
                   {"reason", failed.message}});
 }
 
+void LogServerFailure(host_core& core,
+                      const routed_request& routed,
+                      const request_trace& trace,
+                      const std::string& target) {
+  const std::string status = std::to_string(trace.server_status);
+  core.metrics.Counter("valeledge_server_failures_total", status).Add();
+  LogAttemptFailed(
+      core, routed, trace, target,
+      base::MakeError(base::result_code::kOutcomeUnknown,
+                      base::outcome::kUnknown,
+                      "the backend server responded with status " + status));
+}
+
 void LogAttemptNotRun(host_core& core,
                       const routed_request& routed,
                       const request_trace& trace,
@@ -212,6 +225,7 @@
       routed.metadata.id,
       {{"request", routed.metadata.id},
        {"server", target},
+       {"status", std::int64_t{trace.server_status}},
        {"sends", trace.attempts},
        {"unit", UnitOf(routed)},
        {"last_event", trace.last_event_id},
--- a/src/host/request/request_trace.h
+++ b/src/host/request/request_trace.h
@@ -47,6 +47,8 @@
   int relays = 0;
   // The response header has been sent to the caller.
   bool response_started = false;
+  // Status of the last response of a server; 0: none yet.
+  int server_status = 0;
   std::string last_event_id;
   // Events that were sent to the caller.
   std::int64_t events = 0;
@@ -84,6 +86,13 @@
                       const std::string& target,
                       const base::error& failed);
 
+// Logs and counts a response with which a server failed the request. The
+// request may have run.
+void LogServerFailure(host_core& core,
+                      const routed_request& routed,
+                      const request_trace& trace,
+                      const std::string& target);
+
 // Logs that an attempt has not run the request, and what shows it. `target` as
 // above.
 void LogAttemptNotRun(host_core& core,
--- a/src/host/request/response_forwarding.cc
+++ b/src/host/request/response_forwarding.cc
@@ -8,6 +8,7 @@
 #include <string_view>
 #include <utility>
 
+#include "decisions/response_status.h"
 #include "host/request/attempt_timeouts.h"
 #include "host/request/event_splitter.h"
 #include "host/request/http_forwarding.h"
@@ -130,6 +131,8 @@
     co_return attempt_outcome::kUnknown;
   }
   const bool failed = whole.result_int() >= 500;
+  if (decisions::IsServerFailure(state.trace.server_status))
+    LogServerFailure(state.core, state.routed, state.trace, state.instance);
   if (failed) {
     if (attempt != nullptr)
       attempt->OnFailed(false);
@@ -272,6 +275,7 @@
                                                  net::http_exchange& exchange,
                                                  server_attempt* attempt) {
   state.trace.wait = request_wait::kResponseBody;
+  state.trace.server_status = static_cast<int>(exchange.header().result_int());
   const bool streams = state.routed.route->kind == route_kind::kStream &&
                        exchange.header().result_int() == 200;
   if (streams) {
