A status of a server that has run a request is no promise to its caller

Callers saw 503, 429 or 408 to requests that had run, came back as these statuses tell them to, and their requests ran again (REFUSED, TWICE).

Cause: the status of a server's own response was passed on, whatever it tells the caller. A server that has run a request and fails it may answer 408, 429 or 503; only a statement with the request's id says that it has not run, and hosts act on that one already. To the caller the status alone is the promise.

A server's failure with a status that would promise is not passed on: the caller gets the host's own 502 with the outcome unknown, without the server's signature, and with its Retry-After if the request may be repeated. All other statuses go out unchanged. Requests that may be repeated go to another server, as after a 500. 408, 425 and 429 are failures of their server, no longer good responses.

--- a/src/decisions/response_status.cc
+++ b/src/decisions/response_status.cc
@@ -10,8 +10,9 @@
 
 constexpr std::array kPromises = {408, 421, 429, 503};
 
-// Those below 500: timeout, too early (RFC 8470) and too many requests.
-constexpr std::array kClientStatusesOfFailures = {408, 425, 429};
+// Those below 500: request timeout, misdirected request, too early (RFC 8470),
+// too many requests.
+constexpr std::array kFailuresBelow500 = {408, 421, 425, 429};
 
 }  // namespace
 
@@ -20,9 +21,8 @@
 }
 
 bool IsServerFailure(int status) {
-  return status >= 500 ||
-         std::ranges::find(kClientStatusesOfFailures, status) !=
-             kClientStatusesOfFailures.end();
+  return status >= 500 || std::ranges::find(kFailuresBelow500, status) !=
+                              kFailuresBelow500.end();
 }
 
 }  // namespace valeledge::decisions
--- a/src/host/request/response_forwarding.cc
+++ b/src/host/request/response_forwarding.cc
@@ -14,6 +14,7 @@
 #include "host/request/http_forwarding.h"
 #include "host/request/peer_relay.h"
 #include "host/request/stream_continuation.h"
+#include "net/retry_after.h"
 
 namespace valeledge::host {
 
@@ -96,59 +97,85 @@
       !exchange.EndsWithConnection());
 }
 
-asio::awaitable<attempt_outcome> ForwardWholeResponse(
-    request_state& state,
-    net::http_exchange& exchange,
-    server_attempt* attempt) {
-  net::http_response response(exchange.header());
+asio::awaitable<tl::expected<net::http_response, attempt_outcome>>
+ReadWholeResponse(request_state& state,
+                  net::http_exchange& exchange,
+                  server_attempt* attempt) {
+  net::http_response whole(PassedHeader(state, exchange.header()));
   while (true) {
     const auto piece = co_await ReadPiece(state, exchange, attempt);
     if (!piece)
-      co_return piece.error();
+      co_return tl::make_unexpected(piece.error());
     if (piece->empty())
-      break;
-    response.body().append(*piece);
-    if (response.body().size() > net::kMaxAnswerBytes) {
+      co_return whole;
+    whole.body().append(*piece);
+    if (whole.body().size() > net::kMaxAnswerBytes) {
       state.last_error =
           base::MakeError(result_code::kAnswerBroken, base::outcome::kUnknown,
                           "the response exceeds the maximum size");
-      co_return attempt_outcome::kUnknown;
+      co_return tl::make_unexpected(attempt_outcome::kUnknown);
     }
   }
+}
+
+// Ends an attempt with a response by which the server failed the request. A
+// status that would promise that the request has not run is not passed on: the
+// server does not state that.
+asio::awaitable<attempt_outcome> EndFailedAttempt(request_state& state,
+                                                  net::http_response whole,
+                                                  server_attempt* attempt) {
+  LogServerFailure(state.core, state.routed, state.trace, state.instance);
+  if (attempt != nullptr)
+    attempt->OnFailed(false);
+  const int status = state.trace.server_status;
+  const bool is_promise = decisions::PromisesNotRun(status);
+  const bool may_repeat = state.routed.route->MayRepeat();
+  if (!is_promise && (!may_repeat || attempt == nullptr)) {
+    co_await state.responder.Send(std::move(whole));
+    co_return attempt_outcome::kDone;
+  }
+  state.last_error = base::MakeError(
+      result_code::kOutcomeUnknown, base::outcome::kUnknown,
+      "the backend server responded with status " + std::to_string(status));
+  if (may_repeat) {
+    state.last_error.retry_after =
+        net::ReadRetryAfter(whole, std::chrono::system_clock::now()).delay;
+  }
+  if (!is_promise)
+    state.server_error_response = std::move(whole);
+  else if (attempt == nullptr)
+    state.peer_error = state.last_error;
+  co_return attempt_outcome::kUnknown;
+}
+
+asio::awaitable<attempt_outcome> ForwardWholeResponse(
+    request_state& state,
+    net::http_exchange& exchange,
+    server_attempt* attempt) {
+  auto whole = co_await ReadWholeResponse(state, exchange, attempt);
+  if (!whole)
+    co_return whole.error();
   if (attempt != nullptr)
     attempt->OnFirstByte();
-  net::http_response_header passed = PassedHeader(state, response.base());
-  net::http_response whole(std::move(passed));
-  whole.body() = std::move(response.body());
+  const int status = state.trace.server_status;
   if (state.trace.response_started) {
     // The server did not resume the stream but sent another response.
     state.last_error = base::MakeError(
         result_code::kAnswerBroken, base::outcome::kUnknown,
         "cannot resume the stream: the backend server responded with status " +
-            std::to_string(whole.result_int()));
+            std::to_string(status));
     if (attempt != nullptr)
       attempt->OnFailed(false);
     co_return attempt_outcome::kUnknown;
   }
-  const bool failed = whole.result_int() >= 500;
-  if (decisions::IsServerFailure(state.trace.server_status))
-    LogServerFailure(state.core, state.routed, state.trace, state.instance);
-  if (failed) {
-    if (attempt != nullptr)
-      attempt->OnFailed(false);
-  } else {
-    if (attempt != nullptr)
-      OnWholeResponse(state, exchange, *attempt);
-  }
-  if (failed && state.routed.route->MayRepeat() && attempt != nullptr) {
-    state.last_error =
-        base::MakeError(result_code::kOutcomeUnknown, base::outcome::kUnknown,
-                        "the backend server responded with status " +
-                            std::to_string(whole.result_int()));
-    state.server_error_response = std::move(whole);
-    co_return attempt_outcome::kUnknown;
+  if (decisions::IsServerFailure(status)) {
+    const attempt_outcome outcome =
+        co_await EndFailedAttempt(state, std::move(*whole), attempt);
+    co_return outcome;
   }
-  co_await state.responder.Send(std::move(whole));
+  if (attempt != nullptr)
+    OnWholeResponse(state, exchange, *attempt);
+  co_await state.responder.Send(std::move(*whole));
   co_return attempt_outcome::kDone;
 }
 
