Demand is expected from the requests of each model, not from the operators' list

Before the first request it took five requests a second and half of their work for each replica that an engine held, and as much for the next ones of the list. The order in which operators list models says nothing about what their callers will ask for.

Now a model's own requests count (decisions/demand_trend): what its rate has risen by against its long-term rate is expected to go on for the time that a load takes, at most once more as much as has been seen. What engines hold at the start is kept, for models that several of them hold, until callers have shown what they ask for; a model that is asked for more than once a second for each such replica takes its place. No replicas and no copies are made ahead for models because of their place in the list; every model gets a second weight copy while there are no requests. demand_shift, future_* and later_* are gone, event 4009 with them.

Unit tests of decisions, host and patient requests pass.

--- a/src/decisions/model_plan.cc
+++ b/src/decisions/model_plan.cc
@@ -23,8 +23,8 @@
 using detail::replica_position;
 using detail::SourceAt;
 
-// Demand shifts to other models within about this time, so a replica that takes
-// long to load has less value.
+// A replica that takes this long to load has hardly any value: the demand for
+// its model may have ended by then.
 constexpr double kLoadHorizonMs = 8000;
 constexpr double kMinLoadFactor = 0.1;
 
--- a/src/decisions/model_plan.h
+++ b/src/decisions/model_plan.h
@@ -28,12 +28,10 @@
   double steady_rate = 0;
   // Requests running now on all engines.
   std::int64_t running = 0;
-  // Expected work and requests per second after the next shift of demand.
-  double future_work = 0;
-  double future_rate = 0;
-  // The same after the shift that follows.
-  double later_work = 0;
-  double later_rate = 0;
+  // Requests per second by which its demand is expected to have risen once a
+  // load that begins now has ended, and its whole work by then.
+  double expected_rise = 0;
+  double expected_work = 0;
   // The objectives of all its requests allow for a load from a weight copy.
   bool deferrable = false;
   // Minimum number of replicas for other reasons, such as slots for adapters.
@@ -93,8 +91,8 @@
 // descending order of their gain, and a replica is evicted only if the gain
 // exceeds the loss by kMinGainLossRatio. The last replica of a model is kept
 // unless another engine has a copy of the weights. While there is no demand,
-// the remaining loads from the weight store bring weight copies to the disks of
-// engines.
+// the remaining loads from the weight store bring second weight copies to the
+// disks of engines.
 std::vector<plan_step> PlanModels(const std::vector<plan_model>& models,
                                   const std::vector<plan_engine>& engines,
                                   const plan_limits& limits,
--- a/src/decisions/patient_context.cc
+++ b/src/decisions/patient_context.cc
@@ -23,8 +23,7 @@
 bool HasDemand(const plan_model& model) {
   const double now =
       std::max(model.arrival_rate, std::min(model.steady_rate, 1.0));
-  return model.running > 0 || now >= kMinDemandRate ||
-         std::max(model.future_rate, model.later_rate) >= kMinDemandRate;
+  return model.running > 0 || now >= kMinDemandRate;
 }
 
 // Returns the number of a model's replicas that its demand needs.
@@ -39,11 +38,11 @@
   plan_limits limits;
   limits.slots = input.limits.slots;
   plan_model expected = each;
-  // A short lull is no surplus, nor are replicas that were loaded for the next
-  // shift of demand: the model plan would load them again.
+  // A short lull is no surplus, nor are replicas that were loaded for rising
+  // demand: the model plan would load them again.
   if (each.arrival_rate > 0 && each.steady_rate > each.arrival_rate)
     expected.work *= each.steady_rate / each.arrival_rate;
-  expected.work = std::max(expected.work, each.future_work);
+  expected.work = std::max(expected.work, each.expected_work);
   return static_cast<std::int64_t>(
       std::ceil(RequiredReplicas(expected, limits)));
 }
--- a/src/decisions/replica_value.cc
+++ b/src/decisions/replica_value.cc
@@ -64,9 +64,9 @@
                 has_copy ? kMinRate : kMinRateWithoutCopy});
   if (replicas <= 0)
     return model.deferrable && has_copy ? kDeferrableShare * now : 0;
-  const double expected = kForecastWeight * model.future_rate;
+  const double expected = kForecastWeight * model.expected_rise;
   return now * ServedShare(count, RequiredReplicas(model, limits)) +
-         expected * ServedShare(count, model.future_work / kWorkPerReplica);
+         expected * ServedShare(count, model.expected_work / kWorkPerReplica);
 }
 
 }  // namespace valeledge::decisions
--- a/src/host/constants.h
+++ b/src/host/constants.h
@@ -101,7 +101,8 @@
 // Interval at which the gossip state machine runs.
 inline constexpr std::chrono::milliseconds kGossipTickInterval{50};
 
-// Smoothing window for arrival rates; demand shifts within five seconds.
+// Smoothing window for arrival rates. Over a shorter one, a rate follows single
+// requests.
 inline constexpr std::chrono::milliseconds kArrivalRateWindow{1000};
 
 }  // namespace valeledge::host
--- a/src/host/process/demand_forecast.cc
+++ b/src/host/process/demand_forecast.cc
@@ -4,7 +4,8 @@
 #include <algorithm>
 #include <cmath>
 
-#include "base/logging.h"
+#include "decisions/demand_trend.h"
+#include "decisions/replica_value.h"
 #include "decisions/replica_wait.h"
 #include "host/constants.h"
 
@@ -12,21 +13,6 @@
 
 namespace {
 
-constexpr std::string_view kCategory = "placement";
-
-// Models with at least this many initial replicas are assumed to be busy.
-constexpr double kBusyReplicas = 3;
-
-// Maximum number of replicas prepared for a successor before any demand is
-// seen. A rise needs a few until loads from the weight store have completed,
-// and the purpose of the initial replicas is not known.
-constexpr double kMaxPreparedReplicas = 24;
-
-// Before any demand is seen, it is estimated from the replicas of busy models:
-// this share of them is kept, and a successor gets this share of their number.
-constexpr double kInitialKeptShare = 0.5;
-constexpr double kInitialSuccessorShare = 0.8;
-
 // Window of the long-term rates: models that are requested every few seconds
 // are not idle in between.
 constexpr std::chrono::duration<double> kSteadyWindow{8};
@@ -36,18 +22,18 @@
 // unloading another model to make room.
 constexpr std::chrono::milliseconds kSwapOverhead{1500};
 
-// Demand assumed per initial replica: requests per second, and milliseconds of
-// prefill per second that an engine has for one model.
-constexpr double kInitialReplicaRate = 5;
-constexpr double kInitialReplicaWork = 250;
+// At the start engines hold busy models several times, the others once.
+constexpr std::int64_t kBusyReplicas = 2;
+
+// Requests per second that are assumed for each replica of a busy model that an
+// engine held before any request was seen: a model without a replica that
+// callers ask for more often takes its place.
+constexpr double kInitialReplicaRate = 1;
 
 // Time over which the weight of the initial replicas falls to zero after the
 // first demand: measured rates lag behind demand by their window.
-constexpr std::chrono::duration<double> kInitialReplicaFade{4};
-
-// Share of a model's demand for which its successor in the configured list gets
-// replicas in advance.
-constexpr double kSuccessorShare = 0.8;
+constexpr std::chrono::duration<double> kInitialReplicaFade =
+    4 * kArrivalRateWindow;
 
 // Hosts report four times a second. The waiting requests of a host that has
 // missed several reports may have ended.
@@ -190,44 +176,25 @@
   out.steady_rate = steady == steady_rates_.end() ? 0 : steady->second;
   out.deferrable = ToleratesDiskLoad(model);
   out.work = PrefillWork(demand.token_rate, demand);
+  out.expected_rise = decisions::ExpectedRise(
+      {out.arrival_rate, out.steady_rate, kArrivalRateWindow, kSteadyWindow},
+      model.load_from_store);
+  out.expected_work = out.work;
+  if (out.arrival_rate > 0)
+    out.expected_work *= 1 + out.expected_rise / out.arrival_rate;
   return out;
 }
 
 std::vector<decisions::plan_model> demand_forecast::Models(
     const catalog::service& service) {
   std::vector<decisions::plan_model> out;
-  std::vector<wire::model_load> demand;
-  std::vector<double> arrivals;
-  std::vector<double> tokens;
   demand_table sums = SumDemand();
   AccumulateDemand(sums);
   RecordFirstDemand(sums);
   for (const catalog::model& each : service.engines.models) {
-    demand.push_back(sums[KeyOf(each.name)]);
-    out.push_back(ModelOf(each, demand.back()));
-    arrivals.push_back(out.back().arrival_rate);
-    tokens.push_back(demand.back().token_rate);
-  }
-  decisions::demand_shift& shift = shifts_[service.name];
-  const auto known = shift.step;
-  decisions::RecordDemand(shift, std::chrono::steady_clock::now(), arrivals);
-  if (shift.step != known) {
-    base::Log(kCategory, base::log_event::kDemandMoved,
-              {{"service", service.name},
-               {"places", static_cast<std::int64_t>(*shift.step)}});
+    out.push_back(ModelOf(each, sums[KeyOf(each.name)]));
+    KeepInitialReplicas(each.name, out.back());
   }
-  const auto soon = decisions::DemandAfterShift(shift, tokens);
-  const auto soon_rates = decisions::DemandAfterShift(shift, arrivals);
-  const auto later = decisions::DemandAfterShift(shift, soon);
-  const auto later_rates = decisions::DemandAfterShift(shift, soon_rates);
-  for (std::size_t i = 0; i < out.size(); ++i) {
-    out[i].future_work = kSuccessorShare * PrefillWork(soon[i], demand[i]);
-    out[i].future_rate = kSuccessorShare * soon_rates[i];
-    out[i].later_work = kSuccessorShare * PrefillWork(later[i], demand[i]);
-    out[i].later_rate = kSuccessorShare * later_rates[i];
-  }
-  if (const double initial_weight = InitialReplicaWeight(); initial_weight > 0)
-    RaiseByInitialReplicas(service, shift, initial_weight, out);
   return out;
 }
 
@@ -248,40 +215,15 @@
   return 1 - since / kInitialReplicaFade;
 }
 
-// Raises the demand of models to the estimate from the initial replicas.
-void demand_forecast::RaiseByInitialReplicas(
-    const catalog::service& service,
-    const decisions::demand_shift& shift,
-    double initial_weight,
-    std::vector<decisions::plan_model>& models) const {
-  std::vector<double> replicas;
-  for (const catalog::model& each : service.engines.models)
-    replicas.push_back(static_cast<double>(InitialReplicas(each.name)));
-  const auto soon = decisions::DemandAfterShift(shift, replicas);
-  const auto later = decisions::DemandAfterShift(shift, soon);
-  for (std::size_t i = 0; i < models.size(); ++i) {
-    decisions::plan_model& model = models[i];
-    if (replicas[i] >= kBusyReplicas) {
-      RaiseToAtLeast(model.arrival_rate,
-                     initial_weight * kInitialReplicaRate * replicas[i]);
-      RaiseToAtLeast(model.work, initial_weight * kInitialReplicaWork *
-                                     kInitialKeptShare * replicas[i]);
-    }
-    const double next = std::min(soon[i], kMaxPreparedReplicas);
-    if (next >= kBusyReplicas) {
-      RaiseToAtLeast(model.future_rate,
-                     initial_weight * kInitialReplicaRate * next);
-      RaiseToAtLeast(model.future_work, initial_weight * kInitialReplicaWork *
-                                            kInitialSuccessorShare * next);
-    }
-    const double after = std::min(later[i], kMaxPreparedReplicas);
-    if (after >= kBusyReplicas) {
-      RaiseToAtLeast(model.later_rate,
-                     initial_weight * kInitialReplicaRate * after);
-      RaiseToAtLeast(model.later_work, initial_weight * kInitialReplicaWork *
-                                           kInitialSuccessorShare * after);
-    }
-  }
+void demand_forecast::KeepInitialReplicas(const std::string& model,
+                                          decisions::plan_model& demand) const {
+  const std::int64_t held = InitialReplicas(model);
+  if (held < kBusyReplicas)
+    return;
+  const double replicas =
+      std::max(InitialReplicaWeight(), 0.0) * static_cast<double>(held);
+  RaiseToAtLeast(demand.arrival_rate, kInitialReplicaRate * replicas);
+  RaiseToAtLeast(demand.work, decisions::detail::kWorkPerReplica * replicas);
 }
 
 }  // namespace valeledge::host
--- a/src/host/process/demand_forecast.h
+++ b/src/host/process/demand_forecast.h
@@ -13,7 +13,6 @@
 
 #include "base/duration.h"
 #include "catalog/configuration.h"
-#include "decisions/demand_shift.h"
 #include "decisions/model_plan.h"
 #include "decisions/patient_loads.h"
 #include "host/process/demand_tracker.h"
@@ -42,15 +41,16 @@
   // from the weight store; false if none is known.
   bool ToleratesStoreLoad(const catalog::model& model) const;
 
-  // Records that an engine held this model when it was discovered. Until demand
-  // is seen, these replicas show which models are busy.
+  // Records that an engine held this model when it was discovered. What engines
+  // hold is kept until callers show which models they ask for.
   void AddInitialReplica(const std::string& model) {
     ++initial_replicas_[model];
   }
   void ForgetInitialReplicas() { initial_replicas_.clear(); }
 
-  // Planner input for the models of a service, in the configured order. Each
-  // call also adds the current demand to the long-term averages.
+  // Planner input for the models of a service; the positions are those of the
+  // configured list. Each call also adds the current demand to the long-term
+  // averages.
   std::vector<decisions::plan_model> Models(const catalog::service& service);
 
   // Whether no model has been requested since this host started.
@@ -76,10 +76,9 @@
   bool ToleratesDiskLoad(const catalog::model& model) const;
   double InitialReplicaWeight() const;
   std::int64_t InitialReplicas(const std::string& model) const;
-  void RaiseByInitialReplicas(const catalog::service& service,
-                              const decisions::demand_shift& shift,
-                              double initial_weight,
-                              std::vector<decisions::plan_model>& models) const;
+  // Raises the demand for a busy model to what keeps its initial replicas.
+  void KeepInitialReplicas(const std::string& model,
+                           decisions::plan_model& demand) const;
 
   const demand_tracker& own_;
   std::map<std::string, reported_demand> demand_;
@@ -88,8 +87,6 @@
   base::time_point steady_at_;
   // Shortest objective of all requests for each model so far.
   std::map<unit_key, std::chrono::milliseconds> objectives_;
-  // How the demand for each service's models moves along the configured list.
-  std::map<std::string, decisions::demand_shift> shifts_;
   std::map<std::string, std::int64_t> initial_replicas_;
   // When any model was first requested since this host started.
   std::optional<base::time_point> demand_seen_at_;
