Demand is what callers ask for now; nothing is prepared for what engines hold

Both are gone: a model's demand is its requests. What engines hold is kept as long as nobody has asked for anything: second weight copies are then made only where there is room.

--- a/src/decisions/patient_context.cc
+++ b/src/decisions/patient_context.cc
@@ -38,11 +38,9 @@
   plan_limits limits;
   limits.slots = input.limits.slots;
   plan_model expected = each;
-  // A short lull is no surplus, nor are replicas that were loaded for rising
-  // demand: the model plan would load them again.
+  // A short lull is no surplus: the model plan would load the replicas again.
   if (each.arrival_rate > 0 && each.steady_rate > each.arrival_rate)
     expected.work *= each.steady_rate / each.arrival_rate;
-  expected.work = std::max(expected.work, each.expected_work);
   return static_cast<std::int64_t>(
       std::ceil(RequiredReplicas(expected, limits)));
 }
--- a/src/decisions/replica_value.cc
+++ b/src/decisions/replica_value.cc
@@ -14,11 +14,7 @@
 // An engine's batch is slow if more than this share of its slots is in use.
 constexpr double kMaxSlotUtilization = 0.5;
 
-// Weight of expected demand relative to present demand.
-constexpr double kForecastWeight = 0.3;
-
-// Share of a model's requests that are at risk if one of its engines is lost:
-// engines are unavailable for seconds at a time, about a thirtieth of the time.
+// Share of a model's requests that are at risk if one of its engines is lost.
 constexpr double kEngineLossShare = 0.04;
 
 // Value of a model without a replica if its requests can wait for a load from a
@@ -64,9 +60,7 @@
                 has_copy ? kMinRate : kMinRateWithoutCopy});
   if (replicas <= 0)
     return model.deferrable && has_copy ? kDeferrableShare * now : 0;
-  const double expected = kForecastWeight * model.expected_rise;
-  return now * ServedShare(count, RequiredReplicas(model, limits)) +
-         expected * ServedShare(count, model.expected_work / kWorkPerReplica);
+  return now * ServedShare(count, RequiredReplicas(model, limits));
 }
 
 }  // namespace valeledge::decisions
--- a/src/decisions/replica_value.h
+++ b/src/decisions/replica_value.h
@@ -27,8 +27,8 @@
 double RequiredReplicas(const plan_model& model, const plan_limits& limits);
 
 // Returns the value of `replicas` of a model: the requests per second that they
-// serve in time, including weighted terms for expected demand and for the loss
-// of an engine. `has_copy`: some engine has a copy of the weights.
+// serve in time, including a term for the loss of an engine. `has_copy`: some
+// engine has a copy of the weights.
 double ReplicaValue(const plan_model& model,
                     const plan_limits& limits,
                     std::int64_t replicas,
--- a/src/decisions/weight_copies.cc
+++ b/src/decisions/weight_copies.cc
@@ -18,10 +18,6 @@
 // Number of engines that should have a weight copy of a model: one copy is left
 // if an engine is lost.
 constexpr std::int64_t kWeightCopies = 2;
-// Maximum loss that a weight copy may cause, as a share of the rate that is
-// assumed for a model without requests. Its benefit is the seconds by which a
-// load from disk is faster if the demand rises.
-constexpr double kCopyLossShare = 0.05;
 // Loads from the weight store that are reserved for the first requests. Once
 // there are requests no copies are made ahead, because they occupy engines that
 // other loads need.
@@ -33,29 +29,25 @@
 
 std::optional<replica_position> FindCopyPosition(plan_state& state,
                                                  std::size_t model) {
-  const double max_loss = kCopyLossShare * kMinRate;
   std::optional<replica_position> best;
   std::size_t scanned = 0;
   const std::size_t visited = std::min(state.least_busy.size(), kMaxVisited);
   for (std::size_t i = 0; i < visited && scanned < kMaxScanned; ++i) {
     const std::size_t position = state.least_busy[i];
     const plan_engine& engine = state.engines[position];
-    const bool candidate = engine.serving && engine.accepts_orders &&
-                           !Contains(engine.loaded, model) &&
-                           !Contains(engine.loading, model) &&
-                           SourceAt(engine, model) == weight_source::kStore;
+    // What engines hold is kept until callers have shown what they ask for.
+    const bool has_room = engine.free_mb >= state.models[model].weights_mb;
+    const bool candidate =
+        has_room && engine.serving && engine.accepts_orders &&
+        !Contains(engine.loaded, model) && !Contains(engine.loading, model) &&
+        SourceAt(engine, model) == weight_source::kStore;
     if (!candidate)
       continue;
     ++scanned;
     ++state.scanned_engines;
-    auto evictions = FindEviction(state, position, model);
-    if (!evictions || evictions->loss > max_loss)
-      continue;
-    const double net =
-        -evictions->loss - kRunningCost * static_cast<double>(engine.running);
+    const double net = -kRunningCost * static_cast<double>(engine.running);
     if (!best || net > best->gain)
-      best = replica_position{position, std::move(*evictions),
-                              weight_source::kStore, net};
+      best = replica_position{position, {}, weight_source::kStore, net};
   }
   return best;
 }
@@ -80,9 +72,6 @@
       continue;
     ApplyStep(state, *chosen, *rarest);
     ++state.weight_copies[*rarest];
-    // The load itself follows once memory is free; its store load is reserved.
-    if (!chosen->evictions.models.empty())
-      --state.limits.store_loads;
   }
 }
 
--- a/src/host/process/demand_forecast.cc
+++ b/src/host/process/demand_forecast.cc
@@ -4,8 +4,6 @@
 #include <algorithm>
 #include <cmath>
 
-#include "decisions/demand_trend.h"
-#include "decisions/replica_value.h"
 #include "decisions/replica_wait.h"
 #include "host/constants.h"
 
@@ -22,19 +20,6 @@
 // unloading another model to make room.
 constexpr std::chrono::milliseconds kSwapOverhead{1500};
 
-// At the start engines hold busy models several times, the others once.
-constexpr std::int64_t kBusyReplicas = 2;
-
-// Requests per second that are assumed for each replica of a busy model that an
-// engine held before any request was seen: a model without a replica that
-// callers ask for more often takes its place.
-constexpr double kInitialReplicaRate = 1;
-
-// Time over which the weight of the initial replicas falls to zero after the
-// first demand: measured rates lag behind demand by their window.
-constexpr std::chrono::duration<double> kInitialReplicaFade =
-    4 * kArrivalRateWindow;
-
 // Hosts report four times a second. The waiting requests of a host that has
 // missed several reports may have ended.
 constexpr std::chrono::milliseconds kMaxWaitingAge{1000};
@@ -49,10 +34,6 @@
   return tokens * reading / 1e6;
 }
 
-void RaiseToAtLeast(double& value, double min) {
-  value = std::max(value, min);
-}
-
 }  // namespace
 
 void demand_forecast::Update(const std::string& host,
@@ -157,11 +138,6 @@
          found->second >= model.load_from_disk + kSwapOverhead;
 }
 
-std::int64_t demand_forecast::InitialReplicas(const std::string& model) const {
-  const auto found = initial_replicas_.find(model);
-  return found == initial_replicas_.end() ? 0 : found->second;
-}
-
 decisions::plan_model demand_forecast::ModelOf(
     const catalog::model& model,
     const wire::model_load& demand) const {
@@ -176,12 +152,6 @@
   out.steady_rate = steady == steady_rates_.end() ? 0 : steady->second;
   out.deferrable = ToleratesDiskLoad(model);
   out.work = PrefillWork(demand.token_rate, demand);
-  out.expected_rise = decisions::ExpectedRise(
-      {out.arrival_rate, out.steady_rate, kArrivalRateWindow, kSteadyWindow},
-      model.load_from_store);
-  out.expected_work = out.work;
-  if (out.arrival_rate > 0)
-    out.expected_work *= 1 + out.expected_rise / out.arrival_rate;
   return out;
 }
 
@@ -193,37 +163,13 @@
   RecordFirstDemand(sums);
   for (const catalog::model& each : service.engines.models) {
     out.push_back(ModelOf(each, sums[KeyOf(each.name)]));
-    KeepInitialReplicas(each.name, out.back());
   }
   return out;
 }
 
 void demand_forecast::RecordFirstDemand(const demand_table& sums) {
-  const bool any_demand = std::ranges::any_of(
+  has_seen_demand_ |= std::ranges::any_of(
       sums, [](const auto& each) { return each.second.arrival_rate > 0; });
-  if (any_demand && !demand_seen_at_)
-    demand_seen_at_ = std::chrono::steady_clock::now();
-}
-
-// Weight of the initial replicas in the estimate of demand, from 1 down to 0 or
-// below.
-double demand_forecast::InitialReplicaWeight() const {
-  if (!demand_seen_at_)
-    return 1;
-  const std::chrono::duration<double> since =
-      std::chrono::steady_clock::now() - *demand_seen_at_;
-  return 1 - since / kInitialReplicaFade;
-}
-
-void demand_forecast::KeepInitialReplicas(const std::string& model,
-                                          decisions::plan_model& demand) const {
-  const std::int64_t held = InitialReplicas(model);
-  if (held < kBusyReplicas)
-    return;
-  const double replicas =
-      std::max(InitialReplicaWeight(), 0.0) * static_cast<double>(held);
-  RaiseToAtLeast(demand.arrival_rate, kInitialReplicaRate * replicas);
-  RaiseToAtLeast(demand.work, decisions::detail::kWorkPerReplica * replicas);
 }
 
 }  // namespace valeledge::host
--- a/src/host/process/demand_forecast.h
+++ b/src/host/process/demand_forecast.h
@@ -41,20 +41,13 @@
   // from the weight store; false if none is known.
   bool ToleratesStoreLoad(const catalog::model& model) const;
 
-  // Records that an engine held this model when it was discovered. What engines
-  // hold is kept until callers show which models they ask for.
-  void AddInitialReplica(const std::string& model) {
-    ++initial_replicas_[model];
-  }
-  void ForgetInitialReplicas() { initial_replicas_.clear(); }
-
   // Planner input for the models of a service; the positions are those of the
   // configured list. Each call also adds the current demand to the long-term
   // averages.
   std::vector<decisions::plan_model> Models(const catalog::service& service);
 
   // Whether no model has been requested since this host started.
-  bool HasNoDemandYet() const { return !demand_seen_at_; }
+  bool HasNoDemandYet() const { return !has_seen_demand_; }
 
  private:
   // Demand of all hosts, by model.
@@ -74,11 +67,6 @@
   // Whether the objectives of all requests for a model allow for a load from a
   // weight copy.
   bool ToleratesDiskLoad(const catalog::model& model) const;
-  double InitialReplicaWeight() const;
-  std::int64_t InitialReplicas(const std::string& model) const;
-  // Raises the demand for a busy model to what keeps its initial replicas.
-  void KeepInitialReplicas(const std::string& model,
-                           decisions::plan_model& demand) const;
 
   const demand_tracker& own_;
   std::map<std::string, reported_demand> demand_;
@@ -87,9 +75,8 @@
   base::time_point steady_at_;
   // Shortest objective of all requests for each model so far.
   std::map<unit_key, std::chrono::milliseconds> objectives_;
-  std::map<std::string, std::int64_t> initial_replicas_;
-  // When any model was first requested since this host started.
-  std::optional<base::time_point> demand_seen_at_;
+  // Whether any model has been requested since this host started.
+  bool has_seen_demand_ = false;
 };
 
 }  // namespace valeledge::host
--- a/src/host/process/placement_controller.cc
+++ b/src/host/process/placement_controller.cc
@@ -144,19 +144,6 @@
   return may_send && (waited || lease_.is_first_holder()) ? term : 0;
 }
 
-// The models that engines hold when they are discovered are the estimate of
-// demand until there are requests.
-void placement_controller::CountInitialReplicas() {
-  if (!forecast_.HasNoDemandYet() && engines_discovered_)
-    return;
-  for (const auto& [instance, engine] : dispatcher_.engines()) {
-    if (!engine->accepted || !counted_engines_.insert(instance).second)
-      continue;
-    for (const auto& [name, model] : engine->models)
-      forecast_.AddInitialReplica(name);
-  }
-}
-
 // Engines register one after the other. A plan for only some of them would load
 // models that the others already hold.
 bool placement_controller::AreEnginesDiscovered() {
@@ -297,8 +284,6 @@
       term_ = term;
       term_since_ = std::chrono::steady_clock::now();
       engines_discovered_ = false;
-      counted_engines_.clear();
-      forecast_.ForgetInitialReplicas();
       dispatcher_.BeginTerm(lease_.is_first_holder());
       published_engines_.clear();
       patient_.BeginTerm();
@@ -306,7 +291,6 @@
     if (term == 0 || core_.configuration == nullptr)
       continue;
     dispatcher_.Refresh();
-    CountInitialReplicas();
     if (OrderTerm() != 0 && AreEnginesDiscovered()) {
       const auto configuration = core_.configuration;
       for (const catalog::service& each : configuration->services) {
--- a/src/host/process/placement_controller.h
+++ b/src/host/process/placement_controller.h
@@ -8,7 +8,6 @@
 #include <functional>
 #include <map>
 #include <optional>
-#include <set>
 #include <span>
 #include <string>
 #include <vector>
@@ -83,7 +82,6 @@
   void RecordHolder(std::int64_t term);
   // Whether all engines are presumably known.
   bool AreEnginesDiscovered();
-  void CountInitialReplicas();
   void Plan(const catalog::service& service);
   // Publishes changed engines to all hosts. If `republish`, also sends the
   // state of some engines, all in turn, to some hosts.
@@ -123,8 +121,6 @@
   std::size_t engine_count_ = 0;
   base::time_point engine_count_since_;
   bool engines_discovered_ = false;
-  // Engines whose initial replicas have been counted in this term.
-  std::set<std::string> counted_engines_;
   // The lease holder according to the newest update.
   base::endpoint holder_;
 };
