A request waits for its workspace's tokens by the time that it has left

A request with an objective of 0.99 s waited for a tenth of it, one with 1 s for half: a step of a factor of five between callers who hardly differ, so that the refusal came within a price's edge. Each request now waits for half of the time until its objective or its deadline; the rest is for a load, an engine and its prompt. Which requests count as urgent is told by that time: what is kept for urgent ones is refilled before the others give up.

--- a/src/decisions/limit_queue.cc
+++ b/src/decisions/limit_queue.cc
@@ -23,22 +23,10 @@
 // delay.
 constexpr milliseconds kMaxPatience{30'000};
 
-// A request with a shorter objective is urgent.
-constexpr milliseconds kPatientObjective{1000};
-
-// Part of its objective for which an urgent request waits. A refusal costs its
-// caller least within a quarter of the objective, and the request may still
-// have to wait for a server, for a fifth of it.
-constexpr double kUrgentWaitFraction = 0.1;
-
-// Part of the time left for which a patient request waits. The rest is for a
-// load of its model, its place at an engine, and the prompt. A longer queue
-// would not let more requests through, only later.
-constexpr double kPatientWaitFraction = 0.5;
-
-// Requests that state less patience than this count as urgent. Urgent requests
-// have at most 100 ms, patient ones 500 ms when they arrive.
-constexpr milliseconds kMinPatience{250};
+// Part of the time left for which a request waits. The rest is for a load of
+// its model, its place at an engine, and the prompt. A longer queue would not
+// let more requests through, only later.
+constexpr double kWaitFraction = 0.5;
 
 // Time constant of the smoothed demand. Shorter ones follow single requests of
 // a small workspace, longer ones notice a change too late for requests that
@@ -47,11 +35,14 @@
 
 // Tokens that are kept for more urgent requests: their demand in this time, and
 // at most this part of the burst. Callers of an urgent route arrive in bursts,
-// and urgent requests cannot wait until the tokens have been refilled. With
-// twice the time, patient requests are refused at a load of 95% of the limit.
-constexpr seconds kReserveTime{0.25};
+// and urgent requests cannot wait until the tokens have been refilled.
+constexpr milliseconds kReserveTime{250};
 constexpr double kMaxReserve = 0.5;
 
+// Requests that can wait for less count as urgent: what is kept for others is
+// refilled in this time, and they do not outlast it.
+constexpr milliseconds kMinPatience = 2 * kReserveTime;
+
 // The demand of others changes while a request waits.
 constexpr milliseconds kReviewInterval{100};
 
@@ -60,9 +51,7 @@
 // Standard deviations by which the demand of more urgent requests is assumed to
 // exceed its estimate when a request is added behind others, and to fall below
 // it when a waiting request is dropped. Both the estimate and the demand while
-// the request waits deviate. In test_limit_queue's loads, 5 to 9 in 100 of the
-// patient requests that waited were dropped with three deviations and 2 to 6
-// with four, and as many were granted.
+// the request waits deviate.
 constexpr double kEnqueueDeviations = 4;
 constexpr double kDropDeviations = -1;
 
@@ -128,8 +117,9 @@
                   const limiter_state& limiter,
                   const charge_class& kind,
                   base::time_point now) {
-  return std::min(DemandBefore(queue, kind, now).rate * kReserveTime.count(),
-                  limiter.bucket.burst * kMaxReserve);
+  return std::min(
+      DemandBefore(queue, kind, now).rate * seconds(kReserveTime).count(),
+      limiter.bucket.burst * kMaxReserve);
 }
 
 // Returns the time until a request behind others, which cost `ahead`, can be
@@ -238,12 +228,10 @@
   return token_wait{*priority, milliseconds(*patience_ms)};
 }
 
-milliseconds MaxTokenWait(milliseconds objective, milliseconds left) {
-  const bool is_urgent = objective < kPatientObjective;
-  const auto wait = std::chrono::duration_cast<milliseconds>(
-      is_urgent ? objective * kUrgentWaitFraction
-                : left * kPatientWaitFraction);
-  return std::clamp(std::min(wait, left), milliseconds(0), kMaxPatience);
+milliseconds MaxTokenWait(milliseconds left) {
+  const auto wait =
+      std::chrono::duration_cast<milliseconds>(left * kWaitFraction);
+  return std::clamp(wait, milliseconds(0), kMaxPatience);
 }
 
 tl::expected<std::int64_t, limit_decision> Enqueue(
--- a/src/decisions/limit_queue.h
+++ b/src/decisions/limit_queue.h
@@ -47,8 +47,7 @@
 
 // Returns how long a request can wait for tokens. `left`: time until the
 // objective or the deadline, whichever is earlier.
-std::chrono::milliseconds MaxTokenWait(std::chrono::milliseconds objective,
-                                       std::chrono::milliseconds left);
+std::chrono::milliseconds MaxTokenWait(std::chrono::milliseconds left);
 
 // Requests whose demand is estimated together. Those that can hardly wait go
 // before the patient ones of the same priority.
--- a/src/host/request/limit_charge.cc
+++ b/src/host/request/limit_charge.cc
@@ -32,7 +32,7 @@
     return std::nullopt;
   const auto now = std::chrono::steady_clock::now();
   auto patience = decisions::MaxTokenWait(
-      objective, duration_cast<milliseconds>(DueOf(routed_) - now));
+      duration_cast<milliseconds>(DueOf(routed_) - now));
   // The caller of a stream that is resumed has received events already.
   if (!routed_.metadata.resume_after.empty())
     patience = std::min(patience, MaxResumeWait(routed_) / 2);
