--- a/src/decisions/engine_estimate.cc
+++ b/src/decisions/engine_estimate.cc
@@ -25,8 +25,7 @@
 constexpr double kMaxVarianceMemory = 64;
 
 // The same after a change of speed: three more observations then move the
-// estimate by more than half of the difference. With 2, 1.6% of the engines
-// that have not changed are taken for slow, in place of 0.4%.
+// estimate by more than half of the difference.
 constexpr double kMemoryAfterChange = 3;
 
 // Share that older observations keep in the drift for each new one. The speed
--- a/src/decisions/stream_separation.cc
+++ b/src/decisions/stream_separation.cc
@@ -10,14 +10,11 @@
 
 using milliseconds = std::chrono::duration<double, std::milli>;
 
-// A late stream costs as much as this wait of another request, a quarter to an
-// eighth of the shortest objectives of streams. In virtual time 50 to 500 ms
-// keep streams equally free of gaps, but the more prompts wait for it, the more
-// of them are late under high load.
+// Wait of another request that is accepted to keep one stream free of gaps. The
+// longer prompts wait for that, the more of them are late under high load.
 constexpr milliseconds kLateCost{100};
 
-// Time of one event of a stream that is not delayed: a long one has 58 events
-// in about 2 s.
+// Time of one event of a stream that is not delayed.
 constexpr milliseconds kEventTime{35};
 
 // Prompts of which one alone makes no stream late, and of which two in the
--- a/src/host/load_features.h
+++ b/src/host/load_features.h
@@ -21,9 +21,8 @@
   feature_mode limit_priority = feature_mode::kAuto;
   feature_mode lease_succession = feature_mode::kAuto;
   feature_mode return_reservations = feature_mode::kAuto;
-  // Off unless switched on: on a heavy day of a deployment whose engines differ
-  // in speed, 1 to 2 in 100 more long prompts failed with it, and not clearly
-  // fewer streams were late (docs/design/STREAM-SEPARATION.md).
+  // Off unless switched on: where engines differ in speed, more long prompts
+  // fail with it (docs/design/STREAM-SEPARATION.md).
   feature_mode stream_separation = feature_mode::kOff;
 };
 
--- a/src/host/process/load_reports.cc
+++ b/src/host/process/load_reports.cc
@@ -68,8 +68,7 @@
 // store report it to their whole availability zone, so that the number of hops
 // does not grow with the number of hosts. Only the lease holder gets the
 // demand, since only it plans, and a new one announces itself to all hosts
-// immediately. Without demand, the report of one host among 295 has 143 bytes
-// in place of 364; 16 hosts receive it four times a second.
+// immediately.
 void load_reports::Report(bool follows_store) {
   wire::host_load load;
   load.servers = core_.servers.OwnLoads();
--- a/src/wire/packing.cc
+++ b/src/wire/packing.cc
@@ -7,8 +7,7 @@
 
 namespace {
 
-// The fastest of the usual levels. The next ones take longer and save nothing:
-// 52 and 55 KB in place of 51 (levels 2, 3 and 5).
+// The fastest of the usual levels. Snapshots are no smaller with the next ones.
 constexpr int kLevel = 1;
 
 }  // namespace
