Waits and refusals follow from the caller's time; first tries and repeats alike

A deadline shorter than 0.95 of the route's time-out was taken for a repeat: such requests were never refused, were served late, took reservations that others had been promised, and were not expected back. Callers with deadlines of their own were treated so too. A request without a server was refused after a fifth of its objective, and late ones waited for a second at most, whatever their callers' time.

Now decisions/request_time says it for all waits: a request waits as long as its response can start on time; one that will be late is refused at once if its caller can come back with the time of an objective left, and else is served late, after half of the time for which its caller waits for a first event. A caller that returns is recognized by the promise that it got: the reservation is its own if it gives up at the same time, within 100 ms. The longest Retry-After is a third of the time left, as callers honour it, no longer 5 s. The question to the owner of a queue says in place of 'returning' whether its host sends the request anyway.

Waits of 0.5 s for a pause and 0.7 s for a permit lie within an objective of 1 s: these tests have a longer one, or a shorter objective, and check the same refusal at once.

--- a/src/decisions/engine_admission.h
+++ b/src/decisions/engine_admission.h
@@ -26,14 +26,18 @@
   std::chrono::milliseconds max_event_gap{0};
   // Time after which the decision for a waiting request is made again.
   std::chrono::milliseconds recheck_interval{0};
-  // Whether the request may be refused: it has not run, and has not been
-  // refused before.
+  // Whether the request may be refused: it has not run, and its caller can come
+  // back in time.
   bool refusable = true;
-  // Its callers can wait as long as the objective allows also if it may not be
-  // refused.
-  bool patient = false;
+  // Time from its arrival for which it waits for a better moment although its
+  // response is late, if it may not be refused.
+  std::chrono::milliseconds patience{0};
 };
 
+// Returns the time from the request's arrival until which it waits for a better
+// moment: a late response is of use only if the request may not be refused.
+std::chrono::milliseconds ResponseLimit(const engine_candidate& engine);
+
 enum class admission_decision { kSend, kWait, kRefuse };
 
 admission_decision DecideAdmission(const engine_candidate& engine);
--- a/src/decisions/engine_queue.cc
+++ b/src/decisions/engine_queue.cc
@@ -12,6 +12,7 @@
 #include "decisions/engine_queue_load.h"
 #include "decisions/engine_queue_order.h"
 #include "decisions/engine_queue_separation.h"
+#include "decisions/request_time.h"
 
 namespace valeledge::decisions {
 
@@ -56,26 +57,24 @@
 // requests before it may be withdrawn or refused as well.
 constexpr double kReviewTolerance = 1.25;
 
-// Refused callers are assigned capacity at most this far ahead: the longest
-// deadline of a route is 15 s, and callers use a third of what is left of it.
-constexpr std::chrono::milliseconds kMaxRetryAfter{5000};
-
 // At most this share of what engines can read until a time is reserved, so that
 // a burst of refusals does not block new requests.
 constexpr double kMaxReservedShare = 0.5;
 
 // Capacity is reserved after at least this share of the longest delay that the
 // caller honours: an earlier return meets the same burst, and its reservation
-// displaces another request. Without it 1,345 in place of 1,028 of 5,342
-// requests are refused in test_return_reservations at 2.0 times the capacity.
+// displaces another request.
 constexpr double kMinReturnShare = 0.75;
 
+// Callers whose deadline is not known are assigned capacity at most this far
+// ahead. Their host knows what they honour.
+constexpr std::chrono::seconds kMaxUnknownReturn{5};
+
 // A caller that returns earlier is likely to meet the same queue.
 constexpr std::chrono::milliseconds kMinRetryAfter{100};
 
-// Engines in one group. All of a service at 70 hosts with 140 engines; at 985
-// hosts with 4,000 engines an owner then spends about a third of a core during
-// a burst of 2.6 times the demand (docs/design/ENGINE-QUEUES.md).
+// Engines in one group: its owner decides on all of their requests, and that
+// takes processor time during a burst (docs/design/ENGINE-QUEUES.md).
 constexpr std::int64_t kMaxGroupEngines = 160;
 
 // A unit without requests is forgotten after this time, and with it the shares
@@ -174,6 +173,15 @@
   return grants;
 }
 
+// Longest delay that the caller of a request honours.
+std::chrono::milliseconds LongestReturn(const queued_request& request,
+                                        base::time_point now) {
+  if (!request.caller_deadline)
+    return kMaxUnknownReturn;
+  return MaxHonouredDelay(
+      duration_cast<std::chrono::milliseconds>(*request.caller_deadline - now));
+}
+
 // Read time that is reserved until a time at the engines of a unit, also by
 // other units that they hold, for priorities at or above the given one.
 milliseconds ReservedAt(const engine_queue& queue,
@@ -204,12 +212,11 @@
                                         base::time_point earliest,
                                         base::time_point now) {
   using ticks = base::time_point::duration;
-  if (!queue.reserves_returns || request.returning || !request.caller_deadline)
+  if (!queue.reserves_returns || request.sent_anyway ||
+      !request.caller_deadline)
     return std::nullopt;
   const unit_queue& unit = queue.units.at(request.unit);
-  const auto honoured = duration_cast<ticks>((*request.caller_deadline - now) *
-                                             kHonouredDelayShare);
-  const auto longest = std::min<ticks>(honoured, kMaxRetryAfter);
+  const auto longest = LongestReturn(request, now);
   const auto latest = now + longest;
   const double rate = ReadingRate(queue, unit) * kMaxReservedShare;
   if (rate <= 0)
@@ -228,8 +235,9 @@
         at, *last + duration_cast<ticks>(ReadTime(request) * EnginePart(unit)));
   if (at > latest)
     return std::nullopt;
-  AddReservation(queue.reserved, {request.unit, request.priority,
-                                  request.workspace, at, ReadTime(request)});
+  AddReservation(queue.reserved,
+                 {request.unit, request.priority, request.workspace, at,
+                  ReadTime(request), *request.caller_deadline});
   ++queue.returns.made;
   return at;
 }
@@ -251,7 +259,8 @@
   const auto reserved =
       response ? Reserve(queue, request, earliest, now) : std::nullopt;
   const auto at = reserved.value_or(
-      std::min(std::max(earliest, unit.returns_until), now + kMaxRetryAfter));
+      std::min(std::max(earliest, unit.returns_until),
+               now + std::max(LongestReturn(request, now), kMinRetryAfter)));
   const auto until = at + duration_cast<base::time_point::duration>(
                               ReadTime(request) * EnginePart(unit));
   unit.returns_until = reserved ? std::max(unit.returns_until, until) : until;
@@ -261,10 +270,9 @@
 }
 
 // Whether a request is refused if it can be in time only with reserved
-// capacity. Hosts do not reject returning requests and those without a caller
-// deadline: a refusal by the owner would only delay them.
+// capacity. A refusal by the owner would only delay what its host sends anyway.
 bool IsDelayedByReservations(const queued_request& request) {
-  return !request.returning && request.caller_deadline.has_value();
+  return !request.sent_anyway && request.caller_deadline.has_value();
 }
 
 // Whether an engine may be selected for a request.
@@ -389,9 +397,10 @@
   unit.used_at = now;
   queue.returns.lapsed += DropLapsed(queue.reserved, now);
   request.is_expected =
-      request.returning && HasEngine(queue, request) &&
-      RedeemReservation(queue.reserved, request.unit, request.priority,
-                        request.workspace, now);
+      request.caller_deadline && HasEngine(queue, request) &&
+      RedeemReservation(queue.reserved,
+                        {request.unit, request.priority, request.workspace, now,
+                         ReadTime(request), *request.caller_deadline});
   queue.returns.redeemed += request.is_expected ? 1 : 0;
   const auto response = ExpectedWithoutReservations(queue, request, now);
   const milliseconds left = request.deadline - now;
--- a/src/decisions/engine_queue.h
+++ b/src/decisions/engine_queue.h
@@ -74,9 +74,10 @@
   // A stream that is resumed. Its deadline is that of its caller's patience, so
   // it may also wait in an engine's own queue.
   bool resumes = false;
-  // The caller was refused before and has returned after its Retry-After delay.
-  bool returning = false;
-  // When the caller gives up. Unset: a refusal is not passed on to it.
+  // Its host sends the request also if it is refused.
+  bool sent_anyway = false;
+  // When the caller gives up; unset if its host does not state it. A caller
+  // that returns after a refusal is recognized by it.
   std::optional<base::time_point> caller_deadline;
   // Set by Enqueue: capacity was reserved for it.
   bool is_expected = false;
@@ -183,7 +184,7 @@
 }  // namespace detail
 
 // Not thread-safe. Order of requests: priority, then fair share between
-// workspaces at the engine, then returning requests with a reservation, then
+// workspaces at the engine, then requests with a reservation, then
 // deadline, then arrival.
 struct engine_queue {
   // Whether capacity is reserved for refused callers.
@@ -215,8 +216,8 @@
 // Adds a request whose unit has holders. If it cannot be served in time behind
 // those that go before it, it is not added, and the time until there is
 // capacity is returned; the capacity is reserved if the caller can return then.
-// A returning request with a reservation is always added. A request is refused
-// because of reservations only if it is new and its host would reject it.
+// A request with a reservation is always added. A request is refused because of
+// reservations only if its host would reject it.
 std::optional<engine_refusal> Enqueue(engine_queue& queue,
                                       queued_request request,
                                       base::time_point now);
--- a/src/decisions/engine_queue_load.cc
+++ b/src/decisions/engine_queue_load.cc
@@ -78,7 +78,6 @@
   turn.max_event_gap = request.max_event_gap;
   turn.recheck_interval = kAdmissionRecheckInterval;
   turn.refusable = !request.resumes;
-  turn.patient = request.resumes;
   const auto decided = DecideAdmission(turn);
   const bool has_room = HasRoom(load, request, engine.state.capacity);
   if (request.resumes) {
--- a/src/decisions/return_reservations.cc
+++ b/src/decisions/return_reservations.cc
@@ -56,28 +56,35 @@
       reservations.units[added.unit][{added.priority, added.workspace}];
   const auto after = std::ranges::upper_bound(
       flow.reservations, added.returns_at, {}, &reserved_return::returns_at);
-  flow.reservations.insert(after, {added.returns_at, added.read_time});
+  flow.reservations.insert(
+      after, {added.returns_at, added.read_time, added.caller_deadline});
   UpdateSums(flow);
   reservations.earliest = std::min(reservations.earliest, added.returns_at);
 }
 
 bool RedeemReservation(return_reservations& reservations,
-                       const std::string& unit,
-                       std::int64_t priority,
-                       const std::string& workspace,
-                       base::time_point now) {
-  const auto found = reservations.units.find(unit);
+                       const return_reservation& returning) {
+  const auto found = reservations.units.find(returning.unit);
   if (found == reservations.units.end())
     return false;
-  const auto flow = found->second.find({priority, workspace});
+  const auto flow =
+      found->second.find({returning.priority, returning.workspace});
   if (flow == found->second.end())
     return false;
   auto& expected = flow->second.reservations;
-  if (expected.front().returns_at > now)
+  const auto due = std::ranges::upper_bound(expected, returning.returns_at, {},
+                                            &reserved_return::returns_at);
+  const auto difference = [&](const reserved_return& each) {
+    return std::chrono::abs(each.caller_deadline - returning.caller_deadline);
+  };
+  const auto own =
+      std::ranges::min_element(expected.begin(), due, {}, difference);
+  if (own == due || difference(*own) > kDeadlineTolerance)
     return false;
-  expected.erase(expected.begin());
+  expected.erase(own);
   UpdateSums(flow->second);
-  RemoveIfEmpty(reservations, unit, priority, workspace);
+  RemoveIfEmpty(reservations, returning.unit, returning.priority,
+                returning.workspace);
   return true;
 }
 
--- a/src/decisions/return_reservations.h
+++ b/src/decisions/return_reservations.h
@@ -21,9 +21,9 @@
 
 namespace valeledge::decisions {
 
-// Callers honour a delay of up to this share of the time that is left until
-// their deadline.
-inline constexpr double kHonouredDelayShare = 0.33;
+// A caller states the time that it has left with each request. What passes
+// until its host and the owner have read it differs by up to this.
+inline constexpr std::chrono::milliseconds kDeadlineTolerance{100};
 
 // A caller that has not returned this long after its time is no longer
 // expected: callers add only their own network latency to the delay.
@@ -39,6 +39,8 @@
   base::time_point returns_at;
   // Time in which an engine reads its prompt.
   std::chrono::duration<double, std::milli> read_time{0};
+  // When the caller gives up, by which it is recognized.
+  base::time_point caller_deadline;
 };
 
 namespace detail {
@@ -47,6 +49,7 @@
 struct reserved_return {
   base::time_point returns_at;
   std::chrono::duration<double, std::milli> read_time{0};
+  base::time_point caller_deadline;
 };
 
 // Reservations of one unit, priority and workspace, by time.
@@ -78,13 +81,11 @@
 void AddReservation(return_reservations& reservations,
                     const return_reservation& added);
 
-// Removes the earliest reservation of the unit, priority and workspace whose
-// time has come. Returns false if there is none.
+// Removes the reservation of the caller that returns now: the one of its unit,
+// priority, workspace and deadline whose time has come. Returns false if there
+// is none.
 bool RedeemReservation(return_reservations& reservations,
-                       const std::string& unit,
-                       std::int64_t priority,
-                       const std::string& workspace,
-                       base::time_point now);
+                       const return_reservation& returning);
 
 // When the last caller of the unit, priority and workspace that returns until a
 // time does so.
--- a/src/host/constants.h
+++ b/src/host/constants.h
@@ -8,7 +8,6 @@
 #include <string_view>
 
 #include "decisions/engine_admission.h"
-#include "decisions/return_reservations.h"
 
 namespace valeledge::host {
 
@@ -30,20 +29,6 @@
 // Interval at which a request looks whether the path to the servers is known.
 inline constexpr std::chrono::milliseconds kPathRecheckInterval{5};
 
-// Fraction of the route's objective after which a waiting request is refused.
-// A refusal costs the caller least if it arrives within a quarter of the
-// objective; a fifth leaves time for the response to travel back.
-inline constexpr double kRefusalObjectiveFraction = 0.2;
-
-// Upper bound of the retry-after delay, as a fraction of the time that is left
-// until the caller's deadline.
-inline constexpr double kRetryAfterDeadlineFraction =
-    decisions::kHonouredDelayShare;
-
-// A request whose deadline is shorter than this fraction of the route's timeout
-// is assumed to be a retry.
-inline constexpr double kFirstAttemptDeadlineFraction = 0.95;
-
 // Retry-after delay if there is no better estimate: loading a replica from a
 // server's disk takes about two seconds.
 inline constexpr std::chrono::milliseconds kDefaultRetryAfter{2000};
--- a/src/host/process/engine_place.h
+++ b/src/host/process/engine_place.h
@@ -35,9 +35,9 @@
   std::optional<double> expected_events;
   // Instances that must not be selected.
   std::vector<std::string> avoid;
-  // The caller was refused before and has returned after its Retry-After delay.
-  bool returning = false;
-  // Time until the caller's deadline. Unset: a refusal is not passed on to it.
+  // The host sends the request also if the owner refuses it.
+  bool sent_anyway = false;
+  // Time until the caller's deadline; unset if nothing is reserved for it.
   std::optional<std::chrono::milliseconds> caller_left;
   // A stream that is resumed: only engines of its version may be selected.
   bool resumes = false;
--- a/src/host/process/engine_queue_client.cc
+++ b/src/host/process/engine_queue_client.cc
@@ -64,8 +64,8 @@
     question.__set_adapter(request.adapter);
   question.__set_event_gap_ms(request.event_gap.count());
   question.__set_number(number);
-  if (request.returning)
-    question.__set_returning(true);
+  if (request.sent_anyway)
+    question.__set_sent_anyway(true);
   if (request.resumes)
     question.__set_resumes(true);
   if (request.caller_left)
--- a/src/host/process/engine_queue_owner.cc
+++ b/src/host/process/engine_queue_owner.cc
@@ -205,9 +205,9 @@
   decisions::SetHolders(owned.queue, unit, std::move(holders));
 }
 
-void engine_queue_owner::ReadReturn(const wire::engine_place_question& question,
+void engine_queue_owner::ReadCaller(const wire::engine_place_question& question,
                                     decisions::queued_request& request) {
-  request.returning = question.__isset.returning && question.returning;
+  request.sent_anyway = question.__isset.sent_anyway && question.sent_anyway;
   if (IsWithin(question.deadline_ms, 1, kMaxDeadlineMs))
     request.caller_deadline =
         request.arrived + milliseconds(question.deadline_ms);
@@ -272,7 +272,7 @@
   token_time = std::min(token_time * kTokenTimeRise, stated);
   request.weight.time_per_token = token_time;
   request.avoid = question.avoid;
-  ReadReturn(question, request);
+  ReadCaller(question, request);
   return request;
 }
 
--- a/src/host/process/engine_queue_owner.h
+++ b/src/host/process/engine_queue_owner.h
@@ -109,7 +109,7 @@
                      owned_queue& owned,
                      base::time_point now);
   // Reads the fields of a question that concern reservations.
-  void ReadReturn(const wire::engine_place_question& question,
+  void ReadCaller(const wire::engine_place_question& question,
                   decisions::queued_request& request);
   // Returns nothing if a value without which the request cannot be queued is
   // invalid.
--- a/src/host/request/load_wait.cc
+++ b/src/host/request/load_wait.cc
@@ -22,10 +22,6 @@
 constexpr milliseconds kFarLoad{700};
 constexpr milliseconds kFarRecheckInterval{50};
 
-// Objective with which a request can wait for an engine that pauses: a pause
-// and a response take about a second each.
-constexpr milliseconds kMinWaitingObjective{2000};
-
 // How long after its retry-after delay a caller is expected back.
 constexpr milliseconds kReturnTolerance{1000};
 
@@ -61,8 +57,6 @@
     return;
   store_load_time_ = model->load_from_store;
   is_patient_ = CanWaitForLoad(core, routed, query, *model);
-  can_wait_for_engine_ =
-      is_patient_ || routed.route->objective >= kMinWaitingObjective;
 }
 
 load_wait::~load_wait() {
@@ -70,16 +64,6 @@
     routed_.demand->waiting.erase(*entry_);
 }
 
-base::time_point load_wait::RefusalCutoff(base::time_point otherwise) const {
-  if (!can_wait_for_engine_)
-    return otherwise;
-  const auto reading = duration_cast<milliseconds>(
-      routed_.weight.time_per_token *
-      static_cast<double>(routed_.weight.prompt_tokens));
-  return std::max(otherwise,
-                  DueOf(routed_) - reading - decisions::kFirstEventDelay);
-}
-
 void load_wait::AddPlan(const server_query& query,
                         base::time_point now,
                         decisions::unavailable_model& model) {
--- a/src/host/request/load_wait.h
+++ b/src/host/request/load_wait.h
@@ -28,15 +28,6 @@
   // and loads are planned for such requests.
   bool IsPatient() const { return is_patient_; }
 
-  // Whether the request can wait for engines that have its model but are busy
-  // or pause, also if a load would take too long.
-  bool CanWaitForEngine() const { return can_wait_for_engine_; }
-
-  // The time at which the request is refused if no server is available for a
-  // reason whose end is not known. Later than `otherwise` for a request that
-  // can wait, until its prompt could no longer be read in time.
-  base::time_point RefusalCutoff(base::time_point otherwise) const;
-
   // Adds what a patient request knows of the plans for its model, which is
   // loaded nowhere.
   void AddPlan(const server_query& query,
@@ -49,8 +40,8 @@
 
   // Counts the request as waiting from now on, if it is patient.
   void Begin();
-  // Counts the caller, which is rejected for the first time, as one that comes
-  // back after the delay, so that the load that it was told of takes place.
+  // Counts the caller, which is rejected, as one that comes back after the
+  // delay, so that the load that it was told of takes place.
   void ExpectReturn(std::chrono::milliseconds retry_after);
 
  private:
@@ -58,7 +49,6 @@
   const routed_request& routed_;
   std::chrono::milliseconds store_load_time_{0};
   bool is_patient_ = false;
-  bool can_wait_for_engine_ = false;
   // When a load was last known to be in progress or planned.
   base::time_point load_known_at_;
   std::optional<std::list<waiting_request>::iterator> entry_;
--- a/src/host/request/queued_selection.cc
+++ b/src/host/request/queued_selection.cc
@@ -14,16 +14,11 @@
 using std::chrono::duration_cast;
 using std::chrono::milliseconds;
 
-// Maximum wait of a request that may not be refused, as without a queue:
-// callers time out on a response without events after 2 s or more.
-constexpr milliseconds kMaxLateWait{1000};
-
 // Returns the time left until the request has to be read by an engine.
 milliseconds TimeToRead(const routed_request& routed,
                         const decisions::engine_candidate& turn) {
-  const milliseconds limit =
-      turn.refusable ? turn.objective : std::max(turn.objective, kMaxLateWait);
-  milliseconds left = std::min(limit - turn.waited, RemainingTime(routed));
+  milliseconds left = std::min(decisions::ResponseLimit(turn) - turn.waited,
+                               RemainingTime(routed));
   if (routed.origin) {
     left = duration_cast<milliseconds>(ResumeCutoff(routed) -
                                        std::chrono::steady_clock::now());
@@ -31,14 +26,6 @@
   return left - decisions::kFirstEventOverhead;
 }
 
-// Whether the request is the return of a refused caller and has not been sent
-// yet, here or by the host that relays it: a later attempt would redeem the
-// reservation of another caller.
-bool IsFirstAttemptOfReturn(const routed_request& routed) {
-  return IsRetry(routed) && !routed.origin && !routed.is_relayed &&
-         routed.failed_instances.empty();
-}
-
 // Keeps those of the instances that hold the model: the others are not selected
 // anyway.
 std::vector<std::string> HoldersAmong(const host_core& core,
@@ -98,12 +85,9 @@
       HoldersAmong(core, routed.metadata, std::move(question.excluded));
   request.best = best.server->entry.instance;
   request.is_withdrawn = std::move(question.is_withdrawn);
-  if (IsEnabled(core.settings.features.return_reservations, *routed.service)) {
-    // A repeated question would redeem the reservation of another caller.
-    request.returning = question.is_first && IsFirstAttemptOfReturn(routed);
-    if (turn.refusable)
-      request.caller_left = RemainingTime(routed);
-  }
+  request.sent_anyway = !turn.refusable;
+  if (IsEnabled(core.settings.features.return_reservations, *routed.service))
+    request.caller_left = RemainingTime(routed);
   const auto until = std::chrono::steady_clock::now() + request.left;
   auto result = co_await core.acquire_engine(std::move(request));
   if (result.verdict == engine_place_verdict::kWithdrawn)
--- a/src/host/request/queued_selection.h
+++ b/src/host/request/queued_selection.h
@@ -39,8 +39,6 @@
   std::vector<std::string> excluded;
   // Whether the request has stopped waiting.
   std::function<bool()> is_withdrawn;
-  // The search for a server has not asked an owner before.
-  bool is_first = true;
 };
 
 // Whether the request asks the owner of the queue for an engine: others are
--- a/src/host/request/routed_request.cc
+++ b/src/host/request/routed_request.cc
@@ -138,6 +138,14 @@
   return std::min(routed.arrived + routed.route->objective, routed.deadline);
 }
 
+milliseconds MaxLateWait(const routed_request& routed) {
+  const milliseconds patience = decisions::CallerPatience(
+      routed.route->objective, routed.route->event_gap);
+  const auto allowed =
+      duration_cast<milliseconds>(routed.deadline - routed.arrived);
+  return std::min(patience, allowed) / 2;
+}
+
 milliseconds MaxResumeWait(const routed_request& routed) {
   const milliseconds patience = decisions::CallerPatience(
       routed.route->objective, routed.route->event_gap);
@@ -155,10 +163,20 @@
                                      std::chrono::steady_clock::now());
 }
 
-bool IsRetry(const routed_request& routed) {
-  const auto& deadline = routed.metadata.deadline;
-  return deadline &&
-         *deadline < routed.route->timeout * kFirstAttemptDeadlineFraction;
+decisions::request_time TimeOf(const routed_request& routed,
+                               base::time_point now) {
+  const decisions::request_weight& weight = routed.weight;
+  decisions::request_time time;
+  time.objective = routed.route->objective;
+  time.until_objective = duration_cast<milliseconds>(
+      routed.arrived + routed.token_wait + time.objective - now);
+  time.until_deadline = duration_cast<milliseconds>(routed.deadline - now);
+  time.work =
+      routed.metadata.model.empty()
+          ? weight.service_time
+          : weight.time_per_token * static_cast<double>(weight.prompt_tokens) +
+                decisions::kFirstEventOverhead;
+  return time;
 }
 
 std::int64_t MillisecondsSince(base::time_point begun) {
--- a/src/host/request/routed_request.h
+++ b/src/host/request/routed_request.h
@@ -9,6 +9,7 @@
 #include <string>
 #include <vector>
 
+#include "decisions/request_time.h"
 #include "host/process/host_core.h"
 #include "net/http_client.h"
 
@@ -84,6 +85,11 @@
 // whichever is earlier.
 base::time_point DueOf(const routed_request& routed);
 
+// Time from its arrival for which a request that is late waits for a better
+// moment: half of the time for which its caller waits for a first event. The
+// rest is for the response.
+std::chrono::milliseconds MaxLateWait(const routed_request& routed);
+
 // Time without an event after which a stream that is resumed no longer waits
 // for a server. Its caller gives up a little later, or its deadline passes.
 std::chrono::milliseconds MaxResumeWait(const routed_request& routed);
@@ -94,9 +100,11 @@
 // Time until the deadline; negative once it has passed.
 std::chrono::milliseconds RemainingTime(const routed_request& routed);
 
-// Whether the caller appears to retry after a refusal: its deadline is shorter
-// than that of a first attempt.
-bool IsRetry(const routed_request& routed);
+// The time that the request has, and the work that is left: the reading of its
+// prompt by an engine, or the call of a plain service. Time for which it waited
+// for tokens of its workspace does not count towards its objective.
+decisions::request_time TimeOf(const routed_request& routed,
+                               base::time_point now);
 
 // Milliseconds since `begun`, for log lines.
 std::int64_t MillisecondsSince(base::time_point begun);
--- a/src/host/request/server_queries.cc
+++ b/src/host/request/server_queries.cc
@@ -57,7 +57,6 @@
 decisions::engine_candidate TurnOf(const routed_request& routed,
                                    const server_choice& choice,
                                    bool first_attempt,
-                                   bool can_wait,
                                    base::time_point now) {
   decisions::engine_candidate turn;
   turn.waited = duration_cast<milliseconds>(now - routed.arrived);
@@ -66,8 +65,9 @@
   turn.prompt_backlog = choice.prefill_ahead;
   turn.max_event_gap = EventGapOf(routed);
   turn.recheck_interval = kSelectionRetryInterval;
-  turn.refusable = first_attempt && !IsRetry(routed) && !routed.origin;
-  turn.patient = can_wait;
+  turn.refusable = first_attempt && !routed.origin &&
+                   decisions::CanComeBack(TimeOf(routed, now));
+  turn.patience = MaxLateWait(routed);
   return turn;
 }
 
--- a/src/host/request/server_queries.h
+++ b/src/host/request/server_queries.h
@@ -28,7 +28,6 @@
 decisions::engine_candidate TurnOf(const routed_request& routed,
                                    const server_choice& choice,
                                    bool first_attempt,
-                                   bool can_wait,
                                    base::time_point now);
 
 // Describes a model that no server holds now.
--- a/src/host/request/server_search.cc
+++ b/src/host/request/server_search.cc
@@ -31,25 +31,12 @@
 
 constexpr auto kAwait = asio::as_tuple(asio::use_awaitable);
 
-// Returns the time at which the given fraction of the objective has elapsed
-// since the request could be sent, at the latest the deadline.
-base::time_point ObjectiveCutoff(const routed_request& routed,
-                                 double fraction) {
-  const auto timeout =
-      duration_cast<milliseconds>(routed.route->objective * fraction);
-  return std::min(routed.arrived + routed.token_wait + timeout,
-                  routed.deadline);
-}
-
 // Returns the time until which the request waits for a server before it is
 // refused. The objective of a stream that has begun has been met or missed.
-base::time_point RefusalCutoff(const routed_request& routed,
-                               const load_wait& wait) {
-  if (!routed.origin) {
-    return wait.RefusalCutoff(
-        ObjectiveCutoff(routed, kRefusalObjectiveFraction));
-  }
-  return ResumeCutoff(routed);
+base::time_point RefusalCutoff(const routed_request& routed) {
+  return routed.origin ? ResumeCutoff(routed)
+                       : routed.arrived +
+                             decisions::MaxWait(TimeOf(routed, routed.arrived));
 }
 
 // Whether the request waits for an engine with room rather than be rejected. A
@@ -83,10 +70,10 @@
 }
 
 // Requests the adapter from the lease holder, and waits until it is loaded.
-asio::awaitable<base::result<void>> RequestAdapter(host_core& core,
-                                                   const routed_request& routed,
-                                                   const load_wait& wait) {
-  const auto until = RefusalCutoff(routed, wait);
+asio::awaitable<base::result<void>> RequestAdapter(
+    host_core& core,
+    const routed_request& routed) {
+  const auto until = RefusalCutoff(routed);
   const auto timeout =
       duration_cast<milliseconds>(until - std::chrono::steady_clock::now());
   if (timeout.count() <= 0) {
@@ -132,8 +119,8 @@
   std::uniform_real_distribution<double> any(jitter.min, jitter.max);
   const auto jittered_delay =
       duration_cast<milliseconds>(base_delay * any(core.random));
-  const auto max_delay = duration_cast<milliseconds>(
-      RemainingTime(routed) * kRetryAfterDeadlineFraction);
+  const milliseconds max_delay =
+      decisions::MaxHonouredDelay(RemainingTime(routed));
   return std::max(std::min(jittered_delay, max_delay), milliseconds(0));
 }
 
@@ -142,7 +129,6 @@
 std::optional<server_release> LateRelease(host_core& core,
                                           const routed_request& routed,
                                           const server_query& query,
-                                          const load_wait& wait,
                                           base::time_point now) {
   const bool all_tried =
       !routed.failed_instances.empty() && !core.servers.AnyEligible(query, now);
@@ -150,7 +136,7 @@
   if (all_tried)
     return core.servers.EarliestRelease(UntriedQueryOf(routed), now);
   const auto release = core.servers.EarliestRelease(query, now);
-  if (!release || release->at < RefusalCutoff(routed, wait))
+  if (!release || release->at < RefusalCutoff(routed))
     return std::nullopt;
   return release;
 }
@@ -244,7 +230,6 @@
   load_wait wait(core, routed, QueryOf(routed));
   bool is_absent = false;
   bool may_queue = true;
-  bool has_asked = false;
   const auto is_withdrawn = [&] {
     return responder.caller_gone() ||
            (first_attempt && CheckStopDeadline(core, routed)) ||
@@ -283,8 +268,7 @@
     }
     auto choice = SelectServer(core, routed, query, may_queue, now);
     if (choice && !query.model.empty()) {
-      const auto turn =
-          TurnOf(routed, *choice, first_attempt, wait.CanWaitForEngine(), now);
+      const auto turn = TurnOf(routed, *choice, first_attempt, now);
       const auto decided = decisions::DecideAdmission(turn);
       if (may_queue && AsksForEngine(core, routed, *choice, decided)) {
         queue_question question;
@@ -293,7 +277,6 @@
         question.excluded =
             ExcludedInstances(core, routed, now, decisions::AllowsRequestsSoon);
         question.is_withdrawn = is_withdrawn;
-        question.is_first = !std::exchange(has_asked, true);
         trace.wait = request_wait::kEngineQueue;
         auto queued = co_await SelectInQueue(core, routed, query, *choice, turn,
                                              std::move(question));
@@ -333,7 +316,7 @@
         co_return std::move(**secured);
       continue;
     }
-    const auto release = LateRelease(core, routed, query, wait, now);
+    const auto release = LateRelease(core, routed, query, now);
     if (release && ReplicaArrivesInTime(core, routed, query, now)) {
       pause.expires_after(kSelectionRetryInterval);
       co_await pause.async_wait(kAwait);
@@ -347,7 +330,7 @@
       break;
     }
     milliseconds recheck = kSelectionRetryInterval;
-    const bool refusable = now >= RefusalCutoff(routed, wait);
+    const bool refusable = now >= RefusalCutoff(routed);
     const bool absent = !choice && !query.model.empty() &&
                         !core.servers.AnyHolds(WithoutAdapter(query), now);
     if (absent) {
@@ -370,7 +353,7 @@
       if (routed.metadata.adapter.empty())
         break;
       trace.wait = request_wait::kAdapter;
-      const auto placed = co_await RequestAdapter(core, routed, wait);
+      const auto placed = co_await RequestAdapter(core, routed);
       if (placed)
         continue;
       reason.message = placed.error().message;
@@ -380,8 +363,8 @@
   }
   reason.retry_after = RetryAfter(
       core, routed, retry_after.value_or(kDefaultRetryAfter), jitter);
-  // Callers come back once.
-  if (is_absent && first_attempt && !IsRetry(routed))
+  const auto now = std::chrono::steady_clock::now();
+  if (is_absent && first_attempt && decisions::CanComeBack(TimeOf(routed, now)))
     wait.ExpectReturn(*reason.retry_after);
   co_return tl::make_unexpected(reason);
 }
--- a/src/wire/messages.thrift
+++ b/src/wire/messages.thrift
@@ -455,9 +455,9 @@
   11: optional i64 number,
   // Time in which an engine reads one prompt token, as measured by that host.
   12: optional i64 token_ns,
-  // The caller was refused before and has returned after its Retry-After delay.
-  13: optional bool returning,
-  // Time until the caller's deadline; absent: a refusal is not passed on to it.
+  // The host sends the request also if it is refused.
+  13: optional bool sent_anyway,
+  // Time until the caller's deadline.
   14: optional i64 deadline_ms,
   // Number of events that the response is expected to have, 0 if unknown.
   // Absent: long streams and long prompts are not separated for the request.
--- a/tests/auto/host/test_server_backoff.cc
+++ b/tests/auto/host/test_server_backoff.cc
@@ -99,6 +99,9 @@
 BOOST_AUTO_TEST_CASE(without_another_server_callers_are_refused_at_once) {
   relay_world here;
   here.AddServer("i-1", here.first.address());
+  // The pause is longer than the objective.
+  for (catalog::route& each : here.configuration.routes)
+    each.objective = 400ms;
   here.first.script = {{Refusal("0.5")}};
   here.SendRequest("/once/");
   here.core->servers.Find("i-1")->trust = {};
