--- a/src/decisions/request_time.cc
+++ b/src/decisions/request_time.cc
@@ -12,15 +12,15 @@
       std::max(left, milliseconds(0)) * kHonouredDelayShare);
 }
 
-bool CanComeBack(const request_time& time) {
+bool CanRetryInTime(const request_time& time) {
   const milliseconds left = time.until_deadline;
   return left - MaxHonouredDelay(left) >= time.objective;
 }
 
 milliseconds MaxWait(const request_time& time) {
   const milliseconds limit =
-      CanComeBack(time) ? std::min(time.until_objective, time.until_deadline)
-                        : time.until_deadline;
+      CanRetryInTime(time) ? std::min(time.until_objective, time.until_deadline)
+                           : time.until_deadline;
   const auto wait = std::chrono::duration_cast<milliseconds>(limit - time.work);
   return std::max(wait, milliseconds(0));
 }
--- a/src/decisions/request_time.h
+++ b/src/decisions/request_time.h
@@ -30,7 +30,7 @@
 
 // Whether a caller that is refused can come back and have the time of the
 // objective again. If it cannot, a late response is better than a refusal.
-bool CanComeBack(const request_time& time);
+bool CanRetryInTime(const request_time& time);
 
 // How long the request may wait before it is sent, or else refused: as long as
 // its response can start on time, or by the deadline if its caller cannot come
--- a/src/host/request/server_queries.cc
+++ b/src/host/request/server_queries.cc
@@ -66,7 +66,7 @@
   turn.max_event_gap = EventGapOf(routed);
   turn.recheck_interval = kSelectionRetryInterval;
   turn.refusable = first_attempt && !routed.origin &&
-                   decisions::CanComeBack(TimeOf(routed, now));
+                   decisions::CanRetryInTime(TimeOf(routed, now));
   turn.patience = MaxLateWait(routed);
   return turn;
 }
--- a/src/host/request/server_search.cc
+++ b/src/host/request/server_search.cc
@@ -364,7 +364,8 @@
   reason.retry_after = RetryAfter(
       core, routed, retry_after.value_or(kDefaultRetryAfter), jitter);
   const auto now = std::chrono::steady_clock::now();
-  if (is_absent && first_attempt && decisions::CanComeBack(TimeOf(routed, now)))
+  if (is_absent && first_attempt &&
+      decisions::CanRetryInTime(TimeOf(routed, now)))
     wait.ExpectReturn(*reason.retry_after);
   co_return tl::make_unexpected(reason);
 }
--- a/tests/auto/decisions/test_request_time.cc
+++ b/tests/auto/decisions/test_request_time.cc
@@ -31,10 +31,10 @@
 
 BOOST_AUTO_TEST_CASE(
     a_caller_without_time_to_come_back_waits_for_a_late_response) {
-  BOOST_TEST(CanComeBack({1000ms, 1500ms, 1000ms, 80ms}));
-  BOOST_TEST(!CanComeBack({1000ms, 1400ms, 1000ms, 80ms}));
+  BOOST_TEST(CanRetryInTime({1000ms, 1500ms, 1000ms, 80ms}));
+  BOOST_TEST(!CanRetryInTime({1000ms, 1400ms, 1000ms, 80ms}));
   BOOST_TEST((MaxWait({1000ms, 1400ms, 1000ms, 80ms}) == 1320ms));
-  BOOST_TEST(!CanComeBack({0ms, 0ms, 100ms, 0ms}));
+  BOOST_TEST(!CanRetryInTime({0ms, 0ms, 100ms, 0ms}));
   BOOST_TEST((MaxHonouredDelay(3000ms) == 990ms));
   BOOST_TEST((MaxHonouredDelay(-1s) == 0ms));
 }
--- a/tests/auto/decisions/test_return_bursts.cc
+++ b/tests/auto/decisions/test_return_bursts.cc
@@ -127,7 +127,7 @@
       returns_.erase(returns_.begin());
       ++OutcomeOf(request).returned;
       request.sent_anyway =
-          !CanComeBack({kObjective, TimeLeft(request), kObjective, {}});
+          !CanRetryInTime({kObjective, TimeLeft(request), kObjective, {}});
       if (const auto refusal = Enqueue(queue_, request, now_))
         OnRefused(request, *refusal);
       else
