--- a/src/host/process/demand_forecast.h
+++ b/src/host/process/demand_forecast.h
@@ -1,6 +1,6 @@
 // SPDX-License-Identifier: MIT
-// Current and expected demand for models by the callers of all hosts, as input
-// of the lease holder's plans.
+// Demand for models by the callers of all hosts: what they ask for now, as
+// input of the lease holder's plans.
 #ifndef VALELEDGE_HOST_PROCESS_DEMAND_FORECAST_H_
 #define VALELEDGE_HOST_PROCESS_DEMAND_FORECAST_H_
 
