--- a/src/decisions/request_time.h
+++ b/src/decisions/request_time.h
@@ -28,8 +28,8 @@
 // Longest Retry-After delay that a caller with this time left honours.
 std::chrono::milliseconds MaxHonouredDelay(std::chrono::milliseconds left);
 
-// Whether a caller that is refused can come back and have the time of the
-// objective again. If it cannot, a late response is better than a refusal.
+// Whether the objective fits into the time that a refused caller has left after
+// the longest delay. If not, a late response is better than a refusal.
 bool CanRetryInTime(const request_time& time);
 
 // How long the request may wait before it is sent, or else refused: as long as
