--- a/tests/soak/site_test.py
+++ b/tests/soak/site_test.py
@@ -22,11 +22,15 @@
         """The arguments of the site."""
         raise NotImplementedError
 
+    def prepare(self):
+        """Changes the site before it starts."""
+
     async def asyncSetUp(self):
         asyncio.get_running_loop().set_debug(False)
         self.folder = tempfile.TemporaryDirectory()
         self.site = soak.Site(51, self.arguments(),
                               pathlib.Path(self.folder.name))
+        self.prepare()
         await self.site.build()
         await self.site.until_all_serve(soak.RECOVER_S, "at the start")
         self.stopping = False
--- a/tests/soak/test_server_statuses.py
+++ b/tests/soak/test_server_statuses.py
@@ -18,6 +18,10 @@
 # Whether a test cuts hosts from the servers for a while: their requests are
 # relayed.
 CUT_AFTER_S, CUT_FOR_S = 3.0, 6.0
+# Plain servers in whose queues requests wait until their deadline: they run two
+# at a time, which takes 0.1 to 0.4 s.
+QUEUED_SLOTS, QUEUED, SLOWDOWN = 2, 24, 10.0
+QUEUED_CALLS = [(deployment.ONCE, "")] * 14 + [(deployment.SAFE, "")] * 4
 
 ARGS = None
 
@@ -31,6 +35,10 @@
             args.connect_shim = None
         return args
 
+    def prepare(self):
+        if "queue" in self.id():
+            self.site.host_arguments = ["--plain-services", "own"]
+
     async def after_request(self, caller, session, kind, model):
         """A caller comes back after a promise that its request has not run."""
         ledger, first = self.site.ledger, caller.last
@@ -40,20 +48,20 @@
         if ledger.run[first] and ledger.run[caller.last]:
             self.ran_again += 1
 
-    async def play(self, meanwhile):
+    async def play(self, meanwhile, calls=tuple(CALLS)):
         self.ran_again = 0
         for server in self.site.servers:
             server.errors = FAILED_SHARE
             server.error_statuses = backends.ERROR_STATUSES
-        callers = self.start_callers(CALLS)
+        callers = self.start_callers(calls)
         await meanwhile
         await self.end_callers(callers)
         ledger = self.site.ledger
         print(f"{len(ledger.failures)} requests failed by servers, "
               f"{ledger.failures_seen} seen by callers, {self.ran_again} ran "
               "again after a refusal", flush=True)
-        self.assertGreater(ledger.failures_seen, 50)
         self.judge()
+        self.assertGreater(ledger.failures_seen, 50)
 
     async def cut_one(self):
         """One host reaches no server for a while."""
@@ -72,6 +80,12 @@
     async def test_what_a_server_has_run_is_not_refused_if_relayed(self):
         await self.play(self.cut_one())
 
+    async def test_what_waits_in_a_servers_queue_runs_once(self):
+        for server in self.site.servers[-3:]:
+            server.slots, server.queue = QUEUED_SLOTS, QUEUED
+            server.slowdown = SLOWDOWN
+        await self.play(asyncio.sleep(PLAY_S), QUEUED_CALLS)
+
 
 if __name__ == "__main__":
     parser = argparse.ArgumentParser()
