Sight: a 421 that does not state X-Not-Run is evidence of its own

Event 2021 and valeledge_attempts_not_run_total gave 'refusal' both for X-Not-Run and for a bare 421, so logs could not tell a server's statement from a status. The event has the status, the instance that answered and whether it was signed. No decision changes.

--- a/src/host/request/attempt_outcome.cc
+++ b/src/host/request/attempt_outcome.cc
@@ -11,6 +11,8 @@
       return "not_sent";
     case not_run_evidence::kRefusal:
       return "refusal";
+    case not_run_evidence::kMisdirected:
+      return "misdirected";
     case not_run_evidence::kPeerStatement:
       return "peer_statement";
   }
--- a/src/host/request/attempt_outcome.h
+++ b/src/host/request/attempt_outcome.h
@@ -30,6 +30,9 @@
   kNotSent,
   // A refusal of the server that names the request.
   kRefusal,
+  // A response of the server that names the request and says only that it was
+  // meant for another one.
+  kMisdirected,
   // The statement of the host that relays the request.
   kPeerStatement,
 };
--- a/src/host/request/direct_attempt.cc
+++ b/src/host/request/direct_attempt.cc
@@ -52,6 +52,7 @@
                        ? net::connection_use::kFresh
                        : net::connection_use::kPooled;
   state.last_error = {};
+  state.trace.server_status = 0;
   state.instance = server.entry.instance;
   state.software = server.entry.software;
   LogAttemptSent(state.core, state.routed, state.trace, choice, attempt_fields);
@@ -131,6 +132,7 @@
                      server.entry.instance, state.last_error);
     co_return attempt_outcome::kUnknown;
   }
+  state.trace.server_status = static_cast<int>(exchange.header().result_int());
   ApplyRequestResponse(state.core, server, metadata, state.progress.sent);
   state.crash_monitor.OnResponseHeader(server, state.progress.sent);
   if (metadata.not_run || metadata.misdirected) {
@@ -140,7 +142,10 @@
                         "the backend server responded with status " +
                             std::to_string(exchange.header().result_int()));
     LogAttemptNotRun(state.core, state.routed, state.trace,
-                     server.entry.instance, not_run_evidence::kRefusal);
+                     server.entry.instance,
+                     metadata.not_run ? not_run_evidence::kRefusal
+                                      : not_run_evidence::kMisdirected,
+                     metadata);
     state.core.http.DiscardBody(*opened);
     co_return attempt_outcome::kNotRun;
   }
--- a/src/host/request/request_trace.cc
+++ b/src/host/request/request_trace.cc
@@ -192,7 +192,8 @@
                       const routed_request& routed,
                       const request_trace& trace,
                       const std::string& target,
-                      not_run_evidence evidence) {
+                      not_run_evidence evidence,
+                      const response_metadata& response) {
   core.metrics.Counter("valeledge_attempts_not_run_total", NameOf(evidence))
       .Add();
   core.log.Write(log_weight::kTrouble, log_event::kAttemptNotRun,
@@ -202,6 +203,9 @@
                   {"attempt", trace.attempts},
                   {"relay", trace.relays},
                   {"evidence", std::string(NameOf(evidence))},
+                  {"status", std::int64_t{trace.server_status}},
+                  {"instance", response.instance},
+                  {"signed", std::int64_t{response.is_signed}},
                   {"after_ms", MillisecondsSince(routed.arrived)}});
 }
 
--- a/src/host/request/request_trace.h
+++ b/src/host/request/request_trace.h
@@ -94,12 +94,13 @@
                       const std::string& target);
 
 // Logs that an attempt has not run the request, and what shows it. `target` as
-// above.
+// above. `response`: that of the server, if it responded.
 void LogAttemptNotRun(host_core& core,
                       const routed_request& routed,
                       const request_trace& trace,
                       const std::string& target,
-                      not_run_evidence evidence);
+                      not_run_evidence evidence,
+                      const response_metadata& response = {});
 
 // Logs that the caller received its whole response, or disconnected. `target`
 // as above.
