Requests without an end: a bound for each part and for all requests

A caller sent a chunk extension, a trailer or the digits of a chunk's size without an end: the host kept all of it (15 to 2,871 MB with six connections) and had no answer for it. The buffer of a connection had no bound, and neither the header limit nor the body limit counts these. Besides, headers and bodies were bounded for each request only, so many callers together ended a host.

The buffer is bounded by the header limit and room for the framing of a chunk; more is refused with 431. What all requests hold, from the first byte to the answer, comes from one budget, an eighth of the process's memory.

--- a/src/host/constants.h
+++ b/src/host/constants.h
@@ -40,6 +40,9 @@
 // more often.
 inline constexpr std::chrono::milliseconds kPathRetryAfter{500};
 
+// Part of the process's memory that requests may hold, over all of them.
+inline constexpr std::int64_t kRequestMemoryDivisor = 8;
+
 // Maximum gap between events for routes that do not define one.
 inline constexpr std::chrono::milliseconds kDefaultEventGap{300};
 
--- a/src/host/host_settings.h
+++ b/src/host/host_settings.h
@@ -50,6 +50,8 @@
   // is restarted soon afterwards may still have this set.
   bool first_start = false;
 
+  // Memory that this host's process may use, in bytes.
+  std::int64_t memory_bytes = 256 * 1024 * 1024;
   // CPU cores available to this host, may be fractional; 0 if unknown.
   double cores = 0;
   // Bandwidth of this host's network link; 0 if unknown.
--- a/src/host/process/host.cc
+++ b/src/host/process/host.cc
@@ -205,7 +205,8 @@
             return RelayRequest(core_, request, responder,
                                 request_origin::kCaller);
           },
-          MakeErrorResponse),
+          MakeErrorResponse,
+          core_.request_memory),
       relays_(
           context,
           {},
@@ -213,7 +214,8 @@
             return RelayRequest(core_, request, responder,
                                 request_origin::kPeer);
           },
-          MakeErrorResponse),
+          MakeErrorResponse,
+          core_.request_memory),
       readiness_(
           context,
           {},
@@ -222,7 +224,8 @@
             auto response = net::MakeJsonResponse(IsReady() ? 200 : 503, "{}");
             co_await responder.Send(std::move(response));
           },
-          MakeErrorResponse),
+          MakeErrorResponse,
+          core_.request_memory),
       metrics_(
           context,
           {},
@@ -235,7 +238,8 @@
             response.body() = core_.metrics.Render();
             co_await responder.Send(std::move(response));
           },
-          MakeErrorResponse),
+          MakeErrorResponse,
+          core_.request_memory),
       shutdown_(core_,
                 callers_,
                 relays_,
--- a/src/host/process/host_core.h
+++ b/src/host/process/host_core.h
@@ -17,6 +17,7 @@
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
 
+#include "base/memory_budget.h"
 #include "base/metrics.h"
 #include "catalog/configuration.h"
 #include "decisions/key_freshness.h"
@@ -25,6 +26,7 @@
 #include "decisions/quarantine_trial.h"
 #include "decisions/stream_origin.h"
 #include "decisions/stream_separation.h"
+#include "host/constants.h"
 #include "host/external_protocol.h"
 #include "host/host_settings.h"
 #include "host/process/demand_tracker.h"
@@ -57,6 +59,8 @@
         settings(std::move(settings_in)),
         protocol(std::move(protocol_in)),
         servers(settings.zone, settings.zone_regions),
+        request_memory(std::make_shared<base::memory_budget>(
+            settings.memory_bytes / kRequestMemoryDivisor)),
         http(context) {
     servers.SetStreamSeparation(settings.features.stream_separation);
   }
@@ -70,6 +74,8 @@
   request_log log{metrics};
   server_registry servers;
   demand_tracker demand;
+  // What all requests hold that are being received or answered.
+  const std::shared_ptr<base::memory_budget> request_memory;
   net::http_client http;
   std::mt19937_64 random{std::random_device{}()};
   // The active configuration; null until the first one has been received.
--- a/src/net/http_server.cc
+++ b/src/net/http_server.cc
@@ -17,6 +17,7 @@
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http.hpp>
 
+#include "net/message_reading.h"
 #include "net/socket_address.h"
 
 namespace valeledge::net {
@@ -33,6 +34,16 @@
 // Pause before accepting again when descriptors have run out.
 constexpr auto kAcceptPause = std::chrono::milliseconds(20);
 
+// What all requests of a server may hold, if nothing else is said.
+constexpr std::int64_t kDefaultMemory = 64 * 1024 * 1024;
+
+// A request is held as it was received and as it is passed on.
+constexpr std::int64_t kCopiesOfRequest = 2;
+
+// Another host may have room at once, and this one when a few requests have
+// ended.
+constexpr auto kMemoryRetryAfter = std::chrono::milliseconds(150);
+
 std::string ChunkHeader(std::size_t size) {
   std::array<char, 20> text;
   const int length = snprintf(text.data(), text.size(), "%zx\r\n", size);
@@ -46,11 +57,17 @@
              base::outcome::kNotRun,
              "the body is larger than this host accepts",
              {}};
-  else if (failed == http::error::header_limit)
+  else if (failed == http::error::header_limit ||
+           failed == http::error::buffer_overflow)
     fault = {result_code::kHeadersTooLarge,
              base::outcome::kNotRun,
-             "the header fields are larger than this host accepts",
+             "the header fields, or the framing of the body, are larger than "
+             "this host accepts",
              {}};
+  else if (failed == boost::system::errc::no_buffer_space)
+    fault = {result_code::kMemoryFull, base::outcome::kNotRun,
+             "the requests under way leave no room for this one",
+             kMemoryRetryAfter};
   else if (failed == beast::error::timeout)
     fault = {result_code::kSlowSender,
              base::outcome::kNotRun,
@@ -83,16 +100,19 @@
   http_server_state(asio::io_context& context_in,
                     http_limits limits_in,
                     http_handler handler_in,
-                    http_fault_renderer render_in)
+                    http_fault_renderer render_in,
+                    std::shared_ptr<base::memory_budget> memory_in)
       : context(context_in),
         limits(limits_in),
         handler(std::move(handler_in)),
-        render_fault(std::move(render_in)) {}
+        render_fault(std::move(render_in)),
+        memory(std::move(memory_in)) {}
 
   asio::io_context& context;
   http_limits limits;
   http_handler handler;
   http_fault_renderer render_fault;
+  std::shared_ptr<base::memory_budget> memory;
   std::optional<asio::ip::tcp::acceptor> acceptor;
   std::set<session*> sessions;
   std::int64_t active = 0;
@@ -123,7 +143,13 @@
   void OnCallerGone(std::function<void()> action) override;
 
  private:
+  using request_parser = http::request_parser<http::string_body>;
+
   asio::awaitable<bool> ServeOne();
+  asio::awaitable<bool> AwaitRequest();
+  asio::awaitable<boost::system::error_code> Receive(request_parser& parser,
+                                                     base::memory_share& share);
+  asio::awaitable<void> Answer(http_request& request);
   asio::awaitable<void> Refuse(const boost::system::error_code& failed);
   asio::awaitable<void> Watch(std::uint64_t request);
   asio::awaitable<bool> WriteRaw(std::string bytes);
@@ -253,20 +279,65 @@
   }
 }
 
-asio::awaitable<bool> session::ServeOne() {
+// Waits for the first byte alone, so that an idle connection holds no large
+// buffer and may be closed at any time.
+asio::awaitable<bool> session::AwaitRequest() {
+  buffer_.max_size(static_cast<std::size_t>(server_->limits.header_bytes) +
+                   kFramingBytes + buffer_.size());
   receiving_ = buffer_.size() != 0;
-  if (!receiving_) {
-    // Waits for the first byte alone, so that an idle connection holds no
-    // buffer and may be closed at any time.
-    stream_.expires_after(server_->limits.idle_timeout);
-    const auto [failed, size] =
-        co_await stream_.async_read_some(buffer_.prepare(2048), kAwait);
-    if (failed)
-      co_return false;
-    buffer_.commit(size);
-    receiving_ = true;
+  if (receiving_)
+    co_return true;
+  ShrinkIdleBuffer(buffer_);
+  stream_.expires_after(server_->limits.idle_timeout);
+  const auto [failed, size] =
+      co_await stream_.async_read_some(buffer_.prepare(2048), kAwait);
+  if (failed)
+    co_return false;
+  buffer_.commit(size);
+  receiving_ = true;
+  co_return true;
+}
+
+asio::awaitable<boost::system::error_code> session::Receive(
+    request_parser& parser,
+    base::memory_share& share) {
+  std::int64_t header_bytes = 0;
+  const auto charge = [&](std::size_t) {
+    const auto held = buffer_.capacity() + parser.get().body().capacity();
+    return share.Resize(static_cast<std::int64_t>(held) + header_bytes);
+  };
+  boost::system::error_code failed;
+  while (!failed && !parser.is_done()) {
+    failed = co_await ReadPart(stream_, buffer_, parser, charge);
+    // A trailer adds fields at the end.
+    const bool has_new_fields = header_bytes == 0 || parser.is_done();
+    if (!failed && parser.is_header_done() && has_new_fields)
+      header_bytes = MemoryOf(parser.get());
+    if (!failed && !charge(0))
+      failed = make_error_code(boost::system::errc::no_buffer_space);
+  }
+  if (!failed) {
+    const auto body = parser.get().body().capacity();
+    const std::int64_t whole = header_bytes + static_cast<std::int64_t>(body);
+    if (!share.Resize(kCopiesOfRequest * whole))
+      failed = make_error_code(boost::system::errc::no_buffer_space);
+    share.Keep();
   }
-  http::request_parser<http::string_body> parser;
+  if (share.gave_way())
+    failed = make_error_code(boost::system::errc::no_buffer_space);
+  co_return failed;
+}
+
+asio::awaitable<bool> session::ServeOne() {
+  if (!co_await AwaitRequest())
+    co_return false;
+  const auto stop_receiving = [this] {
+    boost::system::error_code ignored;
+    stream_.socket().cancel(ignored);
+  };
+  base::memory_share share(server_->memory, stop_receiving);
+  request_parser parser;
+  parser.eager(true);
   parser.header_limit(static_cast<std::uint32_t>(server_->limits.header_bytes));
   parser.body_limit(static_cast<std::uint64_t>(server_->limits.body_bytes));
   // The stream's own timer would close the connection, and the caller would
@@ -278,11 +349,9 @@
     if (cancelled)
       return;
     too_slow = true;
-    boost::system::error_code ignored;
-    stream_.socket().cancel(ignored);
+    stop_receiving();
   });
-  auto [failed, size] =
-      co_await http::async_read(stream_, buffer_, parser, kAwait);
+  boost::system::error_code failed = co_await Receive(parser, share);
   receiving_ = false;
   if (limit.cancel() == 0)
     co_await asio::post(server_->context, asio::use_awaitable);
@@ -293,6 +362,15 @@
     co_return false;
   }
   http_request request = parser.release();
+  co_await Answer(request);
+  if (!stream_.socket().is_open())
+    co_return false;
+  boost::system::error_code ignored;
+  stream_.socket().cancel(ignored);
+  co_return keep_alive_ && !gone_ && !server_->draining;
+}
+
+asio::awaitable<void> session::Answer(http_request& request) {
   keep_alive_ = request.keep_alive();
   stream_.expires_never();
   in_handler_ = true;
@@ -303,11 +381,6 @@
   --server_->active;
   in_handler_ = false;
   on_gone_ = nullptr;
-  if (!stream_.socket().is_open())
-    co_return false;
-  boost::system::error_code ignored;
-  stream_.socket().cancel(ignored);
-  co_return keep_alive_ && !gone_ && !server_->draining;
 }
 
 asio::awaitable<void> session::Run() {
@@ -321,12 +394,16 @@
 http_server::http_server(asio::io_context& context,
                          http_limits limits,
                          http_handler handler,
-                         http_fault_renderer render_fault)
+                         http_fault_renderer render_fault,
+                         std::shared_ptr<base::memory_budget> memory)
     : state_(std::make_shared<detail::http_server_state>(
           context,
           limits,
           std::move(handler),
-          std::move(render_fault))) {}
+          std::move(render_fault),
+          memory != nullptr
+              ? std::move(memory)
+              : std::make_shared<base::memory_budget>(kDefaultMemory))) {}
 
 http_server::~http_server() = default;
 
--- a/src/net/http_server.h
+++ b/src/net/http_server.h
@@ -15,6 +15,7 @@
 
 #include "base/endpoint.h"
 #include "base/error.h"
+#include "base/memory_budget.h"
 #include "net/http_client.h"
 
 namespace valeledge::net {
@@ -70,10 +71,13 @@
 // thread-safe; lives on the thread of its io_context.
 class http_server {
  public:
+  // `memory` bounds what all requests hold that are being received or
+  // answered; if null, the server has a bound of its own.
   http_server(boost::asio::io_context& context,
               http_limits limits,
               http_handler handler,
-              http_fault_renderer render_fault);
+              http_fault_renderer render_fault,
+              std::shared_ptr<base::memory_budget> memory = nullptr);
   ~http_server();
 
   // Starts to listen; `shared` as for net::Listen.
