Responses without an end: a bound for all responses, and for all answers

A faulty server sent a body without an end: each host kept up to 64 MiB of it, for each request that was under way, and as much of answers to orders and reports.

The largest one gives way: its connection is closed, or that of the caller that does not take it, and the attempt counts as a failure of its server. Answers that are known to be small, such as reports, are read up to 1 MiB. Error responses that are kept for later, events, headers of many fields and the watch of the key-value service are counted as well.

--- a/src/gateway/request/service_exchange.cc
+++ b/src/gateway/request/service_exchange.cc
@@ -176,8 +176,7 @@
       co_return tl::make_unexpected(piece.error());
     if (piece->empty())
       break;
-    response.body().append(*piece);
-    if (response.body().size() > net::kMaxAnswerBytes) {
+    if (!(*opened)->Append(response.body(), *piece, net::kMaxAnswerBytes)) {
       co_return base::Unknown(
           result_code::kAnswerBroken,
           "the response of the backend server is too large");
--- a/src/host/process/host_core.h
+++ b/src/host/process/host_core.h
@@ -61,7 +61,9 @@
         servers(settings.zone, settings.zone_regions),
         request_memory(std::make_shared<base::memory_budget>(
             settings.memory_bytes / kRequestMemoryDivisor)),
-        http(context) {
+        response_memory(std::make_shared<base::memory_budget>(
+            settings.memory_bytes / kResponseMemoryDivisor)),
+        http(context, response_memory) {
     servers.SetStreamSeparation(settings.features.stream_separation);
   }
 
@@ -74,8 +76,10 @@
   request_log log{metrics};
   server_registry servers;
   demand_tracker demand;
-  // What all requests hold that are being received or answered.
+  // What all requests hold that are being received or answered, and all
+  // responses that are being read or passed on.
   const std::shared_ptr<base::memory_budget> request_memory;
+  const std::shared_ptr<base::memory_budget> response_memory;
   net::http_client http;
   std::mt19937_64 random{std::random_device{}()};
   // The active configuration; null until the first one has been received.
--- a/src/host/process/host_gauges.cc
+++ b/src/host/process/host_gauges.cc
@@ -4,6 +4,7 @@
 #include <chrono>
 #include <cstdint>
 #include <string_view>
+#include <utility>
 
 #include "base/logging.h"
 #include "decisions/key_freshness.h"
@@ -57,6 +58,13 @@
   set("valeledge_peer_call_overruns", sources.peers.overrun_calls());
   for (const auto& [kind, bytes] : sources.peers.sent_bytes())
     core.metrics.Gauge("valeledge_told_bytes", kind).Set(bytes);
+  for (const auto& [kind, memory] :
+       {std::pair{"requests", core.request_memory},
+        std::pair{"responses", core.response_memory}}) {
+    core.metrics.Gauge("valeledge_message_bytes", kind).Set(memory->held());
+    core.metrics.Gauge("valeledge_messages_given_up", kind)
+        .Set(memory->given_up());
+  }
   set("valeledge_idle_connections", core.http.idle_connections());
   set("valeledge_store_bytes", sources.store.bytes());
   set("valeledge_log_lines_dropped", base::LinesDropped());
--- a/src/host/request/event_splitter.h
+++ b/src/host/request/event_splitter.h
@@ -4,6 +4,7 @@
 #ifndef VALELEDGE_HOST_REQUEST_EVENT_SPLITTER_H_
 #define VALELEDGE_HOST_REQUEST_EVENT_SPLITTER_H_
 
+#include <cstdint>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -26,6 +27,10 @@
   // The bytes after the last complete event returned by Next().
   std::string_view Remainder() const;
   bool IsOverlong() const { return Remainder().size() > kMaxEventBytes; }
+  // Bytes of memory that the splitter holds.
+  std::int64_t HeldBytes() const {
+    return static_cast<std::int64_t>(pending_.capacity());
+  }
 
  private:
   std::string pending_;
--- a/src/host/request/relay.cc
+++ b/src/host/request/relay.cc
@@ -140,6 +140,7 @@
   }
   if (state.server_error_response &&
       failed.what_ran != base::outcome::kNotRun) {
+    state.server_error_share->SetGiveWay([&state] { state.responder.Break(); });
     co_await state.responder.Send(std::move(*state.server_error_response));
     co_return;
   }
--- a/src/host/request/request_state.h
+++ b/src/host/request/request_state.h
@@ -10,6 +10,7 @@
 #include <string>
 
 #include "base/error.h"
+#include "base/memory_budget.h"
 #include "host/process/host_core.h"
 #include "host/request/attempt_progress.h"
 #include "host/request/attempt_watch.h"
@@ -57,6 +58,8 @@
   // An error response of a server, sent to the caller if no further attempt
   // follows.
   std::optional<net::http_response> server_error_response;
+  // What that response holds of the memory for responses.
+  std::unique_ptr<base::memory_share> server_error_share;
   base::error last_error;
   // The error of the host through which the request was sent. It has decided on
   // further attempts, so this host makes none.
--- a/src/host/request/response_forwarding.cc
+++ b/src/host/request/response_forwarding.cc
@@ -25,6 +25,9 @@
 using base::result_code;
 using catalog::route_kind;
 
+// Events are held as they were read, as they are passed on, and as a chunk.
+constexpr std::int64_t kCopiesOfEvents = 3;
+
 // A stream of which parts have been read.
 struct forwarded_stream {
   event_splitter events;
@@ -87,6 +90,40 @@
   co_return *piece;
 }
 
+// Ends an attempt whose response cannot be used. The server may be sending it
+// without an end.
+void EndUnusableResponse(request_state& state,
+                         net::http_exchange& exchange,
+                         server_attempt* attempt,
+                         std::string reason) {
+  state.last_error = base::MakeError(
+      result_code::kAnswerBroken, base::outcome::kUnknown, std::move(reason));
+  exchange.Abandon();
+  if (attempt != nullptr)
+    attempt->OnFailed(false);
+}
+
+// Sends a response whose bytes the exchange holds: the caller may take them
+// slowly.
+asio::awaitable<void> SendHeld(request_state& state,
+                               net::http_exchange& exchange,
+                               net::http_response whole) {
+  exchange.OnGiveWay([&state] { state.responder.Break(); });
+  co_await state.responder.Send(std::move(whole));
+}
+
+// Keeps an error response in case no further attempt follows, if there is
+// memory for it.
+void KeepErrorResponse(request_state& state, net::http_response whole) {
+  state.server_error_response.reset();
+  state.server_error_share = std::make_unique<base::memory_share>(
+      state.core.response_memory,
+      [&state] { state.server_error_response.reset(); });
+  const auto bytes = static_cast<std::int64_t>(whole.body().capacity());
+  if (state.server_error_share->Resize(bytes))
+    state.server_error_response = std::move(whole);
+}
+
 // A whole response that is not a server error has arrived from a server.
 void OnWholeResponse(request_state& state,
                      const net::http_exchange& exchange,
@@ -109,10 +146,8 @@
       co_return tl::make_unexpected(piece.error());
     if (piece->empty())
       co_return whole;
-    whole.body().append(*piece);
-    if (whole.body().size() > net::kMaxAnswerBytes) {
-      state.last_error =
-          base::MakeError(result_code::kAnswerBroken, base::outcome::kUnknown,
+    if (!exchange.Append(whole.body(), *piece, net::kMaxAnswerBytes)) {
+      EndUnusableResponse(state, exchange, attempt,
                           "the response exceeds the maximum size");
       co_return tl::make_unexpected(attempt_outcome::kUnknown);
     }
@@ -123,6 +158,7 @@
 // status that would promise that the request has not run is not passed on: the
 // server does not state that.
 asio::awaitable<attempt_outcome> EndFailedAttempt(request_state& state,
+                                                  net::http_exchange& exchange,
                                                   net::http_response whole,
                                                   server_attempt* attempt) {
   LogServerFailure(state.core, state.routed, state.trace, state.instance);
@@ -132,7 +168,7 @@
   const bool is_promise = decisions::PromisesNotRun(status);
   const bool may_repeat = state.routed.route->MayRepeat();
   if (!is_promise && (!may_repeat || attempt == nullptr)) {
-    co_await state.responder.Send(std::move(whole));
+    co_await SendHeld(state, exchange, std::move(whole));
     co_return attempt_outcome::kDone;
   }
   state.last_error = base::MakeError(
@@ -143,7 +179,7 @@
         net::ReadRetryAfter(whole, std::chrono::system_clock::now()).delay;
   }
   if (!is_promise)
-    state.server_error_response = std::move(whole);
+    KeepErrorResponse(state, std::move(whole));
   else if (attempt == nullptr)
     state.peer_error = state.last_error;
   co_return attempt_outcome::kUnknown;
@@ -171,12 +207,12 @@
   }
   if (decisions::IsServerFailure(status)) {
     const attempt_outcome outcome =
-        co_await EndFailedAttempt(state, std::move(*whole), attempt);
+        co_await EndFailedAttempt(state, exchange, std::move(*whole), attempt);
     co_return outcome;
   }
   if (attempt != nullptr)
     OnWholeResponse(state, exchange, *attempt);
-  co_await state.responder.Send(std::move(*whole));
+  co_await SendHeld(state, exchange, std::move(*whole));
   co_return attempt_outcome::kDone;
 }
 
@@ -240,6 +276,12 @@
                                                net::http_exchange& exchange,
                                                server_attempt* attempt) {
   forwarded_stream stream;
+  exchange.OnGiveWay([&state, &exchange] {
+    exchange.Abandon();
+    // The caller may be slow to take the last events.
+    if (state.trace.response_started)
+      state.responder.Break();
+  });
   while (true) {
     const auto piece = co_await ReadPiece(state, exchange, attempt);
     if (!piece)
@@ -247,6 +289,11 @@
     if (piece->empty())
       break;
     stream.events.Append(*piece);
+    if (!exchange.Hold(kCopiesOfEvents * stream.events.HeldBytes())) {
+      EndUnusableResponse(state, exchange, attempt,
+                          "no memory is left for the event");
+      co_return attempt_outcome::kUnknown;
+    }
     const bool passed =
         co_await ForwardEvents(state, stream, exchange.header(), attempt);
     if (!passed) {
@@ -254,13 +301,10 @@
       co_return attempt_outcome::kDone;
     }
     if (stream.is_event_missing || stream.events.IsOverlong()) {
-      state.last_error = base::MakeError(
-          result_code::kAnswerBroken, base::outcome::kUnknown,
-          stream.is_event_missing ? "the stream skipped an event"
-                                  : "an event exceeds the maximum size");
-      exchange.Abandon();
-      if (attempt != nullptr)
-        attempt->OnFailed(false);
+      EndUnusableResponse(state, exchange, attempt,
+                          stream.is_event_missing
+                              ? "the stream skipped an event"
+                              : "an event exceeds the maximum size");
       co_return attempt_outcome::kUnknown;
     }
   }
--- a/src/net/http_client.cc
+++ b/src/net/http_client.cc
@@ -15,21 +15,22 @@
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http.hpp>
 
+#include "net/message_reading.h"
 #include "net/socket_address.h"
 
 namespace valeledge::net {
 
 namespace detail {
 
-// Largest part of a message that is read as a whole, such as its header.
-constexpr std::size_t kMaxBufferedBytes = 256 * 1024;
+// Largest header of an answer.
+constexpr std::uint32_t kAnswerHeaderBytes = 64 * 1024;
 
 struct connection {
   explicit connection(boost::asio::io_context& context) : stream(context) {}
 
   boost::beast::tcp_stream stream;
   // Bounded, for a message whose parts do not end.
-  boost::beast::flat_buffer buffer{kMaxBufferedBytes};
+  boost::beast::flat_buffer buffer{kAnswerHeaderBytes + kFramingBytes};
   // Idle connections are not used from here on.
   std::chrono::steady_clock::time_point stale_at;
 };
@@ -59,8 +60,11 @@
 // Bytes read from a streamed answer at a time.
 constexpr std::size_t kPieceBytes = 4 * 1024;
 
-// Largest header of an answer.
-constexpr std::uint32_t kAnswerHeaderBytes = 64 * 1024;
+// What all answers of a client may hold, if nothing else is said.
+constexpr std::int64_t kDefaultMemory = kMaxAnswerBytes;
+
+// A header is held as it was received and as it is passed on.
+constexpr std::int64_t kCopiesOfHeader = 2;
 
 // Response headers that are read for one request: interim ones (1xx) may come
 // before the final one.
@@ -153,10 +157,30 @@
   base::endpoint where;
   std::unique_ptr<connection> link;
   std::weak_ptr<http_client::pool> home;
+  std::optional<base::memory_share> share;
+  // What the header holds, and the parts of the body that have been read.
+  std::int64_t header_bytes = 0;
+  std::int64_t body_bytes = 0;
   // One for each response header that is read.
   std::optional<http::response_parser<http::buffer_body>> parser;
   std::array<char, kPieceBytes> piece;
   bool reading = false;
+
+  void Close() {
+    boost::system::error_code ignored;
+    link->stream.socket().close(ignored);
+  }
+
+  void CountBytes(std::size_t read) {
+    if (const auto pool = home.lock())
+      pool->bytes += static_cast<std::int64_t>(read);
+  }
+
+  // Updates the share; false if the answer has to give way.
+  bool Charge() {
+    return share->Resize(static_cast<std::int64_t>(link->buffer.capacity()) +
+                         kCopiesOfHeader * header_bytes + body_bytes);
+  }
 };
 
 http_exchange::http_exchange(std::unique_ptr<state> state)
@@ -172,6 +196,7 @@
   }
   state_->link->stale_at =
       std::chrono::steady_clock::now() + IdleTimeOf(header());
+  detail::ShrinkIdleBuffer(state_->link->buffer);
   home->Give(state_->where, std::move(state_->link));
 }
 
@@ -195,11 +220,13 @@
   state_->reading = true;
   std::size_t taken = 0;
   boost::system::error_code failed;
+  const auto on_read = [this](std::size_t bytes) {
+    state_->CountBytes(bytes);
+    return state_->Charge();
+  };
   while (taken == 0 && !failed && !state_->parser->is_done()) {
-    const auto [code, bytes] = co_await http::async_read_some(
-        state_->link->stream, state_->link->buffer, *state_->parser, kAwait);
-    if (const auto home = state_->home.lock())
-      home->bytes += static_cast<std::int64_t>(bytes);
+    const auto code = co_await detail::ReadPart(
+        state_->link->stream, state_->link->buffer, *state_->parser, on_read);
     failed =
         code == http::error::need_buffer ? boost::system::error_code() : code;
     taken = state_->piece.size() - body.size;
@@ -218,9 +245,36 @@
   co_return std::string_view(state_->piece.data(), taken);
 }
 
+bool http_exchange::Hold(std::int64_t bytes) {
+  state_->body_bytes = bytes;
+  return state_->Charge();
+}
+
+bool http_exchange::Append(std::string& body,
+                           std::string_view piece,
+                           std::int64_t max_bytes) {
+  const std::size_t size = body.size() + piece.size();
+  if (static_cast<std::int64_t>(size) > max_bytes)
+    return false;
+  if (size > body.capacity()) {
+    // While the string grows, its former bytes are held as well.
+    const std::size_t grown = std::max(size, 2 * body.capacity());
+    if (!Hold(static_cast<std::int64_t>(body.capacity() + grown)))
+      return false;
+    body.reserve(grown);
+    if (!Hold(static_cast<std::int64_t>(body.capacity())))
+      return false;
+  }
+  body.append(piece);
+  return true;
+}
+
+void http_exchange::OnGiveWay(std::function<void()> action) {
+  state_->share->SetGiveWay(std::move(action));
+}
+
 void http_exchange::Abandon() {
-  boost::system::error_code ignored;
-  state_->link->stream.socket().close(ignored);
+  state_->Close();
 }
 
 void open_guard::Cancel() {
@@ -235,8 +289,13 @@
   link_->stream.socket().close(ignored);
 }
 
-http_client::http_client(asio::io_context& context)
-    : context_(context), pool_(std::make_shared<pool>()) {}
+http_client::http_client(asio::io_context& context,
+                         std::shared_ptr<base::memory_budget> memory)
+    : context_(context),
+      memory_(memory != nullptr
+                  ? std::move(memory)
+                  : std::make_shared<base::memory_budget>(kDefaultMemory)),
+      pool_(std::make_shared<pool>()) {}
 
 http_client::~http_client() = default;
 
@@ -327,27 +386,44 @@
   state->where = where;
   state->home = pool_;
   state->link = std::move(link);
-  for (int heads = 0; heads < kMaxHeaders; ++heads) {
-    state->parser.emplace();
-    state->parser->body_limit(boost::none);
-    state->parser->header_limit(kAnswerHeaderBytes);
-    const auto [read_failed, header_bytes] = co_await http::async_read_header(
-        state->link->stream, state->link->buffer, *state->parser, kAwait);
-    pool_->bytes += static_cast<std::int64_t>(header_bytes);
-    if (read_failed) {
-      co_return Broken(result_code::kOutcomeUnknown,
-                       Explain(where, "no answer", read_failed), read_failed);
-    }
-    const bool is_interim =
-        http::to_status_class(state->parser->get().result_int()) ==
-        http::status_class::informational;
-    if (!is_interim) {
-      co_return std::shared_ptr<http_exchange>(
-          new http_exchange(std::move(state)));
+  state->share.emplace(memory_, [raw = state.get()] { raw->Close(); });
+  const auto read_failed = co_await ReadHeader(*state);
+  if (read_failed) {
+    const std::string_view what =
+        state->share->gave_way() ? "no memory for the answer" : "no answer";
+    co_return Broken(result_code::kOutcomeUnknown,
+                     Explain(where, what, read_failed), read_failed);
+  }
+  co_return std::shared_ptr<http_exchange>(new http_exchange(std::move(state)));
+}
+
+asio::awaitable<boost::system::error_code> http_client::ReadHeader(
+    http_exchange::state& state) {
+  const auto on_read = [&state](std::size_t bytes) {
+    state.CountBytes(bytes);
+    return state.Charge();
+  };
+  for (int headers = 0; headers < kMaxHeaders; ++headers) {
+    auto& parser = state.parser.emplace();
+    parser.body_limit(boost::none);
+    parser.header_limit(detail::kAnswerHeaderBytes);
+    while (!parser.is_header_done()) {
+      const auto failed = co_await detail::ReadPart(
+          state.link->stream, state.link->buffer, parser, on_read);
+      if (failed)
+        co_return failed;
     }
+    const bool is_interim = http::to_status_class(parser.get().result_int()) ==
+                            http::status_class::informational;
+    if (is_interim)
+      continue;
+    state.header_bytes = detail::MemoryOf(parser.get());
+    if (!state.Charge())
+      co_return make_error_code(boost::system::errc::no_buffer_space);
+    co_return boost::system::error_code();
   }
-  co_return base::Unknown(result_code::kAnswerBroken,
-                          base::ToString(where) + ": no final answer");
+  // No final header among those that were read.
+  co_return http::make_error_code(http::error::header_limit);
 }
 
 asio::awaitable<base::result<http_response>> http_client::Fetch(
@@ -356,8 +432,9 @@
     std::chrono::microseconds timeout,
     connection_use use) {
   std::function<void()> on_part;
-  auto answer = co_await ReadWhole(std::move(where), std::move(request),
-                                   {timeout, timeout}, use, std::move(on_part));
+  const answer_limit limit{timeout, timeout, kMaxSmallAnswerBytes};
+  auto answer = co_await ReadWhole(std::move(where), std::move(request), limit,
+                                   use, std::move(on_part));
   co_return answer;
 }
 
@@ -396,8 +473,8 @@
       break;
     if (success && on_part)
       on_part();
-    answer.body().append(*piece);
-    if (answer.body().size() > kMaxAnswerBytes) {
+    if (!exchange->Append(answer.body(), *piece, limit.bytes)) {
+      exchange->Abandon();
       co_return base::Unknown(result_code::kAnswerBroken,
                               base::ToString(where) + ": answer too large");
     }
--- a/src/net/http_client.h
+++ b/src/net/http_client.h
@@ -18,6 +18,7 @@
 
 #include "base/endpoint.h"
 #include "base/error.h"
+#include "base/memory_budget.h"
 
 namespace valeledge::net {
 
@@ -28,7 +29,10 @@
 using http_response_header = boost::beast::http::response_header<>;
 
 // Largest answer, in bytes, that is read whole from anyone.
-inline constexpr std::uint64_t kMaxAnswerBytes = 64 * 1024 * 1024;
+inline constexpr std::int64_t kMaxAnswerBytes = 64 * 1024 * 1024;
+
+// The same for answers that are known to be small.
+inline constexpr std::int64_t kMaxSmallAnswerBytes = 1024 * 1024;
 
 // One request and its answer, read piece by piece. Created by a client; a
 // connection whose answer was not read to its end is closed, never reused.
@@ -50,6 +54,22 @@
   // connection ends it, and a server that ends in between does so too.
   bool EndsWithConnection() const;
 
+  // States how many bytes are held of the body that has been read. Returns
+  // false if they do not fit beside what other exchanges hold; the exchange is
+  // then of no further use.
+  bool Hold(std::int64_t bytes);
+
+  // Appends a piece to a body whose bytes are held. Returns false if the body
+  // would be longer than `max_bytes`, or as Hold() does.
+  bool Append(std::string& body,
+              std::string_view piece,
+              std::int64_t max_bytes);
+
+  // Replaces what is done if other exchanges need the memory that this one
+  // holds; by default it is abandoned. `action` must be callable until the
+  // exchange is destroyed.
+  void OnGiveWay(std::function<void()> action);
+
   // Closes the connection now, from the same thread; a read in progress ends
   // with an error. The other side sees the caller go away.
   void Abandon();
@@ -100,12 +120,14 @@
   kFresh,
 };
 
-// How long a whole answer may take.
+// How long a whole answer may take, and its size.
 struct answer_limit {
   // Until the answer begins, and between any two parts of it.
   std::chrono::microseconds silence;
   // In all.
   std::chrono::microseconds whole;
+  // Of the body.
+  std::int64_t bytes = kMaxAnswerBytes;
 };
 
 // How long a call may wait for its response header.
@@ -124,10 +146,13 @@
 // `unknown` otherwise.
 class http_client {
  public:
-  explicit http_client(boost::asio::io_context& context);
+  // `memory` bounds what all answers hold that are being read; if null, the
+  // client has a bound of its own.
+  explicit http_client(boost::asio::io_context& context,
+                       std::shared_ptr<base::memory_budget> memory = nullptr);
   ~http_client();
 
-  // Sends a request and reads the whole answer.
+  // Sends a request and reads the whole answer, which is small.
   boost::asio::awaitable<base::result<http_response>> Fetch(
       base::endpoint where,
       http_request request,
@@ -180,6 +205,10 @@
   boost::asio::awaitable<base::result<std::unique_ptr<detail::connection>>>
   Connect(base::endpoint where, open_limit limit, open_guard* guard);
 
+  // Reads the header of the final answer.
+  static boost::asio::awaitable<boost::system::error_code> ReadHeader(
+      http_exchange::state& state);
+
   static boost::asio::awaitable<void> Discard(
       std::shared_ptr<http_exchange> exchange);
 
@@ -192,6 +221,7 @@
       std::function<void()> on_part);
 
   boost::asio::io_context& context_;
+  std::shared_ptr<base::memory_budget> memory_;
   std::shared_ptr<pool> pool_;
 };
 
--- a/src/store/etcd_client.cc
+++ b/src/store/etcd_client.cc
@@ -281,7 +281,10 @@
       co_return base::NotRun(result_code::kPlatformUnavailable,
                              "the watch ended");
     }
-    pending.append(*piece);
+    if (!(*opened)->Append(pending, *piece, net::kMaxAnswerBytes)) {
+      co_return base::NotRun(result_code::kPlatformUnavailable,
+                             "the watch sent a change that is too large");
+    }
     const std::size_t end = pending.find('\n');
     if (end == std::string::npos)
       continue;
