A planned stop answers all that it has taken, whatever the grace

In a planned stop requests that had been passed on ended with a closed connection and no answer, among them some that run at most once. The times of a stop did not follow its grace: with 3 s everything was taken until 0.3 s before the process was killed, with 4 s connections were never closed. What was still under way at the end was cut. An attempt could begin whose answer could not come.

The moments of a stop follow from the grace and are one decision (decisions/planned_stop). A request that must not be broken off, since its caller cannot repeat it, is taken only if its deadline is before the end; what may outlast the host is taken in the first third, 2.7 s at most, as before. Others are refused at once (2006, Retry-After 0). A server gets the time until the end. At the end each request under way gets a complete answer: 502 with the outcome unknown if it may have run, 503 if it has not been sent; a stream that has begun can only be broken off. 0.3 s are left to write them.

Three cases of older tests state the stop as a plan; what they ask is the same.

--- a/src/host/process/host_core.h
+++ b/src/host/process/host_core.h
@@ -7,6 +7,7 @@
 #include <chrono>
 #include <cstdint>
 #include <functional>
+#include <list>
 #include <map>
 #include <memory>
 #include <optional>
@@ -21,6 +22,7 @@
 #include "base/metrics.h"
 #include "catalog/configuration.h"
 #include "decisions/key_freshness.h"
+#include "decisions/planned_stop.h"
 #include "decisions/prompt_quarantine.h"
 #include "decisions/quarantine.h"
 #include "decisions/quarantine_trial.h"
@@ -136,8 +138,10 @@
   // Whether a newer snapshot of the store has been known for long without being
   // received. If so, an entry that is missing here may exist.
   std::function<bool()> is_stale = [] { return false; };
-  // Set during a stop: requests that may last longer than this are refused.
-  std::optional<base::time_point> stops_at;
+  // Set during a stop.
+  std::optional<decisions::planned_stop> stop;
+  // Each answers one request under way without its server's response.
+  std::list<std::function<void()>> final_answers;
   // Records the outcome of an attempt at an engine for its shared estimate. If
   // unset, none is shared.
   std::function<void(known_server& server,
--- a/src/host/process/shutdown_controller.cc
+++ b/src/host/process/shutdown_controller.cc
@@ -1,6 +1,7 @@
 // SPDX-License-Identifier: MIT
 #include "host/process/shutdown_controller.h"
 
+#include <algorithm>
 #include <chrono>
 #include <csignal>
 #include <utility>
@@ -12,6 +13,7 @@
 #include <boost/asio/use_awaitable.hpp>
 
 #include "base/logging.h"
+#include "decisions/planned_stop.h"
 
 namespace valeledge::host {
 
@@ -24,15 +26,6 @@
 constexpr auto kAwait = asio::as_tuple(asio::use_awaitable);
 constexpr std::string_view kCategory = "host";
 
-// After SIGTERM the load balancer needs two health checks, a second apart, to
-// stop sending new connections; callers continue to use existing ones. Requests
-// that start later than 3 s after SIGTERM must not be interrupted, so requests
-// that may last too long are refused slightly earlier.
-constexpr milliseconds kAcceptAllPeriod{2700};
-constexpr milliseconds kAcceptPeriod{4200};
-// Requests still in progress at this time before SIGKILL are interrupted.
-constexpr milliseconds kKillMargin{400};
-
 constexpr milliseconds kStopCheckInterval{50};
 
 }  // namespace
@@ -59,35 +52,45 @@
 }
 
 asio::awaitable<void> shutdown_controller::Stop() {
-  const auto start = std::chrono::steady_clock::now();
   base::Log(kCategory, log_event::kStopRequested,
             {{"active", ActiveRequests()}});
   stopping_ = true;
+  core_.stop = decisions::PlanStop(std::chrono::steady_clock::now(),
+                                   core_.settings.stop_grace);
   on_started_();
   callers_.CloseAfterAnswers();
   relays_.CloseAfterAnswers();
-  asio::steady_timer timer(core_.context);
-  bool drained = false;
-  while (true) {
-    const auto elapsed = std::chrono::steady_clock::now() - start;
-    if (elapsed >= kAcceptAllPeriod)
-      core_.stops_at = start + core_.settings.stop_grace - kKillMargin;
-    if (elapsed >= kAcceptPeriod && !drained) {
-      drained = true;
-      callers_.Drain();
-      relays_.Drain();
-    }
-    const bool idle = drained && ActiveRequests() == 0;
-    if (idle || elapsed >= core_.settings.stop_grace - kKillMargin)
-      break;
-    timer.expires_after(kStopCheckInterval);
-    co_await timer.async_wait(kAwait);
-  }
+  co_await WaitUntil(core_.stop->closes_at, false);
+  callers_.Drain();
+  relays_.Drain();
+  co_await WaitUntil(core_.stop->answers_at, true);
+  const std::int64_t late = ActiveRequests();
+  AnswerAll();
+  co_await WaitUntil(core_.stop->ends_at, true);
   const std::int64_t active = ActiveRequests();
   base::Log(kCategory,
             active == 0 ? log_event::kProgramStopped : log_event::kStopCutShort,
-            {{"active", active}});
+            {{"active", active}, {"answered_at_end", late - active}});
   core_.context.stop();
 }
 
+asio::awaitable<void> shutdown_controller::WaitUntil(base::time_point moment,
+                                                     bool ends_when_idle) {
+  asio::steady_timer timer(core_.context);
+  while (!ends_when_idle || ActiveRequests() > 0) {
+    const auto now = std::chrono::steady_clock::now();
+    if (now >= moment)
+      co_return;
+    timer.expires_at(std::min(now + kStopCheckInterval, moment));
+    co_await timer.async_wait(kAwait);
+  }
+}
+
+void shutdown_controller::AnswerAll() {
+  // An answer may end its request, which removes it from the list.
+  const auto answers = core_.final_answers;
+  for (const auto& answer : answers)
+    answer();
+}
+
 }  // namespace valeledge::host
--- a/src/host/process/shutdown_controller.h
+++ b/src/host/process/shutdown_controller.h
@@ -1,6 +1,6 @@
 // SPDX-License-Identifier: MIT
-// Stops a host gracefully: notifies other hosts, finishes requests in progress,
-// and accepts new requests while callers still send them.
+// Stops a host gracefully: notifies other hosts, accepts requests that end in
+// time while callers still send them, and answers all that it has accepted.
 #ifndef VALELEDGE_HOST_PROCESS_SHUTDOWN_CONTROLLER_H_
 #define VALELEDGE_HOST_PROCESS_SHUTDOWN_CONTROLLER_H_
 
@@ -31,6 +31,11 @@
  private:
   boost::asio::awaitable<void> AwaitSignal();
   boost::asio::awaitable<void> Stop();
+  // Waits until the moment, or until no request is under way.
+  boost::asio::awaitable<void> WaitUntil(base::time_point moment,
+                                         bool ends_when_idle);
+  // Answers what is still under way without its server's response.
+  void AnswerAll();
   std::int64_t ActiveRequests() const {
     return callers_.active_requests() + relays_.active_requests();
   }
--- a/src/host/request/deadline_responder.h
+++ b/src/host/request/deadline_responder.h
@@ -33,6 +33,8 @@
   // before it finds its caller gone. To be called at most once.
   void SetDeadline(base::time_point deadline,
                    std::function<net::http_response()> make_late_response);
+  // Ends the request now, as if it were late.
+  void EndNow() { EndLate(); }
   // The request has ended: waits until a response to a late one has been sent.
   boost::asio::awaitable<void> Close();
 
--- a/src/host/request/failure_response.cc
+++ b/src/host/request/failure_response.cc
@@ -1,6 +1,8 @@
 // SPDX-License-Identifier: MIT
 #include "host/request/failure_response.h"
 
+#include <chrono>
+
 #include "host/request/http_forwarding.h"
 #include "host/request/peer_relay.h"
 #include "host/request/request_trace.h"
@@ -19,6 +21,18 @@
   const bool is_at_server = state.trace.wait == request_wait::kResponseHeader ||
                             state.trace.wait == request_wait::kResponseBody;
   const bool may_have_run = is_at_server || state.possible_executions > 0;
+  const bool is_stopped = state.core.stop && std::chrono::steady_clock::now() >=
+                                                 state.core.stop->answers_at;
+  if (is_stopped) {
+    const base::error stopped =
+        may_have_run
+            ? base::MakeError(base::result_code::kOutcomeUnknown,
+                              base::outcome::kUnknown,
+                              "this host stops before the response is complete")
+            : LeavingError();
+    LogRefused(state.core, state.routed, state.trace, stopped);
+    return MakeFailureResponse(state.routed, stopped);
+  }
   const base::error failed =
       may_have_run ? base::MakeError(base::result_code::kDeadlinePassed,
                                      base::outcome::kUnknown,
--- a/src/host/request/relay.cc
+++ b/src/host/request/relay.cc
@@ -40,6 +40,7 @@
                                                            bool ran) {
   std::optional<decisions::relay_peer> peer;
   std::optional<server_choice> choice;
+  BoundByStop(state.core, state.routed);
   while (!peer && !choice) {
     if (state.core.paths != nullptr && !state.routed.is_relayed)
       peer = state.core.paths->ChooseRelay(state.routed.service->name,
@@ -231,7 +232,13 @@
       std::make_shared<deadline_responder>(core.context, responder);
   request_state state(core, request, *bounded);
   state.routed.is_relayed = origin == request_origin::kPeer;
+  const auto final_answer = core.final_answers.insert(
+      core.final_answers.end(), [weak = std::weak_ptr(bounded)] {
+        if (const auto under_way = weak.lock())
+          under_way->EndNow();
+      });
   co_await Serve(state);
+  core.final_answers.erase(final_answer);
   co_await bounded->Close();
 }
 
--- a/src/host/request/routed_request.cc
+++ b/src/host/request/routed_request.cc
@@ -62,7 +62,8 @@
   milliseconds allowed = routed.route->timeout;
   if (metadata.deadline)
     allowed = std::min(allowed, *metadata.deadline);
-  routed.deadline = routed.arrived + allowed;
+  routed.caller_deadline = routed.arrived + allowed;
+  routed.deadline = routed.caller_deadline;
   const bool of_model = !metadata.model.empty();
   routed.demand =
       of_model
@@ -104,8 +105,18 @@
 
 std::optional<base::error> CheckStopDeadline(const host_core& core,
                                              const routed_request& routed) {
-  if (!core.stops_at || routed.deadline <= *core.stops_at)
+  if (!core.stop)
     return std::nullopt;
+  const bool must_end = routed.route->kind == catalog::route_kind::kOnce;
+  const bool is_taken =
+      decisions::TakesRequest(*core.stop, routed.caller_deadline, must_end,
+                              std::chrono::steady_clock::now());
+  if (is_taken)
+    return std::nullopt;
+  return LeavingError();
+}
+
+base::error LeavingError() {
   auto leaving =
       base::MakeError(base::result_code::kLeaving, base::outcome::kNotRun,
                       "this host is shutting down");
@@ -113,6 +124,11 @@
   return leaving;
 }
 
+void BoundByStop(const host_core& core, routed_request& routed) {
+  if (core.stop)
+    routed.deadline = std::min(routed.deadline, core.stop->answers_at);
+}
+
 base::error NoRouteError(const host_core& core) {
   if (!core.is_stale()) {
     return base::MakeError(base::result_code::kUnknownPath,
--- a/src/host/request/routed_request.h
+++ b/src/host/request/routed_request.h
@@ -34,6 +34,8 @@
   bool is_relayed = false;
   base::time_point arrived;
   // The caller's deadline or the route's timeout, whichever is earlier.
+  base::time_point caller_deadline;
+  // The same, or the end of this host if that is earlier.
   base::time_point deadline;
   // Time for which the request waited for tokens of its workspace.
   std::chrono::milliseconds token_wait{0};
@@ -67,11 +69,18 @@
 // The name of the caller's workspace; empty if the route does not require one.
 std::string WorkspaceName(const routed_request& routed);
 
-// Returns an error if this host is shutting down and will stop before the
-// request's deadline. Requests that have not been sent yet are then refused.
+// Returns an error if this host is shutting down and does not take the request,
+// which has not been sent yet.
 std::optional<base::error> CheckStopDeadline(const host_core& core,
                                              const routed_request& routed);
 
+// The error of a request that has not run and that this host does not serve any
+// more.
+base::error LeavingError();
+
+// Bounds the time of further attempts by the end of this host.
+void BoundByStop(const host_core& core, routed_request& routed);
+
 // Returns the error for a request without a route. Callers do not retry after
 // kUnknownPath. If the configuration of this host is stale, the error is
 // kNoBackendServer with a retry-after delay, and callers try another host.
--- a/tests/auto/host/relay_world.h
+++ b/tests/auto/host/relay_world.h
@@ -49,6 +49,14 @@
   return "id: " + std::to_string(id) + "\ndata: x\n\n";
 }
 
+// A stop that takes nothing that may end later than `answers_at`.
+inline decisions::planned_stop StopAt(base::time_point answers_at) {
+  decisions::planned_stop stop;
+  stop.refuses_from = std::chrono::steady_clock::now();
+  stop.answers_at = answers_at;
+  return stop;
+}
+
 // The response as received by the caller.
 struct received_response {
   bool done = false;
--- a/tests/auto/host/test_engine_queue_search.cc
+++ b/tests/auto/host/test_engine_queue_search.cc
@@ -163,7 +163,7 @@
   WaitForWithdrawal(world);
   const auto seen = world.SendRequest("/safe/", [&](fake_responder&) {
     if (!world.asked.empty())
-      world.core->stops_at = std::chrono::steady_clock::now();
+      world.core->stop = StopAt(std::chrono::steady_clock::now());
   });
   BOOST_TEST(seen.status == 503);
   BOOST_TEST(world.first.requests.empty());
--- a/tests/auto/host/test_limit_wait_charges.cc
+++ b/tests/auto/host/test_limit_wait_charges.cc
@@ -128,7 +128,7 @@
   waiting_world here;
   std::optional<base::error> ended;
   here.while_waiting = [&] {
-    here.core->stops_at = std::chrono::steady_clock::now();
+    here.core->stop = StopAt(std::chrono::steady_clock::now());
     ended = here.waits.back()->check();
   };
   BOOST_TEST(here.SendRequest("/once/").status == 503);
--- a/tests/auto/host/test_relay.cc
+++ b/tests/auto/host/test_relay.cc
@@ -314,23 +314,55 @@
   const received_response seen =
       here.SendRequest("/stream/", [&](fake_responder&) {
         if (std::chrono::steady_clock::now() >= now + milliseconds(100))
-          here.core->stops_at = now + here.timeout / 2;
+          here.core->stop = StopAt(now + here.timeout / 2);
       });
   BOOST_TEST(seen.status == 503);
   BOOST_TEST(here.first.requests.empty());
   BOOST_TEST((std::chrono::steady_clock::now() < now + milliseconds(400)));
 }
 
+// Guards against attempts whose response cannot come before the host ends.
+BOOST_AUTO_TEST_CASE(a_server_of_a_stopping_host_gets_the_time_until_its_end) {
+  relay_world here;
+  here.AddServer("i-1", here.first.address());
+  const auto now = std::chrono::steady_clock::now();
+  here.core->stop = StopAt(now + here.timeout / 2);
+  here.core->stop->refuses_from = now + here.timeout;
+  BOOST_TEST(here.SendRequest("/safe/").status == 200);
+  const std::string left(here.first.requests.front()["X-Deadline-Ms"]);
+  BOOST_TEST(std::stoi(left) <= (here.timeout / 2).count());
+}
+
+// Guards against connections closed without a response at the end of a stop.
+BOOST_AUTO_TEST_CASE(a_request_under_way_is_answered_when_its_host_ends) {
+  for (const std::string path : {"/once/", "/safe/", "/stream/"}) {
+    relay_world here;
+    here.AddServer("i-1", here.first.address());
+    here.first.holds_responses = true;
+    const auto seen = here.SendRequest(path, [&](fake_responder&) {
+      if (here.first.requests.empty() || here.core->stop)
+        return;
+      here.core->stop = StopAt(std::chrono::steady_clock::now());
+      const auto answers = here.core->final_answers;
+      for (const auto& answer : answers)
+        answer();
+    });
+    BOOST_TEST(seen.status == 502);
+    BOOST_TEST(seen.body.find("unknown") != std::string::npos);
+    BOOST_TEST(here.core->final_answers.empty());
+  }
+}
+
 // A stopping host accepts only requests whose deadline is before its stop time.
 BOOST_AUTO_TEST_CASE(a_request_that_may_outlast_a_stopping_host_is_refused) {
   relay_world here;
   here.AddServer("i-1", here.first.address());
   const auto now = std::chrono::steady_clock::now();
-  here.core->stops_at = now + here.timeout / 2;
+  here.core->stop = StopAt(now + here.timeout / 2);
   BOOST_TEST(here.SendRequest("/stream/").status == 503);
   BOOST_TEST(here.SendRequest("/once/").status == 503);
   BOOST_TEST(here.first.requests.empty());
-  here.core->stops_at = now + 4 * here.timeout;
+  here.core->stop = StopAt(now + 4 * here.timeout);
   BOOST_TEST(here.SendRequest("/once/").status == 200);
 }
 
