--- a/src/decisions/planned_stop.cc
+++ b/src/decisions/planned_stop.cc
@@ -20,20 +20,20 @@
 
 // Time before SIGKILL in which the last responses are written, and the part of
 // it after which the process ends by itself.
-constexpr milliseconds kMaxAnswerMargin{400};
-constexpr int kAnswerMarginDivisor = 5;
+constexpr milliseconds kMaxResponseMargin{400};
+constexpr int kResponseMarginDivisor = 5;
 constexpr int kEndMarginDivisor = 4;
 
 }  // namespace
 
 planned_stop PlanStop(planned_stop::time_point begin, milliseconds grace) {
   const milliseconds margin =
-      std::min(kMaxAnswerMargin, grace / kAnswerMarginDivisor);
+      std::min(kMaxResponseMargin, grace / kResponseMarginDivisor);
   planned_stop stop;
   stop.refuses_from =
       begin + std::min(kMaxTakingPeriod, grace / kTakingDivisor);
-  stop.answers_at = begin + grace - margin;
-  stop.closes_at = std::min(begin + kMaxOpenPeriod, stop.answers_at);
+  stop.responds_at = begin + grace - margin;
+  stop.closes_at = std::min(begin + kMaxOpenPeriod, stop.responds_at);
   stop.ends_at = begin + grace - margin / kEndMarginDivisor;
   return stop;
 }
@@ -42,7 +42,7 @@
                   planned_stop::time_point deadline,
                   bool must_end,
                   planned_stop::time_point now) {
-  if (deadline <= stop.answers_at)
+  if (deadline <= stop.responds_at)
     return true;
   return !must_end && now < stop.refuses_from;
 }
--- a/src/decisions/planned_stop.h
+++ b/src/decisions/planned_stop.h
@@ -1,6 +1,6 @@
 // SPDX-License-Identifier: MIT
-// When a host that is being stopped takes requests, and when it answers what is
-// still under way, for any time until it is killed.
+// When a host that is being stopped takes requests, and when it ends those that
+// are still under way, for any time until it is killed.
 #ifndef VALELEDGE_DECISIONS_PLANNED_STOP_H_
 #define VALELEDGE_DECISIONS_PLANNED_STOP_H_
 
@@ -16,8 +16,8 @@
   time_point refuses_from;
   // No new connections are accepted, and idle ones are closed.
   time_point closes_at;
-  // What is still under way is answered without its server's response.
-  time_point answers_at;
+  // What is still under way gets a response of the host itself.
+  time_point responds_at;
   // The process ends.
   time_point ends_at;
 };
--- a/src/host/constants.h
+++ b/src/host/constants.h
@@ -41,8 +41,8 @@
 inline constexpr std::chrono::milliseconds kPathRetryAfter{500};
 
 // Parts of the process's memory that requests, responses of servers and
-// answers of the store may hold, each over all that are under way. The rest is
-// for what the host knows, and for copies that do not last.
+// responses of the store may hold, each over all that are under way. The rest
+// is for what the host knows, and for copies that do not last.
 inline constexpr std::int64_t kRequestMemoryDivisor = 8;
 inline constexpr std::int64_t kResponseMemoryDivisor = 4;
 inline constexpr std::int64_t kStoreMemoryDivisor = 8;
--- a/src/host/process/host_core.h
+++ b/src/host/process/host_core.h
@@ -78,7 +78,7 @@
   request_log log{metrics};
   server_registry servers;
   demand_tracker demand;
-  // What all requests hold that are being received or answered, and all
+  // What all requests hold that are being received or served, and all
   // responses that are being read or passed on.
   const std::shared_ptr<base::memory_budget> request_memory;
   const std::shared_ptr<base::memory_budget> response_memory;
@@ -140,8 +140,8 @@
   std::function<bool()> is_stale = [] { return false; };
   // Set during a stop.
   std::optional<decisions::planned_stop> stop;
-  // Each answers one request under way without its server's response.
-  std::list<std::function<void()>> final_answers;
+  // Each ends one request under way with a response of this host.
+  std::list<std::function<void()>> final_responses;
   // Records the outcome of an attempt at an engine for its shared estimate. If
   // unset, none is shared.
   std::function<void(known_server& server,
--- a/src/host/process/shutdown_controller.cc
+++ b/src/host/process/shutdown_controller.cc
@@ -63,14 +63,14 @@
   co_await WaitUntil(core_.stop->closes_at, false);
   callers_.Drain();
   relays_.Drain();
-  co_await WaitUntil(core_.stop->answers_at, true);
+  co_await WaitUntil(core_.stop->responds_at, true);
   const std::int64_t late = ActiveRequests();
-  AnswerAll();
+  RespondToAll();
   co_await WaitUntil(core_.stop->ends_at, true);
   const std::int64_t active = ActiveRequests();
   base::Log(kCategory,
             active == 0 ? log_event::kProgramStopped : log_event::kStopCutShort,
-            {{"active", active}, {"answered_at_end", late - active}});
+            {{"active", active}, {"responded_at_end", late - active}});
   core_.context.stop();
 }
 
@@ -86,11 +86,11 @@
   }
 }
 
-void shutdown_controller::AnswerAll() {
-  // An answer may end its request, which removes it from the list.
-  const auto answers = core_.final_answers;
-  for (const auto& answer : answers)
-    answer();
+void shutdown_controller::RespondToAll() {
+  // A response may end its request, which removes it from the list.
+  const auto responses = core_.final_responses;
+  for (const auto& send : responses)
+    send();
 }
 
 }  // namespace valeledge::host
--- a/src/host/process/shutdown_controller.h
+++ b/src/host/process/shutdown_controller.h
@@ -1,6 +1,6 @@
 // SPDX-License-Identifier: MIT
 // Stops a host gracefully: notifies other hosts, accepts requests that end in
-// time while callers still send them, and answers all that it has accepted.
+// time while callers still send them, and responds to all of them.
 #ifndef VALELEDGE_HOST_PROCESS_SHUTDOWN_CONTROLLER_H_
 #define VALELEDGE_HOST_PROCESS_SHUTDOWN_CONTROLLER_H_
 
@@ -34,8 +34,8 @@
   // Waits until the moment, or until no request is under way.
   boost::asio::awaitable<void> WaitUntil(base::time_point moment,
                                          bool ends_when_idle);
-  // Answers what is still under way without its server's response.
-  void AnswerAll();
+  // Ends what is still under way with a response of this host.
+  void RespondToAll();
   std::int64_t ActiveRequests() const {
     return callers_.active_requests() + relays_.active_requests();
   }
--- a/src/host/request/failure_response.cc
+++ b/src/host/request/failure_response.cc
@@ -22,7 +22,7 @@
                             state.trace.wait == request_wait::kResponseBody;
   const bool may_have_run = is_at_server || state.possible_executions > 0;
   const bool is_stopped = state.core.stop && std::chrono::steady_clock::now() >=
-                                                 state.core.stop->answers_at;
+                                                 state.core.stop->responds_at;
   if (is_stopped) {
     const base::error stopped =
         may_have_run
--- a/src/host/request/relay.cc
+++ b/src/host/request/relay.cc
@@ -232,13 +232,13 @@
       std::make_shared<deadline_responder>(core.context, responder);
   request_state state(core, request, *bounded);
   state.routed.is_relayed = origin == request_origin::kPeer;
-  const auto final_answer = core.final_answers.insert(
-      core.final_answers.end(), [weak = std::weak_ptr(bounded)] {
+  const auto final_response = core.final_responses.insert(
+      core.final_responses.end(), [weak = std::weak_ptr(bounded)] {
         if (const auto under_way = weak.lock())
           under_way->EndNow();
       });
   co_await Serve(state);
-  core.final_answers.erase(final_answer);
+  core.final_responses.erase(final_response);
   co_await bounded->Close();
 }
 
--- a/src/host/request/routed_request.cc
+++ b/src/host/request/routed_request.cc
@@ -126,7 +126,7 @@
 
 void BoundByStop(const host_core& core, routed_request& routed) {
   if (core.stop)
-    routed.deadline = std::min(routed.deadline, core.stop->answers_at);
+    routed.deadline = std::min(routed.deadline, core.stop->responds_at);
 }
 
 base::error NoRouteError(const host_core& core) {
--- a/src/net/http_client.cc
+++ b/src/net/http_client.cc
@@ -22,7 +22,7 @@
 
 namespace detail {
 
-// Largest header of an answer.
+// Largest header of a response.
 constexpr std::uint32_t kAnswerHeaderBytes = 64 * 1024;
 
 struct connection {
@@ -60,7 +60,7 @@
 // Bytes read from a streamed answer at a time.
 constexpr std::size_t kPieceBytes = 4 * 1024;
 
-// What all answers of a client may hold, if nothing else is said.
+// What all responses to a client may hold, if nothing else is said.
 constexpr std::int64_t kDefaultMemory = kMaxAnswerBytes;
 
 // A header is held as it was received and as it is passed on.
@@ -176,7 +176,7 @@
       pool->bytes += static_cast<std::int64_t>(read);
   }
 
-  // Updates the share; false if the answer has to give way.
+  // Updates the share; false if the response has to give way.
   bool Charge() {
     return share->Resize(static_cast<std::int64_t>(link->buffer.capacity()) +
                          kCopiesOfHeader * header_bytes + body_bytes);
@@ -390,7 +390,7 @@
   const auto read_failed = co_await ReadHeader(*state);
   if (read_failed) {
     const std::string_view what =
-        state->share->gave_way() ? "no memory for the answer" : "no answer";
+        state->share->gave_way() ? "no memory for the response" : "no answer";
     co_return Broken(result_code::kOutcomeUnknown,
                      Explain(where, what, read_failed), read_failed);
   }
--- a/src/net/http_client.h
+++ b/src/net/http_client.h
@@ -31,7 +31,7 @@
 // Largest answer, in bytes, that is read whole from anyone.
 inline constexpr std::int64_t kMaxAnswerBytes = 64 * 1024 * 1024;
 
-// The same for answers that are known to be small.
+// The same for what is known to be small.
 inline constexpr std::int64_t kMaxSmallAnswerBytes = 1024 * 1024;
 
 // One request and its answer, read piece by piece. Created by a client; a
@@ -120,7 +120,7 @@
   kFresh,
 };
 
-// How long a whole answer may take, and its size.
+// How long a whole response may take, and its size.
 struct answer_limit {
   // Until the answer begins, and between any two parts of it.
   std::chrono::microseconds silence;
@@ -146,13 +146,13 @@
 // `unknown` otherwise.
 class http_client {
  public:
-  // `memory` bounds what all answers hold that are being read; if null, the
+  // `memory` bounds what all responses hold that are being read; if null, the
   // client has a bound of its own.
   explicit http_client(boost::asio::io_context& context,
                        std::shared_ptr<base::memory_budget> memory = nullptr);
   ~http_client();
 
-  // Sends a request and reads the whole answer, which is small.
+  // Sends a request and reads the whole response, which is small.
   boost::asio::awaitable<base::result<http_response>> Fetch(
       base::endpoint where,
       http_request request,
--- a/src/net/http_server.cc
+++ b/src/net/http_server.cc
@@ -149,7 +149,7 @@
   asio::awaitable<bool> AwaitRequest();
   asio::awaitable<boost::system::error_code> Receive(request_parser& parser,
                                                      base::memory_share& share);
-  asio::awaitable<void> Answer(http_request& request);
+  asio::awaitable<void> Handle(http_request& request);
   asio::awaitable<void> Refuse(const boost::system::error_code& failed);
   asio::awaitable<void> Watch(std::uint64_t request);
   asio::awaitable<bool> WriteRaw(std::string bytes);
@@ -362,7 +362,7 @@
     co_return false;
   }
   http_request request = parser.release();
-  co_await Answer(request);
+  co_await Handle(request);
   if (!stream_.socket().is_open())
     co_return false;
   boost::system::error_code ignored;
@@ -370,7 +370,7 @@
   co_return keep_alive_ && !gone_ && !server_->draining;
 }
 
-asio::awaitable<void> session::Answer(http_request& request) {
+asio::awaitable<void> session::Handle(http_request& request) {
   keep_alive_ = request.keep_alive();
   stream_.expires_never();
   in_handler_ = true;
--- a/src/net/http_server.h
+++ b/src/net/http_server.h
@@ -72,7 +72,7 @@
 class http_server {
  public:
   // `memory` bounds what all requests hold that are being received or
-  // answered; if null, the server has a bound of its own.
+  // served; if null, the server has a bound of its own.
   http_server(boost::asio::io_context& context,
               http_limits limits,
               http_handler handler,
--- a/src/store/kv_client.h
+++ b/src/store/kv_client.h
@@ -111,8 +111,8 @@
   // the whole instead, hosts on narrow links took the service for silent while
   // it was answering them, and asked for everything again.
   std::chrono::microseconds timeout = std::chrono::seconds(2);
-  // What all answers hold that are being read, in bytes.
-  std::int64_t answer_bytes = 64 * 1024 * 1024;
+  // What all responses hold that are being read, in bytes.
+  std::int64_t response_bytes = 64 * 1024 * 1024;
 };
 
 // Calls of one process to a key-value service, whatever its dialect. Errors:
--- a/tests/auto/decisions/test_planned_stop.cc
+++ b/tests/auto/decisions/test_planned_stop.cc
@@ -23,9 +23,9 @@
   for (const milliseconds grace : kGraces) {
     const planned_stop stop = PlanStop(begin, grace);
     BOOST_TEST((begin < stop.refuses_from));
-    BOOST_TEST((stop.refuses_from < stop.answers_at));
-    BOOST_TEST((stop.closes_at <= stop.answers_at));
-    BOOST_TEST((stop.answers_at < stop.ends_at));
+    BOOST_TEST((stop.refuses_from < stop.responds_at));
+    BOOST_TEST((stop.closes_at <= stop.responds_at));
+    BOOST_TEST((stop.responds_at < stop.ends_at));
     BOOST_TEST((stop.ends_at < begin + grace));
   }
 }
@@ -38,7 +38,7 @@
     for (auto now = begin; now < stop.ends_at; now += 50ms) {
       for (const milliseconds time : {100ms, 1000ms, 3000ms, 8000ms}) {
         const bool is_taken = TakesRequest(stop, now + time, true, now);
-        BOOST_TEST(is_taken == (now + time <= stop.answers_at));
+        BOOST_TEST(is_taken == (now + time <= stop.responds_at));
       }
     }
   }
--- a/tests/auto/host/relay_world.h
+++ b/tests/auto/host/relay_world.h
@@ -49,11 +49,11 @@
   return "id: " + std::to_string(id) + "\ndata: x\n\n";
 }
 
-// A stop that takes nothing that may end later than `answers_at`.
-inline decisions::planned_stop StopAt(base::time_point answers_at) {
+// A stop that takes nothing that may end later than `responds_at`.
+inline decisions::planned_stop StopAt(base::time_point responds_at) {
   decisions::planned_stop stop;
   stop.refuses_from = std::chrono::steady_clock::now();
-  stop.answers_at = answers_at;
+  stop.responds_at = responds_at;
   return stop;
 }
 
--- a/tests/auto/host/test_relay.cc
+++ b/tests/auto/host/test_relay.cc
@@ -343,13 +343,13 @@
       if (here.first.requests.empty() || here.core->stop)
         return;
       here.core->stop = StopAt(std::chrono::steady_clock::now());
-      const auto answers = here.core->final_answers;
-      for (const auto& answer : answers)
-        answer();
+      const auto responses = here.core->final_responses;
+      for (const auto& send : responses)
+        send();
     });
     BOOST_TEST(seen.status == 502);
     BOOST_TEST(seen.body.find("unknown") != std::string::npos);
-    BOOST_TEST(here.core->final_answers.empty());
+    BOOST_TEST(here.core->final_responses.empty());
   }
 }
 
