--- a/src/decisions/planned_stop.cc
+++ b/src/decisions/planned_stop.cc
@@ -20,9 +20,9 @@
 
 // Time before SIGKILL in which the last responses are written, and the part of
 // it after which the process ends by itself.
-constexpr milliseconds kMaxResponseMargin{400};
+constexpr milliseconds kMaxResponseMargin{600};
 constexpr int kResponseMarginDivisor = 5;
-constexpr int kEndMarginDivisor = 4;
+constexpr int kEndMarginDivisor = 2;
 
 }  // namespace
 
