--- a/tests/auto/host/test_attempt_watch.cc
+++ b/tests/auto/host/test_attempt_watch.cc
@@ -240,32 +240,39 @@
   BOOST_TEST(here.RetriesGranted() == 1);
 }
 
-// The rest of a header, which is read in several parts, arrives while the
+// The rest of a header, which is read in parts of 512 bytes, arrives while the
 // attempt is abandoned. The retry was charged, but the first engine's response
-// was used.
+// was used. The moment is found by the number of turns of the event loop.
 BOOST_AUTO_TEST_CASE(an_attempt_abandoned_with_its_header_is_left) {
-  engine_world here;
-  std::string response = kStream;
-  response.insert(response.find("\r\n") + 2,
-                  "X-Long: " + std::string(30'000, 'x') + "\r\n");
-  here.first.script = {{response}};
-  here.first.holds_responses = true;
-  // Keeps the event loop busy until the attempt has exceeded its spread.
-  const auto wait = [&] {
-    while (std::chrono::steady_clock::now() < here.begun + 600ms)
-      continue;
-  };
-  here.After(200ms, [&] {
-    here.first.ReleaseResponses();
-    boost::asio::post(here.context,
-                      [&] { boost::asio::post(here.context, wait); });
-  });
-  const auto seen = here.Send("/resumed/");
-  BOOST_TEST(seen.status == 200);
-  BOOST_TEST(seen.body == kStreamBody);
-  BOOST_TEST(here.Count("spread_exceeded") == 1);
-  BOOST_TEST(here.second.requests.size() == 1u);
-  BOOST_TEST(here.RetriesGranted() == 1);
+  std::int64_t abandoned = 0;
+  for (int turns = 0; turns < 6; ++turns) {
+    engine_world here;
+    std::string response = kStream;
+    response.insert(response.find("\r\n") + 2,
+                    "X-Long: " + std::string(600, 'x') + "\r\n");
+    here.first.script = {{response}};
+    here.first.holds_responses = true;
+    // Keeps the event loop busy until the attempt has exceeded its spread.
+    std::function<void(int)> wait = [&](int left) {
+      if (left > 0)
+        boost::asio::post(here.context, [&wait, left] { wait(left - 1); });
+      while (left == 0 &&
+             std::chrono::steady_clock::now() < here.begun + 600ms) {
+      }
+    };
+    here.After(200ms, [&] {
+      here.first.ReleaseResponses();
+      wait(turns);
+    });
+    const auto seen = here.Send("/resumed/");
+    const auto left = here.Count("spread_exceeded");
+    BOOST_TEST(seen.status == 200);
+    BOOST_TEST(seen.body == kStreamBody);
+    BOOST_TEST(here.second.requests.size() == static_cast<std::size_t>(left));
+    BOOST_TEST(here.RetriesGranted() == left);
+    abandoned += left;
+  }
+  BOOST_TEST(abandoned > 0);
 }
 
 BOOST_AUTO_TEST_CASE(an_attempt_is_kept_while_no_other_engine_is_free) {
