--- a/tests/soak/test_endless_messages.py
+++ b/tests/soak/test_endless_messages.py
@@ -71,29 +71,26 @@
         for host in self.site.hosts:
             self.assertTrue(host.alive())
 
-    async def test_responses_of_plain_servers(self):
+    async def play_each(self, servers, attribute, judged):
+        """The servers send each kind of message without an end in turn."""
         for what in backends.FLOODS:
-            for server in self.site.servers[-3:]:
-                server.floods = what
+            for server in servers:
+                setattr(server, attribute, what)
             self.stopping = False
             print(what, flush=True)
-            await self.play([deployment.STREAM, deployment.RESUMABLE])
+            await self.play(judged)
+
+    async def test_responses_of_plain_servers(self):
+        await self.play_each(self.site.servers[-3:], "floods",
+                             [deployment.STREAM, deployment.RESUMABLE])
 
     async def test_responses_of_one_engine_in_three(self):
-        for what in backends.FLOODS:
-            for engine in self.site.engines[::3]:
-                engine.floods = what
-            self.stopping = False
-            print(what, flush=True)
-            await self.play([deployment.SAFE, deployment.ONCE])
+        await self.play_each(self.site.engines[::3], "floods",
+                             [deployment.SAFE, deployment.ONCE])
 
     async def test_answers_of_engines_to_reports_and_orders(self):
-        for what in backends.FLOODS:
-            for engine in self.site.engines:
-                engine.floods_control = what
-            self.stopping = False
-            print(what, flush=True)
-            await self.play([deployment.SAFE, deployment.ONCE])
+        await self.play_each(self.site.engines, "floods_control",
+                             [deployment.SAFE, deployment.ONCE])
 
     async def send_without_end(self, host, what):
         start, more = REQUESTS[what]
