Planned stop: a grace of 12 s in the test; two comments in plain terms

hosts_planned_stop played graces of 3, 4 and 8 s only. The comments in memory_budget said neither what is not called nor what is chosen; no code changes.

--- a/src/base/memory_budget.cc
+++ b/src/base/memory_budget.cc
@@ -52,7 +52,7 @@
   while (grows && !gave_way_ && budget_->held_ > Limit()) {
     const auto& others = budget_->by_size_;
     memory_share* largest = others.empty() ? this : others.rbegin()->second;
-    // The owner of this one is told by the result.
+    // Resize() returns false instead of calling the action.
     if (largest == this)
       give_way_ = nullptr;
     largest->MakeGiveWay();
--- a/src/base/memory_budget.h
+++ b/src/base/memory_budget.h
@@ -61,7 +61,7 @@
   bool gave_way() const { return gave_way_; }
 
  private:
-  // Whether the message may be chosen to give way to others.
+  // Whether the message is a candidate when others need memory.
   bool IsListed() const;
   // Bytes that all messages may hold for this one to grow.
   std::int64_t Limit() const;
--- a/tests/soak/test_planned_stop.py
+++ b/tests/soak/test_planned_stop.py
@@ -32,7 +32,7 @@
         return ARGS
 
     def prepare(self):
-        hosts.GRACE_S = next(float(grace) for grace in (3, 4, 8)
+        hosts.GRACE_S = next(float(grace) for grace in (3, 4, 8, 12)
                              if f"grace_of_{grace}_s" in self.id())
         soak.SLOTS = SLOTS
         deployment.set_timeouts(TIMEOUT_S)
@@ -64,6 +64,9 @@
     async def test_what_ran_is_answered_within_a_grace_of_8_s(self):
         await self.play()
 
+    async def test_what_ran_is_answered_within_a_grace_of_12_s(self):
+        await self.play()
+
 
 if __name__ == "__main__":
     parser = argparse.ArgumentParser()
