Tests: a host outlives the requests that another host relayed to it

The case is a_stream_is_relayed_event_by_event: since responses are read part by part, the relaying host has the end of the stream before the handler of the other host's last write has run, and the case ends there.

lost_world now runs the event loop until the other host has ended its requests. No check was changed.

--- a/tests/auto/host/lost_world.h
+++ b/tests/auto/host/lost_world.h
@@ -4,6 +4,7 @@
 #ifndef VALELEDGE_TESTS_AUTO_HOST_LOST_WORLD_H_
 #define VALELEDGE_TESTS_AUTO_HOST_LOST_WORLD_H_
 
+#include <chrono>
 #include <memory>
 #include <utility>
 #include <vector>
@@ -52,6 +53,14 @@
     relay_port = started->port;
   }
 
+  // The caller may have the whole response before `other` has ended the
+  // request, which refers to its host.
+  ~lost_world() {
+    while (relays.active_requests() > 0 &&
+           loop->run_one_for(std::chrono::seconds(20)) > 0) {
+    }
+  }
+
   std::size_t ServerRequests() const {
     return other.first.requests.size() + other.second.requests.size();
   }
