Gateway: a stop that ends before its work responds to every caller

Callers saw their connections closed with no response when a gateway of the three programs was stopped and stop.deadline, or a second signal, came before their requests had ended, among them requests that run at most once.

Cause: the program waited for its work and then left its event loops; nothing responded to what was still in flight.

Change: 0.6 s before stop.deadline, or at a second signal, a program has its process respond to all callers. The gateway's frontends keep an action for each request, which ends it with 502 (3005), outcome unknown, whatever it waits for; a stream that has begun is broken off, as before. deadline_responder, which does that in the hosts, moves to net without a change of what it does there.

--- a/src/gateway/process/caller_frontend.cc
+++ b/src/gateway/process/caller_frontend.cc
@@ -10,6 +10,7 @@
 #include "gateway/request/chat_exchange.h"
 #include "gateway/request/responses.h"
 #include "gateway/request/service_exchange.h"
+#include "net/deadline_responder.h"
 
 namespace valeledge::gateway {
 
@@ -63,6 +64,15 @@
   thread_.Submit([this] { server_->Drain(); });
 }
 
+void caller_frontend::RespondToAll() {
+  thread_.Submit([this] {
+    // A response may end its request, which removes it from the list.
+    const auto responses = final_responses_;
+    for (const auto& send : responses)
+      send();
+  });
+}
+
 void caller_frontend::Stop() {
   thread_.Stop();
 }
@@ -84,8 +94,24 @@
 asio::awaitable<void> caller_frontend::Handle(net::http_request& request,
                                               net::http_responder& responder) {
   std::string path(request.target().data(), request.target().size());
+  const auto bounded =
+      std::make_shared<net::deadline_responder>(thread_.context(), responder);
+  bounded->SetLateResponse([this] {
+    const base::error cut =
+        base::MakeError(result_code::kOutcomeUnknown, base::outcome::kUnknown,
+                        "this gateway has shut down before the request ended");
+    metrics().CountRefusal(cut.code);
+    return ErrorResponse(cut, {});
+  });
+  const auto final_response = final_responses_.insert(
+      final_responses_.end(), [weak = std::weak_ptr(bounded)] {
+        if (const auto in_progress = weak.lock())
+          in_progress->EndNow();
+      });
   ++active_;
-  co_await Dispatch(request, responder, path.substr(0, path.find('?')));
+  co_await Dispatch(request, *bounded, path.substr(0, path.find('?')));
+  final_responses_.erase(final_response);
+  co_await bounded->Close();
   --active_;
 }
 
--- a/src/gateway/process/caller_frontend.h
+++ b/src/gateway/process/caller_frontend.h
@@ -3,6 +3,9 @@
 #ifndef VALELEDGE_GATEWAY_PROCESS_CALLER_FRONTEND_H_
 #define VALELEDGE_GATEWAY_PROCESS_CALLER_FRONTEND_H_
 
+#include <atomic>
+#include <functional>
+#include <list>
 #include <memory>
 #include <random>
 #include <string>
@@ -43,6 +46,9 @@
   base::result<void> Start();
   // Stops accepting connections. Thread-safe.
   void Drain();
+  // Responds to all requests in progress: their outcome is unknown. Streams
+  // that have begun are broken off. Thread-safe.
+  void RespondToAll();
   // Number of requests in progress. Thread-safe.
   std::int64_t active() const { return active_.load(); }
   void Stop();
@@ -80,6 +86,8 @@
   std::unique_ptr<net::http_server> server_;
   std::mt19937_64 random_{std::random_device{}()};
   std::atomic<std::int64_t> active_ = 0;
+  // Each ends one request in progress with a response of the gateway.
+  std::list<std::function<void()>> final_responses_;
 };
 
 }  // namespace valeledge::gateway
--- a/src/gateway/process/gateway.cc
+++ b/src/gateway/process/gateway.cc
@@ -39,6 +39,11 @@
     frontend->Drain();
 }
 
+void gateway::RespondToAll() {
+  for (const auto& frontend : frontends_)
+    frontend->RespondToAll();
+}
+
 bool gateway::IsIdle() const {
   return std::ranges::all_of(
       frontends_, [](const auto& frontend) { return frontend->active() == 0; });
--- a/src/gateway/process/gateway.h
+++ b/src/gateway/process/gateway.h
@@ -18,6 +18,7 @@
   base::result<void> Start();
   void Leave();
   void RefuseNewWork();
+  void RespondToAll();
   bool IsIdle() const;
   void Stop();
 
--- a/src/host/request/relay.cc
+++ b/src/host/request/relay.cc
@@ -14,7 +14,6 @@
 #include "host/constants.h"
 #include "host/process/path_monitor.h"
 #include "host/request/attempt_outcome.h"
-#include "host/request/deadline_responder.h"
 #include "host/request/direct_attempt.h"
 #include "host/request/failure_response.h"
 #include "host/request/peer_attempt.h"
@@ -22,6 +21,7 @@
 #include "host/request/request_state.h"
 #include "host/request/request_trace.h"
 #include "host/request/server_search.h"
+#include "net/deadline_responder.h"
 
 namespace valeledge::host {
 
@@ -229,7 +229,7 @@
                                    net::http_responder& responder,
                                    request_origin origin) {
   const auto bounded =
-      std::make_shared<deadline_responder>(core.context, responder);
+      std::make_shared<net::deadline_responder>(core.context, responder);
   request_state state(core, request, *bounded);
   state.routed.is_relayed = origin == request_origin::kPeer;
   const auto final_response = core.final_responses.insert(
--- a/src/host/request/request_state.h
+++ b/src/host/request/request_state.h
@@ -15,11 +15,11 @@
 #include "host/request/attempt_progress.h"
 #include "host/request/attempt_watch.h"
 #include "host/request/crash_monitor.h"
-#include "host/request/deadline_responder.h"
 #include "host/request/limit_charge.h"
 #include "host/request/request_trace.h"
 #include "host/request/retry_permit.h"
 #include "host/request/routed_request.h"
+#include "net/deadline_responder.h"
 #include "net/http_client.h"
 
 namespace valeledge::host {
@@ -28,7 +28,7 @@
   // The arguments must outlive the state.
   request_state(host_core& core,
                 net::http_request& request,
-                deadline_responder& responder)
+                net::deadline_responder& responder)
       : core(core),
         request(request),
         responder(responder),
@@ -40,7 +40,7 @@
 
   host_core& core;
   net::http_request& request;
-  deadline_responder& responder;
+  net::deadline_responder& responder;
   host::crash_monitor crash_monitor;
   retry_permit permit;
   routed_request routed;
--- a/src/host/request/deadline_responder.cc
+++ b/src/net/deadline_responder.cc
@@ -1,5 +1,5 @@
 // SPDX-License-Identifier: MIT
-#include "host/request/deadline_responder.h"
+#include "net/deadline_responder.h"
 
 #include <chrono>
 #include <utility>
@@ -9,7 +9,7 @@
 #include <boost/asio/detached.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
-namespace valeledge::host {
+namespace valeledge::net {
 
 namespace {
 
@@ -24,13 +24,13 @@
 }  // namespace
 
 deadline_responder::deadline_responder(asio::io_context& context,
-                                       net::http_responder& caller)
+                                       http_responder& caller)
     : caller_(caller), context_(context), timer_(context) {}
 
 void deadline_responder::SetDeadline(
     base::time_point deadline,
-    std::function<net::http_response()> make_late_response) {
-  make_late_response_ = std::move(make_late_response);
+    std::function<http_response()> make_late_response) {
+  SetLateResponse(std::move(make_late_response));
   timer_.expires_at(deadline + kDeadlineMargin);
   timer_.async_wait(
       [weak = weak_from_this()](const boost::system::error_code& cancelled) {
@@ -40,6 +40,11 @@
       });
 }
 
+void deadline_responder::SetLateResponse(
+    std::function<http_response()> make_late_response) {
+  make_late_response_ = std::move(make_late_response);
+}
+
 void deadline_responder::EndLate() {
   // A response that is being sent is delivered, also late.
   const bool has_ended = make_late_response_ == nullptr || has_sent_;
@@ -59,7 +64,7 @@
 }
 
 asio::awaitable<void> deadline_responder::SendLateResponse(
-    net::http_response response) {
+    http_response response) {
   const auto self = shared_from_this();
   response.keep_alive(false);
   co_await caller_.Send(std::move(response));
@@ -77,15 +82,14 @@
     co_await timer_.async_wait(kAwait);
 }
 
-asio::awaitable<bool> deadline_responder::Send(net::http_response response) {
+asio::awaitable<bool> deadline_responder::Send(http_response response) {
   if (caller_gone())
     co_return false;
   has_sent_ = true;
   co_return co_await caller_.Send(std::move(response));
 }
 
-asio::awaitable<bool> deadline_responder::Start(
-    net::http_response_header header) {
+asio::awaitable<bool> deadline_responder::Start(http_response_header header) {
   if (caller_gone())
     co_return false;
   has_started_ = true;
@@ -127,4 +131,4 @@
   });
 }
 
-}  // namespace valeledge::host
+}  // namespace valeledge::net
--- a/src/node/daemon_main.h
+++ b/src/node/daemon_main.h
@@ -1,6 +1,6 @@
 // SPDX-License-Identifier: MIT
 // The main function of a program whose process has Start, Leave,
-// RefuseNewWork, IsIdle and Stop.
+// RefuseNewWork, IsIdle and Stop; and RespondToAll, if it serves callers.
 #ifndef VALELEDGE_NODE_DAEMON_MAIN_H_
 #define VALELEDGE_NODE_DAEMON_MAIN_H_
 
@@ -28,6 +28,8 @@
   };
   spec.leave = [&] { process->Leave(); };
   spec.refuse_new_work = [&] { process->RefuseNewWork(); };
+  if constexpr (requires { process->RespondToAll(); })
+    spec.respond_to_all = [&] { process->RespondToAll(); };
   spec.is_idle = [&] { return process->IsIdle(); };
   spec.stop = [&] { process->Stop(); };
   return RunProgram(argc, argv, spec);
--- a/src/node/program.cc
+++ b/src/node/program.cc
@@ -24,6 +24,10 @@
 // How often a stopping program looks whether its work is done.
 constexpr auto kIdleCheck = std::chrono::milliseconds(10);
 
+// Time for the last responses to reach their callers before a stop is cut
+// short.
+constexpr auto kResponseTime = std::chrono::milliseconds(600);
+
 int Exit(exit_status status) {
   return static_cast<int>(status);
 }
@@ -32,20 +36,34 @@
   return spdlog::level::from_str(name);
 }
 
-asio::awaitable<void> WaitUntilIdle(const program& spec, bool* cut_short) {
+// Waits until the work is done, at most for `limit`, or until it is cut short.
+asio::awaitable<void> WaitUntilIdle(const program& spec,
+                                    std::chrono::microseconds limit,
+                                    const bool* cut_short) {
   asio::steady_timer timer(co_await asio::this_coro::executor);
-  const auto deadline =
-      std::chrono::steady_clock::now() + spec.shared->stop_deadline;
-  while (!spec.is_idle() && !*cut_short) {
-    if (std::chrono::steady_clock::now() >= deadline) {
-      *cut_short = true;
+  const auto until = std::chrono::steady_clock::now() + limit;
+  while (!spec.is_idle() && std::chrono::steady_clock::now() < until) {
+    if (cut_short != nullptr && *cut_short)
       break;
-    }
     timer.expires_after(kIdleCheck);
     co_await timer.async_wait(kAwait);
   }
 }
 
+// Waits until the work is done. What is left shortly before the stop deadline,
+// or at a second signal, ends with a response.
+asio::awaitable<void> EndWork(const program& spec, bool* cut_short) {
+  co_await WaitUntilIdle(spec, spec.shared->stop_deadline - kResponseTime,
+                         cut_short);
+  if (spec.is_idle())
+    co_return;
+  *cut_short = true;
+  if (!spec.respond_to_all)
+    co_return;
+  spec.respond_to_all();
+  co_await WaitUntilIdle(spec, kResponseTime, nullptr);
+}
+
 asio::awaitable<void> NoteSecondSignal(asio::signal_set& signals,
                                        bool* cut_short) {
   const auto [failed, number] = co_await signals.async_wait(kAwait);
@@ -64,7 +82,7 @@
   asio::steady_timer notice(context, spec.shared->leave_notice);
   co_await notice.async_wait(kAwait);
   spec.refuse_new_work();
-  co_await WaitUntilIdle(spec, cut_short);
+  co_await EndWork(spec, cut_short);
   signals.cancel();
 }
 
--- a/src/node/program.h
+++ b/src/node/program.h
@@ -35,6 +35,9 @@
   // Announces leaving; new work is refused after the notice.
   std::function<void()> leave;
   std::function<void()> refuse_new_work;
+  // Responds to all callers whose work is in flight, shortly before a stop is
+  // cut short. If unset, there are none.
+  std::function<void()> respond_to_all;
   // Whether no work is in flight any more.
   std::function<bool()> is_idle;
   std::function<void()> stop;
--- a/tests/scenarios/language.py
+++ b/tests/scenarios/language.py
@@ -313,6 +313,12 @@
             if status != 0:
                 raise ScenarioError(f"{name} ended with status {status}")
 
+    def do_ended(self, words):
+        """ended NAME STATUS: until it has ended, with this status."""
+        status = self.system.processes[words[0]].wait(60)
+        if status != int(words[1]):
+            raise ScenarioError(f"{words[0]} ended with status {status}")
+
     def do_cut(self, words):
         for name in words:
             self.relays[name].cut()
