Hosts: what frames between hosts hold has one bound for the process

A host kept 667 MB, where 160 MB are allowed, when 40 connections to its port for other hosts had announced the size of the largest frame, and sent nothing more.

Cause: the size of a frame (16 MB) and what waits to be sent on one connection (64 MB) were bounded for each connection only, and room for a whole frame was made when its size had come.

Change: frames that are being read and what is queued for other hosts are held from one budget, an eighth of the host's memory; the connection that holds most is closed when another needs room. Room for a frame is made as its bytes come. valeledge_message_bytes and valeledge_messages_given_up have the kind frames.

--- a/src/host/constants.h
+++ b/src/host/constants.h
@@ -40,12 +40,13 @@
 // more often.
 inline constexpr std::chrono::milliseconds kPathRetryAfter{500};
 
-// Parts of the process's memory that requests, responses of servers and
-// responses of the store may hold, each over all that are under way. The rest
-// is for what the host knows, and for copies that do not last.
+// Parts of the process's memory that requests, responses of servers, responses
+// of the store and frames between hosts may hold, each over all that are under
+// way. The rest is for what the host knows, and for copies that do not last.
 inline constexpr std::int64_t kRequestMemoryDivisor = 8;
 inline constexpr std::int64_t kResponseMemoryDivisor = 4;
 inline constexpr std::int64_t kStoreMemoryDivisor = 8;
+inline constexpr std::int64_t kPeerMemoryDivisor = 8;
 
 // Maximum gap between events for routes that do not define one.
 inline constexpr std::chrono::milliseconds kDefaultEventGap{300};
--- a/src/host/process/host.cc
+++ b/src/host/process/host.cc
@@ -167,7 +167,8 @@
               },
               [this](wire::envelope call) {
                 return HandleCall(messages_, std::move(call));
-              }}),
+              }},
+             core_.peer_memory),
       paths_(core_, MakePathCallbacks(peers_)),
       snapshots_(core_, mirror_, peers_),
       quarantine_(core_, *store_, MakeQuarantineCallbacks(peers_)),
--- a/src/host/process/host_core.h
+++ b/src/host/process/host_core.h
@@ -65,6 +65,8 @@
             settings.memory_bytes / kRequestMemoryDivisor)),
         response_memory(std::make_shared<base::memory_budget>(
             settings.memory_bytes / kResponseMemoryDivisor)),
+        peer_memory(std::make_shared<base::memory_budget>(
+            settings.memory_bytes / kPeerMemoryDivisor)),
         http(context, response_memory) {
     servers.SetStreamSeparation(settings.features.stream_separation);
   }
@@ -78,10 +80,11 @@
   request_log log{metrics};
   server_registry servers;
   demand_tracker demand;
-  // What all requests hold that are being received or served, and all
-  // responses that are being read or passed on.
+  // What all requests hold that are being received or served, all responses
+  // that are being read or passed on, and all frames from or to other hosts.
   const std::shared_ptr<base::memory_budget> request_memory;
   const std::shared_ptr<base::memory_budget> response_memory;
+  const std::shared_ptr<base::memory_budget> peer_memory;
   net::http_client http;
   std::mt19937_64 random{std::random_device{}()};
   // The active configuration; null until the first one has been received.
--- a/src/host/process/host_gauges.cc
+++ b/src/host/process/host_gauges.cc
@@ -60,7 +60,8 @@
     core.metrics.Gauge("valeledge_told_bytes", kind).Set(bytes);
   for (const auto& [kind, memory] :
        {std::pair{"requests", core.request_memory},
-        std::pair{"responses", core.response_memory}}) {
+        std::pair{"responses", core.response_memory},
+        std::pair{"frames", core.peer_memory}}) {
     core.metrics.Gauge("valeledge_message_bytes", kind).Set(memory->held());
     core.metrics.Gauge("valeledge_messages_given_up", kind)
         .Set(memory->given_up());
--- a/src/host/process/peer_link.cc
+++ b/src/host/process/peer_link.cc
@@ -85,7 +85,8 @@
 
 peer_link::peer_link(asio::io_context& context,
                      const host_settings& settings,
-                     peer_events events)
+                     peer_events events,
+                     const std::shared_ptr<base::memory_budget>& memory)
     : context_(context),
       listen_(settings.peer_listen),
       events_(std::move(events)),
@@ -94,9 +95,9 @@
                  [this](std::string_view bytes, const base::endpoint& from) {
                    Receive(bytes, from);
                  }),
-      channels_(context),
-      snapshot_channels_(context),
-      calls_(context, events_.call) {
+      channels_(context, memory),
+      snapshot_channels_(context, memory),
+      calls_(context, events_.call, memory) {
   configured_seeds_ = gossip_.seeds;
 }
 
--- a/src/host/process/peer_link.h
+++ b/src/host/process/peer_link.h
@@ -20,6 +20,7 @@
 
 #include "base/endpoint.h"
 #include "base/error.h"
+#include "base/memory_budget.h"
 #include "host/host_settings.h"
 #include "membership/gossip.h"
 #include "net/rpc_channel.h"
@@ -45,9 +46,11 @@
 
 class peer_link {
  public:
+  // `memory` bounds what frames from and to other hosts hold.
   peer_link(boost::asio::io_context& context,
             const host_settings& settings,
-            peer_events events);
+            peer_events events,
+            const std::shared_ptr<base::memory_budget>& memory);
   ~peer_link();
 
   base::result<void> Start();
--- a/src/net/rpc_channel.cc
+++ b/src/net/rpc_channel.cc
@@ -58,10 +58,12 @@
     : public std::enable_shared_from_this<rpc_channel_set::channel> {
   channel(asio::io_context& context_in,
           base::endpoint where_in,
-          std::shared_ptr<totals> totals_in)
+          std::shared_ptr<totals> totals_in,
+          std::shared_ptr<base::memory_budget> memory_in)
       : context(context_in),
         where(std::move(where_in)),
-        counted(std::move(totals_in)) {}
+        counted(std::move(totals_in)),
+        memory(std::move(memory_in)) {}
 
   bool IsLinked() const { return link != nullptr && !link->broken; }
   // Waits at most until `until` for the connection. All calls that wait at the
@@ -79,6 +81,7 @@
   asio::io_context& context;
   base::endpoint where;
   std::shared_ptr<totals> counted;
+  std::shared_ptr<base::memory_budget> memory;
   // Null if none is in progress.
   std::shared_ptr<link_attempt> opening;
   std::shared_ptr<detail::frame_link> link;
@@ -111,8 +114,8 @@
 asio::awaitable<void> rpc_channel_set::channel::OpenLink(
     std::shared_ptr<link_attempt> attempt) {
   const auto self = shared_from_this();
-  auto fresh =
-      std::make_shared<detail::frame_link>(asio::ip::tcp::socket(context));
+  auto fresh = std::make_shared<detail::frame_link>(
+      asio::ip::tcp::socket(context), memory);
   asio::steady_timer limit(context, kConnectTimeout);
   limit.async_wait([fresh](const boost::system::error_code& cancelled) {
     boost::system::error_code ignored;
@@ -156,9 +159,7 @@
     found->second->done.cancel();
     waiting.erase(found);
   }
-  from->broken = true;
-  boost::system::error_code ignored;
-  from->socket.close(ignored);
+  from->Close();
   if (link == from)
     Fail();
 }
@@ -194,9 +195,7 @@
   if (silent < kSilentAfter)
     return;
   // Its reader ends with it, and tells the other calls.
-  link->broken = true;
-  boost::system::error_code ignored;
-  link->socket.close(ignored);
+  link->Close();
 }
 
 bool rpc_channel_set::channel::Queue(const wire::envelope& call) {
@@ -204,14 +203,18 @@
     return false;
   const std::string bytes = wire::Encode(call);
   counted->sent += static_cast<std::int64_t>(bytes.size());
-  detail::AppendFrame(link->outgoing, bytes);
+  if (!detail::QueueFrame(*link, bytes))
+    return false;
   if (!std::exchange(link->writer_running, true))
     asio::co_spawn(context, detail::WriteQueued(link), asio::detached);
   return true;
 }
 
-rpc_channel_set::rpc_channel_set(asio::io_context& context)
-    : context_(context), totals_(std::make_shared<totals>()) {}
+rpc_channel_set::rpc_channel_set(asio::io_context& context,
+                                 std::shared_ptr<base::memory_budget> memory)
+    : context_(context),
+      memory_(detail::FrameMemory(std::move(memory))),
+      totals_(std::make_shared<totals>()) {}
 
 rpc_channel_set::~rpc_channel_set() {
   for (const auto& [where, each] : channels_) {
@@ -225,7 +228,7 @@
     const base::endpoint& where) {
   std::shared_ptr<channel>& found = channels_[where];
   if (found == nullptr)
-    found = std::make_shared<channel>(context_, where, totals_);
+    found = std::make_shared<channel>(context_, where, totals_, memory_);
   return found;
 }
 
@@ -299,9 +302,7 @@
   if (found == channels_.end() || found->second->link == nullptr)
     return;
   // Its reader ends with it, and tells the calls that wait.
-  boost::system::error_code ignored;
-  found->second->link->broken = true;
-  found->second->link->socket.close(ignored);
+  found->second->link->Close();
 }
 
 void rpc_channel_set::Notify(const base::endpoint& where,
--- a/src/net/rpc_channel.h
+++ b/src/net/rpc_channel.h
@@ -15,6 +15,7 @@
 
 #include "base/endpoint.h"
 #include "base/error.h"
+#include "base/memory_budget.h"
 #include "wire/generated/messages_types.h"
 
 namespace valeledge::net {
@@ -36,7 +37,11 @@
 // lives on the thread of its io_context.
 class rpc_channel_set {
  public:
-  explicit rpc_channel_set(boost::asio::io_context& context);
+  // `memory` bounds what frames hold that are being read or wait to be written;
+  // if null, the channels have a bound of their own.
+  explicit rpc_channel_set(
+      boost::asio::io_context& context,
+      std::shared_ptr<base::memory_budget> memory = nullptr);
   ~rpc_channel_set();
 
   // Sends `call` and waits for its reply; `timeout` includes the time to
@@ -73,6 +78,7 @@
       reply_limit limit);
 
   boost::asio::io_context& context_;
+  const std::shared_ptr<base::memory_budget> memory_;
   std::shared_ptr<totals> totals_;
   std::map<base::endpoint, std::shared_ptr<channel>> channels_;
 };
--- a/src/net/rpc_server.cc
+++ b/src/net/rpc_server.cc
@@ -30,8 +30,12 @@
 
 struct rpc_server::state
     : public std::enable_shared_from_this<rpc_server::state> {
-  state(asio::io_context& context_in, rpc_handler handler_in)
-      : context(context_in), handler(std::move(handler_in)) {}
+  state(asio::io_context& context_in,
+        rpc_handler handler_in,
+        std::shared_ptr<base::memory_budget> memory_in)
+      : context(context_in),
+        handler(std::move(handler_in)),
+        memory(std::move(memory_in)) {}
 
   asio::awaitable<void> Accept();
   asio::awaitable<void> Serve(std::shared_ptr<detail::frame_link> link);
@@ -40,6 +44,7 @@
 
   asio::io_context& context;
   rpc_handler handler;
+  std::shared_ptr<base::memory_budget> memory;
   std::optional<asio::ip::tcp::acceptor> acceptor;
   std::set<std::shared_ptr<detail::frame_link>> links;
   std::int64_t sent = 0;
@@ -60,7 +65,7 @@
     }
     boost::system::error_code ignored;
     socket.set_option(asio::ip::tcp::no_delay(true), ignored);
-    auto link = std::make_shared<detail::frame_link>(std::move(socket));
+    auto link = std::make_shared<detail::frame_link>(std::move(socket), memory);
     asio::co_spawn(context, Serve(link), asio::detached);
   }
 }
@@ -81,9 +86,7 @@
     asio::co_spawn(context, Answer(link, std::move(*call)), asio::detached);
   }
   links.erase(link);
-  link->broken = true;
-  boost::system::error_code ignored;
-  link->socket.close(ignored);
+  link->Close();
 }
 
 asio::awaitable<void> rpc_server::state::Answer(
@@ -99,13 +102,17 @@
   reply.reply = true;
   const std::string bytes = wire::Encode(reply);
   sent += static_cast<std::int64_t>(bytes.size());
-  detail::AppendFrame(link->outgoing, bytes);
-  if (!std::exchange(link->writer_running, true))
+  const bool queued = detail::QueueFrame(*link, bytes);
+  if (queued && !std::exchange(link->writer_running, true))
     asio::co_spawn(context, detail::WriteQueued(link), asio::detached);
 }
 
-rpc_server::rpc_server(asio::io_context& context, rpc_handler handler)
-    : state_(std::make_shared<state>(context, std::move(handler))) {}
+rpc_server::rpc_server(asio::io_context& context,
+                       rpc_handler handler,
+                       std::shared_ptr<base::memory_budget> memory)
+    : state_(std::make_shared<state>(context,
+                                     std::move(handler),
+                                     detail::FrameMemory(std::move(memory)))) {}
 
 rpc_server::~rpc_server() {
   boost::system::error_code ignored;
--- a/src/net/rpc_server.h
+++ b/src/net/rpc_server.h
@@ -11,6 +11,7 @@
 
 #include "base/endpoint.h"
 #include "base/error.h"
+#include "base/memory_budget.h"
 #include "wire/generated/messages_types.h"
 
 namespace valeledge::net {
@@ -23,7 +24,11 @@
 // io_context.
 class rpc_server {
  public:
-  rpc_server(boost::asio::io_context& context, rpc_handler handler);
+  // `memory` bounds what frames hold that are being read or wait to be written;
+  // if null, the server has a bound of its own.
+  rpc_server(boost::asio::io_context& context,
+             rpc_handler handler,
+             std::shared_ptr<base::memory_budget> memory = nullptr);
   ~rpc_server();
 
   base::result<base::endpoint> Start(const base::endpoint& where);
--- a/tests/auto/host/test_patient_placement.cc
+++ b/tests/auto/host/test_patient_placement.cc
@@ -326,7 +326,7 @@
   test::fake_store store{context};
   store::lease_keeper lease{context, store, "h", 10s, [] { return true; },
                             true};
-  host::peer_link peers{context, core.settings, {}};
+  host::peer_link peers{context, core.settings, {}, core.peer_memory};
   host::placement_controller controller{core, lease, peers};
 };
 
--- a/tests/auto/net/test_rpc.cc
+++ b/tests/auto/net/test_rpc.cc
@@ -2,6 +2,7 @@
 // Calls between processes: replies find their calls, failures are told.
 #include <algorithm>
 #include <functional>
+#include <memory>
 #include <optional>
 #include <vector>
 
@@ -282,6 +283,77 @@
   BOOST_TEST(answered);
 }
 
+// Guards against memory that many connections take by frames of which only the
+// announced size has come, or a part.
+BOOST_AUTO_TEST_CASE(frames_that_do_not_end_hold_no_more_than_their_bound) {
+  asio::io_context context(1);
+  const auto memory = std::make_shared<base::memory_budget>(4 * 1024 * 1024);
+  net::rpc_server server(context, AnswerBackwards, memory);
+  const base::endpoint where = *server.Start({"127.0.0.1", 0});
+  net::rpc_channel_set channels(context);
+  std::vector<asio::ip::tcp::socket> senders;
+  std::int64_t most = 0;
+  int answered = 0;
+  BOOST_TEST(Run(context, [&]() -> asio::awaitable<void> {
+    for (int i = 0; i < 40; ++i) {
+      auto& socket = senders.emplace_back(context);
+      co_await socket.async_connect(net::ToTcp(where), kAwait);
+      std::string bytes("\x00\xff\xff\xff", 4);
+      bytes.append(i % 2 == 0 ? 0 : 512 * 1024, 'x');
+      co_await asio::async_write(socket, asio::buffer(bytes), kAwait);
+      const auto reply = co_await channels.Call(where, Wanted(i % 20), 5s);
+      answered += reply ? 1 : 0;
+      most = std::max(most, memory->held());
+    }
+  }));
+  BOOST_TEST(answered == 40);
+  BOOST_TEST(most > 1024 * 1024);
+  BOOST_TEST(most <= memory->capacity());
+  BOOST_TEST(memory->given_up() > 0);
+}
+
+// Guards against memory that replies take which their receivers do not read.
+BOOST_AUTO_TEST_CASE(replies_that_nobody_reads_hold_no_more_than_their_bound) {
+  asio::io_context context(1);
+  const auto memory = std::make_shared<base::memory_budget>(16 * 1024 * 1024);
+  net::rpc_server server(
+      context,
+      [](wire::envelope call) -> asio::awaitable<wire::envelope> {
+        wire::mirror_entry entry;
+        entry.value =
+            std::string(static_cast<std::size_t>(call.table_wanted.since), 'x');
+        wire::mirror_copy copy;
+        copy.entries.push_back(entry);
+        wire::envelope reply;
+        reply.__set_mirror(copy);
+        co_return reply;
+      },
+      memory);
+  const base::endpoint where = *server.Start({"127.0.0.1", 0});
+  net::rpc_channel_set channels(context);
+  std::vector<asio::ip::tcp::socket> silent;
+  wire::envelope numbered = Wanted(6'000'000);
+  numbered.call_id = 1;
+  std::string call;
+  net::detail::AppendFrame(call, wire::Encode(numbered));
+  std::int64_t most = 0;
+  int answered = 0;
+  BOOST_TEST(Run(context, [&]() -> asio::awaitable<void> {
+    for (int i = 0; i < 10; ++i) {
+      auto& socket = silent.emplace_back(context);
+      co_await socket.async_connect(net::ToTcp(where), kAwait);
+      co_await asio::async_write(socket, asio::buffer(call), kAwait);
+      const auto reply = co_await channels.Call(where, Wanted(10), 5s);
+      answered += reply ? 1 : 0;
+      most = std::max(most, memory->held());
+    }
+  }));
+  BOOST_TEST(answered == 10);
+  BOOST_TEST(most > 6'000'000);
+  BOOST_TEST(most <= memory->capacity());
+  BOOST_TEST(memory->given_up() > 0);
+}
+
 BOOST_AUTO_TEST_CASE(nonsense_ends_its_connection_and_nothing_else) {
   asio::io_context context(1);
   net::rpc_server server(context, AnswerBackwards);
--- a/tests/soak/test_endless_messages.py
+++ b/tests/soak/test_endless_messages.py
@@ -30,6 +30,12 @@
     "chunks": (_CHUNKED, b"10000\r\n" + b"x" * 65536 + b"\r\n"),
 }
 
+# What connections to the port of other hosts send after the size of the largest
+# frame, which they do not end.
+FRAME_SIZE = b"\x00\xff\xff\xff"
+FRAME_PARTS = {"nothing": 0, "a part": 4 * 1024 * 1024}
+FRAME_CONNECTIONS = 40
+
 ARGS = None
 
 
@@ -118,6 +124,24 @@
                 for _ in range(CONNECTIONS)))
             await self.play([kind for kind, _ in CALLS], attack)
 
+    async def send_part_of_frame(self, host, size):
+        with contextlib.suppress(OSError, asyncio.TimeoutError):
+            async with asyncio.timeout(PLAY_S):
+                reader, writer = await asyncio.open_connection(
+                    "127.0.0.1", host.ports["peers"])
+                writer.write(FRAME_SIZE + b"x" * size)
+                await reader.read()
+                writer.close()
+
+    async def test_frames_of_other_hosts(self):
+        for what, size in FRAME_PARTS.items():
+            self.stopping = False
+            print(what, flush=True)
+            attack = asyncio.gather(*(
+                self.send_part_of_frame(host, size) for host in self.site.hosts
+                for _ in range(FRAME_CONNECTIONS)))
+            await self.play([kind for kind, _ in CALLS], attack)
+
 
 if __name__ == "__main__":
     parser = argparse.ArgumentParser()
