Hosts: a relayed request that is refused unread has not run

Callers whose requests go through another host got 502, outcome unknown, when that host had refused the request before it read it whole: body or header too large, too slow, or no memory left. It certainly had not run; who may send it once only could not send it again.

Cause: the listener for relayed requests rendered such errors as for callers, without the fields by which hosts state a code and an outcome, and what is not stated is not known.

Change: MakeRelayedErrorResponse states both; the listener uses it.

a_request_that_another_host_does_not_read_has_not_run: with the former renderer 502 for 503; now test_lost_paths passes, 20 cases.

--- a/src/host/process/host.cc
+++ b/src/host/process/host.cc
@@ -39,6 +39,7 @@
 #include "host/process/store_mirror.h"
 #include "host/process/store_update_handler.h"
 #include "host/process/stream_origin_service.h"
+#include "host/request/failure_response.h"
 #include "host/request/http_forwarding.h"
 #include "host/request/relay.h"
 #include "net/http_server.h"
@@ -215,7 +216,7 @@
             return RelayRequest(core_, request, responder,
                                 request_origin::kPeer);
           },
-          MakeErrorResponse,
+          MakeRelayedErrorResponse,
           core_.request_memory),
       readiness_(
           context,
--- a/src/host/request/failure_response.cc
+++ b/src/host/request/failure_response.cc
@@ -11,9 +11,13 @@
 
 net::http_response MakeFailureResponse(const routed_request& routed,
                                        const base::error& failed) {
+  return routed.is_relayed ? MakeRelayedErrorResponse(failed)
+                           : MakeErrorResponse(failed);
+}
+
+net::http_response MakeRelayedErrorResponse(const base::error& failed) {
   auto response = MakeErrorResponse(failed);
-  if (routed.is_relayed)
-    WriteRelayFields(response.base(), {failed.code, failed.what_ran, {}, {}});
+  WriteRelayFields(response.base(), {failed.code, failed.what_ran, {}, {}});
   return response;
 }
 
--- a/src/host/request/failure_response.h
+++ b/src/host/request/failure_response.h
@@ -13,6 +13,10 @@
 net::http_response MakeFailureResponse(const routed_request& routed,
                                        const base::error& failed);
 
+// Returns the response for the host that relays the request. It states whether
+// the request has run.
+net::http_response MakeRelayedErrorResponse(const base::error& failed);
+
 // Logs that the deadline has passed without a response, and returns one. If no
 // attempt is in progress and none may have run the request, it states that the
 // request was not run, so the request must not be sent afterwards.
--- a/tests/auto/host/test_lost_paths.cc
+++ b/tests/auto/host/test_lost_paths.cc
@@ -9,6 +9,7 @@
 #include <boost/test/unit_test.hpp>
 
 #include "host/constants.h"
+#include "host/request/failure_response.h"
 #include "host/request/peer_relay.h"
 #include "host/request/request_digest.h"
 #include "net/http_server.h"
@@ -195,6 +196,26 @@
   }
 }
 
+// Guards against requests whose outcome is told as unknown though the other
+// host has refused them before it read them whole.
+BOOST_AUTO_TEST_CASE(a_request_that_another_host_does_not_read_has_not_run) {
+  lost_world here;
+  const auto memory = std::make_shared<base::memory_budget>(64);
+  net::http_server full{
+      *here.loop,
+      {},
+      [&here](net::http_request& request, net::http_responder& responder) {
+        return host::RelayRequest(*here.other.core, request, responder,
+                                  host::request_origin::kPeer);
+      },
+      host::MakeRelayedErrorResponse,
+      memory};
+  here.relay_port = full.Start({"127.0.0.1", 0})->port;
+  const auto seen = here.cut.SendRequest("/once/");
+  BOOST_TEST(seen.status == 503);
+  BOOST_TEST(here.ServerRequests() == 0u);
+}
+
 BOOST_AUTO_TEST_CASE(a_server_error_is_not_retried_by_both_hosts) {
   lost_world here;
   for (auto* server : {&here.other.first, &here.other.second})
