--- a/tests/auto/host/test_lost_paths.cc
+++ b/tests/auto/host/test_lost_paths.cc
@@ -196,8 +196,7 @@
   }
 }
 
-// Guards against requests whose outcome is told as unknown though the other
-// host has refused them before it read them whole.
+// Guards against an unknown outcome of a request that was refused unread.
 BOOST_AUTO_TEST_CASE(a_request_that_another_host_does_not_read_has_not_run) {
   lost_world here;
   const auto memory = std::make_shared<base::memory_budget>(64);
--- a/tests/soak/test_endless_messages.py
+++ b/tests/soak/test_endless_messages.py
@@ -115,32 +115,31 @@
                             break
                     writer.close()
 
-    async def test_requests_of_callers(self):
-        for what in REQUESTS:
+    async def play_attacks(self, kinds, send, connections):
+        """Many connections send each kind to every host in turn."""
+        for what in kinds:
             self.stopping = False
             print(what, flush=True)
             attack = asyncio.gather(*(
-                self.send_without_end(host, what) for host in self.site.hosts
-                for _ in range(CONNECTIONS)))
+                send(host, what) for host in self.site.hosts
+                for _ in range(connections)))
             await self.play([kind for kind, _ in CALLS], attack)
 
-    async def send_part_of_frame(self, host, size):
+    async def test_requests_of_callers(self):
+        await self.play_attacks(REQUESTS, self.send_without_end, CONNECTIONS)
+
+    async def send_part_of_frame(self, host, what):
         with contextlib.suppress(OSError, asyncio.TimeoutError):
             async with asyncio.timeout(PLAY_S):
                 reader, writer = await asyncio.open_connection(
                     "127.0.0.1", host.ports["peers"])
-                writer.write(FRAME_SIZE + b"x" * size)
+                writer.write(FRAME_SIZE + b"x" * FRAME_PARTS[what])
                 await reader.read()
                 writer.close()
 
     async def test_frames_of_other_hosts(self):
-        for what, size in FRAME_PARTS.items():
-            self.stopping = False
-            print(what, flush=True)
-            attack = asyncio.gather(*(
-                self.send_part_of_frame(host, size) for host in self.site.hosts
-                for _ in range(FRAME_CONNECTIONS)))
-            await self.play([kind for kind, _ in CALLS], attack)
+        await self.play_attacks(FRAME_PARTS, self.send_part_of_frame,
+                                FRAME_CONNECTIONS)
 
 
 if __name__ == "__main__":
