Held requests: what hosts wrote of late ones, and stalls of the test itself

Its output could not tell whether the host, the way to it or the test had stood still. Late requests now come with their lines of the hosts' logs, and with the time for which the test stood still. No check is changed.

--- a/tests/soak/test_held_requests.py
+++ b/tests/soak/test_held_requests.py
@@ -38,6 +38,7 @@
         asyncio.get_running_loop().set_debug(False)
         self.folder = tempfile.TemporaryDirectory()
         self.site = soak.Site(61, ARGS, pathlib.Path(self.folder.name))
+        self.site.watch = asyncio.create_task(self.site.watch_own_time())
         await self.site.build()
         await self.site.until_all_serve(soak.RECOVER_S, "at the start")
         self.asked, self.late = 0, []
@@ -96,9 +97,23 @@
         await asyncio.gather(*callers)
         print(f"{len(self.late)} of {self.asked} responses late; the first: "
               f"{self.late[:3]}", flush=True)
+        self.show_logs_of_late()
         self.assertGreater(self.asked, 5 * CALLERS)
         self.assertEqual(self.late, [])
 
+    def show_logs_of_late(self):
+        """What hosts wrote of late requests, and for how long this program
+        stood still meanwhile."""
+        if not self.late:
+            return
+        names = [each.split()[0] for each in self.late[:10]]
+        print("this program stood still for "
+              f"{self.site.ledger.stalled_s:.2f} s", flush=True)
+        for log in pathlib.Path(self.folder.name).glob("*.log"):
+            for line in log.read_text(errors="replace").splitlines():
+                if any(name in line for name in names):
+                    print(log.stem, line, flush=True)
+
     async def endless(self, what):
         for server in self.site.servers:
             server.endless = what
