A request that waits for an adapter leaves its host time for others

While one request waited, the host served nothing at all.

Cause: a request whose adapter no engine holds asks the lease holder, and looks for a server again at once when an engine is named. The holder may name, again and again, an engine that this host cannot use: one that has just refused the model (421), lies in another region, or has other software. At the holder itself the reply takes no turn of the event loop, so the loop spun until the request gave up; at other hosts it sent one call after another to the holder. Class: a wait that takes another part's reply for progress, without a pause.

Now only the first engine that is named is tried at once; after that the request pauses as it does for any other reason.

Looked for elsewhere: the loops of src/host, net, store, node, gateway and scheduler that await what may be ready at once. All others pause, count, or depend on a state that the reply has changed.

Test: request_deadlines, an_adapter_at_an_engine_without_its_model_delays_no_ other_request.

--- a/src/host/request/server_search.cc
+++ b/src/host/request/server_search.cc
@@ -230,6 +230,7 @@
   load_wait wait(core, routed, QueryOf(routed));
   bool is_absent = false;
   bool may_queue = true;
+  bool has_placed_adapter = false;
   const auto is_withdrawn = [&] {
     return responder.caller_gone() ||
            (first_attempt && CheckStopDeadline(core, routed)) ||
@@ -354,9 +355,12 @@
         break;
       trace.wait = request_wait::kAdapter;
       const auto placed = co_await RequestAdapter(core, routed);
-      if (placed)
+      // The lease holder may reply at once, each time with an engine that this
+      // host cannot use.
+      if (placed && !std::exchange(has_placed_adapter, true))
         continue;
-      reason.message = placed.error().message;
+      if (!placed)
+        reason.message = placed.error().message;
     }
     pause.expires_after(recheck);
     co_await pause.async_wait(kAwait);
--- a/tests/auto/host/test_request_deadlines.cc
+++ b/tests/auto/host/test_request_deadlines.cc
@@ -8,6 +8,7 @@
 #include <utility>
 
 #include "deadline_world.h"
+#include "host/constants.h"
 
 namespace {
 
@@ -115,6 +116,41 @@
   CheckRejected(here, SendAndMeasure(here, "/stream/"));
 }
 
+// Guards against a host that serves nothing else while a request waits for an
+// adapter.
+BOOST_AUTO_TEST_CASE(
+    an_adapter_at_an_engine_without_its_model_delays_no_other_request) {
+  deadline_world here;
+  const auto begun = std::chrono::steady_clock::now();
+  const auto replica = here.AddEngine(1000ms);
+  catalog::backend_server entry = replica->entry;
+  entry.models.push_back({"m", 0, {}});
+  here.core->servers.Put(entry, begun);
+  entry.instance = "i-2";
+  here.core->servers.Put(entry, begun);
+  // It has refused a request for the model.
+  replica->residency_overrides[host::KeyOf("m")] = {false, begun};
+  here.model = "m/a";
+  int asked = 0;
+  here.core->request_adapter = [&](std::string, std::string, std::string,
+                                   std::optional<std::string>,
+                                   std::chrono::milliseconds)
+      -> asio::awaitable<base::result<std::string>> {
+    ++asked;
+    co_return "i-1";
+  };
+  std::chrono::steady_clock::duration other_after{0};
+  asio::steady_timer other(here.context, begun + 100ms);
+  other.async_wait([&](const boost::system::error_code&) {
+    other_after = std::chrono::steady_clock::now() - begun;
+  });
+  CheckRejected(here, SendAndMeasure(here, "/stream/"));
+  BOOST_TEST((other_after < 200ms));
+  BOOST_TEST(asked > 1);
+  const auto intervals = here.route_timeout / host::kSelectionRetryInterval;
+  BOOST_TEST(asked <= intervals + 2);
+}
+
 // The stream has begun, so that it can only be broken off.
 BOOST_AUTO_TEST_CASE(a_stream_that_does_not_end_is_broken_off_by_its_deadline) {
   deadline_world here;
