Responses: the header fields of a kept error response count as memory

An error response of a server is kept while other servers are tried. Only its body was counted against the bound for all responses, so that many requests with headers of up to 64 KiB each could hold more than the bound.

MemoryOf moves to a header of its own, since the host uses it as well.

--- a/src/host/request/response_forwarding.cc
+++ b/src/host/request/response_forwarding.cc
@@ -15,6 +15,7 @@
 #include "host/request/http_forwarding.h"
 #include "host/request/peer_relay.h"
 #include "host/request/stream_continuation.h"
+#include "net/field_memory.h"
 #include "net/retry_after.h"
 
 namespace valeledge::host {
@@ -119,8 +120,8 @@
   state.server_error_share = std::make_unique<base::memory_share>(
       state.core.response_memory,
       [&state] { state.server_error_response.reset(); });
-  const auto bytes = static_cast<std::int64_t>(whole.body().capacity());
-  if (state.server_error_share->Resize(bytes))
+  const auto body = static_cast<std::int64_t>(whole.body().capacity());
+  if (state.server_error_share->Resize(net::MemoryOf(whole) + body))
     state.server_error_response = std::move(whole);
 }
 
--- a/src/net/http_client.cc
+++ b/src/net/http_client.cc
@@ -15,6 +15,7 @@
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http.hpp>
 
+#include "net/field_memory.h"
 #include "net/message_reading.h"
 #include "net/socket_address.h"
 
@@ -417,7 +418,7 @@
                             http::status_class::informational;
     if (is_interim)
       continue;
-    state.header_bytes = detail::MemoryOf(parser.get());
+    state.header_bytes = MemoryOf(parser.get());
     if (!state.Charge())
       co_return make_error_code(boost::system::errc::no_buffer_space);
     co_return boost::system::error_code();
--- a/src/net/http_server.cc
+++ b/src/net/http_server.cc
@@ -17,6 +17,7 @@
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http.hpp>
 
+#include "net/field_memory.h"
 #include "net/message_reading.h"
 #include "net/socket_address.h"
 
--- a/src/net/message_reading.h
+++ b/src/net/message_reading.h
@@ -4,7 +4,6 @@
 #define VALELEDGE_NET_MESSAGE_READING_H_
 
 #include <cstddef>
-#include <cstdint>
 #include <functional>
 
 #include <boost/asio/as_tuple.hpp>
@@ -14,7 +13,6 @@
 #include <boost/beast/core/read_size.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http/error.hpp>
-#include <boost/beast/http/fields.hpp>
 
 namespace valeledge::net::detail {
 
@@ -28,18 +26,6 @@
 // Larger buffers are freed while their connections are idle.
 inline constexpr std::size_t kIdleBufferBytes = 8 * 1024;
 
-// What a header field takes beside its name and value.
-inline constexpr std::size_t kFieldOverhead = 80;
-
-// Bytes of memory that the header fields take.
-inline std::int64_t MemoryOf(const boost::beast::http::fields& fields) {
-  std::size_t bytes = 0;
-  for (const auto& field : fields) {
-    bytes += field.name_string().size() + field.value().size() + kFieldOverhead;
-  }
-  return static_cast<std::int64_t>(bytes);
-}
-
 inline void ShrinkIdleBuffer(boost::beast::flat_buffer& buffer) {
   if (buffer.size() == 0 && buffer.capacity() > kIdleBufferBytes)
     buffer.shrink_to_fit();
--- a/tests/auto/host/test_relay.cc
+++ b/tests/auto/host/test_relay.cc
@@ -1,6 +1,8 @@
 // SPDX-License-Identifier: MIT
 #include "host/request/relay.h"
 
+#include <algorithm>
+#include <cstdint>
 #include <string>
 
 #include <boost/beast/http.hpp>
@@ -76,6 +78,27 @@
   BOOST_TEST(here.second.requests.size() == 1u);
 }
 
+BOOST_AUTO_TEST_CASE(header_fields_of_a_kept_error_response_are_counted) {
+  constexpr std::size_t kFieldBytes = 30'000;
+  relay_world here;
+  here.AddServer("i-1", here.first.address());
+  here.AddServer("i-2", here.second.address());
+  std::string failed = kFailedResponse;
+  failed.insert(failed.find("Content-Length"),
+                "X-Filler: " + std::string(kFieldBytes, 'x') + "\r\n");
+  here.first.script = {{failed}};
+  here.second.script = {{failed}};
+  std::int64_t held = 0;
+  const auto on_request = [&] {
+    held = std::max(held, here.core->response_memory->held());
+  };
+  here.first.on_request = on_request;
+  here.second.on_request = on_request;
+  BOOST_TEST(here.SendRequest("/safe/").status == 500);
+  BOOST_TEST(held >= static_cast<std::int64_t>(kFieldBytes));
+  BOOST_TEST(here.core->response_memory->held() == 0);
+}
+
 BOOST_AUTO_TEST_CASE(an_exhausted_retry_budget_is_reported) {
   relay_world here;
   here.AddServer("i-1", here.first.address());
