Gateway: a refused call is stated as not run only by the operators' word

Engines are not concerned: their interface says so (design/WHOLE-ANSWERS.md).

Test: the last case of scenario_not-run: outcome not_run, code 3007 before; unknown, 3005 after.

--- a/src/gateway/request/service_exchange.cc
+++ b/src/gateway/request/service_exchange.cc
@@ -163,10 +163,8 @@
     (*opened)->Abandon();
     const std::string message = "the backend server responded with status " +
                                 std::to_string(response.result_int());
-    // An idempotent call can be sent again in any case; a service whose
-    // refusals guarantee that the call did not run allows it as well. Otherwise
-    // the call may have run.
-    if (call_.idempotent || call_.refusal_not_run)
+    // A status alone does not state that the call did not run.
+    if (call_.refusal_not_run)
       co_return base::NotRun(result_code::kBackendRefused, message);
     co_return base::Unknown(result_code::kOutcomeUnknown, message);
   }
