A response whose status is out of range is no response

Callers got a server's answer with status 000 as an answer (MIXED), on all routes, also through another host. With X-Not-Run it was believed as a refusal of a request that had run.

Cause: the parser takes any three digits as a status (000 to 999), and nothing after it asked whether HTTP has it. RFC 9110, 15: values outside of 100 to 599 are invalid.

Change: the client checks each response head, also interim ones, before it is paired with a request, believed or passed on. An invalid one is handled like a head that cannot be parsed: the connection closes, the outcome is unknown, the server has failed, the log names the server and the reason.

"no answer" in such log lines is "no valid response".

--- a/src/net/http_client.cc
+++ b/src/net/http_client.cc
@@ -16,6 +16,7 @@
 #include <boost/beast/http.hpp>
 
 #include "net/field_memory.h"
+#include "net/message_head.h"
 #include "net/message_reading.h"
 #include "net/response_pairing.h"
 #include "net/socket_address.h"
@@ -442,8 +443,9 @@
   state->share.emplace(memory_, [raw = state.get()] { raw->Close(); });
   const auto read_failed = co_await ReadHeader(*state);
   if (read_failed) {
-    const std::string_view what =
-        state->share->gave_way() ? "no memory for the response" : "no answer";
+    const std::string_view what = state->share->gave_way()
+                                      ? "no memory for the response"
+                                      : "no valid response";
     const bool is_unusable = read_failed == http::error::unexpected_body;
     co_return Broken(
         is_unusable ? result_code::kAnswerBroken : result_code::kOutcomeUnknown,
@@ -468,6 +470,9 @@
       if (failed)
         co_return failed;
     }
+    const auto invalid = CheckHead(parser.get().base());
+    if (invalid)
+      co_return invalid;
     const bool is_interim = http::to_status_class(parser.get().result_int()) ==
                             http::status_class::informational;
     if (is_interim)
--- a/src/tools/standin/service_main.cc
+++ b/src/tools/standin/service_main.cc
@@ -2,7 +2,8 @@
 // valeledge-standin-service: stands in for a plain service. Counts its runs by
 // Idempotency-Key (GET /runs). POST /fault with any of {"cut_before":true}
 // (cut the connection, not run), {"cut_after":true} (run, then cut),
-// {"refuse":true} (503), {"delay":"100ms"} (before the run).
+// {"refuse":true} (503), {"delay":"100ms"} (before the run), {"status":0} (run,
+// then respond with any number as status).
 #include <map>
 
 #include "base/duration.h"
@@ -14,6 +15,7 @@
 namespace asio = boost::asio;
 namespace json = boost::json;
 using valeledge::base::BoolField;
+using valeledge::base::IntegerField;
 using valeledge::base::StringField;
 using valeledge::net::http_request;
 using valeledge::net::http_responder;
@@ -24,6 +26,7 @@
   bool cut_before = false;
   bool cut_after = false;
   bool refuse = false;
+  unsigned status = 200;
   std::chrono::microseconds delay{0};
 };
 
@@ -47,6 +50,8 @@
   faults_.cut_before = BoolField(body, "cut_before", faults_.cut_before);
   faults_.cut_after = BoolField(body, "cut_after", faults_.cut_after);
   faults_.refuse = BoolField(body, "refuse", faults_.refuse);
+  faults_.status =
+      static_cast<unsigned>(IntegerField(body, "status", faults_.status));
   if (body.contains("delay")) {
     faults_.delay = valeledge::base::ParseDuration(StringField(body, "delay"))
                         .value_or(std::chrono::microseconds(0));
@@ -76,7 +81,10 @@
                                {"key", key},
                                {"number", number},
                                {"path", valeledge::standin::PathOf(request)}};
-  co_await Reply(responder, 200, answer);
+  auto response =
+      valeledge::net::MakeJsonResponse(200, json::serialize(answer));
+  response.result(faults.status);
+  co_await responder.Send(std::move(response));
 }
 
 asio::awaitable<void> service::Handle(http_request& request,
--- /dev/null
+++ b/tests/auto/host/test_invalid_heads.cc
@@ -0,0 +1,197 @@
+// SPDX-License-Identifier: MIT
+// Responses whose head is not valid by RFC 9110 and 9112: nothing of them is
+// believed or passed on, and what the server did remains unknown.
+#include <chrono>
+#include <string>
+#include <vector>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/beast/http.hpp>
+#include <boost/test/unit_test.hpp>
+
+#include "lost_world.h"
+
+namespace {
+
+using namespace valeledge;
+using namespace valeledge::test;
+using namespace std::chrono_literals;
+using connection_action = scripted_response::connection_action;
+
+const std::vector<std::string> kPaths = {"/once/", "/safe/", "/stream/",
+                                         "/resumed/"};
+const std::string kSoundFields =
+    "X-Request-Id: $ID\r\nX-Server-Stamp: s\r\nX-Instance-Id: i-1\r\n";
+const std::string kLengthAndBody = "Content-Length: 5\r\n\r\nhello";
+
+std::string WithStatus(const std::string& status,
+                       const std::string& fields = "") {
+  return "HTTP/1.1 " + status + " Odd\r\n" + kSoundFields + fields +
+         kLengthAndBody;
+}
+
+const std::vector<std::string> kStatusesOutOfRange = {
+    "000", "001", "042", "099", "600", "700", "799", "999"};
+
+// What a caller gets of a request that is sent once, and whose server sends
+// these bytes.
+received_response Receive(const std::string& path, const std::string& bytes) {
+  relay_world here;
+  for (catalog::route& route : here.configuration.routes)
+    route.attempts = 1;
+  here.AddServer("i-1", here.first.address());
+  here.first.script = {{bytes, connection_action::kClose}};
+  return here.SendRequest(path);
+}
+
+void CheckUnknown(const received_response& seen) {
+  BOOST_TEST(seen.status == 502);
+  BOOST_TEST(seen.fields["X-Server-Stamp"].empty());
+  BOOST_TEST(seen.body.find("\"unknown\"") != std::string::npos);
+}
+
+void CheckUnknownOnEachRoute(const std::vector<std::string>& responses) {
+  for (const std::string& bytes : responses) {
+    for (const std::string& path : kPaths) {
+      BOOST_TEST_CONTEXT(path << " " << bytes)
+      CheckUnknown(Receive(path, bytes));
+    }
+  }
+}
+
+std::vector<std::string> WithStatuses(
+    const std::vector<std::string>& statuses) {
+  std::vector<std::string> responses;
+  for (const std::string& each : statuses)
+    responses.push_back(WithStatus(each));
+  return responses;
+}
+
+// Asks a server that sends these bytes, and returns the error of the call after
+// the client has closed its connection.
+base::error FailedOpen(const std::string& bytes) {
+  boost::asio::io_context context(1);
+  backend_stand_in server(context);
+  server.script = {{bytes, connection_action::kHang}};
+  net::http_client client(context, nullptr, "X-Request-Id");
+  base::error failed;
+  const auto open = [&]() -> boost::asio::awaitable<void> {
+    auto request = net::MakeRequest(boost::beast::http::verb::get, "/");
+    request.set("X-Request-Id", "9c41");
+    const auto opened =
+        co_await client.Open(server.address(), request, {1s, 1s});
+    BOOST_TEST(!opened);
+    if (!opened)
+      failed = opened.error();
+  };
+  boost::asio::co_spawn(context, open, boost::asio::detached);
+  while (server.abandoned == 0)
+    BOOST_REQUIRE_NE(context.run_one_for(5s), 0u);
+  BOOST_TEST(client.idle_connections() == 0);
+  return failed;
+}
+
+BOOST_AUTO_TEST_SUITE(invalid_heads)
+
+BOOST_AUTO_TEST_CASE(a_status_out_of_range_is_no_response) {
+  CheckUnknownOnEachRoute(WithStatuses(kStatusesOutOfRange));
+}
+
+BOOST_AUTO_TEST_CASE(a_status_out_of_range_that_is_relayed_is_no_response) {
+  for (const std::string& path : kPaths) {
+    lost_world here;
+    for (auto* server : {&here.other.first, &here.other.second})
+      server->script = {{WithStatus("000"), connection_action::kClose}};
+    CheckUnknown(here.cut.SendRequest(path));
+    BOOST_TEST(here.ServerRequests() > 0u);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(another_host_with_a_status_out_of_range_states_nothing) {
+  for (const std::string& path : kPaths) {
+    lost_world here;
+    here.other.first.script = {
+        {WithStatus("000",
+                    "Valeledge-Relay-Code: 3007\r\n"
+                    "Valeledge-Relay-Outcome: not_run\r\n"),
+         connection_action::kClose}};
+    here.relay_port = here.other.first.address().port;
+    CheckUnknown(here.cut.SendRequest(path));
+    BOOST_TEST(here.other.first.requests.size() == 1u);
+  }
+}
+
+// The request has run, or may run yet.
+BOOST_AUTO_TEST_CASE(a_status_out_of_range_does_not_promise_not_run) {
+  for (const std::string& status : kStatusesOutOfRange) {
+    relay_world here;
+    here.AddServer("i-1", here.first.address());
+    here.first.script = {{WithStatus(status, "X-Not-Run: 1\r\n")}};
+    CheckUnknown(here.SendRequestAddingServer("/once/"));
+    BOOST_TEST(here.first.requests.size() == 1u);
+    BOOST_TEST(here.second.requests.empty());
+  }
+}
+
+BOOST_AUTO_TEST_CASE(a_request_that_may_be_repeated_is_sent_to_another_server) {
+  relay_world here;
+  here.AddServer("i-1", here.first.address());
+  here.first.script = {{WithStatus("000")}};
+  BOOST_TEST(here.SendRequestAddingServer("/safe/").status == 200);
+  BOOST_TEST(here.second.requests.size() == 1u);
+}
+
+BOOST_AUTO_TEST_CASE(a_stream_that_goes_on_with_a_status_out_of_range_breaks) {
+  relay_world here;
+  here.AddServer("i-1", here.first.address());
+  here.first.script = {
+      {kStreamHeader + Chunk(Event(1)), connection_action::kClose}};
+  here.second.script = {{WithStatus("000"), connection_action::kClose}};
+  const auto seen = here.SendRequestAddingServer("/resumed/");
+  BOOST_TEST(seen.body == Event(1));
+  BOOST_TEST(seen.broken);
+}
+
+BOOST_AUTO_TEST_CASE(a_server_with_a_status_out_of_range_has_failed) {
+  relay_world here;
+  here.AddServer("i-1", here.first.address());
+  here.first.script = {{WithStatus("000", "Server-Leaving: 1\r\n")}};
+  here.SendRequest("/once/");
+  const auto server = here.core->servers.Find("i-1");
+  BOOST_TEST(server->trust.failure_rate > 0);
+  BOOST_TEST(!server->SaysLeaving());
+}
+
+BOOST_AUTO_TEST_CASE(an_error_of_the_head_names_the_server_and_the_reason) {
+  const base::error failed = FailedOpen(WithStatus("000"));
+  BOOST_TEST((failed.what_ran == base::outcome::kUnknown));
+  BOOST_TEST(!failed.connection_lost);
+  BOOST_TEST(failed.message.starts_with("127.0.0.1:"));
+  BOOST_TEST(failed.message.ends_with(
+      "no valid response: the status code is not between 100 and 599"));
+}
+
+// Neither as an interim response, nor as one to another request.
+BOOST_AUTO_TEST_CASE(nothing_is_read_after_a_status_out_of_range) {
+  for (const std::string before :
+       {"HTTP/1.1 099 Odd\r\n\r\n",
+        "HTTP/1.1 000 Odd\r\nX-Request-Id: 9c42\r\nContent-Length: 0\r\n\r\n",
+        "HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 600 Odd\r\n\r\n"}) {
+    BOOST_TEST_CONTEXT(before) {
+      const base::error failed = FailedOpen(before + kWholeResponse);
+      BOOST_TEST((failed.what_ran == base::outcome::kUnknown));
+    }
+  }
+}
+
+BOOST_AUTO_TEST_CASE(all_statuses_in_the_range_are_passed_on) {
+  for (const std::string status : {"201", "299", "306", "418", "451", "599"}) {
+    for (const std::string& path : kPaths)
+      BOOST_TEST(Receive(path, WithStatus(status)).status == std::stoi(status));
+  }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace
--- a/tests/auto/host/test_order_dispatcher.cc
+++ b/tests/auto/host/test_order_dispatcher.cc
@@ -121,6 +121,23 @@
   BOOST_TEST(setup.backend.requests.size() == 3u);
 }
 
+// The order may have been carried out.
+BOOST_AUTO_TEST_CASE(a_status_out_of_range_is_no_reply_to_an_order) {
+  engine_fixture setup;
+  setup.DiscoverEngine();
+  const auto engine = setup.dispatcher.engines().at("i-1");
+  setup.backend.script = {
+      {"HTTP/1.1 000 Odd\r\nServer-Leaving: 1\r\nContent-Length: 0\r\n\r\n"}};
+  setup.RequestAdapter("a1");
+  while (setup.backend.requests.size() < 2 || engine->sending)
+    BOOST_REQUIRE_NE(setup.context.run_one_for(5s), 0u);
+  BOOST_TEST(!engine->server->SaysLeaving());
+  BOOST_TEST(*engine->accepted == 0);
+  BOOST_TEST(
+      setup.core.metrics.Counter("valeledge_orders_total", "unknown").value ==
+      1);
+}
+
 BOOST_AUTO_TEST_CASE(the_next_order_for_an_adapter_finds_an_open_connection) {
   engine_fixture setup;
   setup.DiscoverEngine();
