A response or request with a folded field is rejected

Callers got a response in whose head a line began with a blank or a tab: a field's name with a blank in front.

Cause: the parser joins folded lines to one value, and the joined value shows no sign of it. RFC 9112, 5.2: a gateway must not pass folding on; it may answer 502 (a request: 400).

Change: the bytes that the parser takes of a head are searched for a line that begins with a blank or a tab, in both directions.

--- a/src/net/message_head.cc
+++ b/src/net/message_head.cc
@@ -1,6 +1,7 @@
 // SPDX-License-Identifier: MIT
 #include "net/message_head.h"
 
+#include <cstddef>
 #include <string>
 
 namespace valeledge::net {
@@ -22,6 +23,8 @@
     switch (static_cast<head_error>(value)) {
       case head_error::kStatusOutOfRange:
         return "the status code is not between 100 and 599";
+      case head_error::kFoldedField:
+        return "a line of the head begins with a blank or a tab";
     }
     return "invalid head";
   }
@@ -41,4 +44,17 @@
   return {};
 }
 
+bool HasFoldedField(std::string_view part) {
+  constexpr std::string_view kLineEnd = "\r\n";
+  while (true) {
+    const std::size_t end = part.find(kLineEnd);
+    const bool is_end_of_head = end == 0;
+    if (is_end_of_head || end == std::string_view::npos)
+      return false;
+    part.remove_prefix(end + kLineEnd.size());
+    if (part.starts_with(' ') || part.starts_with('\t'))
+      return true;
+  }
+}
+
 }  // namespace valeledge::net
--- a/src/net/message_head.h
+++ b/src/net/message_head.h
@@ -5,6 +5,7 @@
 #ifndef VALELEDGE_NET_MESSAGE_HEAD_H_
 #define VALELEDGE_NET_MESSAGE_HEAD_H_
 
+#include <string_view>
 #include <type_traits>
 
 #include <boost/beast/http/message.hpp>
@@ -16,6 +17,8 @@
 enum class head_error {
   // The status code is not between 100 and 599.
   kStatusOutOfRange = 1,
+  // A field continues on a line that begins with a blank or a tab.
+  kFoldedField,
 };
 
 boost::system::error_code make_error_code(head_error error);
@@ -24,6 +27,11 @@
 boost::system::error_code CheckHead(
     const boost::beast::http::response_header<>& head);
 
+// Whether a field is folded in a part of a message that begins with a line of
+// its head, and of whose head all lines are whole. The parser joins such lines
+// to one value.
+bool HasFoldedField(std::string_view part);
+
 }  // namespace valeledge::net
 
 template <>
--- a/src/net/message_reading.h
+++ b/src/net/message_reading.h
@@ -5,6 +5,7 @@
 
 #include <cstddef>
 #include <functional>
+#include <string_view>
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/awaitable.hpp>
@@ -14,6 +15,8 @@
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http/error.hpp>
 
+#include "net/message_head.h"
+
 namespace valeledge::net::detail {
 
 // Bytes that one read takes at most.
@@ -31,7 +34,26 @@
     buffer.shrink_to_fit();
 }
 
-// Reads until the parser has taken a part of the message. Returns
+// Hands the buffered bytes to the parser. The parser takes the lines of a head
+// only if they are whole.
+template <typename parser_type>
+boost::system::error_code ParsePart(boost::beast::flat_buffer& buffer,
+                                    parser_type& parser) {
+  const auto bytes = buffer.cdata();
+  const bool is_in_head = !parser.is_header_done();
+  boost::system::error_code failed;
+  const std::size_t parsed = parser.put(bytes, failed);
+  const std::string_view part(static_cast<const char*>(bytes.data()), parsed);
+  const bool is_valid =
+      !failed || failed == boost::beast::http::error::need_more;
+  if (is_valid && is_in_head && HasFoldedField(part))
+    failed = head_error::kFoldedField;
+  buffer.consume(parsed);
+  return failed;
+}
+
+// Reads until the parser has taken a part of the message. Returns a
+// `head_error` if its head is invalid though the parser takes it,
 // `buffer_overflow` if a part that is read as a whole does not fit into the
 // buffer, and `end_of_stream` if the connection ends before the message has
 // begun. `on_read` is called with the number of bytes whenever some have been
@@ -46,7 +68,7 @@
   while (true) {
     boost::system::error_code failed;
     if (buffer.size() != 0) {
-      buffer.consume(parser.put(buffer.data(), failed));
+      failed = ParsePart(buffer, parser);
       if (failed != http::error::need_more)
         co_return failed;
     }
--- a/tests/auto/host/test_invalid_heads.cc
+++ b/tests/auto/host/test_invalid_heads.cc
@@ -2,11 +2,17 @@
 // Responses whose head is not valid by RFC 9110 and 9112: nothing of them is
 // believed or passed on, and what the server did remains unknown.
 #include <chrono>
+#include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
 #include <boost/beast/http.hpp>
 #include <boost/test/unit_test.hpp>
 
@@ -192,6 +198,69 @@
   }
 }
 
+BOOST_AUTO_TEST_CASE(a_field_that_is_folded_makes_a_response_invalid) {
+  std::vector<std::string> responses;
+  for (const std::string fold : {" X-Odd: 1", "\tX-Odd: 1", " ", "\t",
+                                 "   more", " Content-Length: 9"}) {
+    for (const std::string before : {"", "X-Odd:", "X-Odd: 1"}) {
+      const std::string line = before.empty() ? "" : before + "\r\n";
+      responses.push_back(WithStatus("200", line + fold + "\r\n"));
+    }
+  }
+  // At the end of the head.
+  responses.push_back("HTTP/1.1 200 OK\r\n" + kSoundFields +
+                      "Content-Length: 5\r\n \r\n\r\nhello");
+  CheckUnknownOnEachRoute(responses);
+}
+
+BOOST_AUTO_TEST_CASE(a_folded_field_does_not_promise_not_run) {
+  relay_world here;
+  here.AddServer("i-1", here.first.address());
+  here.first.script = {{WithStatus("503", "X-Not-Run: 1\r\n X-Odd: 1\r\n")}};
+  CheckUnknown(here.SendRequestAddingServer("/once/"));
+  BOOST_TEST(here.second.requests.empty());
+}
+
+BOOST_AUTO_TEST_CASE(a_folded_field_that_arrives_in_parts_is_found) {
+  const std::string bytes = WithStatus("200", "X-Odd: 1\r\n X-Other: 1\r\n");
+  const std::size_t end = bytes.find("hello");
+  for (std::size_t at = 0; at < end; ++at) {
+    boost::asio::io_context context(1);
+    boost::asio::ip::tcp::acceptor acceptor(
+        context, {boost::asio::ip::address_v4::loopback(), 0});
+    boost::asio::ip::tcp::socket server(context);
+    net::http_client client(context);
+    std::optional<base::error> failed;
+    const auto open = [&]() -> boost::asio::awaitable<void> {
+      const auto opened = co_await client.Open(
+          net::FromTcp(acceptor.local_endpoint()),
+          net::MakeRequest(boost::beast::http::verb::get, "/"), {1s, 1s});
+      BOOST_TEST(!opened);
+      failed = opened ? base::error() : opened.error();
+    };
+    const auto serve = [&]() -> boost::asio::awaitable<void> {
+      server = co_await acceptor.async_accept(boost::asio::use_awaitable);
+      while (client.bytes() == 0)
+        co_await boost::asio::post(context, boost::asio::use_awaitable);
+      const std::int64_t sent = client.bytes();
+      const auto part_size = static_cast<std::int64_t>(at);
+      co_await boost::asio::async_write(
+          server, boost::asio::buffer(bytes.substr(0, at)),
+          boost::asio::use_awaitable);
+      while (client.bytes() < sent + part_size)
+        co_await boost::asio::post(context, boost::asio::use_awaitable);
+      co_await boost::asio::async_write(server,
+                                        boost::asio::buffer(bytes.substr(at)),
+                                        boost::asio::use_awaitable);
+    };
+    boost::asio::co_spawn(context, open, boost::asio::detached);
+    boost::asio::co_spawn(context, serve, boost::asio::detached);
+    while (!failed)
+      BOOST_REQUIRE_NE(context.run_one_for(5s), 0u);
+    BOOST_TEST((failed->what_ran == base::outcome::kUnknown));
+  }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
