A message with a transfer coding other than chunked is rejected

Cause: the parser takes a coding that it does not know as no chunks: a response then ends with its connection, a request has no body. It accepts a list that holds chunked, whatever stands before it, and codings in HTTP/1.0.

Change: a head is checked when it has been parsed, in both directions, by RFC 9112, 6.1 and 7: no Transfer-Encoding, or one field that is chunked, in HTTP/1.1. The check of the status moves there. A response that fails is handled like other invalid heads, outcome unknown; a request gets 400, and its connection closes.

--- a/src/net/http_client.cc
+++ b/src/net/http_client.cc
@@ -16,7 +16,6 @@
 #include <boost/beast/http.hpp>
 
 #include "net/field_memory.h"
-#include "net/message_head.h"
 #include "net/message_reading.h"
 #include "net/response_pairing.h"
 #include "net/socket_address.h"
@@ -470,9 +469,6 @@
       if (failed)
         co_return failed;
     }
-    const auto invalid = CheckHead(parser.get().base());
-    if (invalid)
-      co_return invalid;
     const bool is_interim = http::to_status_class(parser.get().result_int()) ==
                             http::status_class::informational;
     if (is_interim)
--- a/src/net/message_head.cc
+++ b/src/net/message_head.cc
@@ -4,6 +4,8 @@
 #include <cstddef>
 #include <string>
 
+#include <boost/beast/core/string.hpp>
+
 namespace valeledge::net {
 
 namespace {
@@ -25,11 +27,25 @@
         return "the status code is not between 100 and 599";
       case head_error::kFoldedField:
         return "a line of the head begins with a blank or a tab";
+      case head_error::kUnknownTransferCoding:
+        return "the body has a transfer coding other than chunked";
     }
     return "invalid head";
   }
 };
 
+// Whether the framing of the body is known. The fields ask for no transfer
+// coding but chunked, which HTTP/1.0 does not have (RFC 9112, 6.1 and 7).
+template <bool is_request>
+bool HasKnownFraming(const http::header<is_request>& head) {
+  constexpr unsigned kVersionWithCodings = 11;
+  const std::size_t codings = head.count(http::field::transfer_encoding);
+  if (codings == 0)
+    return true;
+  return codings == 1 && head.version() >= kVersionWithCodings &&
+         boost::beast::iequals(head[http::field::transfer_encoding], "chunked");
+}
+
 }  // namespace
 
 error_code make_error_code(head_error error) {
@@ -41,6 +57,14 @@
   const unsigned status = head.result_int();
   if (status < kMinStatus || status > kMaxStatus)
     return head_error::kStatusOutOfRange;
+  if (!HasKnownFraming(head))
+    return head_error::kUnknownTransferCoding;
+  return {};
+}
+
+error_code CheckHead(const http::request_header<>& head) {
+  if (!HasKnownFraming(head))
+    return head_error::kUnknownTransferCoding;
   return {};
 }
 
--- a/src/net/message_head.h
+++ b/src/net/message_head.h
@@ -19,6 +19,9 @@
   kStatusOutOfRange = 1,
   // A field continues on a line that begins with a blank or a tab.
   kFoldedField,
+  // The body is framed otherwise than by a length, by chunks alone, or by the
+  // end of the connection.
+  kUnknownTransferCoding,
 };
 
 boost::system::error_code make_error_code(head_error error);
@@ -27,6 +30,10 @@
 boost::system::error_code CheckHead(
     const boost::beast::http::response_header<>& head);
 
+// Returns the first error of the head of a request, if any.
+boost::system::error_code CheckHead(
+    const boost::beast::http::request_header<>& head);
+
 // Whether a field is folded in a part of a message that begins with a line of
 // its head, and of whose head all lines are whole. The parser joins such lines
 // to one value.
--- a/src/net/message_reading.h
+++ b/src/net/message_reading.h
@@ -34,8 +34,19 @@
     buffer.shrink_to_fit();
 }
 
-// Hands the buffered bytes to the parser. The parser takes the lines of a head
-// only if they are whole.
+// Returns what makes a head invalid that the parser accepts, as far as it has
+// been parsed; `part` was parsed last.
+template <typename parser_type>
+boost::system::error_code CheckPartOfHead(const parser_type& parser,
+                                          std::string_view part) {
+  if (HasFoldedField(part))
+    return head_error::kFoldedField;
+  if (!parser.is_header_done())
+    return {};
+  return CheckHead(parser.get().base());
+}
+
+// Parses the buffered bytes. Of a head, the parser takes whole lines only.
 template <typename parser_type>
 boost::system::error_code ParsePart(boost::beast::flat_buffer& buffer,
                                     parser_type& parser) {
@@ -43,11 +54,14 @@
   const bool is_in_head = !parser.is_header_done();
   boost::system::error_code failed;
   const std::size_t parsed = parser.put(bytes, failed);
-  const std::string_view part(static_cast<const char*>(bytes.data()), parsed);
-  const bool is_valid =
+  const bool is_accepted =
       !failed || failed == boost::beast::http::error::need_more;
-  if (is_valid && is_in_head && HasFoldedField(part))
-    failed = head_error::kFoldedField;
+  if (is_in_head && is_accepted) {
+    const auto invalid = CheckPartOfHead(
+        parser, {static_cast<const char*>(bytes.data()), parsed});
+    if (invalid)
+      failed = invalid;
+  }
   buffer.consume(parsed);
   return failed;
 }
--- a/tests/auto/host/test_invalid_heads.cc
+++ b/tests/auto/host/test_invalid_heads.cc
@@ -37,6 +37,8 @@
          kLengthAndBody;
 }
 
+const std::string kLastChunk = "0\r\n\r\n";
+
 const std::vector<std::string> kStatusesOutOfRange = {
     "000", "001", "042", "099", "600", "700", "799", "999"};
 
@@ -261,6 +263,34 @@
   }
 }
 
+// Chunks would be passed on with their sizes, or the coding of a body would be
+// lost.
+BOOST_AUTO_TEST_CASE(a_transfer_coding_other_than_chunked_is_no_response) {
+  std::vector<std::string> responses;
+  for (const std::string coding :
+       {"identity", "gzip", "xchunked", "\"chunked\"", "", "chunked, gzip",
+        "chunked, chunked", "gzip, chunked", "chunked;q=1", "chunked x",
+        "gzip\r\nTransfer-Encoding: chunked", "gzip\r\nContent-Length: 15"}) {
+    responses.push_back("HTTP/1.1 200 OK\r\n" + kSoundFields +
+                        "Transfer-Encoding: " + coding + "\r\n\r\n" +
+                        Chunk("hello") + kLastChunk);
+  }
+  // The framing of HTTP/1.0 has no transfer codings.
+  responses.push_back("HTTP/1.0 200 OK\r\n" + kSoundFields +
+                      "Transfer-Encoding: chunked\r\n\r\n" + Chunk("hello") +
+                      kLastChunk);
+  CheckUnknownOnEachRoute(responses);
+}
+
+BOOST_AUTO_TEST_CASE(an_unknown_transfer_coding_does_not_promise_not_run) {
+  relay_world here;
+  here.AddServer("i-1", here.first.address());
+  here.first.script = {{"HTTP/1.1 503 Odd\r\nX-Not-Run: 1\r\n" + kSoundFields +
+                        "Transfer-Encoding: identity\r\n\r\n"}};
+  CheckUnknown(here.SendRequestAddingServer("/once/"));
+  BOOST_TEST(here.second.requests.empty());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
--- a/tests/auto/net/test_request_heads.cc
+++ b/tests/auto/net/test_request_heads.cc
@@ -99,4 +99,35 @@
              boost::test_tools::per_element());
 }
 
+// The end of such a body is not known, so the rest would be taken for the next
+// request.
+BOOST_AUTO_TEST_CASE(a_request_with_an_unknown_transfer_coding_is_rejected) {
+  for (const std::string coding :
+       {"identity", "gzip", "xchunked", "\"chunked\"", "", "chunked, gzip",
+        "chunked, chunked", "gzip, chunked", "chunked;q=1",
+        "gzip\r\nTransfer-Encoding: chunked"}) {
+    server_world here;
+    here.CheckRejected(kStart + "Transfer-Encoding: " + coding + "\r\n\r\n" +
+                       kOther);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(a_request_with_a_coding_and_an_old_version_is_rejected) {
+  server_world here;
+  here.CheckRejected(
+      "POST /first HTTP/1.0\r\nTransfer-Encoding: chunked\r\n\r\n"
+      "5\r\nhello\r\n0\r\n\r\n");
+}
+
+BOOST_AUTO_TEST_CASE(a_chunked_request_is_handled) {
+  server_world here;
+  const std::string bytes =
+      kStart +
+      "Connection: close\r\nTransfer-Encoding: Chunked\r\n\r\n"
+      "5\r\nhello\r\n0\r\n\r\n";
+  BOOST_TEST(here.Send(bytes).starts_with("HTTP/1.1 200 "));
+  BOOST_TEST(here.handled == std::vector<std::string>{"/first hello"},
+             boost::test_tools::per_element());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
