Tests of heads that are rejected already

Status lines and fields that the parser rejects: a field's name with a blank, a control byte or another byte that no token has, a blank before the colon, control bytes in values, lengths that contradict each other; in responses (502, outcome unknown, on each route) and in requests (400, nothing handled). Unusual heads that are valid are passed on.

--- a/tests/auto/host/test_invalid_heads.cc
+++ b/tests/auto/host/test_invalid_heads.cc
@@ -291,6 +291,87 @@
   BOOST_TEST(here.second.requests.empty());
 }
 
+BOOST_AUTO_TEST_CASE(a_malformed_status_line_is_no_response) {
+  std::vector<std::string> responses = WithStatuses(
+      {"0", "20", "2000", "-20", "20a", "0x2", " 200", "", "200\t"});
+  const std::string fields = kSoundFields + kLengthAndBody;
+  for (const std::string line :
+       {"HTTP/1.1 200", "HTTP/2.0 200 OK", "HTTP/1.2 200 OK", "HTTP/0.9 200 OK",
+        "http/1.1 200 OK", "HTTP/1.1 200 O\x01K", "HTTP/1.1 200 O\x7fK"}) {
+    responses.push_back(line + "\r\n" + fields);
+  }
+  CheckUnknownOnEachRoute(responses);
+}
+
+BOOST_AUTO_TEST_CASE(a_field_name_that_is_no_token_makes_a_response_invalid) {
+  std::vector<std::string> responses;
+  for (const std::string& odd :
+       {std::string(" "), std::string("\t"), std::string(1, '\0'),
+        std::string("\x01"), std::string("\x1b"), std::string("\x7f"),
+        std::string("\r"), std::string("\n"), std::string("\xff"),
+        std::string("@"), std::string("\""), std::string("/")}) {
+    for (const std::string name :
+         {"X-Odd", "Content-Length", "Transfer-Encoding", "X-Request-Id"}) {
+      const std::size_t middle = name.find('-');
+      responses.push_back(WithStatus(
+          "200",
+          name.substr(0, middle) + odd + name.substr(middle) + ": 1\r\n"));
+      responses.push_back(WithStatus("200", name + odd + ": 1\r\n"));
+    }
+  }
+  responses.push_back(WithStatus("200", ": 1\r\n"));
+  responses.push_back(WithStatus("200", "X-Odd\r\n"));
+  responses.push_back("HTTP/1.1 200 OK\r\n X-Odd: 1\r\n" + kSoundFields +
+                      kLengthAndBody);
+  CheckUnknownOnEachRoute(responses);
+}
+
+BOOST_AUTO_TEST_CASE(a_control_byte_in_a_field_value_makes_a_response_invalid) {
+  std::vector<std::string> responses;
+  for (const char odd : {'\0', '\x01', '\x1b', '\x7f', '\r', '\n'}) {
+    responses.push_back(
+        WithStatus("200", "X-Odd: a" + std::string(1, odd) + "b\r\n"));
+  }
+  CheckUnknownOnEachRoute(responses);
+}
+
+BOOST_AUTO_TEST_CASE(a_body_length_that_is_not_certain_is_no_response) {
+  std::vector<std::string> responses;
+  const std::string start = "HTTP/1.1 200 OK\r\n" + kSoundFields;
+  for (const std::string framing :
+       {"Content-Length: 5\r\nContent-Length: 4", "Content-Length: 5, 4",
+        "Content-Length: -5", "Content-Length: +5", "Content-Length: 5 5",
+        "Content-Length: 0x5",
+        "Content-Length:", "Content-Length: 99999999999999999999",
+        "Content-Length: 5\r\nTransfer-Encoding: chunked",
+        "Transfer-Encoding: chunked\r\nContent-Length: 5",
+        "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked"}) {
+    responses.push_back(start + framing + "\r\n\r\nhello");
+  }
+  CheckUnknownOnEachRoute(responses);
+}
+
+BOOST_AUTO_TEST_CASE(unusual_heads_that_are_valid_are_passed_on) {
+  const std::string start = "HTTP/1.1 200 OK\r\n" + kSoundFields;
+  for (const std::string& bytes :
+       {"HTTP/1.1 200 \r\n" + kSoundFields + kLengthAndBody,
+        "HTTP/1.1 200 O\xc3\tK\r\n" + kSoundFields + kLengthAndBody,
+        "HTTP/1.0 200 OK\r\n" + kSoundFields + kLengthAndBody,
+        start + "X-!#$%&'*+.^_`|~9: \xe2\x82\xac\t1 \t\r\n" + kLengthAndBody,
+        start + "X-Odd:\r\n" + kLengthAndBody,
+        start + "Content-Length: 5, 5\r\n" + kLengthAndBody,
+        start + "transfer-encoding:\tChunked \r\n\r\n" + Chunk("hello") +
+            kLastChunk}) {
+    for (const std::string path : {"/once/", "/safe/"}) {
+      BOOST_TEST_CONTEXT(path << " " << bytes) {
+        const auto seen = Receive(path, bytes);
+        BOOST_TEST(seen.status == 200);
+        BOOST_TEST(seen.body == "hello");
+      }
+    }
+  }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
--- a/tests/auto/net/test_request_heads.cc
+++ b/tests/auto/net/test_request_heads.cc
@@ -130,4 +130,22 @@
              boost::test_tools::per_element());
 }
 
+BOOST_AUTO_TEST_CASE(a_request_with_a_malformed_field_is_rejected) {
+  for (const std::string& line :
+       {std::string("X Odd: 1"), std::string("X-Odd : 1"),
+        std::string("X\tOdd: 1"), std::string("X\0Odd: 1", 8),
+        std::string("X\x1bOdd: 1"), std::string("X\x7fOdd: 1"),
+        std::string("X\rOdd: 1"), std::string("X\nOdd: 1"),
+        std::string("X\xffOdd: 1"), std::string("Content Length: 1"),
+        std::string("Transfer-Encoding : chunked"), std::string(": 1"),
+        std::string("X-Odd"), std::string("X-Odd: a\x01z"),
+        std::string("Content-Length: 1\r\nContent-Length: 2"),
+        std::string("Content-Length: 1\r\nTransfer-Encoding: chunked")}) {
+    server_world here;
+    here.CheckRejected(kStart + line + "\r\n\r\n" + kOther);
+  }
+  server_world here;
+  here.CheckRejected("POST /first HTTP/1.1\r\n Host: a\r\n\r\n" + kOther);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
