A server that sends an invalid head is not suspended at once

Callers waited for, or were refused at, servers that respond: each response with an invalid head suspended its server, like a connection that breaks off.

Cause: the error had the code of a response that does not come (3005). Such a server responds, as one does whose response is unsigned or has no end.

Change: an invalid head that the parser accepts is error 3002 (the answer is damaged), outcome unknown as before; the server counts as failing, and is suspended when its failure rate says so.

Heads that the parser rejects keep their handling.

a_server_is_suspended_if_it_sends_invalid_heads_often failed before (3 checks).

--- a/src/net/http_client.cc
+++ b/src/net/http_client.cc
@@ -16,6 +16,7 @@
 #include <boost/beast/http.hpp>
 
 #include "net/field_memory.h"
+#include "net/message_head.h"
 #include "net/message_reading.h"
 #include "net/response_pairing.h"
 #include "net/socket_address.h"
@@ -445,7 +446,8 @@
     const std::string_view what = state->share->gave_way()
                                       ? "no memory for the response"
                                       : "no valid response";
-    const bool is_unusable = read_failed == http::error::unexpected_body;
+    const bool is_unusable =
+        read_failed == http::error::unexpected_body || IsHeadError(read_failed);
     co_return Broken(
         is_unusable ? result_code::kAnswerBroken : result_code::kOutcomeUnknown,
         Explain(where, what, read_failed), read_failed);
--- a/src/net/message_head.cc
+++ b/src/net/message_head.cc
@@ -34,6 +34,11 @@
   }
 };
 
+const head_error_category& HeadErrorCategory() {
+  static const head_error_category category;
+  return category;
+}
+
 // Whether the framing of the body is known. The fields ask for no transfer
 // coding but chunked, which HTTP/1.0 does not have (RFC 9112, 6.1 and 7).
 template <bool is_request>
@@ -49,8 +54,11 @@
 }  // namespace
 
 error_code make_error_code(head_error error) {
-  static const head_error_category category;
-  return {static_cast<int>(error), category};
+  return {static_cast<int>(error), HeadErrorCategory()};
+}
+
+bool IsHeadError(const error_code& code) {
+  return code.category() == HeadErrorCategory();
 }
 
 error_code CheckHead(const http::response_header<>& head) {
--- a/src/net/message_head.h
+++ b/src/net/message_head.h
@@ -26,6 +26,9 @@
 
 boost::system::error_code make_error_code(head_error error);
 
+// Whether the code is one of a `head_error`.
+bool IsHeadError(const boost::system::error_code& code);
+
 // Returns the first error of the head of a response, if any.
 boost::system::error_code CheckHead(
     const boost::beast::http::response_header<>& head);
--- a/tests/auto/host/test_invalid_heads.cc
+++ b/tests/auto/host/test_invalid_heads.cc
@@ -180,6 +180,23 @@
       "no valid response: the status code is not between 100 and 599"));
 }
 
+// It responds, unlike one that breaks off its connections.
+BOOST_AUTO_TEST_CASE(a_server_is_suspended_if_it_sends_invalid_heads_often) {
+  relay_world here;
+  here.AddServer("i-1", here.first.address());
+  here.first.script = {{WithStatus("000")}};
+  const auto server = here.core->servers.Find("i-1");
+  const auto is_suspended = [&] {
+    return server->trust.suspended_until > std::chrono::steady_clock::now();
+  };
+  for (int sent = 0; sent < 3; ++sent) {
+    here.SendRequest("/once/");
+    BOOST_TEST(!is_suspended());
+  }
+  here.SendRequest("/once/");
+  BOOST_TEST(is_suspended());
+}
+
 // Neither as an interim response, nor as one to another request.
 BOOST_AUTO_TEST_CASE(nothing_is_read_after_a_status_out_of_range) {
   for (const std::string before :
