--- a/src/net/message_head.cc
+++ b/src/net/message_head.cc
@@ -28,7 +28,7 @@
       case head_error::kFoldedField:
         return "a line of the head begins with a blank or a tab";
       case head_error::kUnknownTransferCoding:
-        return "the body has a transfer coding other than chunked";
+        return "the transfer coding is not chunked alone in HTTP/1.1";
     }
     return "invalid head";
   }
@@ -39,8 +39,8 @@
   return category;
 }
 
-// Whether the framing of the body is known. The fields ask for no transfer
-// coding but chunked, which HTTP/1.0 does not have (RFC 9112, 6.1 and 7).
+// Whether the framing of the body is known. No transfer coding but chunked is
+// negotiated, and HTTP/1.0 has none (RFC 9112, 6.1 and 7).
 template <bool is_request>
 bool HasKnownFraming(const http::header<is_request>& head) {
   constexpr unsigned kVersionWithCodings = 11;
--- a/src/net/message_head.h
+++ b/src/net/message_head.h
@@ -19,8 +19,8 @@
   kStatusOutOfRange = 1,
   // A field continues on a line that begins with a blank or a tab.
   kFoldedField,
-  // The body is framed otherwise than by a length, by chunks alone, or by the
-  // end of the connection.
+  // The body is framed neither by a length, nor by chunks alone, nor by the end
+  // of the connection.
   kUnknownTransferCoding,
 };
 
@@ -37,9 +37,9 @@
 boost::system::error_code CheckHead(
     const boost::beast::http::request_header<>& head);
 
-// Whether a field is folded in a part of a message that begins with a line of
-// its head, and of whose head all lines are whole. The parser joins such lines
-// to one value.
+// Whether a line is folded in a part of a message that begins with a line of
+// its head. All lines of the head must be whole; what follows the head is not
+// regarded. The parser joins folded lines to one value.
 bool HasFoldedField(std::string_view part);
 
 }  // namespace valeledge::net
--- a/src/tools/standin/service_main.cc
+++ b/src/tools/standin/service_main.cc
@@ -3,7 +3,7 @@
 // Idempotency-Key (GET /runs). POST /fault with any of {"cut_before":true}
 // (cut the connection, not run), {"cut_after":true} (run, then cut),
 // {"refuse":true} (503), {"delay":"100ms"} (before the run), {"status":0} (run,
-// then respond with any number as status).
+// then respond with this status, which may be invalid, up to 999).
 #include <map>
 
 #include "base/duration.h"
