Only the host that received a request repeats an attempt that may have run

Cause, by the hosts' lines: a host that is cut from the servers sent the request through another one and allowed that one all attempts that were left. It repeated the request itself after an invalid response, and had not responded when the first host's time-out ended the attempt. The first host counted one attempt, not two, and sent the request through a third host. A host that does not respond cannot tell how often it has sent a request, so the counts of two hosts cannot agree.

Change: a relaying host sends a request again only if the attempt certainly has not run. The receiving host repeats what may have run, through a host again, within its own retry budget. It names the servers that have failed the request, so that another one is tried. A response with a server error through another host is now repeated there as well, no longer by the relaying host.

The two tests of a repetition at another server pass before and after.

--- a/src/host/request/attempt_timeouts.cc
+++ b/src/host/request/attempt_timeouts.cc
@@ -14,14 +14,14 @@
 using catalog::route_kind;
 using std::chrono::milliseconds;
 
-// Whether another attempt may follow the present one if that may have run.
+}  // namespace
+
 bool MayRepeatAttempt(const request_state& state) {
   return state.routed.route->MayRepeat() && state.routed.trial.empty() &&
+         !state.routed.is_relayed &&
          state.possible_executions + 1 < state.routed.route->attempts;
 }
 
-}  // namespace
-
 milliseconds HeaderTimeout(const request_state& state) {
   const milliseconds left = RemainingTime(state.routed);
   if (!MayRepeatAttempt(state) || HasAdaptiveTimeout(state.core, state.routed))
--- a/src/host/request/attempt_timeouts.h
+++ b/src/host/request/attempt_timeouts.h
@@ -13,6 +13,11 @@
 
 namespace valeledge::host {
 
+// Whether another attempt may follow the present one if that may have run. Only
+// the host that received the request from its caller decides that: it cannot
+// know the attempts of another host that does not respond.
+bool MayRepeatAttempt(const request_state& state);
+
 // Returns how long an attempt waits for the header of its response.
 std::chrono::milliseconds HeaderTimeout(const request_state& state);
 
--- a/src/host/request/attempt_watch.cc
+++ b/src/host/request/attempt_watch.cc
@@ -36,7 +36,7 @@
 constexpr milliseconds kMaxUnknownExpected{500};
 
 // The other host may need the time of two attempts, since it makes a second one
-// itself.
+// itself if an engine refuses the first.
 constexpr int kAttemptsOfPeer = 2;
 
 // Attempts are kept until 99 in 100 responses of their engine have started: the
--- a/src/host/request/failure_response.cc
+++ b/src/host/request/failure_response.cc
@@ -9,10 +9,14 @@
 
 namespace valeledge::host {
 
-net::http_response MakeFailureResponse(const routed_request& routed,
+net::http_response MakeFailureResponse(const request_state& state,
                                        const base::error& failed) {
-  return routed.is_relayed ? MakeRelayedErrorResponse(failed)
-                           : MakeErrorResponse(failed);
+  auto response = MakeErrorResponse(failed);
+  if (state.routed.is_relayed) {
+    WriteRelayFields(response.base(),
+                     {failed.code, failed.what_ran, state.instance, {}});
+  }
+  return response;
 }
 
 net::http_response MakeRelayedErrorResponse(const base::error& failed) {
@@ -35,7 +39,7 @@
                               "this host stops before the response is complete")
             : LeavingError();
     LogRefused(state.core, state.routed, state.trace, stopped);
-    return MakeFailureResponse(state.routed, stopped);
+    return MakeFailureResponse(state, stopped);
   }
   const base::error failed =
       may_have_run ? base::MakeError(base::result_code::kDeadlinePassed,
@@ -44,7 +48,7 @@
                    : NotSentInTimeError();
   RecordLate(state.core, state.routed, state.trace);
   LogRefused(state.core, state.routed, state.trace, failed);
-  return MakeFailureResponse(state.routed, failed);
+  return MakeFailureResponse(state, failed);
 }
 
 }  // namespace valeledge::host
--- a/src/host/request/failure_response.h
+++ b/src/host/request/failure_response.h
@@ -10,7 +10,7 @@
 namespace valeledge::host {
 
 // Returns the response for the caller, or for the host that relays the request.
-net::http_response MakeFailureResponse(const routed_request& routed,
+net::http_response MakeFailureResponse(const request_state& state,
                                        const base::error& failed);
 
 // Returns the response for the host that relays the request. It states whether
--- a/src/host/request/peer_attempt.cc
+++ b/src/host/request/peer_attempt.cc
@@ -28,8 +28,6 @@
                               const base::endpoint& peer,
                               const relayed_response& stated) {
   const bool not_run = stated.what_ran == base::outcome::kNotRun;
-  const auto retry_after =
-      net::ReadRetryAfter(exchange.header(), std::chrono::system_clock::now());
   const bool takes_none = stated.code == result_code::kPathLost ||
                           stated.code == result_code::kLeaving;
   if (not_run && takes_none) {
@@ -39,11 +37,24 @@
         base::ToString(peer) + ": takes no requests of other hosts");
     return attempt_outcome::kNotRun;
   }
-  state.peer_error =
+  state.last_error =
       base::MakeError(stated.code, stated.what_ran,
                       base::ToString(peer) + ": could not serve the request");
-  state.peer_error->retry_after = retry_after.delay;
-  return not_run ? attempt_outcome::kNotRun : attempt_outcome::kUnknown;
+  state.last_error.retry_after =
+      net::ReadRetryAfter(exchange.header(), std::chrono::system_clock::now())
+          .delay;
+  if (!not_run)
+    return attempt_outcome::kUnknown;
+  state.peer_error = state.last_error;
+  return attempt_outcome::kNotRun;
+}
+
+// Other hosts send the request to another server if that is tried again.
+void RecordFailedServer(request_state& state,
+                        const std::string& instance,
+                        attempt_outcome outcome) {
+  if (outcome == attempt_outcome::kUnknown && !instance.empty())
+    state.failed_at_peers.push_back(instance);
 }
 
 // Applies what a server has stated to the other host.
@@ -77,9 +88,7 @@
   });
   state.trace.wait = request_wait::kResponseHeader;
   auto opened = co_await state.core.http.Open(
-      peer,
-      MakeRelayedRequest(state.core, state.request, state.routed,
-                         state.trace.last_event_id, state.possible_executions),
+      peer, MakeRelayedRequest(state),
       net::open_limit{kRelayConnectTimeout, HeaderTimeout(state),
                       state.routed.deadline},
       net::connection_use::kPooled, state.guard.get());
@@ -112,6 +121,7 @@
     state.core.http.DiscardBody(*opened);
     const attempt_outcome outcome =
         TakePeerError(state, exchange, peer, stated);
+    RecordFailedServer(state, stated.server, outcome);
     if (outcome == attempt_outcome::kNotRun) {
       LogAttemptNotRun(state.core, state.routed, state.trace,
                        base::ToString(peer), not_run_evidence::kPeerStatement);
@@ -135,6 +145,7 @@
   ApplyRelayedNotices(state, stated.server, metadata);
   const attempt_outcome outcome =
       co_await ForwardResponse(state, exchange, nullptr);
+  RecordFailedServer(state, stated.server, outcome);
   co_return outcome;
 }
 
--- a/src/host/request/peer_relay.cc
+++ b/src/host/request/peer_relay.cc
@@ -18,6 +18,7 @@
 constexpr std::string_view kSoftwareField = "Valeledge-Relay-Software";
 constexpr std::string_view kWorkspaceField = "Valeledge-Relay-Workspace";
 constexpr std::string_view kLeavingField = "Valeledge-Relay-Leaving";
+constexpr std::string_view kFailedField = "Valeledge-Relay-Failed";
 constexpr std::string_view kCodeField = "Valeledge-Relay-Code";
 constexpr std::string_view kOutcomeField = "Valeledge-Relay-Outcome";
 constexpr std::string_view kServerField = "Valeledge-Relay-Server";
@@ -77,6 +78,8 @@
     request.set(kWorkspaceField, relayed.workspace);
   if (!relayed.leaving.empty())
     request.set(kLeavingField, JoinWithCommas(relayed.leaving));
+  if (!relayed.failed.empty())
+    request.set(kFailedField, JoinWithCommas(relayed.failed));
 }
 
 relayed_request ReadRelayFields(const net::http_request& request) {
@@ -88,6 +91,7 @@
     out.software = Field(request, kSoftwareField);
   out.workspace = Field(request, kWorkspaceField);
   out.leaving = SplitAtCommas(Field(request, kLeavingField));
+  out.failed = SplitAtCommas(Field(request, kFailedField));
   return out;
 }
 
@@ -114,24 +118,23 @@
   return out;
 }
 
-net::http_request MakeRelayedRequest(const host_core& core,
-                                     const net::http_request& request,
-                                     const routed_request& routed,
-                                     std::string_view resume_after,
-                                     std::int64_t possible_executions) {
-  auto out = ForwardableRequest(request, core.protocol.end_to_end_fields);
+net::http_request MakeRelayedRequest(const request_state& state) {
+  const host_core& core = state.core;
+  const routed_request& routed = state.routed;
+  auto out = ForwardableRequest(state.request, core.protocol.end_to_end_fields);
   attempt_metadata fields;
   fields.deadline = std::max(RemainingTime(routed), milliseconds(1));
-  fields.resume_after = resume_after;
+  fields.resume_after = state.trace.last_event_id;
   core.protocol.write_attempt(out, fields);
   relayed_request relayed;
   relayed.version = routed.configuration->version;
-  relayed.possible_executions = possible_executions;
+  relayed.possible_executions = state.possible_executions;
   relayed.service = routed.service->name;
   if (routed.origin)
     relayed.software = routed.origin->software;
   relayed.workspace = WorkspaceName(routed);
   relayed.leaving = LeavingServers(core, routed.service->name);
+  relayed.failed = state.failed_at_peers;
   WriteRelayFields(out, relayed);
   return out;
 }
--- a/src/host/request/peer_relay.h
+++ b/src/host/request/peer_relay.h
@@ -19,7 +19,7 @@
 #include <boost/asio/awaitable.hpp>
 
 #include "base/result_code.h"
-#include "host/request/routed_request.h"
+#include "host/request/request_state.h"
 #include "net/http_client.h"
 
 namespace valeledge::host {
@@ -38,6 +38,8 @@
   std::string workspace;
   // Servers whose responses to the receiving host state that they are leaving.
   std::vector<std::string> leaving;
+  // Servers that failed the request when it was relayed before.
+  std::vector<std::string> failed;
 };
 
 // What the other host states about its response.
@@ -47,7 +49,8 @@
   // Whether the request has run, if the response is its own error. What is not
   // stated is not known.
   base::outcome what_ran = base::outcome::kUnknown;
-  // The backend server that responded; empty if none did.
+  // The backend server that responded or was the last to be tried; empty if
+  // there is none.
   std::string server;
   // Its software version.
   std::string software;
@@ -64,11 +67,7 @@
 relayed_response ReadRelayFields(const net::http_response_header& response);
 
 // Returns the request as it is sent to another host.
-net::http_request MakeRelayedRequest(const host_core& core,
-                                     const net::http_request& request,
-                                     const routed_request& routed,
-                                     std::string_view resume_after,
-                                     std::int64_t possible_executions);
+net::http_request MakeRelayedRequest(const request_state& state);
 
 }  // namespace valeledge::host
 
--- a/src/host/request/relay.cc
+++ b/src/host/request/relay.cc
@@ -14,6 +14,7 @@
 #include "host/constants.h"
 #include "host/process/path_monitor.h"
 #include "host/request/attempt_outcome.h"
+#include "host/request/attempt_timeouts.h"
 #include "host/request/direct_attempt.h"
 #include "host/request/failure_response.h"
 #include "host/request/peer_attempt.h"
@@ -115,9 +116,9 @@
       RemainingTime(state.routed).count() <= 0 || !state.routed.trial.empty())
     co_return false;
   if (outcome == attempt_outcome::kUnknown) {
+    const bool may_repeat = MayRepeatAttempt(state);
     ++state.possible_executions;
-    if (!state.routed.route->MayRepeat() ||
-        state.possible_executions >= state.routed.route->attempts)
+    if (!may_repeat)
       co_return false;
   }
   state.permit.RecordFailure(state.last_error);
@@ -145,7 +146,7 @@
     co_await state.responder.Send(std::move(*state.server_error_response));
     co_return;
   }
-  auto response = MakeFailureResponse(state.routed, failed);
+  auto response = MakeFailureResponse(state, failed);
   co_await state.responder.Send(std::move(response));
 }
 
@@ -205,7 +206,7 @@
     ran = ran || outcome == attempt_outcome::kUnknown;
     if (state.peer_error) {
       // The other host's refusal does not cover earlier attempts.
-      if (ran && state.peer_error->what_ran == base::outcome::kNotRun) {
+      if (ran) {
         state.peer_error =
             base::MakeError(result_code::kOutcomeUnknown,
                             base::outcome::kUnknown, state.peer_error->message);
--- a/src/host/request/request_admission.cc
+++ b/src/host/request/request_admission.cc
@@ -49,6 +49,9 @@
                         "an earlier attempt may have run the request");
   }
   state.routed.failed_instances = relayed.leaving;
+  state.routed.failed_instances.insert(state.routed.failed_instances.end(),
+                                       relayed.failed.begin(),
+                                       relayed.failed.end());
   return std::nullopt;
 }
 
--- a/src/host/request/request_state.h
+++ b/src/host/request/request_state.h
@@ -8,6 +8,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <vector>
 
 #include "base/error.h"
 #include "base/memory_budget.h"
@@ -61,9 +62,11 @@
   // What that response holds of the memory for responses.
   std::unique_ptr<base::memory_share> server_error_share;
   base::error last_error;
-  // The error of the host through which the request was sent. It has decided on
-  // further attempts, so this host makes none.
+  // The error of another host by which the request has not run. That host has
+  // tried the servers, so this host makes no further attempt.
   std::optional<base::error> peer_error;
+  // Servers that failed the request at other hosts.
+  std::vector<std::string> failed_at_peers;
   // The server of the present attempt; empty if another host selects it.
   std::string instance;
   // The software version of the server of the present attempt.
--- a/src/host/request/response_forwarding.cc
+++ b/src/host/request/response_forwarding.cc
@@ -168,7 +168,7 @@
   const int status = state.trace.server_status;
   const bool is_promise = decisions::PromisesNotRun(status);
   const bool may_repeat = state.routed.route->MayRepeat();
-  if (!is_promise && (!may_repeat || attempt == nullptr)) {
+  if (!is_promise && !may_repeat) {
     co_await SendHeld(state, exchange, std::move(whole));
     co_return attempt_outcome::kDone;
   }
@@ -181,8 +181,6 @@
   }
   if (!is_promise)
     KeepErrorResponse(state, std::move(whole));
-  else if (attempt == nullptr)
-    state.peer_error = state.last_error;
   co_return attempt_outcome::kUnknown;
 }
 
--- a/tests/auto/host/test_lost_paths.cc
+++ b/tests/auto/host/test_lost_paths.cc
@@ -224,6 +224,47 @@
   BOOST_TEST(here.ServerRequests() == 2u);
 }
 
+// Guards against a request that runs more often than its route allows: the
+// other host repeats it, and does not respond in time.
+BOOST_AUTO_TEST_CASE(attempts_at_another_host_count_if_it_does_not_respond) {
+  using connection_action = scripted_response::connection_action;
+  lost_world here;
+  here.AddFarRelay();
+  here.other.core->servers.Find("i-2")->others.running = 3;
+  here.other.first.script = {{"", connection_action::kReset}};
+  here.other.second.script = {{"", connection_action::kHang}};
+  const auto seen = here.cut.SendRequest("/safe/");
+  BOOST_TEST(seen.status >= 502);
+  BOOST_TEST(here.other.first.requests.size() == 1u);
+  BOOST_TEST(here.other.second.requests.size() == 1u);
+}
+
+BOOST_AUTO_TEST_CASE(a_relayed_request_is_repeated_at_another_server) {
+  for (const std::string& failure : {std::string(), kFailedResponse,
+                                     std::string("HTTP/1.1 000 No\r\n\r\n")}) {
+    lost_world here;
+    here.other.core->servers.Find("i-2")->others.running = 3;
+    here.other.first.script = {
+        {failure, scripted_response::connection_action::kReset}};
+    const auto seen = here.cut.SendRequest("/safe/");
+    BOOST_TEST(seen.status == 200);
+    BOOST_TEST(seen.body == "hello");
+    BOOST_TEST(here.other.first.requests.size() == 1u);
+    BOOST_TEST(here.other.second.requests.size() == 1u);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(a_relayed_stream_goes_on_at_another_server) {
+  lost_world here;
+  here.other.core->servers.Find("i-2")->others.running = 3;
+  here.other.first.script = {{kStreamHeader + Chunk(Event(1)),
+                              scripted_response::connection_action::kClose}};
+  here.other.second.script = {{kStreamHeader + Chunk(Event(2)) + "0\r\n\r\n"}};
+  const auto seen = here.cut.SendRequest("/resumed/");
+  BOOST_TEST(seen.body == Event(1) + Event(2) + "(end)");
+  BOOST_TEST(here.other.first.requests.size() == 1u);
+}
+
 BOOST_AUTO_TEST_CASE(a_request_is_refused_at_once_if_no_host_reaches_a_server) {
   lost_world here;
   here.other.core->servers.Find("i-1")->entry.address = kRefusing;
