A request is not repeated if a host of an earlier version has relayed it

Cause: since the receiving host repeats a relayed request that may have run.

Change: as before, a status that would promise that the request has not run, passed on by another host, is final; and so is an error of another host that names no server, as only earlier versions and hosts that have tried no server send it.

--- a/src/host/request/peer_attempt.cc
+++ b/src/host/request/peer_attempt.cc
@@ -43,13 +43,14 @@
   state.last_error.retry_after =
       net::ReadRetryAfter(exchange.header(), std::chrono::system_clock::now())
           .delay;
-  if (!not_run)
-    return attempt_outcome::kUnknown;
-  state.peer_error = state.last_error;
-  return attempt_outcome::kNotRun;
+  // A host of an earlier version names no server, and has repeated the request
+  // itself.
+  if (not_run || stated.server.empty())
+    state.peer_error = state.last_error;
+  return not_run ? attempt_outcome::kNotRun : attempt_outcome::kUnknown;
 }
 
-// Other hosts send the request to another server if that is tried again.
+// The next host to which the request is relayed avoids the server.
 void RecordFailedServer(request_state& state,
                         const std::string& instance,
                         attempt_outcome outcome) {
--- a/src/host/request/relay.cc
+++ b/src/host/request/relay.cc
@@ -206,7 +206,7 @@
     ran = ran || outcome == attempt_outcome::kUnknown;
     if (state.peer_error) {
       // The other host's refusal does not cover earlier attempts.
-      if (ran) {
+      if (ran && state.peer_error->what_ran == base::outcome::kNotRun) {
         state.peer_error =
             base::MakeError(result_code::kOutcomeUnknown,
                             base::outcome::kUnknown, state.peer_error->message);
--- a/src/host/request/request_state.h
+++ b/src/host/request/request_state.h
@@ -62,8 +62,9 @@
   // What that response holds of the memory for responses.
   std::unique_ptr<base::memory_share> server_error_share;
   base::error last_error;
-  // The error of another host by which the request has not run. That host has
-  // tried the servers, so this host makes no further attempt.
+  // The error of another host that has decided on further attempts itself, so
+  // that this host makes none: the request has not run, or that host is of an
+  // earlier version.
   std::optional<base::error> peer_error;
   // Servers that failed the request at other hosts.
   std::vector<std::string> failed_at_peers;
--- a/src/host/request/response_forwarding.cc
+++ b/src/host/request/response_forwarding.cc
@@ -181,6 +181,8 @@
   }
   if (!is_promise)
     KeepErrorResponse(state, std::move(whole));
+  else if (attempt == nullptr)
+    state.peer_error = state.last_error;
   co_return attempt_outcome::kUnknown;
 }
 
