The wait of a resumed stream is not rounded down to milliseconds

Cause: the time that is left at a stream's last event was truncated to milliseconds before the share for which the stream waits was taken, so it was given up as much as a millisecond early.

Change: it is rounded up.

Measured: the_wait_of_a_resumed_stream_is_not_rounded_down, which computes the end of the wait for a time of 1999.5 ms, fails before and passes after; test_software_versions passes in release.

--- a/src/host/request/routed_request.cc
+++ b/src/host/request/routed_request.cc
@@ -167,7 +167,7 @@
       routed.route->objective, routed.route->event_gap);
   const auto limit = std::min<base::time_point::duration>(
       patience, routed.deadline - routed.waiting_since);
-  return decisions::MaxResumeWait(duration_cast<milliseconds>(limit));
+  return decisions::MaxResumeWait(std::chrono::ceil<milliseconds>(limit));
 }
 
 base::time_point ResumeCutoff(const routed_request& routed) {
--- a/tests/auto/host/test_software_versions.cc
+++ b/tests/auto/host/test_software_versions.cc
@@ -9,6 +9,7 @@
 #include <boost/test/unit_test.hpp>
 
 #include "decisions/stream_patience.h"
+#include "host/request/routed_request.h"
 #include "relay_world.h"
 
 namespace {
@@ -92,6 +93,18 @@
   BOOST_TEST((took < kMaxResumeWait + 500ms));
 }
 
+// Guards against a wait that ends a millisecond early, since the time that is
+// left at the first event is seldom a whole number of milliseconds.
+BOOST_AUTO_TEST_CASE(the_wait_of_a_resumed_stream_is_not_rounded_down) {
+  const catalog::route route;
+  host::routed_request routed;
+  routed.route = &route;
+  routed.arrived = std::chrono::steady_clock::now();
+  routed.deadline = routed.arrived + 2000ms;
+  routed.waiting_since = routed.arrived + 500us;
+  BOOST_TEST((host::ResumeCutoff(routed) >= routed.arrived + kMaxResumeWait));
+}
+
 BOOST_AUTO_TEST_CASE(a_stream_without_an_event_may_begin_at_another_version) {
   versions_world world("v1.1");
   world.first.script = {{kStreamHeader, action::kClose}};
